--- /dev/null
+++ b/base/src/event.rs
@@ -0,0 +1,90 @@
+//! The numbered log events. docs/EVENTS.md is the catalogue; a test keeps the two in step.
+
+use std::fmt;
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal, $level:ident;)*) => {
+        /// A log event. Numbers are never reused.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Event { $($(#[doc = $doc])* $name,)* }
+
+        impl Event {
+            /// Each event, by number.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// The number, as in the catalogue.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$name => $number,)* }
+            }
+
+            /// The level it is logged at.
+            pub fn level(self) -> slog::Level {
+                match self { $(Event::$name => slog::Level::$level,)* }
+            }
+
+            /// What it means.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$name => concat!($($doc),*).trim_ascii(),)* }
+            }
+        }
+    };
+}
+
+events! {
+    /// The process started.
+    Started = 100, Info;
+    /// The process stops: not ready, streams finish.
+    Stopping = 101, Info;
+    /// The process has stopped.
+    Stopped = 102, Info;
+    /// A listener could not accept a connection.
+    AcceptFailed = 103, Warning;
+    /// A settings version is in force.
+    VersionInForce = 200, Info;
+    /// A settings version was refused; the former one stays in force.
+    VersionRefused = 201, Error;
+    /// The key-value service does not answer.
+    StoreDown = 202, Warning;
+    /// The key-value service answers again.
+    StoreUp = 203, Info;
+    /// A VM joined the members.
+    MemberUp = 300, Info;
+    /// A VM is no longer heard.
+    MemberDown = 301, Warning;
+    /// A VM says that it is leaving.
+    MemberLeaving = 302, Info;
+    /// An upstream is leaving and gets no new work.
+    UpstreamLeaving = 400, Info;
+    /// An upstream does not answer its report.
+    UpstreamSilent = 401, Warning;
+    /// An upstream answers again.
+    UpstreamBack = 402, Info;
+    /// A request was admitted.
+    Admitted = 500, Debug;
+    /// A request waits.
+    Waited = 501, Debug;
+    /// A request was routed to an upstream.
+    Routed = 502, Debug;
+    /// A request was moved to another upstream before it ran.
+    Moved = 503, Info;
+    /// A request was refused.
+    Refused = 504, Info;
+    /// A request was sent again after a failure.
+    Retried = 505, Info;
+    /// An answer goes on at another upstream, or at another VM.
+    Resumed = 506, Info;
+    /// A request ended with its whole answer.
+    Finished = 507, Debug;
+    /// A request ended without its whole answer.
+    Failed = 508, Warning;
+    /// A claim of an idempotency key was written, or found taken.
+    Claimed = 509, Debug;
+    /// A group of engines was held, or given back.
+    Held = 510, Debug;
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{}", self.number())
+    }
+}
--- /dev/null
+++ b/base/src/size.rs
@@ -0,0 +1,78 @@
+//! Sizes and rates.
+
+use std::fmt;
+use std::iter::Sum;
+use std::ops::{Add, Sub};
+use std::str::FromStr;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// A count of model tokens: of a prompt, an answer or an engine's memory.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// The tokens of a text of `bytes`, at `per_token` bytes a token, rounded up.
+    pub fn of_bytes(bytes: usize, per_token: u32) -> Tokens {
+        Tokens((bytes as u64).div_ceil(u64::from(per_token.max(1))))
+    }
+
+    /// The difference, or none where `other` is larger.
+    pub fn saturating_sub(self, other: Tokens) -> Tokens {
+        Tokens(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Tokens;
+    fn add(self, other: Tokens) -> Tokens {
+        Tokens(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Tokens {
+    type Output = Tokens;
+    fn sub(self, other: Tokens) -> Tokens {
+        self.saturating_sub(other)
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I: Iterator<Item = Tokens>>(iter: I) -> Tokens {
+        iter.fold(Tokens(0), Add::add)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = std::num::ParseIntError;
+    /// Reads a count with an optional `k` (thousand) or `M` (million) behind it.
+    fn from_str(text: &str) -> Result<Tokens, Self::Err> {
+        let (digits, unit) = match text.as_bytes().last() {
+            Some(b'k') => (&text[..text.len() - 1], 1_000),
+            Some(b'M') => (&text[..text.len() - 1], 1_000_000),
+            _ => (text, 1),
+        };
+        digits.parse::<u64>().map(|count| Tokens(count.saturating_mul(unit)))
+    }
+}
--- /dev/null
+++ b/cli/src/client.rs
@@ -0,0 +1,39 @@
+//! Asking VMs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foldlock_connection::http::{Client, body};
+use hyper::Request;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+
+/// How long a VM has to answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads a path of a VM's control address: the status and the body.
+pub async fn get(client: &Client, vm: SocketAddr, path: &str) -> Result<(u16, Vec<u8>), Error> {
+    let request = Request::get(format!("http://{vm}{path}"))
+        .body(body(""))
+        .map_err(|e| Error::Usage(e.to_string()))?;
+    let answer = client.call(request, TIMEOUT).await;
+    let answer = answer.map_err(|e| Error::Vm(format!("{vm}: {e}")))?;
+    Ok((answer.status().as_u16(), answer.into_body().to_vec()))
+}
+
+/// Reads JSON from a path; none where there is nothing.
+pub async fn json<T: DeserializeOwned>(
+    client: &Client,
+    vm: SocketAddr,
+    path: &str,
+) -> Result<Option<T>, Error> {
+    let (status, bytes) = get(client, vm, path).await?;
+    match status {
+        200 => serde_json::from_slice(&bytes)
+            .map(Some)
+            .map_err(|e| Error::Vm(format!("{vm}: the answer cannot be read: {e}"))),
+        404 => Ok(None),
+        status => Err(Error::Vm(format!("{vm}: status {status}"))),
+    }
+}
--- /dev/null
+++ b/cli/src/error.rs
@@ -0,0 +1,60 @@
+//! Errors of the command, each with its exit code.
+
+use std::fmt;
+use std::process::ExitCode;
+
+use foldlock_version::check::Fault;
+use foldlock_version::publish::Refusal;
+use foldlock_version::store::Failure;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum Error {
+    /// A file or directory.
+    File(String, std::io::Error),
+    /// The arguments make no sense together.
+    Usage(String),
+    /// The settings have faults.
+    Faults(Vec<Fault>),
+    /// The change was not accepted.
+    Refused(Refusal),
+    /// The key-value service.
+    Store(Failure),
+    /// A VM does not answer, or not as it should.
+    Vm(String),
+    /// What was asked for is not there.
+    NotFound(String),
+}
+
+impl Error {
+    /// The exit code.
+    pub fn code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Error::File(..) | Error::Store(_) | Error::Vm(_) => 1,
+            Error::Usage(_) => 2,
+            Error::Faults(_) | Error::Refused(Refusal::Faults(_)) => 3,
+            Error::Refused(Refusal::Raced(_)) => 4,
+            Error::Refused(_) => 1,
+            Error::NotFound(_) => 5,
+        })
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::File(path, e) => write!(f, "{path}: {e}"),
+            Error::Usage(why) | Error::Vm(why) | Error::NotFound(why) => f.write_str(why),
+            Error::Faults(faults) => {
+                for fault in faults {
+                    writeln!(f, "{fault}")?;
+                }
+                write!(f, "{} fault(s)", faults.len())
+            }
+            Error::Refused(refusal) => write!(f, "{refusal}"),
+            Error::Store(failure) => write!(f, "{failure}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,11 @@
+//! The operators' command: checking and applying settings, and reading what VMs show.
+
+pub mod app;
+pub mod apply;
+pub mod check;
+pub mod client;
+pub mod error;
+pub mod files;
+pub mod output;
+pub mod show;
+pub mod vm;
--- /dev/null
+++ b/cli/src/vm.rs
@@ -0,0 +1,161 @@
+//! `why`, `watch`, `status` and `dump`: what VMs show.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use foldlock_connection::http::{Client, body};
+use foldlock_request::decision::Record;
+use foldlock_request::ring::Line;
+use http_body_util::BodyExt;
+use hyper::Request;
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use crate::app::{OneVm, Status, Watch, Why};
+use crate::client;
+use crate::error::Error;
+use crate::output::{Mark, Output};
+
+/// Lines that may wait to be written.
+const LINES: usize = 256;
+
+/// Shows a request's record.
+pub async fn why(args: &Why, output: Output) -> Result<(), Error> {
+    let client = Client::default();
+    let path = format!("/why/{}", args.request);
+    let mut silent = Vec::new();
+    for vm in args.vms() {
+        match client::json::<Record>(&client, *vm, &path).await {
+            Ok(Some(record)) if output.json => {
+                output.value(&record);
+                return Ok(());
+            }
+            Ok(Some(record)) => {
+                output.line(record.to_string().trim_end());
+                return Ok(());
+            }
+            Ok(None) => {}
+            Err(e) => silent.push(e.to_string()),
+        }
+    }
+    let mut why = format!("no VM that was asked has a record of {}", args.request);
+    for e in silent {
+        why.push_str(&format!("\n{e}"));
+    }
+    Err(Error::NotFound(why))
+}
+
+/// Watches decisions.
+pub async fn watch(args: &Watch, output: Output) -> Result<(), Error> {
+    let client = Client::default();
+    let (sender, mut lines) = mpsc::channel(LINES);
+    for vm in args.vms() {
+        let (client, vm, sender) = (client.clone(), *vm, sender.clone());
+        tokio::spawn(async move {
+            if let Err(e) = follow(&client, vm, &sender).await {
+                let _ = sender.send(Err(e)).await;
+            }
+        });
+    }
+    drop(sender);
+    let mut left = args.count.unwrap_or(u64::MAX);
+    while left > 0
+        && let Some(line) = lines.recv().await
+    {
+        let line: Line = line?;
+        if args.organisation.as_ref().is_some_and(|o| *o != line.organisation) {
+            continue;
+        }
+        left -= 1;
+        if output.json {
+            output.value(&line);
+        } else {
+            let id = output.mark(Mark::Dim, line.request.as_str());
+            let at = line.step.at_ms;
+            output.line(&format!("{id} {at:>9.1} ms  {}", line.step.decision));
+        }
+    }
+    Ok(())
+}
+
+async fn follow(
+    client: &Client,
+    vm: SocketAddr,
+    lines: &mpsc::Sender<Result<Line, Error>>,
+) -> Result<(), Error> {
+    let failed = |e: &dyn std::fmt::Display| Error::Vm(format!("{vm}: {e}"));
+    let request =
+        Request::get(format!("http://{vm}/decisions")).body(body("")).map_err(|e| failed(&e))?;
+    let mut answer = client.send(request).await.map_err(|e| failed(&e))?.into_body();
+    let mut rest = Vec::new();
+    while let Some(frame) = answer.frame().await {
+        let bytes = frame.map_err(|e| failed(&e))?.into_data().unwrap_or_else(|_| Bytes::new());
+        rest.extend_from_slice(&bytes);
+        while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+            let text: Vec<u8> = rest.drain(..=end).collect();
+            let line = serde_json::from_slice(&text).map_err(|e| failed(&e))?;
+            if lines.send(Ok(line)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+    Err(failed(&"the VM ended the stream"))
+}
+
+/// Shows the state of VMs.
+pub async fn status(args: &Status, output: Output) -> Result<(), Error> {
+    let client = Client::default();
+    let mut silent = None;
+    for vm in args.vms() {
+        match client::json::<Value>(&client, *vm, "/dump").await {
+            Ok(Some(dump)) => output.line(&row(*vm, &dump, output)),
+            Ok(None) => {}
+            Err(e) => {
+                output.line(&format!("{vm:<22} {}", output.mark(Mark::Bad, "no answer")));
+                silent = Some(e);
+            }
+        }
+    }
+    silent.map_or(Ok(()), Err)
+}
+
+fn row(vm: SocketAddr, dump: &Value, output: Output) -> String {
+    if output.json {
+        return serde_json::json!({
+            "address": vm.to_string(),
+            "vm": dump["config"]["vm"],
+            "hall": dump["config"]["hall"],
+            "ready": dump["ready"],
+            "version": dump["version"],
+            "requests": dump["requests"],
+            "stopping": dump["stopping"],
+        })
+        .to_string();
+    }
+    let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
+    let state = match (dump["ready"] == true, dump["stopping"] == true) {
+        (true, _) => output.mark(Mark::Good, "ready"),
+        (_, true) => output.mark(Mark::Bad, "stopping"),
+        _ => output.mark(Mark::Bad, "not ready"),
+    };
+    format!(
+        "{vm:<22} {:<12} {:<14} {state}  version {}  {} requests  {} peers",
+        text(&dump["config"]["vm"]),
+        text(&dump["config"]["hall"]),
+        dump["version"],
+        dump["requests"],
+        dump["peers"],
+    )
+}
+
+/// Shows all that a VM knows.
+pub async fn dump(args: &OneVm, output: Output) -> Result<(), Error> {
+    let dump: Option<Value> = client::json(&Client::default(), args.vm, "/dump").await?;
+    let dump = dump.ok_or_else(|| Error::NotFound(format!("{} has no dump", args.vm)))?;
+    if output.json {
+        output.value(&dump);
+    } else {
+        output.line(&serde_json::to_string_pretty(&dump).expect("plain data"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/connection/src/http.rs
@@ -0,0 +1,108 @@
+//! The HTTP client that the adapters share.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// How long a connection attempt takes at most.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How many idle connections are kept to one address.
+const IDLE_PER_ADDRESS: usize = 256;
+
+/// Why a call brought no answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// No connection: nothing was sent.
+    Connect(String),
+    /// The connection broke, or no answer came in time: the call may have run.
+    Broken(String),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Connect(why) => write!(f, "no connection: {why}"),
+            Failure::Broken(why) => write!(f, "connection broken: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// A client with a pool of connections. A request is sent again by itself only where the pool
+/// finds its connection closed before a byte was written. A connection whose answer was not read to its end is
+/// closed, never reused.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_PER_ADDRESS)
+            .retry_canceled_requests(true)
+            .build(connector);
+        Client { pool }
+    }
+}
+
+impl Client {
+    /// Sends a request and gives the answer once its headers are there.
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
+        self.pool.request(request).await.map_err(|e| {
+            let why = chain(&e);
+            if e.is_connect() { Failure::Connect(why) } else { Failure::Broken(why) }
+        })
+    }
+
+    /// Sends a request and gives the answer whole, all within `timeout`.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
+        let whole = async {
+            let (head, body) = self.send(request).await?.into_parts();
+            let body = body.collect().await.map_err(|e| Failure::Broken(chain(&e)))?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        match tokio::time::timeout(timeout, whole).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Failure::Broken(format!("no answer in {} ms", timeout.as_millis()))),
+        }
+    }
+}
+
+/// An error with its causes on one line.
+pub fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(inner) = source {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        source = inner.source();
+    }
+    text
+}
+
+/// A body from anything that turns into bytes.
+pub fn body(bytes: impl Into<Bytes>) -> Full<Bytes> {
+    Full::new(bytes.into())
+}
--- /dev/null
+++ b/connection/src/kv.rs
@@ -0,0 +1,124 @@
+//! The adapter to the platform's key-value service.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldlock_version::store::{Entry, Failure, Store};
+use hyper::{Method, Request, Response};
+
+use crate::http::{Client, body};
+
+/// The header with a key's revision in answers.
+pub const REVISION: &str = "x-revision";
+
+/// The header with the revision that a write expects.
+pub const EXPECT: &str = "x-expect";
+
+/// How long a call waits for its answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Counts of the calls made, for metrics and for tests that bound them.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Reads, watches among them.
+    pub reads: AtomicU64,
+    /// Writes.
+    pub writes: AtomicU64,
+    /// Calls that failed.
+    pub failures: AtomicU64,
+}
+
+/// The key-value service over HTTP.
+#[derive(Clone)]
+pub struct HttpStore {
+    client: Client,
+    address: Arc<str>,
+    calls: Arc<Calls>,
+}
+
+impl HttpStore {
+    /// A store at `address`, `IP:port`.
+    pub fn new(client: Client, address: &str) -> HttpStore {
+        HttpStore { client, address: address.into(), calls: Arc::default() }
+    }
+
+    /// The calls made so far.
+    pub fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        key: &str,
+        query: &str,
+        expect: Option<u64>,
+        value: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, Failure> {
+        let count = if method == Method::GET { &self.calls.reads } else { &self.calls.writes };
+        count.fetch_add(1, Ordering::Relaxed);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}/kv/{key}{query}", self.address));
+        if let Some(expect) = expect {
+            request = request.header(EXPECT, expect);
+        }
+        let request = request
+            .body(body(value))
+            .map_err(|e| Failure::Unavailable(format!("bad key {key:?}: {e}")))?;
+        let answer = self.client.call(request, timeout).await;
+        let answer = answer.map_err(|e| Failure::Unavailable(e.to_string()));
+        let result = answer.and_then(|answer| match answer.status().as_u16() {
+            200 | 304 | 404 => Ok(answer),
+            409 => Err(Failure::Conflict),
+            429 => Err(Failure::Limited),
+            status => Err(Failure::Unavailable(format!("status {status}"))),
+        });
+        if matches!(result, Err(Failure::Unavailable(_) | Failure::Limited)) {
+            self.calls.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        result
+    }
+}
+
+fn revision(answer: &Response<Bytes>) -> Result<u64, Failure> {
+    answer
+        .headers()
+        .get(REVISION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse().ok())
+        .ok_or_else(|| Failure::Unavailable("the answer names no revision".to_owned()))
+}
+
+fn entry(answer: Response<Bytes>) -> Result<Option<Entry>, Failure> {
+    if answer.status().as_u16() != 200 {
+        return Ok(None);
+    }
+    let revision = revision(&answer)?;
+    Ok(Some(Entry { value: answer.into_body().to_vec(), revision }))
+}
+
+impl Store for HttpStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, Failure> {
+        entry(self.call(Method::GET, key, "", None, Vec::new(), CALL_TIMEOUT).await?)
+    }
+
+    async fn swap(&self, key: &str, expected: u64, value: Vec<u8>) -> Result<u64, Failure> {
+        let answer = self.call(Method::PUT, key, "", Some(expected), value, CALL_TIMEOUT).await?;
+        revision(&answer)
+    }
+
+    async fn delete(&self, key: &str, expected: u64) -> Result<(), Failure> {
+        self.call(Method::DELETE, key, "", Some(expected), Vec::new(), CALL_TIMEOUT).await?;
+        Ok(())
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Entry>, Failure> {
+        let query = format!("?after={after}&wait_ms={}", wait.as_millis());
+        let timeout = wait + CALL_TIMEOUT;
+        entry(self.call(Method::GET, key, &query, None, Vec::new(), timeout).await?)
+    }
+}
--- /dev/null
+++ b/connection/src/lib.rs
@@ -0,0 +1,9 @@
+//! Connections out of a VM: to engines and plain services, to the platform, and to other VMs.
+
+pub mod engine;
+pub mod events;
+pub mod http;
+pub mod kv;
+pub mod peer;
+pub mod vms;
+pub mod wire;
--- /dev/null
+++ b/connection/src/peer.rs
@@ -0,0 +1,97 @@
+//! Opening and serving connections between VMs.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{Empty, Full};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, UPGRADE};
+use hyper::upgrade::Upgraded;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tarpc::server::BaseChannel;
+use tokio::net::TcpStream;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::http::{Failure, chain};
+use crate::wire::{PATH, PROTOCOL, PeerClient, PeerRequest, PeerResponse};
+
+/// How long it takes at most to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The longest message. Settings of a whole fleet fit.
+const MAX_MESSAGE: usize = 32 << 20;
+
+/// A connection to a peer. Cheap to clone; calls share the connection.
+pub type Connection = PeerClient;
+
+/// Opens a connection to a peer's control address.
+pub async fn connect(address: &str) -> Result<Connection, Failure> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, open(address)).await {
+        Ok(connection) => connection,
+        Err(_) => Err(Failure::Connect("timed out".to_owned())),
+    }
+}
+
+async fn open(address: &str) -> Result<Connection, Failure> {
+    let stream = TcpStream::connect(address).await.map_err(|e| Failure::Connect(e.to_string()))?;
+    stream.set_nodelay(true).map_err(|e| Failure::Connect(e.to_string()))?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| Failure::Connect(chain(&e)))?;
+    tokio::spawn(connection.with_upgrades());
+    let request = Request::get(PATH)
+        .header(HOST, address)
+        .header(CONNECTION, "upgrade")
+        .header(UPGRADE, PROTOCOL)
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| Failure::Connect(e.to_string()))?;
+    let answer = sender.send_request(request).await.map_err(|e| Failure::Connect(chain(&e)))?;
+    if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
+        return Err(Failure::Connect(format!("the peer does not speak {PROTOCOL}")));
+    }
+    let upgraded = hyper::upgrade::on(answer).await.map_err(|e| Failure::Connect(chain(&e)))?;
+    let transport =
+        tarpc::serde_transport::new(framed(upgraded), tokio_serde::formats::MessagePack::default());
+    Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
+}
+
+fn framed(
+    upgraded: Upgraded,
+) -> tokio_util::codec::Framed<TokioIo<Upgraded>, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE).new_framed(TokioIo::new(upgraded))
+}
+
+/// Whether a request asks for a connection between VMs.
+pub fn is_upgrade(request: &Request<Incoming>) -> bool {
+    request.uri().path() == PATH
+        && request.headers().get(UPGRADE).is_some_and(|v| v.as_bytes() == PROTOCOL.as_bytes())
+}
+
+/// The accepted side of a connection, ready to execute calls.
+pub type Served = BaseChannel<PeerRequest, PeerResponse, Transport>;
+
+type Inward = tarpc::ClientMessage<PeerRequest>;
+type Outward = tarpc::Response<PeerResponse>;
+type Format = tokio_serde::formats::MessagePack<Inward, Outward>;
+type Transport = tarpc::serde_transport::Transport<TokioIo<Upgraded>, Inward, Outward, Format>;
+
+/// Accepts an upgrade; `run` gets the connection and serves the peer's calls until it ends.
+pub fn accept<F, R>(request: Request<Incoming>, run: F) -> Response<Full<Bytes>>
+where
+    F: FnOnce(Served) -> R + Send + 'static,
+    R: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(async move {
+        if let Ok(upgraded) = hyper::upgrade::on(request).await {
+            let format = tokio_serde::formats::MessagePack::default();
+            let transport = tarpc::serde_transport::new(framed(upgraded), format);
+            run(BaseChannel::with_defaults(transport)).await;
+        }
+    });
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    answer.headers_mut().insert(CONNECTION, hyper::header::HeaderValue::from_static("upgrade"));
+    answer.headers_mut().insert(UPGRADE, hyper::header::HeaderValue::from_static(PROTOCOL));
+    answer
+}
--- /dev/null
+++ b/daemon/src/answer.rs
@@ -0,0 +1,137 @@
+//! Answers to callers and operators.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use foldlock_base::error::Error;
+use foldlock_base::id;
+use hyper::body::{Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+/// The header with the request's id in answers.
+pub const REQUEST: &str = "x-request-id";
+
+/// The header with the VM that answered.
+pub const VM: &str = "x-foldlock-vm";
+
+/// The header with the time after which to come back, milliseconds.
+pub const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// The header that says whether the request ran.
+pub const RAN: &str = "x-ran";
+
+/// The body of an answer.
+pub enum Body {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Parts as they come.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = |bytes: Bytes| Ok(Frame::data(bytes));
+        match self.get_mut() {
+            Body::Whole(bytes) => Poll::Ready(bytes.take().map(frame)),
+            Body::Stream(parts) => parts.poll_recv(context).map(|part| part.map(frame)),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Body::Stream(_) => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Whole(None))
+    }
+}
+
+/// The one JSON shape of errors.
+#[derive(Debug, Serialize)]
+pub struct Shape<'a> {
+    error: Inner<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct Inner<'a> {
+    kind: &'a str,
+    ran: String,
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    request: &'a str,
+}
+
+/// An error as JSON.
+pub fn shape<'a>(error: &'a Error, request: &'a id::Request) -> Shape<'a> {
+    Shape {
+        error: Inner {
+            kind: error.kind().as_str(),
+            ran: error.ran().to_string(),
+            message: error.message(),
+            retry_after_ms: error.retry().map(|d| d.as_millis() as u64),
+            request: request.as_str(),
+        },
+    }
+}
+
+/// The answer for an error.
+pub fn error(error: &Error, request: &id::Request) -> Response<Body> {
+    let status = StatusCode::from_u16(error.kind().status());
+    let mut answer =
+        json(status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &shape(error, request));
+    let headers = answer.headers_mut();
+    let ran = HeaderValue::try_from(error.ran().to_string());
+    headers.insert(RAN, ran.expect("plain words"));
+    if let Some(after) = error.retry() {
+        headers.insert(RETRY_AFTER, (after.as_millis().div_ceil(1000) as u64).into());
+        headers.insert(RETRY_AFTER_MS, (after.as_millis() as u64).into());
+    }
+    answer
+}
+
+/// An answer with JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).expect("plain data");
+    whole(status, "application/json", bytes)
+}
+
+/// An answer with text.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    whole(status, "text/plain; charset=utf-8", text)
+}
+
+/// An answer with a body that is there.
+pub fn whole(
+    status: StatusCode,
+    content_type: &'static str,
+    bytes: impl Into<Bytes>,
+) -> Response<Body> {
+    let mut answer = Response::new(Body::Whole(Some(bytes.into())));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
+
+/// An answer whose parts come one by one.
+pub fn stream(content_type: &'static str, parts: mpsc::Receiver<Bytes>) -> Response<Body> {
+    let mut answer = Response::new(Body::Stream(parts));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
--- /dev/null
+++ b/daemon/src/claims.rs
@@ -0,0 +1,310 @@
+//! Claims of idempotency keys: written to the key-value service before a request that may not be
+//! repeated is sent.
+//!
+//! One VM, named by rendezvous, writes for all, in batches. Any other VM that cannot reach it
+//! writes by itself: the compare-and-swap decides. See `foldlock_request::claim` for the log.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::{Clock, System};
+use foldlock_base::id;
+use foldlock_connection::kv::HttpStore;
+use foldlock_connection::wire::{Claim, Member, Verdict, Word};
+use foldlock_request::claim::{self, Log};
+use foldlock_version::store::{Entry, Failure, Store};
+use tarpc::context::Context;
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::members;
+use crate::process::Process;
+
+/// The one shard of today. Its number is in keys and messages, so that there can be more.
+const SHARD: u32 = 0;
+
+/// The least time between two writes, in which claims gather.
+const GATHER: Duration = Duration::from_millis(25);
+
+/// The largest batch.
+const BATCH: usize = 2_000;
+
+/// How often a batch is tried again after a conflict or a lost answer.
+const ATTEMPTS: u32 = 6;
+
+/// How long the VM that writes has to answer another one.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How often settlements are sent, and tried again.
+const SETTLE: Duration = Duration::from_millis(100);
+
+/// How long a stopping process tries to write its settlements.
+const FLUSH: Duration = Duration::from_secs(5);
+
+struct Item {
+    claim: Claim,
+    verdict: oneshot::Sender<Verdict>,
+}
+
+/// The claims.
+pub struct Claims {
+    store: HttpStore,
+    inbox: mpsc::UnboundedSender<Item>,
+    outlet: Mutex<Option<mpsc::UnboundedReceiver<Item>>>,
+    settlements: Mutex<Vec<Claim>>,
+    settled: Notify,
+}
+
+/// A key that this VM holds for one attempt. Given back when dropped, unless it was sent.
+pub struct Held {
+    process: Arc<Process>,
+    key: u128,
+    nonce: u128,
+    sent: bool,
+}
+
+impl Held {
+    /// The attempt is on its way: from here on the key stays taken.
+    pub fn sent(&mut self) {
+        self.sent = true;
+    }
+
+    /// The attempt was proved not to have run.
+    pub fn not_run(&mut self) {
+        self.sent = false;
+    }
+
+    /// The attempt ran to its end.
+    pub fn done(&mut self) {
+        self.sent = true;
+        self.settle(Word::Done);
+    }
+
+    fn settle(&self, word: Word) {
+        let claim = Claim { key: self.key, nonce: self.nonce, word };
+        self.process.claims.settlements.lock().unwrap().push(claim);
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if !self.sent {
+            self.settle(Word::Release);
+        }
+    }
+}
+
+impl Claims {
+    /// Claims that lie in this store.
+    pub fn new(store: HttpStore) -> Claims {
+        let (inbox, outlet) = mpsc::unbounded_channel();
+        let outlet = Mutex::new(Some(outlet));
+        Claims { store, inbox, outlet, settlements: Mutex::default(), settled: Notify::new() }
+    }
+
+    /// The VM that writes.
+    pub fn writer(&self, live: &[Member]) -> Option<id::Vm> {
+        members::holder(&format!("claims/{SHARD}"), live).map(|m| m.vm.clone())
+    }
+
+    /// Claims a key for one attempt.
+    pub async fn claim(process: &Arc<Process>, key: u128) -> Result<Held, Verdict> {
+        let nonce = rand::random();
+        let mut held = Held { process: process.clone(), key, nonce, sent: false };
+        let claim = Claim { key, nonce, word: Word::Claim };
+        match send(process, vec![claim]).await.first() {
+            Some(Verdict::Won) => Ok(held),
+            Some(Verdict::Unavailable) | None => Err(Verdict::Unavailable),
+            Some(verdict) => {
+                held.sent();
+                Err(*verdict)
+            }
+        }
+    }
+
+    /// Writes claims at this VM.
+    pub async fn write_here(&self, shard: u32, claims: Vec<Claim>) -> Vec<Verdict> {
+        if shard != SHARD {
+            return vec![Verdict::Unavailable; claims.len()];
+        }
+        let mut waiting = Vec::with_capacity(claims.len());
+        for claim in claims {
+            let (verdict, answer) = oneshot::channel();
+            let _ = self.inbox.send(Item { claim, verdict });
+            waiting.push(answer);
+        }
+        let mut verdicts = Vec::with_capacity(waiting.len());
+        for answer in waiting {
+            verdicts.push(answer.await.unwrap_or(Verdict::Unavailable));
+        }
+        verdicts
+    }
+
+    /// Waits until what became of each attempt is written, for a while.
+    pub async fn flush(&self) {
+        let flushed = async {
+            loop {
+                let settled = self.settled.notified();
+                if self.settlements.lock().unwrap().is_empty() {
+                    return;
+                }
+                settled.await;
+            }
+        };
+        let _ = tokio::time::timeout(FLUSH, flushed).await;
+    }
+}
+
+/// Sends claims to the VM that writes, or writes them here.
+async fn send(process: &Arc<Process>, claims: Vec<Claim>) -> Vec<Verdict> {
+    let live = process.members.live();
+    let writer = process.claims.writer(&live);
+    if let Some(writer) = writer.filter(|w| *w != process.config.vm)
+        && let Some(connection) = process.peers.get(&writer)
+    {
+        let mut context = Context::current();
+        context.deadline = Instant::now() + FORWARD_TIMEOUT;
+        process.metrics.peer_calls.inc();
+        if let Ok(verdicts) = connection.claim(context, SHARD, claims.clone()).await {
+            return verdicts;
+        }
+    }
+    process.claims.write_here(SHARD, claims).await
+}
+
+/// Writes what comes to this VM, and sends settlements.
+pub async fn run(process: Arc<Process>) {
+    let outlet = process.claims.outlet.lock().unwrap().take();
+    let Some(outlet) = outlet else { return };
+    let writer = Writer {
+        store: process.claims.store.clone(),
+        log: Log::new(SHARD),
+        read: false,
+        fresh: false,
+        clock: process.clock,
+    };
+    tokio::join!(writer.run(outlet), settle(process.clone()));
+}
+
+/// Sends settlements until each is written.
+async fn settle(process: Arc<Process>) {
+    loop {
+        tokio::time::sleep(SETTLE).await;
+        let batch: Vec<Claim> = {
+            let settlements = process.claims.settlements.lock().unwrap();
+            settlements.iter().take(BATCH).cloned().collect()
+        };
+        if batch.is_empty() {
+            process.claims.settled.notify_waiters();
+            continue;
+        }
+        let verdicts = send(&process, batch.clone()).await;
+        let written = batch.iter().zip(verdicts).filter(|(_, v)| *v != Verdict::Unavailable);
+        let written: Vec<Claim> = written.map(|(c, _)| c.clone()).collect();
+        process.claims.settlements.lock().unwrap().retain(|c| !written.contains(c));
+        process.claims.settled.notify_waiters();
+    }
+}
+
+/// The one task of a VM that writes the log.
+struct Writer {
+    store: HttpStore,
+    log: Log,
+    read: bool,
+    fresh: bool,
+    clock: System,
+}
+
+impl Writer {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Item>) {
+        let mut wrote = Instant::now() - GATHER;
+        while let Some(first) = inbox.recv().await {
+            tokio::time::sleep_until((wrote + GATHER).into()).await;
+            let mut items = vec![first];
+            while items.len() < BATCH
+                && let Ok(item) = inbox.try_recv()
+            {
+                items.push(item);
+            }
+            wrote = Instant::now();
+            let claims: Vec<Claim> = items.iter().map(|i| i.claim.clone()).collect();
+            let verdicts = self.decide(&claims).await;
+            for (item, verdict) in items.into_iter().zip(verdicts) {
+                let _ = item.verdict.send(verdict);
+            }
+        }
+    }
+
+    /// Decides a batch and writes it. After a conflict or a lost answer the log is read on, in
+    /// which the own entries are found if the write took effect.
+    async fn decide(&mut self, claims: &[Claim]) -> Vec<Verdict> {
+        let nothing = vec![Verdict::Unavailable; claims.len()];
+        for attempt in 0..ATTEMPTS {
+            if !self.fresh && self.read_on().await.is_err() {
+                tokio::time::sleep(GATHER * attempt).await;
+                continue;
+            }
+            let Ok(batch) = self.log.prepare(claims, self.clock.wall_millis()) else {
+                return nothing;
+            };
+            let Some(text) = &batch.text else { return batch.verdicts };
+            let key = claim::key(self.log.shard(), batch.slot);
+            match self.store.swap(&key, batch.expected, text.clone().into_bytes()).await {
+                Ok(revision) => {
+                    self.log.commit(&batch, revision);
+                    return batch.verdicts;
+                }
+                Err(Failure::Limited) => tokio::time::sleep(GATHER).await,
+                Err(_) => self.fresh = false,
+            }
+        }
+        nothing
+    }
+
+    /// Reads what others wrote since.
+    async fn read_on(&mut self) -> Result<(), Failure> {
+        if !self.read {
+            self.read_all().await?;
+            self.read = true;
+        } else {
+            let mut slot = self.log.current();
+            let mut first = true;
+            while self.load(slot).await? || first {
+                first = false;
+                slot = (slot + 1) % claim::SLOTS;
+            }
+        }
+        self.fresh = true;
+        Ok(())
+    }
+
+    async fn load(&mut self, slot: usize) -> Result<bool, Failure> {
+        let before = self.log.current();
+        let entry = self.store.get(&claim::key(self.log.shard(), slot)).await?;
+        let Some(entry) = entry else { return Ok(false) };
+        let text = text_of(&entry)?;
+        let more = self.log.load(slot, Some((&text, entry.revision))).map_err(unreadable)?;
+        Ok(more && (slot != before || slot == self.log.current()))
+    }
+
+    async fn read_all(&mut self) -> Result<(), Failure> {
+        let mut entries = Vec::new();
+        for slot in 0..claim::SLOTS {
+            let entry = self.store.get(&claim::key(self.log.shard(), slot)).await?;
+            let Some(entry) = entry else { break };
+            entries.push((slot, text_of(&entry)?, entry.revision));
+        }
+        let mut log = Log::new(self.log.shard());
+        log.restore(entries).map_err(unreadable)?;
+        self.log = log;
+        Ok(())
+    }
+}
+
+fn text_of(entry: &Entry) -> Result<String, Failure> {
+    String::from_utf8(entry.value.clone())
+        .map_err(|_| Failure::Unavailable("a slot of claims is not text".to_owned()))
+}
+
+fn unreadable(e: claim::Unreadable) -> Failure {
+    Failure::Unavailable(format!("a slot of claims cannot be read: {}", e.0))
+}
--- /dev/null
+++ b/daemon/src/complete.rs
@@ -0,0 +1,393 @@
+//! A caller's request: who asks, what is asked, under which settings and limits.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldlock_base::clock::System;
+use foldlock_base::error::{Proof, Unsent};
+use foldlock_base::prefix;
+use foldlock_base::prelude::*;
+use foldlock_connection::wire::Verdict;
+use foldlock_request::affinity;
+use foldlock_request::claim;
+use foldlock_request::decision::{Decision, Step, Subject};
+use foldlock_request::limit::Permit;
+use foldlock_request::prompt::{self, Style};
+use foldlock_request::ring::Entry;
+use foldlock_version::check::nearest;
+use foldlock_version::policy::Policy;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+
+use crate::answer::{self, Body};
+use crate::claims::{Claims, Held};
+use crate::current::Version;
+use crate::drain;
+use crate::limits;
+use crate::metrics::ByOrganisation;
+use crate::process::Process;
+use crate::pump::{self, Events, Whole};
+use crate::serve::{self, Job};
+use crate::{plain, resume};
+
+/// The header that names the kind of request.
+pub const KIND: &str = "x-request-kind";
+
+/// The header with the time that the caller gives, milliseconds.
+pub const TIMEOUT: &str = "x-request-timeout-ms";
+
+/// The header with the key of a request that is not to be repeated.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The header with the cursor of the last event that a caller has.
+pub const LAST_EVENT: &str = "last-event-id";
+
+/// The longest idempotency key.
+const MAX_KEY: usize = 256;
+
+/// How long a body may take to arrive at most.
+const BODY: Duration = Duration::from_secs(30);
+
+/// A caller who may ask, with the settings that apply.
+pub struct Caller {
+    /// The process.
+    pub process: Arc<Process>,
+    /// The request's id.
+    pub request: id::Request,
+    /// When it arrived.
+    pub arrived: std::time::Instant,
+    /// The settings version.
+    pub version: Arc<Version>,
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The kind of request.
+    pub kind: Option<id::Kind>,
+    /// The settings.
+    pub policy: Arc<Policy>,
+    /// The deadline.
+    pub deadline: Deadline,
+    /// The idempotency key.
+    pub key: Option<String>,
+    permits: Vec<Permit<System>>,
+}
+
+/// An error for a request that was not sent.
+pub fn refuse(kind: Kind, message: impl Into<String>) -> Error {
+    Error::unsent(kind, message, Unsent::arrived())
+}
+
+/// Answers a caller.
+pub async fn answer(process: Arc<Process>, request: Request<Incoming>) -> Response<Body> {
+    let id = process.request_id();
+    let busy = drain::busy(&process);
+    let result = if process.drain.closed() {
+        let error = refuse(Kind::Draining, "this VM is stopping");
+        Err(error.retry_after(Duration::from_millis(50)))
+    } else {
+        route(&process, &id, request, busy).await
+    };
+    let mut answer = result.unwrap_or_else(|error| {
+        process.metrics.error(error.kind());
+        answer::error(&error, &id)
+    });
+    let headers = answer.headers_mut();
+    let value = |text: &str| HeaderValue::try_from(text).expect("identifiers fit headers");
+    headers.insert(answer::REQUEST, value(id.as_str()));
+    headers.insert(answer::VM, value(process.config.vm.as_str()));
+    answer
+}
+
+async fn route(
+    process: &Arc<Process>,
+    id: &id::Request,
+    request: Request<Incoming>,
+    busy: drain::Busy,
+) -> Result<Response<Body>, Error> {
+    let caller = Caller::read(process, id, request.headers())?;
+    let counted = ByOrganisation { organisation: caller.organisation.to_string() };
+    process.metrics.requests.get_or_create(&counted).inc();
+    let style = match request.uri().path() {
+        "/v1/completions" => Style::Completion,
+        "/v1/chat/completions" => Style::Chat,
+        "/v1/streams" => return resume::answer(caller, &request, busy).await,
+        path if caller.version.tree.service_of(path).is_some() => {
+            return plain::answer(caller, request).await;
+        }
+        path => return Err(refuse(Kind::NotFound, format!("there is no {path}"))),
+    };
+    if request.method() != Method::POST {
+        return Err(refuse(Kind::MethodNotAllowed, "a completion is asked for by POST"));
+    }
+    if request.headers().contains_key(LAST_EVENT) {
+        return resume::answer(caller, &request, busy).await;
+    }
+    let body = caller.body(request.into_body()).await?;
+    complete(caller, style, &body, busy).await
+}
+
+impl Caller {
+    fn read(
+        process: &Arc<Process>,
+        id: &id::Request,
+        headers: &HeaderMap,
+    ) -> Result<Caller, Error> {
+        let version = process.current.get();
+        if version.head.version == 0 {
+            return Err(refuse(Kind::StoreUnavailable, "there are no settings yet")
+                .retry_after(Duration::from_secs(1)));
+        }
+        let key = bearer(headers)
+            .ok_or_else(|| refuse(Kind::Unauthorized, "`Authorization: Bearer KEY` is needed"))?;
+        let organisation = version
+            .tree
+            .organisation_of(key)
+            .cloned()
+            .ok_or_else(|| refuse(Kind::Unauthorized, "no organisation has this key"))?;
+        let kind = kind_of(&version, &organisation, headers)?;
+        let effective = version.tree.effective(&organisation, kind.as_ref());
+        let policy = effective
+            .map(|e| e.policy.clone())
+            .ok_or_else(|| refuse(Kind::Internal, "the organisation has no settings"))?;
+        let timeout = policy.timeout(timeout_of(headers)?);
+        Ok(Caller {
+            process: process.clone(),
+            request: id.clone(),
+            arrived: process.clock.now(),
+            deadline: Deadline::after(&process.clock, timeout),
+            key: idempotency_key(headers)?,
+            version,
+            organisation,
+            kind,
+            policy,
+            permits: Vec::new(),
+        })
+    }
+
+    /// Reads the body, as far as the settings allow.
+    pub async fn body(&self, body: Incoming) -> Result<Bytes, Error> {
+        let most = self.policy.max_body_bytes;
+        let wait = self.deadline.left(&self.process.clock).min(BODY);
+        match tokio::time::timeout(wait, Limited::new(body, most).collect()).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                Err(refuse(Kind::TooLarge, format!("the body is larger than {most} bytes")))
+            }
+            Ok(Err(e)) => Err(refuse(Kind::BadRequest, format!("the body broke off: {e}"))),
+            Err(_) => Err(refuse(Kind::RequestTimeout, "the body came too slowly")),
+        }
+    }
+
+    /// Lets the request in under the limits of its organisation and kind.
+    pub fn admit(&mut self, prompt: Tokens) -> Result<(), Error> {
+        let vms = self.process.members.live().len();
+        let tree = &self.version.tree;
+        let mut names = vec![(limits::name(&self.organisation, None), None)];
+        if let Some(kind) = &self.kind {
+            names.push((limits::name(&self.organisation, Some(kind)), Some(kind)));
+        }
+        for (name, kind) in names {
+            let Some(effective) = tree.effective(&self.organisation, kind) else { continue };
+            match self.process.limits.admit(&name, &effective.policy, vms, prompt) {
+                Ok(permit) => self.permits.extend(permit),
+                Err(over) => {
+                    let why = format!("`{}` of {name} is used up", over.limit);
+                    return Err(refuse(Kind::Limited, why).retry_after(over.retry_after));
+                }
+            }
+        }
+        self.process.budget.request();
+        Ok(())
+    }
+
+    /// Begins the record.
+    pub fn record(&self, target: &str, prompt: Tokens) -> Entry {
+        self.process.ring.begin(Subject {
+            request: self.request.clone(),
+            vm: self.process.config.vm.clone(),
+            organisation: self.organisation.clone(),
+            kind: self.kind.clone(),
+            target: target.to_owned(),
+            prompt,
+            arrived_ms: self.process.clock.wall_millis(),
+        })
+    }
+
+    /// Adds a decision to a record.
+    pub fn step(&self, entry: &Entry, decision: Decision) {
+        let at_ms = serve::millis(self.process.clock.now() - self.arrived);
+        entry.add(Step { at_ms, decision });
+    }
+
+    /// Records that the request is refused.
+    pub fn refused(&self, entry: &Entry, error: &Error) {
+        let retry_after_ms = error.retry().map(|d| d.as_millis() as u64);
+        let why = error.message().to_owned();
+        self.step(entry, Decision::Refused { kind: error.kind(), why, retry_after_ms });
+    }
+
+    /// Claims the idempotency key of a request that may not be repeated.
+    pub async fn claim(&self, entry: &Entry, repeatable: bool) -> Result<Option<Held>, Error> {
+        let Some(key) = self.key.as_deref().filter(|_| !repeatable) else { return Ok(None) };
+        let started = self.process.clock.now();
+        let hash = claim::hash(&self.organisation, key);
+        let left = self.deadline.left(&self.process.clock);
+        let claimed = tokio::time::timeout(left, Claims::claim(&self.process, hash)).await;
+        let waited_ms = serve::millis(self.process.clock.now() - started);
+        let verdict = match claimed {
+            Ok(Ok(held)) => {
+                self.step(entry, Decision::Claimed { won: true, waited_ms });
+                return Ok(Some(held));
+            }
+            Ok(Err(verdict)) => verdict,
+            Err(_) => Verdict::Unavailable,
+        };
+        self.step(entry, Decision::Claimed { won: false, waited_ms });
+        Err(match verdict {
+            Verdict::Ran => Error::claimed("a request with this key has run", Ran::Yes),
+            Verdict::Taken | Verdict::Won => {
+                let why = "a request with this key was sent; what became of it is not known";
+                Error::claimed(why, Ran::Unknown)
+            }
+            Verdict::Unavailable => {
+                let why = "the key cannot be claimed: the key-value service does not answer";
+                refuse(Kind::StoreUnavailable, why).retry_after(Duration::from_secs(1))
+            }
+        })
+    }
+}
+
+fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+fn kind_of(
+    version: &Version,
+    organisation: &id::Organisation,
+    headers: &HeaderMap,
+) -> Result<Option<id::Kind>, Error> {
+    let Some(value) = headers.get(KIND) else { return Ok(None) };
+    let text = value.to_str().unwrap_or_default();
+    let kinds = &version.tree.organisations[organisation].kinds;
+    if let Ok(kind) = text.parse::<id::Kind>()
+        && kinds.contains_key(&kind)
+    {
+        return Ok(Some(kind));
+    }
+    let mut why = format!("`{KIND}: {text}` is not a kind of {organisation}");
+    if let Some(near) = nearest(text, kinds.keys().map(id::Kind::as_str)) {
+        why.push_str(&format!("; did you mean `{near}`?"));
+    }
+    Err(refuse(Kind::BadRequest, why))
+}
+
+fn timeout_of(headers: &HeaderMap) -> Result<Option<Duration>, Error> {
+    let Some(value) = headers.get(TIMEOUT) else { return Ok(None) };
+    let millis = value.to_str().ok().and_then(|v| v.parse::<u64>().ok()).filter(|ms| *ms > 0);
+    match millis {
+        Some(millis) => Ok(Some(Duration::from_millis(millis))),
+        None => Err(refuse(Kind::BadRequest, format!("`{TIMEOUT}` is milliseconds, at least 1"))),
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Error> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else { return Ok(None) };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= MAX_KEY => Ok(Some(text.to_owned())),
+        _ => {
+            let why = format!("`{IDEMPOTENCY_KEY}` is 1 to {MAX_KEY} visible characters");
+            Err(refuse(Kind::BadRequest, why))
+        }
+    }
+}
+
+async fn complete(
+    mut caller: Caller,
+    style: Style,
+    body: &[u8],
+    busy: drain::Busy,
+) -> Result<Response<Body>, Error> {
+    let prompt = prompt::read(style, body).map_err(|e| refuse(Kind::BadRequest, e.to_string()))?;
+    let models = &caller.version.tree.fleet.models;
+    let Some(model) = models.get(&prompt.model) else {
+        let mut why = format!("there is no model `{}`", prompt.model);
+        if let Some(near) = nearest(prompt.model.as_str(), models.keys().map(id::Model::as_str)) {
+            why.push_str(&format!("; did you mean `{near}`?"));
+        }
+        return Err(refuse(Kind::UnknownModel, why));
+    };
+    let bytes_per_token = model.bytes_per_token;
+    let tokens = prompt.tokens(bytes_per_token);
+    let most = caller.policy.max_answer_tokens;
+    let max_tokens = prompt.max_tokens.unwrap_or(most).min(most);
+    if tokens.0 + max_tokens > model.context_tokens {
+        let why =
+            format!("{tokens} + {max_tokens} tokens; the model takes {}", model.context_tokens);
+        return Err(refuse(Kind::PromptTooLong, why));
+    }
+    let entry = caller.record(prompt.model.as_str(), tokens);
+    caller.admit(tokens).inspect_err(|e| caller.refused(&entry, e))?;
+    caller.step(
+        &entry,
+        Decision::Admitted {
+            timeout_ms: caller.deadline.left(&caller.process.clock).as_millis() as u64,
+            version: caller.version.head.version,
+        },
+    );
+    let claim = caller.claim(&entry, caller.policy.repeatable).await;
+    let claim = claim.inspect_err(|e| caller.refused(&entry, e))?;
+    let job = Job {
+        blocks: prefix::blocks(&prompt.text, affinity::BLOCKS),
+        process: caller.process.clone(),
+        entry,
+        arrived: caller.arrived,
+        deadline: caller.deadline,
+        organisation: caller.organisation.clone(),
+        policy: caller.policy.clone(),
+        version: caller.version.clone(),
+        request: caller.request.clone(),
+        prompt,
+        tokens,
+        max_tokens,
+        bytes_per_token,
+    };
+    if job.prompt.stream { stream(caller, job, claim, busy).await } else { whole(job, claim).await }
+}
+
+async fn whole(job: Job, mut claim: Option<Held>) -> Result<Response<Body>, Error> {
+    let mut sink = Whole::default();
+    let finished = serve::run(&job, &mut sink, &mut claim).await?;
+    Ok(answer::json(StatusCode::OK, &pump::completion(&job, &sink, finished.tokens)))
+}
+
+async fn stream(
+    caller: Caller,
+    job: Job,
+    mut claim: Option<Held>,
+    busy: drain::Busy,
+) -> Result<Response<Body>, Error> {
+    let (mut sink, waiting) = Events::new(&job.request, &job.prompt.model, job.prompt.style);
+    tokio::spawn(async move {
+        // The limits count the request, and a stop waits for it, until its end.
+        let _caller = caller;
+        let _busy = busy;
+        job.process.metrics.streams.inc();
+        if let Err(error) = serve::run(&job, &mut sink, &mut claim).await {
+            sink.fail(error, &job.request).await;
+        }
+        job.process.metrics.streams.dec();
+    });
+    match waiting.started.await {
+        Ok(Ok(())) => Ok(answer::stream("text/event-stream", waiting.parts)),
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err(Proof::MayHaveRun(Unsent::arrived().send()).error(
+            Kind::Internal,
+            "the request's task ended",
+            false,
+        )),
+    }
+}
--- /dev/null
+++ b/daemon/src/config.rs
@@ -0,0 +1,106 @@
+//! The process's own configuration: a file, overridden by flags.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use foldlock_base::id;
+use foldlock_version::source::Source;
+use serde::{Deserialize, Serialize};
+
+use crate::app::App;
+
+/// How long callers are served after the signal to stop, unless configured.
+const DRAIN_MS: u64 = 3_000;
+
+/// Why there is no configuration.
+#[derive(Debug)]
+pub enum Invalid {
+    /// The file cannot be read.
+    File(String, std::io::Error),
+    /// The file's text is wrong.
+    Text(String, String),
+    /// A value is missing.
+    Missing(&'static str),
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Invalid::File(path, e) => write!(f, "{path}: {e}"),
+            Invalid::Text(path, why) => write!(f, "{path}: {why}"),
+            Invalid::Missing(name) => {
+                write!(f, "`{name}` is missing: give it as a flag or in the configuration file")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// The file's shape.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct File {
+    vm: Option<id::Vm>,
+    hall: Option<id::Hall>,
+    listen: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    kv: Option<SocketAddr>,
+    vms: Option<SocketAddr>,
+    drain_ms: Option<u64>,
+    threads: Option<usize>,
+    log_level: Option<String>,
+}
+
+/// What a process is.
+#[derive(Debug, Clone, Serialize)]
+pub struct Config {
+    /// The name of this VM.
+    pub vm: id::Vm,
+    /// Its data hall.
+    pub hall: id::Hall,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where peers and operators connect.
+    pub control: SocketAddr,
+    /// The key-value service.
+    pub kv: SocketAddr,
+    /// The list of VMs.
+    pub vms: SocketAddr,
+    /// How long callers are served after the signal to stop.
+    pub drain: Duration,
+    /// Threads that serve.
+    pub threads: Option<usize>,
+    /// The lowest level that is logged.
+    pub log_level: String,
+}
+
+impl Config {
+    /// Reads the file, if one is named, and lays the flags over it.
+    pub fn read(app: App) -> Result<Config, Invalid> {
+        let file = app.config.as_deref().map_or(Ok(File::default()), read_file)?;
+        Ok(Config {
+            vm: app.vm.or(file.vm).ok_or(Invalid::Missing("vm"))?,
+            hall: app.hall.or(file.hall).ok_or(Invalid::Missing("hall"))?,
+            listen: app.listen.or(file.listen).ok_or(Invalid::Missing("listen"))?,
+            control: app.control.or(file.control).ok_or(Invalid::Missing("control"))?,
+            kv: app.kv.or(file.kv).ok_or(Invalid::Missing("kv"))?,
+            vms: app.vms.or(file.vms).ok_or(Invalid::Missing("vms"))?,
+            drain: Duration::from_millis(app.drain_ms.or(file.drain_ms).unwrap_or(DRAIN_MS)),
+            threads: app.threads.or(file.threads),
+            log_level: app.log_level.or(file.log_level).unwrap_or_else(|| "info".to_owned()),
+        })
+    }
+}
+
+fn read_file(path: &Path) -> Result<File, Invalid> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| Invalid::File(name.clone(), e))?;
+    let source = Source::parse(&text).map_err(|broken| {
+        let place = format!("{name}:{}:{}", broken.place.line, broken.place.column);
+        Invalid::Text(place, broken.why)
+    })?;
+    serde_json::from_value(source.value()).map_err(|e| Invalid::Text(name, e.to_string()))
+}
--- /dev/null
+++ b/daemon/src/current.rs
@@ -0,0 +1,124 @@
+//! The settings version in force: it only ever moves up.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, RwLock};
+
+use foldlock_request::cursor::Key;
+use foldlock_version::check::Fault;
+use foldlock_version::head::{Hash, Head};
+use foldlock_version::tree::{Texts, Tree};
+use tokio::sync::watch;
+
+/// A version with all that is derived from it.
+pub struct Version {
+    /// The head.
+    pub head: Head,
+    /// The branches' texts.
+    pub texts: Texts,
+    /// The resolved settings.
+    pub tree: Tree,
+    /// The key of cursors.
+    pub key: Key,
+}
+
+impl Version {
+    fn empty() -> Version {
+        Version {
+            head: Head::default(),
+            texts: Texts::new(),
+            tree: Tree::default(),
+            key: Key::new(""),
+        }
+    }
+
+    /// The texts by hash.
+    pub fn by_hash(&self) -> BTreeMap<Hash, Arc<str>> {
+        let named = |(name, text): (_, &Arc<str>)| (self.head.branches.get(name), text.clone());
+        self.texts.iter().map(named).filter_map(|(h, t)| Some((h?.clone(), t))).collect()
+    }
+}
+
+/// What came of a version that was heard of.
+#[derive(Debug)]
+pub enum Moved {
+    /// It is in force.
+    Up,
+    /// It is not newer than the one in force.
+    Old,
+    /// It has faults by this release's checks; the former one stays.
+    Refused(Vec<Fault>),
+}
+
+/// The holder of the version in force.
+pub struct Current {
+    version: RwLock<Arc<Version>>,
+    refused: RwLock<u64>,
+    number: watch::Sender<u64>,
+}
+
+impl Default for Current {
+    fn default() -> Self {
+        Current {
+            version: RwLock::new(Arc::new(Version::empty())),
+            refused: RwLock::new(0),
+            number: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Current {
+    /// The version in force.
+    pub fn get(&self) -> Arc<Version> {
+        self.version.read().unwrap().clone()
+    }
+
+    /// The number of the version in force; 0 before the first.
+    pub fn number(&self) -> u64 {
+        *self.number.borrow()
+    }
+
+    /// Tells of each version that comes into force.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.number.subscribe()
+    }
+
+    /// The newest version that this release refused; 0 for none.
+    pub fn refused(&self) -> u64 {
+        *self.refused.read().unwrap()
+    }
+
+    /// Whether a version of this number is worth fetching.
+    pub fn wants(&self, number: u64) -> bool {
+        number > self.number() && number > self.refused()
+    }
+
+    /// Puts a version in force, if it is newer and free of faults.
+    pub fn advance(&self, head: Head, texts: Texts) -> Moved {
+        if !self.wants(head.version) {
+            return Moved::Old;
+        }
+        let tree = match Tree::build(&texts) {
+            Ok(tree) => tree,
+            Err(faults) => {
+                let mut refused = self.refused.write().unwrap();
+                *refused = (*refused).max(head.version);
+                return Moved::Refused(faults);
+            }
+        };
+        let key = Key::new(&tree.fleet.cursor_secret);
+        let number = head.version;
+        let next = Arc::new(Version { head, texts, tree, key });
+        let mut version = self.version.write().unwrap();
+        if version.head.version >= number {
+            return Moved::Old;
+        }
+        *version = next;
+        drop(version);
+        self.number.send_if_modified(|n| {
+            let newer = number > *n;
+            *n = (*n).max(number);
+            newer
+        });
+        Moved::Up
+    }
+}
--- /dev/null
+++ b/daemon/src/engines.rs
@@ -0,0 +1,487 @@
+//! The engines as this VM knows them: its own work on each, what it learnt of their speed and
+//! caches, and what their homes say.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::Clock;
+use foldlock_base::prelude::*;
+use foldlock_base::{hash, prefix};
+use foldlock_connection::engine::HttpEngine;
+use foldlock_connection::http::Client;
+use foldlock_connection::wire::{Load, State};
+use foldlock_request::affinity::Table;
+use foldlock_request::decision::{Cause, Seen};
+use foldlock_request::health::Health;
+use foldlock_request::route::{Ask, Candidate, Routes};
+use foldlock_request::speed::{Model, Work};
+use foldlock_version::policy::{Policy, Route};
+use foldlock_version::schema;
+use foldlock_version::tree::Tree;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+/// What a home says counts for this long.
+const HOME_FRESH: Duration = Duration::from_secs(2);
+
+/// A sign that an engine is leaving counts for this long; its report renews it.
+const LEAVING_KEPT: Duration = Duration::from_secs(30);
+
+/// Seconds of short prompts that may be queued at an engine; the rest waits here, in fair order.
+const GATE: f64 = 0.25;
+
+/// What is asked for, with what helps to choose.
+pub struct Wanted<'a> {
+    /// The model.
+    pub model: &'a id::Model,
+    /// The sizes.
+    pub ask: Ask,
+    /// The hashes of the prompt's leading blocks.
+    pub blocks: &'a [u64],
+    /// The settings.
+    pub policy: &'a Policy,
+    /// Engines that failed it before.
+    pub avoid: &'a [id::Upstream],
+}
+
+/// What came of choosing an engine.
+pub enum Chosen<C: Clock> {
+    /// This one; the request counts as its load from now on.
+    Engine(Box<Flight<C>>),
+    /// None now.
+    Wait {
+        /// Why.
+        cause: Cause,
+        /// The predicted seconds to the first token at the best of them.
+        predicted: f64,
+        /// Seconds a prompt token of all engines of the model together.
+        seconds_per_token: f64,
+    },
+    /// No engine serves the model.
+    None,
+}
+
+struct Local {
+    entry: schema::Engine,
+    client: HttpEngine,
+    own: Load,
+    flights: HashMap<u64, Pending>,
+    speed: Model,
+    health: Health,
+    affinity: Table,
+    home: Option<(State, Instant)>,
+    leaving_at: Option<Instant>,
+}
+
+/// A request whose first token has not come.
+struct Pending {
+    sent: Instant,
+    predicted: f64,
+}
+
+#[derive(Default)]
+struct Inner {
+    engines: BTreeMap<id::Upstream, Local>,
+    bytes_per_token: HashMap<id::Model, u32>,
+    routes: Routes,
+    next: u64,
+}
+
+/// The engines.
+pub struct Engines<C> {
+    clock: C,
+    client: Client,
+    inner: Mutex<Inner>,
+    changed: Notify,
+}
+
+/// An engine in a dump.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    own: Load,
+    fleet: Load,
+    leaving: bool,
+    usable: bool,
+    home_age_ms: Option<u64>,
+    speed: Model,
+}
+
+impl<C: Clock> Engines<C> {
+    /// No engines yet.
+    pub fn new(clock: C, client: Client) -> Engines<C> {
+        Engines { clock, client, inner: Mutex::default(), changed: Notify::new() }
+    }
+
+    /// Takes the engines of a settings version. What was learnt of those that stay is kept.
+    pub fn apply(&self, tree: &Tree) {
+        let mut inner = self.inner.lock().unwrap();
+        let fleet = &tree.fleet;
+        inner.bytes_per_token =
+            fleet.models.iter().map(|(id, m)| (id.clone(), m.bytes_per_token)).collect();
+        inner.engines.retain(|id, local| {
+            fleet.engines.get(id).is_some_and(|e| e.address == local.entry.address)
+        });
+        for (id, entry) in &fleet.engines {
+            match inner.engines.get_mut(id) {
+                Some(local) => local.entry = entry.clone(),
+                None => {
+                    let local = self.local(entry);
+                    inner.engines.insert(id.clone(), local);
+                }
+            }
+        }
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    fn local(&self, entry: &schema::Engine) -> Local {
+        Local {
+            entry: entry.clone(),
+            client: HttpEngine::new(self.client.clone(), &entry.address),
+            own: Load::default(),
+            flights: HashMap::new(),
+            speed: Model::default(),
+            health: Health::default(),
+            affinity: Table::default(),
+            home: None,
+            leaving_at: None,
+        }
+    }
+
+    /// Tells when a choice may come out differently. Take the waiter before choosing.
+    pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// The adapter to an engine.
+    pub fn client(&self, engine: &id::Upstream) -> Option<HttpEngine> {
+        self.inner.lock().unwrap().engines.get(engine).map(|l| l.client.clone())
+    }
+
+    /// The largest memory among the engines of a model, and that of all of them together.
+    pub fn memory(&self, model: &id::Model) -> (Tokens, Tokens) {
+        let inner = self.inner.lock().unwrap();
+        let serving = inner.engines.values().filter(|l| l.entry.models.contains(model));
+        let sizes: Vec<Tokens> = serving.map(|l| Tokens(l.entry.memory_tokens)).collect();
+        (sizes.iter().copied().max().unwrap_or_default(), sizes.into_iter().sum())
+    }
+
+    /// This VM's own work on each engine that has any.
+    pub fn loads(&self) -> BTreeMap<id::Upstream, Load> {
+        let inner = self.inner.lock().unwrap();
+        let busy = inner.engines.iter().filter(|(_, l)| l.own != Load::default());
+        busy.map(|(id, l)| (id.clone(), l.own)).collect()
+    }
+
+    /// Takes what a home says of its engines.
+    pub fn told(&self, states: &[State]) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        for state in states {
+            let Some(local) = inner.engines.get_mut(&state.engine) else { continue };
+            if state.leaving {
+                local.leaving_at = Some(now);
+            } else if state.reported.is_some() && !local.heard_leaving_since(now) {
+                local.leaving_at = None;
+            }
+            local.home = Some((state.clone(), now));
+        }
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Notes a sign that an engine is leaving. Gives whether it is news.
+    pub fn leaving(&self, engine: &id::Upstream) -> bool {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        let Some(local) = inner.engines.get_mut(engine) else { return false };
+        local.leaving_at.replace(now).is_none()
+    }
+
+    /// The engines that this VM heard to be leaving.
+    pub fn all_leaving(&self) -> Vec<id::Upstream> {
+        let now = self.clock.now();
+        let inner = self.inner.lock().unwrap();
+        let leaving = inner.engines.iter().filter(|(_, l)| l.is_leaving(now));
+        leaving.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Chooses an engine and counts the request as its load.
+    pub fn choose(self: &Arc<Self>, wanted: &Wanted<'_>) -> Chosen<C> {
+        let now = self.clock.now();
+        let mut guard = self.inner.lock().unwrap();
+        let inner = &mut *guard;
+        let candidates = inner.candidates(wanted, now);
+        if candidates.is_empty() {
+            return Chosen::None;
+        }
+        let route = wanted.policy.route;
+        let ask = &wanted.ask;
+        let Some(choice) = inner.routes.choose(route, ask, &candidates, &mut rand::rng()) else {
+            return Chosen::Wait { cause: Cause::Engines, predicted: 0.0, seconds_per_token: 0.0 };
+        };
+        let candidate = &candidates[choice.index];
+        let predicted = candidate.predict(ask);
+        if route == Route::LengthAware
+            && let Some(cause) = closed(candidate, ask)
+        {
+            let seconds_per_token = candidate.speed.seconds_per_token() / candidates.len() as f64;
+            return Chosen::Wait { cause, predicted, seconds_per_token };
+        }
+        let flight = self.begin(inner, wanted, candidate, choice.seen, now);
+        Chosen::Engine(Box::new(flight))
+    }
+
+    /// Takes an engine that another VM chose.
+    pub fn take(self: &Arc<Self>, wanted: &Wanted<'_>, engine: &id::Upstream) -> Option<Flight<C>> {
+        let now = self.clock.now();
+        let mut guard = self.inner.lock().unwrap();
+        let inner = &mut *guard;
+        let candidates = inner.candidates(wanted, now);
+        let candidate = candidates.iter().find(|c| c.engine == *engine)?;
+        let seen = vec![candidate.seen(&wanted.ask, 0.0)];
+        Some(self.begin(inner, wanted, candidate, seen, now))
+    }
+
+    /// The candidates for a request, for a home that decides on grants.
+    pub fn candidates(&self, wanted: &Wanted<'_>) -> Vec<Candidate> {
+        self.inner.lock().unwrap().candidates(wanted, self.clock.now())
+    }
+
+    fn begin(
+        self: &Arc<Self>,
+        inner: &mut Inner,
+        wanted: &Wanted<'_>,
+        candidate: &Candidate,
+        seen: Vec<Seen>,
+        now: Instant,
+    ) -> Flight<C> {
+        let ask = &wanted.ask;
+        let uncached = ask.prompt - candidate.cached;
+        let load = Load {
+            requests: 1,
+            long: u32::from(ask.long),
+            prefill: if ask.long { Tokens(0) } else { uncached },
+            long_prefill: if ask.long { uncached } else { Tokens(0) },
+            memory: ask.memory,
+        };
+        let predicted = candidate.predict(ask);
+        inner.next += 1;
+        let slot = inner.next;
+        let local = inner.engines.get_mut(&candidate.engine).expect("candidates are engines");
+        local.own = local.own.plus(load);
+        local.flights.insert(slot, Pending { sent: now, predicted });
+        local.health.sent();
+        Flight {
+            client: local.client.clone(),
+            engines: self.clone(),
+            engine: candidate.engine.clone(),
+            slot,
+            load,
+            work: candidate.work(ask),
+            blocks: wanted.blocks.to_vec(),
+            predicted,
+            seen,
+            sent: now,
+            bytes_per_token: inner.bytes_per_token.get(wanted.model).copied().unwrap_or(4),
+        }
+    }
+
+    fn with<R>(&self, engine: &id::Upstream, f: impl FnOnce(&mut Local) -> R) -> Option<R> {
+        let result = self.inner.lock().unwrap().engines.get_mut(engine).map(f);
+        self.changed.notify_waiters();
+        result
+    }
+
+    /// The engines, for a dump.
+    pub fn dump(&self) -> BTreeMap<id::Upstream, Dump> {
+        let now = self.clock.now();
+        let inner = self.inner.lock().unwrap();
+        let dump = |l: &Local| Dump {
+            own: l.own,
+            fleet: l.fleet(now),
+            leaving: l.is_leaving(now),
+            usable: l.health.usable(now),
+            home_age_ms: l.home.as_ref().map(|(_, at)| (now - *at).as_millis() as u64),
+            speed: l.speed.clone(),
+        };
+        inner.engines.iter().map(|(id, l)| (id.clone(), dump(l))).collect()
+    }
+}
+
+/// Why the best candidate is not to be given the request now.
+fn closed(candidate: &Candidate, ask: &Ask) -> Option<Cause> {
+    if !candidate.fits(ask) {
+        return Some(Cause::Memory);
+    }
+    if ask.long {
+        return (candidate.fleet.long_prefill.0 > 0).then_some(Cause::Engines);
+    }
+    let queued = candidate.fleet.prefill.0 as f64 * candidate.speed.seconds_per_token();
+    (queued > GATE).then_some(Cause::Engines)
+}
+
+impl Inner {
+    fn candidates(&self, wanted: &Wanted<'_>, now: Instant) -> Vec<Candidate> {
+        let bytes = self.bytes_per_token.get(wanted.model).copied().unwrap_or(4);
+        let usable = |id: &id::Upstream, local: &Local| {
+            local.entry.models.contains(wanted.model)
+                && !local.is_leaving(now)
+                && local.health.usable(now)
+                && !wanted.avoid.contains(id)
+                && wanted.ask.memory.0 <= local.entry.memory_tokens
+        };
+        let ids: Vec<&id::Upstream> =
+            self.engines.iter().filter(|(id, l)| usable(id, l)).map(|(id, _)| id).collect();
+        let mut found: Vec<Candidate> = hash::ranked(wanted.model.as_str(), ids.iter().copied())
+            .into_iter()
+            .enumerate()
+            .map(|(rank, id)| self.engines[id].candidate(id, wanted, rank as u32, bytes, now))
+            .collect();
+        shuffle(&mut found);
+        found
+    }
+}
+
+/// Brings candidates into random order, so that equal scores do not all go to the same one.
+fn shuffle(candidates: &mut [Candidate]) {
+    use rand::seq::SliceRandom;
+    candidates.shuffle(&mut rand::rng());
+}
+
+impl Local {
+    fn candidate(
+        &self,
+        id: &id::Upstream,
+        wanted: &Wanted<'_>,
+        long_rank: u32,
+        bytes_per_token: u32,
+        now: Instant,
+    ) -> Candidate {
+        let cached = self.affinity.cached(wanted.blocks, now, bytes_per_token);
+        let most = wanted.ask.prompt.saturating_sub(Tokens(1));
+        Candidate {
+            engine: id.clone(),
+            own: self.own,
+            fleet: self.fleet(now),
+            report: self.home.as_ref().and_then(|(state, _)| state.reported),
+            cached: cached.min(most),
+            memory: Tokens(self.entry.memory_tokens),
+            speed: self.speed.clone(),
+            overdue: self.overdue(now),
+            long_rank,
+        }
+    }
+
+    /// All VMs' work: what the home knows of the others, and the own as it is now.
+    fn fleet(&self, now: Instant) -> Load {
+        match &self.home {
+            Some((state, at)) if now < *at + HOME_FRESH => {
+                state.load.minus(state.yours).plus(self.own)
+            }
+            _ => self.own,
+        }
+    }
+
+    fn overdue(&self, now: Instant) -> f64 {
+        let late = |p: &Pending| (now - p.sent).as_secs_f64() - p.predicted;
+        self.flights.values().map(late).fold(0.0, f64::max)
+    }
+
+    fn is_leaving(&self, now: Instant) -> bool {
+        self.leaving_at.is_some_and(|at| now < at + LEAVING_KEPT)
+    }
+
+    /// Whether a sign is so new that a home may not have heard it.
+    fn heard_leaving_since(&self, now: Instant) -> bool {
+        self.leaving_at.is_some_and(|at| now < at + HOME_FRESH)
+    }
+}
+
+/// A request that counts as load of an engine until this is dropped.
+pub struct Flight<C: Clock> {
+    /// The engine's adapter.
+    pub client: HttpEngine,
+    /// The engine.
+    pub engine: id::Upstream,
+    /// The predicted seconds to the first token.
+    pub predicted: f64,
+    /// What was compared.
+    pub seen: Vec<Seen>,
+    /// When the engine was chosen.
+    pub sent: Instant,
+    engines: Arc<Engines<C>>,
+    slot: u64,
+    load: Load,
+    work: Work,
+    blocks: Vec<u64>,
+    bytes_per_token: u32,
+}
+
+impl<C: Clock> Flight<C> {
+    /// The first token came: the prompt is no longer queued, and the model learns.
+    pub fn first_token(&mut self, cached: Tokens) {
+        let now = self.engines.clock.now();
+        let seconds = (now - self.sent).as_secs_f64();
+        let (slot, work, blocks) = (self.slot, self.work, std::mem::take(&mut self.blocks));
+        let hits = (cached.0 * u64::from(self.bytes_per_token)) as usize / prefix::BLOCK;
+        let prefill = Load {
+            prefill: self.load.prefill,
+            long_prefill: self.load.long_prefill,
+            ..Load::default()
+        };
+        self.load = self.load.minus(prefill);
+        self.engines.with(&self.engine, |local| {
+            local.own = local.own.minus(prefill);
+            local.health.succeeded();
+            if local.flights.remove(&slot).is_some() {
+                local.speed.learn(work, seconds);
+            }
+            local.affinity.correct(&blocks, hits);
+            local.affinity.stored(&blocks, now);
+        });
+    }
+
+    /// The prompt is computed, without a token that would tell how fast.
+    pub fn computed(&mut self) {
+        let prefill = Load {
+            prefill: self.load.prefill,
+            long_prefill: self.load.long_prefill,
+            ..Load::default()
+        };
+        self.load = self.load.minus(prefill);
+        let slot = self.slot;
+        self.engines.with(&self.engine, |local| {
+            local.own = local.own.minus(prefill);
+            local.health.succeeded();
+            local.flights.remove(&slot);
+        });
+    }
+
+    /// The engine failed the request.
+    pub fn failed(&self) {
+        let now = self.engines.clock.now();
+        self.engines.with(&self.engine, |local| {
+            local.health.failed(now);
+            local.affinity.clear();
+        });
+    }
+
+    /// The engine refused the request, since it is leaving.
+    pub fn refused_leaving(&self) {
+        self.engines.leaving(&self.engine);
+    }
+}
+
+impl<C: Clock> Drop for Flight<C> {
+    fn drop(&mut self) {
+        let (slot, load) = (self.slot, self.load);
+        self.engines.with(&self.engine, |local| {
+            local.own = local.own.minus(load);
+            if local.flights.remove(&slot).is_some() {
+                local.health.undecided();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/follow.rs
@@ -0,0 +1,178 @@
+//! Following the settings: a few VMs of each hall watch the head in the key-value service, the
+//! others hear of it from peers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use foldlock_base::event::Event;
+use foldlock_base::hash;
+use foldlock_connection::peer::Connection;
+use foldlock_version::head::{self, Hash, Head};
+use foldlock_version::publish::read_texts;
+use foldlock_version::store::{Entry, Failure, Store};
+use foldlock_version::tree::Texts;
+use tarpc::context::Context;
+
+use crate::current::Moved;
+use crate::log;
+use crate::process::Process;
+
+/// VMs of a hall that watch the head.
+const WATCHERS: usize = 2;
+
+/// How long one watch waits.
+const WATCH: Duration = Duration::from_secs(10);
+
+/// How long a VM that does not watch waits until it asks whether it should.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// How long a failed call is waited after, at first and at most.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(3));
+
+/// How long a call for settings to a peer takes at most.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Whether a fetch from a peer is on its way.
+#[derive(Default)]
+pub struct Follow {
+    fetching: AtomicBool,
+}
+
+/// Watches the head whenever it is this VM's to do.
+pub async fn run(process: Arc<Process>) {
+    let mut revision = 0;
+    let mut backoff = BACKOFF.0;
+    loop {
+        if !watches(&process) {
+            tokio::time::sleep(LOOK).await;
+            continue;
+        }
+        match next(&process, revision).await {
+            Ok(None) => process.store_answers(true),
+            Ok(Some(entry)) => {
+                process.store_answers(true);
+                backoff = BACKOFF.0;
+                match take(&process, &entry).await {
+                    Ok(()) => revision = entry.revision,
+                    Err(_) => pause(&mut backoff).await,
+                }
+            }
+            Err(_) => {
+                process.store_answers(false);
+                pause(&mut backoff).await;
+            }
+        }
+    }
+}
+
+/// Waits a jittered time that doubles, so that VMs do not all call at once after an outage.
+async fn pause(backoff: &mut Duration) {
+    let jitter = rand::random_range(0.5..1.5);
+    tokio::time::sleep(backoff.mul_f64(jitter)).await;
+    *backoff = (*backoff * 2).min(BACKOFF.1);
+}
+
+/// Whether this VM watches: one of the first of its hall, or one that has no settings yet.
+fn watches(process: &Process) -> bool {
+    if process.current.number() == 0 {
+        return true;
+    }
+    let live = process.members.live();
+    let own = process.members.own();
+    let hall = live.iter().filter(|m| m.hall == own.hall).map(|m| &m.vm);
+    hash::ranked("watch", hall).into_iter().take(WATCHERS).any(|vm| *vm == own.vm)
+}
+
+async fn next(process: &Process, revision: u64) -> Result<Option<Entry>, Failure> {
+    if revision == 0 {
+        let entry = process.store.get(head::KEY).await?;
+        if entry.is_some() {
+            return Ok(entry);
+        }
+    }
+    process.store.watch(head::KEY, revision, WATCH).await
+}
+
+async fn take(process: &Arc<Process>, entry: &Entry) -> Result<(), Failure> {
+    let head: Head = serde_json::from_slice(&entry.value)
+        .map_err(|e| Failure::Unavailable(format!("the head cannot be read: {e}")))?;
+    if !process.current.wants(head.version) {
+        return Ok(());
+    }
+    let known = process.current.get().by_hash();
+    let texts = read_texts(&process.store, &head, &known).await?;
+    advance(process, head, texts, "the key-value service");
+    Ok(())
+}
+
+fn advance(process: &Arc<Process>, head: Head, texts: Texts, source: &str) {
+    let number = head.version;
+    match process.current.advance(head, texts) {
+        Moved::Up => {
+            let what = format!("version {number} from {source}");
+            log::event(&process.log, Event::VersionInForce, what);
+            process.apply();
+            process.peers.kick();
+        }
+        Moved::Old => {}
+        Moved::Refused(faults) => {
+            let first = faults.first().map(ToString::to_string).unwrap_or_default();
+            let what = format!("version {number}: {first} ({} faults)", faults.len());
+            log::event(&process.log, Event::VersionRefused, what);
+        }
+    }
+}
+
+impl Follow {
+    /// Fetches the settings of a peer that has newer ones.
+    pub fn fetch(&self, process: &Arc<Process>, connection: Connection) {
+        if self.fetching.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let process = process.clone();
+        tokio::spawn(async move {
+            fetch(&process, &connection).await;
+            process.follow.fetching.store(false, Ordering::Release);
+        });
+    }
+}
+
+async fn fetch(process: &Arc<Process>, connection: &Connection) {
+    let known = process.current.get().by_hash();
+    let hashes = known.keys().map(|h| h.0.clone()).collect();
+    let mut context = Context::current();
+    context.deadline = std::time::Instant::now() + FETCH_TIMEOUT;
+    process.metrics.peer_calls.inc();
+    let Ok(settings) = connection.settings(context, hashes).await else { return };
+    if let Some(texts) = assemble(&settings.head, &known, &settings.texts) {
+        advance(process, settings.head, texts, "a peer");
+    }
+}
+
+/// The texts of a head from those that are known and those that came; none where one is missing
+/// or is not what its hash says.
+fn assemble(
+    head: &Head,
+    known: &BTreeMap<Hash, Arc<str>>,
+    came: &BTreeMap<String, String>,
+) -> Option<Texts> {
+    let mut texts = Texts::new();
+    for (name, hash) in &head.branches {
+        let text: Arc<str> = match known.get(hash) {
+            Some(text) => text.clone(),
+            None => came.get(&hash.0).filter(|t| Hash::of(t) == *hash)?.as_str().into(),
+        };
+        texts.insert(name.clone(), text);
+    }
+    Some(texts)
+}
+
+/// Makes sure that what follows from a version is taken, whoever put it in force.
+pub async fn apply(process: Arc<Process>) {
+    let mut versions = process.current.watch();
+    while versions.changed().await.is_ok() {
+        process.apply();
+    }
+}
--- /dev/null
+++ b/daemon/src/gate.rs
@@ -0,0 +1,275 @@
+//! Where a request waits until there is a place for it, and where it is refused if there will be
+//! none in time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldlock_base::clock::System;
+use foldlock_base::prelude::*;
+use foldlock_connection::wire::{self, Grant};
+use foldlock_request::decision::{Cause, Decision};
+use foldlock_request::fair::Ticket;
+use foldlock_version::policy::Route;
+use tarpc::context::Context;
+
+use crate::engines::{Chosen, Flight, Wanted};
+use crate::group::{self, Group};
+use crate::home;
+use crate::serve::{Job, Progress, millis};
+
+/// How far below short requests a long prompt begins.
+const LONG_BELOW: u8 = 4;
+
+/// The lowest engine priority.
+const LOWEST: u8 = 9;
+
+/// How often a waiting request looks again, if nothing changes.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// How long a home has to answer who asks for a place.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The least time after which a refused caller is told to come back.
+const LEAST_RETRY: Duration = Duration::from_millis(100);
+
+/// Where a request was placed.
+pub enum Place {
+    /// At one engine.
+    Engine(Box<Flight<System>>),
+    /// At a group of engines that hold its memory.
+    Group(Group),
+}
+
+impl Place {
+    /// The load that it counts as at the engine that answers.
+    pub fn flight(&self) -> &Flight<System> {
+        match self {
+            Place::Engine(flight) => flight,
+            Place::Group(group) => group.last(),
+        }
+    }
+
+    /// The engine that answers.
+    pub fn engine(&self) -> &id::Upstream {
+        &self.flight().engine
+    }
+
+    /// The first token came.
+    pub fn first_token(&mut self, cached: Tokens) {
+        match self {
+            Place::Engine(flight) => flight.first_token(cached),
+            Place::Group(group) => group.first_token(),
+        }
+    }
+}
+
+/// Why there is no place.
+pub struct Refused {
+    /// The answer's kind.
+    pub kind: Kind,
+    /// Why.
+    pub why: String,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// The engine priority of a long prompt that has used this part of its time: it begins below
+/// short requests and has reached them when three quarters are used.
+pub fn aged(base: u8, used: f64) -> u8 {
+    let risen = (used.clamp(0.0, 1.0) / 0.75 * f64::from(LONG_BELOW)).floor() as u8;
+    let below = LONG_BELOW.saturating_sub(risen);
+    base.saturating_add(below).min(LOWEST.max(base))
+}
+
+/// Finds a place for a request.
+pub async fn place(job: &Job, progress: &Progress) -> Result<Place, Refused> {
+    let waiting = wait_for_place(job, progress);
+    match tokio::time::timeout_at(job.deadline.instant().into(), waiting).await {
+        Ok(place) => place,
+        Err(_) => Err(Refused {
+            kind: Kind::DeadlineExceeded,
+            why: "the deadline passed while the request waited".to_owned(),
+            retry_after: None,
+        }),
+    }
+}
+
+async fn wait_for_place(job: &Job, progress: &Progress) -> Result<Place, Refused> {
+    let ask = job.ask(progress);
+    let (largest, all) = job.process.engines.memory(&job.prompt.model);
+    if ask.memory > all {
+        return Err(too_long(ask.memory, all));
+    }
+    let queue = job.process.queue(&job.prompt.model, ask.long);
+    let ticket = queue.enter(&job.organisation, job.policy.weight, ask.prompt.0);
+    let started = job.process.clock.now();
+    if !ticket.is_next() {
+        admit_behind(job, queue.tokens(), progress)?;
+        ticket.next().await;
+    }
+    let placed = if ask.memory > largest {
+        group::place(job, &ask).await
+    } else {
+        engine(job, progress, &ticket, queue.tokens()).await
+    };
+    let waited_ms = millis(job.process.clock.now() - started);
+    if let Ok((place, cause)) = &placed {
+        if let Some(cause) = cause {
+            job.record(Decision::Waited { cause: *cause, waited_ms });
+        }
+        routed(job, place);
+    }
+    placed.map(|(place, _)| place)
+}
+
+fn too_long(memory: Tokens, all: Tokens) -> Refused {
+    Refused {
+        kind: Kind::PromptTooLong,
+        why: format!("{memory} tokens of prompt and answer; all engines together hold {all}"),
+        retry_after: None,
+    }
+}
+
+fn routed(job: &Job, place: &Place) {
+    let flight = place.flight();
+    job.record(Decision::Routed {
+        upstream: flight.engine.clone(),
+        route: Some(job.policy.route),
+        predicted_ms: flight.predicted * 1e3,
+        seen: flight.seen.clone(),
+    });
+}
+
+/// Refuses a request whose turn would come too late.
+fn admit_behind(job: &Job, queued: u64, progress: &Progress) -> Result<(), Refused> {
+    let wanted = wanted(job, progress);
+    let candidates = job.process.engines.candidates(&wanted);
+    let Some(first) = candidates.first() else { return Ok(()) };
+    let vms = job.process.members.live().len().max(1) as f64;
+    let rate = first.speed.seconds_per_token() / candidates.len() as f64 * vms;
+    in_time(job, queued as f64 * rate)
+}
+
+/// Refuses a request that is predicted to end beyond its deadline.
+fn in_time(job: &Job, seconds: f64) -> Result<(), Refused> {
+    let left = job.left().as_secs_f64();
+    if seconds <= left {
+        return Ok(());
+    }
+    Err(Refused {
+        kind: Kind::Overloaded,
+        why: format!("the first token is predicted in {seconds:.1} s, {left:.1} s are left"),
+        retry_after: Some(Duration::from_secs_f64(seconds - left).max(LEAST_RETRY)),
+    })
+}
+
+fn wanted<'a>(job: &'a Job, progress: &'a Progress) -> Wanted<'a> {
+    Wanted {
+        model: &job.prompt.model,
+        ask: job.ask(progress),
+        blocks: &job.blocks,
+        policy: &job.policy,
+        avoid: &progress.avoid,
+    }
+}
+
+type Placed = (Place, Option<Cause>);
+
+/// Waits for an engine. The request is the next one of its queue.
+async fn engine(
+    job: &Job,
+    progress: &Progress,
+    ticket: &Ticket,
+    queued: u64,
+) -> Result<Placed, Refused> {
+    let mut waited = None;
+    let engines = &job.process.engines;
+    loop {
+        let changed = engines.changed();
+        if !ticket.is_next() {
+            ticket.next().await;
+            waited.get_or_insert(Cause::Queue);
+        }
+        match engines.choose(&wanted(job, progress)) {
+            Chosen::Engine(flight) => {
+                in_time(job, flight.predicted)?;
+                let flight = confirm(job, progress, *flight).await;
+                return Ok((Place::Engine(Box::new(flight)), waited));
+            }
+            Chosen::None if progress.avoid.is_empty() => return Err(no_upstream(job)),
+            Chosen::None => {
+                let again = Progress::default();
+                if let Chosen::Engine(flight) = engines.choose(&wanted(job, &again)) {
+                    return Ok((Place::Engine(flight), waited));
+                }
+                return Err(no_upstream(job));
+            }
+            Chosen::Wait { cause, predicted, seconds_per_token } => {
+                in_time(job, predicted + queued as f64 * seconds_per_token)?;
+                waited = Some(cause);
+            }
+        }
+        let _ = tokio::time::timeout(LOOK, changed).await;
+    }
+}
+
+fn no_upstream(job: &Job) -> Refused {
+    Refused {
+        kind: Kind::NoUpstream,
+        why: format!("no engine can take a request for {} now", job.prompt.model),
+        retry_after: Some(Duration::from_secs(1)),
+    }
+}
+
+/// For a long prompt, asks the home of the chosen engine's shard, which may know better.
+async fn confirm(job: &Job, progress: &Progress, flight: Flight<System>) -> Flight<System> {
+    let ask = job.ask(progress);
+    if !ask.long || job.policy.route != Route::LengthAware {
+        return flight;
+    }
+    match granted(job, progress, &flight).await {
+        Some(engine) if engine != flight.engine => {
+            let other = job.process.engines.take(&wanted(job, progress), &engine);
+            other.unwrap_or(flight)
+        }
+        _ => flight,
+    }
+}
+
+async fn granted(job: &Job, progress: &Progress, flight: &Flight<System>) -> Option<id::Upstream> {
+    let ask = job.ask(progress);
+    let shards = job.process.shards();
+    let shard = shards.iter().find(|s| s.engines.contains(&flight.engine))?;
+    let ask = wire::Ask {
+        vm: job.process.config.vm.clone(),
+        request: job.request.clone(),
+        model: job.prompt.model.clone(),
+        prompt: ask.prompt,
+        memory: ask.memory,
+        avoid: progress.avoid.clone(),
+    };
+    match ask_home(job, shard, ask, GRANT_TIMEOUT).await {
+        Some(Grant::Given(segments)) => segments.first().map(|s| s.engine.clone()),
+        _ => None,
+    }
+}
+
+/// Asks the home of a shard, this VM itself perhaps.
+pub async fn ask_home(
+    job: &Job,
+    shard: &home::Shard,
+    ask: wire::Ask,
+    timeout: Duration,
+) -> Option<Grant> {
+    let process: &Arc<_> = &job.process;
+    let live = process.members.live();
+    let home = home::home(shard, &live)?;
+    if home.vm == process.config.vm {
+        return Some(group::grant(process, &shard.name, &ask).await);
+    }
+    let connection = process.peers.get(&home.vm)?;
+    let mut context = Context::current();
+    context.deadline = std::time::Instant::now() + timeout;
+    process.metrics.peer_calls.inc();
+    connection.grant(context, shard.name.clone(), ask).await.ok()
+}
--- /dev/null
+++ b/daemon/src/group.rs
@@ -0,0 +1,300 @@
+//! Prompts longer than one engine's memory: a group of engines of one shard, held all or nothing
+//! through the shard's home, which serves who asks in order, so that two groups never wait for
+//! each other. Each hold has a time limit at the engine and is renewed by the request; what a dead
+//! VM held is free once the limit passes.
+
+use std::collections::HashMap;
+use std::sync::{Arc, LazyLock, Mutex};
+use std::time::Duration;
+
+use foldlock_base::clock::{Clock, System};
+use foldlock_base::prelude::*;
+use foldlock_connection::engine::{
+    Context, Engine as _, Failure, Held, HttpEngine, HttpStream, Job as Order,
+};
+use foldlock_connection::wire::{self, Grant, Load, Segment};
+use foldlock_request::decision::{Cause, Decision};
+use foldlock_request::route::{Ask, Candidate, Routes};
+use foldlock_version::policy::{Policy, Route};
+
+use crate::engines::{Flight, Wanted};
+use crate::gate::{Place, Refused, ask_home};
+use crate::home::Shard;
+use crate::process::Process;
+use crate::serve::{Job, Progress, millis};
+
+/// How long an engine keeps a hold that is not renewed.
+const TTL: Duration = Duration::from_secs(3);
+
+/// How often holds are renewed.
+const RENEW: Duration = Duration::from_secs(1);
+
+/// How long a home looks for a group before the asker has to ask again.
+const SEARCH: Duration = Duration::from_secs(2);
+
+/// How long a home waits before it looks again.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A segment is at least this large, unless it is the last one.
+const LEAST_SEGMENT: Tokens = Tokens(1_024);
+
+/// Engines of a group, with the memory that each holds.
+pub struct Group {
+    segments: Vec<Segment>,
+    flights: Vec<Flight<System>>,
+    renewal: tokio::task::JoinHandle<()>,
+}
+
+impl Group {
+    /// The load at the engine that answers.
+    pub fn last(&self) -> &Flight<System> {
+        self.flights.last().expect("a group has engines")
+    }
+
+    /// The first token came: no segment is queued any more.
+    pub fn first_token(&mut self) {
+        for flight in &mut self.flights {
+            flight.computed();
+        }
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        self.renewal.abort();
+        let held = holds(&self.segments, &self.flights);
+        tokio::spawn(async move {
+            for (engine, hold) in held {
+                let _ = engine.release(&hold).await;
+            }
+        });
+    }
+}
+
+fn holds(segments: &[Segment], flights: &[Flight<System>]) -> Vec<(HttpEngine, id::Hold)> {
+    let pair = |(s, f): (&Segment, &Flight<System>)| Some((f.client.clone(), s.hold.clone()?));
+    segments.iter().zip(flights).filter_map(pair).collect()
+}
+
+/// Waits for a group.
+pub async fn place(job: &Job, ask: &Ask) -> Result<(Place, Option<Cause>), Refused> {
+    let started = job.process.clock.now();
+    loop {
+        let shards = job.process.shards();
+        let fitting = |s: &&Shard| shard_memory(job, s) >= ask.memory;
+        let mut of: Vec<&Shard> =
+            shards.iter().filter(|s| s.model == job.prompt.model).filter(fitting).collect();
+        of.sort_by_key(|s| foldlock_base::hash::weight(job.request.as_str(), &s.name));
+        if of.is_empty() {
+            return Err(Refused {
+                kind: Kind::PromptTooLong,
+                why: format!("no group of engines holds {} tokens", ask.memory),
+                retry_after: None,
+            });
+        }
+        for shard in of {
+            if let Some(group) = try_shard(job, ask, shard).await {
+                let waited_ms = millis(job.process.clock.now() - started);
+                let engines = group.segments.iter().map(|s| s.engine.clone()).collect();
+                job.record(Decision::Held { engines, waited_ms });
+                return Ok((Place::Group(group), None));
+            }
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn shard_memory(job: &Job, shard: &Shard) -> Tokens {
+    let fleet = &job.version.tree.fleet;
+    shard.engines.iter().filter_map(|e| fleet.engines.get(e)).map(|e| Tokens(e.memory_tokens)).sum()
+}
+
+async fn try_shard(job: &Job, ask: &Ask, shard: &Shard) -> Option<Group> {
+    let asked = wire::Ask {
+        vm: job.process.config.vm.clone(),
+        request: job.request.clone(),
+        model: job.prompt.model.clone(),
+        prompt: ask.prompt,
+        memory: ask.memory,
+        avoid: Vec::new(),
+    };
+    let grant = ask_home(job, shard, asked, SEARCH * 2).await?;
+    let Grant::Given(segments) = grant else { return None };
+    let flights: Vec<Flight<System>> = segments.iter().filter_map(|s| flight(job, s)).collect();
+    if flights.len() != segments.len() || flights.is_empty() {
+        return None;
+    }
+    let renewal = tokio::spawn(renew(holds(&segments, &flights)));
+    Some(Group { segments, flights, renewal })
+}
+
+fn flight(job: &Job, segment: &Segment) -> Option<Flight<System>> {
+    let ask = Ask { prompt: segment.tokens, memory: segment.tokens, long: true };
+    let wanted =
+        Wanted { model: &job.prompt.model, ask, blocks: &[], policy: &job.policy, avoid: &[] };
+    job.process.engines.take(&wanted, &segment.engine)
+}
+
+async fn renew(holds: Vec<(HttpEngine, id::Hold)>) {
+    loop {
+        tokio::time::sleep(RENEW).await;
+        for (engine, hold) in &holds {
+            let _ = engine.hold(hold, Tokens(0), TTL).await;
+        }
+    }
+}
+
+/// Computes all segments but the last in turn, each on the exported state of those before it, and
+/// begins the answer on the last.
+pub async fn begin(
+    job: &Job,
+    group: &mut Group,
+    progress: &Progress,
+) -> Result<HttpStream, Failure> {
+    let order = job.order(progress);
+    let mut context = Context::default();
+    let mut at = 0;
+    let last = group.segments.len() - 1;
+    for (i, segment) in group.segments.iter().enumerate() {
+        let hold = segment.hold.clone().ok_or(Failure::Gone)?;
+        let held = Held { hold, context: context.clone() };
+        let bytes = (segment.tokens.0 * u64::from(job.bytes_per_token)) as usize;
+        let end = if i == last { order.prompt.len() } else { at + bytes };
+        let part = Order {
+            prompt: order.prompt.slice(at..end.min(order.prompt.len())),
+            deadline: job.left(),
+            ..order.clone()
+        };
+        let client = &group.flights[i].client;
+        if i == last {
+            return client.generate(&Order { hold: Some(held), ..part }).await;
+        }
+        context = client.prefill(&part, &held).await?;
+        group.flights[i].computed();
+        at = end;
+    }
+    Err(Failure::Gone)
+}
+
+/// One lock for each shard that this VM is the home of; who asks is served in order.
+type Locks = Mutex<HashMap<String, Arc<tokio::sync::Mutex<()>>>>;
+
+static LOCKS: LazyLock<Locks> = LazyLock::new(Locks::default);
+
+/// As the home of a shard, finds a place for a long prompt: one engine, or a group that is held.
+pub async fn grant(process: &Arc<Process>, shard: &str, ask: &wire::Ask) -> Grant {
+    let shards = process.shards();
+    let Some(shard) = shards.iter().find(|s| s.name == shard) else { return Grant::Unknown };
+    let lock = LOCKS.lock().unwrap().entry(shard.name.clone()).or_default().clone();
+    let search = async {
+        let _turn = lock.lock().await;
+        loop {
+            if let Some(segments) = find(process, shard, ask).await {
+                return segments;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    match tokio::time::timeout(SEARCH, search).await {
+        Ok(segments) => Grant::Given(segments),
+        Err(_) => Grant::Wait(LOOK.as_millis() as u64),
+    }
+}
+
+async fn find(process: &Arc<Process>, shard: &Shard, ask: &wire::Ask) -> Option<Vec<Segment>> {
+    let policy = Policy { route: Route::LengthAware, ..Policy::default() };
+    let want = Ask { prompt: ask.prompt, memory: Tokens(0), long: true };
+    let wanted =
+        Wanted { model: &ask.model, ask: want, blocks: &[], policy: &policy, avoid: &ask.avoid };
+    process.engines.told(&process.home.states(&shard.engines, &process.config.vm));
+    let mut candidates = process.engines.candidates(&wanted);
+    candidates.retain(|c| shard.engines.contains(&c.engine));
+    let largest = candidates.iter().map(|c| c.memory).max()?;
+    if ask.memory > largest {
+        return hold(process, ask, candidates).await;
+    }
+    let want = Ask { memory: ask.memory, ..want };
+    let choice =
+        Routes::default().choose(Route::LengthAware, &want, &candidates, &mut rand::rng())?;
+    let chosen = &candidates[choice.index];
+    if !chosen.fits(&want) {
+        return None;
+    }
+    let load = Load {
+        requests: 1,
+        long: 1,
+        long_prefill: ask.prompt,
+        memory: ask.memory,
+        ..Load::default()
+    };
+    process.home.granted(&chosen.engine, &ask.vm, load);
+    Some(vec![Segment { engine: chosen.engine.clone(), tokens: ask.prompt, hold: None }])
+}
+
+/// Holds memory on as many engines as are needed, the emptiest first; all or nothing.
+async fn hold(
+    process: &Arc<Process>,
+    ask: &wire::Ask,
+    mut candidates: Vec<Candidate>,
+) -> Option<Vec<Segment>> {
+    let free = |c: &Candidate| c.memory - used(process, c);
+    candidates.sort_by_key(|c| std::cmp::Reverse(free(c)));
+    let mut segments = Vec::new();
+    let mut left = ask.memory;
+    for candidate in &candidates {
+        let tokens = free(candidate).min(left);
+        if tokens < LEAST_SEGMENT.min(left) || left == Tokens(0) {
+            break;
+        }
+        let hold = format!("{}.{}", ask.request, segments.len()).parse().ok()?;
+        segments.push(Segment { engine: candidate.engine.clone(), tokens, hold: Some(hold) });
+        left = left - tokens;
+    }
+    let answer = ask.memory - ask.prompt + LEAST_SEGMENT;
+    if left > Tokens(0) || !room_for_answer(&mut segments, answer, &candidates, free) {
+        return None;
+    }
+    hold_all(process, &segments).await.then_some(segments)
+}
+
+/// The last segment holds the answer and some of the prompt: moves tokens to it if it is small.
+fn room_for_answer(
+    segments: &mut [Segment],
+    answer: Tokens,
+    candidates: &[Candidate],
+    free: impl Fn(&Candidate) -> Tokens,
+) -> bool {
+    let count = segments.len();
+    let [.., before, last] = segments else { return false };
+    let lacks = answer - last.tokens;
+    before.tokens = before.tokens - lacks;
+    last.tokens = last.tokens + lacks;
+    last.tokens <= free(&candidates[count - 1])
+}
+
+/// The memory in use at an engine: by what is announced or by its report, whichever is more.
+fn used(process: &Process, candidate: &Candidate) -> Tokens {
+    let reported = process.home.report(&candidate.engine).map_or(Tokens(0), |r| r.used);
+    reported.max(candidate.fleet.memory)
+}
+
+async fn hold_all(process: &Process, segments: &[Segment]) -> bool {
+    let mut held = Vec::new();
+    for segment in segments {
+        let (Some(engine), Some(hold)) = (process.engines.client(&segment.engine), &segment.hold)
+        else {
+            break;
+        };
+        if engine.hold(hold, segment.tokens, TTL).await.is_err() {
+            break;
+        }
+        held.push((engine, hold.clone()));
+    }
+    if held.len() == segments.len() {
+        return true;
+    }
+    for (engine, hold) in held {
+        let _ = engine.release(&hold).await;
+    }
+    false
+}
--- /dev/null
+++ b/daemon/src/home.rs
@@ -0,0 +1,219 @@
+//! Shards of engines and their homes.
+//!
+//! The engines of a model in a data hall are cut into shards. One VM, named by rendezvous among
+//! the live VMs of the hall, is a shard's home: it alone reads the engines' reports, sums up the
+//! work that all VMs announce, and answers who asks for a place for a long prompt. All of it is
+//! soft state: two homes at once, or none, cost quality, since an engine itself says no.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::Clock;
+use foldlock_base::{hash, id};
+use foldlock_connection::engine::Report;
+use foldlock_connection::wire::{Load, Member, Reported, State};
+use foldlock_version::schema::Fleet;
+
+use crate::members::holder;
+
+/// Engines of a shard at most.
+pub const SHARD: usize = 24;
+
+/// Shards of a model that a VM uses at most, its own hall's first.
+pub const USED: usize = 4;
+
+/// What a VM announced counts for this long.
+const ANNOUNCED: Duration = Duration::from_secs(3);
+
+/// A grant counts until the VM announces the request itself, for this long at most.
+const GRANTED: Duration = Duration::from_millis(600);
+
+/// A report counts for this long.
+const REPORTED: Duration = Duration::from_secs(5);
+
+/// A sign that an engine is leaving counts for this long.
+const LEAVING: Duration = Duration::from_secs(30);
+
+/// A shard of engines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shard {
+    /// `HALL/MODEL/NUMBER`.
+    pub name: String,
+    /// The hall.
+    pub hall: id::Hall,
+    /// The model: the first that its engines name.
+    pub model: id::Model,
+    /// The engines.
+    pub engines: Vec<id::Upstream>,
+}
+
+/// Cuts the engines of a fleet into shards.
+pub fn shards(fleet: &Fleet) -> Vec<Shard> {
+    let mut groups: BTreeMap<(id::Hall, id::Model), Vec<id::Upstream>> = BTreeMap::new();
+    for (id, engine) in &fleet.engines {
+        if let Some(model) = engine.models.first() {
+            groups.entry((engine.hall.clone(), model.clone())).or_default().push(id.clone());
+        }
+    }
+    groups.into_iter().flat_map(|((hall, model), engines)| cut(&hall, &model, &engines)).collect()
+}
+
+fn cut(hall: &id::Hall, model: &id::Model, engines: &[id::Upstream]) -> Vec<Shard> {
+    let count = engines.len().div_ceil(SHARD);
+    let size = engines.len().div_ceil(count.max(1));
+    let shard = |(i, part): (usize, &[id::Upstream])| Shard {
+        name: format!("{hall}/{model}/{i}"),
+        hall: hall.clone(),
+        model: model.clone(),
+        engines: part.to_vec(),
+    };
+    engines.chunks(size.max(1)).enumerate().map(shard).collect()
+}
+
+/// The home of a shard: a VM of its hall, or of any hall where it has none.
+pub fn home<'a>(shard: &Shard, live: &'a [Member]) -> Option<&'a Member> {
+    let near = live.iter().filter(|m| m.hall == shard.hall);
+    holder(&shard.name, near).or_else(|| holder(&shard.name, live))
+}
+
+/// The shards that a VM uses: for each model its own hall's first, each kind in the order of a
+/// rendezvous by the VM's name, so that VMs spread evenly over shards.
+pub fn used<'a>(own: &Member, shards: &'a [Shard]) -> Vec<&'a Shard> {
+    let mut models: Vec<&id::Model> = shards.iter().map(|s| &s.model).collect();
+    models.sort();
+    models.dedup();
+    let mut chosen = Vec::new();
+    for model in models {
+        let mut of: Vec<&Shard> = shards.iter().filter(|s| s.model == *model).collect();
+        let rank = |s: &&Shard| hash::weight(own.vm.as_str(), &s.name);
+        of.sort_by_key(|s| (s.hall != own.hall, std::cmp::Reverse(rank(s))));
+        let near = of.iter().filter(|s| s.hall == own.hall).count();
+        // One place at least is left for another hall, where work goes when the own one is full.
+        let keep_near = near.min(USED - 1);
+        let far = of.split_off(near);
+        chosen.extend(of.into_iter().take(keep_near));
+        chosen.extend(far.into_iter().take(USED - keep_near));
+    }
+    chosen
+}
+
+struct Announced {
+    load: Load,
+    at: Instant,
+}
+
+struct Granted {
+    engine: id::Upstream,
+    vm: id::Vm,
+    load: Load,
+    at: Instant,
+}
+
+#[derive(Default)]
+struct Inner {
+    announced: HashMap<id::Upstream, HashMap<id::Vm, Announced>>,
+    granted: Vec<Granted>,
+    reports: HashMap<id::Upstream, (Report, Instant)>,
+    leaving: HashMap<id::Upstream, Instant>,
+}
+
+/// What this VM knows as the home of shards.
+pub struct Home<C> {
+    clock: C,
+    inner: Mutex<Inner>,
+}
+
+impl<C: Clock> Home<C> {
+    /// Knows nothing yet.
+    pub fn new(clock: C) -> Home<C> {
+        Home { clock, inner: Mutex::default() }
+    }
+
+    /// A VM announces all its work on the engines of this home. What it announced before and does
+    /// not name now is over.
+    pub fn announced(&self, vm: &id::Vm, loads: &BTreeMap<id::Upstream, Load>) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        for by_vm in inner.announced.values_mut() {
+            by_vm.remove(vm);
+        }
+        for (engine, load) in loads {
+            let by_vm = inner.announced.entry(engine.clone()).or_default();
+            by_vm.insert(vm.clone(), Announced { load: *load, at: now });
+        }
+        inner.granted.retain(|g| g.vm != *vm || now < g.at + GRANTED / 2);
+    }
+
+    /// An engine answered its report. Gives whether it is news that it leaves.
+    pub fn reported(&self, engine: &id::Upstream, report: Report) -> bool {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        let news = report.leaving && inner.leaving.insert(engine.clone(), now).is_none();
+        let newer = inner.reports.get(engine).is_none_or(|(old, _)| old.seq <= report.seq);
+        if newer && !report.leaving {
+            inner.leaving.remove(engine);
+        }
+        inner.reports.insert(engine.clone(), (report, now));
+        news
+    }
+
+    /// Someone says that an engine is leaving.
+    pub fn leaving(&self, engine: &id::Upstream) {
+        self.inner.lock().unwrap().leaving.insert(engine.clone(), self.clock.now());
+    }
+
+    /// A long prompt of a VM was given this place.
+    pub fn granted(&self, engine: &id::Upstream, vm: &id::Vm, load: Load) {
+        let at = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        inner.granted.push(Granted { engine: engine.clone(), vm: vm.clone(), load, at });
+    }
+
+    /// What is known of engines, as one VM is told.
+    pub fn states(&self, engines: &[id::Upstream], asker: &id::Vm) -> Vec<State> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        inner.granted.retain(|g| now < g.at + GRANTED);
+        engines.iter().map(|e| inner.state(e, asker, now)).collect()
+    }
+
+    /// The memory in use at an engine by its newest report.
+    pub fn report(&self, engine: &id::Upstream) -> Option<Report> {
+        let now = self.clock.now();
+        let inner = self.inner.lock().unwrap();
+        let (report, at) = inner.reports.get(engine)?;
+        (now < *at + REPORTED).then(|| report.clone())
+    }
+}
+
+impl Inner {
+    fn state(&self, engine: &id::Upstream, asker: &id::Vm, now: Instant) -> State {
+        let mut load = Load::default();
+        let mut yours = Load::default();
+        for (vm, announced) in self.announced.get(engine).into_iter().flatten() {
+            if now >= announced.at + ANNOUNCED {
+                continue;
+            }
+            load = load.plus(announced.load);
+            if vm == asker {
+                yours = announced.load;
+            }
+        }
+        for granted in self.granted.iter().filter(|g| g.engine == *engine && g.vm != *asker) {
+            load = load.plus(granted.load);
+        }
+        let fresh = self.reports.get(engine).filter(|(_, at)| now < *at + REPORTED);
+        State {
+            engine: engine.clone(),
+            reported: fresh.map(|(r, _)| Reported {
+                prefill: r.prefill,
+                requests: r.running + r.waiting,
+                used: r.used,
+            }),
+            load,
+            yours,
+            leaving: self.leaving.get(engine).is_some_and(|at| now < *at + LEAVING),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,26 @@
+//! The serving process: what lives as long as a process on an entry VM does.
+
+pub mod answer;
+pub mod app;
+pub mod claims;
+pub mod complete;
+pub mod config;
+pub mod current;
+pub mod drain;
+pub mod engines;
+pub mod follow;
+pub mod gate;
+pub mod group;
+pub mod home;
+pub mod limits;
+pub mod listen;
+pub mod log;
+pub mod members;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod plain;
+pub mod process;
+pub mod pump;
+pub mod resume;
+pub mod serve;
--- /dev/null
+++ b/daemon/src/listen.rs
@@ -0,0 +1,97 @@
+//! Listeners: one task for each connection.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldlock_base::event::Event;
+use http_body_util::Either;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::process::Process;
+use crate::{complete, log, operators};
+
+/// How long a caller has to send the headers of a request.
+const HEADERS: Duration = Duration::from_secs(10);
+
+/// How long a failed accept is waited after, so that a lack of files does not spin.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The most streams of one HTTP/2 connection.
+const STREAMS: u32 = 1024;
+
+/// Accepts callers until the process stops.
+pub async fn callers(process: Arc<Process>, listener: TcpListener) {
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&process, &listener) => stream,
+            () = process.drain.wait_closed() => return,
+        };
+        tokio::spawn(caller(process.clone(), stream));
+    }
+}
+
+async fn accept(process: &Process, listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = stream.set_nodelay(true);
+                return stream;
+            }
+            Err(e) => {
+                log::event(&process.log, Event::AcceptFailed, e);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one caller's connection.
+async fn caller(process: Arc<Process>, stream: TcpStream) {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADERS);
+    builder.http2().timer(TokioTimer::new()).max_concurrent_streams(STREAMS);
+    let service = service_fn(|request| {
+        let process = process.clone();
+        async move { Ok::<_, Infallible>(complete::answer(process, request).await) }
+    });
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closed = process.drain.wait_closed();
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = closed => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
+
+/// Accepts peers and operators, until the process ends.
+pub async fn control(process: Arc<Process>, listener: TcpListener) {
+    loop {
+        let stream = accept(&process, &listener).await;
+        tokio::spawn(controller(process.clone(), stream));
+    }
+}
+
+async fn controller(process: Arc<Process>, stream: TcpStream) {
+    let service = service_fn(|request| {
+        let process = process.clone();
+        async move {
+            if foldlock_connection::peer::is_upgrade(&request) {
+                let run = move |channel| crate::peers::serve(process, channel);
+                let answer = foldlock_connection::peer::accept(request, run);
+                return Ok::<_, Infallible>(answer.map(Either::Left));
+            }
+            Ok(operators::answer(process, request).await.map(Either::Right))
+        }
+    });
+    let _ = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADERS)
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades()
+        .await;
+}
--- /dev/null
+++ b/daemon/src/members.rs
@@ -0,0 +1,297 @@
+//! The VMs as this one knows them, from the platform's lagging list and from heartbeats.
+//!
+//! A VM is alive while it is heard, directly or through others; silence of a peer that this VM
+//! exchanges heartbeats with makes it down. News of a member spreads with heartbeats: a higher
+//! incarnation goes first, and within one incarnation `down` and `leaving` go before alive. A VM
+//! that hears itself called down answers with a higher incarnation.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::Clock;
+use foldlock_base::{hash, id};
+use foldlock_connection::vms::Listing;
+use foldlock_connection::wire::Member;
+use serde::Serialize;
+use tokio::sync::Notify;
+
+/// A peer that is not heard for this long is down.
+pub const SILENCE: Duration = Duration::from_millis(1500);
+
+/// A member that is down and no longer listed is forgotten after this long.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// Peers that a VM exchanges heartbeats with, beside the homes that it needs.
+pub const FANOUT: usize = 8;
+
+/// Members that a heartbeat names at most.
+const NEWS: usize = 16;
+
+/// How many heartbeats carry a piece of news.
+const SPREAD: u32 = 8;
+
+#[derive(Debug, Clone)]
+struct Known {
+    member: Member,
+    heard: Instant,
+    spread: u32,
+}
+
+struct Inner {
+    own: Member,
+    known: BTreeMap<id::Vm, Known>,
+    listed: Vec<id::Vm>,
+}
+
+/// What changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// A VM joined or came back.
+    Up(id::Vm),
+    /// A VM is no longer heard.
+    Down(id::Vm),
+    /// A VM is stopping.
+    Leaving(id::Vm),
+}
+
+/// The members.
+pub struct Members<C> {
+    clock: C,
+    inner: Mutex<Inner>,
+    changed: Notify,
+    live: Mutex<Arc<Vec<Member>>>,
+}
+
+/// A member in a dump.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    #[serde(flatten)]
+    member: Member,
+    heard_ms: u64,
+}
+
+impl<C: Clock> Members<C> {
+    /// Only the VM itself.
+    pub fn new(clock: C, own: Member) -> Members<C> {
+        let live = Mutex::new(Arc::new(vec![own.clone()]));
+        let inner = Mutex::new(Inner { own, known: BTreeMap::new(), listed: Vec::new() });
+        Members { clock, inner, changed: Notify::new(), live }
+    }
+
+    /// The VM itself.
+    pub fn own(&self) -> Member {
+        self.inner.lock().unwrap().own.clone()
+    }
+
+    /// The VM is stopping.
+    pub fn leave(&self) {
+        self.inner.lock().unwrap().own.leaving = true;
+        self.refresh();
+    }
+
+    /// The members that can take a part: alive and not leaving, the VM itself among them.
+    pub fn live(&self) -> Arc<Vec<Member>> {
+        self.live.lock().unwrap().clone()
+    }
+
+    /// Tells when the members change.
+    pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// Takes the platform's list. A VM that is new in it is taken for alive until found silent; one
+    /// that is heard is alive whatever the list says.
+    pub fn listed(&self, listing: &Listing) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        let own = inner.own.vm.clone();
+        inner.listed.clear();
+        for vm in &listing.vms {
+            let Ok(id) = vm.name.parse::<id::Vm>() else { continue };
+            if id == own {
+                continue;
+            }
+            inner.listed.push(id.clone());
+            let member = Member {
+                vm: id.clone(),
+                hall: vm.hall.clone(),
+                address: vm.address.clone(),
+                incarnation: 0,
+                leaving: vm.leaving,
+                down: false,
+            };
+            let known = inner.known.entry(id).or_insert(Known { member, heard: now, spread: 0 });
+            if known.member.incarnation == 0 {
+                known.member.address.clone_from(&vm.address);
+            }
+            known.member.leaving |= vm.leaving && known.member.address == vm.address;
+        }
+        let Inner { known, listed, .. } = &mut *inner;
+        known.retain(|id, k| listed.contains(id) || now < k.heard + FORGOTTEN);
+        drop(inner);
+        self.refresh();
+    }
+
+    /// A heartbeat came from a member itself.
+    pub fn heard(&self, member: &Member) -> Option<News> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        if member.vm == inner.own.vm {
+            return None;
+        }
+        let news = match inner.known.get_mut(&member.vm) {
+            Some(known) if known.member.incarnation > member.incarnation => None,
+            Some(known) => {
+                known.heard = now;
+                let before = std::mem::replace(&mut known.member, member.clone());
+                if before != *member {
+                    known.spread = SPREAD;
+                }
+                change(Some(&before), member)
+            }
+            None => {
+                let known = Known { member: member.clone(), heard: now, spread: SPREAD };
+                inner.known.insert(member.vm.clone(), known);
+                change(None, member)
+            }
+        };
+        drop(inner);
+        self.told(news)
+    }
+
+    /// Another member said this of a member.
+    pub fn rumour(&self, member: &Member) -> Option<News> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        if member.vm == inner.own.vm {
+            if member.down && member.incarnation >= inner.own.incarnation {
+                inner.own.incarnation = member.incarnation + 1;
+            }
+            return None;
+        }
+        let news = match inner.known.get_mut(&member.vm) {
+            Some(known) if !goes_before(member, &known.member) => None,
+            Some(known) => {
+                let before = std::mem::replace(&mut known.member, member.clone());
+                known.heard = now;
+                known.spread = SPREAD;
+                change(Some(&before), member)
+            }
+            None => {
+                let known = Known { member: member.clone(), heard: now, spread: SPREAD };
+                inner.known.insert(member.vm.clone(), known);
+                change(None, member)
+            }
+        };
+        drop(inner);
+        self.told(news)
+    }
+
+    /// A peer that heartbeats are exchanged with has not been heard for too long.
+    pub fn silent(&self, vm: &id::Vm) -> Option<News> {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        let known = inner.known.get_mut(vm)?;
+        if known.member.down || now < known.heard + SILENCE {
+            return None;
+        }
+        known.member.down = true;
+        known.spread = SPREAD;
+        drop(inner);
+        self.told(Some(News::Down(vm.clone())))
+    }
+
+    fn told(&self, news: Option<News>) -> Option<News> {
+        if news.is_some() {
+            self.refresh();
+        }
+        news
+    }
+
+    fn refresh(&self) {
+        let inner = self.inner.lock().unwrap();
+        let others = inner.known.values().map(|k| &k.member);
+        let mut live: Vec<Member> =
+            others.chain([&inner.own]).filter(|m| !m.down && !m.leaving).cloned().collect();
+        live.sort_by(|a, b| a.vm.cmp(&b.vm));
+        drop(inner);
+        let live = Arc::new(live);
+        let before = std::mem::replace(&mut *self.live.lock().unwrap(), live.clone());
+        if before != live {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// News for a heartbeat, the least spread first.
+    pub fn news(&self) -> Vec<Member> {
+        let mut inner = self.inner.lock().unwrap();
+        let fresh = inner.known.values_mut().filter(|k| k.spread > 0).take(NEWS);
+        fresh
+            .map(|k| {
+                k.spread -= 1;
+                k.member.clone()
+            })
+            .collect()
+    }
+
+    /// The peers to exchange heartbeats with: a bounded number by rendezvous, and each VM in
+    /// `needed`. Those that are down are among them, so that they are noticed when they return.
+    pub fn targets(&self, needed: &[id::Vm]) -> Vec<Member> {
+        let inner = self.inner.lock().unwrap();
+        let own = inner.own.vm.as_str();
+        let ranked = hash::ranked(own, inner.known.keys());
+        let mut chosen: Vec<&id::Vm> = ranked.into_iter().take(FANOUT).collect();
+        for vm in needed {
+            if inner.known.contains_key(vm) && !chosen.contains(&vm) {
+                chosen.push(vm);
+            }
+        }
+        chosen.iter().map(|vm| inner.known[*vm].member.clone()).collect()
+    }
+
+    /// A member by name.
+    pub fn get(&self, vm: &id::Vm) -> Option<Member> {
+        self.inner.lock().unwrap().known.get(vm).map(|k| k.member.clone())
+    }
+
+    /// Whether any other VM is known.
+    pub fn alone(&self) -> bool {
+        self.live().iter().all(|m| m.vm == self.own().vm)
+    }
+
+    /// The members, for a dump.
+    pub fn dump(&self) -> BTreeMap<id::Vm, Dump> {
+        let now = self.clock.now();
+        let inner = self.inner.lock().unwrap();
+        let dump = |k: &Known| Dump {
+            member: k.member.clone(),
+            heard_ms: (now - k.heard).as_millis() as u64,
+        };
+        inner.known.iter().map(|(vm, k)| (vm.clone(), dump(k))).collect()
+    }
+}
+
+/// Whether what is said of a member goes before what is known.
+fn goes_before(said: &Member, known: &Member) -> bool {
+    let rank = |m: &Member| (m.incarnation, m.down, m.leaving);
+    rank(said) > rank(known)
+}
+
+fn change(before: Option<&Member>, after: &Member) -> Option<News> {
+    let state = |m: &Member| (m.down, m.leaving);
+    if before.is_some_and(|b| state(b) == state(after) && b.incarnation == after.incarnation) {
+        return None;
+    }
+    let vm = after.vm.clone();
+    Some(match state(after) {
+        (true, _) => News::Down(vm),
+        (false, true) => News::Leaving(vm),
+        (false, false) => News::Up(vm),
+    })
+}
+
+/// The VM that takes a part, among these.
+pub fn holder<'a>(part: &str, members: impl IntoIterator<Item = &'a Member>) -> Option<&'a Member> {
+    members.into_iter().max_by_key(|m| (hash::weight(part, m.vm.as_str()), m.vm.clone()))
+}
--- /dev/null
+++ b/daemon/src/operators.rs
@@ -0,0 +1,148 @@
+//! What operators read: readiness, metrics, a dump of the state, records and live decisions.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use foldlock_base::id;
+use foldlock_request::ring::Line;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Serialize;
+use tokio::sync::{broadcast, mpsc};
+
+use crate::answer::{self, Body};
+use crate::home;
+use crate::process::Process;
+
+/// Records that a dump holds.
+const RECORDS: usize = 20;
+
+/// Lines that may wait for a slow watcher.
+const LINES: usize = 64;
+
+#[derive(Serialize)]
+struct Dump<'a> {
+    config: &'a crate::config::Config,
+    ready: bool,
+    stopping: bool,
+    requests: usize,
+    version: u64,
+    refused_version: u64,
+    incarnation: u64,
+    members: std::collections::BTreeMap<id::Vm, crate::members::Dump>,
+    peers: usize,
+    shards: Vec<ShardDump>,
+    engines: std::collections::BTreeMap<id::Upstream, crate::engines::Dump>,
+    demand: std::collections::BTreeMap<String, foldlock_connection::wire::Demand>,
+    claims_writer: Option<id::Vm>,
+    store: Calls,
+    records: Vec<foldlock_request::decision::Record>,
+}
+
+#[derive(Serialize)]
+struct ShardDump {
+    name: String,
+    home: Option<id::Vm>,
+    used: bool,
+    engines: Vec<id::Upstream>,
+}
+
+#[derive(Serialize)]
+struct Calls {
+    reads: u64,
+    writes: u64,
+    failures: u64,
+}
+
+/// Answers an operator.
+pub async fn answer(process: Arc<Process>, request: Request<Incoming>) -> Response<Body> {
+    if request.method() != Method::GET {
+        return answer::text(StatusCode::METHOD_NOT_ALLOWED, "only GET\n");
+    }
+    let path = request.uri().path();
+    match path {
+        "/ready" if process.ready() => answer::text(StatusCode::OK, "ready\n"),
+        "/ready" => answer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/metrics" => {
+            let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+            answer::whole(StatusCode::OK, kind, process.metrics.encode())
+        }
+        "/dump" => answer::json(StatusCode::OK, &dump(&process)),
+        "/decisions" => decisions(&process),
+        "/version" => answer::json(StatusCode::OK, &process.current.get().head),
+        _ => match path.strip_prefix("/why/").map(str::parse::<id::Request>) {
+            Some(Ok(request)) => why(&process, &request),
+            _ => answer::text(StatusCode::NOT_FOUND, "no such path\n"),
+        },
+    }
+}
+
+fn why(process: &Process, request: &id::Request) -> Response<Body> {
+    match process.ring.get(request) {
+        Some(record) => answer::json(StatusCode::OK, &record),
+        None => answer::text(StatusCode::NOT_FOUND, "no record of this request here\n"),
+    }
+}
+
+fn dump(process: &Process) -> Dump<'_> {
+    let live = process.members.live();
+    let own = process.members.own();
+    let shards = process.shards();
+    let used = home::used(&own, &shards);
+    let shard = |s: &home::Shard| ShardDump {
+        name: s.name.clone(),
+        home: home::home(s, &live).map(|m| m.vm.clone()),
+        used: used.contains(&s),
+        engines: s.engines.clone(),
+    };
+    let calls = process.store.calls();
+    Dump {
+        config: &process.config,
+        ready: process.ready(),
+        stopping: process.drain.stopping(),
+        requests: process.drain.requests(),
+        version: process.current.number(),
+        refused_version: process.current.refused(),
+        incarnation: own.incarnation,
+        members: process.members.dump(),
+        peers: process.peers.count(),
+        shards: shards.iter().map(shard).collect(),
+        engines: process.engines.dump(),
+        demand: process.limits.demand(),
+        claims_writer: process.claims.writer(&live),
+        store: Calls {
+            reads: calls.reads.load(Ordering::Relaxed),
+            writes: calls.writes.load(Ordering::Relaxed),
+            failures: calls.failures.load(Ordering::Relaxed),
+        },
+        records: process.ring.newest(RECORDS),
+    }
+}
+
+/// Streams decisions as JSON lines until the watcher leaves or the process stops.
+fn decisions(process: &Arc<Process>) -> Response<Body> {
+    let (lines, receiver) = mpsc::channel(LINES);
+    tokio::spawn(feed(process.ring.watch(), lines));
+    answer::stream("application/x-ndjson", receiver)
+}
+
+async fn feed(mut decisions: broadcast::Receiver<Line>, lines: mpsc::Sender<Bytes>) {
+    loop {
+        let line = tokio::select! {
+            line = decisions.recv() => line,
+            () = lines.closed() => return,
+        };
+        match line {
+            Ok(line) => {
+                let mut text = serde_json::to_vec(&line).expect("plain data");
+                text.push(b'\n');
+                if lines.send(text.into()).await.is_err() {
+                    return;
+                }
+            }
+            Err(broadcast::error::RecvError::Lagged(_)) => {}
+            Err(broadcast::error::RecvError::Closed) => return,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/plain.rs
@@ -0,0 +1,306 @@
+//! Calls to plain services: routed by path, repeated only where that is allowed.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foldlock_base::clock::Clock;
+use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
+use foldlock_base::prelude::*;
+use foldlock_connection::http::{Failure, body};
+use foldlock_request::decision::Decision;
+use foldlock_request::health::Health;
+use foldlock_request::ring::Entry;
+use foldlock_version::schema::Service;
+use hyper::body::Incoming;
+use hyper::header::{ACCEPT, CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+
+use crate::answer::{self, Body};
+use crate::claims::Held;
+use crate::complete::{Caller, IDEMPOTENCY_KEY, refuse};
+
+/// Headers that are passed on.
+const PASSED: [hyper::header::HeaderName; 2] = [CONTENT_TYPE, ACCEPT];
+
+/// A sign that a server is leaving counts for this long.
+const LEAVING_KEPT: Duration = Duration::from_secs(30);
+
+#[derive(Default)]
+struct Local {
+    outstanding: u32,
+    health: Health,
+    leaving_at: Option<Instant>,
+}
+
+/// The servers of plain services as this VM knows them.
+#[derive(Default)]
+pub struct Servers {
+    table: Mutex<HashMap<id::Upstream, Local>>,
+}
+
+/// A call that counts at a server until dropped.
+struct Flight<'a> {
+    servers: &'a Servers,
+    server: id::Upstream,
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.servers.with(&self.server, |l| l.outstanding -= 1);
+    }
+}
+
+impl Servers {
+    fn with<R>(&self, server: &id::Upstream, f: impl FnOnce(&mut Local) -> R) -> R {
+        f(self.table.lock().unwrap().entry(server.clone()).or_default())
+    }
+
+    /// The server with the fewest calls outstanding, of those that can be used.
+    fn choose(
+        &self,
+        service: &Service,
+        now: Instant,
+        unusable: impl Fn(&id::Upstream) -> bool,
+    ) -> Option<Flight<'_>> {
+        let mut table = self.table.lock().unwrap();
+        let mut usable = |server: &id::Upstream| {
+            let local = table.entry(server.clone()).or_default();
+            let leaving = local.leaving_at.is_some_and(|at| now < at + LEAVING_KEPT);
+            (!leaving && local.health.usable(now) && !unusable(server))
+                .then_some((local.outstanding, rand::random::<u32>()))
+        };
+        let (_, server) = service
+            .servers
+            .keys()
+            .filter_map(|s| Some((usable(s)?, s)))
+            .min_by_key(|(load, _)| *load)?;
+        let local = table.entry(server.clone()).or_default();
+        local.outstanding += 1;
+        local.health.sent();
+        Some(Flight { servers: self, server: server.clone() })
+    }
+}
+
+/// A call on its way.
+struct Call {
+    caller: Caller,
+    entry: Entry,
+    service: Service,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    repeatable: bool,
+    claim: Option<Held>,
+}
+
+enum End {
+    Answered(Response<Bytes>),
+    NotRun { proof: Refusal, why: String },
+    Broken(String),
+}
+
+/// Answers a call to a plain service.
+pub async fn answer(
+    mut caller: Caller,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Error> {
+    let (head, incoming) = request.into_parts();
+    let path = head.uri.path();
+    let (name, service) = caller
+        .version
+        .tree
+        .service_of(path)
+        .map(|(name, service)| (name.clone(), service.clone()))
+        .ok_or_else(|| refuse(Kind::NotFound, format!("there is no {path}")))?;
+    let repeatable = is_repeatable(&service, &head.method, path) && caller.policy.repeatable;
+    let body = caller.body(incoming).await?;
+    let entry = caller.record(&format!("{name} {path}"), Tokens(0));
+    caller.admit(Tokens(0)).inspect_err(|e| caller.refused(&entry, e))?;
+    let claim = caller.claim(&entry, repeatable).await;
+    let claim = claim.inspect_err(|e| caller.refused(&entry, e))?;
+    let call = Call {
+        service,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        repeatable,
+        claim,
+        caller,
+        entry,
+    };
+    call.run().await
+}
+
+fn is_repeatable(service: &Service, method: &Method, path: &str) -> bool {
+    let rest = path.strip_prefix(service.path.as_str()).unwrap_or(path);
+    let once = service
+        .once
+        .iter()
+        .any(|p| rest.strip_prefix(p.as_str()).is_some_and(|r| r.is_empty() || r.starts_with('/')));
+    !once && method.is_idempotent()
+}
+
+impl Call {
+    async fn run(mut self) -> Result<Response<Body>, Error> {
+        let result = self.attempts().await;
+        match &result {
+            Ok(_) => {
+                if let Some(claim) = &mut self.claim {
+                    claim.done();
+                }
+                let now = self.caller.process.clock.now();
+                let ms = crate::serve::millis(now - self.caller.arrived);
+                let done = Decision::Finished { first_token_ms: ms, engine_ms: ms, tokens: 0 };
+                self.caller.step(&self.entry, done);
+            }
+            Err(e) if e.ran() == Ran::No => self.caller.refused(&self.entry, e),
+            Err(e) => {
+                let why = e.message().to_owned();
+                let failed = Decision::Failed { kind: e.kind(), ran: e.ran(), why };
+                self.caller.step(&self.entry, failed);
+            }
+        }
+        result
+    }
+
+    async fn attempts(&mut self) -> Result<Response<Body>, Error> {
+        let process = self.caller.process.clone();
+        let mut proof = Proof::NotRun(Unsent::arrived());
+        let mut tried: Vec<id::Upstream> = Vec::new();
+        loop {
+            let now = process.clock.now();
+            let unusable = |s: &id::Upstream| tried.contains(s) || process.is_listed_leaving(s);
+            let Some(flight) = process.servers.choose(&self.service, now, unusable) else {
+                let error = proof.error(Kind::NoUpstream, "no server can take the call", false);
+                return Err(error.retry_after(Duration::from_secs(1)));
+            };
+            self.caller.step(
+                &self.entry,
+                Decision::Routed {
+                    upstream: flight.server.clone(),
+                    route: None,
+                    predicted_ms: 0.0,
+                    seen: Vec::new(),
+                },
+            );
+            let attempt = proof.send();
+            if let Some(claim) = &mut self.claim {
+                claim.sent();
+            }
+            let end = self.send(&flight.server).await;
+            self.judge(&flight.server, &end);
+            proof = match end {
+                End::Answered(answer) => return Ok(passed(answer)),
+                end => self.after(end, attempt, &flight.server, tried.len())?,
+            };
+            tried.push(flight.server.clone());
+        }
+    }
+
+    /// Decides whether a failed attempt is followed by another one.
+    fn after(
+        &mut self,
+        end: End,
+        attempt: Attempt,
+        server: &id::Upstream,
+        tried: usize,
+    ) -> Result<Proof, Error> {
+        let (proof, why) = match end {
+            End::NotRun { proof, why } => (attempt.refused(proof), why),
+            End::Broken(why) => (attempt.unknown(), why),
+            End::Answered(_) => unreachable!("an answer ends the call"),
+        };
+        let not_run = matches!(proof, Proof::NotRun(_));
+        if let Some(claim) = &mut self.claim
+            && not_run
+        {
+            claim.not_run();
+        }
+        let caller = &self.caller;
+        let passed = caller.deadline.passed(&caller.process.clock);
+        let may = (not_run || self.repeatable)
+            && !passed
+            && tried < caller.policy.retries as usize
+            && caller.process.budget.retry(caller.policy.retry_budget_percent);
+        if may {
+            caller.process.metrics.retries.inc();
+            caller.step(&self.entry, Decision::Retried { upstream: server.clone(), why });
+            return Ok(proof);
+        }
+        let kind = match (passed, not_run) {
+            (true, _) => Kind::DeadlineExceeded,
+            (false, true) => Kind::NoUpstream,
+            (false, false) => Kind::UpstreamFailed,
+        };
+        Err(proof.error(kind, format!("{server}: {why}"), false))
+    }
+
+    async fn send(&self, server: &id::Upstream) -> End {
+        let address = &self.service.servers[server].address;
+        let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
+        let mut request =
+            Request::builder().method(&self.method).uri(format!("http://{address}{path}"));
+        for name in PASSED {
+            if let Some(value) = self.headers.get(&name) {
+                request = request.header(name, value);
+            }
+        }
+        if let Some(key) = &self.caller.key {
+            request = request.header(IDEMPOTENCY_KEY, key);
+        }
+        request = request.header(answer::REQUEST, self.caller.request.as_str());
+        let request = match request.body(body(self.body.clone())) {
+            Ok(request) => request,
+            Err(e) => return End::Broken(e.to_string()),
+        };
+        let process = &self.caller.process;
+        let left = self.caller.deadline.left(&process.clock);
+        match process.client.call(request, left).await {
+            Ok(answer) => judged(answer),
+            Err(Failure::Connect(why)) => End::NotRun { proof: Refusal::not_connected(), why },
+            Err(Failure::Broken(why)) => End::Broken(why),
+        }
+    }
+
+    fn judge(&self, server: &id::Upstream, end: &End) {
+        let now = self.caller.process.clock.now();
+        self.caller.process.servers.with(server, |local| match end {
+            End::Answered(_) => local.health.succeeded(),
+            End::Broken(_) => local.health.failed(now),
+            End::NotRun { why, .. } if why == LEAVING => {
+                local.health.undecided();
+                local.leaving_at = Some(now);
+            }
+            End::NotRun { .. } => local.health.failed(now),
+        });
+    }
+}
+
+const LEAVING: &str = "it is leaving";
+
+/// Tells a refusal from an answer.
+fn judged(answer: Response<Bytes>) -> End {
+    let header = |name: &str| answer.headers().get(name).and_then(|v| v.to_str().ok());
+    match Refusal::read(answer.status().as_u16(), header(Refusal::HEADER)) {
+        Some(proof) => {
+            let leaving = header(foldlock_connection::engine::header::LEAVING) == Some("true");
+            let why = if leaving { LEAVING.to_owned() } else { format!("{}", answer.status()) };
+            End::NotRun { proof, why }
+        }
+        None => End::Answered(answer),
+    }
+}
+
+fn passed(answer: Response<Bytes>) -> Response<Body> {
+    let (head, bytes) = answer.into_parts();
+    let mut out = Response::new(Body::Whole(Some(bytes)));
+    *out.status_mut() = head.status;
+    let plain = HeaderValue::from_static("application/octet-stream");
+    let kind = head.headers.get(CONTENT_TYPE).cloned().unwrap_or(plain);
+    out.headers_mut().insert(CONTENT_TYPE, kind);
+    out
+}
--- /dev/null
+++ b/request/src/claim.rs
@@ -0,0 +1,285 @@
+//! The log of claims of idempotency keys, as it stands in the key-value service.
+//!
+//! Claims lie in a ring of slots, each one key of the store. A batch is written by one
+//! compare-and-swap of the newest slot, which is the fence: a writer that was paused finds the
+//! slot's revision changed, reads on and decides anew, so no lease is needed. A slot that is full
+//! is followed by the next one, which is overwritten only once its claims are past retention.
+//! Everything here is free of waiting; the process does the calls.
+
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use foldlock_base::id;
+use foldlock_connection::wire::{Claim, Verdict, Word};
+use sha2::{Digest, Sha256};
+
+/// Slots of a ring.
+pub const SLOTS: usize = 256;
+
+/// A slot with at least this many bytes is full.
+pub const SLOT_BYTES: usize = 64 << 10;
+
+/// How long a claim is remembered at least.
+pub const RETENTION: Duration = Duration::from_secs(3600);
+
+/// The hash by which an organisation's idempotency key is claimed.
+pub fn hash(organisation: &id::Organisation, key: &str) -> u128 {
+    let mut hasher = Sha256::new();
+    hasher.update(organisation.as_str());
+    hasher.update([0]);
+    hasher.update(key);
+    let hash = hasher.finalize();
+    u128::from_be_bytes(hash[..16].try_into().expect("a hash has 32 bytes"))
+}
+
+/// The key of a slot in the store.
+pub fn key(shard: u32, slot: usize) -> String {
+    format!("once/{shard}/{slot}")
+}
+
+/// What a slot's text cannot be read as.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unreadable(pub String);
+
+#[derive(Debug, Clone, Default)]
+struct Slot {
+    revision: u64,
+    seq: u64,
+    newest_ms: u64,
+    keys: Vec<u128>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Held {
+    nonce: u128,
+    ran: bool,
+    seq: u64,
+}
+
+/// A shard's log as one VM has read it.
+#[derive(Debug)]
+pub struct Log {
+    shard: u32,
+    slots: Vec<Slot>,
+    current: usize,
+    text: String,
+    held: HashMap<u128, Option<Held>>,
+}
+
+/// A batch that is decided and, where it has entries, to be written.
+#[derive(Debug)]
+pub struct Batch {
+    /// The slot.
+    pub slot: usize,
+    /// The revision that the slot has to have.
+    pub expected: u64,
+    /// The slot's new text; none where there is nothing to write.
+    pub text: Option<String>,
+    /// What becomes of each claim once the text is written.
+    pub verdicts: Vec<Verdict>,
+    seq: u64,
+    changes: Vec<(u128, Option<Held>)>,
+    at_ms: u64,
+}
+
+/// The ring has no slot whose claims are past retention.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Full;
+
+impl Log {
+    /// A log of which nothing has been read.
+    pub fn new(shard: u32) -> Log {
+        Log {
+            shard,
+            slots: vec![Slot::default(); SLOTS],
+            current: 0,
+            text: String::new(),
+            held: HashMap::new(),
+        }
+    }
+
+    /// The shard.
+    pub fn shard(&self) -> u32 {
+        self.shard
+    }
+
+    /// The newest slot, from which reading on begins.
+    pub fn current(&self) -> usize {
+        self.current
+    }
+
+    /// Keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Takes a slot as it was read. Gives whether the next slot has to be read too.
+    pub fn load(&mut self, slot: usize, entry: Option<(&str, u64)>) -> Result<bool, Unreadable> {
+        let Some((text, revision)) = entry else { return Ok(false) };
+        let mut lines = text.lines();
+        let seq = lines.next().and_then(|l| l.strip_prefix("seq ")).and_then(|n| n.parse().ok());
+        let seq: u64 = seq.ok_or_else(|| Unreadable(format!("slot {slot} has no sequence")))?;
+        if seq < self.slots[self.current].seq {
+            return Ok(false);
+        }
+        let known = if self.slots[slot].seq == seq { self.slots[slot].keys.len() } else { 0 };
+        if known == 0 {
+            self.forget(slot);
+        }
+        self.slots[slot].seq = seq;
+        self.slots[slot].revision = revision;
+        for line in lines.skip(known) {
+            let (claim, at_ms) = parse(line).ok_or_else(|| Unreadable(line.to_owned()))?;
+            let read = &mut self.slots[slot];
+            read.newest_ms = read.newest_ms.max(at_ms);
+            read.keys.push(claim.key);
+            self.apply(&claim, seq);
+        }
+        self.current = slot;
+        self.text = text.to_owned();
+        Ok(true)
+    }
+
+    /// Takes all slots of a ring, in any order.
+    pub fn restore(&mut self, mut entries: Vec<(usize, String, u64)>) -> Result<(), Unreadable> {
+        let seq = |text: &str| {
+            let line = text.lines().next().and_then(|l| l.strip_prefix("seq "));
+            line.and_then(|n| n.parse::<u64>().ok()).unwrap_or(0)
+        };
+        entries.sort_by_key(|(_, text, _)| seq(text));
+        for (slot, text, revision) in &entries {
+            self.load(*slot, Some((text, *revision)))?;
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, claim: &Claim, seq: u64) {
+        let current = self.held.get(&claim.key).copied().flatten();
+        let change = match (claim.word, current) {
+            // The claim itself lay in a slot that is gone.
+            (Word::Done, None) => Some(Some(Held { nonce: claim.nonce, ran: true, seq })),
+            _ => decide(current, claim, seq).1,
+        };
+        if let Some(next) = change {
+            self.held.insert(claim.key, next);
+        }
+    }
+
+    /// Forgets what an older occupant of a slot said.
+    fn forget(&mut self, slot: usize) {
+        let old = std::mem::take(&mut self.slots[slot]);
+        for key in old.keys {
+            let last = match self.held.get(&key) {
+                Some(Some(held)) => held.seq == old.seq,
+                Some(None) => true,
+                None => false,
+            };
+            if last {
+                self.held.remove(&key);
+            }
+        }
+    }
+
+    /// Decides a batch. Nothing holds until [`Log::commit`].
+    pub fn prepare(&self, claims: &[Claim], now_ms: u64) -> Result<Batch, Full> {
+        let (slot, seq, mut text) = self.place(now_ms)?;
+        let mut overlay: HashMap<u128, Option<Held>> = HashMap::new();
+        let mut changes = Vec::new();
+        let mut verdicts = Vec::with_capacity(claims.len());
+        for claim in claims {
+            let known = overlay.get(&claim.key).or_else(|| self.held.get(&claim.key));
+            let (verdict, change) = decide(known.copied().flatten(), claim, seq);
+            if let Some(next) = change {
+                overlay.insert(claim.key, next);
+                changes.push((claim.key, next));
+                write(&mut text, claim, now_ms);
+            }
+            verdicts.push(verdict);
+        }
+        let expected = self.slots[slot].revision;
+        let text = (!changes.is_empty()).then_some(text);
+        Ok(Batch { slot, expected, text, verdicts, seq, changes, at_ms: now_ms })
+    }
+
+    /// The slot that the next entries go to.
+    fn place(&self, now_ms: u64) -> Result<(usize, u64, String), Full> {
+        let current = &self.slots[self.current];
+        if current.revision != 0 && self.text.len() < SLOT_BYTES {
+            return Ok((self.current, current.seq, self.text.clone()));
+        }
+        let seq = current.seq + 1;
+        let slot = if current.revision == 0 { 0 } else { (self.current + 1) % SLOTS };
+        let kept_until = self.slots[slot].newest_ms + RETENTION.as_millis() as u64;
+        if self.slots[slot].revision != 0 && now_ms < kept_until {
+            return Err(Full);
+        }
+        Ok((slot, seq, format!("seq {seq}\n")))
+    }
+
+    /// A batch was written and its slot has a new revision.
+    pub fn commit(&mut self, batch: &Batch, revision: u64) {
+        let Some(text) = &batch.text else { return };
+        if self.slots[batch.slot].seq != batch.seq {
+            self.forget(batch.slot);
+        }
+        let slot = &mut self.slots[batch.slot];
+        slot.seq = batch.seq;
+        slot.revision = revision;
+        slot.newest_ms = slot.newest_ms.max(batch.at_ms);
+        for (key, held) in &batch.changes {
+            slot.keys.push(*key);
+            self.held.insert(*key, *held);
+        }
+        self.current = batch.slot;
+        self.text = text.clone();
+    }
+}
+
+type Change = Option<Option<Held>>;
+
+/// What a word does to a key: the verdict, and the change if it makes one.
+fn decide(current: Option<Held>, claim: &Claim, seq: u64) -> (Verdict, Change) {
+    let own = current.is_some_and(|h| h.nonce == claim.nonce);
+    match (claim.word, current) {
+        (Word::Claim, None) => {
+            (Verdict::Won, Some(Some(Held { nonce: claim.nonce, ran: false, seq })))
+        }
+        (Word::Claim, Some(held)) if own && !held.ran => (Verdict::Won, None),
+        (Word::Claim, Some(held)) if held.ran => (Verdict::Ran, None),
+        (Word::Claim, Some(_)) => (Verdict::Taken, None),
+        (Word::Release, Some(held)) if own && !held.ran => (Verdict::Won, Some(None)),
+        (Word::Done, Some(held)) if own && !held.ran => {
+            (Verdict::Won, Some(Some(Held { ran: true, seq, ..held })))
+        }
+        (Word::Release | Word::Done, _) => (Verdict::Won, None),
+    }
+}
+
+fn write(text: &mut String, claim: &Claim, at_ms: u64) {
+    let word = match claim.word {
+        Word::Claim => 'c',
+        Word::Release => 'r',
+        Word::Done => 'd',
+    };
+    let _ = writeln!(text, "{word} {:032x} {:032x} {at_ms}", claim.key, claim.nonce);
+}
+
+fn parse(line: &str) -> Option<(Claim, u64)> {
+    let mut fields = line.split(' ');
+    let word = match fields.next()? {
+        "c" => Word::Claim,
+        "r" => Word::Release,
+        "d" => Word::Done,
+        _ => return None,
+    };
+    let key = u128::from_str_radix(fields.next()?, 16).ok()?;
+    let nonce = u128::from_str_radix(fields.next()?, 16).ok()?;
+    let at_ms = fields.next()?.parse().ok()?;
+    Some((Claim { key, nonce, word }, at_ms))
+}
--- /dev/null
+++ b/request/src/cursor.rs
@@ -0,0 +1,125 @@
+//! The cursor of a stream: the `id` of each event sent to a caller. With it a caller who was cut
+//! off goes on through any VM, which holds no state for it: the cursor names the engine, the
+//! stream and the next token, and a keyed hash makes it genuine.
+
+use std::fmt;
+use std::hash::Hasher;
+use std::str::FromStr;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use foldlock_base::id;
+use siphasher::sip128::{Hasher128, SipHasher24};
+
+/// A position in a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Cursor {
+    /// The engine.
+    pub engine: id::Upstream,
+    /// The stream's id at the engine.
+    pub stream: String,
+    /// The request.
+    pub request: id::Request,
+    /// The organisation whose request it is.
+    pub organisation: id::Organisation,
+    /// The index of the token that the event carries.
+    pub index: u64,
+}
+
+/// A text that is not a genuine cursor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotGenuine;
+
+impl fmt::Display for NotGenuine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the cursor is not genuine")
+    }
+}
+
+impl std::error::Error for NotGenuine {}
+
+/// The secret that signs cursors.
+#[derive(Clone)]
+pub struct Key([u8; 16]);
+
+impl Key {
+    /// The key from the fleet's secret text.
+    pub fn new(secret: &str) -> Key {
+        let mut hasher = SipHasher24::new();
+        hasher.write(secret.as_bytes());
+        Key(hasher.finish128().as_bytes())
+    }
+}
+
+/// Writes the cursors of one stream: the part that does not change is hashed and encoded once.
+pub struct Writer {
+    prefix: String,
+    hasher: SipHasher24,
+}
+
+const SEPARATOR: char = '~';
+
+impl Writer {
+    /// A writer of cursors into this stream.
+    pub fn new(key: &Key, at: &Cursor) -> Writer {
+        let plain = format!(
+            "{}{SEPARATOR}{}{SEPARATOR}{}{SEPARATOR}{}",
+            at.engine, at.stream, at.request, at.organisation
+        );
+        let mut hasher = SipHasher24::new_with_key(&key.0);
+        hasher.write(plain.as_bytes());
+        Writer { prefix: URL_SAFE_NO_PAD.encode(plain), hasher }
+    }
+
+    /// Writes the cursor of a token.
+    pub fn write(&self, index: u64, out: &mut impl fmt::Write) -> fmt::Result {
+        let mut hasher = self.hasher;
+        hasher.write_u64(index);
+        let mac = hasher.finish128();
+        write!(out, "{}.{index}.{:016x}{:016x}", self.prefix, mac.h1, mac.h2)
+    }
+}
+
+impl Cursor {
+    /// Writes the cursor as text.
+    pub fn sign(&self, key: &Key) -> String {
+        let mut text = String::new();
+        Writer::new(key, self).write(self.index, &mut text).expect("strings take all text");
+        text
+    }
+
+    /// Reads a cursor; only one that was signed with this key.
+    pub fn verify(key: &Key, text: &str) -> Result<Cursor, NotGenuine> {
+        let mut parts = text.split('.');
+        let (Some(prefix), Some(index), Some(_), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(NotGenuine);
+        };
+        let plain = URL_SAFE_NO_PAD.decode(prefix).map_err(|_| NotGenuine)?;
+        let plain = String::from_utf8(plain).map_err(|_| NotGenuine)?;
+        let fields: Vec<&str> = plain.split(SEPARATOR).collect();
+        let [engine, stream, request, organisation] = fields[..] else { return Err(NotGenuine) };
+        let cursor = Cursor {
+            engine: parse(engine)?,
+            stream: stream.to_owned(),
+            request: parse(request)?,
+            organisation: parse(organisation)?,
+            index: parse(index)?,
+        };
+        if same(cursor.sign(key).as_bytes(), text.as_bytes()) {
+            Ok(cursor)
+        } else {
+            Err(NotGenuine)
+        }
+    }
+}
+
+fn parse<T: FromStr>(text: &str) -> Result<T, NotGenuine> {
+    text.parse().map_err(|_| NotGenuine)
+}
+
+/// Compares in a time that does not tell where the first difference is.
+fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |acc, (x, y)| acc | (x ^ y)) == 0
+}
--- /dev/null
+++ b/request/src/decision.rs
@@ -0,0 +1,282 @@
+//! What is recorded of each request: every decision, with its reasons and numbers.
+
+use std::fmt;
+
+use foldlock_base::error::{Kind, Ran};
+use foldlock_base::event::Event;
+use foldlock_base::id;
+use foldlock_base::size::Tokens;
+use foldlock_version::policy::Route;
+use serde::{Deserialize, Serialize};
+
+/// An upstream as it was seen when a request was routed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// The predicted time to the first token, milliseconds.
+    pub predicted_ms: f64,
+    /// What the route compared; the lowest wins.
+    pub score: f64,
+    /// Requests outstanding, of all VMs as far as known.
+    pub requests: u32,
+    /// Long requests among them.
+    pub long: u32,
+    /// Prompt tokens ahead.
+    pub queued: Tokens,
+    /// Prompt tokens that are expected in its cache.
+    pub cached: Tokens,
+}
+
+/// Why a request waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Each engine has as much queued as it may.
+    Engines,
+    /// No engine has the memory.
+    Memory,
+    /// Others of the same model are ahead.
+    Queue,
+    /// The home of the engines has no place for a long prompt yet.
+    Grant,
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "decision", rename_all = "snake_case")]
+pub enum Decision {
+    /// The request was let in.
+    Admitted {
+        /// The time it has, milliseconds.
+        timeout_ms: u64,
+        /// The settings version that applies.
+        version: u64,
+    },
+    /// The request waited.
+    Waited {
+        /// Why.
+        cause: Cause,
+        /// For how long, milliseconds.
+        waited_ms: f64,
+    },
+    /// An upstream was chosen.
+    Routed {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// By which route.
+        route: Option<Route>,
+        /// The predicted time to the first token, milliseconds.
+        predicted_ms: f64,
+        /// The candidates, best first; a few of them.
+        seen: Vec<Seen>,
+    },
+    /// A waiting request was taken elsewhere before it ran.
+    Moved {
+        /// From here.
+        from: id::Upstream,
+        /// Why.
+        why: String,
+    },
+    /// The request was not let in, or was given up before it ran.
+    Refused {
+        /// The answer's kind.
+        kind: Kind,
+        /// Why.
+        why: String,
+        /// When the caller was told to come back, milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// The request is sent again.
+    Retried {
+        /// What failed.
+        upstream: id::Upstream,
+        /// How.
+        why: String,
+    },
+    /// The answer goes on from where it broke.
+    Resumed {
+        /// From this token on.
+        index: u64,
+        /// At this upstream.
+        upstream: id::Upstream,
+    },
+    /// A claim was asked for.
+    Claimed {
+        /// Whether this request holds the key.
+        won: bool,
+        /// How long it took, milliseconds.
+        waited_ms: f64,
+    },
+    /// A group of engines was held for a prompt longer than one.
+    Held {
+        /// The engines, in the order of the segments.
+        engines: Vec<id::Upstream>,
+        /// How long it took, milliseconds.
+        waited_ms: f64,
+    },
+    /// The whole answer was given.
+    Finished {
+        /// The real time to the first token, from arrival, milliseconds.
+        first_token_ms: f64,
+        /// The real time to the first token, from when it was sent, milliseconds.
+        engine_ms: f64,
+        /// The tokens of the answer.
+        tokens: u64,
+    },
+    /// No whole answer was given.
+    Failed {
+        /// The answer's kind.
+        kind: Kind,
+        /// Whether the request ran.
+        ran: Ran,
+        /// Why.
+        why: String,
+    },
+}
+
+impl Decision {
+    /// The log event of the decision.
+    pub fn event(&self) -> Event {
+        match self {
+            Decision::Admitted { .. } => Event::Admitted,
+            Decision::Waited { .. } => Event::Waited,
+            Decision::Routed { .. } => Event::Routed,
+            Decision::Moved { .. } => Event::Moved,
+            Decision::Refused { .. } => Event::Refused,
+            Decision::Retried { .. } => Event::Retried,
+            Decision::Resumed { .. } => Event::Resumed,
+            Decision::Claimed { .. } => Event::Claimed,
+            Decision::Held { .. } => Event::Held,
+            Decision::Finished { .. } => Event::Finished,
+            Decision::Failed { .. } => Event::Failed,
+        }
+    }
+}
+
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Decision::Admitted { timeout_ms, version } => {
+                write!(f, "admitted with {timeout_ms} ms, under settings version {version}")
+            }
+            Decision::Waited { cause, waited_ms } => {
+                write!(f, "waited {waited_ms:.1} ms: {}", cause.text())
+            }
+            Decision::Routed { upstream, route, predicted_ms, seen } => {
+                write!(f, "routed to {upstream}")?;
+                if let Some(route) = route {
+                    write!(f, " by {}", name(route))?;
+                    write!(f, ", first token predicted in {predicted_ms:.1} ms")?;
+                }
+                for s in seen {
+                    write!(
+                        f,
+                        "\n    {}: predicted {:.1} ms, score {:.1}, {} outstanding ({} long), \
+                         {} tokens queued, {} cached",
+                        s.upstream, s.predicted_ms, s.score, s.requests, s.long, s.queued, s.cached
+                    )?;
+                }
+                Ok(())
+            }
+            Decision::Moved { from, why } => write!(f, "moved away from {from}: {why}"),
+            Decision::Refused { kind, why, retry_after_ms } => {
+                write!(f, "refused ({kind}): {why}")?;
+                match retry_after_ms {
+                    Some(ms) => write!(f, "; told to come back in {ms} ms"),
+                    None => Ok(()),
+                }
+            }
+            Decision::Retried { upstream, why } => {
+                write!(f, "sent again, since {upstream} failed: {why}")
+            }
+            Decision::Resumed { index, upstream } => {
+                write!(f, "resumed from token {index} at {upstream}")
+            }
+            Decision::Claimed { won, waited_ms } => {
+                let word = if *won { "claimed" } else { "found claimed" };
+                write!(f, "{word} the idempotency key in {waited_ms:.1} ms")
+            }
+            Decision::Held { engines, waited_ms } => {
+                let names: Vec<&str> = engines.iter().map(id::Upstream::as_str).collect();
+                write!(f, "held memory at {} in {waited_ms:.1} ms", names.join(", "))
+            }
+            Decision::Finished { first_token_ms, engine_ms, tokens } => write!(
+                f,
+                "finished: {tokens} tokens, first token after {first_token_ms:.1} ms \
+                 ({engine_ms:.1} ms at the upstream)"
+            ),
+            Decision::Failed { kind, ran, why } => write!(f, "failed ({kind}, ran: {ran}): {why}"),
+        }
+    }
+}
+
+impl Cause {
+    fn text(self) -> &'static str {
+        match self {
+            Cause::Engines => "each engine has as much queued as it may",
+            Cause::Memory => "no engine has the memory",
+            Cause::Queue => "others are ahead",
+            Cause::Grant => "no place for a long prompt yet",
+        }
+    }
+}
+
+/// The name of a route, as in the settings.
+pub fn name(route: &Route) -> String {
+    serde_json::to_value(route).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
+}
+
+/// A decision with its time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Milliseconds since the request arrived.
+    pub at_ms: f64,
+    /// The decision.
+    #[serde(flatten)]
+    pub decision: Decision,
+}
+
+/// Who asked for what.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Subject {
+    /// The request.
+    pub request: id::Request,
+    /// The VM that the caller reached.
+    pub vm: id::Vm,
+    /// The organisation.
+    pub organisation: id::Organisation,
+    /// The kind of request, if it names one.
+    pub kind: Option<id::Kind>,
+    /// The model, or the plain service.
+    pub target: String,
+    /// The prompt's tokens; 0 for plain calls.
+    pub prompt: Tokens,
+    /// The time of day of its arrival, milliseconds since 1970.
+    pub arrived_ms: u64,
+}
+
+/// The record of a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Who asked for what.
+    #[serde(flatten)]
+    pub subject: Subject,
+    /// The decisions, in order.
+    pub steps: Vec<Step>,
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let s = &self.subject;
+        write!(f, "{} at {}: {}", s.request, s.vm, s.organisation)?;
+        if let Some(kind) = &s.kind {
+            write!(f, "/{kind}")?;
+        }
+        writeln!(f, ", {}, {} prompt tokens", s.target, s.prompt)?;
+        for step in &self.steps {
+            writeln!(f, "  {:>9.1} ms  {}", step.at_ms, step.decision)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/request/src/route.rs
@@ -0,0 +1,150 @@
+//! How an upstream is chosen: a small trait, the routes that the settings name, and what they see.
+
+pub mod least_outstanding;
+pub mod length_aware;
+pub mod round_robin;
+pub mod two_choices;
+
+use foldlock_base::id;
+use foldlock_base::size::Tokens;
+use foldlock_connection::wire::{Load, Reported};
+use foldlock_version::policy;
+use rand::Rng;
+
+use crate::decision::Seen;
+use crate::speed::{Model, Work};
+
+/// What is asked of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// The prompt's tokens.
+    pub prompt: Tokens,
+    /// Memory for prompt and answer.
+    pub memory: Tokens,
+    /// Whether the prompt counts as long.
+    pub long: bool,
+}
+
+/// An engine that can serve the request, as this VM knows it.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The engine.
+    pub engine: id::Upstream,
+    /// This VM's own work on it.
+    pub own: Load,
+    /// The work of all VMs on it, as far as known.
+    pub fleet: Load,
+    /// Its load by its newest report.
+    pub report: Option<Reported>,
+    /// Prompt tokens that are likely in its cache.
+    pub cached: Tokens,
+    /// The tokens that its memory holds.
+    pub memory: Tokens,
+    /// Its speed as learnt.
+    pub speed: Model,
+    /// Seconds by which this VM's oldest request there is late.
+    pub overdue: f64,
+    /// Its place among the engines of the model in the order in which long prompts take them.
+    pub long_rank: u32,
+}
+
+impl Candidate {
+    /// The work until the first token of a request on it.
+    pub fn work(&self, ask: &Ask) -> Work {
+        let uncached = ask.prompt - self.cached;
+        let mut queued = self.fleet.prefill;
+        if ask.long {
+            queued = queued + self.fleet.long_prefill;
+        }
+        let long = if ask.long { 0 } else { self.fleet.long };
+        Work::new(queued.0 as f64, uncached.0 as f64, self.cached.0 as f64, long)
+    }
+
+    /// The predicted seconds to the first token of a request on it.
+    pub fn predict(&self, ask: &Ask) -> f64 {
+        self.speed.predict(self.work(ask)) + self.overdue
+    }
+
+    /// Whether the memory has room by what is known.
+    pub fn fits(&self, ask: &Ask) -> bool {
+        self.fleet.memory + ask.memory <= self.memory
+    }
+
+    /// What a record says of it.
+    pub fn seen(&self, ask: &Ask, score: f64) -> Seen {
+        Seen {
+            upstream: self.engine.clone(),
+            predicted_ms: self.predict(ask) * 1e3,
+            score,
+            requests: self.fleet.requests,
+            long: self.fleet.long,
+            queued: self.fleet.prefill + self.fleet.long_prefill,
+            cached: self.cached,
+        }
+    }
+}
+
+/// A way to choose.
+pub trait Route {
+    /// The score of each candidate, lowest best; none for one that is not to be used now.
+    fn score<R: Rng>(
+        &mut self,
+        ask: &Ask,
+        candidates: &[Candidate],
+        rng: &mut R,
+    ) -> Vec<Option<f64>>;
+}
+
+/// A choice with what was compared.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The index of the candidate.
+    pub index: usize,
+    /// The candidates, best first; a few of them.
+    pub seen: Vec<Seen>,
+}
+
+/// How many candidates a record names.
+const SEEN: usize = 4;
+
+/// Each route that the settings can name, with its state.
+#[derive(Debug, Default)]
+pub struct Routes {
+    round_robin: round_robin::RoundRobin,
+}
+
+impl Routes {
+    /// Chooses by the route that the settings name.
+    pub fn choose<R: Rng>(
+        &mut self,
+        route: policy::Route,
+        ask: &Ask,
+        candidates: &[Candidate],
+        rng: &mut R,
+    ) -> Option<Choice> {
+        let scores = match route {
+            policy::Route::RoundRobin => self.round_robin.score(ask, candidates, rng),
+            policy::Route::LeastOutstanding => {
+                least_outstanding::LeastOutstanding.score(ask, candidates, rng)
+            }
+            policy::Route::TwoChoices => {
+                two_choices::TwoChoices { basis: two_choices::Basis::Report }
+                    .score(ask, candidates, rng)
+            }
+            policy::Route::Shared => two_choices::TwoChoices { basis: two_choices::Basis::Fleet }
+                .score(ask, candidates, rng),
+            policy::Route::LengthAware => length_aware::LengthAware.score(ask, candidates, rng),
+        };
+        best(ask, candidates, &scores)
+    }
+}
+
+/// The candidate with the lowest score. Equal scores go to the earlier one: callers shuffle.
+pub fn best(ask: &Ask, candidates: &[Candidate], scores: &[Option<f64>]) -> Option<Choice> {
+    let mut ranked: Vec<(usize, f64)> =
+        scores.iter().enumerate().filter_map(|(i, s)| s.map(|s| (i, s))).collect();
+    ranked.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let (index, _) = *ranked.first()?;
+    let seen = ranked.iter().take(SEEN).map(|(i, s)| candidates[*i].seen(ask, *s)).collect();
+    Some(Choice { index, seen })
+}
--- /dev/null
+++ b/request/src/route/least_outstanding.rs
@@ -0,0 +1,20 @@
+//! The fewest of this VM's own requests outstanding: a baseline.
+
+use rand::Rng;
+
+use super::{Ask, Candidate, Route};
+
+/// The route.
+#[derive(Debug)]
+pub struct LeastOutstanding;
+
+impl Route for LeastOutstanding {
+    fn score<R: Rng>(
+        &mut self,
+        _ask: &Ask,
+        candidates: &[Candidate],
+        _rng: &mut R,
+    ) -> Vec<Option<f64>> {
+        candidates.iter().map(|c| Some(f64::from(c.own.requests))).collect()
+    }
+}
--- /dev/null
+++ b/request/src/route/round_robin.rs
@@ -0,0 +1,31 @@
+//! Each engine in turn, whatever its load: a baseline.
+
+use rand::Rng;
+
+use super::{Ask, Candidate, Route};
+
+/// The route with its turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    turn: u64,
+}
+
+impl Route for RoundRobin {
+    fn score<R: Rng>(
+        &mut self,
+        _ask: &Ask,
+        candidates: &[Candidate],
+        _rng: &mut R,
+    ) -> Vec<Option<f64>> {
+        self.turn += 1;
+        let count = candidates.len() as u64;
+        let mut order: Vec<usize> = (0..candidates.len()).collect();
+        order.sort_by(|a, b| candidates[*a].engine.cmp(&candidates[*b].engine));
+        let mut scores = vec![None; candidates.len()];
+        for (place, index) in order.into_iter().enumerate() {
+            let distance = (place as u64 + count - self.turn % count.max(1)) % count.max(1);
+            scores[index] = Some(distance as f64);
+        }
+        scores
+    }
+}
--- /dev/null
+++ b/request/src/route/two_choices.rs
@@ -0,0 +1,52 @@
+//! The less loaded of two engines at random.
+
+use rand::Rng;
+use rand::seq::index;
+
+use super::{Ask, Candidate, Route};
+
+/// What tells the load.
+#[derive(Debug, Clone, Copy)]
+pub enum Basis {
+    /// The engine's report, which lags: a baseline.
+    Report,
+    /// The work that all VMs announce.
+    Fleet,
+}
+
+/// The route.
+#[derive(Debug)]
+pub struct TwoChoices {
+    /// What tells the load.
+    pub basis: Basis,
+}
+
+impl TwoChoices {
+    fn load(&self, candidate: &Candidate) -> f64 {
+        match self.basis {
+            Basis::Report => candidate
+                .report
+                .as_ref()
+                .map_or(0.0, |r| r.prefill.0 as f64 + f64::from(r.requests)),
+            Basis::Fleet => {
+                let load = candidate.fleet;
+                (load.prefill + load.long_prefill).0 as f64 + f64::from(load.requests)
+            }
+        }
+    }
+}
+
+impl Route for TwoChoices {
+    fn score<R: Rng>(
+        &mut self,
+        _ask: &Ask,
+        candidates: &[Candidate],
+        rng: &mut R,
+    ) -> Vec<Option<f64>> {
+        let mut scores = vec![None; candidates.len()];
+        for i in index::sample(rng, candidates.len(), candidates.len().min(2)) {
+            scores[i] = Some(self.load(&candidates[i]));
+        }
+        scores
+    }
+}
