--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,674 @@
+//! A model engine: batches continuously under a token budget a step, prefills in chunks by
+//! priority, caches prefixes in limited memory, keeps streams for resuming and holds for a time.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_base::prefix;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::answer;
+use crate::fault::{Fault, Kind};
+use crate::memory::Memory;
+use crate::server::LEAVING;
+
+/// How an engine is made.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The models it serves.
+    pub models: Vec<String>,
+    /// Tokens that its memory holds.
+    pub memory: u64,
+    /// Tokens that one step computes at most.
+    pub step_tokens: u64,
+    /// Milliseconds of a step by itself.
+    pub step_ms: f64,
+    /// Milliseconds a token in a step.
+    pub token_ms: f64,
+    /// Milliseconds a prompt token and token of context before it: the part that grows with the
+    /// square of the length.
+    pub context_ms: f64,
+    /// How many times as fast as these figures it runs.
+    pub speed: f64,
+    /// Requests that wait at most; beyond that it refuses.
+    pub max_waiting: usize,
+    /// How old its reports are, milliseconds.
+    pub report_lag_ms: u64,
+    /// How late its cache events are, milliseconds.
+    pub cache_lag_ms: u64,
+    /// Each how manieth cache event is lost; 0 for none.
+    pub cache_gap: u64,
+    /// Whether it checks the fence of orders.
+    pub checks_fence: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            models: vec!["base".to_owned()],
+            memory: 400_000,
+            step_tokens: 512,
+            step_ms: 4.0,
+            token_ms: 0.04,
+            context_ms: 0.000_000_2,
+            speed: 1.0,
+            max_waiting: 256,
+            report_lag_ms: 500,
+            cache_lag_ms: 1_000,
+            cache_gap: 10,
+            checks_fence: true,
+        }
+    }
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Default)]
+pub struct Ask {
+    /// The request's id.
+    pub request: String,
+    /// The model.
+    pub model: String,
+    /// The prompt, or its last segment.
+    pub prompt: bytes::Bytes,
+    /// The most tokens to generate; 0 to prefill only.
+    pub max_tokens: u64,
+    /// Lower goes first.
+    pub priority: u8,
+    /// The index of the first token.
+    pub first_index: u64,
+    /// Until when it may run.
+    pub deadline: Duration,
+    /// How long the stream is kept without a reader.
+    pub linger: Duration,
+    /// The hold whose memory it uses.
+    pub hold: Option<String>,
+    /// Tokens before this segment, on other engines.
+    pub context_tokens: u64,
+    /// The state after the segments before this one.
+    pub context_state: Option<u64>,
+}
+
+/// Why an ask is refused: the status and the reason. Nothing ran.
+pub type Refusal = (u16, &'static str);
+
+/// What a stream's readers see.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// The tokens so far.
+    pub tokens: Vec<String>,
+    /// Why it ended, once it has.
+    pub end: Option<&'static str>,
+    /// The prefix state after the prompt, once it is computed.
+    pub state: Option<u64>,
+    /// Whether it was broken off.
+    pub dead: bool,
+}
+
+/// A stream: the answer to one request.
+#[derive(Debug)]
+pub struct Stream {
+    /// Its id.
+    pub id: String,
+    /// The request.
+    pub request: String,
+    /// The index of its first token.
+    pub first_index: u64,
+    /// Prompt tokens that were cached.
+    pub cached: u64,
+    /// What goes wrong with it.
+    pub fault: Option<Fault>,
+    output: Mutex<Output>,
+    readers: Mutex<Readers>,
+    changed: Notify,
+}
+
+#[derive(Debug)]
+struct Readers {
+    count: u32,
+    left_at: Instant,
+}
+
+impl Stream {
+    /// Looks at the output.
+    pub fn look<R>(&self, f: impl FnOnce(&Output) -> R) -> R {
+        f(&self.output.lock().unwrap())
+    }
+
+    /// Waits for more output. Take the waiter before looking.
+    pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// Counts a reader in.
+    pub fn attach(&self) {
+        self.readers.lock().unwrap().count += 1;
+    }
+
+    /// Counts a reader out.
+    pub fn detach(&self) {
+        let mut readers = self.readers.lock().unwrap();
+        readers.count -= 1;
+        readers.left_at = Instant::now();
+    }
+
+    fn abandoned(&self, linger: Duration) -> bool {
+        let readers = self.readers.lock().unwrap();
+        readers.count == 0 && readers.left_at.elapsed() > linger
+    }
+
+    fn write(&self, f: impl FnOnce(&mut Output)) {
+        f(&mut self.output.lock().unwrap());
+        self.changed.notify_waiters();
+    }
+}
+
+struct Job {
+    stream: Arc<Stream>,
+    ask: Ask,
+    blocks: Vec<u64>,
+    prompt_tokens: u64,
+    computed: u64,
+    generated: u64,
+    state: u64,
+    memory: u64,
+    admitted: bool,
+    deadline: Instant,
+}
+
+impl Job {
+    fn wants(&self) -> u64 {
+        self.prompt_tokens.saturating_sub(self.computed)
+    }
+}
+
+#[derive(Debug)]
+struct Hold {
+    tokens: u64,
+    until: Instant,
+    busy: u32,
+    state: u64,
+    filled: u64,
+}
+
+/// What the report says; the field names are the protocol's.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Report {
+    seq: u64,
+    models: Vec<String>,
+    leaving: bool,
+    running: u32,
+    waiting: u32,
+    prefill: u64,
+    memory: u64,
+    used: u64,
+}
+
+/// An event of the prefix cache.
+#[derive(Debug, Clone, Serialize)]
+pub struct CacheEvent {
+    seq: u64,
+    stored: Vec<String>,
+    #[serde(skip)]
+    at: Option<Instant>,
+}
+
+/// What tests look at.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Stats {
+    /// Tokens of memory in use.
+    pub used: u64,
+    /// Tokens of memory that holds have taken.
+    pub held: u64,
+    /// Streams that are kept.
+    pub streams: usize,
+    /// How many times each request was begun, over all its streams.
+    pub runs: BTreeMap<String, u32>,
+    /// Requests begun.
+    pub begun: u64,
+    /// Prompt tokens computed.
+    pub computed: u64,
+    /// Milliseconds since the newest request was begun.
+    pub idle_ms: u64,
+}
+
+#[derive(Default)]
+struct State {
+    jobs: Vec<Job>,
+    streams: HashMap<String, Arc<Stream>>,
+    holds: HashMap<String, Hold>,
+    reports: VecDeque<(Instant, Report)>,
+    cache_events: VecDeque<CacheEvent>,
+    cache_seq: u64,
+    faults: VecDeque<Fault>,
+    leaving: bool,
+    fence: u64,
+    runs: BTreeMap<String, u32>,
+    begun: u64,
+    computed: u64,
+    newest: Option<Instant>,
+}
+
+/// A model engine.
+pub struct Engine {
+    settings: Settings,
+    state: Mutex<State>,
+    memory: Mutex<Memory>,
+    models: Mutex<Vec<String>>,
+    speed: Mutex<f64>,
+    work: Notify,
+    boot: u64,
+}
+
+impl Engine {
+    /// An idle engine. [`Engine::run`] makes it work.
+    pub fn new(settings: Settings) -> Arc<Engine> {
+        Arc::new(Engine {
+            state: Mutex::default(),
+            memory: Mutex::new(Memory::new(settings.memory)),
+            models: Mutex::new(settings.models.clone()),
+            speed: Mutex::new(settings.speed),
+            settings,
+            work: Notify::new(),
+            boot: rand::random(),
+        })
+    }
+
+    /// Takes a request, or says no.
+    pub fn begin(&self, ask: Ask) -> Result<Arc<Stream>, Refusal> {
+        let blocks = prefix::blocks(&ask.prompt, usize::MAX);
+        let start = ask.context_state.unwrap_or(prefix::START);
+        let state = prefix::state(start, &ask.prompt);
+        let prompt_tokens = (ask.prompt.len() as u64).div_ceil(answer::TOKEN_LEN as u64);
+        let mut inner = self.state.lock().unwrap();
+        let fault = self.admit(&mut inner, &ask, prompt_tokens)?;
+        let cached = match ask.context_state {
+            None => self.memory.lock().unwrap().cached(&blocks).min(prompt_tokens - 1),
+            Some(_) => 0,
+        };
+        inner.begun += 1;
+        *inner.runs.entry(ask.request.clone()).or_default() += 1;
+        inner.newest = Some(Instant::now());
+        let stream = Arc::new(Stream {
+            id: format!("{:x}.{}", self.boot, inner.begun),
+            request: ask.request.clone(),
+            first_index: ask.first_index,
+            cached,
+            fault,
+            output: Mutex::default(),
+            readers: Mutex::new(Readers { count: 0, left_at: Instant::now() }),
+            changed: Notify::new(),
+        });
+        inner.streams.insert(stream.id.clone(), stream.clone());
+        let memory = if ask.hold.is_some() { 0 } else { prompt_tokens + ask.max_tokens };
+        if let Some(hold) = ask.hold.as_ref().and_then(|h| inner.holds.get_mut(h)) {
+            hold.busy += 1;
+        }
+        inner.jobs.push(Job {
+            stream: stream.clone(),
+            blocks,
+            prompt_tokens,
+            computed: cached,
+            generated: 0,
+            state,
+            memory,
+            admitted: false,
+            deadline: Instant::now() + ask.deadline,
+            ask,
+        });
+        inner.jobs.sort_by_key(|j| j.ask.priority);
+        drop(inner);
+        self.work.notify_one();
+        Ok(stream)
+    }
+
+    fn admit(&self, inner: &mut State, ask: &Ask, tokens: u64) -> Result<Option<Fault>, Refusal> {
+        if inner.leaving {
+            return Err((503, LEAVING));
+        }
+        if !self.models.lock().unwrap().contains(&ask.model) {
+            return Err((409, "model not loaded"));
+        }
+        if tokens == 0 {
+            return Err((400, "empty prompt"));
+        }
+        let room = match &ask.hold {
+            Some(hold) => inner.holds.get(hold).ok_or((409, "no such hold"))?.tokens,
+            None => self.settings.memory,
+        };
+        if tokens + ask.max_tokens > room {
+            return Err((413, "does not fit the memory"));
+        }
+        if inner.jobs.iter().filter(|j| !j.admitted).count() >= self.settings.max_waiting {
+            return Err((429, "too many requests wait"));
+        }
+        let fault = take_fault(&mut inner.faults);
+        match fault {
+            Some(Fault { kind: Kind::Refuse, .. }) => Err((503, "refused on request")),
+            fault => Ok(fault),
+        }
+    }
+
+    /// A stream that is kept.
+    pub fn stream(&self, id: &str) -> Option<Arc<Stream>> {
+        self.state.lock().unwrap().streams.get(id).cloned()
+    }
+
+    /// Ends a stream.
+    pub fn cancel(&self, id: &str) -> bool {
+        let mut inner = self.state.lock().unwrap();
+        let found = inner.streams.remove(id);
+        if let Some(stream) = &found {
+            stream.write(|o| o.dead = true);
+            self.reap(&mut inner);
+        }
+        found.is_some()
+    }
+
+    /// Holds memory for a time, or renews a hold.
+    pub fn hold(&self, id: &str, tokens: u64, ttl: Duration) -> Result<(), Refusal> {
+        let mut inner = self.state.lock().unwrap();
+        let until = Instant::now() + ttl;
+        if let Some(hold) = inner.holds.get_mut(id) {
+            hold.until = until;
+            return Ok(());
+        }
+        if inner.leaving {
+            return Err((503, LEAVING));
+        }
+        if !self.memory.lock().unwrap().take(tokens) {
+            return Err((409, "no memory"));
+        }
+        let hold = Hold { tokens, until, busy: 0, state: prefix::START, filled: 0 };
+        inner.holds.insert(id.to_owned(), hold);
+        self.work.notify_one();
+        Ok(())
+    }
+
+    /// Gives a hold back.
+    pub fn release(&self, id: &str) -> bool {
+        let mut inner = self.state.lock().unwrap();
+        let Some(hold) = inner.holds.remove(id) else { return false };
+        self.memory.lock().unwrap().give(hold.tokens);
+        for job in inner.jobs.iter().filter(|j| j.ask.hold.as_deref() == Some(id)) {
+            job.stream.write(|o| o.dead = true);
+        }
+        self.reap(&mut inner);
+        true
+    }
+
+    /// Exports what a hold has computed: its tokens and state.
+    pub fn export(&self, id: &str) -> Option<(u64, u64)> {
+        let inner = self.state.lock().unwrap();
+        inner.holds.get(id).map(|h| (h.filled, h.state))
+    }
+
+    /// Imports another engine's export into a hold.
+    pub fn import(&self, id: &str, tokens: u64, state: u64) -> Result<(), Refusal> {
+        let mut inner = self.state.lock().unwrap();
+        let hold = inner.holds.get_mut(id).ok_or((409, "no such hold"))?;
+        if tokens > hold.tokens {
+            return Err((413, "does not fit the hold"));
+        }
+        hold.filled = tokens;
+        hold.state = state;
+        Ok(())
+    }
+
+    /// Takes an order to serve these models, under a fence.
+    pub fn order(&self, fence: u64, models: Vec<String>) -> Result<(), Refusal> {
+        let mut inner = self.state.lock().unwrap();
+        if self.settings.checks_fence && fence < inner.fence {
+            return Err((409, "the fence is old"));
+        }
+        inner.fence = inner.fence.max(fence);
+        *self.models.lock().unwrap() = models;
+        Ok(())
+    }
+
+    /// Takes no more new work, or takes it again.
+    pub fn leave(&self, leaving: bool) {
+        self.state.lock().unwrap().leaving = leaving;
+    }
+
+    /// Runs at another speed from now on.
+    pub fn set_speed(&self, speed: f64) {
+        *self.speed.lock().unwrap() = speed;
+    }
+
+    /// Adds a fault for the next streams.
+    pub fn add_fault(&self, fault: Fault) {
+        self.state.lock().unwrap().faults.push_back(fault);
+    }
+
+    /// The report as it was some time ago.
+    pub fn report(&self) -> Report {
+        let mut inner = self.state.lock().unwrap();
+        let now = self.report_now(&inner);
+        let lag = Duration::from_millis(self.settings.report_lag_ms);
+        inner.reports.push_back((Instant::now(), now));
+        while inner.reports.len() > 1 && inner.reports[1].0.elapsed() >= lag {
+            inner.reports.pop_front();
+        }
+        inner.reports[0].1.clone()
+    }
+
+    fn report_now(&self, inner: &State) -> Report {
+        let memory = self.memory.lock().unwrap();
+        Report {
+            seq: inner.reports.back().map_or(1, |(_, r)| r.seq + 1),
+            models: self.models.lock().unwrap().clone(),
+            leaving: inner.leaving,
+            running: inner.jobs.iter().filter(|j| j.admitted).count() as u32,
+            waiting: inner.jobs.iter().filter(|j| !j.admitted).count() as u32,
+            prefill: inner.jobs.iter().map(Job::wants).sum(),
+            memory: memory.total(),
+            used: memory.used(),
+        }
+    }
+
+    /// The cache events after `seq` that are old enough to be told.
+    pub fn cache_events(&self, seq: u64) -> Vec<CacheEvent> {
+        let lag = Duration::from_millis(self.settings.cache_lag_ms);
+        let inner = self.state.lock().unwrap();
+        let told = |e: &&CacheEvent| e.seq > seq && e.at.is_some_and(|at| at.elapsed() >= lag);
+        inner.cache_events.iter().filter(told).cloned().collect()
+    }
+
+    /// What tests look at.
+    pub fn stats(&self) -> Stats {
+        let inner = self.state.lock().unwrap();
+        Stats {
+            used: self.memory.lock().unwrap().used(),
+            held: inner.holds.values().map(|h| h.tokens).sum(),
+            streams: inner.streams.len(),
+            runs: inner.runs.clone(),
+            begun: inner.begun,
+            computed: inner.computed,
+            idle_ms: inner.newest.map_or(u64::MAX, |at| at.elapsed().as_millis() as u64),
+        }
+    }
+
+    /// Works until the task is ended.
+    pub async fn run(self: Arc<Engine>) {
+        loop {
+            let planned = self.plan();
+            if planned.is_empty() {
+                let idle = Duration::from_millis(20);
+                let _ = tokio::time::timeout(idle, self.work.notified()).await;
+                self.reap(&mut self.state.lock().unwrap());
+                continue;
+            }
+            tokio::time::sleep(self.cost(&planned)).await;
+            self.apply(&planned);
+        }
+    }
+
+    /// Chooses the tokens of the next step: one for each answer, then prefill by priority.
+    fn plan(&self) -> Vec<Chunk> {
+        let mut inner = self.state.lock().unwrap();
+        self.reap(&mut inner);
+        self.admit_waiting(&mut inner);
+        let mut budget = self.settings.step_tokens;
+        let mut plan = Vec::new();
+        let ready = inner.jobs.iter().filter(|j| j.admitted && j.wants() == 0);
+        for job in ready.take(budget as usize) {
+            plan.push(Chunk { stream: job.stream.id.clone(), prefill: 0, context: 0 });
+            budget -= 1;
+        }
+        for job in inner.jobs.iter().filter(|j| j.admitted && j.wants() > 0) {
+            if budget == 0 {
+                break;
+            }
+            let prefill = job.wants().min(budget);
+            let context = job.ask.context_tokens + job.computed;
+            plan.push(Chunk { stream: job.stream.id.clone(), prefill, context });
+            budget -= prefill;
+        }
+        plan
+    }
+
+    fn admit_waiting(&self, inner: &mut State) {
+        let mut memory = self.memory.lock().unwrap();
+        for job in inner.jobs.iter_mut().filter(|j| !j.admitted) {
+            if !memory.take(job.memory) {
+                break;
+            }
+            job.admitted = true;
+        }
+    }
+
+    fn cost(&self, plan: &[Chunk]) -> Duration {
+        let s = &self.settings;
+        let ms: f64 = plan
+            .iter()
+            .map(|c| {
+                let tokens = c.prefill.max(1) as f64;
+                tokens * s.token_ms + c.prefill as f64 * c.context as f64 * s.context_ms
+            })
+            .sum();
+        Duration::from_secs_f64((s.step_ms + ms) / 1000.0 / *self.speed.lock().unwrap())
+    }
+
+    fn apply(&self, plan: &[Chunk]) {
+        let mut inner = self.state.lock().unwrap();
+        let mut stored = Vec::new();
+        for chunk in plan {
+            let Some(job) = inner.jobs.iter_mut().find(|j| j.stream.id == chunk.stream) else {
+                continue;
+            };
+            job.computed += chunk.prefill;
+            if job.wants() > 0 {
+                continue;
+            }
+            if chunk.prefill > 0 {
+                stored.extend(self.prefilled(job));
+            }
+            generate(job);
+        }
+        inner.computed += plan.iter().map(|c| c.prefill).sum::<u64>();
+        if !stored.is_empty() {
+            self.tell_cache(&mut inner, stored);
+        }
+        self.reap(&mut inner);
+    }
+
+    fn prefilled(&self, job: &Job) -> Vec<u64> {
+        let state = job.state;
+        job.stream.write(|o| o.state = Some(state));
+        if job.ask.context_state.is_some() {
+            return Vec::new();
+        }
+        self.memory.lock().unwrap().cache(&job.blocks);
+        job.blocks.clone()
+    }
+
+    fn tell_cache(&self, inner: &mut State, stored: Vec<u64>) {
+        inner.cache_seq += 1;
+        let gap = self.settings.cache_gap;
+        if gap > 0 && inner.cache_seq.is_multiple_of(gap) {
+            return;
+        }
+        let stored = stored.iter().take(64).map(|b| format!("{b:x}")).collect();
+        let event = CacheEvent { seq: inner.cache_seq, stored, at: Some(Instant::now()) };
+        inner.cache_events.push_back(event);
+        if inner.cache_events.len() > 1024 {
+            inner.cache_events.pop_front();
+        }
+    }
+
+    /// Takes away what has ended, and gives its memory back.
+    fn reap(&self, inner: &mut State) {
+        let now = Instant::now();
+        let mut memory = self.memory.lock().unwrap();
+        let State { jobs, holds, streams, .. } = inner;
+        jobs.retain(|job| {
+            let over = job.stream.look(|o| o.dead || o.end.is_some())
+                || job.deadline < now
+                || job.stream.abandoned(job.ask.linger);
+            if over {
+                if job.admitted {
+                    memory.give(job.memory);
+                }
+                if let Some(hold) = job.ask.hold.as_ref().and_then(|h| holds.get_mut(h)) {
+                    hold.busy -= 1;
+                    hold.filled = job.prompt_tokens;
+                    hold.state = job.state;
+                }
+                if job.stream.look(|o| o.end.is_none()) {
+                    job.stream.write(|o| o.dead = true);
+                }
+            }
+            !over
+        });
+        holds.retain(|_, hold| {
+            let over = hold.until < now;
+            if over {
+                memory.give(hold.tokens);
+            }
+            !over
+        });
+        streams.retain(|_, s| {
+            !(s.look(|o| o.dead) || s.look(|o| o.end.is_some()) && s.abandoned(FINISHED_KEPT))
+        });
+    }
+}
+
+/// How long a finished stream without a reader can still be read again.
+const FINISHED_KEPT: Duration = Duration::from_secs(5);
+
+struct Chunk {
+    stream: String,
+    prefill: u64,
+    context: u64,
+}
+
+fn generate(job: &mut Job) {
+    let text = answer::token(job.state);
+    if job.ask.max_tokens > 0 {
+        job.state = prefix::state(job.state, text.as_bytes());
+    }
+    job.generated += 1;
+    let done = job.generated >= job.ask.max_tokens;
+    let wanted = job.ask.max_tokens > 0;
+    job.stream.write(|o| {
+        if wanted {
+            o.tokens.push(text);
+        }
+        if done {
+            o.end = Some("length");
+        }
+    });
+}
+
+fn take_fault(faults: &mut VecDeque<Fault>) -> Option<Fault> {
+    let fault = faults.front_mut()?;
+    let taken = *fault;
+    fault.count -= 1;
+    if fault.count == 0 {
+        faults.pop_front();
+    }
+    Some(taken)
+}
--- /dev/null
+++ b/standin/src/engine_http.rs
@@ -0,0 +1,307 @@
+//! The engine's protocol over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldlock_connection::engine::{Context, header as name};
+use foldlock_connection::events::Raw;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response};
+use serde::Deserialize;
+
+use crate::engine::{Ask, Engine, Settings, Stream};
+use crate::fault::{Fault, Kind};
+use crate::server::{self, Body, Served, header, json, query, refused, text};
+
+/// An engine that is served.
+pub struct Serving {
+    /// The engine.
+    pub engine: Arc<Engine>,
+    /// Its listener.
+    pub served: Served,
+    work: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.work.abort();
+    }
+}
+
+/// Makes an engine and serves it on `address`.
+pub async fn serve(address: SocketAddr, settings: Settings) -> std::io::Result<Serving> {
+    let engine = Engine::new(settings);
+    let work = tokio::spawn(engine.clone().run());
+    let handler = {
+        let engine = engine.clone();
+        move |request| answer(engine.clone(), request)
+    };
+    let served = server::serve(address, handler).await?;
+    Ok(Serving { engine, served, work })
+}
+
+#[derive(Deserialize)]
+struct Order {
+    fence: u64,
+    models: Vec<String>,
+}
+
+async fn answer(engine: Arc<Engine>, request: Request<Incoming>) -> Response<Body> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let steps: Vec<&str> = path.split('/').skip(1).collect();
+    match (&method, steps.as_slice()) {
+        (&Method::POST, ["v1", "generate"]) => generate(engine, request).await,
+        (&Method::POST, ["v1", "prefill"]) => prefill(engine, request).await,
+        (&Method::GET, ["v1", "streams", id]) => resume(&engine, id, &request),
+        (&Method::DELETE, ["v1", "streams", id]) => found(engine.cancel(id)),
+        (&Method::GET, ["v1", "report"]) => json(&engine.report()),
+        (&Method::GET, ["v1", "cache-events"]) => {
+            json(&engine.cache_events(query(&request, "after").unwrap_or(0)))
+        }
+        (&Method::PUT, ["v1", "holds", id]) => {
+            let tokens = query(&request, "tokens").unwrap_or(0);
+            let ttl = Duration::from_millis(query(&request, "ttl_ms").unwrap_or(0));
+            done(engine.hold(id, tokens, ttl))
+        }
+        (&Method::DELETE, ["v1", "holds", id]) => found(engine.release(id)),
+        (&Method::GET, ["v1", "holds", id, "export"]) => match engine.export(id) {
+            Some((tokens, state)) => json(&context(tokens, state)),
+            None => text(404, "no such hold"),
+        },
+        (&Method::POST, ["v1", "holds", id, "import"]) => {
+            match serde_json::from_slice::<Context>(&server::whole(request).await) {
+                Ok(c) => done(engine.import(id, c.tokens.0, state_of(&c.state).unwrap_or(0))),
+                Err(_) => text(400, "not an export"),
+            }
+        }
+        (&Method::POST, ["v1", "orders"]) => {
+            match serde_json::from_slice::<Order>(&server::whole(request).await) {
+                Ok(order) => done(engine.order(order.fence, order.models)),
+                Err(_) => text(400, "not an order"),
+            }
+        }
+        (&Method::POST, ["admin", "fault"]) => {
+            match serde_json::from_slice::<Fault>(&server::whole(request).await) {
+                Ok(fault) => {
+                    engine.add_fault(fault);
+                    text(200, "")
+                }
+                Err(_) => text(400, "not a fault"),
+            }
+        }
+        (&Method::POST, ["admin", "leave"]) => {
+            engine.leave(query(&request, "leaving").unwrap_or(true));
+            text(200, "")
+        }
+        (&Method::POST, ["admin", "speed"]) => {
+            engine.set_speed(query(&request, "speed").unwrap_or(1.0));
+            text(200, "")
+        }
+        (&Method::GET, ["admin", "stats"]) => json(&engine.stats()),
+        _ => text(404, "no such path"),
+    }
+}
+
+fn found(found: bool) -> Response<Body> {
+    if found { text(200, "") } else { text(404, "gone") }
+}
+
+fn done(result: Result<(), (u16, &'static str)>) -> Response<Body> {
+    match result {
+        Ok(()) => text(200, ""),
+        Err((status, why)) => refused(status, why),
+    }
+}
+
+fn context(tokens: u64, state: u64) -> Context {
+    Context { tokens: foldlock_base::size::Tokens(tokens), state: format!("{state:x}") }
+}
+
+fn state_of(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
+
+async fn ask(request: Request<Incoming>) -> Ask {
+    let context: String = header(&request, name::CONTEXT_STATE).unwrap_or_default();
+    let hold: Option<String> = header(&request, name::HOLD);
+    Ask {
+        request: header(&request, name::REQUEST).unwrap_or_default(),
+        model: header(&request, name::MODEL).unwrap_or_default(),
+        max_tokens: header(&request, name::MAX_TOKENS).unwrap_or(0),
+        priority: header(&request, name::PRIORITY).unwrap_or(9),
+        first_index: header(&request, name::FIRST_INDEX).unwrap_or(0),
+        deadline: Duration::from_millis(header(&request, name::DEADLINE).unwrap_or(600_000)),
+        linger: Duration::from_millis(header(&request, name::LINGER).unwrap_or(0)),
+        context_tokens: header(&request, name::CONTEXT_TOKENS).unwrap_or(0),
+        context_state: state_of(&context),
+        hold,
+        prompt: server::whole(request).await,
+    }
+}
+
+async fn generate(engine: Arc<Engine>, request: Request<Incoming>) -> Response<Body> {
+    let ask = ask(request).await;
+    match engine.begin(ask) {
+        Ok(stream) => events(stream, 0),
+        Err((status, why)) => refused(status, why),
+    }
+}
+
+/// Computes a segment and answers with its exported state.
+async fn prefill(engine: Arc<Engine>, request: Request<Incoming>) -> Response<Body> {
+    let mut ask = ask(request).await;
+    ask.max_tokens = 0;
+    let before = ask.context_tokens;
+    let tokens = (ask.prompt.len() as u64).div_ceil(crate::answer::TOKEN_LEN as u64);
+    let stream = match engine.begin(ask) {
+        Ok(stream) => stream,
+        Err((status, why)) => return refused(status, why),
+    };
+    let _reader = Reader::new(stream.clone());
+    loop {
+        let changed = stream.changed();
+        match stream.look(|o| (o.state, o.dead)) {
+            (_, true) => return text(500, "broken off"),
+            (Some(state), _) => return json(&context(before + tokens, state)),
+            _ => changed.await,
+        }
+    }
+}
+
+fn resume(engine: &Engine, id: &str, request: &Request<Incoming>) -> Response<Body> {
+    let from: u64 = query(request, "from").unwrap_or(0);
+    match engine.stream(id) {
+        Some(stream) => {
+            let skip = from.saturating_sub(stream.first_index);
+            events(stream, skip as usize)
+        }
+        None => text(410, "gone"),
+    }
+}
+
+/// Counts a reader of a stream for as long as it lives.
+struct Reader(Arc<Stream>);
+
+impl Reader {
+    fn new(stream: Arc<Stream>) -> Reader {
+        stream.attach();
+        Reader(stream)
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.0.detach();
+    }
+}
+
+struct Writer {
+    reader: Reader,
+    next: usize,
+    ended: bool,
+}
+
+fn events(stream: Arc<Stream>, from: usize) -> Response<Body> {
+    let id = stream.id.clone();
+    let cached = stream.cached;
+    let writer = Writer { reader: Reader::new(stream), next: from, ended: false };
+    let frames = stream::unfold(writer, |mut w| async move {
+        let bytes = w.next_bytes().await?;
+        Some((bytes.map(Frame::data), w))
+    });
+    Response::builder()
+        .header("content-type", "text/event-stream")
+        .header(name::STREAM, id)
+        .header(name::CACHED, cached)
+        .body(StreamBody::new(frames).boxed())
+        .expect("plain headers")
+}
+
+impl Writer {
+    /// Waits for output and writes all that is there as events.
+    async fn next_bytes(&mut self) -> Option<std::io::Result<Bytes>> {
+        if self.ended {
+            return None;
+        }
+        let stream = self.reader.0.clone();
+        loop {
+            let changed = stream.changed();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let (bytes, dead) = stream.look(|o| (self.write(&stream, &o.tokens, o.end), o.dead));
+            if !bytes.is_empty() {
+                return Some(Ok(bytes.into()));
+            }
+            if self.cut(&stream) || dead {
+                self.ended = true;
+                return Some(Err(std::io::Error::other("cut")));
+            }
+            if self.frozen(&stream) {
+                std::future::pending::<()>().await;
+            }
+            changed.await;
+        }
+    }
+
+    fn write(&mut self, stream: &Stream, tokens: &[String], end: Option<&str>) -> String {
+        let mut out = String::new();
+        while self.next < tokens.len() {
+            self.token(stream, tokens, &mut out);
+            if self.frozen(stream) || self.cut(stream) {
+                return out;
+            }
+        }
+        if let Some(end) = end {
+            let index = stream.first_index + tokens.len() as u64;
+            line(&mut out, &stream.request, index, None, Some(end));
+            self.ended = true;
+        }
+        out
+    }
+
+    fn token(&mut self, stream: &Stream, tokens: &[String], out: &mut String) {
+        let at = self.next;
+        self.next += 1;
+        let index = stream.first_index + at as u64;
+        let plain = |out: &mut String, i: usize| {
+            let index = stream.first_index + i as u64;
+            line(out, &stream.request, index, Some(&tokens[i]), None);
+        };
+        match stream.fault.filter(|f| f.at == at as u64).map(|f| f.kind) {
+            Some(Kind::Skip) => {}
+            Some(Kind::Double) => {
+                plain(out, at);
+                plain(out, at);
+            }
+            Some(Kind::Cross) => line(out, "someone-else", index, Some("xxx "), None),
+            Some(Kind::Reorder) if at + 1 < tokens.len() => {
+                plain(out, at + 1);
+                plain(out, at);
+                self.next += 1;
+            }
+            _ => plain(out, at),
+        }
+    }
+
+    fn frozen(&self, stream: &Stream) -> bool {
+        stream.fault.is_some_and(|f| f.kind == Kind::Freeze && self.next as u64 >= f.at)
+    }
+
+    fn cut(&self, stream: &Stream) -> bool {
+        let cuts = |f: Fault| matches!(f.kind, Kind::Cut | Kind::LoseAnswer);
+        stream.fault.is_some_and(|f| cuts(f) && self.next as u64 >= f.at)
+    }
+}
+
+fn line(out: &mut String, request: &str, index: u64, text: Option<&str>, end: Option<&str>) {
+    let raw =
+        Raw { r: request.into(), i: index, t: text.map(Into::into), end: end.map(Into::into) };
+    out.push_str("data: ");
+    out.push_str(&serde_json::to_string(&raw).expect("plain data"));
+    out.push_str("\n\n");
+}
--- /dev/null
+++ b/standin/src/kv.rs
@@ -0,0 +1,332 @@
+//! The key-value service: compare-and-swap, leases and watches under rate limits that count each
+//! call, with outages, slowness and answers lost after the write.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_connection::kv::{EXPECT, REVISION};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use crate::server::{self, Body, Served, header, json, query, text};
+
+/// The largest value, bytes.
+const MAX_VALUE: usize = 1 << 20;
+
+/// How the service behaves; can be changed while it runs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Writes a second; 0 for no limit.
+    pub writes_per_s: f64,
+    /// Reads a second, watches among them; 0 for no limit.
+    pub reads_per_s: f64,
+    /// How long each call takes, milliseconds.
+    pub delay_ms: u64,
+    /// Whether it is down: calls hang until their caller gives up.
+    pub down: bool,
+    /// How many of the next writes take effect without an answer.
+    pub lose_answers: u32,
+    /// Each how manieth write takes effect without an answer; 0 for none.
+    pub lose_each: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            writes_per_s: 100.0,
+            reads_per_s: 2000.0,
+            delay_ms: 0,
+            down: false,
+            lose_answers: 0,
+            lose_each: 0,
+        }
+    }
+}
+
+/// Calls so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Reads and watches.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Calls refused for their rate.
+    pub limited: u64,
+    /// Keys.
+    pub keys: u64,
+}
+
+struct Value {
+    bytes: Vec<u8>,
+    revision: u64,
+    lease: Option<u64>,
+}
+
+/// A rate limit with a second's worth of burst.
+struct Bucket {
+    left: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn take(&mut self, rate: f64) -> bool {
+        let now = Instant::now();
+        self.left = (self.left + rate * (now - self.at).as_secs_f64()).min(rate);
+        self.at = now;
+        if rate == 0.0 {
+            return true;
+        }
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+struct State {
+    values: BTreeMap<String, Value>,
+    leases: BTreeMap<u64, Instant>,
+    revision: u64,
+    reads: Bucket,
+    writes: Bucket,
+    stats: Stats,
+    settings: Settings,
+}
+
+/// The service.
+pub struct Kv {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// A service that is served.
+pub struct Serving {
+    /// The service.
+    pub kv: Arc<Kv>,
+    /// Its listener.
+    pub served: Served,
+}
+
+/// Serves an empty key-value service on `address`.
+pub async fn serve(address: SocketAddr, settings: Settings) -> std::io::Result<Serving> {
+    let bucket = |rate| Bucket { left: rate, at: Instant::now() };
+    let state = State {
+        values: BTreeMap::new(),
+        leases: BTreeMap::new(),
+        revision: 0,
+        reads: bucket(settings.reads_per_s),
+        writes: bucket(settings.writes_per_s),
+        stats: Stats::default(),
+        settings,
+    };
+    let kv = Arc::new(Kv { state: Mutex::new(state), changed: Notify::new() });
+    let handler = {
+        let kv = kv.clone();
+        move |request| answer(kv.clone(), request)
+    };
+    Ok(Serving { kv, served: server::serve(address, handler).await? })
+}
+
+impl Kv {
+    /// Changes how the service behaves.
+    pub fn adjust(&self, f: impl FnOnce(&mut Settings)) {
+        f(&mut self.state.lock().unwrap().settings);
+        self.changed.notify_waiters();
+    }
+
+    /// The calls so far.
+    pub fn stats(&self) -> Stats {
+        let state = self.state.lock().unwrap();
+        Stats { keys: state.values.len() as u64, ..state.stats }
+    }
+
+    fn allowed(&self, write: bool) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let State { reads, writes, stats, settings, .. } = &mut *state;
+        let allowed = if write {
+            stats.writes += 1;
+            writes.take(settings.writes_per_s)
+        } else {
+            stats.reads += 1;
+            reads.take(settings.reads_per_s)
+        };
+        stats.limited += u64::from(!allowed);
+        allowed
+    }
+
+    fn read(&self, key: &str) -> Option<(Vec<u8>, u64)> {
+        let mut state = self.state.lock().unwrap();
+        expire(&mut state);
+        state.values.get(key).map(|v| (v.bytes.clone(), v.revision))
+    }
+
+    /// Writes or deletes; gives the revision, none on a conflict.
+    fn write(
+        &self,
+        key: &str,
+        expect: u64,
+        new: Option<Vec<u8>>,
+        lease: Option<u64>,
+    ) -> Option<u64> {
+        let mut state = self.state.lock().unwrap();
+        expire(&mut state);
+        let current = state.values.get(key).map_or(0, |v| v.revision);
+        if current != expect || lease.is_some_and(|l| !state.leases.contains_key(&l)) {
+            return None;
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        match new {
+            Some(bytes) => {
+                state.values.insert(key.to_owned(), Value { bytes, revision, lease });
+            }
+            None => {
+                state.values.remove(key);
+            }
+        }
+        drop(state);
+        self.changed.notify_waiters();
+        Some(revision)
+    }
+
+    /// Whether the answer to this write is lost.
+    fn loses(&self) -> bool {
+        let mut state = self.state.lock().unwrap();
+        let writes = state.stats.writes;
+        let settings = &mut state.settings;
+        if settings.lose_answers > 0 {
+            settings.lose_answers -= 1;
+            return true;
+        }
+        settings.lose_each > 0 && writes.is_multiple_of(settings.lose_each)
+    }
+
+    async fn delay(&self) {
+        let (delay, down) = {
+            let state = self.state.lock().unwrap();
+            (Duration::from_millis(state.settings.delay_ms), state.settings.down)
+        };
+        if down {
+            std::future::pending::<()>().await;
+        }
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Option<(Vec<u8>, u64)> {
+        let watch = async {
+            loop {
+                let changed = self.changed.notified();
+                tokio::pin!(changed);
+                changed.as_mut().enable();
+                self.delay().await;
+                if let Some(found) = self.read(key).filter(|(_, revision)| *revision > after) {
+                    return found;
+                }
+                changed.await;
+            }
+        };
+        tokio::time::timeout(wait, watch).await.ok()
+    }
+}
+
+fn expire(state: &mut State) {
+    let now = Instant::now();
+    state.leases.retain(|_, until| *until > now);
+    let State { values, leases, .. } = state;
+    values.retain(|_, v| v.lease.is_none_or(|l| leases.contains_key(&l)));
+}
+
+fn found(value: Option<(Vec<u8>, u64)>, status: u16) -> Response<Body> {
+    match value {
+        Some((bytes, revision)) => with_revision(text(200, bytes), revision),
+        None => text(status, ""),
+    }
+}
+
+fn with_revision(mut answer: Response<Body>, revision: u64) -> Response<Body> {
+    answer.headers_mut().insert(REVISION, revision.into());
+    answer
+}
+
+async fn answer(kv: Arc<Kv>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    if let Some(key) = path.strip_prefix("/kv/") {
+        return call(&kv, key, request).await;
+    }
+    match (request.method(), path.as_str()) {
+        (&Method::POST, "/lease") => lease(&kv, &request),
+        (&Method::GET, "/admin/stats") => json(&kv.stats()),
+        (&Method::POST, "/admin/settings") => {
+            match serde_json::from_slice(&server::whole(request).await) {
+                Ok(settings) => {
+                    kv.adjust(|s| *s = settings);
+                    text(200, "")
+                }
+                Err(e) => text(400, e.to_string()),
+            }
+        }
+        _ => text(404, "no such path"),
+    }
+}
+
+/// Makes a lease, or renews the one that is named.
+fn lease(kv: &Kv, request: &Request<Incoming>) -> Response<Body> {
+    if !kv.allowed(true) {
+        return text(429, "");
+    }
+    let ttl = Duration::from_millis(query(request, "ttl_ms").unwrap_or(10_000));
+    let mut state = kv.state.lock().unwrap();
+    expire(&mut state);
+    let id = match query::<u64>(request, "id") {
+        Some(id) if !state.leases.contains_key(&id) => return text(404, "the lease has lapsed"),
+        Some(id) => id,
+        None => {
+            state.revision += 1;
+            state.revision
+        }
+    };
+    state.leases.insert(id, Instant::now() + ttl);
+    text(200, id.to_string())
+}
+
+async fn call(kv: &Kv, key: &str, request: Request<Incoming>) -> Response<Body> {
+    let write = request.method() != Method::GET;
+    if !kv.allowed(write) {
+        return text(429, "");
+    }
+    if !write {
+        let after: Option<u64> = query(&request, "after");
+        let wait = Duration::from_millis(query(&request, "wait_ms").unwrap_or(0));
+        return match after {
+            Some(after) => found(kv.watch(key, after, wait).await, 304),
+            None => {
+                kv.delay().await;
+                found(kv.read(key), 404)
+            }
+        };
+    }
+    let expect: u64 = header(&request, EXPECT).unwrap_or(0);
+    let lease = header(&request, "x-lease");
+    let delete = request.method() == Method::DELETE;
+    let bytes = server::whole(request).await;
+    if bytes.len() > MAX_VALUE {
+        return text(413, "the value is too large");
+    }
+    kv.delay().await;
+    let written = kv.write(key, expect, (!delete).then(|| bytes.to_vec()), lease);
+    if kv.loses() {
+        std::future::pending::<()>().await;
+    }
+    match written {
+        Some(revision) => with_revision(text(200, ""), revision),
+        None => text(409, ""),
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins of the systems around foldlock, for tests and measurements only: a model engine, a
+//! plain service, the key-value service, the list of VMs and the weight store. Each serves the
+//! protocol of docs/UPSTREAMS.md on loopback, says no where the real one would, and fails on
+//! request.
+
+pub mod answer;
+pub mod engine;
+pub mod engine_http;
+pub mod fault;
+pub mod kv;
+pub mod memory;
+pub mod plain;
+pub mod server;
+pub mod vms;
+pub mod weights;
+pub mod workload;
--- /dev/null
+++ b/standin/src/server.rs
@@ -0,0 +1,113 @@
+//! A small HTTP server that the stand-ins share.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// The body of an answer.
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// A stand-in that is served; it stops when this is dropped.
+pub struct Served {
+    /// Where it listens.
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Served {
+    /// Waits for as long as it is served.
+    pub async fn wait(&mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Serves `handler` on `address`.
+pub async fn serve<H, R>(address: SocketAddr, handler: H) -> std::io::Result<Served>
+where
+    H: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            let handler = handler.clone();
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            connections.spawn(async move {
+                let _ = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+            while connections.try_join_next().is_some() {}
+        }
+    });
+    Ok(Served { address, task })
+}
+
+/// An answer with a text.
+pub fn text(status: u16, text: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(text.into()).map_err(|never| match never {}).boxed();
+    Response::builder().status(status).body(body).expect("a status and a body")
+}
+
+/// An answer with JSON.
+pub fn json<T: Serialize>(value: &T) -> Response<Body> {
+    text(200, serde_json::to_vec(value).expect("plain data"))
+}
+
+/// The reason of a refusal by one who takes no more new work.
+pub const LEAVING: &str = "leaving";
+
+/// A refusal that says that nothing ran.
+pub fn refused(status: u16, why: &str) -> Response<Body> {
+    let mut answer = text(status, why.to_owned());
+    let no = hyper::header::HeaderValue::from_static("no");
+    answer.headers_mut().insert("x-ran", no);
+    if why == LEAVING {
+        let yes = hyper::header::HeaderValue::from_static("true");
+        answer.headers_mut().insert("x-leaving", yes);
+    }
+    answer
+}
+
+/// A value of the query, parsed.
+pub fn query<T: std::str::FromStr>(request: &Request<Incoming>, name: &str) -> Option<T> {
+    let query = request.uri().query()?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(n, _)| *n == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+/// A header, parsed.
+pub fn header<T: std::str::FromStr>(request: &Request<Incoming>, name: &str) -> Option<T> {
+    request.headers().get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// The whole body.
+pub async fn whole(request: Request<Incoming>) -> Bytes {
+    request.into_body().collect().await.map(|b| b.to_bytes()).unwrap_or_default()
+}
--- /dev/null
+++ b/standin/src/vms.rs
@@ -0,0 +1,69 @@
+//! The list of live and leaving VMs, which lags.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_connection::vms::Listing;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+
+use crate::server::{self, Body, Served, json, text};
+
+/// The list with its past.
+pub struct List {
+    lag: Mutex<Duration>,
+    past: Mutex<Vec<(Instant, Listing)>>,
+}
+
+/// A list that is served.
+pub struct Serving {
+    /// The list.
+    pub list: Arc<List>,
+    /// Its listener.
+    pub served: Served,
+}
+
+/// Serves an empty list on `address` that shows changes `lag` late.
+pub async fn serve(address: SocketAddr, lag: Duration) -> std::io::Result<Serving> {
+    let past = Mutex::new(vec![(Instant::now(), Listing::default())]);
+    let list = Arc::new(List { lag: Mutex::new(lag), past });
+    let handler = {
+        let list = list.clone();
+        move |request| answer(list.clone(), request)
+    };
+    Ok(Serving { list, served: server::serve(address, handler).await? })
+}
+
+impl List {
+    /// Changes the list; readers see it after the lag.
+    pub fn set(&self, listing: Listing) {
+        self.past.lock().unwrap().push((Instant::now(), listing));
+    }
+
+    /// Changes the lag.
+    pub fn set_lag(&self, lag: Duration) {
+        *self.lag.lock().unwrap() = lag;
+    }
+
+    fn read(&self) -> Listing {
+        let lag = *self.lag.lock().unwrap();
+        let past = self.past.lock().unwrap();
+        let seen = past.iter().rev().find(|(at, _)| at.elapsed() >= lag).or(past.first());
+        seen.map(|(_, listing)| listing.clone()).unwrap_or_default()
+    }
+}
+
+async fn answer(list: Arc<List>, request: Request<Incoming>) -> Response<Body> {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/vms") => json(&list.read()),
+        (&Method::PUT, "/vms") => match serde_json::from_slice(&server::whole(request).await) {
+            Ok(listing) => {
+                list.set(listing);
+                text(200, "")
+            }
+            Err(e) => text(400, e.to_string()),
+        },
+        _ => text(404, "no such path"),
+    }
+}
--- /dev/null
+++ b/standin/src/workload.rs
@@ -0,0 +1,1 @@
+//! Workloads.
