Use engines that failed of late when there are no others

Cause: a test that cuts, crosses or skips an event at each of four engines in turn found requests refused with no_upstream: each engine was kept out for its 250 ms penalty and none was left. Ruled out: longer retry limits (the same without any retry left unused). Change: engines are ranked by (failed this request, failed of late) and the best rank is used. Conclusion: penalties choose among engines, they no longer refuse a request.

--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -325,15 +325,7 @@
 impl Inner {
     fn candidates(&self, wanted: &Wanted<'_>, now: Instant) -> Vec<Candidate> {
         let bytes = self.bytes_per_token.get(wanted.model).copied().unwrap_or(4);
-        let usable = |id: &id::Upstream, local: &Local| {
-            local.entry.models.contains(wanted.model)
-                && !local.is_leaving(now)
-                && local.health.usable(now)
-                && !wanted.avoid.contains(id)
-                && wanted.ask.memory.0 <= local.entry.memory_tokens
-        };
-        let ids: Vec<&id::Upstream> =
-            self.engines.iter().filter(|(id, l)| usable(id, l)).map(|(id, _)| id).collect();
+        let ids = self.usable(wanted, now);
         let mut found: Vec<Candidate> = hash::ranked(wanted.model.as_str(), ids.iter().copied())
             .into_iter()
             .enumerate()
@@ -342,6 +334,23 @@
         shuffle(&mut found);
         found
     }
+
+    /// The engines that can serve. Those that failed of late, or failed this request, are left out
+    /// as long as there are others.
+    fn usable(&self, wanted: &Wanted<'_>, now: Instant) -> Vec<&id::Upstream> {
+        let serving: Vec<(&id::Upstream, &Local)> = self
+            .engines
+            .iter()
+            .filter(|(_, l)| l.entry.models.contains(wanted.model))
+            .filter(|(_, l)| wanted.ask.memory.0 <= l.entry.memory_tokens)
+            .filter(|(_, l)| !l.is_leaving(now))
+            .collect();
+        let rank = |(id, l): &(&id::Upstream, &Local)| {
+            (wanted.avoid.contains(id), !l.health.usable(now))
+        };
+        let Some(best) = serving.iter().map(rank).min() else { return Vec::new() };
+        serving.iter().filter(|s| rank(s) == best).map(|(id, _)| *id).collect()
+    }
 }
 
 /// Brings candidates into random order, so that equal scores do not all go to the same one.
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -196,14 +196,7 @@
                 let flight = confirm(job, progress, *flight).await;
                 return Ok((Place::Engine(Box::new(flight)), waited));
             }
-            Chosen::None if progress.avoid.is_empty() => return Err(no_upstream(job)),
-            Chosen::None => {
-                let again = Progress::default();
-                if let Chosen::Engine(flight) = engines.choose(&wanted(job, &again)) {
-                    return Ok((Place::Engine(flight), waited));
-                }
-                return Err(no_upstream(job));
-            }
+            Chosen::None => return Err(no_upstream(job)),
             Chosen::Wait { cause, predicted, seconds_per_token } => {
                 in_time(job, predicted + queued as f64 * seconds_per_token)?;
                 waited = Some(cause);
--- /dev/null
+++ b/daemon/tests/common/mod.rs
@@ -0,0 +1,50 @@
+//! What the tests with real processes share.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::time::Duration;
+
+use serde_json::json;
+use standin::client::{self, Answer, Ask};
+use standin::fleet::{Fleet, MODEL, Plan};
+
+/// The plan of a small fleet.
+pub(crate) fn plan() -> Plan {
+    Plan::small(env!("CARGO_BIN_EXE_foldlockd"))
+}
+
+/// A plan with a kind `paid`, which may not be repeated, in each organisation.
+pub(crate) fn paid_plan() -> Plan {
+    let organisation = json!({ "kinds": { "paid": { "policy": { "repeatable": false } } } });
+    Plan { organisation, ..plan() }
+}
+
+/// A prompt of so many tokens.
+pub(crate) fn prompt(tokens: usize) -> String {
+    (0..tokens).map(|i| format!("{:03} ", i % 1000)).collect()
+}
+
+/// A streamed request of the first organisation.
+pub(crate) fn ask(prompt: String, max_tokens: u64) -> Ask {
+    Ask {
+        key: "key-0".to_owned(),
+        model: MODEL.to_owned(),
+        prompt,
+        max_tokens,
+        stream: true,
+        timeout: Some(Duration::from_secs(20)),
+        ..Ask::default()
+    }
+}
+
+/// Sends a request through a VM.
+pub(crate) async fn send(fleet: &Fleet, vm: usize, ask: &Ask) -> Answer {
+    client::ask(&fleet.client, fleet.vms[vm].listen, ask).await
+}
+
+/// Checks that an answer is whole and its prompt's.
+pub(crate) fn assert_whole(answer: &Answer, ask: &Ask) {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.complete, "{answer:?}");
+    let expected = standin::answer::whole(ask.prompt.as_bytes(), ask.max_tokens);
+    assert_eq!(answer.text, expected);
+}
--- /dev/null
+++ b/daemon/tests/streams.rs
@@ -0,0 +1,136 @@
+//! Each caller gets the whole answer to its own request, whatever happens to engines and VMs.
+
+mod common;
+
+use common::{ask, assert_whole, paid_plan, plan, prompt, send};
+use foldlock_request::cursor::{Cursor, Key};
+use serde_json::json;
+use standin::client::{self, Ask};
+use standin::fault::{Fault, Kind};
+use standin::fleet::{Fleet, Plan, wait_for};
+
+async fn with_fault(kind: Kind, at: u64) {
+    // One request may meet the fault at each engine in turn.
+    let policy = json!({ "retries": 4, "retry_budget_percent": 100 });
+    let fleet = Fleet::start(Plan { policy, ..plan() }).await;
+    for engine in &fleet.engines {
+        engine.engine.add_fault(Fault { kind, at, count: 1 });
+    }
+    for i in 0..4 {
+        let ask = ask(prompt(200 + i), 30);
+        let answer = send(&fleet, i % 3, &ask).await;
+        assert_whole(&answer, &ask);
+    }
+    wait_for("memory to be free", async || fleet.memory_used() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_answer_goes_on_elsewhere() {
+    with_fault(Kind::Cut, 9).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crossed_event_never_reaches_the_caller() {
+    with_fault(Kind::Cross, 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_doubled_event_is_dropped() {
+    with_fault(Kind::Double, 5).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gap_is_filled() {
+    with_fault(Kind::Skip, 7).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_out_of_order_are_not_passed_on() {
+    with_fault(Kind::Reorder, 3).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_freezes_in_the_middle_is_left() {
+    with_fault(Kind::Freeze, 6).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_freezes_before_the_first_token_is_left() {
+    with_fault(Kind::Freeze, 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_dies_in_the_middle_is_replaced_without_a_gap() {
+    let mut plan = plan();
+    plan.engine.speed = 1.0;
+    let mut fleet = Fleet::start(plan).await;
+    let ask = ask(prompt(100), 200);
+    let listen = fleet.vms[0].listen;
+    let (client, sent) = (fleet.client.clone(), ask.clone());
+    let answer = tokio::spawn(async move { client::ask(&client, listen, &sent).await });
+    wait_for("the answer to begin", async || {
+        fleet.engines.iter().any(|e| e.engine.stats().streams > 0)
+    })
+    .await;
+    let serving = fleet.engines.iter().position(|e| e.engine.stats().streams > 0).unwrap();
+    drop(fleet.engines.remove(serving));
+    assert_whole(&answer.await.unwrap(), &ask);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_not_be_repeated_is_not_resumed_elsewhere() {
+    let fleet = Fleet::start(paid_plan()).await;
+    for engine in &fleet.engines {
+        engine.engine.add_fault(Fault { kind: Kind::Cut, at: 3, count: 9 });
+    }
+    let ask = Ask { kind: Some("paid".to_owned()), ..ask(prompt(100), 30) };
+    let answer = send(&fleet, 0, &ask).await;
+    assert!(!answer.complete);
+    assert_eq!(answer.kind.as_deref(), Some("upstream_failed"));
+    assert_eq!(answer.ran.as_deref(), Some("yes"));
+    assert_eq!(fleet.runs().values().sum::<u32>(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_whose_vm_dies_goes_on_through_another_one() {
+    let mut plan = plan();
+    plan.engine.speed = 1.0;
+    let mut fleet = Fleet::start(Plan { engines: 2, ..plan }).await;
+    let ask = ask(prompt(100), 150);
+    let listen = fleet.vms[0].listen;
+    let (client, sent) = (fleet.client.clone(), ask.clone());
+    let cut = tokio::spawn(async move { client::ask(&client, listen, &sent).await });
+    wait_for("a token", async || {
+        fleet.engines.iter().any(|e| e.engine.stats().streams > 0 && e.engine.stats().idle_ms > 100)
+    })
+    .await;
+    fleet.vms[0].kill();
+    let cut = cut.await.unwrap();
+    assert!(!cut.complete);
+    let cursor = cut.cursor.expect("some tokens came");
+    let rest = client::resume(&fleet.client, fleet.vms[1].listen, "key-0", &cursor).await;
+    assert!(rest.complete, "{rest:?}");
+    let whole = standin::answer::whole(ask.prompt.as_bytes(), ask.max_tokens);
+    assert_eq!(cut.text + &rest.text, whole);
+    assert_eq!(fleet.runs().values().sum::<u32>(), 1, "nothing was computed again");
+    let other = client::resume(&fleet.client, fleet.vms[1].listen, "key-1", &cursor).await;
+    assert_eq!(other.kind.as_deref(), Some("unauthorized"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forged_cursor_is_refused() {
+    let fleet = Fleet::start(plan()).await;
+    let forged = Cursor {
+        engine: "engine-0".parse().unwrap(),
+        stream: "1.1".to_owned(),
+        request: "vm-0-1-1".parse().unwrap(),
+        organisation: "org-0".parse().unwrap(),
+        index: 3,
+    };
+    let text = forged.sign(&Key::new("another secret"));
+    let answer = client::resume(&fleet.client, fleet.vms[0].listen, "key-0", &text).await;
+    assert_eq!(answer.kind.as_deref(), Some("bad_request"));
+    let text = forged.sign(&Key::new("secret"));
+    let answer = client::resume(&fleet.client, fleet.vms[0].listen, "key-0", &text).await;
+    assert_eq!(answer.kind.as_deref(), Some("stream_gone"));
+}
--- /dev/null
+++ b/standin/src/client.rs
@@ -0,0 +1,186 @@
+//! A caller: sends requests to foldlock and checks what comes back.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use foldlock_connection::http::{Client, Failure, body};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use serde_json::{Value, json};
+
+/// A request to be sent.
+#[derive(Debug, Clone, Default)]
+pub struct Ask {
+    /// The bearer key.
+    pub key: String,
+    /// The kind, if one is named.
+    pub kind: Option<String>,
+    /// The model.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// The most tokens.
+    pub max_tokens: u64,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// The time it has.
+    pub timeout: Option<Duration>,
+    /// The idempotency key.
+    pub idempotency_key: Option<String>,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Default)]
+pub struct Answer {
+    /// The HTTP status; 0 where the connection broke before one.
+    pub status: u16,
+    /// The request's id.
+    pub request: String,
+    /// The answer's text.
+    pub text: String,
+    /// Tokens that came as events.
+    pub tokens: u64,
+    /// The cursor of the last event.
+    pub cursor: Option<String>,
+    /// Whether the answer came to its end.
+    pub complete: bool,
+    /// The error's kind.
+    pub kind: Option<String>,
+    /// The error's `ran`.
+    pub ran: Option<String>,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// When the first token came, from when it was sent.
+    pub first_token: Option<Duration>,
+    /// When the end came.
+    pub total: Duration,
+    /// The longest time between two tokens.
+    pub longest_gap: Duration,
+}
+
+/// Sends a request and reads its answer to the end.
+pub async fn ask(client: &Client, vm: SocketAddr, ask: &Ask) -> Answer {
+    let body_text = json!({
+        "model": ask.model,
+        "prompt": ask.prompt,
+        "max_tokens": ask.max_tokens,
+        "stream": ask.stream,
+    })
+    .to_string();
+    let mut request = Request::post(format!("http://{vm}/v1/completions"))
+        .header("authorization", format!("Bearer {}", ask.key));
+    if let Some(kind) = &ask.kind {
+        request = request.header("x-request-kind", kind);
+    }
+    if let Some(timeout) = ask.timeout {
+        request = request.header("x-request-timeout-ms", timeout.as_millis() as u64);
+    }
+    if let Some(key) = &ask.idempotency_key {
+        request = request.header("idempotency-key", key);
+    }
+    read(client, request.body(body(body_text)).expect("plain headers")).await
+}
+
+/// Goes on with a stream from a cursor.
+pub async fn resume(client: &Client, vm: SocketAddr, key: &str, cursor: &str) -> Answer {
+    let request = Request::get(format!("http://{vm}/v1/streams"))
+        .header("authorization", format!("Bearer {key}"))
+        .header("last-event-id", cursor);
+    read(client, request.body(body("")).expect("plain headers")).await
+}
+
+async fn read(client: &Client, request: Request<http_body_util::Full<bytes::Bytes>>) -> Answer {
+    let mut reader = Reader::default();
+    let started = Instant::now();
+    match client.send(request).await {
+        Ok(answer) => reader.answer(answer, started).await,
+        Err(Failure::Connect(_) | Failure::Broken(_)) => {}
+    }
+    reader.answer.total = started.elapsed();
+    reader.answer
+}
+
+#[derive(Default)]
+struct Reader {
+    answer: Answer,
+    rest: Vec<u8>,
+    newest: Option<Instant>,
+}
+
+impl Reader {
+    async fn answer(&mut self, answer: Response<Incoming>, started: Instant) {
+        let header = |name: &str| {
+            answer.headers().get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
+        };
+        self.answer.status = answer.status().as_u16();
+        self.answer.request = header("x-request-id");
+        self.answer.retry_after =
+            header("retry-after-ms").parse().ok().map(Duration::from_millis);
+        let events = header("content-type") == "text/event-stream";
+        let mut body = answer.into_body();
+        while let Some(Ok(frame)) = body.frame().await {
+            let Ok(bytes) = frame.into_data() else { continue };
+            self.rest.extend_from_slice(&bytes);
+            if events {
+                self.events(started);
+            }
+        }
+        if !events {
+            self.whole();
+        }
+    }
+
+    fn whole(&mut self) {
+        let Ok(value) = serde_json::from_slice::<Value>(&self.rest) else { return };
+        if let Some(text) = value["choices"][0]["text"].as_str() {
+            self.answer.text = text.to_owned();
+            self.answer.tokens = value["usage"]["completion_tokens"].as_u64().unwrap_or(0);
+            self.answer.complete = true;
+        }
+        self.error(&value);
+    }
+
+    fn error(&mut self, value: &Value) {
+        let field = |name: &str| value["error"][name].as_str().map(str::to_owned);
+        self.answer.kind = field("kind");
+        self.answer.ran = field("ran");
+    }
+
+    fn events(&mut self, started: Instant) {
+        while let Some(end) = self.rest.windows(2).position(|w| w == b"\n\n") {
+            let event: Vec<u8> = self.rest.drain(..end + 2).collect();
+            self.event(&String::from_utf8_lossy(&event), started);
+        }
+    }
+
+    fn event(&mut self, event: &str, started: Instant) {
+        let line = |name: &str| event.lines().find_map(|l| l.strip_prefix(name));
+        let Some(data) = line("data: ") else { return };
+        if data == "[DONE]" {
+            self.answer.complete = true;
+            return;
+        }
+        let Ok(value) = serde_json::from_str::<Value>(data) else { return };
+        if event.starts_with("event: error") {
+            self.error(&value);
+            return;
+        }
+        let text = value["choices"][0]["text"].as_str().unwrap_or_default();
+        if let Some(cursor) = line("id: ") {
+            self.token(text, cursor, started);
+        }
+    }
+
+    fn token(&mut self, text: &str, cursor: &str, started: Instant) {
+        let now = Instant::now();
+        self.answer.first_token.get_or_insert(now - started);
+        if let Some(newest) = self.newest {
+            self.answer.longest_gap = self.answer.longest_gap.max(now - newest);
+        }
+        self.newest = Some(now);
+        self.answer.text.push_str(text);
+        self.answer.tokens += 1;
+        self.answer.cursor = Some(cursor.to_owned());
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,9 +4,11 @@
 //! request.
 
 pub mod answer;
+pub mod client;
 pub mod engine;
 pub mod engine_http;
 pub mod fault;
+pub mod fleet;
 pub mod kv;
 pub mod memory;
 pub mod plain;
--- a/standin/src/workload.rs
+++ b/standin/src/workload.rs
@@ -1,1 +1,216 @@
-//! Workloads.
+//! Workloads: seeded arrivals of requests by kind, with lengths, shared prefixes and bursts.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use crate::answer::TOKEN_LEN;
+use crate::engine;
+
+/// A workload, as its file says.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workload {
+    /// Its name.
+    pub name: String,
+    /// The kinds of request.
+    pub kinds: Vec<Kind>,
+    /// Times at which more comes.
+    #[serde(default)]
+    pub burst: Option<Burst>,
+}
+
+/// A kind of request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name, as in the settings.
+    pub kind: String,
+    /// Its share of all requests, in any unit.
+    pub share: f64,
+    /// The least and the most prompt tokens; lengths between are log-uniform.
+    pub tokens: (u64, u64),
+    /// The least and the most answer tokens.
+    pub answer: (u64, u64),
+    /// Tokens at the beginning of a prompt that it shares with others.
+    #[serde(default)]
+    pub prefix_tokens: u64,
+    /// How many shared beginnings there are.
+    #[serde(default)]
+    pub prefixes: u64,
+    /// The time a request has at engine speed 1, milliseconds.
+    pub timeout_ms: u64,
+}
+
+/// A burst.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// How often, seconds.
+    pub every_s: f64,
+    /// How long, seconds.
+    pub for_s: f64,
+    /// How many times the rate.
+    pub factor: f64,
+}
+
+/// One request to be sent.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When, from the start.
+    pub at: Duration,
+    /// Its kind, an index into the workload's.
+    pub kind: usize,
+    /// Which of the organisations sends it.
+    pub organisation: usize,
+    /// The prompt's tokens.
+    pub tokens: u64,
+    /// The answer's tokens.
+    pub answer: u64,
+    /// Which shared beginning it has.
+    pub prefix: Option<u64>,
+    /// Makes the rest of the prompt its own.
+    pub seed: u64,
+    /// The time it has.
+    pub timeout: Duration,
+}
+
+/// How arrivals are made from a workload.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// The seed.
+    pub seed: u64,
+    /// Requests a second outside of bursts.
+    pub rate: f64,
+    /// For how long.
+    pub length: Duration,
+    /// How many organisations send.
+    pub organisations: usize,
+    /// How many times as fast as their settings engines run.
+    pub speed: f64,
+}
+
+impl Workload {
+    /// Reads a workload from JSON with comments.
+    pub fn parse(text: &str) -> Result<Workload, String> {
+        let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
+            .map_err(|e| e.to_string())?
+            .ok_or("the file is empty")?;
+        serde_json::from_value(value).map_err(|e| e.to_string())
+    }
+
+    /// The workload without its prompts of at least this length.
+    pub fn below(&self, tokens: u64) -> Workload {
+        let kinds = self.kinds.iter().filter(|k| k.tokens.1 < tokens).cloned().collect();
+        Workload { kinds, ..self.clone() }
+    }
+
+    /// The share of requests that kinds below this length are.
+    pub fn share_below(&self, tokens: u64) -> f64 {
+        let all: f64 = self.kinds.iter().map(|k| k.share).sum();
+        let below = self.kinds.iter().filter(|k| k.tokens.1 < tokens).map(|k| k.share);
+        below.sum::<f64>() / all
+    }
+
+    /// The mean engine seconds of a request at speed 1, by sampling.
+    pub fn cost(&self, engine: &engine::Settings) -> f64 {
+        const SAMPLES: usize = 4_000;
+        let mut rng = StdRng::seed_from_u64(1);
+        let sample = |rng: &mut StdRng| {
+            let kind = self.pick(rng);
+            let tokens = log_uniform(rng, self.kinds[kind].tokens) as f64;
+            let answer = self.kinds[kind].answer;
+            let steps = tokens / engine.step_tokens as f64;
+            let prefill = tokens * engine.token_ms
+                + steps * engine.step_ms
+                + tokens * tokens / 2.0 * engine.context_ms;
+            let batch = 8.0;
+            let answer = (answer.0 + answer.1) as f64 / 2.0;
+            (prefill + answer * (engine.token_ms + engine.step_ms / batch)) / 1e3
+        };
+        (0..SAMPLES).map(|_| sample(&mut rng)).sum::<f64>() / SAMPLES as f64
+    }
+
+    fn pick(&self, rng: &mut StdRng) -> usize {
+        let indexes: Vec<usize> = (0..self.kinds.len()).collect();
+        *indexes.choose_weighted(rng, |i| self.kinds[*i].share).expect("kinds have shares")
+    }
+
+    /// The arrivals, open-loop: a Poisson process whose rate bursts.
+    pub fn arrivals(&self, plan: Plan) -> Vec<Arrival> {
+        let mut rng = StdRng::seed_from_u64(plan.seed);
+        let mut at = 0.0;
+        let mut arrivals = Vec::new();
+        loop {
+            let rate = plan.rate * self.burst.map_or(1.0, |b| b.at(at));
+            at += -(1.0 - rng.random::<f64>()).ln() / rate;
+            if at >= plan.length.as_secs_f64() {
+                return arrivals;
+            }
+            let kind = self.pick(&mut rng);
+            arrivals.push(self.kinds[kind].arrival(&mut rng, kind, at, plan));
+        }
+    }
+}
+
+impl Burst {
+    fn at(&self, seconds: f64) -> f64 {
+        if seconds % self.every_s < self.for_s { self.factor } else { 1.0 }
+    }
+}
+
+impl Kind {
+    fn arrival(&self, rng: &mut StdRng, kind: usize, at: f64, plan: Plan) -> Arrival {
+        let tokens = log_uniform(rng, self.tokens);
+        let timeout = self.timeout_ms as f64 / plan.speed;
+        Arrival {
+            at: Duration::from_secs_f64(at),
+            kind,
+            organisation: rng.random_range(0..plan.organisations),
+            tokens,
+            answer: rng.random_range(self.answer.0..=self.answer.1),
+            prefix: (self.prefixes > 0).then(|| rng.random_range(0..self.prefixes)),
+            seed: rng.random(),
+            timeout: Duration::from_secs_f64(timeout / 1e3),
+        }
+    }
+}
+
+fn log_uniform(rng: &mut StdRng, (low, high): (u64, u64)) -> u64 {
+    if low >= high {
+        return low;
+    }
+    let (low, high) = ((low as f64).ln(), (high as f64).ln());
+    rng.random_range(low..high).exp() as u64
+}
+
+impl Arrival {
+    /// The prompt's text.
+    pub fn prompt(&self, workload: &Workload) -> String {
+        let kind = &workload.kinds[self.kind];
+        let bytes = self.tokens as usize * TOKEN_LEN;
+        let mut text = String::with_capacity(bytes);
+        if let Some(prefix) = self.prefix {
+            let shared = (kind.prefix_tokens as usize * TOKEN_LEN).min(bytes);
+            let seed = prefix.wrapping_add((self.kind as u64) << 32);
+            words(&mut StdRng::seed_from_u64(seed), &mut text, shared);
+        }
+        words(&mut StdRng::seed_from_u64(self.seed), &mut text, bytes);
+        text
+    }
+}
+
+/// Adds words of one token each until the text has so many bytes.
+fn words(rng: &mut StdRng, text: &mut String, bytes: usize) {
+    while text.len() < bytes {
+        let word: u32 = rng.random();
+        for shift in [0, 8, 16] {
+            text.push(char::from(b'a' + ((word >> shift) % 26) as u8));
+        }
+        text.push(' ');
+    }
+    text.truncate(bytes);
+}
