Let signs of leaving end when their cause does

Cause: a test that lets an engine leave and stay again waited in vain for work on it: VMs passed on signs that they had been told, so that each renewed the others' for ever. Ruled out: a shorter keeping time alone (an echo renews any time). Change: only a VM's own signs are passed on, for 2 s; a report that does not say 'leaving' takes back only what a report said, since it may be older than a refusal.

--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -25,8 +25,12 @@
 /// What a home says counts for this long.
 const HOME_FRESH: Duration = Duration::from_secs(2);
 
-/// A sign that an engine is leaving counts for this long; its report renews it.
-const LEAVING_KEPT: Duration = Duration::from_secs(30);
+/// A sign that an engine is leaving counts for this long, unless it is renewed.
+pub const LEAVING_KEPT: Duration = Duration::from_secs(10);
+
+/// A sign of its own is passed on by a VM for this long. Signs that were passed on are not passed
+/// on again, so that they end when their cause does.
+const LEAVING_TOLD: Duration = Duration::from_secs(2);
 
 /// Seconds of short prompts that may be queued at an engine; the rest waits here, in fair order.
 const GATE: f64 = 0.25;
@@ -71,6 +75,7 @@
     health: Health,
     affinity: Table,
     home: Option<(State, Instant)>,
+    /// When this VM itself last had a sign that it is leaving.
     leaving_at: Option<Instant>,
 }
 
@@ -180,11 +185,6 @@
         let mut inner = self.inner.lock().unwrap();
         for state in states {
             let Some(local) = inner.engines.get_mut(&state.engine) else { continue };
-            if state.leaving {
-                local.leaving_at = Some(now);
-            } else if state.reported.is_some() && !local.heard_leaving_since(now) {
-                local.leaving_at = None;
-            }
             local.home = Some((state.clone(), now));
         }
         drop(inner);
@@ -196,14 +196,17 @@
         let now = self.clock.now();
         let mut inner = self.inner.lock().unwrap();
         let Some(local) = inner.engines.get_mut(engine) else { return false };
-        local.leaving_at.replace(now).is_none()
+        let news = !local.is_leaving(now);
+        local.leaving_at = Some(now);
+        news
     }
 
-    /// The engines that this VM heard to be leaving.
-    pub fn all_leaving(&self) -> Vec<id::Upstream> {
+    /// The engines of which this VM itself had a sign of late that they are leaving.
+    pub fn signs_of_leaving(&self) -> Vec<id::Upstream> {
         let now = self.clock.now();
         let inner = self.inner.lock().unwrap();
-        let leaving = inner.engines.iter().filter(|(_, l)| l.is_leaving(now));
+        let told = |l: &Local| l.leaving_at.is_some_and(|at| now < at + LEAVING_TOLD);
+        let leaving = inner.engines.iter().filter(|(_, l)| told(l));
         leaving.map(|(id, _)| id.clone()).collect()
     }
 
@@ -345,9 +348,8 @@
             .filter(|(_, l)| wanted.ask.memory.0 <= l.entry.memory_tokens)
             .filter(|(_, l)| !l.is_leaving(now))
             .collect();
-        let rank = |(id, l): &(&id::Upstream, &Local)| {
-            (wanted.avoid.contains(id), !l.health.usable(now))
-        };
+        let rank =
+            |(id, l): &(&id::Upstream, &Local)| (wanted.avoid.contains(id), !l.health.usable(now));
         let Some(best) = serving.iter().map(rank).min() else { return Vec::new() };
         serving.iter().filter(|s| rank(s) == best).map(|(id, _)| *id).collect()
     }
@@ -399,12 +401,8 @@
     }
 
     fn is_leaving(&self, now: Instant) -> bool {
-        self.leaving_at.is_some_and(|at| now < at + LEAVING_KEPT)
-    }
-
-    /// Whether a sign is so new that a home may not have heard it.
-    fn heard_leaving_since(&self, now: Instant) -> bool {
-        self.leaving_at.is_some_and(|at| now < at + HOME_FRESH)
+        let told = self.home.as_ref().filter(|(state, _)| state.leaving).map(|(_, at)| *at);
+        self.leaving_at.max(told).is_some_and(|at| now < at + LEAVING_KEPT)
     }
 }
 
--- a/daemon/src/home.rs
+++ b/daemon/src/home.rs
@@ -15,6 +15,7 @@
 use foldlock_connection::wire::{Load, Member, Reported, State};
 use foldlock_version::schema::Fleet;
 
+use crate::engines::LEAVING_KEPT;
 use crate::members::holder;
 
 /// Engines of a shard at most.
@@ -32,8 +33,6 @@
 /// A report counts for this long.
 const REPORTED: Duration = Duration::from_secs(5);
 
-/// A sign that an engine is leaving counts for this long.
-const LEAVING: Duration = Duration::from_secs(30);
 
 /// A shard of engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -145,17 +144,20 @@
         inner.granted.retain(|g| g.vm != *vm || now < g.at + GRANTED / 2);
     }
 
-    /// An engine answered its report. Gives whether it is news that it leaves.
+    /// An engine answered its report. Gives whether it is news that it leaves. A report that does
+    /// not say so takes back only what a report said: it may be older than other signs.
     pub fn reported(&self, engine: &id::Upstream, report: Report) -> bool {
         let now = self.clock.now();
         let mut inner = self.inner.lock().unwrap();
-        let news = report.leaving && inner.leaving.insert(engine.clone(), now).is_none();
-        let newer = inner.reports.get(engine).is_none_or(|(old, _)| old.seq <= report.seq);
-        if newer && !report.leaving {
+        let said = inner.reports.get(engine).is_some_and(|(old, _)| old.leaving);
+        let leaving = report.leaving;
+        if leaving {
+            inner.leaving.insert(engine.clone(), now);
+        } else if said {
             inner.leaving.remove(engine);
         }
         inner.reports.insert(engine.clone(), (report, now));
-        news
+        leaving && !said
     }
 
     /// Someone says that an engine is leaving.
@@ -213,7 +215,7 @@
             }),
             load,
             yours,
-            leaving: self.leaving.get(engine).is_some_and(|at| now < *at + LEAVING),
+            leaving: self.leaving.get(engine).is_some_and(|at| now < *at + LEAVING_KEPT),
         }
     }
 }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -218,7 +218,7 @@
             states: self.states_for(to, &homed_at(&self.members.own().vm)),
             demand: demand.collect(),
             quota: self.quotas.lock().unwrap().remove(to).unwrap_or_default(),
-            leaving: self.engines.all_leaving(),
+            leaving: self.engines.signs_of_leaving(),
         }
     }
 
@@ -246,7 +246,7 @@
         self.home.announced(from, &beat.loads);
         self.engines.told(&beat.states);
         for engine in &beat.leaving {
-            self.upstream_leaving(engine);
+            self.home.leaving(engine);
         }
         self.limits.told(&beat.quota);
         let quota: BTreeMap<_, _> = {
@@ -271,7 +271,7 @@
         log::event(&self.log, event, vm);
     }
 
-    /// Takes a sign that an upstream is leaving.
+    /// Takes a sign of this VM's own that an upstream is leaving.
     pub fn upstream_leaving(&self, engine: &id::Upstream) {
         self.home.leaving(engine);
         if self.engines.leaving(engine) {
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -267,7 +267,8 @@
                 }
                 silent = 0;
                 if process.home.reported(&engine, report) {
-                    process.upstream_leaving(&engine);
+                    log::event(&process.log, Event::UpstreamLeaving, &engine);
+                    process.peers.kick();
                 }
             }
             Err(e) => {
--- /dev/null
+++ b/daemon/tests/deadline.rs
@@ -0,0 +1,107 @@
+//! Each admitted request finishes or fails within its time, and leaves no memory behind.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{ask, plan, prompt, send};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use standin::client::{self, Ask};
+use standin::fault::{Fault, Kind};
+use standin::fleet::{Fleet, Plan, wait_for};
+
+/// How late an answer may be on a busy CI machine. Figures come from the load tool.
+const SLACK: Duration = Duration::from_secs(2);
+
+async fn frozen_at(at: u64, resume: bool) {
+    let policy = json!({ "retries": 0, "resume": resume });
+    let fleet = Fleet::start(Plan { policy, ..plan() }).await;
+    for engine in &fleet.engines {
+        engine.engine.add_fault(Fault { kind: Kind::Freeze, at, count: 99 });
+    }
+    let timeout = Duration::from_millis(600);
+    let ask = Ask { timeout: Some(timeout), ..ask(prompt(100), 500) };
+    let asks = (0..12).map(|i| send(&fleet, i % 3, &ask));
+    for answer in futures::future::join_all(asks).await {
+        assert!(!answer.complete);
+        assert_eq!(answer.kind.as_deref(), Some("deadline_exceeded"), "{answer:?}");
+        assert!(answer.total >= timeout, "{answer:?}");
+        assert!(answer.total < timeout + SLACK, "{answer:?}");
+    }
+    wait_for("memory to be free", async || fleet.memory_used() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_frozen_before_the_first_token_ends_at_the_deadline() {
+    frozen_at(0, false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_frozen_in_the_middle_ends_at_the_deadline() {
+    frozen_at(5, true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_leaves_frees_the_memory() {
+    let policy = json!({ "resume_window_ms": 0 });
+    let mut plan = plan();
+    plan.engine.speed = 0.5;
+    let fleet = Fleet::start(Plan { policy, ..plan }).await;
+    for stream in [true, false] {
+        let ask = Ask { stream, ..ask(prompt(100), 5_000) };
+        let listen = fleet.vms[0].listen;
+        let client = fleet.client.clone();
+        let caller = tokio::spawn(async move { client::ask(&client, listen, &ask).await });
+        wait_for("the request to run", async || fleet.memory_used() > 0).await;
+        caller.abort();
+        wait_for("memory to be free", async || fleet.memory_used() == 0).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_peer_and_a_dead_store_hold_nothing_up() {
+    let mut fleet = Fleet::start(plan()).await;
+    fleet.kv.kv.adjust(|s| s.down = true);
+    fleet.vms[2].signal(Signal::SIGSTOP);
+    let asks: Vec<Ask> = (0..10).map(|i| ask(prompt(100 + i), 10)).collect();
+    for (i, ask) in asks.iter().enumerate() {
+        let answer = send(&fleet, i % 2, ask).await;
+        common::assert_whole(&answer, ask);
+    }
+    fleet.vms[2].kill();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_killed_with_a_group_held_leaves_no_memory() {
+    let mut plan = plan();
+    plan.engine.memory = 8_000;
+    plan.engine.speed = 0.2;
+    let mut fleet = Fleet::start(Plan { engines: 12, ..plan }).await;
+    for vm in 0..2 {
+        let ask = ask(prompt(20_000), 20);
+        let listen = fleet.vms[vm].listen;
+        let client = fleet.client.clone();
+        let caller = tokio::spawn(async move { client::ask(&client, listen, &ask).await });
+        wait_for("a group to be held", async || {
+            fleet.engines.iter().map(|e| e.engine.stats().held).sum::<u64>() > 0
+        })
+        .await;
+        fleet.vms[vm].kill();
+        assert!(!caller.await.unwrap().complete);
+        wait_for("memory to be free", async || fleet.memory_used() == 0).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_cannot_end_in_time_is_refused_at_once() {
+    let fleet = Fleet::start(plan()).await;
+    // At the prior speed of 50 us a token, 380,000 tokens take far longer than a second.
+    let timeout = Duration::from_secs(1);
+    let ask = Ask { timeout: Some(timeout), ..ask(prompt(380_000), 5) };
+    let answer = send(&fleet, 0, &ask).await;
+    assert_eq!(answer.kind.as_deref(), Some("overloaded"), "{answer:?}");
+    assert_eq!(answer.ran.as_deref(), Some("no"));
+    assert!(answer.retry_after.is_some());
+    assert!(fleet.runs().is_empty());
+}
--- a/daemon/tests/path.rs
+++ b/daemon/tests/path.rs
@@ -67,10 +67,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_gets_a_clear_error_and_runs_nothing() {
     let fleet = Fleet::start(plan()).await;
-    let long = format!(
-        "{{\"model\":\"base\",\"prompt\":\"{}\",\"max_tokens\":1}}",
-        prompt(1_700_000)
-    );
+    let long =
+        format!("{{\"model\":\"base\",\"prompt\":\"{}\",\"max_tokens\":1}}", prompt(1_700_000));
     let cases: [(&str, &str, &str, &str); 9] = [
         ("POST", "/v1/completions", "Bearer key-0", "{"),
         ("POST", "/v1/completions", "Bearer key-0", r#"{"model":"base","prompt":""}"#),
--- /dev/null
+++ b/daemon/tests/settings.rs
@@ -0,0 +1,183 @@
+//! An accepted configuration is in force everywhere within seconds and never reverts.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{ask, plan, prompt, send};
+use foldlock_version::branch::Name;
+use foldlock_version::publish::{Base, Refusal, read_head};
+use foldlock_version::tree::Texts;
+use nix::sys::signal::Signal;
+use standin::fleet::{Fleet, Plan, wait_for};
+
+/// Changes the organisation's text without changing its meaning.
+fn changed(texts: &Texts, organisation: usize, mark: &str) -> Texts {
+    let mut texts = texts.clone();
+    let name = Name::Organisation(format!("org-{organisation}").parse().unwrap());
+    let text = format!("// {mark}\n{}", texts[&name]);
+    texts.insert(name, Arc::from(text));
+    texts
+}
+
+async fn versions(fleet: &Fleet) -> Vec<u64> {
+    let mut versions = Vec::new();
+    for vm in &fleet.vms {
+        let dump = fleet.dump(vm).await;
+        versions.push(dump.map_or(0, |d| d["version"].as_u64().unwrap()));
+    }
+    versions
+}
+
+async fn in_force(fleet: &Fleet, version: u64) {
+    wait_for(&format!("version {version} in force"), async || {
+        versions(fleet).await.iter().all(|v| *v >= version)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_on_all_vms() {
+    let fleet = Fleet::start(Plan { vms: 5, ..plan() }).await;
+    let mut texts = fleet.texts();
+    for round in 0..5 {
+        texts = changed(&texts, 0, &format!("round {round}"));
+        let version = fleet.publish("ann", &texts).await.unwrap();
+        in_force(&fleet, version).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_who_race_one_is_told_whom_it_lost_to() {
+    let fleet = Fleet::start(plan()).await;
+    let (head, _) = read_head(&fleet.store()).await.unwrap();
+    let base = Base::from(&head);
+    let texts = fleet.texts();
+    let (ann, ben) = (changed(&texts, 0, "ann"), changed(&texts, 0, "ben"));
+    let (first, second) = tokio::join!(
+        fleet.publish_from("ann", &base, &ann),
+        fleet.publish_from("ben", &base, &ben)
+    );
+    let (won, lost) = match (first, second) {
+        (Ok(version), Err(refusal)) => (("ann", version), refusal),
+        (Err(refusal), Ok(version)) => (("ben", version), refusal),
+        other => panic!("one wins: {other:?}"),
+    };
+    let Refusal::Raced(changes) = lost else { panic!("told of the race: {lost:?}") };
+    assert_eq!(changes.len(), 1);
+    assert_eq!((changes[0].author.as_str(), changes[0].version), won);
+    assert_eq!(changes[0].branches, [Name::Organisation("org-0".parse().unwrap())]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_to_different_branches_both_stand() {
+    let fleet = Fleet::start(plan()).await;
+    let (head, _) = read_head(&fleet.store()).await.unwrap();
+    let base = Base::from(&head);
+    let texts = fleet.texts();
+    let (ann, ben) = (changed(&texts, 0, "ann"), changed(&texts, 1, "ben"));
+    let (first, second) = tokio::join!(
+        fleet.publish_from("ann", &base, &ann),
+        fleet.publish_from("ben", &base, &ben)
+    );
+    let version = first.unwrap().max(second.unwrap());
+    let (head, _) = read_head(&fleet.store()).await.unwrap();
+    assert_eq!(head.version, version);
+    assert_eq!(head.tail.len(), 3, "each change once");
+    in_force(&fleet, version).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_settled_and_nothing_is_applied_twice() {
+    let fleet = Fleet::start(plan()).await;
+    let texts = changed(&fleet.texts(), 0, "once");
+    // The text's write and the head's write both take effect without an answer.
+    fleet.kv.kv.adjust(|s| s.lose_answers = 2);
+    let version = fleet.publish("ann", &texts).await.unwrap();
+    assert_eq!(version, 2);
+    let (head, _) = read_head(&fleet.store()).await.unwrap();
+    assert_eq!((head.version, head.tail.len()), (2, 2));
+    in_force(&fleet, 2).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_starts_during_an_outage_takes_the_newest_version_from_peers() {
+    let mut fleet = Fleet::start(plan()).await;
+    let texts = changed(&fleet.texts(), 0, "two");
+    let version = fleet.publish("ann", &texts).await.unwrap();
+    in_force(&fleet, version).await;
+    fleet.kv.kv.adjust(|s| s.down = true);
+    fleet.add_vm();
+    in_force(&fleet, version).await;
+    let ask = ask(prompt(50), 3);
+    common::assert_whole(&send(&fleet, 3, &ask).await, &ask);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_is_frozen_and_woken_catches_up() {
+    let fleet = Fleet::start(plan()).await;
+    fleet.vms[1].signal(Signal::SIGSTOP);
+    let mut texts = fleet.texts();
+    for round in 0..3 {
+        texts = changed(&texts, 0, &format!("{round}"));
+        fleet.publish("ann", &texts).await.unwrap();
+    }
+    fleet.vms[1].signal(Signal::SIGCONT);
+    in_force(&fleet, 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_vm_that_heard_first_may_die() {
+    let mut fleet = Fleet::start(Plan { vms: 4, ..plan() }).await;
+    let texts = changed(&fleet.texts(), 0, "two");
+    let version = fleet.publish("ann", &texts).await.unwrap();
+    wait_for("one VM to hear", async || versions(&fleet).await.contains(&version)).await;
+    let heard = versions(&fleet).await.iter().position(|v| *v == version).unwrap();
+    fleet.vms[heard].kill();
+    fleet.vms.remove(heard);
+    in_force(&fleet, version).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_this_release_does_not_know_leaves_the_old_one_serving() {
+    let fleet = Fleet::start(plan()).await;
+    let store = fleet.store();
+    // As a newer release would: a name that this one does not know, past its own checks.
+    let (head, revision) = read_head(&store).await.unwrap();
+    let text = r#"{ "policy": { "speculation": true } }"#;
+    let hash = foldlock_version::head::Hash::of(text);
+    use foldlock_version::store::Store as _;
+    store.swap(&hash.key(), 0, text.as_bytes().to_vec()).await.unwrap();
+    let mut branches = head.branches.clone();
+    branches.insert(Name::Fleet, hash);
+    let next = head.next("newer", "release", branches);
+    let value = serde_json::to_vec(&next).unwrap();
+    store.swap(foldlock_version::head::KEY, revision, value).await.unwrap();
+    wait_for("each VM to refuse it", async || {
+        for vm in &fleet.vms {
+            let dump = fleet.dump(vm).await.unwrap();
+            let seen = dump["refused_version"] == 2;
+            // A VM that does not watch the store hears of it only from one that has it in force.
+            if dump["version"] != 1 || !seen {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+    let ask = ask(prompt(50), 3);
+    common::assert_whole(&send(&fleet, 0, &ask).await, &ask);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_with_faults_are_not_accepted() {
+    let fleet = Fleet::start(plan()).await;
+    let mut texts = fleet.texts();
+    let name = Name::Organisation("org-0".parse().unwrap());
+    texts.insert(name, Arc::from(r#"{ "policy": { "timout_ms": 5 } }"#));
+    let refused = fleet.publish("ann", &texts).await.unwrap_err();
+    let text = refused.to_string();
+    assert!(text.contains("organisation/org-0.jsonc:1:15"), "{text}");
+    assert!(text.contains("did you mean `timeout_ms`?"), "{text}");
+    assert_eq!(versions(&fleet).await, [1, 1, 1]);
+}
--- a/standin/src/client.rs
+++ b/standin/src/client.rs
@@ -115,8 +115,7 @@
         };
         self.answer.status = answer.status().as_u16();
         self.answer.request = header("x-request-id");
-        self.answer.retry_after =
-            header("retry-after-ms").parse().ok().map(Duration::from_millis);
+        self.answer.retry_after = header("retry-after-ms").parse().ok().map(Duration::from_millis);
         let events = header("content-type") == "text/event-stream";
         let mut body = answer.into_body();
         while let Some(Ok(frame)) = body.frame().await {
