Learn an engine's speed by regularised least squares; move late requests only to better places

Cause: opening 2,000 streams on one slow engine hung. The dump showed speed weights of 6e24: the recursive update with clamped covariance had lost its definiteness and diverged. Also a late first token counted as a failure of the engine even where no other was better. Ruled out: smaller forgetting (diverges later); clamping weights (hides it). Change: decayed normal equations with the prior as ridge, solved at each sample (4 unknowns), and a request is moved only if another engine is open and predicted in under half of the time waited.

--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -236,6 +236,15 @@
         Chosen::Engine(Box::new(flight))
     }
 
+    /// Whether another engine is open and would give a first token within `seconds`.
+    pub fn better(&self, wanted: &Wanted<'_>, than: &id::Upstream, seconds: f64) -> bool {
+        let candidates = self.candidates(wanted);
+        let others = candidates.iter().filter(|c| c.engine != *than);
+        others
+            .filter(|c| closed(c, &wanted.ask).is_none())
+            .any(|c| c.predict(&wanted.ask) < seconds)
+    }
+
     /// Takes an engine that another VM chose.
     pub fn take(self: &Arc<Self>, wanted: &Wanted<'_>, engine: &id::Upstream) -> Option<Flight<C>> {
         let now = self.clock.now();
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -163,7 +163,8 @@
     })
 }
 
-fn wanted<'a>(job: &'a Job, progress: &'a Progress) -> Wanted<'a> {
+/// What is asked of the engines for a request.
+pub fn wanted<'a>(job: &'a Job, progress: &'a Progress) -> Wanted<'a> {
     Wanted {
         model: &job.prompt.model,
         ask: job.ask(progress),
--- a/daemon/src/home.rs
+++ b/daemon/src/home.rs
@@ -33,7 +33,6 @@
 /// A report counts for this long.
 const REPORTED: Duration = Duration::from_secs(5);
 
-
 /// A shard of engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Shard {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::System;
 use foldlock_base::error::{Attempt, Proof, Refusal};
 use foldlock_base::prelude::*;
 use foldlock_connection::engine::{Engine as _, Failure, HttpStream, Job as Order, Stream as _};
@@ -16,6 +17,7 @@
 
 use crate::claims::Held;
 use crate::current::Version;
+use crate::engines::Flight;
 use crate::gate::{self, Place};
 use crate::group;
 use crate::log;
@@ -339,9 +341,16 @@
         Place::Engine(flight) => {
             let order = job.order(progress);
             let answered = flight.client.generate(&order);
-            match tokio::time::timeout(patience(job, flight.predicted), answered).await {
-                Ok(result) => result,
-                Err(_) => return Err(End::Slow("it does not accept the request".to_owned())),
+            tokio::pin!(answered);
+            loop {
+                let wait = patience(job, flight.predicted);
+                match tokio::time::timeout(wait, answered.as_mut()).await {
+                    Ok(result) => break result,
+                    Err(_) if can_move(job, flight, progress) => {
+                        return Err(End::Slow("it does not accept the request".to_owned()));
+                    }
+                    Err(_) => {}
+                }
             }
         }
         Place::Group(group) => group::begin(job, group, progress).await,
@@ -357,13 +366,20 @@
     })
 }
 
-/// How long the first token is waited for: longer for a request that cannot be moved.
+/// How long the first token is waited for until moving the request is considered.
 fn patience(job: &Job, predicted: f64) -> Duration {
-    let left = job.left();
-    if !job.policy.repeatable || job.policy.retries == 0 {
-        return left;
+    Duration::from_secs_f64(predicted * PATIENCE_FACTOR).max(PATIENCE).min(job.left())
+}
+
+/// Whether a request whose first token is late may be moved, and would do better elsewhere: in
+/// less than half of the time that it has waited.
+fn can_move(job: &Job, flight: &Flight<System>, progress: &Progress) -> bool {
+    let policy = &job.policy;
+    if !policy.repeatable || progress.attempts > policy.retries {
+        return false;
     }
-    Duration::from_secs_f64(predicted * PATIENCE_FACTOR).max(PATIENCE).min(left)
+    let waited = (job.process.clock.now() - flight.sent).as_secs_f64();
+    job.process.engines.better(&gate::wanted(job, progress), &flight.engine, waited / 2.0)
 }
 
 async fn read<S: Sink>(
@@ -386,7 +402,10 @@
         let bytes = tokio::select! {
             bytes = stream.next() => bytes,
             () = sink.gone() => return End::Gone,
-            () = tokio::time::sleep_until(until.into()) => return late(job, began, wait),
+            () = tokio::time::sleep_until(until.into()) => match late(job, place, began, progress) {
+                Some(end) => return end,
+                None => continue,
+            },
         };
         match bytes {
             Ok(Some(bytes)) => {
@@ -416,12 +435,20 @@
     }
 }
 
-fn late(job: &Job, began: bool, wait: Duration) -> End {
+/// What follows when nothing came for a while; none where the request waits on.
+fn late(job: &Job, place: &Place, began: bool, progress: &Progress) -> Option<End> {
     if job.left().is_zero() {
-        return End::Deadline;
+        return Some(End::Deadline);
+    }
+    if began {
+        return Some(End::Broken(format!("nothing came for {} ms", STALL.as_millis())));
+    }
+    match place {
+        Place::Engine(flight) if can_move(job, flight, progress) => {
+            Some(End::Slow("the first token is late".to_owned()))
+        }
+        _ => None,
     }
-    let why = format!("nothing came for {} ms", wait.as_millis());
-    if began { End::Broken(why) } else { End::Slow(why) }
 }
 
 /// Adds parts to the progress. Gives whether the answer has ended.
--- a/request/src/speed.rs
+++ b/request/src/speed.rs
@@ -1,5 +1,5 @@
-//! The speed of an engine, learnt from what it did: recursive least squares with forgetting on the
-//! time to the first token.
+//! The speed of an engine, learnt from what it did: least squares with forgetting on the time to
+//! the first token, held near a prior as long as samples say little.
 
 use serde::Serialize;
 
@@ -10,7 +10,7 @@
     pub tokens: f64,
     /// Token pairs of the own prompt: the part that grows with the square of the length.
     pub pairs: f64,
-    /// Long prompts that share the engine.
+    /// 1 where long prompts share the engine, 0 where none does.
     pub long: f64,
 }
 
@@ -22,7 +22,7 @@
     }
 
     /// The factors in units that keep the sums of similar size.
-    fn factors(self) -> [f64; N] {
+    fn factors(self) -> Vector {
         [1.0, self.tokens / TOKENS_UNIT, self.pairs / PAIRS_UNIT, self.long]
     }
 }
@@ -31,17 +31,17 @@
 const TOKENS_UNIT: f64 = 1_000.0;
 const PAIRS_UNIT: f64 = 1e9;
 
+type Vector = [f64; N];
+
 /// How much a sample counts after the next one.
 const FORGETTING: f64 = 0.98;
 
-/// The seconds of each factor before anything is learnt: 10 ms, 50 µs a token, 0.3 ns a pair.
-const PRIOR: [f64; N] = [0.010, 0.050, 0.300, 0.020];
-
-/// How unsure the prior is.
-const VARIANCE: f64 = 1.0;
+/// The seconds of each factor before anything is learnt: 10 ms, 50 µs a token, 0.3 ns a pair, and
+/// 20 ms beside a long prompt.
+const PRIOR: Vector = [0.010, 0.050, 0.300, 0.020];
 
-/// The bound on the variance, so that a long silence on one factor does not blow it up.
-const MAX_VARIANCE: f64 = 100.0;
+/// How many samples of one unit the prior counts as.
+const PRIOR_WEIGHT: f64 = 0.2;
 
 /// A sample may be this many times its prediction at most, so that one freeze does not undo the
 /// model.
@@ -50,26 +50,26 @@
 /// The learnt model.
 #[derive(Debug, Clone, Serialize)]
 pub struct Model {
-    weights: [f64; N],
+    weights: Vector,
+    /// Decayed sums of the factors' products.
+    #[serde(skip)]
+    products: [Vector; N],
+    /// Decayed sums of the factors times the seconds.
     #[serde(skip)]
-    covariance: [[f64; N]; N],
+    seconds: Vector,
     samples: u64,
 }
 
 impl Default for Model {
     fn default() -> Self {
-        let mut covariance = [[0.0; N]; N];
-        for (i, row) in covariance.iter_mut().enumerate() {
-            row[i] = VARIANCE;
-        }
-        Model { weights: PRIOR, covariance, samples: 0 }
+        Model { weights: PRIOR, products: [[0.0; N]; N], seconds: [0.0; N], samples: 0 }
     }
 }
 
 impl Model {
     /// The predicted seconds to the first token.
     pub fn predict(&self, work: Work) -> f64 {
-        dot(&self.weights, &work.factors()).max(0.0)
+        dot(&self.weights, &work.factors())
     }
 
     /// Seconds a prompt token, without the part that grows with the square.
@@ -85,25 +85,73 @@
     /// Learns from one request.
     pub fn learn(&mut self, work: Work, seconds: f64) {
         let x = work.factors();
-        let predicted = dot(&self.weights, &x);
-        let seconds = seconds.min(predicted.max(PRIOR[0]) * CLIP);
-        let px = self.covariance.map(|row| dot(&row, &x));
-        let denominator = FORGETTING + dot(&x, &px);
-        let gain = px.map(|v| v / denominator);
-        let error = seconds - predicted;
-        for (weight, gain) in self.weights.iter_mut().zip(gain) {
-            *weight = (*weight + gain * error).max(0.0);
-        }
-        for (row, gain) in self.covariance.iter_mut().zip(gain) {
-            for (cell, p) in row.iter_mut().zip(px) {
-                let next = (*cell - gain * p) / FORGETTING;
-                *cell = next.clamp(-MAX_VARIANCE, MAX_VARIANCE);
+        let seconds = seconds.min(self.predict(work).max(PRIOR[0]) * CLIP);
+        for i in 0..N {
+            for j in 0..N {
+                self.products[i][j] = self.products[i][j] * FORGETTING + x[i] * x[j];
             }
+            self.seconds[i] = self.seconds[i] * FORGETTING + x[i] * seconds;
         }
         self.samples += 1;
+        self.solve();
+    }
+
+    /// Solves for weights that are not negative: factors that come out negative are left out.
+    fn solve(&mut self) {
+        let mut used = [true; N];
+        loop {
+            let weights = self.solve_for(&used);
+            match (0..N).find(|i| used[*i] && weights[*i] < 0.0) {
+                Some(negative) => used[negative] = false,
+                None => {
+                    self.weights = weights;
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Solves with the prior as ridge, which keeps the system well-conditioned; factors that are
+    /// not used get no weight.
+    fn solve_for(&self, used: &[bool; N]) -> Vector {
+        let mut a = self.products;
+        let mut b = self.seconds;
+        for i in 0..N {
+            a[i][i] += PRIOR_WEIGHT;
+            b[i] += PRIOR_WEIGHT * PRIOR[i];
+            if !used[i] {
+                a[i] = [0.0; N];
+                for row in &mut a {
+                    row[i] = 0.0;
+                }
+                a[i][i] = 1.0;
+                b[i] = 0.0;
+            }
+        }
+        eliminate(a, b)
+    }
+}
+
+/// Solves a positive definite system by elimination, which needs no pivots then.
+fn eliminate(mut a: [Vector; N], mut b: Vector) -> Vector {
+    for i in 0..N {
+        for k in i + 1..N {
+            let factor = a[k][i] / a[i][i];
+            let above = a[i];
+            for (cell, above) in a[k].iter_mut().zip(above).skip(i) {
+                *cell -= factor * above;
+            }
+            b[k] -= factor * b[i];
+        }
+    }
+    let mut x = [0.0; N];
+    for i in (0..N).rev() {
+        let known: f64 = (i + 1..N).map(|j| a[i][j] * x[j]).sum();
+        x[i] = (b[i] - known) / a[i][i];
     }
+    x
 }
 
-fn dot(a: &[f64; N], b: &[f64; N]) -> f64 {
+fn dot(a: &Vector, b: &Vector) -> f64 {
     a.iter().zip(b).map(|(a, b)| a * b).sum()
 }
--- /dev/null
+++ b/standin/examples/load/ask.rs
@@ -0,0 +1,95 @@
+//! One request, for trying out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foldlock_connection::http::{Client, body};
+use standin::client;
+
+#[derive(clap::Args)]
+pub(crate) struct Args {
+    /// Where callers connect, IP:port.
+    vm: SocketAddr,
+    /// The bearer key.
+    #[arg(long)]
+    key: String,
+    /// The kind of request.
+    #[arg(long)]
+    kind: Option<String>,
+    /// The model.
+    #[arg(long, default_value = "base")]
+    model: String,
+    /// The prompt's tokens.
+    #[arg(long, default_value_t = 200)]
+    tokens: usize,
+    /// The answer's tokens.
+    #[arg(long, default_value_t = 8)]
+    answer: u64,
+    /// The idempotency key.
+    #[arg(long)]
+    once: Option<String>,
+    /// POST to this path of a plain service instead.
+    #[arg(long)]
+    plain: Option<String>,
+    /// Print only the request's id on standard output, the rest on standard error.
+    #[arg(long)]
+    id: bool,
+}
+
+pub(crate) async fn run(args: Args) {
+    let client = Client::default();
+    if let Some(path) = &args.plain {
+        return plain(&client, &args, path).await;
+    }
+    let prompt: String = (0..args.tokens).map(|i| format!("{:03} ", i % 1000)).collect();
+    let ask = client::Ask {
+        key: args.key,
+        kind: args.kind,
+        model: args.model,
+        prompt,
+        max_tokens: args.answer,
+        stream: true,
+        timeout: None,
+        idempotency_key: args.once,
+    };
+    let answer = client::ask(&client, args.vm, &ask).await;
+    let first = answer.first_token.map_or(0.0, |d| d.as_secs_f64() * 1e3);
+    let total = answer.total.as_secs_f64() * 1e3;
+    let what = match &answer.kind {
+        Some(kind) => {
+            format!("{} {kind}, ran: {}", answer.status, answer.ran.as_deref().unwrap_or("?"))
+        }
+        None => format!(
+            "{} {} tokens: {}\n  first token after {first:.1} ms, the end after {total:.1} ms",
+            answer.status, answer.tokens, answer.text
+        ),
+    };
+    say(args.id, &what, &answer.request);
+}
+
+async fn plain(client: &Client, args: &Args, path: &str) {
+    let mut request = hyper::Request::post(format!("http://{}{path}", args.vm))
+        .header("authorization", format!("Bearer {}", args.key));
+    if let Some(once) = &args.once {
+        request = request.header("idempotency-key", once);
+    }
+    let request = request.body(body("{}")).expect("plain headers");
+    match client.call(request, Duration::from_secs(10)).await {
+        Ok(answer) => {
+            let id = answer.headers().get("x-request-id").and_then(|v| v.to_str().ok());
+            let id = id.unwrap_or_default().to_owned();
+            let text = String::from_utf8_lossy(answer.body());
+            say(args.id, &format!("{} {}", answer.status().as_u16(), text.trim()), &id);
+        }
+        Err(e) => say(args.id, &e.to_string(), ""),
+    }
+}
+
+fn say(id_only: bool, what: &str, id: &str) {
+    if id_only {
+        eprintln!("{what}");
+        println!("{id}");
+    } else {
+        println!("{what}\n  request {id}");
+    }
+}
--- /dev/null
+++ b/standin/examples/load/oracle.rs
@@ -0,0 +1,162 @@
+//! The upper bound: one dispatcher that sees all work at once, with no delay, in front of the same
+//! engines, by the same score.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_base::size::Tokens;
+use foldlock_connection::wire::Load;
+use foldlock_request::route::{Ask, Candidate, Routes};
+use foldlock_request::speed::{Model, Work};
+use foldlock_version::policy::{Policy, Route};
+use standin::client::Answer;
+use standin::engine::{self, Engine};
+use standin::workload::Arrival;
+use tokio::sync::Notify;
+
+struct Local {
+    load: Load,
+    speed: Model,
+}
+
+/// The dispatcher.
+pub(crate) struct Oracle {
+    engines: Vec<Arc<Engine>>,
+    locals: Mutex<Vec<Local>>,
+    changed: Notify,
+    memory: u64,
+}
+
+struct Flight {
+    engine: usize,
+    load: Load,
+    work: Work,
+}
+
+impl Oracle {
+    pub(crate) fn new(engines: Vec<Arc<Engine>>, memory: u64) -> Oracle {
+        let local = |_| Local { load: Load::default(), speed: Model::default() };
+        let locals = Mutex::new((0..engines.len()).map(local).collect());
+        Oracle { engines, locals, changed: Notify::new(), memory }
+    }
+
+    /// Serves a request. One longer than an engine is not served.
+    pub(crate) async fn send(&self, arrival: Arc<Arrival>, prompt: String) -> Answer {
+        let started = Instant::now();
+        let mut answer = Answer::default();
+        let memory = arrival.tokens + arrival.answer;
+        if memory > self.memory {
+            return answer;
+        }
+        let served = self.serve(&arrival, prompt, started, &mut answer);
+        let _ = tokio::time::timeout(arrival.timeout, served).await;
+        answer.total = started.elapsed();
+        answer
+    }
+
+    async fn serve(&self, arrival: &Arrival, prompt: String, started: Instant, out: &mut Answer) {
+        let long = Policy::default().is_long(Tokens(arrival.tokens));
+        let ask = Ask {
+            prompt: Tokens(arrival.tokens),
+            memory: Tokens(arrival.tokens + arrival.answer),
+            long,
+        };
+        let mut flight = self.place(&ask).await;
+        let sent = Instant::now();
+        let begun = self.engines[flight.engine].begin(engine::Ask {
+            request: format!("oracle-{:x}", arrival.seed),
+            model: standin::fleet::MODEL.to_owned(),
+            prompt: prompt.into(),
+            max_tokens: arrival.answer,
+            priority: if long { 7 } else { 3 },
+            deadline: arrival.timeout,
+            linger: Duration::from_secs(5),
+            ..engine::Ask::default()
+        });
+        let Ok(stream) = begun else { return self.end(&flight) };
+        stream.attach();
+        loop {
+            let changed = stream.changed();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let (tokens, ended, dead) = stream.look(|o| (o.tokens.len(), o.end.is_some(), o.dead));
+            if tokens > 0 && out.first_token.is_none() {
+                out.first_token = Some(started.elapsed());
+                self.first_token(&mut flight, sent.elapsed().as_secs_f64());
+            }
+            if ended || dead {
+                out.status = 200;
+                out.complete = ended;
+                out.text = stream.look(|o| o.tokens.concat());
+                break;
+            }
+            changed.await;
+        }
+        stream.detach();
+        self.end(&flight);
+    }
+
+    async fn place(&self, ask: &Ask) -> Flight {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(flight) = self.try_place(ask) {
+                return flight;
+            }
+            let _ = tokio::time::timeout(Duration::from_millis(20), changed).await;
+        }
+    }
+
+    fn try_place(&self, ask: &Ask) -> Option<Flight> {
+        let mut locals = self.locals.lock().unwrap();
+        let candidate = |(i, l): (usize, &Local)| Candidate {
+            engine: format!("engine-{i}").parse().expect("a name"),
+            own: l.load,
+            fleet: l.load,
+            report: None,
+            cached: Tokens(0),
+            memory: Tokens(self.memory),
+            speed: l.speed.clone(),
+            overdue: 0.0,
+            long_rank: i as u32,
+        };
+        let candidates: Vec<Candidate> = locals.iter().enumerate().map(candidate).collect();
+        let choice =
+            Routes::default().choose(Route::LengthAware, ask, &candidates, &mut rand::rng())?;
+        let chosen = &candidates[choice.index];
+        if !chosen.fits(ask) || (ask.long && chosen.fleet.long_prefill.0 > 0) {
+            return None;
+        }
+        let load = Load {
+            requests: 1,
+            long: u32::from(ask.long),
+            prefill: if ask.long { Tokens(0) } else { ask.prompt },
+            long_prefill: if ask.long { ask.prompt } else { Tokens(0) },
+            memory: ask.memory,
+        };
+        locals[choice.index].load = locals[choice.index].load.plus(load);
+        Some(Flight { engine: choice.index, load, work: chosen.work(ask) })
+    }
+
+    fn first_token(&self, flight: &mut Flight, seconds: f64) {
+        let prefill = Load {
+            prefill: flight.load.prefill,
+            long_prefill: flight.load.long_prefill,
+            ..Load::default()
+        };
+        flight.load = flight.load.minus(prefill);
+        let mut locals = self.locals.lock().unwrap();
+        let local = &mut locals[flight.engine];
+        local.load = local.load.minus(prefill);
+        local.speed.learn(flight.work, seconds);
+        drop(locals);
+        self.changed.notify_waiters();
+    }
+
+    fn end(&self, flight: &Flight) {
+        let mut locals = self.locals.lock().unwrap();
+        let local = &mut locals[flight.engine];
+        local.load = local.load.minus(flight.load);
+        drop(locals);
+        self.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/standin/examples/load/run.rs
@@ -0,0 +1,93 @@
+//! One run of a workload: open-loop arrivals against a target, with what came of each.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use standin::client::Answer;
+use standin::workload::{Arrival, Workload};
+
+use crate::table::Times;
+
+/// A request with what came of it.
+pub(crate) struct Outcome {
+    pub(crate) arrival: Arrival,
+    pub(crate) answer: Answer,
+    /// Seconds to the first token, from when it should have been sent.
+    pub(crate) first_token: Option<f64>,
+    /// Whether the whole answer came within its time and is its prompt's.
+    pub(crate) good: bool,
+    /// Whether a caller who came back when told to was then let in; none where it was not told.
+    pub(crate) admitted_later: Option<bool>,
+}
+
+/// Sends each arrival at its time; one that is late is sent at once, and its lateness counts.
+pub(crate) async fn open_loop<F, R>(
+    workload: &Arc<Workload>,
+    arrivals: Vec<Arrival>,
+    send: F,
+) -> Vec<Outcome>
+where
+    F: Fn(Arc<Arrival>, String) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = (Answer, Option<bool>)> + Send + 'static,
+{
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for arrival in arrivals {
+        let due = start + arrival.at;
+        let (workload, send) = (workload.clone(), send.clone());
+        let prompt = arrival.prompt(&workload);
+        let expected = standin::answer::whole(prompt.as_bytes(), arrival.answer);
+        tokio::time::sleep_until(due.into()).await;
+        tasks.push(tokio::spawn(one(due, arrival, prompt, expected, send)));
+    }
+    let mut outcomes = Vec::new();
+    for task in tasks {
+        outcomes.push(task.await.expect("a request's task"));
+    }
+    outcomes
+}
+
+async fn one<F, R>(
+    due: Instant,
+    arrival: Arrival,
+    prompt: String,
+    expected: String,
+    send: F,
+) -> Outcome
+where
+    F: Fn(Arc<Arrival>, String) -> R,
+    R: Future<Output = (Answer, Option<bool>)>,
+{
+    let arrival = Arc::new(arrival);
+    let sent = Instant::now();
+    let late = sent - due;
+    let (answer, admitted_later) = send(arrival.clone(), prompt).await;
+    let first_token = answer.first_token.map(|d| (d + late).as_secs_f64());
+    let whole = answer.complete && answer.text == expected;
+    assert!(!answer.complete || whole, "an answer is complete and not its prompt's: {answer:?}");
+    let good = whole && answer.total + late <= arrival.timeout + Duration::from_millis(50);
+    let arrival = Arc::unwrap_or_clone(arrival);
+    Outcome { arrival, answer, first_token, good, admitted_later }
+}
+
+/// The bands of prompt lengths, by their upper ends.
+pub(crate) const BANDS: [(&str, u64); 5] = [
+    ("4k", 4_000),
+    ("32k", 32_000),
+    ("100k", 100_000),
+    ("one engine", 400_000),
+    ("beyond", u64::MAX),
+];
+
+/// Times to the first token by band.
+pub(crate) fn first_tokens(outcomes: &[Outcome]) -> Vec<Times> {
+    let mut bands: Vec<Times> = BANDS.iter().map(|_| Times::default()).collect();
+    for outcome in outcomes {
+        let band = BANDS.iter().position(|(_, end)| outcome.arrival.tokens <= *end);
+        if let (Some(band), Some(seconds)) = (band, outcome.first_token) {
+            bands[band].add(seconds);
+        }
+    }
+    bands
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -501,7 +501,12 @@
                 self.reap(&mut self.state.lock().unwrap());
                 continue;
             }
-            tokio::time::sleep(self.cost(&planned)).await;
+            let cost = self.cost(&planned);
+            if cost < LEAST_SLEEP {
+                tokio::task::yield_now().await;
+            } else {
+                tokio::time::sleep(cost).await;
+            }
             self.apply(&planned);
         }
     }
@@ -639,6 +644,9 @@
 /// How long a finished stream without a reader can still be read again.
 const FINISHED_KEPT: Duration = Duration::from_secs(5);
 
+/// A step shorter than this is not slept for: timers are no finer than a millisecond.
+const LEAST_SLEEP: Duration = Duration::from_micros(200);
+
 struct Chunk {
     stream: String,
     prefill: u64,
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -105,7 +105,9 @@
     let key = header(&request, CALL);
     let path = request.uri().path().to_owned();
     let _body = server::whole(request).await;
-    tokio::time::sleep(Duration::from_millis(settings.delay_ms)).await;
+    if settings.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(settings.delay_ms)).await;
+    }
     let run = plain.run(key);
     if plain.loses() {
         std::future::pending::<()>().await;
