Route by classes of length, among the engines that are open

Three causes: a prompt of 16 k waited behind one of 380 k in the same queue; a prompt that needs a group held up its VM's queue; the best score was taken before asking whether the engine is open, so prompts waited though others were open. Ruled out: the exchange of loads (an oracle without delay showed the same 100 k waits). Change: four classes by length, each with its own queue, priority and count of queued tokens; an engine is open to a class when what goes before it is under a quarter of its own time (0.25 s for short ones); the score is taken among open engines; groups wait at the home of the shard.

--- a/connection/src/wire.rs
+++ b/connection/src/wire.rs
@@ -7,6 +7,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_version::head::Head;
+use foldlock_version::policy::Class;
 use serde::{Deserialize, Serialize};
 
 /// The protocol's name in the HTTP upgrade.
@@ -22,22 +23,47 @@
     pub requests: u32,
     /// Long requests among them.
     pub long: u32,
-    /// Prompt tokens of short requests whose first token has not come.
-    pub prefill: Tokens,
-    /// Prompt tokens of long requests whose first token has not come.
-    pub long_prefill: Tokens,
+    /// Prompt tokens of requests whose first token has not come, by class of length.
+    pub prefill: [Tokens; Class::COUNT],
     /// Memory for prompts and answers.
     pub memory: Tokens,
 }
 
 impl Load {
+    /// The load of one request.
+    pub fn of(class: Class, uncached: Tokens, memory: Tokens) -> Load {
+        let mut load =
+            Load { requests: 1, long: u32::from(class.is_long()), memory, ..Load::default() };
+        load.prefill[class.index()] = uncached;
+        load
+    }
+
+    /// Only the prompt tokens.
+    pub fn prefill_only(self) -> Load {
+        Load { prefill: self.prefill, ..Load::default() }
+    }
+
+    /// Prompt tokens that go before a request of this class, or beside it.
+    pub fn ahead(&self, class: Class) -> Tokens {
+        self.prefill[..=class.index()].iter().copied().sum()
+    }
+
+    /// Prompt tokens of all classes.
+    pub fn queued(&self) -> Tokens {
+        self.prefill.iter().copied().sum()
+    }
+
+    /// Whether the prompt of a long request is being computed.
+    pub fn has_long_prefill(&self) -> bool {
+        self.prefill[1..].iter().any(|t| t.0 > 0)
+    }
+
     /// The sum with another load.
     pub fn plus(self, other: Load) -> Load {
         Load {
             requests: self.requests + other.requests,
             long: self.long + other.long,
-            prefill: self.prefill + other.prefill,
-            long_prefill: self.long_prefill + other.long_prefill,
+            prefill: std::array::from_fn(|c| self.prefill[c] + other.prefill[c]),
             memory: self.memory + other.memory,
         }
     }
@@ -47,8 +73,7 @@
         Load {
             requests: self.requests.saturating_sub(other.requests),
             long: self.long.saturating_sub(other.long),
-            prefill: self.prefill - other.prefill,
-            long_prefill: self.long_prefill - other.long_prefill,
+            prefill: std::array::from_fn(|c| self.prefill[c] - other.prefill[c]),
             memory: self.memory - other.memory,
         }
     }
--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -16,7 +16,7 @@
 use foldlock_request::health::Health;
 use foldlock_request::route::{Ask, Candidate, Routes};
 use foldlock_request::speed::{Model, Work};
-use foldlock_version::policy::{Policy, Route};
+use foldlock_version::policy::{Class, Policy};
 use foldlock_version::schema;
 use foldlock_version::tree::Tree;
 use serde::Serialize;
@@ -32,9 +32,6 @@
 /// on again, so that they end when their cause does.
 const LEAVING_TOLD: Duration = Duration::from_secs(2);
 
-/// Seconds of short prompts that may be queued at an engine; the rest waits here, in fair order.
-const GATE: f64 = 0.25;
-
 /// What is asked for, with what helps to choose.
 pub struct Wanted<'a> {
     /// The model.
@@ -59,8 +56,6 @@
         cause: Cause,
         /// The predicted seconds to the first token at the best of them.
         predicted: f64,
-        /// Seconds a prompt token of all engines of the model together.
-        seconds_per_token: f64,
     },
     /// No engine serves the model.
     None,
@@ -83,6 +78,7 @@
 struct Pending {
     sent: Instant,
     predicted: f64,
+    class: Class,
 }
 
 #[derive(Default)]
@@ -222,16 +218,9 @@
         let route = wanted.policy.route;
         let ask = &wanted.ask;
         let Some(choice) = inner.routes.choose(route, ask, &candidates, &mut rand::rng()) else {
-            return Chosen::Wait { cause: Cause::Engines, predicted: 0.0, seconds_per_token: 0.0 };
+            return wait(&candidates, ask);
         };
         let candidate = &candidates[choice.index];
-        let predicted = candidate.predict(ask);
-        if route == Route::LengthAware
-            && let Some(cause) = closed(candidate, ask)
-        {
-            let seconds_per_token = candidate.speed.seconds_per_token() / candidates.len() as f64;
-            return Chosen::Wait { cause, predicted, seconds_per_token };
-        }
         let flight = self.begin(inner, wanted, candidate, choice.seen, now);
         Chosen::Engine(Box::new(flight))
     }
@@ -240,9 +229,7 @@
     pub fn better(&self, wanted: &Wanted<'_>, than: &id::Upstream, seconds: f64) -> bool {
         let candidates = self.candidates(wanted);
         let others = candidates.iter().filter(|c| c.engine != *than);
-        others
-            .filter(|c| closed(c, &wanted.ask).is_none())
-            .any(|c| c.predict(&wanted.ask) < seconds)
+        others.filter(|c| c.closed(&wanted.ask).is_none()).any(|c| c.predict(&wanted.ask) < seconds)
     }
 
     /// Takes an engine that another VM chose.
@@ -271,19 +258,13 @@
     ) -> Flight<C> {
         let ask = &wanted.ask;
         let uncached = ask.prompt - candidate.cached;
-        let load = Load {
-            requests: 1,
-            long: u32::from(ask.long),
-            prefill: if ask.long { Tokens(0) } else { uncached },
-            long_prefill: if ask.long { uncached } else { Tokens(0) },
-            memory: ask.memory,
-        };
+        let load = Load::of(ask.class, uncached, ask.memory);
         let predicted = candidate.predict(ask);
         inner.next += 1;
         let slot = inner.next;
         let local = inner.engines.get_mut(&candidate.engine).expect("candidates are engines");
         local.own = local.own.plus(load);
-        local.flights.insert(slot, Pending { sent: now, predicted });
+        local.flights.insert(slot, Pending { sent: now, predicted, class: ask.class });
         local.health.sent();
         Flight {
             client: local.client.clone(),
@@ -322,16 +303,14 @@
     }
 }
 
-/// Why the best candidate is not to be given the request now.
-fn closed(candidate: &Candidate, ask: &Ask) -> Option<Cause> {
-    if !candidate.fits(ask) {
-        return Some(Cause::Memory);
+/// Why the best of the candidates, none of which is open, is closed.
+fn wait<C: Clock>(candidates: &[Candidate], ask: &Ask) -> Chosen<C> {
+    let predicted = |c: &&Candidate| c.predict(ask);
+    let best = candidates.iter().min_by(|a, b| predicted(a).total_cmp(&predicted(b)));
+    Chosen::Wait {
+        cause: best.and_then(|c| c.closed(ask)).unwrap_or(Cause::Engines),
+        predicted: best.map_or(0.0, |c| c.predict(ask)),
     }
-    if ask.long {
-        return (candidate.fleet.long_prefill.0 > 0).then_some(Cause::Engines);
-    }
-    let queued = candidate.fleet.prefill.0 as f64 * candidate.speed.seconds_per_token();
-    (queued > GATE).then_some(Cause::Engines)
 }
 
 impl Inner {
@@ -389,7 +368,7 @@
             cached: cached.min(most),
             memory: Tokens(self.entry.memory_tokens),
             speed: self.speed.clone(),
-            overdue: self.overdue(now),
+            overdue: self.overdue(wanted.ask.class, now),
             long_rank,
         }
     }
@@ -404,9 +383,11 @@
         }
     }
 
-    fn overdue(&self, now: Instant) -> f64 {
+    /// Seconds by which the first token of a request that goes before this class is late.
+    fn overdue(&self, class: Class, now: Instant) -> f64 {
         let late = |p: &Pending| (now - p.sent).as_secs_f64() - p.predicted;
-        self.flights.values().map(late).fold(0.0, f64::max)
+        let before = self.flights.values().filter(|p| p.class <= class);
+        before.map(late).fold(0.0, f64::max)
     }
 
     fn is_leaving(&self, now: Instant) -> bool {
@@ -442,11 +423,7 @@
         let seconds = (now - self.sent).as_secs_f64();
         let (slot, work, blocks) = (self.slot, self.work, std::mem::take(&mut self.blocks));
         let hits = (cached.0 * u64::from(self.bytes_per_token)) as usize / prefix::BLOCK;
-        let prefill = Load {
-            prefill: self.load.prefill,
-            long_prefill: self.load.long_prefill,
-            ..Load::default()
-        };
+        let prefill = self.load.prefill_only();
         self.load = self.load.minus(prefill);
         self.engines.with(&self.engine, |local| {
             local.own = local.own.minus(prefill);
@@ -461,11 +438,7 @@
 
     /// The prompt is computed, without a token that would tell how fast.
     pub fn computed(&mut self) {
-        let prefill = Load {
-            prefill: self.load.prefill,
-            long_prefill: self.load.long_prefill,
-            ..Load::default()
-        };
+        let prefill = self.load.prefill_only();
         self.load = self.load.minus(prefill);
         let slot = self.slot;
         self.engines.with(&self.engine, |local| {
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -9,7 +9,7 @@
 use foldlock_connection::wire::{self, Grant};
 use foldlock_request::decision::{Cause, Decision};
 use foldlock_request::fair::Ticket;
-use foldlock_version::policy::Route;
+use foldlock_version::policy::{Class, Route};
 use tarpc::context::Context;
 
 use crate::engines::{Chosen, Flight, Wanted};
@@ -17,8 +17,8 @@
 use crate::home;
 use crate::serve::{Job, Progress, millis};
 
-/// How far below short requests a long prompt begins.
-const LONG_BELOW: u8 = 4;
+/// The part of its time after which a long prompt has risen to the priority of short ones.
+const RISEN: f64 = 0.75;
 
 /// The lowest engine priority.
 const LOWEST: u8 = 9;
@@ -73,11 +73,13 @@
     pub retry_after: Option<Duration>,
 }
 
-/// The engine priority of a long prompt that has used this part of its time: it begins below
-/// short requests and has reached them when three quarters are used.
-pub fn aged(base: u8, used: f64) -> u8 {
-    let risen = (used.clamp(0.0, 1.0) / 0.75 * f64::from(LONG_BELOW)).floor() as u8;
-    let below = LONG_BELOW.saturating_sub(risen);
+/// The engine priority of a prompt of a class that has used this part of its time: the longer
+/// the class, the further below short prompts it begins; all have reached them when three quarters
+/// of their time are used, so that none starves.
+pub fn aged(base: u8, class: Class, used: f64) -> u8 {
+    let below = class.index() as u8;
+    let risen = (used.clamp(0.0, 1.0) / RISEN * f64::from(below)).floor() as u8;
+    let below = below.saturating_sub(risen);
     base.saturating_add(below).min(LOWEST.max(base))
 }
 
@@ -100,26 +102,26 @@
     if ask.memory > all {
         return Err(too_long(ask.memory, all));
     }
-    let queue = job.process.queue(&job.prompt.model, ask.long);
-    let ticket = queue.enter(&job.organisation, job.policy.weight, ask.prompt.0);
     let started = job.process.clock.now();
+    if ask.memory > largest {
+        // Groups wait at the home of a shard, in order, and hold up nothing here.
+        let place = group::place(job, &ask).await?;
+        routed(job, &place);
+        return Ok(place);
+    }
+    let queue = job.process.queue(&job.prompt.model, ask.class);
+    let ticket = queue.enter(&job.organisation, job.policy.weight, ask.prompt.0);
     if !ticket.is_next() {
         admit_behind(job, queue.tokens(), progress)?;
         ticket.next().await;
     }
-    let placed = if ask.memory > largest {
-        group::place(job, &ask).await
-    } else {
-        engine(job, progress, &ticket, queue.tokens()).await
-    };
+    let (place, cause) = engine(job, progress, &ticket).await?;
     let waited_ms = millis(job.process.clock.now() - started);
-    if let Ok((place, cause)) = &placed {
-        if let Some(cause) = cause {
-            job.record(Decision::Waited { cause: *cause, waited_ms });
-        }
-        routed(job, place);
+    if let Some(cause) = cause {
+        job.record(Decision::Waited { cause, waited_ms });
     }
-    placed.map(|(place, _)| place)
+    routed(job, &place);
+    Ok(place)
 }
 
 fn too_long(memory: Tokens, all: Tokens) -> Refused {
@@ -177,12 +179,7 @@
 type Placed = (Place, Option<Cause>);
 
 /// Waits for an engine. The request is the next one of its queue.
-async fn engine(
-    job: &Job,
-    progress: &Progress,
-    ticket: &Ticket,
-    queued: u64,
-) -> Result<Placed, Refused> {
+async fn engine(job: &Job, progress: &Progress, ticket: &Ticket) -> Result<Placed, Refused> {
     let mut waited = None;
     let engines = &job.process.engines;
     loop {
@@ -198,8 +195,8 @@
                 return Ok((Place::Engine(Box::new(flight)), waited));
             }
             Chosen::None => return Err(no_upstream(job)),
-            Chosen::Wait { cause, predicted, seconds_per_token } => {
-                in_time(job, predicted + queued as f64 * seconds_per_token)?;
+            Chosen::Wait { cause, predicted } => {
+                in_time(job, predicted)?;
                 waited = Some(cause);
             }
         }
@@ -218,7 +215,7 @@
 /// For a long prompt, asks the home of the chosen engine's shard, which may know better.
 async fn confirm(job: &Job, progress: &Progress, flight: Flight<System>) -> Flight<System> {
     let ask = job.ask(progress);
-    if !ask.long || job.policy.route != Route::LengthAware {
+    if !ask.class.is_long() || job.policy.route != Route::LengthAware {
         return flight;
     }
     match granted(job, progress, &flight).await {
--- a/daemon/src/group.rs
+++ b/daemon/src/group.rs
@@ -13,7 +13,7 @@
     Context, Engine as _, Failure, Held, HttpEngine, HttpStream, Job as Order,
 };
 use foldlock_connection::wire::{self, Grant, Load, Segment};
-use foldlock_request::decision::{Cause, Decision};
+use foldlock_request::decision::Decision;
 use foldlock_request::route::{Ask, Candidate, Routes};
 use foldlock_version::policy::{Policy, Route};
 
@@ -77,7 +77,7 @@
 }
 
 /// Waits for a group.
-pub async fn place(job: &Job, ask: &Ask) -> Result<(Place, Option<Cause>), Refused> {
+pub async fn place(job: &Job, ask: &Ask) -> Result<Place, Refused> {
     let started = job.process.clock.now();
     loop {
         let shards = job.process.shards();
@@ -97,7 +97,7 @@
                 let waited_ms = millis(job.process.clock.now() - started);
                 let engines = group.segments.iter().map(|s| s.engine.clone()).collect();
                 job.record(Decision::Held { engines, waited_ms });
-                return Ok((Place::Group(group), None));
+                return Ok(Place::Group(group));
             }
         }
         tokio::time::sleep(LOOK).await;
@@ -129,7 +129,8 @@
 }
 
 fn flight(job: &Job, segment: &Segment) -> Option<Flight<System>> {
-    let ask = Ask { prompt: segment.tokens, memory: segment.tokens, long: true };
+    let class = job.policy.class(job.tokens);
+    let ask = Ask { prompt: segment.tokens, memory: segment.tokens, class };
     let wanted =
         Wanted { model: &job.prompt.model, ask, blocks: &[], policy: &job.policy, avoid: &[] };
     job.process.engines.take(&wanted, &segment.engine)
@@ -203,7 +204,7 @@
 
 async fn find(process: &Arc<Process>, shard: &Shard, ask: &wire::Ask) -> Option<Vec<Segment>> {
     let policy = Policy { route: Route::LengthAware, ..Policy::default() };
-    let want = Ask { prompt: ask.prompt, memory: Tokens(0), long: true };
+    let want = Ask { prompt: ask.prompt, memory: Tokens(0), class: policy.class(ask.prompt) };
     let wanted =
         Wanted { model: &ask.model, ask: want, blocks: &[], policy: &policy, avoid: &ask.avoid };
     process.engines.told(&process.home.states(&shard.engines, &process.config.vm));
@@ -217,16 +218,7 @@
     let choice =
         Routes::default().choose(Route::LengthAware, &want, &candidates, &mut rand::rng())?;
     let chosen = &candidates[choice.index];
-    if !chosen.fits(&want) {
-        return None;
-    }
-    let load = Load {
-        requests: 1,
-        long: 1,
-        long_prefill: ask.prompt,
-        memory: ask.memory,
-        ..Load::default()
-    };
+    let load = Load::of(want.class, ask.prompt, ask.memory);
     process.home.granted(&chosen.engine, &ask.vm, load);
     Some(vec![Segment { engine: chosen.engine.clone(), tokens: ask.prompt, hold: None }])
 }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -15,6 +15,7 @@
 use foldlock_request::fair::Queue;
 use foldlock_request::retry::Budget;
 use foldlock_request::ring::Ring;
+use foldlock_version::policy::Class;
 use slog::Logger;
 use tokio::net::TcpListener;
 
@@ -41,8 +42,9 @@
 /// How long an engine may be silent before it is logged.
 const REPORT_SILENT: u32 = 3;
 
-/// The queues in which requests wait, by model and by whether they are long.
-type Queues = HashMap<(id::Model, bool), Arc<Queue>>;
+/// The queues in which requests wait, by model and class of length, so that a long prompt that
+/// waits holds up no shorter one.
+type Queues = HashMap<(id::Model, Class), Arc<Queue>>;
 
 /// What all tasks of a process share.
 pub struct Process {
@@ -185,8 +187,8 @@
     }
 
     /// The queue of a model.
-    pub fn queue(&self, model: &id::Model, long: bool) -> Arc<Queue> {
-        self.queues.lock().unwrap().entry((model.clone(), long)).or_default().clone()
+    pub fn queue(&self, model: &id::Model, class: Class) -> Arc<Queue> {
+        self.queues.lock().unwrap().entry((model.clone(), class)).or_default().clone()
     }
 
     /// Logs when the key-value service stops or begins to answer.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -13,7 +13,7 @@
 use foldlock_request::prompt::Prompt;
 use foldlock_request::ring::Entry;
 use foldlock_request::route::Ask;
-use foldlock_version::policy::Policy;
+use foldlock_version::policy::{Class, Policy};
 
 use crate::claims::Held;
 use crate::current::Version;
@@ -125,7 +125,7 @@
         let done = Tokens(progress.tokens);
         let prompt = self.tokens + done;
         let memory = self.tokens + Tokens(self.max_tokens);
-        Ask { prompt, memory, long: self.policy.is_long(prompt) }
+        Ask { prompt, memory, class: self.policy.class(prompt) }
     }
 
     /// The order to an engine.
@@ -140,7 +140,7 @@
             model: self.prompt.model.clone(),
             prompt,
             max_tokens: self.max_tokens - progress.tokens,
-            priority: self.priority(self.ask(progress).long),
+            priority: self.priority(self.ask(progress).class),
             first_index: progress.tokens,
             deadline: self.left(),
             linger: Duration::from_millis(self.policy.resume_window_ms),
@@ -148,16 +148,11 @@
         }
     }
 
-    /// The engine priority: long prompts begin below short ones and rise with the time they have
-    /// used, so that none starves.
-    fn priority(&self, long: bool) -> u8 {
-        let base = self.policy.priority;
-        if !long {
-            return base;
-        }
+    /// The engine priority: the longer the class, the lower, rising with the time used.
+    fn priority(&self, class: Class) -> u8 {
         let used = (self.process.clock.now() - self.arrived).as_secs_f64();
         let whole = used + self.left().as_secs_f64();
-        gate::aged(base, used / whole.max(f64::MIN_POSITIVE))
+        gate::aged(self.policy.priority, class, used / whole.max(f64::MIN_POSITIVE))
     }
 }
 
--- a/request/src/route.rs
+++ b/request/src/route.rs
@@ -8,10 +8,10 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_connection::wire::{Load, Reported};
-use foldlock_version::policy;
+use foldlock_version::policy::{self, Class};
 use rand::Rng;
 
-use crate::decision::Seen;
+use crate::decision::{Cause, Seen};
 use crate::speed::{Model, Work};
 
 /// What is asked of an engine.
@@ -21,10 +21,16 @@
     pub prompt: Tokens,
     /// Memory for prompt and answer.
     pub memory: Tokens,
-    /// Whether the prompt counts as long.
-    pub long: bool,
+    /// The prompt's class of length.
+    pub class: Class,
 }
 
+/// Seconds of short prompts that may be queued at an engine.
+const SHORT_QUEUED: f64 = 0.25;
+
+/// What may be queued at an engine before a long prompt, as a part of its own time.
+const LONG_QUEUED: f64 = 0.25;
+
 /// An engine that can serve the request, as this VM knows it.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -52,11 +58,9 @@
     /// The work until the first token of a request on it.
     pub fn work(&self, ask: &Ask) -> Work {
         let uncached = ask.prompt - self.cached;
-        let mut queued = self.fleet.prefill;
-        if ask.long {
-            queued = queued + self.fleet.long_prefill;
-        }
-        let long = if ask.long { 0 } else { self.fleet.long };
+        let queued = self.fleet.ahead(ask.class);
+        let beside = !ask.class.is_long() && self.fleet.has_long_prefill();
+        let long = u32::from(beside);
         Work::new(queued.0 as f64, uncached.0 as f64, self.cached.0 as f64, long)
     }
 
@@ -70,6 +74,18 @@
         self.fleet.memory + ask.memory <= self.memory
     }
 
+    /// Why it is not to be given the request now, though it may be the best. What waits in
+    /// foldlock rather than at an engine can still go elsewhere, and in fair order.
+    pub fn closed(&self, ask: &Ask) -> Option<Cause> {
+        if !self.fits(ask) {
+            return Some(Cause::Memory);
+        }
+        let queued = self.fleet.ahead(ask.class).0 as f64 * self.speed.seconds_per_token();
+        let own = ask.prompt.0 as f64 * self.speed.seconds_per_token();
+        let most = if ask.class.is_long() { own * LONG_QUEUED } else { SHORT_QUEUED };
+        (queued > most).then_some(Cause::Engines)
+    }
+
     /// What a record says of it.
     pub fn seen(&self, ask: &Ask, score: f64) -> Seen {
         Seen {
@@ -78,7 +94,7 @@
             score,
             requests: self.fleet.requests,
             long: self.fleet.long,
-            queued: self.fleet.prefill + self.fleet.long_prefill,
+            queued: self.fleet.queued(),
             cached: self.cached,
         }
     }
--- a/request/src/route/length_aware.rs
+++ b/request/src/route/length_aware.rs
@@ -1,4 +1,5 @@
-//! The least predicted time to the first token plus the delay put on others.
+//! The least predicted time to the first token plus the delay put on others, among the engines
+//! that are open to the request; where none is, it waits in foldlock.
 //!
 //! Long prompts prefer engines in one order that all VMs compute alike, so that few engines have
 //! long prompts at a time, and short prompts, whose prediction grows on such engines, find others.
@@ -21,13 +22,10 @@
     fn of(ask: &Ask, candidate: &Candidate) -> f64 {
         let predicted = candidate.predict(ask);
         let mut alone = candidate.work(ask);
-        alone.tokens -= candidate.fleet.prefill.0 as f64;
-        if ask.long {
-            alone.tokens -= candidate.fleet.long_prefill.0 as f64;
-        }
+        alone.tokens -= candidate.fleet.ahead(ask.class).0 as f64;
         let own = candidate.speed.predict(alone);
         let mut score = predicted + own * OTHERS_COST * f64::from(candidate.fleet.requests);
-        if ask.long {
+        if ask.class.is_long() {
             score += own * RANK_COST * f64::from(candidate.long_rank);
         }
         score * 1e3
@@ -41,10 +39,7 @@
         candidates: &[Candidate],
         _rng: &mut R,
     ) -> Vec<Option<f64>> {
-        let any_fits = candidates.iter().any(|c| c.fits(ask));
-        candidates
-            .iter()
-            .map(|c| (!any_fits || c.fits(ask)).then(|| LengthAware::of(ask, c)))
-            .collect()
+        let open = |c: &Candidate| c.closed(ask).is_none();
+        candidates.iter().map(|c| open(c).then(|| LengthAware::of(ask, c))).collect()
     }
 }
--- a/request/src/route/two_choices.rs
+++ b/request/src/route/two_choices.rs
@@ -30,7 +30,7 @@
                 .map_or(0.0, |r| r.prefill.0 as f64 + f64::from(r.requests)),
             Basis::Fleet => {
                 let load = candidate.fleet;
-                (load.prefill + load.long_prefill).0 as f64 + f64::from(load.requests)
+                load.queued().0 as f64 + f64::from(load.requests)
             }
         }
     }
--- a/standin/examples/load/oracle.rs
+++ b/standin/examples/load/oracle.rs
@@ -27,12 +27,24 @@
     memory: u64,
 }
 
-struct Flight {
+/// A request that counts at an engine until dropped.
+struct Flight<'a> {
+    oracle: &'a Oracle,
     engine: usize,
     load: Load,
     work: Work,
 }
 
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        let mut locals = self.oracle.locals.lock().unwrap();
+        let local = &mut locals[self.engine];
+        local.load = local.load.minus(self.load);
+        drop(locals);
+        self.oracle.changed.notify_waiters();
+    }
+}
+
 impl Oracle {
     pub(crate) fn new(engines: Vec<Arc<Engine>>, memory: u64) -> Oracle {
         let local = |_| Local { load: Load::default(), speed: Model::default() };
@@ -55,11 +67,11 @@
     }
 
     async fn serve(&self, arrival: &Arrival, prompt: String, started: Instant, out: &mut Answer) {
-        let long = Policy::default().is_long(Tokens(arrival.tokens));
+        let class = Policy::default().class(Tokens(arrival.tokens));
         let ask = Ask {
             prompt: Tokens(arrival.tokens),
             memory: Tokens(arrival.tokens + arrival.answer),
-            long,
+            class,
         };
         let mut flight = self.place(&ask).await;
         let sent = Instant::now();
@@ -68,12 +80,12 @@
             model: standin::fleet::MODEL.to_owned(),
             prompt: prompt.into(),
             max_tokens: arrival.answer,
-            priority: if long { 7 } else { 3 },
+            priority: 3 + class.index() as u8,
             deadline: arrival.timeout,
             linger: Duration::from_secs(5),
             ..engine::Ask::default()
         });
-        let Ok(stream) = begun else { return self.end(&flight) };
+        let Ok(stream) = begun else { return };
         stream.attach();
         loop {
             let changed = stream.changed();
@@ -93,10 +105,9 @@
             changed.await;
         }
         stream.detach();
-        self.end(&flight);
     }
 
-    async fn place(&self, ask: &Ask) -> Flight {
+    async fn place(&self, ask: &Ask) -> Flight<'_> {
         loop {
             let changed = self.changed.notified();
             if let Some(flight) = self.try_place(ask) {
@@ -106,7 +117,7 @@
         }
     }
 
-    fn try_place(&self, ask: &Ask) -> Option<Flight> {
+    fn try_place(&self, ask: &Ask) -> Option<Flight<'_>> {
         let mut locals = self.locals.lock().unwrap();
         let candidate = |(i, l): (usize, &Local)| Candidate {
             engine: format!("engine-{i}").parse().expect("a name"),
@@ -123,26 +134,13 @@
         let choice =
             Routes::default().choose(Route::LengthAware, ask, &candidates, &mut rand::rng())?;
         let chosen = &candidates[choice.index];
-        if !chosen.fits(ask) || (ask.long && chosen.fleet.long_prefill.0 > 0) {
-            return None;
-        }
-        let load = Load {
-            requests: 1,
-            long: u32::from(ask.long),
-            prefill: if ask.long { Tokens(0) } else { ask.prompt },
-            long_prefill: if ask.long { ask.prompt } else { Tokens(0) },
-            memory: ask.memory,
-        };
+        let load = Load::of(ask.class, ask.prompt, ask.memory);
         locals[choice.index].load = locals[choice.index].load.plus(load);
-        Some(Flight { engine: choice.index, load, work: chosen.work(ask) })
+        Some(Flight { oracle: self, engine: choice.index, load, work: chosen.work(ask) })
     }
 
-    fn first_token(&self, flight: &mut Flight, seconds: f64) {
-        let prefill = Load {
-            prefill: flight.load.prefill,
-            long_prefill: flight.load.long_prefill,
-            ..Load::default()
-        };
+    fn first_token(&self, flight: &mut Flight<'_>, seconds: f64) {
+        let prefill = flight.load.prefill_only();
         flight.load = flight.load.minus(prefill);
         let mut locals = self.locals.lock().unwrap();
         let local = &mut locals[flight.engine];
@@ -151,12 +149,4 @@
         drop(locals);
         self.changed.notify_waiters();
     }
-
-    fn end(&self, flight: &Flight) {
-        let mut locals = self.locals.lock().unwrap();
-        let local = &mut locals[flight.engine];
-        local.load = local.load.minus(flight.load);
-        drop(locals);
-        self.changed.notify_waiters();
-    }
 }
--- a/version/src/policy.rs
+++ b/version/src/policy.rs
@@ -35,6 +35,32 @@
     ];
 }
 
+/// A class of prompt lengths: 0 for short ones, then up to 4 and 16 times the length at which a
+/// prompt counts as long, then all others. A lower class goes first.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Class(u8);
+
+impl Class {
+    /// How many there are.
+    pub const COUNT: usize = 4;
+
+    /// Its number.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+
+    /// Whether its prompts are long.
+    pub fn is_long(self) -> bool {
+        self.0 > 0
+    }
+}
+
+impl std::fmt::Display for Class {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// The settings of a request. A branch may set any of them; what it leaves out it inherits, at
 /// last from the defaults built in here.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -110,8 +136,14 @@
         asked.map_or(cap, |asked| asked.min(cap))
     }
 
-    /// Whether a prompt of this length counts as long.
-    pub fn is_long(&self, prompt: Tokens) -> bool {
-        prompt.0 >= self.long_tokens
+    /// The class of a prompt of this length.
+    pub fn class(&self, prompt: Tokens) -> Class {
+        let ratio = prompt.0 / self.long_tokens.max(1);
+        Class(match ratio {
+            0 => 0,
+            1..=3 => 1,
+            4..=15 => 2,
+            _ => 3,
+        })
     }
 }
