--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -28,6 +28,9 @@
 /// A sign that an engine is leaving counts for this long, unless it is renewed.
 pub const LEAVING_KEPT: Duration = Duration::from_secs(10);
 
+/// What was learnt of an engine's speed counts half after so long without use.
+const FADE: Duration = Duration::from_secs(5);
+
 /// A sign of its own is passed on by a VM for this long. Signs that were passed on are not passed
 /// on again, so that they end when their cause does.
 const LEAVING_TOLD: Duration = Duration::from_secs(2);
@@ -67,6 +70,7 @@
     own: Load,
     flights: HashMap<u64, Pending>,
     speed: Model,
+    learnt_at: Instant,
     health: Health,
     affinity: Table,
     home: Option<(State, Instant)>,
@@ -143,6 +147,7 @@
             own: Load::default(),
             flights: HashMap::new(),
             speed: Model::default(),
+            learnt_at: self.clock.now(),
             health: Health::default(),
             affinity: Table::default(),
             home: None,
@@ -225,6 +230,16 @@
         Chosen::Engine(Box::new(flight))
     }
 
+    /// Lets what was learnt of engines fade that have not been used for a while.
+    pub fn fade(&self) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock().unwrap();
+        for local in inner.engines.values_mut().filter(|l| now >= l.learnt_at + FADE) {
+            local.speed.fade();
+            local.learnt_at = now;
+        }
+    }
+
     /// Whether another engine is open and would give a first token within `seconds`.
     pub fn better(&self, wanted: &Wanted<'_>, than: &id::Upstream, seconds: f64) -> bool {
         let candidates = self.candidates(wanted);
@@ -430,6 +445,7 @@
             local.health.succeeded();
             if local.flights.remove(&slot).is_some() {
                 local.speed.learn(work, seconds);
+                local.learnt_at = now;
             }
             local.affinity.correct(&blocks, hits);
             local.affinity.stored(&blocks, now);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -303,6 +303,7 @@
         let version = process.current.get();
         let quotas = process.limits.split(&version.tree, &own.vm, &demand.collect());
         process.limits.told(&quotas);
+        process.engines.fade();
         tokio::time::sleep(peers::BEAT / 2).await;
     }
 }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -17,7 +17,7 @@
 
 use crate::claims::Held;
 use crate::current::Version;
-use crate::engines::Flight;
+use crate::engines::{Flight, Wanted};
 use crate::gate::{self, Place};
 use crate::group;
 use crate::log;
@@ -374,7 +374,9 @@
         return false;
     }
     let waited = (job.process.clock.now() - flight.sent).as_secs_f64();
-    job.process.engines.better(&gate::wanted(job, progress), &flight.engine, waited / 2.0)
+    // An engine that failed the request before may do by now what this one does not.
+    let wanted = Wanted { avoid: &[], ..gate::wanted(job, progress) };
+    job.process.engines.better(&wanted, &flight.engine, waited / 2.0)
 }
 
 async fn read<S: Sink>(
--- a/request/src/speed.rs
+++ b/request/src/speed.rs
@@ -36,16 +36,17 @@
 /// How much a sample counts after the next one.
 const FORGETTING: f64 = 0.98;
 
-/// The seconds of each factor before anything is learnt: 10 ms, 50 µs a token, 0.3 ns a pair, and
-/// 20 ms beside a long prompt.
-const PRIOR: Vector = [0.010, 0.050, 0.300, 0.020];
+/// The seconds of each factor before anything is learnt: 2 ms, 20 µs a token, 0.05 ns a pair,
+/// nothing beside a long prompt. Faster than engines are, so that one of which little is known is
+/// tried.
+const PRIOR: Vector = [0.002, 0.020, 0.050, 0.0];
 
 /// How many samples of one unit the prior counts as.
 const PRIOR_WEIGHT: f64 = 0.2;
 
 /// A sample may be this many times its prediction at most, so that one freeze does not undo the
 /// model.
-const CLIP: f64 = 10.0;
+const CLIP: f64 = 20.0;
 
 /// The learnt model.
 #[derive(Debug, Clone, Serialize)]
@@ -82,6 +83,16 @@
         self.samples
     }
 
+    /// Makes what was learnt count half, so that an engine that was not used for a while, perhaps
+    /// since it was slow, is tried again.
+    pub fn fade(&mut self) {
+        for row in &mut self.products {
+            *row = row.map(|cell| cell / 2.0);
+        }
+        self.seconds = self.seconds.map(|cell| cell / 2.0);
+        self.solve();
+    }
+
     /// Learns from one request.
     pub fn learn(&mut self, work: Work, seconds: f64) {
         let x = work.factors();
