Wait for callers' connections before a planned stop ends

The request's task had ended, so the process did too, while the connection's task still held the last events. Ruled out: the drain time (the loss is within microseconds of the end); the engine (59 of 60 tokens had come and the end was recorded). Conclusion: a stop ends only when what was answered is written.

--- a/daemon/src/listen.rs
+++ b/daemon/src/listen.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::process::Process;
-use crate::{complete, log, operators};
+use crate::{complete, drain, log, operators};
 
 /// How long a caller has to send the headers of a request.
 const HEADERS: Duration = Duration::from_secs(10);
@@ -51,6 +51,7 @@
 
 /// Serves one caller's connection.
 async fn caller(process: Arc<Process>, stream: TcpStream) {
+    let _connected = drain::connected(&process);
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADERS);
     builder.http2().timer(TokioTimer::new()).max_concurrent_streams(STREAMS);
--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -163,3 +163,24 @@
     }
     common::assert_whole(&send(&fleet, 2, &ask).await, &ask);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_token_of_the_last_request_reaches_its_caller() {
+    let mut plan = plan();
+    plan.engine.speed = 1.0;
+    let arguments = vec!["--drain-ms".to_owned(), "0".to_owned()];
+    let fleet = Fleet::start(Plan { vms: 8, arguments, ..plan }).await;
+    let ask = ask(prompt(100), 40);
+    let mut begun = Vec::new();
+    for vm in &fleet.vms {
+        let (client, sent, listen) = (fleet.client.clone(), ask.clone(), vm.listen);
+        begun.push(tokio::spawn(async move { client::ask(&client, listen, &sent).await }));
+    }
+    wait_for("all to run", async || fleet.runs().len() == 8).await;
+    for vm in &fleet.vms {
+        vm.signal(Signal::SIGTERM);
+    }
+    for answer in begun {
+        common::assert_whole(&answer.await.unwrap(), &ask);
+    }
+}
