--- /dev/null
+++ b/base/tests/catalogue.rs
@@ -0,0 +1,46 @@
+//! The catalogues in the docs are those of the code. `UPDATE_EXPECT=1` writes them anew.
+
+use std::fmt::Write as _;
+
+use expect_test::expect_file;
+use foldlock_base::error::Kind;
+use foldlock_base::event::Event;
+
+#[test]
+fn events() {
+    let mut page = String::from(
+        "# Log events\n\nLogs are JSON lines on standard error. `event` holds the number, `what` the \
+         particulars, `vm` the VM. Numbers are never reused.\n\n| number | level | meaning |\n| --- | \
+         --- | --- |\n",
+    );
+    for event in Event::ALL {
+        let level = event.level().as_str().to_lowercase();
+        writeln!(page, "| {} | {level} | {} |", event.number(), event.text()).unwrap();
+    }
+    expect_file!["../../docs/EVENTS.md"].assert_eq(&page);
+}
+
+#[test]
+fn numbers_are_unique() {
+    let mut numbers: Vec<u16> = Event::ALL.iter().map(|e| e.number()).collect();
+    numbers.dedup();
+    assert_eq!(numbers.len(), Event::ALL.len());
+}
+
+#[test]
+fn errors() {
+    let mut page = String::from(
+        "# Errors\n\nEach answer that is not a success is JSON of one shape, with a kind from this \
+         closed list:\n\n    {\"error\": {\"kind\": \"limited\", \"ran\": \"no\", \"message\": \"…\", \
+         \"retry_after_ms\": 500,\n               \"request\": \"vm-1-1a23-2f\"}}\n\n`ran` says whether \
+         the request ran at an upstream: `no` is proved, `unknown` means that it was sent\nand nothing \
+         more is known, `yes` that it ran at least in part. It is also the header `x-ran`.\nWhere a \
+         caller can come back, `Retry-After` (seconds) and `retry-after-ms` say when. In a stream\nthat \
+         has begun, the error comes as `event: error` with the same JSON.\n\n| kind | status | `ran` |\n\
+         | --- | --- | --- |\n",
+    );
+    for kind in Kind::ALL {
+        writeln!(page, "| `{kind}` | {} | {} |", kind.status(), kind.ran()).unwrap();
+    }
+    expect_file!["../../docs/ERRORS.md"].assert_eq(&page);
+}
--- /dev/null
+++ b/base/tests/proof.rs
@@ -0,0 +1,45 @@
+//! `ran: no` is said only of what was not sent, or what the upstream itself refused.
+
+use foldlock_base::error::{Kind, Proof, Ran, Refusal, Unsent};
+use proptest::prelude::*;
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum End {
+    Refused,
+    NotConnected,
+    Lost,
+}
+
+proptest! {
+    /// Over all orders of attempts and ends: `no` exactly when no attempt may have run.
+    #[test]
+    fn no_means_not_run(
+        ends in prop::collection::vec(
+            prop_oneof![Just(End::Refused), Just(End::NotConnected), Just(End::Lost)],
+            0..8,
+        ),
+        began: bool,
+    ) {
+        let mut proof = Proof::NotRun(Unsent::arrived());
+        for end in &ends {
+            let attempt = proof.send();
+            proof = match end {
+                End::Refused => attempt.refused(Refusal::read(503, Some("no")).unwrap()),
+                End::NotConnected => attempt.refused(Refusal::not_connected()),
+                End::Lost => attempt.unknown(),
+            };
+        }
+        let error = proof.error(Kind::UpstreamFailed, "", began);
+        let may_have_run = ends.contains(&End::Lost);
+        prop_assert_eq!(error.ran() == Ran::No, !may_have_run);
+    }
+
+    /// Only an error status with the upstream's own word is a refusal.
+    #[test]
+    fn a_refusal_needs_the_upstreams_word(status in 100u16..600, word in "no|yes|unknown|") {
+        let refusal = Refusal::read(status, Some(&word));
+        prop_assert_eq!(refusal.is_some(), status >= 400 && word == "no");
+        prop_assert!(Refusal::read(status, None).is_none());
+    }
+}
--- /dev/null
+++ b/cli/tests/command.rs
@@ -0,0 +1,157 @@
+//! The operators' command, as they call it.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use expect_test::{Expect, expect};
+use foldlock_connection::http::Client;
+use foldlock_connection::kv::HttpStore;
+use foldlock_version::publish::read_head;
+use standin::kv;
+use tempfile::TempDir;
+
+fn foldlock(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_foldlock"));
+    command.args(args).env("NO_COLOR", "1").env("USER", "ann").output().unwrap()
+}
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples").join(name)
+}
+
+/// A copy of the tour's settings.
+fn settings() -> TempDir {
+    let dir = TempDir::new().unwrap();
+    std::fs::create_dir(dir.path().join("organisation")).unwrap();
+    for file in ["fleet.jsonc", "organisation/tour.jsonc"] {
+        std::fs::copy(example("tour").join(file), dir.path().join(file)).unwrap();
+    }
+    dir
+}
+
+fn edit(dir: &TempDir, from: &str, to: &str) {
+    let path = dir.path().join("organisation/tour.jsonc");
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(path, text.replace(from, to)).unwrap();
+}
+
+fn text(dir: &TempDir) -> &str {
+    dir.path().to_str().unwrap()
+}
+
+fn check(output: &Output, code: i32, stdout: Expect, stderr: Expect) {
+    stdout.assert_eq(&String::from_utf8_lossy(&output.stdout));
+    stderr.assert_eq(&String::from_utf8_lossy(&output.stderr));
+    assert_eq!(output.status.code(), Some(code));
+}
+
+#[test]
+fn check_accepts_and_counts() {
+    let dir = settings();
+    check(
+        &foldlock(&["check", text(&dir)]),
+        0,
+        expect![[r#"
+            ok: 1 organisations, 2 kinds, 4 engines, 1 models, 1 services
+        "#]],
+        expect![""],
+    );
+}
+
+#[test]
+fn check_names_place_and_nearest() {
+    let dir = settings();
+    edit(&dir, "\"priority\": 1", "\"prioritty\": 1");
+    let output = foldlock(&["check", text(&dir)]);
+    let error = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(error.contains("organisation/tour.jsonc:5:27: kinds.hint.policy.prioritty"), "{error}");
+    assert!(error.contains("did you mean `priority`?"), "{error}");
+    assert_eq!(output.status.code(), Some(3));
+}
+
+#[test]
+fn show_tells_origins() {
+    let dir = settings();
+    let output = foldlock(&["show", text(&dir), "tour/hint", "--origin", "--json"]);
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(value["timeout_ms"]["value"], 5000);
+    assert_eq!(value["timeout_ms"]["origin"], "organisation/tour/hint");
+    assert_eq!(value["retries"]["origin"], "default");
+}
+
+#[test]
+fn show_of_an_unknown_kind() {
+    let dir = settings();
+    check(
+        &foldlock(&["show", text(&dir), "tour/hnt"]),
+        5,
+        expect![""],
+        expect![[r#"
+            there is no kind `hnt`; did you mean `hint`?
+        "#]],
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_who_apply_the_second_is_told_and_nothing_is_overwritten() {
+    let address = ([127, 0, 0, 1], 0).into();
+    let kv = kv::serve(address, kv::Settings::default()).await.unwrap();
+    let at = kv.served.address.to_string();
+    let first = settings();
+    let run = |args: Vec<String>| async move {
+        let call = move || foldlock(&args.iter().map(String::as_str).collect::<Vec<_>>());
+        tokio::task::spawn_blocking(call).await.unwrap()
+    };
+    let args = |words: &[&str]| words.iter().map(|w| (*w).to_owned()).collect::<Vec<_>>();
+    let apply =
+        |dir: &TempDir, who: &str| args(&["apply", text(dir), "--kv", &at, "--author", who]);
+    assert!(run(apply(&first, "ann")).await.status.success());
+
+    let second = TempDir::new().unwrap();
+    let fetched = run(args(&["fetch", text(&second), "--kv", &at])).await;
+    assert!(fetched.status.success(), "{fetched:?}");
+    edit(&first, "\"timeout_ms\": 5000", "\"timeout_ms\": 6000");
+    assert!(run(apply(&first, "ann")).await.status.success());
+
+    edit(&second, "\"timeout_ms\": 5000", "\"timeout_ms\": 7000");
+    let lost = run(apply(&second, "ben")).await;
+    check(
+        &lost,
+        4,
+        expect![""],
+        expect![[r#"
+            version 2 by ann: organisation/tour
+            the branches above changed since your version; fetch, then apply again
+        "#]],
+    );
+    let again = run(args(&["fetch", text(&second), "--kv", &at])).await;
+    assert_eq!(again.status.code(), Some(2), "changes that are not applied are kept");
+    let store = HttpStore::new(Client::default(), &at);
+    assert_eq!(read_head(&store).await.unwrap().0.version, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_first_apply_of_many_branches_waits_for_the_stores_rate() {
+    let address = ([127, 0, 0, 1], 0).into();
+    let settings = kv::Settings { writes_per_s: 20.0, ..kv::Settings::default() };
+    let kv = kv::serve(address, settings).await.unwrap();
+    let dir = self::settings();
+    for i in 0..40 {
+        let path = dir.path().join(format!("organisation/org-{i}.jsonc"));
+        std::fs::write(path, format!("// {i}\n{{}}")).unwrap();
+    }
+    let at = kv.served.address.to_string();
+    let path = text(&dir).to_owned();
+    let call = move || foldlock(&["apply", &path, "--kv", &at]);
+    let output = tokio::task::spawn_blocking(call).await.unwrap();
+    assert!(output.status.success(), "{output:?}");
+    assert!(kv.kv.stats().limited > 0);
+}
+
+#[test]
+fn completions_and_schema() {
+    assert!(foldlock(&["completions", "bash"]).status.success());
+    let schema = foldlock(&["schema", "organisation/x"]);
+    let value: serde_json::Value = serde_json::from_slice(&schema.stdout).unwrap();
+    assert_eq!(value["properties"]["keys"]["type"], "array");
+}
--- a/connection/src/peer.rs
+++ b/connection/src/peer.rs
@@ -1,5 +1,6 @@
 //! Opening and serving connections between VMs.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use tarpc::server::BaseChannel;
 use tokio::net::TcpStream;
 use tokio_util::codec::LengthDelimitedCodec;
+use tokio_util::io::{InspectReader, InspectWriter};
 
 use crate::http::{Failure, chain};
 use crate::wire::{PATH, PROTOCOL, PeerClient, PeerRequest, PeerResponse};
@@ -56,10 +58,10 @@
     Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
 }
 
-fn framed(
-    upgraded: Upgraded,
-) -> tokio_util::codec::Framed<TokioIo<Upgraded>, LengthDelimitedCodec> {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE).new_framed(TokioIo::new(upgraded))
+fn framed(upgraded: Upgraded) -> tokio_util::codec::Framed<Counted, LengthDelimitedCodec> {
+    let read = InspectReader::new(TokioIo::new(upgraded), count_received as fn(&[u8]));
+    let counted = InspectWriter::new(read, count_sent as fn(&[u8]));
+    LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE).new_framed(counted)
 }
 
 /// Whether a request asks for a connection between VMs.
@@ -74,7 +76,26 @@
 type Inward = tarpc::ClientMessage<PeerRequest>;
 type Outward = tarpc::Response<PeerResponse>;
 type Format = tokio_serde::formats::MessagePack<Inward, Outward>;
-type Transport = tarpc::serde_transport::Transport<TokioIo<Upgraded>, Inward, Outward, Format>;
+type Transport = tarpc::serde_transport::Transport<Counted, Inward, Outward, Format>;
+
+/// A connection whose bytes are counted.
+type Counted = InspectWriter<InspectReader<TokioIo<Upgraded>, fn(&[u8])>, fn(&[u8])>;
+
+static RECEIVED: AtomicU64 = AtomicU64::new(0);
+static SENT: AtomicU64 = AtomicU64::new(0);
+
+/// Bytes that this process received from and sent to peers so far.
+pub fn bytes() -> (u64, u64) {
+    (RECEIVED.load(Ordering::Relaxed), SENT.load(Ordering::Relaxed))
+}
+
+fn count_received(bytes: &[u8]) {
+    RECEIVED.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+}
+
+fn count_sent(bytes: &[u8]) {
+    SENT.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+}
 
 /// Accepts an upgrade; `run` gets the connection and serves the peer's calls until it ends.
 pub fn accept<F, R>(request: Request<Incoming>, run: F) -> Response<Full<Bytes>>
--- /dev/null
+++ b/connection/tests/events.rs
@@ -0,0 +1,58 @@
+//! Events are checked: whatever an engine sends, a caller sees a prefix of its own answer.
+
+use bytes::Bytes;
+use foldlock_connection::events::{Checker, Event};
+use foldlock_connection::wire::{Claim, Word};
+use proptest::prelude::*;
+
+fn line(request: &str, index: u64) -> String {
+    format!("data: {{\"r\":\"{request}\",\"i\":{index},\"t\":\"t{index} \"}}\n\n")
+}
+
+proptest! {
+    /// Late, doubled, crossed, skipped and reordered events, cut into any pieces.
+    #[test]
+    fn only_a_prefix_of_the_own_answer_passes(
+        events in prop::collection::vec((0u8..10, 0u64..30), 0..60),
+        piece in 1usize..50,
+    ) {
+        let mut text = String::new();
+        let mut next = 0;
+        for (kind, other) in events {
+            match kind {
+                0 => text.push_str(&line("other", next)),
+                1 => text.push_str(&line("own", other)),
+                _ => {
+                    text.push_str(&line("own", next));
+                    next += 1;
+                }
+            }
+        }
+        let mut checker = Checker::new("own", 0);
+        let mut seen = Vec::new();
+        for piece in text.as_bytes().chunks(piece) {
+            if checker.push(Bytes::copy_from_slice(piece), |e| seen.push(e)).is_err() {
+                break;
+            }
+        }
+        for (i, event) in seen.iter().enumerate() {
+            let expected = Event::Token { index: i as u64, text: format!("t{i} ") };
+            prop_assert_eq!(event, &expected);
+        }
+    }
+
+    /// Any bytes at all: an error or nothing, never a panic.
+    #[test]
+    fn any_bytes(bytes: Vec<u8>) {
+        let mut checker = Checker::new("own", 0);
+        let _ = checker.push(bytes.into(), |_| {});
+    }
+
+    /// Numbers of 128 bits survive the encoding between VMs.
+    #[test]
+    fn claims_are_encoded(key: u128, nonce: u128) {
+        let claim = Claim { key, nonce, word: Word::Release };
+        let bytes = rmp_serde::to_vec(&claim).unwrap();
+        prop_assert_eq!(rmp_serde::from_slice::<Claim>(&bytes).unwrap(), claim);
+    }
+}
--- /dev/null
+++ b/daemon/src/attempt.rs
@@ -0,0 +1,292 @@
+//! One attempt at a request: sent to a place, and its answer read to the end.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::System;
+use foldlock_base::error::Refusal;
+use foldlock_base::prelude::*;
+use foldlock_connection::engine::{Engine as _, Failure, HttpStream, Stream as _};
+use foldlock_connection::events::{Checker, Event as Part};
+use foldlock_request::decision::Decision;
+use futures::FutureExt;
+
+use crate::engines::{Flight, Wanted};
+use crate::gate::{self, Place};
+use crate::group;
+use crate::serve::{Job, Progress, Sink, millis};
+
+/// An engine that sends nothing for this long, once an answer has begun, is taken for broken.
+const STALL: Duration = Duration::from_secs(2);
+
+/// The least time that the first token is waited for before a request is moved.
+const PATIENCE: Duration = Duration::from_millis(750);
+
+/// How many times the predicted time the first token is waited for.
+const PATIENCE_FACTOR: f64 = 4.0;
+
+/// Events that are passed on in one piece at most.
+const BATCH: usize = 64;
+
+/// How an attempt ended.
+pub enum End {
+    /// The whole answer was given.
+    Finished,
+    /// It did not run.
+    NotRun {
+        /// The proof.
+        proof: Refusal,
+        /// Why.
+        why: String,
+    },
+    /// It broke off.
+    Broken(String),
+    /// Its first token is late, and another engine would do better.
+    Slow(String),
+    /// The deadline passed.
+    Deadline,
+    /// The caller went away.
+    Gone,
+}
+
+/// Sends a request once and reads the answer.
+pub async fn run<S: Sink>(
+    job: &Job,
+    mut place: Place,
+    sink: &mut S,
+    progress: &mut Progress,
+) -> End {
+    if progress.tokens > 0 {
+        job.process.metrics.resumed.inc();
+        let upstream = place.engine().clone();
+        job.record(Decision::Resumed { index: progress.tokens, upstream });
+    }
+    let begun = tokio::select! {
+        begun = begin(job, &mut place, progress) => begun,
+        () = sink.gone() => return End::Gone,
+        () = tokio::time::sleep_until(job.deadline.instant().into()) => Err(End::Deadline),
+    };
+    let mut stream = match begun {
+        Ok(stream) => stream,
+        Err(end) => {
+            judge(&place, &end);
+            return end;
+        }
+    };
+    sink.source(job, place.engine(), stream.id());
+    let end = read(job, &mut place, &mut stream, sink, progress).await;
+    judge(&place, &end);
+    let kept = matches!(end, End::Gone) && job.policy.resume_window_ms > 0;
+    if !matches!(end, End::Finished) && !kept {
+        cancel(&place, stream.id());
+    }
+    end
+}
+
+/// What an attempt's end says of its engine.
+fn judge(place: &Place, end: &End) {
+    match end {
+        End::Broken(_) | End::Slow(_) => place.flight().failed(),
+        End::NotRun { why, .. } if why.starts_with("no connection") => place.flight().failed(),
+        _ => {}
+    }
+}
+
+/// Ends a stream at its engine, so that its memory is free at once.
+fn cancel(place: &Place, stream: &str) {
+    let client = place.flight().client.clone();
+    let stream = stream.to_owned();
+    tokio::spawn(async move {
+        let _ = client.cancel(&stream).await;
+    });
+}
+
+async fn begin(job: &Job, place: &mut Place, progress: &Progress) -> Result<HttpStream, End> {
+    let result = match place {
+        Place::Engine(flight) => {
+            let order = job.order(progress);
+            let answered = flight.client.generate(&order);
+            tokio::pin!(answered);
+            loop {
+                let wait = patience(job, flight.predicted);
+                match tokio::time::timeout(wait, answered.as_mut()).await {
+                    Ok(result) => break result,
+                    Err(_) if can_move(job, flight, progress) => {
+                        return Err(End::Slow("it does not accept the request".to_owned()));
+                    }
+                    Err(_) => {}
+                }
+            }
+        }
+        Place::Group(group) => group::begin(job, group, progress).await,
+    };
+    result.map_err(|failure| match failure {
+        Failure::NotRun { proof, leaving, why } => {
+            if leaving {
+                job.process.upstream_leaving(place.engine());
+            }
+            End::NotRun { proof, why }
+        }
+        other => End::Broken(other.to_string()),
+    })
+}
+
+/// How long the first token is waited for until moving the request is considered.
+fn patience(job: &Job, predicted: f64) -> Duration {
+    Duration::from_secs_f64(predicted * PATIENCE_FACTOR).max(PATIENCE).min(job.left())
+}
+
+/// Whether a request whose first token is late may be moved, and would do better elsewhere: in
+/// less than half of the time that it has waited.
+fn can_move(job: &Job, flight: &Flight<System>, progress: &Progress) -> bool {
+    let policy = &job.policy;
+    if !policy.repeatable || progress.attempts > policy.retries {
+        return false;
+    }
+    let waited = (job.process.clock.now() - flight.sent).as_secs_f64();
+    // An engine that failed the request before may do by now what this one does not.
+    let wanted = Wanted { avoid: &[], ..gate::wanted(job, progress) };
+    job.process.engines.better(&wanted, &flight.engine, waited / 2.0)
+}
+
+async fn read<S: Sink>(
+    job: &Job,
+    place: &mut Place,
+    stream: &mut HttpStream,
+    sink: &mut S,
+    progress: &mut Progress,
+) -> End {
+    let mut checker = Checker::new(job.request.as_str(), progress.tokens);
+    let mut parts = Vec::new();
+    let mut began = false;
+    let mut ahead = None;
+    loop {
+        let wait = match (began, &*place) {
+            (true, _) => STALL,
+            (false, Place::Engine(flight)) => patience(job, flight.predicted),
+            (false, Place::Group(_)) => job.left(),
+        };
+        let until = (Instant::now() + wait).min(job.deadline.instant());
+        let bytes = tokio::select! {
+            bytes = next(stream, &mut ahead) => bytes,
+            () = sink.gone() => return End::Gone,
+            () = tokio::time::sleep_until(until.into()) => match late(job, place, began, progress) {
+                Some(end) => return end,
+                None => continue,
+            },
+        };
+        let taken = match bytes {
+            Ok(Some(bytes)) => take(bytes, &mut checker, &mut parts),
+            Ok(None) => Err("the answer ended early".to_owned()),
+            Err(failure) => Err(failure.to_string()),
+        };
+        if let Err(why) = taken {
+            return End::Broken(why);
+        }
+        // What has come already goes to the caller in one piece.
+        while parts.len() < BATCH
+            && let Some(more) = stream.next().now_or_never()
+        {
+            match more {
+                Ok(Some(bytes)) => {
+                    if let Err(why) = take(bytes, &mut checker, &mut parts) {
+                        ahead = Some(Err(Failure::Broken(why)));
+                        break;
+                    }
+                }
+                end => {
+                    ahead = Some(end);
+                    break;
+                }
+            }
+        }
+        if !began && !parts.is_empty() {
+            began = true;
+            first_token(job, place, stream.cached(), progress);
+        }
+        let ended = keep(&parts, job.policy.resume, progress);
+        let sent = tokio::select! {
+            sent = sink.take(&parts) => sent,
+            () = tokio::time::sleep_until(job.deadline.instant().into()) => return End::Deadline,
+        };
+        if ended {
+            return finish(job, place, progress);
+        }
+        if !sent {
+            return End::Gone;
+        }
+        parts.clear();
+    }
+}
+
+type Bytes = Result<Option<bytes::Bytes>, Failure>;
+
+/// The next bytes of a stream: what was read ahead, or what comes.
+async fn next(stream: &mut HttpStream, ahead: &mut Option<Bytes>) -> Bytes {
+    match ahead.take() {
+        Some(bytes) => bytes,
+        None => stream.next().await,
+    }
+}
+
+/// Adds the events that bytes complete.
+fn take(bytes: bytes::Bytes, checker: &mut Checker, parts: &mut Vec<Part>) -> Result<(), String> {
+    checker.push(bytes, |part| parts.push(part)).map_err(|fault| fault.to_string())
+}
+
+/// What follows when nothing came for a while; none where the request waits on.
+fn late(job: &Job, place: &Place, began: bool, progress: &Progress) -> Option<End> {
+    if job.left().is_zero() {
+        return Some(End::Deadline);
+    }
+    if began {
+        return Some(End::Broken(format!("nothing came for {} ms", STALL.as_millis())));
+    }
+    match place {
+        Place::Engine(flight) if can_move(job, flight, progress) => {
+            Some(End::Slow("the first token is late".to_owned()))
+        }
+        _ => None,
+    }
+}
+
+/// Adds parts to the progress. Gives whether the answer has ended.
+fn keep(parts: &[Part], keep_text: bool, progress: &mut Progress) -> bool {
+    let mut ended = false;
+    for part in parts {
+        match part {
+            Part::Token { text, .. } => {
+                progress.tokens += 1;
+                if keep_text {
+                    progress.text.push_str(text);
+                }
+            }
+            Part::End { .. } => ended = true,
+        }
+    }
+    ended
+}
+
+fn first_token(job: &Job, place: &mut Place, cached: Tokens, progress: &mut Progress) {
+    let now = job.process.clock.now();
+    if let Place::Engine(flight) = place {
+        let real = (now - flight.sent).as_secs_f64();
+        job.process.metrics.prediction.observe(flight.predicted / real.max(1e-6));
+    }
+    place.first_token(cached);
+    if progress.first_token.is_none() {
+        let since = now - job.arrived;
+        progress.first_token = Some(since);
+        job.process.metrics.first_token(job.tokens.0, since.as_secs_f64());
+    }
+}
+
+fn finish(job: &Job, place: &Place, progress: &Progress) -> End {
+    let first = progress.first_token.unwrap_or_default();
+    let sent = place.flight().sent - job.arrived;
+    job.record(Decision::Finished {
+        first_token_ms: millis(first),
+        engine_ms: millis(first.saturating_sub(sent)),
+        tokens: progress.tokens,
+    });
+    End::Finished
+}
--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -1,13 +1,15 @@
 //! The engines as this VM knows them: its own work on each, what it learnt of their speed and
 //! caches, and what their homes say.
 
+mod flight;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::Clock;
+use foldlock_base::hash;
 use foldlock_base::prelude::*;
-use foldlock_base::{hash, prefix};
 use foldlock_connection::engine::HttpEngine;
 use foldlock_connection::http::Client;
 use foldlock_connection::wire::{Load, State};
@@ -15,13 +17,15 @@
 use foldlock_request::decision::{Cause, Seen};
 use foldlock_request::health::Health;
 use foldlock_request::route::{Ask, Candidate, Routes};
-use foldlock_request::speed::{Model, Work};
+use foldlock_request::speed::Model;
 use foldlock_version::policy::{Class, Policy};
 use foldlock_version::schema;
 use foldlock_version::tree::Tree;
 use serde::Serialize;
 use tokio::sync::Notify;
 
+pub use flight::Flight;
+
 /// What a home says counts for this long.
 const HOME_FRESH: Duration = Duration::from_secs(2);
 
@@ -410,83 +414,3 @@
         self.leaving_at.max(told).is_some_and(|at| now < at + LEAVING_KEPT)
     }
 }
-
-/// A request that counts as load of an engine until this is dropped.
-pub struct Flight<C: Clock> {
-    /// The engine's adapter.
-    pub client: HttpEngine,
-    /// The engine.
-    pub engine: id::Upstream,
-    /// The predicted seconds to the first token.
-    pub predicted: f64,
-    /// What was compared.
-    pub seen: Vec<Seen>,
-    /// When the engine was chosen.
-    pub sent: Instant,
-    engines: Arc<Engines<C>>,
-    slot: u64,
-    load: Load,
-    work: Work,
-    blocks: Vec<u64>,
-    bytes_per_token: u32,
-}
-
-impl<C: Clock> Flight<C> {
-    /// The first token came: the prompt is no longer queued, and the model learns.
-    pub fn first_token(&mut self, cached: Tokens) {
-        let now = self.engines.clock.now();
-        let seconds = (now - self.sent).as_secs_f64();
-        let (slot, work, blocks) = (self.slot, self.work, std::mem::take(&mut self.blocks));
-        let hits = (cached.0 * u64::from(self.bytes_per_token)) as usize / prefix::BLOCK;
-        let prefill = self.load.prefill_only();
-        self.load = self.load.minus(prefill);
-        self.engines.with(&self.engine, |local| {
-            local.own = local.own.minus(prefill);
-            local.health.succeeded();
-            if local.flights.remove(&slot).is_some() {
-                local.speed.learn(work, seconds);
-                local.learnt_at = now;
-            }
-            local.affinity.correct(&blocks, hits);
-            local.affinity.stored(&blocks, now);
-        });
-    }
-
-    /// The prompt is computed, without a token that would tell how fast.
-    pub fn computed(&mut self) {
-        let prefill = self.load.prefill_only();
-        self.load = self.load.minus(prefill);
-        let slot = self.slot;
-        self.engines.with(&self.engine, |local| {
-            local.own = local.own.minus(prefill);
-            local.health.succeeded();
-            local.flights.remove(&slot);
-        });
-    }
-
-    /// The engine failed the request.
-    pub fn failed(&self) {
-        let now = self.engines.clock.now();
-        self.engines.with(&self.engine, |local| {
-            local.health.failed(now);
-            local.affinity.clear();
-        });
-    }
-
-    /// The engine refused the request, since it is leaving.
-    pub fn refused_leaving(&self) {
-        self.engines.leaving(&self.engine);
-    }
-}
-
-impl<C: Clock> Drop for Flight<C> {
-    fn drop(&mut self) {
-        let (slot, load) = (self.slot, self.load);
-        self.engines.with(&self.engine, |local| {
-            local.own = local.own.minus(load);
-            if local.flights.remove(&slot).is_some() {
-                local.health.undecided();
-            }
-        });
-    }
-}
--- /dev/null
+++ b/daemon/src/engines/flight.rs
@@ -0,0 +1,94 @@
+//! A request on its way at an engine.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use foldlock_base::clock::Clock;
+use foldlock_base::prefix;
+use foldlock_base::prelude::*;
+use foldlock_connection::engine::HttpEngine;
+use foldlock_connection::wire::Load;
+use foldlock_request::decision::Seen;
+use foldlock_request::speed::Work;
+
+use super::Engines;
+
+/// A request that counts as load of an engine until this is dropped.
+pub struct Flight<C: Clock> {
+    /// The engine's adapter.
+    pub client: HttpEngine,
+    /// The engine.
+    pub engine: id::Upstream,
+    /// The predicted seconds to the first token.
+    pub predicted: f64,
+    /// What was compared.
+    pub seen: Vec<Seen>,
+    /// When the engine was chosen.
+    pub sent: Instant,
+    pub(super) engines: Arc<Engines<C>>,
+    pub(super) slot: u64,
+    pub(super) load: Load,
+    pub(super) work: Work,
+    pub(super) blocks: Vec<u64>,
+    pub(super) bytes_per_token: u32,
+}
+
+impl<C: Clock> Flight<C> {
+    /// The first token came: the prompt is no longer queued, and the model learns.
+    pub fn first_token(&mut self, cached: Tokens) {
+        let now = self.engines.clock.now();
+        let seconds = (now - self.sent).as_secs_f64();
+        let (slot, work, blocks) = (self.slot, self.work, std::mem::take(&mut self.blocks));
+        let hits = (cached.0 * u64::from(self.bytes_per_token)) as usize / prefix::BLOCK;
+        let prefill = self.load.prefill_only();
+        self.load = self.load.minus(prefill);
+        self.engines.with(&self.engine, |local| {
+            local.own = local.own.minus(prefill);
+            local.health.succeeded();
+            if local.flights.remove(&slot).is_some() {
+                local.speed.learn(work, seconds);
+                local.learnt_at = now;
+            }
+            local.affinity.correct(&blocks, hits);
+            local.affinity.stored(&blocks, now);
+        });
+    }
+
+    /// The prompt is computed, without a token that would tell how fast.
+    pub fn computed(&mut self) {
+        let prefill = self.load.prefill_only();
+        self.load = self.load.minus(prefill);
+        let slot = self.slot;
+        self.engines.with(&self.engine, |local| {
+            local.own = local.own.minus(prefill);
+            local.health.succeeded();
+            local.flights.remove(&slot);
+        });
+    }
+
+    /// The engine failed the request.
+    pub fn failed(&self) {
+        let now = self.engines.clock.now();
+        self.engines.with(&self.engine, |local| {
+            local.health.failed(now);
+            local.affinity.clear();
+        });
+    }
+
+    /// The engine refused the request, since it is leaving.
+    pub fn refused_leaving(&self) {
+        self.engines.leaving(&self.engine);
+    }
+}
+
+impl<C: Clock> Drop for Flight<C> {
+    fn drop(&mut self) {
+        let (slot, load) = (self.slot, self.load);
+        self.engines.with(&self.engine, |local| {
+            local.own = local.own.minus(load);
+            if local.flights.remove(&slot).is_some() {
+                local.health.undecided();
+            }
+        });
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod app;
+pub mod attempt;
 pub mod claims;
 pub mod complete;
 pub mod config;
--- a/daemon/src/members.rs
+++ b/daemon/src/members.rs
@@ -140,21 +140,10 @@
         if member.vm == inner.own.vm {
             return None;
         }
-        let news = match inner.known.get_mut(&member.vm) {
+        let known = inner.known.get(&member.vm);
+        let news = match known {
             Some(known) if known.member.incarnation > member.incarnation => None,
-            Some(known) => {
-                known.heard = now;
-                let before = std::mem::replace(&mut known.member, member.clone());
-                if before != *member {
-                    known.spread = SPREAD;
-                }
-                change(Some(&before), member)
-            }
-            None => {
-                let known = Known { member: member.clone(), heard: now, spread: SPREAD };
-                inner.known.insert(member.vm.clone(), known);
-                change(None, member)
-            }
+            _ => inner.adopt(member, now),
         };
         drop(inner);
         self.told(news)
@@ -170,19 +159,10 @@
             }
             return None;
         }
-        let news = match inner.known.get_mut(&member.vm) {
+        let known = inner.known.get(&member.vm);
+        let news = match known {
             Some(known) if !goes_before(member, &known.member) => None,
-            Some(known) => {
-                let before = std::mem::replace(&mut known.member, member.clone());
-                known.heard = now;
-                known.spread = SPREAD;
-                change(Some(&before), member)
-            }
-            None => {
-                let known = Known { member: member.clone(), heard: now, spread: SPREAD };
-                inner.known.insert(member.vm.clone(), known);
-                change(None, member)
-            }
+            _ => inner.adopt(member, now),
         };
         drop(inner);
         self.told(news)
@@ -272,6 +252,18 @@
     }
 }
 
+impl Inner {
+    /// Takes what is said of a member for what is known; it spreads on if it is new.
+    fn adopt(&mut self, member: &Member, now: Instant) -> Option<News> {
+        let known = Known { member: member.clone(), heard: now, spread: SPREAD };
+        let before = self.known.insert(member.vm.clone(), known);
+        if let Some(before) = before.as_ref().filter(|b| b.member == *member) {
+            self.known.get_mut(&member.vm)?.spread = before.spread;
+        }
+        change(before.as_ref().map(|b| &b.member), member)
+    }
+}
+
 /// Whether what is said of a member goes before what is known.
 fn goes_before(said: &Member, known: &Member) -> bool {
     let rank = |m: &Member| (m.incarnation, m.down, m.leaving);
--- /dev/null
+++ b/daemon/tests/route.rs
@@ -0,0 +1,126 @@
+//! Routes choose only what is open, and are decided by what they are given.
+
+use std::time::Instant;
+
+use foldlock_base::size::Tokens;
+use foldlock_connection::wire::Load;
+use foldlock_request::affinity::Table;
+use foldlock_request::cursor::{Cursor, Key};
+use foldlock_request::route::{Ask, Candidate, Routes};
+use foldlock_request::speed::Model;
+use foldlock_version::policy::{Policy, Route};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn candidate() -> impl Strategy<Value = Candidate> {
+    (0u32..64, prop::array::uniform4(0u64..300_000), 0u64..400_000, 0u64..1_000, 0u32..20).prop_map(
+        |(requests, prefill, memory, cached, long_rank)| {
+            let load =
+                Load { requests, long: 0, prefill: prefill.map(Tokens), memory: Tokens(memory) };
+            Candidate {
+                engine: format!("engine-{long_rank}").parse().unwrap(),
+                own: load,
+                fleet: load,
+                report: None,
+                cached: Tokens(cached),
+                memory: Tokens(400_000),
+                speed: Model::default(),
+                overdue: 0.0,
+                long_rank,
+            }
+        },
+    )
+}
+
+fn ask(tokens: u64) -> Ask {
+    let class = Policy::default().class(Tokens(tokens));
+    Ask { prompt: Tokens(tokens), memory: Tokens(tokens + 100), class }
+}
+
+proptest! {
+    /// No request is given to an engine whose memory it does not fit, by what is known.
+    #[test]
+    fn no_engine_over_its_memory(
+        candidates in prop::collection::vec(candidate(), 1..20),
+        tokens in 1u64..399_000,
+        seed: u64,
+    ) {
+        let ask = ask(tokens);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let choice = Routes::default().choose(Route::LengthAware, &ask, &candidates, &mut rng);
+        if let Some(choice) = choice {
+            prop_assert!(candidates[choice.index].fits(&ask));
+            prop_assert!(candidates[choice.index].closed(&ask).is_none());
+        } else {
+            prop_assert!(candidates.iter().all(|c| c.closed(&ask).is_some()));
+        }
+    }
+
+    /// The same candidates and seed give the same choice, by each route.
+    #[test]
+    fn decisions_are_reproducible(
+        candidates in prop::collection::vec(candidate(), 1..20),
+        tokens in 1u64..399_000,
+        seed: u64,
+    ) {
+        for route in Route::ALL {
+            let choose = || {
+                let mut rng = StdRng::seed_from_u64(seed);
+                let choice = Routes::default().choose(*route, &ask(tokens), &candidates, &mut rng);
+                choice.map(|c| c.index)
+            };
+            prop_assert_eq!(choose(), choose());
+        }
+    }
+
+    /// A longer class never goes before a shorter one of the same settings and age, and each
+    /// reaches the priority of short ones before its time is up.
+    #[test]
+    fn priorities_follow_class_and_age(base in 0u8..9, used in 0.0..1.0f64) {
+        let policy = Policy::default();
+        let aged = |tokens: u64, used| foldlockd::gate::aged(base, policy.class(Tokens(tokens)), used);
+        let lengths = [1_000, 20_000, 100_000, 500_000];
+        for pair in lengths.windows(2) {
+            prop_assert!(aged(pair[0], used) <= aged(pair[1], used));
+        }
+        for tokens in lengths {
+            prop_assert_eq!(aged(tokens, 0.76), base);
+            prop_assert!(aged(tokens, used) >= aged(tokens, (used + 0.1).min(1.0)));
+        }
+    }
+
+    /// The table of prefixes stays bounded and knows what was stored last.
+    #[test]
+    fn prefixes_stay_bounded(prompts in prop::collection::vec(any::<u64>(), 1..600)) {
+        let now = Instant::now();
+        let mut table = Table::default();
+        for first in prompts {
+            let blocks: Vec<u64> = (0..64).map(|i| first.wrapping_add(i)).collect();
+            table.stored(&blocks, now);
+            prop_assert_eq!(table.cached(&blocks, now, 4), Tokens(64 * 256));
+            table.correct(&blocks, 10);
+            prop_assert_eq!(table.cached(&blocks, now, 4), Tokens(10 * 256));
+        }
+    }
+
+    /// A cursor is read back as it was, and any change of its text is noticed.
+    #[test]
+    fn cursors_are_genuine(index: u64, flip in 0usize..400, secret: String) {
+        let key = Key::new(&secret);
+        let cursor = Cursor {
+            engine: "engine-1".parse().unwrap(),
+            stream: "1f.3".to_owned(),
+            request: "vm-1-2-3".parse().unwrap(),
+            organisation: "acme".parse().unwrap(),
+            index,
+        };
+        let text = cursor.sign(&key);
+        prop_assert_eq!(Cursor::verify(&key, &text), Ok(cursor));
+        let mut bytes = text.clone().into_bytes();
+        let at = flip % bytes.len();
+        bytes[at] = if bytes[at] == b'A' { b'B' } else { b'A' };
+        let changed = String::from_utf8(bytes).unwrap();
+        prop_assert!(Cursor::verify(&key, &changed).is_err());
+    }
+}
--- /dev/null
+++ b/request/tests/limits.rs
@@ -0,0 +1,181 @@
+//! Limits that are split among VMs, fair queues and budgets.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::{Clock, Manual};
+use foldlock_base::id;
+use foldlock_base::size::Tokens;
+use foldlock_connection::wire::Demand;
+use foldlock_request::fair::Queue;
+use foldlock_request::health::Health;
+use foldlock_request::limit::Limit;
+use foldlock_request::quota::{self, LEASE, Ledger, Limits};
+use foldlock_request::retry::Budget;
+use foldlock_version::policy::Policy;
+use proptest::prelude::*;
+
+fn demand() -> impl Strategy<Value = Demand> {
+    (0u32..50, 0f32..100.0, 0f32..1e6).prop_map(|(concurrency, requests_per_s, tokens)| Demand {
+        concurrency,
+        requests_per_s,
+        prompt_tokens_per_s: tokens,
+    })
+}
+
+fn vm(i: usize) -> id::Vm {
+    format!("vm-{i}").parse().unwrap()
+}
+
+proptest! {
+    /// Whoever asks, joins, falls silent or comes back: what VMs hold under one home, by their own
+    /// leases, never sums to more than the limit.
+    #[test]
+    fn quotas_never_sum_to_more_than_the_limit(
+        concurrency in 1u32..200,
+        exchanges in prop::collection::vec((0usize..12, demand(), 0u64..1500), 1..80),
+    ) {
+        let limits = Limits { concurrency };
+        let mut ledger = Ledger::default();
+        let mut held: BTreeMap<usize, (Limits, u32, f32, Instant)> = BTreeMap::new();
+        let mut now = Instant::now();
+        for (i, demand, passed_ms) in exchanges {
+            now += Duration::from_millis(passed_ms);
+            let quota = ledger.exchange(limits, &vm(i), demand, now);
+            held.insert(i, (limits, quota.concurrency, quota.requests, now));
+            held.retain(|_, (_, _, _, at)| now < *at + LEASE);
+            let slots: u32 = held.values().map(|h| h.1).sum();
+            let shares: f32 = held.values().map(|h| h.2).sum();
+            prop_assert!(slots <= concurrency, "{slots} slots of {concurrency}");
+            prop_assert!(shares <= 1.0 + 1e-3, "{shares}");
+        }
+    }
+
+    /// After each VM has asked twice with steady demand, all of the limit is given out.
+    #[test]
+    fn nothing_is_left_over(concurrency in 1u32..200, demands in prop::collection::vec(demand(), 1..10)) {
+        let limits = Limits { concurrency };
+        let mut ledger = Ledger::default();
+        let now = Instant::now();
+        let mut slots = 0;
+        for _ in 0..2 + demands.len() {
+            slots = 0;
+            for (i, demand) in demands.iter().enumerate() {
+                slots += ledger.exchange(limits, &vm(i), *demand, now).concurrency;
+            }
+        }
+        prop_assert_eq!(slots, concurrency);
+    }
+
+    /// A split follows demand: who demands more gets no less.
+    #[test]
+    fn a_split_follows_demand(concurrency in 1u32..200, demands in prop::collection::vec(demand(), 2..10)) {
+        let by_vm: BTreeMap<id::Vm, Demand> =
+            demands.iter().enumerate().map(|(i, d)| (vm(i), *d)).collect();
+        let split = quota::split(Limits { concurrency }, &by_vm);
+        prop_assert_eq!(split.values().map(|q| q.concurrency).sum::<u32>(), concurrency);
+        for (a, da) in &by_vm {
+            for (b, db) in &by_vm {
+                if da.concurrency > db.concurrency {
+                    prop_assert!(split[a].concurrency + 1 >= split[b].concurrency);
+                }
+            }
+        }
+    }
+
+    /// At one VM no more run than its part, and the rate is kept over any time.
+    #[test]
+    fn a_vm_keeps_its_part(
+        concurrency in 1u32..10,
+        rate in 1u32..50,
+        steps in prop::collection::vec((0u64..200, any::<bool>()), 1..200),
+    ) {
+        let clock = Manual::default();
+        let policy = Policy { concurrency, requests_per_s: rate, ..Policy::default() };
+        let limit = Arc::new(Limit::new(clock.clone()));
+        let mut permits = Vec::new();
+        let mut admitted = 0;
+        let start = clock.now();
+        for (passed_ms, end_one) in steps {
+            clock.advance(Duration::from_millis(passed_ms));
+            if end_one {
+                permits.pop();
+            }
+            if let Ok(permit) = limit.admit(&policy, 1, Tokens(10)) {
+                permits.push(permit);
+                admitted += 1;
+            }
+            prop_assert!(permits.len() as u32 <= concurrency);
+            let seconds = (clock.now() - start).as_secs_f64();
+            prop_assert!(f64::from(admitted) <= f64::from(rate) * (seconds + 1.0) + 1.0);
+        }
+    }
+
+    /// Where two organisations always have requests waiting, they are served by weight.
+    #[test]
+    fn weights_are_respected(heavy in 1u32..10, tokens in 100u64..10_000) {
+        let queue = Arc::new(Queue::default());
+        let (a, b): (id::Organisation, id::Organisation) = ("a".parse().unwrap(), "b".parse().unwrap());
+        let mut waiting = Vec::new();
+        for _ in 0..200 {
+            waiting.push(("a", queue.enter(&a, heavy, tokens)));
+            waiting.push(("b", queue.enter(&b, 1, tokens)));
+        }
+        let mut served = (0u32, 0u32);
+        while served.0 + served.1 < 110 {
+            let next = waiting.iter().position(|(_, t)| t.is_next()).unwrap();
+            let (who, _ticket) = waiting.swap_remove(next);
+            if who == "a" { served.0 += 1 } else { served.1 += 1 }
+        }
+        let share = f64::from(served.0) / 110.0;
+        let expected = f64::from(heavy) / f64::from(heavy + 1);
+        prop_assert!((share - expected).abs() < 0.05, "{share} {expected}");
+    }
+
+    /// One organisation that queues a flood delays another's next request by at most one of its own.
+    #[test]
+    fn a_flood_does_not_delay_others(flood in 1usize..300, tokens in 1u64..100_000) {
+        let queue = Arc::new(Queue::default());
+        let (a, b): (id::Organisation, id::Organisation) = ("a".parse().unwrap(), "b".parse().unwrap());
+        let mut waiting: Vec<_> = (0..flood).map(|_| queue.enter(&a, 1, tokens)).collect();
+        let other = queue.enter(&b, 1, tokens);
+        let mut before = 0;
+        while !other.is_next() {
+            let next = waiting.iter().position(|t| t.is_next()).unwrap();
+            waiting.swap_remove(next);
+            before += 1;
+        }
+        prop_assert!(before <= 1);
+    }
+
+    /// Retries stay within their share of requests, and a floor.
+    #[test]
+    fn retries_stay_within_budget(percent in 1u8..100, requests in 0u32..500) {
+        let budget = Budget::new(Manual::default());
+        for _ in 0..requests {
+            budget.request();
+        }
+        let allowed = (0..10_000).take_while(|_| budget.retry(percent)).count() as f64;
+        prop_assert!(allowed <= f64::from(requests) * f64::from(percent) / 100.0 + 3.0);
+    }
+
+    /// An upstream that fails is left alone for a while that grows, then tried by one request.
+    #[test]
+    fn a_failing_upstream_is_tried_by_one_request(failures in 1u32..40) {
+        let clock = Manual::default();
+        let mut health = Health::default();
+        for _ in 0..failures {
+            prop_assert!(health.usable(clock.now()));
+            health.sent();
+            health.failed(clock.now());
+            prop_assert!(!health.usable(clock.now()));
+            clock.advance(Duration::from_secs(8));
+        }
+        prop_assert!(health.usable(clock.now()));
+        health.sent();
+        prop_assert!(!health.usable(clock.now()), "the probe is on its way");
+        health.succeeded();
+        prop_assert!(health.usable(clock.now()));
+    }
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -13,6 +13,7 @@
 use crate::fault::{Fault, Kind};
 use crate::memory::Memory;
 use crate::server::LEAVING;
+use crate::stream::Stream;
 
 /// How an engine is made.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -94,77 +95,6 @@
 /// Why an ask is refused: the status and the reason. Nothing ran.
 pub type Refusal = (u16, &'static str);
 
-/// What a stream's readers see.
-#[derive(Debug, Default)]
-pub struct Output {
-    /// The tokens so far.
-    pub tokens: Vec<String>,
-    /// Why it ended, once it has.
-    pub end: Option<&'static str>,
-    /// The prefix state after the prompt, once it is computed.
-    pub state: Option<u64>,
-    /// Whether it was broken off.
-    pub dead: bool,
-}
-
-/// A stream: the answer to one request.
-#[derive(Debug)]
-pub struct Stream {
-    /// Its id.
-    pub id: String,
-    /// The request.
-    pub request: String,
-    /// The index of its first token.
-    pub first_index: u64,
-    /// Prompt tokens that were cached.
-    pub cached: u64,
-    /// What goes wrong with it.
-    pub fault: Option<Fault>,
-    output: Mutex<Output>,
-    readers: Mutex<Readers>,
-    changed: Notify,
-}
-
-#[derive(Debug)]
-struct Readers {
-    count: u32,
-    left_at: Instant,
-}
-
-impl Stream {
-    /// Looks at the output.
-    pub fn look<R>(&self, f: impl FnOnce(&Output) -> R) -> R {
-        f(&self.output.lock().unwrap())
-    }
-
-    /// Waits for more output. Take the waiter before looking.
-    pub fn changed(&self) -> tokio::sync::futures::Notified<'_> {
-        self.changed.notified()
-    }
-
-    /// Counts a reader in.
-    pub fn attach(&self) {
-        self.readers.lock().unwrap().count += 1;
-    }
-
-    /// Counts a reader out.
-    pub fn detach(&self) {
-        let mut readers = self.readers.lock().unwrap();
-        readers.count -= 1;
-        readers.left_at = Instant::now();
-    }
-
-    fn abandoned(&self, linger: Duration) -> bool {
-        let readers = self.readers.lock().unwrap();
-        readers.count == 0 && readers.left_at.elapsed() > linger
-    }
-
-    fn write(&self, f: impl FnOnce(&mut Output)) {
-        f(&mut self.output.lock().unwrap());
-        self.changed.notify_waiters();
-    }
-}
-
 struct Job {
     stream: Arc<Stream>,
     ask: Ask,
@@ -291,16 +221,8 @@
         inner.begun += 1;
         *inner.runs.entry(ask.request.clone()).or_default() += 1;
         inner.newest = Some(Instant::now());
-        let stream = Arc::new(Stream {
-            id: format!("{:x}.{}", self.boot, inner.begun),
-            request: ask.request.clone(),
-            first_index: ask.first_index,
-            cached,
-            fault,
-            output: Mutex::default(),
-            readers: Mutex::new(Readers { count: 0, left_at: Instant::now() }),
-            changed: Notify::new(),
-        });
+        let id = format!("{:x}.{}", self.boot, inner.begun);
+        let stream = Arc::new(Stream::new(id, &ask, cached, fault));
         inner.streams.insert(stream.id.clone(), stream.clone());
         let memory = if ask.hold.is_some() { 0 } else { prompt_tokens + ask.max_tokens };
         if let Some(hold) = ask.hold.as_ref().and_then(|h| inner.holds.get_mut(h)) {
--- a/standin/src/engine_http.rs
+++ b/standin/src/engine_http.rs
@@ -13,9 +13,10 @@
 use hyper::{Method, Request, Response};
 use serde::Deserialize;
 
-use crate::engine::{Ask, Engine, Settings, Stream};
+use crate::engine::{Ask, Engine, Settings};
 use crate::fault::{Fault, Kind};
 use crate::server::{self, Body, Served, header, json, query, refused, text};
+use crate::stream::Stream;
 
 /// An engine that is served.
 pub struct Serving {
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod memory;
 pub mod plain;
 pub mod server;
+pub mod stream;
 pub mod vms;
 pub mod weights;
 pub mod workload;
--- a/version/src/publish.rs
+++ b/version/src/publish.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +17,10 @@
 /// How often a swap is tried again after an unrelated change or a lost answer.
 const ATTEMPTS: usize = 16;
 
+/// How long a write that was over the store's rate is waited after, and how often at most.
+const PACE: Duration = Duration::from_millis(100);
+const PACED: usize = 100;
+
 /// The version that an operator's edit began from.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Base {
@@ -173,6 +178,19 @@
         Tree::build(&whole).map(|_| ()).map_err(Refusal::Faults)
     }
 
+    /// Writes one text, as fast as the store's rate allows.
+    async fn write_text(&self, hash: &Hash, text: &str) -> Result<u64, Failure> {
+        let mut result = Err(Failure::Limited);
+        for _ in 0..PACED {
+            result = self.store.swap(&hash.key(), 0, text.as_bytes().to_vec()).await;
+            if result != Err(Failure::Limited) {
+                break;
+            }
+            tokio::time::sleep(PACE).await;
+        }
+        result
+    }
+
     /// Writes the texts that the store lacks. A text that is there already is the same text.
     async fn write_texts(
         &self,
@@ -182,7 +200,7 @@
     ) -> Result<(), Refusal> {
         for name in head::differing(&head.branches, merged) {
             let (Some(hash), Some(text)) = (merged.get(&name), texts.get(&name)) else { continue };
-            match self.store.swap(&hash.key(), 0, text.as_bytes().to_vec()).await {
+            match self.write_text(hash, text).await {
                 Ok(_) | Err(Failure::Conflict) => {}
                 Err(Failure::Unavailable(_)) => {
                     read_text(self.store, hash).await.map_err(Refusal::Store)?;
