Revert two tries: keeping short prompts further from long ones, and reading ahead

Cause: a rank cost of 1.0 and a cost of 1.0 for short prompts beside a long one were meant to bring the slowdown of short prompts from 1.25 under 1.15; reading what has come already in one piece was meant to raise tokens a core-second.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -8,7 +8,6 @@
 use foldlock_connection::engine::{Engine as _, Failure, HttpStream, Stream as _};
 use foldlock_connection::events::{Checker, Event as Part};
 use foldlock_request::decision::Decision;
-use futures::FutureExt;
 
 use crate::engines::{Flight, Wanted};
 use crate::gate::{self, Place};
@@ -24,9 +23,6 @@
 /// How many times the predicted time the first token is waited for.
 const PATIENCE_FACTOR: f64 = 4.0;
 
-/// Events that are passed on in one piece at most.
-const BATCH: usize = 64;
-
 /// How an attempt ended.
 pub enum End {
     /// The whole answer was given.
@@ -158,7 +154,6 @@
     let mut checker = Checker::new(job.request.as_str(), progress.tokens);
     let mut parts = Vec::new();
     let mut began = false;
-    let mut ahead = None;
     loop {
         let wait = match (began, &*place) {
             (true, _) => STALL,
@@ -167,7 +162,7 @@
         };
         let until = (Instant::now() + wait).min(job.deadline.instant());
         let bytes = tokio::select! {
-            bytes = next(stream, &mut ahead) => bytes,
+            bytes = stream.next() => bytes,
             () = sink.gone() => return End::Gone,
             () = tokio::time::sleep_until(until.into()) => match late(job, place, began, progress) {
                 Some(end) => return end,
@@ -182,23 +177,6 @@
         if let Err(why) = taken {
             return End::Broken(why);
         }
-        // What has come already goes to the caller in one piece.
-        while parts.len() < BATCH
-            && let Some(more) = stream.next().now_or_never()
-        {
-            match more {
-                Ok(Some(bytes)) => {
-                    if let Err(why) = take(bytes, &mut checker, &mut parts) {
-                        ahead = Some(Err(Failure::Broken(why)));
-                        break;
-                    }
-                }
-                end => {
-                    ahead = Some(end);
-                    break;
-                }
-            }
-        }
         if !began && !parts.is_empty() {
             began = true;
             first_token(job, place, stream.cached(), progress);
@@ -218,16 +196,6 @@
     }
 }
 
-type Bytes = Result<Option<bytes::Bytes>, Failure>;
-
-/// The next bytes of a stream: what was read ahead, or what comes.
-async fn next(stream: &mut HttpStream, ahead: &mut Option<Bytes>) -> Bytes {
-    match ahead.take() {
-        Some(bytes) => bytes,
-        None => stream.next().await,
-    }
-}
-
 /// Adds the events that bytes complete.
 fn take(bytes: bytes::Bytes, checker: &mut Checker, parts: &mut Vec<Part>) -> Result<(), String> {
     checker.push(bytes, |part| parts.push(part)).map_err(|fault| fault.to_string())
--- a/request/src/route/length_aware.rs
+++ b/request/src/route/length_aware.rs
@@ -9,14 +9,11 @@
 use super::{Ask, Candidate, Route};
 
 /// The share of its own time that a long prompt gives up for each place further down the order.
-const RANK_COST: f64 = 1.0;
+const RANK_COST: f64 = 0.25;
 
 /// The share of its own time that a prompt puts on each request that an engine answers already.
 const OTHERS_COST: f64 = 0.02;
 
-/// What a short prompt gives up, as a share of its own time, to keep away from a long one.
-const BESIDE_COST: f64 = 1.0;
-
 /// Scores that differ by less than this part and these milliseconds are equal, so that VMs that
 /// see the same do not choose the same, and an engine that seems a little slower is still used.
 const NEAR: (f64, f64) = (0.05, 2.0);
@@ -34,8 +31,6 @@
         let mut score = predicted + own * OTHERS_COST * f64::from(candidate.fleet.requests);
         if ask.class.is_long() {
             score += own * RANK_COST * f64::from(candidate.long_rank);
-        } else if candidate.fleet.has_long_prefill() {
-            score += own * BESIDE_COST;
         }
         score * 1e3
     }
