--- a/base/src/error.rs
+++ b/base/src/error.rs
@@ -137,6 +137,11 @@
         Refusal(())
     }
 
+    /// The upstream said in its platform's words, which the adapter decoded, that it did not run it.
+    pub fn stated() -> Refusal {
+        Refusal(())
+    }
+
     /// Reads an upstream's answer: a refusal only where it has an error status and says so.
     pub fn read(status: u16, ran: Option<&str>) -> Option<Refusal> {
         (status >= 400 && ran == Some("no")).then_some(Refusal(()))
--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -39,6 +39,8 @@
     Stopped = 102, Info;
     /// A listener could not accept a connection.
     AcceptFailed = 103, Warning;
+    /// The configuration file was read again.
+    Reloaded = 104, Info;
     /// A settings version is in force.
     VersionInForce = 200, Info;
     /// A settings version was refused; the former one stays in force.
@@ -47,18 +49,30 @@
     StoreDown = 202, Warning;
     /// The key-value service answers again.
     StoreUp = 203, Info;
+    /// The directory does not answer.
+    DirectoryDown = 204, Warning;
+    /// The directory answers again.
+    DirectoryUp = 205, Info;
+    /// The directory has forgotten the changes asked for.
+    DirectoryCompacted = 206, Info;
     /// A VM joined the members.
     MemberUp = 300, Info;
     /// A VM is no longer heard.
     MemberDown = 301, Warning;
     /// A VM says that it is leaving.
     MemberLeaving = 302, Info;
+    /// A message of a peer cannot be read.
+    BeatUnreadable = 303, Warning;
     /// An upstream is leaving and gets no new work.
     UpstreamLeaving = 400, Info;
     /// An upstream does not answer its report.
     UpstreamSilent = 401, Warning;
     /// An upstream answers again.
     UpstreamBack = 402, Info;
+    /// An upstream is listed, or listed anew.
+    UpstreamListed = 403, Info;
+    /// An upstream is no longer listed.
+    UpstreamGone = 404, Info;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request waits.
--- a/connection/src/lib.rs
+++ b/connection/src/lib.rs
@@ -1,9 +1,12 @@
 //! Connections out of a VM: to engines and plain services, to the platform, and to other VMs.
 
+pub mod beat;
+pub mod channel;
 pub mod engine;
 pub mod events;
 pub mod http;
 pub mod kv;
 pub mod peer;
+pub mod sse;
 pub mod vms;
 pub mod wire;
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::app::App;
+use crate::fleet::{self, config::Fleet};
 
 /// How long callers are served after the signal to stop, unless configured.
 const DRAIN_MS: u64 = 3_000;
@@ -52,6 +53,16 @@
     drain_ms: Option<u64>,
     threads: Option<usize>,
     log_level: Option<String>,
+    fleet: Option<Fleet>,
+}
+
+/// How a process serves.
+#[derive(Debug, Clone)]
+pub enum Mode {
+    /// With the settings tree in a key-value service.
+    Tree(Config),
+    /// As a VM of a fleet with a directory.
+    Fleet(fleet::config::Config),
 }
 
 /// What a process is.
@@ -79,8 +90,26 @@
 
 impl Config {
     /// Reads the file, if one is named, and lays the flags over it.
-    pub fn read(app: App) -> Result<Config, Invalid> {
+    pub fn read(app: App) -> Result<Mode, Invalid> {
         let file = app.config.as_deref().map_or(Ok(File::default()), read_file)?;
+        match file.fleet.clone() {
+            Some(fleet) => Ok(Mode::Fleet(Config::fleet(app, file, fleet)?)),
+            None => Ok(Mode::Tree(Config::tree(app, file)?)),
+        }
+    }
+
+    fn fleet(app: App, file: File, fleet: Fleet) -> Result<fleet::config::Config, Invalid> {
+        Ok(fleet::config::Config {
+            vm: app.vm.or(file.vm).ok_or(Invalid::Missing("vm"))?,
+            hall: app.hall.or(file.hall).ok_or(Invalid::Missing("hall"))?,
+            listen: app.listen.or(file.listen).ok_or(Invalid::Missing("listen"))?,
+            log_level: app.log_level.or(file.log_level).unwrap_or_else(|| "info".to_owned()),
+            file: app.config,
+            fleet,
+        })
+    }
+
+    fn tree(app: App, file: File) -> Result<Config, Invalid> {
         Ok(Config {
             vm: app.vm.or(file.vm).ok_or(Invalid::Missing("vm"))?,
             hall: app.hall.or(file.hall).ok_or(Invalid::Missing("hall"))?,
@@ -95,6 +124,11 @@
     }
 }
 
+/// Reads the `fleet` section of a configuration file.
+pub fn read_fleet(path: &Path) -> Result<Fleet, Invalid> {
+    read_file(path)?.fleet.ok_or(Invalid::Missing("fleet"))
+}
+
 fn read_file(path: &Path) -> Result<File, Invalid> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|e| Invalid::File(name.clone(), e))?;
--- /dev/null
+++ b/daemon/src/fleet.rs
@@ -0,0 +1,85 @@
+//! A VM of a fleet whose settings, upstreams and VMs are listed in a directory: it serves routes by
+//! host and path, with opaque bodies.
+//!
+//! What talks to the platform comes in through two traits: [`Dialect`] for heads and [`Directory`]
+//! for what the platform keeps. A request's walk goes one way: [`callers`], [`serve`] (admission),
+//! [`gate`] (placement), [`attempt`], then [`events`] or a whole answer.
+
+pub mod answer;
+pub mod attempt;
+pub mod callers;
+pub mod config;
+pub mod events;
+pub mod follow;
+pub mod fresh;
+pub mod gate;
+pub mod job;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod process;
+pub mod record;
+pub mod serve;
+pub mod stop;
+
+use std::sync::Arc;
+
+use foldlock_base::prelude::*;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::Directory;
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::log;
+use config::Config;
+use process::Process;
+
+/// Serves until the signal to stop, and then until all requests have ended.
+pub async fn run<D: Dialect, R: Directory>(
+    config: Config,
+    directory: R,
+    log: Logger,
+) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let process = start::<D, R>(config, directory.clone(), log).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => process.reload(),
+        }
+    }
+    stop::run(&process, &directory).await;
+    Ok(())
+}
+
+/// Binds the listeners and starts the tasks of a process.
+pub async fn start<D: Dialect, R: Directory>(
+    config: Config,
+    directory: R,
+    log: Logger,
+) -> std::io::Result<Arc<Process<D>>> {
+    let fleet = config.fleet.clone();
+    let callers = TcpListener::bind(config.listen).await?;
+    let ready = TcpListener::bind(fleet.ready).await?;
+    let control = TcpListener::bind(fleet.peers).await?;
+    let beats = UdpSocket::bind(fleet.peers).await?;
+    let process = Arc::new(Process::<D>::new(config, log));
+    if let Some(address) = fleet.metrics {
+        let metrics = TcpListener::bind(address).await?;
+        tokio::spawn(operators::run(process.clone(), metrics, directory.clone()));
+    }
+    tokio::spawn(callers::run(process.clone(), callers));
+    tokio::spawn(operators::ready(process.clone(), ready));
+    tokio::spawn(operators::run(process.clone(), control, directory.clone()));
+    tokio::spawn(peers::run(process.clone(), beats, directory.clone()));
+    tokio::spawn(follow::run(process.clone(), directory.clone()));
+    tokio::spawn(follow::announce(process.clone(), directory));
+    tokio::spawn(process::sweep(process.clone()));
+    let what = format!("incarnation {}, listen {}", process.member.incarnation, fleet.peers);
+    log::event(&process.log, Event::Started, what);
+    Ok(process)
+}
--- /dev/null
+++ b/daemon/src/fleet/answer.rs
@@ -0,0 +1,101 @@
+//! Answers to callers.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldlock_base::error::Error;
+use foldlock_base::id;
+use hyper::body::{Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde_json::json;
+use tokio::sync::mpsc;
+
+/// The stream to the caller ends without its end: hyper closes the connection, so that the answer
+/// cannot be taken for complete.
+#[derive(Debug)]
+pub struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer was broken off")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// The body of an answer.
+pub enum Body {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Events as they come.
+    Events(mpsc::Receiver<Result<Bytes, Cut>>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match self.get_mut() {
+            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Body::Events(parts) => parts.poll_recv(context).map(|p| p.map(|r| r.map(Frame::data))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Body::Events(_) => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Whole(None))
+    }
+}
+
+/// A whole body.
+pub fn whole(bytes: Bytes) -> Body {
+    Body::Whole((!bytes.is_empty()).then_some(bytes))
+}
+
+/// A text for operators.
+pub fn text(status: StatusCode, kind: &'static str, text: impl Into<Bytes>) -> Response<Body> {
+    let mut answer = Response::new(whole(text.into()));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    answer
+}
+
+/// An error of foldlock's own.
+pub fn error(error: &Error, request: &id::Request) -> Response<Body> {
+    let retry = error.retry();
+    let body = json!({"error": {
+        "kind": error.kind().as_str(),
+        "ran": error.ran().to_string(),
+        "message": error.message(),
+        "retry_after_ms": retry.map(|d| d.as_millis() as u64),
+        "request": request.as_str(),
+    }});
+    let status = StatusCode::from_u16(error.kind().status()).expect("the table has valid statuses");
+    let mut answer = text(status, "application/json", body.to_string());
+    if let Some(after) = retry {
+        answer.headers_mut().insert(RETRY_AFTER, seconds(after));
+    }
+    answer
+}
+
+/// Seconds with their fraction, rounded up to a hundredth.
+fn seconds(after: Duration) -> HeaderValue {
+    let hundredths = (after.as_secs_f64() * 100.0).ceil() / 100.0;
+    HeaderValue::try_from(format!("{hundredths:.2}")).expect("digits fit a header")
+}
--- /dev/null
+++ b/daemon/src/fleet/attempt.rs
@@ -0,0 +1,420 @@
+//! One attempt at one upstream: sent, and read as far as it tells how the attempt ends.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foldlock_base::prelude::*;
+use foldlock_connection::channel::{Channel, Failure};
+use foldlock_connection::http::chain;
+use foldlock_connection::sse::{Cutter, Event as Part};
+use foldlock_request::dialect::Dialect;
+use foldlock_request::placement::Place;
+use foldlock_request::suspicion;
+use foldlock_request::terms::{Handover, Verdict};
+use foldlock_version::routes::{Repeat, Shape};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderName};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+
+use crate::fleet::answer::{self, Body};
+use crate::fleet::job::Job;
+use crate::fleet::process::Entered;
+use crate::fleet::serve::Tries;
+
+/// How long a new connection may take: it comes up in a few ms, and an upstream that is dark says
+/// nothing.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// How long a connection rests at most where the upstream does not say.
+const USUAL_REST: Duration = Duration::from_secs(4);
+
+/// Taken off the rest that an upstream allows, for what is on the way when it closes.
+const REST_MARGIN: Duration = Duration::from_millis(500);
+
+/// How long a connection may have rested for a request that must not be repeated: an upstream that
+/// closes it meanwhile leaves open whether the request ran.
+const FRESH_REST: Duration = Duration::from_millis(500);
+
+/// The largest whole answer, bytes.
+const MOST_ANSWER: usize = 16 << 20;
+
+/// The part of the objective after which a repeatable request with a whole answer is tried
+/// elsewhere.
+const SLOW_WHOLE: f64 = 0.6;
+
+/// Beyond the predicted time, how long an upstream may be silent before the first event of a
+/// stream that may go elsewhere, milliseconds.
+const SLOW_FIRST_MS: f64 = 400.0;
+
+/// How many times the predicted time a first event may take.
+const SLOW_FIRST: f64 = 2.5;
+
+/// Headers that concern one connection only.
+const ONE_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// How an attempt ended, as far as it is waited for here.
+pub enum End<D> {
+    /// The whole answer.
+    Whole(Response<Body>),
+    /// A stream whose first event is there.
+    Events(Box<Begun<D>>),
+    /// No byte was sent.
+    Unsent(String),
+    /// The upstream said that it did not run the request.
+    NotRun(String),
+    /// The upstream's own failure to a request that may be repeated.
+    Own(Box<Response<Body>>),
+    /// It may have run, and there is no answer.
+    Broken(String),
+    /// The time is over.
+    Deadline,
+}
+
+/// A stream that has begun.
+pub struct Begun<D> {
+    /// The head of the answer.
+    pub head: http::response::Parts,
+    /// The events to pass on first.
+    pub first: Vec<Part>,
+    /// The rest.
+    pub source: Source<D>,
+}
+
+/// A stream at an upstream.
+pub struct Source<D> {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// The predicted time to the first event, milliseconds.
+    pub predicted_ms: f64,
+    entered: Entered<D>,
+    channel: Channel,
+    rest: Duration,
+    body: Incoming,
+    cutter: Cutter,
+}
+
+/// What comes next in a stream.
+pub enum Next {
+    /// Whole events.
+    Parts(Vec<Part>),
+    /// The stream has its end.
+    End,
+    /// It broke off.
+    Broken(String),
+}
+
+/// Sends the request to a place.
+pub async fn run<D: Dialect>(
+    job: &Arc<Job<D>>,
+    place: Place,
+    last_event: Option<u64>,
+    tries: &Tries,
+) -> End<D> {
+    let upstream = place.flight.upstream.clone();
+    let entered = job.process.enter(place.flight.clone());
+    let limit = patience(job, &place, tries);
+    let sent = sent(job, place, last_event, entered);
+    let end =
+        match tokio::time::timeout_at(job.deadline.min(job.process.now() + limit).into(), sent)
+            .await
+        {
+            Ok(end) => end,
+            Err(_) if job.left().is_zero() => {
+                note(job, &upstream, suspicion::Failure::Own);
+                return End::Deadline;
+            }
+            Err(_) => {
+                note(job, &upstream, suspicion::Failure::Silent);
+                return End::Broken(format!("silent for {} ms", limit.as_millis()));
+            }
+        };
+    end
+}
+
+/// How long an attempt may go without its answer or first event before the request goes elsewhere.
+fn patience<D>(job: &Job<D>, place: &Place, tries: &Tries) -> Duration {
+    let last = tries.ran + 1 >= job.route.attempts || place.open < 2;
+    if last || !job.repeatable() {
+        return job.left();
+    }
+    match job.route.shape {
+        Shape::Whole => job.route.objective.mul_f64(SLOW_WHOLE),
+        Shape::Events { .. } => {
+            let ms = place.predicted_ms * SLOW_FIRST + SLOW_FIRST_MS;
+            Duration::from_secs_f64(ms / 1e3).max(job.route.objective)
+        }
+    }
+}
+
+fn note<D>(job: &Job<D>, upstream: &id::Upstream, failure: suspicion::Failure) {
+    let now = job.process.now();
+    if let Some(known) = job.process.board.lock().unwrap().get_mut(upstream) {
+        known.suspicion.failed(failure, now);
+    }
+    if failure == suspicion::Failure::Silent {
+        job.process.pool.forget(upstream);
+    }
+}
+
+async fn sent<D: Dialect>(
+    job: &Arc<Job<D>>,
+    place: Place,
+    last_event: Option<u64>,
+    entered: Entered<D>,
+) -> End<D> {
+    let upstream = place.flight.upstream.clone();
+    let mut channel = match channel(job, &place).await {
+        Ok(channel) => channel,
+        Err(why) => {
+            note(job, &upstream, suspicion::Failure::Silent);
+            return End::Unsent(why);
+        }
+    };
+    let request = request(job, &place, last_event);
+    let sent = job.process.now();
+    let answer = match channel.send(request).await {
+        Ok(answer) => answer,
+        Err(Failure::Unsent(why)) => return End::Unsent(why),
+        Err(Failure::Broken(why)) => {
+            note(job, &upstream, suspicion::Failure::Broken);
+            return End::Broken(why);
+        }
+    };
+    let (mut head, body) = answer.into_parts();
+    let rest = rest(&head.headers);
+    match D::verdict(&job.terms.request, head.status, &head.headers) {
+        Verdict::Ran => {}
+        verdict => return refused(job, &upstream, verdict, &head),
+    }
+    if head.status.is_success() && !D::genuine(&head.headers) {
+        note(job, &upstream, suspicion::Failure::Broken);
+        return End::Broken("the body is not the upstream's own".to_owned());
+    }
+    let promised = declared(&head.headers);
+    strip(&mut head.headers);
+    let source = Source {
+        upstream,
+        sent,
+        predicted_ms: place.predicted_ms,
+        entered,
+        channel,
+        rest,
+        body,
+        cutter: Cutter::default(),
+    };
+    if head.status.is_success() && matches!(job.route.shape, Shape::Events { .. }) {
+        first(job, head, source).await
+    } else {
+        whole(job, head, source, promised).await
+    }
+}
+
+fn refused<D: Dialect>(
+    job: &Job<D>,
+    upstream: &id::Upstream,
+    verdict: Verdict,
+    head: &http::response::Parts,
+) -> End<D> {
+    let status = head.status;
+    match verdict {
+        Verdict::Elsewhere => {
+            job.process.board.lock().unwrap().told_leaving(upstream);
+            job.process.pool.forget(upstream);
+            End::NotRun("another instance has its address".to_owned())
+        }
+        Verdict::NotRun => {
+            let culprit = D::culprit(&head.headers).and_then(|name| name.parse().ok());
+            let at_fault = culprit.as_ref().unwrap_or(upstream);
+            note(job, at_fault, suspicion::Failure::Full);
+            End::NotRun(format!("it refused with {status}; at fault is {at_fault}"))
+        }
+        Verdict::Ran | Verdict::Foreign => {
+            note(job, upstream, suspicion::Failure::Broken);
+            End::Broken(format!("its answer ({status}) belongs to another request"))
+        }
+    }
+}
+
+async fn channel<D>(job: &Job<D>, place: &Place) -> Result<Channel, String> {
+    let rest = match job.route.repeat {
+        Repeat::Never => FRESH_REST,
+        Repeat::Safe | Repeat::Resume => Duration::MAX,
+    };
+    let pool = &job.process.pool;
+    if let Some(channel) = pool.take(&place.flight.upstream, rest, job.process.now()) {
+        return Ok(channel);
+    }
+    job.process.metrics.connections.inc();
+    match Channel::open(&place.address, CONNECT).await {
+        Ok(channel) => Ok(channel),
+        Err(Failure::Unsent(why) | Failure::Broken(why)) => Err(why),
+    }
+}
+
+fn request<D: Dialect>(
+    job: &Job<D>,
+    place: &Place,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut headers = job.head.headers.clone();
+    strip(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    D::hand_over(
+        &mut headers,
+        &Handover {
+            left: job.left(),
+            instance: place.flight.upstream.as_str(),
+            organisation: job.organisation.as_ref().map(|o| o.name.as_str()),
+            last_event,
+            helpers: &place.helpers,
+        },
+    );
+    let target = job.head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.head.method.clone();
+    *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Takes out the headers of one connection, and those that `Connection` names.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != header::CONTENT_LENGTH && *name != header::HOST)
+        .collect();
+    for name in named.iter().chain(&ONE_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// How long the connection may rest after this answer; zero if it closes.
+fn rest(headers: &HeaderMap) -> Duration {
+    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = |value: &str| value.to_ascii_lowercase().contains("close");
+    if text(header::CONNECTION).is_some_and(closes) {
+        return Duration::ZERO;
+    }
+    let told = text(HeaderName::from_static("keep-alive"))
+        .and_then(|value| value.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.parse::<u64>().ok())
+        .map(Duration::from_secs);
+    told.map_or(USUAL_REST, |rest| rest.saturating_sub(REST_MARGIN))
+}
+
+/// Whether the answer's end is told by more than the end of its connection.
+fn declared(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
+async fn whole<D: Dialect>(
+    job: &Arc<Job<D>>,
+    head: http::response::Parts,
+    source: Source<D>,
+    declared: bool,
+) -> End<D> {
+    let Source { upstream, entered: _entered, channel, rest, body, .. } = source;
+    let collected = match Limited::new(body, MOST_ANSWER).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(e) => {
+            note(job, &upstream, suspicion::Failure::Broken);
+            return End::Broken(format!("its answer broke off: {}", chain(&*e)));
+        }
+    };
+    let now = job.process.now();
+    if declared && !rest.is_zero() {
+        job.process.pool.keep(&upstream, channel, rest, now);
+    }
+    if head.status.is_server_error() {
+        note(job, &upstream, suspicion::Failure::Own);
+        if job.repeatable() && head.status != StatusCode::GATEWAY_TIMEOUT {
+            return End::Own(Box::new(Response::from_parts(head, answer::whole(collected))));
+        }
+    } else if let Some(known) = job.process.board.lock().unwrap().get_mut(&upstream) {
+        known.suspicion.answered(now);
+    }
+    End::Whole(Response::from_parts(head, answer::whole(collected)))
+}
+
+async fn first<D: Dialect>(
+    job: &Arc<Job<D>>,
+    head: http::response::Parts,
+    mut source: Source<D>,
+) -> End<D> {
+    match source.next().await {
+        Next::Parts(first) => {
+            source.entered.began();
+            End::Events(Box::new(Begun { head, first, source }))
+        }
+        Next::End => {
+            // A stream may have nothing left to tell, where the caller has its last event.
+            End::Events(Box::new(Begun { head, first: Vec::new(), source }))
+        }
+        Next::Broken(why) => {
+            note(job, &source.upstream, suspicion::Failure::Broken);
+            End::Broken(why)
+        }
+    }
+}
+
+impl<D> Source<D> {
+    /// The next events, as soon as there are some.
+    pub async fn next(&mut self) -> Next {
+        loop {
+            let frame = match self.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(e)) => return Next::Broken(chain(&e)),
+                None if self.cutter.rest() == 0 => return Next::End,
+                None => return Next::Broken("it ended inside an event".to_owned()),
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            self.cutter.push(&bytes);
+            let mut parts = Vec::new();
+            loop {
+                match self.cutter.next() {
+                    Ok(Some(part)) => parts.push(part),
+                    Ok(None) => break,
+                    Err(_) => return Next::Broken("an event is too long".to_owned()),
+                }
+            }
+            if !parts.is_empty() {
+                return Next::Parts(parts);
+            }
+        }
+    }
+
+    /// The stream has been read to its end: its connection may serve again.
+    pub fn finish(self, job: &Job<D>) {
+        let now = job.process.now();
+        if let Some(known) = job.process.board.lock().unwrap().get_mut(&self.upstream) {
+            known.suspicion.answered(now);
+        }
+        if !self.rest.is_zero() {
+            job.process.pool.keep(&self.upstream, self.channel, self.rest, now);
+        }
+    }
+
+    /// The stream broke off.
+    pub fn broke(self, job: &Job<D>, silent: bool) {
+        let failure = if silent { suspicion::Failure::Silent } else { suspicion::Failure::Broken };
+        note(job, &self.upstream, failure);
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/events.rs
@@ -0,0 +1,241 @@
+//! Streams, passed on event by event, and gone on with at another upstream where one breaks off.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use foldlock_base::prelude::*;
+use foldlock_connection::sse::Event as Part;
+use foldlock_request::decision::Decision;
+use foldlock_request::dialect::Dialect;
+use foldlock_version::routes::Repeat;
+use hyper::Response;
+use hyper::header;
+use tokio::sync::mpsc;
+
+use crate::fleet::answer::{Body, Cut};
+use crate::fleet::attempt::{self, Begun, End, Next, Source};
+use crate::fleet::gate;
+use crate::fleet::job::Job;
+use crate::fleet::serve::{self, Tries};
+
+/// Batches of events that wait for a slow caller.
+const WAITING: usize = 16;
+
+/// How many of the route's pauses an upstream may be silent before its stream goes on elsewhere.
+const SILENT_PAUSES: u32 = 3;
+
+/// The least such silence: a pass with a long read beside takes up to half a second.
+const LEAST_SILENCE: Duration = Duration::from_millis(1_000);
+
+type Sink = mpsc::Sender<Result<Bytes, Cut>>;
+
+/// The events that were passed on.
+#[derive(Debug, Default)]
+struct Passed {
+    last: Option<u64>,
+    count: u64,
+}
+
+/// An event is not the one that comes next.
+#[derive(Debug)]
+struct Gap {
+    expected: u64,
+    got: u64,
+}
+
+impl Passed {
+    /// The bytes that are new to the caller.
+    fn take(&mut self, parts: &[Part]) -> Result<Bytes, Gap> {
+        let mut fresh = BytesMut::new();
+        for part in parts {
+            if let (Some(last), Some(id)) = (self.last, part.id) {
+                if id <= last {
+                    continue;
+                }
+                if id > last + 1 {
+                    return Err(Gap { expected: last + 1, got: id });
+                }
+            }
+            self.last = part.id.or(self.last);
+            self.count += 1;
+            fresh.extend_from_slice(&part.bytes);
+        }
+        Ok(fresh.freeze())
+    }
+}
+
+/// Answers with a stream that has begun, and passes on the rest of it.
+pub fn relay<D: Dialect>(job: Arc<Job<D>>, begun: Begun<D>, tries: Tries) -> Response<Body> {
+    let Begun { mut head, first, source } = begun;
+    head.headers.remove(header::CONTENT_LENGTH);
+    let (sink, receiver) = mpsc::channel(WAITING);
+    let tracker = job.process.tasks.clone();
+    tracker.spawn(pass_on(job, source, first, tries, sink));
+    Response::from_parts(head, Body::Events(receiver))
+}
+
+/// How a part of a stream, that of one upstream, ended.
+enum Ended {
+    Whole,
+    Gone,
+    Deadline,
+    Broken { why: String, silent: bool },
+}
+
+async fn pass_on<D: Dialect>(
+    job: Arc<Job<D>>,
+    mut source: Source<D>,
+    first: Vec<Part>,
+    mut tries: Tries,
+    sink: Sink,
+) {
+    let mut passed = Passed { last: job.terms.last_event, count: 0 };
+    let first_token = job.held();
+    let engine = job.process.now().saturating_duration_since(source.sent);
+    job.process.metrics.predicted(source.predicted_ms, engine);
+    let mut parts = first;
+    loop {
+        let ended = pump(&job, &mut source, parts, &mut passed, &sink).await;
+        let upstream = source.upstream.clone();
+        let (why, silent) = match ended {
+            Ended::Whole => {
+                source.finish(&job);
+                serve::finished(&job, Some((first_token, engine, passed.count)));
+                return;
+            }
+            Ended::Gone => {
+                failed(&job, Kind::UpstreamFailed, "the caller went away".to_owned());
+                return;
+            }
+            Ended::Deadline => {
+                let _ = sink.try_send(Err(Cut));
+                failed(&job, Kind::DeadlineExceeded, "the stream outlasted its time".to_owned());
+                return;
+            }
+            Ended::Broken { why, silent } => (why, silent),
+        };
+        source.broke(&job, silent);
+        tries.ran += 1;
+        tries.avoid.push(upstream.clone());
+        let resumed = resume(&job, &mut tries, &passed, upstream, &why, &sink).await;
+        let Some((next, events)) = resumed else {
+            let _ = sink.send(Err(Cut)).await;
+            failed(&job, Kind::UpstreamFailed, why);
+            return;
+        };
+        (source, parts) = (next, events);
+    }
+}
+
+fn failed<D>(job: &Job<D>, kind: Kind, why: String) {
+    job.process.metrics.error(kind);
+    job.record(Decision::Failed { kind, ran: Ran::Yes, why });
+}
+
+/// Passes on the events of one upstream.
+async fn pump<D>(
+    job: &Job<D>,
+    source: &mut Source<D>,
+    first: Vec<Part>,
+    passed: &mut Passed,
+    sink: &Sink,
+) -> Ended {
+    let silence = silence(job);
+    let mut parts = first;
+    loop {
+        let bytes = match passed.take(&parts) {
+            Ok(bytes) => bytes,
+            Err(Gap { expected, got }) => {
+                let why = format!("event {got} came in place of {expected}");
+                return Ended::Broken { why, silent: false };
+            }
+        };
+        if !bytes.is_empty() && sink.send(Ok(bytes)).await.is_err() {
+            return Ended::Gone;
+        }
+        let heard = job.process.now();
+        let until = (heard + silence).min(job.deadline);
+        let next = tokio::select! {
+            next = tokio::time::timeout_at(until.into(), source.next()) => next,
+            () = sink.closed() => return Ended::Gone,
+        };
+        parts = match next {
+            Ok(Next::Parts(parts)) => parts,
+            Ok(Next::End) => return Ended::Whole,
+            Ok(Next::Broken(why)) => return Ended::Broken { why, silent: false },
+            Err(_) if job.left().is_zero() => return Ended::Deadline,
+            Err(_) => return silent(job, heard),
+        };
+    }
+}
+
+fn silent<D>(job: &Job<D>, heard: Instant) -> Ended {
+    let ms = job.process.now().saturating_duration_since(heard).as_millis();
+    Ended::Broken { why: format!("silent for {ms} ms"), silent: true }
+}
+
+/// How long an upstream may be silent within a stream.
+fn silence<D>(job: &Job<D>) -> Duration {
+    match (job.pause(), job.route.repeat) {
+        (Some(pause), Repeat::Resume) => (pause * SILENT_PAUSES).max(LEAST_SILENCE),
+        _ => job.left(),
+    }
+}
+
+/// Goes on at another upstream after the last event that was passed on.
+async fn resume<D: Dialect>(
+    job: &Arc<Job<D>>,
+    tries: &mut Tries,
+    passed: &Passed,
+    mut from: id::Upstream,
+    why: &str,
+    sink: &Sink,
+) -> Option<(Source<D>, Vec<Part>)> {
+    let mut why = why.to_owned();
+    let last = passed.last?;
+    loop {
+        if job.route.repeat != Repeat::Resume || !serve::may_repeat(job, tries, false) {
+            return None;
+        }
+        job.process.metrics.resumed.inc();
+        job.record(Decision::Retried { upstream: from, why });
+        let place = tokio::select! {
+            place = gate::place(job, &tries.avoid) => place.ok()?,
+            () = sink.closed() => return None,
+        };
+        from = place.flight.upstream.clone();
+        let end = tokio::select! {
+            end = attempt::run(job, place, Some(last), tries) => end,
+            () = sink.closed() => return None,
+        };
+        why = match end {
+            End::Events(begun) => {
+                job.record(Decision::Resumed { index: last, upstream: from });
+                return Some((begun.source, begun.first));
+            }
+            End::Deadline => return None,
+            End::Unsent(why) => {
+                tries.unsent += 1;
+                why
+            }
+            End::NotRun(why) => {
+                tries.refused += 1;
+                why
+            }
+            End::Own(answer) => {
+                tries.ran += 1;
+                format!("it answered {}", answer.status())
+            }
+            End::Whole(answer) => {
+                tries.ran += 1;
+                format!("it answered {}", answer.status())
+            }
+            End::Broken(why) => {
+                tries.ran += 1;
+                why
+            }
+        };
+        tries.avoid.push(from.clone());
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/follow.rs
@@ -0,0 +1,169 @@
+//! Following the directory: settings, upstreams and VMs.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foldlock_base::prelude::*;
+use foldlock_request::board::Listed;
+use foldlock_request::directory::{Change, Changes, Directory, Fault, Settings};
+
+use crate::fleet::process::Process;
+use crate::log;
+
+/// How long one watch waits for a change. It bounds the age of the settings: each answer confirms
+/// them, and keys that were taken away must end within seconds. Each answer is also priced.
+const WATCH: Duration = Duration::from_millis(1_000);
+
+/// The pause between two watches, in which changes gather: it bounds the calls while many things
+/// change, and adds to the time in which a change is heard.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// The pause after a call that failed; it doubles with each failure.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The longest such pause: a directory that is back is to be noticed well within its bounds.
+const MOST_RETRY: Duration = Duration::from_millis(400);
+
+/// How long after the directory's return an upstream whose listing lapsed may take to list itself
+/// again; from then on it is gone.
+const RELIST: Duration = Duration::from_secs(2);
+
+/// How long a trouble of the directory may lie back for an ended listing to be put down to it.
+const RECENT: Duration = Duration::from_secs(3);
+
+/// What is known of the directory itself.
+struct Contact {
+    at: Option<u64>,
+    failures: u32,
+    trouble: Option<Instant>,
+}
+
+/// Follows the directory until the process stops.
+pub async fn run<D: Send + Sync + 'static, R: Directory>(process: Arc<Process<D>>, directory: R) {
+    let mut contact = Contact { at: None, failures: 0, trouble: None };
+    loop {
+        let asked = process.now();
+        let answer = match contact.at {
+            Some(at) => directory.watch(at, WATCH).await,
+            None => directory.read().await,
+        };
+        process.metrics.directory_calls.inc();
+        match answer {
+            Ok(changes) => {
+                heard(&process, &mut contact, changes, asked);
+                tokio::time::sleep(GATHER).await;
+            }
+            Err(Fault::Compacted) => {
+                log::event(&process.log, Event::DirectoryCompacted, "reading all anew");
+                contact.at = None;
+            }
+            Err(Fault::Unavailable(why)) => failed(&process, &mut contact, &why).await,
+        }
+    }
+}
+
+fn heard<D>(process: &Arc<Process<D>>, contact: &mut Contact, changes: Changes, asked: Instant) {
+    let now = process.now();
+    if contact.failures > 0 {
+        let what = format!("after {} failed calls", contact.failures);
+        log::event(&process.log, Event::DirectoryUp, what);
+        contact.failures = 0;
+        contact.trouble = Some(now);
+    }
+    let lapsed = contact.trouble.is_some_and(|at| now.saturating_duration_since(at) < RECENT);
+    if contact.at.is_none() {
+        end_unlisted(process, &changes, lapsed);
+    }
+    contact.at = Some(changes.at);
+    changes.changes.into_iter().for_each(|change| apply(process, change, lapsed));
+    let gone = process.board.lock().unwrap().expire(RELIST, now);
+    gone.iter().for_each(|id| ended(process, id, "not listed again"));
+    process.fresh.confirm(asked);
+}
+
+async fn failed<D>(process: &Arc<Process<D>>, contact: &mut Contact, why: &str) {
+    if contact.failures == 0 {
+        log::event(&process.log, Event::DirectoryDown, why);
+    }
+    // What a watch would have told may have lapsed and come back meanwhile: read anew.
+    contact.at = None;
+    contact.failures += 1;
+    contact.trouble = Some(process.now());
+    process.metrics.directory_failures.inc();
+    let pause = RETRY * 2_u32.saturating_pow(contact.failures.min(8) - 1);
+    tokio::time::sleep(pause.min(MOST_RETRY)).await;
+}
+
+/// After a whole read, what is not in it has ended.
+fn end_unlisted<D>(process: &Arc<Process<D>>, changes: &Changes, lapsed: bool) {
+    let listed: HashSet<&id::Upstream> = changes
+        .changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::Upstream(listed) => Some(&listed.id),
+            _ => None,
+        })
+        .collect();
+    let known: Vec<id::Upstream> =
+        process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
+    known.iter().for_each(|id| listing_ended(process, id, lapsed));
+}
+
+fn apply<D>(process: &Arc<Process<D>>, change: Change, lapsed: bool) {
+    match change {
+        Change::Settings(settings) => settings_read(process, *settings),
+        Change::Upstream(listed) => upstream_listed(process, listed),
+        Change::UpstreamGone(id) => listing_ended(process, &id, lapsed),
+        Change::Member(member) => process.peers.listed(process, member),
+        Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
+        Change::Unreadable(why) => log::event(&process.log, Event::VersionRefused, why),
+    }
+}
+
+fn settings_read<D>(process: &Arc<Process<D>>, settings: Settings) {
+    process.take_settings(settings, "the directory");
+}
+
+fn upstream_listed<D>(process: &Arc<Process<D>>, listed: Listed) {
+    let leaving = listed.leaving;
+    let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
+    let id = listed.id.clone();
+    if !process.board.lock().unwrap().list(listed) {
+        return;
+    }
+    let event = if leaving { Event::UpstreamLeaving } else { Event::UpstreamListed };
+    log::event(&process.log, event, what);
+    if leaving {
+        process.pool.forget(&id);
+    }
+    process.moved.notify_waiters();
+}
+
+fn listing_ended<D>(process: &Arc<Process<D>>, id: &id::Upstream, lapsed: bool) {
+    if lapsed {
+        process.board.lock().unwrap().unlist(id, process.now());
+        return;
+    }
+    if process.board.lock().unwrap().remove(id) {
+        ended(process, id, "its listing ended");
+    }
+}
+
+fn ended<D>(process: &Arc<Process<D>>, id: &id::Upstream, why: &str) {
+    process.pool.forget(id);
+    log::event(&process.log, Event::UpstreamGone, format!("{id}: {why}"));
+}
+
+/// Lists this VM, again and again until the directory has taken it.
+pub async fn announce<D: Send + Sync + 'static, R: Directory>(
+    process: Arc<Process<D>>,
+    directory: R,
+) {
+    let mut pause = RETRY;
+    while let Err(fault) = directory.announce(&process.member).await {
+        log::event(&process.log, Event::DirectoryDown, format!("not listed yet: {fault}"));
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MOST_RETRY * 4);
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/fresh.rs
@@ -0,0 +1,53 @@
+//! How fresh the settings are: the latest moment at which they are known to have been the newest.
+//!
+//! The moment is that at which the confirming question was asked, by this process's steady clock,
+//! never the one at which the answer was read: a process that stood still in between finds its
+//! settings old, whatever lay in its sockets.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Taken off the greatest age, for the time from the check to the caller's or upstream's clock.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// The part of the greatest age up to which a VM takes new connections: beyond it the platform no
+/// longer counts on it.
+const READY_PART: f64 = 0.6;
+
+/// The freshness of the settings.
+#[derive(Debug)]
+pub struct Fresh {
+    most: Option<Duration>,
+    confirmed: Mutex<Option<Instant>>,
+}
+
+impl Fresh {
+    /// Settings that may be this old.
+    pub fn new(most: Option<Duration>) -> Fresh {
+        Fresh { most, confirmed: Mutex::new(None) }
+    }
+
+    /// The settings in force were the newest at this moment.
+    pub fn confirm(&self, at: Instant) {
+        let mut confirmed = self.confirmed.lock().unwrap();
+        *confirmed = confirmed.map_or(Some(at), |known| Some(known.max(at)));
+    }
+
+    /// The age of the settings; none before they were ever confirmed.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let confirmed = *self.confirmed.lock().unwrap();
+        confirmed.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Whether keys may still be taken for valid.
+    pub fn holds(&self, now: Instant) -> bool {
+        let Some(most) = self.most else { return true };
+        self.age(now).is_some_and(|age| age + MARGIN < most)
+    }
+
+    /// Whether new connections are welcome.
+    pub fn welcomes(&self, now: Instant) -> bool {
+        let Some(most) = self.most else { return true };
+        self.age(now).is_some_and(|age| age < most.mul_f64(READY_PART))
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/gate.rs
@@ -0,0 +1,86 @@
+//! Where a request waits until there is a place for it.
+
+use std::time::Duration;
+
+use foldlock_base::error::Unsent;
+use foldlock_base::prelude::*;
+use foldlock_request::decision::{Cause, Decision, Seen};
+use foldlock_request::placement::{self, Nowhere, Place};
+
+use crate::fleet::job::Job;
+use crate::serve::millis;
+
+/// How often a waiting request looks again, if nothing is heard.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// The part of the time a caller gave after which a request without a place is refused, so that the
+/// caller still has time to come back.
+const PATIENCE: f64 = 0.4;
+
+/// The longest wait for a service without any open upstream.
+const CLOSED: Duration = Duration::from_millis(500);
+
+/// When a refused caller is told to come back, if nothing better is known.
+const COME_BACK: Duration = Duration::from_millis(500);
+
+/// Finds a place, or says why there is none. The request has not been sent, or each attempt so far
+/// is known not to have run, or it may be repeated; the caller of this function knows which.
+pub async fn place<D>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Place, Nowhere> {
+    let started = job.process.now();
+    let patience = (job.deadline - job.arrived).mul_f64(PATIENCE);
+    let mut cause = None;
+    loop {
+        let moved = job.process.moved.notified();
+        let now = job.process.now();
+        let found = placement::place(&job.process.board.lock().unwrap(), &job.ask(avoid), now);
+        let waited = now.saturating_duration_since(started);
+        let nowhere = match found {
+            Ok(place) => {
+                placed(job, &place, cause, waited);
+                return Ok(place);
+            }
+            Err(nowhere) => nowhere,
+        };
+        let limit = match nowhere {
+            Nowhere::Full => patience,
+            Nowhere::Closed => patience.min(CLOSED),
+            Nowhere::TooLarge => Duration::ZERO,
+        };
+        if waited >= limit {
+            return Err(nowhere);
+        }
+        cause = Some(Cause::Engines);
+        let _ = tokio::time::timeout(LOOK, moved).await;
+    }
+}
+
+fn placed<D>(job: &Job<D>, place: &Place, cause: Option<Cause>, waited: Duration) {
+    if let Some(cause) = cause {
+        job.record(Decision::Waited { cause, waited_ms: millis(waited) });
+    }
+    let seen = Seen {
+        upstream: place.flight.upstream.clone(),
+        predicted_ms: place.predicted_ms,
+        score: place.load.backlog_ms,
+        requests: place.load.requests,
+        long: place.load.helping,
+        queued: Tokens(place.load.memory),
+        cached: Tokens(0),
+    };
+    job.record(Decision::Routed {
+        upstream: place.flight.upstream.clone(),
+        route: None,
+        predicted_ms: place.predicted_ms,
+        seen: vec![seen],
+    });
+}
+
+/// The refusal of a request that has not run.
+pub fn refusal<D>(job: &Job<D>, nowhere: Nowhere, proof: Unsent) -> Error {
+    let (kind, why) = match nowhere {
+        Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
+        Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
+        Nowhere::TooLarge => (Kind::Overloaded, "no upstream has memory for a prompt this long"),
+    };
+    Error::unsent(kind, format!("{}: {why}", job.service.name), proof).retry_after(COME_BACK)
+}
--- /dev/null
+++ b/daemon/src/fleet/metrics.rs
@@ -0,0 +1,139 @@
+//! Metrics of a fleet's VM, with units in their names.
+
+use std::time::Duration;
+
+use foldlock_base::error::Kind;
+use foldlock_version::routes::Service;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::fleet::process::Process;
+use crate::metrics::{ByKind, band};
+
+/// The labels of an answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByLength {
+    /// Whether a model answered, or a plain service.
+    pub target: &'static str,
+    /// The upper end of the band of prompt lengths.
+    pub prompt_tokens: &'static str,
+}
+
+/// The metrics.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that arrived.
+    pub requests: Counter,
+    /// Answers that are not a success, by kind.
+    pub errors: Family<ByKind, Counter>,
+    /// Seconds to the first event or whole answer.
+    pub first: Family<ByLength, Histogram>,
+    /// Predicted over real time to the first event.
+    pub prediction: Histogram,
+    /// Requests sent again.
+    pub retries: Counter,
+    /// Streams that went on elsewhere.
+    pub resumed: Counter,
+    /// Connections opened to upstreams.
+    pub connections: Counter,
+    /// Calls to the directory.
+    pub directory_calls: Counter,
+    /// Calls to the directory that failed.
+    pub directory_failures: Counter,
+    /// Messages sent to peers.
+    pub beats: Counter,
+    /// The settings version in force.
+    pub version: Gauge,
+    /// The age of the settings, ms.
+    pub age_ms: Gauge,
+    /// Attempts under way.
+    pub flights: Gauge,
+    /// Peers that are heard.
+    pub peers: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let seconds = || Histogram::new(exponential_buckets(0.005, 2.0, 14));
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("foldlock"),
+            requests: Counter::default(),
+            errors: Family::default(),
+            first: Family::new_with_constructor(seconds),
+            prediction: Histogram::new(exponential_buckets(0.0625, 1.414, 20)),
+            retries: Counter::default(),
+            resumed: Counter::default(),
+            connections: Counter::default(),
+            directory_calls: Counter::default(),
+            directory_failures: Counter::default(),
+            beats: Counter::default(),
+            version: Gauge::default(),
+            age_ms: Gauge::default(),
+            flights: Gauge::default(),
+            peers: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("requests", "Requests that arrived", self.requests.clone());
+        r.register("errors", "Answers that are not a success", self.errors.clone());
+        r.register("first_event_seconds", "Time to the first event", self.first.clone());
+        r.register("prediction_ratio", "Predicted over real time", self.prediction.clone());
+        r.register("retries", "Requests sent again", self.retries.clone());
+        r.register("resumed_streams", "Streams that went on elsewhere", self.resumed.clone());
+        r.register("connections", "Connections opened to upstreams", self.connections.clone());
+        r.register("directory_calls", "Calls to the directory", self.directory_calls.clone());
+        r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
+        r.register("peer_messages", "Messages sent to peers", self.beats.clone());
+        r.register("settings_version", "The settings version in force", self.version.clone());
+        r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
+        r.register("attempts", "Attempts under way", self.flights.clone());
+        r.register("peers", "Peers that are heard", self.peers.clone());
+    }
+
+    /// Counts an answer that is not a success.
+    pub fn error(&self, kind: Kind) {
+        self.errors.get_or_create(&ByKind { kind: kind.as_str() }).inc();
+    }
+
+    /// Observes the time to the first event, or to a whole answer.
+    pub fn answered(&self, service: &Service, prompt_tokens: u64, first: Duration) {
+        let target = if service.engine.is_some() { "model" } else { "plain" };
+        let labels = ByLength { target, prompt_tokens: band(prompt_tokens) };
+        self.first.get_or_create(&labels).observe(first.as_secs_f64());
+    }
+
+    /// Observes a prediction against what came.
+    pub fn predicted(&self, predicted_ms: f64, real: Duration) {
+        let real_ms = real.as_secs_f64() * 1e3;
+        if real_ms > 0.0 {
+            self.prediction.observe(predicted_ms / real_ms);
+        }
+    }
+
+    /// Reads the gauges.
+    pub fn observe<D>(&self, process: &Process<D>) {
+        let now = process.now();
+        let age = process.fresh.age(now).map_or(-1, |age| age.as_millis() as i64);
+        self.age_ms.set(age);
+        self.flights.set(process.board.lock().unwrap().own().count() as i64);
+        self.peers.set(process.peers.heard(now).len() as i64);
+    }
+
+    /// The metrics as text, in the OpenMetrics format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        let encoded = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        encoded.expect("strings take all text");
+        text
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/operators.rs
@@ -0,0 +1,178 @@
+//! What operators, peers and the platform read: readiness, metrics, records, live decisions, the
+//! settings and a dump of the state.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use foldlock_base::prelude::*;
+use foldlock_request::directory::Directory;
+use foldlock_request::ring::Line;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::{broadcast, mpsc};
+
+use crate::fleet::answer::{self, Body, Cut};
+use crate::fleet::process::Process;
+use crate::log;
+
+/// The path under which peers read the settings.
+pub const SETTINGS: &str = "/settings";
+
+/// Records that a dump holds.
+const RECORDS: usize = 20;
+
+/// Lines that may wait for a slow watcher.
+const LINES: usize = 64;
+
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; charset=utf-8";
+const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers whether this VM is ready, whatever the path.
+pub async fn ready<D: Send + Sync + 'static>(process: Arc<Process<D>>, listener: TcpListener) {
+    let answer = |process: &Arc<Process<D>>, _: Request<Incoming>| is_ready(process);
+    accept(process, listener, answer).await;
+}
+
+/// Answers operators and peers.
+pub async fn run<D: Send + Sync + 'static, R: Directory>(
+    process: Arc<Process<D>>,
+    listener: TcpListener,
+    _directory: R,
+) {
+    let answer = |process: &Arc<Process<D>>, request: Request<Incoming>| route(process, &request);
+    accept(process, listener, answer).await;
+}
+
+async fn accept<D: Send + Sync + 'static>(
+    process: Arc<Process<D>>,
+    listener: TcpListener,
+    answer: impl Fn(&Arc<Process<D>>, Request<Incoming>) -> Response<Body>
+    + Copy
+    + Send
+    + Sync
+    + 'static,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::event(&process.log, Event::AcceptFailed, e);
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let process = process.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let answered = answer(&process, request);
+                async move { Ok::<_, Infallible>(answered) }
+            });
+            // A reader that breaks off has its reasons.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn is_ready<D>(process: &Process<D>) -> Response<Body> {
+    if process.ready() {
+        return answer::text(StatusCode::OK, TEXT, "ready\n");
+    }
+    answer::text(StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n")
+}
+
+fn route<D: Send + Sync + 'static>(
+    process: &Arc<Process<D>>,
+    request: &Request<Incoming>,
+) -> Response<Body> {
+    let path = request.uri().path();
+    match path {
+        "/ready" => is_ready(process),
+        "/metrics" => {
+            process.metrics.observe(process);
+            answer::text(StatusCode::OK, METRICS, process.metrics.encode())
+        }
+        "/dump" => answer::text(StatusCode::OK, JSON, dump(process).to_string()),
+        "/decisions" => decisions(process),
+        SETTINGS => match process.settings() {
+            Some(settings) => answer::text(StatusCode::OK, JSON, settings.text.clone()),
+            None => answer::text(StatusCode::NOT_FOUND, TEXT, "no settings yet\n"),
+        },
+        _ => match path.strip_prefix("/why/").map(str::parse::<id::Request>) {
+            Some(Ok(request)) => why(process, &request),
+            _ => answer::text(StatusCode::NOT_FOUND, TEXT, "no such path\n"),
+        },
+    }
+}
+
+fn why<D>(process: &Process<D>, request: &id::Request) -> Response<Body> {
+    match process.ring.get(request) {
+        Some(record) => {
+            let text = serde_json::to_string(&record).expect("plain data");
+            answer::text(StatusCode::OK, JSON, text)
+        }
+        None => answer::text(StatusCode::NOT_FOUND, TEXT, "no record of this request here\n"),
+    }
+}
+
+fn dump<D>(process: &Process<D>) -> serde_json::Value {
+    let now = process.now();
+    let board = process.board.lock().unwrap();
+    let loads = board.loads(now);
+    let upstreams: Vec<_> = board
+        .ids()
+        .filter_map(|id| board.get(id))
+        .map(|u| {
+            let load = loads.get(&u.listed.id).cloned().unwrap_or_default();
+            json!({
+                "id": u.listed.id, "service": u.listed.service, "address": u.listed.address,
+                "leaving": u.listed.leaving || u.told_leaving,
+                "suspicion": u.suspicion.weight(now), "requests": load.requests,
+                "writers": load.writers, "memory": load.memory, "backlog_ms": load.backlog_ms,
+            })
+        })
+        .collect();
+    json!({
+        "config": process.config,
+        "ready": process.ready(),
+        "version": process.version(),
+        "settings_age_ms": process.fresh.age(now).map(|age| age.as_millis() as u64),
+        "peers": process.peers.dump(now),
+        "idle_connections": process.pool.len(),
+        "upstreams": upstreams,
+        "records": process.ring.newest(RECORDS),
+    })
+}
+
+/// Streams decisions as JSON lines until the watcher leaves.
+fn decisions<D: Send + Sync + 'static>(process: &Arc<Process<D>>) -> Response<Body> {
+    let (lines, receiver) = mpsc::channel(LINES);
+    tokio::spawn(feed(process.ring.watch(), lines));
+    Response::new(Body::Events(receiver))
+}
+
+async fn feed(mut decisions: broadcast::Receiver<Line>, lines: mpsc::Sender<Result<Bytes, Cut>>) {
+    loop {
+        let line = tokio::select! {
+            line = decisions.recv() => line,
+            () = lines.closed() => return,
+        };
+        match line {
+            Ok(line) => {
+                let mut text = serde_json::to_vec(&line).expect("plain data");
+                text.push(b'\n');
+                if lines.send(Ok(text.into())).await.is_err() {
+                    return;
+                }
+            }
+            Err(broadcast::error::RecvError::Lagged(_)) => {}
+            Err(broadcast::error::RecvError::Closed) => return,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/peers.rs
@@ -0,0 +1,253 @@
+//! The other VMs of the fleet: what they have under way, and how fresh their settings are.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foldlock_base::prelude::*;
+use foldlock_connection::beat::{self, Beat, Datagram};
+use foldlock_connection::http::{self, Client};
+use foldlock_request::board::{Flight, Tracked};
+use foldlock_request::directory::{Directory, Member};
+use hyper::Request;
+use serde_json::json;
+use tokio::net::UdpSocket;
+
+use crate::fleet::operators;
+use crate::fleet::process::Process;
+use crate::log;
+
+/// The least time between two beats: placements gather for it. Short against the 50 ms of an
+/// engine's pass, so that two VMs rarely choose by the same picture.
+const GATHER: Duration = Duration::from_millis(15);
+
+/// The longest time between two beats.
+const IDLE: Duration = Duration::from_millis(400);
+
+/// A peer that was not heard for this long is taken for down: five idle beats.
+const SILENT: Duration = Duration::from_millis(2_000);
+
+/// How long reading the settings from a peer may take.
+const FETCH: Duration = Duration::from_millis(800);
+
+/// What is known of a peer.
+#[derive(Debug, Clone)]
+struct Peer {
+    member: Member,
+    heard: Option<Instant>,
+    stamp: Option<u64>,
+    version: u64,
+}
+
+/// The peers.
+#[derive(Debug)]
+pub struct Peers {
+    started: Instant,
+    known: Mutex<BTreeMap<id::Vm, Peer>>,
+}
+
+impl Peers {
+    /// No peers yet; stamps count from `started`.
+    pub fn new(started: Instant) -> Peers {
+        Peers { started, known: Mutex::default() }
+    }
+
+    /// A VM is listed.
+    pub fn listed<D>(&self, process: &Process<D>, member: Member) {
+        if member.vm == process.member.vm {
+            return;
+        }
+        let mut known = self.known.lock().unwrap();
+        let same = known.get(&member.vm).is_some_and(|peer| peer.member == member);
+        if same {
+            return;
+        }
+        let what = format!("{} at {}", member.vm, member.address);
+        let vm = member.vm.clone();
+        known.insert(vm, Peer { member, heard: None, stamp: None, version: 0 });
+        drop(known);
+        log::event(&process.log, Event::MemberUp, what);
+        process.tell.notify_one();
+    }
+
+    /// A VM has withdrawn.
+    pub fn withdrawn<D>(&self, process: &Process<D>, vm: &id::Vm) {
+        if self.known.lock().unwrap().remove(vm).is_some() {
+            process.board.lock().unwrap().peer_lost(vm);
+            log::event(&process.log, Event::MemberLeaving, vm);
+        }
+    }
+
+    /// The number of VMs that are listed, this one among them, heard or not: what all share is
+    /// divided by it.
+    pub fn listed_count(&self) -> usize {
+        self.known.lock().unwrap().len() + 1
+    }
+
+    /// The peers that were heard of late.
+    pub fn heard(&self, now: Instant) -> Vec<id::Vm> {
+        let known = self.known.lock().unwrap();
+        let heard = known.iter().filter(|(_, p)| p.is_heard(now));
+        heard.map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// What is known, for a dump.
+    pub fn dump(&self, now: Instant) -> serde_json::Value {
+        let known = self.known.lock().unwrap();
+        let peers = known.iter().map(|(vm, p)| {
+            let heard_ms = p.heard.map(|at| now.saturating_duration_since(at).as_millis() as u64);
+            json!({"vm": vm, "address": p.member.address, "heard_ms": heard_ms, "version": p.version})
+        });
+        peers.collect()
+    }
+
+    fn stamp(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.started).as_micros() as u64
+    }
+}
+
+impl Peer {
+    fn is_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT)
+    }
+}
+
+/// Tells and hears the peers until the process ends.
+pub async fn run<D: Send + Sync + 'static, R: Directory>(
+    process: Arc<Process<D>>,
+    socket: UdpSocket,
+    directory: R,
+) {
+    let mut buffer = vec![0; beat::MOST];
+    let mut told = process.now();
+    let mut due = false;
+    loop {
+        let next = told + if due { GATHER } else { IDLE };
+        tokio::select! {
+            heard = socket.recv_from(&mut buffer) => match heard {
+                Ok((length, _)) => hear(&process, &buffer[..length], &directory),
+                // A peer's port is closed; its silence is noticed below.
+                Err(_) => continue,
+            },
+            () = process.tell.notified(), if !due => due = true,
+            () = tokio::time::sleep_until(next.into()) => {
+                told = process.now();
+                due = false;
+                drop_silent(&process, told);
+                tell(&process, &socket, told);
+            }
+        }
+    }
+}
+
+fn tell<D>(process: &Process<D>, socket: &UdpSocket, now: Instant) {
+    let known = process.peers.known.lock().unwrap();
+    if known.is_empty() {
+        return;
+    }
+    let age = |sent: Instant| now.saturating_duration_since(sent).as_millis() as u32;
+    let board = process.board.lock().unwrap();
+    let beat = Beat {
+        vm: process.member.vm.clone(),
+        incarnation: process.member.incarnation,
+        stamp: process.peers.stamp(now),
+        version: process.version(),
+        age_ms: process.fresh.age(now).map(|age| age.as_millis() as u64 + 1),
+        leaving: process.stopping.is_cancelled(),
+        flights: board.own().map(|t| (t.flight.clone(), age(t.sent))).collect::<Vec<_>>(),
+    };
+    drop(board);
+    let beat = beat::encode(&beat);
+    for peer in known.values() {
+        let (echo, echo_of) = (peer.stamp, peer.member.incarnation);
+        let datagram = Datagram { echo, echo_of, beat: beat.clone() };
+        // A full or closed way loses this beat; the next one says the same and more.
+        let _ = socket.try_send_to(&datagram.encode(), peer.member.address);
+    }
+    process.metrics.beats.inc_by(known.len() as u64);
+}
+
+fn hear<D: Send + Sync + 'static, R: Directory>(
+    process: &Arc<Process<D>>,
+    bytes: &[u8],
+    directory: &R,
+) {
+    let (datagram, beat) = match Datagram::read::<Flight>(bytes) {
+        Ok(read) => read,
+        Err(e) => {
+            log::event(&process.log, Event::BeatUnreadable, e);
+            return;
+        }
+    };
+    let now = process.now();
+    let mut known = process.peers.known.lock().unwrap();
+    let Some(peer) = known.get_mut(&beat.vm) else { return };
+    let older = peer.stamp.is_some_and(|stamp| stamp >= beat.stamp);
+    if peer.member.incarnation != beat.incarnation || older {
+        return;
+    }
+    peer.heard = Some(now);
+    peer.stamp = Some(beat.stamp);
+    peer.version = beat.version;
+    let address = peer.member.address;
+    drop(known);
+    if datagram.echo_of == process.member.incarnation {
+        confirm(process, &beat, datagram.echo);
+    }
+    if beat.version > process.version() {
+        tokio::spawn(fetch(process.clone(), address, directory.clone()));
+    }
+    let tracked = |(flight, age_ms): (Flight, u32)| Tracked {
+        flight,
+        sent: now.checked_sub(Duration::from_millis(u64::from(age_ms))).unwrap_or(now),
+    };
+    let flights = beat.flights.into_iter().map(tracked).collect();
+    process.board.lock().unwrap().peer(beat.vm, flights);
+    process.moved.notify_waiters();
+}
+
+/// The peer knew our version to be the newest `age` before it sent this beat, which was after we
+/// sent the stamp that it echoes.
+fn confirm<D>(process: &Process<D>, beat: &Beat<Flight>, echo: Option<u64>) {
+    let (Some(echo), Some(age_ms)) = (echo, beat.age_ms) else { return };
+    if beat.version != process.version() || beat.version == 0 {
+        return;
+    }
+    let sent = process.peers.started + Duration::from_micros(echo);
+    if let Some(at) = sent.checked_sub(Duration::from_millis(age_ms)) {
+        process.fresh.confirm(at);
+    }
+}
+
+fn drop_silent<D>(process: &Process<D>, now: Instant) {
+    let mut known = process.peers.known.lock().unwrap();
+    let silent: Vec<id::Vm> = known
+        .iter_mut()
+        .filter(|(_, peer)| peer.heard.is_some() && !peer.is_heard(now))
+        .map(|(vm, peer)| {
+            peer.heard = None;
+            vm.clone()
+        })
+        .collect();
+    drop(known);
+    for vm in silent {
+        process.board.lock().unwrap().peer_lost(&vm);
+        log::event(&process.log, Event::MemberDown, vm);
+    }
+}
+
+async fn fetch<D, R: Directory>(process: Arc<Process<D>>, from: SocketAddr, directory: R) {
+    let request = Request::get(format!("http://{from}{}", operators::SETTINGS))
+        .body(http::body(Bytes::new()))
+        .expect("an address is a valid authority");
+    let read = match Client::default().call(request, FETCH).await {
+        Ok(answer) => directory.decode(answer.into_body()),
+        Err(e) => Err(e.to_string()),
+    };
+    match read {
+        Ok(settings) => process.take_settings(settings, &format!("peer {from}")),
+        Err(why) => log::event(&process.log, Event::VersionRefused, format!("{from}: {why}")),
+    }
+}
--- /dev/null
+++ b/daemon/src/fleet/stop.rs
@@ -0,0 +1,36 @@
+//! A planned stop: not ready at once, requests are finished, connections are closed as they rest.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldlock_base::prelude::*;
+use foldlock_request::directory::Directory;
+
+use crate::fleet::process::Process;
+use crate::log;
+
+/// Kept from the time to stop in, so that the process has ended by itself before it is killed.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// How long the directory may take to withdraw this VM; peers notice its silence anyway.
+const WITHDRAW: Duration = Duration::from_millis(500);
+
+/// How long after the signal new connections are still accepted: the platform asks once a second
+/// and sends connections until two of its questions went unanswered.
+const LINGER: Duration = Duration::from_millis(2_500);
+
+/// Stops the process.
+pub async fn run<D: Send + Sync + 'static, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
+    let began = process.now();
+    log::event(&process.log, Event::Stopping, "not ready from now on");
+    process.stopping.cancel();
+    process.tell.notify_one();
+    let _ = tokio::time::timeout(WITHDRAW, directory.withdraw(&process.member.vm)).await;
+    tokio::time::sleep(LINGER.saturating_sub(process.now() - began)).await;
+    process.tasks.close();
+    let until = began + process.config.fleet.stop().saturating_sub(MARGIN);
+    let ended = tokio::time::timeout_at(until.into(), process.tasks.wait()).await;
+    let left = process.tasks.len();
+    let what = if ended.is_ok() { "all requests ended".to_owned() } else { format!("{left} left") };
+    log::event(&process.log, Event::Stopped, what);
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod current;
 pub mod drain;
 pub mod engines;
+pub mod fleet;
 pub mod follow;
 pub mod gate;
 pub mod group;
--- a/daemon/src/log.rs
+++ b/daemon/src/log.rs
@@ -1,6 +1,7 @@
-//! Structured logs: numbered events as JSON lines on standard error.
+//! Structured logs: numbered events as JSON lines on standard output.
 
-use foldlock_base::event::Event;
+use foldlock_base::prelude::*;
+use foldlock_request::decision::Step;
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
 /// Events that wait to be written; beyond that they are dropped and counted.
@@ -9,7 +10,7 @@
 /// The root logger of a process.
 pub fn root(vm: &str, level: &str) -> Logger {
     let level = level.parse().unwrap_or(Level::Info);
-    let json = slog_json::Json::new(std::io::stderr()).add_default_keys().build().ignore_res();
+    let json = slog_json::Json::new(std::io::stdout()).add_default_keys().build().ignore_res();
     let filtered = LevelFilter::new(json, level).ignore_res();
     let drain = slog_async::Async::new(filtered)
         .chan_size(QUEUE)
@@ -35,3 +36,30 @@
         _ => slog::debug!(log, "{}", event.text(); "event" => number, "what" => %particulars),
     }
 }
+
+/// Logs a decision on a request with the inputs that led to it.
+pub fn decision(log: &Logger, request: &id::Request, route: &str, step: &Step) {
+    let event = step.decision.event();
+    let number = event.number();
+    let text = event.text();
+    let step = slog::Serde(step.clone());
+    match event.level() {
+        Level::Error | Level::Critical | Level::Warning => {
+            slog::warn!(log, "{}", text; "event" => number, "request" => request.as_str(),
+                "route" => route, "step" => step);
+        }
+        Level::Info => {
+            slog::info!(log, "{}", text; "event" => number, "request" => request.as_str(),
+                "route" => route, "step" => step);
+        }
+        _ => slog::debug!(log, "{}", text; "event" => number, "request" => request.as_str(),
+            "route" => route, "step" => step),
+    }
+}
+
+/// Logs the refusal of a request that was not admitted.
+pub fn refused(log: &Logger, request: &id::Request, error: &Error) {
+    let event = Event::Refused;
+    slog::info!(log, "{}", event.text(); "event" => event.number(), "request" => request.as_str(),
+        "kind" => error.kind().as_str(), "why" => error.message());
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,9 +3,11 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use foldlock_platform::directory::Directory;
+use foldlock_platform::headers::Headers;
 use foldlockd::app::App;
-use foldlockd::config::Config;
-use foldlockd::{drain, log, process};
+use foldlockd::config::{Config, Mode};
+use foldlockd::{drain, fleet, log, process};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// The exit code for a bad configuration.
@@ -14,22 +16,21 @@
 fn main() -> ExitCode {
     let app = App::parse();
     let check = app.check;
-    let config = match Config::read(app) {
-        Ok(config) => config,
+    let mode = match Config::read(app) {
+        Ok(mode) => mode,
         Err(e) => {
             eprintln!("foldlockd: {e}");
             return ExitCode::from(BAD_CONFIG);
         }
     };
     if check {
-        println!("{}", serde_json::to_string_pretty(&config).expect("plain data"));
+        println!("{}", shown(&mode));
         return ExitCode::SUCCESS;
     }
-    let mut runtime = tokio::runtime::Builder::new_multi_thread();
-    if let Some(threads) = config.threads {
-        runtime.worker_threads(threads.max(1));
-    }
-    let served = runtime.enable_all().build().and_then(|runtime| runtime.block_on(serve(config)));
+    let served = match mode {
+        Mode::Tree(config) => on_threads(config),
+        Mode::Fleet(config) => on_one_thread(config),
+    };
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -39,6 +40,30 @@
     }
 }
 
+fn shown(mode: &Mode) -> String {
+    let text = match mode {
+        Mode::Tree(config) => serde_json::to_string_pretty(config),
+        Mode::Fleet(config) => serde_json::to_string_pretty(config),
+    };
+    text.expect("plain data")
+}
+
+fn on_threads(config: Config) -> std::io::Result<()> {
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    if let Some(threads) = config.threads {
+        runtime.worker_threads(threads.max(1));
+    }
+    runtime.enable_all().build()?.block_on(serve(config))
+}
+
+/// A fleet's VMs have a part of one core: a second thread would only cost switches.
+fn on_one_thread(config: fleet::config::Config) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let log = log::root(config.vm.as_str(), &config.log_level);
+    let directory = Directory::new(&config.fleet.directory);
+    runtime.block_on(fleet::run::<Headers, Directory>(config, directory, log))
+}
+
 async fn serve(config: Config) -> std::io::Result<()> {
     let root = log::root(config.vm.as_str(), &config.log_level);
     let mut terminate = signal(SignalKind::terminate())?;
--- /dev/null
+++ b/request/src/forecast.rs
@@ -0,0 +1,30 @@
+//! What an engine will take for a prompt, worked out from the figures that its operator states.
+//!
+//! An engine works in passes. While some request writes, a pass plays `stride` steps, each of which
+//! yields one token for each writer; prompts are read in between. So a writer's pause between two
+//! events is one pass, and a long read beside it stretches that pause.
+
+use foldlock_version::routes::Engine;
+
+/// Pairs in a million, the unit of [`Engine::pairs_ms`].
+const MILLION: f64 = 1e6;
+
+/// Tokens in a thousand, the unit of [`Engine::per_context_ms`].
+const THOUSAND: f64 = 1e3;
+
+/// Milliseconds to read a prompt of `tokens` with nothing beside it: the tokens themselves and the
+/// pairs of each token with those before it.
+pub fn read_ms(engine: &Engine, tokens: u64) -> f64 {
+    let tokens = tokens as f64;
+    let pairs = tokens * tokens / 2.0;
+    tokens / engine.read_per_ms + pairs / MILLION * engine.pairs_ms
+}
+
+/// Milliseconds of the steps of one pass with `writers` requests that hold `context` tokens
+/// together; the reads of that pass come on top.
+pub fn pass_ms(engine: &Engine, writers: u32, context: u64) -> f64 {
+    let step = engine.step_ms
+        + f64::from(writers) * engine.per_request_ms
+        + context as f64 / THOUSAND * engine.per_context_ms;
+    step * f64::from(engine.stride)
+}
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -2,15 +2,23 @@
 //! limits, claims and cursors that it meets.
 
 pub mod affinity;
+pub mod board;
+pub mod budget;
 pub mod claim;
 pub mod cursor;
 pub mod decision;
+pub mod dialect;
+pub mod directory;
 pub mod fair;
+pub mod forecast;
 pub mod health;
 pub mod limit;
+pub mod placement;
 pub mod prompt;
 pub mod quota;
 pub mod retry;
 pub mod ring;
 pub mod route;
 pub mod speed;
+pub mod suspicion;
+pub mod terms;
--- /dev/null
+++ b/request/src/placement.rs
@@ -0,0 +1,274 @@
+//! Where a request runs.
+//!
+//! Short prompts fill engines one after the other in an order that all VMs compute alike; long
+//! prompts are read in even parts by the engines at the other end of that order. So the border
+//! between the two moves with the demand, and few long reads fall beside short answers.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use foldlock_base::prelude::*;
+use foldlock_version::routes::{Engine, Route, Shape};
+
+use crate::board::{Board, Flight, Load, Upstream};
+use crate::forecast;
+
+/// The part of the slots of an engine that short prompts fill before they go on to the next one:
+/// the rest takes what other VMs place there before it is heard.
+const FILL: f64 = 0.75;
+
+/// The part of the objective within which a short prompt's first event has to be predicted for an
+/// engine to be filled further.
+const IN_TIME: f64 = 0.6;
+
+/// A prompt that is read in this part of its objective stays whole on one engine.
+const WHOLE: f64 = 0.55;
+
+/// The shortest part of a long read, milliseconds: under it the steps of each pass cost more than
+/// the split gains.
+const LEAST_PART_MS: f64 = 30.0;
+
+/// The longest part, milliseconds, that may be read beside short answers: their pass of about 50 ms
+/// and this stay within a pause of 250 ms with one more short prompt.
+const BESIDE_BRISK_MS: f64 = 110.0;
+
+/// The most engines that help with one prompt; the platform's limit.
+const MOST_HELPERS: usize = 16;
+
+/// A pause at or under this is short: no long read belongs beside such an answer.
+const BRISK_MS: u128 = 400;
+
+/// What is to be placed.
+#[derive(Debug, Clone)]
+pub struct Ask<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The figures of its engines, where it has any.
+    pub engine: Option<&'a Engine>,
+    /// The route.
+    pub route: &'a Route,
+    /// The prompt.
+    pub prompt: Tokens,
+    /// Memory for prompt and answer.
+    pub memory: Tokens,
+    /// Upstreams that failed this request.
+    pub avoid: &'a [id::Upstream],
+}
+
+/// A place.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// How it counts on the board.
+    pub flight: Flight,
+    /// Where the upstream listens.
+    pub address: String,
+    /// Where the helpers listen.
+    pub helpers: Vec<String>,
+    /// The predicted time to the first event, milliseconds; 0 where there is no model.
+    pub predicted_ms: f64,
+    /// The load that decided it.
+    pub load: Load,
+    /// The upstreams among which it was chosen.
+    pub open: usize,
+}
+
+/// Why there is no place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Nowhere {
+    /// No upstream of the service is known to be open.
+    Closed,
+    /// All have as much as they take; it may change soon.
+    Full,
+    /// The request is larger than the memory of any engine.
+    TooLarge,
+}
+
+struct Candidate<'a> {
+    upstream: &'a Upstream,
+    load: Load,
+}
+
+impl Candidate<'_> {
+    fn predicted_ms(&self, engine: &Engine, part_ms: f64) -> f64 {
+        let writers = self.load.writers + 1;
+        let pass = forecast::pass_ms(engine, writers, self.load.memory);
+        let running = if self.load.writers > 0 { pass / 2.0 } else { 0.0 };
+        running + self.load.backlog_ms + part_ms + pass
+    }
+
+    fn has_room(&self, memory: u64, engine: &Engine) -> bool {
+        self.load.requests < self.upstream.listed.slots
+            && self.load.memory + memory <= engine.memory.0
+    }
+}
+
+/// Finds a place.
+pub fn place(board: &Board, ask: &Ask<'_>, now: Instant) -> Result<Place, Nowhere> {
+    let candidates = candidates(board, ask, now);
+    if candidates.is_empty() {
+        return Err(Nowhere::Closed);
+    }
+    let Some(engine) = ask.engine else { return plain(ask, candidates) };
+    if ask.memory > engine.memory {
+        return Err(Nowhere::TooLarge);
+    }
+    let read = forecast::read_ms(engine, ask.prompt.0);
+    let objective = ask.route.objective.as_secs_f64() * 1e3;
+    if read <= objective * WHOLE && is_brisk(ask.route) {
+        short(ask, engine, candidates, read, objective)
+    } else {
+        long(ask, engine, candidates, read)
+    }
+}
+
+/// Whether a route's answers have short pauses.
+pub fn is_brisk(route: &Route) -> bool {
+    match route.shape {
+        Shape::Events { pause } => pause.as_millis() <= BRISK_MS,
+        Shape::Whole => false,
+    }
+}
+
+fn candidates<'a>(board: &'a Board, ask: &Ask<'a>, now: Instant) -> Vec<Candidate<'a>> {
+    let mut loads: HashMap<&id::Upstream, Load> = board.loads(now);
+    let open: Vec<&Upstream> =
+        board.open(ask.service).filter(|u| !ask.avoid.contains(&u.listed.id)).collect();
+    let trusted: Vec<&Upstream> = open
+        .iter()
+        .copied()
+        .filter(|u| u.unlisted.is_none() && !u.suspicion.avoided(now))
+        .collect();
+    let chosen = if trusted.is_empty() { open } else { trusted };
+    chosen
+        .into_iter()
+        .map(|upstream| Candidate {
+            upstream,
+            load: loads.remove(&upstream.listed.id).unwrap_or_default(),
+        })
+        .collect()
+}
+
+fn plain(ask: &Ask<'_>, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
+    let open = candidates.len();
+    let relative =
+        |c: &Candidate<'_>| f64::from(c.load.requests) / f64::from(c.upstream.listed.slots.max(1));
+    let best = candidates
+        .into_iter()
+        .min_by(|a, b| relative(a).total_cmp(&relative(b)))
+        .ok_or(Nowhere::Closed)?;
+    Ok(placed(ask, best, &[], 0.0, 0.0, open))
+}
+
+fn short(
+    ask: &Ask<'_>,
+    engine: &Engine,
+    candidates: Vec<Candidate<'_>>,
+    read: f64,
+    objective: f64,
+) -> Result<Place, Nowhere> {
+    let open = candidates.len();
+    let memory = ask.memory.0;
+    let fits = |c: &&Candidate<'_>| {
+        f64::from(c.load.requests) < f64::from(c.upstream.listed.slots) * FILL
+            && c.has_room(memory, engine)
+            && c.load.longest_ms <= BESIDE_BRISK_MS
+            && c.predicted_ms(engine, read) <= objective * IN_TIME
+    };
+    let first = candidates.iter().position(|c| fits(&c));
+    let index = first.or_else(|| least(&candidates, engine, memory, read)).ok_or(Nowhere::Full)?;
+    let best = candidates.into_iter().nth(index).ok_or(Nowhere::Full)?;
+    let predicted = best.predicted_ms(engine, read);
+    Ok(placed(ask, best, &[], read, predicted, open))
+}
+
+/// The engine with room whose first event is predicted soonest.
+fn least(
+    candidates: &[Candidate<'_>],
+    engine: &Engine,
+    memory: u64,
+    part_ms: f64,
+) -> Option<usize> {
+    let predicted = |c: &Candidate<'_>| c.predicted_ms(engine, part_ms);
+    candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| c.has_room(memory, engine))
+        .min_by(|(_, a), (_, b)| predicted(a).total_cmp(&predicted(b)))
+        .map(|(index, _)| index)
+}
+
+fn long(
+    ask: &Ask<'_>,
+    engine: &Engine,
+    mut candidates: Vec<Candidate<'_>>,
+    read: f64,
+) -> Result<Place, Nowhere> {
+    let open = candidates.len();
+    let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
+    // Engines without short answers first, and those with the least ahead among them.
+    candidates.reverse();
+    candidates.sort_by(|a, b| {
+        let rank = |c: &Candidate<'_>| c.load.brisk > 0;
+        rank(a).cmp(&rank(b)).then(a.load.backlog_ms.total_cmp(&b.load.backlog_ms))
+    });
+    candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
+    let quiet = candidates.iter().filter(|c| c.load.brisk == 0).count();
+    let parts = parts(quiet, candidates.len(), most, read, ask.route.objective.as_secs_f64() * 1e3);
+    let memory = ask.memory.0;
+    let main = main_engine(&candidates, engine, memory).ok_or(Nowhere::Full)?;
+    let main = candidates.remove(main);
+    candidates.truncate(parts - 1);
+    let part = read / parts as f64;
+    let slowest = candidates
+        .iter()
+        .map(|c| c.load.backlog_ms + part)
+        .fold(main.predicted_ms(engine, part), f64::max);
+    Ok(placed(ask, main, &candidates, part, slowest, open))
+}
+
+/// How many engines read a prompt: the quiet ones, and others where those are too few.
+fn parts(quiet: usize, all: usize, most: usize, read: f64, objective: f64) -> usize {
+    let enough = (read / (objective * IN_TIME)).ceil() as usize;
+    if quiet >= enough.max(1) {
+        return quiet.min(most);
+    }
+    let gentle = (read / BESIDE_BRISK_MS).ceil() as usize;
+    gentle.clamp(1, most.min(all).max(1))
+}
+
+/// The engine that answers a long prompt: the first in the order with room, so that answers stay
+/// away from those with short ones; the memory that stays free there decides among the quiet.
+fn main_engine(candidates: &[Candidate<'_>], engine: &Engine, memory: u64) -> Option<usize> {
+    candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, c)| c.has_room(memory, engine))
+        .min_by_key(|(_, c)| (c.load.brisk, c.load.memory, c.load.backlog_ms as u64))
+        .map(|(index, _)| index)
+}
+
+fn placed(
+    ask: &Ask<'_>,
+    best: Candidate<'_>,
+    helpers: &[Candidate<'_>],
+    part_ms: f64,
+    predicted_ms: f64,
+    open: usize,
+) -> Place {
+    let listed = &best.upstream.listed;
+    Place {
+        flight: Flight {
+            upstream: listed.id.clone(),
+            helpers: helpers.iter().map(|c| c.upstream.listed.id.clone()).collect(),
+            part_ms: part_ms as f32,
+            memory: ask.memory.0,
+            brisk: is_brisk(ask.route),
+            writing: false,
+        },
+        address: listed.address.clone(),
+        helpers: helpers.iter().map(|c| c.upstream.listed.address.clone()).collect(),
+        predicted_ms,
+        load: best.load,
+        open,
+    }
+}
--- /dev/null
+++ b/request/src/suspicion.rs
@@ -0,0 +1,71 @@
+//! How far an upstream is to be avoided because of what it did of late.
+
+use std::time::{Duration, Instant};
+
+/// The time in which the weight of a failure halves. Short against the seconds for which a sick
+/// upstream usually stays so, long against the time between two requests to it.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// From this weight on an upstream is avoided while there are others.
+const AVOIDED: f64 = 1.5;
+
+/// The most weight that failures add up to: an upstream is tried again about 5 s after its last
+/// failure.
+const MOST: f64 = 6.0;
+
+/// How bad a failure was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// It cannot be reached, or fell silent.
+    Silent,
+    /// It broke off or sent what is no answer.
+    Broken,
+    /// It had no room.
+    Full,
+    /// It answered with a failure of its own.
+    Own,
+}
+
+impl Failure {
+    fn weight(self) -> f64 {
+        match self {
+            Failure::Silent => 3.0,
+            Failure::Broken => 1.0,
+            Failure::Full => 0.7,
+            Failure::Own => 0.4,
+        }
+    }
+}
+
+/// Failures with a weight that fades.
+#[derive(Debug, Clone, Default)]
+pub struct Suspicion {
+    weight: f64,
+    at: Option<Instant>,
+}
+
+impl Suspicion {
+    /// The weight now.
+    pub fn weight(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else { return 0.0 };
+        let halves = now.saturating_duration_since(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.weight * 0.5_f64.powf(halves)
+    }
+
+    /// Notes a failure.
+    pub fn failed(&mut self, failure: Failure, now: Instant) {
+        self.weight = (self.weight(now) + failure.weight()).min(MOST);
+        self.at = Some(now);
+    }
+
+    /// Notes a whole answer.
+    pub fn answered(&mut self, now: Instant) {
+        self.weight = self.weight(now) * 0.5;
+        self.at = Some(now);
+    }
+
+    /// Whether others are to be preferred.
+    pub fn avoided(&self, now: Instant) -> bool {
+        self.weight(now) >= AVOIDED
+    }
+}
--- a/version/src/lib.rs
+++ b/version/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod head;
 pub mod policy;
 pub mod publish;
+pub mod routes;
 pub mod schema;
 pub mod source;
 pub mod store;
