--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -73,6 +73,10 @@
     UpstreamListed = 403, Info;
     /// An upstream is no longer listed.
     UpstreamGone = 404, Info;
+    /// Memory that is set aside at an engine could not be renewed at once.
+    RenewalFailed = 405, Warning;
+    /// Memory that is set aside at an engine could not be given back; it lapses by itself.
+    ReleaseFailed = 406, Warning;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request waits.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod fresh;
 pub mod gate;
+pub mod hold;
 pub mod job;
 pub mod metrics;
 pub mod operators;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -11,7 +11,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Place;
 use foldlock_request::suspicion;
-use foldlock_request::terms::{Handover, Verdict};
+use foldlock_request::terms::{Handover, Helper, Verdict};
 use foldlock_version::routes::{Repeat, Shape};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -19,6 +19,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 
 use crate::fleet::answer::{self, Body};
+use crate::fleet::hold::Hold;
 use crate::fleet::job::Job;
 use crate::fleet::process::Entered;
 use crate::fleet::serve::Tries;
@@ -64,13 +65,15 @@
 ];
 
 /// How an attempt ended, as far as it is waited for here.
-pub enum End<D> {
+pub enum End<D: Dialect> {
     /// The whole answer.
     Whole(Response<Body>),
     /// A stream whose first event is there.
     Events(Box<Begun<D>>),
     /// No byte was sent.
     Unsent(String),
+    /// The memory that the place counted on was taken; nothing was sent.
+    NoMemory(String),
     /// The upstream said that it did not run the request.
     NotRun(String),
     /// The upstream's own failure to a request that may be repeated.
@@ -82,7 +85,7 @@
 }
 
 /// A stream that has begun.
-pub struct Begun<D> {
+pub struct Begun<D: Dialect> {
     /// The head of the answer.
     pub head: http::response::Parts,
     /// The events to pass on first.
@@ -92,7 +95,7 @@
 }
 
 /// A stream at an upstream.
-pub struct Source<D> {
+pub struct Source<D: Dialect> {
     /// The upstream.
     pub upstream: id::Upstream,
     /// When the request was sent.
@@ -100,6 +103,7 @@
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
     entered: Entered<D>,
+    hold: Hold<D>,
     channel: Channel,
     rest: Duration,
     body: Incoming,
@@ -145,7 +149,7 @@
 }
 
 /// How long an attempt may go without its answer or first event before the request goes elsewhere.
-fn patience<D>(job: &Job<D>, place: &Place, tries: &Tries) -> Duration {
+fn patience<D: Dialect>(job: &Job<D>, place: &Place, tries: &Tries) -> Duration {
     let last = tries.ran + 1 >= job.route.attempts || place.open < 2;
     if last || !job.repeatable() {
         return job.left();
@@ -159,7 +163,7 @@
     }
 }
 
-fn note<D>(job: &Job<D>, upstream: &id::Upstream, failure: suspicion::Failure) {
+fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: suspicion::Failure) {
     let now = job.process.now();
     if let Some(known) = job.process.board.lock().unwrap().get_mut(upstream) {
         known.suspicion.failed(failure, now);
@@ -176,6 +180,10 @@
     entered: Entered<D>,
 ) -> End<D> {
     let upstream = place.flight.upstream.clone();
+    let hold = match Hold::take(job, &place).await {
+        Ok(hold) => hold,
+        Err(why) => return End::NoMemory(why),
+    };
     let mut channel = match channel(job, &place).await {
         Ok(channel) => channel,
         Err(why) => {
@@ -183,7 +191,7 @@
             return End::Unsent(why);
         }
     };
-    let request = request(job, &place, last_event);
+    let request = request(job, &place, &hold.helpers(&place), last_event);
     let sent = job.process.now();
     let answer = match channel.send(request).await {
         Ok(answer) => answer,
@@ -210,6 +218,7 @@
         sent,
         predicted_ms: place.predicted_ms,
         entered,
+        hold,
         channel,
         rest,
         body,
@@ -248,7 +257,7 @@
     }
 }
 
-async fn channel<D>(job: &Job<D>, place: &Place) -> Result<Channel, String> {
+async fn channel<D: Dialect>(job: &Job<D>, place: &Place) -> Result<Channel, String> {
     let rest = match job.route.repeat {
         Repeat::Never => FRESH_REST,
         Repeat::Safe | Repeat::Resume => Duration::MAX,
@@ -267,6 +276,7 @@
 fn request<D: Dialect>(
     job: &Job<D>,
     place: &Place,
+    helpers: &[Helper],
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let mut headers = job.head.headers.clone();
@@ -280,7 +290,7 @@
             instance: place.flight.upstream.as_str(),
             organisation: job.organisation.as_ref().map(|o| o.name.as_str()),
             last_event,
-            helpers: &place.helpers,
+            helpers,
         },
     );
     let target = job.head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -331,7 +341,7 @@
     source: Source<D>,
     declared: bool,
 ) -> End<D> {
-    let Source { upstream, entered: _entered, channel, rest, body, .. } = source;
+    let Source { upstream, entered: _entered, hold: _hold, channel, rest, body, .. } = source;
     let collected = match Limited::new(body, MOST_ANSWER).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(e) => {
@@ -375,7 +385,7 @@
     }
 }
 
-impl<D> Source<D> {
+impl<D: Dialect> Source<D> {
     /// The next events, as soon as there are some.
     pub async fn next(&mut self) -> Next {
         loop {
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -128,13 +128,13 @@
     }
 }
 
-fn failed<D>(job: &Job<D>, kind: Kind, why: String) {
+fn failed<D: Dialect>(job: &Job<D>, kind: Kind, why: String) {
     job.process.metrics.error(kind);
     job.record(Decision::Failed { kind, ran: Ran::Yes, why });
 }
 
 /// Passes on the events of one upstream.
-async fn pump<D>(
+async fn pump<D: Dialect>(
     job: &Job<D>,
     source: &mut Source<D>,
     first: Vec<Part>,
@@ -170,13 +170,13 @@
     }
 }
 
-fn silent<D>(job: &Job<D>, heard: Instant) -> Ended {
+fn silent<D: Dialect>(job: &Job<D>, heard: Instant) -> Ended {
     let ms = job.process.now().saturating_duration_since(heard).as_millis();
     Ended::Broken { why: format!("silent for {ms} ms"), silent: true }
 }
 
 /// How long an upstream may be silent within a stream.
-fn silence<D>(job: &Job<D>) -> Duration {
+fn silence<D: Dialect>(job: &Job<D>) -> Duration {
     match (job.pause(), job.route.repeat) {
         (Some(pause), Repeat::Resume) => (pause * SILENT_PAUSES).max(LEAST_SILENCE),
         _ => job.left(),
@@ -215,7 +215,7 @@
                 return Some((begun.source, begun.first));
             }
             End::Deadline => return None,
-            End::Unsent(why) => {
+            End::Unsent(why) | End::NoMemory(why) => {
                 tries.unsent += 1;
                 why
             }
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -6,6 +6,7 @@
 
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
+use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Change, Changes, Directory, Fault, Settings};
 
 use crate::fleet::process::Process;
@@ -40,7 +41,7 @@
 }
 
 /// Follows the directory until the process stops.
-pub async fn run<D: Send + Sync + 'static, R: Directory>(process: Arc<Process<D>>, directory: R) {
+pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut contact = Contact { at: None, failures: 0, trouble: None };
     loop {
         let asked = process.now();
@@ -63,7 +64,12 @@
     }
 }
 
-fn heard<D>(process: &Arc<Process<D>>, contact: &mut Contact, changes: Changes, asked: Instant) {
+fn heard<D: Dialect>(
+    process: &Arc<Process<D>>,
+    contact: &mut Contact,
+    changes: Changes,
+    asked: Instant,
+) {
     let now = process.now();
     if contact.failures > 0 {
         let what = format!("after {} failed calls", contact.failures);
@@ -82,7 +88,7 @@
     process.fresh.confirm(asked);
 }
 
-async fn failed<D>(process: &Arc<Process<D>>, contact: &mut Contact, why: &str) {
+async fn failed<D: Dialect>(process: &Arc<Process<D>>, contact: &mut Contact, why: &str) {
     if contact.failures == 0 {
         log::event(&process.log, Event::DirectoryDown, why);
     }
@@ -96,7 +102,7 @@
 }
 
 /// After a whole read, what is not in it has ended.
-fn end_unlisted<D>(process: &Arc<Process<D>>, changes: &Changes, lapsed: bool) {
+fn end_unlisted<D: Dialect>(process: &Arc<Process<D>>, changes: &Changes, lapsed: bool) {
     let listed: HashSet<&id::Upstream> = changes
         .changes
         .iter()
@@ -110,7 +116,7 @@
     known.iter().for_each(|id| listing_ended(process, id, lapsed));
 }
 
-fn apply<D>(process: &Arc<Process<D>>, change: Change, lapsed: bool) {
+fn apply<D: Dialect>(process: &Arc<Process<D>>, change: Change, lapsed: bool) {
     match change {
         Change::Settings(settings) => settings_read(process, *settings),
         Change::Upstream(listed) => upstream_listed(process, listed),
@@ -121,11 +127,11 @@
     }
 }
 
-fn settings_read<D>(process: &Arc<Process<D>>, settings: Settings) {
+fn settings_read<D: Dialect>(process: &Arc<Process<D>>, settings: Settings) {
     process.take_settings(settings, "the directory");
 }
 
-fn upstream_listed<D>(process: &Arc<Process<D>>, listed: Listed) {
+fn upstream_listed<D: Dialect>(process: &Arc<Process<D>>, listed: Listed) {
     let leaving = listed.leaving;
     let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
     let id = listed.id.clone();
@@ -140,7 +146,7 @@
     process.moved.notify_waiters();
 }
 
-fn listing_ended<D>(process: &Arc<Process<D>>, id: &id::Upstream, lapsed: bool) {
+fn listing_ended<D: Dialect>(process: &Arc<Process<D>>, id: &id::Upstream, lapsed: bool) {
     if lapsed {
         process.board.lock().unwrap().unlist(id, process.now());
         return;
@@ -150,16 +156,13 @@
     }
 }
 
-fn ended<D>(process: &Arc<Process<D>>, id: &id::Upstream, why: &str) {
+fn ended<D: Dialect>(process: &Arc<Process<D>>, id: &id::Upstream, why: &str) {
     process.pool.forget(id);
     log::event(&process.log, Event::UpstreamGone, format!("{id}: {why}"));
 }
 
 /// Lists this VM, again and again until the directory has taken it.
-pub async fn announce<D: Send + Sync + 'static, R: Directory>(
-    process: Arc<Process<D>>,
-    directory: R,
-) {
+pub async fn announce<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut pause = RETRY;
     while let Err(fault) = directory.announce(&process.member).await {
         log::event(&process.log, Event::DirectoryDown, format!("not listed yet: {fault}"));
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -5,6 +5,7 @@
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
 use foldlock_request::decision::{Cause, Decision, Seen};
+use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::{self, Nowhere, Place};
 
 use crate::fleet::job::Job;
@@ -25,7 +26,7 @@
 
 /// Finds a place, or says why there is none. The request has not been sent, or each attempt so far
 /// is known not to have run, or it may be repeated; the caller of this function knows which.
-pub async fn place<D>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Place, Nowhere> {
+pub async fn place<D: Dialect>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Place, Nowhere> {
     let started = job.process.now();
     let patience = (job.deadline - job.arrived).mul_f64(PATIENCE);
     let mut cause = None;
@@ -54,7 +55,7 @@
     }
 }
 
-fn placed<D>(job: &Job<D>, place: &Place, cause: Option<Cause>, waited: Duration) {
+fn placed<D: Dialect>(job: &Job<D>, place: &Place, cause: Option<Cause>, waited: Duration) {
     if let Some(cause) = cause {
         job.record(Decision::Waited { cause, waited_ms: millis(waited) });
     }
@@ -76,7 +77,7 @@
 }
 
 /// The refusal of a request that has not run.
-pub fn refusal<D>(job: &Job<D>, nowhere: Nowhere, proof: Unsent) -> Error {
+pub fn refusal<D: Dialect>(job: &Job<D>, nowhere: Nowhere, proof: Unsent) -> Error {
     let (kind, why) = match nowhere {
         Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
--- /dev/null
+++ b/daemon/src/fleet/hold.rs
@@ -0,0 +1,139 @@
+//! Memory held at several engines for one attempt: all of it or none, renewed while the attempt
+//! lasts, given back however it ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldlock_base::prelude::*;
+use foldlock_request::decision::Decision;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::memory::{Fault, Memory, Reservation};
+use foldlock_request::placement::Place;
+use foldlock_request::terms::Helper;
+use futures::future::join_all;
+
+use crate::fleet::job::Job;
+use crate::fleet::process::Process;
+use crate::log;
+use crate::serve::millis;
+
+/// For how long memory is set aside at a time. A VM that dies leaves it behind no longer than
+/// this, which is within the time that the platform gives for it to be free again.
+const HOLD: Duration = Duration::from_millis(3_500);
+
+/// How often it is renewed: twice within [`HOLD`] before it would lapse.
+const RENEW: Duration = Duration::from_millis(1_400);
+
+/// The pause after an order without an answer.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// How often giving back is tried; after that the memory lapses by itself.
+const RELEASES: u32 = 6;
+
+/// The memory of one attempt. It is given back when this is dropped.
+pub struct Hold<D: Dialect> {
+    process: Arc<Process<D>>,
+    reservations: Arc<Vec<Reservation>>,
+    renewal: Option<tokio::task::JoinHandle<()>>,
+}
+
+impl<D: Dialect> Hold<D> {
+    /// Sets aside the memory that a place counts on at its helpers.
+    pub async fn take(job: &Arc<Job<D>>, place: &Place) -> Result<Hold<D>, String> {
+        let reservations = Arc::new(reservations(job, place));
+        let mut hold = Hold {
+            process: job.process.clone(),
+            reservations: reservations.clone(),
+            renewal: None,
+        };
+        if reservations.is_empty() {
+            return Ok(hold);
+        }
+        let started = job.process.now();
+        let memory = &job.process.memory;
+        let answers = join_all(reservations.iter().map(|r| memory.reserve(r, HOLD))).await;
+        for (reservation, answer) in reservations.iter().zip(answers) {
+            // What was set aside is given back as `hold` is dropped.
+            answer.map_err(|fault: Fault| format!("{}: {fault}", reservation.upstream))?;
+        }
+        let engines = reservations.iter().map(|r| r.upstream.clone()).collect();
+        let waited_ms = millis(job.process.now().saturating_duration_since(started));
+        job.record(Decision::Held { engines, waited_ms });
+        hold.renewal = Some(tokio::spawn(renew(job.process.clone(), reservations)));
+        Ok(hold)
+    }
+
+    /// The helpers of a place with their tickets.
+    pub fn helpers(&self, place: &Place) -> Vec<Helper> {
+        let ticket = |upstream: &id::Upstream| {
+            let reservation = self.reservations.iter().find(|r| r.upstream == *upstream)?;
+            Some(reservation.ticket.clone())
+        };
+        let helpers = place.flight.helpers.iter().zip(&place.helpers);
+        helpers
+            .map(|(helping, address)| Helper {
+                address: address.clone(),
+                ticket: ticket(&helping.upstream),
+            })
+            .collect()
+    }
+}
+
+impl<D: Dialect> Drop for Hold<D> {
+    fn drop(&mut self) {
+        if let Some(renewal) = self.renewal.take() {
+            renewal.abort();
+        }
+        if !self.reservations.is_empty() {
+            let tasks = self.process.tasks.clone();
+            tasks.spawn(release_all(self.process.clone(), self.reservations.clone()));
+        }
+    }
+}
+
+fn reservations<D: Dialect>(job: &Job<D>, place: &Place) -> Vec<Reservation> {
+    let helpers = place.flight.helpers.iter().zip(&place.helpers);
+    let held = helpers.filter(|(helping, _)| helping.held > 0);
+    held.map(|(helping, address)| Reservation {
+        upstream: helping.upstream.clone(),
+        address: address.clone(),
+        ticket: job.process.ticket(),
+        tokens: Tokens(helping.held),
+    })
+    .collect()
+}
+
+async fn renew<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
+    loop {
+        tokio::time::sleep(RENEW).await;
+        join_all(reservations.iter().map(|r| renew_one(&process, r))).await;
+    }
+}
+
+async fn renew_one<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
+    if let Err(fault) = process.memory.reserve(reservation, HOLD).await {
+        let what = format!("{} at {}: {fault}", reservation.ticket, reservation.upstream);
+        log::event(&process.log, Event::RenewalFailed, what);
+        tokio::time::sleep(AGAIN).await;
+        // The last try within the hold; without it the engine cuts the request, which is seen.
+        let _ = process.memory.reserve(reservation, HOLD).await;
+    }
+}
+
+async fn release_all<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
+    join_all(reservations.iter().map(|r| release(&process, r))).await;
+}
+
+async fn release<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
+    let mut last = None;
+    for _ in 0..RELEASES {
+        match process.memory.release(reservation).await {
+            Ok(()) => return,
+            Err(fault) => last = Some(fault),
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+    let why = last.map_or_else(String::new, |fault| fault.to_string());
+    let what = format!("{} at {}: {why}", reservation.ticket, reservation.upstream);
+    log::event(&process.log, Event::ReleaseFailed, what);
+}
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use foldlock_base::prelude::*;
+use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Ask;
 use foldlock_request::ring::Entry;
 use foldlock_request::terms::Terms;
@@ -16,7 +17,7 @@
 const UNTOLD: Tokens = Tokens(1_024);
 
 /// The request.
-pub struct Job<D> {
+pub struct Job<D: Dialect> {
     /// The process.
     pub process: Arc<Process<D>>,
     /// Its id in logs and records.
@@ -43,7 +44,7 @@
     pub entry: Entry,
 }
 
-impl<D> Job<D> {
+impl<D: Dialect> Job<D> {
     /// The time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(self.process.now())
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
+use foldlock_request::dialect::Dialect;
 use foldlock_version::routes::Service;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -121,7 +122,7 @@
     }
 
     /// Reads the gauges.
-    pub fn observe<D>(&self, process: &Process<D>) {
+    pub fn observe<D: Dialect>(&self, process: &Process<D>) {
         let now = process.now();
         let age = process.fresh.age(now).map_or(-1, |age| age.as_millis() as i64);
         self.age_ms.set(age);
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use foldlock_base::prelude::*;
+use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
 use foldlock_request::ring::Line;
 use hyper::body::Incoming;
@@ -35,13 +36,13 @@
 const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Answers whether this VM is ready, whatever the path.
-pub async fn ready<D: Send + Sync + 'static>(process: Arc<Process<D>>, listener: TcpListener) {
+pub async fn ready<D: Dialect>(process: Arc<Process<D>>, listener: TcpListener) {
     let answer = |process: &Arc<Process<D>>, _: Request<Incoming>| is_ready(process);
     accept(process, listener, answer).await;
 }
 
 /// Answers operators and peers.
-pub async fn run<D: Send + Sync + 'static, R: Directory>(
+pub async fn run<D: Dialect, R: Directory>(
     process: Arc<Process<D>>,
     listener: TcpListener,
     _directory: R,
@@ -50,7 +51,7 @@
     accept(process, listener, answer).await;
 }
 
-async fn accept<D: Send + Sync + 'static>(
+async fn accept<D: Dialect>(
     process: Arc<Process<D>>,
     listener: TcpListener,
     answer: impl Fn(&Arc<Process<D>>, Request<Incoming>) -> Response<Body>
@@ -80,17 +81,14 @@
     }
 }
 
-fn is_ready<D>(process: &Process<D>) -> Response<Body> {
+fn is_ready<D: Dialect>(process: &Process<D>) -> Response<Body> {
     if process.ready() {
         return answer::text(StatusCode::OK, TEXT, "ready\n");
     }
     answer::text(StatusCode::SERVICE_UNAVAILABLE, TEXT, "not ready\n")
 }
 
-fn route<D: Send + Sync + 'static>(
-    process: &Arc<Process<D>>,
-    request: &Request<Incoming>,
-) -> Response<Body> {
+fn route<D: Dialect>(process: &Arc<Process<D>>, request: &Request<Incoming>) -> Response<Body> {
     let path = request.uri().path();
     match path {
         "/ready" => is_ready(process),
@@ -111,7 +109,7 @@
     }
 }
 
-fn why<D>(process: &Process<D>, request: &id::Request) -> Response<Body> {
+fn why<D: Dialect>(process: &Process<D>, request: &id::Request) -> Response<Body> {
     match process.ring.get(request) {
         Some(record) => {
             let text = serde_json::to_string(&record).expect("plain data");
@@ -121,7 +119,7 @@
     }
 }
 
-fn dump<D>(process: &Process<D>) -> serde_json::Value {
+fn dump<D: Dialect>(process: &Process<D>) -> serde_json::Value {
     let now = process.now();
     let board = process.board.lock().unwrap();
     let loads = board.loads(now);
@@ -151,7 +149,7 @@
 }
 
 /// Streams decisions as JSON lines until the watcher leaves.
-fn decisions<D: Send + Sync + 'static>(process: &Arc<Process<D>>) -> Response<Body> {
+fn decisions<D: Dialect>(process: &Arc<Process<D>>) -> Response<Body> {
     let (lines, receiver) = mpsc::channel(LINES);
     tokio::spawn(feed(process.ring.watch(), lines));
     Response::new(Body::Events(receiver))
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -10,6 +10,7 @@
 use foldlock_connection::beat::{self, Beat, Datagram};
 use foldlock_connection::http::{self, Client};
 use foldlock_request::board::{Flight, Tracked};
+use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Directory, Member};
 use hyper::Request;
 use serde_json::json;
@@ -55,7 +56,7 @@
     }
 
     /// A VM is listed.
-    pub fn listed<D>(&self, process: &Process<D>, member: Member) {
+    pub fn listed<D: Dialect>(&self, process: &Process<D>, member: Member) {
         if member.vm == process.member.vm {
             return;
         }
@@ -73,7 +74,7 @@
     }
 
     /// A VM has withdrawn.
-    pub fn withdrawn<D>(&self, process: &Process<D>, vm: &id::Vm) {
+    pub fn withdrawn<D: Dialect>(&self, process: &Process<D>, vm: &id::Vm) {
         if self.known.lock().unwrap().remove(vm).is_some() {
             process.board.lock().unwrap().peer_lost(vm);
             log::event(&process.log, Event::MemberLeaving, vm);
@@ -115,7 +116,7 @@
 }
 
 /// Tells and hears the peers until the process ends.
-pub async fn run<D: Send + Sync + 'static, R: Directory>(
+pub async fn run<D: Dialect, R: Directory>(
     process: Arc<Process<D>>,
     socket: UdpSocket,
     directory: R,
@@ -142,7 +143,7 @@
     }
 }
 
-fn tell<D>(process: &Process<D>, socket: &UdpSocket, now: Instant) {
+fn tell<D: Dialect>(process: &Process<D>, socket: &UdpSocket, now: Instant) {
     let known = process.peers.known.lock().unwrap();
     if known.is_empty() {
         return;
@@ -169,11 +170,7 @@
     process.metrics.beats.inc_by(known.len() as u64);
 }
 
-fn hear<D: Send + Sync + 'static, R: Directory>(
-    process: &Arc<Process<D>>,
-    bytes: &[u8],
-    directory: &R,
-) {
+fn hear<D: Dialect, R: Directory>(process: &Arc<Process<D>>, bytes: &[u8], directory: &R) {
     let (datagram, beat) = match Datagram::read::<Flight>(bytes) {
         Ok(read) => read,
         Err(e) => {
@@ -210,7 +207,7 @@
 
 /// The peer knew our version to be the newest `age` before it sent this beat, which was after we
 /// sent the stamp that it echoes.
-fn confirm<D>(process: &Process<D>, beat: &Beat<Flight>, echo: Option<u64>) {
+fn confirm<D: Dialect>(process: &Process<D>, beat: &Beat<Flight>, echo: Option<u64>) {
     let (Some(echo), Some(age_ms)) = (echo, beat.age_ms) else { return };
     if beat.version != process.version() || beat.version == 0 {
         return;
@@ -221,7 +218,7 @@
     }
 }
 
-fn drop_silent<D>(process: &Process<D>, now: Instant) {
+fn drop_silent<D: Dialect>(process: &Process<D>, now: Instant) {
     let mut known = process.peers.known.lock().unwrap();
     let silent: Vec<id::Vm> = known
         .iter_mut()
@@ -238,7 +235,7 @@
     }
 }
 
-async fn fetch<D, R: Directory>(process: Arc<Process<D>>, from: SocketAddr, directory: R) {
+async fn fetch<D: Dialect, R: Directory>(process: Arc<Process<D>>, from: SocketAddr, directory: R) {
     let request = Request::get(format!("http://{from}{}", operators::SETTINGS))
         .body(http::body(Bytes::new()))
         .expect("an address is a valid authority");
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -1,6 +1,5 @@
 //! What all tasks of a process on a fleet's VM share.
 
-use std::marker::PhantomData;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::{Duration, Instant};
@@ -10,6 +9,7 @@
 use foldlock_connection::channel::Pool;
 use foldlock_request::board::{Board, Flight};
 use foldlock_request::budget::Budget;
+use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Member, Settings};
 use foldlock_request::ring::Ring;
 use slog::Logger;
@@ -30,7 +30,7 @@
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// The process.
-pub struct Process<D> {
+pub struct Process<D: Dialect> {
     /// What it is.
     pub config: Config,
     /// How peers know it.
@@ -55,6 +55,8 @@
     pub budget: Mutex<Budget>,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// The engines' memory.
+    pub memory: D::Memory,
     /// The other VMs.
     pub peers: Peers,
     /// Cancelled at the signal to stop.
@@ -63,16 +65,15 @@
     pub tasks: TaskTracker,
     settings: RwLock<Option<Arc<Settings>>>,
     next_request: AtomicU64,
-    dialect: PhantomData<fn() -> D>,
 }
 
 /// An attempt's entry on the board; it is taken off when this is dropped, however the attempt ends.
-pub struct Entered<D> {
+pub struct Entered<D: Dialect> {
     process: Arc<Process<D>>,
     number: u64,
 }
 
-impl<D> Process<D> {
+impl<D: Dialect> Process<D> {
     /// A process that has heard nothing yet.
     pub fn new(config: Config, log: Logger) -> Process<D> {
         let clock = System;
@@ -93,12 +94,12 @@
             tell: Notify::new(),
             budget: Mutex::new(Budget::new(config.fleet.budget())),
             pool: Pool::default(),
+            memory: D::Memory::default(),
             peers: Peers::new(clock.now()),
             stopping: CancellationToken::new(),
             tasks: TaskTracker::new(),
             settings: RwLock::new(None),
             next_request: AtomicU64::new(0),
-            dialect: PhantomData,
             config,
         }
     }
@@ -145,6 +146,11 @@
         text.parse().expect("made of allowed characters")
     }
 
+    /// A name for memory that is set aside, never used again.
+    pub fn ticket(&self) -> String {
+        self.request_id().to_string()
+    }
+
     /// The configuration file may have changed.
     pub fn reload(&self) {
         let read = self.config.file.as_deref().map(crate::config::read_fleet);
@@ -167,7 +173,7 @@
     }
 }
 
-impl<D> Entered<D> {
+impl<D: Dialect> Entered<D> {
     /// The first event has come.
     pub fn began(&self) {
         self.process.board.lock().unwrap().began(self.number);
@@ -176,7 +182,7 @@
     }
 }
 
-impl<D> Drop for Entered<D> {
+impl<D: Dialect> Drop for Entered<D> {
     fn drop(&mut self) {
         self.process.board.lock().unwrap().leave(self.number);
         self.process.moved.notify_waiters();
@@ -185,7 +191,7 @@
 }
 
 /// Closes idle connections in time.
-pub async fn sweep<D: Send + Sync + 'static>(process: Arc<Process<D>>) {
+pub async fn sweep<D: Dialect>(process: Arc<Process<D>>) {
     while !process.stopping.is_cancelled() {
         tokio::time::sleep(SWEEP).await;
         process.pool.sweep(process.now());
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -31,6 +31,10 @@
 /// When a caller is told to come back who met a VM without settings, or with settings too old.
 const SETTINGS_AWAY: Duration = Duration::from_millis(500);
 
+/// The pause after memory that was counted on turned out to be taken: by then the peers have told
+/// what they placed.
+const MEMORY_PAUSE: Duration = Duration::from_millis(30);
+
 /// Attempts beyond the route's own that may be made while none is known to have run.
 const REFUSED_MORE: u32 = 2;
 
@@ -109,7 +113,7 @@
     body_bytes: usize,
 }
 
-fn check<D>(
+fn check<D: Dialect>(
     process: &Process<D>,
     terms: &Terms,
     request: &Request<Incoming>,
@@ -138,7 +142,7 @@
     })
 }
 
-fn organisation<D>(
+fn organisation<D: Dialect>(
     process: &Process<D>,
     table: &Table,
     route: &Route,
@@ -237,6 +241,12 @@
                 tries.unsent += 1;
                 (why, attempt.refused(Refusal::not_connected()))
             }
+            End::NoMemory(why) => {
+                proof = attempt.refused(Refusal::not_connected());
+                job.record(Decision::Retried { upstream, why });
+                tokio::time::sleep(MEMORY_PAUSE).await;
+                continue;
+            }
             End::NotRun(why) => {
                 tries.refused += 1;
                 (why, attempt.refused(Refusal::stated()))
@@ -287,7 +297,7 @@
 const MOST_UNSENT: u32 = 6;
 
 /// Decides whether a request is sent again.
-pub fn may_repeat<D>(job: &Job<D>, tries: &Tries, not_run: bool) -> bool {
+pub fn may_repeat<D: Dialect>(job: &Job<D>, tries: &Tries, not_run: bool) -> bool {
     let allowed = (not_run || job.repeatable())
         && tries.unsent <= MOST_UNSENT
         && tries.ran < job.route.attempts
@@ -306,7 +316,7 @@
 }
 
 /// Records how a request failed.
-pub fn failed<D>(job: &Job<D>, error: Error) -> Error {
+pub fn failed<D: Dialect>(job: &Job<D>, error: Error) -> Error {
     let why = error.message().to_owned();
     let retry_after_ms = error.retry().map(|d| d.as_millis() as u64);
     job.record(if error.ran() == Ran::No {
@@ -318,7 +328,7 @@
 }
 
 /// Records that a request has its whole answer.
-pub fn finished<D>(job: &Job<D>, first: Option<(Duration, Duration, u64)>) {
+pub fn finished<D: Dialect>(job: &Job<D>, first: Option<(Duration, Duration, u64)>) {
     let (first_token, engine, tokens) = first.unwrap_or((job.held(), job.held(), 0));
     job.process.metrics.answered(&job.service, job.terms.prompt.0, first_token);
     job.record(Decision::Finished {
--- a/daemon/src/fleet/stop.rs
+++ b/daemon/src/fleet/stop.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foldlock_base::prelude::*;
+use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
 
 use crate::fleet::process::Process;
@@ -20,7 +21,7 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 
 /// Stops the process.
-pub async fn run<D: Send + Sync + 'static, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
+pub async fn run<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
     let began = process.now();
     log::event(&process.log, Event::Stopping, "not ready from now on");
     process.stopping.cancel();
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -29,16 +29,25 @@
     pub leaving: bool,
 }
 
+/// An upstream that reads a part of the prompt for another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Helping {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Tokens of its memory that are set aside for the prompt; 0 where it only reads.
+    pub held: u64,
+}
+
 /// An attempt under way.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Flight {
     /// The upstream that answers.
     pub upstream: id::Upstream,
     /// The upstreams that read a part of the prompt each.
-    pub helpers: Vec<id::Upstream>,
+    pub helpers: Vec<Helping>,
     /// Milliseconds that each of them reads.
     pub part_ms: f32,
-    /// Tokens of prompt and answer, held by the upstream that answers.
+    /// Tokens of prompt and answer that the upstream that answers holds itself.
     pub memory: u64,
     /// Whether its pauses are to be short, so that no long read belongs beside it.
     pub brisk: bool,
@@ -221,13 +230,16 @@
             load.memory += flight.memory;
             load.writers += u32::from(flight.writing);
             load.brisk += u32::from(flight.brisk);
+            for helper in &flight.helpers {
+                loads.entry(&helper.upstream).or_default().memory += helper.held;
+            }
             if flight.writing {
                 continue;
             }
             reads.push((tracked.sent, &flight.upstream, part));
             for helper in &flight.helpers {
-                loads.entry(helper).or_default().helping += 1;
-                reads.push((tracked.sent, helper, part));
+                loads.entry(&helper.upstream).or_default().helping += 1;
+                reads.push((tracked.sent, &helper.upstream, part));
             }
         }
         add_reads(&mut loads, reads, now);
--- a/request/src/dialect.rs
+++ b/request/src/dialect.rs
@@ -3,10 +3,14 @@
 
 use http::{HeaderMap, StatusCode};
 
+use crate::memory::Memory;
 use crate::terms::{Handover, Terms, Verdict};
 
 /// The words of a platform in the heads of requests and answers.
 pub trait Dialect: Send + Sync + 'static {
+    /// The engines' memory, as it is set aside on this platform.
+    type Memory: Memory + Default;
+
     /// Decodes what a caller asks for.
     fn terms(headers: &HeaderMap) -> Terms;
 
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forecast;
 pub mod health;
 pub mod limit;
+pub mod memory;
 pub mod placement;
 pub mod prompt;
 pub mod quota;
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -10,7 +10,7 @@
 use foldlock_base::prelude::*;
 use foldlock_version::routes::{Engine, Route, Shape};
 
-use crate::board::{Board, Flight, Load, Upstream};
+use crate::board::{Board, Flight, Helping, Load, Upstream};
 use crate::forecast;
 
 /// The part of the slots of an engine that short prompts fill before they go on to the next one:
@@ -62,7 +62,7 @@
     pub flight: Flight,
     /// Where the upstream listens.
     pub address: String,
-    /// Where the helpers listen.
+    /// Where the helpers of the flight listen, in the same order.
     pub helpers: Vec<String>,
     /// The predicted time to the first event, milliseconds; 0 where there is no model.
     pub predicted_ms: f64,
@@ -109,9 +109,6 @@
         return Err(Nowhere::Closed);
     }
     let Some(engine) = ask.engine else { return plain(ask, candidates) };
-    if ask.memory > engine.memory {
-        return Err(Nowhere::TooLarge);
-    }
     let read = forecast::read_ms(engine, ask.prompt.0);
     let objective = ask.route.objective.as_secs_f64() * 1e3;
     if read <= objective * WHOLE && is_brisk(ask.route) {
@@ -121,6 +118,13 @@
     }
 }
 
+/// The part of an engine's free memory that is asked for: what other VMs have just placed there
+/// takes the rest.
+const SPARE: f64 = 0.97;
+
+/// The least memory worth setting aside at one engine, tokens.
+const LEAST_HELD: u64 = 8_000;
+
 /// Whether a route's answers have short pauses.
 pub fn is_brisk(route: &Route) -> bool {
     match route.shape {
@@ -156,7 +160,7 @@
         .into_iter()
         .min_by(|a, b| relative(a).total_cmp(&relative(b)))
         .ok_or(Nowhere::Closed)?;
-    Ok(placed(ask, best, &[], 0.0, 0.0, open))
+    Ok(placed(ask, &best, &[], 0.0, 0.0, open))
 }
 
 fn short(
@@ -176,7 +180,7 @@
     };
     let first = candidates.iter().position(|c| fits(&c));
     let index = first.or_else(|| least(&candidates, engine, memory, read)).ok_or(Nowhere::Full)?;
-    let best = candidates.into_iter().nth(index).ok_or(Nowhere::Full)?;
+    let best = &candidates[index];
     let predicted = best.predicted_ms(engine, read);
     Ok(placed(ask, best, &[], read, predicted, open))
 }
@@ -213,17 +217,73 @@
     });
     candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
     let quiet = candidates.iter().filter(|c| c.load.brisk == 0).count();
-    let parts = parts(quiet, candidates.len(), most, read, ask.route.objective.as_secs_f64() * 1e3);
-    let memory = ask.memory.0;
-    let main = main_engine(&candidates, engine, memory).ok_or(Nowhere::Full)?;
-    let main = candidates.remove(main);
-    candidates.truncate(parts - 1);
-    let part = read / parts as f64;
-    let slowest = candidates
-        .iter()
-        .map(|c| c.load.backlog_ms + part)
-        .fold(main.predicted_ms(engine, part), f64::max);
-    Ok(placed(ask, main, &candidates, part, slowest, open))
+    let objective = ask.route.objective.as_secs_f64() * 1e3;
+    let parts = parts(quiet, candidates.len(), most, read, objective);
+    let (main, holders) = match main_engine(&candidates, engine, ask.memory.0) {
+        Some(main) => (main, Vec::new()),
+        None => spread(&candidates, engine, ask.memory.0)?,
+    };
+    let helpers = helpers(candidates.len(), main, &holders, parts);
+    let part = read / (helpers.len() + 1) as f64;
+    let ahead = |(index, _): &(usize, u64)| candidates[*index].load.backlog_ms + part;
+    let own = candidates[main].predicted_ms(engine, part);
+    let predicted = helpers.iter().map(ahead).fold(own, f64::max);
+    let helpers: Vec<(&Candidate<'_>, u64)> =
+        helpers.iter().map(|(index, held)| (&candidates[*index], *held)).collect();
+    Ok(placed(ask, &candidates[main], &helpers, part, predicted, open))
+}
+
+/// The holders, and then others in their order up to `parts` readers.
+fn helpers(all: usize, main: usize, holders: &[(usize, u64)], parts: usize) -> Vec<(usize, u64)> {
+    let mut helpers = holders.to_vec();
+    for index in 0..all {
+        if helpers.len() + 1 >= parts.min(MOST_HELPERS + 1) {
+            break;
+        }
+        if index != main && !holders.iter().any(|(holder, _)| *holder == index) {
+            helpers.push((index, 0));
+        }
+    }
+    helpers
+}
+
+/// Spreads a prompt over the memory of several engines: the one with the most room answers, the
+/// others set aside what it lacks.
+fn spread(
+    candidates: &[Candidate<'_>],
+    engine: &Engine,
+    memory: u64,
+) -> Result<(usize, Vec<(usize, u64)>), Nowhere> {
+    let free = |c: &Candidate<'_>| {
+        let left = engine.memory.0.saturating_sub(c.load.memory);
+        (left as f64 * SPARE) as u64
+    };
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_by_key(|index| {
+        let c = &candidates[*index];
+        (c.load.brisk > 0, std::cmp::Reverse(free(c)))
+    });
+    let takes = |c: &Candidate<'_>| c.load.requests < c.upstream.listed.slots;
+    let main = order.iter().copied().find(|i| takes(&candidates[*i])).ok_or(Nowhere::Full)?;
+    let mut missing = memory.saturating_sub(free(&candidates[main]));
+    let mut holders = Vec::new();
+    for index in order.into_iter().filter(|index| *index != main) {
+        if missing == 0 || holders.len() == MOST_HELPERS {
+            break;
+        }
+        let room = free(&candidates[index]);
+        if room < LEAST_HELD {
+            continue;
+        }
+        let held = room.min(missing.max(LEAST_HELD));
+        missing = missing.saturating_sub(held);
+        holders.push((index, held));
+    }
+    if missing == 0 {
+        return Ok((main, holders));
+    }
+    let all = engine.memory.0 * candidates.len().min(MOST_HELPERS + 1) as u64;
+    Err(if memory > all { Nowhere::TooLarge } else { Nowhere::Full })
 }
 
 /// How many engines read a prompt: the quiet ones, and others where those are too few.
@@ -249,26 +309,31 @@
 
 fn placed(
     ask: &Ask<'_>,
-    best: Candidate<'_>,
-    helpers: &[Candidate<'_>],
+    best: &Candidate<'_>,
+    helpers: &[(&Candidate<'_>, u64)],
     part_ms: f64,
     predicted_ms: f64,
     open: usize,
 ) -> Place {
     let listed = &best.upstream.listed;
+    let held: u64 = helpers.iter().map(|(_, held)| held).sum();
+    let helping = |(c, held): &(&Candidate<'_>, u64)| Helping {
+        upstream: c.upstream.listed.id.clone(),
+        held: *held,
+    };
     Place {
         flight: Flight {
             upstream: listed.id.clone(),
-            helpers: helpers.iter().map(|c| c.upstream.listed.id.clone()).collect(),
+            helpers: helpers.iter().map(helping).collect(),
             part_ms: part_ms as f32,
-            memory: ask.memory.0,
+            memory: ask.memory.0.saturating_sub(held),
             brisk: is_brisk(ask.route),
             writing: false,
         },
         address: listed.address.clone(),
-        helpers: helpers.iter().map(|c| c.upstream.listed.address.clone()).collect(),
+        helpers: helpers.iter().map(|(c, _)| c.upstream.listed.address.clone()).collect(),
         predicted_ms,
-        load: best.load,
+        load: best.load.clone(),
         open,
     }
 }
--- a/request/src/terms.rs
+++ b/request/src/terms.rs
@@ -47,6 +47,15 @@
     pub organisation: Option<&'a str>,
     /// The last event that was delivered, where a stream goes on.
     pub last_event: Option<u64>,
-    /// Addresses of the upstreams that help to read the prompt.
-    pub helpers: &'a [String],
+    /// The upstreams that help to read the prompt.
+    pub helpers: &'a [Helper],
+}
+
+/// An upstream that helps to read a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Helper {
+    /// Where it listens, `IP:port`.
+    pub address: String,
+    /// The ticket for the memory that it has set aside, where it has any.
+    pub ticket: Option<String>,
 }
