--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -32,6 +32,10 @@
 /// and this stay within a pause of 250 ms with one more short prompt.
 const BESIDE_BRISK_MS: f64 = 110.0;
 
+/// The longest part, milliseconds, that engines without short answers read: what other long
+/// prompts wait behind it has to leave them the most of their objective of 1.5 s and more.
+const MOST_PART_MS: f64 = 700.0;
+
 /// The most engines that help with one prompt; the platform's limit.
 const MOST_HELPERS: usize = 16;
 
@@ -208,29 +212,60 @@
     read: f64,
 ) -> Result<Place, Nowhere> {
     let open = candidates.len();
-    let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
-    // Engines without short answers first, and those with the least ahead among them.
-    candidates.reverse();
-    candidates.sort_by(|a, b| {
-        let rank = |c: &Candidate<'_>| c.load.brisk > 0;
-        rank(a).cmp(&rank(b)).then(a.load.backlog_ms.total_cmp(&b.load.backlog_ms))
-    });
     candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
-    let quiet = candidates.iter().filter(|c| c.load.brisk == 0).count();
+    candidates.reverse();
+    candidates.sort_by(|a, b| a.load.backlog_ms.total_cmp(&b.load.backlog_ms));
+    let quiet: Vec<&Candidate<'_>> = candidates.iter().filter(|c| c.load.brisk == 0).collect();
+    let all: Vec<&Candidate<'_>> = candidates.iter().collect();
     let objective = ask.route.objective.as_secs_f64() * 1e3;
-    let parts = parts(quiet, candidates.len(), most, read, objective);
-    let (main, holders) = match main_engine(&candidates, engine, ask.memory.0) {
+    let apart = group(ask, engine, &quiet, read, f64::INFINITY);
+    let beside = group(ask, engine, &all, read, BESIDE_BRISK_MS);
+    let in_time = |g: &Group<'_, '_>| g.predicted_ms <= objective * IN_TIME;
+    let chosen = match (apart, beside) {
+        (Ok(apart), _) if in_time(&apart) => apart,
+        (Ok(apart), Ok(beside)) if apart.predicted_ms <= beside.predicted_ms => apart,
+        (_, Ok(beside)) => beside,
+        (Ok(apart), Err(_)) if apart.part_ms <= MOST_PART_MS => apart,
+        (Ok(_), Err(_)) => return Err(Nowhere::Full),
+        (Err(nowhere), Err(_)) => return Err(nowhere),
+    };
+    Ok(placed(ask, chosen.main, &chosen.helpers, chosen.part_ms, chosen.predicted_ms, open))
+}
+
+/// Engines that read one prompt together.
+struct Group<'a, 'b> {
+    main: &'a Candidate<'b>,
+    helpers: Vec<(&'a Candidate<'b>, u64)>,
+    part_ms: f64,
+    predicted_ms: f64,
+}
+
+/// The group among `candidates`, which are in the order of what they have ahead, whose parts are
+/// no longer than `most_ms`.
+fn group<'a, 'b>(
+    ask: &Ask<'_>,
+    engine: &Engine,
+    candidates: &[&'a Candidate<'b>],
+    read: f64,
+    most_ms: f64,
+) -> Result<Group<'a, 'b>, Nowhere> {
+    let useful = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
+    let gentle = (read / most_ms).ceil().max(1.0) as usize;
+    let parts = if most_ms.is_finite() { gentle } else { useful };
+    let (main, holders) = match main_engine(candidates, engine, ask.memory.0) {
         Some(main) => (main, Vec::new()),
-        None => spread(&candidates, engine, ask.memory.0)?,
+        None => spread(candidates, engine, ask.memory.0)?,
     };
     let helpers = helpers(candidates.len(), main, &holders, parts);
-    let part = read / (helpers.len() + 1) as f64;
-    let ahead = |(index, _): &(usize, u64)| candidates[*index].load.backlog_ms + part;
-    let own = candidates[main].predicted_ms(engine, part);
-    let predicted = helpers.iter().map(ahead).fold(own, f64::max);
-    let helpers: Vec<(&Candidate<'_>, u64)> =
-        helpers.iter().map(|(index, held)| (&candidates[*index], *held)).collect();
-    Ok(placed(ask, &candidates[main], &helpers, part, predicted, open))
+    let part_ms = read / (helpers.len() + 1) as f64;
+    if part_ms > most_ms {
+        return Err(Nowhere::Full);
+    }
+    let ahead = |(index, _): &(usize, u64)| candidates[*index].load.backlog_ms + part_ms;
+    let own = candidates[main].predicted_ms(engine, part_ms);
+    let predicted_ms = helpers.iter().map(ahead).fold(own, f64::max);
+    let helpers = helpers.iter().map(|(index, held)| (candidates[*index], *held)).collect();
+    Ok(Group { main: candidates[main], helpers, part_ms, predicted_ms })
 }
 
 /// The holders, and then others in their order up to `parts` readers.
@@ -250,7 +285,7 @@
 /// Spreads a prompt over the memory of several engines: the one with the most room answers, the
 /// others set aside what it lacks.
 fn spread(
-    candidates: &[Candidate<'_>],
+    candidates: &[&Candidate<'_>],
     engine: &Engine,
     memory: u64,
 ) -> Result<(usize, Vec<(usize, u64)>), Nowhere> {
@@ -260,18 +295,18 @@
     };
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|index| {
-        let c = &candidates[*index];
+        let c = candidates[*index];
         (c.load.brisk > 0, std::cmp::Reverse(free(c)))
     });
     let takes = |c: &Candidate<'_>| c.load.requests < c.upstream.listed.slots;
-    let main = order.iter().copied().find(|i| takes(&candidates[*i])).ok_or(Nowhere::Full)?;
-    let mut missing = memory.saturating_sub(free(&candidates[main]));
+    let main = order.iter().copied().find(|i| takes(candidates[*i])).ok_or(Nowhere::Full)?;
+    let mut missing = memory.saturating_sub(free(candidates[main]));
     let mut holders = Vec::new();
     for index in order.into_iter().filter(|index| *index != main) {
         if missing == 0 || holders.len() == MOST_HELPERS {
             break;
         }
-        let room = free(&candidates[index]);
+        let room = free(candidates[index]);
         if room < LEAST_HELD {
             continue;
         }
@@ -286,19 +321,9 @@
     Err(if memory > all { Nowhere::TooLarge } else { Nowhere::Full })
 }
 
-/// How many engines read a prompt: the quiet ones, and others where those are too few.
-fn parts(quiet: usize, all: usize, most: usize, read: f64, objective: f64) -> usize {
-    let enough = (read / (objective * IN_TIME)).ceil() as usize;
-    if quiet >= enough.max(1) {
-        return quiet.min(most);
-    }
-    let gentle = (read / BESIDE_BRISK_MS).ceil() as usize;
-    gentle.clamp(1, most.min(all).max(1))
-}
-
 /// The engine that answers a long prompt: the first in the order with room, so that answers stay
 /// away from those with short ones; the memory that stays free there decides among the quiet.
-fn main_engine(candidates: &[Candidate<'_>], engine: &Engine, memory: u64) -> Option<usize> {
+fn main_engine(candidates: &[&Candidate<'_>], engine: &Engine, memory: u64) -> Option<usize> {
     candidates
         .iter()
         .enumerate()
