Bound the reading in a pass by the pauses of the answers beside it

Cause: chapter-size prompts were late by their pauses (600 ms) beside reads of 700 ms (19 of 58 late). Change: each attempt tells its longest pause; an engine takes a read only if a pass with all its reads stays within the shortest pause there.

--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -49,8 +49,8 @@
     pub part_ms: f32,
     /// Tokens of prompt and answer that the upstream that answers holds itself.
     pub memory: u64,
-    /// Whether its pauses are to be short, so that no long read belongs beside it.
-    pub brisk: bool,
+    /// The longest pause between events that its caller takes for in time, milliseconds.
+    pub pause_ms: u32,
     /// Whether its first event has come.
     pub writing: bool,
 }
@@ -84,8 +84,8 @@
     pub requests: u32,
     /// Those of them that write.
     pub writers: u32,
-    /// Those of them with short pauses.
-    pub brisk: u32,
+    /// The shortest pause that one of them may have, milliseconds; none where there are none.
+    pub pause_ms: Option<u32>,
     /// Parts of other upstreams' prompts that it reads.
     pub helping: u32,
     /// Tokens of memory.
@@ -229,7 +229,8 @@
             load.requests += 1;
             load.memory += flight.memory;
             load.writers += u32::from(flight.writing);
-            load.brisk += u32::from(flight.brisk);
+            let pause_ms = load.pause_ms.map_or(flight.pause_ms, |ms| ms.min(flight.pause_ms));
+            load.pause_ms = Some(pause_ms);
             for helper in &flight.helpers {
                 loads.entry(&helper.upstream).or_default().memory += helper.held;
             }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -26,12 +26,11 @@
 /// A prompt that is read in this part of its objective stays whole on one engine.
 const WHOLE: f64 = 0.55;
 
-/// The longest part, milliseconds, that may be read beside short answers: their pass of about 50 ms
-/// and this stay within a pause of 250 ms with one more short prompt.
-const BESIDE_BRISK_MS: f64 = 110.0;
+/// Kept from a pause, milliseconds, for one more short prompt that comes in.
+const PAUSE_MARGIN_MS: f64 = 60.0;
 
 /// A pause at or under this is short: no long read belongs beside such an answer.
-const BRISK_MS: u128 = 400;
+const BRISK_MS: u32 = 400;
 
 /// What is to be placed.
 #[derive(Debug, Clone)]
@@ -99,6 +98,19 @@
         running + load.backlog_ms
     }
 
+    /// The milliseconds of reading that one pass may hold so that no answer here pauses for too
+    /// long, with one more whose pause is `pause_ms`.
+    fn allowance_ms(&self, engine: &Engine, pause_ms: u32) -> f64 {
+        let pause = self.load.pause_ms.map_or(pause_ms, |ms| ms.min(pause_ms));
+        let pass = forecast::pass_ms(engine, self.load.writers + 1, self.load.memory);
+        f64::from(pause) - pass - PAUSE_MARGIN_MS
+    }
+
+    /// Whether an answer with short pauses is under way here.
+    fn is_brisk(&self) -> bool {
+        self.load.pause_ms.is_some_and(|ms| ms <= BRISK_MS)
+    }
+
     fn has_room(&self, memory: u64, engine: &Engine) -> bool {
         self.load.requests < self.upstream.listed.slots
             && self.load.memory + memory <= engine.memory.0
@@ -121,14 +133,19 @@
     }
 }
 
-/// Whether a route's answers have short pauses.
-pub fn is_brisk(route: &Route) -> bool {
+/// The longest pause of a route's answers, milliseconds.
+fn pause_ms(route: &Route) -> u32 {
     match route.shape {
-        Shape::Events { pause } => pause.as_millis() <= BRISK_MS,
-        Shape::Whole => false,
+        Shape::Events { pause } => pause.as_millis() as u32,
+        Shape::Whole => u32::MAX,
     }
 }
 
+/// Whether a route's answers have short pauses.
+fn is_brisk(route: &Route) -> bool {
+    pause_ms(route) <= BRISK_MS
+}
+
 fn candidates<'a>(board: &'a Board, ask: &Ask<'a>, now: Instant) -> Vec<Candidate<'a>> {
     let mut loads: HashMap<&id::Upstream, Load> = board.loads(now);
     let open: Vec<&Upstream> =
@@ -171,7 +188,7 @@
     let fits = |c: &&Candidate<'_>| {
         f64::from(c.load.requests) < f64::from(c.upstream.listed.slots) * FILL
             && c.has_room(memory, engine)
-            && c.load.longest_ms <= BESIDE_BRISK_MS
+            && c.load.backlog_ms + read <= c.allowance_ms(engine, pause_ms(ask.route))
             && c.predicted_ms(engine, read) <= objective * IN_TIME
     };
     let first = candidates.iter().position(|c| fits(&c));
@@ -217,7 +234,7 @@
             helpers: helpers.iter().map(helping).collect(),
             part_ms: part_ms as f32,
             memory: ask.memory.0.saturating_sub(held),
-            brisk: is_brisk(ask.route),
+            pause_ms: pause_ms(ask.route),
             writing: false,
         },
         address: listed.address.clone(),
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -8,7 +8,7 @@
 
 use foldlock_version::routes::Engine;
 
-use super::{Ask, BESIDE_BRISK_MS, Candidate, IN_TIME, Nowhere, Place, placed};
+use super::{Ask, Candidate, IN_TIME, Nowhere, Place, placed};
 use crate::forecast;
 
 /// The shortest part of a long read, milliseconds: under it the steps of each pass cost more than
@@ -29,8 +29,9 @@
 /// are 1.5 s and more.
 const MOST_PART_MS: f64 = 700.0;
 
-/// The most that an engine with short answers may have ahead, milliseconds, to take a part.
-const BESIDE_AHEAD_MS: f64 = 60.0;
+/// How much sooner an engine with short answers has to be free to read a part: its passes get
+/// longer by the part, and short prompts that come in wait for it.
+const BRISK_APART_MS: f64 = 150.0;
 
 /// How much sooner an engine without writers has to be free to be the one that answers: an engine
 /// that plays steps anyway loses nothing by one writer more, the others read faster without any.
@@ -49,6 +50,7 @@
     helpers: Vec<(&'a Candidate<'b>, u64)>,
     part_ms: f64,
     predicted_ms: f64,
+    cost_ms: f64,
 }
 
 /// Which engine answers, and which set memory aside for it: indices and tokens.
@@ -65,105 +67,67 @@
     read: f64,
 ) -> Result<Place, Nowhere> {
     let open = candidates.len();
+    let objective = ask.route.objective.as_secs_f64() * 1e3;
+    let heavy = read > objective * HEAVY;
     candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
+    if heavy {
+        candidates.retain(|c| !c.is_brisk() && c.ahead_ms(engine) <= IDLE_MS);
+    }
     candidates.reverse();
-    candidates.sort_by(|a, b| a.ahead_ms(engine).total_cmp(&b.ahead_ms(engine)));
-    let objective = ask.route.objective.as_secs_f64() * 1e3;
-    let apart = apart(ask, engine, &candidates, read, objective);
-    let chosen = match apart {
-        Ok(group) if group.predicted_ms <= objective * IN_TIME => group,
-        apart => match (apart, beside(ask, engine, &candidates, read)) {
-            (Ok(a), Ok(b)) => {
-                if a.predicted_ms <= b.predicted_ms {
-                    a
-                } else {
-                    b
-                }
-            }
-            (Ok(group), Err(_)) | (Err(_), Ok(group)) => group,
-            (Err(nowhere), Err(_)) => return Err(nowhere),
-        },
+    candidates.sort_by(|a, b| rank_ms(a, engine).total_cmp(&rank_ms(b, engine)));
+    let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
+    let groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
+    let chosen = if heavy {
+        let mut gentle = groups.filter(|g| g.part_ms <= MOST_PART_MS);
+        gentle.find(|g| g.predicted_ms <= objective * IN_TIME)
+    } else {
+        groups.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     };
+    let chosen = chosen.ok_or(Nowhere::Full)?;
     Ok(placed(ask, chosen.main, &chosen.helpers, chosen.part_ms, chosen.predicted_ms, open))
 }
 
-/// A group of engines without short answers.
-fn apart<'a, 'b>(
-    ask: &Ask<'_>,
-    engine: &Engine,
-    candidates: &'a [Candidate<'b>],
-    read: f64,
-    objective: f64,
-) -> Result<Group<'a, 'b>, Nowhere> {
-    let heavy = read > objective * HEAVY;
-    let fits = |c: &&Candidate<'_>| c.load.brisk == 0 && (!heavy || c.ahead_ms(engine) <= IDLE_MS);
-    let quiet: Vec<&Candidate<'_>> = candidates.iter().filter(fits).collect();
-    let holding = holding(ask, engine, &quiet)?;
-    let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
-    let sizes = holding.holders.len() + 1..=most.max(holding.holders.len() + 1);
-    let groups = sizes.map(|parts| group(engine, &quiet, &holding, read, parts));
-    if !heavy {
-        let fastest = groups.min_by(|a, b| a.predicted_ms.total_cmp(&b.predicted_ms));
-        return fastest.ok_or(Nowhere::Full);
-    }
-    let mut groups = groups.filter(|g| g.part_ms <= MOST_PART_MS);
-    groups.find(|g| g.predicted_ms <= objective * IN_TIME).ok_or(Nowhere::Full)
+/// The order in which engines read: those that are free soonest, short answers spared.
+fn rank_ms(candidate: &Candidate<'_>, engine: &Engine) -> f64 {
+    let spared = if candidate.is_brisk() { BRISK_APART_MS } else { 0.0 };
+    candidate.ahead_ms(engine) + spared
 }
 
-/// A group of any engines with parts so small that short answers there stay in time.
-fn beside<'a, 'b>(
+/// The group of `parts` engines, if so many may read parts of that size: those that answer and hold
+/// memory, and then those that are free soonest.
+fn group<'a, 'b>(
     ask: &Ask<'_>,
     engine: &Engine,
     candidates: &'a [Candidate<'b>],
     read: f64,
-) -> Result<Group<'a, 'b>, Nowhere> {
-    let fits = |c: &&Candidate<'_>| c.load.brisk == 0 || c.load.backlog_ms <= BESIDE_AHEAD_MS;
-    let all: Vec<&Candidate<'_>> = candidates.iter().filter(fits).collect();
-    let main = main_engine(engine, &all, ask.memory.0).ok_or(Nowhere::Full)?;
-    let parts = (read / BESIDE_BRISK_MS).ceil().max(1.0) as usize;
-    if parts > all.len().min(MOST_HELPERS + 1) {
-        return Err(Nowhere::Full);
-    }
-    let holding = Holding { main, holders: Vec::new() };
-    Ok(group(engine, &all, &holding, read, parts))
-}
-
-/// The group of `parts` engines, or as many as there are: those that answer and hold memory, and
-/// then those with the least ahead.
-fn group<'a, 'b>(
-    engine: &Engine,
-    candidates: &[&'a Candidate<'b>],
-    holding: &Holding,
-    read: f64,
     parts: usize,
-) -> Group<'a, 'b> {
-    let Holding { main, holders } = holding;
+) -> Option<Group<'a, 'b>> {
+    let part_ms = read / parts as f64;
+    let fits = |c: &&Candidate<'_>| c.load.backlog_ms + part_ms <= c.allowance_ms(engine, u32::MAX);
+    let readers: Vec<&Candidate<'_>> = candidates.iter().filter(fits).collect();
+    if readers.len() < parts {
+        return None;
+    }
+    let Holding { main, holders } = match main_engine(engine, &readers, ask.memory.0) {
+        Some(main) => Holding { main, holders: Vec::new() },
+        None => spread(&readers, engine, ask.memory.0)?,
+    };
+    if holders.len() >= parts {
+        return None;
+    }
     let is_holder = |index: usize| holders.iter().any(|(holder, _)| *holder == index);
-    let others = (0..candidates.len()).filter(|index| index != main && !is_holder(*index));
-    let readers = others.take(parts.saturating_sub(holders.len() + 1)).map(|index| (index, 0));
-    let helpers: Vec<(&Candidate<'_>, u64)> = holders
-        .iter()
-        .copied()
-        .chain(readers)
-        .map(|(index, held)| (candidates[index], held))
-        .collect();
-    let part_ms = read / (helpers.len() + 1) as f64;
-    let main = candidates[*main];
+    let others = (0..readers.len()).filter(|index| *index != main && !is_holder(*index));
+    let others = others.take(parts - 1 - holders.len()).map(|index| (index, 0));
+    let helpers: Vec<(&Candidate<'_>, u64)> =
+        holders.iter().copied().chain(others).map(|(index, held)| (readers[index], held)).collect();
+    let main = readers[main];
     let ahead = helpers.iter().map(|(c, _)| c.ahead_ms(engine));
     let ahead = ahead.fold(main.ahead_ms(engine), f64::max);
     let pass = forecast::pass_ms(engine, main.load.writers + 1, main.load.memory);
-    Group { main, helpers, part_ms, predicted_ms: ahead + part_ms + pass }
-}
-
-fn holding(
-    ask: &Ask<'_>,
-    engine: &Engine,
-    candidates: &[&Candidate<'_>],
-) -> Result<Holding, Nowhere> {
-    match main_engine(engine, candidates, ask.memory.0) {
-        Some(main) => Ok(Holding { main, holders: Vec::new() }),
-        None => spread(candidates, engine, ask.memory.0),
-    }
+    let predicted_ms = ahead + part_ms + pass;
+    let brisk = main.is_brisk() || helpers.iter().any(|(c, _)| c.is_brisk());
+    let cost_ms = if brisk { predicted_ms + BRISK_APART_MS } else { predicted_ms };
+    Some(Group { main, helpers, part_ms, predicted_ms, cost_ms })
 }
 
 /// The engine that answers: one that writes anyway, unless another is free much sooner.
@@ -176,15 +140,13 @@
         .iter()
         .enumerate()
         .filter(|(_, c)| c.has_room(memory, engine))
-        .min_by(|(_, a), (_, b)| {
-            (a.load.brisk > 0).cmp(&(b.load.brisk > 0)).then(rank(a).total_cmp(&rank(b)))
-        })
+        .min_by(|(_, a), (_, b)| a.is_brisk().cmp(&b.is_brisk()).then(rank(a).total_cmp(&rank(b))))
         .map(|(index, _)| index)
 }
 
 /// Spreads a prompt over the memory of several engines: the one with the most room answers, the
 /// others set aside what it lacks.
-fn spread(candidates: &[&Candidate<'_>], engine: &Engine, memory: u64) -> Result<Holding, Nowhere> {
+fn spread(candidates: &[&Candidate<'_>], engine: &Engine, memory: u64) -> Option<Holding> {
     let free = |c: &Candidate<'_>| {
         let left = engine.memory.0.saturating_sub(c.load.memory);
         (left as f64 * SPARE) as u64
@@ -192,7 +154,7 @@
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     order.sort_by_key(|index| Reverse(free(candidates[*index])));
     let takes = |c: &Candidate<'_>| c.load.requests < c.upstream.listed.slots;
-    let main = order.iter().copied().find(|i| takes(candidates[*i])).ok_or(Nowhere::Full)?;
+    let main = order.iter().copied().find(|i| takes(candidates[*i]))?;
     let mut missing = memory.saturating_sub(free(candidates[main]));
     let mut holders = Vec::new();
     for index in order.into_iter().filter(|index| *index != main) {
@@ -207,5 +169,5 @@
         missing = missing.saturating_sub(held);
         holders.push((index, held));
     }
-    if missing == 0 { Ok(Holding { main, holders }) } else { Err(Nowhere::Full) }
+    (missing == 0).then_some(Holding { main, holders })
 }
