--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -255,6 +255,7 @@
         first_token_ms: millis(first),
         engine_ms: millis(first.saturating_sub(sent)),
         tokens: progress.tokens,
+        pause_ms: None,
     });
     End::Finished
 }
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -17,7 +17,7 @@
 use crate::fleet::attempt::{self, Begun, End, Next, Source};
 use crate::fleet::gate;
 use crate::fleet::job::Job;
-use crate::fleet::serve::{self, Tries};
+use crate::fleet::serve::{self, Streamed, Tries};
 
 /// Batches of events that wait for a slow caller.
 const WAITING: usize = 16;
@@ -35,6 +35,8 @@
 struct Passed {
     last: Option<u64>,
     count: u64,
+    at: Option<Instant>,
+    pause: Duration,
 }
 
 /// An event is not the one that comes next.
@@ -45,6 +47,13 @@
 }
 
 impl Passed {
+    /// Notes the time at which events came.
+    fn note(&mut self, now: Instant) {
+        if let Some(at) = self.at.replace(now) {
+            self.pause = self.pause.max(now.saturating_duration_since(at));
+        }
+    }
+
     /// The bytes that are new to the caller.
     fn take(&mut self, parts: &[Part]) -> Result<Bytes, Gap> {
         let mut fresh = BytesMut::new();
@@ -90,7 +99,7 @@
     mut tries: Tries,
     sink: Sink,
 ) {
-    let mut passed = Passed { last: job.terms.last_event, count: 0 };
+    let mut passed = Passed { last: job.terms.last_event, ..Passed::default() };
     let first_token = job.held();
     let engine = job.process.now().saturating_duration_since(source.sent);
     job.process.metrics.predicted(source.predicted_ms, engine);
@@ -101,7 +110,9 @@
         let (why, silent) = match ended {
             Ended::Whole => {
                 source.finish(&job);
-                serve::finished(&job, Some((first_token, engine, passed.count)));
+                let (events, pause) = (passed.count, passed.pause);
+                let streamed = Streamed { first: first_token, engine, events, pause };
+                serve::finished(&job, Some(streamed));
                 return;
             }
             Ended::Gone => {
@@ -151,6 +162,7 @@
                 return Ended::Broken { why, silent: false };
             }
         };
+        passed.note(job.process.now());
         if !bytes.is_empty() && sink.send(Ok(bytes)).await.is_err() {
             return Ended::Gone;
         }
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -327,13 +327,27 @@
     error
 }
 
+/// What became of a stream that was passed on whole.
+#[derive(Debug, Clone, Copy)]
+pub struct Streamed {
+    /// From arrival to the first event.
+    pub first: Duration,
+    /// From sending to the first event.
+    pub engine: Duration,
+    /// The events.
+    pub events: u64,
+    /// The longest pause between two of them.
+    pub pause: Duration,
+}
+
 /// Records that a request has its whole answer.
-pub fn finished<D: Dialect>(job: &Job<D>, first: Option<(Duration, Duration, u64)>) {
-    let (first_token, engine, tokens) = first.unwrap_or((job.held(), job.held(), 0));
-    job.process.metrics.answered(&job.service, job.terms.prompt.0, first_token);
+pub fn finished<D: Dialect>(job: &Job<D>, streamed: Option<Streamed>) {
+    let first = streamed.map_or_else(|| job.held(), |s| s.first);
+    job.process.metrics.answered(&job.service, job.terms.prompt.0, first);
     job.record(Decision::Finished {
-        first_token_ms: millis(first_token),
-        engine_ms: millis(engine),
-        tokens,
+        first_token_ms: millis(first),
+        engine_ms: millis(streamed.map_or(first, |s| s.engine)),
+        tokens: streamed.map_or(0, |s| s.events),
+        pause_ms: streamed.map(|s| millis(s.pause)),
     });
 }
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -154,7 +154,12 @@
                 }
                 let now = self.caller.process.clock.now();
                 let ms = crate::serve::millis(now - self.caller.arrived);
-                let done = Decision::Finished { first_token_ms: ms, engine_ms: ms, tokens: 0 };
+                let done = Decision::Finished {
+                    first_token_ms: ms,
+                    engine_ms: ms,
+                    tokens: 0,
+                    pause_ms: None,
+                };
                 self.caller.step(&self.entry, done);
             }
             Err(e) if e.ran() == Ran::No => self.caller.refused(&self.entry, e),
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -121,8 +121,11 @@
         first_token_ms: f64,
         /// The real time to the first token, from when it was sent, milliseconds.
         engine_ms: f64,
-        /// The tokens of the answer.
+        /// The tokens of the answer, or the events of a stream whose events hold several.
         tokens: u64,
+        /// The longest pause between two events, milliseconds, where it was measured.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pause_ms: Option<f64>,
     },
     /// No whole answer was given.
     Failed {
@@ -201,11 +204,17 @@
                 let names: Vec<&str> = engines.iter().map(id::Upstream::as_str).collect();
                 write!(f, "held memory at {} in {waited_ms:.1} ms", names.join(", "))
             }
-            Decision::Finished { first_token_ms, engine_ms, tokens } => write!(
-                f,
-                "finished: {tokens} tokens, first token after {first_token_ms:.1} ms \
-                 ({engine_ms:.1} ms at the upstream)"
-            ),
+            Decision::Finished { first_token_ms, engine_ms, tokens, pause_ms } => {
+                write!(
+                    f,
+                    "finished: {tokens} tokens, first token after {first_token_ms:.1} ms \
+                     ({engine_ms:.1} ms at the upstream)"
+                )?;
+                match pause_ms {
+                    Some(ms) => write!(f, ", longest pause {ms:.1} ms"),
+                    None => Ok(()),
+                }
+            }
             Decision::Failed { kind, ran, why } => write!(f, "failed ({kind}, ran: {ran}): {why}"),
         }
     }
