--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -4,6 +4,7 @@
 
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
+use foldlock_request::board::Load;
 use foldlock_request::decision::{Cause, Decision, Seen};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::{self, Nowhere, Place};
@@ -59,23 +60,29 @@
     if let Some(cause) = cause {
         job.record(Decision::Waited { cause, waited_ms: millis(waited) });
     }
-    let seen = Seen {
-        upstream: place.flight.upstream.clone(),
-        predicted_ms: place.predicted_ms,
-        score: place.load.backlog_ms,
-        requests: place.load.requests,
-        long: place.load.helping,
-        queued: Tokens(place.load.memory),
-        cached: Tokens(0),
-    };
+    let named = std::iter::once((&place.flight.upstream, &place.load))
+        .chain(place.slowest.iter().map(|(id, load)| (id, load)));
+    let seen = named.map(|(id, load)| seen(id, load, place.predicted_ms)).collect();
     job.record(Decision::Routed {
         upstream: place.flight.upstream.clone(),
         route: None,
         predicted_ms: place.predicted_ms,
-        seen: vec![seen],
+        seen,
     });
 }
 
+fn seen(id: &id::Upstream, load: &Load, predicted_ms: f64) -> Seen {
+    Seen {
+        upstream: id.clone(),
+        predicted_ms,
+        score: load.backlog_ms,
+        requests: load.requests,
+        long: load.helping,
+        queued: Tokens(load.memory),
+        cached: Tokens(0),
+    }
+}
+
 /// The refusal of a request that has not run.
 pub fn refusal<D: Dialect>(job: &Job<D>, nowhere: Nowhere, proof: Unsent) -> Error {
     let (kind, why) = match nowhere {
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -62,6 +62,8 @@
     pub predicted_ms: f64,
     /// The load that decided it.
     pub load: Load,
+    /// The helpers with the most ahead, and their loads.
+    pub slowest: Vec<(id::Upstream, Load)>,
     /// The upstreams among which it was chosen.
     pub open: usize,
 }
@@ -214,6 +216,15 @@
         .map(|(index, _)| index)
 }
 
+/// Helpers that are named in the record of a decision.
+const NAMED: usize = 4;
+
+fn slowest(helpers: &[(&Candidate<'_>, u64)]) -> Vec<(id::Upstream, Load)> {
+    let mut order: Vec<&Candidate<'_>> = helpers.iter().map(|(c, _)| *c).collect();
+    order.sort_by(|a, b| b.load.backlog_ms.total_cmp(&a.load.backlog_ms));
+    order.into_iter().take(NAMED).map(|c| (c.upstream.listed.id.clone(), c.load.clone())).collect()
+}
+
 fn placed(
     ask: &Ask<'_>,
     best: &Candidate<'_>,
@@ -241,6 +252,7 @@
         helpers: helpers.iter().map(|(c, _)| c.upstream.listed.address.clone()).collect(),
         predicted_ms,
         load: best.load.clone(),
+        slowest: slowest(helpers),
         open,
     }
 }
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -87,10 +87,19 @@
     Ok(placed(ask, chosen.main, &chosen.helpers, chosen.part_ms, chosen.predicted_ms, open))
 }
 
+/// When an engine has read a part, beside the part itself: where some request writes, a part is done
+/// with the pass that reads it.
+fn read_ms(candidate: &Candidate<'_>, engine: &Engine) -> f64 {
+    let load = &candidate.load;
+    let pass = forecast::pass_ms(engine, load.writers, load.memory);
+    let pass = if load.writers > 0 { pass } else { 0.0 };
+    candidate.ahead_ms(engine) + pass
+}
+
 /// The order in which engines read: those that are free soonest, short answers spared.
 fn rank_ms(candidate: &Candidate<'_>, engine: &Engine) -> f64 {
     let spared = if candidate.is_brisk() { BRISK_APART_MS } else { 0.0 };
-    candidate.ahead_ms(engine) + spared
+    read_ms(candidate, engine) + spared
 }
 
 /// The group of `parts` engines, if so many may read parts of that size: those that answer and hold
@@ -121,8 +130,8 @@
     let helpers: Vec<(&Candidate<'_>, u64)> =
         holders.iter().copied().chain(others).map(|(index, held)| (readers[index], held)).collect();
     let main = readers[main];
-    let ahead = helpers.iter().map(|(c, _)| c.ahead_ms(engine));
-    let ahead = ahead.fold(main.ahead_ms(engine), f64::max);
+    let ahead = helpers.iter().map(|(c, _)| read_ms(c, engine));
+    let ahead = ahead.fold(read_ms(main, engine), f64::max);
     let pass = forecast::pass_ms(engine, main.load.writers + 1, main.load.memory);
     let predicted_ms = ahead + part_ms + pass;
     let brisk = main.is_brisk() || helpers.iter().any(|(c, _)| c.is_brisk());
