Three VMs of a large fleet watch the directory; other halls are told as when idle

Change: the others hear settings and listings from peers; beats to other halls each 400 ms; a stop refuses what it cannot finish, and a connection opened while it stops gets one answer.

--- a/connection/src/beat.rs
+++ b/connection/src/beat.rs
@@ -21,6 +21,10 @@
     pub version: u64,
     /// How long ago that version was confirmed to be the newest, milliseconds.
     pub age_ms: Option<u64>,
+    /// The revision up to which it knows the directory's listings.
+    pub at: u64,
+    /// A digest of those listings: two VMs that know the same have the same.
+    pub digest: u64,
     /// Whether it is stopping.
     pub leaving: bool,
     /// Its attempts, with their age in milliseconds.
--- a/daemon/src/fleet/callers.rs
+++ b/daemon/src/fleet/callers.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 use crate::fleet::process::Process;
 use crate::fleet::serve;
@@ -54,11 +55,13 @@
     // refuses is already closed, and the first read says so.
     let _ = stream.set_nodelay(true);
     let activity = Mutex::new(Activity { requests: 0, since: process.now() });
+    let began = Notify::new();
     let service = service_fn(|request| {
         let process = process.clone();
-        let activity = &activity;
+        let (activity, began) = (&activity, &began);
         async move {
             begin(activity, process.now());
+            began.notify_one();
             let answer = serve::answer(process.clone(), request).await;
             end(activity, process.now());
             answer
@@ -70,13 +73,15 @@
     let connection =
         http1::Builder::new().max_buf_size(buffer).serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let mut stopping = false;
+    let (mut stopping, mut served) = (false, false);
     loop {
         let rested_at = rested_at(&activity, idle, process.now());
         tokio::select! {
             // How a caller's connection ended is seen by its requests.
             _ = connection.as_mut() => return,
-            () = process.stopping.cancelled(), if !stopping => {
+            // A connection that was just opened gets its first request answered, and then closed.
+            () = began.notified(), if !served => served = true,
+            () = process.stopping.cancelled(), if !stopping && served => {
                 stopping = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -2,12 +2,15 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Change, Changes, Directory, Fault, Settings};
+use foldlock_request::directory::{Change, Changes, Directory, Fault, Listing, Settings};
+
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::process::Process;
 use crate::log;
@@ -33,6 +36,20 @@
 /// How long a trouble of the directory may lie back for an ended listing to be put down to it.
 const RECENT: Duration = Duration::from_secs(3);
 
+/// VMs that watch the directory in a large fleet; the others hear from them. Three, so that two
+/// may fail at once without a gap.
+const WATCHERS: usize = 3;
+
+/// The fleet up to which all VMs watch: there the calls cost less than a gap would.
+const ALL_WATCH: usize = 10;
+
+/// The age of the settings up to which a VM relies on what peers tell it: a watch and three idle
+/// beats.
+const TOLD: Duration = Duration::from_millis(2_200);
+
+/// How often a VM that relies on its peers looks whether it still may.
+const TOLD_LOOK: Duration = Duration::from_millis(150);
+
 /// What is known of the directory itself.
 struct Contact {
     at: Option<u64>,
@@ -44,6 +61,12 @@
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut contact = Contact { at: None, failures: 0, trouble: None };
     loop {
+        if contact.failures == 0 && !is_watcher(&process) && is_told(&process) {
+            // What peers tell goes on where the last watch ended, or beyond.
+            contact.at = Some(process.at.load(Ordering::Relaxed));
+            tokio::time::sleep(TOLD_LOOK).await;
+            continue;
+        }
         let asked = process.now();
         let answer = match contact.at {
             Some(at) => directory.watch(at, WATCH).await,
@@ -64,6 +87,37 @@
     }
 }
 
+/// Whether this VM is one of those that watch: the first of the live VMs by a hash of their names.
+fn is_watcher<D: Dialect>(process: &Process<D>) -> bool {
+    let mut live = process.peers.heard(process.now());
+    if live.len() < ALL_WATCH {
+        return true;
+    }
+    live.push(process.member.vm.clone());
+    live.sort_by_key(|vm| xxh3_64(vm.as_str().as_bytes()));
+    live.iter().take(WATCHERS).any(|vm| *vm == process.member.vm)
+}
+
+/// Whether peers have told of late that the settings here are the newest.
+fn is_told<D: Dialect>(process: &Process<D>) -> bool {
+    process.at.load(Ordering::Relaxed) > 0
+        && process.fresh.age(process.now()).is_some_and(|age| age < TOLD)
+}
+
+/// Takes the listings that a peer knows.
+pub fn told<D: Dialect>(process: &Arc<Process<D>>, listing: Listing) {
+    if listing.at < process.at.load(Ordering::Relaxed) {
+        return;
+    }
+    let at = listing.at;
+    let upstreams = listing.upstreams.into_iter().map(Change::Upstream);
+    let members = listing.members.into_iter().map(Change::Member);
+    let changes = Changes { at, changes: upstreams.chain(members).collect() };
+    end_unlisted(process, &changes, false);
+    process.at.fetch_max(at, Ordering::Relaxed);
+    changes.changes.into_iter().for_each(|change| apply(process, change, false));
+}
+
 fn heard<D: Dialect>(
     process: &Arc<Process<D>>,
     contact: &mut Contact,
@@ -81,11 +135,16 @@
     if contact.at.is_none() {
         end_unlisted(process, &changes, lapsed);
     }
+    let changed = !changes.changes.is_empty();
     contact.at = Some(changes.at);
+    process.at.fetch_max(changes.at, Ordering::Relaxed);
     changes.changes.into_iter().for_each(|change| apply(process, change, lapsed));
     let gone = process.board.lock().unwrap().expire(RELIST, now);
     gone.iter().for_each(|id| ended(process, id, "not listed again"));
     process.fresh.confirm(asked);
+    if changed {
+        process.tell.notify_one();
+    }
 }
 
 async fn failed<D: Dialect>(process: &Arc<Process<D>>, contact: &mut Contact, why: &str) {
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -77,6 +77,7 @@
             route: &self.route,
             prompt: self.terms.prompt,
             memory: self.terms.prompt + most,
+            hall: self.process.peers.in_cells().then_some(self.process.member.hall.as_str()),
             avoid,
         }
     }
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -25,6 +25,9 @@
 /// The path under which peers read the settings.
 pub const SETTINGS: &str = "/settings";
 
+/// The path under which peers read the listings.
+pub const LISTING: &str = "/listing";
+
 /// Records that a dump holds.
 const RECORDS: usize = 20;
 
@@ -102,6 +105,10 @@
             Some(settings) => answer::text(StatusCode::OK, JSON, settings.text.clone()),
             None => answer::text(StatusCode::NOT_FOUND, TEXT, "no settings yet\n"),
         },
+        LISTING => {
+            let text = serde_json::to_string(&process.listing()).expect("plain data");
+            answer::text(StatusCode::OK, JSON, text)
+        }
         _ => match path.strip_prefix("/why/").map(str::parse::<id::Request>) {
             Some(Ok(request)) => why(process, &request),
             _ => answer::text(StatusCode::NOT_FOUND, TEXT, "no such path\n"),
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,8 +17,8 @@
 use serde_json::json;
 use tokio::net::UdpSocket;
 
-use crate::fleet::operators;
 use crate::fleet::process::Process;
+use crate::fleet::{follow, operators};
 use crate::log;
 
 /// The least time between two beats: placements gather for it. Short against the 50 ms of an
@@ -27,12 +28,19 @@
 /// The longest time between two beats.
 const IDLE: Duration = Duration::from_millis(400);
 
+/// The fleet from which on a VM tells the VMs of other halls only as often as when idle: the bytes
+/// between halls grow with the square of the fleet, and upstreams of the own hall come first.
+const CELLS: usize = 16;
+
 /// A peer that was not heard for this long is taken for down: five idle beats.
 const SILENT: Duration = Duration::from_millis(2_000);
 
 /// How long reading the settings from a peer may take.
 const FETCH: Duration = Duration::from_millis(800);
 
+/// The least time between two reads of listings from peers.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// What is known of a peer.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -47,12 +55,13 @@
 pub struct Peers {
     started: Instant,
     known: Mutex<BTreeMap<id::Vm, Peer>>,
+    fetched: Mutex<Option<Instant>>,
 }
 
 impl Peers {
     /// No peers yet; stamps count from `started`.
     pub fn new(started: Instant) -> Peers {
-        Peers { started, known: Mutex::default() }
+        Peers { started, known: Mutex::default(), fetched: Mutex::default() }
     }
 
     /// A VM is listed.
@@ -87,6 +96,16 @@
         self.known.lock().unwrap().len() + 1
     }
 
+    /// Whether the fleet is so large that VMs of other halls are told little.
+    pub fn in_cells(&self) -> bool {
+        self.known.lock().unwrap().len() >= CELLS
+    }
+
+    /// All VMs that are listed but this one.
+    pub fn members(&self) -> Vec<Member> {
+        self.known.lock().unwrap().values().map(|peer| peer.member.clone()).collect()
+    }
+
     /// The peers that were heard of late.
     pub fn heard(&self, now: Instant) -> Vec<id::Vm> {
         let known = self.known.lock().unwrap();
@@ -123,6 +142,7 @@
 ) {
     let mut buffer = vec![0; beat::MOST];
     let mut told = process.now();
+    let mut told_all = told;
     let mut due = false;
     loop {
         let next = told + if due { GATHER } else { IDLE };
@@ -137,17 +157,22 @@
                 told = process.now();
                 due = false;
                 drop_silent(&process, told);
-                tell(&process, &socket, told);
+                let all = told.saturating_duration_since(told_all) >= IDLE;
+                if all {
+                    told_all = told;
+                }
+                tell(&process, &socket, told, all);
             }
         }
     }
 }
 
-fn tell<D: Dialect>(process: &Process<D>, socket: &UdpSocket, now: Instant) {
+fn tell<D: Dialect>(process: &Process<D>, socket: &UdpSocket, now: Instant, all: bool) {
     let known = process.peers.known.lock().unwrap();
     if known.is_empty() {
         return;
     }
+    let digest = process.digest();
     let age = |sent: Instant| now.saturating_duration_since(sent).as_millis() as u32;
     let board = process.board.lock().unwrap();
     let beat = Beat {
@@ -157,11 +182,17 @@
         version: process.version(),
         age_ms: process.fresh.age(now).map(|age| age.as_millis() as u64 + 1),
         leaving: process.stopping.is_cancelled(),
+        at: process.at.load(Ordering::Relaxed),
+        digest,
         flights: board.own().map(|t| (t.flight.clone(), age(t.sent))).collect::<Vec<_>>(),
     };
     drop(board);
     let beat = beat::encode(&beat);
+    let cells = known.len() >= CELLS;
     for peer in known.values() {
+        if cells && !all && peer.member.hall != process.member.hall {
+            continue;
+        }
         let (echo, echo_of) = (peer.stamp, peer.member.incarnation);
         let datagram = Datagram { echo, echo_of, beat: beat.clone() };
         // A full or closed way loses this beat; the next one says the same and more.
@@ -196,6 +227,11 @@
     if beat.version > process.version() {
         tokio::spawn(fetch(process.clone(), address, directory.clone()));
     }
+    let at = process.at.load(Ordering::Relaxed);
+    if (beat.at > at || beat.at == at && beat.digest != process.digest()) && fetch_due(process, now)
+    {
+        tokio::spawn(fetch_listing(process.clone(), address));
+    }
     let tracked = |(flight, age_ms): (Flight, u32)| Tracked {
         flight,
         sent: now.checked_sub(Duration::from_millis(u64::from(age_ms))).unwrap_or(now),
@@ -235,13 +271,39 @@
     }
 }
 
-async fn fetch<D: Dialect, R: Directory>(process: Arc<Process<D>>, from: SocketAddr, directory: R) {
-    let request = Request::get(format!("http://{from}{}", operators::SETTINGS))
+/// Whether listings may be read from a peer again.
+fn fetch_due<D: Dialect>(process: &Process<D>, now: Instant) -> bool {
+    let mut fetched = process.peers.fetched.lock().unwrap();
+    let due = fetched.is_none_or(|at| now.saturating_duration_since(at) >= FETCH_PAUSE);
+    if due {
+        *fetched = Some(now);
+    }
+    due
+}
+
+async fn fetch_listing<D: Dialect>(process: Arc<Process<D>>, from: SocketAddr) {
+    let read = match read(from, operators::LISTING).await {
+        Ok(text) => serde_json::from_slice(&text).map_err(|e| e.to_string()),
+        Err(why) => Err(why),
+    };
+    match read {
+        Ok(listing) => follow::told(&process, listing),
+        Err(why) => log::event(&process.log, Event::VersionRefused, format!("{from}: {why}")),
+    }
+}
+
+async fn read(from: SocketAddr, path: &str) -> Result<Bytes, String> {
+    let request = Request::get(format!("http://{from}{path}"))
         .body(http::body(Bytes::new()))
         .expect("an address is a valid authority");
-    let read = match Client::default().call(request, FETCH).await {
-        Ok(answer) => directory.decode(answer.into_body()),
-        Err(e) => Err(e.to_string()),
+    let answer = Client::default().call(request, FETCH).await.map_err(|e| e.to_string())?;
+    Ok(answer.into_body())
+}
+
+async fn fetch<D: Dialect, R: Directory>(process: Arc<Process<D>>, from: SocketAddr, directory: R) {
+    let read = match read(from, operators::SETTINGS).await {
+        Ok(text) => directory.decode(text),
+        Err(why) => Err(why),
     };
     match read {
         Ok(settings) => process.take_settings(settings, &format!("peer {from}")),
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -1,7 +1,8 @@
 //! What all tasks of a process on a fleet's VM share.
 
+use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::System;
@@ -10,12 +11,13 @@
 use foldlock_request::board::{Board, Flight};
 use foldlock_request::budget::Budget;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Member, Settings};
+use foldlock_request::directory::{Listing, Member, Settings};
 use foldlock_request::ring::Ring;
 use slog::Logger;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::fleet::config::Config;
 use crate::fleet::fresh::Fresh;
@@ -26,6 +28,10 @@
 /// Records of requests that are kept: a minute's worth at 8 requests a second, under 1 MB.
 const RECORDS: usize = 512;
 
+/// The part of the time to stop in, in which new requests are still served: those that come on
+/// connections opened before the platform has seen that this VM is not ready.
+const SERVED_STOPPING: f64 = 0.5;
+
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -59,8 +65,12 @@
     pub memory: D::Memory,
     /// The other VMs.
     pub peers: Peers,
+    /// The directory's revision up to which listings are known; 0 for none.
+    pub at: AtomicU64,
     /// Cancelled at the signal to stop.
     pub stopping: CancellationToken,
+    /// When the signal to stop came.
+    pub stopped: OnceLock<Instant>,
     /// The callers' connections and the streams that are passed on.
     pub tasks: TaskTracker,
     settings: RwLock<Option<Arc<Settings>>>,
@@ -79,6 +89,7 @@
         let clock = System;
         let member = Member {
             vm: config.vm.clone(),
+            hall: config.hall.to_string(),
             address: config.fleet.peers,
             incarnation: clock.wall_millis(),
         };
@@ -96,7 +107,9 @@
             pool: Pool::default(),
             memory: D::Memory::default(),
             peers: Peers::new(clock.now()),
+            at: AtomicU64::new(0),
             stopping: CancellationToken::new(),
+            stopped: OnceLock::new(),
             tasks: TaskTracker::new(),
             settings: RwLock::new(None),
             next_request: AtomicU64::new(0),
@@ -139,6 +152,28 @@
         !self.stopping.is_cancelled() && self.version() > 0 && self.fresh.welcomes(now)
     }
 
+    /// Whether a stop is so far on that a new request could not be finished before the kill.
+    pub fn closing(&self) -> bool {
+        let left = self.config.fleet.stop().mul_f64(SERVED_STOPPING);
+        self.stopped.get().is_some_and(|at| self.now().saturating_duration_since(*at) > left)
+    }
+
+    /// What this VM knows of the directory.
+    pub fn listing(&self) -> Listing {
+        let upstreams = self.board.lock().unwrap().listings().cloned().collect();
+        let members = self.peers.members();
+        Listing { at: self.at.load(Ordering::Relaxed), upstreams, members }
+    }
+
+    /// A digest of the listings.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for listed in self.board.lock().unwrap().listings() {
+            listed.hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
     /// An id for a request whose own cannot be used.
     pub fn request_id(&self) -> id::Request {
         let next = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -35,6 +35,10 @@
 /// what they placed.
 const MEMORY_PAUSE: Duration = Duration::from_millis(30);
 
+/// When a caller is told to come back who met a VM that is about to end: a new connection reaches
+/// another one.
+const DRAINING: Duration = Duration::from_millis(50);
+
 /// Attempts beyond the route's own that may be made while none is known to have run.
 const REFUSED_MORE: u32 = 2;
 
@@ -118,6 +122,10 @@
     terms: &Terms,
     request: &Request<Incoming>,
 ) -> Result<Admitted, Error> {
+    if process.closing() {
+        let error = refuse(Kind::Draining, "this VM is about to end");
+        return Err(error.retry_after(DRAINING));
+    }
     let Some(settings) = process.settings() else {
         let error = refuse(Kind::StoreUnavailable, "there are no settings yet");
         return Err(error.retry_after(SETTINGS_AWAY));
--- a/daemon/src/fleet/stop.rs
+++ b/daemon/src/fleet/stop.rs
@@ -24,6 +24,8 @@
 pub async fn run<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
     let began = process.now();
     log::event(&process.log, Event::Stopping, "not ready from now on");
+    // The first signal counts.
+    let _ = process.stopped.set(began);
     process.stopping.cancel();
     process.tell.notify_one();
     let _ = tokio::time::timeout(WITHDRAW, directory.withdraw(&process.member.vm)).await;
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -13,7 +13,7 @@
 use crate::suspicion::Suspicion;
 
 /// An upstream as the directory lists it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Listed {
     /// The instance; each start of the program is a new one.
     pub id: id::Upstream,
@@ -171,6 +171,11 @@
         self.upstreams.get_mut(id)
     }
 
+    /// All listings, in the order of their ids.
+    pub fn listings(&self) -> impl Iterator<Item = &Listed> {
+        self.upstreams.values().map(|u| &u.listed)
+    }
+
     /// The ids of all upstreams.
     pub fn ids(&self) -> impl Iterator<Item = &id::Upstream> {
         self.upstreams.keys()
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -18,6 +18,8 @@
 pub struct Member {
     /// Its name.
     pub vm: id::Vm,
+    /// The data hall that it is in.
+    pub hall: String,
     /// Where it hears its peers, by UDP, and operators, by TCP.
     pub address: SocketAddr,
     /// The start of its process; a later start has a higher number.
@@ -33,6 +35,17 @@
     pub text: Bytes,
 }
 
+/// What a VM knows of the directory, as it hands it to a peer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Listing {
+    /// The revision up to which this is known.
+    pub at: u64,
+    /// The upstreams.
+    pub upstreams: Vec<Listed>,
+    /// The VMs.
+    pub members: Vec<Member>,
+}
+
 /// Something that the directory says.
 #[derive(Debug)]
 pub enum Change {
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -45,6 +45,8 @@
     pub prompt: Tokens,
     /// Memory for prompt and answer.
     pub memory: Tokens,
+    /// The hall whose upstreams come first; none where all are told at once.
+    pub hall: Option<&'a str>,
     /// Upstreams that failed this request.
     pub avoid: &'a [id::Upstream],
 }
@@ -82,6 +84,8 @@
 struct Candidate<'a> {
     upstream: &'a Upstream,
     load: Load,
+    /// In another hall, from which little is heard.
+    away: bool,
 }
 
 impl Candidate<'_> {
@@ -158,13 +162,14 @@
         .filter(|u| u.unlisted.is_none() && !u.suspicion.avoided(now))
         .collect();
     let chosen = if trusted.is_empty() { open } else { trusted };
-    chosen
-        .into_iter()
-        .map(|upstream| Candidate {
-            upstream,
-            load: loads.remove(&upstream.listed.id).unwrap_or_default(),
-        })
-        .collect()
+    let candidate = |upstream: &'a Upstream| Candidate {
+        upstream,
+        load: loads.remove(&upstream.listed.id).unwrap_or_default(),
+        away: ask.hall.is_some_and(|hall| upstream.listed.hall != hall),
+    };
+    let mut candidates: Vec<Candidate<'_>> = chosen.into_iter().map(candidate).collect();
+    candidates.sort_by_key(|c| c.away);
+    candidates
 }
 
 fn plain(ask: &Ask<'_>, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -33,6 +33,10 @@
 /// longer by the part, and short prompts that come in wait for it.
 const BRISK_APART_MS: f64 = 150.0;
 
+/// How much sooner an engine of another hall has to be free, where what is told of it is up to half
+/// a second old.
+const AWAY_MS: f64 = 150.0;
+
 /// How much sooner an engine without writers has to be free to be the one that answers: an engine
 /// that plays steps anyway loses nothing by one writer more, the others read faster without any.
 const WRITERS_APART_MS: f64 = 60.0;
@@ -99,7 +103,8 @@
 /// The order in which engines read: those that are free soonest, short answers spared.
 fn rank_ms(candidate: &Candidate<'_>, engine: &Engine) -> f64 {
     let spared = if candidate.is_brisk() { BRISK_APART_MS } else { 0.0 };
-    read_ms(candidate, engine) + spared
+    let away = if candidate.away { AWAY_MS } else { 0.0 };
+    read_ms(candidate, engine) + spared + away
 }
 
 /// The group of `parts` engines, if so many may read parts of that size: those that answer and hold
@@ -143,7 +148,8 @@
 fn main_engine(engine: &Engine, candidates: &[&Candidate<'_>], memory: u64) -> Option<usize> {
     let rank = |c: &Candidate<'_>| {
         let apart = if c.load.writers == 0 { WRITERS_APART_MS } else { 0.0 };
-        c.load.backlog_ms + apart
+        let away = if c.away { AWAY_MS } else { 0.0 };
+        c.load.backlog_ms + apart + away
     };
     candidates
         .iter()
