--- a/connection/src/sse.rs
+++ b/connection/src/sse.rs
@@ -35,7 +35,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Result<Option<Event>, TooLong> {
+    pub fn cut(&mut self) -> Result<Option<Event>, TooLong> {
         let from = self.searched.saturating_sub(END.len() - 1);
         let found = self.buffer[from..].windows(END.len()).position(|pair| pair == END);
         let Some(at) = found else {
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -399,7 +399,7 @@
             self.cutter.push(&bytes);
             let mut parts = Vec::new();
             loop {
-                match self.cutter.next() {
+                match self.cutter.cut() {
                     Ok(Some(part)) => parts.push(part),
                     Ok(None) => break,
                     Err(_) => return Next::Broken("an event is too long".to_owned()),
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -19,6 +19,12 @@
 /// caller still has time to come back.
 const PATIENCE: f64 = 0.4;
 
+/// When the caller of a long prompt is told to come back: the mix of lengths changes within seconds.
+const COME_BACK_LONG: Duration = Duration::from_secs(3);
+
+/// The prompt from which on a request is long here, tokens.
+const LONG: Tokens = Tokens(100_000);
+
 /// The longest wait for a service without any open upstream.
 const CLOSED: Duration = Duration::from_millis(500);
 
@@ -34,8 +40,9 @@
     loop {
         let moved = job.process.moved.notified();
         let now = job.process.now();
-        let found = placement::place(&job.process.board.lock().unwrap(), &job.ask(avoid), now);
         let waited = now.saturating_duration_since(started);
+        let ask = job.ask(avoid, waited);
+        let found = placement::place(&job.process.board.lock().unwrap(), &ask, now);
         let nowhere = match found {
             Ok(place) => {
                 placed(job, &place, cause, waited);
@@ -90,5 +97,6 @@
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
         Nowhere::TooLarge => (Kind::Overloaded, "no upstream has memory for a prompt this long"),
     };
-    Error::unsent(kind, format!("{}: {why}", job.service.name), proof).retry_after(COME_BACK)
+    let after = if job.terms.prompt >= LONG { COME_BACK_LONG } else { COME_BACK };
+    Error::unsent(kind, format!("{}: {why}", job.service.name), proof).retry_after(after)
 }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -157,7 +157,8 @@
                 told = process.now();
                 due = false;
                 drop_silent(&process, told);
-                let all = told.saturating_duration_since(told_all) >= IDLE;
+                let due_all = told.saturating_duration_since(told_all) >= IDLE;
+                let all = process.tell_all.swap(false, Ordering::Relaxed) || due_all;
                 if all {
                     told_all = told;
                 }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -1,7 +1,7 @@
 //! What all tasks of a process on a fleet's VM share.
 
 use std::hash::{Hash, Hasher};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::{Duration, Instant};
 
@@ -57,6 +57,8 @@
     pub moved: Notify,
     /// Told when peers are to hear of it.
     pub tell: Notify,
+    /// Whether VMs of other halls are to hear of it at once, too.
+    pub tell_all: AtomicBool,
     /// The budget of repeated attempts.
     pub budget: Mutex<Budget>,
     /// Idle connections to upstreams.
@@ -81,6 +83,7 @@
 pub struct Entered<D: Dialect> {
     process: Arc<Process<D>>,
     number: u64,
+    shared: bool,
 }
 
 impl<D: Dialect> Process<D> {
@@ -103,6 +106,7 @@
             board: Mutex::default(),
             moved: Notify::new(),
             tell: Notify::new(),
+            tell_all: AtomicBool::new(false),
             budget: Mutex::new(Budget::new(config.fleet.budget())),
             pool: Pool::default(),
             memory: D::Memory::default(),
@@ -202,9 +206,11 @@
 
     /// Enters an attempt on the board.
     pub fn enter(self: &Arc<Self>, flight: Flight) -> Entered<D> {
+        let shared = !flight.helpers.is_empty();
         let number = self.board.lock().unwrap().enter(flight, self.now());
-        self.tell.notify_one();
-        Entered { process: self.clone(), number }
+        let entered = Entered { process: self.clone(), number, shared };
+        entered.tell();
+        entered
     }
 }
 
@@ -213,6 +219,14 @@
     pub fn began(&self) {
         self.process.board.lock().unwrap().began(self.number);
         self.process.moved.notify_waiters();
+        self.tell();
+    }
+
+    /// Has peers told; those of all halls where engines work together.
+    fn tell(&self) {
+        if self.shared {
+            self.process.tell_all.store(true, Ordering::Relaxed);
+        }
         self.process.tell.notify_one();
     }
 }
@@ -221,7 +235,7 @@
     fn drop(&mut self) {
         self.process.board.lock().unwrap().leave(self.number);
         self.process.moved.notify_waiters();
-        self.process.tell.notify_one();
+        self.tell();
     }
 }
 
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -7,7 +7,7 @@
 mod group;
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use foldlock_version::routes::{Engine, Route, Shape};
@@ -47,6 +47,8 @@
     pub memory: Tokens,
     /// The hall whose upstreams come first; none where all are told at once.
     pub hall: Option<&'a str>,
+    /// How long it has waited for a place.
+    pub waited: Duration,
     /// Upstreams that failed this request.
     pub avoid: &'a [id::Upstream],
 }
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -25,6 +25,12 @@
 /// The most that an engine may have ahead, milliseconds, to take a part of a heavy prompt.
 const IDLE_MS: f64 = 120.0;
 
+/// The same for a heavy prompt that has waited so long that it will be late.
+const WAITED_MS: f64 = 400.0;
+
+/// The part of its objective that a heavy prompt waits for engines that bring it in time.
+const WAITS: f64 = 0.4;
+
 /// The longest part of a heavy prompt, milliseconds: others wait behind it, and their objectives
 /// are 1.5 s and more.
 const MOST_PART_MS: f64 = 700.0;
@@ -33,10 +39,6 @@
 /// longer by the part, and short prompts that come in wait for it.
 const BRISK_APART_MS: f64 = 150.0;
 
-/// How much sooner an engine of another hall has to be free, where what is told of it is up to half
-/// a second old.
-const AWAY_MS: f64 = 150.0;
-
 /// How much sooner an engine without writers has to be free to be the one that answers: an engine
 /// that plays steps anyway loses nothing by one writer more, the others read faster without any.
 const WRITERS_APART_MS: f64 = 60.0;
@@ -73,9 +75,11 @@
     let open = candidates.len();
     let objective = ask.route.objective.as_secs_f64() * 1e3;
     let heavy = read > objective * HEAVY;
+    let hurried = ask.waited.as_secs_f64() * 1e3 <= objective * WAITS;
     candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
     if heavy {
-        candidates.retain(|c| !c.is_brisk() && c.ahead_ms(engine) <= IDLE_MS);
+        let most_ms = if hurried { IDLE_MS } else { WAITED_MS };
+        candidates.retain(|c| !c.is_brisk() && c.ahead_ms(engine) <= most_ms);
     }
     candidates.reverse();
     candidates.sort_by(|a, b| rank_ms(a, engine).total_cmp(&rank_ms(b, engine)));
@@ -83,7 +87,7 @@
     let groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
     let chosen = if heavy {
         let mut gentle = groups.filter(|g| g.part_ms <= MOST_PART_MS);
-        gentle.find(|g| g.predicted_ms <= objective * IN_TIME)
+        gentle.find(|g| !hurried || g.predicted_ms <= objective * IN_TIME)
     } else {
         groups.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     };
@@ -103,8 +107,7 @@
 /// The order in which engines read: those that are free soonest, short answers spared.
 fn rank_ms(candidate: &Candidate<'_>, engine: &Engine) -> f64 {
     let spared = if candidate.is_brisk() { BRISK_APART_MS } else { 0.0 };
-    let away = if candidate.away { AWAY_MS } else { 0.0 };
-    read_ms(candidate, engine) + spared + away
+    read_ms(candidate, engine) + spared
 }
 
 /// The group of `parts` engines, if so many may read parts of that size: those that answer and hold
@@ -148,8 +151,7 @@
 fn main_engine(engine: &Engine, candidates: &[&Candidate<'_>], memory: u64) -> Option<usize> {
     let rank = |c: &Candidate<'_>| {
         let apart = if c.load.writers == 0 { WRITERS_APART_MS } else { 0.0 };
-        let away = if c.away { AWAY_MS } else { 0.0 };
-        c.load.backlog_ms + apart + away
+        c.load.backlog_ms + apart
     };
     candidates
         .iter()
