Take listings from peers only where the directory is not heard, and never backwards

Ruled out: slow delivery (all VMs had the end 18 ms after the store). Change: peers' listings count only where the directory does not answer or is not watched; what ended stays ended, what is leaving stays so.

--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -62,6 +62,7 @@
     let mut contact = Contact { at: None, failures: 0, trouble: None };
     loop {
         if contact.failures == 0 && !is_watcher(&process) && is_told(&process) {
+            process.watching.store(false, Ordering::Relaxed);
             // What peers tell goes on where the last watch ended, or beyond.
             contact.at = Some(process.at.load(Ordering::Relaxed));
             tokio::time::sleep(TOLD_LOOK).await;
@@ -104,17 +105,28 @@
         && process.fresh.age(process.now()).is_some_and(|age| age < TOLD)
 }
 
-/// Takes the listings that a peer knows.
+/// Takes the listings that a peer knows, where the directory itself is not heard.
+///
+/// The revisions of two VMs do not order what they know: a watch may name a revision whose changes
+/// it did not bring. So nothing that ended here comes back by a peer's word, and what is leaving
+/// stays so.
 pub fn told<D: Dialect>(process: &Arc<Process<D>>, listing: Listing) {
-    if listing.at < process.at.load(Ordering::Relaxed) {
+    let at = process.at.load(Ordering::Relaxed);
+    if process.watching.load(Ordering::Relaxed) || listing.at < at {
         return;
     }
-    let at = listing.at;
-    let upstreams = listing.upstreams.into_iter().map(Change::Upstream);
+    let newer = listing.at > at;
+    process.at.fetch_max(listing.at, Ordering::Relaxed);
+    let upstreams: Vec<Listed> = {
+        let board = process.board.lock().unwrap();
+        listing.upstreams.into_iter().filter(|listed| board.accepts(listed)).collect()
+    };
     let members = listing.members.into_iter().map(Change::Member);
-    let changes = Changes { at, changes: upstreams.chain(members).collect() };
-    end_unlisted(process, &changes, false);
-    process.at.fetch_max(at, Ordering::Relaxed);
+    let upstreams = upstreams.into_iter().map(Change::Upstream);
+    let changes = Changes { at: listing.at, changes: upstreams.chain(members).collect() };
+    if newer {
+        end_unlisted(process, &changes, false);
+    }
     changes.changes.into_iter().for_each(|change| apply(process, change, false));
 }
 
@@ -125,6 +137,7 @@
     asked: Instant,
 ) {
     let now = process.now();
+    process.watching.store(true, Ordering::Relaxed);
     if contact.failures > 0 {
         let what = format!("after {} failed calls", contact.failures);
         log::event(&process.log, Event::DirectoryUp, what);
@@ -151,6 +164,7 @@
     if contact.failures == 0 {
         log::event(&process.log, Event::DirectoryDown, why);
     }
+    process.watching.store(false, Ordering::Relaxed);
     // What a watch would have told may have lapsed and come back meanwhile: read anew.
     contact.at = None;
     contact.failures += 1;
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -69,6 +69,8 @@
     pub peers: Peers,
     /// The directory's revision up to which listings are known; 0 for none.
     pub at: AtomicU64,
+    /// Whether the directory itself answers this VM; if so, what peers tell of listings is left.
+    pub watching: AtomicBool,
     /// Cancelled at the signal to stop.
     pub stopping: CancellationToken,
     /// When the signal to stop came.
@@ -112,6 +114,7 @@
             memory: D::Memory::default(),
             peers: Peers::new(clock.now()),
             at: AtomicU64::new(0),
+            watching: AtomicBool::new(false),
             stopping: CancellationToken::new(),
             stopped: OnceLock::new(),
             tasks: TaskTracker::new(),
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -4,7 +4,7 @@
 //! What peers tell is the whole of their attempts each time, so a lost message costs accuracy for
 //! one interval and nothing else.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
@@ -12,6 +12,10 @@
 
 use crate::suspicion::Suspicion;
 
+/// Ended upstreams that are remembered: each start of an upstream has an id of its own, and no
+/// message is on its way for as long as this many upstreams take to end.
+const ENDED: usize = 1_024;
+
 /// An upstream as the directory lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Listed {
@@ -100,6 +104,7 @@
 #[derive(Debug, Default)]
 pub struct Board {
     upstreams: BTreeMap<id::Upstream, Upstream>,
+    ended: VecDeque<id::Upstream>,
     own: HashMap<u64, Tracked>,
     peers: HashMap<id::Vm, Vec<Tracked>>,
     next: u64,
@@ -131,7 +136,25 @@
 
     /// Forgets an upstream that is gone. Answers whether it was known.
     pub fn remove(&mut self, id: &id::Upstream) -> bool {
-        self.upstreams.remove(id).is_some()
+        let known = self.upstreams.remove(id).is_some();
+        if known {
+            self.end(id.clone());
+        }
+        known
+    }
+
+    /// Whether a peer's word of a listing may be taken: it brings back nothing that ended, and
+    /// nothing that is leaving stays.
+    pub fn accepts(&self, listed: &Listed) -> bool {
+        let leaving = self.upstreams.get(&listed.id).is_some_and(|u| u.listed.leaving);
+        !self.ended.contains(&listed.id) && (listed.leaving || !leaving)
+    }
+
+    fn end(&mut self, id: id::Upstream) {
+        if self.ended.len() >= ENDED {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(id);
     }
 
     /// The listing of an upstream ended while the directory was away: it may still live, and is
@@ -150,7 +173,7 @@
         let gone: Vec<id::Upstream> =
             self.upstreams.iter().filter(|(_, u)| over(u)).map(|(id, _)| id.clone()).collect();
         gone.iter().for_each(|id| {
-            self.upstreams.remove(id);
+            self.remove(id);
         });
         gone
     }
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -26,7 +26,7 @@
 const IDLE_MS: f64 = 120.0;
 
 /// The same for a heavy prompt that has waited so long that it will be late.
-const WAITED_MS: f64 = 400.0;
+const WAITED_MS: f64 = 120.0;
 
 /// The part of its objective that a heavy prompt waits for engines that bring it in time.
 const WAITS: f64 = 0.4;
