--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -41,7 +41,7 @@
         let moved = job.process.moved.notified();
         let now = job.process.now();
         let waited = now.saturating_duration_since(started);
-        let ask = job.ask(avoid, waited);
+        let ask = job.ask(avoid);
         let found = placement::place(&job.process.board.lock().unwrap(), &ask, now);
         let nowhere = match found {
             Ok(place) => {
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -69,7 +69,7 @@
     }
 
     /// What is asked of the upstreams.
-    pub fn ask<'a>(&'a self, avoid: &'a [id::Upstream], waited: Duration) -> Ask<'a> {
+    pub fn ask<'a>(&'a self, avoid: &'a [id::Upstream]) -> Ask<'a> {
         let most = if self.terms.most.0 > 0 { self.terms.most } else { UNTOLD };
         Ask {
             service: &self.service.name,
@@ -78,7 +78,6 @@
             prompt: self.terms.prompt,
             memory: self.terms.prompt + most,
             hall: self.process.peers.in_cells().then_some(self.process.member.hall.as_str()),
-            waited,
             avoid,
         }
     }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -7,7 +7,7 @@
 mod group;
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use foldlock_base::prelude::*;
 use foldlock_version::routes::{Engine, Route, Shape};
@@ -27,7 +27,7 @@
 const WHOLE: f64 = 0.55;
 
 /// Kept from a pause, milliseconds, for one more short prompt that comes in.
-const PAUSE_MARGIN_MS: f64 = 60.0;
+const PAUSE_MARGIN_MS: f64 = 30.0;
 
 /// A pause at or under this is short: no long read belongs beside such an answer.
 const BRISK_MS: u32 = 400;
@@ -47,8 +47,6 @@
     pub memory: Tokens,
     /// The hall whose upstreams come first; none where all are told at once.
     pub hall: Option<&'a str>,
-    /// How long it has waited for a place.
-    pub waited: Duration,
     /// Upstreams that failed this request.
     pub avoid: &'a [id::Upstream],
 }
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -8,7 +8,7 @@
 
 use foldlock_version::routes::Engine;
 
-use super::{Ask, Candidate, IN_TIME, Nowhere, Place, placed};
+use super::{Ask, Candidate, Nowhere, Place, placed};
 use crate::forecast;
 
 /// The shortest part of a long read, milliseconds: under it the steps of each pass cost more than
@@ -25,19 +25,13 @@
 /// The most that an engine may have ahead, milliseconds, to take a part of a heavy prompt.
 const IDLE_MS: f64 = 120.0;
 
-/// The same for a heavy prompt that has waited so long that it will be late.
-const WAITED_MS: f64 = 120.0;
-
-/// The part of its objective that a heavy prompt waits for engines that bring it in time.
-const WAITS: f64 = 0.4;
-
 /// The longest part of a heavy prompt, milliseconds: others wait behind it, and their objectives
 /// are 1.5 s and more.
 const MOST_PART_MS: f64 = 700.0;
 
 /// How much sooner an engine with short answers has to be free to read a part: its passes get
 /// longer by the part, and short prompts that come in wait for it.
-const BRISK_APART_MS: f64 = 150.0;
+const BRISK_APART_MS: f64 = 80.0;
 
 /// How much sooner an engine without writers has to be free to be the one that answers: an engine
 /// that plays steps anyway loses nothing by one writer more, the others read faster without any.
@@ -75,19 +69,17 @@
     let open = candidates.len();
     let objective = ask.route.objective.as_secs_f64() * 1e3;
     let heavy = read > objective * HEAVY;
-    let hurried = ask.waited.as_secs_f64() * 1e3 <= objective * WAITS;
     candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
     if heavy {
-        let most_ms = if hurried { IDLE_MS } else { WAITED_MS };
-        candidates.retain(|c| !c.is_brisk() && c.ahead_ms(engine) <= most_ms);
+        candidates.retain(|c| !c.is_brisk() && c.ahead_ms(engine) <= IDLE_MS);
     }
     candidates.reverse();
     candidates.sort_by(|a, b| rank_ms(a, engine).total_cmp(&rank_ms(b, engine)));
     let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
-    let groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
+    let mut groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
     let chosen = if heavy {
-        let mut gentle = groups.filter(|g| g.part_ms <= MOST_PART_MS);
-        gentle.find(|g| !hurried || g.predicted_ms <= objective * IN_TIME)
+        // The fewest engines whose parts are short: the others stay free.
+        groups.find(|g| g.part_ms <= MOST_PART_MS)
     } else {
         groups.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     };
