--- /dev/null
+++ b/request/tests/placement.rs
@@ -0,0 +1,234 @@
+//! Where requests of unlike lengths run.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::id;
+use foldlock_base::size::Tokens;
+use foldlock_request::board::{Board, Flight, Listed};
+use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::suspicion::Failure;
+use foldlock_request::{forecast, placement::place};
+use foldlock_version::routes::{Engine, Repeat, Route, Shape, Target};
+use proptest::prelude::*;
+
+const ENGINE: Engine = Engine {
+    slots: 16,
+    memory: Tokens(232_000),
+    step_ms: 1.02,
+    per_request_ms: 0.00226,
+    per_context_ms: 0.00431,
+    read_per_ms: 206.0,
+    pairs_ms: 0.138,
+    stride: 43,
+    chunk: 2_048,
+    usual_answer: Tokens(1_303),
+};
+
+fn route(objective_ms: u64, pause_ms: u64) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "a".to_owned(),
+        prefix: "/".to_owned(),
+        repeat: Repeat::Resume,
+        shape: Shape::Events { pause: Duration::from_millis(pause_ms) },
+        timeout: Duration::from_secs(10),
+        objective: Duration::from_millis(objective_ms),
+        priority: 1,
+        targets: vec![Target { service: "model".to_owned(), weight: 1 }],
+        attempts: 2,
+        public: false,
+    }
+}
+
+fn short_route() -> Route {
+    route(300, 250)
+}
+
+fn long_route() -> Route {
+    route(2_500, 1_000)
+}
+
+fn upstream(i: usize) -> id::Upstream {
+    format!("i-{i:02}").parse().unwrap()
+}
+
+fn board(engines: usize) -> Board {
+    let mut board = Board::default();
+    for i in 0..engines {
+        board.list(Listed {
+            id: upstream(i),
+            service: "model".to_owned(),
+            address: format!("10.0.0.{i}:80"),
+            hall: if i % 2 == 0 { "even" } else { "odd" }.to_owned(),
+            slots: 16,
+            leaving: false,
+        });
+    }
+    board
+}
+
+fn ask(route: &Route, tokens: u64) -> Ask<'_> {
+    Ask {
+        service: "model",
+        engine: Some(&ENGINE),
+        route,
+        prompt: Tokens(tokens),
+        memory: Tokens(tokens + 1_000),
+        hall: None,
+        avoid: &[],
+    }
+}
+
+/// Places a request and enters it as under way.
+fn enter(board: &mut Board, ask: &Ask<'_>, now: Instant) -> Result<Place, Nowhere> {
+    let place = placement::place(board, ask, now)?;
+    board.enter(place.flight.clone(), now);
+    Ok(place)
+}
+
+#[test]
+fn reading_grows_with_the_square_of_long_prompts() {
+    let ms = |tokens| forecast::read_ms(&ENGINE, tokens);
+    assert!((ms(5_000) - 26.0).abs() < 1.0, "{}", ms(5_000));
+    assert!((ms(133_000) - 1_866.0).abs() < 10.0, "{}", ms(133_000));
+    assert!(ms(266_000) > 3.0 * ms(133_000));
+}
+
+#[test]
+fn short_prompts_fill_one_engine_after_the_other() {
+    let (mut board, now, route) = (board(4), Instant::now(), short_route());
+    let ask = ask(&route, 1_000);
+    for n in 0..24 {
+        let number = {
+            let place = placement::place(&board, &ask, now).unwrap();
+            let number = board.enter(place.flight.clone(), now);
+            assert_eq!(place.flight.upstream, upstream(n / 12), "request {n}");
+            number
+        };
+        board.began(number);
+    }
+}
+
+#[test]
+fn a_long_prompt_is_read_by_several_engines_away_from_short_ones() {
+    let (mut board, now) = (board(6), Instant::now());
+    let short = short_route();
+    let placed = enter(&mut board, &ask(&short, 5_000), now).unwrap();
+    assert_eq!(placed.flight.upstream, upstream(0));
+    assert!(placed.flight.helpers.is_empty());
+    let long = long_route();
+    let placed = enter(&mut board, &ask(&long, 133_000), now).unwrap();
+    assert_eq!(placed.flight.helpers.len(), 4, "the five engines without a short answer");
+    assert_ne!(placed.flight.upstream, upstream(0));
+    assert!(placed.flight.helpers.iter().all(|h| h.upstream != upstream(0) && h.held == 0));
+    assert!(placed.predicted_ms < 500.0, "{}", placed.predicted_ms);
+}
+
+#[test]
+fn beside_short_answers_only_small_parts_are_read() {
+    let (mut board, now) = (board(12), Instant::now());
+    let short = short_route();
+    for i in 0..12 {
+        let flight = Flight {
+            upstream: upstream(i),
+            helpers: Vec::new(),
+            part_ms: 0.0,
+            memory: 6_000,
+            pause_ms: 250,
+            writing: true,
+        };
+        board.enter(flight, now);
+    }
+    let placed = enter(&mut board, &ask(&long_route(), 60_000), now).unwrap();
+    let pass = forecast::pass_ms(&ENGINE, 2, 6_000);
+    assert!(f64::from(placed.flight.part_ms) + pass <= 250.0, "{placed:?}");
+    let heavy = place(&board, &ask(&long_route(), 300_000), now);
+    assert_eq!(heavy.unwrap_err(), Nowhere::Full);
+    assert!(place(&board, &ask(&short, 5_000), now).is_ok());
+}
+
+#[test]
+fn a_prompt_beyond_one_engine_is_held_by_several() {
+    let (mut board, now) = (board(12), Instant::now());
+    let placed = enter(&mut board, &ask(&long_route(), 300_000), now).unwrap();
+    let held: u64 = placed.flight.helpers.iter().map(|h| h.held).sum();
+    assert!(held > 0);
+    assert_eq!(placed.flight.memory + held, 301_000);
+    assert!(placed.flight.memory <= ENGINE.memory.0);
+    assert!(placed.flight.part_ms <= 700.0);
+}
+
+#[test]
+fn a_heavy_prompt_waits_for_idle_engines() {
+    let (mut board, now) = (board(12), Instant::now());
+    enter(&mut board, &ask(&long_route(), 300_000), now).unwrap();
+    let second = place(&board, &ask(&long_route(), 300_000), now);
+    assert_eq!(second.unwrap_err(), Nowhere::Full);
+    let later = now + Duration::from_secs(2);
+    assert!(place(&board, &ask(&long_route(), 300_000), later).is_ok(), "read by then");
+}
+
+#[test]
+fn upstreams_that_failed_are_passed_over_while_there_are_others() {
+    let (mut board, now, route) = (board(2), Instant::now(), short_route());
+    board.get_mut(&upstream(0)).unwrap().suspicion.failed(Failure::Silent, now);
+    let placed = place(&board, &ask(&route, 5_000), now).unwrap();
+    assert_eq!(placed.flight.upstream, upstream(1));
+    let avoid = [upstream(1)];
+    let placed = place(&board, &Ask { avoid: &avoid, ..ask(&route, 5_000) }, now).unwrap();
+    assert_eq!(placed.flight.upstream, upstream(0), "better than none");
+    let avoid = [upstream(0), upstream(1)];
+    let none = place(&board, &Ask { avoid: &avoid, ..ask(&route, 5_000) }, now);
+    assert_eq!(none.unwrap_err(), Nowhere::Closed);
+}
+
+#[test]
+fn in_a_large_fleet_the_own_hall_comes_first() {
+    let (board, now, route) = (board(4), Instant::now(), short_route());
+    let placed = place(&board, &Ask { hall: Some("odd"), ..ask(&route, 5_000) }, now).unwrap();
+    assert_eq!(placed.flight.upstream, upstream(1));
+}
+
+#[test]
+fn plain_requests_go_where_least_is_under_way() {
+    let (mut board, now, route) = (board(3), Instant::now(), route(300, 250));
+    let plain = Ask { engine: None, ..ask(&route, 0) };
+    let mut seen: Vec<String> = (0..3)
+        .map(|_| enter(&mut board, &plain, now).unwrap().flight.upstream.to_string())
+        .collect();
+    seen.sort();
+    assert_eq!(seen, ["i-00", "i-01", "i-02"]);
+}
+
+proptest! {
+    /// Whatever is asked for, no engine gets more memory or requests than it has, no engine stands
+    /// twice in a group, and the memory adds up.
+    #[test]
+    fn no_engine_is_overfilled(
+        engines in 1usize..20,
+        asks in prop::collection::vec((any::<bool>(), 100u64..600_000, 0u64..300), 1..60),
+    ) {
+        let (mut board, mut now) = (board(engines), Instant::now());
+        let (short, long) = (short_route(), long_route());
+        for (is_short, tokens, after_ms) in asks {
+            now += Duration::from_millis(after_ms);
+            let (route, tokens) = if is_short { (&short, tokens % 24_000) } else { (&long, tokens) };
+            let ask = ask(route, tokens);
+            let Ok(placed) = enter(&mut board, &ask, now) else { continue };
+            let mut group: Vec<&id::Upstream> =
+                placed.flight.helpers.iter().map(|h| &h.upstream).collect();
+            group.push(&placed.flight.upstream);
+            let size = group.len();
+            group.sort();
+            group.dedup();
+            prop_assert_eq!(group.len(), size);
+            prop_assert!(size <= 17);
+            let held: u64 = placed.flight.helpers.iter().map(|h| h.held).sum();
+            prop_assert!(placed.flight.memory + held >= ask.memory.0);
+            for (upstream, load) in board.loads(now) {
+                prop_assert!(load.requests <= ENGINE.slots, "{} has {:?}", upstream, load);
+                prop_assert!(load.memory <= ENGINE.memory.0, "{} has {:?}", upstream, load);
+            }
+        }
+    }
+}
