--- /dev/null
+++ b/connection/tests/beat.rs
@@ -0,0 +1,42 @@
+//! Beats survive their encoding, and bytes that are none are refused.
+
+use foldlock_connection::beat::{self, Beat, Datagram};
+use proptest::prelude::*;
+
+fn beat(flights: Vec<(String, u32)>) -> Beat<String> {
+    Beat {
+        vm: "vm-1".parse().unwrap(),
+        incarnation: 1_780_012_754_015,
+        stamp: 42,
+        version: 7,
+        age_ms: Some(300),
+        at: 530,
+        digest: u64::MAX,
+        leaving: false,
+        flights,
+    }
+}
+
+#[test]
+fn a_beat_comes_out_as_it_went_in() {
+    let sent = beat(vec![("one".to_owned(), 5), ("two".to_owned(), 0)]);
+    let datagram = Datagram { echo: Some(9), echo_of: 3, beat: beat::encode(&sent) };
+    let (read, received) = Datagram::read::<String>(&datagram.encode()).unwrap();
+    assert_eq!((read.echo, read.echo_of), (Some(9), 3));
+    assert_eq!(received, sent);
+}
+
+#[test]
+fn a_cut_beat_is_refused() {
+    let bytes = Datagram { echo: None, echo_of: 0, beat: beat::encode(&beat(Vec::new())) }.encode();
+    for length in 0..bytes.len() {
+        assert!(Datagram::read::<String>(&bytes[..length]).is_err(), "{length} bytes");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = Datagram::read::<String>(&bytes);
+    }
+}
--- /dev/null
+++ b/connection/tests/sse.rs
@@ -0,0 +1,68 @@
+//! Events are cut out of any bytes, however they arrive.
+
+use foldlock_connection::sse::{Cutter, Event, TooLong};
+use proptest::prelude::*;
+
+fn cut(chunks: &[&[u8]]) -> (Vec<Event>, usize) {
+    let (mut cutter, mut events) = (Cutter::default(), Vec::new());
+    for chunk in chunks {
+        cutter.push(chunk);
+        while let Ok(Some(event)) = cutter.cut() {
+            events.push(event);
+        }
+    }
+    (events, cutter.rest())
+}
+
+#[test]
+fn an_event_keeps_its_bytes_and_tells_its_id() {
+    let (events, rest) = cut(&[b"versions: 2\nid: 7\ndata: a b\n\nid: 8\nda"]);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(7));
+    assert_eq!(&events[0].bytes[..], b"versions: 2\nid: 7\ndata: a b\n\n");
+    assert_eq!(rest, 8, "an event that has not ended");
+}
+
+#[test]
+fn an_event_without_a_number_has_no_id() {
+    let (events, _) = cut(&[b"data: x\n\nid: y\n\n"]);
+    assert_eq!(events.iter().map(|e| e.id).collect::<Vec<_>>(), [None, None]);
+}
+
+#[test]
+fn an_event_without_end_is_too_long_at_some_point() {
+    let mut cutter = Cutter::default();
+    cutter.push(&vec![b'x'; 300 << 10]);
+    assert_eq!(cutter.cut(), Err(TooLong));
+}
+
+proptest! {
+    #[test]
+    fn the_cuts_of_the_network_change_nothing(
+        ids in prop::collection::vec(0u64..1_000_000, 0..12),
+        cuts in prop::collection::vec(1usize..30, 0..40),
+    ) {
+        let text: String = ids.iter().map(|id| format!("id: {id}\ndata: d{id}\n\n")).collect();
+        let mut rest = text.as_bytes();
+        let mut chunks = Vec::new();
+        for cut in cuts {
+            let (chunk, after) = rest.split_at(cut.min(rest.len()));
+            chunks.push(chunk);
+            rest = after;
+        }
+        chunks.push(rest);
+        let (events, left) = cut(&chunks);
+        prop_assert_eq!(left, 0);
+        let read: Vec<u64> = events.iter().filter_map(|e| e.id).collect();
+        prop_assert_eq!(read, ids);
+        let whole: Vec<u8> = events.iter().flat_map(|e| e.bytes.to_vec()).collect();
+        prop_assert_eq!(whole, text.as_bytes());
+    }
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let (events, rest) = cut(&[&bytes]);
+        let taken: usize = events.iter().map(|e| e.bytes.len()).sum();
+        prop_assert_eq!(taken + rest, bytes.len());
+    }
+}
