Test a VM of a fleet between callers and upstreams that fail in every way

Cause found by it: a prompt with short pauses beyond one engine's memory never found a place, since short prompts are not spread (a test failed first); it now takes the way of long ones. 22 tests: what may run twice, refusals that are true, streams without gap, callers who leave, old settings, lapsed listings, memory given back, stops, records.

--- /dev/null
+++ b/daemon/tests/fleet/directory.rs
@@ -0,0 +1,130 @@
+//! A directory that a test writes.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldlock_base::id;
+use foldlock_platform::settings;
+use foldlock_request::board::Listed;
+use foldlock_request::directory::{Change, Changes, Directory, Fault, Member, Settings};
+use tokio::sync::Notify;
+
+#[derive(Default)]
+struct State {
+    at: u64,
+    settings: Option<Bytes>,
+    upstreams: Vec<Listed>,
+    members: Vec<Member>,
+    away: bool,
+    calls: usize,
+}
+
+/// The directory. Each watch that finds a change brings all there is, which says the same and more.
+#[derive(Clone, Default)]
+pub(crate) struct Fake {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl Fake {
+    /// Puts settings in force.
+    pub(crate) fn settings(&self, text: &serde_json::Value) {
+        self.change(|state| state.settings = Some(Bytes::from(text.to_string())));
+    }
+
+    /// Lists an upstream.
+    pub(crate) fn list(&self, listed: Listed) {
+        self.change(|state| {
+            state.upstreams.retain(|known| known.id != listed.id);
+            state.upstreams.push(listed);
+        });
+    }
+
+    /// Ends a listing.
+    pub(crate) fn unlist(&self, id: &id::Upstream) {
+        self.change(|state| state.upstreams.retain(|known| known.id != *id));
+    }
+
+    /// The directory stops or begins to answer.
+    pub(crate) fn away(&self, away: bool) {
+        self.change(|state| state.away = away);
+    }
+
+    /// How often it was asked.
+    pub(crate) fn calls(&self) -> usize {
+        self.state.lock().unwrap().calls
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        let mut state = self.state.lock().unwrap();
+        change(&mut state);
+        state.at += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn answer(&self) -> Result<Changes, Fault> {
+        let state = self.state.lock().unwrap();
+        if state.away {
+            return Err(Fault::Unavailable("away".to_owned()));
+        }
+        let mut changes: Vec<Change> = Vec::new();
+        if let Some(text) = &state.settings {
+            changes.push(match self.decode(text.clone()) {
+                Ok(settings) => Change::Settings(Box::new(settings)),
+                Err(why) => Change::Unreadable(why),
+            });
+        }
+        changes.extend(state.upstreams.iter().cloned().map(Change::Upstream));
+        changes.extend(state.members.iter().cloned().map(Change::Member));
+        Ok(Changes { at: state.at, changes })
+    }
+}
+
+impl Directory for Fake {
+    async fn read(&self) -> Result<Changes, Fault> {
+        self.state.lock().unwrap().calls += 1;
+        self.answer()
+    }
+
+    async fn watch(&self, since: u64, wait: Duration) -> Result<Changes, Fault> {
+        self.state.lock().unwrap().calls += 1;
+        let changed = self.changed.notified();
+        if self.state.lock().unwrap().at > since || self.state.lock().unwrap().away {
+            return Err(Fault::Compacted).or_else(|_: Fault| self.whole());
+        }
+        let _ = tokio::time::timeout(wait.min(Duration::from_millis(50)), changed).await;
+        if self.state.lock().unwrap().at > since {
+            return self.whole();
+        }
+        Ok(Changes { at: since, changes: Vec::new() })
+    }
+
+    async fn announce(&self, member: &Member) -> Result<(), Fault> {
+        let member = member.clone();
+        self.change(|state| {
+            state.members.retain(|known| known.vm != member.vm);
+            state.members.push(member);
+        });
+        Ok(())
+    }
+
+    async fn withdraw(&self, vm: &id::Vm) -> Result<(), Fault> {
+        self.change(|state| state.members.retain(|known| known.vm != *vm));
+        Ok(())
+    }
+
+    fn decode(&self, text: Bytes) -> Result<Settings, String> {
+        let table = settings::decode(&text)?;
+        Ok(Settings { table, text })
+    }
+}
+
+impl Fake {
+    /// What a watch cannot tell in single changes, such as an end, is read anew.
+    fn whole(&self) -> Result<Changes, Fault> {
+        let away = self.state.lock().unwrap().away;
+        if away { self.answer() } else { Err(Fault::Compacted) }
+    }
+}
--- /dev/null
+++ b/daemon/tests/fleet/main.rs
@@ -0,0 +1,470 @@
+//! A VM of a fleet, between callers and upstreams that fail in every way they can.
+
+mod directory;
+mod upstream;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foldlock_connection::http::{self, Client};
+use foldlock_platform::headers::Headers;
+use foldlockd::fleet::config::{Config, Fleet};
+use foldlockd::fleet::{self, process::Process, stop};
+use http_body_util::BodyExt;
+use hyper::{Request, Response};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use directory::Fake;
+use upstream::{Play, Upstream, header};
+
+/// How long a condition may take to come about before a test fails.
+const LIMIT: Duration = Duration::from_secs(10);
+
+struct Vm {
+    process: Arc<Process<Headers>>,
+    directory: Fake,
+    listen: SocketAddr,
+    client: Client,
+}
+
+/// Free ports on loopback, one for each listener.
+fn free() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn config(settings_age_ms: Option<u64>) -> Config {
+    Config {
+        vm: "vm-1".parse().unwrap(),
+        hall: "a".parse().unwrap(),
+        listen: free(),
+        log_level: "error".to_owned(),
+        file: None,
+        fleet: Fleet {
+            ready: free(),
+            peers: free(),
+            metrics: None,
+            directory: String::new(),
+            settings_age_ms,
+            stop_ms: 4_000,
+            repeat_ratio: 0.2,
+            repeat_slack: 100.0,
+            repeat_window_ms: 10_000,
+            stall_ms: 1_500,
+        },
+    }
+}
+
+fn settings(version: u64) -> Value {
+    let route = |path: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({"Name": path, "Host": "a.example", "PathPrefix": format!("/{path}/"), "Kind": kind,
+               "TimeoutMs": 8000, "SloMs": 1000, "Service": service, "MaxAttempts": attempts,
+               "Resumable": resumable, "gap_aim_ms": 200, "Public": path == "public"})
+    };
+    json!({
+        "Version": version,
+        "Routes": [
+            route("safe", "safe", "plain", 2, false),
+            route("public", "safe", "plain", 2, false),
+            route("unsafe", "unsafe", "plain", 1, false),
+            route("stream", "streaming", "model", 2, true),
+            route("once", "streaming", "model", 2, false),
+        ],
+        "Services": [
+            {"Name": "plain", "MaxConns": 96},
+            {"Name": "model", "MaxConns": 264, "Engine": {
+                "Slots": 16, "KvCapacity": 20000, "stride": 43, "step_ms": 1.02, "chunk": 2048,
+                "per_seq_ms": 0.00226, "context_per_k": 0.00431, "read_per_s": 206000.0,
+                "pairs_per_m": 0.138, "usual": {"prompt": 1000, "answer": 100}}},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4096, "HeaderTimeoutMs": 3000,
+                   "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "one", "ApiKeys": ["k1"], "Priority": 1}],
+    })
+}
+
+async fn until(mut condition: impl FnMut() -> bool) {
+    let waited = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, waited).await.expect("the condition comes about");
+}
+
+async fn vm_with(upstreams: &[&Upstream], settings_age_ms: Option<u64>) -> Vm {
+    let directory = Fake::default();
+    directory.settings(&settings(1));
+    upstreams.iter().for_each(|u| directory.list(u.listed.clone()));
+    let config = config(settings_age_ms);
+    let listen = config.listen;
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let process = fleet::start::<Headers, Fake>(config, directory.clone(), log).await.unwrap();
+    until(|| process.ready() && process.board.lock().unwrap().ids().count() == upstreams.len())
+        .await;
+    Vm { process, directory, listen, client: Client::default() }
+}
+
+async fn vm(upstreams: &[&Upstream]) -> Vm {
+    vm_with(upstreams, None).await
+}
+
+fn request(vm: &Vm, path: &str, headers: &[(&str, &str)]) -> Request<http_body_util::Full<Bytes>> {
+    let mut request = Request::post(format!("http://{}/{path}/1", vm.listen))
+        .header("host", "a.example")
+        .header("request-id", "r1")
+        .header("key", "k1")
+        .header("deadline-ms", "8000")
+        .header("token-usage", "1000,100");
+    for (name, value) in headers {
+        let value = value.parse().unwrap();
+        request
+            .headers_mut()
+            .unwrap()
+            .insert(name.parse::<hyper::header::HeaderName>().unwrap(), value);
+    }
+    request.body(http::body("the body")).unwrap()
+}
+
+async fn ask(vm: &Vm, path: &str) -> Response<Bytes> {
+    vm.client.call(request(vm, path, &[]), LIMIT).await.unwrap()
+}
+
+fn error(answer: &Response<Bytes>) -> (u16, String, String) {
+    let body: Value = serde_json::from_slice(answer.body()).unwrap();
+    let text = |name: &str| body["error"][name].as_str().unwrap().to_owned();
+    (answer.status().as_u16(), text("kind"), text("ran"))
+}
+
+async fn two(service: &str, first: Play, second: Play) -> (Upstream, Upstream) {
+    // The first by id is the first that is tried.
+    let one = Upstream::start("i-1", service, vec![first]).await;
+    (one, Upstream::start("i-2", service, vec![second]).await)
+}
+
+/// Asks twice on one connection and gives the body of the answer that was tried at both upstreams.
+async fn ask_until_both(vm: &Vm, path: &str, one: &Upstream, two: &Upstream) -> Response<Bytes> {
+    loop {
+        let answer = ask(vm, path).await;
+        if !one.requests().is_empty() && !two.requests().is_empty() {
+            return answer;
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_is_passed_on_as_it_is() {
+    let one = Upstream::start("i-1", "plain", vec![Play::Answer("hello")]).await;
+    let vm = vm(&[&one]).await;
+    let answer = ask(&vm, "unsafe").await;
+    assert_eq!((answer.status().as_u16(), &answer.body()[..]), (200, &b"hello"[..]));
+    assert_eq!(answer.headers()["server-stamp"], "i-1");
+    let seen = one.requests().remove(0);
+    assert!(seen.starts_with("POST /unsafe/1 HTTP/1.1"), "{seen}");
+    assert!(seen.ends_with("the body"), "{seen}");
+    assert_eq!(header(&seen, "request-id").as_deref(), Some("r1"));
+    assert_eq!(header(&seen, "expect-instance").as_deref(), Some("i-1"));
+    assert_eq!(header(&seen, "tenant").as_deref(), Some("one"));
+    assert_eq!(header(&seen, "key"), None);
+    let left: u64 = header(&seen, "deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= 8_000 && left > 7_000, "{left}");
+}
+
+#[tokio::test]
+async fn a_safe_request_goes_elsewhere_after_a_failure() {
+    for failure in [Play::Status(500), Play::Cut, Play::Close, Play::Foreign, Play::Misdirected] {
+        let (one, two) = two("plain", failure.clone(), Play::Answer("good")).await;
+        let vm = vm(&[&one, &two]).await;
+        let answer = ask_until_both(&vm, "safe", &one, &two).await;
+        assert_eq!(&answer.body()[..], b"good", "after {failure:?}");
+        assert_eq!(answer.headers()["server-stamp"], "i-2");
+    }
+}
+
+#[tokio::test]
+async fn an_unsafe_request_is_never_sent_again_once_it_may_have_run() {
+    for failure in [Play::Cut, Play::Close, Play::Foreign] {
+        let (one, two) = two("plain", failure.clone(), failure.clone()).await;
+        let vm = vm(&[&one, &two]).await;
+        let answer = ask(&vm, "unsafe").await;
+        let expected = (502, "upstream_failed".to_owned(), "unknown".to_owned());
+        assert_eq!(error(&answer), expected, "after {failure:?}");
+        assert_eq!(one.requests().len() + two.requests().len(), 1, "after {failure:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_upstreams_own_failure_is_passed_on_where_nothing_may_be_repeated() {
+    let one = Upstream::start("i-1", "plain", vec![Play::Status(500)]).await;
+    let vm = vm(&[&one]).await;
+    let answer = ask(&vm, "unsafe").await;
+    assert_eq!((answer.status().as_u16(), &answer.body()[..]), (500, &b"failed"[..]));
+    assert_eq!(answer.headers()["server-stamp"], "i-1");
+}
+
+#[tokio::test]
+async fn an_unsafe_request_that_was_refused_goes_elsewhere() {
+    let (one, two) = two("plain", Play::Refuse, Play::Answer("good")).await;
+    let vm = vm(&[&one, &two]).await;
+    let answer = ask_until_both(&vm, "unsafe", &one, &two).await;
+    assert_eq!(&answer.body()[..], b"good");
+}
+
+#[tokio::test]
+async fn a_request_that_all_refuse_has_not_run_and_is_told_when_to_come_back() {
+    let (one, two) = two("plain", Play::Refuse, Play::Refuse).await;
+    let vm = vm(&[&one, &two]).await;
+    let answer = ask(&vm, "unsafe").await;
+    assert_eq!(error(&answer), (503, "no_upstream".to_owned(), "no".to_owned()));
+    assert!(answer.headers().contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn a_refusal_after_an_attempt_that_may_have_run_does_not_say_that_it_has_not() {
+    let (one, two) = two("plain", Play::Close, Play::Refuse).await;
+    let vm = vm(&[&one, &two]).await;
+    let answer = ask_until_both(&vm, "safe", &one, &two).await;
+    let (status, _, ran) = error(&answer);
+    assert_eq!((status, ran.as_str()), (502, "unknown"));
+}
+
+#[tokio::test]
+async fn nothing_is_sent_to_an_upstream_that_cannot_be_reached() {
+    let (one, two) = two("plain", Play::Hang, Play::Answer("good")).await;
+    let mut closed = one.listed.clone();
+    closed.address = free().to_string();
+    let vm = vm(&[&one, &two]).await;
+    vm.directory.list(closed.clone());
+    until(|| vm.process.board.lock().unwrap().get(&closed.id).unwrap().listed == closed).await;
+    let answer = ask(&vm, "unsafe").await;
+    assert_eq!(&answer.body()[..], b"good");
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_without_a_gap() {
+    for failure in [Play::Broken(1, 3), Play::Silent(1, 3)] {
+        let (one, two) = two("model", failure.clone(), Play::Events(4, 6)).await;
+        let vm = vm(&[&one, &two]).await;
+        let answer = ask(&vm, "stream").await;
+        let text = String::from_utf8(answer.body().to_vec()).unwrap();
+        let ids: Vec<&str> = text.lines().filter_map(|l| l.strip_prefix("id: ")).collect();
+        assert_eq!(ids, ["1", "2", "3", "4", "5", "6"], "after {failure:?}");
+        assert_eq!(answer.headers()["server-stamp"], "i-1", "the head of the first");
+        assert_eq!(header(&two.requests()[0], "last-event-id").as_deref(), Some("3"));
+    }
+}
+
+#[tokio::test]
+async fn events_that_come_again_are_dropped_and_a_gap_ends_the_stream() {
+    let (one, two) = two("model", Play::Broken(1, 3), Play::Events(2, 5)).await;
+    let vm = vm(&[&one, &two]).await;
+    let answer = ask(&vm, "stream").await;
+    let text = String::from_utf8(answer.body().to_vec()).unwrap();
+    assert_eq!(text.matches("id: ").count(), 5, "{text}");
+
+    let (one, two) = (
+        Upstream::start("i-1", "model", vec![Play::Broken(1, 3)]).await,
+        Upstream::start("i-2", "model", vec![Play::Events(5, 6)]).await,
+    );
+    let vm = self::vm(&[&one, &two]).await;
+    assert!(
+        vm.client.call(request(&vm, "stream", &[]), LIMIT).await.is_err(),
+        "event 4 is missing"
+    );
+}
+
+#[tokio::test]
+async fn a_stream_that_runs_once_ends_broken_and_not_complete() {
+    let (one, two) = two("model", Play::Broken(1, 3), Play::Events(4, 6)).await;
+    let vm = vm(&[&one, &two]).await;
+    assert!(vm.client.call(request(&vm, "once", &[]), LIMIT).await.is_err());
+    assert_eq!(two.requests().len(), 0);
+}
+
+#[tokio::test]
+async fn a_stream_whose_upstream_says_nothing_starts_elsewhere() {
+    let (one, two) = two("model", Play::Hang, Play::Events(1, 2)).await;
+    let vm = vm(&[&one, &two]).await;
+    let answer = ask(&vm, "stream").await;
+    assert_eq!(answer.headers()["server-stamp"], "i-2");
+    until(|| one.left() == 1).await;
+}
+
+#[tokio::test]
+async fn a_caller_who_takes_up_a_stream_gets_what_follows() {
+    let one = Upstream::start("i-1", "model", vec![Play::Events(13, 14)]).await;
+    let vm = vm(&[&one]).await;
+    let asked = request(&vm, "stream", &[("last-event-id", "12")]);
+    let answer = vm.client.call(asked, LIMIT).await.unwrap();
+    assert_eq!(answer.body().iter().filter(|b| **b == b'\n').count(), 6);
+    assert_eq!(header(&one.requests()[0], "last-event-id").as_deref(), Some("12"));
+}
+
+#[tokio::test]
+async fn the_work_of_a_caller_who_leaves_is_ended() {
+    for (path, service, play) in
+        [("unsafe", "plain", Play::Hang), ("stream", "model", Play::Silent(1, 2))]
+    {
+        let one = Upstream::start("i-1", service, vec![play]).await;
+        let vm = vm(&[&one]).await;
+        let mut caller = TcpStream::connect(vm.listen).await.unwrap();
+        let text = format!(
+            "POST /{path}/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: r1\r\nkey: k1\r\n\
+             deadline-ms: 8000\r\ntoken-usage: 1000,100\r\ncontent-length: 0\r\n\r\n"
+        );
+        caller.write_all(text.as_bytes()).await.unwrap();
+        until(|| one.requests().len() == 1).await;
+        drop(caller);
+        until(|| one.left() == 1).await;
+        until(|| vm.process.board.lock().unwrap().own().count() == 0).await;
+    }
+}
+
+#[tokio::test]
+async fn who_has_no_key_or_asks_for_no_route_is_told_so() {
+    let one = Upstream::start("i-1", "plain", vec![Play::Answer("x")]).await;
+    let vm = vm(&[&one]).await;
+    let wrong = request(&vm, "safe", &[("key", "k9")]);
+    let answer = vm.client.call(wrong, LIMIT).await.unwrap();
+    assert_eq!(error(&answer).0, 401);
+    assert_eq!(error(&ask(&vm, "nowhere").await).0, 404);
+    let public = request(&vm, "public", &[("key", "k9")]);
+    assert_eq!(vm.client.call(public, LIMIT).await.unwrap().status(), 200);
+    assert_eq!(header(&one.requests()[0], "tenant"), None);
+}
+
+#[tokio::test]
+async fn a_body_beyond_the_bound_is_refused_unread() {
+    let one = Upstream::start("i-1", "plain", vec![Play::Answer("x")]).await;
+    let vm = vm(&[&one]).await;
+    let (head, _) = request(&vm, "unsafe", &[]).into_parts();
+    let large = Request::from_parts(head, http::body(vec![0; 5_000]));
+    assert_eq!(vm.client.call(large, LIMIT).await.unwrap().status(), 413);
+    assert!(one.requests().is_empty());
+}
+
+#[tokio::test]
+async fn a_vm_without_settings_says_that_nothing_ran() {
+    let directory = Fake::default();
+    let config = config(None);
+    let listen = config.listen;
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let process = fleet::start::<Headers, Fake>(config, directory.clone(), log).await.unwrap();
+    let vm = Vm { process, directory, listen, client: Client::default() };
+    assert_eq!(error(&ask(&vm, "safe").await).0, 503);
+    assert!(!vm.process.ready());
+    vm.directory.settings(&settings(3));
+    until(|| vm.process.version() == 3).await;
+    vm.directory.settings(&settings(2));
+    let asked = vm.directory.calls();
+    until(|| vm.directory.calls() > asked + 3).await;
+    assert_eq!(vm.process.version(), 3, "a version never goes back");
+}
+
+#[tokio::test]
+async fn keys_are_not_trusted_once_the_settings_are_old() {
+    let one = Upstream::start("i-1", "plain", vec![Play::Answer("x")]).await;
+    let vm = vm_with(&[&one], Some(900)).await;
+    assert_eq!(ask(&vm, "safe").await.status(), 200);
+    vm.directory.away(true);
+    until(|| !vm.process.fresh.holds(vm.process.now())).await;
+    assert!(!vm.process.ready());
+    assert_eq!(error(&ask(&vm, "safe").await).0, 503);
+    assert_eq!(ask(&vm, "public").await.status(), 200, "needs no key");
+    vm.directory.away(false);
+    until(|| vm.process.ready()).await;
+    assert_eq!(ask(&vm, "safe").await.status(), 200);
+}
+
+#[tokio::test]
+async fn a_listing_that_ends_while_the_directory_is_away_is_kept_for_a_while() {
+    let (one, two) = two("plain", Play::Answer("x"), Play::Answer("y")).await;
+    let vm = vm(&[&one, &two]).await;
+    let known = |id: &foldlock_base::id::Upstream| {
+        vm.process.board.lock().unwrap().get(id).map(|u| u.unlisted.is_some())
+    };
+    vm.directory.unlist(&two.listed.id);
+    until(|| known(&two.listed.id).is_none()).await;
+    vm.directory.away(true);
+    let asked = vm.directory.calls();
+    until(|| vm.directory.calls() > asked + 1).await;
+    vm.directory.unlist(&one.listed.id);
+    vm.directory.away(false);
+    until(|| known(&one.listed.id) == Some(true)).await;
+    assert_eq!(ask(&vm, "safe").await.status(), 200, "it may well live");
+    until(|| known(&one.listed.id).is_none()).await;
+}
+
+#[tokio::test]
+async fn memory_is_set_aside_for_a_prompt_beyond_one_engine_and_given_back() {
+    for (play, served) in [(Play::Events(1, 3), true), (Play::Close, false)] {
+        let ones = two("model", play.clone(), play.clone()).await;
+        let vm = vm(&[&ones.0, &ones.1]).await;
+        let asked = request(&vm, "once", &[("token-usage", "30000,100")]);
+        let answered = vm.client.call(asked, LIMIT).await.unwrap();
+        assert_eq!(answered.status() == 200, served);
+        let (main, holder) =
+            if ones.0.requests().is_empty() { (&ones.1, &ones.0) } else { (&ones.0, &ones.1) };
+        let helpers = header(&main.requests()[0], "helpers").unwrap();
+        let ticket = helpers.split('/').nth(1).unwrap().to_owned();
+        assert!(helpers.starts_with(&holder.listed.address), "{helpers}");
+        let ordered = |op: &str| {
+            let orders = holder.orders();
+            let op = format!("\"op\":\"{op}\"");
+            orders.iter().filter(|o| o.contains(&op) && o.contains(&ticket)).count()
+        };
+        assert_eq!(ordered("reserve"), 1);
+        until(|| ordered("release") == 1).await;
+    }
+}
+
+#[tokio::test]
+async fn a_stop_finishes_what_runs_and_closes_what_rests() {
+    let one = Upstream::start("i-1", "plain", vec![Play::Answer("x")]).await;
+    let vm = vm(&[&one]).await;
+    let mut resting = TcpStream::connect(vm.listen).await.unwrap();
+    let text = "POST /safe/1 HTTP/1.1\r\nhost: a.example\r\nrequest-id: r1\r\nkey: k1\r\n\
+                content-length: 0\r\n\r\n";
+    resting.write_all(text.as_bytes()).await.unwrap();
+    let mut head = [0; 512];
+    assert!(resting.read(&mut head).await.unwrap() > 0);
+    let stopping = tokio::spawn({
+        let (process, directory) = (vm.process.clone(), vm.directory.clone());
+        async move { stop::run(&process, &directory).await }
+    });
+    until(|| vm.process.stopping.is_cancelled()).await;
+    assert!(!vm.process.ready());
+    assert_eq!(resting.read(&mut head).await.unwrap(), 0, "closed at rest");
+    let answer = vm.client.send(request(&vm, "safe", &[])).await.unwrap();
+    assert_eq!(answer.status(), 200, "opened while the platform has not noticed yet");
+    assert_eq!(answer.headers()["connection"], "close");
+    answer.into_body().collect().await.unwrap();
+    until(|| vm.process.closing()).await;
+    assert_eq!(error(&ask(&vm, "safe").await).1, "draining");
+    tokio::time::timeout(LIMIT, stopping).await.unwrap().unwrap();
+}
+
+#[tokio::test]
+async fn each_decision_on_a_request_is_on_record() {
+    let (one, two) = two("plain", Play::Status(500), Play::Answer("good")).await;
+    let vm = vm(&[&one, &two]).await;
+    ask_until_both(&vm, "safe", &one, &two).await;
+    let peers = vm.process.config.fleet.peers;
+    let asked = Request::get(format!("http://{peers}/why/r1")).body(http::body("")).unwrap();
+    let answer = vm.client.call(asked, LIMIT).await.unwrap();
+    let record: Value = serde_json::from_slice(answer.body()).unwrap();
+    let decisions: Vec<&str> = record["steps"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|step| step["decision"].as_str().unwrap())
+        .collect();
+    assert_eq!(decisions, ["admitted", "routed", "retried", "routed", "finished"]);
+    let asked = Request::get(format!("http://{peers}/metrics")).body(http::body("")).unwrap();
+    let metrics = vm.client.call(asked, LIMIT).await.unwrap();
+    let metrics = String::from_utf8(metrics.into_body().to_vec()).unwrap();
+    assert!(metrics.contains("foldlock_retries_total 1"), "{metrics}");
+}
--- /dev/null
+++ b/daemon/tests/fleet/upstream.rs
@@ -0,0 +1,199 @@
+//! An upstream that plays a script, written on the socket byte by byte.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use foldlock_request::board::Listed;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What an upstream does with a request.
+#[derive(Debug, Clone)]
+pub(crate) enum Play {
+    /// Answers 200 with this body.
+    Answer(&'static str),
+    /// Answers with this status, signed.
+    Status(u16),
+    /// Refuses with 503 and says that the request did not run.
+    Refuse,
+    /// Answers that it is another instance.
+    Misdirected,
+    /// Answers another request.
+    Foreign,
+    /// Says that more is to come than it sends, and closes.
+    Cut,
+    /// Reads the request and closes without an answer.
+    Close,
+    /// Says nothing until the caller leaves.
+    Hang,
+    /// Sends the events from the first to the last, and ends the answer.
+    Events(u64, u64),
+    /// Sends the events, and breaks off inside the next one.
+    Broken(u64, u64),
+    /// Sends the events, and then nothing.
+    Silent(u64, u64),
+}
+
+#[derive(Default)]
+struct Seen {
+    requests: Vec<String>,
+    left: usize,
+}
+
+/// The upstream.
+#[derive(Clone)]
+pub(crate) struct Upstream {
+    pub(crate) listed: Listed,
+    seen: Arc<Mutex<Seen>>,
+    heard: Arc<Notify>,
+}
+
+impl Upstream {
+    /// Starts an upstream that plays these, and the last one for all further requests.
+    pub(crate) async fn start(id: &str, service: &str, plays: Vec<Play>) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address: SocketAddr = listener.local_addr().unwrap();
+        let upstream = Upstream {
+            listed: Listed {
+                id: id.parse().unwrap(),
+                service: service.to_owned(),
+                address: address.to_string(),
+                hall: "a".to_owned(),
+                slots: 16,
+                leaving: false,
+            },
+            seen: Arc::default(),
+            heard: Arc::default(),
+        };
+        let playing = upstream.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(playing.clone().serve(stream, plays.clone()));
+            }
+        });
+        upstream
+    }
+
+    /// The heads of the requests that came, orders to set memory aside not among them.
+    pub(crate) fn requests(&self) -> Vec<String> {
+        let seen = self.seen.lock().unwrap();
+        seen.requests.iter().filter(|r| !r.contains("/api/order")).cloned().collect()
+    }
+
+    /// The orders to set memory aside or to give it back.
+    pub(crate) fn orders(&self) -> Vec<String> {
+        let seen = self.seen.lock().unwrap();
+        seen.requests.iter().filter(|r| r.contains("/api/order")).cloned().collect()
+    }
+
+    /// How many callers left while their request hung.
+    pub(crate) fn left(&self) -> usize {
+        self.seen.lock().unwrap().left
+    }
+
+    async fn serve(self, mut stream: TcpStream, plays: Vec<Play>) {
+        while let Some(head) = read(&mut stream).await {
+            if head.contains("/api/order") {
+                self.note(head);
+                let answer = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n{\"free\":1}";
+                let _ = stream.write_all(answer.as_bytes()).await;
+                continue;
+            }
+            let index = self.requests().len();
+            let request = header(&head, "request-id").unwrap_or_default();
+            self.note(head);
+            let play = plays.get(index).or(plays.last()).unwrap().clone();
+            if !self.play(&mut stream, &play, &request).await {
+                return;
+            }
+        }
+    }
+
+    fn note(&self, head: String) {
+        self.seen.lock().unwrap().requests.push(head);
+        self.heard.notify_waiters();
+    }
+
+    /// Plays a request; false where the connection ends with it.
+    async fn play(&self, stream: &mut TcpStream, play: &Play, request: &str) -> bool {
+        let signed = format!("request-id: {request}\r\nserver-stamp: {}\r\n", self.listed.id);
+        let whole = |status: &str, headers: &str, body: &str| {
+            let length = body.len();
+            format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}")
+        };
+        let stream_head = format!(
+            "HTTP/1.1 200 OK\r\n{signed}content-type: text/event-stream\r\ntransfer-encoding: \
+             chunked\r\n\r\n"
+        );
+        let text = match play {
+            Play::Answer(body) => whole("200 OK", &signed, body),
+            Play::Status(status) => whole(&format!("{status} X"), &signed, "failed"),
+            Play::Refuse => whole("503 Full", "not-run: 1\r\n", ""),
+            Play::Misdirected => whole("421 Other", "instance-id: i-other\r\n", ""),
+            Play::Foreign => {
+                whole("200 OK", "request-id: other\r\nserver-stamp: x\r\n", "not yours")
+            }
+            Play::Cut => format!("HTTP/1.1 200 OK\r\n{signed}content-length: 100\r\n\r\npart"),
+            Play::Close => return false,
+            Play::Hang => String::new(),
+            Play::Events(from, to) => format!("{stream_head}{}0\r\n\r\n", events(*from, *to)),
+            Play::Broken(from, to) => format!("{stream_head}{}9\r\nid: 99\nda", events(*from, *to)),
+            Play::Silent(from, to) => format!("{stream_head}{}", events(*from, *to)),
+        };
+        let _ = stream.write_all(text.as_bytes()).await;
+        match play {
+            Play::Hang | Play::Silent(..) => {
+                let _ = stream.read(&mut [0; 1]).await;
+                self.seen.lock().unwrap().left += 1;
+                false
+            }
+            Play::Cut | Play::Broken(..) => false,
+            _ => true,
+        }
+    }
+}
+
+/// Events as chunks of the chunked coding.
+fn events(from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|id| {
+            let event = format!("id: {id}\ndata: d{id}\n\n");
+            format!("{:x}\r\n{event}\r\n", event.len())
+        })
+        .collect()
+}
+
+/// Reads a request whole and gives its head.
+async fn read(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end + 4;
+        }
+        let mut buffer = [0; 4_096];
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(length) => bytes.extend_from_slice(&buffer[..length]),
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let length: usize = header(&head, "content-length").map_or(0, |l| l.parse().unwrap());
+    let mut body = bytes.split_off(end);
+    while body.len() < length {
+        let mut buffer = [0; 4_096];
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => body.extend_from_slice(&buffer[..read]),
+        }
+    }
+    Some(format!("{head}{}", String::from_utf8_lossy(&body)))
+}
+
+/// A header's value.
+pub(crate) fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+    })
+}
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -132,7 +132,7 @@
     let Some(engine) = ask.engine else { return plain(ask, candidates) };
     let read = forecast::read_ms(engine, ask.prompt.0);
     let objective = ask.route.objective.as_secs_f64() * 1e3;
-    if read <= objective * WHOLE && is_brisk(ask.route) {
+    if read <= objective * WHOLE && is_brisk(ask.route) && ask.memory <= engine.memory {
         short(ask, engine, candidates, read, objective)
     } else {
         group::long(ask, engine, candidates, read)
