--- a/base/tests/catalogue.rs
+++ b/base/tests/catalogue.rs
@@ -9,7 +9,7 @@
 #[test]
 fn events() {
     let mut page = String::from(
-        "# Log events\n\nLogs are JSON lines on standard error. `event` holds the number, `what` the \
+        "# Log events\n\nLogs are JSON lines on standard output. `event` holds the number, `what` the \
          particulars, `vm` the VM. Numbers are never reused.\n\n| number | level | meaning |\n| --- | \
          --- | --- |\n",
     );
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -131,21 +131,18 @@
     let entered = job.process.enter(place.flight.clone());
     let limit = patience(job, &place, tries);
     let sent = sent(job, place, last_event, entered);
-    let end =
-        match tokio::time::timeout_at(job.deadline.min(job.process.now() + limit).into(), sent)
-            .await
-        {
-            Ok(end) => end,
-            Err(_) if job.left().is_zero() => {
-                note(job, &upstream, suspicion::Failure::Own);
-                return End::Deadline;
-            }
-            Err(_) => {
-                note(job, &upstream, suspicion::Failure::Silent);
-                return End::Broken(format!("silent for {} ms", limit.as_millis()));
-            }
-        };
-    end
+    let until = job.deadline.min(job.process.now() + limit);
+    match tokio::time::timeout_at(until.into(), sent).await {
+        Ok(end) => end,
+        Err(_) if job.left().is_zero() => {
+            note(job, &upstream, suspicion::Failure::Own);
+            End::Deadline
+        }
+        Err(_) => {
+            note(job, &upstream, suspicion::Failure::Silent);
+            End::Broken(format!("silent for {} ms", limit.as_millis()))
+        }
+    }
 }
 
 /// How long an attempt may go without its answer or first event before the request goes elsewhere.
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -5,9 +5,9 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Flight, Listed};
-use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::forecast;
+use foldlock_request::placement::{Ask, Nowhere, Place, place};
 use foldlock_request::suspicion::Failure;
-use foldlock_request::{forecast, placement::place};
 use foldlock_version::routes::{Engine, Repeat, Route, Shape, Target};
 use proptest::prelude::*;
 
@@ -81,7 +81,7 @@
 
 /// Places a request and enters it as under way.
 fn enter(board: &mut Board, ask: &Ask<'_>, now: Instant) -> Result<Place, Nowhere> {
-    let place = placement::place(board, ask, now)?;
+    let place = place(board, ask, now)?;
     board.enter(place.flight.clone(), now);
     Ok(place)
 }
@@ -100,7 +100,7 @@
     let ask = ask(&route, 1_000);
     for n in 0..24 {
         let number = {
-            let place = placement::place(&board, &ask, now).unwrap();
+            let place = place(&board, &ask, now).unwrap();
             let number = board.enter(place.flight.clone(), now);
             assert_eq!(place.flight.upstream, upstream(n / 12), "request {n}");
             number
