Bound the lines of decisions, and count those left out

Cause: one line for each decision grows without bound with the load. Change: 200 lines a second for decisions that went well, 400 for refusals, failures and repeats; the next line tells how many were left out. Tests by the clock that is passed in.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod serve;
 pub mod stop;
+pub mod volume;
 
 use std::sync::Arc;
 
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -23,6 +23,7 @@
 use crate::fleet::fresh::Fresh;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::peers::Peers;
+use crate::fleet::volume::{self, Volume};
 use crate::log;
 
 /// Records of requests that are kept: a minute's worth at 8 requests a second, under 1 MB.
@@ -45,6 +46,10 @@
     pub clock: System,
     /// The log.
     pub log: Logger,
+    /// The bound on lines of decisions that went well.
+    pub routine_lines: Volume,
+    /// The bound on lines of refusals, failures and repeats.
+    pub trouble_lines: Volume,
     /// The metrics.
     pub metrics: Metrics,
     /// The records of requests.
@@ -102,6 +107,8 @@
             member,
             clock,
             log,
+            routine_lines: Volume::new(volume::ROUTINE, clock.now()),
+            trouble_lines: Volume::new(volume::TROUBLE, clock.now()),
             metrics: Metrics::default(),
             ring: Ring::new(RECORDS),
             fresh: Fresh::new(config.fleet.settings_age()),
--- a/daemon/src/fleet/record.rs
+++ b/daemon/src/fleet/record.rs
@@ -2,16 +2,25 @@
 
 use foldlock_request::decision::{Decision, Step};
 use foldlock_request::dialect::Dialect;
+use slog::Level;
 
 use crate::fleet::job::Job;
 use crate::log;
 use crate::serve::millis;
 
 impl<D: Dialect> Job<D> {
-    /// Records a decision, and logs it with its inputs.
+    /// Records a decision, and logs it with its inputs as far as the volume allows.
     pub fn record(&self, decision: Decision) {
         let step = Step { at_ms: millis(self.held()), decision };
-        log::decision(&self.process.log, &self.id, &self.route.name, &step);
+        let level = step.decision.event().level();
+        let volume = if level.is_at_least(Level::Info) {
+            &self.process.trouble_lines
+        } else {
+            &self.process.routine_lines
+        };
+        if let Some(left_out) = volume.admit(self.process.now()) {
+            log::decision(&self.process.log, &self.id, &self.route.name, &step, left_out);
+        }
         self.entry.add(step);
     }
 }
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -23,6 +23,7 @@
 use crate::fleet::gate;
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
+use crate::log;
 use crate::serve::millis;
 
 /// The time that a caller has who tells none: that of the platform's longest route.
@@ -73,7 +74,9 @@
     arrived: Instant,
 ) -> Result<Job<D>, Error> {
     let admitted = check(process, &terms, &request).inspect_err(|error| {
-        crate::log::refused(&process.log, id, error);
+        if process.trouble_lines.admit(process.now()).is_some() {
+            log::refused(&process.log, id, error);
+        }
     })?;
     let Admitted { route, service, organisation, version, body_bytes } = admitted;
     let patience = terms.patience.unwrap_or(USUAL_PATIENCE).min(route.timeout);
--- /dev/null
+++ b/daemon/src/fleet/volume.rs
@@ -0,0 +1,49 @@
+//! The bound on log lines of decisions: so many a second, and a count of what was left out.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Lines a second for decisions that went well: 50 requests a second with all their decisions, six
+/// times what a VM of the users' sites serves. Each costs some 10 microseconds.
+pub const ROUTINE: u32 = 200;
+
+/// Lines a second for refusals, failures and repeats, which are wanted whole for longer.
+pub const TROUBLE: u32 = 400;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A bound on lines.
+#[derive(Debug)]
+pub struct Volume {
+    most: u32,
+    counts: Mutex<Counts>,
+}
+
+#[derive(Debug)]
+struct Counts {
+    since: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+impl Volume {
+    /// At most so many lines in each second from `now` on.
+    pub fn new(most: u32, now: Instant) -> Volume {
+        Volume { most, counts: Mutex::new(Counts { since: now, written: 0, left_out: 0 }) }
+    }
+
+    /// Whether a line may be written; if so, how many were left out since the last one.
+    pub fn admit(&self, now: Instant) -> Option<u64> {
+        let mut counts = self.counts.lock().unwrap();
+        if now.saturating_duration_since(counts.since) >= SECOND {
+            counts.since = now;
+            counts.written = 0;
+        }
+        if counts.written >= self.most {
+            counts.left_out += 1;
+            return None;
+        }
+        counts.written += 1;
+        Some(std::mem::take(&mut counts.left_out))
+    }
+}
--- a/daemon/src/log.rs
+++ b/daemon/src/log.rs
@@ -37,23 +37,23 @@
     }
 }
 
-/// Logs a decision on a request with the inputs that led to it.
-pub fn decision(log: &Logger, request: &id::Request, route: &str, step: &Step) {
+/// Logs a decision on a request with the inputs that led to it, and how many lines were left out
+/// before it for their number.
+pub fn decision(log: &Logger, request: &id::Request, route: &str, step: &Step, left_out: u64) {
     let event = step.decision.event();
-    let number = event.number();
+    let inputs = o!(
+        "event" => event.number(),
+        "request" => request.as_str().to_owned(),
+        "route" => route.to_owned(),
+        "step" => slog::Serde(step.clone()),
+        "left_out" => (left_out > 0).then_some(left_out),
+    );
+    let log = log.new(inputs);
     let text = event.text();
-    let step = slog::Serde(step.clone());
     match event.level() {
-        Level::Error | Level::Critical | Level::Warning => {
-            slog::warn!(log, "{}", text; "event" => number, "request" => request.as_str(),
-                "route" => route, "step" => step);
-        }
-        Level::Info => {
-            slog::info!(log, "{}", text; "event" => number, "request" => request.as_str(),
-                "route" => route, "step" => step);
-        }
-        _ => slog::debug!(log, "{}", text; "event" => number, "request" => request.as_str(),
-            "route" => route, "step" => step),
+        Level::Error | Level::Critical | Level::Warning => slog::warn!(log, "{}", text),
+        Level::Info => slog::info!(log, "{}", text),
+        _ => slog::debug!(log, "{}", text),
     }
 }
 
--- /dev/null
+++ b/daemon/tests/volume.rs
@@ -0,0 +1,67 @@
+//! The bound on log lines, and the freshness of settings: both by the clock that is passed in.
+
+use std::time::{Duration, Instant};
+
+use foldlockd::fleet::fresh::Fresh;
+use foldlockd::fleet::volume::Volume;
+use proptest::prelude::*;
+
+#[test]
+fn what_is_left_out_is_counted() {
+    let now = Instant::now();
+    let volume = Volume::new(2, now);
+    let after = |ms| now + Duration::from_millis(ms);
+    assert_eq!(volume.admit(after(0)), Some(0));
+    assert_eq!(volume.admit(after(1)), Some(0));
+    assert_eq!(volume.admit(after(2)), None);
+    assert_eq!(volume.admit(after(999)), None);
+    assert_eq!(volume.admit(after(1_000)), Some(2));
+    assert_eq!(volume.admit(after(1_001)), Some(0));
+}
+
+#[test]
+fn settings_hold_until_the_bound_less_a_margin() {
+    let now = Instant::now();
+    let fresh = Fresh::new(Some(Duration::from_secs(5)));
+    let after = |ms| now + Duration::from_millis(ms);
+    assert!(!fresh.holds(now), "never confirmed");
+    fresh.confirm(now);
+    assert!(fresh.welcomes(after(2_900)) && !fresh.welcomes(after(3_100)));
+    assert!(fresh.holds(after(4_600)) && !fresh.holds(after(4_800)));
+}
+
+#[test]
+fn without_a_bound_settings_of_any_age_hold() {
+    let fresh = Fresh::new(None);
+    assert!(fresh.holds(Instant::now()) && fresh.welcomes(Instant::now()));
+}
+
+proptest! {
+    #[test]
+    fn no_second_has_more_than_twice_the_bound(gaps in prop::collection::vec(0u64..300, 1..300)) {
+        let start = Instant::now();
+        let volume = Volume::new(5, start);
+        let (mut at, mut written) = (start, Vec::new());
+        for gap in gaps {
+            at += Duration::from_millis(gap);
+            if volume.admit(at).is_some() {
+                written.push(at);
+            }
+        }
+        for first in &written {
+            let second = |at: &&Instant| **at >= *first && **at - *first < Duration::from_secs(1);
+            prop_assert!(written.iter().filter(second).count() <= 10);
+        }
+    }
+
+    /// Confirmations may come in any order: the latest moment counts.
+    #[test]
+    fn an_old_confirmation_takes_nothing_back(times in prop::collection::vec(0u64..10_000, 1..20)) {
+        let start = Instant::now();
+        let fresh = Fresh::new(Some(Duration::from_secs(5)));
+        let at = |ms: u64| start + Duration::from_millis(ms);
+        times.iter().for_each(|ms| fresh.confirm(at(*ms)));
+        let latest = times.iter().max().unwrap();
+        prop_assert_eq!(fresh.age(at(20_000)), Some(Duration::from_millis(20_000 - latest)));
+    }
+}
