--- a/daemon/src/complete.rs
+++ b/daemon/src/complete.rs
@@ -336,6 +336,8 @@
         Decision::Admitted {
             timeout_ms: caller.deadline.left(&caller.process.clock).as_millis() as u64,
             version: caller.version.head.version,
+            settings_age_ms: None,
+            prompt: Some(tokens),
         },
     );
     let claim = caller.claim(&entry, caller.policy.repeatable).await;
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -75,6 +75,7 @@
         route: None,
         predicted_ms: place.predicted_ms,
         seen,
+        peers_age_ms: job.process.peers.oldest_ms(job.process.now()),
     });
 }
 
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -113,6 +113,13 @@
         heard.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// The age of the oldest word among the peers that are heard, milliseconds.
+    pub fn oldest_ms(&self, now: Instant) -> Option<u64> {
+        let known = self.known.lock().unwrap();
+        let heard = known.values().filter(|p| p.is_heard(now)).filter_map(|p| p.heard);
+        heard.map(|at| now.saturating_duration_since(at).as_millis() as u64).max()
+    }
+
     /// What is known, for a dump.
     pub fn dump(&self, now: Instant) -> serde_json::Value {
         let known = self.known.lock().unwrap();
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -108,7 +108,10 @@
         entry,
     };
     let timeout_ms = patience.as_millis() as u64;
-    job.record(Decision::Admitted { timeout_ms, version });
+    let age = process.fresh.age(process.now());
+    let settings_age_ms = age.map(|age| age.as_millis() as u64);
+    let prompt = job.service.engine.is_some().then_some(job.terms.prompt);
+    job.record(Decision::Admitted { timeout_ms, version, settings_age_ms, prompt });
     Ok(job)
 }
 
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -139,6 +139,7 @@
         route: Some(job.policy.route),
         predicted_ms: flight.predicted * 1e3,
         seen: flight.seen.clone(),
+        peers_age_ms: None,
     });
 }
 
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -190,6 +190,7 @@
                     route: None,
                     predicted_ms: 0.0,
                     seen: Vec::new(),
+                    peers_age_ms: None,
                 },
             );
             let attempt = proof.send();
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -52,6 +52,12 @@
         timeout_ms: u64,
         /// The settings version that applies.
         version: u64,
+        /// How long ago that version was known to be the newest, milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        settings_age_ms: Option<u64>,
+        /// The prompt's tokens, where the caller tells them.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        prompt: Option<Tokens>,
     },
     /// The request waited.
     Waited {
@@ -70,6 +76,9 @@
         predicted_ms: f64,
         /// The candidates, best first; a few of them.
         seen: Vec<Seen>,
+        /// The age of what the peer that was heard longest ago told, milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        peers_age_ms: Option<u64>,
     },
     /// A waiting request was taken elsewhere before it ran.
     Moved {
@@ -160,13 +169,13 @@
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Decision::Admitted { timeout_ms, version } => {
+            Decision::Admitted { timeout_ms, version, .. } => {
                 write!(f, "admitted with {timeout_ms} ms, under settings version {version}")
             }
             Decision::Waited { cause, waited_ms } => {
                 write!(f, "waited {waited_ms:.1} ms: {}", cause.text())
             }
-            Decision::Routed { upstream, route, predicted_ms, seen } => {
+            Decision::Routed { upstream, route, predicted_ms, seen, .. } => {
                 write!(f, "routed to {upstream}")?;
                 if let Some(route) = route {
                     write!(f, " by {}", name(route))?;
