--- /dev/null
+++ b/daemon/tests/deploy.rs
@@ -0,0 +1,94 @@
+//! The files under `deploy/`: the template, filled in as the platform does it, is a configuration that
+//! foldlock's own checks take.
+
+use std::path::{Path, PathBuf};
+
+use clap::Parser as _;
+use foldlockd::app::App;
+use foldlockd::config::{Config, Mode};
+use serde_json::{Value, json};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap().to_owned()
+}
+
+fn sample() -> Value {
+    json!({
+        "Node": "front-a-1", "Ip": "10.1.0.40", "Zone": "a",
+        "Listen": {"Front": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
+        "PortRange": [7340, 7355],
+        "Bounds": {"GraceS": 8, "StrictRevoke": true, "RevokeMs": 5000, "RetryRatio": 0.2,
+                   "RetryWindowS": 10, "RetrySlack": 100, "stall_ms": 1500},
+        "Provider": {"Address": "10.200.1.7:8223"}
+    })
+}
+
+fn value<'a>(fields: &'a Value, path: &str) -> Option<&'a Value> {
+    path.split('.').try_fold(fields, |value, name| match value {
+        Value::Array(entries) => entries.get(name.parse::<usize>().ok()?),
+        _ => value.get(name),
+    })
+}
+
+/// Fills gaps in, `{{a.b}}` and the sections `{{#a}} .. {{/a}}` of true or false values.
+fn render(template: &str, fields: &Value) -> String {
+    let Some((before, rest)) = template.split_once("{{") else { return template.to_owned() };
+    let (gap, rest) = rest.split_once("}}").expect("a gap ends");
+    if let Some(name) = gap.strip_prefix('#') {
+        let (inner, after) = rest.split_once(&format!("{{{{/{name}}}}}")).expect("a section ends");
+        let stands = value(fields, name).is_some_and(|v| *v != json!(false));
+        let inner = if stands { render(inner, fields) } else { String::new() };
+        return format!("{before}{inner}{}", render(after, fields));
+    }
+    let text = match value(fields, gap) {
+        Some(Value::String(text)) => text.clone(),
+        Some(value) => value.to_string(),
+        None => String::new(),
+    };
+    format!("{before}{text}{}", render(rest, fields))
+}
+
+fn read(fields: &Value) -> Mode {
+    let template = std::fs::read_to_string(root().join("deploy/vm.jsonc")).unwrap();
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), render(&template, fields)).unwrap();
+    let app = App::parse_from(["foldlockd", "--config", file.path().to_str().unwrap()]);
+    Config::read(app).unwrap()
+}
+
+#[test]
+fn the_filled_template_is_a_configuration() {
+    let Mode::Fleet(config) = read(&sample()) else { panic!("not a fleet's") };
+    assert_eq!(config.vm.as_str(), "front-a-1");
+    assert_eq!(config.listen.to_string(), "10.1.0.40:8227");
+    assert_eq!(config.fleet.peers.to_string(), "10.1.0.40:7340");
+    assert_eq!(config.fleet.settings_age_ms, Some(5_000));
+    assert_eq!(config.fleet.stop().as_secs(), 8);
+    assert_eq!(config.fleet.budget().slack, 100.0);
+}
+
+#[test]
+fn without_a_bound_on_keys_settings_may_be_of_any_age() {
+    let mut fields = sample();
+    fields["Bounds"]["StrictRevoke"] = json!(false);
+    let Mode::Fleet(config) = read(&fields) else { panic!("not a fleet's") };
+    assert_eq!(config.fleet.settings_age(), None);
+}
+
+#[test]
+fn a_wrong_name_is_told_with_its_file() {
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), r#"{"vm": "v", "hall": "h", "fleets": {}}"#).unwrap();
+    let app = App::parse_from(["foldlockd", "--config", file.path().to_str().unwrap()]);
+    let error = Config::read(app).unwrap_err().to_string();
+    assert!(error.contains("fleets"), "{error}");
+    assert!(error.contains(file.path().to_str().unwrap()), "{error}");
+}
+
+#[test]
+fn the_deploy_file_names_what_is_there() {
+    let text = std::fs::read_to_string(root().join("deploy/system.toml")).unwrap();
+    assert!(text.contains("run = \"target/release/foldlockd\""));
+    assert!(text.contains("template = \"deploy/vm.jsonc\""));
+    assert!(root().join("deploy/vm.jsonc").is_file());
+}
