Read settings and listings from peers packed, once at a time, one's own hall first

Cause: on 76 VMs each beat with a higher version started a read of the whole settings; hundreds at once filled the links of 20 Mbit/s (lines 201: no answer in 800 ms), and 476 requests were late to their server. Change: deflated texts, one reader at a time in a VM, VMs of a hall in turn and from each other.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -63,6 +63,8 @@
     MemberLeaving = 302, Info;
     /// A message of a peer cannot be read.
     BeatUnreadable = 303, Warning;
+    /// What a peer knows could not be read from it.
+    PeerUnreadable = 304, Warning;
     /// An upstream is leaving and gets no new work.
     UpstreamLeaving = 400, Info;
     /// An upstream does not answer its report.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod callers;
+pub mod catch_up;
 pub mod config;
 pub mod events;
 pub mod follow;
@@ -17,6 +18,7 @@
 pub mod job;
 pub mod metrics;
 pub mod operators;
+pub mod packed;
 pub mod peers;
 pub mod process;
 pub mod record;
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -19,6 +19,7 @@
 use tokio::sync::{broadcast, mpsc};
 
 use crate::fleet::answer::{self, Body, Cut};
+use crate::fleet::packed;
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -34,6 +35,8 @@
 /// Lines that may wait for a slow watcher.
 const LINES: usize = 64;
 
+/// JSON, deflated.
+const PACKED: &str = "application/octet-stream";
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
 const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -102,12 +105,15 @@
         "/dump" => answer::text(StatusCode::OK, JSON, dump(process).to_string()),
         "/decisions" => decisions(process),
         SETTINGS => match process.settings() {
-            Some(settings) => answer::text(StatusCode::OK, JSON, settings.text.clone()),
+            Some(settings) => {
+                let packed = process.packed.get(settings.table.number(), &settings.text);
+                answer::text(StatusCode::OK, PACKED, packed)
+            }
             None => answer::text(StatusCode::NOT_FOUND, TEXT, "no settings yet\n"),
         },
         LISTING => {
-            let text = serde_json::to_string(&process.listing()).expect("plain data");
-            answer::text(StatusCode::OK, JSON, text)
+            let text = serde_json::to_vec(&process.listing()).expect("plain data");
+            answer::text(StatusCode::OK, PACKED, packed::pack(&text))
         }
         _ => match path.strip_prefix("/why/").map(str::parse::<id::Request>) {
             Some(Ok(request)) => why(process, &request),
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -2,23 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_connection::beat::{self, Beat, Datagram};
-use foldlock_connection::http::{self, Client};
 use foldlock_request::board::Told;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Directory, Member};
-use hyper::Request;
+use rand::seq::IndexedRandom;
 use serde_json::json;
 use tokio::net::UdpSocket;
 
+use crate::fleet::catch_up;
 use crate::fleet::process::Process;
-use crate::fleet::{follow, operators};
 use crate::log;
 
 /// The least time between two beats: placements gather for it. Short against the 50 ms of an
@@ -39,12 +37,6 @@
 /// A peer that was not heard for this long is taken for down: five idle beats.
 const SILENT: Duration = Duration::from_millis(2_000);
 
-/// How long reading the settings from a peer may take.
-const FETCH: Duration = Duration::from_millis(800);
-
-/// The least time between two reads of listings from peers.
-const FETCH_PAUSE: Duration = Duration::from_millis(100);
-
 /// What is known of a peer.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -52,6 +44,8 @@
     heard: Option<Instant>,
     stamp: Option<u64>,
     version: u64,
+    at: u64,
+    digest: u64,
 }
 
 /// The peers.
@@ -59,13 +53,14 @@
 pub struct Peers {
     started: Instant,
     known: Mutex<BTreeMap<id::Vm, Peer>>,
-    fetched: Mutex<Option<Instant>>,
+    /// Whether something is being read from a peer.
+    pub reading: AtomicBool,
 }
 
 impl Peers {
     /// No peers yet; stamps count from `started`.
     pub fn new(started: Instant) -> Peers {
-        Peers { started, known: Mutex::default(), fetched: Mutex::default() }
+        Peers { started, known: Mutex::default(), reading: AtomicBool::new(false) }
     }
 
     /// A VM is listed.
@@ -80,7 +75,7 @@
         }
         let what = format!("{} at {}", member.vm, member.address);
         let vm = member.vm.clone();
-        known.insert(vm, Peer { member, heard: None, stamp: None, version: 0 });
+        known.insert(vm, Peer { member, heard: None, stamp: None, version: 0, at: 0, digest: 0 });
         drop(known);
         log::event(&process.log, Event::MemberUp, what);
         process.tell.notify_one();
@@ -117,6 +112,40 @@
         heard.map(|(vm, _)| vm.clone()).collect()
     }
 
+    /// A peer that knows something newer of the settings, one of the own hall if possible.
+    pub fn newer_settings(&self, hall: &str, version: u64, now: Instant) -> Option<SocketAddr> {
+        self.pick(hall, now, |peer| peer.version > version)
+    }
+
+    /// A peer that knows other listings, of the same revision or a later one.
+    pub fn other_listings(
+        &self,
+        hall: &str,
+        at: u64,
+        digest: u64,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let other = |peer: &Peer| peer.at > at || peer.at == at && peer.digest != digest;
+        self.pick(hall, now, other)
+    }
+
+    /// One of the peers that are heard, drawn at random so that they share the work.
+    fn pick(&self, hall: &str, now: Instant, of: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
+        let known = self.known.lock().unwrap();
+        let of: Vec<&Peer> = known.values().filter(|p| p.is_heard(now) && of(p)).collect();
+        let near: Vec<&Peer> = of.iter().copied().filter(|p| p.member.hall == hall).collect();
+        let from = if near.is_empty() { of } else { near };
+        from.choose(&mut rand::rng()).map(|peer| peer.member.address)
+    }
+
+    /// The place of a VM among the live ones of its hall, in the order of their names.
+    pub fn place_in_hall(&self, own: &Member, now: Instant) -> u32 {
+        let known = self.known.lock().unwrap();
+        let before =
+            |p: &&Peer| p.is_heard(now) && p.member.hall == own.hall && p.member.vm < own.vm;
+        known.values().filter(before).count() as u32
+    }
+
     /// The age of the oldest word among the peers that are heard, milliseconds.
     pub fn oldest_ms(&self, now: Instant) -> Option<u64> {
         let known = self.known.lock().unwrap();
@@ -231,19 +260,13 @@
     peer.heard = Some(now);
     peer.stamp = Some(beat.stamp);
     peer.version = beat.version;
-    let address = peer.member.address;
+    peer.at = beat.at;
+    peer.digest = beat.digest;
     drop(known);
     if datagram.echo_of == process.member.incarnation {
         confirm(process, &beat, datagram.echo);
     }
-    if beat.version > process.version() {
-        tokio::spawn(fetch(process.clone(), address, directory.clone()));
-    }
-    let at = process.at.load(Ordering::Relaxed);
-    if (beat.at > at || beat.at == at && beat.digest != process.digest()) && fetch_due(process, now)
-    {
-        tokio::spawn(fetch_listing(process.clone(), address));
-    }
+    catch_up::start(process, directory);
     process.board.lock().unwrap().hear(beat.vm, beat.flights, now);
     process.moved.notify_waiters();
 }
@@ -277,43 +300,3 @@
         log::event(&process.log, Event::MemberDown, vm);
     }
 }
-
-/// Whether listings may be read from a peer again.
-fn fetch_due<D: Dialect>(process: &Process<D>, now: Instant) -> bool {
-    let mut fetched = process.peers.fetched.lock().unwrap();
-    let due = fetched.is_none_or(|at| now.saturating_duration_since(at) >= FETCH_PAUSE);
-    if due {
-        *fetched = Some(now);
-    }
-    due
-}
-
-async fn fetch_listing<D: Dialect>(process: Arc<Process<D>>, from: SocketAddr) {
-    let read = match read(from, operators::LISTING).await {
-        Ok(text) => serde_json::from_slice(&text).map_err(|e| e.to_string()),
-        Err(why) => Err(why),
-    };
-    match read {
-        Ok(listing) => follow::told(&process, listing),
-        Err(why) => log::event(&process.log, Event::VersionRefused, format!("{from}: {why}")),
-    }
-}
-
-async fn read(from: SocketAddr, path: &str) -> Result<Bytes, String> {
-    let request = Request::get(format!("http://{from}{path}"))
-        .body(http::body(Bytes::new()))
-        .expect("an address is a valid authority");
-    let answer = Client::default().call(request, FETCH).await.map_err(|e| e.to_string())?;
-    Ok(answer.into_body())
-}
-
-async fn fetch<D: Dialect, R: Directory>(process: Arc<Process<D>>, from: SocketAddr, directory: R) {
-    let read = match read(from, operators::SETTINGS).await {
-        Ok(text) => directory.decode(text),
-        Err(why) => Err(why),
-    };
-    match read {
-        Ok(settings) => process.take_settings(settings, &format!("peer {from}")),
-        Err(why) => log::event(&process.log, Event::VersionRefused, format!("{from}: {why}")),
-    }
-}
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -22,6 +22,7 @@
 use crate::fleet::config::Config;
 use crate::fleet::fresh::Fresh;
 use crate::fleet::metrics::Metrics;
+use crate::fleet::packed::Kept;
 use crate::fleet::peers::Peers;
 use crate::fleet::volume::{self, Volume};
 use crate::log;
@@ -70,6 +71,8 @@
     pub pool: Pool,
     /// The engines' memory.
     pub memory: D::Memory,
+    /// The settings as peers read them.
+    pub packed: Kept,
     /// The other VMs.
     pub peers: Peers,
     /// The directory's revision up to which listings are known; 0 for none.
@@ -118,6 +121,7 @@
             budget: Mutex::new(Budget::new(config.fleet.budget())),
             pool: Pool::default(),
             memory: D::Memory::default(),
+            packed: Kept::default(),
             peers: Peers::new(clock.now()),
             at: AtomicU64::new(0),
             watching: AtomicBool::new(false),
--- a/daemon/tests/volume.rs
+++ b/daemon/tests/volume.rs
@@ -65,3 +65,16 @@
         prop_assert_eq!(fresh.age(at(20_000)), Some(Duration::from_millis(20_000 - latest)));
     }
 }
+
+proptest! {
+    #[test]
+    fn a_text_comes_out_as_it_went_in(text in prop::collection::vec(any::<u8>(), 0..2_000)) {
+        let packed = foldlockd::fleet::packed::pack(&text);
+        prop_assert_eq!(&foldlockd::fleet::packed::unpack(&packed).unwrap()[..], &text[..]);
+    }
+
+    #[test]
+    fn any_bytes_are_unpacked_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = foldlockd::fleet::packed::unpack(&bytes);
+    }
+}
