Place the longest prompts, whose parts are long on any group

Cause: prompts from 390,000 tokens on had parts over 0.7 s on 17 engines and never found a place (a test failed first).

--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -78,8 +78,10 @@
     let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
     let mut groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
     let chosen = if heavy {
-        // The fewest engines whose parts are short: the others stay free.
-        groups.find(|g| g.part_ms <= MOST_PART_MS)
+        // The fewest engines whose parts are short: the others stay free. The longest prompts take
+        // as many as may help, and their parts are as long as they are.
+        let most_ms = MOST_PART_MS.max(read / (MOST_HELPERS + 1) as f64);
+        groups.find(|g| g.part_ms <= most_ms)
     } else {
         groups.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     };
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -158,6 +158,14 @@
     assert!(placed.flight.part_ms <= 700.0);
 }
 
+#[test]
+fn the_longest_prompts_find_a_place_on_an_idle_fleet() {
+    let (mut board, now) = (board(18), Instant::now());
+    let placed = enter(&mut board, &ask(&long_route(), 600_000), now).unwrap();
+    assert_eq!(placed.flight.helpers.len(), 16);
+    assert!(placed.predicted_ms < 2_500.0, "{}", placed.predicted_ms);
+}
+
 #[test]
 fn a_heavy_prompt_waits_for_idle_engines() {
     let (mut board, now) = (board(12), Instant::now());
