--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -25,6 +25,9 @@
 /// The most that an engine may have ahead, milliseconds, to take a part of a heavy prompt.
 const IDLE_MS: f64 = 120.0;
 
+/// The part of the engines that are idle while parts may be longer than [`MOST_PART_MS`].
+const IDLE_FLEET: f64 = 0.95;
+
 /// The longest part of a heavy prompt, milliseconds: others wait behind it, and their objectives
 /// are 1.5 s and more.
 const MOST_PART_MS: f64 = 700.0;
@@ -79,8 +82,11 @@
     let mut groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
     let chosen = if heavy {
         // The fewest engines whose parts are short: the others stay free. The longest prompts take
-        // as many as may help, and their parts are as long as they are.
-        let most_ms = MOST_PART_MS.max(read / (MOST_HELPERS + 1) as f64);
+        // as many as may help, and their parts are as long as they are, while next to nothing else
+        // is under way.
+        let idle = candidates.len() as f64 >= open as f64 * IDLE_FLEET;
+        let longest_ms = if idle { read / (MOST_HELPERS + 1) as f64 } else { 0.0 };
+        let most_ms = longest_ms.max(MOST_PART_MS);
         groups.find(|g| g.part_ms <= most_ms)
     } else {
         groups.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
