--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod follow;
 pub mod fresh;
 pub mod gate;
+pub mod heads;
 pub mod hold;
 pub mod job;
 pub mod metrics;
@@ -23,6 +24,7 @@
 pub mod process;
 pub mod record;
 pub mod serve;
+pub mod source;
 pub mod stop;
 pub mod volume;
 
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -1,39 +1,34 @@
 //! One attempt at one upstream: sent, and read as far as it tells how the attempt ends.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_connection::channel::{Channel, Failure};
 use foldlock_connection::http::chain;
-use foldlock_connection::sse::{Cutter, Event as Part};
+use foldlock_connection::sse::Cutter;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Place;
 use foldlock_request::suspicion;
 use foldlock_request::terms::{Handover, Helper, Verdict};
 use foldlock_version::routes::{Repeat, Shape};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{self, HeaderName};
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use hyper::header;
+use hyper::{Request, Response, StatusCode, Uri};
 
 use crate::fleet::answer::{self, Body};
+use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::Hold;
 use crate::fleet::job::Job;
 use crate::fleet::process::Entered;
 use crate::fleet::serve::Tries;
+use crate::fleet::source::{Begun, Next, Source};
 
 /// How long a new connection may take: it comes up in a few ms, and an upstream that is dark says
 /// nothing.
 const CONNECT: Duration = Duration::from_millis(250);
 
-/// How long a connection rests at most where the upstream does not say.
-const USUAL_REST: Duration = Duration::from_secs(4);
-
-/// Taken off the rest that an upstream allows, for what is on the way when it closes.
-const REST_MARGIN: Duration = Duration::from_millis(500);
-
 /// How long a connection may have rested for a request that must not be repeated: an upstream that
 /// closes it meanwhile leaves open whether the request ran.
 const FRESH_REST: Duration = Duration::from_millis(500);
@@ -52,18 +47,6 @@
 /// How many times the predicted time a first event may take.
 const SLOW_FIRST: f64 = 2.5;
 
-/// Headers that concern one connection only.
-const ONE_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::PROXY_AUTHORIZATION,
-];
-
 /// How an attempt ended, as far as it is waited for here.
 pub enum End<D: Dialect> {
     /// The whole answer.
@@ -84,42 +67,6 @@
     Deadline,
 }
 
-/// A stream that has begun.
-pub struct Begun<D: Dialect> {
-    /// The head of the answer.
-    pub head: http::response::Parts,
-    /// The events to pass on first.
-    pub first: Vec<Part>,
-    /// The rest.
-    pub source: Source<D>,
-}
-
-/// A stream at an upstream.
-pub struct Source<D: Dialect> {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// When the request was sent.
-    pub sent: Instant,
-    /// The predicted time to the first event, milliseconds.
-    pub predicted_ms: f64,
-    entered: Entered<D>,
-    hold: Hold<D>,
-    channel: Channel,
-    rest: Duration,
-    body: Incoming,
-    cutter: Cutter,
-}
-
-/// What comes next in a stream.
-pub enum Next {
-    /// Whole events.
-    Parts(Vec<Part>),
-    /// The stream has its end.
-    End,
-    /// It broke off.
-    Broken(String),
-}
-
 /// Sends the request to a place.
 pub async fn run<D: Dialect>(
     job: &Arc<Job<D>>,
@@ -160,7 +107,7 @@
     }
 }
 
-fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: suspicion::Failure) {
+pub(super) fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: suspicion::Failure) {
     let now = job.process.now();
     if let Some(known) = job.process.board.lock().unwrap().get_mut(upstream) {
         known.suspicion.failed(failure, now);
@@ -298,40 +245,6 @@
     request
 }
 
-/// Takes out the headers of one connection, and those that `Connection` names.
-fn strip(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != header::CONTENT_LENGTH && *name != header::HOST)
-        .collect();
-    for name in named.iter().chain(&ONE_HOP) {
-        headers.remove(name);
-    }
-}
-
-/// How long the connection may rest after this answer; zero if it closes.
-fn rest(headers: &HeaderMap) -> Duration {
-    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
-    let closes = |value: &str| value.to_ascii_lowercase().contains("close");
-    if text(header::CONNECTION).is_some_and(closes) {
-        return Duration::ZERO;
-    }
-    let told = text(HeaderName::from_static("keep-alive"))
-        .and_then(|value| value.split(',').find_map(|p| p.trim().strip_prefix("timeout=")))
-        .and_then(|seconds| seconds.parse::<u64>().ok())
-        .map(Duration::from_secs);
-    told.map_or(USUAL_REST, |rest| rest.saturating_sub(REST_MARGIN))
-}
-
-/// Whether the answer's end is told by more than the end of its connection.
-fn declared(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 async fn whole<D: Dialect>(
     job: &Arc<Job<D>>,
     head: http::response::Parts,
@@ -381,47 +294,3 @@
         }
     }
 }
-
-impl<D: Dialect> Source<D> {
-    /// The next events, as soon as there are some.
-    pub async fn next(&mut self) -> Next {
-        loop {
-            let frame = match self.body.frame().await {
-                Some(Ok(frame)) => frame,
-                Some(Err(e)) => return Next::Broken(chain(&e)),
-                None if self.cutter.rest() == 0 => return Next::End,
-                None => return Next::Broken("it ended inside an event".to_owned()),
-            };
-            let Ok(bytes) = frame.into_data() else { continue };
-            self.cutter.push(&bytes);
-            let mut parts = Vec::new();
-            loop {
-                match self.cutter.cut() {
-                    Ok(Some(part)) => parts.push(part),
-                    Ok(None) => break,
-                    Err(_) => return Next::Broken("an event is too long".to_owned()),
-                }
-            }
-            if !parts.is_empty() {
-                return Next::Parts(parts);
-            }
-        }
-    }
-
-    /// The stream has been read to its end: its connection may serve again.
-    pub fn finish(self, job: &Job<D>) {
-        let now = job.process.now();
-        if let Some(known) = job.process.board.lock().unwrap().get_mut(&self.upstream) {
-            known.suspicion.answered(now);
-        }
-        if !self.rest.is_zero() {
-            job.process.pool.keep(&self.upstream, self.channel, self.rest, now);
-        }
-    }
-
-    /// The stream broke off.
-    pub fn broke(self, job: &Job<D>, silent: bool) {
-        let failure = if silent { suspicion::Failure::Silent } else { suspicion::Failure::Broken };
-        note(job, &self.upstream, failure);
-    }
-}
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -14,10 +14,11 @@
 use tokio::sync::mpsc;
 
 use crate::fleet::answer::{Body, Cut};
-use crate::fleet::attempt::{self, Begun, End, Next, Source};
+use crate::fleet::attempt::{self, End};
 use crate::fleet::gate;
 use crate::fleet::job::Job;
 use crate::fleet::serve::{self, Streamed, Tries};
+use crate::fleet::source::{Begun, Next, Source};
 
 /// Batches of events that wait for a slow caller.
 const WAITING: usize = 16;
--- /dev/null
+++ b/daemon/src/fleet/source.rs
@@ -0,0 +1,97 @@
+//! A stream at an upstream, read event by event.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::prelude::*;
+use foldlock_connection::channel::Channel;
+use foldlock_connection::http::chain;
+use foldlock_connection::sse::{Cutter, Event as Part};
+use foldlock_request::dialect::Dialect;
+use foldlock_request::suspicion;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::fleet::attempt::note;
+use crate::fleet::hold::Hold;
+use crate::fleet::job::Job;
+use crate::fleet::process::Entered;
+
+/// A stream that has begun.
+pub struct Begun<D: Dialect> {
+    /// The head of the answer.
+    pub head: http::response::Parts,
+    /// The events to pass on first.
+    pub first: Vec<Part>,
+    /// The rest.
+    pub source: Source<D>,
+}
+
+/// A stream at an upstream.
+pub struct Source<D: Dialect> {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// The predicted time to the first event, milliseconds.
+    pub predicted_ms: f64,
+    pub(super) entered: Entered<D>,
+    pub(super) hold: Hold<D>,
+    pub(super) channel: Channel,
+    pub(super) rest: Duration,
+    pub(super) body: Incoming,
+    pub(super) cutter: Cutter,
+}
+
+/// What comes next in a stream.
+pub enum Next {
+    /// Whole events.
+    Parts(Vec<Part>),
+    /// The stream has its end.
+    End,
+    /// It broke off.
+    Broken(String),
+}
+
+impl<D: Dialect> Source<D> {
+    /// The next events, as soon as there are some.
+    pub async fn next(&mut self) -> Next {
+        loop {
+            let frame = match self.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(e)) => return Next::Broken(chain(&e)),
+                None if self.cutter.rest() == 0 => return Next::End,
+                None => return Next::Broken("it ended inside an event".to_owned()),
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            self.cutter.push(&bytes);
+            let mut parts = Vec::new();
+            loop {
+                match self.cutter.cut() {
+                    Ok(Some(part)) => parts.push(part),
+                    Ok(None) => break,
+                    Err(_) => return Next::Broken("an event is too long".to_owned()),
+                }
+            }
+            if !parts.is_empty() {
+                return Next::Parts(parts);
+            }
+        }
+    }
+
+    /// The stream has been read to its end: its connection may serve again.
+    pub fn finish(self, job: &Job<D>) {
+        let now = job.process.now();
+        if let Some(known) = job.process.board.lock().unwrap().get_mut(&self.upstream) {
+            known.suspicion.answered(now);
+        }
+        if !self.rest.is_zero() {
+            job.process.pool.keep(&self.upstream, self.channel, self.rest, now);
+        }
+    }
+
+    /// The stream broke off.
+    pub fn broke(self, job: &Job<D>, silent: bool) {
+        let failure = if silent { suspicion::Failure::Silent } else { suspicion::Failure::Broken };
+        note(job, &self.upstream, failure);
+    }
+}
