Remove settings and terms that nothing uses; take the engine's usual answer where none is told

Cause: read as a newcomer: a limit that was read and never asked for, a guess that no decision took, a constant beside a figure of the settings. Tests green (fleet, headers, deploy).

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -76,11 +76,11 @@
     let process = Arc::new(Process::<D>::new(config, log));
     if let Some(address) = fleet.metrics {
         let metrics = TcpListener::bind(address).await?;
-        tokio::spawn(operators::run(process.clone(), metrics, directory.clone()));
+        tokio::spawn(operators::run(process.clone(), metrics));
     }
     tokio::spawn(callers::run(process.clone(), callers));
     tokio::spawn(operators::ready(process.clone(), ready));
-    tokio::spawn(operators::run(process.clone(), control, directory.clone()));
+    tokio::spawn(operators::run(process.clone(), control));
     tokio::spawn(peers::run(process.clone(), beats, directory.clone()));
     tokio::spawn(follow::run(process.clone(), directory.clone()));
     tokio::spawn(follow::announce(process.clone(), directory));
--- a/daemon/src/fleet/config.rs
+++ b/daemon/src/fleet/config.rs
@@ -32,9 +32,6 @@
     pub repeat_slack: f64,
     /// The window over which these are counted, milliseconds.
     pub repeat_window_ms: u64,
-    /// How long engines wait for a silent helper before they say so, milliseconds.
-    #[serde(default)]
-    pub stall_ms: u64,
 }
 
 impl Fleet {
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -13,9 +13,6 @@
 
 use crate::fleet::process::Process;
 
-/// Tokens that an answer is taken to have beyond its usual length where the caller tells none.
-const UNTOLD: Tokens = Tokens(1_024);
-
 /// The request.
 pub struct Job<D: Dialect> {
     /// The process.
@@ -70,7 +67,9 @@
 
     /// What is asked of the upstreams.
     pub fn ask<'a>(&'a self, avoid: &'a [id::Upstream]) -> Ask<'a> {
-        let most = if self.terms.most.0 > 0 { self.terms.most } else { UNTOLD };
+        // A caller who tells no limit gets what answers usually take.
+        let usual = self.service.engine.as_ref().map_or(Tokens(0), |engine| engine.usual_answer);
+        let most = if self.terms.most.0 > 0 { self.terms.most } else { usual };
         Ask {
             service: &self.service.name,
             engine: self.service.engine.as_ref(),
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -3,11 +3,11 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::Directory;
 use foldlock_request::ring::Line;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -29,6 +29,9 @@
 /// The path under which peers read the listings.
 pub const LISTING: &str = "/listing";
 
+/// The pause after a failed accept, for instance for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Records that a dump holds.
 const RECORDS: usize = 20;
 
@@ -48,11 +51,7 @@
 }
 
 /// Answers operators and peers.
-pub async fn run<D: Dialect, R: Directory>(
-    process: Arc<Process<D>>,
-    listener: TcpListener,
-    _directory: R,
-) {
+pub async fn run<D: Dialect>(process: Arc<Process<D>>, listener: TcpListener) {
     let answer = |process: &Arc<Process<D>>, request: Request<Incoming>| route(process, &request);
     accept(process, listener, answer).await;
 }
@@ -71,7 +70,7 @@
             Ok((stream, _)) => stream,
             Err(e) => {
                 log::event(&process.log, Event::AcceptFailed, e);
-                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
--- a/daemon/tests/deploy.rs
+++ b/daemon/tests/deploy.rs
@@ -18,7 +18,7 @@
         "Listen": {"Front": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
         "PortRange": [7340, 7355],
         "Bounds": {"GraceS": 8, "StrictRevoke": true, "RevokeMs": 5000, "RetryRatio": 0.2,
-                   "RetryWindowS": 10, "RetrySlack": 100, "stall_ms": 1500},
+                   "RetryWindowS": 10, "RetrySlack": 100},
         "Provider": {"Address": "10.200.1.7:8223"}
     })
 }
--- a/request/src/terms.rs
+++ b/request/src/terms.rs
@@ -19,8 +19,6 @@
     pub prompt: Tokens,
     /// The most tokens that the answer may have.
     pub most: Tokens,
-    /// The caller's guess of the answer's tokens; right in the median only.
-    pub guess: Option<Tokens>,
 }
 
 /// What an upstream said of an attempt by its status and headers.
