--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -189,7 +189,8 @@
             End::NotRun("another instance has its address".to_owned())
         }
         Verdict::NotRun => {
-            let culprit = D::culprit(&head.headers).and_then(|name| name.parse().ok());
+            let culprit = D::culprit(&head.headers)
+                .and_then(|name| job.process.board.lock().unwrap().find(name));
             let at_fault = culprit.as_ref().unwrap_or(upstream);
             note(job, at_fault, suspicion::Failure::Full);
             End::NotRun(format!("it refused with {status}; at fault is {at_fault}"))
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -221,6 +221,13 @@
         self.upstreams.values().map(|u| &u.listed)
     }
 
+    /// The upstream with this id, or at this address.
+    pub fn find(&self, name: &str) -> Option<id::Upstream> {
+        let mut upstreams = self.upstreams.values().map(|u| &u.listed);
+        let found = upstreams.find(|l| l.id.as_str() == name || l.address == name);
+        found.map(|listed| listed.id.clone())
+    }
+
     /// The ids of all upstreams.
     pub fn ids(&self) -> impl Iterator<Item = &id::Upstream> {
         self.upstreams.keys()
