Refuse a prompt whose memory stays taken while its caller has time; split the walk of a request

Cause: memory that was counted on and taken started the wait anew each time, until the time limit, and the answer then said that the request may have run.

--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -31,11 +31,16 @@
 /// When a refused caller is told to come back, if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(500);
 
+/// How long a request waits for a place at most.
+pub fn patience<D: Dialect>(job: &Job<D>) -> Duration {
+    (job.deadline - job.arrived).mul_f64(PATIENCE)
+}
+
 /// Finds a place, or says why there is none. The request has not been sent, or each attempt so far
 /// is known not to have run, or it may be repeated; the caller of this function knows which.
 pub async fn place<D: Dialect>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Place, Nowhere> {
     let started = job.process.now();
-    let patience = (job.deadline - job.arrived).mul_f64(PATIENCE);
+    let patience = patience(job);
     let mut cause = None;
     loop {
         let moved = job.process.moved.notified();
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foldlock_base::error::{Proof, Refusal, Unsent};
+use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
 use foldlock_base::prelude::*;
 use foldlock_request::decision::{Decision, Subject};
 use foldlock_request::dialect::Dialect;
+use foldlock_request::placement::Nowhere;
 use foldlock_request::terms::Terms;
 use foldlock_version::routes::{Organisation, Route, Service, Table, Target};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -211,91 +212,150 @@
     }
 }
 
+/// What follows an attempt.
+enum Step {
+    /// The request has its answer.
+    Done(Result<Response<Body>, Error>),
+    /// It is sent again, with what is known of it by now.
+    Again(Proof),
+    /// The same, once peers have told what they placed.
+    Pause(Proof),
+}
+
 async fn run<D: Dialect>(job: Job<D>) -> Result<Response<Body>, Error> {
     let job = Arc::new(job);
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut tries = Tries::default();
-    let mut own = None;
     loop {
         let place = match gate::place(&job, &tries.avoid).await {
             Ok(place) => place,
-            Err(nowhere) => {
-                if let Some(answer) = own {
-                    return Ok(answer);
-                }
-                return Err(failed(
-                    &job,
-                    match proof {
-                        Proof::NotRun(unsent) => gate::refusal(&job, nowhere, unsent),
-                        sent => {
-                            let why = "no other upstream takes the request";
-                            sent.error(Kind::UpstreamFailed, why, false)
-                        }
-                    },
-                ));
-            }
+            Err(nowhere) => return no_place(&job, tries, proof, nowhere),
         };
         let upstream = place.flight.upstream.clone();
         let attempt = proof.send();
-        let (why, next) = match attempt::run(&job, place, job.terms.last_event, &tries).await {
-            End::Whole(answer) => {
-                finished(&job, None);
-                return Ok(answer);
-            }
-            End::Events(begun) => return Ok(events::relay(job, *begun, tries)),
-            End::Deadline => {
-                let error = attempt.unknown().error(
-                    Kind::DeadlineExceeded,
-                    format!("{upstream} had not answered in time"),
-                    false,
-                );
-                return Err(failed(&job, error));
-            }
-            End::Unsent(why) => {
-                tries.unsent += 1;
-                (why, attempt.refused(Refusal::not_connected()))
-            }
-            End::NoMemory(why) => {
-                proof = attempt.refused(Refusal::not_connected());
-                job.record(Decision::Retried { upstream, why });
+        let end = attempt::run(&job, place, job.terms.last_event, &tries).await;
+        proof = match settle(&job, &mut tries, upstream, attempt, end) {
+            Step::Done(answer) => return answer,
+            Step::Again(proof) => proof,
+            Step::Pause(proof) => {
                 tokio::time::sleep(MEMORY_PAUSE).await;
-                continue;
-            }
-            End::NotRun(why) => {
-                tries.refused += 1;
-                (why, attempt.refused(Refusal::stated()))
-            }
-            End::Own(answer) => {
-                tries.ran += 1;
-                let why = format!("it answered {}", answer.status());
-                own = Some(*answer);
-                (why, attempt.unknown())
-            }
-            End::Broken(why) => {
-                tries.ran += 1;
-                (why, attempt.unknown())
+                proof
             }
         };
-        proof = next;
-        tries.avoid.push(upstream.clone());
-        let not_run = matches!(proof, Proof::NotRun(_));
-        if !may_repeat(&job, &tries, not_run) {
-            if let Some(answer) = own {
-                return Ok(answer);
-            }
-            let kind = if not_run { Kind::NoUpstream } else { Kind::UpstreamFailed };
-            let error = proof.error(kind, format!("{upstream}: {why}"), false);
-            let error = if not_run { error.retry_after(SETTINGS_AWAY) } else { error };
-            return Err(failed(&job, error));
+    }
+}
+
+/// The answer to a request for which there is no place: an upstream's own failure if there was one.
+fn no_place<D: Dialect>(
+    job: &Job<D>,
+    tries: Tries,
+    proof: Proof,
+    nowhere: Nowhere,
+) -> Result<Response<Body>, Error> {
+    if let Some(answer) = tries.own {
+        return Ok(answer);
+    }
+    let why = "no other upstream takes the request";
+    Err(failed(
+        job,
+        match proof {
+            Proof::NotRun(unsent) => gate::refusal(job, nowhere, unsent),
+            sent => sent.error(Kind::UpstreamFailed, why, false),
+        },
+    ))
+}
+
+/// Decides what follows the end of an attempt.
+fn settle<D: Dialect>(
+    job: &Arc<Job<D>>,
+    tries: &mut Tries,
+    upstream: id::Upstream,
+    attempt: Attempt,
+    end: End<D>,
+) -> Step {
+    let (why, proof) = match end {
+        End::Whole(answer) => {
+            finished(job, None);
+            return Step::Done(Ok(answer));
+        }
+        End::Events(begun) => {
+            return Step::Done(Ok(events::relay(job.clone(), *begun, std::mem::take(tries))));
+        }
+        End::Deadline => {
+            let why = format!("{upstream} had not answered in time");
+            let error = attempt.unknown().error(Kind::DeadlineExceeded, why, false);
+            return Step::Done(Err(failed(job, error)));
+        }
+        End::NoMemory(why) => {
+            let proof = attempt.refused(Refusal::not_connected());
+            return no_memory(job, tries, upstream, proof, why);
+        }
+        End::Unsent(why) => {
+            tries.unsent += 1;
+            (why, attempt.refused(Refusal::not_connected()))
+        }
+        End::NotRun(why) => {
+            tries.refused += 1;
+            (why, attempt.refused(Refusal::stated()))
+        }
+        End::Own(answer) => {
+            tries.ran += 1;
+            let why = format!("it answered {}", answer.status());
+            tries.own = Some(*answer);
+            (why, attempt.unknown())
+        }
+        End::Broken(why) => {
+            tries.ran += 1;
+            (why, attempt.unknown())
         }
+    };
+    again(job, tries, upstream, proof, why)
+}
+
+/// Memory that was counted on was taken: the request looks for another place while it may wait.
+fn no_memory<D: Dialect>(
+    job: &Job<D>,
+    tries: &mut Tries,
+    upstream: id::Upstream,
+    proof: Proof,
+    why: String,
+) -> Step {
+    if job.held() >= gate::patience(job) {
+        return Step::Done(no_place(job, std::mem::take(tries), proof, Nowhere::Full));
+    }
+    job.record(Decision::Retried { upstream, why });
+    Step::Pause(proof)
+}
+
+/// Sends a failed request again if that is allowed, or gives the final answer.
+fn again<D: Dialect>(
+    job: &Job<D>,
+    tries: &mut Tries,
+    upstream: id::Upstream,
+    proof: Proof,
+    why: String,
+) -> Step {
+    tries.avoid.push(upstream.clone());
+    let not_run = matches!(proof, Proof::NotRun(_));
+    if may_repeat(job, tries, not_run) {
         job.process.metrics.retries.inc();
         job.record(Decision::Retried { upstream, why });
+        return Step::Again(proof);
+    }
+    if let Some(answer) = tries.own.take() {
+        return Step::Done(Ok(answer));
     }
+    let kind = if not_run { Kind::NoUpstream } else { Kind::UpstreamFailed };
+    let error = proof.error(kind, format!("{upstream}: {why}"), false);
+    let error = if not_run { error.retry_after(SETTINGS_AWAY) } else { error };
+    Step::Done(Err(failed(job, error)))
 }
 
 /// How often a request was sent, and how that ended.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Tries {
+    /// The last failure that was an upstream's own answer.
+    pub own: Option<Response<Body>>,
     /// Upstreams that failed it.
     pub avoid: Vec<id::Upstream>,
     /// Attempts of which no byte was sent.
