--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -2,9 +2,10 @@
 //! host and path, with opaque bodies.
 //!
 //! What talks to the platform comes in through two traits: [`Dialect`] for heads and [`Directory`]
-//! for what the platform keeps. A request's walk goes one way: [`callers`], [`serve`] (admission),
+//! for what the platform keeps. A request's walk goes one way: [`callers`], [`serve`], [`admit`],
 //! [`gate`] (placement), [`attempt`], then [`events`] or a whole answer.
 
+pub mod admit;
 pub mod answer;
 pub mod attempt;
 pub mod callers;
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -3,44 +3,29 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::Bytes;
 use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
 use foldlock_base::prelude::*;
-use foldlock_request::decision::{Decision, Subject};
+use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Nowhere;
-use foldlock_request::terms::Terms;
-use foldlock_version::routes::{Organisation, Route, Service, Table, Target};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::HOST;
 use hyper::{Request, Response};
 
+use crate::fleet::admit::{self, SETTINGS_AWAY};
 use crate::fleet::answer::{self, Body};
 use crate::fleet::attempt::{self, End};
 use crate::fleet::events;
 use crate::fleet::gate;
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
-use crate::log;
 use crate::serve::millis;
 
-/// The time that a caller has who tells none: that of the platform's longest route.
-const USUAL_PATIENCE: Duration = Duration::from_secs(15);
-
-/// When a caller is told to come back who met a VM without settings, or with settings too old.
-const SETTINGS_AWAY: Duration = Duration::from_millis(500);
-
 /// The pause after memory that was counted on turned out to be taken: by then the peers have told
 /// what they placed.
 const MEMORY_PAUSE: Duration = Duration::from_millis(30);
 
-/// When a caller is told to come back who met a VM that is about to end: a new connection reaches
-/// another one.
-const DRAINING: Duration = Duration::from_millis(50);
-
 /// Attempts beyond the route's own that may be made while none is known to have run.
 const REFUSED_MORE: u32 = 2;
 
@@ -53,7 +38,7 @@
     let terms = D::terms(request.headers());
     let id = terms.request.parse().unwrap_or_else(|_| process.request_id());
     process.metrics.requests.inc();
-    let answered = match admit(&process, &id, terms, request, arrived).await {
+    let answered = match admit::admit(&process, &id, terms, request, arrived).await {
         Ok(job) => run(job).await,
         Err(error) => Err(error),
     };
@@ -63,155 +48,6 @@
     }))
 }
 
-fn refuse(kind: Kind, why: impl Into<String>) -> Error {
-    Error::unsent(kind, why, Unsent::arrived())
-}
-
-async fn admit<D: Dialect>(
-    process: &Arc<Process<D>>,
-    id: &id::Request,
-    terms: Terms,
-    request: Request<Incoming>,
-    arrived: Instant,
-) -> Result<Job<D>, Error> {
-    let admitted = check(process, &terms, &request).inspect_err(|error| {
-        if process.trouble_lines.admit(process.now()).is_some() {
-            log::refused(&process.log, id, error);
-        }
-    })?;
-    let Admitted { route, service, organisation, version, body_bytes } = admitted;
-    let patience = terms.patience.unwrap_or(USUAL_PATIENCE).min(route.timeout);
-    let deadline = arrived + patience;
-    let (head, body) = request.into_parts();
-    let body = read_body(body, body_bytes, deadline).await?;
-    process.budget.lock().unwrap().request(&service.name, process.now());
-    let entry = process.ring.begin(Subject {
-        request: id.clone(),
-        vm: process.member.vm.clone(),
-        organisation: organisation_id(organisation.as_deref()),
-        kind: None,
-        target: service.name.clone(),
-        prompt: terms.prompt,
-        arrived_ms: process.clock.wall_millis(),
-    });
-    let job = Job {
-        process: process.clone(),
-        id: id.clone(),
-        terms,
-        route,
-        service,
-        organisation,
-        version,
-        head,
-        body,
-        arrived,
-        deadline,
-        entry,
-    };
-    let timeout_ms = patience.as_millis() as u64;
-    let age = process.fresh.age(process.now());
-    let settings_age_ms = age.map(|age| age.as_millis() as u64);
-    let prompt = job.service.engine.is_some().then_some(job.terms.prompt);
-    job.record(Decision::Admitted { timeout_ms, version, settings_age_ms, prompt });
-    Ok(job)
-}
-
-struct Admitted {
-    route: Arc<Route>,
-    service: Arc<Service>,
-    organisation: Option<Arc<Organisation>>,
-    version: u64,
-    body_bytes: usize,
-}
-
-fn check<D: Dialect>(
-    process: &Process<D>,
-    terms: &Terms,
-    request: &Request<Incoming>,
-) -> Result<Admitted, Error> {
-    if process.closing() {
-        let error = refuse(Kind::Draining, "this VM is about to end");
-        return Err(error.retry_after(DRAINING));
-    }
-    let Some(settings) = process.settings() else {
-        let error = refuse(Kind::StoreUnavailable, "there are no settings yet");
-        return Err(error.retry_after(SETTINGS_AWAY));
-    };
-    let table = &settings.table;
-    let host = request.headers().get(HOST).and_then(|h| h.to_str().ok()).unwrap_or_default();
-    let path = request.uri().path();
-    let Some(route) = table.route(host, path) else {
-        let why = format!("settings version {} has no route for {host}{path}", table.number());
-        return Err(refuse(Kind::NotFound, why));
-    };
-    let organisation = organisation(process, table, route, terms)?;
-    let service = choose(&route.targets)
-        .and_then(|target| table.service(&target.service))
-        .ok_or_else(|| refuse(Kind::NoUpstream, format!("route {} has no service", route.name)))?;
-    Ok(Admitted {
-        route: route.clone(),
-        service: service.clone(),
-        organisation,
-        version: table.number(),
-        body_bytes: table.bounds().body_bytes,
-    })
-}
-
-fn organisation<D: Dialect>(
-    process: &Process<D>,
-    table: &Table,
-    route: &Route,
-    terms: &Terms,
-) -> Result<Option<Arc<Organisation>>, Error> {
-    if !table.keyed() || route.public {
-        return Ok(None);
-    }
-    let found = terms.key.as_deref().and_then(|key| table.organisation(key));
-    let Some(organisation) = found else {
-        let why = format!("settings version {} does not know this key", table.number());
-        return Err(refuse(Kind::Unauthorized, why));
-    };
-    let now = process.now();
-    if !process.fresh.holds(now) {
-        let age = process.fresh.age(now).map_or(0, |age| age.as_millis());
-        let why = format!("the settings were last confirmed {age} ms ago: keys may have changed");
-        return Err(refuse(Kind::StoreUnavailable, why).retry_after(SETTINGS_AWAY));
-    }
-    Ok(Some(organisation.clone()))
-}
-
-/// Picks a target by weight.
-fn choose(targets: &[Target]) -> Option<&Target> {
-    let all: u32 = targets.iter().map(|t| t.weight).sum();
-    if all == 0 {
-        return targets.first();
-    }
-    let mut at = rand::random_range(0..all);
-    targets.iter().find(|target| {
-        let here = at < target.weight;
-        at = at.saturating_sub(target.weight);
-        here
-    })
-}
-
-fn organisation_id(organisation: Option<&Organisation>) -> id::Organisation {
-    organisation
-        .and_then(|o| o.name.parse().ok())
-        .unwrap_or_else(|| "public".parse().expect("made of allowed characters"))
-}
-
-async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Error> {
-    let read = Limited::new(body, most).collect();
-    match tokio::time::timeout_at(deadline.into(), read).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(refuse(Kind::TooLarge, format!("the body is larger than {most} bytes")))
-        }
-        Ok(Err(e)) => Err(refuse(Kind::BadRequest, format!("the body broke off: {e}"))),
-        Err(_) => Err(refuse(Kind::RequestTimeout, "the body came too slowly")),
-    }
-}
-
 /// What follows an attempt.
 enum Step {
     /// The request has its answer.
