--- a/daemon/tests/leaving.rs
+++ b/daemon/tests/leaving.rs
@@ -144,6 +144,22 @@
     }
 }
 
+/// Waits until all requests run; one that ends before is shown with the state of its VMs.
+async fn run_at_once(fleet: &Fleet, begun: &[tokio::task::JoinHandle<Answer>]) {
+    let all_run = async || fleet.runs().len() == begun.len();
+    let one_ended = || begun.iter().any(|request| request.is_finished());
+    wait_for("all to run", async || all_run().await || one_ended()).await;
+    if all_run().await {
+        return;
+    }
+    let mut dumps = Vec::new();
+    for vm in &fleet.vms {
+        dumps.push(fleet.dump(vm).await);
+    }
+    let ended: Vec<bool> = begun.iter().map(|request| request.is_finished()).collect();
+    panic!("requests ended early: {ended:?}, runs {:?}, VMs {dumps:#?}", fleet.runs());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn two_vms_stopped_at_once_cut_nothing() {
     let mut plan = plan();
@@ -155,7 +171,7 @@
         let (client, sent, listen) = (fleet.client.clone(), ask.clone(), fleet.vms[vm].listen);
         begun.push(tokio::spawn(async move { client::ask(&client, listen, &sent).await }));
     }
-    wait_for("both to run", async || fleet.runs().len() == 2).await;
+    run_at_once(&fleet, &begun).await;
     fleet.vms[0].signal(Signal::SIGTERM);
     fleet.vms[1].signal(Signal::SIGTERM);
     for answer in begun {
@@ -176,7 +192,7 @@
         let (client, sent, listen) = (fleet.client.clone(), ask.clone(), vm.listen);
         begun.push(tokio::spawn(async move { client::ask(&client, listen, &sent).await }));
     }
-    wait_for("all to run", async || fleet.runs().len() == 8).await;
+    run_at_once(&fleet, &begun).await;
     for vm in &fleet.vms {
         vm.signal(Signal::SIGTERM);
     }
