Count what a VM that stops has under way until it ends

Cause: a VM that stops withdraws from the directory at once, and its peers then forgot its attempts and no longer told it theirs, while its streams ran on for seconds. Change: a withdrawn peer stays known, counts on the board and is told of ours until it is silent; it is no member any more for budgets, watchers, listings.

--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Clone)]
 struct Peer {
     member: Member,
+    /// It has withdrawn from the fleet and finishes what it has under way, which still counts.
+    leaving: bool,
     heard: Option<Instant>,
     stamp: Option<u64>,
     version: u64,
@@ -75,24 +77,34 @@
         }
         let what = format!("{} at {}", member.vm, member.address);
         let vm = member.vm.clone();
-        known.insert(vm, Peer { member, heard: None, stamp: None, version: 0, at: 0, digest: 0 });
+        known.insert(vm, Peer::new(member));
         drop(known);
         log::event(&process.log, Event::MemberUp, what);
         process.tell.notify_one();
     }
 
-    /// A VM has withdrawn.
+    /// A VM has withdrawn. What it has under way counts until it is no longer heard.
     pub fn withdrawn<D: Dialect>(&self, process: &Process<D>, vm: &id::Vm) {
-        if self.known.lock().unwrap().remove(vm).is_some() {
+        let mut known = self.known.lock().unwrap();
+        let Some(peer) = known.get_mut(vm) else { return };
+        if std::mem::replace(&mut peer.leaving, true) {
+            return;
+        }
+        let heard = peer.is_heard(process.now());
+        if !heard {
+            known.remove(vm);
+        }
+        drop(known);
+        if !heard {
             process.board.lock().unwrap().peer_lost(vm);
-            log::event(&process.log, Event::MemberLeaving, vm);
         }
+        log::event(&process.log, Event::MemberLeaving, vm);
     }
 
     /// The number of VMs that are listed, this one among them, heard or not: what all share is
     /// divided by it.
     pub fn listed_count(&self) -> usize {
-        self.known.lock().unwrap().len() + 1
+        self.known.lock().unwrap().values().filter(|peer| !peer.leaving).count() + 1
     }
 
     /// Whether the fleet is so large that VMs of other halls are told little.
@@ -102,13 +114,14 @@
 
     /// All VMs that are listed but this one.
     pub fn members(&self) -> Vec<Member> {
-        self.known.lock().unwrap().values().map(|peer| peer.member.clone()).collect()
+        let known = self.known.lock().unwrap();
+        known.values().filter(|peer| !peer.leaving).map(|peer| peer.member.clone()).collect()
     }
 
-    /// The peers that were heard of late.
+    /// The peers that were heard of late and are not leaving.
     pub fn heard(&self, now: Instant) -> Vec<id::Vm> {
         let known = self.known.lock().unwrap();
-        let heard = known.iter().filter(|(_, p)| p.is_heard(now));
+        let heard = known.iter().filter(|(_, p)| p.is_heard(now) && !p.leaving);
         heard.map(|(vm, _)| vm.clone()).collect()
     }
 
@@ -169,6 +182,11 @@
 }
 
 impl Peer {
+    /// A peer that was not heard yet.
+    fn new(member: Member) -> Peer {
+        Peer { member, leaving: false, heard: None, stamp: None, version: 0, at: 0, digest: 0 }
+    }
+
     fn is_heard(&self, now: Instant) -> bool {
         self.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT)
     }
@@ -294,6 +312,7 @@
             vm.clone()
         })
         .collect();
+    known.retain(|_, peer| !peer.leaving || peer.heard.is_some());
     drop(known);
     for vm in silent {
         process.board.lock().unwrap().peer_lost(&vm);
