Put no part of a long prompt on parts that are unread; wait two objectives; beat faster

Cause: an engine reads the newest part of a long prompt first, ahead of those before it. So each part placed on unread ones held up all of them (one prompt predicted 650 ms took 2,110), and going elsewhere after 2.5 s read everything once more. Change: an engine with 3 unread parts or 20 ms of reading ahead takes no part of a prompt that is not heavy (the prompt waits, and ages); a first event may take two objectives; a heavy prompt that will be late anyway takes a few empty engines while a quarter stays empty; beats gather for 1 ms a peer, not 15 ms. Tests written with the change: placement, a_part_is_not_put_on_top_of_others_that_are_unread and a_heavy_prompt_that_will_be_late_takes_a_few_empty_engines.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -47,6 +47,11 @@
 /// How many times the predicted time a first event may take.
 const SLOW_FIRST: f64 = 2.5;
 
+/// The least time for a first event, in objectives of its route. Beyond one objective the answer is
+/// late anyway, and a long prompt that goes elsewhere is read once more by several engines: waiting
+/// for two served more prompts than waiting for one.
+const SLOW_OBJECTIVES: f64 = 2.0;
+
 /// How an attempt ended, as far as it is waited for here.
 pub enum End<D: Dialect> {
     /// The whole answer.
@@ -102,7 +107,7 @@
         Shape::Whole => job.route.objective.mul_f64(SLOW_WHOLE),
         Shape::Events { .. } => {
             let ms = place.predicted_ms * SLOW_FIRST + SLOW_FIRST_MS;
-            Duration::from_secs_f64(ms / 1e3).max(job.route.objective)
+            Duration::from_secs_f64(ms / 1e3).max(job.route.objective.mul_f64(SLOW_OBJECTIVES))
         }
     }
 }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -19,9 +19,10 @@
 use crate::fleet::process::Process;
 use crate::log;
 
-/// The least time between two beats: placements gather for it. Short against the 50 ms of an
-/// engine's pass, so that two VMs rarely choose by the same picture.
-const GATHER: Duration = Duration::from_millis(15);
+/// The least time between two beats for each peer that is told: placements gather for it. A VM so
+/// sends at most 1,000 datagrams a second, about 1% of a core. In a fleet of 8 it is 7 ms, so that
+/// two VMs rarely choose by the same picture (15 ms made a tenth more of the short prompts late).
+const GATHER_A_PEER: Duration = Duration::from_millis(1);
 
 /// The same in a large fleet, where each beat goes to many: at 75 peers and 300 bytes, 25 beats a
 /// second are 4 Mbit/s of the 20 that a small VM has.
@@ -112,6 +113,12 @@
         self.known.lock().unwrap().len() >= CELLS
     }
 
+    /// The least time between two beats.
+    fn gather(&self) -> Duration {
+        let peers = self.known.lock().unwrap().len();
+        if peers >= CELLS { GATHER_IN_CELLS } else { GATHER_A_PEER * peers as u32 }
+    }
+
     /// All VMs that are listed but this one.
     pub fn members(&self) -> Vec<Member> {
         let known = self.known.lock().unwrap();
@@ -203,8 +210,7 @@
     let mut told_all = told;
     let mut due = false;
     loop {
-        let gather = if process.peers.in_cells() { GATHER_IN_CELLS } else { GATHER };
-        let next = told + if due { gather } else { IDLE };
+        let next = told + if due { process.peers.gather() } else { IDLE };
         tokio::select! {
             heard = socket.recv_from(&mut buffer) => match heard {
                 Ok((length, _)) => hear(&process, &buffer[..length], &directory),
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -7,7 +7,7 @@
 mod group;
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use foldlock_version::routes::{Engine, Route, Shape};
@@ -49,6 +49,8 @@
     pub hall: Option<&'a str>,
     /// Upstreams that failed this request.
     pub avoid: &'a [id::Upstream],
+    /// How long ago the request arrived.
+    pub held: Duration,
 }
 
 /// A place.
@@ -81,6 +83,7 @@
     TooLarge,
 }
 
+#[derive(Clone)]
 struct Candidate<'a> {
     upstream: &'a Upstream,
     load: Load,
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -32,6 +32,27 @@
 /// are 1.5 s and more.
 const MOST_PART_MS: f64 = 700.0;
 
+/// The most parts of other prompts that an engine may still have to read to take one more: it reads
+/// the newest part first, so each one that is added holds up all that came before it.
+const MOST_UNREAD: u32 = 3;
+
+/// The most reading that an engine may have ahead, milliseconds, to take a part of a prompt that is
+/// not heavy: under one short prompt's.
+const FREE_MS: f64 = 20.0;
+
+/// By how much of the time that a prompt has waited it may wait behind other reads instead.
+const AGING: f64 = 0.1;
+
+/// The part of its objective after which a heavy prompt without a place settles for a late answer.
+const LATE: f64 = 0.6;
+
+/// The longest part of a prompt whose answer will be late, milliseconds. Its caller waits for some
+/// 10 s, of which it has used a part by then.
+const SLOW_PART_MS: f64 = 3_000.0;
+
+/// The part of the engines that stay empty beside a prompt whose answer will be late.
+const KEPT_EMPTY: f64 = 0.25;
+
 /// How much sooner an engine with short answers has to be free to read a part: its passes get
 /// longer by the part, and short prompts that come in wait for it.
 const BRISK_APART_MS: f64 = 80.0;
@@ -71,28 +92,90 @@
 ) -> Result<Place, Nowhere> {
     let open = candidates.len();
     let objective = ask.route.objective.as_secs_f64() * 1e3;
-    let heavy = read > objective * HEAVY;
-    candidates.retain(|c| c.load.helping < c.upstream.listed.slots);
-    if heavy {
-        candidates.retain(|c| !c.is_brisk() && c.ahead_ms(engine) <= IDLE_MS);
-    }
+    candidates.retain(|c| c.load.helping < c.upstream.listed.slots.min(MOST_UNREAD));
     candidates.reverse();
     candidates.sort_by(|a, b| rank_ms(a, engine).total_cmp(&rank_ms(b, engine)));
-    let most = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
-    let mut groups = (1..=most).filter_map(|parts| group(ask, engine, &candidates, read, parts));
-    let chosen = if heavy {
-        // The fewest engines whose parts are short: the others stay free. The longest prompts take
-        // as many as may help, and their parts are as long as they are, while next to nothing else
-        // is under way.
-        let idle = candidates.len() as f64 >= open as f64 * IDLE_FLEET;
-        let longest_ms = if idle { read / (MOST_HELPERS + 1) as f64 } else { 0.0 };
-        let most_ms = longest_ms.max(MOST_PART_MS);
-        groups.find(|g| g.part_ms <= most_ms)
+    let place = if read <= objective * HEAVY {
+        light(ask, engine, candidates, read, open)
     } else {
-        groups.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+        heavy(ask, engine, &candidates, read, open)
+            .or_else(|| slow(ask, engine, &candidates, read, open))
     };
-    let chosen = chosen.ok_or(Nowhere::Full)?;
-    Ok(placed(ask, chosen.main, &chosen.helpers, chosen.part_ms, chosen.predicted_ms, open))
+    place.ok_or(Nowhere::Full)
+}
+
+/// The group that is done first.
+fn light(
+    ask: &Ask<'_>,
+    engine: &Engine,
+    mut candidates: Vec<Candidate<'_>>,
+    read: f64,
+    open: usize,
+) -> Option<Place> {
+    let held_ms = ask.held.as_secs_f64() * 1e3;
+    let ahead_ms = FREE_MS.max(held_ms * AGING);
+    candidates.retain(|c| c.load.backlog_ms <= ahead_ms);
+    groups(ask, engine, &candidates, read, MOST_HELPERS + 1)
+        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+        .map(|group| group.place(ask, open))
+}
+
+/// The fewest engines whose parts are short: the others stay free. The longest prompts take as many
+/// as may help, and their parts are as long as they are, while next to nothing else is under way.
+fn heavy(
+    ask: &Ask<'_>,
+    engine: &Engine,
+    candidates: &[Candidate<'_>],
+    read: f64,
+    open: usize,
+) -> Option<Place> {
+    let idle = |c: &&Candidate<'_>| !c.is_brisk() && c.ahead_ms(engine) <= IDLE_MS;
+    let candidates: Vec<Candidate<'_>> = candidates.iter().filter(idle).cloned().collect();
+    let fleet_is_idle = candidates.len() as f64 >= open as f64 * IDLE_FLEET;
+    let longest_ms = if fleet_is_idle { read / (MOST_HELPERS + 1) as f64 } else { 0.0 };
+    let most_ms = longest_ms.max(MOST_PART_MS);
+    groups(ask, engine, &candidates, read, MOST_HELPERS + 1)
+        .find(|group| group.part_ms <= most_ms)
+        .map(|group| group.place(ask, open))
+}
+
+/// A few engines with nothing else under way, which read long parts: the answer will be late, and
+/// the rest of the fleet goes on as if it were not there.
+fn slow(
+    ask: &Ask<'_>,
+    engine: &Engine,
+    candidates: &[Candidate<'_>],
+    read: f64,
+    open: usize,
+) -> Option<Place> {
+    if ask.held < ask.route.objective.mul_f64(LATE) {
+        return None;
+    }
+    let empty = |c: &&Candidate<'_>| c.load.requests == 0 && c.load.helping == 0;
+    let candidates: Vec<Candidate<'_>> = candidates.iter().filter(empty).cloned().collect();
+    let kept = (open as f64 * KEPT_EMPTY).ceil() as usize;
+    let most = candidates.len().saturating_sub(kept);
+    groups(ask, engine, &candidates, read, most)
+        .find(|group| group.part_ms <= SLOW_PART_MS)
+        .map(|group| group.place(ask, open))
+}
+
+/// The groups of 1 to `most` engines that may read a prompt.
+fn groups<'a, 'b>(
+    ask: &'a Ask<'_>,
+    engine: &'a Engine,
+    candidates: &'a [Candidate<'b>],
+    read: f64,
+    most: usize,
+) -> impl Iterator<Item = Group<'a, 'b>> {
+    let useful = ((read / LEAST_PART_MS) as usize).clamp(1, MOST_HELPERS + 1);
+    (1..=useful.min(most)).filter_map(move |parts| group(ask, engine, candidates, read, parts))
+}
+
+impl Group<'_, '_> {
+    fn place(&self, ask: &Ask<'_>, open: usize) -> Place {
+        placed(ask, self.main, &self.helpers, self.part_ms, self.predicted_ms, open)
+    }
 }
 
 /// When an engine has read a part, beside the part itself: where some request writes, a part is done
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -76,6 +76,7 @@
         memory: Tokens(tokens + 1_000),
         hall: None,
         avoid: &[],
+        held: Duration::ZERO,
     }
 }
 
@@ -176,6 +177,33 @@
     assert!(place(&board, &ask(&long_route(), 300_000), later).is_ok(), "read by then");
 }
 
+#[test]
+fn a_part_is_not_put_on_top_of_others_that_are_unread() {
+    let (mut board, now, long) = (board(4), Instant::now(), long_route());
+    enter(&mut board, &ask(&long, 133_000), now).unwrap();
+    let second = ask(&long, 100_000);
+    assert_eq!(place(&board, &second, now).unwrap_err(), Nowhere::Full);
+    let aged = Ask { held: Duration::from_secs(6), ..second.clone() };
+    assert!(place(&board, &aged, now).is_ok(), "behind 500 ms rather than never");
+    assert!(place(&board, &second, now + Duration::from_millis(600)).is_ok(), "read by then");
+}
+
+#[test]
+fn a_heavy_prompt_that_will_be_late_takes_a_few_empty_engines() {
+    let (mut board, now) = (board(12), Instant::now());
+    let (short, long) = (short_route(), long_route());
+    for i in 0..4 {
+        let placed = place(&board, &ask(&short, 5_000), now).unwrap();
+        board.enter(Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
+    }
+    let heavy = ask(&long, 390_000);
+    assert_eq!(place(&board, &heavy, now).unwrap_err(), Nowhere::Full);
+    let late = Ask { held: Duration::from_millis(1_600), ..heavy };
+    let placed = place(&board, &late, now).unwrap();
+    assert!(placed.flight.helpers.len() < 8 - 3, "a quarter of the engines stay empty");
+    assert!(placed.predicted_ms < 4_000.0, "{}", placed.predicted_ms);
+}
+
 #[test]
 fn upstreams_that_failed_are_passed_over_while_there_are_others() {
     let (mut board, now, route) = (board(2), Instant::now(), short_route());
