Give each request that a stopping VM has read its answer

A VM took new requests for 4 of the 8 s that it has; a stream taken 3.4 s after the signal was cut by the end of the process, and a long prompt that waited for a place was dropped with its connection, without any answer. Ruled out: the kill (the process ended by itself), the engines (still at work). Change: requests are taken for 0.3 of the time to stop in; one that still waits for a place by then is told at once that it has not run and when to come back; 0.2 s before the end, one that was passed on and has no answer gets 502 with `ran: unknown`.

--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -27,7 +27,7 @@
 
 /// When a caller is told to come back who met a VM that is about to end: a new connection reaches
 /// another one.
-const DRAINING: Duration = Duration::from_millis(50);
+pub(super) const DRAINING: Duration = Duration::from_millis(50);
 
 fn refuse(kind: Kind, why: impl Into<String>) -> Error {
     Error::unsent(kind, why, Unsent::arrived())
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -84,7 +84,13 @@
     let limit = patience(job, &place, tries);
     let sent = sent(job, place, last_event, entered);
     let until = job.deadline.min(job.process.now() + limit);
-    match tokio::time::timeout_at(until.into(), sent).await {
+    let ended = tokio::select! {
+        ended = tokio::time::timeout_at(until.into(), sent) => ended,
+        () = job.process.ending.cancelled() => {
+            return End::Broken("this VM ends before the answer came".to_owned());
+        }
+    };
+    match ended {
         Ok(end) => end,
         Err(_) if job.left().is_zero() => {
             note(job, &upstream, suspicion::Failure::Own);
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -9,6 +9,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::{self, Nowhere, Place};
 
+use crate::fleet::admit::DRAINING;
 use crate::fleet::job::Job;
 use crate::serve::millis;
 
@@ -60,7 +61,7 @@
             Nowhere::Closed => patience.min(CLOSED),
             Nowhere::TooLarge => Duration::ZERO,
         };
-        if waited >= limit {
+        if waited >= limit || job.process.closing() {
             return Err(nowhere);
         }
         cause = Some(Cause::Engines);
@@ -98,6 +99,10 @@
 
 /// The refusal of a request that has not run.
 pub fn refusal<D: Dialect>(job: &Job<D>, nowhere: Nowhere, proof: Unsent) -> Error {
+    if job.process.closing() {
+        let why = "this VM is about to end, and there was no place in time";
+        return Error::unsent(Kind::Draining, why, proof).retry_after(DRAINING);
+    }
     let (kind, why) = match nowhere {
         Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -30,9 +30,10 @@
 /// Records of requests that are kept: a minute's worth at 8 requests a second, under 1 MB.
 const RECORDS: usize = 512;
 
-/// The part of the time to stop in, in which new requests are still served: those that come on
-/// connections opened before the platform has seen that this VM is not ready.
-const SERVED_STOPPING: f64 = 0.5;
+/// The part of the time to stop in, in which requests are still taken: those that come on
+/// connections opened before the platform has seen that this VM is not ready, some 2 of 8 s. A long
+/// stream, of 5 s, then ends before the kill.
+const SERVED_STOPPING: f64 = 0.3;
 
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -81,6 +82,8 @@
     pub watching: AtomicBool,
     /// Cancelled at the signal to stop.
     pub stopping: CancellationToken,
+    /// Cancelled when the process is about to end and what has no answer yet gets its last one.
+    pub ending: CancellationToken,
     /// When the signal to stop came.
     pub stopped: OnceLock<Instant>,
     /// The callers' connections and the streams that are passed on.
@@ -126,6 +129,7 @@
             at: AtomicU64::new(0),
             watching: AtomicBool::new(false),
             stopping: CancellationToken::new(),
+            ending: CancellationToken::new(),
             stopped: OnceLock::new(),
             tasks: TaskTracker::new(),
             settings: RwLock::new(None),
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -212,7 +212,8 @@
         && tries.unsent <= MOST_UNSENT
         && tries.ran < job.route.attempts
         && tries.ran + tries.refused < job.route.attempts + REFUSED_MORE
-        && !job.left().is_zero();
+        && !job.left().is_zero()
+        && !job.process.ending.is_cancelled();
     if !allowed {
         return false;
     }
--- a/daemon/src/fleet/stop.rs
+++ b/daemon/src/fleet/stop.rs
@@ -13,6 +13,9 @@
 /// Kept from the time to stop in, so that the process has ended by itself before it is killed.
 const MARGIN: Duration = Duration::from_millis(400);
 
+/// Kept from the same time before that, for the last answers to be written.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// How long the directory may take to withdraw this VM; peers notice its silence anyway.
 const WITHDRAW: Duration = Duration::from_millis(500);
 
@@ -32,6 +35,10 @@
     tokio::time::sleep(LINGER.saturating_sub(process.now() - began)).await;
     process.tasks.close();
     let until = began + process.config.fleet.stop().saturating_sub(MARGIN);
+    let last_answers = until - LAST_ANSWERS;
+    if tokio::time::timeout_at(last_answers.into(), process.tasks.wait()).await.is_err() {
+        process.ending.cancel();
+    }
     let ended = tokio::time::timeout_at(until.into(), process.tasks.wait()).await;
     let left = process.tasks.len();
     let what = if ended.is_ok() { "all requests ended".to_owned() } else { format!("{left} left") };
