Call a VM ready only once its settings are applied

A version became the one in force, which made the VM ready, before its engines were known to the router; a log line is written in between. A request that came then met a model of which all engines together hold 0 tokens and was refused at once, so it never ran, and the test waited for it in vain. Change: ready follows the first settings that have reached all parts. The test failed first: ready, not_before_the_engines_of_the_settings_are_known.

--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -91,6 +91,8 @@
     next_request: AtomicU64,
     listed_leaving: Mutex<Vec<id::Upstream>>,
     store_down: AtomicBool,
+    /// Whether the first settings have reached all parts that follow from them.
+    applied: AtomicBool,
 }
 
 /// A process that serves.
@@ -157,6 +159,7 @@
             next_request: AtomicU64::new(0),
             listed_leaving: Mutex::default(),
             store_down: AtomicBool::new(false),
+            applied: AtomicBool::new(false),
             config,
             clock,
             log,
@@ -176,6 +179,9 @@
         self.engines.apply(&version.tree);
         *self.shards.write().unwrap() = Arc::new(home::shards(&version.tree.fleet));
         self.metrics.version.set(version.head.version as i64);
+        if version.head.version > 0 {
+            self.applied.store(true, Ordering::Release);
+        }
     }
 
     /// A new request id, unique over VMs and restarts.
@@ -199,9 +205,9 @@
         }
     }
 
-    /// Whether this VM can serve: it has settings and is not stopping.
+    /// Whether this VM can serve: its settings are applied and it is not stopping.
     pub fn ready(&self) -> bool {
-        self.current.number() > 0 && !self.drain.stopping()
+        self.applied.load(Ordering::Acquire) && !self.drain.stopping()
     }
 
     /// Whether a server of a plain service is listed as leaving.
--- /dev/null
+++ b/daemon/tests/ready.rs
@@ -0,0 +1,49 @@
+//! A VM is ready only once what follows from its settings is known to all its parts.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use foldlock_base::size::Tokens;
+use foldlock_version::head::Head;
+use foldlock_version::tree::Texts;
+use foldlockd::config::Config;
+use foldlockd::current::Moved;
+use foldlockd::process;
+use standin::fleet::{Fleet, MODEL};
+
+/// A VM that is told of no settings by anybody.
+fn config(fleet: &Fleet) -> Config {
+    let any = "127.0.0.1:0".parse().unwrap();
+    Config {
+        vm: "vm-9".parse().unwrap(),
+        hall: "charguia".parse().unwrap(),
+        listen: any,
+        control: any,
+        kv: fleet.kv.served.address,
+        vms: fleet.list.served.address,
+        drain: Duration::from_millis(100),
+        threads: None,
+        log_level: "error".to_owned(),
+    }
+}
+
+fn head() -> Head {
+    Head::default().next("1", "test", BTreeMap::new())
+}
+
+#[tokio::test]
+async fn not_before_the_engines_of_the_settings_are_known() {
+    let fleet = Fleet::stand_ins(common::plan()).await;
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let vm = process::start(config(&fleet), log).await.unwrap().process;
+    let texts: Texts = fleet.texts();
+    assert!(matches!(vm.current.advance(head(), texts), Moved::Up));
+    let known = || vm.engines.memory(&MODEL.parse().unwrap()).1 > Tokens(0);
+    assert!(!known(), "a request that came now would be refused as too long");
+    assert!(!vm.ready());
+    vm.apply();
+    assert!(known());
+    assert!(vm.ready());
+}
