Take the ports of test processes from below the range of outgoing connections

The soak took a free port by binding port 0, which is in the range from which outgoing connections take theirs; one of another run had it.

--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -12,6 +12,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
+use standin::port::free;
 use standin::server::Served;
 
 use crate::proxy::Proxy;
@@ -82,10 +83,6 @@
     _store_served: Served,
 }
 
-fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 impl Vm {
     async fn new(index: usize, store: SocketAddr, folder: &std::path::Path) -> Vm {
         let listen = free();
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod kv;
 pub mod memory;
 pub mod plain;
+pub mod port;
 pub mod server;
 pub mod stream;
 pub mod vms;
