--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -105,6 +105,9 @@
 
 /// How long an attempt may go without its answer or first event before the request goes elsewhere.
 fn patience<D: Dialect>(job: &Job<D>, place: &Place, tries: &Tries) -> Duration {
+    if place.flight.holds_memory() {
+        return job.process.config.fleet.held_silence();
+    }
     let last = tries.ran + 1 >= job.route.attempts || place.open < 2;
     if last || !job.repeatable() {
         return job.left();
--- a/daemon/src/fleet/config.rs
+++ b/daemon/src/fleet/config.rs
@@ -24,6 +24,9 @@
     /// operator's bound on the use of a key that was taken away. Absent: any age.
     #[serde(default)]
     pub settings_age_ms: Option<u64>,
+    /// How long memory may stay set aside after the request that used it has ended, milliseconds.
+    #[serde(default = "usual_memory_release_ms")]
+    pub memory_release_ms: u64,
     /// The time between the signal to stop and the kill, milliseconds.
     pub stop_ms: u64,
     /// Repeated attempts that the fleet may send for each request to a service.
@@ -34,7 +37,37 @@
     pub repeat_window_ms: u64,
 }
 
+fn usual_memory_release_ms() -> u64 {
+    4_000
+}
+
+/// The part of the time for memory to be given back for which it is set aside at a time: a VM that
+/// dies leaves it behind no longer.
+const HOLD: f64 = 0.85;
+
+/// The part of it after which it is renewed: twice before it would lapse.
+const RENEW: f64 = 0.35;
+
+/// The part of it for which an upstream may be silent while others hold memory for it: it may have
+/// died when the silence began, and the memory has to be given back within the rest.
+const HELD_SILENCE: f64 = 0.6;
+
 impl Fleet {
+    /// For how long memory is set aside at a time.
+    pub fn hold(&self) -> Duration {
+        Duration::from_millis(self.memory_release_ms).mul_f64(HOLD)
+    }
+
+    /// How often memory that is set aside is renewed.
+    pub fn renewal(&self) -> Duration {
+        Duration::from_millis(self.memory_release_ms).mul_f64(RENEW)
+    }
+
+    /// How long an upstream may be silent for which others hold memory.
+    pub fn held_silence(&self) -> Duration {
+        Duration::from_millis(self.memory_release_ms).mul_f64(HELD_SILENCE)
+    }
+
     /// The budget of repeated attempts.
     pub fn budget(&self) -> Figures {
         Figures {
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -153,7 +153,7 @@
     passed: &mut Passed,
     sink: &Sink,
 ) -> Ended {
-    let silence = silence(job);
+    let silence = silence(job, source);
     let mut parts = first;
     loop {
         let bytes = match passed.take(&parts) {
@@ -189,10 +189,15 @@
 }
 
 /// How long an upstream may be silent within a stream.
-fn silence<D: Dialect>(job: &Job<D>) -> Duration {
-    match (job.pause(), job.route.repeat) {
+fn silence<D: Dialect>(job: &Job<D>, source: &Source<D>) -> Duration {
+    let silence = match (job.pause(), job.route.repeat) {
         (Some(pause), Repeat::Resume) => (pause * SILENT_PAUSES).max(LEAST_SILENCE),
         _ => job.left(),
+    };
+    if source.hold.is_empty() {
+        silence
+    } else {
+        silence.min(job.process.config.fleet.held_silence())
     }
 }
 
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -17,13 +17,6 @@
 use crate::log;
 use crate::serve::millis;
 
-/// For how long memory is set aside at a time. A VM that dies leaves it behind no longer than
-/// this, which is within the time that the platform gives for it to be free again.
-const HOLD: Duration = Duration::from_millis(3_500);
-
-/// How often it is renewed: twice within [`HOLD`] before it would lapse.
-const RENEW: Duration = Duration::from_millis(1_400);
-
 /// The pause after an order without an answer.
 const AGAIN: Duration = Duration::from_millis(200);
 
@@ -51,7 +44,8 @@
         }
         let started = job.process.now();
         let memory = &job.process.memory;
-        let answers = join_all(reservations.iter().map(|r| memory.reserve(r, HOLD))).await;
+        let time = job.process.config.fleet.hold();
+        let answers = join_all(reservations.iter().map(|r| memory.reserve(r, time))).await;
         for (reservation, answer) in reservations.iter().zip(answers) {
             // What was set aside is given back as `hold` is dropped.
             answer.map_err(|fault: Fault| format!("{}: {fault}", reservation.upstream))?;
@@ -63,6 +57,11 @@
         Ok(hold)
     }
 
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        self.reservations.is_empty()
+    }
+
     /// The helpers of a place with their tickets.
     pub fn helpers(&self, place: &Place) -> Vec<Helper> {
         let ticket = |upstream: &id::Upstream| {
@@ -105,18 +104,19 @@
 
 async fn renew<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
     loop {
-        tokio::time::sleep(RENEW).await;
+        tokio::time::sleep(process.config.fleet.renewal()).await;
         join_all(reservations.iter().map(|r| renew_one(&process, r))).await;
     }
 }
 
 async fn renew_one<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
-    if let Err(fault) = process.memory.reserve(reservation, HOLD).await {
+    let time = process.config.fleet.hold();
+    if let Err(fault) = process.memory.reserve(reservation, time).await {
         let what = format!("{} at {}: {fault}", reservation.ticket, reservation.upstream);
         log::event(&process.log, Event::RenewalFailed, what);
         tokio::time::sleep(AGAIN).await;
         // The last try within the hold; without it the engine cuts the request, which is seen.
-        let _ = process.memory.reserve(reservation, HOLD).await;
+        let _ = process.memory.reserve(reservation, time).await;
     }
 }
 
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -79,6 +79,7 @@
             hall: self.process.peers.in_cells().then_some(self.process.member.hall.as_str()),
             avoid,
             held: self.held(),
+            hold_limit: self.process.config.fleet.held_silence(),
         }
     }
 }
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -60,6 +60,13 @@
     pub writing: bool,
 }
 
+impl Flight {
+    /// Whether other upstreams hold memory for it.
+    pub fn holds_memory(&self) -> bool {
+        self.helpers.iter().any(|helping| helping.held > 0)
+    }
+}
+
 /// A flight as peers are told of it: ids as short tags, and no helpers once they have read.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Told {
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -51,6 +51,8 @@
     pub avoid: &'a [id::Upstream],
     /// How long ago the request arrived.
     pub held: Duration,
+    /// How long a first event may take for which several engines hold memory.
+    pub hold_limit: Duration,
 }
 
 /// A place.
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -53,6 +53,9 @@
 /// The part of the engines that stay empty beside a prompt whose answer will be late.
 const KEPT_EMPTY: f64 = 0.25;
 
+/// The part of the time for a first event whose prompt several engines hold that may be predicted.
+const HOLD_MARGIN: f64 = 0.85;
+
 /// How much sooner an engine with short answers has to be free to read a part: its passes get
 /// longer by the part, and short prompts that come in wait for it.
 const BRISK_APART_MS: f64 = 80.0;
@@ -225,6 +228,10 @@
     let ahead = ahead.fold(read_ms(main, engine), f64::max);
     let pass = forecast::pass_ms(engine, main.load.writers + 1, main.load.memory);
     let predicted_ms = ahead + part_ms + pass;
+    let hold_limit_ms = ask.hold_limit.as_secs_f64() * 1e3 * HOLD_MARGIN;
+    if !holders.is_empty() && predicted_ms > hold_limit_ms {
+        return None;
+    }
     let brisk = main.is_brisk() || helpers.iter().any(|(c, _)| c.is_brisk());
     let cost_ms = if brisk { predicted_ms + BRISK_APART_MS } else { predicted_ms };
     Some(Group { main, helpers, part_ms, predicted_ms, cost_ms })
