--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -50,11 +50,8 @@
 /// 10 s, of which it has used a part by then.
 const SLOW_PART_MS: f64 = 3_000.0;
 
-/// The part of the engines that stay empty beside a prompt that is read in long parts.
-const KEPT_EMPTY: f64 = 0.2;
-
-/// The part of what is left of its objective in which such a prompt has to be read by prediction.
-const IN_TIME: f64 = 0.85;
+/// The part of the engines that stay empty beside a prompt whose answer will be late.
+const KEPT_EMPTY: f64 = 0.25;
 
 /// The part of the time for a first event whose prompt several engines hold that may be predicted.
 const HOLD_MARGIN: f64 = 0.85;
@@ -105,7 +102,7 @@
         light(ask, engine, candidates, read, open)
     } else {
         heavy(ask, engine, &candidates, read, open)
-            .or_else(|| apart(ask, engine, &candidates, read, open))
+            .or_else(|| slow(ask, engine, &candidates, read, open))
     };
     place.ok_or(Nowhere::Full)
 }
@@ -145,25 +142,24 @@
         .map(|group| group.place(ask, open))
 }
 
-/// Engines with nothing else under way, which read long parts: nobody's answer pauses for them, and
-/// while enough others stay empty the rest of the fleet goes on as if they were not there. The fewest
-/// that are done in time; once that is no longer possible, the fewest whose parts are bearable.
-fn apart(
+/// A few engines with nothing else under way, which read long parts: the answer will be late, and
+/// the rest of the fleet goes on as if it were not there.
+fn slow(
     ask: &Ask<'_>,
     engine: &Engine,
     candidates: &[Candidate<'_>],
     read: f64,
     open: usize,
 ) -> Option<Place> {
+    if ask.held < ask.route.objective.mul_f64(LATE) {
+        return None;
+    }
     let empty = |c: &&Candidate<'_>| c.load.requests == 0 && c.load.helping == 0;
     let candidates: Vec<Candidate<'_>> = candidates.iter().filter(empty).cloned().collect();
     let kept = (open as f64 * KEPT_EMPTY).ceil() as usize;
     let most = candidates.len().saturating_sub(kept);
-    let in_time = ask.route.objective.saturating_sub(ask.held).mul_f64(IN_TIME);
-    let in_time_ms = in_time.as_secs_f64() * 1e3;
-    let late = ask.held >= ask.route.objective.mul_f64(LATE);
     groups(ask, engine, &candidates, read, most)
-        .find(|g| g.predicted_ms <= in_time_ms || late && g.part_ms <= SLOW_PART_MS)
+        .find(|group| group.part_ms <= SLOW_PART_MS)
         .map(|group| group.place(ask, open))
 }
 
