--- a/connection/src/beat.rs
+++ b/connection/src/beat.rs
@@ -29,18 +29,6 @@
     pub leaving: bool,
     /// Its attempts.
     pub flights: Vec<F>,
-    /// Upstreams that failed it of late; a release before this one tells none.
-    #[serde(default)]
-    pub suspects: Vec<Suspect>,
-}
-
-/// An upstream that failed the sender of late.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Suspect {
-    /// The tag of its id.
-    pub tag: u32,
-    /// The weight of its failures as they were when the beat was sent.
-    pub weight: f32,
 }
 
 /// A beat on its way to one peer.
--- a/connection/tests/beat.rs
+++ b/connection/tests/beat.rs
@@ -1,6 +1,6 @@
 //! Beats survive their encoding, and bytes that are none are refused.
 
-use foldlock_connection::beat::{self, Beat, Datagram, Suspect};
+use foldlock_connection::beat::{self, Beat, Datagram};
 use proptest::prelude::*;
 
 fn beat(flights: Vec<String>) -> Beat<String> {
@@ -14,7 +14,6 @@
         digest: u64::MAX,
         leaving: false,
         flights,
-        suspects: vec![Suspect { tag: 5, weight: 1.5 }],
     }
 }
 
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -206,12 +206,7 @@
             let culprit = D::culprit(&head.headers)
                 .and_then(|name| job.process.board.lock().unwrap().find(name));
             let at_fault = culprit.as_ref().unwrap_or(upstream);
-            let failure = if at_fault == upstream {
-                suspicion::Failure::Full
-            } else {
-                suspicion::Failure::Blamed
-            };
-            note(job, at_fault, failure);
+            note(job, at_fault, suspicion::Failure::Full);
             End::NotRun(format!("it refused with {status}; at fault is {at_fault}"))
         }
         Verdict::Ran | Verdict::Foreign => {
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use foldlock_connection::beat::{self, Beat, Datagram, Suspect};
+use foldlock_connection::beat::{self, Beat, Datagram};
 use foldlock_request::board::Told;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Directory, Member};
@@ -250,7 +250,6 @@
         at: process.at.load(Ordering::Relaxed),
         digest,
         flights: board.told(now),
-        suspects: board.suspects(now).map(suspect).collect(),
     };
     drop(board);
     let beat = beat::encode(&beat);
@@ -267,10 +266,6 @@
     process.metrics.beats.inc_by(known.len() as u64);
 }
 
-fn suspect((tag, weight): (u32, f64)) -> Suspect {
-    Suspect { tag, weight: weight as f32 }
-}
-
 fn hear<D: Dialect, R: Directory>(process: &Arc<Process<D>>, bytes: &[u8], directory: &R) {
     let (datagram, beat) = match Datagram::read::<Told>(bytes) {
         Ok(read) => read,
@@ -296,11 +291,7 @@
         confirm(process, &beat, datagram.echo);
     }
     catch_up::start(process, directory);
-    let suspects = beat.suspects.iter().map(|s| (s.tag, f64::from(s.weight)));
-    let mut board = process.board.lock().unwrap();
-    board.hear_suspects(beat.vm.clone(), suspects);
-    board.hear(beat.vm, beat.flights, now);
-    drop(board);
+    process.board.lock().unwrap().hear(beat.vm, beat.flights, now);
     process.moved.notify_waiters();
 }
 
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::suspicion::{self, Suspicion};
+use crate::suspicion::Suspicion;
 
 /// Ended upstreams that are remembered: each start of an upstream has an id of its own, and no
 /// message is on its way for as long as this many upstreams take to end.
@@ -134,7 +134,6 @@
     tags: HashMap<u32, id::Upstream>,
     own: HashMap<u64, Tracked>,
     peers: HashMap<id::Vm, Vec<Tracked>>,
-    suspected: HashMap<id::Vm, Vec<(id::Upstream, f64)>>,
     next: u64,
 }
 
@@ -309,35 +308,6 @@
     /// A peer is no longer heard: what it had under way ends with it.
     pub fn peer_lost(&mut self, vm: &id::Vm) {
         self.peers.remove(vm);
-        self.suspected.remove(vm);
-    }
-
-    /// The tags of the upstreams that failed this VM of late, with the weight of their failures.
-    pub fn suspects(&self, now: Instant) -> impl Iterator<Item = (u32, f64)> {
-        let weights = self.upstreams.iter().map(move |(id, u)| (tag(id), u.suspicion.weight(now)));
-        weights.filter(|(_, weight)| *weight >= suspicion::TOLD)
-    }
-
-    /// Takes the upstreams that failed a peer of late. One that suspects a large part of them has
-    /// itself to blame, and is not believed.
-    pub fn hear_suspects(&mut self, vm: id::Vm, told: impl Iterator<Item = (u32, f64)>) {
-        let known = |(tag, weight): (u32, f64)| Some((self.tags.get(&tag)?.clone(), weight));
-        let suspected: Vec<(id::Upstream, f64)> = told.filter_map(known).collect();
-        let most = self.upstreams.len() as f64 * suspicion::NOT_BELIEVED;
-        if suspected.is_empty() || suspected.len() as f64 > most {
-            self.suspected.remove(&vm);
-        } else {
-            self.suspected.insert(vm, suspected);
-        }
-    }
-
-    /// What the failures that peers told of weigh, by upstream.
-    pub fn hearsay(&self) -> HashMap<&id::Upstream, f64> {
-        let mut weights: HashMap<&id::Upstream, f64> = HashMap::new();
-        for (upstream, weight) in self.suspected.values().flatten() {
-            *weights.entry(upstream).or_default() += weight * suspicion::HEARSAY;
-        }
-        weights
     }
 
     /// The load of each upstream with any.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -161,13 +161,11 @@
     let mut loads: HashMap<&id::Upstream, Load> = board.loads(now);
     let open: Vec<&Upstream> =
         board.open(ask.service).filter(|u| !ask.avoid.contains(&u.listed.id)).collect();
-    let hearsay = board.hearsay();
-    let avoided = |u: &Upstream| {
-        let told = hearsay.get(&u.listed.id).copied().unwrap_or_default();
-        u.suspicion.avoided(told, now)
-    };
-    let trusted: Vec<&Upstream> =
-        open.iter().copied().filter(|u| u.unlisted.is_none() && !avoided(u)).collect();
+    let trusted: Vec<&Upstream> = open
+        .iter()
+        .copied()
+        .filter(|u| u.unlisted.is_none() && !u.suspicion.avoided(now))
+        .collect();
     let chosen = if trusted.is_empty() { open } else { trusted };
     let candidate = |upstream: &'a Upstream| Candidate {
         upstream,
--- a/request/src/suspicion.rs
+++ b/request/src/suspicion.rs
@@ -9,17 +9,6 @@
 /// From this weight on an upstream is avoided while there are others.
 const AVOIDED: f64 = 1.5;
 
-/// The weight from which on peers are told: one refusal for want of room is no news.
-pub const TOLD: f64 = 1.0;
-
-/// What another VM's failures count against one's own: an upstream that fell silent to one VM is
-/// avoided by the others after one small failure of their own, or once a second VM tells the same.
-pub const HEARSAY: f64 = 0.4;
-
-/// The part of all upstreams from which on a VM that suspects so many is not believed: rather its own
-/// links are at fault.
-pub const NOT_BELIEVED: f64 = 0.34;
-
 /// The most weight that failures add up to: an upstream is tried again about 5 s after its last
 /// failure.
 const MOST: f64 = 6.0;
@@ -29,8 +18,6 @@
 pub enum Failure {
     /// It cannot be reached, or fell silent.
     Silent,
-    /// Another upstream, which it was to help, named it as the one at fault.
-    Blamed,
     /// It broke off or sent what is no answer.
     Broken,
     /// It had no room.
@@ -43,7 +30,6 @@
     fn weight(self) -> f64 {
         match self {
             Failure::Silent => 3.0,
-            Failure::Blamed => 1.5,
             Failure::Broken => 1.0,
             Failure::Full => 0.7,
             Failure::Own => 0.4,
@@ -78,8 +64,8 @@
         self.at = Some(now);
     }
 
-    /// Whether others are to be preferred, with what other VMs tell of it.
-    pub fn avoided(&self, told: f64, now: Instant) -> bool {
-        self.weight(now) + told >= AVOIDED
+    /// Whether others are to be preferred.
+    pub fn avoided(&self, now: Instant) -> bool {
+        self.weight(now) >= AVOIDED
     }
 }
--- a/request/tests/board.rs
+++ b/request/tests/board.rs
@@ -191,7 +191,7 @@
     board.list(listed(1));
     let avoided = |board: &Board, ms: u64| {
         let at = now + Duration::from_millis(ms);
-        board.get(&upstream(1)).unwrap().suspicion.avoided(0.0, at)
+        board.get(&upstream(1)).unwrap().suspicion.avoided(at)
     };
     board.get_mut(&upstream(1)).unwrap().suspicion.failed(Failure::Full, now);
     assert!(!avoided(&board, 0), "one refusal is no sign");
@@ -203,57 +203,6 @@
     assert!(!avoided(&board, 0));
 }
 
-/// Boards of `count` VMs that know the same ten upstreams.
-fn boards(count: usize) -> Vec<Board> {
-    let mut boards: Vec<Board> = (0..count).map(|_| Board::default()).collect();
-    for board in &mut boards {
-        (0..10).for_each(|i| assert!(board.list(listed(i))));
-    }
-    boards
-}
-
-/// Lets the first board hear what the others suspect.
-fn tell_first(boards: &mut [Board], now: Instant) {
-    let (first, others) = boards.split_first_mut().unwrap();
-    for (i, other) in others.iter().enumerate() {
-        first.hear_suspects(vm(i + 1), other.suspects(now));
-    }
-}
-
-#[test]
-fn an_upstream_that_fell_silent_to_two_vms_is_avoided_by_a_third() {
-    let (mut boards, now) = (boards(3), Instant::now());
-    let avoided = |boards: &[Board], at: Instant| {
-        let told = boards[0].hearsay().get(&upstream(1)).copied().unwrap_or_default();
-        boards[0].get(&upstream(1)).unwrap().suspicion.avoided(told, at)
-    };
-    boards[1].get_mut(&upstream(1)).unwrap().suspicion.failed(Failure::Silent, now);
-    tell_first(&mut boards, now);
-    assert!(!avoided(&boards, now), "one VM's word alone");
-    boards[2].get_mut(&upstream(1)).unwrap().suspicion.failed(Failure::Silent, now);
-    tell_first(&mut boards, now);
-    assert!(avoided(&boards, now));
-    let later = now + Duration::from_secs(3);
-    tell_first(&mut boards, later);
-    assert!(!avoided(&boards, later), "as their suspicion fades, so does what they tell");
-    tell_first(&mut boards, now);
-    boards[0].peer_lost(&vm(1));
-    assert!(!avoided(&boards, now), "nobody is believed who is not heard");
-}
-
-#[test]
-fn a_vm_that_suspects_most_upstreams_is_not_believed() {
-    let (mut boards, now) = (boards(2), Instant::now());
-    for i in 0..3 {
-        boards[1].get_mut(&upstream(i)).unwrap().suspicion.failed(Failure::Silent, now);
-    }
-    tell_first(&mut boards, now);
-    assert_eq!(boards[0].hearsay().len(), 3);
-    boards[1].get_mut(&upstream(3)).unwrap().suspicion.failed(Failure::Silent, now);
-    tell_first(&mut boards, now);
-    assert!(boards[0].hearsay().is_empty(), "its own links are at fault");
-}
-
 #[derive(Debug, Clone)]
 enum Step {
     Enter { upstream: usize, helper: usize, held: u64 },
