--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -38,6 +38,16 @@
 }
 
 impl Fault {
+    /// Draws planned work: with nothing else going on, it may lose no request.
+    pub(crate) fn draw_planned(draw: &mut StdRng, world: &World) -> Fault {
+        let vm = draw.random_range(0..world.vms.len());
+        match draw.random_range(0..4) {
+            0 => Fault::Reload(vm),
+            1 => Fault::Forget,
+            _ => Fault::Stop(vm),
+        }
+    }
+
     /// Draws a fault.
     pub(crate) fn draw(draw: &mut StdRng, world: &World) -> Fault {
         let vm = draw.random_range(0..world.vms.len());
@@ -69,12 +79,13 @@
     [Mood::Busy, Mood::Silent, Mood::LosesAnswers, Mood::Slow(delay)][draw.random_range(0..4)]
 }
 
-/// Plays faults for so long, and returns once the last one has ended.
-pub(crate) async fn play(world: &Arc<World>, draw: &mut StdRng, time: Duration) {
+/// Plays faults for so long, or planned work alone, and returns once the last one has ended.
+pub(crate) async fn play(world: &Arc<World>, draw: &mut StdRng, time: Duration, planned: bool) {
     let until = Instant::now() + time;
     let mut playing = JoinSet::new();
     while Instant::now() < until {
-        let fault = Fault::draw(draw, world);
+        let fault =
+            if planned { Fault::draw_planned(draw, world) } else { Fault::draw(draw, world) };
         println!("{:?} {fault:?}", until.saturating_duration_since(Instant::now()));
         playing.spawn(one(world.clone(), fault));
         let pause = Duration::from_millis(draw.random_range(50..900));
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -24,6 +24,7 @@
 use std::time::{Duration, Instant};
 
 use caller::{Asked, Connection, Kind, Sent};
+use foldlock_platform_standin::settings::{self, Route};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -35,7 +36,10 @@
 const REGRESSIONS: [u64; 0] = [];
 
 /// Seeds that CI plays.
-const SHORT: [u64; 2] = [1, 2];
+const SHORT: [u64; 2] = [1, 4];
+
+/// Of so many seeds, one plays planned work alone.
+const PLANNED: u64 = 4;
 
 /// How long faults come in CI.
 const SHORT_TIME: Duration = Duration::from_secs(10);
@@ -64,11 +68,11 @@
 /// How often a condition is looked at.
 const LOOK: Duration = Duration::from_millis(20);
 
-fn settings(version: u64) -> Value {
-    let route = |path: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        json!({"Name": path, "Host": "a.example", "PathPrefix": format!("/{path}/"), "Kind": kind,
-               "TimeoutMs": 8000, "SloMs": 500, "Service": service, "MaxAttempts": attempts,
-               "Resumable": resumable, "gap_aim_ms": 250})
+fn desired(version: u64) -> Value {
+    let route = |path, kind, service, attempts, resumable| {
+        let route =
+            Route { path, kind, service, attempts, resumable, objective_ms: 500, pause_ms: 250 };
+        route.encode()
     };
     let mut routes = vec![
         route("safe", "safe", "plain", 2, false),
@@ -84,18 +88,8 @@
         organisations.push(json!({"Name": "gone", "ApiKeys": [REVOKED], "Priority": 1}));
     }
     json!({
-        "Version": version,
-        "Routes": routes,
-        "Services": [
-            {"Name": "plain", "MaxConns": 96},
-            {"Name": "model", "MaxConns": 264, "Engine": {
-                "Slots": 16, "KvCapacity": 20000, "stride": 43, "step_ms": 1.02, "chunk": 2048,
-                "per_seq_ms": 0.00226, "context_per_k": 0.00431, "read_per_s": 206000.0,
-                "pairs_per_m": 0.138, "usual": {"prompt": 1000, "answer": 100}}},
-        ],
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4096, "HeaderTimeoutMs": 3000,
-                   "IdleTimeoutMs": 9000},
-        "Tenants": organisations,
+        "Version": version, "Routes": routes, "Services": settings::services(),
+        "Limits": settings::limits(), "Tenants": organisations,
     })
 }
 
@@ -108,7 +102,7 @@
 /// One run: what was broken, and how many requests were served well.
 async fn run(seed: u64, time: Duration) -> (Vec<String>, usize) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
-    let world = World::start(folder.clone(), &settings(1)).await;
+    let world = World::start(folder.clone(), &desired(1)).await;
     serves_again(&world).await;
     let stop = CancellationToken::new();
     let mut callers = Vec::new();
@@ -126,7 +120,7 @@
     }
     let changes = tokio::spawn(change(world.clone(), time));
     let mut draw = StdRng::seed_from_u64(seed);
-    fault::play(&world, &mut draw, time).await;
+    fault::play(&world, &mut draw, time, seed.is_multiple_of(PLANNED)).await;
     let taken = changes.await.unwrap();
     serves_again(&world).await;
     stop.cancel();
@@ -147,10 +141,10 @@
 /// Takes a key away, then adds a route and asks each VM for it. Gives when the key was taken away.
 async fn change(world: Arc<World>, time: Duration) -> Instant {
     tokio::time::sleep(time / 5).await;
-    world.store.put("op/config", &settings(TAKEN));
+    world.store.put("op/config", &desired(TAKEN));
     let taken = Instant::now();
     tokio::time::sleep(time / 5).await;
-    world.store.put("op/config", &settings(ADDED));
+    world.store.put("op/config", &desired(ADDED));
     let added = Instant::now();
     let mut served = [0; VMS];
     while added.elapsed() < time * 2 / 5 {
