--- a/daemon/src/fleet/config.rs
+++ b/daemon/src/fleet/config.rs
@@ -37,6 +37,7 @@
     pub repeat_window_ms: u64,
 }
 
+/// Where the configuration does not say: what both of the users' sites state.
 fn usual_memory_release_ms() -> u64 {
     4_000
 }
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -78,7 +78,7 @@
             memory: self.terms.prompt + most,
             hall: self.process.peers.in_cells().then_some(self.process.member.hall.as_str()),
             avoid,
-            held: self.held(),
+            waited: self.held(),
             hold_limit: self.process.config.fleet.held_silence(),
         }
     }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -50,7 +50,7 @@
     /// Upstreams that failed this request.
     pub avoid: &'a [id::Upstream],
     /// How long ago the request arrived.
-    pub held: Duration,
+    pub waited: Duration,
     /// How long a first event may take for which several engines hold memory.
     pub hold_limit: Duration,
 }
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -115,8 +115,8 @@
     read: f64,
     open: usize,
 ) -> Option<Place> {
-    let held_ms = ask.held.as_secs_f64() * 1e3;
-    let ahead_ms = FREE_MS.max(held_ms * AGING);
+    let waited_ms = ask.waited.as_secs_f64() * 1e3;
+    let ahead_ms = FREE_MS.max(waited_ms * AGING);
     candidates.retain(|c| c.load.backlog_ms <= ahead_ms);
     groups(ask, engine, &candidates, read, MOST_HELPERS + 1)
         .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
@@ -151,7 +151,7 @@
     read: f64,
     open: usize,
 ) -> Option<Place> {
-    if ask.held < ask.route.objective.mul_f64(LATE) {
+    if ask.waited < ask.route.objective.mul_f64(LATE) {
         return None;
     }
     let empty = |c: &&Candidate<'_>| c.load.requests == 0 && c.load.helping == 0;
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -76,7 +76,7 @@
         memory: Tokens(tokens + 1_000),
         hall: None,
         avoid: &[],
-        held: Duration::ZERO,
+        waited: Duration::ZERO,
         hold_limit: Duration::from_millis(2_400),
     }
 }
@@ -184,7 +184,7 @@
     enter(&mut board, &ask(&long, 133_000), now).unwrap();
     let second = ask(&long, 100_000);
     assert_eq!(place(&board, &second, now).unwrap_err(), Nowhere::Full);
-    let aged = Ask { held: Duration::from_secs(6), ..second.clone() };
+    let aged = Ask { waited: Duration::from_secs(6), ..second.clone() };
     assert!(place(&board, &aged, now).is_ok(), "behind 500 ms rather than never");
     assert!(place(&board, &second, now + Duration::from_millis(600)).is_ok(), "read by then");
 }
@@ -199,7 +199,7 @@
     }
     let heavy = ask(&long, 220_000);
     assert_eq!(place(&board, &heavy, now).unwrap_err(), Nowhere::Full);
-    let late = Ask { held: Duration::from_millis(1_600), ..heavy };
+    let late = Ask { waited: Duration::from_millis(1_600), ..heavy };
     let placed = place(&board, &late, now).unwrap();
     assert_eq!(placed.flight.helpers.len(), 1, "a quarter of the engines stay empty");
     assert!(placed.predicted_ms < 3_000.0, "{}", placed.predicted_ms);
@@ -213,7 +213,7 @@
         let placed = place(&board, &ask(&short, 5_000), now).unwrap();
         board.enter(Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
     }
-    let late = Ask { held: Duration::from_millis(1_600), ..ask(&long, 300_000) };
+    let late = Ask { waited: Duration::from_millis(1_600), ..ask(&long, 300_000) };
     assert_eq!(place(&board, &late, now).unwrap_err(), Nowhere::Full, "2.6 s on three engines");
     let patient = Ask { hold_limit: Duration::from_secs(5), ..late };
     assert!(place(&board, &patient, now).unwrap().flight.holds_memory());
