--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -79,6 +79,10 @@
     RenewalFailed = 405, Warning;
     /// Memory that is set aside at an engine could not be given back; it lapses by itself.
     ReleaseFailed = 406, Warning;
+    /// An engine works slower than its figures say, or no longer does.
+    UpstreamPace = 407, Info;
+    /// An engine answered what is no report; what was known of it stays.
+    ReportUnreadable = 408, Warning;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request waits.
--- a/connection/src/beat.rs
+++ b/connection/src/beat.rs
@@ -8,9 +8,10 @@
 /// The longest message, bytes: what one UDP datagram holds.
 pub const MOST: usize = 60_000;
 
-/// What a VM tells all its peers; `F` is an attempt under way.
+/// What a VM tells all its peers; `F` is an attempt under way, `W` a prompt
+/// that waits, `R` a report of an engine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Beat<F> {
+pub struct Beat<F, W, R> {
     /// The sender.
     pub vm: id::Vm,
     /// The start of its process.
@@ -29,6 +30,10 @@
     pub leaving: bool,
     /// Its attempts.
     pub flights: Vec<F>,
+    /// The long prompts that wait at it.
+    pub waiting: Vec<W>,
+    /// The reports that it has of engines.
+    pub reports: Vec<R>,
 }
 
 /// A beat on its way to one peer.
@@ -44,7 +49,12 @@
 }
 
 /// Encodes a beat once for all peers.
-pub fn encode<F: Serialize>(beat: &Beat<F>) -> Vec<u8> {
+pub fn encode<F, W, R>(beat: &Beat<F, W, R>) -> Vec<u8>
+where
+    F: Serialize,
+    W: Serialize,
+    R: Serialize,
+{
     rmp_serde::to_vec(beat).expect("plain data")
 }
 
@@ -55,9 +65,14 @@
     }
 
     /// Reads a datagram with its beat.
-    pub fn read<F: for<'de> Deserialize<'de>>(
+    pub fn read<F, W, R>(
         bytes: &[u8],
-    ) -> Result<(Datagram, Beat<F>), rmp_serde::decode::Error> {
+    ) -> Result<(Datagram, Beat<F, W, R>), rmp_serde::decode::Error>
+    where
+        F: for<'de> Deserialize<'de>,
+        W: for<'de> Deserialize<'de>,
+        R: for<'de> Deserialize<'de>,
+    {
         let datagram: Datagram = rmp_serde::from_slice(bytes)?;
         let beat = rmp_serde::from_slice(&datagram.beat)?;
         Ok((datagram, beat))
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod process;
 pub mod record;
+pub mod reports;
 pub mod serve;
 pub mod source;
 pub mod stop;
@@ -86,6 +87,7 @@
     tokio::spawn(follow::run(process.clone(), directory.clone()));
     tokio::spawn(follow::announce(process.clone(), directory));
     tokio::spawn(process::sweep(process.clone()));
+    tokio::spawn(reports::run(process.clone()));
     let what = format!("incarnation {}, listen {}", process.member.incarnation, fleet.peers);
     log::event(&process.log, Event::Started, what);
     Ok(process)
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -6,10 +6,10 @@
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::placement::Ask;
+use foldlock_request::placement::{self, Ask};
 use foldlock_request::ring::Entry;
 use foldlock_request::terms::Terms;
-use foldlock_version::routes::{Organisation, Repeat, Route, Service, Shape};
+use foldlock_version::routes::{Engine, Organisation, Repeat, Route, Service, Shape};
 
 use crate::fleet::process::Process;
 
@@ -65,20 +65,30 @@
         }
     }
 
-    /// What is asked of the upstreams.
-    pub fn ask<'a>(&'a self, avoid: &'a [id::Upstream]) -> Ask<'a> {
-        // A caller who tells no limit gets what answers usually take.
+    /// Milliseconds of reading on one engine, if this is a long prompt.
+    pub fn long_read_ms(&self, engine: &Engine) -> Option<f64> {
+        placement::long_read_ms(engine, &self.route, self.terms.prompt, self.memory())
+    }
+
+    /// Memory for prompt and answer. A caller who tells no limit gets what answers usually take.
+    fn memory(&self) -> Tokens {
         let usual = self.service.engine.as_ref().map_or(Tokens(0), |engine| engine.usual_answer);
         let most = if self.terms.most.0 > 0 { self.terms.most } else { usual };
+        self.terms.prompt + most
+    }
+
+    /// What is asked of the upstreams.
+    pub fn ask<'a>(&'a self, avoid: &'a [id::Upstream], turn: Option<u64>) -> Ask<'a> {
         Ask {
             service: &self.service.name,
             engine: self.service.engine.as_ref(),
             route: &self.route,
             prompt: self.terms.prompt,
-            memory: self.terms.prompt + most,
+            memory: self.memory(),
             hall: self.process.peers.in_cells().then_some(self.process.member.hall.as_str()),
             avoid,
             waited: self.held(),
+            turn,
             hold_limit: self.process.config.fleet.held_silence(),
         }
     }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -47,6 +47,10 @@
     pub directory_failures: Counter,
     /// Messages sent to peers.
     pub beats: Counter,
+    /// Reports asked for at engines.
+    pub reports: Counter,
+    /// Long prompts that wait, of all VMs as far as known.
+    pub line: Gauge,
     /// The settings version in force.
     pub version: Gauge,
     /// The age of the settings, ms.
@@ -72,6 +76,8 @@
             directory_calls: Counter::default(),
             directory_failures: Counter::default(),
             beats: Counter::default(),
+            reports: Counter::default(),
+            line: Gauge::default(),
             version: Gauge::default(),
             age_ms: Gauge::default(),
             flights: Gauge::default(),
@@ -95,6 +101,8 @@
         r.register("directory_calls", "Calls to the directory", self.directory_calls.clone());
         r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
         r.register("peer_messages", "Messages sent to peers", self.beats.clone());
+        r.register("engine_reports", "Reports asked for at engines", self.reports.clone());
+        r.register("long_prompts_waiting", "Long prompts that wait", self.line.clone());
         r.register("settings_version", "The settings version in force", self.version.clone());
         r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
         r.register("attempts", "Attempts under way", self.flights.clone());
@@ -126,7 +134,10 @@
         let now = process.now();
         let age = process.fresh.age(now).map_or(-1, |age| age.as_millis() as i64);
         self.age_ms.set(age);
-        self.flights.set(process.board.lock().unwrap().own().count() as i64);
+        let board = process.board.lock().unwrap();
+        self.flights.set(board.own().count() as i64);
+        self.line.set(board.all_waiting(now).count() as i64);
+        drop(board);
         self.peers.set(process.peers.heard(now).len() as i64);
     }
 
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -134,7 +134,7 @@
 fn dump<D: Dialect>(process: &Process<D>) -> serde_json::Value {
     let now = process.now();
     let board = process.board.lock().unwrap();
-    let loads = board.loads(now);
+    let loads = board.loads(None, now);
     let upstreams: Vec<_> = board
         .ids()
         .filter_map(|id| board.get(id))
@@ -145,6 +145,7 @@
                 "leaving": u.listed.leaving || u.told_leaving,
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.writers, "memory": load.memory, "backlog_ms": load.backlog_ms,
+                "pace": u.pace(now), "silent": u.silent(now),
             })
         })
         .collect();
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -11,6 +11,7 @@
 use foldlock_request::board::Told;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Directory, Member};
+use foldlock_request::{line, report};
 use rand::seq::IndexedRandom;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -250,6 +251,8 @@
         at: process.at.load(Ordering::Relaxed),
         digest,
         flights: board.told(now),
+        waiting: board.told_waiting(now),
+        reports: board.told_reports(now),
     };
     drop(board);
     let beat = beat::encode(&beat);
@@ -267,7 +270,7 @@
 }
 
 fn hear<D: Dialect, R: Directory>(process: &Arc<Process<D>>, bytes: &[u8], directory: &R) {
-    let (datagram, beat) = match Datagram::read::<Told>(bytes) {
+    let (datagram, beat) = match Datagram::read::<Told, line::Told, report::Told>(bytes) {
         Ok(read) => read,
         Err(e) => {
             log::event(&process.log, Event::BeatUnreadable, e);
@@ -291,13 +294,21 @@
         confirm(process, &beat, datagram.echo);
     }
     catch_up::start(process, directory);
-    process.board.lock().unwrap().hear(beat.vm, beat.flights, now);
+    let mut board = process.board.lock().unwrap();
+    board.hear_waiting(beat.vm.clone(), &beat.waiting, now);
+    board.hear_reports(&beat.reports, now);
+    board.hear(beat.vm, beat.flights, now);
+    drop(board);
     process.moved.notify_waiters();
 }
 
 /// The peer knew our version to be the newest `age` before it sent this beat, which was after we
 /// sent the stamp that it echoes.
-fn confirm<D: Dialect>(process: &Process<D>, beat: &Beat<Told>, echo: Option<u64>) {
+fn confirm<D: Dialect>(
+    process: &Process<D>,
+    beat: &Beat<Told, line::Told, report::Told>,
+    echo: Option<u64>,
+) {
     let (Some(echo), Some(age_ms)) = (echo, beat.age_ms) else { return };
     if beat.version != process.version() || beat.version == 0 {
         return;
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -72,6 +72,8 @@
     pub pool: Pool,
     /// The engines' memory.
     pub memory: D::Memory,
+    /// The engines' reports.
+    pub reports: D::Reports,
     /// The settings as peers read them.
     pub packed: Kept,
     /// The other VMs.
@@ -124,6 +126,7 @@
             budget: Mutex::new(Budget::new(config.fleet.budget())),
             pool: Pool::default(),
             memory: D::Memory::default(),
+            reports: D::Reports::default(),
             packed: Kept::default(),
             peers: Peers::new(clock.now()),
             at: AtomicU64::new(0),
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -138,6 +138,8 @@
         upstream: flight.engine.clone(),
         route: Some(job.policy.route),
         predicted_ms: flight.predicted * 1e3,
+        engines: 1,
+        part_ms: 0.0,
         seen: flight.seen.clone(),
         peers_age_ms: None,
     });
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -189,6 +189,8 @@
                     upstream: flight.server.clone(),
                     route: None,
                     predicted_ms: 0.0,
+                    engines: 1,
+                    part_ms: 0.0,
                     seen: Vec::new(),
                     peers_age_ms: None,
                 },
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -8,9 +8,13 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
+use foldlock_version::routes::Engine;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::forecast;
+use crate::line::{self, Waiting};
+use crate::report::{self, Observed};
 use crate::suspicion::Suspicion;
 
 /// Ended upstreams that are remembered: each start of an upstream has an id of its own, and no
@@ -58,6 +62,26 @@
     pub pause_ms: u32,
     /// Whether its first event has come.
     pub writing: bool,
+    /// Whether its prompt is a long one.
+    pub long: bool,
+}
+
+/// How long a report counts: an engine that is asked no more is taken for sound again.
+const REPORT_LASTS: Duration = Duration::from_millis(2_500);
+
+impl Upstream {
+    /// How many times longer its work takes than its figures say, as far as is known.
+    pub fn pace(&self, now: Instant) -> f64 {
+        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
+        let report = self.observed.filter(fresh).and_then(|o| o.report);
+        report.map_or(1.0, |report| report.pace.max(1.0))
+    }
+
+    /// Whether it did not answer when it was last asked for a report.
+    pub fn silent(&self, now: Instant) -> bool {
+        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
+        self.observed.is_some_and(|o| o.report.is_none() && fresh(&o))
+    }
 }
 
 impl Flight {
@@ -76,6 +100,7 @@
     memory: u64,
     pause_ms: u32,
     writing: bool,
+    long: bool,
     age_ms: u32,
 }
 
@@ -85,6 +110,11 @@
     xxh3_64(id.as_str().as_bytes()) as u32
 }
 
+/// The tag of a service, by which VMs name it to each other.
+pub fn service_tag(service: &str) -> u32 {
+    xxh3_64(service.as_bytes()) as u32
+}
+
 /// A flight with the time at which it was sent, by this process's clock.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Tracked {
@@ -103,6 +133,10 @@
     pub told_leaving: bool,
     /// Failures of late.
     pub suspicion: Suspicion,
+    /// The newest report, of this VM or a peer.
+    pub observed: Option<Observed>,
+    /// Whether this VM asked for it.
+    pub asked: bool,
     /// When its listing ended while the directory was away; it may still live.
     pub unlisted: Option<Instant>,
 }
@@ -126,6 +160,17 @@
     pub longest_ms: f64,
 }
 
+/// How long a peer's word of what waits there counts: two of its idle beats and some. A VM that is
+/// frozen or cut off holds up the line of the others no longer.
+const WAITING_LASTS: Duration = Duration::from_millis(900);
+
+/// The long prompts that wait at a peer, and when it told of them.
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    waiting: Vec<Waiting>,
+}
+
 /// The board.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -134,6 +179,8 @@
     tags: HashMap<u32, id::Upstream>,
     own: HashMap<u64, Tracked>,
     peers: HashMap<id::Vm, Vec<Tracked>>,
+    waiting: HashMap<u64, Waiting>,
+    peers_waiting: HashMap<id::Vm, Heard>,
     next: u64,
 }
 
@@ -154,6 +201,8 @@
                     listed,
                     told_leaving: false,
                     suspicion: Suspicion::default(),
+                    observed: None,
+                    asked: false,
                     unlisted: None,
                 };
                 self.upstreams.insert(id, upstream);
@@ -295,6 +344,7 @@
             memory: told.memory,
             pause_ms: told.pause_ms,
             writing: told.writing,
+            long: told.long,
         };
         let age = Duration::from_millis(u64::from(told.age_ms));
         Some(Tracked { flight, sent: now.checked_sub(age).unwrap_or(now) })
@@ -305,15 +355,96 @@
         self.peers.insert(vm, flights);
     }
 
+    /// This VM asked an engine for its report. Answers what was known before.
+    pub fn observe(&mut self, id: &id::Upstream, observed: Observed) -> Option<Observed> {
+        let upstream = self.upstreams.get_mut(id)?;
+        upstream.asked = true;
+        upstream.observed.replace(observed)
+    }
+
+    /// The reports that this VM asked for, as peers are told of them.
+    pub fn told_reports(&self, now: Instant) -> Vec<report::Told> {
+        let asked = self.upstreams.values().filter(|u| u.asked);
+        asked.filter_map(|u| u.observed.map(|o| o.told(tag(&u.listed.id), now))).collect()
+    }
+
+    /// Takes the reports that a peer has, where they are newer.
+    pub fn hear_reports(&mut self, told: &[report::Told], now: Instant) {
+        for told in told {
+            let Some(id) = self.tags.get(&told.upstream) else { continue };
+            let Some(upstream) = self.upstreams.get_mut(id) else { continue };
+            let observed = Observed::heard(told, now);
+            if upstream.observed.is_none_or(|known| known.at < observed.at) {
+                upstream.observed = Some(observed);
+                upstream.asked = false;
+            }
+        }
+    }
+
+    /// A long prompt begins to wait here. Answers the number by which it is known.
+    pub fn wait(&mut self, waiting: Waiting) -> u64 {
+        self.next += 1;
+        self.waiting.insert(self.next, Waiting { own: Some(self.next), ..waiting });
+        self.next
+    }
+
+    /// A long prompt waits no longer.
+    pub fn waited(&mut self, number: u64) {
+        self.waiting.remove(&number);
+    }
+
+    /// The long prompts that wait here, as peers are told of them.
+    pub fn told_waiting(&self, now: Instant) -> Vec<line::Told> {
+        self.waiting.values().map(|waiting| waiting.told(now)).collect()
+    }
+
+    /// Takes all long prompts that wait at a peer.
+    pub fn hear_waiting(&mut self, vm: id::Vm, told: &[line::Told], now: Instant) {
+        let waiting = told.iter().map(|told| Waiting::heard(told, now)).collect();
+        self.peers_waiting.insert(vm, Heard { at: now, waiting });
+    }
+
+    /// All long prompts that wait for a service, in no order.
+    pub fn line(&self, service: &str, now: Instant) -> Vec<Waiting> {
+        let tag = service_tag(service);
+        self.all_waiting(now).filter(|waiting| waiting.service == tag).cloned().collect()
+    }
+
+    /// All long prompts that wait, of this VM and of the peers that were heard just now.
+    pub fn all_waiting(&self, now: Instant) -> impl Iterator<Item = &Waiting> {
+        let lasts = move |h: &&Heard| now.saturating_duration_since(h.at) < WAITING_LASTS;
+        let heard = self.peers_waiting.values().filter(lasts);
+        self.waiting.values().chain(heard.flat_map(|h| &h.waiting))
+    }
+
     /// A peer is no longer heard: what it had under way ends with it.
     pub fn peer_lost(&mut self, vm: &id::Vm) {
         self.peers.remove(vm);
+        self.peers_waiting.remove(vm);
+    }
+
+    /// The long prompts that were sent in the last `window` or wait, as the engines that their
+    /// reading keeps busy in the mean. What ended meanwhile is left out.
+    pub fn demand(&self, service: &str, engine: &Engine, window: Duration, now: Instant) -> f64 {
+        let of = |t: &&Tracked| {
+            let upstream = self.upstreams.get(&t.flight.upstream);
+            upstream.is_some_and(|u| u.listed.service == service)
+                && now.saturating_duration_since(t.sent) < window
+        };
+        let read = |t: &Tracked| {
+            let held: u64 = t.flight.helpers.iter().map(|h| h.held).sum();
+            forecast::read_ms(engine, t.flight.memory + held)
+        };
+        let tracked = self.own.values().chain(self.peers.values().flatten());
+        let sent: f64 = tracked.filter(|t| t.flight.long).filter(of).map(read).sum();
+        let waiting: f64 = self.line(service, now).iter().map(|w| w.read_ms).sum();
+        (sent + waiting) / (window.as_secs_f64() * 1e3)
     }
 
     /// The load of each upstream with any.
-    pub fn loads(&self, now: Instant) -> HashMap<&id::Upstream, Load> {
+    pub fn loads(&self, engine: Option<&Engine>, now: Instant) -> HashMap<&id::Upstream, Load> {
         let mut loads: HashMap<&id::Upstream, Load> = HashMap::new();
-        let mut reads: Vec<(Instant, &id::Upstream, f64)> = Vec::new();
+        let mut reads: Vec<Read<'_>> = Vec::new();
         for tracked in self.own.values().chain(self.peers.values().flatten()) {
             let flight = &tracked.flight;
             let part = f64::from(flight.part_ms);
@@ -329,11 +460,19 @@
             if flight.writing {
                 continue;
             }
-            reads.push((tracked.sent, &flight.upstream, part));
+            let (sent, shared) = (tracked.sent, !flight.helpers.is_empty());
+            reads.push(Read { sent, upstream: &flight.upstream, ms: part, shared });
             for helper in &flight.helpers {
                 loads.entry(&helper.upstream).or_default().helping += 1;
-                reads.push((tracked.sent, &helper.upstream, part));
+                reads.push(Read { sent, upstream: &helper.upstream, ms: part, shared });
+            }
+        }
+        for read in &mut reads {
+            let load = &loads[read.upstream];
+            if read.shared && load.writers > 0 {
+                read.ms += engine.map_or(0.0, |e| forecast::pass_ms(e, load.writers, load.memory));
             }
+            read.ms *= self.upstreams.get(read.upstream).map_or(1.0, |u| u.pace(now));
         }
         add_reads(&mut loads, reads, now);
         loads
@@ -350,19 +489,29 @@
         memory: flight.memory,
         pause_ms: flight.pause_ms,
         writing: flight.writing,
+        long: flight.long,
         age_ms: now.saturating_duration_since(tracked.sent).as_millis() as u32,
     }
 }
 
+/// A read that is under way at one upstream.
+struct Read<'a> {
+    sent: Instant,
+    upstream: &'a id::Upstream,
+    ms: f64,
+    /// Whether several upstreams read the prompt.
+    shared: bool,
+}
+
 /// Plays the reads of each upstream one after the other in the order in which they were sent.
 fn add_reads<'a>(
     loads: &mut HashMap<&'a id::Upstream, Load>,
-    mut reads: Vec<(Instant, &'a id::Upstream, f64)>,
+    mut reads: Vec<Read<'a>>,
     now: Instant,
 ) {
-    reads.sort_by_key(|(sent, ..)| *sent);
+    reads.sort_by_key(|read| read.sent);
     let mut free_at: HashMap<&id::Upstream, Instant> = HashMap::new();
-    for (sent, upstream, ms) in reads {
+    for Read { sent, upstream, ms, .. } in reads {
         let free = free_at.entry(upstream).or_insert(sent);
         *free = (*free).max(sent) + Duration::from_secs_f64(ms / 1e3);
         let Some(load) = loads.get_mut(upstream) else { continue };
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -74,6 +74,12 @@
         route: Option<Route>,
         /// The predicted time to the first token, milliseconds.
         predicted_ms: f64,
+        /// The engines that read the prompt together; 1 where it stays whole.
+        #[serde(default)]
+        engines: u32,
+        /// Milliseconds that each of them reads, 0 where nothing is known of it.
+        #[serde(default)]
+        part_ms: f64,
         /// The candidates, best first; a few of them.
         seen: Vec<Seen>,
         /// The age of what the peer that was heard longest ago told, milliseconds.
--- a/request/src/dialect.rs
+++ b/request/src/dialect.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::memory::Memory;
+use crate::report::Reports;
 use crate::terms::{Handover, Terms, Verdict};
 
 /// The words of a platform in the heads of requests and answers.
@@ -11,6 +12,9 @@
     /// The engines' memory, as it is set aside on this platform.
     type Memory: Memory + Default;
 
+    /// The engines' reports, as they are asked for on this platform.
+    type Reports: Reports + Default;
+
     /// Decodes what a caller asks for.
     fn terms(headers: &HeaderMap) -> Terms;
 
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -5,6 +5,7 @@
 //! between the two moves with the demand, and few long reads fall beside short answers.
 
 mod group;
+mod share;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -51,6 +52,8 @@
     pub avoid: &'a [id::Upstream],
     /// How long ago the request arrived.
     pub waited: Duration,
+    /// Its number in the line of long prompts; none where it does not wait in it.
+    pub turn: Option<u64>,
     /// How long a first event may take for which several engines hold memory.
     pub hold_limit: Duration,
 }
@@ -91,13 +94,15 @@
     load: Load,
     /// In another hall, from which little is heard.
     away: bool,
+    /// How many times longer its work takes than its figures say.
+    pace: f64,
 }
 
 impl Candidate<'_> {
     fn predicted_ms(&self, engine: &Engine, part_ms: f64) -> f64 {
         let writers = self.load.writers + 1;
         let pass = forecast::pass_ms(engine, writers, self.load.memory);
-        self.ahead_ms(engine) + part_ms + pass
+        self.ahead_ms(engine) + (part_ms + pass) * self.pace
     }
 
     /// What a new read waits for: reads that came before it and, where some request writes, the
@@ -106,7 +111,7 @@
         let load = &self.load;
         let pass = forecast::pass_ms(engine, load.writers, load.memory);
         let running = if load.writers > 0 { pass / 2.0 } else { 0.0 };
-        running + load.backlog_ms
+        running * self.pace + load.backlog_ms
     }
 
     /// The milliseconds of reading that one pass may hold so that no answer here pauses for too
@@ -114,7 +119,7 @@
     fn allowance_ms(&self, engine: &Engine, pause_ms: u32) -> f64 {
         let pause = self.load.pause_ms.map_or(pause_ms, |ms| ms.min(pause_ms));
         let pass = forecast::pass_ms(engine, self.load.writers + 1, self.load.memory);
-        f64::from(pause) - pass - PAUSE_MARGIN_MS
+        (f64::from(pause) - PAUSE_MARGIN_MS) / self.pace - pass
     }
 
     /// Whether an answer with short pauses is under way here.
@@ -128,6 +133,14 @@
     }
 }
 
+/// Milliseconds of reading if this is a long prompt, which waits in the line; none for others.
+pub fn long_read_ms(engine: &Engine, route: &Route, prompt: Tokens, memory: Tokens) -> Option<f64> {
+    let read = forecast::read_ms(engine, prompt.0);
+    let objective = route.objective.as_secs_f64() * 1e3;
+    let short = read <= objective * WHOLE && is_brisk(route) && memory <= engine.memory;
+    (!short).then_some(read)
+}
+
 /// Finds a place.
 pub fn place(board: &Board, ask: &Ask<'_>, now: Instant) -> Result<Place, Nowhere> {
     let candidates = candidates(board, ask, now);
@@ -135,12 +148,15 @@
         return Err(Nowhere::Closed);
     }
     let Some(engine) = ask.engine else { return plain(ask, candidates) };
-    let read = forecast::read_ms(engine, ask.prompt.0);
-    let objective = ask.route.objective.as_secs_f64() * 1e3;
-    if read <= objective * WHOLE && is_brisk(ask.route) && ask.memory <= engine.memory {
-        short(ask, engine, candidates, read, objective)
-    } else {
-        group::long(ask, engine, candidates, read)
+    match long_read_ms(engine, ask.route, ask.prompt, ask.memory) {
+        Some(read) => {
+            let line = group::Line {
+                waiting: board.line(ask.service, now),
+                demand: board.demand(ask.service, engine, group::DEMAND_WINDOW, now),
+            };
+            group::long(ask, engine, candidates, read, line, now)
+        }
+        None => short(ask, engine, candidates),
     }
 }
 
@@ -158,19 +174,20 @@
 }
 
 fn candidates<'a>(board: &'a Board, ask: &Ask<'a>, now: Instant) -> Vec<Candidate<'a>> {
-    let mut loads: HashMap<&id::Upstream, Load> = board.loads(now);
+    let mut loads: HashMap<&id::Upstream, Load> = board.loads(ask.engine, now);
     let open: Vec<&Upstream> =
         board.open(ask.service).filter(|u| !ask.avoid.contains(&u.listed.id)).collect();
     let trusted: Vec<&Upstream> = open
         .iter()
         .copied()
-        .filter(|u| u.unlisted.is_none() && !u.suspicion.avoided(now))
+        .filter(|u| u.unlisted.is_none() && !u.suspicion.avoided(now) && !u.silent(now))
         .collect();
     let chosen = if trusted.is_empty() { open } else { trusted };
     let candidate = |upstream: &'a Upstream| Candidate {
         upstream,
         load: loads.remove(&upstream.listed.id).unwrap_or_default(),
         away: ask.hall.is_some_and(|hall| upstream.listed.hall != hall),
+        pace: upstream.pace(now),
     };
     let mut candidates: Vec<Candidate<'_>> = chosen.into_iter().map(candidate).collect();
     candidates.sort_by_key(|c| c.away);
@@ -188,13 +205,9 @@
     Ok(placed(ask, &best, &[], 0.0, 0.0, open))
 }
 
-fn short(
-    ask: &Ask<'_>,
-    engine: &Engine,
-    candidates: Vec<Candidate<'_>>,
-    read: f64,
-    objective: f64,
-) -> Result<Place, Nowhere> {
+fn short(ask: &Ask<'_>, engine: &Engine, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
+    let read = forecast::read_ms(engine, ask.prompt.0);
+    let objective = ask.route.objective.as_secs_f64() * 1e3;
     let open = candidates.len();
     let memory = ask.memory.0;
     let fits = |c: &&Candidate<'_>| {
@@ -257,6 +270,7 @@
             memory: ask.memory.0.saturating_sub(held),
             pause_ms: pause_ms(ask.route),
             writing: false,
+            long: ask.turn.is_some(),
         },
         address: listed.address.clone(),
         helpers: helpers.iter().map(|(c, _)| c.upstream.listed.address.clone()).collect(),
--- /dev/null
+++ b/request/src/placement/share.rs
@@ -0,0 +1,212 @@
+//! Which engines read a long prompt, and when: in even parts, done as soon as possible.
+//!
+//! The reading is the same however many engines share it, so more of them are done sooner; but each
+//! part is read inside the passes of its engine, so engines apart from short answers come first.
+
+use std::cmp::Ordering;
+
+use foldlock_version::routes::Engine;
+
+use super::Candidate;
+use crate::forecast;
+
+/// The shortest part of a long read, milliseconds: under it the steps of each pass cost more than
+/// the split gains.
+const LEAST_PART_MS: f64 = 25.0;
+
+/// The most engines that read one prompt: the one that answers and 16 helpers, the platform's limit.
+pub(super) const MOST_ENGINES: usize = 17;
+
+/// The most reading that an engine may have ahead, milliseconds, to take a part now: under one short
+/// prompt's.
+const FREE_MS: f64 = 20.0;
+
+/// The most parts of other prompts that an engine may still have to read to take one more: it reads
+/// the newest part first, so each one that is added holds up all that came before it.
+const MOST_UNREAD: u32 = 3;
+
+/// The part of the time left for a first event within which engines apart from short answers have to
+/// be done; else the prompt is read beside them.
+const IN_TIME: f64 = 0.8;
+
+/// How much later than by waiting a prompt may be done to be placed at once, milliseconds: under one
+/// part's cost in steps.
+const WORTH_WAITING_MS: f64 = 20.0;
+
+/// How much sooner an engine without writers has to be free to be the one that answers: an engine
+/// that plays steps anyway loses nothing by one writer more, the others read faster without any.
+const WRITERS_APART_MS: f64 = 60.0;
+
+/// An engine, with what the prompts before this one in the line will read there.
+pub(super) struct Reader<'a> {
+    /// The engine and its load.
+    pub(super) candidate: Candidate<'a>,
+    /// Whether it is kept apart from short answers.
+    pub(super) apart: bool,
+    /// When it is free of all that is planned, milliseconds from now.
+    pub(super) free_ms: f64,
+    /// When the first read that is planned begins there; infinite while none is.
+    planned_ms: f64,
+    /// What the steps of its writers add to a read, milliseconds.
+    steps_ms: f64,
+}
+
+/// Engines that read one prompt in even parts.
+pub(super) struct Share {
+    /// When the last of them is done, milliseconds from now.
+    pub(super) done_ms: f64,
+    /// Milliseconds that each reads.
+    pub(super) part_ms: f64,
+    /// Their indices.
+    pub(super) engines: Vec<usize>,
+}
+
+/// A prompt to be read.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Prompt {
+    /// Milliseconds of reading on one engine.
+    pub(super) read_ms: f64,
+    /// Milliseconds left for a first event in time; negative once it is late.
+    pub(super) left_ms: f64,
+}
+
+impl<'a> Reader<'a> {
+    fn new(candidate: Candidate<'a>, engine: &Engine) -> Reader<'a> {
+        let load = &candidate.load;
+        let pass_ms = forecast::pass_ms(engine, load.writers, load.memory) * candidate.pace;
+        Reader {
+            apart: !candidate.is_brisk(),
+            free_ms: load.backlog_ms,
+            planned_ms: f64::INFINITY,
+            steps_ms: if load.writers > 0 { pass_ms } else { 0.0 },
+            candidate,
+        }
+    }
+
+    /// When it is done with a part that follows what is planned, milliseconds from now.
+    fn done_ms(&self, part_ms: f64) -> f64 {
+        self.free_ms + self.takes_ms(part_ms)
+    }
+
+    /// How long a part takes here, milliseconds.
+    fn takes_ms(&self, part_ms: f64) -> f64 {
+        part_ms * self.candidate.pace + self.steps_ms
+    }
+
+    /// Whether a part fits between the answers here.
+    fn fits(&self, engine: &Engine, part_ms: f64) -> bool {
+        self.candidate.load.helping < MOST_UNREAD
+            && part_ms <= self.candidate.allowance_ms(engine, u32::MAX)
+    }
+
+    /// Whether a part fits that begins now and ends before what is planned.
+    fn fits_now(&self, engine: &Engine, part_ms: f64) -> bool {
+        self.candidate.load.backlog_ms <= FREE_MS
+            && self.takes_ms(part_ms) <= self.planned_ms
+            && self.fits(engine, part_ms)
+    }
+
+    /// Orders engines by how well they answer: those apart from short answers first, then those that
+    /// are free soonest, one that writes anyway preferred.
+    pub(super) fn compare_to_answer(&self, other: &Reader<'_>) -> Ordering {
+        let rank = |reader: &Reader<'_>| {
+            let writes = reader.candidate.load.writers > 0;
+            reader.free_ms + if writes { 0.0 } else { WRITERS_APART_MS }
+        };
+        other.apart.cmp(&self.apart).then(rank(self).total_cmp(&rank(other)))
+    }
+}
+
+/// The engines in the order in which long prompts take them: from the other end than short ones.
+pub(super) fn readers<'a>(candidates: Vec<Candidate<'a>>, engine: &Engine) -> Vec<Reader<'a>> {
+    let mut readers: Vec<Reader<'a>> =
+        candidates.into_iter().map(|candidate| Reader::new(candidate, engine)).collect();
+    readers.reverse();
+    readers
+}
+
+/// The engines that are done with a prompt soonest, among those that `may` read a part of that many
+/// milliseconds; one of those that can answer it is among them, if any can.
+fn soonest(
+    readers: &[Reader<'_>],
+    read_ms: f64,
+    may: impl Fn(&Reader<'_>, f64) -> bool,
+    can_answer: impl Fn(&Reader<'_>) -> bool,
+) -> Option<Share> {
+    let useful = ((read_ms / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
+    let share = |parts: usize| {
+        let part_ms = read_ms / parts as f64;
+        let done = |index: &usize| readers[*index].done_ms(part_ms);
+        let mut engines: Vec<usize> =
+            (0..readers.len()).filter(|i| may(&readers[*i], part_ms)).collect();
+        if engines.len() < parts {
+            return None;
+        }
+        engines.sort_by(|a, b| done(a).total_cmp(&done(b)));
+        let answers = engines.iter().copied().filter(|i| can_answer(&readers[*i]));
+        let answers = answers.min_by(|a, b| readers[*a].compare_to_answer(&readers[*b]));
+        engines.truncate(parts);
+        if let Some(answers) = answers
+            && !engines.contains(&answers)
+        {
+            engines[parts - 1] = answers;
+        }
+        let done_ms = engines.iter().map(done).fold(0.0, f64::max);
+        Some(Share { done_ms, part_ms, engines })
+    };
+    let shares = (1..=useful.min(readers.len())).filter_map(share);
+    shares.min_by(|a, b| a.done_ms.total_cmp(&b.done_ms))
+}
+
+/// The share that is done soonest, begun now or later, and whether it is of engines apart from short
+/// answers only: beside these a prompt is read only where the others are too late.
+fn any(
+    readers: &[Reader<'_>],
+    engine: &Engine,
+    prompt: Prompt,
+    can_answer: impl Fn(&Reader<'_>) -> bool,
+) -> Option<(Share, bool)> {
+    let Prompt { read_ms, left_ms } = prompt;
+    let apart = |r: &Reader<'_>, part_ms: f64| r.apart && r.fits(engine, part_ms);
+    let apart = soonest(readers, read_ms, apart, &can_answer);
+    if let Some(share) = apart.as_ref()
+        && share.done_ms <= left_ms * IN_TIME
+    {
+        return apart.map(|share| (share, true));
+    }
+    let all = soonest(readers, read_ms, |r, part_ms| r.fits(engine, part_ms), can_answer);
+    match (apart, all) {
+        (Some(apart), Some(all)) if apart.done_ms <= all.done_ms => Some((apart, true)),
+        (_, all) => all.map(|all| (all, false)),
+    }
+}
+
+/// Plans a prompt that goes before the one to be placed: its engines are busy until they have read
+/// it. A prompt whose parts would be too long is passed over.
+pub(super) fn plan(readers: &mut [Reader<'_>], engine: &Engine, prompt: Prompt, most_part_ms: f64) {
+    // Which engine answers is up to the VM at which the prompt waits.
+    let Some((share, _)) = any(readers, engine, prompt, |_| false) else { return };
+    if share.part_ms > most_part_ms {
+        return;
+    }
+    for index in share.engines {
+        let reader = &mut readers[index];
+        let begins = share.done_ms - share.part_ms * reader.candidate.pace;
+        reader.planned_ms = reader.planned_ms.min(begins);
+        reader.free_ms = share.done_ms;
+    }
+}
+
+/// The share of a prompt that begins now, unless it is done sooner by waiting for engines that are
+/// busy.
+pub(super) fn now(
+    readers: &[Reader<'_>],
+    engine: &Engine,
+    prompt: Prompt,
+    can_answer: impl Fn(&Reader<'_>) -> bool,
+) -> Option<Share> {
+    let (best, apart) = any(readers, engine, prompt, &can_answer)?;
+    let may = |r: &Reader<'_>, part_ms: f64| (r.apart || !apart) && r.fits_now(engine, part_ms);
+    let share = soonest(readers, prompt.read_ms, may, can_answer)?;
+    (share.done_ms <= best.done_ms + WORTH_WAITING_MS).then_some(share)
+}
