--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -65,6 +65,10 @@
     BeatUnreadable = 303, Warning;
     /// What a peer knows could not be read from it.
     PeerUnreadable = 304, Warning;
+    /// A VM that places requests does not answer; the next one is asked.
+    SchedulerSilent = 305, Warning;
+    /// Another VM places the requests of this one from now on.
+    SchedulerChanged = 306, Info;
     /// An upstream is leaving and gets no new work.
     UpstreamLeaving = 400, Info;
     /// An upstream does not answer its report.
--- a/connection/src/lib.rs
+++ b/connection/src/lib.rs
@@ -1,6 +1,5 @@
 //! Connections out of a VM: to engines and plain services, to the platform, and to other VMs.
 
-pub mod beat;
 pub mod channel;
 pub mod engine;
 pub mod events;
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -7,7 +7,9 @@
 
 pub mod admit;
 pub mod answer;
+pub mod asks;
 pub mod attempt;
+pub mod beats;
 pub mod callers;
 pub mod catch_up;
 pub mod config;
@@ -25,6 +27,7 @@
 pub mod process;
 pub mod record;
 pub mod reports;
+pub mod scheduler;
 pub mod serve;
 pub mod source;
 pub mod stop;
@@ -74,8 +77,8 @@
     let callers = TcpListener::bind(config.listen).await?;
     let ready = TcpListener::bind(fleet.ready).await?;
     let control = TcpListener::bind(fleet.peers).await?;
-    let beats = UdpSocket::bind(fleet.peers).await?;
-    let process = Arc::new(Process::<D>::new(config, log));
+    let socket = UdpSocket::bind(fleet.peers).await?;
+    let process = Arc::new(Process::<D>::new(config, socket, log));
     if let Some(address) = fleet.metrics {
         let metrics = TcpListener::bind(address).await?;
         tokio::spawn(operators::run(process.clone(), metrics));
@@ -83,7 +86,8 @@
     tokio::spawn(callers::run(process.clone(), callers));
     tokio::spawn(operators::ready(process.clone(), ready));
     tokio::spawn(operators::run(process.clone(), control));
-    tokio::spawn(peers::run(process.clone(), beats, directory.clone()));
+    tokio::spawn(beats::run(process.clone(), directory.clone()));
+    tokio::spawn(scheduler::run(process.clone()));
     tokio::spawn(follow::run(process.clone(), directory.clone()));
     tokio::spawn(follow::announce(process.clone(), directory));
     tokio::spawn(process::sweep(process.clone()));
--- /dev/null
+++ b/daemon/src/fleet/asks.rs
@@ -0,0 +1,321 @@
+//! Requests that ask for a place: at the VM that places, at the next one where it does not answer,
+//! and by what this VM knows itself where none does.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foldlock_base::prelude::*;
+use foldlock_request::board::Board;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::flight::{Flight, Helping};
+use foldlock_request::message::{self, Answered, Asked, Message, Number};
+use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::scheduler::Answer;
+use foldlock_request::tag::Tag;
+use foldlock_version::routes::Service;
+use tokio::sync::mpsc;
+
+use crate::fleet::peers::Placer;
+use crate::fleet::process::Process;
+use crate::fleet::{beats, scheduler};
+use crate::log;
+
+/// How long an answer may take before the same is asked again: the way there and back takes 3 ms
+/// between halls, the rest is for a VM that is busy.
+const ANSWER: Duration = Duration::from_millis(25);
+
+/// Questions without an answer after which the next VM is asked.
+const QUESTIONS: u32 = 2;
+
+/// How often a request that waits asks again, so that it is seen when the VM that places is gone.
+const AGAIN: Duration = Duration::from_millis(150);
+
+/// How often a VM that places its own requests looks again.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// A place, with the addresses of its upstreams.
+#[derive(Debug)]
+pub struct Given {
+    /// The place.
+    pub place: Place,
+    /// Where the upstream listens.
+    pub address: String,
+    /// Where the helpers of the flight listen, in the same order.
+    pub helpers: Vec<String>,
+    /// The number by which the flight is known.
+    pub number: u64,
+    /// The VM that placed the request; none where this one did by what it knows alone.
+    pub by: Option<id::Vm>,
+}
+
+/// The requests of this VM that ask.
+#[derive(Debug, Default)]
+pub struct Asks {
+    open: Mutex<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
+    /// The VM that was asked last.
+    placer: Mutex<Option<Placer>>,
+}
+
+impl Asks {
+    /// A peer has answered.
+    pub fn answered<D: Dialect>(&self, process: &Process<D>, answered: Answered, from: SocketAddr) {
+        let Number { incarnation, number } = answered.request;
+        if incarnation != process.member.incarnation {
+            return;
+        }
+        let Some(peer) = process.peers.at(from) else { return };
+        if let message::Answer::Placed(placed) = &answered.answer {
+            process.peers.granted(&peer.vm, placed.grant);
+        }
+        let answer = decode(&process.board.lock().unwrap(), answered.answer);
+        // A place at an upstream that is not known here is of no use: another VM is asked.
+        if let Some(answer) = answer {
+            self.deliver(number, answer);
+        }
+    }
+
+    /// Logs that another VM than before is asked.
+    fn note<D: Dialect>(&self, process: &Process<D>, placer: Option<&Placer>) {
+        let mut known = self.placer.lock().unwrap();
+        if known.as_ref() != placer {
+            let what = placer.map_or_else(|| "none is heard".to_owned(), Placer::to_string);
+            log::event(&process.log, Event::SchedulerChanged, what);
+            *known = placer.cloned();
+        }
+    }
+
+    /// A request of this VM, as it is named to others.
+    pub fn request<D: Dialect>(&self, process: &Process<D>, number: u64) -> Number {
+        Number { incarnation: process.member.incarnation, number }
+    }
+
+    /// There is an answer for a request of this VM.
+    pub fn deliver(&self, number: u64, answer: Answer) {
+        if let Some(open) = self.open.lock().unwrap().get(&number) {
+            // Who asked may have left just now; then the place is given back.
+            let _ = open.send(answer);
+        }
+    }
+}
+
+fn decode(board: &Board, answer: message::Answer) -> Option<Answer> {
+    let placed = match answer {
+        message::Answer::Placed(placed) => placed,
+        message::Answer::Waits => return Some(Answer::Waits),
+        message::Answer::Nowhere(nowhere) => return Some(Answer::Nowhere(nowhere)),
+    };
+    let id = |tag: Tag| board.by_tag(tag).map(|upstream| upstream.listed.id.clone());
+    let helping = |(tag, held): &(Tag, u64)| Some(Helping { upstream: id(*tag)?, held: *held });
+    let slowest = placed.slowest.into_iter().filter_map(|(tag, load)| Some((id(tag)?, load)));
+    let place = Place {
+        flight: Flight {
+            upstream: id(placed.upstream)?,
+            helpers: placed.helpers.iter().map(helping).collect::<Option<_>>()?,
+            part_ms: placed.part_ms,
+            memory: placed.memory,
+            pause_ms: placed.pause_ms,
+            writing: false,
+        },
+        predicted_ms: placed.predicted_ms,
+        load: placed.load,
+        slowest: slowest.collect(),
+        open: placed.open,
+    };
+    Some(Answer::Placed(place, placed.grant))
+}
+
+/// Where the upstream of a flight and its helpers listen, or the first of them that takes no more work.
+fn addresses(board: &Board, flight: &Flight) -> Result<(String, Vec<String>), Tag> {
+    let address = |id: &id::Upstream| match board.get(id).filter(|upstream| upstream.is_open()) {
+        Some(upstream) => Ok(upstream.listed.address.clone()),
+        None => Err(Tag::of(id.as_str())),
+    };
+    let helpers = flight.helpers.iter().map(|helping| address(&helping.upstream));
+    Ok((address(&flight.upstream)?, helpers.collect::<Result<_, _>>()?))
+}
+
+/// Asks for a place until `limit` at most.
+pub async fn place<D: Dialect>(
+    process: &Arc<Process<D>>,
+    service: &Arc<Service>,
+    mut ask: Ask,
+    limit: Instant,
+) -> Result<Given, Nowhere> {
+    loop {
+        let mut open = Open::new(process, service, &ask, limit);
+        let placer = process.peers.placer(process.stopping.is_cancelled(), process.now());
+        process.asks.note(process, placer.as_ref());
+        let ended = match placer {
+            Some(placer) => open.ask(placer).await,
+            None => open.alone().await,
+        };
+        drop(open);
+        match ended {
+            Ended::Placed(given) => return Ok(*given),
+            Ended::Nowhere(nowhere) => return Err(nowhere),
+            Ended::Silent(vm) => {
+                log::event(&process.log, Event::SchedulerSilent, &vm);
+                process.peers.missed(&vm);
+            }
+            Ended::Gone(upstream) => ask.avoid.push(upstream),
+            Ended::Later => {}
+        }
+        if process.now() >= limit || process.closing() {
+            return Err(Nowhere::Full);
+        }
+    }
+}
+
+/// How it ended to ask one VM.
+enum Ended {
+    Placed(Box<Given>),
+    Nowhere(Nowhere),
+    /// The VM does not answer.
+    Silent(id::Vm),
+    /// The place is at an upstream that takes no more work, which the VM does not know yet.
+    Gone(Tag),
+    /// There is no place yet.
+    Later,
+}
+
+/// A request that asks one VM, which hears of it when it asks no more.
+struct Open<'a, D: Dialect> {
+    process: &'a Arc<Process<D>>,
+    service: &'a Service,
+    ask: &'a Ask,
+    limit: Instant,
+    number: u64,
+    answers: mpsc::UnboundedReceiver<Answer>,
+    asked: Option<Placer>,
+}
+
+impl<'a, D: Dialect> Open<'a, D> {
+    fn new(
+        process: &'a Arc<Process<D>>,
+        service: &'a Service,
+        ask: &'a Ask,
+        limit: Instant,
+    ) -> Open<'a, D> {
+        let number = process.board.lock().unwrap().number();
+        let (sender, answers) = mpsc::unbounded_channel();
+        process.asks.open.lock().unwrap().insert(number, sender);
+        Open { process, service, ask, limit, number, answers, asked: None }
+    }
+
+    /// Asks a VM until it has placed the request, or does not answer.
+    async fn ask(&mut self, placer: Placer) -> Ended {
+        self.asked = Some(placer.clone());
+        let mut unanswered = 0;
+        loop {
+            self.send(&placer);
+            match self.answer(ANSWER).await {
+                None => unanswered += 1,
+                Some(Answer::Waits) => {
+                    unanswered = 0;
+                    if let Some(answer) = self.place_in(AGAIN).await {
+                        return self.ended(answer);
+                    }
+                }
+                Some(answer) => return self.ended(answer),
+            }
+            match &placer {
+                Placer::Peer(vm, _) if unanswered == QUESTIONS => return Ended::Silent(vm.clone()),
+                _ if self.is_over() => return Ended::Later,
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&self, placer: &Placer) {
+        match placer {
+            Placer::Own => scheduler::own(self.process, self.number, self.service, self.ask),
+            Placer::Peer(_, address) => {
+                let service = Tag::of(&self.service.name);
+                let asked = Asked::new(self.request(), service, self.ask, self.process.now());
+                beats::send(&self.process.socket, &Message::Asked(asked), *address);
+            }
+        }
+    }
+
+    fn request(&self) -> Number {
+        self.process.asks.request(self.process, self.number)
+    }
+
+    fn is_over(&self) -> bool {
+        self.process.now() >= self.limit || self.process.closing()
+    }
+
+    /// The next answer, if it comes within `time`.
+    async fn answer(&mut self, time: Duration) -> Option<Answer> {
+        let until = (self.process.now() + time).min(self.limit);
+        tokio::time::timeout_at(until.into(), self.answers.recv()).await.ok().flatten()
+    }
+
+    /// The place, if there is one within `time`.
+    async fn place_in(&mut self, time: Duration) -> Option<Answer> {
+        let until = self.process.now() + time;
+        loop {
+            let left = until.saturating_duration_since(self.process.now());
+            match self.answer(left).await {
+                Some(Answer::Waits) => {}
+                answer => return answer,
+            }
+        }
+    }
+
+    fn ended(&mut self, answer: Answer) -> Ended {
+        match answer {
+            Answer::Placed(place, _) => {
+                let by = match self.asked.take() {
+                    Some(Placer::Peer(vm, _)) => vm,
+                    _ => self.process.member.vm.clone(),
+                };
+                self.given(place, Some(by))
+            }
+            Answer::Nowhere(nowhere) => Ended::Nowhere(nowhere),
+            Answer::Waits => Ended::Later,
+        }
+    }
+
+    /// Places the request by what is known here.
+    async fn alone(&self) -> Ended {
+        let ask = Ask { offset: rand::random_range(0..u16::MAX).into(), ..self.ask.clone() };
+        let now = self.process.now();
+        let placed = placement::place(&self.process.board.lock().unwrap(), self.service, &ask, now);
+        match placed {
+            Ok(place) => self.given(place, None),
+            Err(Nowhere::Full) => {
+                tokio::time::sleep(LOOK).await;
+                Ended::Later
+            }
+            Err(nowhere) => Ended::Nowhere(nowhere),
+        }
+    }
+
+    /// A place, unless one of its upstreams takes no more work by what is known here.
+    fn given(&self, place: Place, by: Option<id::Vm>) -> Ended {
+        match addresses(&self.process.board.lock().unwrap(), &place.flight) {
+            Ok((address, helpers)) => {
+                let number = self.number;
+                Ended::Placed(Box::new(Given { place, address, helpers, number, by }))
+            }
+            Err(gone) => Ended::Gone(gone),
+        }
+    }
+}
+
+impl<D: Dialect> Drop for Open<'_, D> {
+    fn drop(&mut self) {
+        self.process.asks.open.lock().unwrap().remove(&self.number);
+        match self.asked.take() {
+            Some(Placer::Own) => scheduler::cancel_own(self.process, self.number),
+            Some(Placer::Peer(_, address)) => {
+                let message = Message::Cancelled(self.request());
+                beats::send(&self.process.socket, &message, address);
+            }
+            None => {}
+        }
+    }
+}
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -10,7 +10,7 @@
 use foldlock_connection::sse::Cutter;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Place;
-use foldlock_request::suspicion;
+use foldlock_request::suspicion::{Failure as Cause, Outcome};
 use foldlock_request::terms::{Handover, Helper, Verdict};
 use foldlock_version::routes::{Repeat, Shape};
 use http_body_util::{BodyExt, Full, Limited};
@@ -18,6 +18,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 
 use crate::fleet::answer::{self, Body};
+use crate::fleet::asks::Given;
 use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::Hold;
 use crate::fleet::job::Job;
@@ -75,14 +76,14 @@
 /// Sends the request to a place.
 pub async fn run<D: Dialect>(
     job: &Arc<Job<D>>,
-    place: Place,
+    given: Given,
     last_event: Option<u64>,
     tries: &Tries,
 ) -> End<D> {
-    let upstream = place.flight.upstream.clone();
-    let entered = job.process.enter(place.flight.clone());
-    let limit = patience(job, &place, tries);
-    let sent = sent(job, place, last_event, entered);
+    let upstream = given.place.flight.upstream.clone();
+    let entered = job.process.enter(given.number, given.place.flight.clone());
+    let limit = patience(job, &given.place, tries);
+    let sent = sent(job, given, last_event, entered);
     let until = job.deadline.min(job.process.now() + limit);
     let ended = tokio::select! {
         ended = tokio::time::timeout_at(until.into(), sent) => ended,
@@ -93,11 +94,11 @@
     match ended {
         Ok(end) => end,
         Err(_) if job.left().is_zero() => {
-            note(job, &upstream, suspicion::Failure::Own);
+            note(job, &upstream, Cause::Own);
             End::Deadline
         }
         Err(_) => {
-            note(job, &upstream, suspicion::Failure::Silent);
+            note(job, &upstream, Cause::Silent);
             End::Broken(format!("silent for {} ms", limit.as_millis()))
         }
     }
@@ -121,41 +122,45 @@
     }
 }
 
-pub(super) fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: suspicion::Failure) {
-    let now = job.process.now();
-    if let Some(known) = job.process.board.lock().unwrap().get_mut(upstream) {
-        known.suspicion.failed(failure, now);
-    }
-    if failure == suspicion::Failure::Silent {
+pub(super) fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: Cause) {
+    tell(job, upstream, Outcome::Failed(failure));
+    if failure == Cause::Silent {
         job.process.pool.forget(upstream);
     }
 }
 
+/// Notes how an attempt ended, for this VM and the one that places.
+pub(super) fn tell<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, outcome: Outcome) {
+    job.process.board.lock().unwrap().note(upstream, outcome, job.process.now());
+    job.process.tell.notify_one();
+}
+
 async fn sent<D: Dialect>(
     job: &Arc<Job<D>>,
-    place: Place,
+    given: Given,
     last_event: Option<u64>,
     entered: Entered<D>,
 ) -> End<D> {
+    let place = &given.place;
     let upstream = place.flight.upstream.clone();
-    let hold = match Hold::take(job, &place).await {
+    let hold = match Hold::take(job, &given).await {
         Ok(hold) => hold,
         Err(why) => return End::NoMemory(why),
     };
-    let mut channel = match channel(job, &place).await {
+    let mut channel = match channel(job, &given).await {
         Ok(channel) => channel,
         Err(why) => {
-            note(job, &upstream, suspicion::Failure::Silent);
+            note(job, &upstream, Cause::Silent);
             return End::Unsent(why);
         }
     };
-    let request = request(job, &place, &hold.helpers(&place), last_event);
+    let request = request(job, place, &hold.helpers(&given), last_event);
     let sent = job.process.now();
     let answer = match channel.send(request).await {
         Ok(answer) => answer,
         Err(Failure::Unsent(why)) => return End::Unsent(why),
         Err(Failure::Broken(why)) => {
-            note(job, &upstream, suspicion::Failure::Broken);
+            note(job, &upstream, Cause::Broken);
             return End::Broken(why);
         }
     };
@@ -166,7 +171,7 @@
         verdict => return refused(job, &upstream, verdict, &head),
     }
     if head.status.is_success() && !D::genuine(&head.headers) {
-        note(job, &upstream, suspicion::Failure::Broken);
+        note(job, &upstream, Cause::Broken);
         return End::Broken("the body is not the upstream's own".to_owned());
     }
     let promised = declared(&head.headers);
@@ -198,7 +203,7 @@
     let status = head.status;
     match verdict {
         Verdict::Elsewhere => {
-            job.process.board.lock().unwrap().told_leaving(upstream);
+            tell(job, upstream, Outcome::Leaving);
             job.process.pool.forget(upstream);
             End::NotRun("another instance has its address".to_owned())
         }
@@ -206,27 +211,27 @@
             let culprit = D::culprit(&head.headers)
                 .and_then(|name| job.process.board.lock().unwrap().find(name));
             let at_fault = culprit.as_ref().unwrap_or(upstream);
-            note(job, at_fault, suspicion::Failure::Full);
+            note(job, at_fault, Cause::Full);
             End::NotRun(format!("it refused with {status}; at fault is {at_fault}"))
         }
         Verdict::Ran | Verdict::Foreign => {
-            note(job, upstream, suspicion::Failure::Broken);
+            note(job, upstream, Cause::Broken);
             End::Broken(format!("its answer ({status}) belongs to another request"))
         }
     }
 }
 
-async fn channel<D: Dialect>(job: &Job<D>, place: &Place) -> Result<Channel, String> {
+async fn channel<D: Dialect>(job: &Job<D>, given: &Given) -> Result<Channel, String> {
     let rest = match job.route.repeat {
         Repeat::Never => FRESH_REST,
         Repeat::Safe | Repeat::Resume => Duration::MAX,
     };
     let pool = &job.process.pool;
-    if let Some(channel) = pool.take(&place.flight.upstream, rest, job.process.now()) {
+    if let Some(channel) = pool.take(&given.place.flight.upstream, rest, job.process.now()) {
         return Ok(channel);
     }
     job.process.metrics.connections.inc();
-    match Channel::open(&place.address, CONNECT).await {
+    match Channel::open(&given.address, CONNECT).await {
         Ok(channel) => Ok(channel),
         Err(Failure::Unsent(why) | Failure::Broken(why)) => Err(why),
     }
@@ -270,7 +275,7 @@
     let collected = match Limited::new(body, MOST_ANSWER).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(e) => {
-            note(job, &upstream, suspicion::Failure::Broken);
+            note(job, &upstream, Cause::Broken);
             return End::Broken(format!("its answer broke off: {}", chain(&*e)));
         }
     };
@@ -279,12 +284,12 @@
         job.process.pool.keep(&upstream, channel, rest, now);
     }
     if head.status.is_server_error() {
-        note(job, &upstream, suspicion::Failure::Own);
+        note(job, &upstream, Cause::Own);
         if job.repeatable() && head.status != StatusCode::GATEWAY_TIMEOUT {
             return End::Own(Box::new(Response::from_parts(head, answer::whole(collected))));
         }
-    } else if let Some(known) = job.process.board.lock().unwrap().get_mut(&upstream) {
-        known.suspicion.answered(now);
+    } else {
+        tell(job, &upstream, Outcome::Answered);
     }
     End::Whole(Response::from_parts(head, answer::whole(collected)))
 }
@@ -304,7 +309,7 @@
             End::Events(Box::new(Begun { head, first: Vec::new(), source }))
         }
         Next::Broken(why) => {
-            note(job, &source.upstream, suspicion::Failure::Broken);
+            note(job, &source.upstream, Cause::Broken);
             End::Broken(why)
         }
     }
--- /dev/null
+++ b/daemon/src/fleet/beats.rs
@@ -0,0 +1,233 @@
+//! Telling the peers and hearing them.
+//!
+//! A VM tells all that it has under way to the few VMs that place requests, soon after it changes;
+//! these tell it that they live, and how fresh the settings and listings are. So messages grow with
+//! the requests and with the VMs, not with their square: at 195 VMs this takes a twentieth of the
+//! bytes between halls that telling all did.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use foldlock_base::prelude::*;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::Directory;
+use foldlock_request::message::{self, Beat, Message, State, Work};
+use tokio::net::UdpSocket;
+
+use crate::fleet::peers::{News, Target};
+use crate::fleet::process::Process;
+use crate::fleet::{catch_up, reports, scheduler};
+use crate::log;
+
+/// The least time between two beats to the VM that places: what begins and ends gathers for it. A
+/// VM so sends at most 200 datagrams a second.
+const GATHER: Duration = Duration::from_millis(5);
+
+/// The same to the VMs that would take over from it.
+const GATHER_SPARE: Duration = Duration::from_millis(50);
+
+/// The longest time between two beats.
+const IDLE: Duration = Duration::from_millis(200);
+
+/// Datagrams that are read in one go, before what they change is told.
+const IN_ONE_GO: usize = 64;
+
+/// When a VM was last told.
+struct Told {
+    first: Instant,
+    spare: Instant,
+    all: Instant,
+}
+
+/// Who is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Round {
+    /// The VM that places.
+    First,
+    /// The VMs that would take over from it, too.
+    Spare,
+    /// All that want to hear.
+    All,
+}
+
+/// Tells and hears the peers until the process ends.
+pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
+    let mut buffer = vec![0; message::MOST];
+    let now = process.now();
+    let mut told = Told { first: now, spare: now, all: now };
+    let mut due = true;
+    loop {
+        let next = if due { told.first + GATHER } else { told.all + IDLE };
+        tokio::select! {
+            heard = process.socket.recv_from(&mut buffer) => {
+                if let Ok((length, from)) = heard {
+                    hear(&process, &buffer[..length], from, &directory);
+                    hear_more(&process, &mut buffer, &directory);
+                }
+                // Else a peer's port is closed; its silence is noticed below.
+            }
+            () = process.tell.notified(), if !due => due = true,
+            () = tokio::time::sleep_until(next.into()) => {
+                let now = process.now();
+                drop_silent(&process, now);
+                let round = told.round(process.tell_all.swap(false, Ordering::Relaxed), now);
+                // What the spare ones have not heard yet, the next round tells.
+                due = false;
+                tell(&process, round, now);
+            }
+        }
+    }
+}
+
+impl Told {
+    /// Who is told now.
+    fn round(&mut self, all: bool, now: Instant) -> Round {
+        self.first = now;
+        if all || now.saturating_duration_since(self.all) >= IDLE {
+            (self.spare, self.all) = (now, now);
+            return Round::All;
+        }
+        if now.saturating_duration_since(self.spare) >= GATHER_SPARE {
+            self.spare = now;
+            return Round::Spare;
+        }
+        Round::First
+    }
+}
+
+fn hear_more<D: Dialect, R: Directory>(
+    process: &Arc<Process<D>>,
+    buffer: &mut [u8],
+    directory: &R,
+) {
+    for _ in 0..IN_ONE_GO {
+        let Ok((length, from)) = process.socket.try_recv_from(buffer) else { return };
+        hear(process, &buffer[..length], from, directory);
+    }
+}
+
+fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) {
+    let targets = process.peers.targets(now);
+    let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
+    let first = scheduler.and_then(|placer| placer.address());
+    let told: Vec<&Target> = targets
+        .iter()
+        .filter(|target| match round {
+            Round::First => Some(target.address) == first,
+            Round::Spare => target.scheduler,
+            Round::All => true,
+        })
+        .collect();
+    if told.is_empty() {
+        return;
+    }
+    let state = state(process, now);
+    for target in &told {
+        let work = target.scheduler.then(|| work(process, now));
+        let beat = Beat {
+            echo: target.echo,
+            echo_of: target.echo_of,
+            granted: target.granted,
+            wants: target.scheduler,
+            state: State { work, ..state.clone() },
+        };
+        send(&process.socket, &Message::Beat(beat), target.address);
+    }
+    process.metrics.beats.inc_by(told.len() as u64);
+}
+
+/// Sends a message. A full or closed way loses it, as the network may: beats say the same again, and
+/// who asks asks again.
+pub fn send(socket: &UdpSocket, message: &Message, to: std::net::SocketAddr) {
+    let _ = socket.try_send_to(&message::encode(message), to);
+}
+
+fn state<D: Dialect>(process: &Process<D>, now: Instant) -> State {
+    State {
+        vm: process.member.vm.clone(),
+        incarnation: process.member.incarnation,
+        stamp: process.peers.stamp(now),
+        version: process.version(),
+        age_ms: process.fresh.age(now).map(|age| age.as_millis() as u64 + 1),
+        at: process.at.load(Ordering::Relaxed),
+        digest: process.board.lock().unwrap().digest(),
+        leaving: process.stopping.is_cancelled(),
+        watching: process.watching.load(Ordering::Relaxed),
+        settled: process.peers.settled(now),
+        work: None,
+    }
+}
+
+fn work<D: Dialect>(process: &Process<D>, now: Instant) -> Work {
+    let mut board = process.board.lock().unwrap();
+    Work {
+        flights: board.told(now),
+        outcomes: board.told_outcomes(now),
+        reports: board.told_reports(now),
+    }
+}
+
+fn hear<D: Dialect, R: Directory>(
+    process: &Arc<Process<D>>,
+    bytes: &[u8],
+    from: std::net::SocketAddr,
+    directory: &R,
+) {
+    match message::decode(bytes) {
+        Ok(Message::Beat(beat)) => hear_beat(process, &beat, directory),
+        Ok(Message::Asked(asked)) => scheduler::asked(process, &asked, from),
+        Ok(Message::Cancelled(number)) => scheduler::cancelled(process, number, from),
+        Ok(Message::Answered(answered)) => process.asks.answered(process, answered, from),
+        Ok(Message::Poll(upstream)) => reports::polled(process, upstream),
+        Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
+    }
+}
+
+fn hear_beat<D: Dialect, R: Directory>(process: &Arc<Process<D>>, beat: &Beat, directory: &R) {
+    let now = process.now();
+    let state = &beat.state;
+    let Some(news) = process.peers.heard_beat(beat, now) else { return };
+    // What it has of an earlier start of this process says nothing of this one.
+    let of_this_start = beat.echo_of == process.member.incarnation;
+    if of_this_start {
+        confirm(process, beat);
+    }
+    if state.leaving {
+        process.peers.withdrawn(process, &state.vm);
+    }
+    catch_up::start(process, directory);
+    let mut board = process.board.lock().unwrap();
+    if news == News::Renewed {
+        board.peer_lost(&state.vm);
+    }
+    let Some(work) = &state.work else { return };
+    board.hear_outcomes(&state.vm, &work.outcomes, now);
+    board.hear_reports(&work.reports, now);
+    let granted = if of_this_start { beat.granted } else { 0 };
+    let room = board.hear(&state.vm, &work.flights, granted, now);
+    drop(board);
+    if room {
+        process.room.notify_one();
+    }
+}
+
+/// The peer knew our version to be the newest `age` before it sent this beat, which was after we
+/// sent the stamp that it echoes.
+fn confirm<D: Dialect>(process: &Process<D>, beat: &Beat) {
+    let (Some(echo), Some(age_ms)) = (beat.echo, beat.state.age_ms) else { return };
+    if beat.state.version != process.version() || beat.state.version == 0 {
+        return;
+    }
+    let sent = process.peers.stamped(echo);
+    if let Some(at) = sent.checked_sub(Duration::from_millis(age_ms)) {
+        process.fresh.confirm(at);
+    }
+}
+
+fn drop_silent<D: Dialect>(process: &Process<D>, now: Instant) {
+    for vm in process.peers.drop_silent(now) {
+        process.board.lock().unwrap().peer_lost(&vm);
+        log::event(&process.log, Event::MemberDown, vm);
+    }
+}
--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -1,8 +1,7 @@
 //! Reading from peers what they know and this VM does not: settings, and listings where the directory
 //! is not heard.
 //!
-//! In a large fleet the VMs of a hall read one after the other, and from each other, so that neither a
-//! VM's link nor those between halls carry the same text many times at once.
+//! The VMs read one after the other, so that no VM's link carries the same text many times at once.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,8 +22,8 @@
 /// How long a read from a peer may take.
 const READ: Duration = Duration::from_millis(800);
 
-/// The time between two VMs of a hall in a large fleet.
-const TURN: Duration = Duration::from_millis(15);
+/// The time between two VMs.
+const TURN: Duration = Duration::from_millis(2);
 
 /// The longest such wait: settings have to be in force everywhere in 2 s.
 const MOST_TURN: Duration = Duration::from_millis(400);
@@ -51,8 +50,7 @@
 
 fn source<D: Dialect>(process: &Process<D>) -> Option<Source> {
     let now = process.now();
-    let hall = &process.member.hall;
-    let newer = process.peers.newer_settings(hall, process.version(), now);
+    let newer = process.peers.newer_settings(process.version(), now);
     if let Some(peer) = newer {
         return Some(Source::Settings(peer));
     }
@@ -60,14 +58,13 @@
         return None;
     }
     let at = process.at.load(Ordering::Relaxed);
-    process.peers.other_listings(hall, at, process.digest(), now).map(Source::Listing)
+    let digest = process.board.lock().unwrap().digest();
+    process.peers.other_listings(at, digest, now).map(Source::Listing)
 }
 
 async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    if process.peers.in_cells() {
-        let place = process.peers.place_in_hall(&process.member, process.now());
-        tokio::time::sleep((TURN * place).min(MOST_TURN)).await;
-    }
+    let turn = rand::random_range(0..process.peers.listed_count() as u32);
+    tokio::time::sleep((TURN * turn).min(MOST_TURN)).await;
     for _ in 0..READS {
         let Some(source) = source(&process) else { break };
         if let Err(why) = read_from(&process, &directory, source).await {
--- a/daemon/src/fleet/config.rs
+++ b/daemon/src/fleet/config.rs
@@ -20,6 +20,9 @@
     pub metrics: Option<SocketAddr>,
     /// The directory, `IP:port`.
     pub directory: String,
+    /// The share of a processor that this VM has, cores: those with the most place for all.
+    #[serde(default)]
+    pub processor: f64,
     /// How old the settings may be while requests with a key are served, milliseconds: the
     /// operator's bound on the use of a key that was taken away. Absent: any age.
     #[serde(default)]
@@ -54,6 +57,11 @@
 const HELD_SILENCE: f64 = 0.6;
 
 impl Fleet {
+    /// The share of a processor, thousandths of a core.
+    pub fn millicores(&self) -> u32 {
+        (self.processor * 1e3) as u32
+    }
+
     /// For how long memory is set aside at a time.
     pub fn hold(&self) -> Duration {
         Duration::from_millis(self.memory_release_ms).mul_f64(HOLD)
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -218,13 +218,13 @@
         }
         job.process.metrics.resumed.inc();
         job.record(Decision::Retried { upstream: from, why });
-        let place = tokio::select! {
-            place = gate::place(job, &tries.avoid) => place.ok()?,
+        let given = tokio::select! {
+            given = gate::place(job, &tries.avoid) => given.ok()?,
             () = sink.closed() => return None,
         };
-        from = place.flight.upstream.clone();
+        from = given.place.flight.upstream.clone();
         let end = tokio::select! {
-            end = attempt::run(job, place, Some(last), tries) => end,
+            end = attempt::run(job, given, Some(last), tries) => end,
             () = sink.closed() => return None,
         };
         why = match end {
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -10,8 +10,6 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Change, Changes, Directory, Fault, Listing, Settings};
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -43,9 +41,18 @@
 /// The fleet up to which all VMs watch: there the calls cost less than a gap would.
 const ALL_WATCH: usize = 10;
 
-/// The age of the settings up to which a VM relies on what peers tell it: a watch and three idle
-/// beats.
-const TOLD: Duration = Duration::from_millis(2_200);
+/// How much longer than the VM before it in the order a VM relies on what it was told, once no peer
+/// says any more that the directory answers it: so the first few of them ask, and the others hear
+/// from these.
+const TURN: Duration = Duration::from_millis(15);
+
+/// The longest such time. With the time after which a peer's word counts no more, and a call, it has
+/// to be well under the time within which an upstream that leaves gets no more work, 2 s and more.
+const MOST_TURN: Duration = Duration::from_millis(300);
+
+/// The longest pause after a failed call of a VM that need not watch: those that watch tell it as
+/// soon as the directory is back.
+const MOST_RETRY_TOLD: Duration = Duration::from_millis(2_000);
 
 /// How often a VM that relies on its peers looks whether it still may.
 const TOLD_LOOK: Duration = Duration::from_millis(150);
@@ -61,8 +68,9 @@
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut contact = Contact { at: None, failures: 0, trouble: None };
     loop {
-        if contact.failures == 0 && !is_watcher(&process) && is_told(&process) {
+        if !is_watcher(&process) && is_told(&process).await {
             process.watching.store(false, Ordering::Relaxed);
+            contact = Contact { failures: 0, ..contact };
             // What peers tell goes on where the last watch ended, or beyond.
             contact.at = Some(process.at.load(Ordering::Relaxed));
             tokio::time::sleep(TOLD_LOOK).await;
@@ -88,21 +96,24 @@
     }
 }
 
-/// Whether this VM is one of those that watch: the first of the live VMs by a hash of their names.
+/// Whether this VM is one of those that watch: the first that are heard, in the order in which they
+/// place.
 fn is_watcher<D: Dialect>(process: &Process<D>) -> bool {
-    let mut live = process.peers.heard(process.now());
-    if live.len() < ALL_WATCH {
-        return true;
-    }
-    live.push(process.member.vm.clone());
-    live.sort_by_key(|vm| xxh3_64(vm.as_str().as_bytes()));
-    live.iter().take(WATCHERS).any(|vm| *vm == process.member.vm)
+    process.peers.listed_count() <= ALL_WATCH || process.peers.position(process.now()) < WATCHERS
 }
 
-/// Whether peers have told of late that the settings here are the newest.
-fn is_told<D: Dialect>(process: &Process<D>) -> bool {
-    process.at.load(Ordering::Relaxed) > 0
-        && process.fresh.age(process.now()).is_some_and(|age| age < TOLD)
+/// Whether peers tell what the directory says: one of them was heard just now that it answers, or is
+/// heard soon.
+async fn is_told<D: Dialect>(process: &Process<D>) -> bool {
+    if process.at.load(Ordering::Relaxed) == 0 {
+        return false;
+    }
+    if process.peers.watched(process.now()) {
+        return true;
+    }
+    let turn = TURN * process.peers.position_listed() as u32;
+    tokio::time::sleep(turn.min(MOST_TURN)).await;
+    process.peers.watched(process.now())
 }
 
 /// Takes the listings that a peer knows, where the directory itself is not heard.
@@ -156,7 +167,7 @@
     gone.iter().for_each(|id| ended(process, id, "not listed again"));
     process.fresh.confirm(asked);
     if changed {
-        process.tell.notify_one();
+        process.tell_all();
     }
 }
 
@@ -171,7 +182,14 @@
     contact.trouble = Some(process.now());
     process.metrics.directory_failures.inc();
     let pause = RETRY * 2_u32.saturating_pow(contact.failures.min(8) - 1);
-    tokio::time::sleep(pause.min(MOST_RETRY)).await;
+    if is_watcher(process) {
+        tokio::time::sleep(pause.min(MOST_RETRY)).await;
+        return;
+    }
+    let until = process.now() + pause.min(MOST_RETRY_TOLD);
+    while process.now() < until && !process.peers.watched(process.now()) {
+        tokio::time::sleep(TOLD_LOOK.min(until - process.now())).await;
+    }
 }
 
 /// After a whole read, what is not in it has ended.
@@ -216,7 +234,7 @@
     if leaving {
         process.pool.forget(&id);
     }
-    process.moved.notify_waiters();
+    process.room.notify_one();
 }
 
 fn listing_ended<D: Dialect>(process: &Arc<Process<D>>, id: &id::Upstream, lapsed: bool) {
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -1,25 +1,27 @@
 //! Where a request waits until there is a place for it.
 
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
-use foldlock_request::board::{Load, service_tag};
+use foldlock_request::board::Load;
 use foldlock_request::decision::{Cause, Decision, Seen};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::forecast;
-use foldlock_request::line::Waiting;
-use foldlock_request::placement::{self, Nowhere, Place};
+use foldlock_request::placement::{Ask, Nowhere};
 use foldlock_version::routes::Engine;
 
 use crate::fleet::admit::DRAINING;
+use crate::fleet::asks::{self, Given};
 use crate::fleet::job::Job;
 use crate::serve::millis;
 
-/// How often a waiting request looks again, if nothing is heard.
+/// How often a request looks again for a service without any open upstream.
 const LOOK: Duration = Duration::from_millis(25);
 
+/// A place that took longer than this was waited for; others only for the way to the VM that places.
+const WAITED: Duration = Duration::from_millis(30);
+
 /// The part of the time a caller gave after which a request without a place is refused, so that the
 /// caller still has time to come back.
 const PATIENCE: f64 = 0.4;
@@ -53,44 +55,37 @@
 
 /// Finds a place, or says why there is none. The request has not been sent, or each attempt so far
 /// is known not to have run, or it may be repeated; the caller of this function knows which.
-pub async fn place<D: Dialect>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Place, Nowhere> {
+pub async fn place<D: Dialect>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Given, Nowhere> {
     let started = job.process.now();
-    let patience = patience(job);
-    let turn = Turn::take(job);
-    let patience = turn.as_ref().map_or(patience, |turn| turn.limit.saturating_sub(job.held()));
-    let mut cause = None;
+    let closed = started + CLOSED;
+    let mut ask = job.ask(avoid);
+    let limit = match read_ms(job, &ask) {
+        Some((engine, read_ms)) => {
+            ask.limit = ask.limit.saturating_sub(last_start(engine, read_ms));
+            job.arrived + ask.limit
+        }
+        None => started + patience(job),
+    };
     loop {
-        let moved = job.process.moved.notified();
-        let now = job.process.now();
-        let waited = now.saturating_duration_since(started);
-        let ask = job.ask(avoid, turn.as_ref().map(|turn| turn.number));
-        let found = placement::place(&job.process.board.lock().unwrap(), &ask, now);
-        let nowhere = match found {
-            Ok(place) => {
-                placed(job, &place, cause, waited);
-                return Ok(place);
+        match asks::place(&job.process, &job.service, ask.clone(), limit).await {
+            Ok(given) => {
+                placed(job, &given, started);
+                return Ok(given);
             }
-            Err(nowhere) => nowhere,
-        };
-        let limit = match nowhere {
-            Nowhere::Full => patience,
-            Nowhere::Closed => patience.min(CLOSED),
-            Nowhere::TooLarge => Duration::ZERO,
-        };
-        if waited >= limit || job.process.closing() {
-            return Err(nowhere);
-        }
-        if cause.is_none() {
-            cause = Some(Cause::Engines);
-            if turn.is_some() {
-                job.process.tell_all.store(true, Ordering::Relaxed);
-                job.process.tell.notify_one();
+            Err(Nowhere::Closed) if job.process.now() < closed && !job.process.closing() => {
+                tokio::time::sleep(LOOK).await;
             }
+            Err(nowhere) => return Err(nowhere),
         }
-        let _ = tokio::time::timeout(LOOK, moved).await;
     }
 }
 
+/// Milliseconds of reading on one engine, if this is a long prompt.
+fn read_ms<'a, D: Dialect>(job: &'a Job<D>, ask: &Ask) -> Option<(&'a Engine, f64)> {
+    let engine = job.service.engine.as_ref()?;
+    Some((engine, ask.long_read_ms(engine)?))
+}
+
 /// The time that a long prompt needs from its place to the end of its answer.
 fn last_start(engine: &Engine, read_ms: f64) -> Duration {
     let passes = engine.usual_answer.0 as f64 / f64::from(engine.stride.max(1));
@@ -98,43 +93,12 @@
     Duration::from_secs_f64((read_ms / USUAL_PARTS + passes * pass_ms * STRETCH) / 1e3)
 }
 
-/// The place of a long prompt in the line; it is given up when this is dropped.
-struct Turn<'a, D: Dialect> {
-    job: &'a Job<D>,
-    number: u64,
-    limit: Duration,
-}
-
-impl<'a, D: Dialect> Turn<'a, D> {
-    fn take(job: &'a Job<D>) -> Option<Turn<'a, D>> {
-        let engine = job.service.engine.as_ref()?;
-        let read_ms = job.long_read_ms(engine)?;
-        let limit = (job.deadline - job.arrived).saturating_sub(last_start(engine, read_ms));
-        let waiting = Waiting {
-            service: service_tag(&job.service.name),
-            arrived: job.arrived,
-            read_ms,
-            objective: job.route.objective,
-            limit,
-            own: None,
-        };
-        let number = job.process.board.lock().unwrap().wait(waiting);
-        Some(Turn { job, number, limit })
-    }
-}
-
-impl<D: Dialect> Drop for Turn<'_, D> {
-    fn drop(&mut self) {
-        self.job.process.board.lock().unwrap().waited(self.number);
-        self.job.process.moved.notify_waiters();
-        self.job.process.tell.notify_one();
-    }
-}
-
-fn placed<D: Dialect>(job: &Job<D>, place: &Place, cause: Option<Cause>, waited: Duration) {
-    if let Some(cause) = cause {
-        job.record(Decision::Waited { cause, waited_ms: millis(waited) });
+fn placed<D: Dialect>(job: &Job<D>, given: &Given, started: Instant) {
+    let asked = job.process.now().saturating_duration_since(started);
+    if asked >= WAITED {
+        job.record(Decision::Waited { cause: Cause::Engines, waited_ms: millis(asked) });
     }
+    let place = &given.place;
     let named = std::iter::once((&place.flight.upstream, &place.load))
         .chain(place.slowest.iter().map(|(id, load)| (id, load)));
     let seen = named.map(|(id, load)| seen(id, load, place.predicted_ms)).collect();
@@ -145,7 +109,8 @@
         engines: place.flight.helpers.len() as u32 + 1,
         part_ms: f64::from(place.flight.part_ms),
         seen,
-        peers_age_ms: job.process.peers.oldest_ms(job.process.now()),
+        by: given.by.clone(),
+        asked_ms: millis(asked),
     });
 }
 
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -8,10 +8,10 @@
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::memory::{Fault, Memory, Reservation};
-use foldlock_request::placement::Place;
 use foldlock_request::terms::Helper;
 use futures::future::join_all;
 
+use crate::fleet::asks::Given;
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
 use crate::log;
@@ -32,8 +32,8 @@
 
 impl<D: Dialect> Hold<D> {
     /// Sets aside the memory that a place counts on at its helpers.
-    pub async fn take(job: &Arc<Job<D>>, place: &Place) -> Result<Hold<D>, String> {
-        let reservations = Arc::new(reservations(job, place));
+    pub async fn take(job: &Arc<Job<D>>, given: &Given) -> Result<Hold<D>, String> {
+        let reservations = Arc::new(reservations(job, given));
         let mut hold = Hold {
             process: job.process.clone(),
             reservations: reservations.clone(),
@@ -63,12 +63,12 @@
     }
 
     /// The helpers of a place with their tickets.
-    pub fn helpers(&self, place: &Place) -> Vec<Helper> {
+    pub fn helpers(&self, given: &Given) -> Vec<Helper> {
         let ticket = |upstream: &id::Upstream| {
             let reservation = self.reservations.iter().find(|r| r.upstream == *upstream)?;
             Some(reservation.ticket.clone())
         };
-        let helpers = place.flight.helpers.iter().zip(&place.helpers);
+        let helpers = given.place.flight.helpers.iter().zip(&given.helpers);
         helpers
             .map(|(helping, address)| Helper {
                 address: address.clone(),
@@ -90,8 +90,8 @@
     }
 }
 
-fn reservations<D: Dialect>(job: &Job<D>, place: &Place) -> Vec<Reservation> {
-    let helpers = place.flight.helpers.iter().zip(&place.helpers);
+fn reservations<D: Dialect>(job: &Job<D>, given: &Given) -> Vec<Reservation> {
+    let helpers = given.place.flight.helpers.iter().zip(&given.helpers);
     let held = helpers.filter(|(helping, _)| helping.held > 0);
     held.map(|(helping, address)| Reservation {
         upstream: helping.upstream.clone(),
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -8,8 +8,9 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::{self, Ask};
 use foldlock_request::ring::Entry;
+use foldlock_request::tag::Tag;
 use foldlock_request::terms::Terms;
-use foldlock_version::routes::{Engine, Organisation, Repeat, Route, Service, Shape};
+use foldlock_version::routes::{Organisation, Repeat, Route, Service};
 
 use crate::fleet::process::Process;
 
@@ -59,15 +60,7 @@
 
     /// The longest pause with which a stream is in time; none for whole answers.
     pub fn pause(&self) -> Option<Duration> {
-        match self.route.shape {
-            Shape::Events { pause } => Some(pause),
-            Shape::Whole => None,
-        }
-    }
-
-    /// Milliseconds of reading on one engine, if this is a long prompt.
-    pub fn long_read_ms(&self, engine: &Engine) -> Option<f64> {
-        placement::long_read_ms(engine, &self.route, self.terms.prompt, self.memory())
+        placement::pause(&self.route)
     }
 
     /// Memory for prompt and answer. A caller who tells no limit gets what answers usually take.
@@ -77,19 +70,19 @@
         self.terms.prompt + most
     }
 
-    /// What is asked of the upstreams.
-    pub fn ask<'a>(&'a self, avoid: &'a [id::Upstream], turn: Option<u64>) -> Ask<'a> {
+    /// What is asked of the upstreams, those left out that failed it.
+    pub fn ask(&self, avoid: &[id::Upstream]) -> Ask {
         Ask {
-            service: &self.service.name,
-            engine: self.service.engine.as_ref(),
-            route: &self.route,
             prompt: self.terms.prompt,
             memory: self.memory(),
-            hall: self.process.peers.in_cells().then_some(self.process.member.hall.as_str()),
-            avoid,
-            waited: self.held(),
-            turn,
+            objective: self.route.objective,
+            pause: self.pause(),
+            arrived: self.arrived,
+            limit: self.deadline.saturating_duration_since(self.arrived),
+            avoid: avoid.iter().map(|id| Tag::of(id.as_str())).collect(),
+            hall: self.process.member.hall.clone(),
             hold_limit: self.process.config.fleet.held_silence(),
+            offset: 0,
         }
     }
 }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -49,7 +49,7 @@
     pub beats: Counter,
     /// Reports asked for at engines.
     pub reports: Counter,
-    /// Long prompts that wait, of all VMs as far as known.
+    /// Requests that wait for this VM to place them.
     pub line: Gauge,
     /// The settings version in force.
     pub version: Gauge,
@@ -102,7 +102,7 @@
         r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
         r.register("peer_messages", "Messages sent to peers", self.beats.clone());
         r.register("engine_reports", "Reports asked for at engines", self.reports.clone());
-        r.register("long_prompts_waiting", "Long prompts that wait", self.line.clone());
+        r.register("waiting", "Requests of all VMs that wait for a place here", self.line.clone());
         r.register("settings_version", "The settings version in force", self.version.clone());
         r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
         r.register("attempts", "Attempts under way", self.flights.clone());
@@ -136,8 +136,8 @@
         self.age_ms.set(age);
         let board = process.board.lock().unwrap();
         self.flights.set(board.own().count() as i64);
-        self.line.set(board.all_waiting(now).count() as i64);
         drop(board);
+        self.line.set(process.scheduler.lock().unwrap().waiting() as i64);
         self.peers.set(process.peers.heard(now).len() as i64);
     }
 
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -17,9 +17,9 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, mpsc};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::answer::{self, Body, Cut};
-use crate::fleet::packed;
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -105,14 +105,15 @@
         "/decisions" => decisions(process),
         SETTINGS => match process.settings() {
             Some(settings) => {
-                let packed = process.packed.get(settings.table.number(), &settings.text);
+                let packed = process.packed_settings.get(settings.table.number(), &settings.text);
                 answer::text(StatusCode::OK, PACKED, packed)
             }
             None => answer::text(StatusCode::NOT_FOUND, TEXT, "no settings yet\n"),
         },
         LISTING => {
             let text = serde_json::to_vec(&process.listing()).expect("plain data");
-            answer::text(StatusCode::OK, PACKED, packed::pack(&text))
+            let of = xxh3_64(&text);
+            answer::text(StatusCode::OK, PACKED, process.packed_listing.get(of, &text))
         }
         _ => match path.strip_prefix("/why/").map(str::parse::<id::Request>) {
             Some(Ok(request)) => why(process, &request),
@@ -133,6 +134,7 @@
 
 fn dump<D: Dialect>(process: &Process<D>) -> serde_json::Value {
     let now = process.now();
+    let waiting = process.scheduler.lock().unwrap().waiting();
     let board = process.board.lock().unwrap();
     let loads = board.loads(None, now);
     let upstreams: Vec<_> = board
@@ -155,6 +157,7 @@
         "version": process.version(),
         "settings_age_ms": process.fresh.age(now).map(|age| age.as_millis() as u64),
         "peers": process.peers.dump(now),
+        "waiting": waiting,
         "idle_connections": process.pool.len(),
         "upstreams": upstreams,
         "records": process.ring.newest(RECORDS),
--- a/daemon/src/fleet/packed.rs
+++ b/daemon/src/fleet/packed.rs
@@ -30,7 +30,7 @@
     Ok(text.into())
 }
 
-/// The packed settings of one version, made when first asked for.
+/// The packed text of one version, made when first asked for.
 #[derive(Debug, Default)]
 pub struct Kept(Mutex<Option<(u64, Bytes)>>);
 
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -1,43 +1,46 @@
-//! The other VMs of the fleet: what they have under way, and how fresh their settings are.
+//! The other VMs of the fleet: who is heard, how fresh their settings are, and which of them place
+//! the requests of this one.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use foldlock_connection::beat::{self, Beat, Datagram};
-use foldlock_request::board::Told;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Directory, Member};
-use foldlock_request::{line, report};
+use foldlock_request::directory::Member;
+use foldlock_request::message::{Beat, State};
+use foldlock_request::rank::{self, Contact};
 use rand::seq::IndexedRandom;
 use serde_json::json;
-use tokio::net::UdpSocket;
 
-use crate::fleet::catch_up;
 use crate::fleet::process::Process;
 use crate::log;
 
-/// The least time between two beats for each peer that is told: placements gather for it. A VM so
-/// sends at most 1,000 datagrams a second, about 1% of a core. In a fleet of 8 it is 7 ms, so that
-/// two VMs rarely choose by the same picture (15 ms made a tenth more of the short prompts late).
-const GATHER_A_PEER: Duration = Duration::from_millis(1);
+/// A peer that was not heard for this long is taken for down: ten idle beats.
+const SILENT: Duration = Duration::from_millis(2_000);
 
-/// The same in a large fleet, where each beat goes to many: at 75 peers and 300 bytes, 25 beats a
-/// second are 4 Mbit/s of the 20 that a small VM has.
-const GATHER_IN_CELLS: Duration = Duration::from_millis(40);
+/// A VM that was not heard for this long places nothing: three idle beats, of which two may be lost.
+const PLACES: Duration = Duration::from_millis(650);
 
-/// The longest time between two beats.
-const IDLE: Duration = Duration::from_millis(400);
+/// How long a VM that is not heard is told all, to find out whether it lives.
+const TRIED: Duration = Duration::from_millis(650);
 
-/// The fleet from which on a VM tells the VMs of other halls only as often as when idle: the bytes
-/// between halls grow with the square of the fleet, and upstreams of the own hall come first.
-const CELLS: usize = 16;
+/// How long after that it is tried again.
+const RETRIED: Duration = Duration::from_millis(2_500);
 
-/// A peer that was not heard for this long is taken for down: five idle beats.
-const SILENT: Duration = Duration::from_millis(2_000);
+/// How long a VM runs until it has heard of all that is under way: the others find it within two
+/// idle beats, and some of these are lost.
+const SETTLES: Duration = Duration::from_millis(1_000);
+
+/// How long a VM that asked to hear from this one is told: five idle beats.
+const WANTS: Duration = Duration::from_millis(1_000);
+
+/// The age of its settings up to which a peer that says that the directory answers it is believed:
+/// a watch and some beats.
+const WATCH_AGE: Duration = Duration::from_millis(2_000);
 
 /// What is known of a peer.
 #[derive(Debug, Clone)]
@@ -46,56 +49,147 @@
     /// It has withdrawn from the fleet and finishes what it has under way, which still counts.
     leaving: bool,
     heard: Option<Instant>,
+    /// The newest stamp that it told.
     stamp: Option<u64>,
     version: u64,
     at: u64,
     digest: u64,
+    settled: bool,
+    /// When it last said that the directory answers it and its settings were fresh.
+    watching: Option<Instant>,
+    /// When it last asked to hear from this VM.
+    wants: Option<Instant>,
+    /// Since when it is told all without being heard.
+    tried: Option<Instant>,
+    /// It left questions unanswered, and was not heard since.
+    missed: bool,
+    /// The newest place that it gave.
+    granted: u64,
+}
+
+/// A VM that a beat is to be sent to.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The newest stamp that was heard of it.
+    pub echo: Option<u64>,
+    /// The incarnation of the stamp.
+    pub echo_of: u64,
+    /// The newest place that it gave.
+    pub granted: u64,
+    /// Whether it places the requests of this VM, or might.
+    pub scheduler: bool,
+}
+
+/// The VM that places a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Placer {
+    /// This one.
+    Own,
+    /// A peer.
+    Peer(id::Vm, SocketAddr),
+}
+
+impl fmt::Display for Placer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Placer::Own => f.write_str("this one"),
+            Placer::Peer(vm, address) => write!(f, "{vm} at {address}"),
+        }
+    }
+}
+
+impl Placer {
+    /// Where it listens, if it is a peer.
+    pub fn address(&self) -> Option<SocketAddr> {
+        match self {
+            Placer::Own => None,
+            Placer::Peer(_, address) => Some(*address),
+        }
+    }
 }
 
 /// The peers.
 #[derive(Debug)]
 pub struct Peers {
     started: Instant,
-    known: Mutex<BTreeMap<id::Vm, Peer>>,
+    own: Member,
+    known: Mutex<Known>,
     /// Whether something is being read from a peer.
     pub reading: AtomicBool,
 }
 
+#[derive(Debug)]
+struct Known {
+    peers: BTreeMap<id::Vm, Peer>,
+    /// All VMs that are listed, this one among them, in the order in which they place.
+    order: Vec<Member>,
+}
+
+impl Known {
+    fn sort(&mut self, own: &Member) {
+        let listed = self.peers.values().filter(|peer| !peer.leaving);
+        self.order = listed.map(|peer| peer.member.clone()).collect();
+        self.order.push(own.clone());
+        rank::order(&mut self.order);
+    }
+
+    fn contact(&self, vm: &id::Vm, now: Instant) -> Contact {
+        // This VM is always in contact with itself.
+        self.peers.get(vm).map_or(Contact::Heard, |peer| peer.contact(now))
+    }
+
+    /// The VMs that are told all, in their order.
+    fn schedulers(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let order = self.order.iter().map(|member| self.contact(&member.vm, now));
+        rank::told(order).into_iter().map(|index| &self.order[index])
+    }
+}
+
 impl Peers {
     /// No peers yet; stamps count from `started`.
-    pub fn new(started: Instant) -> Peers {
-        Peers { started, known: Mutex::default(), reading: AtomicBool::new(false) }
+    pub fn new(own: Member, started: Instant) -> Peers {
+        let known = Known { peers: BTreeMap::new(), order: vec![own.clone()] };
+        Peers { started, own, known: Mutex::new(known), reading: AtomicBool::new(false) }
     }
 
     /// A VM is listed.
     pub fn listed<D: Dialect>(&self, process: &Process<D>, member: Member) {
-        if member.vm == process.member.vm {
+        if member.vm == self.own.vm {
             return;
         }
         let mut known = self.known.lock().unwrap();
-        let same = known.get(&member.vm).is_some_and(|peer| peer.member == member);
-        if same {
+        let before = known.peers.get(&member.vm);
+        if before.is_some_and(|peer| peer.member == member) {
             return;
         }
+        let renewed = before.is_some_and(|peer| peer.member.incarnation != member.incarnation);
         let what = format!("{} at {}", member.vm, member.address);
         let vm = member.vm.clone();
-        known.insert(vm, Peer::new(member));
+        known.peers.insert(vm.clone(), Peer::new(member));
+        known.sort(&self.own);
         drop(known);
+        if renewed {
+            process.board.lock().unwrap().peer_lost(&vm);
+        }
         log::event(&process.log, Event::MemberUp, what);
         process.tell.notify_one();
     }
 
     /// A VM has withdrawn. What it has under way counts until it is no longer heard.
     pub fn withdrawn<D: Dialect>(&self, process: &Process<D>, vm: &id::Vm) {
+        let now = process.now();
         let mut known = self.known.lock().unwrap();
-        let Some(peer) = known.get_mut(vm) else { return };
+        let Some(peer) = known.peers.get_mut(vm) else { return };
         if std::mem::replace(&mut peer.leaving, true) {
             return;
         }
-        let heard = peer.is_heard(process.now());
+        let heard = peer.is_heard(now);
         if !heard {
-            known.remove(vm);
+            known.peers.remove(vm);
         }
+        known.sort(&self.own);
         drop(known);
         if !heard {
             process.board.lock().unwrap().peer_lost(vm);
@@ -103,236 +197,289 @@
         log::event(&process.log, Event::MemberLeaving, vm);
     }
 
-    /// The number of VMs that are listed, this one among them, heard or not: what all share is
-    /// divided by it.
-    pub fn listed_count(&self) -> usize {
-        self.known.lock().unwrap().values().filter(|peer| !peer.leaving).count() + 1
+    /// Takes a peer's state from a beat, unless it is older than what is known. Answers whether the
+    /// peer has started anew since.
+    pub fn heard_beat(&self, beat: &Beat, now: Instant) -> Option<News> {
+        let state = &beat.state;
+        let mut known = self.known.lock().unwrap();
+        let peer = known.peers.get_mut(&state.vm)?;
+        // A VM that has started anew is heard before the directory tells of it, if it is away.
+        if state.incarnation < peer.member.incarnation {
+            return None;
+        }
+        let renewed = state.incarnation > peer.member.incarnation;
+        if renewed {
+            let member = Member { incarnation: state.incarnation, ..peer.member.clone() };
+            *peer = Peer::new(member);
+        } else if peer.stamp.is_some_and(|stamp| stamp >= state.stamp) {
+            return None;
+        }
+        peer.hear(state, now);
+        if beat.wants {
+            peer.wants = Some(now);
+        }
+        if renewed {
+            known.sort(&self.own);
+        }
+        Some(if renewed { News::Renewed } else { News::Heard })
+    }
+
+    /// The peer that sends from this address.
+    pub fn at(&self, address: SocketAddr) -> Option<Member> {
+        let known = self.known.lock().unwrap();
+        let found = known.peers.values().find(|peer| peer.member.address == address);
+        found.map(|peer| peer.member.clone())
     }
 
-    /// Whether the fleet is so large that VMs of other halls are told little.
-    pub fn in_cells(&self) -> bool {
-        self.known.lock().unwrap().len() >= CELLS
+    /// A peer by its name.
+    pub fn member(&self, vm: &id::Vm) -> Option<Member> {
+        self.known.lock().unwrap().peers.get(vm).map(|peer| peer.member.clone())
     }
 
-    /// The least time between two beats.
-    fn gather(&self) -> Duration {
-        let peers = self.known.lock().unwrap().len();
-        if peers >= CELLS { GATHER_IN_CELLS } else { GATHER_A_PEER * peers as u32 }
+    /// The number of VMs that are listed, this one among them, heard or not: what all share is
+    /// divided by it.
+    pub fn listed_count(&self) -> usize {
+        self.known.lock().unwrap().order.len()
     }
 
     /// All VMs that are listed but this one.
     pub fn members(&self) -> Vec<Member> {
         let known = self.known.lock().unwrap();
-        known.values().filter(|peer| !peer.leaving).map(|peer| peer.member.clone()).collect()
+        known.order.iter().filter(|member| member.vm != self.own.vm).cloned().collect()
     }
 
     /// The peers that were heard of late and are not leaving.
-    pub fn heard(&self, now: Instant) -> Vec<id::Vm> {
+    pub fn heard(&self, now: Instant) -> Vec<Member> {
         let known = self.known.lock().unwrap();
-        let heard = known.iter().filter(|(_, p)| p.is_heard(now) && !p.leaving);
-        heard.map(|(vm, _)| vm.clone()).collect()
+        let heard = known.peers.values().filter(|peer| peer.is_heard(now) && !peer.leaving);
+        heard.map(|peer| peer.member.clone()).collect()
+    }
+
+    /// Who is told: the VMs that place the requests of this one, and those that want to hear.
+    pub fn targets(&self, now: Instant) -> Vec<Target> {
+        let mut known = self.known.lock().unwrap();
+        let schedulers: Vec<id::Vm> =
+            known.schedulers(now).map(|member| member.vm.clone()).collect();
+        let target = |(vm, peer): (&id::Vm, &mut Peer)| {
+            let scheduler = schedulers.contains(vm);
+            if scheduler {
+                peer.tried(now);
+            }
+            (scheduler || peer.wants(now)).then_some(Target {
+                address: peer.member.address,
+                echo: peer.stamp,
+                echo_of: peer.member.incarnation,
+                granted: peer.granted,
+                scheduler,
+            })
+        };
+        known.peers.iter_mut().filter_map(target).collect()
+    }
+
+    /// The VM that places requests, the first in order that answers; none where none does.
+    pub fn placer(&self, stopping: bool, now: Instant) -> Option<Placer> {
+        let known = self.known.lock().unwrap();
+        let own_settled = now.saturating_duration_since(self.started) >= SETTLES;
+        let mut found: Option<(u8, Placer)> = None;
+        for member in known.schedulers(now) {
+            let (rank, placer) = match known.peers.get(&member.vm) {
+                None if stopping => continue,
+                None => (if own_settled { 0 } else { 1 }, Placer::Own),
+                Some(peer) if peer.missed => continue,
+                Some(peer) => {
+                    let placer = Placer::Peer(member.vm.clone(), member.address);
+                    (peer.placing_rank(now), placer)
+                }
+            };
+            if found.as_ref().is_none_or(|(best, _)| rank < *best) {
+                found = Some((rank, placer));
+            }
+        }
+        found.map(|(_, placer)| placer)
+    }
+
+    /// A VM left questions unanswered: the next one is asked until it is heard again.
+    pub fn missed(&self, vm: &id::Vm) {
+        if let Some(peer) = self.known.lock().unwrap().peers.get_mut(vm) {
+            peer.missed = true;
+        }
+    }
+
+    /// A peer has given a place.
+    pub fn granted(&self, vm: &id::Vm, grant: u64) {
+        if let Some(peer) = self.known.lock().unwrap().peers.get_mut(vm) {
+            peer.granted = peer.granted.max(grant);
+        }
+    }
+
+    /// The place of this VM among those that are heard, in their order.
+    pub fn position(&self, now: Instant) -> usize {
+        let known = self.known.lock().unwrap();
+        let before = known.order.iter().take_while(|member| member.vm != self.own.vm);
+        before.filter(|member| known.contact(&member.vm, now) == Contact::Heard).count()
+    }
+
+    /// The place of this VM among all that are listed, in their order.
+    pub fn position_listed(&self) -> usize {
+        let known = self.known.lock().unwrap();
+        known.order.iter().take_while(|member| member.vm != self.own.vm).count()
+    }
+
+    /// Whether a peer was heard just now that the directory answers.
+    pub fn watched(&self, now: Instant) -> bool {
+        let known = self.known.lock().unwrap();
+        let watched = |at: Instant| now.saturating_duration_since(at) < PLACES;
+        known.peers.values().any(|peer| peer.watching.is_some_and(watched))
     }
 
     /// A peer that knows something newer of the settings, one of the own hall if possible.
-    pub fn newer_settings(&self, hall: &str, version: u64, now: Instant) -> Option<SocketAddr> {
-        self.pick(hall, now, |peer| peer.version > version)
+    pub fn newer_settings(&self, version: u64, now: Instant) -> Option<SocketAddr> {
+        self.pick(now, |peer| peer.version > version)
     }
 
     /// A peer that knows other listings, of the same revision or a later one.
-    pub fn other_listings(
-        &self,
-        hall: &str,
-        at: u64,
-        digest: u64,
-        now: Instant,
-    ) -> Option<SocketAddr> {
-        let other = |peer: &Peer| peer.at > at || peer.at == at && peer.digest != digest;
-        self.pick(hall, now, other)
+    pub fn other_listings(&self, at: u64, digest: u64, now: Instant) -> Option<SocketAddr> {
+        self.pick(now, |peer| peer.at > at || peer.at == at && peer.digest != digest)
     }
 
     /// One of the peers that are heard, drawn at random so that they share the work.
-    fn pick(&self, hall: &str, now: Instant, of: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
+    fn pick(&self, now: Instant, of: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
         let known = self.known.lock().unwrap();
-        let of: Vec<&Peer> = known.values().filter(|p| p.is_heard(now) && of(p)).collect();
-        let near: Vec<&Peer> = of.iter().copied().filter(|p| p.member.hall == hall).collect();
+        let of: Vec<&Peer> = known.peers.values().filter(|p| p.is_heard(now) && of(p)).collect();
+        let near: Vec<&Peer> =
+            of.iter().copied().filter(|p| p.member.hall == self.own.hall).collect();
         let from = if near.is_empty() { of } else { near };
         from.choose(&mut rand::rng()).map(|peer| peer.member.address)
     }
 
-    /// The place of a VM among the live ones of its hall, in the order of their names.
-    pub fn place_in_hall(&self, own: &Member, now: Instant) -> u32 {
-        let known = self.known.lock().unwrap();
-        let before =
-            |p: &&Peer| p.is_heard(now) && p.member.hall == own.hall && p.member.vm < own.vm;
-        known.values().filter(before).count() as u32
-    }
-
     /// The age of the oldest word among the peers that are heard, milliseconds.
     pub fn oldest_ms(&self, now: Instant) -> Option<u64> {
         let known = self.known.lock().unwrap();
-        let heard = known.values().filter(|p| p.is_heard(now)).filter_map(|p| p.heard);
+        let heard = known.peers.values().filter(|p| p.is_heard(now)).filter_map(|p| p.heard);
         heard.map(|at| now.saturating_duration_since(at).as_millis() as u64).max()
     }
 
+    /// Forgets peers that have fallen silent, and names them.
+    pub fn drop_silent(&self, now: Instant) -> Vec<id::Vm> {
+        let mut known = self.known.lock().unwrap();
+        let mut silent = Vec::new();
+        for (vm, peer) in &mut known.peers {
+            if peer.heard.is_some() && !peer.is_heard(now) {
+                peer.heard = None;
+                silent.push(vm.clone());
+            }
+        }
+        known.peers.retain(|_, peer| !peer.leaving || peer.heard.is_some());
+        silent
+    }
+
     /// What is known, for a dump.
     pub fn dump(&self, now: Instant) -> serde_json::Value {
         let known = self.known.lock().unwrap();
-        let peers = known.iter().map(|(vm, p)| {
+        let schedulers: Vec<&id::Vm> = known.schedulers(now).map(|member| &member.vm).collect();
+        let peers = known.peers.iter().map(|(vm, p)| {
             let heard_ms = p.heard.map(|at| now.saturating_duration_since(at).as_millis() as u64);
-            json!({"vm": vm, "address": p.member.address, "heard_ms": heard_ms, "version": p.version})
+            json!({
+                "vm": vm, "address": p.member.address, "heard_ms": heard_ms, "version": p.version,
+                "scheduler": schedulers.contains(&vm), "settled": p.settled, "missed": p.missed,
+            })
         });
         peers.collect()
     }
 
-    fn stamp(&self, now: Instant) -> u64 {
+    /// The own steady clock, microseconds since the start.
+    pub fn stamp(&self, now: Instant) -> u64 {
         now.saturating_duration_since(self.started).as_micros() as u64
     }
+
+    /// The moment of a stamp of this VM.
+    pub fn stamped(&self, stamp: u64) -> Instant {
+        self.started + Duration::from_micros(stamp)
+    }
+
+    /// Whether this VM has run for long enough to have heard of all that is under way.
+    pub fn settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.started) >= SETTLES
+    }
+}
+
+/// What a beat brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// The state of a peer.
+    Heard,
+    /// The state of a peer that has started anew: what it had under way before has ended.
+    Renewed,
 }
 
 impl Peer {
     /// A peer that was not heard yet.
     fn new(member: Member) -> Peer {
-        Peer { member, leaving: false, heard: None, stamp: None, version: 0, at: 0, digest: 0 }
+        Peer {
+            member,
+            leaving: false,
+            heard: None,
+            stamp: None,
+            version: 0,
+            at: 0,
+            digest: 0,
+            settled: false,
+            watching: None,
+            wants: None,
+            tried: None,
+            missed: false,
+            granted: 0,
+        }
+    }
+
+    fn hear(&mut self, state: &State, now: Instant) {
+        self.heard = Some(now);
+        self.stamp = Some(state.stamp);
+        self.version = state.version;
+        self.at = state.at;
+        self.digest = state.digest;
+        self.settled = state.settled;
+        self.tried = None;
+        self.missed = false;
+        let fresh = state.age_ms.is_some_and(|ms| Duration::from_millis(ms) < WATCH_AGE);
+        if state.watching && fresh {
+            self.watching = Some(now);
+        }
     }
 
     fn is_heard(&self, now: Instant) -> bool {
         self.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT)
     }
-}
 
-/// Tells and hears the peers until the process ends.
-pub async fn run<D: Dialect, R: Directory>(
-    process: Arc<Process<D>>,
-    socket: UdpSocket,
-    directory: R,
-) {
-    let mut buffer = vec![0; beat::MOST];
-    let mut told = process.now();
-    let mut told_all = told;
-    let mut due = false;
-    loop {
-        let next = told + if due { process.peers.gather() } else { IDLE };
-        tokio::select! {
-            heard = socket.recv_from(&mut buffer) => match heard {
-                Ok((length, _)) => hear(&process, &buffer[..length], &directory),
-                // A peer's port is closed; its silence is noticed below.
-                Err(_) => continue,
-            },
-            () = process.tell.notified(), if !due => due = true,
-            () = tokio::time::sleep_until(next.into()) => {
-                told = process.now();
-                due = false;
-                drop_silent(&process, told);
-                let due_all = told.saturating_duration_since(told_all) >= IDLE;
-                let all = process.tell_all.swap(false, Ordering::Relaxed) || due_all;
-                if all {
-                    told_all = told;
-                }
-                tell(&process, &socket, told, all);
-            }
-        }
+    fn wants(&self, now: Instant) -> bool {
+        self.wants.is_some_and(|at| now.saturating_duration_since(at) < WANTS)
     }
-}
 
-fn tell<D: Dialect>(process: &Process<D>, socket: &UdpSocket, now: Instant, all: bool) {
-    let known = process.peers.known.lock().unwrap();
-    if known.is_empty() {
-        return;
-    }
-    let digest = process.digest();
-    let board = process.board.lock().unwrap();
-    let beat = Beat {
-        vm: process.member.vm.clone(),
-        incarnation: process.member.incarnation,
-        stamp: process.peers.stamp(now),
-        version: process.version(),
-        age_ms: process.fresh.age(now).map(|age| age.as_millis() as u64 + 1),
-        leaving: process.stopping.is_cancelled(),
-        at: process.at.load(Ordering::Relaxed),
-        digest,
-        flights: board.told(now),
-        waiting: board.told_waiting(now),
-        reports: board.told_reports(now),
-    };
-    drop(board);
-    let beat = beat::encode(&beat);
-    let cells = known.len() >= CELLS;
-    for peer in known.values() {
-        if cells && !all && peer.member.hall != process.member.hall {
-            continue;
+    fn contact(&self, now: Instant) -> Contact {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if self.heard.is_some_and(|at| since(at) < PLACES) {
+            return Contact::Heard;
+        }
+        match self.tried {
+            Some(at) if since(at) >= TRIED && since(at) < TRIED + RETRIED => Contact::Silent,
+            _ => Contact::Untried,
         }
-        let (echo, echo_of) = (peer.stamp, peer.member.incarnation);
-        let datagram = Datagram { echo, echo_of, beat: beat.clone() };
-        // A full or closed way loses this beat; the next one says the same and more.
-        let _ = socket.try_send_to(&datagram.encode(), peer.member.address);
     }
-    process.metrics.beats.inc_by(known.len() as u64);
-}
 
-fn hear<D: Dialect, R: Directory>(process: &Arc<Process<D>>, bytes: &[u8], directory: &R) {
-    let (datagram, beat) = match Datagram::read::<Told, line::Told, report::Told>(bytes) {
-        Ok(read) => read,
-        Err(e) => {
-            log::event(&process.log, Event::BeatUnreadable, e);
-            return;
+    /// It is told all now, whether it is heard or not.
+    fn tried(&mut self, now: Instant) {
+        let again = |at: Instant| now.saturating_duration_since(at) >= TRIED + RETRIED;
+        if self.contact(now) != Contact::Heard && self.tried.is_none_or(again) {
+            self.tried = Some(now);
         }
-    };
-    let now = process.now();
-    let mut known = process.peers.known.lock().unwrap();
-    let Some(peer) = known.get_mut(&beat.vm) else { return };
-    let older = peer.stamp.is_some_and(|stamp| stamp >= beat.stamp);
-    if peer.member.incarnation != beat.incarnation || older {
-        return;
-    }
-    peer.heard = Some(now);
-    peer.stamp = Some(beat.stamp);
-    peer.version = beat.version;
-    peer.at = beat.at;
-    peer.digest = beat.digest;
-    drop(known);
-    if datagram.echo_of == process.member.incarnation {
-        confirm(process, &beat, datagram.echo);
-    }
-    catch_up::start(process, directory);
-    let mut board = process.board.lock().unwrap();
-    board.hear_waiting(beat.vm.clone(), &beat.waiting, now);
-    board.hear_reports(&beat.reports, now);
-    board.hear(beat.vm, beat.flights, now);
-    drop(board);
-    process.moved.notify_waiters();
-}
-
-/// The peer knew our version to be the newest `age` before it sent this beat, which was after we
-/// sent the stamp that it echoes.
-fn confirm<D: Dialect>(
-    process: &Process<D>,
-    beat: &Beat<Told, line::Told, report::Told>,
-    echo: Option<u64>,
-) {
-    let (Some(echo), Some(age_ms)) = (echo, beat.age_ms) else { return };
-    if beat.version != process.version() || beat.version == 0 {
-        return;
-    }
-    let sent = process.peers.started + Duration::from_micros(echo);
-    if let Some(at) = sent.checked_sub(Duration::from_millis(age_ms)) {
-        process.fresh.confirm(at);
     }
-}
 
-fn drop_silent<D: Dialect>(process: &Process<D>, now: Instant) {
-    let mut known = process.peers.known.lock().unwrap();
-    let silent: Vec<id::Vm> = known
-        .iter_mut()
-        .filter(|(_, peer)| peer.heard.is_some() && !peer.is_heard(now))
-        .map(|(vm, peer)| {
-            peer.heard = None;
-            vm.clone()
-        })
-        .collect();
-    known.retain(|_, peer| !peer.leaving || peer.heard.is_some());
-    drop(known);
-    for vm in silent {
-        process.board.lock().unwrap().peer_lost(&vm);
-        log::event(&process.log, Event::MemberDown, vm);
+    /// How little it is to be asked, 0 the most.
+    fn placing_rank(&self, now: Instant) -> u8 {
+        match self.contact(now) {
+            Contact::Heard if self.settled => 0,
+            Contact::Heard => 1,
+            Contact::Untried | Contact::Silent => 2,
+        }
     }
 }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -1,6 +1,5 @@
 //! What all tasks of a process on a fleet's VM share.
 
-use std::hash::{Hash, Hasher};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::{Duration, Instant};
@@ -8,17 +7,20 @@
 use foldlock_base::clock::System;
 use foldlock_base::prelude::*;
 use foldlock_connection::channel::Pool;
-use foldlock_request::board::{Board, Flight};
+use foldlock_request::board::Board;
 use foldlock_request::budget::Budget;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Listing, Member, Settings};
+use foldlock_request::flight::Flight;
 use foldlock_request::ring::Ring;
+use foldlock_request::scheduler::Scheduler;
 use slog::Logger;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
-use xxhash_rust::xxh3::Xxh3;
 
+use crate::fleet::asks::Asks;
 use crate::fleet::config::Config;
 use crate::fleet::fresh::Fresh;
 use crate::fleet::metrics::Metrics;
@@ -58,13 +60,19 @@
     pub ring: Ring,
     /// How old the settings are.
     pub fresh: Fresh,
+    /// Where peers are told and heard.
+    pub socket: UdpSocket,
     /// The upstreams and what is under way there.
     pub board: Mutex<Board>,
-    /// Told when something on the board ends or begins.
-    pub moved: Notify,
+    /// What places the requests of the VMs that ask this one; locked before the board.
+    pub scheduler: Mutex<Scheduler>,
+    /// The requests of this VM that ask for a place.
+    pub asks: Asks,
+    /// Told when something on the board ends or begins, so that what waits may have a place.
+    pub room: Notify,
     /// Told when peers are to hear of it.
     pub tell: Notify,
-    /// Whether VMs of other halls are to hear of it at once, too.
+    /// Whether all that want to hear are to be told at once.
     pub tell_all: AtomicBool,
     /// The budget of repeated attempts.
     pub budget: Mutex<Budget>,
@@ -75,7 +83,9 @@
     /// The engines' reports.
     pub reports: D::Reports,
     /// The settings as peers read them.
-    pub packed: Kept,
+    pub packed_settings: Kept,
+    /// The listings as peers read them.
+    pub packed_listing: Kept,
     /// The other VMs.
     pub peers: Peers,
     /// The directory's revision up to which listings are known; 0 for none.
@@ -102,16 +112,19 @@
 
 impl<D: Dialect> Process<D> {
     /// A process that has heard nothing yet.
-    pub fn new(config: Config, log: Logger) -> Process<D> {
+    pub fn new(config: Config, socket: UdpSocket, log: Logger) -> Process<D> {
         let clock = System;
         let member = Member {
             vm: config.vm.clone(),
             hall: config.hall.to_string(),
             address: config.fleet.peers,
             incarnation: clock.wall_millis(),
+            millicores: config.fleet.millicores(),
         };
         Process {
+            peers: Peers::new(member.clone(), clock.now()),
             member,
+            socket,
             clock,
             log,
             routine_lines: Volume::new(volume::ROUTINE, clock.now()),
@@ -120,15 +133,17 @@
             ring: Ring::new(RECORDS),
             fresh: Fresh::new(config.fleet.settings_age()),
             board: Mutex::default(),
-            moved: Notify::new(),
+            scheduler: Mutex::default(),
+            asks: Asks::default(),
+            room: Notify::new(),
             tell: Notify::new(),
             tell_all: AtomicBool::new(false),
             budget: Mutex::new(Budget::new(config.fleet.budget())),
             pool: Pool::default(),
             memory: D::Memory::default(),
             reports: D::Reports::default(),
-            packed: Kept::default(),
-            peers: Peers::new(clock.now()),
+            packed_settings: Kept::default(),
+            packed_listing: Kept::default(),
             at: AtomicU64::new(0),
             watching: AtomicBool::new(false),
             stopping: CancellationToken::new(),
@@ -167,6 +182,12 @@
         drop(current);
         self.metrics.version.set(number as i64);
         log::event(&self.log, Event::VersionInForce, format!("version {number} from {from}"));
+        self.tell_all();
+    }
+
+    /// Tells all that want to hear, at once.
+    pub fn tell_all(&self) {
+        self.tell_all.store(true, Ordering::Relaxed);
         self.tell.notify_one();
     }
 
@@ -189,15 +210,6 @@
         Listing { at: self.at.load(Ordering::Relaxed), upstreams, members }
     }
 
-    /// A digest of the listings.
-    pub fn digest(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        for listed in self.board.lock().unwrap().listings() {
-            listed.hash(&mut hasher);
-        }
-        hasher.finish()
-    }
-
     /// An id for a request whose own cannot be used.
     pub fn request_id(&self) -> id::Request {
         let next = self.next_request.fetch_add(1, Ordering::Relaxed);
@@ -224,32 +236,33 @@
         log::event(&self.log, Event::Reloaded, what);
     }
 
-    /// Enters an attempt on the board.
-    pub fn enter(self: &Arc<Self>, flight: Flight) -> Entered<D> {
-        let shared = !flight.helpers.is_empty();
-        let number = self.board.lock().unwrap().enter(flight, self.now());
-        if shared {
-            self.tell_all.store(true, Ordering::Relaxed);
-        }
+    /// Enters an attempt on the board. The VM that gave its place knows of it, the others hear with
+    /// the next beat.
+    pub fn enter(self: &Arc<Self>, number: u64, flight: Flight) -> Entered<D> {
+        self.board.lock().unwrap().enter(number, flight, self.now());
         self.tell.notify_one();
         Entered { process: self.clone(), number }
     }
+
+    /// Something of this VM ended or began at an upstream.
+    fn moved(&self) {
+        self.room.notify_one();
+        self.tell.notify_one();
+    }
 }
 
 impl<D: Dialect> Entered<D> {
     /// The first event has come.
     pub fn began(&self) {
         self.process.board.lock().unwrap().began(self.number);
-        self.process.moved.notify_waiters();
-        self.process.tell.notify_one();
+        self.process.moved();
     }
 }
 
 impl<D: Dialect> Drop for Entered<D> {
     fn drop(&mut self) {
         self.process.board.lock().unwrap().leave(self.number);
-        self.process.moved.notify_waiters();
-        self.process.tell.notify_one();
+        self.process.moved();
     }
 }
 
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -1,5 +1,5 @@
-//! Reports of engines: each engine is asked by one VM of those that are heard, which tells the
-//! others, so that all know of a slow or silent engine at once and few questions are asked.
+//! Reports of engines: the VM that places has each engine asked by one of those that it hears, so that
+//! it knows of a slow or silent engine soon and no VM asks many.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,9 +7,14 @@
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::Member;
+use foldlock_request::message::Message;
 use foldlock_request::report::{Fault, Observed, Report, Reports};
+use foldlock_request::tag::Tag;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::fleet::beats;
+use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -21,31 +26,52 @@
 /// A change of pace that is logged.
 const NEWS: f64 = 0.1;
 
-/// Asks the engines of this VM until the process stops.
+/// Has the engines asked while this VM places, until the process stops.
 pub async fn run<D: Dialect>(process: Arc<Process<D>>) {
     while !process.stopping.is_cancelled() {
         tokio::time::sleep(EVERY).await;
-        for listed in own_engines(&process) {
-            tokio::spawn(ask(process.clone(), listed));
+        if process.peers.placer(false, process.now()) == Some(Placer::Own) {
+            poll(&process);
         }
     }
 }
 
-/// The engines that this VM asks: those for which its name has the highest hash of all that are
-/// heard.
-fn own_engines<D: Dialect>(process: &Process<D>) -> Vec<Listed> {
-    let Some(settings) = process.settings() else { return Vec::new() };
-    let peers = process.peers.heard(process.now());
-    let own = &process.member.vm;
-    let mine = |listed: &&Listed| {
-        let weight = |vm: &id::Vm| xxh3_64(format!("{vm} {}", listed.id).as_bytes());
-        let own = weight(own);
-        peers.iter().all(|peer| weight(peer) < own)
+/// Divides the engines among the VMs that are heard, each by a hash, so that the same VM asks the
+/// same engine on its connection.
+fn poll<D: Dialect>(process: &Arc<Process<D>>) {
+    let mut vms = process.peers.heard(process.now());
+    vms.push(process.member.clone());
+    for listed in engines(process) {
+        let weight = |vm: &&Member| xxh3_64(format!("{} {}", vm.vm, listed.id).as_bytes());
+        match vms.iter().max_by_key(weight) {
+            Some(vm) if vm.vm != process.member.vm => {
+                let message = Message::Poll(Tag::of(listed.id.as_str()));
+                beats::send(&process.socket, &message, vm.address);
+            }
+            _ => {
+                tokio::spawn(ask(process.clone(), listed));
+            }
+        }
+    }
+}
+
+/// The VM that places wants the report of an engine.
+pub fn polled<D: Dialect>(process: &Arc<Process<D>>, upstream: Tag) {
+    let board = process.board.lock().unwrap();
+    // An upstream that is not known here is asked by another VM next time, or has ended.
+    let Some(listed) = board.by_tag(upstream).map(|upstream| upstream.listed.clone()) else {
+        return;
     };
+    drop(board);
+    tokio::spawn(ask(process.clone(), listed));
+}
+
+fn engines<D: Dialect>(process: &Process<D>) -> Vec<Listed> {
+    let Some(settings) = process.settings() else { return Vec::new() };
     let is_engine =
         |l: &&Listed| settings.table.service(&l.service).is_some_and(|s| s.engine.is_some());
     let board = process.board.lock().unwrap();
-    board.listings().filter(is_engine).filter(mine).cloned().collect()
+    board.listings().filter(is_engine).cloned().collect()
 }
 
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
--- /dev/null
+++ b/daemon/src/fleet/scheduler.rs
@@ -0,0 +1,142 @@
+//! Placing the requests of all VMs that ask this one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foldlock_base::prelude::*;
+use foldlock_request::board::Holder;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::message::{self, Answered, Asked, Message, Number};
+use foldlock_request::placement::{Ask, Nowhere};
+use foldlock_request::scheduler::{Answer, Key};
+use foldlock_request::tag::Tag;
+use foldlock_version::routes::Service;
+
+use crate::fleet::beats;
+use crate::fleet::process::Process;
+
+/// The least time between two looks at what waits: what ends gathers for it.
+const GATHER: Duration = Duration::from_millis(3);
+
+/// The longest time between two looks while something waits: engines get free by the clock, too.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The same while nothing does: what was given and not used is taken back.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// A peer asks for a place.
+pub fn asked<D: Dialect>(process: &Process<D>, asked: &Asked, from: SocketAddr) {
+    let Some(peer) = process.peers.at(from) else { return };
+    let now = process.now();
+    let ask = asked.ask(peer.hall, now);
+    let key = key(Holder::Peer(peer.vm), asked.request);
+    let answer = schedule(process, key, asked.service, ask, now);
+    answered(process, asked.request, from, answer);
+}
+
+/// A request of this VM asks for a place.
+pub fn own<D: Dialect>(process: &Process<D>, number: u64, service: &Service, ask: &Ask) {
+    let key = key(Holder::Own, process.asks.request(process, number));
+    let answer = schedule(process, key, Tag::of(&service.name), ask.clone(), process.now());
+    process.asks.deliver(number, answer);
+}
+
+fn schedule<D: Dialect>(
+    process: &Process<D>,
+    key: Key,
+    service: Tag,
+    ask: Ask,
+    now: Instant,
+) -> Answer {
+    let Some(settings) = process.settings() else { return Answer::Nowhere(Nowhere::Closed) };
+    let mut scheduler = process.scheduler.lock().unwrap();
+    let mut board = process.board.lock().unwrap();
+    let answer = scheduler.ask(&mut board, &settings.table, key, service, ask, now);
+    if matches!(answer, Answer::Waits) {
+        process.room.notify_one();
+    }
+    answer
+}
+
+/// A peer asks no more.
+pub fn cancelled<D: Dialect>(process: &Process<D>, request: Number, from: SocketAddr) {
+    if let Some(peer) = process.peers.at(from) {
+        cancel(process, &key(Holder::Peer(peer.vm), request));
+    }
+}
+
+/// A request of this VM asks no more.
+pub fn cancel_own<D: Dialect>(process: &Process<D>, number: u64) {
+    cancel(process, &key(Holder::Own, process.asks.request(process, number)));
+}
+
+fn key(holder: Holder, request: Number) -> Key {
+    Key { holder, incarnation: request.incarnation, number: request.number }
+}
+
+fn cancel<D: Dialect>(process: &Process<D>, key: &Key) {
+    let mut scheduler = process.scheduler.lock().unwrap();
+    scheduler.cancel(&mut process.board.lock().unwrap(), key);
+    process.room.notify_one();
+}
+
+/// Places what waits, as there is room for it.
+pub async fn run<D: Dialect>(process: Arc<Process<D>>) {
+    loop {
+        let idle = process.scheduler.lock().unwrap().is_idle();
+        let room = process.room.notified();
+        let _ = tokio::time::timeout(if idle { IDLE } else { LOOK }, room).await;
+        look(&process);
+        tokio::time::sleep(GATHER).await;
+    }
+}
+
+fn look<D: Dialect>(process: &Process<D>) {
+    let Some(settings) = process.settings() else { return };
+    let now = process.now();
+    let mut scheduler = process.scheduler.lock().unwrap();
+    let mut board = process.board.lock().unwrap();
+    let answers = scheduler.look(&mut board, &settings.table, now);
+    drop((scheduler, board));
+    for (Key { holder, incarnation, number }, answer) in answers {
+        match holder {
+            Holder::Own => process.asks.deliver(number, answer),
+            Holder::Peer(vm) => tell(process, &vm, Number { incarnation, number }, answer),
+        }
+    }
+}
+
+fn tell<D: Dialect>(process: &Process<D>, vm: &id::Vm, request: Number, answer: Answer) {
+    // A peer that is listed no more asks elsewhere.
+    if let Some(member) = process.peers.member(vm) {
+        answered(process, request, member.address, answer);
+    }
+}
+
+fn answered<D: Dialect>(process: &Process<D>, request: Number, to: SocketAddr, answer: Answer) {
+    let message = Message::Answered(Answered { request, answer: encode(answer) });
+    beats::send(&process.socket, &message, to);
+}
+
+fn encode(answer: Answer) -> message::Answer {
+    let (place, grant) = match answer {
+        Answer::Placed(place, grant) => (place, grant),
+        Answer::Waits => return message::Answer::Waits,
+        Answer::Nowhere(nowhere) => return message::Answer::Nowhere(nowhere),
+    };
+    let tag = |id: &id::Upstream| Tag::of(id.as_str());
+    let flight = &place.flight;
+    message::Answer::Placed(message::Placed {
+        grant,
+        upstream: tag(&flight.upstream),
+        helpers: flight.helpers.iter().map(|h| (tag(&h.upstream), h.held)).collect(),
+        part_ms: flight.part_ms,
+        memory: flight.memory,
+        pause_ms: flight.pause_ms,
+        predicted_ms: place.predicted_ms,
+        load: place.load,
+        slowest: place.slowest.iter().map(|(id, load)| (tag(id), load.clone())).collect(),
+        open: place.open,
+    })
+}
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -63,13 +63,13 @@
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut tries = Tries::default();
     loop {
-        let place = match gate::place(&job, &tries.avoid).await {
-            Ok(place) => place,
+        let given = match gate::place(&job, &tries.avoid).await {
+            Ok(given) => given,
             Err(nowhere) => return no_place(&job, tries, proof, nowhere),
         };
-        let upstream = place.flight.upstream.clone();
+        let upstream = given.place.flight.upstream.clone();
         let attempt = proof.send();
-        let end = attempt::run(&job, place, job.terms.last_event, &tries).await;
+        let end = attempt::run(&job, given, job.terms.last_event, &tries).await;
         proof = match settle(&job, &mut tries, upstream, attempt, end) {
             Step::Done(answer) => return answer,
             Step::Again(proof) => proof,
--- a/daemon/src/fleet/source.rs
+++ b/daemon/src/fleet/source.rs
@@ -7,11 +7,11 @@
 use foldlock_connection::http::chain;
 use foldlock_connection::sse::{Cutter, Event as Part};
 use foldlock_request::dialect::Dialect;
-use foldlock_request::suspicion;
+use foldlock_request::suspicion::{Failure, Outcome};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::fleet::attempt::note;
+use crate::fleet::attempt::{note, tell};
 use crate::fleet::hold::Hold;
 use crate::fleet::job::Job;
 use crate::fleet::process::Entered;
@@ -81,9 +81,7 @@
     /// The stream has been read to its end: its connection may serve again.
     pub fn finish(self, job: &Job<D>) {
         let now = job.process.now();
-        if let Some(known) = job.process.board.lock().unwrap().get_mut(&self.upstream) {
-            known.suspicion.answered(now);
-        }
+        tell(job, &self.upstream, Outcome::Answered);
         if !self.rest.is_zero() {
             job.process.pool.keep(&self.upstream, self.channel, self.rest, now);
         }
@@ -91,7 +89,7 @@
 
     /// The stream broke off.
     pub fn broke(self, job: &Job<D>, silent: bool) {
-        let failure = if silent { suspicion::Failure::Silent } else { suspicion::Failure::Broken };
+        let failure = if silent { Failure::Silent } else { Failure::Broken };
         note(job, &self.upstream, failure);
     }
 }
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -141,7 +141,8 @@
         engines: 1,
         part_ms: 0.0,
         seen: flight.seen.clone(),
-        peers_age_ms: None,
+        by: None,
+        asked_ms: 0.0,
     });
 }
 
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -192,7 +192,8 @@
                     engines: 1,
                     part_ms: 0.0,
                     seen: Vec::new(),
-                    peers_age_ms: None,
+                    by: None,
+                    asked_ms: 0.0,
                 },
             );
             let attempt = proof.send();
--- a/daemon/tests/operating.rs
+++ b/daemon/tests/operating.rs
@@ -12,6 +12,7 @@
         peers: any,
         metrics: Some(any),
         directory: String::new(),
+        processor: 1.0,
         settings_age_ms: Some(1),
         memory_release_ms: 1,
         stop_ms: 1,
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -1,21 +1,28 @@
 //! The board: every upstream that is known, and every attempt that is under way at one, of this VM
-//! and of the others as they tell it.
+//! and of the VMs that tell it theirs.
 //!
-//! What peers tell is the whole of their attempts each time, so a lost message costs accuracy for
-//! one interval and nothing else.
+//! What a VM tells is the whole of its attempts each time, so a lost message costs accuracy for one
+//! interval and nothing else; what is kept for each upstream changes only with what begins and ends
+//! there.
 
+mod flights;
+mod load;
+
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use foldlock_version::routes::Engine;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
-use crate::forecast;
-use crate::line::{self, Waiting};
 use crate::report::{self, Observed};
-use crate::suspicion::Suspicion;
+use crate::suspicion::{Outcome, Suspicion};
+use crate::tag::Tag;
+
+pub use flights::Holder;
+pub use load::Load;
 
 /// Ended upstreams that are remembered: each start of an upstream has an id of its own, and no
 /// message is on its way for as long as this many upstreams take to end.
@@ -38,34 +45,6 @@
     pub leaving: bool,
 }
 
-/// An upstream that reads a part of the prompt for another one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Helping {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// Tokens of its memory that are set aside for the prompt; 0 where it only reads.
-    pub held: u64,
-}
-
-/// An attempt under way.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Flight {
-    /// The upstream that answers.
-    pub upstream: id::Upstream,
-    /// The upstreams that read a part of the prompt each.
-    pub helpers: Vec<Helping>,
-    /// Milliseconds that each of them reads.
-    pub part_ms: f32,
-    /// Tokens of prompt and answer that the upstream that answers holds itself.
-    pub memory: u64,
-    /// The longest pause between events that its caller takes for in time, milliseconds.
-    pub pause_ms: u32,
-    /// Whether its first event has come.
-    pub writing: bool,
-    /// Whether its prompt is a long one.
-    pub long: bool,
-}
-
 /// How long a report counts: an engine that is asked no more is taken for sound again.
 const REPORT_LASTS: Duration = Duration::from_millis(2_500);
 
@@ -77,6 +56,20 @@
         report.map_or(1.0, |report| report.pace.max(1.0))
     }
 
+    /// Whether it takes new work.
+    pub fn is_open(&self) -> bool {
+        !self.listed.leaving && !self.told_leaving
+    }
+
+    /// Notes how an attempt ended here.
+    fn note(&mut self, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Answered => self.suspicion.answered(now),
+            Outcome::Failed(failure) => self.suspicion.failed(failure, now),
+            Outcome::Leaving => self.told_leaving = true,
+        }
+    }
+
     /// Whether it did not answer when it was last asked for a report.
     pub fn silent(&self, now: Instant) -> bool {
         let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
@@ -84,51 +77,13 @@
     }
 }
 
-impl Flight {
-    /// Whether other upstreams hold memory for it.
-    pub fn holds_memory(&self) -> bool {
-        self.helpers.iter().any(|helping| helping.held > 0)
-    }
-}
-
-/// A flight as peers are told of it: ids as short tags, and no helpers once they have read.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Told {
-    upstream: u32,
-    helpers: Vec<(u32, u64)>,
-    part_ms: f32,
-    memory: u64,
-    pause_ms: u32,
-    writing: bool,
-    long: bool,
-    age_ms: u32,
-}
-
-/// The tag of an upstream's id. Two ids with one tag would count one's load as the other's: at
-/// 10,000 upstreams, one chance in 90 that any two of them have it.
-fn tag(id: &id::Upstream) -> u32 {
-    xxh3_64(id.as_str().as_bytes()) as u32
-}
-
-/// The tag of a service, by which VMs name it to each other.
-pub fn service_tag(service: &str) -> u32 {
-    xxh3_64(service.as_bytes()) as u32
-}
-
-/// A flight with the time at which it was sent, by this process's clock.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Tracked {
-    /// The flight.
-    pub flight: Flight,
-    /// When it was sent.
-    pub sent: Instant,
-}
-
 /// An upstream, as the board knows it.
 #[derive(Debug, Clone)]
 pub struct Upstream {
     /// How it is listed.
     pub listed: Listed,
+    /// How VMs name it to each other.
+    pub tag: Tag,
     /// It said itself, by an answer, that it is leaving.
     pub told_leaving: bool,
     /// Failures of late.
@@ -141,34 +96,18 @@
     pub unlisted: Option<Instant>,
 }
 
-/// What is under way at one upstream, summed up.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Load {
-    /// Requests that it answers.
-    pub requests: u32,
-    /// Those of them that write.
-    pub writers: u32,
-    /// The shortest pause that one of them may have, milliseconds; none where there are none.
-    pub pause_ms: Option<u32>,
-    /// Parts of other upstreams' prompts that it reads.
-    pub helping: u32,
-    /// Tokens of memory.
-    pub memory: u64,
-    /// Milliseconds of reading still ahead.
-    pub backlog_ms: f64,
-    /// The longest single read among them, milliseconds.
-    pub longest_ms: f64,
-}
+/// How long the end of an attempt is told: some beats, of which one arrives.
+const OUTCOME_TOLD: Duration = Duration::from_millis(700);
 
-/// How long a peer's word of what waits there counts: two of its idle beats and some. A VM that is
-/// frozen or cut off holds up the line of the others no longer.
-const WAITING_LASTS: Duration = Duration::from_millis(900);
+/// Ends that are told at most; more of them in that time say the same again.
+const MOST_OUTCOMES: usize = 64;
 
-/// The long prompts that wait at a peer, and when it told of them.
-#[derive(Debug)]
-struct Heard {
-    at: Instant,
-    waiting: Vec<Waiting>,
+/// The end of an attempt, as peers are told of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ended {
+    number: u64,
+    upstream: Tag,
+    outcome: Outcome,
 }
 
 /// The board.
@@ -176,17 +115,19 @@
 pub struct Board {
     upstreams: BTreeMap<id::Upstream, Upstream>,
     ended: VecDeque<id::Upstream>,
-    tags: HashMap<u32, id::Upstream>,
-    own: HashMap<u64, Tracked>,
-    peers: HashMap<id::Vm, Vec<Tracked>>,
-    waiting: HashMap<u64, Waiting>,
-    peers_waiting: HashMap<id::Vm, Heard>,
+    tags: HashMap<Tag, id::Upstream>,
+    flights: flights::Flights,
+    outcomes: VecDeque<(Instant, Ended)>,
+    heard_outcomes: HashMap<id::Vm, u64>,
     next: u64,
+    /// The digest of the listings, until one changes: it is asked for with each beat.
+    digest: Cell<Option<u64>>,
 }
 
 impl Board {
     /// Takes a listing. Answers whether it is new or says something new.
     pub fn list(&mut self, listed: Listed) -> bool {
+        self.digest.set(None);
         match self.upstreams.get_mut(&listed.id) {
             Some(known) => {
                 known.unlisted = None;
@@ -196,9 +137,11 @@
             }
             None => {
                 let id = listed.id.clone();
-                self.tags.insert(tag(&id), id.clone());
+                let tag = Tag::of(id.as_str());
+                self.tags.insert(tag, id.clone());
                 let upstream = Upstream {
                     listed,
+                    tag,
                     told_leaving: false,
                     suspicion: Suspicion::default(),
                     observed: None,
@@ -213,9 +156,10 @@
 
     /// Forgets an upstream that is gone. Answers whether it was known.
     pub fn remove(&mut self, id: &id::Upstream) -> bool {
+        self.digest.set(None);
         let known = self.upstreams.remove(id).is_some();
         if known {
-            self.tags.remove(&tag(id));
+            self.tags.remove(&Tag::of(id.as_str()));
             self.end(id.clone());
         }
         known
@@ -256,22 +200,11 @@
         gone
     }
 
-    /// An upstream said itself that it is leaving. Answers whether that is news.
-    pub fn told_leaving(&mut self, id: &id::Upstream) -> bool {
-        let Some(upstream) = self.upstreams.get_mut(id) else { return false };
-        !std::mem::replace(&mut upstream.told_leaving, true)
-    }
-
     /// An upstream by id.
     pub fn get(&self, id: &id::Upstream) -> Option<&Upstream> {
         self.upstreams.get(id)
     }
 
-    /// An upstream by id, to note what it did.
-    pub fn get_mut(&mut self, id: &id::Upstream) -> Option<&mut Upstream> {
-        self.upstreams.get_mut(id)
-    }
-
     /// All listings, in the order of their ids.
     pub fn listings(&self) -> impl Iterator<Item = &Listed> {
         self.upstreams.values().map(|u| &u.listed)
@@ -292,67 +225,71 @@
     /// The upstreams of a service that take new work, in the order of their ids, which is the same
     /// on all VMs.
     pub fn open<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
-        self.upstreams
-            .values()
-            .filter(move |u| u.listed.service == service && !u.listed.leaving && !u.told_leaving)
+        self.upstreams.values().filter(move |u| u.listed.service == service && u.is_open())
     }
 
-    /// Enters an attempt of this VM. Answers the number by which it is known.
-    pub fn enter(&mut self, flight: Flight, now: Instant) -> u64 {
+    /// An attempt of this VM at an upstream has ended in this way.
+    pub fn note(&mut self, id: &id::Upstream, outcome: Outcome, now: Instant) {
+        let Some(upstream) = self.upstreams.get_mut(id) else { return };
+        upstream.note(outcome, now);
         self.next += 1;
-        self.own.insert(self.next, Tracked { flight, sent: now });
-        self.next
-    }
-
-    /// The first event of an attempt has come.
-    pub fn began(&mut self, number: u64) {
-        if let Some(tracked) = self.own.get_mut(&number) {
-            tracked.flight.writing = true;
+        let ended = Ended { number: self.next, upstream: upstream.tag, outcome };
+        if self.outcomes.len() == MOST_OUTCOMES {
+            self.outcomes.pop_front();
         }
+        self.outcomes.push_back((now, ended));
     }
 
-    /// An attempt has ended.
-    pub fn leave(&mut self, number: u64) {
-        self.own.remove(&number);
+    /// The ends of late, as peers are told of them.
+    pub fn told_outcomes(&mut self, now: Instant) -> Vec<Ended> {
+        let old = |at: &Instant| now.saturating_duration_since(*at) > OUTCOME_TOLD;
+        while self.outcomes.front().is_some_and(|(at, _)| old(at)) {
+            self.outcomes.pop_front();
+        }
+        self.outcomes.iter().map(|(_, ended)| *ended).collect()
     }
 
-    /// This VM's attempts.
-    pub fn own(&self) -> impl Iterator<Item = &Tracked> {
-        self.own.values()
+    /// Takes the ends that a peer told of, those that were heard before left out.
+    pub fn hear_outcomes(&mut self, vm: &id::Vm, told: &[Ended], now: Instant) {
+        let through = self.heard_outcomes.get(vm).copied().unwrap_or(0);
+        for ended in told.iter().filter(|ended| ended.number > through) {
+            let upstream = self.tags.get(&ended.upstream).and_then(|id| self.upstreams.get_mut(id));
+            if let Some(upstream) = upstream {
+                upstream.note(ended.outcome, now);
+            }
+        }
+        if let Some(last) = told.last() {
+            self.heard_outcomes.insert(vm.clone(), through.max(last.number));
+        }
     }
 
-    /// This VM's attempts, as peers are told of them.
-    pub fn told(&self, now: Instant) -> Vec<Told> {
-        self.own.values().map(|tracked| told(tracked, now)).collect()
+    /// A digest of all listings: two boards with the same have the same.
+    pub fn digest(&self) -> u64 {
+        if let Some(digest) = self.digest.get() {
+            return digest;
+        }
+        let mut hasher = Xxh3::new();
+        self.listings().for_each(|listed| listed.hash(&mut hasher));
+        let digest = hasher.finish();
+        self.digest.set(Some(digest));
+        digest
     }
 
-    /// Takes all attempts that a peer told of. Those at upstreams that are not known here are left.
-    pub fn hear(&mut self, vm: id::Vm, told: Vec<Told>, now: Instant) {
-        let flights = told.into_iter().filter_map(|told| self.tracked(told, now)).collect();
-        self.peer(vm, flights);
+    /// A number for an attempt, never used again.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
     }
 
-    fn tracked(&self, told: Told, now: Instant) -> Option<Tracked> {
-        let helping = |(tag, held): (u32, u64)| {
-            let upstream = self.tags.get(&tag)?.clone();
-            Some(Helping { upstream, held })
-        };
-        let flight = Flight {
-            upstream: self.tags.get(&told.upstream)?.clone(),
-            helpers: told.helpers.into_iter().filter_map(helping).collect(),
-            part_ms: told.part_ms,
-            memory: told.memory,
-            pause_ms: told.pause_ms,
-            writing: told.writing,
-            long: told.long,
-        };
-        let age = Duration::from_millis(u64::from(told.age_ms));
-        Some(Tracked { flight, sent: now.checked_sub(age).unwrap_or(now) })
+    /// The upstream with this tag.
+    pub fn by_tag(&self, tag: Tag) -> Option<&Upstream> {
+        self.upstreams.get(self.tags.get(&tag)?)
     }
 
-    /// Takes all attempts of a peer.
-    pub fn peer(&mut self, vm: id::Vm, flights: Vec<Tracked>) {
-        self.peers.insert(vm, flights);
+    /// A peer is no longer heard, or has started anew: what it had under way ends with it.
+    pub fn peer_lost(&mut self, vm: &id::Vm) {
+        self.heard_outcomes.remove(vm);
+        self.flights.lost(vm);
     }
 
     /// This VM asked an engine for its report. Answers what was known before.
@@ -362,10 +299,11 @@
         upstream.observed.replace(observed)
     }
 
-    /// The reports that this VM asked for, as peers are told of them.
+    /// The reports that this VM asked for and that still count, as peers are told of them.
     pub fn told_reports(&self, now: Instant) -> Vec<report::Told> {
+        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
         let asked = self.upstreams.values().filter(|u| u.asked);
-        asked.filter_map(|u| u.observed.map(|o| o.told(tag(&u.listed.id), now))).collect()
+        asked.filter_map(|u| u.observed.filter(fresh).map(|o| o.told(u.tag, now))).collect()
     }
 
     /// Takes the reports that a peer has, where they are newer.
@@ -380,145 +318,4 @@
             }
         }
     }
-
-    /// A long prompt begins to wait here. Answers the number by which it is known.
-    pub fn wait(&mut self, waiting: Waiting) -> u64 {
-        self.next += 1;
-        self.waiting.insert(self.next, Waiting { own: Some(self.next), ..waiting });
-        self.next
-    }
-
-    /// A long prompt waits no longer.
-    pub fn waited(&mut self, number: u64) {
-        self.waiting.remove(&number);
-    }
-
-    /// The long prompts that wait here, as peers are told of them.
-    pub fn told_waiting(&self, now: Instant) -> Vec<line::Told> {
-        self.waiting.values().map(|waiting| waiting.told(now)).collect()
-    }
-
-    /// Takes all long prompts that wait at a peer.
-    pub fn hear_waiting(&mut self, vm: id::Vm, told: &[line::Told], now: Instant) {
-        let waiting = told.iter().map(|told| Waiting::heard(told, now)).collect();
-        self.peers_waiting.insert(vm, Heard { at: now, waiting });
-    }
-
-    /// All long prompts that wait for a service, in no order.
-    pub fn line(&self, service: &str, now: Instant) -> Vec<Waiting> {
-        let tag = service_tag(service);
-        self.all_waiting(now).filter(|waiting| waiting.service == tag).cloned().collect()
-    }
-
-    /// All long prompts that wait, of this VM and of the peers that were heard just now.
-    pub fn all_waiting(&self, now: Instant) -> impl Iterator<Item = &Waiting> {
-        let lasts = move |h: &&Heard| now.saturating_duration_since(h.at) < WAITING_LASTS;
-        let heard = self.peers_waiting.values().filter(lasts);
-        self.waiting.values().chain(heard.flat_map(|h| &h.waiting))
-    }
-
-    /// A peer is no longer heard: what it had under way ends with it.
-    pub fn peer_lost(&mut self, vm: &id::Vm) {
-        self.peers.remove(vm);
-        self.peers_waiting.remove(vm);
-    }
-
-    /// The long prompts that were sent in the last `window` or wait, as the engines that their
-    /// reading keeps busy in the mean. What ended meanwhile is left out.
-    pub fn demand(&self, service: &str, engine: &Engine, window: Duration, now: Instant) -> f64 {
-        let of = |t: &&Tracked| {
-            let upstream = self.upstreams.get(&t.flight.upstream);
-            upstream.is_some_and(|u| u.listed.service == service)
-                && now.saturating_duration_since(t.sent) < window
-        };
-        let read = |t: &Tracked| {
-            let held: u64 = t.flight.helpers.iter().map(|h| h.held).sum();
-            forecast::read_ms(engine, t.flight.memory + held)
-        };
-        let tracked = self.own.values().chain(self.peers.values().flatten());
-        let sent: f64 = tracked.filter(|t| t.flight.long).filter(of).map(read).sum();
-        let waiting: f64 = self.line(service, now).iter().map(|w| w.read_ms).sum();
-        (sent + waiting) / (window.as_secs_f64() * 1e3)
-    }
-
-    /// The load of each upstream with any.
-    pub fn loads(&self, engine: Option<&Engine>, now: Instant) -> HashMap<&id::Upstream, Load> {
-        let mut loads: HashMap<&id::Upstream, Load> = HashMap::new();
-        let mut reads: Vec<Read<'_>> = Vec::new();
-        for tracked in self.own.values().chain(self.peers.values().flatten()) {
-            let flight = &tracked.flight;
-            let part = f64::from(flight.part_ms);
-            let load = loads.entry(&flight.upstream).or_default();
-            load.requests += 1;
-            load.memory += flight.memory;
-            load.writers += u32::from(flight.writing);
-            let pause_ms = load.pause_ms.map_or(flight.pause_ms, |ms| ms.min(flight.pause_ms));
-            load.pause_ms = Some(pause_ms);
-            for helper in flight.helpers.iter().filter(|h| h.held > 0) {
-                loads.entry(&helper.upstream).or_default().memory += helper.held;
-            }
-            if flight.writing {
-                continue;
-            }
-            let (sent, shared) = (tracked.sent, !flight.helpers.is_empty());
-            reads.push(Read { sent, upstream: &flight.upstream, ms: part, shared });
-            for helper in &flight.helpers {
-                loads.entry(&helper.upstream).or_default().helping += 1;
-                reads.push(Read { sent, upstream: &helper.upstream, ms: part, shared });
-            }
-        }
-        for read in &mut reads {
-            let load = &loads[read.upstream];
-            if read.shared && load.writers > 0 {
-                read.ms += engine.map_or(0.0, |e| forecast::pass_ms(e, load.writers, load.memory));
-            }
-            read.ms *= self.upstreams.get(read.upstream).map_or(1.0, |u| u.pace(now));
-        }
-        add_reads(&mut loads, reads, now);
-        loads
-    }
-}
-
-fn told(tracked: &Tracked, now: Instant) -> Told {
-    let flight = &tracked.flight;
-    let counts = |h: &&Helping| !flight.writing || h.held > 0;
-    Told {
-        upstream: tag(&flight.upstream),
-        helpers: flight.helpers.iter().filter(counts).map(|h| (tag(&h.upstream), h.held)).collect(),
-        part_ms: flight.part_ms,
-        memory: flight.memory,
-        pause_ms: flight.pause_ms,
-        writing: flight.writing,
-        long: flight.long,
-        age_ms: now.saturating_duration_since(tracked.sent).as_millis() as u32,
-    }
-}
-
-/// A read that is under way at one upstream.
-struct Read<'a> {
-    sent: Instant,
-    upstream: &'a id::Upstream,
-    ms: f64,
-    /// Whether several upstreams read the prompt.
-    shared: bool,
-}
-
-/// Plays the reads of each upstream one after the other in the order in which they were sent.
-fn add_reads<'a>(
-    loads: &mut HashMap<&'a id::Upstream, Load>,
-    mut reads: Vec<Read<'a>>,
-    now: Instant,
-) {
-    reads.sort_by_key(|read| read.sent);
-    let mut free_at: HashMap<&id::Upstream, Instant> = HashMap::new();
-    for Read { sent, upstream, ms, .. } in reads {
-        let free = free_at.entry(upstream).or_insert(sent);
-        *free = (*free).max(sent) + Duration::from_secs_f64(ms / 1e3);
-        let Some(load) = loads.get_mut(upstream) else { continue };
-        let ahead = free.saturating_duration_since(now).as_secs_f64() * 1e3;
-        load.backlog_ms = load.backlog_ms.max(ahead);
-        if ahead > 0.0 {
-            load.longest_ms = load.longest_ms.max(ms);
-        }
-    }
 }
--- /dev/null
+++ b/request/src/board/load.rs
@@ -0,0 +1,176 @@
+//! What is under way at one upstream, kept up to date by what begins and ends there.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use foldlock_version::routes::Engine;
+use serde::{Deserialize, Serialize};
+
+use crate::flight::Tracked;
+use crate::forecast;
+
+/// What is under way at one upstream, summed up.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that it answers.
+    pub requests: u32,
+    /// Those of them that write.
+    pub writers: u32,
+    /// The shortest pause that one of them may have, milliseconds; none where there are none.
+    pub pause_ms: Option<u32>,
+    /// Parts of other upstreams' prompts that it still has to read.
+    pub helping: u32,
+    /// Tokens of memory.
+    pub memory: u64,
+    /// Milliseconds of reading still ahead.
+    pub backlog_ms: f64,
+}
+
+/// The number of a flight on this board.
+pub(super) type Serial = u64;
+
+/// A request that the upstream answers, or a part that it reads for another one.
+#[derive(Debug)]
+struct Entry {
+    serial: Serial,
+    sent: Instant,
+    /// Milliseconds of reading.
+    part_ms: f64,
+    memory: u64,
+    pause_ms: u32,
+    /// Whether it answers; else it helps.
+    answers: bool,
+    /// Whether the prompt is read by now.
+    read: bool,
+    /// Whether several upstreams read the prompt.
+    shared: bool,
+}
+
+/// What is under way at one upstream.
+#[derive(Debug, Default)]
+pub(super) struct Work {
+    entries: Vec<Entry>,
+    /// The sum, until something changes: a look at 150 upstreams takes a tenth of the time that
+    /// adding them up each time does.
+    known: Cell<Option<Known>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    engine: bool,
+    pace: f64,
+    sum: Sum,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sum {
+    requests: u32,
+    writers: u32,
+    pause_ms: Option<u32>,
+    helping: u32,
+    memory: u64,
+    free_at: Option<Instant>,
+}
+
+impl Work {
+    /// A flight that this upstream answers begins.
+    pub(super) fn answer(&mut self, serial: Serial, tracked: &Tracked) {
+        let flight = &tracked.flight;
+        self.add(Entry {
+            serial,
+            sent: tracked.sent,
+            part_ms: f64::from(flight.part_ms),
+            memory: flight.memory,
+            pause_ms: flight.pause_ms,
+            answers: true,
+            read: flight.writing,
+            shared: !flight.helpers.is_empty(),
+        });
+    }
+
+    /// A flight begins for which this upstream reads a part and holds that much memory.
+    pub(super) fn help(&mut self, serial: Serial, tracked: &Tracked, held: u64) {
+        self.add(Entry {
+            serial,
+            sent: tracked.sent,
+            part_ms: f64::from(tracked.flight.part_ms),
+            memory: held,
+            pause_ms: u32::MAX,
+            answers: false,
+            read: tracked.flight.writing,
+            shared: true,
+        });
+    }
+
+    fn add(&mut self, entry: Entry) {
+        self.entries.push(entry);
+        self.known.set(None);
+    }
+
+    /// A flight has its first event: its prompt is read, and who only read is done.
+    pub(super) fn began(&mut self, serial: Serial) {
+        self.entries.retain(|e| e.serial != serial || e.answers || e.memory > 0);
+        for entry in self.entries.iter_mut().filter(|entry| entry.serial == serial) {
+            entry.read = true;
+        }
+        self.known.set(None);
+    }
+
+    /// A flight ends.
+    pub(super) fn end(&mut self, serial: Serial) {
+        self.entries.retain(|entry| entry.serial != serial);
+        self.known.set(None);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The load now, of an engine with these figures that takes `pace` times as long as they say.
+    pub(super) fn load(&self, engine: Option<&Engine>, pace: f64, now: Instant) -> Load {
+        let known = self.known.get().filter(|k| k.engine == engine.is_some() && k.pace == pace);
+        let sum = known.map_or_else(|| self.sum(engine, pace), |known| known.sum);
+        self.known.set(Some(Known { engine: engine.is_some(), pace, sum }));
+        let ahead = |free: Instant| free.saturating_duration_since(now).as_secs_f64() * 1e3;
+        Load {
+            requests: sum.requests,
+            writers: sum.writers,
+            pause_ms: sum.pause_ms,
+            helping: sum.helping,
+            memory: sum.memory,
+            backlog_ms: sum.free_at.map_or(0.0, ahead),
+        }
+    }
+
+    fn sum(&self, engine: Option<&Engine>, pace: f64) -> Sum {
+        let answers = || self.entries.iter().filter(|entry| entry.answers);
+        let mut sum = Sum {
+            requests: answers().count() as u32,
+            writers: answers().filter(|entry| entry.read).count() as u32,
+            pause_ms: answers().map(|entry| entry.pause_ms).min(),
+            helping: self.entries.iter().filter(|e| !e.answers && !e.read).count() as u32,
+            memory: self.entries.iter().map(|entry| entry.memory).sum(),
+            free_at: None,
+        };
+        // A part ends with the pass that reads it, where some request writes.
+        let pass_ms = match engine {
+            Some(engine) if sum.writers > 0 => forecast::pass_ms(engine, sum.writers, sum.memory),
+            _ => 0.0,
+        };
+        sum.free_at = self.free_at(pass_ms, pace);
+        sum
+    }
+
+    /// When all prompts are read: one after the other, in the order in which they were sent.
+    fn free_at(&self, pass_ms: f64, pace: f64) -> Option<Instant> {
+        let mut unread: Vec<&Entry> = self.entries.iter().filter(|entry| !entry.read).collect();
+        unread.sort_by_key(|entry| entry.sent);
+        let mut free_at = unread.first()?.sent;
+        for entry in unread {
+            let steps_ms = if entry.shared { pass_ms } else { 0.0 };
+            let read = Duration::from_secs_f64((entry.part_ms + steps_ms) * pace / 1e3);
+            free_at = free_at.max(entry.sent) + read;
+        }
+        Some(free_at)
+    }
+}
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -82,9 +82,12 @@
         part_ms: f64,
         /// The candidates, best first; a few of them.
         seen: Vec<Seen>,
-        /// The age of what the peer that was heard longest ago told, milliseconds.
+        /// The VM that placed it; none where its own VM did by what it knows alone.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        peers_age_ms: Option<u64>,
+        by: Option<id::Vm>,
+        /// The time that it took to be placed, milliseconds.
+        #[serde(default)]
+        asked_ms: f64,
     },
     /// A waiting request was taken elsewhere before it ran.
     Moved {
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -24,6 +24,9 @@
     pub address: SocketAddr,
     /// The start of its process; a later start has a higher number.
     pub incarnation: u64,
+    /// Its share of a processor, thousandths of a core; 0 where it is not known.
+    #[serde(default)]
+    pub millicores: u32,
 }
 
 /// The settings, with the text that they were decoded from.
--- a/request/src/line.rs
+++ b/request/src/line.rs
@@ -1,8 +1,7 @@
-//! The line of long prompts that wait for engines, the same for all VMs of a fleet.
+//! The line of long prompts that wait for engines: the order in which they take their turn.
 //!
-//! Each VM tells its peers which long prompts wait at it, and all order them alike. So the prompt
-//! whose turn it is takes the engines that it needs, the next ones plan behind it, and no two of
-//! them are read on one another by VMs that did not know of each other.
+//! The prompt whose turn it is takes the engines that it needs, and the next ones plan behind it, so
+//! that no two of them are read on one another.
 //!
 //! Worth 0.06 of all that callers' requests are worth where long prompts ask for all engines (mean of
 //! twenty days at 18 engines, against each VM placing its own at once), 0.03 to 0.10 elsewhere.
@@ -11,13 +10,9 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
 /// A long prompt that waits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Waiting {
-    /// The service that it asks for, as [`crate::board::service_tag`] shortens it.
-    pub service: u32,
     /// When it arrived.
     pub arrived: Instant,
     /// Milliseconds of reading on one engine.
@@ -26,45 +21,11 @@
     pub objective: Duration,
     /// The time from its arrival after which it is of no use to be placed.
     pub limit: Duration,
-    /// Its number at this VM; none where another VM told of it.
-    pub own: Option<u64>,
-}
-
-/// A waiting prompt as peers are told of it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Told {
-    service: u32,
-    age_ms: u32,
-    read_ms: f32,
-    objective_ms: u32,
-    limit_ms: u32,
+    /// Its index among those that wait.
+    pub index: usize,
 }
 
 impl Waiting {
-    /// What peers are told.
-    pub fn told(&self, now: Instant) -> Told {
-        Told {
-            service: self.service,
-            age_ms: now.saturating_duration_since(self.arrived).as_millis() as u32,
-            read_ms: self.read_ms as f32,
-            objective_ms: self.objective.as_millis() as u32,
-            limit_ms: self.limit.as_millis() as u32,
-        }
-    }
-
-    /// What a peer told.
-    pub fn heard(told: &Told, now: Instant) -> Waiting {
-        let age = Duration::from_millis(u64::from(told.age_ms));
-        Waiting {
-            service: told.service,
-            arrived: now.checked_sub(age).unwrap_or(now),
-            read_ms: f64::from(told.read_ms),
-            objective: Duration::from_millis(u64::from(told.objective_ms)),
-            limit: Duration::from_millis(u64::from(told.limit_ms)),
-            own: None,
-        }
-    }
-
     /// The one that arrived first, and of those that arrived together the shorter one, first.
     fn compare_arrival(&self, other: &Waiting) -> Ordering {
         let arrived = self.arrived.cmp(&other.arrived);
--- /dev/null
+++ b/request/src/message.rs
@@ -0,0 +1,201 @@
+//! What VMs of a fleet tell each other, by UDP: one message a datagram.
+//!
+//! A beat holds the sender's whole state, and who asks for a place asks again until there is an
+//! answer, so a message that is lost costs nothing but time.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::board::{Ended, Load};
+use crate::placement::{Ask, Nowhere};
+use crate::tag::Tag;
+use crate::{flight, report};
+
+/// The longest message, bytes: what one UDP datagram holds.
+pub const MOST: usize = 60_000;
+
+/// A message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The sender's state.
+    Beat(Beat),
+    /// A request asks for a place.
+    Asked(Asked),
+    /// It asks no more.
+    Cancelled(Number),
+    /// The answer to a request that asked.
+    Answered(Answered),
+    /// The receiver is to ask an engine for its report.
+    Poll(Tag),
+}
+
+/// The state of a VM, as one peer is told of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The newest stamp that the sender has from the receiver: what this says was so after it.
+    pub echo: Option<u64>,
+    /// The incarnation of the receiver that the echoed stamp belongs to.
+    pub echo_of: u64,
+    /// The newest place that the receiver gave which the sender has heard of.
+    pub granted: u64,
+    /// Whether the sender wants to hear from the receiver, which places its requests, or might.
+    pub wants: bool,
+    /// The rest, the same for all receivers.
+    pub state: State,
+}
+
+/// The state of a VM.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// The sender.
+    pub vm: id::Vm,
+    /// The start of its process.
+    pub incarnation: u64,
+    /// The sender's steady clock, microseconds since its start.
+    pub stamp: u64,
+    /// The number of its settings version; 0 for none.
+    pub version: u64,
+    /// How long ago that version was confirmed to be the newest, milliseconds.
+    pub age_ms: Option<u64>,
+    /// The revision up to which it knows the directory's listings.
+    pub at: u64,
+    /// A digest of those listings: two VMs that know the same have the same.
+    pub digest: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Whether the directory answers it.
+    pub watching: bool,
+    /// Whether it has run for long enough to have heard of all that is under way.
+    pub settled: bool,
+    /// What it has under way; none where the receiver does not place its requests.
+    pub work: Option<Work>,
+}
+
+/// What a VM has under way and has learnt.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    /// Its attempts.
+    pub flights: Vec<flight::Told>,
+    /// How attempts of late have ended.
+    pub outcomes: Vec<Ended>,
+    /// The reports that it has of engines.
+    pub reports: Vec<report::Told>,
+}
+
+/// A request by the number that its VM gave it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Number {
+    /// The start of the VM's process.
+    pub incarnation: u64,
+    /// The number.
+    pub number: u64,
+}
+
+/// A request that asks for a place.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Asked {
+    /// The request.
+    pub request: Number,
+    /// The service.
+    pub service: Tag,
+    prompt: u64,
+    memory: u64,
+    objective_ms: u32,
+    pause_ms: Option<u32>,
+    waited_ms: u32,
+    limit_ms: u32,
+    hold_limit_ms: u32,
+    avoid: Vec<Tag>,
+}
+
+impl Asked {
+    /// What is sent.
+    pub fn new(request: Number, service: Tag, ask: &Ask, now: Instant) -> Asked {
+        Asked {
+            request,
+            service,
+            prompt: ask.prompt.0,
+            memory: ask.memory.0,
+            objective_ms: ask.objective.as_millis() as u32,
+            pause_ms: ask.pause.map(|pause| pause.as_millis() as u32),
+            waited_ms: now.saturating_duration_since(ask.arrived).as_millis() as u32,
+            limit_ms: ask.limit.as_millis() as u32,
+            hold_limit_ms: ask.hold_limit.as_millis() as u32,
+            avoid: ask.avoid.clone(),
+        }
+    }
+
+    /// What is asked for, by this process's clock, by a VM of that hall.
+    pub fn ask(&self, hall: String, now: Instant) -> Ask {
+        let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+        Ask {
+            prompt: Tokens(self.prompt),
+            memory: Tokens(self.memory),
+            objective: millis(self.objective_ms),
+            pause: self.pause_ms.map(millis),
+            arrived: now.checked_sub(millis(self.waited_ms)).unwrap_or(now),
+            limit: millis(self.limit_ms),
+            avoid: self.avoid.clone(),
+            hall,
+            hold_limit: millis(self.hold_limit_ms),
+            offset: 0,
+        }
+    }
+}
+
+/// The answer to a request that asked.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answered {
+    /// The request.
+    pub request: Number,
+    /// What it is told.
+    pub answer: Answer,
+}
+
+/// What a request is told.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It has a place.
+    Placed(Placed),
+    /// It waits for one.
+    Waits,
+    /// There is none, and waiting brings none.
+    Nowhere(Nowhere),
+}
+
+/// A place, upstreams by their tags.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The number of the message by which it is given; each is higher than the one before.
+    pub grant: u64,
+    /// The upstream that answers.
+    pub upstream: Tag,
+    /// Those that read a part, with the memory that is set aside there.
+    pub helpers: Vec<(Tag, u64)>,
+    /// Milliseconds that each of them reads.
+    pub part_ms: f32,
+    /// Tokens of prompt and answer that the upstream that answers holds itself.
+    pub memory: u64,
+    /// The longest pause between events that its caller takes for in time, milliseconds.
+    pub pause_ms: u32,
+    /// The predicted time to the first event, milliseconds.
+    pub predicted_ms: f64,
+    /// The load that decided it.
+    pub load: Load,
+    /// The helpers with the most ahead, and their loads.
+    pub slowest: Vec<(Tag, Load)>,
+    /// The upstreams among which it was chosen.
+    pub open: usize,
+}
+
+/// Encodes a message.
+pub fn encode(message: &Message) -> Vec<u8> {
+    rmp_serde::to_vec(message).expect("plain data")
+}
+
+/// Reads a message.
+pub fn decode(bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -7,14 +7,18 @@
 mod group;
 mod share;
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use foldlock_version::routes::{Engine, Route, Shape};
+use foldlock_version::routes::{Engine, Route, Service, Shape};
+use serde::{Deserialize, Serialize};
 
-use crate::board::{Board, Flight, Helping, Load, Upstream};
+use crate::board::{Board, Load, Upstream};
+use crate::flight::{Flight, Helping};
 use crate::forecast;
+use crate::tag::Tag;
+
+pub use group::{DEMAND_WINDOW, Line, Turn, line};
 
 /// The part of the slots of an engine that short prompts fill before they go on to the next one:
 /// the rest takes what other VMs place there before it is heard.
@@ -34,28 +38,63 @@
 const BRISK_MS: u32 = 400;
 
 /// What is to be placed.
-#[derive(Debug, Clone)]
-pub struct Ask<'a> {
-    /// The service.
-    pub service: &'a str,
-    /// The figures of its engines, where it has any.
-    pub engine: Option<&'a Engine>,
-    /// The route.
-    pub route: &'a Route,
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ask {
     /// The prompt.
     pub prompt: Tokens,
     /// Memory for prompt and answer.
     pub memory: Tokens,
-    /// The hall whose upstreams come first; none where all are told at once.
-    pub hall: Option<&'a str>,
+    /// The time from its arrival within which its first event is in time.
+    pub objective: Duration,
+    /// The longest pause of a stream in time; none for whole answers.
+    pub pause: Option<Duration>,
+    /// When the request arrived.
+    pub arrived: Instant,
+    /// The time from its arrival after which it is of no use to be placed.
+    pub limit: Duration,
     /// Upstreams that failed this request.
-    pub avoid: &'a [id::Upstream],
-    /// How long ago the request arrived.
-    pub waited: Duration,
-    /// Its number in the line of long prompts; none where it does not wait in it.
-    pub turn: Option<u64>,
+    pub avoid: Vec<Tag>,
+    /// The hall whose upstreams come first.
+    pub hall: String,
     /// How long a first event may take for which several engines hold memory.
     pub hold_limit: Duration,
+    /// How far on in the order of upstreams to begin: VMs that each place their own begin anywhere,
+    /// so that they do not all meet at the first.
+    pub offset: usize,
+}
+
+impl Ask {
+    /// The longest pause, milliseconds.
+    fn pause_ms(&self) -> u32 {
+        self.pause.map_or(u32::MAX, |pause| pause.as_millis() as u32)
+    }
+
+    /// Whether its answer has short pauses.
+    fn is_brisk(&self) -> bool {
+        self.pause_ms() <= BRISK_MS
+    }
+
+    /// Milliseconds left for a first event in time; negative once it is late.
+    fn left_ms(&self, now: Instant) -> f64 {
+        let waited = now.saturating_duration_since(self.arrived);
+        (self.objective.as_secs_f64() - waited.as_secs_f64()) * 1e3
+    }
+
+    /// Milliseconds of reading if this is a long prompt, which waits in the line; none for others.
+    pub fn long_read_ms(&self, engine: &Engine) -> Option<f64> {
+        let read = forecast::read_ms(engine, self.prompt.0);
+        let objective = self.objective.as_secs_f64() * 1e3;
+        let short = read <= objective * WHOLE && self.is_brisk() && self.memory <= engine.memory;
+        (!short).then_some(read)
+    }
+}
+
+/// The longest pause with which a route's streams are in time; none for whole answers.
+pub fn pause(route: &Route) -> Option<Duration> {
+    match route.shape {
+        Shape::Events { pause } => Some(pause),
+        Shape::Whole => None,
+    }
 }
 
 /// A place.
@@ -63,10 +102,6 @@
 pub struct Place {
     /// How it counts on the board.
     pub flight: Flight,
-    /// Where the upstream listens.
-    pub address: String,
-    /// Where the helpers of the flight listen, in the same order.
-    pub helpers: Vec<String>,
     /// The predicted time to the first event, milliseconds; 0 where there is no model.
     pub predicted_ms: f64,
     /// The load that decided it.
@@ -78,7 +113,7 @@
 }
 
 /// Why there is no place.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Nowhere {
     /// No upstream of the service is known to be open.
     Closed,
@@ -92,13 +127,21 @@
 struct Candidate<'a> {
     upstream: &'a Upstream,
     load: Load,
-    /// In another hall, from which little is heard.
-    away: bool,
     /// How many times longer its work takes than its figures say.
     pace: f64,
 }
 
-impl Candidate<'_> {
+impl<'a> Candidate<'a> {
+    fn new(
+        board: &Board,
+        upstream: &'a Upstream,
+        engine: Option<&Engine>,
+        now: Instant,
+    ) -> Candidate<'a> {
+        let load = board.load(upstream, engine, now);
+        Candidate { upstream, load, pace: upstream.pace(now) }
+    }
+
     fn predicted_ms(&self, engine: &Engine, part_ms: f64) -> f64 {
         let writers = self.load.writers + 1;
         let pass = forecast::pass_ms(engine, writers, self.load.memory);
@@ -133,68 +176,49 @@
     }
 }
 
-/// Milliseconds of reading if this is a long prompt, which waits in the line; none for others.
-pub fn long_read_ms(engine: &Engine, route: &Route, prompt: Tokens, memory: Tokens) -> Option<f64> {
-    let read = forecast::read_ms(engine, prompt.0);
-    let objective = route.objective.as_secs_f64() * 1e3;
-    let short = read <= objective * WHOLE && is_brisk(route) && memory <= engine.memory;
-    (!short).then_some(read)
-}
-
-/// Finds a place.
-pub fn place(board: &Board, ask: &Ask<'_>, now: Instant) -> Result<Place, Nowhere> {
-    let candidates = candidates(board, ask, now);
+/// Finds a place for a request that does not wait in a line of others.
+pub fn place(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
+    let candidates = candidates(board, service, ask, now);
     if candidates.is_empty() {
         return Err(Nowhere::Closed);
     }
-    let Some(engine) = ask.engine else { return plain(ask, candidates) };
-    match long_read_ms(engine, ask.route, ask.prompt, ask.memory) {
-        Some(read) => {
-            let line = group::Line {
-                waiting: board.line(ask.service, now),
-                demand: board.demand(ask.service, engine, group::DEMAND_WINDOW, now),
-            };
-            group::long(ask, engine, candidates, read, line, now)
-        }
-        None => short(ask, engine, candidates),
+    let Some(engine) = &service.engine else { return plain(ask, candidates) };
+    if ask.long_read_ms(engine).is_none() {
+        return short(ask, engine, candidates);
     }
+    let turns = [Turn { ask, index: 0 }];
+    let line = Line { turns: &turns, demand: 0.0, offset: ask.offset };
+    let placed = group::line(board, service, engine, line, now).pop();
+    placed.map(|(_, place)| place).ok_or(Nowhere::Full)
 }
 
-/// The longest pause of a route's answers, milliseconds.
-fn pause_ms(route: &Route) -> u32 {
-    match route.shape {
-        Shape::Events { pause } => pause.as_millis() as u32,
-        Shape::Whole => u32::MAX,
+/// The upstreams that take new work, those that are to be trusted alone if there are any, the asker's
+/// hall first.
+fn candidates<'a>(
+    board: &'a Board,
+    service: &'a Service,
+    ask: &Ask,
+    now: Instant,
+) -> Vec<Candidate<'a>> {
+    let open = board.open(&service.name).filter(|u| !ask.avoid.contains(&u.tag));
+    let mut candidates = trusted(open.collect(), now);
+    if !candidates.is_empty() {
+        let offset = ask.offset % candidates.len();
+        candidates.rotate_left(offset);
     }
+    candidates.sort_by_key(|upstream| upstream.listed.hall != ask.hall);
+    let engine = service.engine.as_ref();
+    candidates.into_iter().map(|upstream| Candidate::new(board, upstream, engine, now)).collect()
 }
 
-/// Whether a route's answers have short pauses.
-fn is_brisk(route: &Route) -> bool {
-    pause_ms(route) <= BRISK_MS
-}
-
-fn candidates<'a>(board: &'a Board, ask: &Ask<'a>, now: Instant) -> Vec<Candidate<'a>> {
-    let mut loads: HashMap<&id::Upstream, Load> = board.loads(ask.engine, now);
-    let open: Vec<&Upstream> =
-        board.open(ask.service).filter(|u| !ask.avoid.contains(&u.listed.id)).collect();
-    let trusted: Vec<&Upstream> = open
-        .iter()
-        .copied()
-        .filter(|u| u.unlisted.is_none() && !u.suspicion.avoided(now) && !u.silent(now))
-        .collect();
-    let chosen = if trusted.is_empty() { open } else { trusted };
-    let candidate = |upstream: &'a Upstream| Candidate {
-        upstream,
-        load: loads.remove(&upstream.listed.id).unwrap_or_default(),
-        away: ask.hall.is_some_and(|hall| upstream.listed.hall != hall),
-        pace: upstream.pace(now),
-    };
-    let mut candidates: Vec<Candidate<'_>> = chosen.into_iter().map(candidate).collect();
-    candidates.sort_by_key(|c| c.away);
-    candidates
+/// Those that did not fail of late, or all where all did.
+fn trusted(open: Vec<&Upstream>, now: Instant) -> Vec<&Upstream> {
+    let sound = |u: &&Upstream| u.unlisted.is_none() && !u.suspicion.avoided(now) && !u.silent(now);
+    let trusted: Vec<&Upstream> = open.iter().copied().filter(sound).collect();
+    if trusted.is_empty() { open } else { trusted }
 }
 
-fn plain(ask: &Ask<'_>, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
+fn plain(ask: &Ask, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
     let open = candidates.len();
     let relative =
         |c: &Candidate<'_>| f64::from(c.load.requests) / f64::from(c.upstream.listed.slots.max(1));
@@ -205,15 +229,15 @@
     Ok(placed(ask, &best, &[], 0.0, 0.0, open))
 }
 
-fn short(ask: &Ask<'_>, engine: &Engine, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
+fn short(ask: &Ask, engine: &Engine, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
     let read = forecast::read_ms(engine, ask.prompt.0);
-    let objective = ask.route.objective.as_secs_f64() * 1e3;
+    let objective = ask.objective.as_secs_f64() * 1e3;
     let open = candidates.len();
     let memory = ask.memory.0;
     let fits = |c: &&Candidate<'_>| {
         f64::from(c.load.requests) < f64::from(c.upstream.listed.slots) * FILL
             && c.has_room(memory, engine)
-            && c.load.backlog_ms + read <= c.allowance_ms(engine, pause_ms(ask.route))
+            && c.load.backlog_ms + read <= c.allowance_ms(engine, ask.pause_ms())
             && c.predicted_ms(engine, read) <= objective * IN_TIME
     };
     let first = candidates.iter().position(|c| fits(&c));
@@ -249,7 +273,7 @@
 }
 
 fn placed(
-    ask: &Ask<'_>,
+    ask: &Ask,
     best: &Candidate<'_>,
     helpers: &[(&Candidate<'_>, u64)],
     part_ms: f64,
@@ -268,12 +292,9 @@
             helpers: helpers.iter().map(helping).collect(),
             part_ms: part_ms as f32,
             memory: ask.memory.0.saturating_sub(held),
-            pause_ms: pause_ms(ask.route),
+            pause_ms: ask.pause_ms(),
             writing: false,
-            long: ask.turn.is_some(),
         },
-        address: listed.address.clone(),
-        helpers: helpers.iter().map(|(c, _)| c.upstream.listed.address.clone()).collect(),
         predicted_ms,
         load: best.load.clone(),
         slowest: slowest(helpers),
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -1,16 +1,17 @@
 //! Groups of engines for long prompts: which of them answers, and which hold memory for it.
 //!
-//! All VMs compute the same line of what waits. The prompts before one's own are planned on the
-//! engines that are done with them soonest; one's own is placed if its engines are free now. So no
-//! part is put on one that is unread, and first events come when they are predicted.
+//! The prompts of a line take their turn: one is placed if its engines are free now, else it is
+//! planned on the engines that are done with it soonest. So no part is put on one that is unread, and
+//! first events come when they are predicted.
 
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use foldlock_version::routes::Engine;
+use foldlock_version::routes::{Engine, Service};
 
-use super::share::{self, MOST_ENGINES, Prompt, Reader, Share};
-use super::{Ask, Candidate, Nowhere, Place, placed};
+use super::share::{MOST_ENGINES, Prompt, Reader, Readers, Share};
+use super::{Ask, Candidate, Place, placed, trusted};
+use crate::board::Board;
 use crate::forecast;
 use crate::line::{self, Capacity, Waiting};
 
@@ -21,7 +22,7 @@
 
 /// The time over which the demand of long prompts is taken: the mix of lengths turns within some
 /// seconds.
-pub(super) const DEMAND_WINDOW: Duration = Duration::from_millis(2_000);
+pub const DEMAND_WINDOW: Duration = Duration::from_millis(2_000);
 
 /// The most prompts of the line that are planned before one's own: beyond it their engines are busy
 /// for longer than callers wait.
@@ -43,63 +44,108 @@
     holders: Vec<(usize, u64)>,
 }
 
-/// The line that a long prompt waits in.
-pub(super) struct Line {
-    /// All prompts that wait, in no order.
-    pub waiting: Vec<Waiting>,
+/// A long prompt that waits for its turn.
+#[derive(Debug, Clone, Copy)]
+pub struct Turn<'a> {
+    /// What is asked for.
+    pub ask: &'a Ask,
+    /// By which the caller knows it.
+    pub index: usize,
+}
+
+/// The long prompts that wait for the engines of one service.
+#[derive(Debug, Clone, Copy)]
+pub struct Line<'a> {
+    /// The prompts, in no order.
+    pub turns: &'a [Turn<'a>],
     /// The engines that long prompts kept busy of late.
     pub demand: f64,
+    /// How far on in the order of engines to begin, as [`Ask::offset`].
+    pub offset: usize,
 }
 
-/// Places a long prompt whose reading takes `read_ms` on one engine.
-pub(super) fn long(
-    ask: &Ask<'_>,
+/// Places those prompts of a line whose engines are free now, each by the index of its turn. The
+/// others are planned, so that nobody takes the engines that one before it needs.
+pub fn line(
+    board: &Board,
+    service: &Service,
     engine: &Engine,
-    candidates: Vec<Candidate<'_>>,
-    read_ms: f64,
-    line: Line,
+    line: Line<'_>,
     now: Instant,
-) -> Result<Place, Nowhere> {
-    let open = candidates.len();
-    let mut readers = share::readers(candidates, engine);
+) -> Vec<(usize, Place)> {
+    let open = trusted(board.open(&service.name).collect(), now);
+    let candidate = |upstream| Candidate::new(board, upstream, Some(engine), now);
+    let mut candidates: Vec<Candidate<'_>> = open.into_iter().map(candidate).collect();
+    candidates.reverse();
+    let offset = line.offset % candidates.len().max(1);
+    candidates.rotate_left(offset);
+    let mut readers = Readers::new(candidates, engine);
     let most_part_ms = MOST_PART_MS * (1.0 + idle(&readers, line.demand));
-    for waiting in ahead(line.waiting, ask.turn, &readers, now).iter().take(MOST_PLANNED) {
-        let left_ms = waiting.left_ms(waiting.objective, now);
-        let prompt = Prompt { read_ms: waiting.read_ms, left_ms };
-        share::plan(&mut readers, engine, prompt, most_part_ms);
+    let mut placed = Vec::new();
+    for waiting in in_order(line.turns, engine, &readers, now).into_iter().take(MOST_PLANNED) {
+        let turn = &line.turns[waiting.index];
+        let prompt = Prompt { read_ms: waiting.read_ms, left_ms: turn.ask.left_ms(now) };
+        match turn_now(turn.ask, engine, &readers, prompt, most_part_ms) {
+            Some((share, place)) => {
+                readers.begin(&share, &place, turn.ask);
+                placed.push((turn.index, place));
+            }
+            None => readers.plan(prompt, most_part_ms),
+        }
     }
-    let left_ms = (ask.route.objective.as_secs_f64() - ask.waited.as_secs_f64()) * 1e3;
+    placed
+}
+
+/// The place of a prompt whose engines are free now.
+fn turn_now(
+    ask: &Ask,
+    engine: &Engine,
+    readers: &Readers<'_>,
+    prompt: Prompt,
+    most_part_ms: f64,
+) -> Option<(Share, Place)> {
+    let may = |r: &Reader<'_>| !ask.avoid.contains(&r.candidate.upstream.tag);
     let can_answer = |r: &Reader<'_>| r.candidate.has_room(ask.memory.0, engine);
-    share::now(&readers, engine, Prompt { read_ms, left_ms }, can_answer)
-        .filter(|share| share.part_ms <= most_part_ms)
-        .and_then(|share| group(ask, engine, &readers, &share, open))
-        .ok_or(Nowhere::Full)
+    let share = readers.now(prompt, may, can_answer)?;
+    if share.part_ms > most_part_ms {
+        return None;
+    }
+    let place = group(ask, engine, readers, &share)?;
+    Some((share, place))
 }
 
-/// The prompts that go before the one whose number is `turn`.
-fn ahead(
-    line: Vec<Waiting>,
-    turn: Option<u64>,
-    readers: &[Reader<'_>],
+/// The prompts of a line in the order of their turns.
+fn in_order(
+    turns: &[Turn<'_>],
+    engine: &Engine,
+    readers: &Readers<'_>,
     now: Instant,
 ) -> Vec<Waiting> {
-    let Some(turn) = turn else { return Vec::new() };
-    let usable: Vec<&Reader<'_>> = readers.iter().filter(|r| r.apart).collect();
-    let busy_ms: f64 = usable.iter().map(|r| r.free_ms).sum();
-    let capacity = Capacity {
-        engines: usable.iter().map(|r| 1.0 / r.candidate.pace).sum(),
-        most: MOST_ENGINES as f64,
-        busy_ms: busy_ms / (usable.len() as f64).max(1.0),
+    let waiting = |(index, turn): (usize, &Turn<'_>)| Waiting {
+        arrived: turn.ask.arrived,
+        read_ms: forecast::read_ms(engine, turn.ask.prompt.0),
+        objective: turn.ask.objective,
+        limit: turn.ask.limit,
+        index,
     };
-    let mut order = line::order(line, capacity, now);
-    let own = order.iter().position(|waiting| waiting.own == Some(turn));
-    order.truncate(own.unwrap_or(0));
-    order
+    let waiting = turns.iter().enumerate().map(waiting).collect();
+    line::order(waiting, capacity(readers), now)
+}
+
+/// The engines apart from short answers.
+fn capacity(readers: &Readers<'_>) -> Capacity {
+    let apart = || readers.all().iter().filter(|r| r.apart);
+    let busy_ms: f64 = apart().map(|r| r.free_ms).sum();
+    Capacity {
+        engines: apart().map(|r| 1.0 / r.candidate.pace).sum(),
+        most: MOST_ENGINES as f64,
+        busy_ms: busy_ms / (apart().count() as f64).max(1.0),
+    }
 }
 
 /// The part of the engines apart from short answers that long prompts left idle of late.
-fn idle(readers: &[Reader<'_>], demand: f64) -> f64 {
-    let apart = readers.iter().filter(|r| r.apart).count() as f64;
+fn idle(readers: &Readers<'_>, demand: f64) -> f64 {
+    let apart = readers.all().iter().filter(|r| r.apart).count() as f64;
     (1.0 - demand / apart.max(1.0)).clamp(0.0, 1.0)
 }
 
@@ -113,14 +159,8 @@
 }
 
 /// The place of a prompt at the engines that share it, if they have the memory.
-fn group(
-    ask: &Ask<'_>,
-    engine: &Engine,
-    readers: &[Reader<'_>],
-    share: &Share,
-    open: usize,
-) -> Option<Place> {
-    let of: Vec<&Reader<'_>> = share.engines.iter().map(|index| &readers[*index]).collect();
+fn group(ask: &Ask, engine: &Engine, readers: &Readers<'_>, share: &Share) -> Option<Place> {
+    let of: Vec<&Reader<'_>> = share.engines.iter().map(|index| &readers.all()[*index]).collect();
     let Holding { main, holders } = match main_engine(engine, &of, ask.memory.0) {
         Some(main) => Holding { main, holders: Vec::new() },
         None => spread(&of, engine, ask.memory.0)?,
@@ -139,6 +179,7 @@
     if !holders.is_empty() && predicted_ms > hold_limit_ms {
         return None;
     }
+    let open = readers.all().len();
     Some(placed(ask, main, &helpers, share.part_ms, predicted_ms, open))
 }
 
--- a/request/src/placement/share.rs
+++ b/request/src/placement/share.rs
@@ -7,7 +7,7 @@
 
 use foldlock_version::routes::Engine;
 
-use super::Candidate;
+use super::{Ask, Candidate, Place};
 use crate::forecast;
 
 /// The shortest part of a long read, milliseconds: under it the steps of each pass cost more than
@@ -34,6 +34,9 @@
 /// part's cost in steps.
 const WORTH_WAITING_MS: f64 = 20.0;
 
+/// A usual part, milliseconds, by which engines that are slow are put back in the order.
+const USUAL_PART_MS: f64 = 100.0;
+
 /// How much sooner an engine without writers has to be free to be the one that answers: an engine
 /// that plays steps anyway loses nothing by one writer more, the others read faster without any.
 const WRITERS_APART_MS: f64 = 60.0;
@@ -51,6 +54,8 @@
     /// What the steps of its writers add to a read, milliseconds. Without it parts come to lie on
     /// parts that are unread, which costs 0.04 of what callers' requests are worth.
     steps_ms: f64,
+    /// The longest part that fits between the answers here, milliseconds.
+    most_ms: f64,
 }
 
 /// Engines that read one prompt in even parts.
@@ -81,6 +86,7 @@
             free_ms: load.backlog_ms,
             planned_ms: f64::INFINITY,
             steps_ms: if load.writers > 0 { pass_ms } else { 0.0 },
+            most_ms: candidate.allowance_ms(engine, u32::MAX),
             candidate,
         }
     }
@@ -95,17 +101,21 @@
         part_ms * self.candidate.pace + self.steps_ms
     }
 
+    /// When it would be done with a usual part.
+    fn ready_ms(&self) -> f64 {
+        self.done_ms(USUAL_PART_MS)
+    }
+
     /// Whether a part fits between the answers here.
-    fn fits(&self, engine: &Engine, part_ms: f64) -> bool {
-        self.candidate.load.helping < MOST_UNREAD
-            && part_ms <= self.candidate.allowance_ms(engine, u32::MAX)
+    fn fits(&self, part_ms: f64) -> bool {
+        self.candidate.load.helping < MOST_UNREAD && part_ms <= self.most_ms
     }
 
     /// Whether a part fits that begins now and ends before what is planned.
-    fn fits_now(&self, engine: &Engine, part_ms: f64) -> bool {
+    fn fits_now(&self, part_ms: f64) -> bool {
         self.candidate.load.backlog_ms <= FREE_MS
             && self.takes_ms(part_ms) <= self.planned_ms
-            && self.fits(engine, part_ms)
+            && self.fits(part_ms)
     }
 
     /// Orders engines by how well they answer: those apart from short answers first, then those that
@@ -119,96 +129,148 @@
     }
 }
 
-/// The engines in the order in which long prompts take them: from the other end than short ones.
-pub(super) fn readers<'a>(candidates: Vec<Candidate<'a>>, engine: &Engine) -> Vec<Reader<'a>> {
-    let mut readers: Vec<Reader<'a>> =
-        candidates.into_iter().map(|candidate| Reader::new(candidate, engine)).collect();
-    readers.reverse();
-    readers
+/// The engines among which a line of prompts is divided.
+pub(super) struct Readers<'a> {
+    all: Vec<Reader<'a>>,
+    /// Indices, those that are ready soonest first. Kept in order, a prompt finds its engines in one
+    /// walk for each number of parts, whatever the number of engines.
+    order: Vec<usize>,
 }
 
-/// The engines that are done with a prompt soonest, among those that `may` read a part of that many
-/// milliseconds; one of those that can answer it is among them, if any can.
-fn soonest(
-    readers: &[Reader<'_>],
-    read_ms: f64,
-    may: impl Fn(&Reader<'_>, f64) -> bool,
-    can_answer: impl Fn(&Reader<'_>) -> bool,
-) -> Option<Share> {
-    let useful = ((read_ms / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
-    let share = |parts: usize| {
-        let part_ms = read_ms / parts as f64;
-        let done = |index: &usize| readers[*index].done_ms(part_ms);
-        let mut engines: Vec<usize> =
-            (0..readers.len()).filter(|i| may(&readers[*i], part_ms)).collect();
-        if engines.len() < parts {
-            return None;
-        }
-        engines.sort_by(|a, b| done(a).total_cmp(&done(b)));
-        let answers = engines.iter().copied().filter(|i| can_answer(&readers[*i]));
-        let answers = answers.min_by(|a, b| readers[*a].compare_to_answer(&readers[*b]));
-        engines.truncate(parts);
-        if let Some(answers) = answers
-            && !engines.contains(&answers)
+impl<'a> Readers<'a> {
+    /// Engines with their load, those first that are to be taken first.
+    pub(super) fn new(candidates: Vec<Candidate<'a>>, engine: &Engine) -> Readers<'a> {
+        let all: Vec<Reader<'a>> =
+            candidates.into_iter().map(|candidate| Reader::new(candidate, engine)).collect();
+        let mut readers = Readers { order: (0..all.len()).collect(), all };
+        readers.sort();
+        readers
+    }
+
+    /// All engines, by their index.
+    pub(super) fn all(&self) -> &[Reader<'a>] {
+        &self.all
+    }
+
+    fn sort(&mut self) {
+        let all = &self.all;
+        self.order.sort_by(|a, b| all[*a].ready_ms().total_cmp(&all[*b].ready_ms()));
+    }
+
+    /// The engines that are done with a prompt soonest, among those that `may` read a part of that
+    /// many milliseconds; one of those that can answer it is among them, if any can.
+    fn soonest(
+        &self,
+        read_ms: f64,
+        may: impl Fn(&Reader<'_>, f64) -> bool,
+        can_answer: impl Fn(&Reader<'_>) -> bool,
+    ) -> Option<Share> {
+        let useful = ((read_ms / LEAST_PART_MS) as usize).clamp(1, MOST_ENGINES);
+        let answering = self.answering(can_answer);
+        let share = |parts: usize| {
+            let part_ms = read_ms / parts as f64;
+            let may = |index: &usize| may(&self.all[*index], part_ms);
+            let free = self.order.iter().copied().filter(may);
+            let mut engines: Vec<usize> = free.take(parts).collect();
+            if engines.len() < parts {
+                return None;
+            }
+            if let Some(answers) = answering.iter().copied().find(may)
+                && !engines.contains(&answers)
+            {
+                engines[parts - 1] = answers;
+            }
+            let done = |index: &usize| self.all[*index].done_ms(part_ms);
+            let done_ms = engines.iter().map(done).fold(0.0, f64::max);
+            Some(Share { done_ms, part_ms, engines })
+        };
+        let shares = (1..=useful.min(self.all.len())).filter_map(share);
+        shares.min_by(|a, b| a.done_ms.total_cmp(&b.done_ms))
+    }
+
+    /// The engines that can answer, the best first.
+    fn answering(&self, can_answer: impl Fn(&Reader<'_>) -> bool) -> Vec<usize> {
+        let can = |index: &usize| can_answer(&self.all[*index]);
+        let mut answering: Vec<usize> = (0..self.all.len()).filter(can).collect();
+        answering.sort_by(|a, b| self.all[*a].compare_to_answer(&self.all[*b]));
+        answering
+    }
+
+    /// The share that is done soonest, begun now or later, and whether it is of engines apart from
+    /// short answers only: beside these a prompt is read only where the others are too late.
+    fn any(
+        &self,
+        prompt: Prompt,
+        may: impl Fn(&Reader<'_>) -> bool,
+        can_answer: impl Fn(&Reader<'_>) -> bool,
+    ) -> Option<(Share, bool)> {
+        let Prompt { read_ms, left_ms } = prompt;
+        let apart = |r: &Reader<'_>, part_ms: f64| r.apart && r.fits(part_ms) && may(r);
+        let apart = self.soonest(read_ms, apart, &can_answer);
+        if let Some(share) = apart.as_ref()
+            && share.done_ms <= left_ms * IN_TIME
         {
-            engines[parts - 1] = answers;
+            return apart.map(|share| (share, true));
+        }
+        let all = self.soonest(read_ms, |r, part_ms| r.fits(part_ms) && may(r), can_answer);
+        match (apart, all) {
+            (Some(apart), Some(all)) if apart.done_ms <= all.done_ms => Some((apart, true)),
+            (_, all) => all.map(|all| (all, false)),
         }
-        let done_ms = engines.iter().map(done).fold(0.0, f64::max);
-        Some(Share { done_ms, part_ms, engines })
-    };
-    let shares = (1..=useful.min(readers.len())).filter_map(share);
-    shares.min_by(|a, b| a.done_ms.total_cmp(&b.done_ms))
-}
-
-/// The share that is done soonest, begun now or later, and whether it is of engines apart from short
-/// answers only: beside these a prompt is read only where the others are too late.
-fn any(
-    readers: &[Reader<'_>],
-    engine: &Engine,
-    prompt: Prompt,
-    can_answer: impl Fn(&Reader<'_>) -> bool,
-) -> Option<(Share, bool)> {
-    let Prompt { read_ms, left_ms } = prompt;
-    let apart = |r: &Reader<'_>, part_ms: f64| r.apart && r.fits(engine, part_ms);
-    let apart = soonest(readers, read_ms, apart, &can_answer);
-    if let Some(share) = apart.as_ref()
-        && share.done_ms <= left_ms * IN_TIME
-    {
-        return apart.map(|share| (share, true));
-    }
-    let all = soonest(readers, read_ms, |r, part_ms| r.fits(engine, part_ms), can_answer);
-    match (apart, all) {
-        (Some(apart), Some(all)) if apart.done_ms <= all.done_ms => Some((apart, true)),
-        (_, all) => all.map(|all| (all, false)),
     }
-}
 
-/// Plans a prompt that goes before the one to be placed: its engines are busy until they have read
-/// it. A prompt whose parts would be too long is passed over.
-pub(super) fn plan(readers: &mut [Reader<'_>], engine: &Engine, prompt: Prompt, most_part_ms: f64) {
-    // Which engine answers is up to the VM at which the prompt waits.
-    let Some((share, _)) = any(readers, engine, prompt, |_| false) else { return };
-    if share.part_ms > most_part_ms {
-        return;
+    /// Plans a prompt that cannot begin now: its engines are busy until they have read it. A prompt
+    /// whose parts would be too long is passed over.
+    pub(super) fn plan(&mut self, prompt: Prompt, most_part_ms: f64) {
+        // Which engine answers is decided when its turn comes.
+        let Some((share, _)) = self.any(prompt, |_| true, |_| false) else { return };
+        if share.part_ms > most_part_ms {
+            return;
+        }
+        for index in &share.engines {
+            let reader = &mut self.all[*index];
+            let begins = share.done_ms - share.part_ms * reader.candidate.pace;
+            reader.planned_ms = reader.planned_ms.min(begins);
+            reader.free_ms = share.done_ms;
+        }
+        self.sort();
     }
-    for index in share.engines {
-        let reader = &mut readers[index];
-        let begins = share.done_ms - share.part_ms * reader.candidate.pace;
-        reader.planned_ms = reader.planned_ms.min(begins);
-        reader.free_ms = share.done_ms;
+
+    /// The share of a prompt that begins now, unless it is done sooner by waiting for engines that
+    /// are busy.
+    pub(super) fn now(
+        &self,
+        prompt: Prompt,
+        may: impl Fn(&Reader<'_>) -> bool,
+        can_answer: impl Fn(&Reader<'_>) -> bool,
+    ) -> Option<Share> {
+        let (best, apart) = self.any(prompt, &may, &can_answer)?;
+        let now =
+            |r: &Reader<'_>, part_ms: f64| (r.apart || !apart) && r.fits_now(part_ms) && may(r);
+        let share = self.soonest(prompt.read_ms, now, can_answer)?;
+        (share.done_ms <= best.done_ms + WORTH_WAITING_MS).then_some(share)
     }
-}
 
-/// The share of a prompt that begins now, unless it is done sooner by waiting for engines that are
-/// busy.
-pub(super) fn now(
-    readers: &[Reader<'_>],
-    engine: &Engine,
-    prompt: Prompt,
-    can_answer: impl Fn(&Reader<'_>) -> bool,
-) -> Option<Share> {
-    let (best, apart) = any(readers, engine, prompt, &can_answer)?;
-    let may = |r: &Reader<'_>, part_ms: f64| (r.apart || !apart) && r.fits_now(engine, part_ms);
-    let share = soonest(readers, prompt.read_ms, may, can_answer)?;
-    (share.done_ms <= best.done_ms + WORTH_WAITING_MS).then_some(share)
+    /// A prompt begins: its engines read it from now on.
+    pub(super) fn begin(&mut self, share: &Share, place: &Place, ask: &Ask) {
+        for index in &share.engines {
+            let reader = &mut self.all[*index];
+            reader.free_ms = reader.done_ms(share.part_ms);
+            let load = &mut reader.candidate.load;
+            load.backlog_ms = reader.free_ms;
+            let id = &reader.candidate.upstream.listed.id;
+            if *id == place.flight.upstream {
+                load.requests += 1;
+                load.memory += place.flight.memory;
+                let pause_ms = load.pause_ms.map_or(ask.pause_ms(), |ms| ms.min(ask.pause_ms()));
+                load.pause_ms = Some(pause_ms);
+            } else {
+                load.helping += 1;
+                let helping = place.flight.helpers.iter().find(|helping| helping.upstream == *id);
+                load.memory += helping.map_or(0, |helping| helping.held);
+            }
+            reader.apart = !reader.candidate.is_brisk();
+        }
+        self.sort();
+    }
 }
--- /dev/null
+++ b/request/src/rank.rs
@@ -0,0 +1,52 @@
+//! Which VMs place the requests of the fleet: each VM works it out alike from the list of VMs and
+//! from who it hears, without a message, and the next in order follows when one falls silent.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::directory::Member;
+
+/// VMs that are told all: the one that places, and two that can take over with what they know.
+pub const SCHEDULERS: usize = 3;
+
+/// VMs at the head of the order that are told all while it is not known which of them live.
+const TRIED: usize = 2 * SCHEDULERS;
+
+/// Orders VMs by how well they can place for all: those with the most of a processor first, equal
+/// ones by a hash, so that no hall and no age of a VM is preferred.
+pub fn order(members: &mut [Member]) {
+    members.sort_by_cached_key(|member| {
+        (Reverse(member.millicores), xxh3_64(member.vm.as_str().as_bytes()))
+    });
+}
+
+/// What is known of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contact {
+    /// It was heard just now.
+    Heard,
+    /// It was not asked for long enough to know.
+    Untried,
+    /// It does not answer.
+    Silent,
+}
+
+/// The VMs that are told all, by their place in the order: the first that are heard, and those before
+/// them that may yet answer.
+pub fn told(order: impl Iterator<Item = Contact>) -> Vec<usize> {
+    let mut heard = 0;
+    let mut told = Vec::new();
+    for (index, contact) in order.enumerate() {
+        if heard == SCHEDULERS || told.len() == TRIED {
+            break;
+        }
+        match contact {
+            Contact::Heard => heard += 1,
+            Contact::Untried => {}
+            Contact::Silent => continue,
+        }
+        told.push(index);
+    }
+    told
+}
--- a/request/src/report.rs
+++ b/request/src/report.rs
@@ -6,6 +6,8 @@
 use foldlock_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::tag::Tag;
+
 /// What one engine told.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -51,14 +53,14 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Told {
     /// The engine's tag.
-    pub upstream: u32,
+    pub upstream: Tag,
     report: Option<Report>,
     age_ms: u32,
 }
 
 impl Observed {
     /// What peers are told of the engine with this tag.
-    pub fn told(&self, upstream: u32, now: Instant) -> Told {
+    pub fn told(&self, upstream: Tag, now: Instant) -> Told {
         let age_ms = now.saturating_duration_since(self.at).as_millis() as u32;
         Told { upstream, report: self.report, age_ms }
     }
--- /dev/null
+++ b/request/src/scheduler.rs
@@ -0,0 +1,237 @@
+//! The scheduler: one VM that places the requests of all, one after the other, by what all tell it.
+//!
+//! What two VMs place without having heard of each other lies on the same engines; one that places
+//! for all has no such moment. It keeps nothing that lasts: another VM takes over with what it is
+//! told, and a VM that hears no scheduler places its own requests by what it knows.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use foldlock_version::routes::{Service, Table};
+
+use crate::board::{Board, Holder};
+use crate::placement::{self, Ask, DEMAND_WINDOW, Nowhere, Place};
+use crate::tag::Tag;
+
+/// How long a request waits without a word of its VM, which asks again several times in this time:
+/// its caller has left, or its VM has ended or asks elsewhere.
+const ASK_LASTS: Duration = Duration::from_millis(600);
+
+/// How long a place that was given is kept for a VM that asks again since it did not hear of it.
+const PLACED_LASTS: Duration = Duration::from_millis(600);
+
+/// A request that waits or was placed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key {
+    /// The VM that has it.
+    pub holder: Holder,
+    /// The start of that VM's process.
+    pub incarnation: u64,
+    /// The number that the VM gave it.
+    pub number: u64,
+}
+
+/// The answer to a VM.
+#[derive(Debug, Clone)]
+pub enum Answer {
+    /// There is a place, given by the message with this number.
+    Placed(Place, u64),
+    /// It waits for one.
+    Waits,
+    /// There is none, and waiting brings none.
+    Nowhere(Nowhere),
+}
+
+#[derive(Debug)]
+struct Waiter {
+    key: Key,
+    service: Tag,
+    ask: Ask,
+    heard: Instant,
+}
+
+#[derive(Debug)]
+struct Placed {
+    place: Place,
+    grant: u64,
+    at: Instant,
+}
+
+/// A long prompt that was asked for.
+#[derive(Debug)]
+struct Asked {
+    at: Instant,
+    service: Tag,
+    read_ms: f64,
+}
+
+/// The scheduler.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    waiters: Vec<Waiter>,
+    placed: HashMap<Key, Placed>,
+    asked: VecDeque<Asked>,
+    grants: HashMap<Holder, u64>,
+}
+
+impl Scheduler {
+    /// A VM asks for a place, for the first time or again.
+    pub fn ask(
+        &mut self,
+        board: &mut Board,
+        table: &Table,
+        key: Key,
+        service: Tag,
+        ask: Ask,
+        now: Instant,
+    ) -> Answer {
+        if let Some(placed) = self.placed.get(&key) {
+            return Answer::Placed(placed.place.clone(), placed.grant);
+        }
+        if let Some(waiter) = self.waiters.iter_mut().find(|waiter| waiter.key == key) {
+            waiter.heard = now;
+            return Answer::Waits;
+        }
+        let Some(found) = find(table, service) else { return Answer::Nowhere(Nowhere::Closed) };
+        let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
+        if let Some(read_ms) = read_ms {
+            self.asked.push_back(Asked { at: now, service, read_ms });
+        } else {
+            match placement::place(board, found, &ask, now) {
+                Ok(place) => return self.give(board, key, place, now),
+                Err(Nowhere::Full) => {}
+                Err(nowhere) => return Answer::Nowhere(nowhere),
+            }
+        }
+        self.waiters.push(Waiter { key, service, ask, heard: now });
+        Answer::Waits
+    }
+
+    /// A VM asks no more for this place.
+    pub fn cancel(&mut self, board: &mut Board, key: &Key) {
+        self.waiters.retain(|waiter| waiter.key != *key);
+        if self.placed.remove(key).is_some() {
+            board.take_back(&key.holder, key.number);
+        }
+    }
+
+    /// Whether anything waits.
+    pub fn is_idle(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// The requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Places what waits and has a place now.
+    pub fn look(&mut self, board: &mut Board, table: &Table, now: Instant) -> Vec<(Key, Answer)> {
+        self.forget(board, now);
+        let mut answers = Vec::new();
+        let mut services: Vec<Tag> = self.waiters.iter().map(|waiter| waiter.service).collect();
+        services.sort_unstable();
+        services.dedup();
+        for tag in services {
+            let Some(service) = find(table, tag) else { continue };
+            self.place_short(board, service, tag, now, &mut answers);
+            self.place_long(board, service, tag, now, &mut answers);
+        }
+        answers
+    }
+
+    /// Short requests, the one that is due first before the others.
+    fn place_short(
+        &mut self,
+        board: &mut Board,
+        service: &Service,
+        tag: Tag,
+        now: Instant,
+        answers: &mut Vec<(Key, Answer)>,
+    ) {
+        let mut due: Vec<(Instant, Key)> = self
+            .waiters
+            .iter()
+            .filter(|waiter| waiter.service == tag && !waiter.is_long(service))
+            .map(|waiter| (waiter.ask.arrived + waiter.ask.objective, waiter.key.clone()))
+            .collect();
+        due.sort();
+        for (_, key) in due {
+            let Some(waiter) = self.waiters.iter().find(|waiter| waiter.key == key) else {
+                continue;
+            };
+            if let Ok(place) = placement::place(board, service, &waiter.ask, now) {
+                let answer = self.give(board, key.clone(), place, now);
+                answers.push((key, answer));
+            }
+        }
+    }
+
+    /// Long prompts, by their line.
+    fn place_long(
+        &mut self,
+        board: &mut Board,
+        service: &Service,
+        tag: Tag,
+        now: Instant,
+        answers: &mut Vec<(Key, Answer)>,
+    ) {
+        let Some(engine) = &service.engine else { return };
+        let waiters = self.waiters.iter().enumerate();
+        let turns: Vec<placement::Turn<'_>> = waiters
+            .filter(|(_, waiter)| waiter.service == tag && waiter.is_long(service))
+            .map(|(index, waiter)| placement::Turn { ask: &waiter.ask, index })
+            .collect();
+        if turns.is_empty() {
+            return;
+        }
+        let line = placement::Line { turns: &turns, demand: self.demand(tag), offset: 0 };
+        let placed = placement::line(board, service, engine, line, now);
+        let placed: Vec<(Key, Place)> = placed
+            .into_iter()
+            .map(|(index, place)| (self.waiters[index].key.clone(), place))
+            .collect();
+        for (key, place) in placed {
+            let answer = self.give(board, key.clone(), place, now);
+            answers.push((key, answer));
+        }
+    }
+
+    /// The engines that the long prompts of late keep busy in the mean.
+    fn demand(&self, service: Tag) -> f64 {
+        let of = self.asked.iter().filter(|asked| asked.service == service);
+        of.map(|asked| asked.read_ms).sum::<f64>() / (DEMAND_WINDOW.as_secs_f64() * 1e3)
+    }
+
+    fn give(&mut self, board: &mut Board, key: Key, place: Place, now: Instant) -> Answer {
+        let grant = self.grants.entry(key.holder.clone()).or_default();
+        *grant += 1;
+        let grant = *grant;
+        self.waiters.retain(|waiter| waiter.key != key);
+        board.grant(&key.holder, key.number, place.flight.clone(), grant, now);
+        self.placed.insert(key, Placed { place: place.clone(), grant, at: now });
+        Answer::Placed(place, grant)
+    }
+
+    /// Forgets what is asked for no more.
+    fn forget(&mut self, board: &mut Board, now: Instant) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.waiters
+            .retain(|waiter| waiter.key.holder == Holder::Own || age(waiter.heard) < ASK_LASTS);
+        self.placed.retain(|_, placed| age(placed.at) < PLACED_LASTS);
+        while self.asked.front().is_some_and(|asked| age(asked.at) > DEMAND_WINDOW) {
+            self.asked.pop_front();
+        }
+        board.forget_grants(now);
+    }
+}
+
+impl Waiter {
+    fn is_long(&self, service: &Service) -> bool {
+        service.engine.as_ref().is_some_and(|engine| self.ask.long_read_ms(engine).is_some())
+    }
+}
+
+fn find(table: &Table, service: Tag) -> Option<&Service> {
+    table.services().find(|found| Tag::of(&found.name) == service).map(AsRef::as_ref)
+}
--- a/request/src/suspicion.rs
+++ b/request/src/suspicion.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// The time in which the weight of a failure halves. Short against the seconds for which a sick
 /// upstream usually stays so, long against the time between two requests to it.
 const HALF_LIFE: Duration = Duration::from_secs(2);
@@ -14,7 +16,7 @@
 const MOST: f64 = 6.0;
 
 /// How bad a failure was.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Failure {
     /// It cannot be reached, or fell silent.
     Silent,
@@ -26,6 +28,17 @@
     Own,
 }
 
+/// How an attempt at an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// With a whole answer.
+    Answered,
+    /// With a failure.
+    Failed(Failure),
+    /// It said that it takes no more work.
+    Leaving,
+}
+
 impl Failure {
     fn weight(self) -> f64 {
         match self {
--- a/request/tests/board.rs
+++ b/request/tests/board.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
-use foldlock_request::board::{Board, Flight, Helping, Listed, Load, Tracked};
-use foldlock_request::suspicion::Failure;
+use foldlock_request::board::{Board, Holder, Listed, Load};
+use foldlock_request::flight::{Flight, Helping};
+use foldlock_request::suspicion::{Failure, Outcome};
 use proptest::prelude::*;
 
 fn upstream(i: usize) -> id::Upstream {
@@ -38,10 +39,21 @@
         memory,
         pause_ms: 250,
         writing: false,
-        long: false,
     }
 }
 
+/// Enters an attempt of the board's own VM.
+fn enter(board: &mut Board, flight: Flight, now: Instant) -> u64 {
+    let number = board.number();
+    board.enter(number, flight, now);
+    number
+}
+
+/// Tells `there` what is under way on `here`, of which the VM with this number is the VM.
+fn tell(here: &Board, there: &mut Board, from: usize, granted: u64, now: Instant) -> bool {
+    there.hear(&vm(from), &here.told(now), granted, now)
+}
+
 fn open(board: &Board) -> Vec<String> {
     board.open("model").map(|u| u.listed.id.to_string()).collect()
 }
@@ -68,8 +80,7 @@
         board.list(listed(i));
     });
     assert!(board.list(leaving(1)));
-    assert!(board.told_leaving(&upstream(2)));
-    assert!(!board.told_leaving(&upstream(2)), "no news the second time");
+    board.note(&upstream(2), Outcome::Leaving, Instant::now());
     assert_eq!(open(&board), ["i-03"]);
 }
 
@@ -110,7 +121,7 @@
 fn an_attempt_counts_from_its_entry_to_its_end() {
     let (mut board, now) = (Board::default(), Instant::now());
     board.list(listed(1));
-    let number = board.enter(flight(1, 100.0, 5_000), now);
+    let number = enter(&mut board, flight(1, 100.0, 5_000), now);
     let reading = load(&board, 1, now);
     assert_eq!((reading.requests, reading.writers, reading.memory), (1, 0, 5_000));
     assert_eq!(reading.backlog_ms.round(), 100.0);
@@ -125,8 +136,8 @@
 #[test]
 fn reads_are_played_one_after_the_other() {
     let (mut board, now) = (Board::default(), Instant::now());
-    board.enter(flight(1, 100.0, 0), now);
-    board.enter(flight(1, 50.0, 0), now);
+    enter(&mut board, flight(1, 100.0, 0), now);
+    enter(&mut board, flight(1, 50.0, 0), now);
     let at = |ms: u64| load(&board, 1, now + Duration::from_millis(ms)).backlog_ms.round();
     assert_eq!((at(0), at(120), at(200)), (150.0, 30.0, 0.0));
 }
@@ -138,7 +149,7 @@
         Helping { upstream: upstream(2), held: 40_000 },
         Helping { upstream: upstream(3), held: 0 },
     ];
-    let number = board.enter(Flight { helpers, ..flight(1, 80.0, 200_000) }, now);
+    let number = enter(&mut board, Flight { helpers, ..flight(1, 80.0, 200_000) }, now);
     let (holder, reader) = (load(&board, 2, now), load(&board, 3, now));
     assert_eq!((holder.helping, holder.requests, holder.memory), (1, 0, 40_000));
     assert_eq!((reader.helping, reader.memory), (1, 0));
@@ -151,11 +162,20 @@
 #[test]
 fn a_peers_word_replaces_the_one_before_it() {
     let (mut board, now) = (Board::default(), Instant::now());
-    let tracked = |i: usize| Tracked { flight: flight(i, 10.0, 1), sent: now };
-    board.peer(vm(1), vec![tracked(1), tracked(2)]);
-    board.peer(vm(2), vec![tracked(1)]);
+    let (mut one, mut two) = (Board::default(), Board::default());
+    for board in [&mut board, &mut one, &mut two] {
+        (1..=2).for_each(|i| {
+            board.list(listed(i));
+        });
+    }
+    let first = enter(&mut one, flight(1, 10.0, 1), now);
+    enter(&mut one, flight(2, 10.0, 1), now);
+    enter(&mut two, flight(1, 10.0, 1), now);
+    assert!(!tell(&one, &mut board, 1, 0, now), "what begins makes no room");
+    tell(&two, &mut board, 2, 0, now);
     assert_eq!(load(&board, 1, now).requests, 2);
-    board.peer(vm(1), vec![tracked(2)]);
+    one.leave(first);
+    assert!(tell(&one, &mut board, 1, 0, now), "what ends makes room");
     assert_eq!(load(&board, 1, now).requests, 1);
     board.peer_lost(&vm(2));
     assert_eq!(load(&board, 1, now).requests, 0);
@@ -174,16 +194,16 @@
         Helping { upstream: upstream(2), held: 40_000 },
         Helping { upstream: upstream(3), held: 0 },
     ];
-    let number = here.enter(Flight { helpers, ..flight(1, 80.0, 200_000) }, now);
+    let number = enter(&mut here, Flight { helpers, ..flight(1, 80.0, 200_000) }, now);
     let later = now + Duration::from_millis(30);
-    there.hear(vm(1), here.told(later), later);
+    tell(&here, &mut there, 1, 0, later);
     assert_eq!(there.loads(None, later), here.loads(None, later));
     here.began(number);
-    there.hear(vm(1), here.told(later), later);
+    assert!(tell(&here, &mut there, 1, 0, later), "what is read makes room");
     assert_eq!(there.loads(None, later), here.loads(None, later));
-    there.remove(&upstream(1));
-    there.hear(vm(1), here.told(later), later);
-    assert!(there.loads(None, later).is_empty(), "an upstream that is not known there");
+    let mut stranger = Board::default();
+    tell(&here, &mut stranger, 1, 0, later);
+    assert!(stranger.loads(None, later).is_empty(), "an upstream that is not known there");
 }
 
 #[test]
@@ -194,16 +214,69 @@
         let at = now + Duration::from_millis(ms);
         board.get(&upstream(1)).unwrap().suspicion.avoided(at)
     };
-    board.get_mut(&upstream(1)).unwrap().suspicion.failed(Failure::Full, now);
+    board.note(&upstream(1), Outcome::Failed(Failure::Full), now);
     assert!(!avoided(&board, 0), "one refusal is no sign");
-    board.get_mut(&upstream(1)).unwrap().suspicion.failed(Failure::Silent, now);
+    board.note(&upstream(1), Outcome::Failed(Failure::Silent), now);
     assert!(avoided(&board, 0));
     assert!(!avoided(&board, 5_000));
-    board.get_mut(&upstream(1)).unwrap().suspicion.answered(now);
-    board.get_mut(&upstream(1)).unwrap().suspicion.answered(now);
+    board.note(&upstream(1), Outcome::Answered, now);
+    board.note(&upstream(1), Outcome::Answered, now);
     assert!(!avoided(&board, 0));
 }
 
+#[test]
+fn what_a_peer_met_counts_once_here_too() {
+    let (mut here, mut there, now) = (Board::default(), Board::default(), Instant::now());
+    here.list(listed(1));
+    there.list(listed(1));
+    here.note(&upstream(1), Outcome::Failed(Failure::Broken), now);
+    for _ in 0..3 {
+        there.hear_outcomes(&vm(1), &here.told_outcomes(now), now);
+    }
+    assert_eq!(there.get(&upstream(1)).unwrap().suspicion.weight(now), 1.0, "told three times");
+    here.note(&upstream(1), Outcome::Leaving, now);
+    there.hear_outcomes(&vm(1), &here.told_outcomes(now), now);
+    assert!(open(&there).is_empty(), "it told that VM that it is leaving");
+    let later = now + Duration::from_secs(1);
+    assert!(here.told_outcomes(later).is_empty(), "all have heard it by then");
+}
+
+#[test]
+fn a_place_that_is_given_counts_until_its_vm_tells_of_it() {
+    let (mut here, mut there, now) = (Board::default(), Board::default(), Instant::now());
+    here.list(listed(1));
+    there.list(listed(1));
+    let peer = Holder::Peer(vm(1));
+    here.grant(&peer, 7, flight(1, 10.0, 1), 3, now);
+    assert_eq!(load(&here, 1, now).requests, 1);
+    assert!(!here.hear(&vm(1), &[], 2, now), "it has not heard of its place yet");
+    assert_eq!(load(&here, 1, now).requests, 1);
+    there.enter(7, flight(1, 10.0, 1), now);
+    tell(&there, &mut here, 1, 3, now);
+    assert_eq!(load(&here, 1, now).requests, 1, "not counted twice");
+    there.leave(7);
+    assert!(tell(&there, &mut here, 1, 3, now));
+    assert_eq!(load(&here, 1, now).requests, 0);
+}
+
+#[test]
+fn a_place_that_is_not_used_is_free_again() {
+    let (mut board, now) = (Board::default(), Instant::now());
+    let peer = Holder::Peer(vm(1));
+    board.grant(&peer, 1, flight(1, 10.0, 1), 1, now);
+    assert!(board.hear(&vm(1), &[], 1, now), "it has the message, and not the attempt");
+    board.grant(&peer, 2, flight(1, 10.0, 1), 2, now);
+    board.take_back(&peer, 2);
+    assert_eq!(load(&board, 1, now).requests, 0);
+    board.grant(&peer, 3, flight(1, 10.0, 1), 3, now);
+    assert!(!board.forget_grants(now + Duration::from_millis(900)));
+    assert!(board.forget_grants(now + Duration::from_millis(1_000)), "nothing was heard of it");
+    assert_eq!(load(&board, 1, now).requests, 0);
+    board.grant(&peer, 4, flight(1, 10.0, 1), 4, now);
+    board.peer_lost(&vm(1));
+    assert_eq!(load(&board, 1, now).requests, 0);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Enter { upstream: usize, helper: usize, held: u64 },
@@ -233,7 +306,7 @@
             match step {
                 Step::Enter { upstream: u, helper, held } => {
                     let helpers = vec![Helping { upstream: upstream(helper), held }];
-                    let number = board.enter(Flight { helpers, ..flight(u, 5.0, 7) }, now);
+                    let number = enter(&mut board, Flight { helpers, ..flight(u, 5.0, 7) }, now);
                     entered.push((number, false, held));
                 }
                 Step::Began(i) if i < entered.len() => {
@@ -246,6 +319,13 @@
                 Step::Began(_) | Step::Leave(_) => {}
             }
         }
+        let mut peer = Board::default();
+        (0..8).for_each(|i| {
+            board.list(listed(i));
+            peer.list(listed(i));
+        });
+        tell(&board, &mut peer, 1, 0, now);
+        prop_assert_eq!(peer.loads(None, now), board.loads(None, now));
         let loads = board.loads(None, now);
         let requests: u32 = loads.values().map(|l| l.requests).sum();
         let writers: u32 = loads.values().map(|l| l.writers).sum();
--- /dev/null
+++ b/request/tests/message.rs
@@ -0,0 +1,82 @@
+//! Messages between VMs survive their encoding, and bytes that are none are refused.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::size::Tokens;
+use foldlock_request::message::{Asked, Beat, Message, Number, State, Work, decode, encode};
+use foldlock_request::placement::Ask;
+use foldlock_request::tag::Tag;
+use proptest::prelude::*;
+
+fn beat() -> Message {
+    Message::Beat(Beat {
+        echo: Some(9),
+        echo_of: 3,
+        granted: 12,
+        wants: true,
+        state: State {
+            vm: "vm-1".parse().unwrap(),
+            incarnation: 1_780_012_754_015,
+            stamp: 42,
+            version: 7,
+            age_ms: Some(300),
+            at: 530,
+            digest: u64::MAX,
+            leaving: false,
+            watching: true,
+            settled: false,
+            work: Some(Work::default()),
+        },
+    })
+}
+
+#[test]
+fn a_beat_comes_out_as_it_went_in() {
+    assert_eq!(decode(&encode(&beat())).unwrap(), beat());
+}
+
+#[test]
+fn what_is_asked_for_is_told_by_ages() {
+    let sent = Instant::now();
+    let ask = Ask {
+        prompt: Tokens(5_000),
+        memory: Tokens(6_000),
+        objective: Duration::from_millis(400),
+        pause: Some(Duration::from_millis(250)),
+        arrived: sent.checked_sub(Duration::from_millis(70)).unwrap(),
+        limit: Duration::from_secs(10),
+        avoid: vec![Tag::of("i-1")],
+        hall: "a".to_owned(),
+        hold_limit: Duration::from_millis(2_400),
+        offset: 0,
+    };
+    let request = Number { incarnation: 1, number: 8 };
+    let message = Message::Asked(Asked::new(request, Tag::of("model"), &ask, sent));
+    let Message::Asked(asked) = decode(&encode(&message)).unwrap() else { panic!("{message:?}") };
+    assert_eq!((asked.request, asked.service), (request, Tag::of("model")));
+    let heard = sent + Duration::from_millis(3);
+    let arrived = heard.checked_sub(Duration::from_millis(70)).unwrap();
+    assert_eq!(asked.ask("a".to_owned(), heard), Ask { arrived, ..ask });
+}
+
+#[test]
+fn a_cut_message_is_refused() {
+    let bytes = encode(&beat());
+    for length in 0..bytes.len() {
+        assert!(decode(&bytes[..length]).is_err(), "{length} bytes");
+    }
+}
+
+#[test]
+fn a_tag_is_read_as_it_is_shown() {
+    let tag = Tag::of("i-7f3a91c2");
+    assert_eq!(tag.to_string().parse(), Ok(tag));
+    assert!("no tag".parse::<Tag>().is_err());
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode(&bytes);
+    }
+}
