--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -4,11 +4,13 @@
 
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
-use foldlock_request::board::{Board, Flight, Listed};
+use foldlock_request::board::{Board, Listed};
+use foldlock_request::flight::Flight;
 use foldlock_request::forecast;
-use foldlock_request::placement::{Ask, Nowhere, Place, place};
-use foldlock_request::suspicion::Failure;
-use foldlock_version::routes::{Engine, Repeat, Route, Shape, Target};
+use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::suspicion::{Failure, Outcome};
+use foldlock_request::tag::Tag;
+use foldlock_version::routes::{Engine, Service};
 use proptest::prelude::*;
 
 const ENGINE: Engine = Engine {
@@ -24,28 +26,19 @@
     usual_answer: Tokens(1_303),
 };
 
-fn route(objective_ms: u64, pause_ms: u64) -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "a".to_owned(),
-        prefix: "/".to_owned(),
-        repeat: Repeat::Resume,
-        shape: Shape::Events { pause: Duration::from_millis(pause_ms) },
-        timeout: Duration::from_secs(10),
-        objective: Duration::from_millis(objective_ms),
-        priority: 1,
-        targets: vec![Target { service: "model".to_owned(), weight: 1 }],
-        attempts: 2,
-        public: false,
-    }
+/// What callers of a kind of request want, milliseconds.
+#[derive(Clone, Copy)]
+struct Route {
+    objective: u64,
+    pause: u64,
 }
 
-fn short_route() -> Route {
-    route(300, 250)
-}
+const SHORT: Route = Route { objective: 300, pause: 250 };
 
-fn long_route() -> Route {
-    route(2_500, 1_000)
+const LONG: Route = Route { objective: 2_500, pause: 1_000 };
+
+fn service(engine: Option<Engine>) -> Service {
+    Service { name: "model".to_owned(), connections: 100, engine }
 }
 
 fn upstream(i: usize) -> id::Upstream {
@@ -67,25 +60,35 @@
     board
 }
 
-fn ask(route: &Route, tokens: u64) -> Ask<'_> {
+fn ask(route: Route, tokens: u64) -> Ask {
     Ask {
-        service: "model",
-        engine: Some(&ENGINE),
-        route,
         prompt: Tokens(tokens),
         memory: Tokens(tokens + 1_000),
-        hall: None,
-        avoid: &[],
-        waited: Duration::ZERO,
-        turn: None,
+        objective: Duration::from_millis(route.objective),
+        pause: Some(Duration::from_millis(route.pause)),
+        arrived: Instant::now(),
+        limit: Duration::from_secs(10),
+        avoid: Vec::new(),
+        hall: String::new(),
         hold_limit: Duration::from_millis(2_400),
+        offset: 0,
     }
 }
 
+fn place(board: &Board, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
+    placement::place(board, &service(Some(ENGINE)), ask, now)
+}
+
+fn begin(board: &mut Board, flight: Flight, now: Instant) -> u64 {
+    let number = board.number();
+    board.enter(number, flight, now);
+    number
+}
+
 /// Places a request and enters it as under way.
-fn enter(board: &mut Board, ask: &Ask<'_>, now: Instant) -> Result<Place, Nowhere> {
+fn enter(board: &mut Board, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
     let place = place(board, ask, now)?;
-    board.enter(place.flight.clone(), now);
+    begin(board, place.flight.clone(), now);
     Ok(place)
 }
 
@@ -99,12 +102,12 @@
 
 #[test]
 fn short_prompts_fill_one_engine_after_the_other() {
-    let (mut board, now, route) = (board(4), Instant::now(), short_route());
-    let ask = ask(&route, 1_000);
+    let (mut board, now) = (board(4), Instant::now());
+    let ask = ask(SHORT, 1_000);
     for n in 0..24 {
         let number = {
             let place = place(&board, &ask, now).unwrap();
-            let number = board.enter(place.flight.clone(), now);
+            let number = begin(&mut board, place.flight.clone(), now);
             assert_eq!(place.flight.upstream, upstream(n / 12), "request {n}");
             number
         };
@@ -115,12 +118,10 @@
 #[test]
 fn a_long_prompt_is_read_by_several_engines_away_from_short_ones() {
     let (mut board, now) = (board(6), Instant::now());
-    let short = short_route();
-    let placed = enter(&mut board, &ask(&short, 5_000), now).unwrap();
+    let placed = enter(&mut board, &ask(SHORT, 5_000), now).unwrap();
     assert_eq!(placed.flight.upstream, upstream(0));
     assert!(placed.flight.helpers.is_empty());
-    let long = long_route();
-    let placed = enter(&mut board, &ask(&long, 133_000), now).unwrap();
+    let placed = enter(&mut board, &ask(LONG, 133_000), now).unwrap();
     let read: Vec<_> = placed.flight.helpers.iter().map(|h| &h.upstream).collect();
     assert_eq!(read.len(), 4, "the five engines without a short answer");
     assert_ne!(placed.flight.upstream, upstream(0));
@@ -131,7 +132,6 @@
 #[test]
 fn beside_short_answers_only_small_parts_are_read() {
     let (mut board, now) = (board(12), Instant::now());
-    let short = short_route();
     for i in 0..12 {
         let flight = Flight {
             upstream: upstream(i),
@@ -140,22 +140,21 @@
             memory: 6_000,
             pause_ms: 250,
             writing: true,
-            long: false,
         };
-        board.enter(flight, now);
+        begin(&mut board, flight, now);
     }
-    let placed = enter(&mut board, &ask(&long_route(), 60_000), now).unwrap();
+    let placed = enter(&mut board, &ask(LONG, 60_000), now).unwrap();
     let pass = forecast::pass_ms(&ENGINE, 2, 6_000);
     assert!(f64::from(placed.flight.part_ms) + pass <= 250.0, "{placed:?}");
-    let heavy = place(&board, &ask(&long_route(), 300_000), now);
+    let heavy = place(&board, &ask(LONG, 300_000), now);
     assert_eq!(heavy.unwrap_err(), Nowhere::Full);
-    assert!(place(&board, &ask(&short, 5_000), now).is_ok());
+    assert!(place(&board, &ask(SHORT, 5_000), now).is_ok());
 }
 
 #[test]
 fn a_prompt_beyond_one_engine_is_held_by_several() {
     let (mut board, now) = (board(12), Instant::now());
-    let placed = enter(&mut board, &ask(&long_route(), 300_000), now).unwrap();
+    let placed = enter(&mut board, &ask(LONG, 300_000), now).unwrap();
     let held: u64 = placed.flight.helpers.iter().map(|h| h.held).sum();
     assert!(held > 0);
     assert_eq!(placed.flight.memory + held, 301_000);
@@ -166,7 +165,7 @@
 #[test]
 fn the_longest_prompts_find_a_place_on_an_idle_fleet() {
     let (mut board, now) = (board(18), Instant::now());
-    let placed = enter(&mut board, &ask(&long_route(), 600_000), now).unwrap();
+    let placed = enter(&mut board, &ask(LONG, 600_000), now).unwrap();
     assert_eq!(placed.flight.helpers.len(), 16);
     assert!(placed.predicted_ms < 2_500.0, "{}", placed.predicted_ms);
 }
@@ -174,20 +173,20 @@
 #[test]
 fn a_heavy_prompt_waits_for_idle_engines() {
     let (mut board, now) = (board(12), Instant::now());
-    enter(&mut board, &ask(&long_route(), 300_000), now).unwrap();
-    let second = place(&board, &ask(&long_route(), 300_000), now);
+    enter(&mut board, &ask(LONG, 300_000), now).unwrap();
+    let second = place(&board, &ask(LONG, 300_000), now);
     assert_eq!(second.unwrap_err(), Nowhere::Full);
     let later = now + Duration::from_secs(2);
-    assert!(place(&board, &ask(&long_route(), 300_000), later).is_ok(), "read by then");
+    assert!(place(&board, &ask(LONG, 300_000), later).is_ok(), "read by then");
 }
 
 #[test]
 fn a_part_is_not_put_on_top_of_others_that_are_unread() {
-    let (mut board, now, long) = (board(4), Instant::now(), long_route());
-    enter(&mut board, &ask(&long, 133_000), now).unwrap();
-    let second = ask(&long, 100_000);
+    let (mut board, now) = (board(4), Instant::now());
+    enter(&mut board, &ask(LONG, 133_000), now).unwrap();
+    let second = ask(LONG, 100_000);
     assert_eq!(place(&board, &second, now).unwrap_err(), Nowhere::Full);
-    let aged = Ask { waited: Duration::from_secs(6), ..second.clone() };
+    let aged = Ask { arrived: now.checked_sub(Duration::from_secs(6)).unwrap(), ..second.clone() };
     assert_eq!(place(&board, &aged, now).unwrap_err(), Nowhere::Full, "however long it waited");
     assert!(place(&board, &second, now + Duration::from_millis(600)).is_ok(), "read by then");
 }
@@ -195,61 +194,62 @@
 #[test]
 fn a_heavy_prompt_is_read_by_the_engines_apart_from_short_answers() {
     let (mut board, now) = (board(12), Instant::now());
-    let (short, long) = (short_route(), long_route());
     for i in 0..6 {
-        let placed = place(&board, &ask(&short, 5_000), now).unwrap();
-        board.enter(Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
+        let placed = place(&board, &ask(SHORT, 5_000), now).unwrap();
+        begin(&mut board, Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
     }
-    let placed = enter(&mut board, &ask(&long, 220_000), now).unwrap();
+    let placed = enter(&mut board, &ask(LONG, 220_000), now).unwrap();
     let read: Vec<_> = placed.flight.helpers.iter().map(|h| h.upstream.clone()).collect();
     assert!(read.iter().chain([&placed.flight.upstream]).all(|id| *id > upstream(5)), "{read:?}");
     assert!(placed.predicted_ms < 1_000.0, "{}", placed.predicted_ms);
-    let next = ask(&long, 220_000);
+    let next = ask(LONG, 220_000);
     assert_eq!(place(&board, &next, now).unwrap_err(), Nowhere::Full, "they are busy now");
 }
 
 #[test]
 fn a_prompt_that_several_engines_hold_is_read_before_the_hold_may_have_to_end() {
     let (mut board, now) = (board(12), Instant::now());
-    let (short, long) = (short_route(), long_route());
     for i in 0..6 {
-        let placed = place(&board, &ask(&short, 5_000), now).unwrap();
-        board.enter(Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
+        let placed = place(&board, &ask(SHORT, 5_000), now).unwrap();
+        begin(&mut board, Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
     }
-    let brief = Ask { hold_limit: Duration::from_millis(1_500), ..ask(&long, 300_000) };
+    let brief = Ask { hold_limit: Duration::from_millis(1_500), ..ask(LONG, 300_000) };
     assert_eq!(place(&board, &brief, now).unwrap_err(), Nowhere::Full, "1.3 s on five engines");
-    let placed = place(&board, &ask(&long, 300_000), now).unwrap();
+    let placed = place(&board, &ask(LONG, 300_000), now).unwrap();
     assert!(placed.flight.holds_memory());
     assert!(placed.predicted_ms < 2_400.0 * 0.85, "{}", placed.predicted_ms);
 }
 
 #[test]
 fn upstreams_that_failed_are_passed_over_while_there_are_others() {
-    let (mut board, now, route) = (board(2), Instant::now(), short_route());
-    board.get_mut(&upstream(0)).unwrap().suspicion.failed(Failure::Silent, now);
-    let placed = place(&board, &ask(&route, 5_000), now).unwrap();
+    let (mut board, now) = (board(2), Instant::now());
+    board.note(&upstream(0), Outcome::Failed(Failure::Silent), now);
+    let placed = place(&board, &ask(SHORT, 5_000), now).unwrap();
     assert_eq!(placed.flight.upstream, upstream(1));
-    let avoid = [upstream(1)];
-    let placed = place(&board, &Ask { avoid: &avoid, ..ask(&route, 5_000) }, now).unwrap();
+    let avoid = vec![Tag::of("i-01")];
+    let placed = place(&board, &Ask { avoid, ..ask(SHORT, 5_000) }, now).unwrap();
     assert_eq!(placed.flight.upstream, upstream(0), "better than none");
-    let avoid = [upstream(0), upstream(1)];
-    let none = place(&board, &Ask { avoid: &avoid, ..ask(&route, 5_000) }, now);
+    let avoid = vec![Tag::of("i-00"), Tag::of("i-01")];
+    let none = place(&board, &Ask { avoid, ..ask(SHORT, 5_000) }, now);
     assert_eq!(none.unwrap_err(), Nowhere::Closed);
 }
 
 #[test]
-fn in_a_large_fleet_the_own_hall_comes_first() {
-    let (board, now, route) = (board(4), Instant::now(), short_route());
-    let placed = place(&board, &Ask { hall: Some("odd"), ..ask(&route, 5_000) }, now).unwrap();
+fn the_own_hall_comes_first() {
+    let (board, now) = (board(4), Instant::now());
+    let placed = place(&board, &Ask { hall: "odd".to_owned(), ..ask(SHORT, 5_000) }, now).unwrap();
     assert_eq!(placed.flight.upstream, upstream(1));
 }
 
 #[test]
 fn plain_requests_go_where_least_is_under_way() {
-    let (mut board, now, route) = (board(3), Instant::now(), route(300, 250));
-    let plain = Ask { engine: None, ..ask(&route, 0) };
+    let (mut board, now) = (board(3), Instant::now());
     let mut seen: Vec<String> = (0..3)
-        .map(|_| enter(&mut board, &plain, now).unwrap().flight.upstream.to_string())
+        .map(|_| {
+            let plain = placement::place(&board, &service(None), &ask(SHORT, 0), now).unwrap();
+            begin(&mut board, plain.flight.clone(), now);
+            plain.flight.upstream.to_string()
+        })
         .collect();
     seen.sort();
     assert_eq!(seen, ["i-00", "i-01", "i-02"]);
@@ -264,10 +264,9 @@
         asks in prop::collection::vec((any::<bool>(), 100u64..600_000, 0u64..300), 1..60),
     ) {
         let (mut board, mut now) = (board(engines), Instant::now());
-        let (short, long) = (short_route(), long_route());
-        for (is_short, tokens, after_ms) in asks {
+            for (is_short, tokens, after_ms) in asks {
             now += Duration::from_millis(after_ms);
-            let (route, tokens) = if is_short { (&short, tokens % 24_000) } else { (&long, tokens) };
+            let (route, tokens) = if is_short { (SHORT, tokens % 24_000) } else { (LONG, tokens) };
             let ask = ask(route, tokens);
             let Ok(placed) = enter(&mut board, &ask, now) else { continue };
             let mut group: Vec<&id::Upstream> =
--- /dev/null
+++ b/request/tests/rank.rs
@@ -0,0 +1,73 @@
+//! Which VMs place for all: the order, and who is told all.
+
+use foldlock_request::directory::Member;
+use foldlock_request::rank::{self, Contact, SCHEDULERS};
+use proptest::prelude::*;
+
+fn member(i: usize, millicores: u32) -> Member {
+    Member {
+        vm: format!("vm-{i}").parse().unwrap(),
+        hall: "a".to_owned(),
+        address: format!("10.0.0.{}:80", i % 250).parse().unwrap(),
+        incarnation: 1,
+        millicores,
+    }
+}
+
+fn names(members: &[Member]) -> Vec<String> {
+    members.iter().map(|member| member.vm.to_string()).collect()
+}
+
+#[test]
+fn the_strongest_come_first() {
+    let mut members: Vec<Member> =
+        (0..20).map(|i| member(i, if i % 10 == 3 { 500 } else { 120 })).collect();
+    rank::order(&mut members);
+    let mut first = names(&members[..2]);
+    first.sort();
+    assert_eq!(first, ["vm-13", "vm-3"]);
+}
+
+#[test]
+fn all_vms_find_the_same_order() {
+    let mut here: Vec<Member> = (0..30).map(|i| member(i, 250)).collect();
+    let mut there: Vec<Member> = here.iter().rev().cloned().collect();
+    rank::order(&mut here);
+    rank::order(&mut there);
+    assert_eq!(names(&here), names(&there));
+}
+
+#[test]
+fn the_next_ones_follow_those_that_fall_silent() {
+    use Contact::{Heard, Silent, Untried};
+    let told = |contacts: &[Contact]| rank::told(contacts.iter().copied());
+    assert_eq!(told(&[Heard, Heard, Heard, Heard]), [0, 1, 2]);
+    assert_eq!(told(&[Silent, Heard, Silent, Heard, Heard, Heard]), [1, 3, 4]);
+    assert_eq!(told(&[Untried, Heard, Heard, Heard, Heard]), [0, 1, 2, 3], "it may live");
+    assert_eq!(told(&[Untried; 20]).len(), 6, "not all are tried at once");
+    assert!(told(&[Silent; 4]).is_empty());
+}
+
+proptest! {
+    /// Whoever is silent, the first ones that are heard are told, and few others.
+    #[test]
+    fn the_first_that_are_heard_are_told(
+        contacts in prop::collection::vec(
+            prop_oneof![Just(Contact::Heard), Just(Contact::Untried), Just(Contact::Silent)],
+            0..40,
+        ),
+    ) {
+        let told = rank::told(contacts.iter().copied());
+        prop_assert!(told.len() <= 2 * SCHEDULERS);
+        prop_assert!(told.iter().all(|index| contacts[*index] != Contact::Silent));
+        let heard: Vec<usize> =
+            (0..contacts.len()).filter(|i| contacts[*i] == Contact::Heard).collect();
+        let told_heard: Vec<usize> =
+            told.iter().copied().filter(|i| contacts[*i] == Contact::Heard).collect();
+        prop_assert!(told_heard.len() <= SCHEDULERS);
+        prop_assert!(heard.starts_with(&told_heard));
+        if told.len() < 2 * SCHEDULERS {
+            prop_assert_eq!(told_heard.len(), heard.len().min(SCHEDULERS));
+        }
+    }
+}
--- /dev/null
+++ b/request/tests/scheduler.rs
@@ -0,0 +1,261 @@
+//! One VM that places the requests of all: what waits, what is asked again, what is given up.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::id;
+use foldlock_base::size::Tokens;
+use foldlock_request::board::{Board, Holder, Listed};
+use foldlock_request::placement::{Ask, Nowhere, Place};
+use foldlock_request::scheduler::{Answer, Key, Scheduler};
+use foldlock_request::tag::Tag;
+use foldlock_version::routes::{Bounds, Engine, Service, Table};
+use proptest::prelude::*;
+
+const SLOTS: u32 = 10;
+
+const ENGINE: Engine = Engine {
+    slots: SLOTS,
+    memory: Tokens(232_000),
+    step_ms: 1.02,
+    per_request_ms: 0.00226,
+    per_context_ms: 0.00431,
+    read_per_ms: 206.0,
+    pairs_ms: 0.138,
+    stride: 68,
+    chunk: 2_048,
+    usual_answer: Tokens(1_500),
+};
+
+fn table() -> Table {
+    let bounds = Bounds {
+        header_bytes: 16_384,
+        body_bytes: 4_096,
+        header_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let service = |name: &str, engine| Service { name: name.to_owned(), connections: 9, engine };
+    Table::builder(1, bounds)
+        .service(service("model", Some(ENGINE)))
+        .service(service("plain", None))
+        .build()
+}
+
+fn board(engines: usize) -> Board {
+    let mut board = Board::default();
+    for i in 0..engines {
+        board.list(Listed {
+            id: format!("i-{i:03}").parse().unwrap(),
+            service: "model".to_owned(),
+            address: format!("10.0.0.1:{i}"),
+            hall: "a".to_owned(),
+            slots: SLOTS,
+            leaving: false,
+        });
+    }
+    board
+}
+
+fn vm(i: usize) -> id::Vm {
+    format!("vm-{i}").parse().unwrap()
+}
+
+fn key(vm_index: usize, number: u64) -> Key {
+    Key { holder: Holder::Peer(vm(vm_index)), incarnation: 1, number }
+}
+
+fn short(arrived: Instant) -> Ask {
+    Ask {
+        prompt: Tokens(5_000),
+        memory: Tokens(6_500),
+        objective: Duration::from_millis(400),
+        pause: Some(Duration::from_millis(250)),
+        arrived,
+        limit: Duration::from_secs(10),
+        avoid: Vec::new(),
+        hall: "a".to_owned(),
+        hold_limit: Duration::from_millis(2_400),
+        offset: 0,
+    }
+}
+
+fn long(tokens: u64, arrived: Instant) -> Ask {
+    Ask {
+        prompt: Tokens(tokens),
+        memory: Tokens(tokens + 800),
+        objective: Duration::from_millis(3_000),
+        pause: Some(Duration::from_millis(1_000)),
+        limit: Duration::from_secs(15),
+        ..short(arrived)
+    }
+}
+
+struct Fleet {
+    board: Board,
+    table: Table,
+    scheduler: Scheduler,
+    now: Instant,
+}
+
+impl Fleet {
+    fn new(engines: usize) -> Fleet {
+        let scheduler = Scheduler::default();
+        Fleet { board: board(engines), table: table(), scheduler, now: Instant::now() }
+    }
+
+    fn ask(&mut self, key: Key, ask: Ask) -> Answer {
+        let model = Tag::of("model");
+        self.scheduler.ask(&mut self.board, &self.table, key, model, ask, self.now)
+    }
+
+    fn look(&mut self) -> Vec<(Key, Place)> {
+        let answers = self.scheduler.look(&mut self.board, &self.table, self.now);
+        let place = |(key, answer)| match answer {
+            Answer::Placed(place, _) => (key, place),
+            answer => panic!("{key:?}: {answer:?}"),
+        };
+        answers.into_iter().map(place).collect()
+    }
+
+    fn after(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+}
+
+fn placed(answer: Answer) -> (Place, u64) {
+    match answer {
+        Answer::Placed(place, grant) => (place, grant),
+        answer => panic!("{answer:?}"),
+    }
+}
+
+#[test]
+fn who_asks_again_gets_the_same_place() {
+    let mut fleet = Fleet::new(3);
+    let ask = short(fleet.now);
+    let (place, grant) = placed(fleet.ask(key(1, 1), ask.clone()));
+    fleet.after(25);
+    let (again, grant_again) = placed(fleet.ask(key(1, 1), ask.clone()));
+    assert_eq!((place.flight, grant), (again.flight, grant_again));
+    assert_eq!(fleet.board.under_way(), 1);
+    let (_, next) = placed(fleet.ask(key(1, 2), ask));
+    assert!(next > grant, "each place has a higher number");
+}
+
+#[test]
+fn many_vms_that_ask_at_one_moment_do_not_meet_at_one_engine() {
+    let mut fleet = Fleet::new(12);
+    let ask = short(fleet.now);
+    let mut reading = std::collections::HashMap::new();
+    for i in 0..24 {
+        let (place, _) = placed(fleet.ask(key(i, 1), ask.clone()));
+        *reading.entry(place.flight.upstream).or_insert(0_u32) += 1;
+        assert!(place.predicted_ms <= 0.6 * 400.0, "{}", place.predicted_ms);
+    }
+    assert!(reading.values().all(|reads| *reads <= 5), "{reading:?}");
+}
+
+/// The number of the VM of a key.
+fn vm_of(key: &Key) -> usize {
+    let Holder::Peer(found) = &key.holder else { panic!("{key:?}") };
+    (0..10).find(|i| vm(*i) == *found).unwrap()
+}
+
+#[test]
+fn a_long_prompt_waits_its_turn_whichever_vm_it_came_to() {
+    let mut fleet = Fleet::new(6);
+    let (first, second) = (long(190_000, fleet.now), long(190_000, fleet.now));
+    assert!(matches!(fleet.ask(key(1, 1), first), Answer::Waits));
+    assert!(matches!(fleet.ask(key(2, 1), second), Answer::Waits));
+    let placed = fleet.look();
+    let [(first, _)] = placed.as_slice() else { panic!("{placed:?}") };
+    assert!(fleet.look().is_empty(), "the engines read that one");
+    fleet.after(400);
+    let again = long(190_000, fleet.now);
+    assert!(matches!(fleet.ask(key(3 - vm_of(first), 1), again), Answer::Waits));
+    fleet.after(400);
+    let placed = fleet.look();
+    let [(second, _)] = placed.as_slice() else { panic!("{placed:?}") };
+    assert_ne!(first, second);
+}
+
+#[test]
+fn what_asks_no_more_holds_up_nobody() {
+    let mut fleet = Fleet::new(6);
+    let ask = long(190_000, fleet.now);
+    fleet.ask(key(1, 1), ask.clone());
+    fleet.ask(key(2, 1), ask.clone());
+    fleet.scheduler.cancel(&mut fleet.board, &key(1, 1));
+    let placed = fleet.look();
+    assert_eq!(placed.iter().map(|(key, _)| key.clone()).collect::<Vec<_>>(), [key(2, 1)]);
+    fleet.scheduler.cancel(&mut fleet.board, &key(2, 1));
+    assert_eq!(fleet.board.under_way(), 0, "its engines are free again");
+}
+
+#[test]
+fn a_vm_that_falls_silent_waits_for_nothing() {
+    let mut fleet = Fleet::new(6);
+    let ask = long(190_000, fleet.now);
+    fleet.ask(key(1, 1), ask.clone());
+    fleet.ask(key(2, 1), ask.clone());
+    fleet.look();
+    fleet.after(400);
+    fleet.ask(key(2, 1), ask.clone());
+    fleet.ask(key(1, 1), ask);
+    fleet.after(700);
+    fleet.look();
+    assert_eq!(fleet.scheduler.waiting(), 0);
+}
+
+#[test]
+fn a_start_anew_is_another_request() {
+    let mut fleet = Fleet::new(3);
+    let (_, first) = placed(fleet.ask(key(1, 1), short(fleet.now)));
+    let renewed = Key { incarnation: 2, ..key(1, 1) };
+    let (_, second) = placed(fleet.ask(renewed, short(fleet.now)));
+    assert!(second > first);
+}
+
+#[test]
+fn a_service_that_is_not_known_has_no_place() {
+    let mut fleet = Fleet::new(1);
+    let ask = short(fleet.now);
+    let Fleet { scheduler, board, table, now } = &mut fleet;
+    let answer = scheduler.ask(board, table, key(1, 1), Tag::of("other"), ask.clone(), *now);
+    assert!(matches!(answer, Answer::Nowhere(Nowhere::Closed)), "{answer:?}");
+    let answer = scheduler.ask(board, table, key(1, 2), Tag::of("plain"), ask, *now);
+    assert!(matches!(answer, Answer::Nowhere(Nowhere::Closed)), "no upstream of it is listed");
+}
+
+proptest! {
+    /// Whoever asks, cancels or falls silent, in whichever order: no engine gets more requests or
+    /// memory than it has, and what ended leaves nothing behind.
+    #[test]
+    fn no_engine_is_overfilled_and_nothing_stays(
+        steps in prop::collection::vec((0_usize..6, 0_u64..30, 1_000_u64..400_000, 0_u64..200, 0_u8..4), 1..80),
+    ) {
+        let mut fleet = Fleet::new(8);
+        for (vm, number, tokens, after_ms, step) in steps {
+            fleet.after(after_ms);
+            let ask = if tokens < 20_000 { short(fleet.now) } else { long(tokens, fleet.now) };
+            match step {
+                0 | 1 => {
+                    fleet.ask(key(vm, number), ask);
+                }
+                2 => fleet.scheduler.cancel(&mut fleet.board, &key(vm, number)),
+                _ => {
+                    fleet.look();
+                }
+            }
+            for (id, load) in fleet.board.loads(Some(&ENGINE), fleet.now) {
+                prop_assert!(load.requests <= SLOTS, "{} has {:?}", id, load);
+                prop_assert!(load.memory <= ENGINE.memory.0, "{} has {:?}", id, load);
+            }
+        }
+        fleet.after(2_000);
+        fleet.look();
+        fleet.after(2_000);
+        fleet.look();
+        prop_assert_eq!(fleet.scheduler.waiting(), 0);
+        prop_assert_eq!(fleet.board.under_way(), 0);
+    }
+}
--- a/version/src/routes.rs
+++ b/version/src/routes.rs
@@ -183,6 +183,11 @@
         self.services.get(name)
     }
 
+    /// All services, in no order.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
     /// Whether requests need a key, except on public routes.
     pub fn keyed(&self) -> bool {
         self.keyed
