Ask the next VMs in order at once where all schedulers die together

Where all three died, each VM placed by its own requests alone until then, on engines that it took for empty.

A VM that left questions unanswered is silent for the order as well, for the time in which it would count as heard.

Test: the_next_in_order_place_at_once_when_all_schedulers_die_together, red on the code before.

--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -157,7 +157,7 @@
             Ended::Nowhere(nowhere) => return Err(nowhere),
             Ended::Silent(vm) => {
                 log::event(&process.log, Event::SchedulerSilent, &vm);
-                process.peers.missed(&vm);
+                process.peers.missed(&vm, process.now());
             }
             Ended::Gone(upstream) => ask.avoid.push(upstream),
             Ended::Later => {}
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -61,8 +61,8 @@
     wants: Option<Instant>,
     /// Since when it is told all without being heard.
     tried: Option<Instant>,
-    /// It left questions unanswered, and was not heard since.
-    missed: bool,
+    /// When it left questions unanswered, if it was not heard since.
+    missed: Option<Instant>,
     /// The newest place that it gave.
     granted: u64,
 }
@@ -285,7 +285,7 @@
             let (rank, placer) = match known.peers.get(&member.vm) {
                 None if stopping => continue,
                 None => (if own_settled { 0 } else { 1 }, Placer::Own),
-                Some(peer) if peer.missed => continue,
+                Some(peer) if peer.missed.is_some() => continue,
                 Some(peer) => {
                     let placer = Placer::Peer(member.vm.clone(), member.address);
                     (peer.placing_rank(now), placer)
@@ -299,9 +299,9 @@
     }
 
     /// A VM left questions unanswered: the next one is asked until it is heard again.
-    pub fn missed(&self, vm: &id::Vm) {
+    pub fn missed(&self, vm: &id::Vm, now: Instant) {
         if let Some(peer) = self.known.lock().unwrap().peers.get_mut(vm) {
-            peer.missed = true;
+            peer.missed = Some(now);
         }
     }
 
@@ -381,7 +381,7 @@
             let heard_ms = p.heard.map(|at| now.saturating_duration_since(at).as_millis() as u64);
             json!({
                 "vm": vm, "address": p.member.address, "heard_ms": heard_ms, "version": p.version,
-                "scheduler": schedulers.contains(&vm), "settled": p.settled, "missed": p.missed,
+                "scheduler": schedulers.contains(&vm), "settled": p.settled, "missed": p.missed.is_some(),
             })
         });
         peers.collect()
@@ -427,7 +427,7 @@
             watching: None,
             wants: None,
             tried: None,
-            missed: false,
+            missed: None,
             granted: 0,
         }
     }
@@ -440,7 +440,7 @@
         self.digest = state.digest;
         self.settled = state.settled;
         self.tried = None;
-        self.missed = false;
+        self.missed = None;
         let fresh = state.age_ms.is_some_and(|ms| Duration::from_millis(ms) < WATCH_AGE);
         if state.watching && fresh {
             self.watching = Some(now);
@@ -457,6 +457,12 @@
 
     fn contact(&self, now: Instant) -> Contact {
         let since = |at: Instant| now.saturating_duration_since(at);
+        // Where all schedulers die at once, the next ones are told at once, and not only when the
+        // dead are no longer taken for heard. Until then each VM placed by its own requests alone,
+        // on engines that it took for empty: 69 refusals, after 43 of 72 VMs had died.
+        if self.missed.is_some_and(|at| since(at) < PLACES) {
+            return Contact::Silent;
+        }
         if self.heard.is_some_and(|at| since(at) < PLACES) {
             return Contact::Heard;
         }
