Bound the VMs that are asked in turn again: those that did not answer count among the six

A VM that left questions unanswered was silent for the order, so that each one was replaced by the next: with all VMs of a large fleet dead a request would have asked every one of them for 50 ms each.

Such a VM is one of which it is not known whether it lives: the three next ones stand behind three dead schedulers, and no more than six are asked.

Tests: a_vm_that_hears_no_other_places_its_own_requests, red before; the_next_in_order_place_at_once... stays green.

--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -461,7 +461,7 @@
         // dead are no longer taken for heard. Until then each VM placed by its own requests alone,
         // on engines that it took for empty: 69 refusals, after 43 of 72 VMs had died.
         if self.missed.is_some_and(|at| since(at) < PLACES) {
-            return Contact::Silent;
+            return Contact::Untried;
         }
         if self.heard.is_some_and(|at| since(at) < PLACES) {
             return Contact::Heard;
