Let a request that several upstreams refused wait while it can be in time; leave out who has no memory

A request was answered 503 after its fourth refusal, within some 50 ms, whatever time its caller had left, and a request whose memory was taken at one engine asked for the same engine's memory again after 30 ms: eight groups in 400 ms.

Beyond the refusals that are tried at once it waits, 100 ms and twice that with each one more, for half of its objective at most, within the budget of repeats. An engine without the memory is left out of the next group, and told to the VM that places as full.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -21,7 +21,7 @@
 use crate::fleet::answer::{self, Body};
 use crate::fleet::asks::Given;
 use crate::fleet::heads::{declared, rest, strip};
-use crate::fleet::hold::Hold;
+use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
 use crate::fleet::process::Entered;
 use crate::fleet::serve::Tries;
@@ -63,7 +63,7 @@
     /// No byte was sent.
     Unsent(String),
     /// The memory that the place counted on was taken; nothing was sent.
-    NoMemory(String),
+    NoMemory(Taken),
     /// The upstream said that it did not run the request.
     NotRun {
         /// What it said.
@@ -151,7 +151,10 @@
     let upstream = place.flight.upstream.clone();
     let hold = match Hold::take(job, &given).await {
         Ok(hold) => hold,
-        Err(why) => return End::NoMemory(why),
+        Err(taken) => {
+            note(job, &taken.upstream, Cause::Full);
+            return End::NoMemory(taken);
+        }
     };
     let mut channel = match channel(job, &given).await {
         Ok(channel) => channel,
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -16,6 +16,7 @@
 use crate::fleet::answer::{Body, Cut};
 use crate::fleet::attempt::{self, End};
 use crate::fleet::gate;
+use crate::fleet::hold::Taken;
 use crate::fleet::job::Job;
 use crate::fleet::serve::{self, Streamed, Tries};
 use crate::fleet::source::{Begun, Next, Source};
@@ -233,10 +234,15 @@
                 return Some((begun.source, begun.first));
             }
             End::Deadline => return None,
-            End::Unsent(why) | End::NoMemory(why) => {
+            End::Unsent(why) => {
                 tries.unsent += 1;
                 why
             }
+            End::NoMemory(Taken { upstream, fault }) => {
+                tries.unsent += 1;
+                from = upstream;
+                fault.to_string()
+            }
             End::NotRun { why, at_fault } => {
                 tries.refused += 1;
                 from = at_fault;
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -23,6 +23,14 @@
 /// How often giving back is tried; after that the memory lapses by itself.
 const RELEASES: u32 = 6;
 
+/// Memory that an upstream did not set aside.
+pub struct Taken {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Why.
+    pub fault: Fault,
+}
+
 /// The memory of one attempt. It is given back when this is dropped.
 pub struct Hold<D: Dialect> {
     process: Arc<Process<D>>,
@@ -32,7 +40,7 @@
 
 impl<D: Dialect> Hold<D> {
     /// Sets aside the memory that a place counts on at its helpers.
-    pub async fn take(job: &Arc<Job<D>>, given: &Given) -> Result<Hold<D>, String> {
+    pub async fn take(job: &Arc<Job<D>>, given: &Given) -> Result<Hold<D>, Taken> {
         let reservations = Arc::new(reservations(job, given));
         let mut hold = Hold {
             process: job.process.clone(),
@@ -48,7 +56,8 @@
         let answers = join_all(reservations.iter().map(|r| memory.reserve(r, time))).await;
         for (reservation, answer) in reservations.iter().zip(answers) {
             // What was set aside is given back as `hold` is dropped.
-            answer.map_err(|fault: Fault| format!("{}: {fault}", reservation.upstream))?;
+            let upstream = reservation.upstream.clone();
+            answer.map_err(|fault| Taken { upstream, fault })?;
         }
         let engines = reservations.iter().map(|r| r.upstream.clone()).collect();
         let waited_ms = millis(job.process.now().saturating_duration_since(started));
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -18,6 +18,7 @@
 use crate::fleet::attempt::{self, End};
 use crate::fleet::events;
 use crate::fleet::gate;
+use crate::fleet::hold::Taken;
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
 use crate::serve::millis;
@@ -26,9 +27,16 @@
 /// what they placed.
 const MEMORY_PAUSE: Duration = Duration::from_millis(30);
 
-/// Attempts beyond the route's own that may be made while none is known to have run.
+/// Attempts beyond the route's own that may be made at once while none is known to have run.
 const REFUSED_MORE: u32 = 2;
 
+/// The pause after that many refusals; it doubles with each one more. An engine's report is some
+/// 200 ms old, so what failed a request twice is known to all by the end of the second pause.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+
+/// The part of its objective for which such a request is held: the rest is for its first event.
+const REFUSED_HELD: f64 = 0.5;
+
 /// Answers a request.
 pub async fn answer<D: Dialect>(
     process: Arc<Process<D>>,
@@ -54,8 +62,8 @@
     Done(Result<Response<Body>, Error>),
     /// It is sent again, with what is known of it by now.
     Again(Proof),
-    /// The same, once peers have told what they placed.
-    Pause(Proof),
+    /// The same, after a pause in which others tell what they placed.
+    Pause(Proof, Duration),
 }
 
 async fn run<D: Dialect>(job: Job<D>) -> Result<Response<Body>, Error> {
@@ -73,8 +81,8 @@
         proof = match settle(&job, &mut tries, upstream, attempt, end) {
             Step::Done(answer) => return answer,
             Step::Again(proof) => proof,
-            Step::Pause(proof) => {
-                tokio::time::sleep(MEMORY_PAUSE).await;
+            Step::Pause(proof, pause) => {
+                tokio::time::sleep(pause).await;
                 proof
             }
         };
@@ -122,9 +130,9 @@
             let error = attempt.unknown().error(Kind::DeadlineExceeded, why, false);
             return Step::Done(Err(failed(job, error)));
         }
-        End::NoMemory(why) => {
+        End::NoMemory(Taken { upstream, fault }) => {
             let proof = attempt.refused(Refusal::not_connected());
-            return no_memory(job, tries, upstream, proof, why);
+            return no_memory(job, tries, upstream, proof, fault.to_string());
         }
         End::Unsent(why) => {
             tries.unsent += 1;
@@ -160,8 +168,9 @@
     if job.held() >= gate::patience(job) {
         return Step::Done(no_place(job, std::mem::take(tries), proof, Nowhere::Full));
     }
+    tries.avoid.push(upstream.clone());
     job.record(Decision::Retried { upstream, why });
-    Step::Pause(proof)
+    Step::Pause(proof, MEMORY_PAUSE)
 }
 
 /// Sends a failed request again if that is allowed, or gives the final answer.
@@ -179,6 +188,12 @@
         job.record(Decision::Retried { upstream, why });
         return Step::Again(proof);
     }
+    if not_run && let Some(pause) = pause(job, tries) {
+        job.process.metrics.retries.inc();
+        job.record(Decision::Retried { upstream, why });
+        tries.avoid.clear();
+        return Step::Pause(proof, pause);
+    }
     if let Some(answer) = tries.own.take() {
         return Step::Done(Ok(answer));
     }
@@ -218,15 +233,28 @@
     if !allowed {
         return false;
     }
-    if tries.ran + tries.refused == 0 {
-        // Nothing has arrived anywhere: this is no repeat.
-        return true;
-    }
+    // Where nothing has arrived anywhere, this is no repeat.
+    tries.ran + tries.refused == 0 || within_budget(job)
+}
+
+fn within_budget<D: Dialect>(job: &Job<D>) -> bool {
     let vms = job.process.peers.listed_count();
     let mut budget = job.process.budget.lock().unwrap();
     budget.repeat(&job.service.name, vms, job.process.now())
 }
 
+/// How long a request waits that all upstreams refused which it was sent to, while its answer can still
+/// be in time: that a few tries failed does not say that there is no room.
+fn pause<D: Dialect>(job: &Job<D>, tries: &Tries) -> Option<Duration> {
+    let more = tries.refused.checked_sub(job.route.attempts + REFUSED_MORE)?;
+    let pause = REFUSED_PAUSE * 2_u32.checked_pow(more)?;
+    let waits = tries.ran == 0
+        && job.held() + pause < job.route.objective.mul_f64(REFUSED_HELD)
+        && !job.process.closing()
+        && within_budget(job);
+    waits.then_some(pause)
+}
+
 /// Records how a request failed.
 pub fn failed<D: Dialect>(job: &Job<D>, error: Error) -> Error {
     let why = error.message().to_owned();
