--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -26,7 +26,6 @@
 use crate::fleet::metrics::Metrics;
 use crate::fleet::packed::Kept;
 use crate::fleet::peers::Peers;
-use crate::fleet::reports::Polls;
 use crate::fleet::volume::{self, Volume};
 use crate::log;
 
@@ -83,8 +82,6 @@
     pub memory: D::Memory,
     /// The engines' reports.
     pub reports: D::Reports,
-    /// When this VM had them asked for.
-    pub polls: Polls,
     /// The settings as peers read them.
     pub packed_settings: Kept,
     /// The listings as peers read them.
@@ -117,8 +114,6 @@
     /// A process that has heard nothing yet.
     pub fn new(config: Config, socket: UdpSocket, log: Logger) -> Process<D> {
         let clock = System;
-        let mut board = Board::default();
-        board.doubt(clock.now());
         let member = Member {
             vm: config.vm.clone(),
             hall: config.hall.to_string(),
@@ -137,7 +132,7 @@
             metrics: Metrics::default(),
             ring: Ring::new(RECORDS),
             fresh: Fresh::new(config.fleet.settings_age()),
-            board: Mutex::new(board),
+            board: Mutex::default(),
             scheduler: Mutex::default(),
             asks: Asks::default(),
             room: Notify::new(),
@@ -147,7 +142,6 @@
             pool: Pool::default(),
             memory: D::Memory::default(),
             reports: D::Reports::default(),
-            polls: Polls::default(),
             packed_settings: Kept::default(),
             packed_listing: Kept::default(),
             at: AtomicU64::new(0),
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -1,8 +1,8 @@
 //! Reports of engines: the VM that places has each engine asked by one of those that it hears, so that
 //! it knows of a slow or silent engine soon and no VM asks many.
 
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
+use std::time::Duration;
 
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
@@ -11,7 +11,6 @@
 use foldlock_request::message::Message;
 use foldlock_request::report::{Fault, Observed, Report, Reports};
 use foldlock_request::tag::Tag;
-use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::beats;
@@ -27,30 +26,11 @@
 /// A change of pace that is logged.
 const NEWS: f64 = 0.1;
 
-/// When this VM last had the engines asked.
-#[derive(Debug, Default)]
-pub struct Polls {
-    last: Mutex<Option<Instant>>,
-    due: Notify,
-}
-
-impl Polls {
-    /// This VM is asked for a place: it has the engines asked at once if it has not of late, since it
-    /// may have begun to place just now.
-    pub fn placing(&self, now: Instant) {
-        let last = *self.last.lock().unwrap();
-        if last.is_none_or(|last| now.saturating_duration_since(last) > 2 * EVERY) {
-            self.due.notify_one();
-        }
-    }
-}
-
 /// Has the engines asked while this VM places, until the process stops.
 pub async fn run<D: Dialect>(process: Arc<Process<D>>) {
     while !process.stopping.is_cancelled() {
-        let asked = tokio::time::timeout(EVERY, process.polls.due.notified()).await.is_ok();
-        if asked || process.peers.placer(false, process.now()) == Some(Placer::Own) {
-            *process.polls.last.lock().unwrap() = Some(process.now());
+        tokio::time::sleep(EVERY).await;
+        if process.peers.placer(false, process.now()) == Some(Placer::Own) {
             poll(&process);
         }
     }
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -50,7 +50,6 @@
     now: Instant,
 ) -> Answer {
     let Some(settings) = process.settings() else { return Answer::Nowhere(Nowhere::Closed) };
-    process.polls.placing(now);
     let mut scheduler = process.scheduler.lock().unwrap();
     let mut board = process.board.lock().unwrap();
     let answer = scheduler.ask(&mut board, &settings.table, key, service, ask, now);
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -7,7 +7,6 @@
 
 mod flights;
 mod load;
-mod untold;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -46,9 +45,6 @@
     pub leaving: bool,
 }
 
-/// How long after the end of a VM engines may go on with what it began: a usual long answer.
-const DOUBT_LASTS: Duration = Duration::from_secs(5);
-
 /// How long a report counts: an engine that is asked no more is taken for sound again.
 const REPORT_LASTS: Duration = Duration::from_millis(2_500);
 
@@ -124,8 +120,6 @@
     outcomes: VecDeque<(Instant, Ended)>,
     heard_outcomes: HashMap<id::Vm, u64>,
     next: u64,
-    /// Since when what VMs tell may not be all that is under way.
-    doubt: Option<Instant>,
     /// The digest of the listings, until one changes: it is asked for with each beat.
     digest: Cell<Option<u64>>,
 }
@@ -296,27 +290,13 @@
     pub fn peer_lost(&mut self, vm: &id::Vm, now: Instant) {
         self.heard_outcomes.remove(vm);
         self.flights.lost(vm, now);
-        self.doubt(now);
-    }
-
-    /// From now on work may be under way of which no VM tells: this VM has just started, or another
-    /// has ended.
-    pub fn doubt(&mut self, now: Instant) {
-        self.doubt = Some(now);
-    }
-
-    /// Whether engines are believed that report more than VMs tell.
-    fn doubted(&self, now: Instant) -> bool {
-        self.doubt.is_some_and(|since| now.saturating_duration_since(since) < DOUBT_LASTS)
     }
 
     /// This VM asked an engine for its report. Answers what was known before.
     pub fn observe(&mut self, id: &id::Upstream, observed: Observed) -> Option<Observed> {
         let upstream = self.upstreams.get_mut(id)?;
         upstream.asked = true;
-        let before = upstream.observed.replace(observed);
-        self.flights.report(id, &observed);
-        before
+        upstream.observed.replace(observed)
     }
 
     /// The reports that this VM asked for and that still count, as peers are told of them.
@@ -335,7 +315,6 @@
             if upstream.observed.is_none_or(|known| known.at < observed.at) {
                 upstream.observed = Some(observed);
                 upstream.asked = false;
-                self.flights.report(id, &observed);
             }
         }
     }
--- a/request/src/board/flights.rs
+++ b/request/src/board/flights.rs
@@ -9,7 +9,6 @@
 use super::load::{Load, Serial, Work};
 use super::{Board, Upstream};
 use crate::flight::{Flight, Told, Tracked};
-use crate::report::Observed;
 
 /// How long a place that was given counts before its VM tells of the attempt: several beats, of
 /// which some may be lost.
@@ -54,17 +53,6 @@
         self.by_holder.entry(holder).or_default().insert(number, entry);
     }
 
-    /// Takes the report of an upstream; one that did not answer says nothing of its work.
-    pub(super) fn report(&mut self, upstream: &id::Upstream, observed: &Observed) {
-        let Some(report) = &observed.report else { return };
-        self.work(upstream).report(report, observed.at);
-    }
-
-    /// Forgets upstreams with nothing under way and nothing that a report could still hold.
-    fn forget(&mut self, now: Instant) {
-        self.works.retain(|_, work| !work.forget(now));
-    }
-
     fn work(&mut self, upstream: &id::Upstream) -> &mut Work {
         if !self.works.contains_key(upstream) {
             self.works.insert(upstream.clone(), Work::default());
@@ -80,8 +68,10 @@
     ) {
         let helpers = flight.helpers.iter().map(|helping| &helping.upstream);
         for upstream in std::iter::once(&flight.upstream).chain(helpers) {
-            if let Some(work) = works.get_mut(upstream) {
-                change(work);
+            let Some(work) = works.get_mut(upstream) else { continue };
+            change(work);
+            if work.is_empty() {
+                works.remove(upstream);
             }
         }
     }
@@ -182,7 +172,6 @@
         over.iter().for_each(|(holder, number)| {
             self.flights.end(holder, *number, now);
         });
-        self.flights.forget(now);
         !over.is_empty()
     }
 
@@ -232,15 +221,13 @@
     /// The load of an upstream whose engine has these figures.
     pub fn load(&self, upstream: &Upstream, engine: Option<&Engine>, now: Instant) -> Load {
         let work = self.flights.works.get(&upstream.listed.id);
-        work.map_or_else(Load::default, |work| {
-            work.load(engine, upstream.pace(now), self.doubted(now), now)
-        })
+        work.map_or_else(Load::default, |work| work.load(engine, upstream.pace(now), now))
     }
 
     /// The load of each upstream with any, listed or not.
     pub fn loads(&self, engine: Option<&Engine>, now: Instant) -> HashMap<&id::Upstream, Load> {
         let pace = |id| self.upstreams.get(id).map_or(1.0, |upstream| upstream.pace(now));
         let works = self.flights.works.iter();
-        works.map(|(id, work)| (id, work.load(engine, pace(id), self.doubted(now), now))).collect()
+        works.map(|(id, work)| (id, work.load(engine, pace(id), now))).collect()
     }
 }
--- a/request/src/board/load.rs
+++ b/request/src/board/load.rs
@@ -6,10 +6,8 @@
 use foldlock_version::routes::Engine;
 use serde::{Deserialize, Serialize};
 
-use super::untold::{Share, Untold};
 use crate::flight::Tracked;
 use crate::forecast;
-use crate::report::Report;
 
 /// A pause at or under this is short: no long read belongs beside such an answer.
 pub const BRISK_MS: u32 = 400;
@@ -61,13 +59,6 @@
     shared: bool,
 }
 
-impl Entry {
-    /// What it takes as far as a report tells.
-    fn share(&self) -> Share {
-        Share { requests: u32::from(self.answers), memory: self.memory }
-    }
-}
-
 /// What is under way at one upstream.
 #[derive(Debug, Default)]
 pub(super) struct Work {
@@ -75,8 +66,6 @@
     /// When a pass is known to have begun: the first and the last event of an answer come at the end
     /// of one.
     boundary: Option<Instant>,
-    /// What it has under way of which nobody tells.
-    untold: Untold,
     /// The sum, until something changes: a look at 150 upstreams takes a tenth of the time that
     /// adding them up each time does.
     known: Cell<Option<Known>>,
@@ -86,7 +75,6 @@
 struct Known {
     engine: bool,
     pace: f64,
-    untold: Share,
     sum: Sum,
 }
 
@@ -169,39 +157,20 @@
         if self.entries.iter().any(|e| e.serial == serial && e.answers && e.read) {
             self.boundary = Some(now);
         }
-        for entry in self.entries.extract_if(.., |entry| entry.serial == serial) {
-            self.untold.ended(entry.sent, entry.share(), now);
-        }
-        self.known.set(None);
-    }
-
-    /// The upstream reports what it has under way.
-    pub(super) fn report(&mut self, report: &Report, asked: Instant) {
-        let told = self.entries.iter().map(|entry| (entry.sent, entry.share()));
-        self.untold.report(report, asked, told);
+        self.entries.retain(|entry| entry.serial != serial);
         self.known.set(None);
     }
 
-    /// Forgets what counts no more. Answers whether nothing is left.
-    pub(super) fn forget(&mut self, now: Instant) -> bool {
-        self.untold.forget(now);
-        self.entries.is_empty() && self.untold.is_empty()
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
     }
 
     /// The load now, of an engine with these figures that takes `pace` times as long as they say.
-    pub(super) fn load(
-        &self,
-        engine: Option<&Engine>,
-        pace: f64,
-        doubted: bool,
-        now: Instant,
-    ) -> Load {
-        let untold = if doubted { self.untold.taken(now) } else { Share::default() };
+    pub(super) fn load(&self, engine: Option<&Engine>, pace: f64, now: Instant) -> Load {
         let known = self.known.get().filter(|k| k.engine == engine.is_some() && k.pace == pace);
-        let known = known.filter(|k| k.untold == untold);
         let known = known.filter(|k| k.sum.pass.ends.is_none_or(|ends| ends > now));
-        let sum = known.map_or_else(|| self.sum(engine, pace, untold, now), |known| known.sum);
-        self.known.set(Some(Known { engine: engine.is_some(), pace, untold, sum }));
+        let sum = known.map_or_else(|| self.sum(engine, pace, now), |known| known.sum);
+        self.known.set(Some(Known { engine: engine.is_some(), pace, sum }));
         let ahead = |free: Instant| millis(free, now);
         Load {
             requests: sum.requests,
@@ -218,16 +187,16 @@
         }
     }
 
-    fn sum(&self, engine: Option<&Engine>, pace: f64, untold: Share, now: Instant) -> Sum {
+    fn sum(&self, engine: Option<&Engine>, pace: f64, now: Instant) -> Sum {
         let answers = || self.entries.iter().filter(|entry| entry.answers);
         let mut sum = Sum {
-            requests: answers().count() as u32 + untold.requests,
-            writers: answers().filter(|entry| entry.read).count() as u32 + untold.requests,
+            requests: answers().count() as u32,
+            writers: answers().filter(|entry| entry.read).count() as u32,
             pause_ms: answers().map(|entry| entry.pause_ms).min(),
             brisk: answers().filter(|entry| entry.pause_ms <= BRISK_MS).count() as u32,
             calm_ms: answers().map(|entry| entry.pause_ms).filter(|ms| *ms > BRISK_MS).min(),
             helping: self.entries.iter().filter(|e| !e.answers && !e.read).count() as u32,
-            memory: self.entries.iter().map(|entry| entry.memory).sum::<u64>() + untold.memory,
+            memory: self.entries.iter().map(|entry| entry.memory).sum(),
             free_at: None,
             pass: Pass::default(),
         };
