--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -1,6 +1,8 @@
 //! The other VMs of the fleet: who is heard, how fresh their settings are, and which of them place
 //! the requests of this one.
 
+mod peer;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -11,62 +13,19 @@
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
-use foldlock_request::message::{Beat, State};
+use foldlock_request::message::Beat;
 use foldlock_request::rank::{self, Contact};
 use rand::seq::IndexedRandom;
 use serde_json::json;
 
+use crate::fleet::peers::peer::{PLACES, Peer};
 use crate::fleet::process::Process;
 use crate::log;
 
-/// A peer that was not heard for this long is taken for down: ten idle beats.
-const SILENT: Duration = Duration::from_millis(2_000);
-
-/// A VM that was not heard for this long places nothing: three idle beats, of which two may be lost.
-const PLACES: Duration = Duration::from_millis(650);
-
-/// How long a VM that is not heard is told all, to find out whether it lives.
-const TRIED: Duration = Duration::from_millis(650);
-
-/// How long after that it is tried again.
-const RETRIED: Duration = Duration::from_millis(2_500);
-
 /// How long a VM runs until it has heard of all that is under way: the others find it within two
 /// idle beats, and some of these are lost.
 const SETTLES: Duration = Duration::from_millis(1_000);
 
-/// How long a VM that asked to hear from this one is told: five idle beats.
-const WANTS: Duration = Duration::from_millis(1_000);
-
-/// The age of its settings up to which a peer that says that the directory answers it is believed:
-/// a watch and some beats.
-const WATCH_AGE: Duration = Duration::from_millis(2_000);
-
-/// What is known of a peer.
-#[derive(Debug, Clone)]
-struct Peer {
-    member: Member,
-    /// It has withdrawn from the fleet and finishes what it has under way, which still counts.
-    leaving: bool,
-    heard: Option<Instant>,
-    /// The newest stamp that it told.
-    stamp: Option<u64>,
-    version: u64,
-    at: u64,
-    digest: u64,
-    settled: bool,
-    /// When it last said that the directory answers it and its settings were fresh.
-    watching: Option<Instant>,
-    /// When it last asked to hear from this VM.
-    wants: Option<Instant>,
-    /// Since when it is told all without being heard.
-    tried: Option<Instant>,
-    /// When it left questions unanswered, if it was not heard since.
-    missed: Option<Instant>,
-    /// The newest place that it gave.
-    granted: u64,
-}
-
 /// A VM that a beat is to be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -416,81 +375,3 @@
     /// The state of a peer that has started anew: what it had under way before has ended.
     Renewed,
 }
-
-impl Peer {
-    /// A peer that was not heard yet.
-    fn new(member: Member) -> Peer {
-        Peer {
-            member,
-            leaving: false,
-            heard: None,
-            stamp: None,
-            version: 0,
-            at: 0,
-            digest: 0,
-            settled: false,
-            watching: None,
-            wants: None,
-            tried: None,
-            missed: None,
-            granted: 0,
-        }
-    }
-
-    fn hear(&mut self, state: &State, now: Instant) {
-        self.heard = Some(now);
-        self.stamp = Some(state.stamp);
-        self.version = state.version;
-        self.at = state.at;
-        self.digest = state.digest;
-        self.settled = state.settled;
-        self.tried = None;
-        self.missed = None;
-        let fresh = state.age_ms.is_some_and(|ms| Duration::from_millis(ms) < WATCH_AGE);
-        if state.watching && fresh {
-            self.watching = Some(now);
-        }
-    }
-
-    fn is_heard(&self, now: Instant) -> bool {
-        self.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT)
-    }
-
-    fn wants(&self, now: Instant) -> bool {
-        self.wants.is_some_and(|at| now.saturating_duration_since(at) < WANTS)
-    }
-
-    fn contact(&self, now: Instant) -> Contact {
-        let since = |at: Instant| now.saturating_duration_since(at);
-        // Where all schedulers die at once, the next ones are told at once, and not only when the
-        // dead are no longer taken for heard. Until then each VM placed by its own requests alone,
-        // on engines that it took for empty: 69 refusals, after 43 of 72 VMs had died.
-        if self.missed.is_some_and(|at| since(at) < PLACES) {
-            return Contact::Untried;
-        }
-        if self.heard.is_some_and(|at| since(at) < PLACES) {
-            return Contact::Heard;
-        }
-        match self.tried {
-            Some(at) if since(at) >= TRIED && since(at) < TRIED + RETRIED => Contact::Silent,
-            _ => Contact::Untried,
-        }
-    }
-
-    /// It is told all now, whether it is heard or not.
-    fn tried(&mut self, now: Instant) {
-        let again = |at: Instant| now.saturating_duration_since(at) >= TRIED + RETRIED;
-        if self.contact(now) != Contact::Heard && self.tried.is_none_or(again) {
-            self.tried = Some(now);
-        }
-    }
-
-    /// How little it is to be asked, 0 the most.
-    fn placing_rank(&self, now: Instant) -> u8 {
-        match self.contact(now) {
-            Contact::Heard if self.settled => 0,
-            Contact::Heard => 1,
-            Contact::Untried | Contact::Silent => 2,
-        }
-    }
-}
--- /dev/null
+++ b/daemon/src/fleet/peers/peer.rs
@@ -0,0 +1,133 @@
+//! What is known of one peer: when it was heard, what it told, and how far it is to be asked.
+
+use std::time::{Duration, Instant};
+
+use foldlock_request::directory::Member;
+use foldlock_request::message::State;
+use foldlock_request::rank::Contact;
+
+/// A peer that was not heard for this long is taken for down: ten idle beats.
+const SILENT: Duration = Duration::from_millis(2_000);
+
+/// How long a VM that is not heard is told all, to find out whether it lives.
+const TRIED: Duration = Duration::from_millis(650);
+
+/// How long after that it is tried again.
+const RETRIED: Duration = Duration::from_millis(2_500);
+
+/// How long a VM that asked to hear from this one is told: five idle beats.
+const WANTS: Duration = Duration::from_millis(1_000);
+
+/// The age of its settings up to which a peer that says that the directory answers it is believed:
+/// a watch and some beats.
+const WATCH_AGE: Duration = Duration::from_millis(2_000);
+
+/// A VM that was not heard for this long places nothing: three idle beats, of which two may be lost.
+pub(super) const PLACES: Duration = Duration::from_millis(650);
+
+/// What is known of a peer.
+#[derive(Debug, Clone)]
+pub(super) struct Peer {
+    pub(super) member: Member,
+    /// It has withdrawn from the fleet and finishes what it has under way, which still counts.
+    pub(super) leaving: bool,
+    pub(super) heard: Option<Instant>,
+    /// The newest stamp that it told.
+    pub(super) stamp: Option<u64>,
+    pub(super) version: u64,
+    pub(super) at: u64,
+    pub(super) digest: u64,
+    pub(super) settled: bool,
+    /// When it last said that the directory answers it and its settings were fresh.
+    pub(super) watching: Option<Instant>,
+    /// When it last asked to hear from this VM.
+    pub(super) wants: Option<Instant>,
+    /// Since when it is told all without being heard.
+    pub(super) tried: Option<Instant>,
+    /// When it left questions unanswered, if it was not heard since.
+    pub(super) missed: Option<Instant>,
+    /// The newest place that it gave.
+    pub(super) granted: u64,
+}
+
+impl Peer {
+    /// A peer that was not heard yet.
+    pub(super) fn new(member: Member) -> Peer {
+        Peer {
+            member,
+            leaving: false,
+            heard: None,
+            stamp: None,
+            version: 0,
+            at: 0,
+            digest: 0,
+            settled: false,
+            watching: None,
+            wants: None,
+            tried: None,
+            missed: None,
+            granted: 0,
+        }
+    }
+
+    /// It was heard, and told this.
+    pub(super) fn hear(&mut self, state: &State, now: Instant) {
+        self.heard = Some(now);
+        self.stamp = Some(state.stamp);
+        self.version = state.version;
+        self.at = state.at;
+        self.digest = state.digest;
+        self.settled = state.settled;
+        self.tried = None;
+        self.missed = None;
+        let fresh = state.age_ms.is_some_and(|ms| Duration::from_millis(ms) < WATCH_AGE);
+        if state.watching && fresh {
+            self.watching = Some(now);
+        }
+    }
+
+    /// Whether it is taken to be up.
+    pub(super) fn is_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT)
+    }
+
+    /// Whether it asked of late to hear from this VM.
+    pub(super) fn wants(&self, now: Instant) -> bool {
+        self.wants.is_some_and(|at| now.saturating_duration_since(at) < WANTS)
+    }
+
+    /// Whether it may be asked to place requests.
+    pub(super) fn contact(&self, now: Instant) -> Contact {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        // Where all schedulers die at once, the next ones are told at once, and not only when the
+        // dead are no longer taken for heard. Until then each VM placed by its own requests alone,
+        // on engines that it took for empty: 69 refusals, after 43 of 72 VMs had died.
+        if self.missed.is_some_and(|at| since(at) < PLACES) {
+            return Contact::Untried;
+        }
+        if self.heard.is_some_and(|at| since(at) < PLACES) {
+            return Contact::Heard;
+        }
+        match self.tried {
+            Some(at) if since(at) >= TRIED && since(at) < TRIED + RETRIED => Contact::Silent,
+            _ => Contact::Untried,
+        }
+    }
+
+    /// It is told all now, whether it is heard or not.
+    pub(super) fn tried(&mut self, now: Instant) {
+        let again = |at: Instant| now.saturating_duration_since(at) >= TRIED + RETRIED;
+        if self.contact(now) != Contact::Heard && self.tried.is_none_or(again) {
+            self.tried = Some(now);
+        }
+    }
+
+    /// How little it is to be asked, 0 the most.
+    pub(super) fn placing_rank(&self, now: Instant) -> u8 {
+        match self.contact(now) {
+            Contact::Heard if self.settled => 0,
+            Contact::Heard => 1,
+            Contact::Untried | Contact::Silent => 2,
+        }
+    }
+}
