Put a fingerprint of each request on record, by which it is known again

Cause: the incident's logs could not tell which of the requests under which engines ended were the same: ids differ with each arrival and attempt, and neither path nor body is on record. So a request that carries the fault could not be told from an outside cause, nor found by an operator.

Change: a 64-bit digest of organisation, method, path and body, taken once a request is read, in the line 'admitted'. No decision uses it.

Ruled out: logging the path (callers' data, and two bodies under one path stay alike), the caller's id.

--- a/daemon/src/complete.rs
+++ b/daemon/src/complete.rs
@@ -338,6 +338,7 @@
             version: caller.version.head.version,
             settings_age_ms: None,
             prompt: Some(tokens),
+            fingerprint: None,
         },
     );
     let claim = caller.claim(&entry, caller.policy.repeatable).await;
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -8,9 +8,11 @@
 use foldlock_base::prelude::*;
 use foldlock_request::decision::{Decision, Subject};
 use foldlock_request::dialect::Dialect;
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::retry_after::Cause;
 use foldlock_request::terms::Terms;
 use foldlock_version::routes::{Organisation, Route, Service, Table, Target};
+use http::request::Parts;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
@@ -56,9 +58,11 @@
         prompt: terms.prompt,
         arrived_ms: process.clock.wall_millis(),
     });
+    let fingerprint = fingerprint(organisation.as_deref(), &head, &body);
     let job = Job {
         process: process.clone(),
         id: id.clone(),
+        fingerprint,
         terms,
         route,
         service,
@@ -74,7 +78,8 @@
     let age = process.fresh.age(process.now());
     let settings_age_ms = age.map(|age| age.as_millis() as u64);
     let prompt = job.service.engine.is_some().then_some(job.terms.prompt);
-    job.record(Decision::Admitted { timeout_ms, version, settings_age_ms, prompt });
+    let fingerprint = Some(fingerprint);
+    job.record(Decision::Admitted { timeout_ms, version, settings_age_ms, prompt, fingerprint });
     Ok(job)
 }
 
@@ -168,6 +173,12 @@
         .unwrap_or_else(|| "public".parse().expect("made of allowed characters"))
 }
 
+fn fingerprint(organisation: Option<&Organisation>, head: &Parts, body: &[u8]) -> Fingerprint {
+    let organisation = organisation.map_or("", |o| o.name.as_str());
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    Fingerprint::of(organisation, head.method.as_str(), target, body)
+}
+
 async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Error> {
     let read = Limited::new(body, most).collect();
     match tokio::time::timeout_at(deadline.into(), read).await {
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Ask};
 use foldlock_request::ring::Entry;
 use foldlock_request::tag::Tag;
@@ -20,6 +21,8 @@
     pub process: Arc<Process<D>>,
     /// Its id in logs and records.
     pub id: id::Request,
+    /// By which it is known again when it comes again.
+    pub fingerprint: Fingerprint,
     /// What the caller asks for.
     pub terms: Terms,
     /// The route that it came by.
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -9,6 +9,8 @@
 use foldlock_version::policy::Route;
 use serde::{Deserialize, Serialize};
 
+use crate::fingerprint::Fingerprint;
+
 /// An upstream as it was seen when a request was routed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Seen {
@@ -58,6 +60,9 @@
         /// The prompt's tokens, where the caller tells them.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         prompt: Option<Tokens>,
+        /// What it has in common with others that are the same to an upstream.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<Fingerprint>,
     },
     /// The request waited.
     Waited {
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod fair;
+pub mod fingerprint;
 pub mod flight;
 pub mod forecast;
 pub mod health;
