Keep a request from all upstreams once it is proved to end them

Cause: a retry was decided by what one arrival had met at one VM, so a request that ends each engine which begins to run it walked through the fleet: 119 engines within 80 s, each with ten to sixteen answers of others. The class: what a request carries with it outlives an attempt, and nothing that limits retries did.

When a connection breaks, the VM asks whether the port is closed; only then did the upstream end, and it is noted against all requests that were there, by fingerprint. Under one ending nothing changes. After two the scheduler gives the request an upstream to itself, one copy at a time. VMs tell each other in their beats, and the directory lists what is held, so VMs that start later know it and an operator can let it go.

Weighed and left: counting endings alone (three, then held): what is sent on beside the cause is cut as often as the cause itself, and would be held for it; the proof by itself separates the two at the cost of one engine with nothing else on it. Holding by path or organisation: punishes callers who do nothing wrong. A limit a second on crashes: stops the retries of everyone. Evidence from resets, silence or wrong answers: seven kinds of trouble of the platform cause these at living upstreams.

Found on the way by the property test: an answer heard late cleared endings that came after it, and a proof counted or not by the order of messages; what is known is now worked out from the endings in their order of time.

Bounds: 4,096 requests (1 MB), 64 news in a beat, 1,024 entries in the directory; held ones go last.

--- a/base/src/error.rs
+++ b/base/src/error.rs
@@ -85,6 +85,8 @@
     Overloaded = "overloaded", 503, "no";
     /// No upstream can take the request.
     NoUpstream = "no_upstream", 503, "no";
+    /// Upstreams ended under the request, and it is kept from all of them for a while.
+    Quarantined = "quarantined", 503, "no";
     /// This VM is stopping.
     Draining = "draining", 503, "no";
     /// What the request needs from the key-value service cannot be had.
--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -109,6 +109,14 @@
     Claimed = 509, Debug;
     /// A group of engines was held, or given back.
     Held = 510, Debug;
+    /// An upstream ended under a request.
+    EndedUnder = 511, Warning;
+    /// A request is kept from all upstreams, since one ended that it had to itself.
+    Quarantined = 512, Warning;
+    /// A request under which upstreams had ended was answered, or let go.
+    Released = 513, Info;
+    /// A request that is held, or no longer, could not be listed in the directory.
+    HoldUnlisted = 514, Warning;
 }
 
 impl fmt::Display for Event {
--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -4,6 +4,7 @@
 //! Nothing is sent again by itself here, and each failure says whether the request can have left.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,8 @@
 /// Why an attempt brought no answer.
 #[derive(Debug)]
 pub enum Failure {
+    /// Nothing listens at the address: the process that did has ended.
+    Refused(String),
     /// No byte of the request was sent.
     Unsent(String),
     /// The request may have arrived.
@@ -60,6 +63,9 @@
         };
         let stream = match tokio::time::timeout(timeout, connected).await {
             Ok(Ok(stream)) => stream,
+            Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+                return Err(Failure::Refused(e.to_string()));
+            }
             Ok(Err(e)) => return Err(Failure::Unsent(e.to_string())),
             Err(_) => {
                 let ms = timeout.as_millis();
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -9,6 +9,7 @@
 use foldlock_base::prelude::*;
 use foldlock_request::board::Board;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::{Flight, Helping};
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
 use foldlock_request::placement::{self, Ask, Nowhere, Place};
@@ -117,6 +118,7 @@
             memory: placed.memory,
             pause_ms: placed.pause_ms,
             writing: false,
+            alone: placed.alone,
         },
         predicted_ms: placed.predicted_ms,
         load: placed.load,
@@ -154,7 +156,10 @@
         drop(open);
         match ended {
             Ended::Placed(given) => return Ok(*given),
-            Ended::Nowhere(nowhere) => return Err(nowhere),
+            Ended::Nowhere(nowhere) => {
+                note_held(process, ask.fingerprint, nowhere);
+                return Err(nowhere);
+            }
             Ended::Silent(vm) => {
                 log::event(&process.log, Event::SchedulerSilent, &vm);
                 process.peers.missed(&vm, process.now());
@@ -168,6 +173,14 @@
     }
 }
 
+/// A request that is held elsewhere is refused here from now on without asking.
+fn note_held<D: Dialect>(process: &Process<D>, fingerprint: Fingerprint, nowhere: Nowhere) {
+    if let Nowhere::Quarantined { left_ms } = nowhere {
+        let left = Duration::from_millis(left_ms);
+        process.board.lock().unwrap().quarantine.hold(fingerprint, 1, left, process.now());
+    }
+}
+
 /// How it ended to ask one VM.
 enum Ended {
     Placed(Box<Given>),
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -20,6 +20,7 @@
 
 use crate::fleet::answer::{self, Body};
 use crate::fleet::asks::Given;
+use crate::fleet::ending;
 use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
@@ -167,9 +168,10 @@
     let sent = job.process.now();
     let answer = match channel.send(request).await {
         Ok(answer) => answer,
-        Err(Failure::Unsent(why)) => return End::Unsent(why),
+        Err(Failure::Refused(why) | Failure::Unsent(why)) => return End::Unsent(why),
         Err(Failure::Broken(why)) => {
             note(job, &upstream, Cause::Broken);
+            ending::examine(job, &place.flight).await;
             return End::Broken(why);
         }
     };
@@ -186,7 +188,7 @@
     let promised = declared(&head.headers);
     strip(&mut head.headers);
     let source = Source {
-        upstream,
+        flight: place.flight.clone(),
         sent,
         predicted_ms: place.predicted_ms,
         entered,
@@ -245,7 +247,7 @@
     job.process.metrics.connections.inc();
     match Channel::open(&given.address, CONNECT).await {
         Ok(channel) => Ok(channel),
-        Err(Failure::Unsent(why) | Failure::Broken(why)) => Err(why),
+        Err(Failure::Refused(why) | Failure::Unsent(why) | Failure::Broken(why)) => Err(why),
     }
 }
 
@@ -283,11 +285,13 @@
     source: Source<D>,
     declared: bool,
 ) -> End<D> {
-    let Source { upstream, entered: _entered, hold: _hold, channel, rest, body, .. } = source;
+    let Source { flight, entered: _entered, hold: _hold, channel, rest, body, .. } = source;
+    let upstream = flight.upstream.clone();
     let collected = match Limited::new(body, MOST_ANSWER).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(e) => {
             note(job, &upstream, Cause::Broken);
+            ending::examine(job, &flight).await;
             return End::Broken(format!("its answer broke off: {}", chain(&*e)));
         }
     };
@@ -321,7 +325,8 @@
             End::Events(Box::new(Begun { head, first: Vec::new(), source }))
         }
         Next::Broken(why) => {
-            note(job, &source.upstream, Cause::Broken);
+            note(job, &source.flight.upstream, Cause::Broken);
+            ending::examine(job, &source.flight).await;
             End::Broken(why)
         }
     }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -124,7 +124,7 @@
     }
     let state = state(process, now);
     for target in &told {
-        let work = target.scheduler.then(|| work(process, now));
+        let work = target.scheduler.then(|| work(process, round, now));
         let beat = Beat {
             echo: target.echo,
             echo_of: target.echo_of,
@@ -159,12 +159,13 @@
     }
 }
 
-fn work<D: Dialect>(process: &Process<D>, now: Instant) -> Work {
+fn work<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> Work {
     let mut board = process.board.lock().unwrap();
     Work {
         flights: board.told(now),
         outcomes: board.told_outcomes(now),
         reports: board.told_reports(now),
+        suspects: board.quarantine.told(round == Round::All, now),
     }
 }
 
@@ -204,10 +205,11 @@
     let Some(work) = &state.work else { return };
     board.hear_outcomes(&state.vm, &work.outcomes, now);
     board.hear_reports(&work.reports, now);
+    board.quarantine.hear(&work.suspects, now);
     let granted = if of_this_start { beat.granted } else { 0 };
     let room = board.hear(&state.vm, &work.flights, granted, now);
     drop(board);
-    if room {
+    if room || !work.suspects.is_empty() {
         process.room.notify_one();
     }
 }
--- /dev/null
+++ b/daemon/src/fleet/ending.rs
@@ -0,0 +1,104 @@
+//! Whether an upstream ended under a request, found out when its connection breaks, and what follows
+//! for the request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldlock_base::prelude::*;
+use foldlock_connection::channel::{Channel, Failure};
+use foldlock_request::decision::Decision;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::Quarantined;
+use foldlock_request::flight::Flight;
+use foldlock_request::quarantine::{Ending, Held};
+use foldlock_request::suspicion::{Failure as Cause, Outcome};
+use foldlock_request::tag::Tag;
+
+use crate::fleet::job::Job;
+use crate::fleet::register::Order;
+
+/// How long an upstream is asked whether it listens: a dead port says so within a way there and back, a
+/// few milliseconds. One that says nothing may be cut off, which is not the request's doing.
+const ASKED: Duration = Duration::from_millis(100);
+
+/// How long the connection by which a living upstream was asked is kept for the next request.
+const KEPT: Duration = Duration::from_secs(2);
+
+/// The connection to the upstream of an attempt broke: finds out whether the upstream has ended, and notes
+/// it against the request if so. The attempt has to be on the board still: so no second copy is placed
+/// before this one's end is known.
+pub async fn examine<D: Dialect>(job: &Job<D>, flight: &Flight) {
+    let upstream = &flight.upstream;
+    let address = {
+        let board = job.process.board.lock().unwrap();
+        // One that leaves ends by itself.
+        let known = board.get(upstream).filter(|u| u.is_open() && u.unlisted.is_none());
+        known.map(|known| known.listed.address.clone())
+    };
+    let Some(address) = address else { return };
+    match Channel::open(&address, ASKED).await {
+        Err(Failure::Refused(_)) => ended(job, flight),
+        // Silent or out of descriptors: it is not known whether it ended.
+        Err(Failure::Unsent(_) | Failure::Broken(_)) => {}
+        Ok(channel) => {
+            job.process.metrics.connections.inc();
+            job.process.pool.keep(upstream, channel, KEPT, job.process.now());
+        }
+    }
+}
+
+fn ended<D: Dialect>(job: &Job<D>, flight: &Flight) {
+    let now = job.process.now();
+    let upstream = flight.upstream.clone();
+    let alone = flight.alone.is_some();
+    let ending = Ending { upstream: Tag::of(upstream.as_str()), alone };
+    let mut board = job.process.board.lock().unwrap();
+    board.note(&upstream, Outcome::Failed(Cause::Silent), now);
+    let held = board.quarantine.ended(job.fingerprint, ending, now);
+    let known = board.quarantine.ended_under(job.fingerprint) as u32;
+    drop(board);
+    job.process.pool.forget(&upstream);
+    job.process.metrics.ended_under.inc();
+    job.record(Decision::Ended { upstream, known, alone });
+    if let Some(held) = held {
+        hold(job, held);
+    }
+    job.process.tell.notify_one();
+    job.process.room.notify_one();
+}
+
+/// The request is held from now on: the directory is to tell all VMs, and those that start later.
+fn hold<D: Dialect>(job: &Job<D>, held: Held) {
+    let Held { proofs, time, ended } = held;
+    let held_ms = time.as_millis() as u64;
+    job.process.metrics.held.inc();
+    job.record(Decision::Quarantined { held_ms, proofs });
+    job.process.register.order(Order::Hold(Quarantined {
+        fingerprint: job.fingerprint,
+        organisation: job.organisation.as_ref().map_or_else(String::new, |o| o.name.clone()),
+        path: job.head.uri.path().to_owned(),
+        service: job.service.name.clone(),
+        request: job.id.clone(),
+        vm: job.process.member.vm.clone(),
+        ended: ended as u32,
+        proofs,
+        until_ms: job.process.clock.wall_millis() + held_ms,
+    }));
+}
+
+/// The request was answered whole: it is not the cause of what ended under it.
+pub fn answered<D: Dialect>(job: &Arc<Job<D>>) {
+    let fingerprint = job.fingerprint;
+    let mut board = job.process.board.lock().unwrap();
+    if !board.quarantine.answered(fingerprint, job.process.now()) {
+        return;
+    }
+    let listed = board.held().any(|entry| entry.fingerprint == fingerprint);
+    drop(board);
+    job.record(Decision::Cleared);
+    if listed {
+        job.process.register.order(Order::Release(fingerprint));
+    }
+    job.process.tell.notify_one();
+    job.process.room.notify_one();
+}
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -108,7 +108,7 @@
     let mut parts = first;
     loop {
         let ended = pump(&job, &mut source, parts, &mut passed, &sink).await;
-        let upstream = source.upstream.clone();
+        let upstream = source.flight.upstream.clone();
         let (why, silent) = match ended {
             Ended::Whole => {
                 source.finish(&job);
@@ -128,7 +128,7 @@
             }
             Ended::Broken { why, silent } => (why, silent),
         };
-        source.broke(&job, silent);
+        source.broke(&job, silent).await;
         tries.ran += 1;
         tries.avoid.push(upstream.clone());
         let resumed = resume(&job, &mut tries, &passed, upstream, &why, &sink).await;
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -8,7 +8,10 @@
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Change, Changes, Directory, Fault, Listing, Settings};
+use foldlock_request::directory::{
+    Change, Changes, Directory, Fault, Listing, Quarantined, Settings,
+};
+use foldlock_request::fingerprint::Fingerprint;
 
 use crate::fleet::process::Process;
 use crate::log;
@@ -134,7 +137,9 @@
     };
     let members = listing.members.into_iter().map(Change::Member);
     let upstreams = upstreams.into_iter().map(Change::Upstream);
-    let changes = Changes { at: listing.at, changes: upstreams.chain(members).collect() };
+    let held = listing.held.into_iter().map(Change::Quarantined);
+    let changes = upstreams.chain(members).chain(held).collect();
+    let changes = Changes { at: listing.at, changes };
     if newer {
         end_unlisted(process, &changes, false);
     }
@@ -205,6 +210,22 @@
     let known: Vec<id::Upstream> =
         process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
     known.iter().for_each(|id| listing_ended(process, id, lapsed));
+    release_unlisted(process, changes);
+}
+
+fn release_unlisted<D: Dialect>(process: &Arc<Process<D>>, changes: &Changes) {
+    let listed: HashSet<Fingerprint> = changes
+        .changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::Quarantined(entry) => Some(entry.fingerprint),
+            _ => None,
+        })
+        .collect();
+    let known: Vec<Fingerprint> =
+        process.board.lock().unwrap().held().map(|entry| entry.fingerprint).collect();
+    let gone = known.into_iter().filter(|fingerprint| !listed.contains(fingerprint));
+    gone.for_each(|fingerprint| released(process, fingerprint));
 }
 
 fn apply<D: Dialect>(process: &Arc<Process<D>>, change: Change, lapsed: bool) {
@@ -214,6 +235,8 @@
         Change::UpstreamGone(id) => listing_ended(process, &id, lapsed),
         Change::Member(member) => process.peers.listed(process, member),
         Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
+        Change::Quarantined(entry) => quarantined(process, entry),
+        Change::Released(fingerprint) => released(process, fingerprint),
         Change::Unreadable(why) => log::event(&process.log, Event::VersionRefused, why),
     }
 }
@@ -237,6 +260,21 @@
     process.room.notify_one();
 }
 
+fn quarantined<D: Dialect>(process: &Arc<Process<D>>, entry: Quarantined) {
+    let what = format!("{entry:?}");
+    let wall_ms = process.clock.wall_millis();
+    if process.board.lock().unwrap().list_held(entry, process.now(), wall_ms) {
+        log::event(&process.log, Event::Quarantined, what);
+        process.room.notify_one();
+    }
+}
+
+fn released<D: Dialect>(process: &Arc<Process<D>>, fingerprint: Fingerprint) {
+    if process.board.lock().unwrap().unlist_held(fingerprint, process.now()) {
+        log::event(&process.log, Event::Released, fingerprint);
+    }
+}
+
 fn listing_ended<D: Dialect>(process: &Arc<Process<D>>, id: &id::Upstream, lapsed: bool) {
     if lapsed {
         process.board.lock().unwrap().unlist(id, process.now());
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -8,7 +8,7 @@
 use foldlock_request::decision::{Cause, Decision, Seen};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::forecast;
-use foldlock_request::placement::{Ask, Nowhere};
+use foldlock_request::placement::{self, Ask, Nowhere};
 use foldlock_request::retry_after;
 use foldlock_version::routes::Engine;
 
@@ -52,6 +52,10 @@
 /// is known not to have run, or it may be repeated; the caller of this function knows which.
 pub async fn place<D: Dialect>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Given, Nowhere> {
     let started = job.process.now();
+    let known = placement::runs_alone(&job.process.board.lock().unwrap(), job.fingerprint, started);
+    if let Err(held @ Nowhere::Quarantined { .. }) = known {
+        return Err(held);
+    }
     let closed = started + CLOSED;
     let mut ask = job.ask(avoid);
     let limit = match read_ms(job, &ask) {
@@ -132,6 +136,7 @@
         return Error::unsent(Kind::Draining, why, proof).retry_after(after);
     }
     let (kind, why) = match nowhere {
+        Nowhere::Quarantined { left_ms } => return quarantined(left_ms, proof),
         Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
         Nowhere::TooLarge => (Kind::Overloaded, "no upstream has memory for a prompt this long"),
@@ -141,3 +146,13 @@
     let after = cause.retry_after(job.left());
     Error::unsent(kind, format!("{}: {why}", job.service.name), proof).retry_after(after)
 }
+
+fn quarantined(left_ms: u64, proof: Unsent) -> Error {
+    let left = Duration::from_millis(left_ms);
+    let why = format!(
+        "upstreams ended under this request, the last of them while it ran alone: it is sent to none for \
+         {:.1} s",
+        left.as_secs_f64()
+    );
+    Error::unsent(Kind::Quarantined, why, proof).retry_after(left)
+}
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -85,6 +85,7 @@
             avoid: avoid.iter().map(|id| Tag::of(id.as_str())).collect(),
             hall: self.process.member.hall.clone(),
             hold_limit: self.process.config.fleet.held_silence(),
+            fingerprint: self.fingerprint,
             offset: 0,
         }
     }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -49,6 +49,12 @@
     pub beats: Counter,
     /// Reports asked for at engines.
     pub reports: Counter,
+    /// Upstreams that ended under a request of this VM; one counts for each request.
+    pub ended_under: Counter,
+    /// Requests that were held since an upstream ended which they had to themselves.
+    pub held: Counter,
+    /// Requests that are held or run alone, as far as this VM knows.
+    pub suspects: Gauge,
     /// Requests that wait for this VM to place them.
     pub line: Gauge,
     /// The settings version in force.
@@ -77,6 +83,9 @@
             directory_failures: Counter::default(),
             beats: Counter::default(),
             reports: Counter::default(),
+            ended_under: Counter::default(),
+            held: Counter::default(),
+            suspects: Gauge::default(),
             line: Gauge::default(),
             version: Gauge::default(),
             age_ms: Gauge::default(),
@@ -102,6 +111,10 @@
         r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
         r.register("peer_messages", "Messages sent to peers", self.beats.clone());
         r.register("engine_reports", "Reports asked for at engines", self.reports.clone());
+        let what = "Requests under which an upstream ended";
+        r.register("upstream_endings", what, self.ended_under.clone());
+        r.register("quarantined", "Requests kept from all upstreams", self.held.clone());
+        r.register("suspects", "Requests that are held or run alone", self.suspects.clone());
         r.register("waiting", "Requests of all VMs that wait for a place here", self.line.clone());
         r.register("settings_version", "The settings version in force", self.version.clone());
         r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
@@ -136,6 +149,7 @@
         self.age_ms.set(age);
         let board = process.board.lock().unwrap();
         self.flights.set(board.own().count() as i64);
+        self.suspects.set(board.quarantine.suspects(now).count() as i64);
         drop(board);
         self.line.set(process.scheduler.lock().unwrap().waiting() as i64);
         self.peers.set(process.peers.heard(now).len() as i64);
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::quarantine::Verdict;
 use foldlock_request::ring::Line;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -151,7 +152,20 @@
             })
         })
         .collect();
+    let suspects: Vec<_> = board
+        .quarantine
+        .suspects(now)
+        .map(|(fingerprint, held, verdict)| {
+            json!({
+                "fingerprint": fingerprint, "ended": held.ended, "proofs": held.proofs,
+                "held_ms": held.time.as_millis() as u64, "alone": verdict == Verdict::Alone,
+            })
+        })
+        .collect();
+    let held: Vec<_> = board.held().collect();
     json!({
+        "suspects": suspects,
+        "held": held,
         "config": process.config,
         "ready": process.ready(),
         "version": process.version(),
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -26,6 +26,7 @@
 use crate::fleet::metrics::Metrics;
 use crate::fleet::packed::Kept;
 use crate::fleet::peers::Peers;
+use crate::fleet::register::Register;
 use crate::fleet::volume::{self, Volume};
 use crate::log;
 
@@ -90,6 +91,8 @@
     pub packed_settings: Kept,
     /// The listings as peers read them.
     pub packed_listing: Kept,
+    /// What the directory is to be told of requests that are held.
+    pub register: Register,
     /// The other VMs.
     pub peers: Peers,
     /// The directory's revision up to which listings are known; 0 for none.
@@ -150,6 +153,7 @@
             reports: D::Reports::default(),
             packed_settings: Kept::default(),
             packed_listing: Kept::default(),
+            register: Register::default(),
             at: AtomicU64::new(0),
             watching: AtomicBool::new(false),
             stopping: CancellationToken::new(),
@@ -227,9 +231,12 @@
 
     /// What this VM knows of the directory.
     pub fn listing(&self) -> Listing {
-        let upstreams = self.board.lock().unwrap().listings().cloned().collect();
+        let board = self.board.lock().unwrap();
+        let upstreams = board.listings().cloned().collect();
+        let held = board.held().cloned().collect();
+        drop(board);
         let members = self.peers.members();
-        Listing { at: self.at.load(Ordering::Relaxed), upstreams, members }
+        Listing { at: self.at.load(Ordering::Relaxed), upstreams, members, held }
     }
 
     /// An id for a request whose own cannot be used.
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -138,5 +138,6 @@
         load: place.load,
         slowest: place.slowest.iter().map(|(id, load)| (tag(id), load.clone())).collect(),
         open: place.open,
+        alone: flight.alone,
     })
 }
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -17,6 +17,7 @@
 use crate::fleet::admit;
 use crate::fleet::answer::{self, Body};
 use crate::fleet::attempt::{self, End};
+use crate::fleet::ending;
 use crate::fleet::events;
 use crate::fleet::gate;
 use crate::fleet::hold::Taken;
@@ -283,7 +284,8 @@
 }
 
 /// Records that a request has its whole answer.
-pub fn finished<D: Dialect>(job: &Job<D>, streamed: Option<Streamed>) {
+pub fn finished<D: Dialect>(job: &Arc<Job<D>>, streamed: Option<Streamed>) {
+    ending::answered(job);
     let first = streamed.map_or_else(|| job.held(), |s| s.first);
     job.process.metrics.answered(&job.service, job.terms.prompt.0, first);
     job.record(Decision::Finished {
--- a/daemon/src/fleet/source.rs
+++ b/daemon/src/fleet/source.rs
@@ -2,16 +2,17 @@
 
 use std::time::{Duration, Instant};
 
-use foldlock_base::prelude::*;
 use foldlock_connection::channel::Channel;
 use foldlock_connection::http::chain;
 use foldlock_connection::sse::{Cutter, Event as Part};
 use foldlock_request::dialect::Dialect;
+use foldlock_request::flight::Flight;
 use foldlock_request::suspicion::{Failure, Outcome};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::fleet::attempt::{note, tell};
+use crate::fleet::ending;
 use crate::fleet::hold::Hold;
 use crate::fleet::job::Job;
 use crate::fleet::process::Entered;
@@ -28,8 +29,8 @@
 
 /// A stream at an upstream.
 pub struct Source<D: Dialect> {
-    /// The upstream.
-    pub upstream: id::Upstream,
+    /// The attempt: where it runs, and beside what.
+    pub flight: Flight,
     /// When the request was sent.
     pub sent: Instant,
     /// The predicted time to the first event, milliseconds.
@@ -81,15 +82,19 @@
     /// The stream has been read to its end: its connection may serve again.
     pub fn finish(self, job: &Job<D>) {
         let now = job.process.now();
-        tell(job, &self.upstream, Outcome::Answered);
+        let upstream = &self.flight.upstream;
+        tell(job, upstream, Outcome::Answered);
         if !self.rest.is_zero() {
-            job.process.pool.keep(&self.upstream, self.channel, self.rest, now);
+            job.process.pool.keep(upstream, self.channel, self.rest, now);
         }
     }
 
     /// The stream broke off.
-    pub fn broke(self, job: &Job<D>, silent: bool) {
+    pub async fn broke(self, job: &Job<D>, silent: bool) {
         let failure = if silent { Failure::Silent } else { Failure::Broken };
-        note(job, &self.upstream, failure);
+        note(job, &self.flight.upstream, failure);
+        if !silent {
+            ending::examine(job, &self.flight).await;
+        }
     }
 }
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -17,6 +17,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::directory::Quarantined;
+use crate::fingerprint::Fingerprint;
+use crate::quarantine::Quarantine;
 use crate::report::{self, Observed};
 use crate::suspicion::{Outcome, Suspicion};
 use crate::tag::Tag;
@@ -117,6 +120,10 @@
     ended: VecDeque<id::Upstream>,
     tags: HashMap<Tag, id::Upstream>,
     flights: flights::Flights,
+    /// Requests under which upstreams ended.
+    pub quarantine: Quarantine,
+    /// Those of them that the directory lists.
+    held: BTreeMap<Fingerprint, Quarantined>,
     outcomes: VecDeque<(Instant, Ended)>,
     heard_outcomes: HashMap<id::Vm, u64>,
     next: u64,
@@ -200,6 +207,29 @@
         gone
     }
 
+    /// The directory lists a request that is held. Answers whether that says something new.
+    pub fn list_held(&mut self, entry: Quarantined, now: Instant, wall_ms: u64) -> bool {
+        let time = Duration::from_millis(entry.until_ms.saturating_sub(wall_ms));
+        self.quarantine.hold(entry.fingerprint, entry.proofs, time, now);
+        self.digest.set(None);
+        self.held.insert(entry.fingerprint, entry.clone()).as_ref() != Some(&entry)
+    }
+
+    /// The directory no longer lists a request as held. Answers whether it did.
+    pub fn unlist_held(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let known = self.held.remove(&fingerprint).is_some();
+        if known {
+            self.digest.set(None);
+            self.quarantine.release(fingerprint, now);
+        }
+        known
+    }
+
+    /// The requests that the directory lists as held.
+    pub fn held(&self) -> impl Iterator<Item = &Quarantined> {
+        self.held.values()
+    }
+
     /// An upstream by id.
     pub fn get(&self, id: &id::Upstream) -> Option<&Upstream> {
         self.upstreams.get(id)
@@ -270,6 +300,7 @@
         }
         let mut hasher = Xxh3::new();
         self.listings().for_each(|listed| listed.hash(&mut hasher));
+        self.held().for_each(|entry| entry.hash(&mut hasher));
         let digest = hasher.finish();
         self.digest.set(Some(digest));
         digest
--- a/request/src/board/flights.rs
+++ b/request/src/board/flights.rs
@@ -8,6 +8,7 @@
 
 use super::load::{Load, Serial, Work};
 use super::{Board, Upstream};
+use crate::fingerprint::Fingerprint;
 use crate::flight::{Flight, Told, Tracked};
 
 /// How long a place that was given counts before its VM tells of the attempt: several beats, of
@@ -36,6 +37,8 @@
 pub(super) struct Flights {
     by_holder: HashMap<Holder, HashMap<u64, Entry>>,
     works: HashMap<id::Upstream, Work>,
+    /// Those that run alone; hardly ever any.
+    alone: Vec<(Serial, Fingerprint, id::Upstream)>,
     serial: Serial,
 }
 
@@ -45,6 +48,9 @@
         self.serial += 1;
         let serial = self.serial;
         let flight = &tracked.flight;
+        if let Some(fingerprint) = flight.alone {
+            self.alone.push((serial, fingerprint, flight.upstream.clone()));
+        }
         self.work(&flight.upstream).answer(serial, &tracked);
         for helping in &flight.helpers {
             self.work(&helping.upstream).help(serial, &tracked, helping.held);
@@ -90,6 +96,7 @@
     fn end(&mut self, holder: &Holder, number: u64, now: Instant) -> bool {
         let entry = self.by_holder.get_mut(holder).and_then(|flights| flights.remove(&number));
         let Some(Entry { serial, tracked, .. }) = entry else { return false };
+        self.alone.retain(|(alone, ..)| *alone != serial);
         Self::change(&mut self.works, &tracked.flight, |work| work.end(serial, now));
         true
     }
@@ -121,6 +128,7 @@
         let holder = Holder::Peer(vm.clone());
         let flights = self.by_holder.remove(&holder).unwrap_or_default();
         for Entry { serial, tracked, .. } in flights.into_values() {
+            self.alone.retain(|(alone, ..)| *alone != serial);
             Self::change(&mut self.works, &tracked.flight, |work| work.end(serial, now));
         }
     }
@@ -175,6 +183,16 @@
         !over.is_empty()
     }
 
+    /// Whether a copy of this request runs alone somewhere.
+    pub fn runs_alone(&self, fingerprint: Fingerprint) -> bool {
+        self.flights.alone.iter().any(|(_, alone, _)| *alone == fingerprint)
+    }
+
+    /// Whether a request runs alone at this upstream.
+    pub fn is_left_alone(&self, upstream: &id::Upstream) -> bool {
+        self.flights.alone.iter().any(|(.., at)| at == upstream)
+    }
+
     /// This VM's attempts.
     pub fn own(&self) -> impl Iterator<Item = &Tracked> {
         let own = self.flights.by_holder.get(&Holder::Own);
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -117,6 +117,24 @@
         /// How.
         why: String,
     },
+    /// An upstream ended while it worked on the request.
+    Ended {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// How many are known by now to have ended under it, at all VMs.
+        known: u32,
+        /// Whether the request had the upstream to itself.
+        alone: bool,
+    },
+    /// The request is kept from all upstreams.
+    Quarantined {
+        /// For how long, milliseconds.
+        held_ms: u64,
+        /// How often it ended an upstream that it had to itself.
+        proofs: u32,
+    },
+    /// The request was answered: what ended under it before is forgotten.
+    Cleared,
     /// The answer goes on from where it broke.
     Resumed {
         /// From this token on.
@@ -171,6 +189,9 @@
             Decision::Moved { .. } => Event::Moved,
             Decision::Refused { .. } => Event::Refused,
             Decision::Retried { .. } => Event::Retried,
+            Decision::Ended { .. } => Event::EndedUnder,
+            Decision::Quarantined { .. } => Event::Quarantined,
+            Decision::Cleared => Event::Released,
             Decision::Resumed { .. } => Event::Resumed,
             Decision::Claimed { .. } => Event::Claimed,
             Decision::Held { .. } => Event::Held,
@@ -216,6 +237,14 @@
             Decision::Retried { upstream, why } => {
                 write!(f, "sent again, since {upstream} failed: {why}")
             }
+            Decision::Ended { upstream, known, alone } => {
+                let beside = if *alone { "; it was alone there" } else { "" };
+                write!(f, "{upstream} ended under it, {known} in all{beside}")
+            }
+            Decision::Quarantined { held_ms, proofs } => {
+                write!(f, "kept from all upstreams for {held_ms} ms, for the {proofs}. time")
+            }
+            Decision::Cleared => f.write_str("no longer suspected of what ended under it"),
             Decision::Resumed { index, upstream } => {
                 write!(f, "resumed from token {index} at {upstream}")
             }
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::Listed;
+use crate::fingerprint::Fingerprint;
 
 /// A VM that takes part.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,6 +48,32 @@
     pub upstreams: Vec<Listed>,
     /// The VMs.
     pub members: Vec<Member>,
+    /// The requests that are held.
+    #[serde(default)]
+    pub held: Vec<Quarantined>,
+}
+
+/// A request that is kept from all upstreams, as the directory lists it for all VMs and for operators.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// The request, however often it comes.
+    pub fingerprint: Fingerprint,
+    /// Whose key it had; empty where it had none.
+    pub organisation: String,
+    /// Its path.
+    pub path: String,
+    /// The service that it went to.
+    pub service: String,
+    /// The arrival that was the last proof.
+    pub request: id::Request,
+    /// The VM that it came to.
+    pub vm: id::Vm,
+    /// Upstreams that are known to have ended under it.
+    pub ended: u32,
+    /// How often it ended one while it ran alone.
+    pub proofs: u32,
+    /// Until when it is held, milliseconds since 1970.
+    pub until_ms: u64,
 }
 
 /// Something that the directory says.
@@ -62,6 +89,10 @@
     Member(Member),
     /// A VM has withdrawn.
     MemberGone(id::Vm),
+    /// A request is held.
+    Quarantined(Quarantined),
+    /// A request is let go.
+    Released(Fingerprint),
     /// An item that cannot be decoded, and why.
     Unreadable(String),
 }
@@ -113,6 +144,12 @@
     /// Withdraws this VM.
     fn withdraw(&self, vm: &id::Vm) -> impl Future<Output = Result<(), Fault>> + Send;
 
+    /// Lists a request as held.
+    fn hold(&self, entry: &Quarantined) -> impl Future<Output = Result<(), Fault>> + Send;
+
+    /// Lets a request go.
+    fn release(&self, fingerprint: Fingerprint) -> impl Future<Output = Result<(), Fault>> + Send;
+
     /// Decodes settings that a peer handed over.
     fn decode(&self, text: Bytes) -> Result<Settings, String>;
 }
--- a/request/src/flight.rs
+++ b/request/src/flight.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use serde::{Deserialize, Serialize};
 
+use crate::fingerprint::Fingerprint;
 use crate::tag::Tag;
 
 /// An upstream that reads a part of the prompt for another one.
@@ -31,6 +32,8 @@
     pub pause_ms: u32,
     /// Whether its first event has come.
     pub writing: bool,
+    /// The request, if it runs alone: nothing is placed beside it, and no second copy.
+    pub alone: Option<Fingerprint>,
 }
 
 impl Flight {
@@ -68,6 +71,7 @@
     pub(crate) memory: u64,
     pub(crate) pause_ms: u32,
     pub(crate) writing: bool,
+    pub(crate) alone: Option<Fingerprint>,
     pub(crate) age_ms: u32,
 }
 
@@ -85,6 +89,7 @@
             memory: flight.memory,
             pause_ms: flight.pause_ms,
             writing: flight.writing,
+            alone: flight.alone,
             age_ms: now.saturating_duration_since(self.sent).as_millis() as u32,
         }
     }
@@ -106,6 +111,7 @@
             memory: told.memory,
             pause_ms: told.pause_ms,
             writing: told.writing,
+            alone: told.alone,
         };
         let age = Duration::from_millis(u64::from(told.age_ms));
         Some(Tracked { flight, sent: now.checked_sub(age).unwrap_or(now) })
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod placement;
 pub mod pressure;
 pub mod prompt;
+pub mod quarantine;
 pub mod quota;
 pub mod rank;
 pub mod report;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -9,9 +9,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::{Ended, Load};
+use crate::fingerprint::Fingerprint;
 use crate::placement::{Ask, Nowhere};
 use crate::tag::Tag;
-use crate::{flight, report};
+use crate::{flight, quarantine, report};
 
 /// The longest message, bytes: what one UDP datagram holds.
 pub const MOST: usize = 60_000;
@@ -82,6 +83,8 @@
     pub outcomes: Vec<Ended>,
     /// The reports that it has of engines.
     pub reports: Vec<report::Told>,
+    /// What it learnt of requests under which upstreams ended.
+    pub suspects: Vec<quarantine::News>,
 }
 
 /// A request by the number that its VM gave it.
@@ -108,6 +111,7 @@
     limit_ms: u32,
     hold_limit_ms: u32,
     avoid: Vec<Tag>,
+    fingerprint: Fingerprint,
 }
 
 impl Asked {
@@ -124,6 +128,7 @@
             limit_ms: ask.limit.as_millis() as u32,
             hold_limit_ms: ask.hold_limit.as_millis() as u32,
             avoid: ask.avoid.clone(),
+            fingerprint: ask.fingerprint,
         }
     }
 
@@ -140,6 +145,7 @@
             avoid: self.avoid.clone(),
             hall,
             hold_limit: millis(self.hold_limit_ms),
+            fingerprint: self.fingerprint,
             offset: 0,
         }
     }
@@ -188,6 +194,8 @@
     pub slowest: Vec<(Tag, Load)>,
     /// The upstreams among which it was chosen.
     pub open: usize,
+    /// The request, if it runs alone there.
+    pub alone: Option<Fingerprint>,
 }
 
 /// Encodes a message.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -19,8 +19,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::{BRISK_MS, Board, Load, Upstream};
+use crate::fingerprint::Fingerprint;
 use crate::flight::{Flight, Helping};
 use crate::forecast;
+use crate::quarantine::Verdict;
 use crate::tag::Tag;
 
 pub use group::{DEMAND_WINDOW, Line, Turn, line};
@@ -71,6 +73,8 @@
     pub hall: String,
     /// How long a first event may take for which several engines hold memory.
     pub hold_limit: Duration,
+    /// By which it is known again when it comes again.
+    pub fingerprint: Fingerprint,
     /// How far on in the order of upstreams to begin: VMs that each place their own begin anywhere,
     /// so that they do not all meet at the first.
     pub offset: usize,
@@ -134,6 +138,11 @@
     Full,
     /// The request is larger than the memory of any engine.
     TooLarge,
+    /// The request ended upstreams and is kept from all for this long.
+    Quarantined {
+        /// Milliseconds.
+        left_ms: u64,
+    },
 }
 
 #[derive(Clone)]
@@ -207,18 +216,35 @@
 
 /// Finds a place for a request that does not wait in a line of others.
 pub fn place(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
+    let alone = runs_alone(board, ask.fingerprint, now)?;
     let candidates = candidates(board, service, ask, now);
     if candidates.is_empty() {
         return Err(Nowhere::Closed);
     }
-    let Some(engine) = &service.engine else { return plain(ask, candidates) };
-    if ask.long_read_ms(engine).is_none() {
-        return short(ask, engine, candidates);
-    }
+    let engine = service.engine.as_ref();
+    let Some(engine) = engine.filter(|engine| ask.long_read_ms(engine).is_some()) else {
+        return match engine {
+            _ if alone => apart(ask, engine, candidates),
+            Some(engine) => short(ask, engine, candidates),
+            None => plain(ask, candidates),
+        };
+    };
     let turns = [Turn { ask, index: 0 }];
     let line = Line { turns: &turns, demand: 0.0, offset: ask.offset, kept: 0 };
     let placed = group::line(board, service, engine, line, now).pop();
-    placed.map(|(_, place)| place).ok_or(Nowhere::Full)
+    let (_, mut place) = placed.ok_or(Nowhere::Full)?;
+    place.flight.alone = alone.then_some(ask.fingerprint);
+    Ok(place)
+}
+
+/// Whether a request is to run alone, if it may run now at all: one copy at a time does.
+pub fn runs_alone(board: &Board, fingerprint: Fingerprint, now: Instant) -> Result<bool, Nowhere> {
+    match board.quarantine.verdict(fingerprint, now) {
+        Verdict::Beside => Ok(false),
+        Verdict::Alone if board.runs_alone(fingerprint) => Err(Nowhere::Full),
+        Verdict::Alone => Ok(true),
+        Verdict::Held(left) => Err(Nowhere::Quarantined { left_ms: left.as_millis() as u64 }),
+    }
 }
 
 /// The upstreams that take new work, those that are to be trusted alone if there are any, the asker's
@@ -230,7 +256,7 @@
     now: Instant,
 ) -> Vec<Candidate<'a>> {
     let open = board.open(&service.name).filter(|u| !ask.avoid.contains(&u.tag));
-    let mut candidates = trusted(open.collect(), now);
+    let mut candidates = trusted(board, open.collect(), now);
     if !candidates.is_empty() {
         let offset = ask.offset % candidates.len();
         candidates.rotate_left(offset);
@@ -240,13 +266,37 @@
     candidates.into_iter().map(|upstream| Candidate::new(board, upstream, engine, now)).collect()
 }
 
-/// Those that did not fail of late, or all where all did.
-fn trusted(open: Vec<&Upstream>, now: Instant) -> Vec<&Upstream> {
-    let sound = |u: &&Upstream| u.unlisted.is_none() && !u.suspicion.avoided(now) && !u.silent(now);
+/// Those that did not fail of late and are not left to a request that runs alone, or all where there are
+/// no others.
+fn trusted<'a>(board: &Board, open: Vec<&'a Upstream>, now: Instant) -> Vec<&'a Upstream> {
+    let sound = |u: &&Upstream| {
+        u.unlisted.is_none()
+            && !u.suspicion.avoided(now)
+            && !u.silent(now)
+            && !board.is_left_alone(&u.listed.id)
+    };
     let trusted: Vec<&Upstream> = open.iter().copied().filter(sound).collect();
     if trusted.is_empty() { open } else { trusted }
 }
 
+/// The place of a request that runs alone: where least is under way, which is nothing as a rule.
+fn apart(
+    ask: &Ask,
+    engine: Option<&Engine>,
+    candidates: Vec<Candidate<'_>>,
+) -> Result<Place, Nowhere> {
+    let open = candidates.len();
+    let has_room = |c: &Candidate<'_>| engine.is_none_or(|e| c.has_room(ask.memory.0, e));
+    let under_way = |c: &Candidate<'_>| (c.load.requests + c.load.helping, c.load.memory);
+    let best = candidates.into_iter().filter(has_room).min_by_key(under_way);
+    let best = best.ok_or(Nowhere::Full)?;
+    let read_ms = engine.map_or(0.0, |engine| forecast::read_ms(engine, ask.prompt.0));
+    let predicted_ms = engine.map_or(0.0, |engine| best.predicted_ms(engine, read_ms));
+    let mut place = placed(ask, &best, &[], read_ms, predicted_ms, open);
+    place.flight.alone = Some(ask.fingerprint);
+    Ok(place)
+}
+
 fn plain(ask: &Ask, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
     let open = candidates.len();
     let relative =
@@ -328,6 +378,7 @@
             memory: ask.memory.0.saturating_sub(held),
             pause_ms: ask.pause_ms(),
             writing: false,
+            alone: None,
         },
         predicted_ms,
         load: best.load.clone(),
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -75,7 +75,7 @@
     line: Line<'_>,
     now: Instant,
 ) -> Vec<(usize, Place)> {
-    let open = trusted(board.open(&service.name).collect(), now);
+    let open = trusted(board, board.open(&service.name).collect(), now);
     let candidate = |upstream| Candidate::new(board, upstream, Some(engine), now);
     let mut candidates: Vec<Candidate<'_>> = open.into_iter().map(candidate).collect();
     candidates.reverse();
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -10,7 +10,8 @@
 use foldlock_version::routes::{Service, Table};
 
 use crate::board::{Board, Holder};
-use crate::placement::{self, Ask, DEMAND_WINDOW, Nowhere, Place};
+use crate::fingerprint::Fingerprint;
+use crate::placement::{self, Ask, DEMAND_WINDOW, Nowhere, Place, runs_alone};
 use crate::pressure::Pressure;
 use crate::tag::Tag;
 
@@ -95,6 +96,9 @@
             return Answer::Waits;
         }
         let Some(found) = find(table, service) else { return Answer::Nowhere(Nowhere::Closed) };
+        if let Err(held @ Nowhere::Quarantined { .. }) = runs_alone(board, ask.fingerprint, now) {
+            return Answer::Nowhere(held);
+        }
         let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
         if let Some(read_ms) = read_ms {
             self.asked.push_back(Asked { at: now, service, read_ms });
@@ -138,6 +142,7 @@
         let mut services: Vec<Tag> = self.waiters.iter().map(|waiter| waiter.service).collect();
         services.sort_unstable();
         services.dedup();
+        self.turn_away(board, now, &mut answers);
         for tag in services {
             let Some(service) = find(table, tag) else { continue };
             self.place_short(board, service, tag, now, &mut answers);
@@ -146,6 +151,17 @@
         answers
     }
 
+    /// Tells those that wait and are kept from all upstreams by now.
+    fn turn_away(&mut self, board: &Board, now: Instant, answers: &mut Vec<(Key, Answer)>) {
+        self.waiters.retain(|waiter| match runs_alone(board, waiter.ask.fingerprint, now) {
+            Err(held @ Nowhere::Quarantined { .. }) => {
+                answers.push((waiter.key.clone(), Answer::Nowhere(held)));
+                false
+            }
+            _ => true,
+        });
+    }
+
     /// Short requests, the one that is due first before the others.
     fn place_short(
         &mut self,
@@ -186,6 +202,7 @@
         let waiters = self.waiters.iter().enumerate();
         let turns: Vec<placement::Turn<'_>> = waiters
             .filter(|(_, waiter)| waiter.service == tag && waiter.is_long(service))
+            .filter(|(_, waiter)| runs_alone(board, waiter.ask.fingerprint, now).is_ok())
             .map(|(index, waiter)| placement::Turn { ask: &waiter.ask, index })
             .collect();
         if turns.is_empty() {
@@ -198,11 +215,15 @@
             kept: self.pressure.engines(),
         };
         let placed = placement::line(board, service, engine, line, now);
-        let placed: Vec<(Key, Place)> = placed
+        let placed: Vec<(Key, Fingerprint, Place)> = placed
             .into_iter()
-            .map(|(index, place)| (self.waiters[index].key.clone(), place))
+            .map(|(index, place)| (&self.waiters[index], place))
+            .map(|(waiter, place)| (waiter.key.clone(), waiter.ask.fingerprint, place))
             .collect();
-        for (key, place) in placed {
+        for (key, fingerprint, mut place) in placed {
+            // Of two copies in one line the first runs alone, and the other waits for it.
+            let Ok(alone) = runs_alone(board, fingerprint, now) else { continue };
+            place.flight.alone = alone.then_some(fingerprint);
             let answer = self.give(board, key.clone(), place, now);
             answers.push((key, answer));
         }
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Listed};
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::line::{Capacity, Waiting, order};
 use foldlock_request::placement::{self, Ask, Line, Place, Turn};
 use foldlock_request::report::{Observed, Report};
@@ -101,6 +102,7 @@
         avoid: Vec::new(),
         hall: String::new(),
         hold_limit: Duration::from_millis(2_400),
+        fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
     }
 }
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::size::Tokens;
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::message::{Asked, Beat, Message, Number, State, Work, decode, encode};
 use foldlock_request::placement::Ask;
 use foldlock_request::tag::Tag;
@@ -48,6 +49,7 @@
         avoid: vec![Tag::of("i-1")],
         hall: "a".to_owned(),
         hold_limit: Duration::from_millis(2_400),
+        fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
     };
     let request = Number { incarnation: 1, number: 8 };
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -7,6 +7,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Holder, Listed};
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::forecast;
 use foldlock_request::placement::{Ask, Place};
 use foldlock_request::report::Observed;
@@ -199,6 +200,7 @@
             avoid: Vec::new(),
             hall: "a".to_owned(),
             hold_limit: Duration::from_millis(2_400),
+            fingerprint: Fingerprint::of("", "", "", b""),
             offset: 0,
         }
     }
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Listed};
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
 use foldlock_request::forecast;
 use foldlock_request::placement::{self, Ask, Nowhere, Place};
@@ -71,6 +72,7 @@
         avoid: Vec::new(),
         hall: String::new(),
         hold_limit: Duration::from_millis(2_400),
+        fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
     }
 }
@@ -142,6 +144,7 @@
             memory: 6_000,
             pause_ms: 250,
             writing: true,
+            alone: None,
         };
         begin(&mut board, flight, now);
     }
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -5,7 +5,9 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Holder, Listed};
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{Ask, Nowhere, Place};
+use foldlock_request::quarantine::Ending;
 use foldlock_request::scheduler::{Answer, Key, Scheduler};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Bounds, Engine, Service, Table};
@@ -74,6 +76,7 @@
         avoid: Vec::new(),
         hall: "a".to_owned(),
         hold_limit: Duration::from_millis(2_400),
+        fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
     }
 }
@@ -264,3 +267,69 @@
         prop_assert_eq!(fleet.board.under_way(), 0);
     }
 }
+
+/// Two upstreams ended under a request: it may be the cause, or have been beside the one that is.
+fn suspect(fleet: &mut Fleet, ask: &Ask) {
+    for upstream in ["i-900", "i-901"] {
+        let ending = Ending { upstream: Tag::of(upstream), alone: false };
+        fleet.board.quarantine.ended(ask.fingerprint, ending, fleet.now);
+    }
+}
+
+fn suspicious(ask: Ask) -> Ask {
+    Ask { fingerprint: Fingerprint::of("", "POST", "/deadly/", b""), ..ask }
+}
+
+#[test]
+fn a_suspect_runs_at_an_upstream_that_is_left_to_it() {
+    for suspected in [short as fn(Instant) -> Ask, |now| long(60_000, now)] {
+        let mut fleet = Fleet::new(6);
+        let beside = placed(fleet.ask(key(0, 1), short(fleet.now))).0;
+        let ask = suspicious(suspected(fleet.now));
+        suspect(&mut fleet, &ask);
+        let alone = match fleet.ask(key(0, 2), ask.clone()) {
+            Answer::Placed(place, _) => place,
+            _ => fleet.look().pop().expect("there is room").1,
+        };
+        assert_eq!(alone.flight.alone, Some(ask.fingerprint));
+        assert_ne!(alone.flight.upstream, beside.flight.upstream);
+        for number in 3..20 {
+            let other = placed(fleet.ask(key(0, number), short(fleet.now))).0;
+            assert_ne!(other.flight.upstream, alone.flight.upstream, "nothing is put beside it");
+        }
+    }
+}
+
+#[test]
+fn a_second_copy_of_a_suspect_waits_for_what_becomes_of_the_first() {
+    for suspected in [short as fn(Instant) -> Ask, |now| long(60_000, now)] {
+        let mut fleet = Fleet::new(6);
+        let ask = suspicious(suspected(fleet.now));
+        suspect(&mut fleet, &ask);
+        fleet.ask(key(0, 1), ask.clone());
+        fleet.ask(key(1, 1), ask.clone());
+        fleet.look();
+        assert_eq!(fleet.board.under_way(), 1);
+        assert!(matches!(fleet.ask(key(1, 1), ask.clone()), Answer::Waits));
+        // The first ends its upstream: the second is told so, and so is the next that comes.
+        let ending = Ending { upstream: Tag::of("i-000"), alone: true };
+        fleet.board.quarantine.ended(ask.fingerprint, ending, fleet.now);
+        let answers = fleet.scheduler.look(&mut fleet.board, &fleet.table, fleet.now);
+        let held = |answer: &Answer| matches!(answer, Answer::Nowhere(Nowhere::Quarantined { .. }));
+        assert!(answers.iter().any(|(waiting, answer)| *waiting == key(1, 1) && held(answer)));
+        assert!(held(&fleet.ask(key(2, 1), ask.clone())));
+    }
+}
+
+#[test]
+fn a_suspect_whose_vm_ends_may_run_again_elsewhere() {
+    let mut fleet = Fleet::new(6);
+    let ask = suspicious(short(fleet.now));
+    suspect(&mut fleet, &ask);
+    placed(fleet.ask(key(0, 1), ask.clone()));
+    assert!(matches!(fleet.ask(key(1, 1), ask.clone()), Answer::Waits));
+    fleet.board.peer_lost(&vm(0), fleet.now);
+    let again = fleet.look();
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].0, key(1, 1));
+}
