Know an upstream by its id and its start, and leave out entries of another writer

Cause: by the news of the platform an upstream may start again under its id; foldlock counted its work, memory, suspicion and leaving on. And one entry that another writer left was taken where serde had a default (no zone, no slots, any state), while a good one that it replaced stayed in use.

Change: the moment of a start is decoded from entries and reports; VMs name an upstream to each other by id and start, so what is told of an earlier start meets nothing. A later start ends all that was believed, whether the entry, a report or a peer brings it first. Entries are ordered by the directory's revision of each, so a peer's word may bring back what was bad or gone, and an old word may not. A connection that breaks at an upstream that has started again counts as its end. An entry is taken only with all fields that a server writes, of their types; each bad version is logged once (410), counted and in the dump.

An upstream whose clock went back is the earlier start until its entry is written anew; why is at Board::renew.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -87,6 +87,10 @@
     UpstreamPace = 407, Info;
     /// An engine answered what is no report; what was known of it stays.
     ReportUnreadable = 408, Warning;
+    /// An upstream has started again under its id: all that was known of the start before is over.
+    UpstreamRestarted = 409, Info;
+    /// An entry in the directory is another writer's, or cannot be read: it names nothing to use.
+    EntryUnreadable = 410, Warning;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request waits.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -33,6 +33,7 @@
 pub mod serve;
 pub mod source;
 pub mod stop;
+pub mod unreadable;
 pub mod volume;
 
 use std::sync::Arc;
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -132,7 +132,7 @@
 fn addresses(board: &Board, flight: &Flight) -> Result<(String, Vec<String>), Tag> {
     let address = |id: &id::Upstream| match board.get(id).filter(|upstream| upstream.is_open()) {
         Some(upstream) => Ok(upstream.listed.address.clone()),
-        None => Err(Tag::of(id.as_str())),
+        None => Err(board.tag_of(id)),
     };
     let helpers = flight.helpers.iter().map(|helping| address(&helping.upstream));
     Ok((address(&flight.upstream)?, helpers.collect::<Result<_, _>>()?))
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -150,6 +150,7 @@
 ) -> End<D> {
     let place = &given.place;
     let upstream = place.flight.upstream.clone();
+    let start = ending::start(job, &place.flight);
     let hold = match Hold::take(job, &given).await {
         Ok(hold) => hold,
         Err(taken) => {
@@ -171,7 +172,7 @@
         Err(Failure::Refused(why) | Failure::Unsent(why)) => return End::Unsent(why),
         Err(Failure::Broken(why)) => {
             note(job, &upstream, Cause::Broken);
-            ending::examine(job, &place.flight).await;
+            ending::examine(job, &place.flight, start).await;
             return End::Broken(why);
         }
     };
@@ -189,6 +190,7 @@
     strip(&mut head.headers);
     let source = Source {
         flight: place.flight.clone(),
+        start,
         sent,
         predicted_ms: place.predicted_ms,
         entered,
@@ -285,13 +287,13 @@
     source: Source<D>,
     declared: bool,
 ) -> End<D> {
-    let Source { flight, entered: _entered, hold: _hold, channel, rest, body, .. } = source;
+    let Source { flight, start, entered: _entered, hold: _hold, channel, rest, body, .. } = source;
     let upstream = flight.upstream.clone();
     let collected = match Limited::new(body, MOST_ANSWER).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(e) => {
             note(job, &upstream, Cause::Broken);
-            ending::examine(job, &flight).await;
+            ending::examine(job, &flight, start).await;
             return End::Broken(format!("its answer broke off: {}", chain(&*e)));
         }
     };
@@ -326,7 +328,7 @@
         }
         Next::Broken(why) => {
             note(job, &source.flight.upstream, Cause::Broken);
-            ending::examine(job, &source.flight).await;
+            ending::examine(job, &source.flight, source.start).await;
             End::Broken(why)
         }
     }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
+use foldlock_request::board::Start;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
 use foldlock_request::message::{self, Beat, Message, State, Work};
@@ -107,6 +108,12 @@
     }
 }
 
+/// Tells the VM that places at once what it must not place without: a caller that sends a request again
+/// takes a few milliseconds, no more than a beat may wait for others.
+pub fn tell_placer<D: Dialect>(process: &Process<D>) {
+    tell(process, Round::First, process.now());
+}
+
 fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) {
     let targets = process.peers.targets(now);
     let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
@@ -144,6 +151,10 @@
 }
 
 fn state<D: Dialect>(process: &Process<D>, now: Instant) -> State {
+    let (digest, starts) = {
+        let mut board = process.board.lock().unwrap();
+        (board.digest(), board.told_starts(now))
+    };
     State {
         vm: process.member.vm.clone(),
         incarnation: process.member.incarnation,
@@ -151,10 +162,11 @@
         version: process.version(),
         age_ms: process.fresh.age(now).map(|age| age.as_millis() as u64 + 1),
         at: process.at.load(Ordering::Relaxed),
-        digest: process.board.lock().unwrap().digest(),
+        digest,
         leaving: process.stopping.is_cancelled(),
         watching: process.watching.load(Ordering::Relaxed),
         settled: process.peers.settled(now),
+        starts,
         work: None,
     }
 }
@@ -198,6 +210,9 @@
         process.peers.withdrawn(process, &state.vm);
     }
     catch_up::start(process, directory);
+    for Start { upstream, born } in &state.starts {
+        reports::renewed(process, upstream, *born, &state.vm);
+    }
     let mut board = process.board.lock().unwrap();
     if news == News::Renewed {
         board.peer_lost(&state.vm, now);
--- a/daemon/src/fleet/ending.rs
+++ b/daemon/src/fleet/ending.rs
@@ -14,6 +14,7 @@
 use foldlock_request::suspicion::{Failure as Cause, Outcome};
 use foldlock_request::tag::Tag;
 
+use crate::fleet::beats;
 use crate::fleet::job::Job;
 use crate::fleet::register::Order;
 
@@ -24,20 +25,30 @@
 /// How long the connection by which a living upstream was asked is kept for the next request.
 const KEPT: Duration = Duration::from_secs(2);
 
+/// The start of the upstream that an attempt is sent to.
+pub fn start<D: Dialect>(job: &Job<D>, flight: &Flight) -> Tag {
+    job.process.board.lock().unwrap().tag_of(&flight.upstream)
+}
+
 /// The connection to the upstream of an attempt broke: finds out whether the upstream has ended, and notes
 /// it against the request if so. The attempt has to be on the board still: so no second copy is placed
 /// before this one's end is known.
-pub async fn examine<D: Dialect>(job: &Job<D>, flight: &Flight) {
+pub async fn examine<D: Dialect>(job: &Job<D>, flight: &Flight, start: Tag) {
     let upstream = &flight.upstream;
-    let address = {
+    let known = {
         let board = job.process.board.lock().unwrap();
         // One that leaves ends by itself.
         let known = board.get(upstream).filter(|u| u.is_open() && u.unlisted.is_none());
-        known.map(|known| known.listed.address.clone())
+        known.map(|known| (known.listed.address.clone(), known.tag))
     };
-    let Some(address) = address else { return };
+    let Some((address, tag)) = known else { return };
+    if tag != start {
+        // It has started again already.
+        ended(job, flight, start);
+        return;
+    }
     match Channel::open(&address, ASKED).await {
-        Err(Failure::Refused(_)) => ended(job, flight),
+        Err(Failure::Refused(_)) => ended(job, flight, start),
         // Silent or out of descriptors: it is not known whether it ended.
         Err(Failure::Unsent(_) | Failure::Broken(_)) => {}
         Ok(channel) => {
@@ -47,16 +58,19 @@
     }
 }
 
-fn ended<D: Dialect>(job: &Job<D>, flight: &Flight) {
+fn ended<D: Dialect>(job: &Job<D>, flight: &Flight, start: Tag) {
     let now = job.process.now();
     let upstream = flight.upstream.clone();
     let alone = flight.alone.is_some();
-    let ending = Ending { upstream: Tag::of(upstream.as_str()), alone };
+    let ending = Ending { upstream: start, alone };
     let mut board = job.process.board.lock().unwrap();
-    board.note(&upstream, Outcome::Failed(Cause::Silent), now);
+    if board.tag_of(&upstream) == start {
+        board.note(&upstream, Outcome::Failed(Cause::Silent), now);
+    }
     let held = board.quarantine.ended(job.fingerprint, ending, now);
     let known = board.quarantine.ended_under(job.fingerprint) as u32;
     drop(board);
+    beats::tell_placer(&job.process);
     job.process.pool.forget(&upstream);
     job.process.metrics.ended_under.inc();
     job.record(Decision::Ended { upstream, known, alone });
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -168,7 +168,8 @@
     contact.at = Some(changes.at);
     process.at.fetch_max(changes.at, Ordering::Relaxed);
     changes.changes.into_iter().for_each(|change| apply(process, change, lapsed));
-    let gone = process.board.lock().unwrap().expire(RELIST, now);
+    let at = process.at.load(Ordering::Relaxed);
+    let gone = process.board.lock().unwrap().expire(RELIST, at, now);
     gone.iter().for_each(|id| ended(process, id, "not listed again"));
     process.fresh.confirm(asked);
     if changed {
@@ -209,7 +210,7 @@
         .collect();
     let known: Vec<id::Upstream> =
         process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
-    known.iter().for_each(|id| listing_ended(process, id, lapsed));
+    known.iter().for_each(|id| listing_ended(process, id, changes.at, lapsed));
     release_unlisted(process, changes);
 }
 
@@ -232,12 +233,17 @@
     match change {
         Change::Settings(settings) => settings_read(process, *settings),
         Change::Upstream(listed) => upstream_listed(process, listed),
-        Change::UpstreamGone(id) => listing_ended(process, &id, lapsed),
+        Change::UpstreamGone(id, revision) => listing_ended(process, &id, revision, lapsed),
+        Change::UpstreamUnreadable(id, revision, why) => {
+            unreadable(process, id.as_str(), revision, &why);
+            listing_ended(process, &id, revision, false);
+        }
         Change::Member(member) => process.peers.listed(process, member),
         Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
         Change::Quarantined(entry) => quarantined(process, entry),
         Change::Released(fingerprint) => released(process, fingerprint),
-        Change::Unreadable(why) => log::event(&process.log, Event::VersionRefused, why),
+        Change::Unreadable { key, revision, why } => unreadable(process, &key, revision, &why),
+        Change::SettingsUnreadable(why) => log::event(&process.log, Event::VersionRefused, why),
     }
 }
 
@@ -249,9 +255,20 @@
     let leaving = listed.leaving;
     let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
     let id = listed.id.clone();
-    if !process.board.lock().unwrap().list(listed) {
+    let mut board = process.board.lock().unwrap();
+    let before = board.tag_of(&id);
+    let known = board.get(&id).is_some();
+    let news = board.list(listed);
+    let restarted = known && board.tag_of(&id) != before;
+    drop(board);
+    process.unreadable.forget(id.as_str());
+    if !news {
         return;
     }
+    if restarted {
+        process.pool.forget(&id);
+        log::event(&process.log, Event::UpstreamRestarted, format!("{id}, by its entry"));
+    }
     let event = if leaving { Event::UpstreamLeaving } else { Event::UpstreamListed };
     log::event(&process.log, event, what);
     if leaving {
@@ -275,12 +292,25 @@
     }
 }
 
-fn listing_ended<D: Dialect>(process: &Arc<Process<D>>, id: &id::Upstream, lapsed: bool) {
+/// An entry names nothing to use; logged once for each version of it.
+fn unreadable<D: Dialect>(process: &Arc<Process<D>>, key: &str, revision: u64, why: &str) {
+    if process.unreadable.note(key, revision, why) {
+        process.metrics.unreadable.inc();
+        log::event(&process.log, Event::EntryUnreadable, format!("{key} at {revision}: {why}"));
+    }
+}
+
+fn listing_ended<D: Dialect>(
+    process: &Arc<Process<D>>,
+    id: &id::Upstream,
+    revision: u64,
+    lapsed: bool,
+) {
     if lapsed {
         process.board.lock().unwrap().unlist(id, process.now());
         return;
     }
-    if process.board.lock().unwrap().remove(id) {
+    if process.board.lock().unwrap().remove(id, revision) {
         ended(process, id, "its listing ended");
     }
 }
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -9,7 +9,6 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Ask};
 use foldlock_request::ring::Entry;
-use foldlock_request::tag::Tag;
 use foldlock_request::terms::Terms;
 use foldlock_version::routes::{Organisation, Repeat, Route, Service};
 
@@ -75,6 +74,9 @@
 
     /// What is asked of the upstreams, those left out that failed it.
     pub fn ask(&self, avoid: &[id::Upstream]) -> Ask {
+        let board = self.process.board.lock().unwrap();
+        let avoid = avoid.iter().map(|id| board.tag_of(id)).collect();
+        drop(board);
         Ask {
             prompt: self.terms.prompt,
             memory: self.memory(),
@@ -82,7 +84,7 @@
             pause: self.pause(),
             arrived: self.arrived,
             limit: self.deadline.saturating_duration_since(self.arrived),
-            avoid: avoid.iter().map(|id| Tag::of(id.as_str())).collect(),
+            avoid,
             hall: self.process.member.hall.clone(),
             hold_limit: self.process.config.fleet.held_silence(),
             fingerprint: self.fingerprint,
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -55,6 +55,8 @@
     pub held: Counter,
     /// Requests that are held or run alone, as far as this VM knows.
     pub suspects: Gauge,
+    /// Entries of the directory that name nothing to use, each version of one.
+    pub unreadable: Counter,
     /// Requests that wait for this VM to place them.
     pub line: Gauge,
     /// The settings version in force.
@@ -86,6 +88,7 @@
             ended_under: Counter::default(),
             held: Counter::default(),
             suspects: Gauge::default(),
+            unreadable: Counter::default(),
             line: Gauge::default(),
             version: Gauge::default(),
             age_ms: Gauge::default(),
@@ -115,6 +118,8 @@
         r.register("upstream_endings", what, self.ended_under.clone());
         r.register("quarantined", "Requests kept from all upstreams", self.held.clone());
         r.register("suspects", "Requests that are held or run alone", self.suspects.clone());
+        let what = "Entries of the directory that name nothing to use";
+        r.register("unreadable_entries", what, self.unreadable.clone());
         r.register("waiting", "Requests of all VMs that wait for a place here", self.line.clone());
         r.register("settings_version", "The settings version in force", self.version.clone());
         r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -166,6 +166,7 @@
     json!({
         "suspects": suspects,
         "held": held,
+        "unreadable": process.unreadable.all(),
         "config": process.config,
         "ready": process.ready(),
         "version": process.version(),
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -27,6 +27,7 @@
 use crate::fleet::packed::Kept;
 use crate::fleet::peers::Peers;
 use crate::fleet::register::Register;
+use crate::fleet::unreadable::Unreadable;
 use crate::fleet::volume::{self, Volume};
 use crate::log;
 
@@ -91,6 +92,8 @@
     pub packed_settings: Kept,
     /// The listings as peers read them.
     pub packed_listing: Kept,
+    /// Entries of the directory that name nothing to use.
+    pub unreadable: Unreadable,
     /// What the directory is to be told of requests that are held.
     pub register: Register,
     /// The other VMs.
@@ -153,6 +156,7 @@
             reports: D::Reports::default(),
             packed_settings: Kept::default(),
             packed_listing: Kept::default(),
+            unreadable: Unreadable::default(),
             register: Register::default(),
             at: AtomicU64::new(0),
             watching: AtomicBool::new(false),
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -45,7 +45,7 @@
         let weight = |vm: &&Member| xxh3_64(format!("{} {}", vm.vm, listed.id).as_bytes());
         match vms.iter().max_by_key(weight) {
             Some(vm) if vm.vm != process.member.vm => {
-                let message = Message::Poll(Tag::of(listed.id.as_str()));
+                let message = Message::Poll(listed.tag());
                 beats::send(&process.socket, &message, vm.address);
             }
             _ => {
@@ -84,12 +84,38 @@
         }
         return;
     }
+    let born = answer.as_ref().ok().and_then(|report| report.born);
+    if let Some(born) = born {
+        renewed(&process, &listed.id, born, &process.member.vm);
+        let board = process.board.lock().unwrap();
+        if board.get(&listed.id).is_some_and(|known| known.listed.born > Some(born)) {
+            // An answer of the start before, which came late.
+            return;
+        }
+    }
     let observed = Observed { report: answer.as_ref().ok().copied(), at };
     let before = process.board.lock().unwrap().observe(&listed.id, observed);
     log_change(&process, &listed.id, before, &answer);
     process.tell.notify_one();
 }
 
+/// An upstream said itself, to this VM or to a peer, that it has started at this moment.
+pub fn renewed<D: Dialect>(
+    process: &Process<D>,
+    upstream: &id::Upstream,
+    born: u64,
+    from: &id::Vm,
+) {
+    if !process.board.lock().unwrap().renew(upstream, born, process.now()) {
+        return;
+    }
+    process.pool.forget(upstream);
+    let what = format!("{upstream} at {born}, heard by {from}");
+    log::event(&process.log, Event::UpstreamRestarted, what);
+    process.tell_all();
+    process.room.notify_one();
+}
+
 /// Logs what is news in an answer: silence, an answer after it, another pace.
 fn log_change<D: Dialect>(
     process: &Process<D>,
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use foldlock_request::board::Holder;
+use foldlock_request::board::{Board, Holder};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
 use foldlock_request::placement::{Ask, Nowhere};
@@ -115,17 +115,18 @@
 }
 
 fn answered<D: Dialect>(process: &Process<D>, request: Number, to: SocketAddr, answer: Answer) {
-    let message = Message::Answered(Answered { request, answer: encode(answer) });
+    let answer = encode(&process.board.lock().unwrap(), answer);
+    let message = Message::Answered(Answered { request, answer });
     beats::send(&process.socket, &message, to);
 }
 
-fn encode(answer: Answer) -> message::Answer {
+fn encode(board: &Board, answer: Answer) -> message::Answer {
     let (place, grant) = match answer {
         Answer::Placed(place, grant) => (place, grant),
         Answer::Waits => return message::Answer::Waits,
         Answer::Nowhere(nowhere) => return message::Answer::Nowhere(nowhere),
     };
-    let tag = |id: &id::Upstream| Tag::of(id.as_str());
+    let tag = |id: &id::Upstream| board.tag_of(id);
     let flight = &place.flight;
     message::Answer::Placed(message::Placed {
         grant,
--- a/daemon/src/fleet/source.rs
+++ b/daemon/src/fleet/source.rs
@@ -8,6 +8,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::flight::Flight;
 use foldlock_request::suspicion::{Failure, Outcome};
+use foldlock_request::tag::Tag;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -31,6 +32,8 @@
 pub struct Source<D: Dialect> {
     /// The attempt: where it runs, and beside what.
     pub flight: Flight,
+    /// The start of the upstream that it was sent to.
+    pub start: Tag,
     /// When the request was sent.
     pub sent: Instant,
     /// The predicted time to the first event, milliseconds.
@@ -94,7 +97,7 @@
         let failure = if silent { Failure::Silent } else { Failure::Broken };
         note(job, &self.flight.upstream, failure);
         if !silent {
-            ending::examine(job, &self.flight).await;
+            ending::examine(job, &self.flight, self.start).await;
         }
     }
 }
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -27,15 +27,30 @@
 pub use flights::Holder;
 pub use load::{BRISK_MS, Load};
 
-/// Ended upstreams that are remembered: each start of an upstream has an id of its own, and no
-/// message is on its way for as long as this many upstreams take to end.
+/// Ended upstreams that are remembered: no message is on its way for as long as this many upstreams take
+/// to end.
 const ENDED: usize = 1_024;
 
+/// How long a new start of an upstream is told that was not learnt from the directory: by then the
+/// directory has told it, or the next answer does again.
+const START_TOLD: Duration = Duration::from_secs(10);
+
+/// New starts that are told at most.
+const MOST_STARTS: usize = 64;
+
 /// An upstream as the directory lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
-    /// The instance; each start of the program is a new one.
+    /// The instance. It may start again under the same id; then it is another one, see `born`.
     pub id: id::Upstream,
+    /// When this start of its program was, milliseconds since 1970 by its own clock; none where it does
+    /// not say.
+    #[serde(default)]
+    pub born: Option<u64>,
+    /// The directory's revision of this entry: of two words of one upstream the higher is the newer one,
+    /// whoever brings it. 0 where there are none.
+    #[serde(default)]
+    pub revision: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens, `IP:port`.
@@ -48,6 +63,44 @@
     pub leaving: bool,
 }
 
+impl Listed {
+    /// How VMs name this start of it to each other.
+    pub fn tag(&self) -> Tag {
+        match self.born {
+            Some(born) => Tag::of(&format!("{} {born}", self.id)),
+            None => Tag::of(self.id.as_str()),
+        }
+    }
+
+    /// Whether this is another start of the program than `other`: work, memory and counts of one say
+    /// nothing of the other.
+    pub fn is_other_start(&self, other: &Listed) -> bool {
+        self.born.is_some() && other.born.is_some() && self.born != other.born
+    }
+
+    /// Whether it says the same as `other`, under whatever revision.
+    fn says_the_same(&self, other: &Listed) -> bool {
+        *self == Listed { revision: self.revision, ..other.clone() }
+    }
+}
+
+impl Hash for Listed {
+    /// Two words that say the same are alike, whatever their revisions.
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (&self.id, self.born, &self.service, &self.address).hash(state);
+        (&self.hall, self.slots, self.leaving).hash(state);
+    }
+}
+
+/// A start of an upstream that was learnt from its own word before the directory told of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// When it was, milliseconds since 1970 by the upstream's clock.
+    pub born: u64,
+}
+
 /// How long a report counts: an engine that is asked no more is taken for sound again.
 const REPORT_LASTS: Duration = Duration::from_millis(2_500);
 
@@ -117,7 +170,9 @@
 #[derive(Debug, Default)]
 pub struct Board {
     upstreams: BTreeMap<id::Upstream, Upstream>,
-    ended: VecDeque<id::Upstream>,
+    /// Those that are gone, with the revision up to which that is known.
+    ended: VecDeque<(id::Upstream, u64)>,
+    starts: VecDeque<(Instant, Start)>,
     tags: HashMap<Tag, id::Upstream>,
     flights: flights::Flights,
     /// Requests under which upstreams ended.
@@ -132,58 +187,125 @@
 }
 
 impl Board {
-    /// Takes a listing. Answers whether it is new or says something new.
+    /// Takes a listing. Answers whether it is new or says something new. A later start ends all that was
+    /// believed of the one before it.
     pub fn list(&mut self, listed: Listed) -> bool {
         self.digest.set(None);
-        match self.upstreams.get_mut(&listed.id) {
-            Some(known) => {
-                known.unlisted = None;
-                let changed = known.listed != listed;
-                known.listed = listed;
-                changed
-            }
-            None => {
-                let id = listed.id.clone();
-                let tag = Tag::of(id.as_str());
-                self.tags.insert(tag, id.clone());
-                let upstream = Upstream {
-                    listed,
-                    tag,
-                    told_leaving: false,
-                    suspicion: Suspicion::default(),
-                    observed: None,
-                    asked: false,
-                    unlisted: None,
-                };
-                self.upstreams.insert(id, upstream);
-                true
+        let Some(known) = self.upstreams.get_mut(&listed.id) else {
+            self.insert(listed);
+            return true;
+        };
+        known.unlisted = None;
+        if listed.is_other_start(&known.listed) {
+            // The entry of the start before, read again after the upstream told of its new one.
+            let is_late = listed.revision <= known.listed.revision;
+            if is_late && listed.born < known.listed.born {
+                return false;
             }
+            self.forget(&listed.id.clone());
+            self.insert(listed);
+            return true;
+        }
+        let changed = !listed.says_the_same(&known.listed);
+        // A start that the upstream itself told stays known until the directory tells one.
+        let born = listed.born.or(known.listed.born);
+        known.listed = Listed { born, ..listed };
+        changed
+    }
+
+    fn insert(&mut self, listed: Listed) {
+        let (id, tag) = (listed.id.clone(), listed.tag());
+        self.tags.insert(tag, id.clone());
+        let upstream = Upstream {
+            listed,
+            tag,
+            told_leaving: false,
+            suspicion: Suspicion::default(),
+            observed: None,
+            asked: false,
+            unlisted: None,
+        };
+        self.upstreams.insert(id, upstream);
+    }
+
+    fn forget(&mut self, id: &id::Upstream) -> Option<Upstream> {
+        let known = self.upstreams.remove(id)?;
+        self.tags.remove(&known.tag);
+        self.flights.restarted(id);
+        Some(known)
+    }
+
+    /// An upstream says itself that it has started at this moment. Answers whether that is a later start
+    /// than the one that is known; an earlier one is an answer that came late.
+    ///
+    /// An upstream whose clock went back before it started again is taken for the earlier start until the
+    /// directory tells of it: what it is sent meanwhile is refused or runs there, and a group that counts
+    /// on memory of before is refused and placed anew.
+    pub fn renew(&mut self, id: &id::Upstream, born: u64, now: Instant) -> bool {
+        let Some(known) = self.upstreams.get(id).and_then(|known| known.listed.born) else {
+            return false;
+        };
+        if born <= known {
+            return false;
+        }
+        let Some(before) = self.forget(id) else { return false };
+        self.insert(Listed { born: Some(born), ..before.listed });
+        self.digest.set(None);
+        if self.starts.len() == MOST_STARTS {
+            self.starts.pop_front();
         }
+        self.starts.push_back((now, Start { upstream: id.clone(), born }));
+        true
     }
 
-    /// Forgets an upstream that is gone. Answers whether it was known.
-    pub fn remove(&mut self, id: &id::Upstream) -> bool {
+    /// New starts that were not learnt from the directory, as peers are told of them.
+    pub fn told_starts(&mut self, now: Instant) -> Vec<Start> {
+        let old = |at: &Instant| now.saturating_duration_since(*at) > START_TOLD;
+        while self.starts.front().is_some_and(|(at, _)| old(at)) {
+            self.starts.pop_front();
+        }
+        self.starts.iter().map(|(_, start)| start.clone()).collect()
+    }
+
+    /// How VMs name the start of an upstream that is known here.
+    pub fn tag_of(&self, id: &id::Upstream) -> Tag {
+        self.upstreams.get(id).map_or_else(|| Tag::of(id.as_str()), |known| known.tag)
+    }
+
+    /// Forgets an upstream that is gone by what is known up to a revision. Answers whether it was known.
+    pub fn remove(&mut self, id: &id::Upstream, revision: u64) -> bool {
         self.digest.set(None);
-        let known = self.upstreams.remove(id).is_some();
+        let known = self.forget(id).is_some();
         if known {
-            self.tags.remove(&Tag::of(id.as_str()));
-            self.end(id.clone());
+            self.end(id.clone(), revision);
         }
         known
     }
 
-    /// Whether a peer's word of a listing may be taken: it brings back nothing that ended, and
-    /// nothing that is leaving stays.
+    /// Whether a peer's word of a listing may be taken: of two words the one of the higher revision is
+    /// the newer. At the same revision, nothing that ended comes back, and nothing that is leaving stays.
     pub fn accepts(&self, listed: &Listed) -> bool {
-        let leaving = self.upstreams.get(&listed.id).is_some_and(|u| u.listed.leaving);
-        !self.ended.contains(&listed.id) && (listed.leaving || !leaving)
+        let ended = self.ended.iter().find(|(id, _)| *id == listed.id);
+        if ended.is_some_and(|(_, revision)| listed.revision <= *revision) {
+            return false;
+        }
+        let Some(known) = self.upstreams.get(&listed.id).map(|known| &known.listed) else {
+            return true;
+        };
+        if listed.is_other_start(known) {
+            return listed.revision > known.revision
+                || listed.revision == known.revision && listed.born > known.born;
+        }
+        listed.revision > known.revision
+            || listed.revision == known.revision && (listed.leaving || !known.leaving)
     }
 
-    fn end(&mut self, id: id::Upstream) {
+    fn end(&mut self, id: id::Upstream, revision: u64) {
+        self.ended.retain(|(known, _)| *known != id);
         if self.ended.len() >= ENDED {
             self.ended.pop_front();
         }
-        self.ended.push_back(id);
+        self.ended.push_back((id, revision));
     }
 
     /// The listing of an upstream ended while the directory was away: it may still live, and is
@@ -194,15 +316,16 @@
         }
     }
 
-    /// Forgets upstreams that have been without a listing for `grace`, and names them.
-    pub fn expire(&mut self, grace: Duration, now: Instant) -> Vec<id::Upstream> {
+    /// Forgets upstreams that have been without a listing for `grace`, as is known up to a revision, and
+    /// names them.
+    pub fn expire(&mut self, grace: Duration, revision: u64, now: Instant) -> Vec<id::Upstream> {
         let over = |u: &Upstream| {
             u.unlisted.is_some_and(|since| now.saturating_duration_since(since) >= grace)
         };
         let gone: Vec<id::Upstream> =
             self.upstreams.iter().filter(|(_, u)| over(u)).map(|(id, _)| id.clone()).collect();
         gone.iter().for_each(|id| {
-            self.remove(id);
+            self.remove(id, revision);
         });
         gone
     }
--- a/request/src/board/flights.rs
+++ b/request/src/board/flights.rs
@@ -123,6 +123,13 @@
         over.map(|(number, _)| *number).collect()
     }
 
+    /// An upstream has started again: what was under way there has ended with the start before, whatever
+    /// the VMs that sent it still tell.
+    pub(super) fn restarted(&mut self, upstream: &id::Upstream) {
+        self.works.remove(upstream);
+        self.alone.retain(|(.., at)| at != upstream);
+    }
+
     /// Ends all flights of a peer.
     pub(super) fn lost(&mut self, vm: &id::Vm, now: Instant) {
         let holder = Holder::Peer(vm.clone());
@@ -137,7 +144,14 @@
 impl Board {
     /// Enters an attempt of this VM.
     pub fn enter(&mut self, number: u64, flight: Flight, now: Instant) {
-        self.flights.begin(Holder::Own, number, Tracked { flight, sent: now }, None);
+        let tracked = self.tracked(flight, now);
+        self.flights.begin(Holder::Own, number, tracked, None);
+    }
+
+    fn tracked(&self, flight: Flight, sent: Instant) -> Tracked {
+        let tag = self.tag_of(&flight.upstream);
+        let helpers = flight.helpers.iter().map(|helping| self.tag_of(&helping.upstream));
+        Tracked { tag, helper_tags: helpers.collect(), flight, sent }
     }
 
     /// The first event of an attempt of this VM has come.
@@ -153,7 +167,7 @@
     /// Enters a place that this VM gives, by its message `grant`: it counts from now on, and until
     /// its VM tells of it, or tells that it has that message and not of the attempt.
     pub fn grant(&mut self, to: &Holder, number: u64, flight: Flight, grant: u64, now: Instant) {
-        let tracked = Tracked { flight, sent: now };
+        let tracked = self.tracked(flight, now);
         self.flights.begin(to.clone(), number, tracked, Some(grant));
     }
 
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -83,8 +83,11 @@
     Settings(Box<Settings>),
     /// An upstream is listed.
     Upstream(Listed),
-    /// An upstream's listing has ended.
-    UpstreamGone(id::Upstream),
+    /// An upstream's listing has ended, at this revision.
+    UpstreamGone(id::Upstream, u64),
+    /// The entry of an upstream cannot be used, as written at this revision, and why: it is another
+    /// writer's. It names no upstream from then on.
+    UpstreamUnreadable(id::Upstream, u64, String),
     /// A VM is listed.
     Member(Member),
     /// A VM has withdrawn.
@@ -93,8 +96,17 @@
     Quarantined(Quarantined),
     /// A request is let go.
     Released(Fingerprint),
-    /// An item that cannot be decoded, and why.
-    Unreadable(String),
+    /// Settings that cannot be decoded, and why.
+    SettingsUnreadable(String),
+    /// An entry that cannot be decoded.
+    Unreadable {
+        /// Its key.
+        key: String,
+        /// The revision at which it was written.
+        revision: u64,
+        /// Why.
+        why: String,
+    },
 }
 
 /// What a read or a watch brought.
--- a/request/src/flight.rs
+++ b/request/src/flight.rs
@@ -56,6 +56,10 @@
 pub struct Tracked {
     /// The flight.
     pub flight: Flight,
+    /// The start of the upstream that it was sent to.
+    pub tag: Tag,
+    /// The starts of the helpers, in their order.
+    pub helper_tags: Vec<Tag>,
     /// When it was sent.
     pub sent: Instant,
 }
@@ -79,12 +83,12 @@
     /// What peers are told.
     pub fn told(&self, number: u64, now: Instant) -> Told {
         let flight = &self.flight;
-        let counts = |h: &&Helping| !flight.writing || h.held > 0;
-        let helper = |h: &Helping| (Tag::of(h.upstream.as_str()), h.held);
+        let counts = |(h, _): &(&Helping, &Tag)| !flight.writing || h.held > 0;
+        let helpers = flight.helpers.iter().zip(&self.helper_tags).filter(counts);
         Told {
             number,
-            upstream: Tag::of(flight.upstream.as_str()),
-            helpers: flight.helpers.iter().filter(counts).map(helper).collect(),
+            upstream: self.tag,
+            helpers: helpers.map(|(helping, tag)| (*tag, helping.held)).collect(),
             part_ms: flight.part_ms,
             memory: flight.memory,
             pause_ms: flight.pause_ms,
@@ -102,11 +106,12 @@
     ) -> Option<Tracked> {
         let helping = |(tag, held): &(Tag, u64)| {
             let upstream = known(*tag)?;
-            Some(Helping { upstream, held: *held })
+            Some((Helping { upstream, held: *held }, *tag))
         };
+        let (helpers, helper_tags) = told.helpers.iter().filter_map(helping).unzip();
         let flight = Flight {
             upstream: known(told.upstream)?,
-            helpers: told.helpers.iter().filter_map(helping).collect(),
+            helpers,
             part_ms: told.part_ms,
             memory: told.memory,
             pause_ms: told.pause_ms,
@@ -114,6 +119,7 @@
             alone: told.alone,
         };
         let age = Duration::from_millis(u64::from(told.age_ms));
-        Some(Tracked { flight, sent: now.checked_sub(age).unwrap_or(now) })
+        let sent = now.checked_sub(age).unwrap_or(now);
+        Some(Tracked { flight, tag: told.upstream, helper_tags, sent })
     }
 }
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -8,7 +8,7 @@
 use foldlock_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::board::{Ended, Load};
+use crate::board::{Ended, Load, Start};
 use crate::fingerprint::Fingerprint;
 use crate::placement::{Ask, Nowhere};
 use crate::tag::Tag;
@@ -70,6 +70,8 @@
     pub watching: bool,
     /// Whether it has run for long enough to have heard of all that is under way.
     pub settled: bool,
+    /// New starts of upstreams that it learnt from themselves.
+    pub starts: Vec<Start>,
     /// What it has under way; none where the receiver does not place its requests.
     pub work: Option<Work>,
 }
--- a/request/src/report.rs
+++ b/request/src/report.rs
@@ -19,6 +19,9 @@
     pub waiting: u32,
     /// Tokens of its memory that are in use.
     pub memory: Tokens,
+    /// When it started, milliseconds since 1970 by its own clock; none where it does not say.
+    #[serde(default)]
+    pub born: Option<u64>,
 }
 
 /// Why there is no report.
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -80,6 +80,8 @@
     for i in 0..engines {
         board.list(Listed {
             id: upstream(i),
+            born: None,
+            revision: 0,
             service: "model".to_owned(),
             address: format!("10.0.0.{i}:80"),
             hall: "hall".to_owned(),
@@ -174,7 +176,7 @@
 #[test]
 fn a_slow_engine_is_left_out_of_a_group() {
     let (mut board, now) = (board(6), Instant::now());
-    let slow = Report { pace: 5.0, running: 0, waiting: 0, memory: Tokens(0) };
+    let slow = Report { pace: 5.0, running: 0, waiting: 0, memory: Tokens(0), born: None };
     observe(&mut board, 4, Some(slow), now);
     let placed = place(&mut board, &[ask(182_000, now)], now);
     assert!(!engines(&placed[0].1).contains(&upstream(4)), "{placed:?}");
@@ -197,7 +199,8 @@
 fn the_newest_report_counts_whoever_has_it() {
     let (mut here, mut there) = (board(2), board(2));
     let now = Instant::now();
-    let report = |pace| Some(Report { pace, running: 1, waiting: 0, memory: Tokens(9) });
+    let report =
+        |pace| Some(Report { pace, running: 1, waiting: 0, memory: Tokens(9), born: None });
     observe(&mut here, 0, report(3.0), now);
     observe(&mut there, 0, report(1.0), now + Duration::from_millis(600));
     let later = now + Duration::from_millis(650);
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -26,6 +26,7 @@
             leaving: false,
             watching: true,
             settled: false,
+            starts: Vec::new(),
             work: Some(Work::default()),
         },
     })
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -102,6 +102,8 @@
         let id = |i: usize| -> id::Upstream { format!("i-{i:03}").parse().unwrap() };
         for i in 0..engines {
             board.list(Listed {
+                born: None,
+                revision: 0,
                 id: id(i),
                 service: service.name.clone(),
                 address: format!("10.0.0.1:{i}"),
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -51,6 +51,8 @@
     for i in 0..engines {
         board.list(Listed {
             id: upstream(i),
+            born: None,
+            revision: 0,
             service: "model".to_owned(),
             address: format!("10.0.0.{i}:80"),
             hall: if i % 2 == 0 { "even" } else { "odd" }.to_owned(),
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -47,6 +47,8 @@
     for i in 0..engines {
         board.list(Listed {
             id: format!("i-{i:03}").parse().unwrap(),
+            born: None,
+            revision: 0,
             service: "model".to_owned(),
             address: format!("10.0.0.1:{i}"),
             hall: "a".to_owned(),
