Count the time for which the machine was suspended in the age of settings, keys and callers' time

Cause: by the news of the platform a machine may be suspended for seconds, in which the steady clock stands still. All ages came from it, so on waking keys that were taken away meanwhile passed for just confirmed, for up to the whole bound.

Change: the clock tells a second time, Moment, by CLOCK_BOOTTIME through nix. The age of settings, the stamps by which peers confirm them and the time that a caller has left take it; types keep the two apart. What stays on the steady clock is dropped on waking: who is heard, the listings, connections at rest.

Ruled out: the time of day (jumps by seconds); adding the sleep to Instant (the runtime's timers would wait for it again).

Tests were written with the change. Not proved: a machine that really sleeps.

--- a/base/src/clock.rs
+++ b/base/src/clock.rs
@@ -3,10 +3,37 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
+/// A moment that counts the time for which the machine was suspended, for the age of what is believed of
+/// others: they went on meanwhile. An [`Instant`] stands still then, as the runtime's timers do, so the
+/// two are different types and an age cannot be taken from a timer's moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Moment(Duration);
+
+impl Moment {
+    /// The time from `earlier` to this; zero where that is later.
+    pub fn since(self, earlier: Moment) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// The moment that lies `by` before this; none before the machine was started.
+    pub fn before(self, by: Duration) -> Option<Moment> {
+        self.0.checked_sub(by).map(Moment)
+    }
+
+    /// The moment that lies `by` after this.
+    pub fn after(self, by: Duration) -> Moment {
+        Moment(self.0 + by)
+    }
+}
+
 /// Tells the time. Decisions take the time from here; only waiting goes through the runtime.
 pub trait Clock: Clone + Send + Sync + 'static {
-    /// A time that never goes back, for durations and deadlines.
+    /// A time that never goes back, for waiting and for the time that this process spent.
     fn now(&self) -> Instant;
+    /// The same with the time for which the machine was suspended, for the age of what is believed.
+    fn moment(&self) -> Moment;
     /// The time of day, for logs and records only: it may jump.
     fn wall(&self) -> SystemTime;
     /// The time of day in milliseconds since 1970.
@@ -24,6 +51,12 @@
         Instant::now()
     }
 
+    fn moment(&self) -> Moment {
+        // Fails for clocks that a kernel lacks only; this one is as old as the machines' oldest.
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+        Moment(time.expect("Linux has this clock"))
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
@@ -34,11 +67,12 @@
 pub struct Manual {
     start: Instant,
     passed: Arc<Mutex<Duration>>,
+    suspended: Arc<Mutex<Duration>>,
 }
 
 impl Default for Manual {
     fn default() -> Self {
-        Manual { start: Instant::now(), passed: Arc::default() }
+        Manual { start: Instant::now(), passed: Arc::default(), suspended: Arc::default() }
     }
 }
 
@@ -47,6 +81,11 @@
     pub fn advance(&self, by: Duration) {
         *self.passed.lock().unwrap() += by;
     }
+
+    /// The machine is suspended for so long.
+    pub fn suspend(&self, by: Duration) {
+        *self.suspended.lock().unwrap() += by;
+    }
 }
 
 impl Clock for Manual {
@@ -54,7 +93,42 @@
         self.start + *self.passed.lock().unwrap()
     }
 
+    fn moment(&self) -> Moment {
+        Moment(*self.passed.lock().unwrap() + *self.suspended.lock().unwrap())
+    }
+
     fn wall(&self) -> SystemTime {
-        UNIX_EPOCH + *self.passed.lock().unwrap()
+        UNIX_EPOCH + *self.passed.lock().unwrap() + *self.suspended.lock().unwrap()
+    }
+}
+
+/// Notices that the machine was suspended.
+#[derive(Debug)]
+pub struct Sleep {
+    seen: Mutex<(Instant, Moment)>,
+}
+
+/// A difference between the two clocks up to which they are taken to have run alike: they are read one
+/// after the other, and the process may be put aside in between.
+const ALIKE: Duration = Duration::from_millis(100);
+
+impl Sleep {
+    /// Awake now.
+    pub fn new<C: Clock>(clock: &C) -> Sleep {
+        Sleep { seen: Mutex::new((clock.now(), clock.moment())) }
+    }
+
+    /// For how long the machine was suspended since this was last asked, if it was.
+    pub fn noticed<C: Clock>(&self, clock: &C) -> Option<Duration> {
+        let mut seen = self.seen.lock().unwrap();
+        let (now, moment) = (clock.now(), clock.moment());
+        let passed = now.saturating_duration_since(seen.0);
+        let slept = moment.since(seen.1).saturating_sub(passed);
+        if slept < ALIKE && passed < ALIKE {
+            // Short suspensions add up until they show.
+            return None;
+        }
+        *seen = (now, moment);
+        (slept >= ALIKE).then_some(slept)
     }
 }
--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -41,6 +41,8 @@
     AcceptFailed = 103, Warning;
     /// The configuration file was read again.
     Reloaded = 104, Info;
+    /// The machine was suspended: what was believed before is learnt anew.
+    Suspended = 105, Warning;
     /// A settings version is in force.
     VersionInForce = 200, Info;
     /// A settings version was refused; the former one stays in force.
--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -127,6 +127,11 @@
         self.idle.lock().unwrap().remove(upstream);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.idle.lock().unwrap().clear();
+    }
+
     /// Closes what has rested too long.
     pub fn sweep(&self, now: Instant) {
         self.idle.lock().unwrap().retain(|_, kept| {
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -33,6 +33,7 @@
 pub mod serve;
 pub mod source;
 pub mod stop;
+pub mod suspended;
 pub mod unreadable;
 pub mod volume;
 
@@ -96,6 +97,7 @@
     tokio::spawn(register::run(process.clone(), directory));
     tokio::spawn(process::sweep(process.clone()));
     tokio::spawn(reports::run(process.clone()));
+    tokio::spawn(suspended::run(process.clone()));
     let what = format!("incarnation {}, listen {}", process.member.incarnation, fleet.peers);
     log::event(&process.log, Event::Started, what);
     Ok(process)
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -20,6 +20,7 @@
 
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
+use crate::fleet::suspended;
 use crate::log;
 
 /// The time that a caller has who tells none: that of the platform's longest route.
@@ -37,6 +38,7 @@
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Job<D>, Error> {
+    suspended::check(process);
     process.started().await;
     let admitted = check(process, &terms, &request).inspect_err(|error| {
         if process.trouble_lines.admit(process.now()).is_some() {
@@ -46,6 +48,8 @@
     let Admitted { route, service, organisation, version, body_bytes } = admitted;
     let patience = terms.patience.unwrap_or(USUAL_PATIENCE).min(route.timeout);
     let deadline = arrived + patience;
+    let held = process.now().saturating_duration_since(arrived);
+    let due = process.moment().after(patience.saturating_sub(held));
     let (head, body) = request.into_parts();
     let body = read_body(body, body_bytes, deadline).await?;
     process.budget.lock().unwrap().request(&service.name, process.now());
@@ -72,10 +76,11 @@
         body,
         arrived,
         deadline,
+        due,
         entry,
     };
     let timeout_ms = patience.as_millis() as u64;
-    let age = process.fresh.age(process.now());
+    let age = process.fresh.age(process.moment());
     let settings_age_ms = age.map(|age| age.as_millis() as u64);
     let prompt = job.service.engine.is_some().then_some(job.terms.prompt);
     let fingerprint = Some(fingerprint);
@@ -142,9 +147,9 @@
         let why = format!("settings version {} does not know this key", table.number());
         return Err(refuse(Kind::Unauthorized, why));
     };
-    let now = process.now();
-    if !process.fresh.holds(now) {
-        let age = process.fresh.age(now).map_or(0, |age| age.as_millis());
+    let moment = process.moment();
+    if !process.fresh.holds(moment) {
+        let age = process.fresh.age(moment).map_or(0, |age| age.as_millis());
         let why = format!("the settings were last confirmed {age} ms ago: keys may have changed");
         let time = terms.patience.unwrap_or(USUAL_PATIENCE);
         let after = Cause::OldSettings.retry_after(time);
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -158,9 +158,9 @@
     State {
         vm: process.member.vm.clone(),
         incarnation: process.member.incarnation,
-        stamp: process.peers.stamp(now),
+        stamp: process.peers.stamp(process.moment()),
         version: process.version(),
-        age_ms: process.fresh.age(now).map(|age| age.as_millis() as u64 + 1),
+        age_ms: process.fresh.age(process.moment()).map(|age| age.as_millis() as u64 + 1),
         at: process.at.load(Ordering::Relaxed),
         digest,
         leaving: process.stopping.is_cancelled(),
@@ -237,7 +237,7 @@
         return;
     }
     let sent = process.peers.stamped(echo);
-    if let Some(at) = sent.checked_sub(Duration::from_millis(age_ms)) {
+    if let Some(at) = sent.before(Duration::from_millis(age_ms)) {
         process.fresh.confirm(at);
     }
 }
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
@@ -79,9 +80,16 @@
             tokio::time::sleep(TOLD_LOOK).await;
             continue;
         }
-        let asked = process.now();
+        let asked = process.moment();
         let answer = match contact.at {
-            Some(at) => directory.watch(at, WATCH).await,
+            Some(at) => tokio::select! {
+                answer = directory.watch(at, WATCH) => answer,
+                // What it told before may have ended in that time.
+                () = process.woke.notified() => {
+                    contact.at = None;
+                    continue;
+                }
+            },
             None => directory.read().await,
         };
         process.metrics.directory_calls.inc();
@@ -150,7 +158,7 @@
     process: &Arc<Process<D>>,
     contact: &mut Contact,
     changes: Changes,
-    asked: Instant,
+    asked: Moment,
 ) {
     let now = process.now();
     process.watching.store(true, Ordering::Relaxed);
--- a/daemon/src/fleet/fresh.rs
+++ b/daemon/src/fleet/fresh.rs
@@ -1,11 +1,14 @@
 //! How fresh the settings are: the latest moment at which they are known to have been the newest.
 //!
-//! The moment is that at which the confirming question was asked, by this process's steady clock,
-//! never the one at which the answer was read: a process that stood still in between finds its
-//! settings old, whatever lay in its sockets.
+//! The moment is that at which the confirming question was asked, never the one at which the answer was
+//! read: a process that stood still in between finds its settings old, whatever lay in its sockets. It
+//! counts the time for which the machine was suspended, so that no key is trusted on waking that was
+//! taken away meanwhile.
 
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use foldlock_base::clock::Moment;
 
 /// Taken off the greatest age, for the time from the check to the caller's or upstream's clock.
 const MARGIN: Duration = Duration::from_millis(300);
@@ -18,7 +21,7 @@
 #[derive(Debug)]
 pub struct Fresh {
     most: Option<Duration>,
-    confirmed: Mutex<Option<Instant>>,
+    confirmed: Mutex<Option<Moment>>,
 }
 
 impl Fresh {
@@ -28,25 +31,25 @@
     }
 
     /// The settings in force were the newest at this moment.
-    pub fn confirm(&self, at: Instant) {
+    pub fn confirm(&self, at: Moment) {
         let mut confirmed = self.confirmed.lock().unwrap();
         *confirmed = confirmed.map_or(Some(at), |known| Some(known.max(at)));
     }
 
     /// The age of the settings; none before they were ever confirmed.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
+    pub fn age(&self, now: Moment) -> Option<Duration> {
         let confirmed = *self.confirmed.lock().unwrap();
-        confirmed.map(|at| now.saturating_duration_since(at))
+        confirmed.map(|at| now.since(at))
     }
 
     /// Whether keys may still be taken for valid.
-    pub fn holds(&self, now: Instant) -> bool {
+    pub fn holds(&self, now: Moment) -> bool {
         let Some(most) = self.most else { return true };
         self.age(now).is_some_and(|age| age + MARGIN < most)
     }
 
     /// Whether new connections are welcome.
-    pub fn welcomes(&self, now: Instant) -> bool {
+    pub fn welcomes(&self, now: Moment) -> bool {
         let Some(most) = self.most else { return true };
         self.age(now).is_some_and(|age| age < most.mul_f64(READY_PART))
     }
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
@@ -40,6 +41,8 @@
     pub arrived: Instant,
     /// When it has to have its answer.
     pub deadline: Instant,
+    /// The same with the time for which the machine is suspended, which its caller counts.
+    pub due: Moment,
     /// Its record.
     pub entry: Entry,
 }
@@ -47,7 +50,8 @@
 impl<D: Dialect> Job<D> {
     /// The time that is left.
     pub fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(self.process.now())
+        let left = self.deadline.saturating_duration_since(self.process.now());
+        left.min(self.due.since(self.process.moment()))
     }
 
     /// The time since it arrived.
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -150,7 +150,7 @@
     /// Reads the gauges.
     pub fn observe<D: Dialect>(&self, process: &Process<D>) {
         let now = process.now();
-        let age = process.fresh.age(now).map_or(-1, |age| age.as_millis() as i64);
+        let age = process.fresh.age(process.moment()).map_or(-1, |age| age.as_millis() as i64);
         self.age_ms.set(age);
         let board = process.board.lock().unwrap();
         self.flights.set(board.own().count() as i64);
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -170,7 +170,7 @@
         "config": process.config,
         "ready": process.ready(),
         "version": process.version(),
-        "settings_age_ms": process.fresh.age(now).map(|age| age.as_millis() as u64),
+        "settings_age_ms": process.fresh.age(process.moment()).map(|age| age.as_millis() as u64),
         "peers": process.peers.dump(now),
         "waiting": waiting,
         "idle_connections": process.pool.len(),
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
@@ -73,6 +74,8 @@
 #[derive(Debug)]
 pub struct Peers {
     started: Instant,
+    /// The same, as beats are stamped.
+    began: Moment,
     own: Member,
     known: Mutex<Known>,
     /// Whether something is being read from a peer.
@@ -107,10 +110,10 @@
 }
 
 impl Peers {
-    /// No peers yet; stamps count from `started`.
-    pub fn new(own: Member, started: Instant) -> Peers {
+    /// No peers yet; stamps count from `began`.
+    pub fn new(own: Member, started: Instant, began: Moment) -> Peers {
         let known = Known { peers: BTreeMap::new(), order: vec![own.clone()] };
-        Peers { started, own, known: Mutex::new(known), reading: AtomicBool::new(false) }
+        Peers { started, began, own, known: Mutex::new(known), reading: AtomicBool::new(false) }
     }
 
     /// A VM is listed.
@@ -346,14 +349,22 @@
         peers.collect()
     }
 
-    /// The own steady clock, microseconds since the start.
-    pub fn stamp(&self, now: Instant) -> u64 {
-        now.saturating_duration_since(self.started).as_micros() as u64
+    /// Microseconds since the start, the time for which the machine was suspended counted.
+    pub fn stamp(&self, moment: Moment) -> u64 {
+        moment.since(self.began).as_micros() as u64
     }
 
     /// The moment of a stamp of this VM.
-    pub fn stamped(&self, stamp: u64) -> Instant {
-        self.started + Duration::from_micros(stamp)
+    pub fn stamped(&self, stamp: u64) -> Moment {
+        self.began.after(Duration::from_micros(stamp))
+    }
+
+    /// The machine was suspended: nobody counts as heard before it is heard again.
+    pub fn forget_heard(&self) {
+        for peer in self.known.lock().unwrap().peers.values_mut() {
+            peer.heard = None;
+            peer.watching = None;
+        }
     }
 
     /// How long this VM has run.
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::{Duration, Instant};
 
-use foldlock_base::clock::System;
+use foldlock_base::clock::{Moment, Sleep, System};
 use foldlock_base::prelude::*;
 use foldlock_connection::channel::Pool;
 use foldlock_request::board::Board;
@@ -54,6 +54,10 @@
     pub member: Member,
     /// The clock.
     pub clock: System,
+    /// Whether the machine was suspended.
+    pub sleep: Sleep,
+    /// Told when it was.
+    pub woke: Notify,
     /// The log.
     pub log: Logger,
     /// The bound on lines of decisions that went well.
@@ -134,9 +138,11 @@
             millicores: config.fleet.millicores(),
         };
         Process {
-            peers: Peers::new(member.clone(), clock.now()),
+            peers: Peers::new(member.clone(), clock.now(), clock.moment()),
             member,
             socket,
+            sleep: Sleep::new(&clock),
+            woke: Notify::new(),
             clock,
             log,
             routine_lines: Volume::new(volume::ROUTINE, clock.now()),
@@ -176,6 +182,11 @@
         self.clock.now()
     }
 
+    /// The same with the time for which the machine was suspended.
+    pub fn moment(&self) -> Moment {
+        self.clock.moment()
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> Option<Arc<Settings>> {
         self.settings.read().unwrap().clone()
@@ -223,8 +234,8 @@
 
     /// Whether new connections are welcome.
     pub fn ready(&self) -> bool {
-        let now = self.now();
-        !self.stopping.is_cancelled() && self.version() > 0 && self.fresh.welcomes(now)
+        let moment = self.moment();
+        !self.stopping.is_cancelled() && self.version() > 0 && self.fresh.welcomes(moment)
     }
 
     /// Whether a stop is so far on that a new request could not be finished before the kill.
--- a/daemon/tests/volume.rs
+++ b/daemon/tests/volume.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::{Clock, Manual};
 use foldlockd::fleet::fresh::Fresh;
 use foldlockd::fleet::volume::Volume;
 use proptest::prelude::*;
@@ -21,9 +22,9 @@
 
 #[test]
 fn settings_hold_until_the_bound_less_a_margin() {
-    let now = Instant::now();
+    let now = Manual::default().moment();
     let fresh = Fresh::new(Some(Duration::from_secs(5)));
-    let after = |ms| now + Duration::from_millis(ms);
+    let after = |ms| now.after(Duration::from_millis(ms));
     assert!(!fresh.holds(now), "never confirmed");
     fresh.confirm(now);
     assert!(fresh.welcomes(after(2_900)) && !fresh.welcomes(after(3_100)));
@@ -33,7 +34,22 @@
 #[test]
 fn without_a_bound_settings_of_any_age_hold() {
     let fresh = Fresh::new(None);
-    assert!(fresh.holds(Instant::now()) && fresh.welcomes(Instant::now()));
+    let now = Manual::default().moment();
+    assert!(fresh.holds(now) && fresh.welcomes(now));
+}
+
+/// A key may be taken away while the machine is suspended.
+#[test]
+fn settings_grow_old_while_the_machine_is_suspended() {
+    let clock = Manual::default();
+    let fresh = Fresh::new(Some(Duration::from_secs(5)));
+    fresh.confirm(clock.moment());
+    let now = clock.now();
+    clock.suspend(Duration::from_secs(6));
+    assert_eq!(clock.now(), now, "the steady clock stood still");
+    assert!(!fresh.holds(clock.moment()) && !fresh.welcomes(clock.moment()));
+    fresh.confirm(clock.moment());
+    assert!(fresh.holds(clock.moment()));
 }
 
 proptest! {
@@ -57,9 +73,9 @@
     /// Confirmations may come in any order: the latest moment counts.
     #[test]
     fn an_old_confirmation_takes_nothing_back(times in prop::collection::vec(0u64..10_000, 1..20)) {
-        let start = Instant::now();
+        let start = Manual::default().moment();
         let fresh = Fresh::new(Some(Duration::from_secs(5)));
-        let at = |ms: u64| start + Duration::from_millis(ms);
+        let at = |ms: u64| start.after(Duration::from_millis(ms));
         times.iter().for_each(|ms| fresh.confirm(at(*ms)));
         let latest = times.iter().max().unwrap();
         prop_assert_eq!(fresh.age(at(20_000)), Some(Duration::from_millis(20_000 - latest)));
