Soak: a request that ends its servers, at all VMs, beside all other faults

A caller sends it again and again, at any VM, under another id each time, while VMs are killed, stopped in turn, frozen and cut. A server that begins to run it ends: its port closes, its connections are reset, another instance follows after 0.2 to 1.5 s. Checked: later than three seconds after the third server has ended under it, it reaches three more at most, by VMs in touch.

--- a/daemon/tests/soak/caller.rs
+++ b/daemon/tests/soak/caller.rs
@@ -267,3 +267,32 @@
 pub(crate) fn repeatable(sent: &Sent) -> bool {
     sent.kind.repeatable()
 }
+
+/// The path of requests that end their servers.
+const DEADLY: &str = "/gen/again/deadly";
+
+/// Sends the request that ends its servers again and again, to any VM and under another id each time,
+/// until cancelled.
+pub(crate) async fn run_deadly(world: Arc<World>, seed: u64, stop: CancellationToken) {
+    let mut draw = StdRng::seed_from_u64(seed);
+    for number in 0.. {
+        if stop.is_cancelled() {
+            return;
+        }
+        let vm = draw.random_range(0..world.vms.len());
+        let id = format!("{}{seed:x}-{number}", crate::DEADLY);
+        if let Some(mut connection) = Connection::open(vm, world.vms[vm].front.address).await {
+            let call = Call {
+                id: &id,
+                path: DEADLY,
+                key: crate::KEY,
+                time: STREAM,
+                prompt: SHORT,
+                body: server::DEADLY,
+            };
+            let wait = STREAM + SLACK * 4;
+            let _ = tokio::time::timeout(wait, exchange(&mut connection, call.encode())).await;
+        }
+        tokio::time::sleep(Duration::from_millis(draw.random_range(20..600))).await;
+    }
+}
--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -5,8 +5,8 @@
 
 use foldlock_platform_standin::store::Mood;
 use nix::sys::signal::Signal;
-use rand::Rng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::task::JoinSet;
 
 use crate::proxy::Link;
@@ -147,6 +147,29 @@
     }
 }
 
+/// Ends servers as requests do that end them, and starts others in their places after a while.
+pub(crate) async fn end_servers(world: Arc<World>, seed: u64) {
+    let mut draw = StdRng::seed_from_u64(seed);
+    loop {
+        let server = world.book.ends().await;
+        let down = Duration::from_millis(draw.random_range(200..1_500));
+        tokio::spawn(end_server(world.clone(), server, down));
+    }
+}
+
+async fn end_server(world: Arc<World>, server: String, down: Duration) {
+    // Another fault may have replaced it already.
+    let Some(place) = world.places.iter().find(|place| place.id() == server) else { return };
+    let number = world.disturb(Part::Servers);
+    place.link.set(Link::Closed);
+    tokio::time::sleep(down).await;
+    if place.id() == server {
+        world.replace(place).await;
+    }
+    place.link.set(Link::Open);
+    world.calm(number);
+}
+
 /// Kills a process and starts it again, unless it is down already.
 async fn kill(world: &World, vm: usize, down: Duration) {
     let number = world.disturb(Part::Vm(vm));
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -18,7 +18,7 @@
 mod proxy;
 mod world;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -52,7 +52,14 @@
 const CALLERS: usize = 12;
 
 /// The key of most callers.
-const KEY: &str = "key-of-one";
+pub(crate) const KEY: &str = "key-of-one";
+
+/// Ids of requests that end their servers begin with this.
+pub(crate) const DEADLY: &str = "deadly-";
+
+/// Arrivals of such a request at servers, later than VMs in touch may take to hear of the third one that
+/// it ended.
+const MOST_DEADLY: usize = 3;
 
 /// The key that is taken away.
 pub(crate) const REVOKED: &str = "key-of-gone";
@@ -125,7 +132,12 @@
     }
     let changes = tokio::spawn(change(world.clone(), time));
     let mut draw = StdRng::seed_from_u64(seed);
-    fault::play(&world, &mut draw, time, seed.is_multiple_of(PLANNED)).await;
+    let planned = seed.is_multiple_of(PLANNED);
+    let deadly = (!planned).then(|| {
+        let ends = fault::end_servers(world.clone(), seed);
+        (tokio::spawn(ends), tokio::spawn(caller::run_deadly(world.clone(), seed, stop.clone())))
+    });
+    fault::play(&world, &mut draw, time, planned).await;
     let taken = changes.await.unwrap();
     serves_again(&world).await;
     stop.cancel();
@@ -133,6 +145,10 @@
     for caller in callers {
         sent.extend(caller.await.unwrap());
     }
+    if let Some((ends, caller)) = deadly {
+        caller.await.unwrap();
+        ends.abort();
+    }
     nothing_is_left(&world).await;
     stops(&world).await;
     promises(&world, &sent, taken);
@@ -267,6 +283,7 @@
             world.note(format!("{} was said not to have run: {runs:?}", sent.id));
         }
     }
+    few_end(world);
     for (id, run) in world.book.all() {
         if run.organisation.as_deref() == Some("gone") && run.at > taken + REVOKE {
             let after = run.at - taken;
@@ -275,6 +292,27 @@
     }
 }
 
+/// A request that ends its servers reaches few more once VMs in touch know it.
+fn few_end(world: &World) {
+    let mut reached: Vec<(Instant, String)> = world
+        .book
+        .all()
+        .into_iter()
+        .filter(|(id, _)| id.starts_with(DEADLY))
+        .map(|(_, run)| (run.at, run.server))
+        .collect();
+    reached.sort();
+    let mut ended = BTreeSet::new();
+    let third = reached.iter().find(|(_, server)| ended.insert(server) && ended.len() == 3);
+    let Some((third, _)) = third else { return };
+    let late = |at: &Instant| *at > *third + world::IN_TOUCH && world.all_in_touch(*at, *at);
+    let late = reached.iter().filter(|(at, _)| late(at)).count();
+    println!("a deadly request reached {} servers, {late} of them late", reached.len());
+    if late > MOST_DEADLY {
+        world.note(format!("a deadly request reached {late} servers, though it was known"));
+    }
+}
+
 /// Plays these seeds, `at_once` at a time, and fails with all that was broken.
 async fn play(seeds: Vec<u64>, time: Duration, at_once: usize) {
     let mut failed = BTreeMap::new();
--- a/daemon/tests/soak/proxy.rs
+++ b/daemon/tests/soak/proxy.rs
@@ -23,6 +23,8 @@
     OneWay,
     /// Connections are reset, new ones too.
     Reset,
+    /// Connections are reset, and nothing listens: the process behind it has ended.
+    Closed,
 }
 
 /// A link to an address that may change.
@@ -62,19 +64,46 @@
 }
 
 async fn accept(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: Arc<Mutex<SocketAddr>>,
-    ways: watch::Receiver<Link>,
+    mut ways: watch::Receiver<Link>,
 ) {
-    while let Ok((caller, _)) = listener.accept().await {
-        let target = *target.lock().unwrap();
-        tokio::spawn(carry(caller, target, ways.clone()));
+    let address = listener.local_addr().unwrap();
+    loop {
+        tokio::select! {
+            Ok((caller, _)) = listener.accept() => {
+                let target = *target.lock().unwrap();
+                tokio::spawn(carry(caller, target, ways.clone()));
+            }
+            closed = closes(&mut ways) => {
+                drop(listener);
+                if !closed || ways.wait_for(|way| *way != Link::Closed).await.is_err() {
+                    return;
+                }
+                listener = listen(address).await;
+            }
+        }
+    }
+}
+
+/// Whether the link closes, or is gone.
+async fn closes(ways: &mut watch::Receiver<Link>) -> bool {
+    ways.wait_for(|way| *way == Link::Closed).await.is_ok()
+}
+
+/// Listens again where it did before; what was accepted last may still have the port for a moment.
+async fn listen(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+        }
     }
 }
 
 async fn carry(caller: TcpStream, target: SocketAddr, mut ways: watch::Receiver<Link>) {
     reset_when_dropped(&caller, true);
-    if *ways.borrow() == Link::Reset {
+    if matches!(*ways.borrow(), Link::Reset | Link::Closed) {
         return;
     }
     let Ok(callee) = TcpStream::connect(target).await else { return };
@@ -85,7 +114,7 @@
     let back = pump(callee_reads, caller_writes, ways.clone(), true);
     tokio::select! {
         _ = async { tokio::join!(there, back) } => {}
-        _ = ways.wait_for(|way| *way == Link::Reset) => {}
+        _ = ways.wait_for(|way| matches!(way, Link::Reset | Link::Closed)) => {}
     }
 }
 
