--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -57,6 +57,8 @@
     DirectoryUp = 205, Info;
     /// The directory has forgotten the changes asked for.
     DirectoryCompacted = 206, Info;
+    /// Many changes of the listings were taken at once; the dump has the names.
+    ListingTaken = 207, Info;
     /// A VM joined the members.
     MemberUp = 300, Info;
     /// A VM is no longer heard.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -12,6 +12,7 @@
 pub mod beats;
 pub mod callers;
 pub mod catch_up;
+pub mod changes;
 pub mod config;
 pub mod ending;
 pub mod events;
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -1,6 +1,5 @@
 //! Following the directory: settings, upstreams and VMs.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -9,11 +8,9 @@
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{
-    Change, Changes, Directory, Fault, Listing, Quarantined, Settings,
-};
-use foldlock_request::fingerprint::Fingerprint;
+use foldlock_request::directory::{Change, Changes, Directory, Fault, Listing};
 
+use crate::fleet::changes::{self, News};
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -138,7 +135,8 @@
         return;
     }
     let newer = listing.at > at;
-    process.at.fetch_max(listing.at, Ordering::Relaxed);
+    let revision = listing.at;
+    process.at.fetch_max(revision, Ordering::Relaxed);
     let upstreams: Vec<Listed> = {
         let board = process.board.lock().unwrap();
         listing.upstreams.into_iter().filter(|listed| board.accepts(listed)).collect()
@@ -146,12 +144,13 @@
     let members = listing.members.into_iter().map(Change::Member);
     let upstreams = upstreams.into_iter().map(Change::Upstream);
     let held = listing.held.into_iter().map(Change::Quarantined);
-    let changes = upstreams.chain(members).chain(held).collect();
-    let changes = Changes { at: listing.at, changes };
+    let changes: Vec<Change> = upstreams.chain(members).chain(held).collect();
+    let mut news = News::default();
     if newer {
-        end_unlisted(process, &changes, false);
+        changes::end_unlisted(process, &changes, revision, false, &mut news);
     }
-    changes.changes.into_iter().for_each(|change| apply(process, change, false));
+    changes.into_iter().for_each(|change| changes::apply(process, change, false, &mut news));
+    news.log(process, revision, "a peer");
 }
 
 fn heard<D: Dialect>(
@@ -169,16 +168,18 @@
         contact.trouble = Some(now);
     }
     let lapsed = contact.trouble.is_some_and(|at| now.saturating_duration_since(at) < RECENT);
+    let mut news = News::default();
+    let Changes { at, changes } = changes;
     if contact.at.is_none() {
-        end_unlisted(process, &changes, lapsed);
+        changes::end_unlisted(process, &changes, at, lapsed, &mut news);
     }
-    let changed = !changes.changes.is_empty();
-    contact.at = Some(changes.at);
-    process.at.fetch_max(changes.at, Ordering::Relaxed);
-    changes.changes.into_iter().for_each(|change| apply(process, change, lapsed));
-    let at = process.at.load(Ordering::Relaxed);
+    let changed = !changes.is_empty();
+    contact.at = Some(at);
+    process.at.fetch_max(at, Ordering::Relaxed);
+    changes.into_iter().for_each(|change| changes::apply(process, change, lapsed, &mut news));
     let gone = process.board.lock().unwrap().expire(RELIST, at, now);
-    gone.iter().for_each(|id| ended(process, id, "not listed again"));
+    gone.iter().for_each(|id| changes::ended(process, id, "not listed again", &mut news));
+    news.log(process, at, "the directory");
     process.fresh.confirm(asked);
     if changed {
         process.tell_all();
@@ -206,128 +207,6 @@
     }
 }
 
-/// After a whole read, what is not in it has ended.
-fn end_unlisted<D: Dialect>(process: &Arc<Process<D>>, changes: &Changes, lapsed: bool) {
-    let listed: HashSet<&id::Upstream> = changes
-        .changes
-        .iter()
-        .filter_map(|change| match change {
-            Change::Upstream(listed) => Some(&listed.id),
-            _ => None,
-        })
-        .collect();
-    let known: Vec<id::Upstream> =
-        process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
-    known.iter().for_each(|id| listing_ended(process, id, changes.at, lapsed));
-    release_unlisted(process, changes);
-}
-
-fn release_unlisted<D: Dialect>(process: &Arc<Process<D>>, changes: &Changes) {
-    let listed: HashSet<Fingerprint> = changes
-        .changes
-        .iter()
-        .filter_map(|change| match change {
-            Change::Quarantined(entry) => Some(entry.fingerprint),
-            _ => None,
-        })
-        .collect();
-    let known: Vec<Fingerprint> =
-        process.board.lock().unwrap().held().map(|entry| entry.fingerprint).collect();
-    let gone = known.into_iter().filter(|fingerprint| !listed.contains(fingerprint));
-    gone.for_each(|fingerprint| released(process, fingerprint));
-}
-
-fn apply<D: Dialect>(process: &Arc<Process<D>>, change: Change, lapsed: bool) {
-    match change {
-        Change::Settings(settings) => settings_read(process, *settings),
-        Change::Upstream(listed) => upstream_listed(process, listed),
-        Change::UpstreamGone(id, revision) => listing_ended(process, &id, revision, lapsed),
-        Change::UpstreamUnreadable(id, revision, why) => {
-            unreadable(process, id.as_str(), revision, &why);
-            listing_ended(process, &id, revision, false);
-        }
-        Change::Member(member) => process.peers.listed(process, member),
-        Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
-        Change::Quarantined(entry) => quarantined(process, entry),
-        Change::Released(fingerprint) => released(process, fingerprint),
-        Change::Unreadable { key, revision, why } => unreadable(process, &key, revision, &why),
-        Change::SettingsUnreadable(why) => log::event(&process.log, Event::VersionRefused, why),
-    }
-}
-
-fn settings_read<D: Dialect>(process: &Arc<Process<D>>, settings: Settings) {
-    process.take_settings(settings, "the directory");
-}
-
-fn upstream_listed<D: Dialect>(process: &Arc<Process<D>>, listed: Listed) {
-    let leaving = listed.leaving;
-    let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
-    let id = listed.id.clone();
-    let mut board = process.board.lock().unwrap();
-    let before = board.tag_of(&id);
-    let known = board.get(&id).is_some();
-    let news = board.list(listed);
-    let restarted = known && board.tag_of(&id) != before;
-    drop(board);
-    process.unreadable.forget(id.as_str());
-    if !news {
-        return;
-    }
-    if restarted {
-        process.pool.forget(&id);
-        log::event(&process.log, Event::UpstreamRestarted, format!("{id}, by its entry"));
-    }
-    let event = if leaving { Event::UpstreamLeaving } else { Event::UpstreamListed };
-    log::event(&process.log, event, what);
-    if leaving {
-        process.pool.forget(&id);
-    }
-    process.room.notify_one();
-}
-
-fn quarantined<D: Dialect>(process: &Arc<Process<D>>, entry: Quarantined) {
-    let what = format!("{entry:?}");
-    let wall_ms = process.clock.wall_millis();
-    if process.board.lock().unwrap().list_held(entry, process.now(), wall_ms) {
-        log::event(&process.log, Event::Quarantined, what);
-        process.room.notify_one();
-    }
-}
-
-fn released<D: Dialect>(process: &Arc<Process<D>>, fingerprint: Fingerprint) {
-    if process.board.lock().unwrap().unlist_held(fingerprint, process.now()) {
-        log::event(&process.log, Event::Released, fingerprint);
-    }
-}
-
-/// An entry names nothing to use; logged once for each version of it.
-fn unreadable<D: Dialect>(process: &Arc<Process<D>>, key: &str, revision: u64, why: &str) {
-    if process.unreadable.note(key, revision, why) {
-        process.metrics.unreadable.inc();
-        log::event(&process.log, Event::EntryUnreadable, format!("{key} at {revision}: {why}"));
-    }
-}
-
-fn listing_ended<D: Dialect>(
-    process: &Arc<Process<D>>,
-    id: &id::Upstream,
-    revision: u64,
-    lapsed: bool,
-) {
-    if lapsed {
-        process.board.lock().unwrap().unlist(id, process.now());
-        return;
-    }
-    if process.board.lock().unwrap().remove(id, revision) {
-        ended(process, id, "its listing ended");
-    }
-}
-
-fn ended<D: Dialect>(process: &Arc<Process<D>>, id: &id::Upstream, why: &str) {
-    process.pool.forget(id);
-    log::event(&process.log, Event::UpstreamGone, format!("{id}: {why}"));
-}
-
 /// Lists this VM, again and again until the directory has taken it.
 pub async fn announce<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut pause = RETRY;
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -116,18 +116,17 @@
         Peers { started, began, own, known: Mutex::new(known), reading: AtomicBool::new(false) }
     }
 
-    /// A VM is listed.
-    pub fn listed<D: Dialect>(&self, process: &Process<D>, member: Member) {
+    /// A VM is listed. Answers whether that is news.
+    pub fn listed<D: Dialect>(&self, process: &Process<D>, member: Member) -> bool {
         if member.vm == self.own.vm {
-            return;
+            return false;
         }
         let mut known = self.known.lock().unwrap();
         let before = known.peers.get(&member.vm);
         if before.is_some_and(|peer| peer.member == member) {
-            return;
+            return false;
         }
         let renewed = before.is_some_and(|peer| peer.member.incarnation != member.incarnation);
-        let what = format!("{} at {}", member.vm, member.address);
         let vm = member.vm.clone();
         known.peers.insert(vm.clone(), Peer::new(member));
         known.sort(&self.own);
@@ -135,8 +134,8 @@
         if renewed {
             process.board.lock().unwrap().peer_lost(&vm, process.now());
         }
-        log::event(&process.log, Event::MemberUp, what);
         process.tell.notify_one();
+        true
     }
 
     /// A VM has withdrawn. What it has under way counts until it is no longer heard.
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -21,6 +21,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::fleet::asks::Asks;
+use crate::fleet::changes;
 use crate::fleet::config::Config;
 use crate::fleet::fresh::Fresh;
 use crate::fleet::metrics::Metrics;
@@ -64,6 +65,8 @@
     pub routine_lines: Volume,
     /// The bound on lines of refusals, failures and repeats.
     pub trouble_lines: Volume,
+    /// The bound on single lines of what the directory lists.
+    pub listing_lines: Volume,
     /// The metrics.
     pub metrics: Metrics,
     /// The records of requests.
@@ -147,6 +150,7 @@
             log,
             routine_lines: Volume::new(volume::ROUTINE, clock.now()),
             trouble_lines: Volume::new(volume::TROUBLE, clock.now()),
+            listing_lines: Volume::new(changes::SINGLE_LINES, clock.now()),
             metrics: Metrics::default(),
             ring: Ring::new(RECORDS),
             fresh: Fresh::new(config.fleet.settings_age()),
