Show operators which requests are held, and let them release one

foldlock held: a sentence for each request that is held or runs alone, with its path, organisation and last arrival. foldlock release FINGERPRINT: the VM forgets what ended under it and takes the entry from the directory, which tells all others. POST /release/FINGERPRINT at a VM's control address; the dump says how many requests are under way and whether it stops, which foldlock status already asked for and did not get.

--- a/cli/src/app.rs
+++ b/cli/src/app.rs
@@ -6,6 +6,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use foldlock_base::id;
+use foldlock_request::fingerprint::Fingerprint;
 
 /// Drives foldlock: edits the tree of settings and reads what the VMs show.
 #[derive(Debug, Parser)]
@@ -62,6 +63,10 @@
     Watch(Watch),
     /// Show the state of VMs: ready, version, requests.
     Status(Status),
+    /// Show the requests that are kept from all upstreams, or run alone, for what ended under them.
+    Held(Status),
+    /// Let such a request go: it may run beside others again.
+    Release(Release),
     /// Show all that a VM knows.
     Dump(OneVm),
     /// Print the hash of a bearer key that is read from standard input, for the settings.
@@ -175,6 +180,22 @@
     }
 }
 
+/// Which request to let go.
+#[derive(Debug, Args)]
+pub struct Release {
+    /// Its fingerprint, from `held` or from the log.
+    pub fingerprint: Fingerprint,
+    #[command(flatten)]
+    vms: Vms,
+}
+
+impl Release {
+    /// The VMs to tell; the directory tells the others.
+    pub fn vms(&self) -> &[SocketAddr] {
+        &self.vms.vms
+    }
+}
+
 /// One VM.
 #[derive(Debug, Args)]
 pub struct OneVm {
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foldlock_connection::http::{Client, body};
-use hyper::Request;
+use hyper::{Method, Request};
 use serde::de::DeserializeOwned;
 
 use crate::error::Error;
@@ -14,7 +14,19 @@
 
 /// Reads a path of a VM's control address: the status and the body.
 pub async fn get(client: &Client, vm: SocketAddr, path: &str) -> Result<(u16, Vec<u8>), Error> {
-    let request = Request::get(format!("http://{vm}{path}"))
+    call(client, Method::GET, vm, path).await
+}
+
+/// Calls a path of a VM's control address: the status and the body.
+pub async fn call(
+    client: &Client,
+    method: Method,
+    vm: SocketAddr,
+    path: &str,
+) -> Result<(u16, Vec<u8>), Error> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{vm}{path}"))
         .body(body(""))
         .map_err(|e| Error::Usage(e.to_string()))?;
     let answer = client.call(request, TIMEOUT).await;
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod error;
 pub mod files;
+pub mod held;
 pub mod output;
 pub mod show;
 pub mod vm;
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::quarantine::Verdict;
 use foldlock_request::ring::Line;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -22,6 +23,7 @@
 
 use crate::fleet::answer::{self, Body, Cut};
 use crate::fleet::process::Process;
+use crate::fleet::register::Order;
 use crate::log;
 
 /// The path under which peers read the settings.
@@ -30,6 +32,9 @@
 /// The path under which peers read the listings.
 pub const LISTING: &str = "/listing";
 
+/// The path under which an operator lets a request go; its fingerprint follows.
+const RELEASE: &str = "/release/";
+
 /// The pause after a failed accept, for instance for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -116,6 +121,7 @@
             let of = xxh3_64(&text);
             answer::text(StatusCode::OK, PACKED, process.packed_listing.get(of, &text))
         }
+        _ if path.starts_with(RELEASE) => release(process, request.method(), path),
         _ => match path.strip_prefix("/why/").map(str::parse::<id::Request>) {
             Some(Ok(request)) => why(process, &request),
             _ => answer::text(StatusCode::NOT_FOUND, TEXT, "no such path\n"),
@@ -133,6 +139,24 @@
     }
 }
 
+/// Lets a request go that is held: here at once, at all VMs as the directory tells them.
+fn release<D: Dialect>(process: &Process<D>, method: &Method, path: &str) -> Response<Body> {
+    if *method != Method::POST {
+        return answer::text(StatusCode::METHOD_NOT_ALLOWED, TEXT, "ask with POST\n");
+    }
+    let fingerprint = path.strip_prefix(RELEASE).map(str::parse::<Fingerprint>);
+    let Some(Ok(fingerprint)) = fingerprint else {
+        return answer::text(StatusCode::BAD_REQUEST, TEXT, "that is no fingerprint\n");
+    };
+    let now = process.now();
+    if !process.board.lock().unwrap().quarantine.release(fingerprint, now) {
+        return answer::text(StatusCode::NOT_FOUND, TEXT, "nothing is held against it here\n");
+    }
+    process.register.order(Order::Release(fingerprint));
+    log::event(&process.log, Event::Released, format!("{fingerprint}, by an operator"));
+    answer::text(StatusCode::OK, JSON, json!({"released": fingerprint}).to_string())
+}
+
 fn dump<D: Dialect>(process: &Process<D>) -> serde_json::Value {
     let now = process.now();
     let waiting = process.scheduler.lock().unwrap().waiting();
@@ -169,6 +193,8 @@
         "unreadable": process.unreadable.all(),
         "config": process.config,
         "ready": process.ready(),
+        "stopping": process.stopping.is_cancelled(),
+        "requests": board.own().count(),
         "version": process.version(),
         "settings_age_ms": process.fresh.age(process.moment()).map(|age| age.as_millis() as u64),
         "peers": process.peers.dump(now),
