--- a/request/src/quarantine.rs
+++ b/request/src/quarantine.rs
@@ -119,8 +119,13 @@
         if self.until.is_some_and(|until| until > at) {
             return;
         }
-        self.until = Some(at + HELD[(self.count as usize).min(HELD.len() - 1)]);
         self.count += 1;
+        self.until = Some(at + self.time());
+    }
+
+    /// For how long it is held after the last proof.
+    fn time(&self) -> Duration {
+        HELD[(self.count.max(1) as usize - 1).min(HELD.len() - 1)]
     }
 }
 
@@ -269,10 +274,12 @@
         self.take_answer(fingerprint, now)
     }
 
-    /// A request is known elsewhere to be held, after as many proofs.
+    /// A request is known elsewhere to be held, after as many proofs, for this long by that VM's time of
+    /// day: never longer than so many proofs hold it, whatever the two clocks say.
     pub fn hold(&mut self, fingerprint: Fingerprint, proofs: u32, time: Duration, now: Instant) {
-        let proofs = Proofs { count: proofs, until: Some(now + time) };
-        self.case(fingerprint, now).hear(proofs, now);
+        let proofs = Proofs { count: proofs, until: None };
+        let until = Some(now + time.min(proofs.time()));
+        self.case(fingerprint, now).hear(Proofs { until, ..proofs }, now);
     }
 
     /// The upstreams that ended under a request.
--- a/request/tests/quarantine.rs
+++ b/request/tests/quarantine.rs
@@ -101,6 +101,13 @@
     assert_eq!(quarantine.verdict(request(1), later(now, 10)), Verdict::Beside);
 }
 
+#[test]
+fn a_clock_that_is_a_day_behind_holds_nothing_for_a_day() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    quarantine.hold(request(1), 1, Duration::from_secs(24 * 3_600), now);
+    assert_eq!(quarantine.verdict(request(1), now), Verdict::Held(Duration::from_secs(15)));
+}
+
 /// A million distinct requests that crash nothing leave nothing; 20,000 that were cut by crashes stay
 /// within the bound, and the ones that are held are the last to go.
 #[test]
