--- a/cli/tests/command.rs
+++ b/cli/tests/command.rs
@@ -7,6 +7,7 @@
 use foldlock_connection::http::Client;
 use foldlock_connection::kv::HttpStore;
 use foldlock_version::publish::read_head;
+use serde_json::json;
 use standin::kv;
 use tempfile::TempDir;
 
@@ -155,3 +156,53 @@
     let value: serde_json::Value = serde_json::from_slice(&schema.stdout).unwrap();
     assert_eq!(value["properties"]["keys"]["type"], "array");
 }
+
+/// A VM that holds one request and has another run alone.
+async fn vm_that_holds() -> standin::server::Served {
+    let dump = json!({
+        "suspects": [
+            {"fingerprint": "00000000000000aa", "ended": 3, "proofs": 1, "held_ms": 14_900, "alone": false},
+            {"fingerprint": "00000000000000bb", "ended": 2, "proofs": 0, "held_ms": 0, "alone": true},
+        ],
+        "held": [{
+            "fingerprint": "00000000000000aa", "organisation": "acme", "path": "/audit/1", "service": "m",
+            "request": "r-1", "vm": "vm-2", "ended": 3, "proofs": 1, "until_ms": 1,
+        }],
+    });
+    let any = "127.0.0.1:0".parse().unwrap();
+    let served = standin::server::serve(any, move |request| {
+        let dump = dump.clone();
+        async move {
+            match (request.method().as_str(), request.uri().path()) {
+                ("GET", "/dump") => standin::server::json(&dump),
+                ("POST", "/release/00000000000000aa") => standin::server::json(&json!({})),
+                _ => standin::server::text(404, "nothing is held against it here\n"),
+            }
+        }
+    });
+    served.await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn held_tells_what_is_kept_from_the_upstreams_and_release_lets_it_go() {
+    let vm = vm_that_holds().await;
+    let address = vm.address.to_string();
+    let output = foldlock(&["held", "--vm", &address]);
+    let shown = String::from_utf8_lossy(&output.stdout);
+    // The port differs with each run, and so does the padding behind it.
+    let sentences: Vec<&str> =
+        shown.lines().map(|line| line.strip_prefix(&address).unwrap().trim_start()).collect();
+    let held = "00000000000000aa is held for 14.9 s: 3 upstreams ended under it; /audit/1 of acme, last as \
+                r-1 at vm-2";
+    assert_eq!(sentences, [held, "00000000000000bb runs alone: 2 upstreams ended under it"]);
+    check(
+        &foldlock(&["release", "00000000000000aa", "--vm", &address]),
+        0,
+        expect![[r#"
+            00000000000000aa may run beside others again
+        "#]],
+        expect![""],
+    );
+    let none = foldlock(&["release", "00000000000000cc", "--vm", &address]);
+    assert_eq!(none.status.code(), Some(5));
+}
