--- /dev/null
+++ b/request/tests/starts.rs
@@ -0,0 +1,122 @@
+//! Upstreams that start again under their id, and words of them that come late.
+
+use std::time::Instant;
+
+use foldlock_base::id;
+use foldlock_request::board::{Board, Listed, Load};
+use foldlock_request::flight::Flight;
+use foldlock_request::suspicion::{Failure, Outcome};
+use proptest::prelude::*;
+
+fn upstream(i: usize) -> id::Upstream {
+    format!("i-{i:02}").parse().unwrap()
+}
+
+fn listed(i: usize) -> Listed {
+    Listed {
+        id: upstream(i),
+        born: None,
+        revision: 0,
+        service: "model".to_owned(),
+        address: format!("10.0.0.{i}:80"),
+        hall: "a".to_owned(),
+        slots: 16,
+        leaving: false,
+    }
+}
+
+fn flight(i: usize, part_ms: f32, memory: u64) -> Flight {
+    Flight {
+        upstream: upstream(i),
+        helpers: Vec::new(),
+        part_ms,
+        memory,
+        pause_ms: 250,
+        writing: false,
+        alone: None,
+    }
+}
+
+fn enter(board: &mut Board, flight: Flight, now: Instant) -> u64 {
+    let number = board.number();
+    board.enter(number, flight, now);
+    number
+}
+
+/// The upstream `i`, started at `born`, as written at a revision.
+fn started(i: usize, born: u64, revision: u64) -> Listed {
+    Listed { born: Some(born), revision, ..listed(i) }
+}
+
+#[test]
+fn a_later_start_ends_all_that_was_believed_of_the_one_before() {
+    let (mut board, now) = (Board::default(), Instant::now());
+    board.list(started(1, 100, 1));
+    let number = enter(&mut board, flight(1, 80.0, 200_000), now);
+    board.note(&upstream(1), Outcome::Failed(Failure::Silent), now);
+    board.note(&upstream(1), Outcome::Leaving, now);
+    let told = board.told(now);
+    let before = board.tag_of(&upstream(1));
+    assert!(board.list(started(1, 200, 2)));
+    let known = board.get(&upstream(1)).unwrap();
+    assert!(known.is_open() && known.suspicion.weight(now) == 0.0);
+    assert_eq!(board.load(known, None, now), Load::default());
+    assert_ne!(known.tag, before, "what is told of the start before says nothing of this one");
+    let mut other = Board::default();
+    other.list(started(1, 200, 2));
+    other.hear(&"vm-2".parse().unwrap(), &told, 0, now);
+    assert_eq!(other.under_way(), 0);
+    // The end of the attempt at the start before changes nothing at this one.
+    enter(&mut board, flight(1, 10.0, 9_000), now);
+    board.leave(number, now);
+    assert_eq!(board.load(board.get(&upstream(1)).unwrap(), None, now).requests, 1);
+}
+
+#[test]
+fn an_earlier_start_that_is_heard_late_and_the_same_one_change_nothing() {
+    let (mut board, now) = (Board::default(), Instant::now());
+    board.list(started(1, 100, 1));
+    assert!(board.renew(&upstream(1), 200, now), "by its own word, before its entry");
+    assert!(!board.renew(&upstream(1), 200, now));
+    assert!(!board.renew(&upstream(1), 150, now));
+    assert!(!board.list(started(1, 100, 1)), "the entry of before, read again");
+    assert_eq!(board.get(&upstream(1)).unwrap().listed.born, Some(200));
+    assert!(!board.list(started(1, 200, 2)), "its entry says what is known");
+    assert_eq!(board.told_starts(now).len(), 1);
+}
+
+#[test]
+fn an_upstream_whose_clock_went_back_is_renewed_by_its_entry() {
+    let (mut board, now) = (Board::default(), Instant::now());
+    board.list(started(1, 200, 1));
+    let before = board.tag_of(&upstream(1));
+    assert!(!board.renew(&upstream(1), 100, now));
+    assert!(board.list(started(1, 100, 2)));
+    assert_ne!(board.tag_of(&upstream(1)), before);
+}
+
+#[test]
+fn an_upstream_whose_entry_was_bad_comes_back_by_a_newer_one_alone() {
+    let mut board = Board::default();
+    board.list(Listed { revision: 1, ..listed(1) });
+    board.remove(&upstream(1), 2);
+    assert!(!board.accepts(&Listed { revision: 1, ..listed(1) }));
+    assert!(!board.accepts(&Listed { revision: 2, ..listed(1) }));
+    assert!(board.accepts(&Listed { revision: 3, ..listed(1) }));
+}
+
+proptest! {
+    /// The words of three starts come in any order, doubled, from the directory of other VMs: in the end
+    /// the newest holds, and all boards agree.
+    #[test]
+    fn boards_agree_on_the_newest_start(words in prop::collection::vec(0..3_usize, 0..20)) {
+        let starts = [started(1, 100, 1), started(1, 300, 4), started(1, 200, 6)];
+        let mut board = Board::default();
+        for word in words.into_iter().chain(0..3) {
+            if board.accepts(&starts[word]) {
+                board.list(starts[word].clone());
+            }
+        }
+        prop_assert_eq!(&board.get(&upstream(1)).unwrap().listed, &starts[2]);
+    }
+}
