List a VM again whose entry was taken away while it runs

Change: a VM that runs and finds its own entry gone, or missing in a whole read after it had listed itself, lists itself again.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -123,8 +123,8 @@
     Quarantined = 512, Warning;
     /// A request under which upstreams had ended was answered, or let go.
     Released = 513, Info;
-    /// A request that is held, or no longer, could not be listed in the directory.
-    HoldUnlisted = 514, Warning;
+    /// The directory did not take at once what this VM has to write there.
+    WriteFailed = 514, Warning;
 }
 
 impl fmt::Display for Event {
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -1,6 +1,7 @@
 //! What a read, a watch or a peer brought of the directory, taken into what this VM believes.
 
 use std::collections::{BTreeMap, HashSet};
+use std::sync::atomic::Ordering;
 
 use foldlock_base::prelude::*;
 use foldlock_request::board::Listed;
@@ -9,6 +10,7 @@
 use foldlock_request::fingerprint::Fingerprint;
 
 use crate::fleet::process::Process;
+use crate::fleet::register::Order;
 use crate::log;
 
 /// Changes of the listings that are logged one by one in a second. More than that come with a start, or of
@@ -67,6 +69,11 @@
     let known: Vec<id::Upstream> =
         process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
     known.iter().for_each(|id| listing_ended(process, id, revision, lapsed, news));
+    let is_own = |change: &Change| matches!(change, Change::Member(member) if member.vm == process.member.vm);
+    // What a peer tells leaves out the VM that it tells.
+    if process.watching.load(Ordering::Relaxed) && !changes.iter().any(is_own) {
+        list_again(process);
+    }
     release_unlisted(process, changes, news);
 }
 
@@ -102,6 +109,7 @@
                 news.add(Event::MemberUp, what);
             }
         }
+        Change::MemberGone(vm) if vm == process.member.vm => list_again(process),
         Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
         Change::Quarantined(entry) => quarantined(process, entry, news),
         Change::Released(fingerprint) => released(process, fingerprint, news),
@@ -110,6 +118,14 @@
     }
 }
 
+/// This VM's own entry is gone though it runs: a withdrawal of the start before it may be carried out
+/// seconds after it was asked for. Unlisted, no peer hears it, and what it has under way counts nowhere.
+fn list_again<D: Dialect>(process: &Process<D>) {
+    if process.listed.load(Ordering::Relaxed) && !process.stopping.is_cancelled() {
+        process.register.order(Order::Announce);
+    }
+}
+
 fn upstream_listed<D: Dialect>(process: &Process<D>, listed: Listed, news: &mut News) {
     let leaving = listed.leaving;
     let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -215,4 +215,5 @@
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(MOST_RETRY * 4);
     }
+    process.listed.store(true, Ordering::Relaxed);
 }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -109,6 +109,8 @@
     pub at: AtomicU64,
     /// Whether the directory itself answers this VM; if so, what peers tell of listings is left.
     pub watching: AtomicBool,
+    /// Whether this VM has listed itself.
+    pub listed: AtomicBool,
     /// Cancelled at the signal to stop.
     pub stopping: CancellationToken,
     /// Cancelled when the process is about to end and what has no answer yet gets its last one.
@@ -170,6 +172,7 @@
             register: Register::default(),
             at: AtomicU64::new(0),
             watching: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
             stopping: CancellationToken::new(),
             ending: CancellationToken::new(),
             stopped: OnceLock::new(),
--- a/daemon/src/fleet/register.rs
+++ b/daemon/src/fleet/register.rs
@@ -1,5 +1,6 @@
-//! Writing to the directory which requests are held: so all VMs hear of it, those that start later know
-//! it, and an operator sees it and can let a request go.
+//! Writing to the directory beside a request's way: that this VM takes part, where its entry was taken away,
+//! and which requests are held, so all VMs hear of it, those that start later know it, and an operator sees
+//! it and can let a request go.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -41,6 +42,8 @@
     Hold(Quarantined),
     /// It is no longer.
     Release(Fingerprint),
+    /// This VM lists itself again.
+    Announce,
 }
 
 /// The orders that wait.
@@ -83,11 +86,11 @@
     let mut pause = RETRY;
     while !process.stopping.is_cancelled() && !is_moot(process, order) {
         process.metrics.directory_calls.inc();
-        match carry_out(directory, order).await {
+        match carry_out(process, directory, order).await {
             Ok(()) => return,
             Err(fault) => {
                 process.metrics.directory_failures.inc();
-                log::event(&process.log, Event::HoldUnlisted, format!("{order:?}: {fault}"));
+                log::event(&process.log, Event::WriteFailed, format!("{order:?}: {fault}"));
             }
         }
         tokio::time::sleep(pause).await;
@@ -95,10 +98,15 @@
     }
 }
 
-async fn carry_out<R: Directory>(directory: &R, order: &Order) -> Result<(), Fault> {
+async fn carry_out<D: Dialect, R: Directory>(
+    process: &Process<D>,
+    directory: &R,
+    order: &Order,
+) -> Result<(), Fault> {
     match order {
         Order::Hold(entry) => directory.hold(entry).await,
         Order::Release(fingerprint) => directory.release(*fingerprint).await,
+        Order::Announce => directory.announce(&process.member).await,
     }
 }
 
@@ -112,6 +120,7 @@
             entry.until_ms <= process.clock.wall_millis() || listed >= MOST_LISTED && !known
         }
         Order::Release(fingerprint) => !board.held().any(|held| held.fingerprint == *fingerprint),
+        Order::Announce => false,
     }
 }
 
