Let a stream that has begun ask on for a place while its VM stops

Cause, by reading and a test: from three tenths of the time to stop in, a request that asks for a place gives up at the first question that is not answered within 25 ms, so that a new one is sent to another VM at once. A stream that has begun has no other VM; one busy scheduler or one lost datagram cut it.

Change: what has begun asks on, up to its limit, as long as the process lives.

--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -138,15 +138,31 @@
     Ok((address(&flight.upstream)?, helpers.collect::<Result<_, _>>()?))
 }
 
-/// Asks for a place until `limit` at most.
+/// How long a request asks for a place.
+#[derive(Debug, Clone, Copy)]
+pub struct Until {
+    /// At most until then.
+    pub limit: Instant,
+    /// Whether its answer has begun. Then nobody else can give it: it asks on while its VM stops, where a
+    /// new one is sent to another VM.
+    pub begun: bool,
+}
+
+impl Until {
+    fn is_over<D: Dialect>(self, process: &Process<D>) -> bool {
+        process.now() >= self.limit || !self.begun && process.closing()
+    }
+}
+
+/// Asks for a place until then.
 pub async fn place<D: Dialect>(
     process: &Arc<Process<D>>,
     service: &Arc<Service>,
     mut ask: Ask,
-    limit: Instant,
+    until: Until,
 ) -> Result<Given, Nowhere> {
     loop {
-        let mut open = Open::new(process, service, &ask, limit);
+        let mut open = Open::new(process, service, &ask, until);
         let placer = process.peers.placer(process.stopping.is_cancelled(), process.now());
         process.asks.note(process, placer.as_ref());
         let ended = match placer {
@@ -167,7 +183,7 @@
             Ended::Gone(upstream) => ask.avoid.push(upstream),
             Ended::Later => {}
         }
-        if process.now() >= limit || process.closing() {
+        if until.is_over(process) {
             return Err(Nowhere::Full);
         }
     }
@@ -198,7 +214,7 @@
     process: &'a Arc<Process<D>>,
     service: &'a Service,
     ask: &'a Ask,
-    limit: Instant,
+    until: Until,
     number: u64,
     answers: mpsc::UnboundedReceiver<Answer>,
     asked: Option<Placer>,
@@ -209,12 +225,12 @@
         process: &'a Arc<Process<D>>,
         service: &'a Service,
         ask: &'a Ask,
-        limit: Instant,
+        until: Until,
     ) -> Open<'a, D> {
         let number = process.board.lock().unwrap().number();
         let (sender, answers) = mpsc::unbounded_channel();
         process.asks.open.lock().unwrap().insert(number, sender);
-        Open { process, service, ask, limit, number, answers, asked: None }
+        Open { process, service, ask, until, number, answers, asked: None }
     }
 
     /// Asks a VM until it has placed the request, or does not answer.
@@ -257,12 +273,12 @@
     }
 
     fn is_over(&self) -> bool {
-        self.process.now() >= self.limit || self.process.closing()
+        self.until.is_over(self.process)
     }
 
     /// The next answer, if it comes within `time`.
     async fn answer(&mut self, time: Duration) -> Option<Answer> {
-        let until = (self.process.now() + time).min(self.limit);
+        let until = (self.process.now() + time).min(self.until.limit);
         tokio::time::timeout_at(until.into(), self.answers.recv()).await.ok().flatten()
     }
 
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -220,7 +220,7 @@
         job.process.metrics.resumed.inc();
         job.record(Decision::Retried { upstream: from, why });
         let given = tokio::select! {
-            given = gate::place(job, &tries.avoid) => given.ok()?,
+            given = gate::place(job, &tries.avoid, true) => given.ok()?,
             () = sink.closed() => return None,
         };
         from = given.place.flight.upstream.clone();
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -12,7 +12,7 @@
 use foldlock_request::retry_after;
 use foldlock_version::routes::Engine;
 
-use crate::fleet::asks::{self, Given};
+use crate::fleet::asks::{self, Given, Until};
 use crate::fleet::job::Job;
 use crate::serve::millis;
 
@@ -50,7 +50,13 @@
 
 /// Finds a place, or says why there is none. The request has not been sent, or each attempt so far
 /// is known not to have run, or it may be repeated; the caller of this function knows which.
-pub async fn place<D: Dialect>(job: &Job<D>, avoid: &[id::Upstream]) -> Result<Given, Nowhere> {
+///
+/// `begun` says that a part of its answer was delivered.
+pub async fn place<D: Dialect>(
+    job: &Job<D>,
+    avoid: &[id::Upstream],
+    begun: bool,
+) -> Result<Given, Nowhere> {
     let started = job.process.now();
     let known = placement::runs_alone(&job.process.board.lock().unwrap(), job.fingerprint, started);
     if let Err(held @ Nowhere::Quarantined { .. }) = known {
@@ -66,8 +72,9 @@
         }
         None => started + patience(job),
     };
+    let until = Until { limit, begun };
     loop {
-        match asks::place(&job.process, &job.service, ask.clone(), limit).await {
+        match asks::place(&job.process, &job.service, ask.clone(), until).await {
             Ok(given) => {
                 placed(job, &given, started);
                 return Ok(given);
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -73,7 +73,7 @@
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut tries = Tries::default();
     loop {
-        let given = match gate::place(&job, &tries.avoid).await {
+        let given = match gate::place(&job, &tries.avoid, false).await {
             Ok(given) => given,
             Err(nowhere) => return no_place(&job, tries, proof, nowhere),
         };
