Tell peers a revision only of upstreams that came back, and endings less often

The revision of each entry made the listing that VMs read from each other a third longer (3,000 upstreams packed: 36.7 kB to 48.8), and endings were told whole with each slow beat, five times a second.

Change: a revision goes with those upstreams alone that were gone or bad and came back; that an upstream leaves is taken without one. Recent endings are told again each 2 s, new ones for 0.2 s (0.5 s before). What a VM has under way is gathered once a round and not once a receiver.

Test: peers are told a revision only of what came back.

--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -130,8 +130,10 @@
         return;
     }
     let state = state(process, now);
+    let places = told.iter().any(|target| target.scheduler);
+    let work = places.then(|| work(process, round, now));
     for target in &told {
-        let work = target.scheduler.then(|| work(process, round, now));
+        let work = work.clone().filter(|_| target.scheduler);
         let beat = Beat {
             echo: target.echo,
             echo_of: target.echo_of,
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -254,7 +254,7 @@
     /// What this VM knows of the directory.
     pub fn listing(&self) -> Listing {
         let board = self.board.lock().unwrap();
-        let upstreams = board.listings().cloned().collect();
+        let upstreams = board.relayed().collect();
         let held = board.held().cloned().collect();
         drop(board);
         let members = self.peers.members();
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -221,8 +221,19 @@
         known
     }
 
-    /// Whether a peer's word of a listing may be taken: of two words the one of the higher revision is
-    /// the newer. At the same revision, nothing that ended comes back, and nothing that is leaving stays.
+    /// All listings as a peer is told of them. A revision goes with those alone that were gone or bad before
+    /// and came back, since only these need it: with one for each entry, what 3,000 upstreams take is 49
+    /// kB in place of 37, for each VM that reads it.
+    pub fn relayed(&self) -> impl Iterator<Item = Listed> {
+        self.listings().map(|listed| {
+            let came_back = self.ended.iter().any(|(id, _)| *id == listed.id);
+            let revision = if came_back { listed.revision } else { 0 };
+            Listed { revision, ..listed.clone() }
+        })
+    }
+
+    /// Whether a peer's word of a listing may be taken: nothing that ended comes back but by a higher
+    /// revision, and nothing that is leaving stays but by one.
     pub fn accepts(&self, listed: &Listed) -> bool {
         let ended = self.ended.iter().find(|(id, _)| *id == listed.id);
         if ended.is_some_and(|(_, revision)| listed.revision <= *revision) {
@@ -232,11 +243,15 @@
             return true;
         };
         if listed.is_other_start(known) {
-            return listed.revision > known.revision
-                || listed.revision == known.revision && listed.born > known.born;
+            let ordered =
+                listed.revision != known.revision && listed.revision.min(known.revision) > 0;
+            return if ordered {
+                listed.revision > known.revision
+            } else {
+                listed.born > known.born
+            };
         }
-        listed.revision > known.revision
-            || listed.revision == known.revision && (listed.leaving || !known.leaving)
+        listed.leaving || !known.leaving || listed.revision > known.revision
     }
 
     fn end(&mut self, id: id::Upstream, revision: u64) {
--- a/request/src/board/listed.rs
+++ b/request/src/board/listed.rs
@@ -14,11 +14,11 @@
     pub id: id::Upstream,
     /// When this start of its program was, milliseconds since 1970 by its own clock; none where it does
     /// not say.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub born: Option<u64>,
     /// The directory's revision of this entry: of two words of one upstream the higher is the newer one,
     /// whoever brings it. 0 where there are none.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_unknown")]
     pub revision: u64,
     /// The service that it belongs to.
     pub service: String,
@@ -32,6 +32,10 @@
     pub leaving: bool,
 }
 
+fn is_unknown(revision: &u64) -> bool {
+    *revision == 0
+}
+
 impl Listed {
     /// How VMs name this start of it to each other.
     pub fn tag(&self) -> Tag {
--- a/request/src/quarantine.rs
+++ b/request/src/quarantine.rs
@@ -51,11 +51,15 @@
 const MOST_ENDED: usize = 16;
 
 /// How long news is told with each message: some beats, of which one arrives.
-const FRESH: Duration = Duration::from_millis(500);
+const FRESH: Duration = Duration::from_millis(200);
 
-/// How long it is told with the slower beats after that, for a VM that begins to place requests later.
+/// How long it is told again after that, for a VM that begins to place requests later.
 const TOLD: Duration = Duration::from_secs(20);
 
+/// How often all of it is told again: with each slow beat it would be ten times as many bytes at the VM
+/// that places for a fleet.
+const AGAIN: Duration = Duration::from_secs(2);
+
 /// News that is told at most.
 const MOST_TOLD: usize = 64;
 
@@ -241,6 +245,8 @@
 pub struct Quarantine {
     cases: HashMap<Fingerprint, Case>,
     news: VecDeque<(Instant, Fingerprint, What)>,
+    /// When all of it was last told.
+    told: Option<Instant>,
 }
 
 impl Quarantine {
@@ -307,19 +313,31 @@
         self.cases.is_empty()
     }
 
-    /// What peers are told: what is new with each message, all that is recent with the slower ones.
-    pub fn told(&mut self, all: bool, now: Instant) -> Vec<News> {
+    /// What peers are told: what is new with each message, all that is recent now and then with one that
+    /// goes to all.
+    pub fn told(&mut self, to_all: bool, now: Instant) -> Vec<News> {
+        let due = self.told.is_none_or(|told| now.saturating_duration_since(told) >= AGAIN);
+        if to_all && due {
+            self.told = Some(now);
+            return self.recent(TOLD, now);
+        }
+        self.recent(FRESH, now)
+    }
+
+    /// What was learnt within this time.
+    pub fn recent(&mut self, within: Duration, now: Instant) -> Vec<News> {
         let age = |at: Instant| now.saturating_duration_since(at);
         while self.news.front().is_some_and(|(at, ..)| age(*at) > TOLD) {
             self.news.pop_front();
         }
-        let due = self.news.iter().filter(|(at, ..)| all || age(*at) < FRESH);
-        due.map(|(at, fingerprint, what)| News {
-            fingerprint: *fingerprint,
-            what: *what,
-            age_ms: age(*at).as_millis() as u32,
-        })
-        .collect()
+        let recent = self.news.iter().filter(|(at, ..)| age(*at) <= within);
+        recent
+            .map(|(at, fingerprint, what)| News {
+                fingerprint: *fingerprint,
+                what: *what,
+                age_ms: age(*at).as_millis() as u32,
+            })
+            .collect()
     }
 
     /// Takes what a peer told; the same again changes nothing.
--- a/request/tests/quarantine.rs
+++ b/request/tests/quarantine.rs
@@ -7,6 +7,9 @@
 use foldlock_request::tag::Tag;
 use proptest::prelude::*;
 
+/// Longer than anything is told.
+const ALL: Duration = Duration::from_secs(60);
+
 fn request(number: u32) -> Fingerprint {
     Fingerprint::of("registry", "POST", "/audit/", &number.to_be_bytes())
 }
@@ -135,6 +138,8 @@
     assert_eq!(quarantine.told(false, now).len(), 1);
     assert_eq!(quarantine.told(false, later(now, 1)).len(), 0);
     assert_eq!(quarantine.told(true, later(now, 1)).len(), 1);
+    assert_eq!(quarantine.told(true, later(now, 2)).len(), 0, "told a second ago");
+    assert_eq!(quarantine.told(true, later(now, 3)).len(), 1);
     assert_eq!(quarantine.told(true, later(now, 21)).len(), 0);
 }
 
@@ -145,8 +150,8 @@
     here.ended(request(1), beside(1), now);
     here.answered(request(1), later(now, 1));
     there.ended(request(1), beside(1), later(now, 2));
-    there.hear(&here.told(true, later(now, 3)), later(now, 3));
-    here.hear(&there.told(true, later(now, 3)), later(now, 3));
+    there.hear(&here.recent(ALL, later(now, 3)), later(now, 3));
+    here.hear(&there.recent(ALL, later(now, 3)), later(now, 3));
     assert_eq!((here.ended_under(request(1)), there.ended_under(request(1))), (1, 1));
 }
 
@@ -209,7 +214,7 @@
                     }
                 }
                 Step::Heard { from, by } => {
-                    let told = vms[from].told(true, now);
+                    let told = vms[from].recent(ALL, now);
                     vms[by].hear(&told, now);
                 }
             }
@@ -217,7 +222,7 @@
         now += Duration::from_millis(10);
         // Answers of which a VM hears late clear what came before them; so twice, in each order.
         for (from, by) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)].repeat(2) {
-            let told = vms[from].told(true, now);
+            let told = vms[from].recent(ALL, now);
             vms[by].hear(&told, now);
         }
         let held = |vm: &Quarantine| matches!(vm.verdict(request(1), now), Verdict::Held(_));
--- a/request/tests/starts.rs
+++ b/request/tests/starts.rs
@@ -120,3 +120,21 @@
         prop_assert_eq!(&board.get(&upstream(1)).unwrap().listed, &starts[2]);
     }
 }
+
+#[test]
+fn peers_are_told_a_revision_only_of_what_came_back() {
+    let mut board = Board::default();
+    board.list(Listed { revision: 5, ..listed(1) });
+    board.list(Listed { revision: 6, ..listed(2) });
+    board.remove(&upstream(2), 7);
+    board.list(Listed { revision: 8, ..listed(2) });
+    let told: Vec<u64> = board.relayed().map(|listed| listed.revision).collect();
+    assert_eq!(told, [0, 8]);
+    let mut peer = Board::default();
+    peer.list(listed(2));
+    peer.remove(&upstream(2), 7);
+    assert!(board.relayed().all(|listed| peer.accepts(&listed)));
+    let gone = Listed { leaving: true, ..listed(1) };
+    peer.list(Listed { revision: 5, ..listed(1) });
+    assert!(peer.accepts(&gone), "that an upstream leaves is taken without a revision, too");
+}
