Log and count what upstreams say of themselves in their answers

Change: the adapter decodes both from the head of any answer (requests, orders, reports) into a Notice; 411 is a line for each answer that says something, foldlock_upstream_notices counts them. Nothing acts on it yet.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -23,6 +23,7 @@
 pub mod hold;
 pub mod job;
 pub mod metrics;
+pub mod notices;
 pub mod operators;
 pub mod packed;
 pub mod peers;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -24,6 +24,7 @@
 use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
+use crate::fleet::notices;
 use crate::fleet::process::Entered;
 use crate::fleet::serve::Tries;
 use crate::fleet::source::{Begun, Next, Source};
@@ -177,6 +178,7 @@
         }
     };
     let (mut head, body) = answer.into_parts();
+    notices::heard(&job.process, &upstream, D::notice(head.status, &head.headers));
     let rest = rest(&head.headers);
     match D::verdict(&job.terms.request, head.status, &head.headers) {
         Verdict::Ran => {}
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -8,11 +8,13 @@
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::memory::{Fault, Memory, Reservation};
+use foldlock_request::notice::Noted;
 use foldlock_request::terms::Helper;
 use futures::future::join_all;
 
 use crate::fleet::asks::Given;
 use crate::fleet::job::Job;
+use crate::fleet::notices;
 use crate::fleet::process::Process;
 use crate::log;
 use crate::serve::millis;
@@ -54,7 +56,8 @@
         let memory = &job.process.memory;
         let time = job.process.config.fleet.hold();
         let answers = join_all(reservations.iter().map(|r| memory.reserve(r, time))).await;
-        for (reservation, answer) in reservations.iter().zip(answers) {
+        for (reservation, Noted { notice, answer }) in reservations.iter().zip(answers) {
+            notices::heard(&job.process, &reservation.upstream, notice);
             // What was set aside is given back as `hold` is dropped.
             let upstream = reservation.upstream.clone();
             answer.map_err(|fault| Taken { upstream, fault })?;
@@ -119,16 +122,22 @@
 }
 
 async fn renew_one<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
-    let time = process.config.fleet.hold();
-    if let Err(fault) = process.memory.reserve(reservation, time).await {
+    if let Err(fault) = reserve(process, reservation).await {
         let what = format!("{} at {}: {fault}", reservation.ticket, reservation.upstream);
         log::event(&process.log, Event::RenewalFailed, what);
         tokio::time::sleep(AGAIN).await;
         // The last try within the hold; without it the engine cuts the request, which is seen.
-        let _ = process.memory.reserve(reservation, time).await;
+        let _ = reserve(process, reservation).await;
     }
 }
 
+async fn reserve<D: Dialect>(process: &Process<D>, reservation: &Reservation) -> Result<(), Fault> {
+    let time = process.config.fleet.hold();
+    let Noted { notice, answer } = process.memory.reserve(reservation, time).await;
+    notices::heard(process, &reservation.upstream, notice);
+    answer
+}
+
 async fn release_all<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
     join_all(reservations.iter().map(|r| release(&process, r))).await;
 }
@@ -136,7 +145,9 @@
 async fn release<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
     let mut last = None;
     for _ in 0..RELEASES {
-        match process.memory.release(reservation).await {
+        let Noted { notice, answer } = process.memory.release(reservation).await;
+        notices::heard(process, &reservation.upstream, notice);
+        match answer {
             Ok(()) => return,
             Err(fault) => last = Some(fault),
         }
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -9,11 +9,13 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
 use foldlock_request::message::Message;
+use foldlock_request::notice::Noted;
 use foldlock_request::report::{Fault, Observed, Report, Reports};
 use foldlock_request::tag::Tag;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::beats;
+use crate::fleet::notices;
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::log;
@@ -77,7 +79,8 @@
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
     let at = process.now();
     process.metrics.reports.inc();
-    let answer = process.reports.report(&listed.id, &listed.address).await;
+    let Noted { notice, answer } = process.reports.report(&listed.id, &listed.address).await;
+    notices::heard(&process, &listed.id, notice);
     if let Err(Fault::Unreadable(why)) = &answer {
         if process.trouble_lines.admit(process.now()).is_some() {
             log::event(&process.log, Event::ReportUnreadable, format!("{}: {why}", listed.id));
--- a/request/src/dialect.rs
+++ b/request/src/dialect.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, StatusCode};
 
 use crate::memory::Memory;
+use crate::notice::Notice;
 use crate::report::Reports;
 use crate::terms::{Handover, Terms, Verdict};
 
@@ -24,6 +25,9 @@
     /// What an answer to `request` says.
     fn verdict(request: &str, status: StatusCode, headers: &HeaderMap) -> Verdict;
 
+    /// What the upstream says of itself by an answer, whatever else the answer says.
+    fn notice(status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// The upstream that is at fault, by id or address, where an answer names one.
     fn culprit(headers: &HeaderMap) -> Option<&str>;
 
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod line;
 pub mod memory;
 pub mod message;
+pub mod notice;
 pub mod placement;
 pub mod pressure;
 pub mod prompt;
--- a/request/src/memory.rs
+++ b/request/src/memory.rs
@@ -6,6 +6,8 @@
 
 use foldlock_base::prelude::*;
 
+use crate::notice::Noted;
+
 /// What a reservation is for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reservation {
@@ -46,8 +48,11 @@
         &self,
         reservation: &Reservation,
         hold: Duration,
-    ) -> impl Future<Output = Result<(), Fault>> + Send;
+    ) -> impl Future<Output = Noted<Result<(), Fault>>> + Send;
 
     /// Gives it back. Giving back what is not set aside is no fault.
-    fn release(&self, reservation: &Reservation) -> impl Future<Output = Result<(), Fault>> + Send;
+    fn release(
+        &self,
+        reservation: &Reservation,
+    ) -> impl Future<Output = Noted<Result<(), Fault>>> + Send;
 }
