Believe an upstream that says in any answer that it leaves, at all VMs

Cause: a VM learnt that an upstream leaves from the directory alone (and from an answer of another instance at its address). While the directory is away nothing told it, so all VMs sent on to an upstream whose every answer said that it leaves.

Change: the word of any answer (to requests of any outcome, to orders, reports) is noted against the start of the upstream that was asked. It holds as long as this start is known, whatever the directory lists, which may be older. All VMs are told with the next beat and again with each beat to all (five a second) until the directory lists the leaving: 9 bytes each, 256 at most. So VMs that were not told, that start later or take over placing know it within a beat or two. An answer of another instance (421) goes the same way; before it was told for 0.7 s to the VMs that place.

Weighed: to put it into the listings that VMs read from each other (a VM that the directory answers reads none of them); to tell it for 10 s as new starts are told (a VM that starts later would not know it while the directory stays away); with each beat (45 departures would be 80 kB/s of a busy VM).

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -12,6 +12,7 @@
 use foldlock_request::flight::Flight;
 use foldlock_request::placement::Place;
 use foldlock_request::suspicion::{Failure as Cause, Outcome};
+use foldlock_request::tag::Tag;
 use foldlock_request::terms::{Handover, Helper, Verdict};
 use foldlock_version::routes::{Repeat, Shape};
 use http_body_util::{BodyExt, Full, Limited};
@@ -151,7 +152,7 @@
 ) -> End<D> {
     let place = &given.place;
     let upstream = place.flight.upstream.clone();
-    let start = ending::start(job, &place.flight);
+    let start = notices::start(&job.process, &upstream);
     let hold = match Hold::take(job, &given).await {
         Ok(hold) => hold,
         Err(taken) => {
@@ -178,11 +179,11 @@
         }
     };
     let (mut head, body) = answer.into_parts();
-    notices::heard(&job.process, &upstream, D::notice(head.status, &head.headers));
+    notices::heard(&job.process, &upstream, start, D::notice(head.status, &head.headers));
     let rest = rest(&head.headers);
     match D::verdict(&job.terms.request, head.status, &head.headers) {
         Verdict::Ran => {}
-        verdict => return refused(job, &place.flight, verdict, &head),
+        verdict => return refused(job, &place.flight, start, verdict, &head),
     }
     if head.status.is_success() && !D::genuine(&head.headers) {
         note(job, &upstream, Cause::Broken);
@@ -212,6 +213,7 @@
 fn refused<D: Dialect>(
     job: &Job<D>,
     flight: &Flight,
+    start: Tag,
     verdict: Verdict,
     head: &http::response::Parts,
 ) -> End<D> {
@@ -219,8 +221,7 @@
     let upstream = &flight.upstream;
     match verdict {
         Verdict::Elsewhere => {
-            tell(job, upstream, Outcome::Leaving);
-            job.process.pool.forget(upstream);
+            notices::leaves(&job.process, start, &job.process.member.vm);
             let why = "another instance has its address".to_owned();
             End::NotRun { why, at_fault: upstream.clone() }
         }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -18,7 +18,7 @@
 
 use crate::fleet::peers::{News, Target};
 use crate::fleet::process::Process;
-use crate::fleet::{catch_up, reports, scheduler};
+use crate::fleet::{catch_up, notices, reports, scheduler};
 use crate::log;
 
 /// The least time between two beats to the VM that places: what begins and ends gathers for it. A
@@ -129,7 +129,7 @@
     if told.is_empty() {
         return;
     }
-    let state = state(process, now);
+    let state = state(process, round, now);
     let places = told.iter().any(|target| target.scheduler);
     let work = places.then(|| work(process, round, now));
     for target in &told {
@@ -152,10 +152,11 @@
     let _ = socket.try_send_to(&message::encode(message), to);
 }
 
-fn state<D: Dialect>(process: &Process<D>, now: Instant) -> State {
-    let (digest, starts) = {
+fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
+    let (digest, starts, departures) = {
         let mut board = process.board.lock().unwrap();
-        (board.digest(), board.told_starts(now))
+        let departures = if round == Round::All { board.departures() } else { Vec::new() };
+        (board.digest(), board.told_starts(now), departures)
     };
     State {
         vm: process.member.vm.clone(),
@@ -169,6 +170,7 @@
         watching: process.watching.load(Ordering::Relaxed),
         settled: process.peers.settled(now),
         starts,
+        departures,
         work: None,
     }
 }
@@ -215,6 +217,9 @@
     for Start { upstream, born } in &state.starts {
         reports::renewed(process, upstream, *born, &state.vm);
     }
+    for start in &state.departures {
+        notices::leaves(process, *start, &state.vm);
+    }
     let mut board = process.board.lock().unwrap();
     if news == News::Renewed {
         board.peer_lost(&state.vm, now);
--- a/daemon/src/fleet/ending.rs
+++ b/daemon/src/fleet/ending.rs
@@ -25,11 +25,6 @@
 /// How long the connection by which a living upstream was asked is kept for the next request.
 const KEPT: Duration = Duration::from_secs(2);
 
-/// The start of the upstream that an attempt is sent to.
-pub fn start<D: Dialect>(job: &Job<D>, flight: &Flight) -> Tag {
-    job.process.board.lock().unwrap().tag_of(&flight.upstream)
-}
-
 /// The connection to the upstream of an attempt broke: finds out whether the upstream has ended, and notes
 /// it against the request if so. The attempt has to be on the board still: so no second copy is placed
 /// before this one's end is known.
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -9,6 +9,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::memory::{Fault, Memory, Reservation};
 use foldlock_request::notice::Noted;
+use foldlock_request::tag::Tag;
 use foldlock_request::terms::Helper;
 use futures::future::join_all;
 
@@ -53,11 +54,15 @@
             return Ok(hold);
         }
         let started = job.process.now();
+        let start = |r: &Reservation| notices::start(&job.process, &r.upstream);
+        let starts: Vec<Tag> = reservations.iter().map(start).collect();
         let memory = &job.process.memory;
         let time = job.process.config.fleet.hold();
         let answers = join_all(reservations.iter().map(|r| memory.reserve(r, time))).await;
-        for (reservation, Noted { notice, answer }) in reservations.iter().zip(answers) {
-            notices::heard(&job.process, &reservation.upstream, notice);
+        for ((reservation, start), Noted { notice, answer }) in
+            reservations.iter().zip(starts).zip(answers)
+        {
+            notices::heard(&job.process, &reservation.upstream, start, notice);
             // What was set aside is given back as `hold` is dropped.
             let upstream = reservation.upstream.clone();
             answer.map_err(|fault| Taken { upstream, fault })?;
@@ -133,8 +138,9 @@
 
 async fn reserve<D: Dialect>(process: &Process<D>, reservation: &Reservation) -> Result<(), Fault> {
     let time = process.config.fleet.hold();
+    let start = notices::start(process, &reservation.upstream);
     let Noted { notice, answer } = process.memory.reserve(reservation, time).await;
-    notices::heard(process, &reservation.upstream, notice);
+    notices::heard(process, &reservation.upstream, start, notice);
     answer
 }
 
@@ -145,8 +151,9 @@
 async fn release<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
     let mut last = None;
     for _ in 0..RELEASES {
+        let start = notices::start(process, &reservation.upstream);
         let Noted { notice, answer } = process.memory.release(reservation).await;
-        notices::heard(process, &reservation.upstream, notice);
+        notices::heard(process, &reservation.upstream, start, notice);
         match answer {
             Ok(()) => return,
             Err(fault) => last = Some(fault),
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -78,9 +78,10 @@
 
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
     let at = process.now();
+    let start = notices::start(&process, &listed.id);
     process.metrics.reports.inc();
     let Noted { notice, answer } = process.reports.report(&listed.id, &listed.address).await;
-    notices::heard(&process, &listed.id, notice);
+    notices::heard(&process, &listed.id, start, notice);
     if let Err(Fault::Unreadable(why)) = &answer {
         if process.trouble_lines.admit(process.now()).is_some() {
             log::event(&process.log, Event::ReportUnreadable, format!("{}: {why}", listed.id));
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -37,6 +37,10 @@
 /// directory has told it, or the next answer does again.
 const START_TOLD: Duration = Duration::from_secs(10);
 
+/// Departures that are told at most, 9 bytes each. Those beyond it are told when the directory has told of
+/// others.
+const MOST_DEPARTURES: usize = 256;
+
 /// New starts that are told at most.
 const MOST_STARTS: usize = 64;
 
@@ -61,7 +65,6 @@
         match outcome {
             Outcome::Answered => self.suspicion.answered(now),
             Outcome::Failed(failure) => self.suspicion.failed(failure, now),
-            Outcome::Leaving => self.told_leaving = true,
         }
     }
 
@@ -79,7 +82,8 @@
     pub listed: Listed,
     /// How VMs name it to each other.
     pub tag: Tag,
-    /// It said itself, by an answer, that it is leaving.
+    /// It said itself, by an answer, that it is leaving. This holds for as long as this start of it is known,
+    /// whatever the directory lists: that may be older, and is away just when much else happens.
     pub told_leaving: bool,
     /// Failures of late.
     pub suspicion: Suspicion,
@@ -206,6 +210,22 @@
         self.starts.iter().map(|(_, start)| start.clone()).collect()
     }
 
+    /// An upstream says by an answer, to this VM or to a peer, that this start of it is leaving. Names it, if
+    /// that is news.
+    pub fn depart(&mut self, start: Tag) -> Option<id::Upstream> {
+        let id = self.tags.get(&start)?;
+        let upstream = self.upstreams.get_mut(id)?;
+        let known = std::mem::replace(&mut upstream.told_leaving, true);
+        (!known).then(|| id.clone())
+    }
+
+    /// The starts of upstreams that said so and that the directory does not list as leaving yet, as peers
+    /// are told of them.
+    pub fn departures(&self) -> Vec<Tag> {
+        let unheard = self.upstreams.values().filter(|u| u.told_leaving && !u.listed.leaving);
+        unheard.map(|u| u.tag).take(MOST_DEPARTURES).collect()
+    }
+
     /// How VMs name the start of an upstream that is known here.
     pub fn tag_of(&self, id: &id::Upstream) -> Tag {
         self.upstreams.get(id).map_or_else(|| Tag::of(id.as_str()), |known| known.tag)
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -72,6 +72,10 @@
     pub settled: bool,
     /// New starts of upstreams that it learnt from themselves.
     pub starts: Vec<Start>,
+    /// Starts of upstreams that say by their answers that they leave, which the directory does not list as
+    /// leaving yet. They go with the beats to all, five a second and one at once when there is news; with
+    /// each beat, 45 of them would be 80 kB/s of a busy VM.
+    pub departures: Vec<Tag>,
     /// What it has under way; none where the receiver does not place its requests.
     pub work: Option<Work>,
 }
--- a/request/src/suspicion.rs
+++ b/request/src/suspicion.rs
@@ -35,8 +35,6 @@
     Answered,
     /// With a failure.
     Failed(Failure),
-    /// It said that it takes no more work.
-    Leaving,
 }
 
 impl Failure {
--- a/request/tests/board.rs
+++ b/request/tests/board.rs
@@ -83,7 +83,9 @@
         board.list(listed(i));
     });
     assert!(board.list(leaving(1)));
-    board.note(&upstream(2), Outcome::Leaving, Instant::now());
+    assert_eq!(board.depart(board.tag_of(&upstream(2))), Some(upstream(2)));
+    assert_eq!(board.depart(board.tag_of(&upstream(2))), None, "it is known");
+    assert_eq!(board.depart(board.tag_of(&upstream(9))), None, "nobody's");
     assert_eq!(open(&board), ["i-03"]);
 }
 
@@ -237,13 +239,28 @@
         there.hear_outcomes(&vm(1), &here.told_outcomes(now), now);
     }
     assert_eq!(there.get(&upstream(1)).unwrap().suspicion.weight(now), 1.0, "told three times");
-    here.note(&upstream(1), Outcome::Leaving, now);
-    there.hear_outcomes(&vm(1), &here.told_outcomes(now), now);
-    assert!(open(&there).is_empty(), "it told that VM that it is leaving");
     let later = now + Duration::from_secs(1);
     assert!(here.told_outcomes(later).is_empty(), "all have heard it by then");
 }
 
+#[test]
+fn a_departure_is_told_until_the_directory_tells_it() {
+    let (mut here, mut there) = (Board::default(), Board::default());
+    here.list(listed(1));
+    here.depart(here.tag_of(&upstream(1)));
+    assert_eq!(here.departures(), [here.tag_of(&upstream(1))]);
+    // Told before the other VM has heard of the upstream, and again.
+    assert_eq!(there.depart(here.departures()[0]), None);
+    there.list(listed(1));
+    assert_eq!(there.depart(here.departures()[0]), Some(upstream(1)));
+    assert!(open(&there).is_empty(), "it told that VM that it is leaving");
+    there.list(Listed { slots: 99, ..listed(1) });
+    assert!(open(&there).is_empty(), "what the directory lists may be older");
+    here.list(leaving(1));
+    assert!(here.departures().is_empty(), "all hear it from the directory");
+    assert!(open(&here).is_empty());
+}
+
 #[test]
 fn a_place_that_is_given_counts_until_its_vm_tells_of_it() {
     let (mut here, mut there, now) = (Board::default(), Board::default(), Instant::now());
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -27,6 +27,7 @@
             watching: true,
             settled: false,
             starts: Vec::new(),
+            departures: Vec::new(),
             work: Some(Work::default()),
         },
     })
--- a/request/tests/starts.rs
+++ b/request/tests/starts.rs
@@ -54,7 +54,7 @@
     board.list(started(1, 100, 1));
     let number = enter(&mut board, flight(1, 80.0, 200_000), now);
     board.note(&upstream(1), Outcome::Failed(Failure::Silent), now);
-    board.note(&upstream(1), Outcome::Leaving, now);
+    board.depart(board.tag_of(&upstream(1)));
     let told = board.told(now);
     let before = board.tag_of(&upstream(1));
     assert!(board.list(started(1, 200, 2)));
