Give upstreams the rest that they ask a VM for

Cause: a refusal counted as a want of room, with a weight that fades and that each whole answer halves; for how long the upstream wanted nothing from the VM was not read. An upstream that was ending answers looked sound again after each, and was filled first by the order of ids.

Change: the end of the rest is kept by the VM that was told, for the start of the upstream that asked, with the time for which the machine was suspended. Each question for a place names the upstreams that rest for its VM, so whoever places needs no state of its own and none of two VMs that place is behind; a place that was given meanwhile is refused before a byte is sent. Who waits for a place tells it anew with each question. Where all upstreams of a service rest, the request waits if the first end is within its objective (a stream that has begun: 1.5 s), else it is refused at once. Reports are not asked for during a rest; memory that is set aside there is renewed and given back as before.

Weighed: telling the VMs that place who rests for whom (the same bytes five to two hundred times a second in place of once a request, and behind by a beat); telling all VMs to leave the upstream alone (it asked one).

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -95,8 +95,8 @@
     UpstreamRestarted = 409, Info;
     /// An entry in the directory is another writer's, or cannot be read: it names nothing to use.
     EntryUnreadable = 410, Warning;
-    /// An upstream says of itself, in an answer, that it leaves or wants a rest.
-    UpstreamSaid = 411, Info;
+    /// An upstream asked this VM for a rest and gets nothing from it until that is over.
+    UpstreamRests = 411, Info;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request waits.
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -18,6 +18,7 @@
 use foldlock_version::routes::Service;
 use tokio::sync::mpsc;
 
+use crate::fleet::notices::{self, Bar};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::fleet::{beats, scheduler};
@@ -128,11 +129,19 @@
     Some(Answer::Placed(place, placed.grant))
 }
 
-/// Where the upstream of a flight and its helpers listen, or the first of them that takes no more work.
-fn addresses(board: &Board, flight: &Flight) -> Result<(String, Vec<String>), Tag> {
-    let address = |id: &id::Upstream| match board.get(id).filter(|upstream| upstream.is_open()) {
-        Some(upstream) => Ok(upstream.listed.address.clone()),
-        None => Err(board.tag_of(id)),
+/// Where the upstream of a flight and its helpers listen, or the first of them that may be sent nothing.
+fn addresses<D: Dialect>(
+    process: &Process<D>,
+    flight: &Flight,
+) -> Result<(String, Vec<String>), Ended> {
+    let address = |id: &id::Upstream| match notices::barred(process, id) {
+        Some(Bar::Closed) => Err(Ended::Gone(notices::start(process, id))),
+        Some(Bar::Resting { .. }) => Err(Ended::Resting),
+        None => {
+            let board = process.board.lock().unwrap();
+            let known = board.get(id).map(|upstream| upstream.listed.address.clone());
+            known.ok_or_else(|| Ended::Gone(board.tag_of(id)))
+        }
     };
     let helpers = flight.helpers.iter().map(|helping| address(&helping.upstream));
     Ok((address(&flight.upstream)?, helpers.collect::<Result<_, _>>()?))
@@ -181,7 +190,8 @@
                 process.peers.missed(&vm, process.now());
             }
             Ended::Gone(upstream) => ask.avoid.push(upstream),
-            Ended::Later => {}
+            // The next question names it.
+            Ended::Resting | Ended::Later => {}
         }
         if until.is_over(process) {
             return Err(Nowhere::Full);
@@ -205,6 +215,8 @@
     Silent(id::Vm),
     /// The place is at an upstream that takes no more work, which the VM does not know yet.
     Gone(Tag),
+    /// The place is at an upstream that has asked this VM for a rest since the question was sent.
+    Resting,
     /// There is no place yet.
     Later,
 }
@@ -258,16 +270,25 @@
     }
 
     fn send(&self, placer: &Placer) {
+        let ask = self.without_resting();
         match placer {
-            Placer::Own => scheduler::own(self.process, self.number, self.service, self.ask),
+            Placer::Own => scheduler::own(self.process, self.number, self.service, &ask),
             Placer::Peer(_, address) => {
                 let service = Tag::of(&self.service.name);
-                let asked = Asked::new(self.request(), service, self.ask, self.process.now());
+                let asked = Asked::new(self.request(), service, &ask, self.process.now());
                 beats::send(&self.process.socket, &Message::Asked(asked), *address);
             }
         }
     }
 
+    /// What is asked for, the upstreams left out that rest for this VM. They go with the question, so that
+    /// the VM that places need not know who was told to leave whom alone.
+    fn without_resting(&self) -> Ask {
+        let mut ask = self.ask.clone();
+        ask.avoid.extend(notices::resting(self.process));
+        ask
+    }
+
     fn request(&self) -> Number {
         self.process.asks.request(self.process, self.number)
     }
@@ -310,7 +331,8 @@
 
     /// Places the request by what is known here.
     async fn alone(&self) -> Ended {
-        let ask = Ask { offset: rand::random_range(0..u16::MAX).into(), ..self.ask.clone() };
+        let offset = rand::random_range(0..u16::MAX).into();
+        let ask = Ask { offset, ..self.without_resting() };
         let now = self.process.now();
         let placed = placement::place(&self.process.board.lock().unwrap(), self.service, &ask, now);
         match placed {
@@ -325,12 +347,12 @@
 
     /// A place, unless one of its upstreams takes no more work by what is known here.
     fn given(&self, place: Place, by: Option<id::Vm>) -> Ended {
-        match addresses(&self.process.board.lock().unwrap(), &place.flight) {
+        match addresses(self.process, &place.flight) {
             Ok((address, helpers)) => {
                 let number = self.number;
                 Ended::Placed(Box::new(Given { place, address, helpers, number, by }))
             }
-            Err(gone) => Ended::Gone(gone),
+            Err(ended) => ended,
         }
     }
 }
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -167,6 +167,10 @@
             return End::Unsent(why);
         }
     };
+    if let Some(bar) = notices::barred(&job.process, &upstream) {
+        // It said so while memory was set aside for this request, or its connection opened.
+        return End::Unsent(format!("it takes nothing now: {bar}"));
+    }
     let request = request(job, place, &hold.helpers(&given), last_event);
     let sent = job.process.now();
     let answer = match channel.send(request).await {
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -14,6 +14,7 @@
 
 use crate::fleet::asks::{self, Given, Until};
 use crate::fleet::job::Job;
+use crate::fleet::notices;
 use crate::serve::millis;
 
 /// How often a request looks again for a service without any open upstream.
@@ -29,6 +30,9 @@
 /// The longest wait for a service without any open upstream.
 const CLOSED: Duration = Duration::from_millis(500);
 
+/// The longest rest that a stream is held for that has begun: its caller leaves after a pause of 2 s.
+const BEGUN: Duration = Duration::from_millis(1_500);
+
 /// The engines among which a long prompt is usually divided, where 18 serve short ones as well.
 const USUAL_PARTS: f64 = 10.0;
 
@@ -74,6 +78,10 @@
     };
     let until = Until { limit, begun };
     loop {
+        if rested(job, begun).await? {
+            // Those that refused it have had their rest.
+            ask.avoid.clear();
+        }
         match asks::place(&job.process, &job.service, ask.clone(), until).await {
             Ok(given) => {
                 placed(job, &given, started);
@@ -87,6 +95,22 @@
     }
 }
 
+/// Waits for the first end of a rest where all upstreams of the service rest for this VM and the answer may
+/// still be in time then. Else the request cannot be served here in time, which its caller is told at once:
+/// other VMs may not have been asked for a rest. A stream that has begun has only this VM to go on with it.
+/// Answers whether it waited.
+async fn rested<D: Dialect>(job: &Job<D>, begun: bool) -> Result<bool, Nowhere> {
+    let Some(left) = notices::all_rest(&job.process, &job.service.name) else { return Ok(false) };
+    let in_time = job.held() + left < job.route.objective && !job.process.closing();
+    let held = begun && left < BEGUN;
+    if !(in_time || held) {
+        return Err(Nowhere::Resting { left_ms: left.as_millis() as u64 });
+    }
+    tokio::time::sleep(left).await;
+    job.record(Decision::Waited { cause: Cause::Resting, waited_ms: millis(left) });
+    Ok(true)
+}
+
 /// Milliseconds of reading on one engine, if this is a long prompt.
 fn read_ms<'a, D: Dialect>(job: &'a Job<D>, ask: &Ask) -> Option<(&'a Engine, f64)> {
     let engine = job.service.engine.as_ref()?;
@@ -144,6 +168,7 @@
     }
     let (kind, why) = match nowhere {
         Nowhere::Quarantined { left_ms } => return quarantined(left_ms, proof),
+        Nowhere::Resting { left_ms } => return resting(job, left_ms, proof),
         Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
         Nowhere::TooLarge => (Kind::Overloaded, "no upstream has memory for a prompt this long"),
@@ -154,6 +179,16 @@
     Error::unsent(kind, format!("{}: {why}", job.service.name), proof).retry_after(after)
 }
 
+/// The caller comes back when the first rest is over, or sooner to another VM.
+fn resting<D: Dialect>(job: &Job<D>, left_ms: u64, proof: Unsent) -> Error {
+    let left = Duration::from_millis(left_ms).max(LOOK);
+    let service = &job.service.name;
+    let why = format!("{service}: all upstreams asked {} for a rest", job.process.member.vm);
+    let after = left.min(retry_after::Cause::Full.retry_after(job.left()));
+    let why = format!("{why}, the first for {left_ms} ms more");
+    Error::unsent(Kind::Overloaded, why, proof).retry_after(after)
+}
+
 fn quarantined(left_ms: u64, proof: Unsent) -> Error {
     let left = Duration::from_millis(left_ms);
     let why = format!(
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -1,7 +1,10 @@
 //! What upstreams say of themselves in their answers, taken into what this VM believes.
 //!
 //! The head of every answer is read for it, whatever was asked: the directory may be away just when an
-//! upstream leaves.
+//! upstream leaves, and no directory tells who is to rest.
+
+use std::fmt;
+use std::time::Duration;
 
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
@@ -30,8 +33,8 @@
     if notice.leaving {
         leaves(process, start, &process.member.vm);
     }
-    if notice.rest.is_some() && process.trouble_lines.admit(process.now()).is_some() {
-        log::event(&process.log, Event::UpstreamSaid, format!("{upstream} {notice}"));
+    if let Some(rest) = notice.rest {
+        rests(process, upstream, start, rest);
     }
 }
 
@@ -49,3 +52,60 @@
     process.tell_all();
     process.room.notify_one();
 }
+
+/// An upstream asks this VM for a rest.
+fn rests<D: Dialect>(process: &Process<D>, upstream: &id::Upstream, start: Tag, rest: Duration) {
+    let news = process.rests.lock().unwrap().begin(start, rest, process.moment());
+    if news && process.trouble_lines.admit(process.now()).is_some() {
+        let what = format!("{upstream} for {} ms", rest.as_millis());
+        log::event(&process.log, Event::UpstreamRests, what);
+    }
+}
+
+/// Why this VM may send an upstream nothing new, by what that said itself.
+pub fn barred<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) -> Option<Bar> {
+    let board = process.board.lock().unwrap();
+    if !board.get(upstream).is_some_and(|known| known.is_open()) {
+        return Some(Bar::Closed);
+    }
+    let start = board.tag_of(upstream);
+    drop(board);
+    let left = process.rests.lock().unwrap().left(start, process.moment());
+    left.map(|left| Bar::Resting { left })
+}
+
+/// What keeps new work from an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bar {
+    /// It leaves, or is gone.
+    Closed,
+    /// It asked this VM for a rest.
+    Resting {
+        /// What is left of it.
+        left: Duration,
+    },
+}
+
+impl fmt::Display for Bar {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Bar::Closed => f.write_str("it leaves or is gone"),
+            Bar::Resting { left } => {
+                write!(f, "it rests for {} ms more", left.as_millis())
+            }
+        }
+    }
+}
+
+/// The upstreams that rest for this VM.
+pub fn resting<D: Dialect>(process: &Process<D>) -> Vec<Tag> {
+    process.rests.lock().unwrap().resting(process.moment())
+}
+
+/// How long it is until the first of a service's upstreams may be sent work, where all of them rest.
+pub fn all_rest<D: Dialect>(process: &Process<D>, service: &str) -> Option<Duration> {
+    let moment = process.moment();
+    let board = process.board.lock().unwrap();
+    let rests = process.rests.lock().unwrap();
+    rests.all_left(board.open(service).map(|upstream| upstream.tag), moment)
+}
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -12,6 +12,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Listing, Member, Settings};
 use foldlock_request::flight::Flight;
+use foldlock_request::rest::Rests;
 use foldlock_request::ring::Ring;
 use foldlock_request::scheduler::Scheduler;
 use slog::Logger;
@@ -95,6 +96,8 @@
     pub memory: D::Memory,
     /// The engines' reports.
     pub reports: D::Reports,
+    /// Upstreams that asked this VM for a rest.
+    pub rests: Mutex<Rests>,
     /// The settings as peers read them.
     pub packed_settings: Kept,
     /// The listings as peers read them.
@@ -166,6 +169,7 @@
             pool: Pool::default(),
             memory: D::Memory::default(),
             reports: D::Reports::default(),
+            rests: Mutex::default(),
             packed_settings: Kept::default(),
             packed_listing: Kept::default(),
             unreadable: Unreadable::default(),
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -15,7 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::beats;
-use crate::fleet::notices;
+use crate::fleet::notices::{self, Bar};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::log;
@@ -77,6 +77,10 @@
 }
 
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
+    if let Some(Bar::Resting { .. }) = notices::barred(&process, &listed.id) {
+        // It wants nothing of this VM, a question how it fares included.
+        return;
+    }
     let at = process.now();
     let start = notices::start(&process, &listed.id);
     process.metrics.reports.inc();
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -42,6 +42,8 @@
     Queue,
     /// The home of the engines has no place for a long prompt yet.
     Grant,
+    /// All upstreams asked this VM for a rest.
+    Resting,
 }
 
 /// One decision.
@@ -275,6 +277,7 @@
 impl Cause {
     fn text(self) -> &'static str {
         match self {
+            Cause::Resting => "all upstreams asked for a rest",
             Cause::Engines => "each engine has as much queued as it may",
             Cause::Memory => "no engine has the memory",
             Cause::Queue => "others are ahead",
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quota;
 pub mod rank;
 pub mod report;
+pub mod rest;
 pub mod retry;
 pub mod retry_after;
 pub mod ring;
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -67,7 +67,7 @@
     pub arrived: Instant,
     /// The time from its arrival after which it is of no use to be placed.
     pub limit: Duration,
-    /// Upstreams that failed this request.
+    /// Upstreams that failed this request, and those that asked its VM for a rest.
     pub avoid: Vec<Tag>,
     /// The hall whose upstreams come first.
     pub hall: String,
@@ -138,6 +138,11 @@
     Full,
     /// The request is larger than the memory of any engine.
     TooLarge,
+    /// All upstreams of the service asked the VM for a rest, the first of them for this long.
+    Resting {
+        /// Milliseconds.
+        left_ms: u64,
+    },
     /// The request ended upstreams and is kept from all for this long.
     Quarantined {
         /// Milliseconds.
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -93,6 +93,8 @@
         }
         if let Some(waiter) = self.waiters.iter_mut().find(|waiter| waiter.key == key) {
             waiter.heard = now;
+            // A rest that was asked for meanwhile, or is over.
+            waiter.ask.avoid = ask.avoid;
             return Answer::Waits;
         }
         let Some(found) = find(table, service) else { return Answer::Nowhere(Nowhere::Closed) };
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -188,6 +188,24 @@
     assert_ne!(first, second);
 }
 
+#[test]
+fn who_waits_is_not_placed_where_it_may_not_be_sent_by_now() {
+    let mut fleet = Fleet::new(2);
+    let engines: Vec<Tag> = fleet.board.ids().map(|id| fleet.board.tag_of(id)).collect();
+    let ask = long(60_000, fleet.now);
+    for barred in engines {
+        assert!(matches!(fleet.ask(key(1, 1), ask.clone()), Answer::Waits));
+        let asked_again = Ask { avoid: vec![barred], ..ask.clone() };
+        assert!(matches!(fleet.ask(key(1, 1), asked_again), Answer::Waits));
+        let placed = fleet.look();
+        let [(_, place)] = placed.as_slice() else { panic!("{placed:?}") };
+        let used = std::iter::once(&place.flight.upstream)
+            .chain(place.flight.helpers.iter().map(|helping| &helping.upstream));
+        assert!(used.map(|id| fleet.board.tag_of(id)).all(|tag| tag != barred));
+        fleet.cancel(&key(1, 1));
+    }
+}
+
 #[test]
 fn what_asks_no_more_holds_up_nobody() {
     let mut fleet = Fleet::new(6);
