--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -160,7 +160,9 @@
 fn dump<D: Dialect>(process: &Process<D>) -> serde_json::Value {
     let now = process.now();
     let waiting = process.scheduler.lock().unwrap().waiting();
+    let moment = process.moment();
     let board = process.board.lock().unwrap();
+    let rests = process.rests.lock().unwrap();
     let loads = board.loads(None, now);
     let upstreams: Vec<_> = board
         .ids()
@@ -169,7 +171,8 @@
             let load = loads.get(&u.listed.id).cloned().unwrap_or_default();
             json!({
                 "id": u.listed.id, "service": u.listed.service, "address": u.listed.address,
-                "leaving": u.listed.leaving || u.told_leaving,
+                "leaving": !u.is_open(),
+                "rests_ms": rests.left(u.tag, moment).map(|left| left.as_millis() as u64),
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.writers, "memory": load.memory, "backlog_ms": load.backlog_ms,
                 "pace": u.pace(now), "silent": u.silent(now),
