Know a directory that has come back from an older copy of itself by its era

Cause: revisions were taken to rise for ever. A directory that is restored from a copy gives out its numbers again; a VM kept the higher number of the lost history, left what peers told below it, watched on from a number that is another change's now, and took the copy's entries for news: an upstream that leaves was open again, an earlier start replaced a later one, what had ended came back, a living upstream that the copy lacks was gone at once, and settings were confirmed by a copy that lacks them.

Each VM lists itself again within 2 s, drawn at random; the VM that had the proof writes again what is held. 208 and foldlock_directory_restored tell of it; the dump has the era.

Revisions in older tests became the type, with the same numbers.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -59,6 +59,8 @@
     DirectoryCompacted = 206, Info;
     /// Many changes of the listings were taken at once; the dump has the names.
     ListingTaken = 207, Info;
+    /// The directory has come back from an older copy of itself: what was written there since is gone.
+    DirectoryRestored = 208, Warning;
     /// A VM joined the members.
     MemberUp = 300, Info;
     /// A VM is no longer heard.
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -164,7 +164,7 @@
         stamp: process.peers.stamp(process.moment()),
         version: process.version(),
         age_ms: process.fresh.age(process.moment()).map(|age| age.as_millis() as u64 + 1),
-        at: process.at.load(Ordering::Relaxed),
+        at: process.at(),
         digest,
         leaving: process.stopping.is_cancelled(),
         watching: process.watching.load(Ordering::Relaxed),
--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -57,7 +57,7 @@
     if process.watching.load(Ordering::Relaxed) {
         return None;
     }
-    let at = process.at.load(Ordering::Relaxed);
+    let at = process.at();
     let digest = process.board.lock().unwrap().digest();
     process.peers.other_listings(at, digest, now).map(Source::Listing)
 }
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -8,7 +8,9 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Change, Quarantined};
 use foldlock_request::fingerprint::Fingerprint;
+use foldlock_request::revision::Revision;
 
+use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
 use crate::log;
@@ -30,7 +32,7 @@
     }
 
     /// Logs the changes that a listing of this revision brought; the names of many are in the dump.
-    pub fn log<D: Dialect>(self, process: &Process<D>, revision: u64, from: &str) {
+    pub fn log<D: Dialect>(self, process: &Process<D>, revision: Revision, from: &str) {
         let now = process.now();
         let admitted = |_: &(Event, String)| process.listing_lines.admit(now).is_some();
         if self.lines.iter().all(admitted) {
@@ -51,12 +53,31 @@
     }
 }
 
+/// How what the directory says is to be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// As it is.
+    Sound,
+    /// It was away of late: a listing that has ended may only have lapsed.
+    Lapsed,
+    /// It has come back from a copy of itself: what it lists is older than what is known, and what it does
+    /// not list may only be missing there.
+    Copy,
+}
+
+impl Word {
+    /// Whether an upstream whose listing has ended may still live.
+    fn may_live(self) -> bool {
+        self != Word::Sound
+    }
+}
+
 /// After a whole read, what is not in it has ended.
 pub fn end_unlisted<D: Dialect>(
     process: &Process<D>,
     changes: &[Change],
-    revision: u64,
-    lapsed: bool,
+    revision: Revision,
+    word: Word,
     news: &mut News,
 ) {
     let listed: HashSet<&id::Upstream> = changes
@@ -68,7 +89,11 @@
         .collect();
     let known: Vec<id::Upstream> =
         process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
-    known.iter().for_each(|id| listing_ended(process, id, revision, lapsed, news));
+    known.iter().for_each(|id| listing_ended(process, id, revision, word, news));
+    if word == Word::Copy {
+        hold_again(process, changes);
+        return;
+    }
     let is_own = |change: &Change| matches!(change, Change::Member(member) if member.vm == process.member.vm);
     // What a peer tells leaves out the VM that it tells.
     if process.watching.load(Ordering::Relaxed) && !changes.iter().any(is_own) {
@@ -77,6 +102,30 @@
     release_unlisted(process, changes, news);
 }
 
+/// A copy of the directory lacks requests that were held since it was made: the VM that had the proof writes
+/// them again.
+fn hold_again<D: Dialect>(process: &Process<D>, changes: &[Change]) {
+    let is_listed = |entry: &Quarantined| {
+        changes
+            .iter()
+            .any(|change| matches!(change, Change::Quarantined(listed) if listed == entry))
+    };
+    let board = process.board.lock().unwrap();
+    let own = board.held().filter(|entry| entry.vm == process.member.vm && !is_listed(entry));
+    own.for_each(|entry| process.register.order(Order::Hold(entry.clone())));
+}
+
+fn is_released<D: Dialect>(process: &Process<D>, entry: &Quarantined) -> bool {
+    process.board.lock().unwrap().is_released(entry.fingerprint)
+}
+
+/// A copy of the directory lists a request that was let go since it was made: one VM removes it again.
+fn release_again<D: Dialect>(process: &Process<D>, entry: &Quarantined) {
+    if process.peers.placer(false, process.now()) == Some(Placer::Own) {
+        process.register.order(Order::Remove(entry.fingerprint));
+    }
+}
+
 fn release_unlisted<D: Dialect>(process: &Process<D>, changes: &[Change], news: &mut News) {
     let listed: HashSet<Fingerprint> = changes
         .iter()
@@ -92,16 +141,16 @@
 }
 
 /// Takes one change.
-pub fn apply<D: Dialect>(process: &Process<D>, change: Change, lapsed: bool, news: &mut News) {
+pub fn apply<D: Dialect>(process: &Process<D>, change: Change, word: Word, news: &mut News) {
     match change {
         Change::Settings(settings) => process.take_settings(*settings, "the directory"),
-        Change::Upstream(listed) => upstream_listed(process, listed, news),
+        Change::Upstream(listed) => upstream_listed(process, listed, word, news),
         Change::UpstreamGone(id, revision) => {
-            listing_ended(process, &id, revision, lapsed, news);
+            listing_ended(process, &id, revision, word, news);
         }
         Change::UpstreamUnreadable(id, revision, why) => {
             unreadable(process, id.as_str(), revision, &why);
-            listing_ended(process, &id, revision, false, news);
+            listing_ended(process, &id, revision, Word::Sound, news);
         }
         Change::Member(member) => {
             let what = format!("{} at {}", member.vm, member.address);
@@ -111,6 +160,9 @@
         }
         Change::MemberGone(vm) if vm == process.member.vm => list_again(process),
         Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
+        Change::Quarantined(entry) if word == Word::Copy && is_released(process, &entry) => {
+            release_again(process, &entry);
+        }
         Change::Quarantined(entry) => quarantined(process, entry, news),
         Change::Released(fingerprint) => released(process, fingerprint, news),
         Change::Unreadable { key, revision, why } => unreadable(process, &key, revision, &why),
@@ -126,14 +178,17 @@
     }
 }
 
-fn upstream_listed<D: Dialect>(process: &Process<D>, listed: Listed, news: &mut News) {
+fn upstream_listed<D: Dialect>(process: &Process<D>, listed: Listed, word: Word, news: &mut News) {
     let leaving = listed.leaving;
     let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
     let id = listed.id.clone();
     let mut board = process.board.lock().unwrap();
     let before = board.tag_of(&id);
     let known = board.get(&id).is_some();
-    let changed = board.list(listed);
+    let changed = match word {
+        Word::Sound | Word::Lapsed => board.list(listed),
+        Word::Copy => board.list_copy(listed),
+    };
     let restarted = known && board.tag_of(&id) != before;
     drop(board);
     process.unreadable.forget(id.as_str());
@@ -168,7 +223,7 @@
 }
 
 /// An entry names nothing to use; logged once for each version of it.
-fn unreadable<D: Dialect>(process: &Process<D>, key: &str, revision: u64, why: &str) {
+fn unreadable<D: Dialect>(process: &Process<D>, key: &str, revision: Revision, why: &str) {
     if process.unreadable.note(key, revision, why) {
         process.metrics.unreadable.inc();
         log::event(&process.log, Event::EntryUnreadable, format!("{key} at {revision}: {why}"));
@@ -178,11 +233,11 @@
 fn listing_ended<D: Dialect>(
     process: &Process<D>,
     id: &id::Upstream,
-    revision: u64,
-    lapsed: bool,
+    revision: Revision,
+    word: Word,
     news: &mut News,
 ) {
-    if lapsed {
+    if word.may_live() {
         process.board.lock().unwrap().unlist(id, process.now());
         return;
     }
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -9,9 +9,11 @@
 use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Change, Changes, Directory, Fault, Listing};
+use foldlock_request::revision::Revision;
 
-use crate::fleet::changes::{self, News};
+use crate::fleet::changes::{self, News, Word};
 use crate::fleet::process::Process;
+use crate::fleet::register::Order;
 use crate::log;
 
 /// How long one watch waits for a change. It bounds the age of the settings: each answer confirms
@@ -58,22 +60,49 @@
 /// How often a VM that relies on its peers looks whether it still may.
 const TOLD_LOOK: Duration = Duration::from_millis(150);
 
+/// How long after its return from a copy the directory may still list what is older than what is known. By then
+/// who lives has written itself again, within two seconds, and the entries of who ended since have lapsed,
+/// after three liveness reports of 1.2 s.
+const COPY: Duration = Duration::from_secs(5);
+
+/// Within this time all VMs list themselves again once the directory has come back from a copy: 300 VMs make
+/// 150 calls a second of it, where 400 are free in the smallest installation.
+const LIST_AGAIN: Duration = Duration::from_secs(2);
+
 /// What is known of the directory itself.
+#[derive(Default)]
 struct Contact {
-    at: Option<u64>,
+    /// The revision from which a watch goes on; none where all is to be read anew.
+    at: Option<Revision>,
     failures: u32,
     trouble: Option<Instant>,
+    /// When it came back from a copy, until what it lists is sound again.
+    restored: Option<Instant>,
+    /// Whether the settings that it holds are older than those in force here.
+    is_behind: bool,
+}
+
+impl Contact {
+    /// How what it says now is to be taken.
+    fn word(&self, now: Instant) -> Word {
+        let trouble = |at: Instant| now.saturating_duration_since(at) < RECENT;
+        match self.restored {
+            Some(_) if self.at.is_none() => Word::Copy,
+            _ if self.trouble.is_some_and(trouble) => Word::Lapsed,
+            _ => Word::Sound,
+        }
+    }
 }
 
 /// Follows the directory until the process stops.
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    let mut contact = Contact { at: None, failures: 0, trouble: None };
+    let mut contact = Contact::default();
     loop {
         if !is_watcher(&process) && is_told(&process).await {
             process.watching.store(false, Ordering::Relaxed);
-            contact = Contact { failures: 0, ..contact };
+            contact = Contact { failures: 0, is_behind: false, ..contact };
             // What peers tell goes on where the last watch ended, or beyond.
-            contact.at = Some(process.at.load(Ordering::Relaxed));
+            contact.at = Some(process.at());
             tokio::time::sleep(TOLD_LOOK).await;
             continue;
         }
@@ -99,6 +128,8 @@
                 log::event(&process.log, Event::DirectoryCompacted, "reading all anew");
                 contact.at = None;
             }
+            // What it holds now is read anew; its new era is noted then.
+            Err(Fault::Restored) => contact.at = None,
             Err(Fault::Unavailable(why)) => failed(&process, &mut contact, &why).await,
         }
     }
@@ -113,7 +144,7 @@
 /// Whether peers tell what the directory says: one of them was heard just now that it answers, or is
 /// heard soon.
 async fn is_told<D: Dialect>(process: &Process<D>) -> bool {
-    if process.at.load(Ordering::Relaxed) == 0 {
+    if process.at().is_none() {
         return false;
     }
     if process.peers.watched(process.now()) {
@@ -130,13 +161,16 @@
 /// it did not bring. So nothing that ended here comes back by a peer's word, and what is leaving
 /// stays so.
 pub fn told<D: Dialect>(process: &Arc<Process<D>>, listing: Listing) {
-    let at = process.at.load(Ordering::Relaxed);
+    let at = process.at();
     if process.watching.load(Ordering::Relaxed) || listing.at < at {
         return;
     }
     let newer = listing.at > at;
     let revision = listing.at;
-    process.at.fetch_max(revision, Ordering::Relaxed);
+    // The peer may know the copy alone.
+    let restored = note_era(process, revision, "a peer");
+    let word = if restored { Word::Lapsed } else { Word::Sound };
+    process.known_to(revision);
     let upstreams: Vec<Listed> = {
         let board = process.board.lock().unwrap();
         listing.upstreams.into_iter().filter(|listed| board.accepts(listed)).collect()
@@ -147,9 +181,9 @@
     let changes: Vec<Change> = upstreams.chain(members).chain(held).collect();
     let mut news = News::default();
     if newer {
-        changes::end_unlisted(process, &changes, revision, false, &mut news);
+        changes::end_unlisted(process, &changes, revision, word, &mut news);
     }
-    changes.into_iter().for_each(|change| changes::apply(process, change, false, &mut news));
+    changes.into_iter().for_each(|change| changes::apply(process, change, Word::Sound, &mut news));
     news.log(process, revision, "a peer");
 }
 
@@ -167,25 +201,75 @@
         contact.failures = 0;
         contact.trouble = Some(now);
     }
-    let lapsed = contact.trouble.is_some_and(|at| now.saturating_duration_since(at) < RECENT);
     let mut news = News::default();
     let Changes { at, changes } = changes;
+    note_era(process, at, "the directory");
+    // Also where a peer told of it first.
+    contact.restored = contact.restored.or(process.restored(COPY));
+    let word = contact.word(now);
     if contact.at.is_none() {
-        changes::end_unlisted(process, &changes, at, lapsed, &mut news);
+        changes::end_unlisted(process, &changes, at, word, &mut news);
     }
+    contact.note_settings(process.version(), word, &changes);
     let changed = !changes.is_empty();
     contact.at = Some(at);
-    process.at.fetch_max(at, Ordering::Relaxed);
-    changes.into_iter().for_each(|change| changes::apply(process, change, lapsed, &mut news));
+    process.known_to(at);
+    changes.into_iter().for_each(|change| changes::apply(process, change, word, &mut news));
     let gone = process.board.lock().unwrap().expire(RELIST, at, now);
     gone.iter().for_each(|id| changes::ended(process, id, "not listed again", &mut news));
     news.log(process, at, "the directory");
-    process.fresh.confirm(asked);
+    if !contact.is_behind {
+        process.fresh.confirm(asked);
+    }
+    if contact.restored.is_some() && process.restored(COPY).is_none() {
+        // Once more, and as it is then.
+        contact.restored = None;
+        contact.at = None;
+    }
     if changed {
         process.tell_all();
     }
 }
 
+impl Contact {
+    /// Settings in force are never given up for older ones, and a copy that lacks them does not confirm them:
+    /// a key that was taken away in a version which is lost as well would be served on.
+    fn note_settings(&mut self, in_force: u64, word: Word, changes: &[Change]) {
+        let held = changes.iter().rev().find_map(|change| match change {
+            Change::Settings(settings) => Some(settings.table.number()),
+            _ => None,
+        });
+        match held {
+            Some(number) if number >= in_force => self.is_behind = false,
+            _ if word == Word::Copy => self.is_behind = in_force > 0,
+            _ => {}
+        }
+    }
+}
+
+/// Notes the era of a revision. Answers whether the directory has come back from a copy since what is known
+/// of it: then this VM's own entry may be gone, which no other VM would write again.
+fn note_era<D: Dialect>(process: &Arc<Process<D>>, at: Revision, from: &str) -> bool {
+    let known = process.at();
+    if known.is_none() || at.era <= known.era {
+        return false;
+    }
+    process.note_restored();
+    process.metrics.restored.inc();
+    let what = format!("known to {known}, now at {at}, by {from}");
+    log::event(&process.log, Event::DirectoryRestored, what);
+    tokio::spawn(list_again(process.clone()));
+    true
+}
+
+/// Lists this VM again, at some moment of the time in which all do.
+async fn list_again<D: Dialect>(process: Arc<Process<D>>) {
+    tokio::time::sleep(LIST_AGAIN.mul_f64(rand::random_range(0.0..1.0))).await;
+    if process.listed.load(Ordering::Relaxed) && !process.stopping.is_cancelled() {
+        process.register.order(Order::Announce);
+    }
+}
+
 async fn failed<D: Dialect>(process: &Arc<Process<D>>, contact: &mut Contact, why: &str) {
     if contact.failures == 0 {
         log::event(&process.log, Event::DirectoryDown, why);
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -49,6 +49,8 @@
     pub beats: Counter,
     /// Reports asked for at engines.
     pub reports: Counter,
+    /// Times that the directory came back from an older copy of itself.
+    pub restored: Counter,
     /// Answers in which an upstream says of itself that it leaves, or wants a rest.
     pub notices: Counter,
     /// Upstreams that ended under a request of this VM; one counts for each request.
@@ -87,6 +89,7 @@
             directory_failures: Counter::default(),
             beats: Counter::default(),
             reports: Counter::default(),
+            restored: Counter::default(),
             notices: Counter::default(),
             ended_under: Counter::default(),
             held: Counter::default(),
@@ -117,6 +120,8 @@
         r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
         r.register("peer_messages", "Messages sent to peers", self.beats.clone());
         r.register("engine_reports", "Reports asked for at engines", self.reports.clone());
+        let what = "Times that the directory came back from an older copy";
+        r.register("directory_restored", what, self.restored.clone());
         let what = "Answers whose upstream says that it leaves or wants a rest";
         r.register("upstream_notices", what, self.notices.clone());
         let what = "Requests under which an upstream ended";
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -198,6 +198,7 @@
         "ready": process.ready(),
         "stopping": process.stopping.is_cancelled(),
         "requests": board.own().count(),
+        "directory": process.at(),
         "version": process.version(),
         "settings_age_ms": process.fresh.age(process.moment()).map(|age| age.as_millis() as u64),
         "peers": process.peers.dump(now),
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -16,6 +16,7 @@
 use foldlock_request::directory::Member;
 use foldlock_request::message::Beat;
 use foldlock_request::rank::{self, Contact};
+use foldlock_request::revision::Revision;
 use rand::seq::IndexedRandom;
 use serde_json::json;
 
@@ -299,7 +300,7 @@
     }
 
     /// A peer that knows other listings, of the same revision or a later one.
-    pub fn other_listings(&self, at: u64, digest: u64, now: Instant) -> Option<SocketAddr> {
+    pub fn other_listings(&self, at: Revision, digest: u64, now: Instant) -> Option<SocketAddr> {
         self.pick(now, |peer| peer.at > at || peer.at == at && peer.digest != digest)
     }
 
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -5,6 +5,7 @@
 use foldlock_request::directory::Member;
 use foldlock_request::message::State;
 use foldlock_request::rank::Contact;
+use foldlock_request::revision::Revision;
 
 /// A peer that was not heard for this long is taken for down: ten idle beats.
 const SILENT: Duration = Duration::from_millis(2_000);
@@ -35,7 +36,7 @@
     /// The newest stamp that it told.
     pub(super) stamp: Option<u64>,
     pub(super) version: u64,
-    pub(super) at: u64,
+    pub(super) at: Revision,
     pub(super) digest: u64,
     pub(super) settled: bool,
     /// When it last said that the directory answers it and its settings were fresh.
@@ -59,7 +60,7 @@
             heard: None,
             stamp: None,
             version: 0,
-            at: 0,
+            at: Revision::default(),
             digest: 0,
             settled: false,
             watching: None,
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -13,6 +13,7 @@
 use foldlock_request::directory::{Listing, Member, Settings};
 use foldlock_request::flight::Flight;
 use foldlock_request::rest::Rests;
+use foldlock_request::revision::Revision;
 use foldlock_request::ring::Ring;
 use foldlock_request::scheduler::Scheduler;
 use slog::Logger;
@@ -108,8 +109,10 @@
     pub register: Register,
     /// The other VMs.
     pub peers: Peers,
-    /// The directory's revision up to which listings are known; 0 for none.
-    pub at: AtomicU64,
+    /// The directory's revision up to which listings are known.
+    at: Mutex<Revision>,
+    /// When it was last noticed that the directory has come back from an older copy of itself.
+    restored: Mutex<Option<Instant>>,
     /// Whether the directory itself answers this VM; if so, what peers tell of listings is left.
     pub watching: AtomicBool,
     /// Whether this VM has listed itself.
@@ -174,7 +177,8 @@
             packed_listing: Kept::default(),
             unreadable: Unreadable::default(),
             register: Register::default(),
-            at: AtomicU64::new(0),
+            at: Mutex::default(),
+            restored: Mutex::default(),
             watching: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             stopping: CancellationToken::new(),
@@ -255,6 +259,30 @@
         self.stopped.get().is_some_and(|at| self.now().saturating_duration_since(*at) > left)
     }
 
+    /// The directory's revision up to which listings are known; none before the first.
+    pub fn at(&self) -> Revision {
+        *self.at.lock().unwrap()
+    }
+
+    /// Listings are known up to this revision. Answers what was known before.
+    pub fn known_to(&self, revision: Revision) -> Revision {
+        let mut at = self.at.lock().unwrap();
+        let before = *at;
+        *at = before.max(revision);
+        before
+    }
+
+    /// The directory has come back from an older copy of itself.
+    pub fn note_restored(&self) {
+        *self.restored.lock().unwrap() = Some(self.now());
+    }
+
+    /// When the directory came back from a copy, if that is not longer ago than `within`.
+    pub fn restored(&self, within: Duration) -> Option<Instant> {
+        let at = (*self.restored.lock().unwrap())?;
+        (self.now().saturating_duration_since(at) < within).then_some(at)
+    }
+
     /// What this VM knows of the directory.
     pub fn listing(&self) -> Listing {
         let board = self.board.lock().unwrap();
@@ -262,7 +290,7 @@
         let held = board.held().cloned().collect();
         drop(board);
         let members = self.peers.members();
-        Listing { at: self.at.load(Ordering::Relaxed), upstreams, members, held }
+        Listing { at: self.at(), upstreams, members, held }
     }
 
     /// An id for a request whose own cannot be used.
--- a/daemon/src/fleet/register.rs
+++ b/daemon/src/fleet/register.rs
@@ -42,6 +42,8 @@
     Hold(Quarantined),
     /// It is no longer.
     Release(Fingerprint),
+    /// The same, of an entry that came back with a copy of the directory and is not believed here.
+    Remove(Fingerprint),
     /// This VM lists itself again.
     Announce,
 }
@@ -105,7 +107,9 @@
 ) -> Result<(), Fault> {
     match order {
         Order::Hold(entry) => directory.hold(entry).await,
-        Order::Release(fingerprint) => directory.release(*fingerprint).await,
+        Order::Release(fingerprint) | Order::Remove(fingerprint) => {
+            directory.release(*fingerprint).await
+        }
         Order::Announce => directory.announce(&process.member).await,
     }
 }
@@ -120,6 +124,7 @@
             entry.until_ms <= process.clock.wall_millis() || listed >= MOST_LISTED && !known
         }
         Order::Release(fingerprint) => !board.held().any(|held| held.fingerprint == *fingerprint),
+        Order::Remove(fingerprint) => !board.is_released(*fingerprint),
         Order::Announce => false,
     }
 }
--- a/daemon/src/fleet/unreadable.rs
+++ b/daemon/src/fleet/unreadable.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 
+use foldlock_request::revision::Revision;
 use serde::Serialize;
 
 /// Entries that are remembered; one more is logged each time that it is read.
@@ -12,7 +13,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Entry {
     /// The directory's revision of it.
-    pub revision: u64,
+    pub revision: Revision,
     /// Why.
     pub why: String,
 }
@@ -23,7 +24,7 @@
 
 impl Unreadable {
     /// Notes an entry. Answers whether this version of it is news.
-    pub fn note(&self, key: &str, revision: u64, why: &str) -> bool {
+    pub fn note(&self, key: &str, revision: Revision, why: &str) -> bool {
         let mut entries = self.0.lock().unwrap();
         if entries.get(key).is_some_and(|known| known.revision == revision) {
             return false;
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -22,6 +22,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::Quarantine;
 use crate::report::{self, Observed};
+use crate::revision::Revision;
 use crate::suspicion::{Outcome, Suspicion};
 use crate::tag::Tag;
 
@@ -33,6 +34,10 @@
 /// to end.
 const ENDED: usize = 1_024;
 
+/// Requests that were let go and are remembered: what a copy of the directory may still list, some seconds
+/// of an operator's work.
+const RELEASED: usize = 256;
+
 /// How long a new start of an upstream is told that was not learnt from the directory: by then the
 /// directory has told it, or the next answer does again.
 const START_TOLD: Duration = Duration::from_secs(10);
@@ -114,7 +119,7 @@
 pub struct Board {
     upstreams: BTreeMap<id::Upstream, Upstream>,
     /// Those that are gone, with the revision up to which that is known.
-    ended: VecDeque<(id::Upstream, u64)>,
+    ended: VecDeque<(id::Upstream, Revision)>,
     starts: VecDeque<(Instant, Start)>,
     tags: HashMap<Tag, id::Upstream>,
     flights: flights::Flights,
@@ -122,6 +127,8 @@
     pub quarantine: Quarantine,
     /// Those of them that the directory lists.
     held: BTreeMap<Fingerprint, Quarantined>,
+    /// Those that it listed once and that were let go.
+    released: VecDeque<Fingerprint>,
     outcomes: VecDeque<(Instant, Ended)>,
     heard_outcomes: HashMap<id::Vm, u64>,
     next: u64,
@@ -156,6 +163,24 @@
         changed
     }
 
+    /// Takes a listing of a directory that has come back from a copy of itself, which is older than what is
+    /// known. What ended since does not come back, nor an earlier start, and who leaves goes on leaving;
+    /// their own words reach the directory again. Answers whether it says something new.
+    pub fn list_copy(&mut self, listed: Listed) -> bool {
+        if self.ended.iter().any(|(id, _)| *id == listed.id) {
+            return false;
+        }
+        let Some(known) = self.upstreams.get(&listed.id).map(|known| &known.listed) else {
+            return self.list(listed);
+        };
+        let is_other = listed.is_other_start(known);
+        if is_other && listed.born < known.born {
+            return false;
+        }
+        let leaving = listed.leaving || !is_other && known.leaving;
+        self.list(Listed { leaving, ..listed })
+    }
+
     fn insert(&mut self, listed: Listed) {
         let (id, tag) = (listed.id.clone(), listed.tag());
         self.tags.insert(tag, id.clone());
@@ -232,7 +257,7 @@
     }
 
     /// Forgets an upstream that is gone by what is known up to a revision. Answers whether it was known.
-    pub fn remove(&mut self, id: &id::Upstream, revision: u64) -> bool {
+    pub fn remove(&mut self, id: &id::Upstream, revision: Revision) -> bool {
         self.digest.set(None);
         let known = self.forget(id).is_some();
         if known {
@@ -247,7 +272,7 @@
     pub fn relayed(&self) -> impl Iterator<Item = Listed> {
         self.listings().map(|listed| {
             let came_back = self.ended.iter().any(|(id, _)| *id == listed.id);
-            let revision = if came_back { listed.revision } else { 0 };
+            let revision = if came_back { listed.revision } else { Revision::default() };
             Listed { revision, ..listed.clone() }
         })
     }
@@ -264,7 +289,7 @@
         };
         if listed.is_other_start(known) {
             let ordered =
-                listed.revision != known.revision && listed.revision.min(known.revision) > 0;
+                listed.revision != known.revision && !listed.revision.min(known.revision).is_none();
             return if ordered {
                 listed.revision > known.revision
             } else {
@@ -274,7 +299,7 @@
         listed.leaving || !known.leaving || listed.revision > known.revision
     }
 
-    fn end(&mut self, id: id::Upstream, revision: u64) {
+    fn end(&mut self, id: id::Upstream, revision: Revision) {
         self.ended.retain(|(known, _)| *known != id);
         if self.ended.len() >= ENDED {
             self.ended.pop_front();
@@ -292,7 +317,12 @@
 
     /// Forgets upstreams that have been without a listing for `grace`, as is known up to a revision, and
     /// names them.
-    pub fn expire(&mut self, grace: Duration, revision: u64, now: Instant) -> Vec<id::Upstream> {
+    pub fn expire(
+        &mut self,
+        grace: Duration,
+        revision: Revision,
+        now: Instant,
+    ) -> Vec<id::Upstream> {
         let over = |u: &Upstream| {
             u.unlisted.is_some_and(|since| now.saturating_duration_since(since) >= grace)
         };
@@ -318,10 +348,19 @@
         if known {
             self.digest.set(None);
             self.quarantine.release(fingerprint, now);
+            if self.released.len() == RELEASED {
+                self.released.pop_front();
+            }
+            self.released.push_back(fingerprint);
         }
         known
     }
 
+    /// Whether a request was let go that the directory listed as held, and was not held again.
+    pub fn is_released(&self, fingerprint: Fingerprint) -> bool {
+        self.released.contains(&fingerprint) && !self.held.contains_key(&fingerprint)
+    }
+
     /// The requests that the directory lists as held.
     pub fn held(&self) -> impl Iterator<Item = &Quarantined> {
         self.held.values()
--- a/request/src/board/listed.rs
+++ b/request/src/board/listed.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use serde::{Deserialize, Serialize};
 
+use crate::revision::Revision;
 use crate::tag::Tag;
 
 /// An upstream as the directory lists it.
@@ -17,9 +18,9 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub born: Option<u64>,
     /// The directory's revision of this entry: of two words of one upstream the higher is the newer one,
-    /// whoever brings it. 0 where there are none.
-    #[serde(default, skip_serializing_if = "is_unknown")]
-    pub revision: u64,
+    /// whoever brings it. None where there are none.
+    #[serde(default, skip_serializing_if = "Revision::is_none")]
+    pub revision: Revision,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens, `IP:port`.
@@ -32,10 +33,6 @@
     pub leaving: bool,
 }
 
-fn is_unknown(revision: &u64) -> bool {
-    *revision == 0
-}
-
 impl Listed {
     /// How VMs name this start of it to each other.
     pub fn tag(&self) -> Tag {
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -13,6 +13,7 @@
 
 use crate::board::Listed;
 use crate::fingerprint::Fingerprint;
+use crate::revision::Revision;
 
 /// A VM that takes part.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,7 +44,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Listing {
     /// The revision up to which this is known.
-    pub at: u64,
+    pub at: Revision,
     /// The upstreams.
     pub upstreams: Vec<Listed>,
     /// The VMs.
@@ -84,10 +85,10 @@
     /// An upstream is listed.
     Upstream(Listed),
     /// An upstream's listing has ended, at this revision.
-    UpstreamGone(id::Upstream, u64),
+    UpstreamGone(id::Upstream, Revision),
     /// The entry of an upstream cannot be used, as written at this revision, and why: it is another
     /// writer's. It names no upstream from then on.
-    UpstreamUnreadable(id::Upstream, u64, String),
+    UpstreamUnreadable(id::Upstream, Revision, String),
     /// A VM is listed.
     Member(Member),
     /// A VM has withdrawn.
@@ -103,7 +104,7 @@
         /// Its key.
         key: String,
         /// The revision at which it was written.
-        revision: u64,
+        revision: Revision,
         /// Why.
         why: String,
     },
@@ -113,7 +114,7 @@
 #[derive(Debug)]
 pub struct Changes {
     /// The revision up to which this is known.
-    pub at: u64,
+    pub at: Revision,
     /// The changes, in order.
     pub changes: Vec<Change>,
 }
@@ -123,6 +124,8 @@
 pub enum Fault {
     /// The changes since that revision are no longer known: read anew.
     Compacted,
+    /// It has come back from an older copy of itself: what was read before is another history's, read anew.
+    Restored,
     /// It did not answer, or answered that it cannot serve.
     Unavailable(String),
 }
@@ -131,6 +134,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Compacted => write!(f, "the changes asked for are no longer known"),
+            Fault::Restored => write!(f, "it has come back from an older copy"),
             Fault::Unavailable(why) => f.write_str(why),
         }
     }
@@ -146,7 +150,7 @@
     /// The changes after a revision, as soon as there are some, or none after `wait`.
     fn watch(
         &self,
-        since: u64,
+        since: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes, Fault>> + Send;
 
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod rest;
 pub mod retry;
 pub mod retry_after;
+pub mod revision;
 pub mod ring;
 pub mod route;
 pub mod scheduler;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -11,6 +11,7 @@
 use crate::board::{Ended, Load, Start};
 use crate::fingerprint::Fingerprint;
 use crate::placement::{Ask, Nowhere};
+use crate::revision::Revision;
 use crate::tag::Tag;
 use crate::{flight, quarantine, report};
 
@@ -61,7 +62,7 @@
     /// How long ago that version was confirmed to be the newest, milliseconds.
     pub age_ms: Option<u64>,
     /// The revision up to which it knows the directory's listings.
-    pub at: u64,
+    pub at: Revision,
     /// A digest of those listings: two VMs that know the same have the same.
     pub digest: u64,
     /// Whether it is stopping.
--- a/request/tests/board.rs
+++ b/request/tests/board.rs
@@ -20,7 +20,7 @@
     Listed {
         id: upstream(i),
         born: None,
-        revision: 0,
+        revision: 0.into(),
         service: "model".to_owned(),
         address: format!("10.0.0.{i}:80"),
         hall: "a".to_owned(),
@@ -94,7 +94,7 @@
     let mut board = Board::default();
     board.list(listed(1));
     assert!(board.accepts(&listed(1)));
-    assert!(board.remove(&upstream(1), 0));
+    assert!(board.remove(&upstream(1), 0.into()));
     assert!(!board.accepts(&listed(1)));
     assert!(board.accepts(&listed(2)), "never heard of");
 }
@@ -115,9 +115,9 @@
     board.list(listed(2));
     board.unlist(&upstream(1), now);
     board.unlist(&upstream(2), now);
-    assert!(board.expire(grace, 0, now + Duration::from_millis(1_900)).is_empty());
+    assert!(board.expire(grace, 0.into(), now + Duration::from_millis(1_900)).is_empty());
     board.list(listed(2));
-    assert_eq!(board.expire(grace, 0, now + grace), [upstream(1)]);
+    assert_eq!(board.expire(grace, 0.into(), now + grace), [upstream(1)]);
     assert_eq!(open(&board), ["i-02"]);
     assert!(!board.accepts(&listed(1)));
 }
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -81,7 +81,7 @@
         board.list(Listed {
             id: upstream(i),
             born: None,
-            revision: 0,
+            revision: 0.into(),
             service: "model".to_owned(),
             address: format!("10.0.0.{i}:80"),
             hall: "hall".to_owned(),
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -21,7 +21,7 @@
             stamp: 42,
             version: 7,
             age_ms: Some(300),
-            at: 530,
+            at: 530.into(),
             digest: u64::MAX,
             leaving: false,
             watching: true,
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -91,7 +91,7 @@
         self.board.list(Listed {
             id: self.id(engine),
             born: None,
-            revision: 0,
+            revision: 0.into(),
             service: self.service.name.clone(),
             address: format!("10.0.0.{engine}:80"),
             hall: "a".to_owned(),
@@ -185,7 +185,7 @@
             !gives_up
         });
         let id = self.id(ended);
-        self.board.remove(&id, 0);
+        self.board.remove(&id, 0.into());
         self.back[ended] = Some(self.now + DOWN);
     }
 
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -103,7 +103,7 @@
         for i in 0..engines {
             board.list(Listed {
                 born: None,
-                revision: 0,
+                revision: 0.into(),
                 id: id(i),
                 service: service.name.clone(),
                 address: format!("10.0.0.1:{i}"),
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -52,7 +52,7 @@
         board.list(Listed {
             id: upstream(i),
             born: None,
-            revision: 0,
+            revision: 0.into(),
             service: "model".to_owned(),
             address: format!("10.0.0.{i}:80"),
             hall: if i % 2 == 0 { "even" } else { "odd" }.to_owned(),
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -48,7 +48,7 @@
         board.list(Listed {
             id: format!("i-{i:03}").parse().unwrap(),
             born: None,
-            revision: 0,
+            revision: 0.into(),
             service: "model".to_owned(),
             address: format!("10.0.0.1:{i}"),
             hall: "a".to_owned(),
--- a/request/tests/starts.rs
+++ b/request/tests/starts.rs
@@ -16,7 +16,7 @@
     Listed {
         id: upstream(i),
         born: None,
-        revision: 0,
+        revision: 0.into(),
         service: "model".to_owned(),
         address: format!("10.0.0.{i}:80"),
         hall: "a".to_owned(),
@@ -45,7 +45,7 @@
 
 /// The upstream `i`, started at `born`, as written at a revision.
 fn started(i: usize, born: u64, revision: u64) -> Listed {
-    Listed { born: Some(born), revision, ..listed(i) }
+    Listed { born: Some(born), revision: revision.into(), ..listed(i) }
 }
 
 #[test]
@@ -98,11 +98,11 @@
 #[test]
 fn an_upstream_whose_entry_was_bad_comes_back_by_a_newer_one_alone() {
     let mut board = Board::default();
-    board.list(Listed { revision: 1, ..listed(1) });
-    board.remove(&upstream(1), 2);
-    assert!(!board.accepts(&Listed { revision: 1, ..listed(1) }));
-    assert!(!board.accepts(&Listed { revision: 2, ..listed(1) }));
-    assert!(board.accepts(&Listed { revision: 3, ..listed(1) }));
+    board.list(Listed { revision: 1.into(), ..listed(1) });
+    board.remove(&upstream(1), 2.into());
+    assert!(!board.accepts(&Listed { revision: 1.into(), ..listed(1) }));
+    assert!(!board.accepts(&Listed { revision: 2.into(), ..listed(1) }));
+    assert!(board.accepts(&Listed { revision: 3.into(), ..listed(1) }));
 }
 
 proptest! {
@@ -124,17 +124,17 @@
 #[test]
 fn peers_are_told_a_revision_only_of_what_came_back() {
     let mut board = Board::default();
-    board.list(Listed { revision: 5, ..listed(1) });
-    board.list(Listed { revision: 6, ..listed(2) });
-    board.remove(&upstream(2), 7);
-    board.list(Listed { revision: 8, ..listed(2) });
-    let told: Vec<u64> = board.relayed().map(|listed| listed.revision).collect();
+    board.list(Listed { revision: 5.into(), ..listed(1) });
+    board.list(Listed { revision: 6.into(), ..listed(2) });
+    board.remove(&upstream(2), 7.into());
+    board.list(Listed { revision: 8.into(), ..listed(2) });
+    let told: Vec<u64> = board.relayed().map(|listed| listed.revision.number).collect();
     assert_eq!(told, [0, 8]);
     let mut peer = Board::default();
     peer.list(listed(2));
-    peer.remove(&upstream(2), 7);
+    peer.remove(&upstream(2), 7.into());
     assert!(board.relayed().all(|listed| peer.accepts(&listed)));
     let gone = Listed { leaving: true, ..listed(1) };
-    peer.list(Listed { revision: 5, ..listed(1) });
+    peer.list(Listed { revision: 5.into(), ..listed(1) });
     assert!(peer.accepts(&gone), "that an upstream leaves is taken without a revision, too");
 }
