Let the modules of a fleet's VM import each other one way

Change, no behaviour with it: state is apart from what acts on the process: Questions (was in asks), Register (its task is writer), Peers answer what is news (members acts on it), Metrics (the gauges are read in operators). What a VM tells is apart from what it hears (tell, beats). Tries and outcomes of requests stand below serve, events and attempt. The milliseconds of a duration are in base, the bound on listing lines with the other bounds.

Left: one circle of 15 files, the older way of serving, and one of two (the stand-in engine and its stream).

--- a/base/src/clock.rs
+++ b/base/src/clock.rs
@@ -132,3 +132,8 @@
         (slept >= ALIKE).then_some(slept)
     }
 }
+
+/// A duration in milliseconds.
+pub fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::System;
+use foldlock_base::clock::millis;
 use foldlock_base::error::Refusal;
 use foldlock_base::prelude::*;
 use foldlock_connection::engine::{Engine as _, Failure, HttpStream, Stream as _};
@@ -12,7 +13,7 @@
 use crate::engines::{Flight, Wanted};
 use crate::gate::{self, Place};
 use crate::group;
-use crate::serve::{Job, Progress, Sink, millis};
+use crate::serve::{Job, Progress, Sink};
 
 /// An engine that sends nothing for this long, once an answer has begun, is taken for broken.
 const STALL: Duration = Duration::from_secs(2);
--- a/daemon/src/complete.rs
+++ b/daemon/src/complete.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use foldlock_base::clock::System;
+use foldlock_base::clock::millis;
 use foldlock_base::error::{Proof, Unsent};
 use foldlock_base::prefix;
 use foldlock_base::prelude::*;
@@ -217,7 +218,7 @@
 
     /// Adds a decision to a record.
     pub fn step(&self, entry: &Entry, decision: Decision) {
-        let at_ms = serve::millis(self.process.clock.now() - self.arrived);
+        let at_ms = millis(self.process.clock.now() - self.arrived);
         entry.add(Step { at_ms, decision });
     }
 
@@ -235,7 +236,7 @@
         let hash = claim::hash(&self.organisation, key);
         let left = self.deadline.left(&self.process.clock);
         let claimed = tokio::time::timeout(left, Claims::claim(&self.process, hash)).await;
-        let waited_ms = serve::millis(self.process.clock.now() - started);
+        let waited_ms = millis(self.process.clock.now() - started);
         let verdict = match claimed {
             Ok(Ok(held)) => {
                 self.step(entry, Decision::Claimed { won: true, waited_ms });
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::app::App;
-use crate::fleet::{self, config::Fleet};
+use crate::fleet::config::{self as fleet, Fleet};
 
 /// How long callers are served after the signal to stop, unless configured.
 const DRAIN_MS: u64 = 3_000;
@@ -62,7 +62,7 @@
     /// With the settings tree in a key-value service.
     Tree(Config),
     /// As a VM of a fleet with a directory.
-    Fleet(fleet::config::Config),
+    Fleet(fleet::Config),
 }
 
 /// What a process is.
@@ -98,8 +98,8 @@
         }
     }
 
-    fn fleet(app: App, file: File, fleet: Fleet) -> Result<fleet::config::Config, Invalid> {
-        Ok(fleet::config::Config {
+    fn fleet(app: App, file: File, fleet: Fleet) -> Result<fleet::Config, Invalid> {
+        Ok(fleet::Config {
             vm: app.vm.or(file.vm).ok_or(Invalid::Missing("vm"))?,
             hall: app.hall.or(file.hall).ok_or(Invalid::Missing("hall"))?,
             listen: app.listen.or(file.listen).ok_or(Invalid::Missing("listen"))?,
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -22,12 +22,15 @@
 pub mod heads;
 pub mod hold;
 pub mod job;
+pub mod members;
 pub mod metrics;
 pub mod notices;
 pub mod operators;
+pub mod outcome;
 pub mod packed;
 pub mod peers;
 pub mod process;
+pub mod questions;
 pub mod record;
 pub mod register;
 pub mod reports;
@@ -36,8 +39,11 @@
 pub mod source;
 pub mod stop;
 pub mod suspended;
+pub mod tell;
+pub mod tries;
 pub mod unreadable;
 pub mod volume;
+pub mod writer;
 
 use std::sync::Arc;
 
@@ -96,7 +102,7 @@
     tokio::spawn(scheduler::run(process.clone()));
     tokio::spawn(follow::run(process.clone(), directory.clone()));
     tokio::spawn(follow::announce(process.clone(), directory.clone()));
-    tokio::spawn(register::run(process.clone(), directory));
+    tokio::spawn(writer::run(process.clone(), directory));
     tokio::spawn(process::sweep(process.clone()));
     tokio::spawn(reports::run(process.clone()));
     tokio::spawn(suspended::run(process.clone()));
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -1,9 +1,8 @@
 //! Requests that ask for a place: at the VM that places, at the next one where it does not answer,
 //! and by what this VM knows itself where none does.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
@@ -21,7 +20,7 @@
 use crate::fleet::notices::{self, Bar};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
-use crate::fleet::{beats, scheduler};
+use crate::fleet::{scheduler, tell};
 use crate::log;
 
 /// How long an answer may take before the same is asked again: the way there and back takes 3 ms
@@ -52,53 +51,28 @@
     pub by: Option<id::Vm>,
 }
 
-/// The requests of this VM that ask.
-#[derive(Debug, Default)]
-pub struct Asks {
-    open: Mutex<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
-    /// The VM that was asked last.
-    placer: Mutex<Option<Placer>>,
-}
-
-impl Asks {
-    /// A peer has answered.
-    pub fn answered<D: Dialect>(&self, process: &Process<D>, answered: Answered, from: SocketAddr) {
-        let Number { incarnation, number } = answered.request;
-        if incarnation != process.member.incarnation {
-            return;
-        }
-        let Some(peer) = process.peers.at(from) else { return };
-        if let message::Answer::Placed(placed) = &answered.answer {
-            process.peers.granted(&peer.vm, placed.grant);
-        }
-        let answer = decode(&process.board.lock().unwrap(), answered.answer);
-        // A place at an upstream that is not known here is of no use: another VM is asked.
-        if let Some(answer) = answer {
-            self.deliver(number, answer);
-        }
+/// A peer has answered.
+pub fn answered<D: Dialect>(process: &Process<D>, answered: Answered, from: SocketAddr) {
+    let Number { incarnation, number } = answered.request;
+    if incarnation != process.member.incarnation {
+        return;
     }
-
-    /// Logs that another VM than before is asked.
-    fn note<D: Dialect>(&self, process: &Process<D>, placer: Option<&Placer>) {
-        let mut known = self.placer.lock().unwrap();
-        if known.as_ref() != placer {
-            let what = placer.map_or_else(|| "none is heard".to_owned(), Placer::to_string);
-            log::event(&process.log, Event::SchedulerChanged, what);
-            *known = placer.cloned();
-        }
+    let Some(peer) = process.peers.at(from) else { return };
+    if let message::Answer::Placed(placed) = &answered.answer {
+        process.peers.granted(&peer.vm, placed.grant);
     }
-
-    /// A request of this VM, as it is named to others.
-    pub fn request<D: Dialect>(&self, process: &Process<D>, number: u64) -> Number {
-        Number { incarnation: process.member.incarnation, number }
+    let answer = decode(&process.board.lock().unwrap(), answered.answer);
+    // A place at an upstream that is not known here is of no use: another VM is asked.
+    if let Some(answer) = answer {
+        process.questions.deliver(number, answer);
     }
+}
 
-    /// There is an answer for a request of this VM.
-    pub fn deliver(&self, number: u64, answer: Answer) {
-        if let Some(open) = self.open.lock().unwrap().get(&number) {
-            // Who asked may have left just now; then the place is given back.
-            let _ = open.send(answer);
-        }
+/// Logs that another VM than before is asked.
+fn note<D: Dialect>(process: &Process<D>, placer: Option<&Placer>) {
+    if process.questions.asked(placer) {
+        let what = placer.map_or_else(|| "none is heard".to_owned(), Placer::to_string);
+        log::event(&process.log, Event::SchedulerChanged, what);
     }
 }
 
@@ -173,7 +147,7 @@
     loop {
         let mut open = Open::new(process, service, &ask, until);
         let placer = process.peers.placer(process.stopping.is_cancelled(), process.now());
-        process.asks.note(process, placer.as_ref());
+        note(process, placer.as_ref());
         let ended = match placer {
             Some(placer) => open.ask(placer).await,
             None => open.alone().await,
@@ -240,8 +214,7 @@
         until: Until,
     ) -> Open<'a, D> {
         let number = process.board.lock().unwrap().number();
-        let (sender, answers) = mpsc::unbounded_channel();
-        process.asks.open.lock().unwrap().insert(number, sender);
+        let answers = process.questions.open(number);
         Open { process, service, ask, until, number, answers, asked: None }
     }
 
@@ -276,7 +249,7 @@
             Placer::Peer(_, address) => {
                 let service = Tag::of(&self.service.name);
                 let asked = Asked::new(self.request(), service, &ask, self.process.now());
-                beats::send(&self.process.socket, &Message::Asked(asked), *address);
+                tell::send(&self.process.socket, &Message::Asked(asked), *address);
             }
         }
     }
@@ -290,7 +263,7 @@
     }
 
     fn request(&self) -> Number {
-        self.process.asks.request(self.process, self.number)
+        self.process.numbered(self.number)
     }
 
     fn is_over(&self) -> bool {
@@ -359,12 +332,12 @@
 
 impl<D: Dialect> Drop for Open<'_, D> {
     fn drop(&mut self) {
-        self.process.asks.open.lock().unwrap().remove(&self.number);
+        self.process.questions.close(self.number);
         match self.asked.take() {
             Some(Placer::Own) => scheduler::cancel_own(self.process, self.number),
             Some(Placer::Peer(_, address)) => {
                 let message = Message::Cancelled(self.request());
-                beats::send(&self.process.socket, &message, address);
+                tell::send(&self.process.socket, &message, address);
             }
             None => {}
         }
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -26,9 +26,10 @@
 use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
 use crate::fleet::notices;
+use crate::fleet::outcome::{note, tell};
 use crate::fleet::process::Entered;
-use crate::fleet::serve::Tries;
 use crate::fleet::source::{Begun, Next, Source};
+use crate::fleet::tries::Tries;
 
 /// How long a new connection may take: it comes up in a few ms, and an upstream that is dark says
 /// nothing.
@@ -131,19 +132,6 @@
     }
 }
 
-pub(super) fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: Cause) {
-    tell(job, upstream, Outcome::Failed(failure));
-    if failure == Cause::Silent {
-        job.process.pool.forget(upstream);
-    }
-}
-
-/// Notes how an attempt ended, for this VM and the one that places.
-pub(super) fn tell<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, outcome: Outcome) {
-    job.process.board.lock().unwrap().note(upstream, outcome, job.process.now());
-    job.process.tell.notify_one();
-}
-
 async fn sent<D: Dialect>(
     job: &Arc<Job<D>>,
     given: Given,
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -13,12 +13,12 @@
 use foldlock_request::board::Start;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
-use foldlock_request::message::{self, Beat, Message, State, Work};
-use tokio::net::UdpSocket;
+use foldlock_request::message::{self, Beat, Message};
 
-use crate::fleet::peers::{News, Target};
+use crate::fleet::peers::News;
 use crate::fleet::process::Process;
-use crate::fleet::{catch_up, notices, reports, scheduler};
+use crate::fleet::tell::{self, Round};
+use crate::fleet::{asks, catch_up, members, notices, reports, scheduler};
 use crate::log;
 
 /// The least time between two beats to the VM that places: what begins and ends gathers for it. A
@@ -41,17 +41,6 @@
     all: Instant,
 }
 
-/// Who is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Round {
-    /// The VM that places.
-    First,
-    /// The VMs that would take over from it, too.
-    Spare,
-    /// All that want to hear.
-    All,
-}
-
 /// Tells and hears the peers until the process ends.
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut buffer = vec![0; message::MOST];
@@ -75,7 +64,7 @@
                 let round = told.round(process.tell_all.swap(false, Ordering::Relaxed), now);
                 // What the spare ones have not heard yet, the next round tells.
                 due = false;
-                tell(&process, round, now);
+                tell::tell(&process, round, now);
             }
         }
     }
@@ -108,83 +97,6 @@
     }
 }
 
-/// Tells the VM that places at once what it must not place without: a caller that sends a request again
-/// takes a few milliseconds, no more than a beat may wait for others.
-pub fn tell_placer<D: Dialect>(process: &Process<D>) {
-    tell(process, Round::First, process.now());
-}
-
-fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) {
-    let targets = process.peers.targets(now);
-    let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
-    let first = scheduler.and_then(|placer| placer.address());
-    let told: Vec<&Target> = targets
-        .iter()
-        .filter(|target| match round {
-            Round::First => Some(target.address) == first,
-            Round::Spare => target.scheduler,
-            Round::All => true,
-        })
-        .collect();
-    if told.is_empty() {
-        return;
-    }
-    let state = state(process, round, now);
-    let places = told.iter().any(|target| target.scheduler);
-    let work = places.then(|| work(process, round, now));
-    for target in &told {
-        let work = work.clone().filter(|_| target.scheduler);
-        let beat = Beat {
-            echo: target.echo,
-            echo_of: target.echo_of,
-            granted: target.granted,
-            wants: target.scheduler,
-            state: State { work, ..state.clone() },
-        };
-        send(&process.socket, &Message::Beat(beat), target.address);
-    }
-    process.metrics.beats.inc_by(told.len() as u64);
-}
-
-/// Sends a message. A full or closed way loses it, as the network may: beats say the same again, and
-/// who asks asks again.
-pub fn send(socket: &UdpSocket, message: &Message, to: std::net::SocketAddr) {
-    let _ = socket.try_send_to(&message::encode(message), to);
-}
-
-fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
-    let (digest, starts, departures) = {
-        let mut board = process.board.lock().unwrap();
-        let departures = if round == Round::All { board.departures() } else { Vec::new() };
-        (board.digest(), board.told_starts(now), departures)
-    };
-    State {
-        vm: process.member.vm.clone(),
-        incarnation: process.member.incarnation,
-        stamp: process.peers.stamp(process.moment()),
-        version: process.version(),
-        age_ms: process.fresh.age(process.moment()).map(|age| age.as_millis() as u64 + 1),
-        at: process.at(),
-        digest,
-        leaving: process.stopping.is_cancelled(),
-        watching: process.watching.load(Ordering::Relaxed),
-        settled: process.peers.settled(now),
-        starts,
-        departures,
-        work: None,
-    }
-}
-
-fn work<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> Work {
-    let mut board = process.board.lock().unwrap();
-    Work {
-        flights: board.told(now),
-        outcomes: board.told_outcomes(now),
-        reports: board.told_reports(now),
-        suspects: board.quarantine.told(round == Round::All, now),
-    }
-}
-
 fn hear<D: Dialect, R: Directory>(
     process: &Arc<Process<D>>,
     bytes: &[u8],
@@ -195,7 +107,7 @@
         Ok(Message::Beat(beat)) => hear_beat(process, &beat, directory),
         Ok(Message::Asked(asked)) => scheduler::asked(process, &asked, from),
         Ok(Message::Cancelled(number)) => scheduler::cancelled(process, number, from),
-        Ok(Message::Answered(answered)) => process.asks.answered(process, answered, from),
+        Ok(Message::Answered(answered)) => asks::answered(process, answered, from),
         Ok(Message::Poll(upstream)) => reports::polled(process, upstream),
         Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
     }
@@ -211,7 +123,7 @@
         confirm(process, beat);
     }
     if state.leaving {
-        process.peers.withdrawn(process, &state.vm);
+        members::withdrawn(process, &state.vm);
     }
     catch_up::start(process, directory);
     for Start { upstream, born } in &state.starts {
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -10,16 +10,12 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::revision::Revision;
 
+use crate::fleet::members;
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
 use crate::log;
 
-/// Changes of the listings that are logged one by one in a second. More than that come with a start, or of
-/// many that start at once: then each batch is one line. At 195 VMs that started together a line for each
-/// peer and upstream at each VM made 157,000 lines within a second.
-pub const SINGLE_LINES: u32 = 8;
-
 /// What is new in one listing.
 #[derive(Debug, Default)]
 pub struct News {
@@ -154,12 +150,12 @@
         }
         Change::Member(member) => {
             let what = format!("{} at {}", member.vm, member.address);
-            if process.peers.listed(process, member) {
+            if members::listed(process, member) {
                 news.add(Event::MemberUp, what);
             }
         }
         Change::MemberGone(vm) if vm == process.member.vm => list_again(process),
-        Change::MemberGone(vm) => process.peers.withdrawn(process, &vm),
+        Change::MemberGone(vm) => members::withdrawn(process, &vm),
         Change::Quarantined(entry) if word == Word::Copy && is_released(process, &entry) => {
             release_again(process, &entry);
         }
--- a/daemon/src/fleet/ending.rs
+++ b/daemon/src/fleet/ending.rs
@@ -14,9 +14,9 @@
 use foldlock_request::suspicion::{Failure as Cause, Outcome};
 use foldlock_request::tag::Tag;
 
-use crate::fleet::beats;
 use crate::fleet::job::Job;
 use crate::fleet::register::Order;
+use crate::fleet::tell;
 
 /// How long an upstream is asked whether it listens: a dead port says so within a way there and back, a
 /// few milliseconds. One that says nothing may be cut off, which is not the request's doing.
@@ -65,7 +65,7 @@
     let held = board.quarantine.ended(job.fingerprint, ending, now);
     let known = board.quarantine.ended_under(job.fingerprint) as u32;
     drop(board);
-    beats::tell_placer(&job.process);
+    tell::tell_placer(&job.process);
     job.process.pool.forget(&upstream);
     job.process.metrics.ended_under.inc();
     job.record(Decision::Ended { upstream, known, alone });
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -18,8 +18,9 @@
 use crate::fleet::gate;
 use crate::fleet::hold::Taken;
 use crate::fleet::job::Job;
-use crate::fleet::serve::{self, Streamed, Tries};
+use crate::fleet::outcome::{self, Streamed};
 use crate::fleet::source::{Begun, Next, Source};
+use crate::fleet::tries::{self, Tries};
 
 /// Batches of events that wait for a slow caller.
 const WAITING: usize = 16;
@@ -114,7 +115,7 @@
                 source.finish(&job);
                 let (events, pause) = (passed.count, passed.pause);
                 let streamed = Streamed { first: first_token, engine, events, pause };
-                serve::finished(&job, Some(streamed));
+                outcome::finished(&job, Some(streamed));
                 return;
             }
             Ended::Gone => {
@@ -214,7 +215,7 @@
     let mut why = why.to_owned();
     let last = passed.last?;
     loop {
-        if job.route.repeat != Repeat::Resume || !serve::may_repeat(job, tries, false) {
+        if job.route.repeat != Repeat::Resume || !tries::may_repeat(job, tries, false) {
             return None;
         }
         job.process.metrics.resumed.inc();
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::millis;
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
 use foldlock_request::board::Load;
@@ -15,7 +16,6 @@
 use crate::fleet::asks::{self, Given, Until};
 use crate::fleet::job::Job;
 use crate::fleet::notices;
-use crate::serve::millis;
 
 /// How often a request looks again for a service without any open upstream.
 const LOOK: Duration = Duration::from_millis(25);
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldlock_base::clock::millis;
 use foldlock_base::prelude::*;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
@@ -18,7 +19,6 @@
 use crate::fleet::notices;
 use crate::fleet::process::Process;
 use crate::log;
-use crate::serve::millis;
 
 /// The pause after an order without an answer.
 const AGAIN: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/daemon/src/fleet/members.rs
@@ -0,0 +1,30 @@
+//! VMs that join the fleet and leave it, taken into what this VM believes.
+
+use foldlock_base::prelude::*;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::Member;
+
+use crate::fleet::peers::News;
+use crate::fleet::process::Process;
+use crate::log;
+
+/// A VM is listed. Answers whether that is news.
+pub fn listed<D: Dialect>(process: &Process<D>, member: Member) -> bool {
+    let vm = member.vm.clone();
+    let Some(news) = process.peers.list(member) else { return false };
+    if news == News::Renewed {
+        process.board.lock().unwrap().peer_lost(&vm, process.now());
+    }
+    process.tell.notify_one();
+    true
+}
+
+/// A VM has withdrawn. What it has under way counts until it is no longer heard.
+pub fn withdrawn<D: Dialect>(process: &Process<D>, vm: &id::Vm) {
+    let now = process.now();
+    let Some(is_heard) = process.peers.withdraw(vm, now) else { return };
+    if !is_heard {
+        process.board.lock().unwrap().peer_lost(vm, now);
+    }
+    log::event(&process.log, Event::MemberLeaving, vm);
+}
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
-use foldlock_request::dialect::Dialect;
 use foldlock_version::routes::Service;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -12,7 +11,6 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::fleet::process::Process;
 use crate::metrics::{ByKind, band};
 
 /// The labels of an answered request.
@@ -157,19 +155,6 @@
         }
     }
 
-    /// Reads the gauges.
-    pub fn observe<D: Dialect>(&self, process: &Process<D>) {
-        let now = process.now();
-        let age = process.fresh.age(process.moment()).map_or(-1, |age| age.as_millis() as i64);
-        self.age_ms.set(age);
-        let board = process.board.lock().unwrap();
-        self.flights.set(board.own().count() as i64);
-        self.suspects.set(board.quarantine.suspects(now).count() as i64);
-        drop(board);
-        self.line.set(process.scheduler.lock().unwrap().waiting() as i64);
-        self.peers.set(process.peers.heard(now).len() as i64);
-    }
-
     /// The metrics as text, in the OpenMetrics format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -104,7 +104,7 @@
     match path {
         "/ready" => is_ready(process),
         "/metrics" => {
-            process.metrics.observe(process);
+            observe(process);
             answer::text(StatusCode::OK, METRICS, process.metrics.encode())
         }
         "/dump" => answer::text(StatusCode::OK, JSON, dump(process).to_string()),
@@ -129,6 +129,20 @@
     }
 }
 
+/// Sets the gauges to what they measure now.
+fn observe<D: Dialect>(process: &Process<D>) {
+    let now = process.now();
+    let metrics = &process.metrics;
+    let age = process.fresh.age(process.moment()).map_or(-1, |age| age.as_millis() as i64);
+    metrics.age_ms.set(age);
+    let board = process.board.lock().unwrap();
+    metrics.flights.set(board.own().count() as i64);
+    metrics.suspects.set(board.quarantine.suspects(now).count() as i64);
+    drop(board);
+    metrics.line.set(process.scheduler.lock().unwrap().waiting() as i64);
+    metrics.peers.set(process.peers.heard(now).len() as i64);
+}
+
 fn why<D: Dialect>(process: &Process<D>, request: &id::Request) -> Response<Body> {
     match process.ring.get(request) {
         Some(record) => {
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -12,7 +12,6 @@
 
 use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
-use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
 use foldlock_request::message::Beat;
 use foldlock_request::rank::{self, Contact};
@@ -21,8 +20,6 @@
 use serde_json::json;
 
 use crate::fleet::peers::peer::{PLACES, Peer};
-use crate::fleet::process::Process;
-use crate::log;
 
 /// How long a VM runs until it has heard of all that is under way: the others find it within two
 /// idle beats, and some of these are lost.
@@ -117,46 +114,36 @@
         Peers { started, began, own, known: Mutex::new(known), reading: AtomicBool::new(false) }
     }
 
-    /// A VM is listed. Answers whether that is news.
-    pub fn listed<D: Dialect>(&self, process: &Process<D>, member: Member) -> bool {
+    /// A VM is listed. Answers what is news in that, if anything.
+    pub fn list(&self, member: Member) -> Option<News> {
         if member.vm == self.own.vm {
-            return false;
+            return None;
         }
         let mut known = self.known.lock().unwrap();
         let before = known.peers.get(&member.vm);
         if before.is_some_and(|peer| peer.member == member) {
-            return false;
+            return None;
         }
         let renewed = before.is_some_and(|peer| peer.member.incarnation != member.incarnation);
-        let vm = member.vm.clone();
-        known.peers.insert(vm.clone(), Peer::new(member));
+        known.peers.insert(member.vm.clone(), Peer::new(member));
         known.sort(&self.own);
-        drop(known);
-        if renewed {
-            process.board.lock().unwrap().peer_lost(&vm, process.now());
-        }
-        process.tell.notify_one();
-        true
+        Some(if renewed { News::Renewed } else { News::Heard })
     }
 
-    /// A VM has withdrawn. What it has under way counts until it is no longer heard.
-    pub fn withdrawn<D: Dialect>(&self, process: &Process<D>, vm: &id::Vm) {
-        let now = process.now();
+    /// A VM has withdrawn. What it has under way counts until it is no longer heard. Answers whether it is
+    /// heard, if it had not withdrawn before.
+    pub fn withdraw(&self, vm: &id::Vm, now: Instant) -> Option<bool> {
         let mut known = self.known.lock().unwrap();
-        let Some(peer) = known.peers.get_mut(vm) else { return };
+        let peer = known.peers.get_mut(vm)?;
         if std::mem::replace(&mut peer.leaving, true) {
-            return;
+            return None;
         }
         let heard = peer.is_heard(now);
         if !heard {
             known.peers.remove(vm);
         }
         known.sort(&self.own);
-        drop(known);
-        if !heard {
-            process.board.lock().unwrap().peer_lost(vm, now);
-        }
-        log::event(&process.log, Event::MemberLeaving, vm);
+        Some(heard)
     }
 
     /// Takes a peer's state from a beat, unless it is older than what is known. Answers whether the
@@ -378,11 +365,11 @@
     }
 }
 
-/// What a beat brought.
+/// What a beat or a listing brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum News {
-    /// The state of a peer.
+    /// A peer, or its state.
     Heard,
-    /// The state of a peer that has started anew: what it had under way before has ended.
+    /// A peer that has started anew: what it had under way before has ended.
     Renewed,
 }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -12,6 +12,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Listing, Member, Settings};
 use foldlock_request::flight::Flight;
+use foldlock_request::message::Number;
 use foldlock_request::rest::Rests;
 use foldlock_request::revision::Revision;
 use foldlock_request::ring::Ring;
@@ -22,13 +23,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::fleet::asks::Asks;
-use crate::fleet::changes;
 use crate::fleet::config::Config;
 use crate::fleet::fresh::Fresh;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::packed::Kept;
 use crate::fleet::peers::Peers;
+use crate::fleet::questions::Questions;
 use crate::fleet::register::Register;
 use crate::fleet::unreadable::Unreadable;
 use crate::fleet::volume::{self, Volume};
@@ -82,7 +82,7 @@
     /// What places the requests of the VMs that ask this one; locked before the board.
     pub scheduler: Mutex<Scheduler>,
     /// The requests of this VM that ask for a place.
-    pub asks: Asks,
+    pub questions: Questions,
     /// Told when something on the board ends or begins, so that what waits may have a place.
     pub room: Notify,
     /// Told when peers are to hear of it.
@@ -158,13 +158,13 @@
             log,
             routine_lines: Volume::new(volume::ROUTINE, clock.now()),
             trouble_lines: Volume::new(volume::TROUBLE, clock.now()),
-            listing_lines: Volume::new(changes::SINGLE_LINES, clock.now()),
+            listing_lines: Volume::new(volume::LISTING, clock.now()),
             metrics: Metrics::default(),
             ring: Ring::new(RECORDS),
             fresh: Fresh::new(config.fleet.settings_age()),
             board: Mutex::default(),
             scheduler: Mutex::default(),
-            asks: Asks::default(),
+            questions: Questions::default(),
             room: Notify::new(),
             tell: Notify::new(),
             tell_all: AtomicBool::new(false),
@@ -300,6 +300,11 @@
         text.parse().expect("made of allowed characters")
     }
 
+    /// A request of this VM, as it is named to others.
+    pub fn numbered(&self, number: u64) -> Number {
+        Number { incarnation: self.member.incarnation, number }
+    }
+
     /// A name for memory that is set aside, never used again.
     pub fn ticket(&self) -> String {
         self.request_id().to_string()
--- /dev/null
+++ b/daemon/src/fleet/questions.rs
@@ -0,0 +1,49 @@
+//! The questions for places that are open at this VM.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use foldlock_request::scheduler::Answer;
+use tokio::sync::mpsc;
+
+use crate::fleet::peers::Placer;
+
+/// The questions.
+#[derive(Debug, Default)]
+pub struct Questions {
+    open: Mutex<HashMap<u64, mpsc::UnboundedSender<Answer>>>,
+    /// The VM that was asked last.
+    placer: Mutex<Option<Placer>>,
+}
+
+impl Questions {
+    /// Opens a question. Its answers come by what is returned.
+    pub fn open(&self, number: u64) -> mpsc::UnboundedReceiver<Answer> {
+        let (sender, answers) = mpsc::unbounded_channel();
+        self.open.lock().unwrap().insert(number, sender);
+        answers
+    }
+
+    /// A question is asked no more.
+    pub fn close(&self, number: u64) {
+        self.open.lock().unwrap().remove(&number);
+    }
+
+    /// There is an answer for a request of this VM.
+    pub fn deliver(&self, number: u64, answer: Answer) {
+        if let Some(open) = self.open.lock().unwrap().get(&number) {
+            // Who asked may have left just now; then the place is given back.
+            let _ = open.send(answer);
+        }
+    }
+
+    /// A VM is about to be asked. Answers whether it is another than before.
+    pub fn asked(&self, placer: Option<&Placer>) -> bool {
+        let mut known = self.placer.lock().unwrap();
+        let other = known.as_ref() != placer;
+        if other {
+            *known = placer.cloned();
+        }
+        other
+    }
+}
--- a/daemon/src/fleet/record.rs
+++ b/daemon/src/fleet/record.rs
@@ -1,12 +1,12 @@
 //! Records and log lines of what is decided for a request.
 
+use foldlock_base::clock::millis;
 use foldlock_request::decision::{Decision, Step};
 use foldlock_request::dialect::Dialect;
 use slog::Level;
 
 use crate::fleet::job::Job;
 use crate::log;
-use crate::serve::millis;
 
 impl<D: Dialect> Job<D> {
     /// Records a decision, and logs it with its inputs as far as the volume allows.
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -14,10 +14,10 @@
 use foldlock_request::tag::Tag;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::beats;
 use crate::fleet::notices::{self, Bar};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
+use crate::fleet::tell;
 use crate::log;
 
 /// How often each engine is asked: a slow or silent one holds up most prompts that several engines
@@ -48,7 +48,7 @@
         match vms.iter().max_by_key(weight) {
             Some(vm) if vm.vm != process.member.vm => {
                 let message = Message::Poll(listed.tag());
-                beats::send(&process.socket, &message, vm.address);
+                tell::send(&process.socket, &message, vm.address);
             }
             _ => {
                 tokio::spawn(ask(process.clone(), listed));
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -13,8 +13,8 @@
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
 
-use crate::fleet::beats;
 use crate::fleet::process::Process;
+use crate::fleet::tell;
 
 /// The least time between two looks at what waits: what ends gathers for it.
 const GATHER: Duration = Duration::from_millis(3);
@@ -37,9 +37,9 @@
 
 /// A request of this VM asks for a place.
 pub fn own<D: Dialect>(process: &Process<D>, number: u64, service: &Service, ask: &Ask) {
-    let key = key(Holder::Own, process.asks.request(process, number));
+    let key = key(Holder::Own, process.numbered(number));
     let answer = schedule(process, key, Tag::of(&service.name), ask.clone(), process.now());
-    process.asks.deliver(number, answer);
+    process.questions.deliver(number, answer);
 }
 
 fn schedule<D: Dialect>(
@@ -68,7 +68,7 @@
 
 /// A request of this VM asks no more.
 pub fn cancel_own<D: Dialect>(process: &Process<D>, number: u64) {
-    cancel(process, &key(Holder::Own, process.asks.request(process, number)));
+    cancel(process, &key(Holder::Own, process.numbered(number)));
 }
 
 fn key(holder: Holder, request: Number) -> Key {
@@ -101,7 +101,7 @@
     drop((scheduler, board));
     for (Key { holder, incarnation, number }, answer) in answers {
         match holder {
-            Holder::Own => process.asks.deliver(number, answer),
+            Holder::Own => process.questions.deliver(number, answer),
             Holder::Peer(vm) => tell(process, &vm, Number { incarnation, number }, answer),
         }
     }
@@ -117,7 +117,7 @@
 fn answered<D: Dialect>(process: &Process<D>, request: Number, to: SocketAddr, answer: Answer) {
     let answer = encode(&process.board.lock().unwrap(), answer);
     let message = Message::Answered(Answered { request, answer });
-    beats::send(&process.socket, &message, to);
+    tell::send(&process.socket, &message, to);
 }
 
 fn encode(board: &Board, answer: Answer) -> message::Answer {
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -17,21 +17,18 @@
 use crate::fleet::admit;
 use crate::fleet::answer::{self, Body};
 use crate::fleet::attempt::{self, End};
-use crate::fleet::ending;
 use crate::fleet::events;
 use crate::fleet::gate;
 use crate::fleet::hold::Taken;
 use crate::fleet::job::Job;
+use crate::fleet::outcome::{failed, finished};
 use crate::fleet::process::Process;
-use crate::serve::millis;
+use crate::fleet::tries::{REFUSED_MORE, Tries, may_repeat, within_budget};
 
 /// The pause after memory that was counted on turned out to be taken: by then the peers have told
 /// what they placed.
 const MEMORY_PAUSE: Duration = Duration::from_millis(30);
 
-/// Attempts beyond the route's own that may be made at once while none is known to have run.
-const REFUSED_MORE: u32 = 2;
-
 /// The pause after that many refusals; it doubles with each one more. An engine's report is some
 /// 200 ms old, so what failed a request twice is known to all by the end of the second pause.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
@@ -206,46 +203,6 @@
     Step::Done(Err(failed(job, error)))
 }
 
-/// How often a request was sent, and how that ended.
-#[derive(Default)]
-pub struct Tries {
-    /// The last failure that was an upstream's own answer.
-    pub own: Option<Response<Body>>,
-    /// Upstreams that failed it.
-    pub avoid: Vec<id::Upstream>,
-    /// Attempts of which no byte was sent.
-    pub unsent: u32,
-    /// Attempts that an upstream refused to run.
-    pub refused: u32,
-    /// Attempts that may have run.
-    pub ran: u32,
-}
-
-/// Connections that may fail before a request is given up: enough to pass over the upstreams of a
-/// hall that has just been cut off.
-const MOST_UNSENT: u32 = 6;
-
-/// Decides whether a request is sent again.
-pub fn may_repeat<D: Dialect>(job: &Job<D>, tries: &Tries, not_run: bool) -> bool {
-    let allowed = (not_run || job.repeatable())
-        && tries.unsent <= MOST_UNSENT
-        && tries.ran < job.route.attempts
-        && tries.ran + tries.refused < job.route.attempts + REFUSED_MORE
-        && !job.left().is_zero()
-        && !job.process.ending.is_cancelled();
-    if !allowed {
-        return false;
-    }
-    // Where nothing has arrived anywhere, this is no repeat.
-    tries.ran + tries.refused == 0 || within_budget(job)
-}
-
-fn within_budget<D: Dialect>(job: &Job<D>) -> bool {
-    let vms = job.process.peers.listed_count();
-    let mut budget = job.process.budget.lock().unwrap();
-    budget.repeat(&job.service.name, vms, job.process.now())
-}
-
 /// How long a request waits that all upstreams refused which it was sent to, while its answer can still
 /// be in time: that a few tries failed does not say that there is no room.
 fn pause<D: Dialect>(job: &Job<D>, tries: &Tries) -> Option<Duration> {
@@ -257,41 +214,3 @@
         && within_budget(job);
     waits.then_some(pause)
 }
-
-/// Records how a request failed.
-pub fn failed<D: Dialect>(job: &Job<D>, error: Error) -> Error {
-    let why = error.message().to_owned();
-    let retry_after_ms = error.retry().map(|d| d.as_millis() as u64);
-    job.record(if error.ran() == Ran::No {
-        Decision::Refused { kind: error.kind(), why, retry_after_ms }
-    } else {
-        Decision::Failed { kind: error.kind(), ran: error.ran(), why }
-    });
-    error
-}
-
-/// What became of a stream that was passed on whole.
-#[derive(Debug, Clone, Copy)]
-pub struct Streamed {
-    /// From arrival to the first event.
-    pub first: Duration,
-    /// From sending to the first event.
-    pub engine: Duration,
-    /// The events.
-    pub events: u64,
-    /// The longest pause between two of them.
-    pub pause: Duration,
-}
-
-/// Records that a request has its whole answer.
-pub fn finished<D: Dialect>(job: &Arc<Job<D>>, streamed: Option<Streamed>) {
-    ending::answered(job);
-    let first = streamed.map_or_else(|| job.held(), |s| s.first);
-    job.process.metrics.answered(&job.service, job.terms.prompt.0, first);
-    job.record(Decision::Finished {
-        first_token_ms: millis(first),
-        engine_ms: millis(streamed.map_or(first, |s| s.engine)),
-        tokens: streamed.map_or(0, |s| s.events),
-        pause_ms: streamed.map(|s| millis(s.pause)),
-    });
-}
--- a/daemon/src/fleet/source.rs
+++ b/daemon/src/fleet/source.rs
@@ -12,10 +12,10 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::fleet::attempt::{note, tell};
 use crate::fleet::ending;
 use crate::fleet::hold::Hold;
 use crate::fleet::job::Job;
+use crate::fleet::outcome::{note, tell};
 use crate::fleet::process::Entered;
 
 /// A stream that has begun.
--- /dev/null
+++ b/daemon/src/fleet/tell.rs
@@ -0,0 +1,100 @@
+//! What this VM tells its peers, and whom.
+
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use foldlock_request::dialect::Dialect;
+use foldlock_request::message::{self, Beat, Message, State, Work};
+use tokio::net::UdpSocket;
+
+use crate::fleet::peers::Target;
+use crate::fleet::process::Process;
+
+/// Who is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Round {
+    /// The VM that places.
+    First,
+    /// The VMs that would take over from it, too.
+    Spare,
+    /// All that want to hear.
+    All,
+}
+
+/// Tells the VM that places at once what it must not place without: a caller that sends a request again
+/// takes a few milliseconds, no more than a beat may wait for others.
+pub fn tell_placer<D: Dialect>(process: &Process<D>) {
+    tell(process, Round::First, process.now());
+}
+
+/// Tells those whose turn it is.
+pub fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) {
+    let targets = process.peers.targets(now);
+    let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
+    let first = scheduler.and_then(|placer| placer.address());
+    let told: Vec<&Target> = targets
+        .iter()
+        .filter(|target| match round {
+            Round::First => Some(target.address) == first,
+            Round::Spare => target.scheduler,
+            Round::All => true,
+        })
+        .collect();
+    if told.is_empty() {
+        return;
+    }
+    let state = state(process, round, now);
+    let places = told.iter().any(|target| target.scheduler);
+    let work = places.then(|| work(process, round, now));
+    for target in &told {
+        let work = work.clone().filter(|_| target.scheduler);
+        let beat = Beat {
+            echo: target.echo,
+            echo_of: target.echo_of,
+            granted: target.granted,
+            wants: target.scheduler,
+            state: State { work, ..state.clone() },
+        };
+        send(&process.socket, &Message::Beat(beat), target.address);
+    }
+    process.metrics.beats.inc_by(told.len() as u64);
+}
+
+/// Sends a message. A full or closed way loses it, as the network may: beats say the same again, and
+/// who asks asks again.
+pub fn send(socket: &UdpSocket, message: &Message, to: std::net::SocketAddr) {
+    let _ = socket.try_send_to(&message::encode(message), to);
+}
+
+fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
+    let (digest, starts, departures) = {
+        let mut board = process.board.lock().unwrap();
+        let departures = if round == Round::All { board.departures() } else { Vec::new() };
+        (board.digest(), board.told_starts(now), departures)
+    };
+    State {
+        vm: process.member.vm.clone(),
+        incarnation: process.member.incarnation,
+        stamp: process.peers.stamp(process.moment()),
+        version: process.version(),
+        age_ms: process.fresh.age(process.moment()).map(|age| age.as_millis() as u64 + 1),
+        at: process.at(),
+        digest,
+        leaving: process.stopping.is_cancelled(),
+        watching: process.watching.load(Ordering::Relaxed),
+        settled: process.peers.settled(now),
+        starts,
+        departures,
+        work: None,
+    }
+}
+
+fn work<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> Work {
+    let mut board = process.board.lock().unwrap();
+    Work {
+        flights: board.told(now),
+        outcomes: board.told_outcomes(now),
+        reports: board.told_reports(now),
+        suspects: board.quarantine.told(round == Round::All, now),
+    }
+}
--- a/daemon/src/fleet/volume.rs
+++ b/daemon/src/fleet/volume.rs
@@ -10,6 +10,11 @@
 /// Lines a second for refusals, failures and repeats, which are wanted whole for longer.
 pub const TROUBLE: u32 = 400;
 
+/// Changes of the listings that are logged one by one in a second. More than that come with a start, or of
+/// many that start at once: then each batch is one line. At 195 VMs that started together a line for each
+/// peer and upstream at each VM made 157,000 lines within a second.
+pub const LISTING: u32 = 8;
+
 const SECOND: Duration = Duration::from_secs(1);
 
 /// A bound on lines.
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use foldlock_base::clock::System;
+use foldlock_base::clock::millis;
 use foldlock_base::prelude::*;
 use foldlock_connection::wire::{self, Grant};
 use foldlock_request::decision::{Cause, Decision};
@@ -15,7 +16,7 @@
 use crate::engines::{Chosen, Flight, Wanted};
 use crate::group::{self, Group};
 use crate::home;
-use crate::serve::{Job, Progress, millis};
+use crate::serve::{Job, Progress};
 
 /// The part of its time after which a long prompt has risen to the priority of short ones.
 const RISEN: f64 = 0.75;
--- a/daemon/src/group.rs
+++ b/daemon/src/group.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, LazyLock, Mutex};
 use std::time::Duration;
 
+use foldlock_base::clock::millis;
 use foldlock_base::clock::{Clock, System};
 use foldlock_base::prelude::*;
 use foldlock_connection::engine::{
@@ -21,7 +22,7 @@
 use crate::gate::{Place, Refused, ask_home};
 use crate::home::Shard;
 use crate::process::Process;
-use crate::serve::{Job, Progress, millis};
+use crate::serve::{Job, Progress};
 
 /// How long an engine keeps a hold that is not renewed.
 const TTL: Duration = Duration::from_secs(3);
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use foldlock_base::clock::Clock;
+use foldlock_base::clock::millis;
 use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
 use foldlock_base::prelude::*;
 use foldlock_connection::http::{Failure, body};
@@ -153,7 +154,7 @@
                     claim.done();
                 }
                 let now = self.caller.process.clock.now();
-                let ms = crate::serve::millis(now - self.caller.arrived);
+                let ms = millis(now - self.caller.arrived);
                 let done = Decision::Finished {
                     first_token_ms: ms,
                     engine_ms: ms,
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::millis;
 use foldlock_base::error::{Attempt, Proof};
 use foldlock_base::prelude::*;
 use foldlock_connection::engine::Job as Order;
@@ -137,11 +138,6 @@
     }
 }
 
-/// A duration in milliseconds.
-pub fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1e3
-}
-
 /// Serves a request to its end, and records the end.
 pub async fn run<S: Sink>(
     job: &Job,
--- /dev/null
+++ b/daemon/tests/layers.rs
@@ -0,0 +1,55 @@
+//! The modules of a fleet's VM import each other one way: what a request goes through stands above what it needs,
+//! and the state of the process above nothing that takes it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::Path;
+
+/// The modules of `src/fleet`, each with those of them that it imports.
+fn modules() -> BTreeMap<String, BTreeSet<String>> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/fleet");
+    let files = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let sources = files.filter(|path| path.extension().is_some_and(|e| e == "rs"));
+    let names = sources.map(|path| {
+        let name = path.file_stem().unwrap().to_str().unwrap().to_owned();
+        let imports = imports(&fs::read_to_string(&path).unwrap());
+        (name, imports)
+    });
+    let mut modules: BTreeMap<String, BTreeSet<String>> = names.collect();
+    let known: BTreeSet<String> = modules.keys().cloned().collect();
+    modules.iter_mut().for_each(|(name, of)| of.retain(|m| m != name && known.contains(m)));
+    modules
+}
+
+/// The first names behind `crate::fleet::`, those in braces among them.
+fn imports(source: &str) -> BTreeSet<String> {
+    let code: String = source.lines().filter(|line| !line.trim_start().starts_with("//")).collect();
+    let mut found = BTreeSet::new();
+    for rest in code.split("crate::fleet::").skip(1) {
+        let list = match rest.strip_prefix('{') {
+            Some(inner) => inner.split('}').next().unwrap_or_default(),
+            None => rest.split([';', '<', '(']).next().unwrap_or_default(),
+        };
+        let word = |c: char| !c.is_alphanumeric() && c != '_';
+        found
+            .extend(list.split(',').filter_map(|n| n.trim().split(word).next().map(str::to_owned)));
+    }
+    found
+}
+
+#[test]
+fn imports_run_one_way() {
+    let mut modules = modules();
+    assert!(modules.len() > 30, "{modules:?}");
+    assert!(modules["serve"].contains("gate") && modules["asks"].contains("tell"));
+    // Takes off those that import nothing that is left, until all are gone.
+    while let Some(free) =
+        modules.iter().find(|(_, of)| of.is_empty()).map(|(name, _)| name.clone())
+    {
+        modules.remove(&free);
+        modules.values_mut().for_each(|of| {
+            of.remove(&free);
+        });
+    }
+    assert!(modules.is_empty(), "these import each other: {modules:#?}");
+}
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -18,8 +18,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::directory::Quarantined;
 use crate::fingerprint::Fingerprint;
+use crate::held::Quarantined;
 use crate::quarantine::Quarantine;
 use crate::report::{self, Observed};
 use crate::revision::Revision;
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -13,6 +13,7 @@
 
 use crate::board::Listed;
 use crate::fingerprint::Fingerprint;
+pub use crate::held::Quarantined;
 use crate::revision::Revision;
 
 /// A VM that takes part.
@@ -54,29 +55,6 @@
     pub held: Vec<Quarantined>,
 }
 
-/// A request that is kept from all upstreams, as the directory lists it for all VMs and for operators.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Quarantined {
-    /// The request, however often it comes.
-    pub fingerprint: Fingerprint,
-    /// Whose key it had; empty where it had none.
-    pub organisation: String,
-    /// Its path.
-    pub path: String,
-    /// The service that it went to.
-    pub service: String,
-    /// The arrival that was the last proof.
-    pub request: id::Request,
-    /// The VM that it came to.
-    pub vm: id::Vm,
-    /// Upstreams that are known to have ended under it.
-    pub ended: u32,
-    /// How often it ended one while it ran alone.
-    pub proofs: u32,
-    /// Until when it is held, milliseconds since 1970.
-    pub until_ms: u64,
-}
-
 /// Something that the directory says.
 #[derive(Debug)]
 pub enum Change {
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod flight;
 pub mod forecast;
 pub mod health;
+pub mod held;
 pub mod limit;
 pub mod line;
 pub mod memory;
