Soak: upstreams that leave or rest by their answers' word, and a store that comes back from a copy

What is checked is what callers and servers see: no request that was sent 2 s after an answer had told its VM that the server leaves reaches that server from that VM, and no more than two reach one from a VM within its rest, after the first half second, unless the VM was killed, stopped, frozen or cut since.

--- a/daemon/tests/soak/caller.rs
+++ b/daemon/tests/soak/caller.rs
@@ -154,6 +154,7 @@
     let path = format!("{}{}", kind.path(), asked.id);
     let call = Call {
         id: &asked.id,
+        vm: connection.vm,
         path: &path,
         key: asked.key,
         time: kind.time(),
@@ -284,6 +285,7 @@
         if let Some(mut connection) = Connection::open(vm, world.vms[vm].front.address).await {
             let call = Call {
                 id: &id,
+                vm,
                 path: DEADLY,
                 key: crate::KEY,
                 time: STREAM,
--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foldlock_platform_standin::server::Word;
 use foldlock_platform_standin::store::Mood;
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
@@ -18,6 +19,15 @@
 /// How long a process that was stopped may take beyond its grace.
 const LATE: Duration = Duration::from_secs(1);
 
+/// How long the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// How long servers then take to write themselves again.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(800);
+
+/// How long after that the entries of servers that have ended stay.
+const LAPSE: Duration = Duration::from_millis(2_800);
+
 /// How often the end of a killed process is waited for before it is started anyway.
 const KILL_LOOKS: usize = 8;
 
@@ -36,8 +46,14 @@
     ServerLink(usize, Link, Duration),
     Crash(usize, Duration),
     Drain(usize),
+    /// A server leaves and says so in its answers alone.
+    LeaveUnheard(usize),
+    /// A server refuses all for so long and asks for as much rest.
+    Rest(usize, Duration),
     Store(Mood, Duration),
     Forget,
+    /// The store comes back from a copy of this age.
+    Restore(Duration),
 }
 
 impl Fault {
@@ -56,7 +72,7 @@
         let vm = draw.random_range(0..world.vms.len());
         let place = draw.random_range(0..world.places.len());
         let time = Duration::from_millis(draw.random_range(100..2_500));
-        match draw.random_range(0..14) {
+        match draw.random_range(0..18) {
             0 => Fault::Kill(vm, time / 4),
             1 | 2 => Fault::Stop(vm),
             3 => Fault::Freeze(vm, time),
@@ -67,6 +83,9 @@
             9 => Fault::Crash(place, time / 2),
             10 | 11 => Fault::Drain(place),
             12 => Fault::Store(mood(draw), time),
+            13 | 14 => Fault::LeaveUnheard(place),
+            15 | 16 => Fault::Rest(place, time),
+            17 => Fault::Restore(time),
             _ => Fault::Forget,
         }
     }
@@ -138,7 +157,10 @@
             world.replace(&world.places[place]).await;
             world.calm(number);
         }
-        Fault::Drain(place) => drain(&world, place).await,
+        Fault::Drain(place) => drain(&world, place, true).await,
+        Fault::LeaveUnheard(place) => drain(&world, place, false).await,
+        Fault::Rest(place, time) => rest(&world, place, time).await,
+        Fault::Restore(age) => restore(&world, age).await,
         Fault::Store(mood, time) => {
             let number = world.disturb(Part::Store);
             world.store.set(mood);
@@ -221,10 +243,39 @@
     }
 }
 
-/// A server says that it leaves, serves on for a while, and is replaced.
-async fn drain(world: &World, place: usize) {
+/// A server refuses all that it is sent, and asks for rest.
+async fn rest(world: &World, place: usize, time: Duration) {
+    let id = world.places[place].id();
+    world.places[place].say(Word { rest: Some(time), leaving: false });
+    tokio::time::sleep(time).await;
+    if world.places[place].id() == id {
+        world.places[place].say(Word::default());
+    }
+}
+
+/// The store is away for a moment and comes back from a copy. The servers write themselves again.
+async fn restore(world: &World, age: Duration) {
+    let copy = world.store.copy();
+    tokio::time::sleep(age).await;
+    let number = world.disturb(Part::Store);
+    world.store.set(Mood::Busy);
+    tokio::time::sleep(AWAY).await;
+    world.store.restore(copy);
+    world.store.set(Mood::Sound);
+    tokio::time::sleep(WRITTEN_AGAIN).await;
+    world.list_again();
+    tokio::time::sleep(LAPSE).await;
+    world.lapse();
+    world.calm(number);
+}
+
+/// A server says that it leaves, in its answers and perhaps its entry, serves on for a while, and is replaced.
+async fn drain(world: &World, place: usize, listed: bool) {
     let id = world.places[place].id();
-    world.list(&world.places[place], true);
+    world.places[place].say(Word { leaving: true, rest: None });
+    if listed {
+        world.list(&world.places[place], true);
+    }
     let said = Instant::now();
     tokio::time::sleep(DRAIN + DRAIN / 2).await;
     if world.places[place].id() != id {
@@ -233,7 +284,9 @@
     let number = world.disturb(Part::Servers);
     world.replace(&world.places[place]).await;
     world.calm(number);
-    check_drained(world, &id, said);
+    if listed {
+        check_drained(world, &id, said);
+    }
 }
 
 /// A server that left got no new work later than [`DRAIN`], if all VMs and the store were in touch.
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -25,6 +25,7 @@
 
 use caller::{Asked, Connection, Kind, Sent};
 use foldlock_platform_standin::caller::Call;
+use foldlock_platform_standin::server::Arrival;
 use foldlock_platform_standin::settings::{self, Route};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
@@ -200,7 +201,7 @@
 async fn status(world: &World, vm: usize) -> Option<u16> {
     let id = format!("added-{vm}-{:x}", rand::rng().random::<u64>());
     let time = Duration::from_secs(1);
-    let call = Call { id: &id, path: "/added/x", key: KEY, time, prompt: 0, body: b"" };
+    let call = Call { id: &id, vm, path: "/added/x", key: KEY, time, prompt: 0, body: b"" };
     let mut connection = Connection::open(vm, world.vms[vm].listen).await?;
     let answer = tokio::time::timeout(time, connection.sender.send_request(call.encode())).await;
     Some(answer.ok()?.ok()?.status().as_u16())
@@ -284,6 +285,7 @@
         }
     }
     few_end(world);
+    words_are_kept(world);
     for (id, run) in world.book.all() {
         if run.organisation.as_deref() == Some("gone") && run.at > taken + REVOKE {
             let after = run.at - taken;
@@ -292,6 +294,59 @@
     }
 }
 
+/// The time after an answer has told a VM that its server leaves, in which callers' requests may still be sent
+/// there.
+const LEFT_ALONE: Duration = Duration::from_secs(2);
+
+/// The first part of a rest: what was on its way.
+const REST_BEGINS: Duration = Duration::from_millis(500);
+
+/// Requests that a server may get within a rest that it asked for.
+const MOST_IN_REST: usize = 2;
+
+/// No VM sends a server anything against what it said of itself in its answers to that VM.
+fn words_are_kept(world: &World) {
+    let mut by_way: BTreeMap<(String, usize), Vec<Arrival>> = BTreeMap::new();
+    for arrival in world.book.arrivals() {
+        by_way.entry((arrival.server.clone(), arrival.vm)).or_default().push(arrival);
+    }
+    let (mut leaving, mut rests) = (0, 0);
+    for ((server, vm), arrivals) in by_way {
+        let name = &world.vms[vm].name;
+        for (index, told) in arrivals.iter().enumerate() {
+            let later = &arrivals[index + 1..];
+            if told.word.leaving {
+                leaving += 1;
+                let late =
+                    |a: &&Arrival| a.sent > told.at + LEFT_ALONE && ran_on(world, vm, told, a);
+                if let Some(late) = later.iter().find(late) {
+                    let after = late.sent - told.at;
+                    world.note(format!(
+                        "{server} had told {name} that it leaves, and was sent more {after:?} later"
+                    ));
+                }
+            }
+            let Some(rest) = told.word.rest else { continue };
+            rests += 1;
+            let within = |a: &&Arrival| {
+                let after = a.at - told.at;
+                after > REST_BEGINS && after < rest && ran_on(world, vm, told, a)
+            };
+            let within = later.iter().filter(within).count();
+            if within > MOST_IN_REST {
+                world.note(format!("{server} had asked {name} for {rest:?} of rest, and got {within} requests in it"));
+            }
+        }
+    }
+    println!("{leaving} answers said that their server leaves, {rests} asked for a rest");
+}
+
+/// Whether a VM ran without a disturbance from one arrival to the other.
+fn ran_on(world: &World, vm: usize, from: &Arrival, to: &Arrival) -> bool {
+    let parts = [Part::Vm(vm), Part::PlannedStop(vm)];
+    parts.into_iter().all(|part| world.calm_since(part, from.at, to.at))
+}
+
 /// A request that ends its servers reaches few more once VMs in touch know it.
 fn few_end(world: &World) {
     let mut reached: Vec<(Instant, String)> = world
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
-use foldlock_platform_standin::server::{Book, Server};
+use foldlock_platform_standin::server::{Book, Server, Word};
 use foldlock_platform_standin::store::{Entry, Store};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -77,6 +77,8 @@
 struct Instance {
     id: String,
     server: Server,
+    /// Whether its entry says that it leaves.
+    leaving: bool,
     _served: Served,
 }
 
@@ -178,6 +180,13 @@
     }
 }
 
+impl Place {
+    /// The server says this of itself from now on.
+    pub(crate) fn say(&self, word: Word) {
+        self.instance.lock().unwrap().server.say(word);
+    }
+}
+
 impl World {
     /// Starts everything; returns once all VMs serve.
     pub(crate) async fn start(folder: PathBuf, settings: &Value) -> Arc<World> {
@@ -226,17 +235,34 @@
 
     /// Writes the entry of the instance in a place.
     pub(crate) fn list(&self, place: &Place, leaving: bool) {
+        place.instance.lock().unwrap().leaving = leaving;
         let entry = Entry { service: place.service, address: place.link.address, leaving };
         self.store.list(&place.id(), &entry);
     }
 
+    /// Servers write their entries again, as they do after the store has come back from a copy; those of
+    /// servers that have ended lapse.
+    pub(crate) fn list_again(&self) {
+        for place in &self.places {
+            let leaving = place.instance.lock().unwrap().leaving;
+            self.list(place, leaving);
+        }
+    }
+
+    /// Ends the entries of servers that are not there any more.
+    pub(crate) fn lapse(&self) {
+        let living: Vec<String> = self.places.iter().map(Place::id).collect();
+        let ended = self.store.servers().into_iter().filter(|id| !living.contains(id));
+        ended.for_each(|id| self.store.unlist(&id));
+    }
+
     /// A new instance takes over a place; the one before it ends at once.
     pub(crate) async fn replace(&self, place: &Place) {
         let id = format!("{}-{}", place.service, next());
         let server = Server::new(&id, self.book.clone());
         let served = server.serve().await;
         place.link.lead_to(served.address);
-        let next = Instance { id, server, _served: served };
+        let next = Instance { id, server, leaving: false, _served: served };
         let before = std::mem::replace(&mut *place.instance.lock().unwrap(), next);
         self.store.unlist(&before.id);
         self.list(place, false);
@@ -322,6 +348,6 @@
     let server = Server::new(&id, book.clone());
     let served = server.serve().await;
     let link = Proxy::start(served.address).await;
-    let instance = Mutex::new(Instance { id, server, _served: served });
+    let instance = Mutex::new(Instance { id, server, leaving: false, _served: served });
     Place { service, link, instance }
 }
