--- a/request/tests/starts.rs
+++ b/request/tests/starts.rs
@@ -1,10 +1,12 @@
 //! Upstreams that start again under their id, and words of them that come late.
 
+use std::collections::BTreeMap;
 use std::time::Instant;
 
 use foldlock_base::id;
 use foldlock_request::board::{Board, Listed, Load};
 use foldlock_request::flight::Flight;
+use foldlock_request::revision::Revision;
 use foldlock_request::suspicion::{Failure, Outcome};
 use proptest::prelude::*;
 
@@ -138,3 +140,92 @@
     peer.list(Listed { revision: 5.into(), ..listed(1) });
     assert!(peer.accepts(&gone), "that an upstream leaves is taken without a revision, too");
 }
+
+/// What happens to an upstream.
+#[derive(Debug, Clone, Copy)]
+enum Turn {
+    Starts,
+    Leaves,
+    Ends,
+}
+
+fn turn() -> impl Strategy<Value = (usize, Turn)> {
+    (1..4_usize, prop_oneof![Just(Turn::Starts), Just(Turn::Leaves), Just(Turn::Ends)])
+}
+
+/// What a directory lists after these turns, each written at the next number of an era.
+fn entries(turns: &[(usize, Turn)]) -> BTreeMap<usize, Listed> {
+    let mut entries = BTreeMap::new();
+    for (number, (upstream, turn)) in (1..).zip(turns) {
+        match turn {
+            Turn::Starts => {
+                entries.insert(*upstream, started(*upstream, number * 10, number));
+            }
+            Turn::Leaves => {
+                if let Some(entry) = entries.get_mut(upstream) {
+                    entry.leaving = true;
+                    entry.revision = number.into();
+                }
+            }
+            Turn::Ends => {
+                entries.remove(upstream);
+            }
+        }
+    }
+    entries
+}
+
+/// A board that has heard each of these turns from the directory.
+fn heard(turns: &[(usize, Turn)]) -> Board {
+    let mut board = Board::default();
+    for through in 1..=turns.len() {
+        let entries = entries(&turns[..through]);
+        for i in 1..4 {
+            match entries.get(&i) {
+                Some(entry) => {
+                    board.list(entry.clone());
+                }
+                None => {
+                    board.remove(&upstream(i), (through as u64).into());
+                }
+            }
+        }
+    }
+    board
+}
+
+proptest! {
+    /// The directory comes back from a copy of any moment before, once or twice: nothing comes back that is over,
+    /// and once who lives has written itself again, what is believed is what is so.
+    #[test]
+    fn a_copy_of_any_age_brings_nothing_back(
+        turns in prop::collection::vec(turn(), 1..24),
+        ages in prop::collection::vec(0..24_usize, 1..3),
+    ) {
+        let mut board = heard(&turns);
+        let now = entries(&turns);
+        for (era, age) in (1..).zip(ages) {
+            let copy = entries(&turns[..turns.len().saturating_sub(age)]);
+            let restored = |entry: &Listed| {
+                let revision = Revision { era, number: entry.revision.number };
+                Listed { revision, ..entry.clone() }
+            };
+            copy.values().for_each(|entry| {
+                board.list_copy(restored(entry));
+            });
+            for i in 1..4 {
+                let (known, so) = (board.get(&upstream(i)), now.get(&i));
+                prop_assert_eq!(known.is_some(), so.is_some(), "upstream {}", i);
+                let Some((known, so)) = known.zip(so) else { continue };
+                prop_assert_eq!(known.listed.born, so.born);
+                prop_assert_eq!(known.is_open(), !so.leaving);
+            }
+        }
+        let era = 3;
+        for (number, (i, entry)) in (1..).zip(&now) {
+            let written = Listed { revision: Revision { era, number }, ..entry.clone() };
+            board.list(written.clone());
+            prop_assert_eq!(&board.get(&upstream(*i)).unwrap().listed, &written);
+        }
+    }
+}
