--- a/daemon/src/fleet/members.rs
+++ b/daemon/src/fleet/members.rs
@@ -4,7 +4,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
 
-use crate::fleet::peers::News;
+use crate::fleet::peers::{News, Withdrawal};
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -22,8 +22,8 @@
 /// A VM has withdrawn. What it has under way counts until it is no longer heard.
 pub fn withdrawn<D: Dialect>(process: &Process<D>, vm: &id::Vm) {
     let now = process.now();
-    let Some(is_heard) = process.peers.withdraw(vm, now) else { return };
-    if !is_heard {
+    let Some(withdrawal) = process.peers.withdraw(vm, now) else { return };
+    if withdrawal == Withdrawal::Gone {
         process.board.lock().unwrap().peer_lost(vm, now);
     }
     log::event(&process.log, Event::MemberLeaving, vm);
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -41,8 +41,8 @@
 /// A start of an upstream leaves, by an answer to this VM or to a peer: all VMs are told at once, and none
 /// sends it new work from then on.
 ///
-/// Until the directory tells the same this is all that keeps a fleet from an upstream that ends: with the
-/// directory away for 12 s it was sent 28 requests, the last of them 12 s after its first word.
+/// Until the directory tells the same, this is all that keeps a fleet from an upstream that ends: with the
+/// directory away for 12 s, six VMs sent it 36 requests after its first word, by the upstream's own count.
 pub fn leaves<D: Dialect>(process: &Process<D>, start: Tag, heard_by: &id::Vm) {
     // Unknown here, or known to leave.
     let Some(upstream) = process.board.lock().unwrap().depart(start) else { return };
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -130,9 +130,8 @@
         Some(if renewed { News::Renewed } else { News::Heard })
     }
 
-    /// A VM has withdrawn. What it has under way counts until it is no longer heard. Answers whether it is
-    /// heard, if it had not withdrawn before.
-    pub fn withdraw(&self, vm: &id::Vm, now: Instant) -> Option<bool> {
+    /// A VM has withdrawn. Answers what that means for its work, if it had not withdrawn before.
+    pub fn withdraw(&self, vm: &id::Vm, now: Instant) -> Option<Withdrawal> {
         let mut known = self.known.lock().unwrap();
         let peer = known.peers.get_mut(vm)?;
         if std::mem::replace(&mut peer.leaving, true) {
@@ -143,7 +142,7 @@
             known.peers.remove(vm);
         }
         known.sort(&self.own);
-        Some(heard)
+        Some(if heard { Withdrawal::Finishing } else { Withdrawal::Gone })
     }
 
     /// Takes a peer's state from a beat, unless it is older than what is known. Answers whether the
@@ -365,6 +364,15 @@
     }
 }
 
+/// A VM that has withdrawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Withdrawal {
+    /// It is heard: what it has under way counts until it no longer is.
+    Finishing,
+    /// It is not: nothing is under way.
+    Gone,
+}
+
 /// What a beat or a listing brought.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum News {
