--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -34,8 +34,9 @@
 use tokio_util::sync::CancellationToken;
 use world::{Part, REVOKE, VMS, World};
 
-/// Seeds that failed once, each with its cause.
-const REGRESSIONS: [u64; 0] = [];
+/// Seeds that failed once, each with its cause: 33, whose server asked for a rest of 1.150 s and held its VM to the
+/// 1.154 s that it had meant.
+const REGRESSIONS: [u64; 1] = [33];
 
 /// Seeds that CI plays.
 const SHORT: [u64; 2] = [1, 4];
