--- a/request/tests/board.rs
+++ b/request/tests/board.rs
@@ -1,5 +1,8 @@
 //! The board: what is listed, what has ended, and what is under way where.
 
+#[path = "board/starts.rs"]
+mod starts;
+
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
--- a/request/tests/starts.rs
+++ b/request/tests/board/starts.rs
@@ -3,47 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use foldlock_base::id;
 use foldlock_request::board::{Board, Listed, Load};
-use foldlock_request::flight::Flight;
 use foldlock_request::revision::Revision;
 use foldlock_request::suspicion::{Failure, Outcome};
 use proptest::prelude::*;
 
-fn upstream(i: usize) -> id::Upstream {
-    format!("i-{i:02}").parse().unwrap()
-}
-
-fn listed(i: usize) -> Listed {
-    Listed {
-        id: upstream(i),
-        born: None,
-        revision: 0.into(),
-        service: "model".to_owned(),
-        address: format!("10.0.0.{i}:80"),
-        hall: "a".to_owned(),
-        slots: 16,
-        leaving: false,
-    }
-}
-
-fn flight(i: usize, part_ms: f32, memory: u64) -> Flight {
-    Flight {
-        upstream: upstream(i),
-        helpers: Vec::new(),
-        part_ms,
-        memory,
-        pause_ms: 250,
-        writing: false,
-        alone: None,
-    }
-}
-
-fn enter(board: &mut Board, flight: Flight, now: Instant) -> u64 {
-    let number = board.number();
-    board.enter(number, flight, now);
-    number
-}
+use crate::{enter, flight, listed, upstream};
 
 /// The upstream `i`, started at `born`, as written at a revision.
 fn started(i: usize, born: u64, revision: u64) -> Listed {
