Keep what is new from a data hall that its operator has drained

Ruled out: a late word (there was none at all).

The board keeps the newest word of each hall, whoever brings it, by (era, revision); a whole read takes back what it does not list, a copy of the directory takes nothing back. Where all halls of a service are drained, callers are told at once.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -61,6 +61,10 @@
     ListingTaken = 207, Info;
     /// The directory has come back from an older copy of itself: what was written there since is gone.
     DirectoryRestored = 208, Warning;
+    /// An operator has drained a data hall: nothing new is sent to its upstreams.
+    HallDrained = 209, Warning;
+    /// A drained data hall was taken back: its upstreams are sent work again.
+    HallTakenBack = 210, Info;
     /// A VM joined the members.
     MemberUp = 300, Info;
     /// A VM is no longer heard.
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -109,7 +109,7 @@
     flight: &Flight,
 ) -> Result<(String, Vec<String>), Ended> {
     let address = |id: &id::Upstream| match notices::barred(process, id) {
-        Some(Bar::Closed) => Err(Ended::Gone(notices::start(process, id))),
+        Some(Bar::Closed | Bar::Drained) => Err(Ended::Gone(notices::start(process, id))),
         Some(Bar::Resting { .. }) => Err(Ended::Resting),
         None => {
             let board = process.board.lock().unwrap();
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -25,7 +25,7 @@
 use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
-use crate::fleet::notices;
+use crate::fleet::notices::{self, Bar};
 use crate::fleet::outcome::{note, tell};
 use crate::fleet::process::Entered;
 use crate::fleet::source::{Begun, Next, Source};
@@ -155,9 +155,9 @@
             return End::Unsent(why);
         }
     };
-    if let Some(bar) = notices::barred(&job.process, &upstream) {
-        // It said so while memory was set aside for this request, or its connection opened.
-        return End::Unsent(format!("it takes nothing now: {bar}"));
+    if let Some((barred, bar)) = barred(job, &place.flight) {
+        // That came to be while memory was set aside for this request, or its connection opened.
+        return End::Unsent(format!("{barred} takes nothing now: {bar}"));
     }
     let request = request(job, place, &hold.helpers(&given), last_event);
     let sent = job.process.now();
@@ -202,6 +202,13 @@
     }
 }
 
+/// The upstream of a flight, or the helper, that may be sent nothing now.
+fn barred<'a, D: Dialect>(job: &Job<D>, flight: &'a Flight) -> Option<(&'a id::Upstream, Bar)> {
+    let helpers = flight.helpers.iter().map(|helping| &helping.upstream);
+    let mut all = std::iter::once(&flight.upstream).chain(helpers);
+    all.find_map(|upstream| Some((upstream, notices::barred(&job.process, upstream)?)))
+}
+
 fn refused<D: Dialect>(
     job: &Job<D>,
     flight: &Flight,
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use foldlock_base::prelude::*;
-use foldlock_request::board::Listed;
+use foldlock_request::board::{Hall, Halls, Listed};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Change, Quarantined};
 use foldlock_request::fingerprint::Fingerprint;
@@ -98,6 +98,51 @@
     release_unlisted(process, changes, news);
 }
 
+/// After a whole read of the directory, a hall that is not in it is drained no more. A copy lacks what its
+/// operator writes again.
+pub fn take_back_unlisted<D: Dialect>(
+    process: &Process<D>,
+    changes: &[Change],
+    revision: Revision,
+    word: Word,
+    news: &mut News,
+) {
+    if word == Word::Copy {
+        return;
+    }
+    let drained: Vec<&str> = changes
+        .iter()
+        .filter_map(|change| match change {
+            Change::Hall(hall) if hall.drained => Some(hall.name.as_str()),
+            _ => None,
+        })
+        .collect();
+    let taken_back = process.board.lock().unwrap().read_halls(&drained, revision);
+    for name in taken_back {
+        hall_changed(process, &Hall { name, drained: false, revision }, news);
+    }
+}
+
+/// Takes what a peer knows of halls.
+pub fn halls_told<D: Dialect>(process: &Process<D>, halls: &Halls, news: &mut News) {
+    let changed = process.board.lock().unwrap().hear_halls(halls);
+    changed.iter().for_each(|hall| hall_changed(process, hall, news));
+}
+
+fn hall_noted<D: Dialect>(process: &Process<D>, hall: Hall, news: &mut News) {
+    if process.board.lock().unwrap().note_hall(hall.clone()) {
+        hall_changed(process, &hall, news);
+    }
+}
+
+fn hall_changed<D: Dialect>(process: &Process<D>, hall: &Hall, news: &mut News) {
+    let event = if hall.drained { Event::HallDrained } else { Event::HallTakenBack };
+    news.add(event, format!("{}, by revision {}", hall.name, hall.revision));
+    let drained = process.board.lock().unwrap().halls().drained().count();
+    process.metrics.drained_halls.set(drained as i64);
+    process.room.notify_one();
+}
+
 /// A copy of the directory lacks requests that were held since it was made: the VM that had the proof writes
 /// them again.
 fn hold_again<D: Dialect>(process: &Process<D>, changes: &[Change]) {
@@ -156,6 +201,7 @@
         }
         Change::MemberGone(vm) if vm == process.member.vm => list_again(process),
         Change::MemberGone(vm) => members::withdrawn(process, &vm),
+        Change::Hall(hall) => hall_noted(process, hall, news),
         Change::Quarantined(entry) if word == Word::Copy && is_released(process, &entry) => {
             release_again(process, &entry);
         }
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -180,6 +180,7 @@
     let held = listing.held.into_iter().map(Change::Quarantined);
     let changes: Vec<Change> = upstreams.chain(members).chain(held).collect();
     let mut news = News::default();
+    changes::halls_told(process, &listing.halls, &mut news);
     if newer {
         changes::end_unlisted(process, &changes, revision, word, &mut news);
     }
@@ -209,6 +210,7 @@
     let word = contact.word(now);
     if contact.at.is_none() {
         changes::end_unlisted(process, &changes, at, word, &mut news);
+        changes::take_back_unlisted(process, &changes, at, word, &mut news);
     }
     contact.note_settings(process.version(), word, &changes);
     let changed = !changes.is_empty();
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -170,6 +170,9 @@
         Nowhere::Quarantined { left_ms } => return quarantined(left_ms, proof),
         Nowhere::Resting { left_ms } => return resting(job, left_ms, proof),
         Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
+        Nowhere::Drained => {
+            (Kind::NoUpstream, "an operator has drained the data halls of all upstreams")
+        }
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
         Nowhere::TooLarge => (Kind::Overloaded, "no upstream has memory for a prompt this long"),
     };
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -59,6 +59,8 @@
     pub suspects: Gauge,
     /// Entries of the directory that name nothing to use, each version of one.
     pub unreadable: Counter,
+    /// Data halls that are drained.
+    pub drained_halls: Gauge,
     /// Requests that wait for this VM to place them.
     pub line: Gauge,
     /// The settings version in force.
@@ -93,6 +95,7 @@
             held: Counter::default(),
             suspects: Gauge::default(),
             unreadable: Counter::default(),
+            drained_halls: Gauge::default(),
             line: Gauge::default(),
             version: Gauge::default(),
             age_ms: Gauge::default(),
@@ -128,6 +131,7 @@
         r.register("suspects", "Requests that are held or run alone", self.suspects.clone());
         let what = "Entries of the directory that name nothing to use";
         r.register("unreadable_entries", what, self.unreadable.clone());
+        r.register("drained_halls", "Data halls that are drained", self.drained_halls.clone());
         r.register("waiting", "Requests of all VMs that wait for a place here", self.line.clone());
         r.register("settings_version", "The settings version in force", self.version.clone());
         r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -65,8 +65,11 @@
 /// Why this VM may send an upstream nothing new, by what that said itself.
 pub fn barred<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) -> Option<Bar> {
     let board = process.board.lock().unwrap();
-    if !board.get(upstream).is_some_and(|known| known.is_open()) {
-        return Some(Bar::Closed);
+    match board.get(upstream) {
+        Some(known) if known.is_leaving() => return Some(Bar::Closed),
+        Some(known) if known.drained => return Some(Bar::Drained),
+        Some(_) => {}
+        None => return Some(Bar::Closed),
     }
     let start = board.tag_of(upstream);
     drop(board);
@@ -79,6 +82,8 @@
 pub enum Bar {
     /// It leaves, or is gone.
     Closed,
+    /// An operator has drained its data hall.
+    Drained,
     /// It asked this VM for a rest.
     Resting {
         /// What is left of it.
@@ -90,6 +95,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Bar::Closed => f.write_str("it leaves or is gone"),
+            Bar::Drained => f.write_str("its data hall is drained"),
             Bar::Resting { left } => {
                 write!(f, "it rests for {} ms more", left.as_millis())
             }
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -185,7 +185,7 @@
             let load = loads.get(&u.listed.id).cloned().unwrap_or_default();
             json!({
                 "id": u.listed.id, "service": u.listed.service, "address": u.listed.address,
-                "leaving": !u.is_open(),
+                "leaving": u.is_leaving(), "drained": u.drained,
                 "rests_ms": rests.left(u.tag, moment).map(|left| left.as_millis() as u64),
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.writers, "memory": load.memory, "backlog_ms": load.backlog_ms,
@@ -204,7 +204,9 @@
         })
         .collect();
     let held: Vec<_> = board.held().collect();
+    let drained: Vec<_> = board.halls().drained().collect();
     json!({
+        "drained_halls": drained,
         "suspects": suspects,
         "held": held,
         "unreadable": process.unreadable.all(),
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -288,9 +288,10 @@
         let board = self.board.lock().unwrap();
         let upstreams = board.relayed().collect();
         let held = board.held().cloned().collect();
+        let halls = board.halls().clone();
         drop(board);
         let members = self.peers.members();
-        Listing { at: self.at(), upstreams, members, held }
+        Listing { at: self.at(), upstreams, members, held, halls }
     }
 
     /// An id for a request whose own cannot be used.
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -77,8 +77,8 @@
 }
 
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
-    if let Some(Bar::Resting { .. }) = notices::barred(&process, &listed.id) {
-        // It wants nothing of this VM, a question how it fares included.
+    if let Some(Bar::Resting { .. } | Bar::Drained) = notices::barred(&process, &listed.id) {
+        // It is to get nothing of this VM, a question how it fares included.
         return;
     }
     let at = process.now();
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -6,6 +6,7 @@
 //! there.
 
 mod flights;
+mod halls;
 mod listed;
 mod load;
 
@@ -27,6 +28,7 @@
 use crate::tag::Tag;
 
 pub use flights::Holder;
+pub use halls::{Hall, Halls};
 pub use listed::{Listed, Start};
 pub use load::{BRISK_MS, Load};
 
@@ -62,7 +64,12 @@
 
     /// Whether it takes new work.
     pub fn is_open(&self) -> bool {
-        !self.listed.leaving && !self.told_leaving
+        !self.is_leaving() && !self.drained
+    }
+
+    /// Whether it is about to end, by the directory or by its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.told_leaving
     }
 
     /// Notes how an attempt ended here.
@@ -90,6 +97,8 @@
     /// It said itself, by an answer, that it is leaving. This holds for as long as this start of it is known,
     /// whatever the directory lists: that may be older, and is away just when much else happens.
     pub told_leaving: bool,
+    /// Whether its hall is drained: what runs there ends in peace, and nothing new is sent.
+    pub drained: bool,
     /// Failures of late.
     pub suspicion: Suspicion,
     /// The newest report, of this VM or a peer.
@@ -118,6 +127,7 @@
 #[derive(Debug, Default)]
 pub struct Board {
     upstreams: BTreeMap<id::Upstream, Upstream>,
+    halls: Halls,
     /// Those that are gone, with the revision up to which that is known.
     ended: VecDeque<(id::Upstream, Revision)>,
     starts: VecDeque<(Instant, Start)>,
@@ -159,6 +169,7 @@
         let changed = !listed.says_the_same(&known.listed);
         // A start that the upstream itself told stays known until the directory tells one.
         let born = listed.born.or(known.listed.born);
+        known.drained = self.halls.is_drained(&listed.hall);
         known.listed = Listed { born, ..listed };
         changed
     }
@@ -184,10 +195,12 @@
     fn insert(&mut self, listed: Listed) {
         let (id, tag) = (listed.id.clone(), listed.tag());
         self.tags.insert(tag, id.clone());
+        let drained = self.halls.is_drained(&listed.hall);
         let upstream = Upstream {
             listed,
             tag,
             told_leaving: false,
+            drained,
             suspicion: Suspicion::default(),
             observed: None,
             asked: false,
@@ -334,6 +347,49 @@
         gone
     }
 
+    /// The directory says that a hall is drained, or taken back. Answers whether that is news.
+    pub fn note_hall(&mut self, hall: Hall) -> bool {
+        let news = self.halls.note(hall);
+        if news {
+            self.halls_changed();
+        }
+        news
+    }
+
+    /// A whole read of the directory, of this revision, listed these halls as drained. Names those that are
+    /// taken back by it.
+    pub fn read_halls(&mut self, drained: &[&str], at: Revision) -> Vec<String> {
+        let taken_back = self.halls.read(drained, at);
+        self.halls_changed();
+        taken_back
+    }
+
+    /// Takes what a peer knows of halls. Answers what is news in that.
+    pub fn hear_halls(&mut self, told: &Halls) -> Vec<Hall> {
+        let news = self.halls.merge(told);
+        self.halls_changed();
+        news
+    }
+
+    /// What is known of halls.
+    pub fn halls(&self) -> &Halls {
+        &self.halls
+    }
+
+    fn halls_changed(&mut self) {
+        self.digest.set(None);
+        for upstream in self.upstreams.values_mut() {
+            upstream.drained = self.halls.is_drained(&upstream.listed.hall);
+        }
+    }
+
+    /// Whether a service has upstreams that would take new work, and all of them are in drained halls.
+    pub fn is_drained(&self, service: &str) -> bool {
+        let staying = |u: &&Upstream| u.listed.service == service && !u.is_leaving();
+        let mut staying = self.upstreams.values().filter(staying).peekable();
+        staying.peek().is_some() && staying.all(|upstream| upstream.drained)
+    }
+
     /// The directory lists a request that is held. Answers whether that says something new.
     pub fn list_held(&mut self, entry: Quarantined, now: Instant, wall_ms: u64) -> bool {
         let time = Duration::from_millis(entry.until_ms.saturating_sub(wall_ms));
@@ -437,6 +493,7 @@
         let mut hasher = Xxh3::new();
         self.listings().for_each(|listed| listed.hash(&mut hasher));
         self.held().for_each(|entry| entry.hash(&mut hasher));
+        self.halls.drained().for_each(|hall| hall.name.hash(&mut hasher));
         let digest = hasher.finish();
         self.digest.set(Some(digest));
         digest
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -11,7 +11,7 @@
 use foldlock_version::routes::Table;
 use serde::{Deserialize, Serialize};
 
-use crate::board::Listed;
+use crate::board::{Hall, Halls, Listed};
 use crate::fingerprint::Fingerprint;
 pub use crate::held::Quarantined;
 use crate::revision::Revision;
@@ -53,6 +53,9 @@
     /// The requests that are held.
     #[serde(default)]
     pub held: Vec<Quarantined>,
+    /// The data halls that are drained or were taken back.
+    #[serde(default)]
+    pub halls: Halls,
 }
 
 /// Something that the directory says.
@@ -71,6 +74,8 @@
     Member(Member),
     /// A VM has withdrawn.
     MemberGone(id::Vm),
+    /// A data hall is drained, or taken back.
+    Hall(Hall),
     /// A request is held.
     Quarantined(Quarantined),
     /// A request is let go.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -134,6 +134,8 @@
 pub enum Nowhere {
     /// No upstream of the service is known to be open.
     Closed,
+    /// All upstreams of the service are in data halls that an operator has drained.
+    Drained,
     /// All have as much as they take; it may change soon.
     Full,
     /// The request is larger than the memory of any engine.
@@ -224,7 +226,8 @@
     let alone = runs_alone(board, ask.fingerprint, now)?;
     let candidates = candidates(board, service, ask, now);
     if candidates.is_empty() {
-        return Err(Nowhere::Closed);
+        let drained = board.is_drained(&service.name);
+        return Err(if drained { Nowhere::Drained } else { Nowhere::Closed });
     }
     let engine = service.engine.as_ref();
     let Some(engine) = engine.filter(|engine| ask.long_read_ms(engine).is_some()) else {
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -101,6 +101,9 @@
         if let Err(held @ Nowhere::Quarantined { .. }) = runs_alone(board, ask.fingerprint, now) {
             return Answer::Nowhere(held);
         }
+        if board.is_drained(&found.name) {
+            return Answer::Nowhere(Nowhere::Drained);
+        }
         let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
         if let Some(read_ms) = read_ms {
             self.asked.push_back(Asked { at: now, service, read_ms });
@@ -147,6 +150,10 @@
         self.turn_away(board, now, &mut answers);
         for tag in services {
             let Some(service) = find(table, tag) else { continue };
+            if board.is_drained(&service.name) {
+                self.turn_away_all(tag, &mut answers);
+                continue;
+            }
             self.place_short(board, service, tag, now, &mut answers);
             self.place_long(board, service, tag, now, &mut answers);
         }
@@ -164,6 +171,16 @@
         });
     }
 
+    /// Tells those that wait for a service whose halls have all been drained.
+    fn turn_away_all(&mut self, service: Tag, answers: &mut Vec<(Key, Answer)>) {
+        self.waiters.retain(|waiter| {
+            if waiter.service == service {
+                answers.push((waiter.key.clone(), Answer::Nowhere(Nowhere::Drained)));
+            }
+            waiter.service != service
+        });
+    }
+
     /// Short requests, the one that is due first before the others.
     fn place_short(
         &mut self,
