Tell that nothing happened at a rate that the fleet shares, and put VMs into the order one by one

Cause: each VM told three others five times a second that nothing happened, and these told all: some 4,900 datagrams in and out a second at 985 VMs, growing with the fleet; and each VM that was listed had the whole order sorted anew, the square of the VMs.

Change: the time between idle beats is 200 ms up to 400 VMs, and beyond that what keeps the VM that places at 2,000 a second; the times that follow from it (heard, wanted, silent, settled) follow it. A VM is put into the order at its place.

--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -28,9 +28,6 @@
 /// The same to the VMs that would take over from it.
 const GATHER_SPARE: Duration = Duration::from_millis(50);
 
-/// The longest time between two beats.
-const IDLE: Duration = Duration::from_millis(200);
-
 /// Datagrams that are read in one go, before what they change is told.
 const IN_ONE_GO: usize = 64;
 
@@ -48,7 +45,8 @@
     let mut told = Told { first: now, spare: now, all: now };
     let mut due = true;
     loop {
-        let next = if due { told.first + GATHER } else { told.all + IDLE };
+        let idle = process.peers.cadence().idle();
+        let next = if due { told.first + GATHER } else { told.all + idle };
         tokio::select! {
             heard = process.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = heard {
@@ -61,7 +59,7 @@
             () = tokio::time::sleep_until(next.into()) => {
                 let now = process.now();
                 drop_silent(&process, now);
-                let round = told.round(process.tell_all.swap(false, Ordering::Relaxed), now);
+                let round = told.round(process.tell_all.swap(false, Ordering::Relaxed), idle, now);
                 // What the spare ones have not heard yet, the next round tells.
                 due = false;
                 tell::tell(&process, round, now);
@@ -72,9 +70,9 @@
 
 impl Told {
     /// Who is told now.
-    fn round(&mut self, all: bool, now: Instant) -> Round {
+    fn round(&mut self, all: bool, idle: Duration, now: Instant) -> Round {
         self.first = now;
-        if all || now.saturating_duration_since(self.all) >= IDLE {
+        if all || now.saturating_duration_since(self.all) >= idle {
             (self.spare, self.all) = (now, now);
             return Round::All;
         }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -1,6 +1,7 @@
 //! The other VMs of the fleet: who is heard, how fresh their settings are, and which of them place
 //! the requests of this one.
 
+mod cadence;
 mod peer;
 
 use std::collections::BTreeMap;
@@ -19,7 +20,9 @@
 use rand::seq::IndexedRandom;
 use serde_json::json;
 
-use crate::fleet::peers::peer::{PLACES, Peer};
+use crate::fleet::peers::peer::Peer;
+
+pub use cadence::Cadence;
 
 /// How long a VM runs until it has heard of all that is under way: the others find it within two
 /// idle beats, and some of these are lost.
@@ -88,16 +91,29 @@
 }
 
 impl Known {
-    fn sort(&mut self, own: &Member) {
-        let listed = self.peers.values().filter(|peer| !peer.leaving);
-        self.order = listed.map(|peer| peer.member.clone()).collect();
-        self.order.push(own.clone());
-        rank::order(&mut self.order);
+    /// Puts a peer in its place in the order, as it is known now.
+    fn place(&mut self, member: Member) {
+        self.displace(&member.vm);
+        rank::insert(&mut self.order, member);
+    }
+
+    fn displace(&mut self, vm: &id::Vm) {
+        self.order.retain(|member| member.vm != *vm);
+    }
+
+    fn cadence(&self) -> Cadence {
+        Cadence::of(self.order.len())
     }
 
     fn contact(&self, vm: &id::Vm, now: Instant) -> Contact {
         // This VM is always in contact with itself.
-        self.peers.get(vm).map_or(Contact::Heard, |peer| peer.contact(now))
+        self.peers.get(vm).map_or(Contact::Heard, |peer| peer.contact(self.cadence(), now))
+    }
+
+    /// The peers that were heard of late.
+    fn heard(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let cadence = self.cadence();
+        self.peers.values().filter(move |peer| peer.is_heard(cadence, now))
     }
 
     /// The VMs that are told all, in their order.
@@ -125,23 +141,24 @@
             return None;
         }
         let renewed = before.is_some_and(|peer| peer.member.incarnation != member.incarnation);
-        known.peers.insert(member.vm.clone(), Peer::new(member));
-        known.sort(&self.own);
+        known.peers.insert(member.vm.clone(), Peer::new(member.clone()));
+        known.place(member);
         Some(if renewed { News::Renewed } else { News::Heard })
     }
 
     /// A VM has withdrawn. Answers what that means for its work, if it had not withdrawn before.
     pub fn withdraw(&self, vm: &id::Vm, now: Instant) -> Option<Withdrawal> {
         let mut known = self.known.lock().unwrap();
+        let cadence = known.cadence();
         let peer = known.peers.get_mut(vm)?;
         if std::mem::replace(&mut peer.leaving, true) {
             return None;
         }
-        let heard = peer.is_heard(now);
+        let heard = peer.is_heard(cadence, now);
         if !heard {
             known.peers.remove(vm);
         }
-        known.sort(&self.own);
+        known.displace(vm);
         Some(if heard { Withdrawal::Finishing } else { Withdrawal::Gone })
     }
 
@@ -167,7 +184,8 @@
             peer.wants = Some(now);
         }
         if renewed {
-            known.sort(&self.own);
+            let member = known.peers.get(&state.vm).map(|peer| peer.member.clone());
+            member.into_iter().for_each(|member| known.place(member));
         }
         Some(if renewed { News::Renewed } else { News::Heard })
     }
@@ -199,7 +217,7 @@
     /// The peers that were heard of late and are not leaving.
     pub fn heard(&self, now: Instant) -> Vec<Member> {
         let known = self.known.lock().unwrap();
-        let heard = known.peers.values().filter(|peer| peer.is_heard(now) && !peer.leaving);
+        let heard = known.heard(now).filter(|peer| !peer.leaving);
         heard.map(|peer| peer.member.clone()).collect()
     }
 
@@ -208,12 +226,13 @@
         let mut known = self.known.lock().unwrap();
         let schedulers: Vec<id::Vm> =
             known.schedulers(now).map(|member| member.vm.clone()).collect();
+        let cadence = known.cadence();
         let target = |(vm, peer): (&id::Vm, &mut Peer)| {
             let scheduler = schedulers.contains(vm);
             if scheduler {
-                peer.tried(now);
+                peer.tried(cadence, now);
             }
-            (scheduler || peer.wants(now)).then_some(Target {
+            (scheduler || peer.wants(cadence, now)).then_some(Target {
                 address: peer.member.address,
                 echo: peer.stamp,
                 echo_of: peer.member.incarnation,
@@ -236,7 +255,7 @@
                 Some(peer) if peer.missed.is_some() => continue,
                 Some(peer) => {
                     let placer = Placer::Peer(member.vm.clone(), member.address);
-                    (peer.placing_rank(now), placer)
+                    (peer.placing_rank(known.cadence(), now), placer)
                 }
             };
             if found.as_ref().is_none_or(|(best, _)| rank < *best) {
@@ -260,6 +279,11 @@
         }
     }
 
+    /// How often VMs of a fleet of this size tell each other that nothing happened.
+    pub fn cadence(&self) -> Cadence {
+        self.known.lock().unwrap().cadence()
+    }
+
     /// The place of this VM among those that are heard, in their order.
     pub fn position(&self, now: Instant) -> usize {
         let known = self.known.lock().unwrap();
@@ -276,7 +300,8 @@
     /// Whether a peer was heard just now that the directory answers.
     pub fn watched(&self, now: Instant) -> bool {
         let known = self.known.lock().unwrap();
-        let watched = |at: Instant| now.saturating_duration_since(at) < PLACES;
+        let places = known.cadence().places();
+        let watched = |at: Instant| now.saturating_duration_since(at) < places;
         known.peers.values().any(|peer| peer.watching.is_some_and(watched))
     }
 
@@ -293,7 +318,7 @@
     /// One of the peers that are heard, drawn at random so that they share the work.
     fn pick(&self, now: Instant, of: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
         let known = self.known.lock().unwrap();
-        let of: Vec<&Peer> = known.peers.values().filter(|p| p.is_heard(now) && of(p)).collect();
+        let of: Vec<&Peer> = known.heard(now).filter(|peer| of(peer)).collect();
         let near: Vec<&Peer> =
             of.iter().copied().filter(|p| p.member.hall == self.own.hall).collect();
         let from = if near.is_empty() { of } else { near };
@@ -303,7 +328,7 @@
     /// The age of the oldest word among the peers that are heard, milliseconds.
     pub fn oldest_ms(&self, now: Instant) -> Option<u64> {
         let known = self.known.lock().unwrap();
-        let heard = known.peers.values().filter(|p| p.is_heard(now)).filter_map(|p| p.heard);
+        let heard = known.heard(now).filter_map(|peer| peer.heard);
         heard.map(|at| now.saturating_duration_since(at).as_millis() as u64).max()
     }
 
@@ -311,8 +336,9 @@
     pub fn drop_silent(&self, now: Instant) -> Vec<id::Vm> {
         let mut known = self.known.lock().unwrap();
         let mut silent = Vec::new();
+        let cadence = known.cadence();
         for (vm, peer) in &mut known.peers {
-            if peer.heard.is_some() && !peer.is_heard(now) {
+            if peer.heard.is_some() && !peer.is_heard(cadence, now) {
                 peer.heard = None;
                 silent.push(vm.clone());
             }
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -7,25 +7,15 @@
 use foldlock_request::rank::Contact;
 use foldlock_request::revision::Revision;
 
-/// A peer that was not heard for this long is taken for down: ten idle beats.
-const SILENT: Duration = Duration::from_millis(2_000);
-
-/// How long a VM that is not heard is told all, to find out whether it lives.
-const TRIED: Duration = Duration::from_millis(650);
+use crate::fleet::peers::Cadence;
 
 /// How long after that it is tried again.
 const RETRIED: Duration = Duration::from_millis(2_500);
 
-/// How long a VM that asked to hear from this one is told: five idle beats.
-const WANTS: Duration = Duration::from_millis(1_000);
-
 /// The age of its settings up to which a peer that says that the directory answers it is believed:
 /// a watch and some beats.
 const WATCH_AGE: Duration = Duration::from_millis(2_000);
 
-/// A VM that was not heard for this long places nothing: three idle beats, of which two may be lost.
-pub(super) const PLACES: Duration = Duration::from_millis(650);
-
 /// What is known of a peer.
 #[derive(Debug, Clone)]
 pub(super) struct Peer {
@@ -88,44 +78,46 @@
     }
 
     /// Whether it is taken to be up.
-    pub(super) fn is_heard(&self, now: Instant) -> bool {
-        self.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT)
+    pub(super) fn is_heard(&self, cadence: Cadence, now: Instant) -> bool {
+        self.heard.is_some_and(|at| now.saturating_duration_since(at) < cadence.silent())
     }
 
     /// Whether it asked of late to hear from this VM.
-    pub(super) fn wants(&self, now: Instant) -> bool {
-        self.wants.is_some_and(|at| now.saturating_duration_since(at) < WANTS)
+    pub(super) fn wants(&self, cadence: Cadence, now: Instant) -> bool {
+        self.wants.is_some_and(|at| now.saturating_duration_since(at) < cadence.wants())
     }
 
     /// Whether it may be asked to place requests.
-    pub(super) fn contact(&self, now: Instant) -> Contact {
+    pub(super) fn contact(&self, cadence: Cadence, now: Instant) -> Contact {
         let since = |at: Instant| now.saturating_duration_since(at);
         // Where all schedulers die at once, the next ones are told at once, and not only when the
         // dead are no longer taken for heard. Until then each VM placed by its own requests alone,
         // on engines that it took for empty: 69 refusals, after 43 of 72 VMs had died.
-        if self.missed.is_some_and(|at| since(at) < PLACES) {
+        if self.missed.is_some_and(|at| since(at) < cadence.places()) {
             return Contact::Untried;
         }
-        if self.heard.is_some_and(|at| since(at) < PLACES) {
+        if self.heard.is_some_and(|at| since(at) < cadence.places()) {
             return Contact::Heard;
         }
+        // How long a VM that is not heard is told all, to find out whether it lives.
+        let tried = cadence.places();
         match self.tried {
-            Some(at) if since(at) >= TRIED && since(at) < TRIED + RETRIED => Contact::Silent,
+            Some(at) if since(at) >= tried && since(at) < tried + RETRIED => Contact::Silent,
             _ => Contact::Untried,
         }
     }
 
     /// It is told all now, whether it is heard or not.
-    pub(super) fn tried(&mut self, now: Instant) {
-        let again = |at: Instant| now.saturating_duration_since(at) >= TRIED + RETRIED;
-        if self.contact(now) != Contact::Heard && self.tried.is_none_or(again) {
+    pub(super) fn tried(&mut self, cadence: Cadence, now: Instant) {
+        let again = |at: Instant| now.saturating_duration_since(at) >= cadence.places() + RETRIED;
+        if self.contact(cadence, now) != Contact::Heard && self.tried.is_none_or(again) {
             self.tried = Some(now);
         }
     }
 
     /// How little it is to be asked, 0 the most.
-    pub(super) fn placing_rank(&self, now: Instant) -> u8 {
-        match self.contact(now) {
+    pub(super) fn placing_rank(&self, cadence: Cadence, now: Instant) -> u8 {
+        match self.contact(cadence, now) {
             Contact::Heard if self.settled => 0,
             Contact::Heard => 1,
             Contact::Untried | Contact::Silent => 2,
--- a/request/src/rank.rs
+++ b/request/src/rank.rs
@@ -16,9 +16,19 @@
 /// Orders VMs by how well they can place for all: those with the most of a processor first, equal
 /// ones by a hash, so that no hall and no age of a VM is preferred.
 pub fn order(members: &mut [Member]) {
-    members.sort_by_cached_key(|member| {
-        (Reverse(member.millicores), xxh3_64(member.vm.as_str().as_bytes()))
-    });
+    members.sort_by_cached_key(key);
+}
+
+/// Puts a VM into its place among others in their order. A fleet that starts lists its VMs one by one: to
+/// order all anew for each grows with the square of the VMs.
+pub fn insert(order: &mut Vec<Member>, member: Member) {
+    let own = key(&member);
+    let place = order.partition_point(|other| key(other) < own);
+    order.insert(place, member);
+}
+
+fn key(member: &Member) -> (Reverse<u32>, u64) {
+    (Reverse(member.millicores), xxh3_64(member.vm.as_str().as_bytes()))
 }
 
 /// What is known of a VM.
