Let a VM that starts learn from its peers, and tell changes of the listings as steps

And each change of one upstream had each VM read all listings (52 kB) from one of three peers: changes times VMs times listings.

Change: a VM that starts looks who is listed, by a read that may be old and costs a tenth, waits some trips for peers that watch, and learns from them; where none is heard it reads, each VM 4 ms after the one before it. What a watch brings goes to all as a step from one revision to the next; who misses a step reads all, as before. The waits that had a longest time now grow by VM.

--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -13,12 +13,13 @@
 use foldlock_request::board::Start;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
-use foldlock_request::message::{self, Beat, Message};
+use foldlock_request::message::{self, Beat, Message, State};
+use foldlock_request::step;
 
 use crate::fleet::peers::News;
 use crate::fleet::process::Process;
 use crate::fleet::tell::{self, Round};
-use crate::fleet::{asks, catch_up, members, notices, reports, scheduler};
+use crate::fleet::{asks, catch_up, members, notices, reports, scheduler, told};
 use crate::log;
 
 /// The least time between two beats to the VM that places: what begins and ends gathers for it. A
@@ -123,6 +124,10 @@
     if state.leaving {
         members::withdrawn(process, &state.vm);
     }
+    if beat.wants && state.version == 0 {
+        tell::tell_newcomer(process, &state.vm);
+    }
+    hear_steps(process, state);
     catch_up::start(process, directory);
     for Start { upstream, born } in &state.starts {
         reports::renewed(process, upstream, *born, &state.vm);
@@ -146,6 +151,15 @@
     }
 }
 
+/// What a peer that watches the directory says of changes there, if they follow on what is known here. Who
+/// misses some reads all that is listed, from a peer.
+fn hear_steps<D: Dialect>(process: &Arc<Process<D>>, state: &State) {
+    match step::decode(&state.steps) {
+        Ok(steps) => steps.into_iter().for_each(|step| told::step(process, step, &state.vm)),
+        Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
+    }
+}
+
 /// The peer knew our version to be the newest `age` before it sent this beat, which was after we
 /// sent the stamp that it echoes.
 fn confirm<D: Dialect>(process: &Process<D>, beat: &Beat) {
--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -16,7 +16,7 @@
 use hyper::Request;
 
 use crate::fleet::process::Process;
-use crate::fleet::{follow, operators, packed};
+use crate::fleet::{operators, packed, told};
 use crate::log;
 
 /// How long a read from a peer may take.
@@ -63,8 +63,7 @@
 }
 
 async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    let turn = rand::random_range(0..process.peers.listed_count() as u32);
-    tokio::time::sleep((TURN * turn).min(MOST_TURN)).await;
+    tokio::time::sleep(turn(&process)).await;
     for _ in 0..READS {
         let Some(source) = source(&process) else { break };
         if let Err(why) = read_from(&process, &directory, source).await {
@@ -75,6 +74,15 @@
     process.peers.reading.store(false, Ordering::Relaxed);
 }
 
+/// How long this VM leaves the way to others. One that knows nothing yet keeps callers waiting.
+fn turn<D: Dialect>(process: &Process<D>) -> Duration {
+    if process.version() == 0 {
+        return Duration::ZERO;
+    }
+    let before = rand::random_range(0..process.peers.listed_count() as u32);
+    (TURN * before).min(MOST_TURN)
+}
+
 async fn read_from<D: Dialect, R: Directory>(
     process: &Arc<Process<D>>,
     directory: &R,
@@ -89,7 +97,7 @@
             let text = read(peer, operators::LISTING).await?;
             let listing =
                 serde_json::from_slice(&text).map_err(|e| format!("listing of {peer}: {e}"))?;
-            follow::told(process, listing);
+            told::listing(process, listing);
         }
     }
     Ok(())
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -9,6 +9,7 @@
 use foldlock_request::directory::{Change, Quarantined};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::revision::Revision;
+use foldlock_request::step;
 
 use crate::fleet::members;
 use crate::fleet::peers::Placer;
@@ -68,6 +69,26 @@
     }
 }
 
+/// A change as peers are told of it; none where it is told in another way, or may not hold.
+pub fn told(change: &Change, word: Word) -> Option<step::Change> {
+    Some(match change {
+        Change::Upstream(listed) => step::Change::Upstream(listed.clone()),
+        // It may live; once it is taken for gone, that is told.
+        Change::UpstreamGone(..) if word.may_live() => return None,
+        Change::UpstreamGone(id, revision) | Change::UpstreamUnreadable(id, revision, _) => {
+            step::Change::UpstreamGone(id.clone(), *revision)
+        }
+        Change::Member(member) => step::Change::Member(member.clone()),
+        Change::MemberGone(vm) => step::Change::MemberGone(vm.clone()),
+        Change::Hall(hall) => step::Change::Hall(hall.clone()),
+        Change::Quarantined(entry) => step::Change::Held(entry.clone()),
+        Change::Released(fingerprint) => step::Change::Released(*fingerprint),
+        Change::Settings(_) | Change::SettingsUnreadable(_) | Change::Unreadable { .. } => {
+            return None;
+        }
+    })
+}
+
 /// After a whole read, what is not in it has ended.
 pub fn end_unlisted<D: Dialect>(
     process: &Process<D>,
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -6,12 +6,13 @@
 
 use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
-use foldlock_request::board::Listed;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Change, Changes, Directory, Fault, Listing};
+use foldlock_request::directory::{Change, Changes, Directory, Fault};
 use foldlock_request::revision::Revision;
+use foldlock_request::step::{self, Step};
 
 use crate::fleet::changes::{self, News, Word};
+use crate::fleet::join;
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
 use crate::log;
@@ -39,10 +40,10 @@
 
 /// VMs that watch the directory in a large fleet; the others hear from them. Three, so that two
 /// may fail at once without a gap.
-const WATCHERS: usize = 3;
+pub(super) const WATCHERS: usize = 3;
 
 /// The fleet up to which all VMs watch: there the calls cost less than a gap would.
-const ALL_WATCH: usize = 10;
+pub(super) const ALL_WATCH: usize = 10;
 
 /// How much longer than the VM before it in the order a VM relies on what it was told, once no peer
 /// says any more that the directory answers it: so the first few of them ask, and the others hear
@@ -53,6 +54,10 @@
 /// to be well under the time within which an upstream that leaves gets no more work, 2 s and more.
 const MOST_TURN: Duration = Duration::from_millis(300);
 
+/// What is added to that for each VM before it, without an end: VMs beyond the first few hundred would else all
+/// ask in one moment. It is what a VM may take of the directory's calls if all ask.
+const SHARED: Duration = Duration::from_millis(1);
+
 /// The longest pause after a failed call of a VM that need not watch: those that watch tell it as
 /// soon as the directory is back.
 const MOST_RETRY_TOLD: Duration = Duration::from_millis(2_000);
@@ -65,9 +70,12 @@
 /// after three liveness reports of 1.2 s.
 const COPY: Duration = Duration::from_secs(5);
 
-/// Within this time all VMs list themselves again once the directory has come back from a copy: 300 VMs make
-/// 150 calls a second of it, where 400 are free in the smallest installation.
-const LIST_AGAIN: Duration = Duration::from_secs(2);
+/// The time that each VM adds to that in which all list themselves again, once the directory has come back
+/// from a copy: 150 calls a second, where 400 are free in the smallest installation.
+const LIST_AGAIN: Duration = Duration::from_micros(6_667);
+
+/// The least such time.
+const LEAST_LIST_AGAIN: Duration = Duration::from_secs(2);
 
 /// What is known of the directory itself.
 #[derive(Default)]
@@ -97,12 +105,13 @@
 /// Follows the directory until the process stops.
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut contact = Contact::default();
+    join::find_peers(&process, &directory).await;
     loop {
         if !is_watcher(&process) && is_told(&process).await {
             process.watching.store(false, Ordering::Relaxed);
             contact = Contact { failures: 0, is_behind: false, ..contact };
             // What peers tell goes on where the last watch ended, or beyond.
-            contact.at = Some(process.at());
+            contact.at = Some(process.at()).filter(|at| !at.is_none());
             tokio::time::sleep(TOLD_LOOK).await;
             continue;
         }
@@ -144,48 +153,16 @@
 /// Whether peers tell what the directory says: one of them was heard just now that it answers, or is
 /// heard soon.
 async fn is_told<D: Dialect>(process: &Process<D>) -> bool {
-    if process.at().is_none() {
-        return false;
-    }
     if process.peers.watched(process.now()) {
         return true;
     }
-    let turn = TURN * process.peers.position_listed() as u32;
-    tokio::time::sleep(turn.min(MOST_TURN)).await;
-    process.peers.watched(process.now())
-}
-
-/// Takes the listings that a peer knows, where the directory itself is not heard.
-///
-/// The revisions of two VMs do not order what they know: a watch may name a revision whose changes
-/// it did not bring. So nothing that ended here comes back by a peer's word, and what is leaving
-/// stays so.
-pub fn told<D: Dialect>(process: &Arc<Process<D>>, listing: Listing) {
-    let at = process.at();
-    if process.watching.load(Ordering::Relaxed) || listing.at < at {
-        return;
-    }
-    let newer = listing.at > at;
-    let revision = listing.at;
-    // The peer may know the copy alone.
-    let restored = note_era(process, revision, "a peer");
-    let word = if restored { Word::Lapsed } else { Word::Sound };
-    process.known_to(revision);
-    let upstreams: Vec<Listed> = {
-        let board = process.board.lock().unwrap();
-        listing.upstreams.into_iter().filter(|listed| board.accepts(listed)).collect()
-    };
-    let members = listing.members.into_iter().map(Change::Member);
-    let upstreams = upstreams.into_iter().map(Change::Upstream);
-    let held = listing.held.into_iter().map(Change::Quarantined);
-    let changes: Vec<Change> = upstreams.chain(members).chain(held).collect();
-    let mut news = News::default();
-    changes::halls_told(process, &listing.halls, &mut news);
-    if newer {
-        changes::end_unlisted(process, &changes, revision, word, &mut news);
+    if process.at().is_none() {
+        return false;
     }
-    changes.into_iter().for_each(|change| changes::apply(process, change, Word::Sound, &mut news));
-    news.log(process, revision, "a peer");
+    let position = process.peers.position_listed() as u32;
+    let turn = (TURN * position).min(MOST_TURN) + SHARED * position;
+    tokio::time::sleep(turn).await;
+    process.peers.watched(process.now())
 }
 
 fn heard<D: Dialect>(
@@ -204,6 +181,7 @@
     }
     let mut news = News::default();
     let Changes { at, changes } = changes;
+    let from = contact.at;
     note_era(process, at, "the directory");
     // Also where a peer told of it first.
     contact.restored = contact.restored.or(process.restored(COPY));
@@ -216,9 +194,13 @@
     let changed = !changes.is_empty();
     contact.at = Some(at);
     process.known_to(at);
+    let mut step: Vec<step::Change> =
+        changes.iter().filter_map(|change| changes::told(change, word)).collect();
     changes.into_iter().for_each(|change| changes::apply(process, change, word, &mut news));
     let gone = process.board.lock().unwrap().expire(RELIST, at, now);
     gone.iter().for_each(|id| changes::ended(process, id, "not listed again", &mut news));
+    step.extend(gone.into_iter().map(|id| step::Change::UpstreamGone(id, at)));
+    note_step(process, from, at, step);
     news.log(process, at, "the directory");
     if !contact.is_behind {
         process.fresh.confirm(asked);
@@ -233,6 +215,23 @@
     }
 }
 
+/// Notes what changed, as peers are told of it; after a whole read that is not known.
+fn note_step<D: Dialect>(
+    process: &Process<D>,
+    from: Option<Revision>,
+    to: Revision,
+    changes: Vec<step::Change>,
+) {
+    let mut steps = process.steps.lock().unwrap();
+    match from {
+        Some(from) if from != to || !changes.is_empty() => {
+            steps.note(Step { from, to, changes }, process.now());
+        }
+        Some(_) => {}
+        None => steps.clear(),
+    }
+}
+
 impl Contact {
     /// Settings in force are never given up for older ones, and a copy that lacks them does not confirm them:
     /// a key that was taken away in a version which is lost as well would be served on.
@@ -251,7 +250,7 @@
 
 /// Notes the era of a revision. Answers whether the directory has come back from a copy since what is known
 /// of it: then this VM's own entry may be gone, which no other VM would write again.
-fn note_era<D: Dialect>(process: &Arc<Process<D>>, at: Revision, from: &str) -> bool {
+pub(super) fn note_era<D: Dialect>(process: &Arc<Process<D>>, at: Revision, from: &str) -> bool {
     let known = process.at();
     if known.is_none() || at.era <= known.era {
         return false;
@@ -266,7 +265,8 @@
 
 /// Lists this VM again, at some moment of the time in which all do.
 async fn list_again<D: Dialect>(process: Arc<Process<D>>) {
-    tokio::time::sleep(LIST_AGAIN.mul_f64(rand::random_range(0.0..1.0))).await;
+    let all = (LIST_AGAIN * process.peers.listed_count() as u32).max(LEAST_LIST_AGAIN);
+    tokio::time::sleep(all.mul_f64(rand::random_range(0.0..1.0))).await;
     if process.listed.load(Ordering::Relaxed) && !process.stopping.is_cancelled() {
         process.register.order(Order::Announce);
     }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -31,6 +31,8 @@
 /// A VM that a beat is to be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
+    /// The VM.
+    pub vm: id::Vm,
     /// Where it listens.
     pub address: SocketAddr,
     /// The newest stamp that was heard of it.
@@ -232,7 +234,8 @@
             if scheduler {
                 peer.tried(cadence, now);
             }
-            (scheduler || peer.wants(cadence, now)).then_some(Target {
+            (scheduler || peer.wants(cadence, now)).then(|| Target {
+                vm: vm.clone(),
                 address: peer.member.address,
                 echo: peer.stamp,
                 echo_of: peer.member.incarnation,
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -17,6 +17,7 @@
 use foldlock_request::revision::Revision;
 use foldlock_request::ring::Ring;
 use foldlock_request::scheduler::Scheduler;
+use foldlock_request::step::Steps;
 use slog::Logger;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -103,6 +104,8 @@
     pub packed_settings: Kept,
     /// The listings as peers read them.
     pub packed_listing: Kept,
+    /// What changed in the listings of late, as this VM saw it at the directory.
+    pub steps: Mutex<Steps>,
     /// Entries of the directory that name nothing to use.
     pub unreadable: Unreadable,
     /// What the directory is to be told of requests that are held.
@@ -175,6 +178,7 @@
             rests: Mutex::default(),
             packed_settings: Kept::default(),
             packed_listing: Kept::default(),
+            steps: Mutex::default(),
             unreadable: Unreadable::default(),
             register: Register::default(),
             at: Mutex::default(),
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -3,8 +3,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, Beat, Message, State, Work};
+use foldlock_request::step;
 use tokio::net::UdpSocket;
 
 use crate::fleet::peers::Target;
@@ -27,6 +29,13 @@
     tell(process, Round::First, process.now());
 }
 
+/// Tells one peer at once how things are: it has just started and waits to know.
+pub fn tell_newcomer<D: Dialect>(process: &Process<D>, vm: &id::Vm) {
+    let now = process.now();
+    let target = process.peers.targets(now).into_iter().find(|target| target.vm == *vm);
+    tell_targets(process, Round::First, target.as_ref().into_iter().collect(), now);
+}
+
 /// Tells those whose turn it is.
 pub fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) {
     let targets = process.peers.targets(now);
@@ -40,6 +49,15 @@
             Round::All => true,
         })
         .collect();
+    tell_targets(process, round, told, now);
+}
+
+fn tell_targets<D: Dialect>(
+    process: &Process<D>,
+    round: Round,
+    told: Vec<&Target>,
+    now: Instant,
+) {
     if told.is_empty() {
         return;
     }
@@ -67,6 +85,7 @@
 }
 
 fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
+    let steps = if round == Round::All { steps(process, now) } else { String::new() };
     let (digest, starts, departures) = {
         let mut board = process.board.lock().unwrap();
         let departures = if round == Round::All { board.departures() } else { Vec::new() };
@@ -85,10 +104,17 @@
         settled: process.peers.settled(now),
         starts,
         departures,
+        steps,
         work: None,
     }
 }
 
+/// What changed of late, for a beat that may be lost and the one after it.
+fn steps<D: Dialect>(process: &Process<D>, now: Instant) -> String {
+    let time = process.peers.cadence().idle() * 2;
+    step::encode(&process.steps.lock().unwrap().told(time, now))
+}
+
 fn work<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> Work {
     let mut board = process.board.lock().unwrap();
     Work {
--- /dev/null
+++ b/daemon/src/fleet/told.rs
@@ -0,0 +1,82 @@
+//! What peers tell of the directory's listings, where the directory itself is not heard.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use foldlock_base::prelude::*;
+use foldlock_request::board::Listed;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::{Change, Listing};
+use foldlock_request::step::{self, Step};
+
+use crate::fleet::changes::{self, News, Word};
+use crate::fleet::follow;
+use crate::fleet::process::Process;
+
+/// Takes the listings that a peer knows, where the directory itself is not heard.
+///
+/// The revisions of two VMs do not order what they know: a watch may name a revision whose changes
+/// it did not bring. So nothing that ended here comes back by a peer's word, and what is leaving
+/// stays so.
+pub fn listing<D: Dialect>(process: &Arc<Process<D>>, listing: Listing) {
+    let at = process.at();
+    if process.watching.load(Ordering::Relaxed) || listing.at < at {
+        return;
+    }
+    let newer = listing.at > at;
+    let revision = listing.at;
+    // The peer may know the copy alone.
+    let restored = follow::note_era(process, revision, "a peer");
+    let word = if restored { Word::Lapsed } else { Word::Sound };
+    process.known_to(revision);
+    let upstreams: Vec<Listed> = {
+        let board = process.board.lock().unwrap();
+        listing.upstreams.into_iter().filter(|listed| board.accepts(listed)).collect()
+    };
+    let members = listing.members.into_iter().map(Change::Member);
+    let upstreams = upstreams.into_iter().map(Change::Upstream);
+    let held = listing.held.into_iter().map(Change::Quarantined);
+    let changes: Vec<Change> = upstreams.chain(members).chain(held).collect();
+    let mut news = News::default();
+    changes::halls_told(process, &listing.halls, &mut news);
+    if newer {
+        changes::end_unlisted(process, &changes, revision, word, &mut news);
+    }
+    changes.into_iter().for_each(|change| changes::apply(process, change, Word::Sound, &mut news));
+    news.log(process, revision, "a peer");
+}
+
+/// Takes a step of the listings that a peer saw, if it follows on what is known here. What ended here comes
+/// back by a later revision alone, as with [`listing`].
+pub fn step<D: Dialect>(process: &Arc<Process<D>>, step: Step, from: &id::Vm) {
+    if process.watching.load(Ordering::Relaxed) || !step.follows(process.at()) {
+        return;
+    }
+    let mut news = News::default();
+    for change in step.changes {
+        if let Some(change) = accepted(process, change) {
+            changes::apply(process, change, Word::Sound, &mut news);
+        }
+    }
+    process.known_to(step.to);
+    news.log(process, step.to, from.as_str());
+}
+
+/// A change that a peer told, unless something newer is known here.
+fn accepted<D: Dialect>(process: &Process<D>, change: step::Change) -> Option<Change> {
+    let board = process.board.lock().unwrap();
+    Some(match change {
+        step::Change::Upstream(listed) => {
+            board.accepts(&listed).then_some(Change::Upstream(listed))?
+        }
+        step::Change::UpstreamGone(id, revision) => {
+            let is_newer = board.get(&id).is_some_and(|known| known.listed.revision > revision);
+            (!is_newer).then_some(Change::UpstreamGone(id, revision))?
+        }
+        step::Change::Member(member) => Change::Member(member),
+        step::Change::MemberGone(vm) => Change::MemberGone(vm),
+        step::Change::Hall(hall) => Change::Hall(hall),
+        step::Change::Held(entry) => Change::Quarantined(entry),
+        step::Change::Released(fingerprint) => Change::Released(fingerprint),
+    })
+}
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod route;
 pub mod scheduler;
 pub mod speed;
+pub mod step;
 pub mod suspicion;
 pub mod tag;
 pub mod terms;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -77,6 +77,9 @@
     /// leaving yet. They go with the beats to all, five a second and one at once when there is news; with
     /// each beat, 45 of them would be 80 kB/s of a busy VM.
     pub departures: Vec<Tag>,
+    /// What changed in the listings of late, for those that do not watch the directory, as
+    /// [`crate::step::encode`] gives it. It goes with the beats to all.
+    pub steps: String,
     /// What it has under way; none where the receiver does not place its requests.
     pub work: Option<Work>,
 }
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -28,6 +28,7 @@
             settled: false,
             starts: Vec::new(),
             departures: Vec::new(),
+            steps: String::new(),
             work: Some(Work::default()),
         },
     })
