Give a cold upstream no more requests a second than it bears

Change: an entry's time is kept, and the rate that a service's cold upstreams bear. The VM that places counts what began at each in the last second, whoever placed it, and passes a cold one over once it has its share; others come first. A VM that places for itself divides the share by the VMs listed. Left: health answers are not asked for, so Cold-Ms is not read.

--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -305,7 +305,8 @@
     /// Places the request by what is known here.
     async fn alone(&self) -> Ended {
         let offset = rand::random_range(0..u16::MAX).into();
-        let ask = Ask { offset, ..self.without_resting() };
+        let placers = self.process.peers.listed_count();
+        let ask = Ask { offset, placers, ..self.without_resting() };
         let now = self.process.now();
         let placed = placement::place(&self.process.board.lock().unwrap(), self.service, &ask, now);
         match placed {
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use foldlock_base::prelude::*;
 use foldlock_request::board::{Hall, Halls, Listed};
@@ -243,6 +244,7 @@
 
 fn upstream_listed<D: Dialect>(process: &Process<D>, listed: Listed, word: Word, news: &mut News) {
     let leaving = listed.leaving;
+    let cold = Duration::from_millis(u64::from(listed.cold_ms));
     let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
     let id = listed.id.clone();
     let mut board = process.board.lock().unwrap();
@@ -252,6 +254,7 @@
         Word::Sound | Word::Lapsed => board.list(listed),
         Word::Copy => board.list_copy(listed),
     };
+    board.note_cold(&id, cold, process.now());
     let restarted = known && board.tag_of(&id) != before;
     drop(board);
     process.unreadable.forget(id.as_str());
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -290,7 +290,7 @@
     /// What this VM knows of the directory.
     pub fn listing(&self) -> Listing {
         let board = self.board.lock().unwrap();
-        let upstreams = board.relayed().collect();
+        let upstreams = board.relayed(self.now()).collect();
         let held = board.held().cloned().collect();
         let halls = board.halls().clone();
         drop(board);
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -52,12 +52,7 @@
     tell_targets(process, round, told, now);
 }
 
-fn tell_targets<D: Dialect>(
-    process: &Process<D>,
-    round: Round,
-    told: Vec<&Target>,
-    now: Instant,
-) {
+fn tell_targets<D: Dialect>(process: &Process<D>, round: Round, told: Vec<&Target>, now: Instant) {
     if told.is_empty() {
         return;
     }
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether it is slow from its start, or from having been left idle, and bears few requests.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it did not answer when it was last asked for a report.
     pub fn silent(&self, now: Instant) -> bool {
         let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
@@ -105,6 +110,8 @@
     pub observed: Option<Observed>,
     /// Whether this VM asked for it.
     pub asked: bool,
+    /// Until when it is cold.
+    pub cold_until: Option<Instant>,
     /// When its listing ended while the directory was away; it may still live.
     pub unlisted: Option<Instant>,
 }
@@ -204,6 +211,7 @@
             suspicion: Suspicion::default(),
             observed: None,
             asked: false,
+            cold_until: None,
             unlisted: None,
         };
         self.upstreams.insert(id, upstream);
@@ -282,14 +290,24 @@
     /// All listings as a peer is told of them. A revision goes with those alone that were gone or bad before
     /// and came back, since only these need it: with one for each entry, what 3,000 upstreams take is 49
     /// kB in place of 37, for each VM that reads it.
-    pub fn relayed(&self) -> impl Iterator<Item = Listed> {
-        self.listings().map(|listed| {
+    pub fn relayed(&self, now: Instant) -> impl Iterator<Item = Listed> {
+        self.upstreams.values().map(move |upstream| {
+            let listed = &upstream.listed;
             let came_back = self.ended.iter().any(|(id, _)| *id == listed.id);
             let revision = if came_back { listed.revision } else { Revision::default() };
-            Listed { revision, ..listed.clone() }
+            let cold = upstream.cold_until.map(|until| until.saturating_duration_since(now));
+            let cold_ms = cold.map_or(0, |left| left.as_millis() as u32);
+            Listed { revision, cold_ms, ..listed.clone() }
         })
     }
 
+    /// An upstream was said to be cold for so much longer.
+    pub fn note_cold(&mut self, id: &id::Upstream, left: Duration, now: Instant) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.cold_until = (!left.is_zero()).then(|| now + left);
+        }
+    }
+
     /// Whether a peer's word of a listing may be taken: nothing that ended comes back but by a higher
     /// revision, and nothing that is leaving stays but by one.
     pub fn accepts(&self, listed: &Listed) -> bool {
--- a/request/src/board/flights.rs
+++ b/request/src/board/flights.rs
@@ -1,6 +1,6 @@
 //! What is under way, by the VM that has it, and summed up by upstream.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
@@ -15,6 +15,10 @@
 /// which some may be lost.
 const GRANT_LASTS: Duration = Duration::from_millis(1_000);
 
+/// The time over which a cold upstream's requests are counted: a second, and what the way of one may differ
+/// from that of the next.
+const BEGUN: Duration = Duration::from_millis(1_100);
+
 /// The VM that has a flight under way.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Holder {
@@ -39,11 +43,16 @@
     works: HashMap<id::Upstream, Work>,
     /// Those that run alone; hardly ever any.
     alone: Vec<(Serial, Fingerprint, id::Upstream)>,
+    /// When requests of late began at each upstream.
+    begun: HashMap<id::Upstream, VecDeque<Instant>>,
     serial: Serial,
 }
 
 impl Flights {
     fn begin(&mut self, holder: Holder, number: u64, tracked: Tracked, grant: Option<u64>) {
+        if !self.knows(&holder, number) {
+            self.note_begun(&tracked.flight.upstream, tracked.sent);
+        }
         self.end(&holder, number, tracked.sent);
         self.serial += 1;
         let serial = self.serial;
@@ -59,6 +68,14 @@
         self.by_holder.entry(holder).or_default().insert(number, entry);
     }
 
+    fn note_begun(&mut self, upstream: &id::Upstream, at: Instant) {
+        let begun = self.begun.entry(upstream.clone()).or_default();
+        begun.push_back(at);
+        while begun.front().is_some_and(|first| at.saturating_duration_since(*first) > BEGUN) {
+            begun.pop_front();
+        }
+    }
+
     fn work(&mut self, upstream: &id::Upstream) -> &mut Work {
         if !self.works.contains_key(upstream) {
             self.works.insert(upstream.clone(), Work::default());
@@ -127,6 +144,7 @@
     /// the VMs that sent it still tell.
     pub(super) fn restarted(&mut self, upstream: &id::Upstream) {
         self.works.remove(upstream);
+        self.begun.remove(upstream);
         self.alone.retain(|(.., at)| at != upstream);
     }
 
@@ -213,6 +231,12 @@
         own.into_iter().flat_map(|flights| flights.values()).map(|entry| &entry.tracked)
     }
 
+    /// The requests that began at an upstream within the last second, as far as is known here.
+    pub fn begun(&self, upstream: &id::Upstream, now: Instant) -> usize {
+        let late = |at: &&Instant| now.saturating_duration_since(**at) <= BEGUN;
+        self.flights.begun.get(upstream).map_or(0, |begun| begun.iter().filter(late).count())
+    }
+
     /// The attempts of all VMs that tell theirs, and the places given.
     pub fn under_way(&self) -> usize {
         self.flights.by_holder.values().map(HashMap::len).sum()
--- a/request/src/board/listed.rs
+++ b/request/src/board/listed.rs
@@ -31,6 +31,13 @@
     pub slots: u32,
     /// Whether it is about to leave and takes no new work.
     pub leaving: bool,
+    /// How much longer it is cold, milliseconds from when this was said: slow, and it bears few requests.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u32,
+}
+
+fn is_zero(ms: &u32) -> bool {
+    *ms == 0
 }
 
 impl Listed {
@@ -48,9 +55,9 @@
         self.born.is_some() && other.born.is_some() && self.born != other.born
     }
 
-    /// Whether it says the same as `other`, under whatever revision.
+    /// Whether it says the same as `other`, under whatever revision and for however long it is cold.
     pub(super) fn says_the_same(&self, other: &Listed) -> bool {
-        *self == Listed { revision: self.revision, ..other.clone() }
+        *self == Listed { revision: self.revision, cold_ms: self.cold_ms, ..other.clone() }
     }
 }
 
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -157,6 +157,7 @@
             hold_limit: millis(self.hold_limit_ms),
             fingerprint: self.fingerprint,
             offset: 0,
+            placers: 1,
         }
     }
 }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -78,6 +78,9 @@
     /// How far on in the order of upstreams to begin: VMs that each place their own begin anywhere,
     /// so that they do not all meet at the first.
     pub offset: usize,
+    /// The VMs that may place at the same time without hearing of each other: what a cold upstream bears is
+    /// divided among them. One where a VM places for all.
+    pub placers: usize,
 }
 
 impl Ask {
@@ -226,8 +229,7 @@
     let alone = runs_alone(board, ask.fingerprint, now)?;
     let candidates = candidates(board, service, ask, now);
     if candidates.is_empty() {
-        let drained = board.is_drained(&service.name);
-        return Err(if drained { Nowhere::Drained } else { Nowhere::Closed });
+        return Err(nowhere(board, service, ask, now));
     }
     let engine = service.engine.as_ref();
     let Some(engine) = engine.filter(|engine| ask.long_read_ms(engine).is_some()) else {
@@ -245,6 +247,15 @@
     Ok(place)
 }
 
+/// Why no upstream is a candidate.
+fn nowhere(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Nowhere {
+    if board.is_drained(&service.name) {
+        return Nowhere::Drained;
+    }
+    let left = |u: &Upstream| u.is_cold(now) && !ask.avoid.contains(&u.tag);
+    if board.open(&service.name).any(left) { Nowhere::Full } else { Nowhere::Closed }
+}
+
 /// Whether a request is to run alone, if it may run now at all: one copy at a time does.
 pub fn runs_alone(board: &Board, fingerprint: Fingerprint, now: Instant) -> Result<bool, Nowhere> {
     match board.quarantine.verdict(fingerprint, now) {
@@ -263,17 +274,32 @@
     ask: &Ask,
     now: Instant,
 ) -> Vec<Candidate<'a>> {
-    let open = board.open(&service.name).filter(|u| !ask.avoid.contains(&u.tag));
+    let open = board
+        .open(&service.name)
+        .filter(|u| !ask.avoid.contains(&u.tag) && bears_more(board, service, u, ask.placers, now));
     let mut candidates = trusted(board, open.collect(), now);
     if !candidates.is_empty() {
         let offset = ask.offset % candidates.len();
         candidates.rotate_left(offset);
     }
-    candidates.sort_by_key(|upstream| upstream.listed.hall != ask.hall);
+    candidates.sort_by_key(|u| (u.is_cold(now), u.listed.hall != ask.hall));
     let engine = service.engine.as_ref();
     candidates.into_iter().map(|upstream| Candidate::new(board, upstream, engine, now)).collect()
 }
 
+/// Whether an upstream bears one more request now: a cold one bears some a second, and ends under many more.
+fn bears_more(
+    board: &Board,
+    service: &Service,
+    upstream: &Upstream,
+    placers: usize,
+    now: Instant,
+) -> bool {
+    let Some(per_s) = service.cold_per_s.filter(|_| upstream.is_cold(now)) else { return true };
+    let share = (per_s / placers.max(1) as f64).max(1.0) as usize;
+    board.begun(&upstream.listed.id, now) < share
+}
+
 /// Those that did not fail of late and are not left to a request that runs alone, or all where there are
 /// no others.
 fn trusted<'a>(board: &Board, open: Vec<&'a Upstream>, now: Instant) -> Vec<&'a Upstream> {
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -10,8 +10,8 @@
 use foldlock_version::routes::{Engine, Service};
 
 use super::share::{MOST_ENGINES, Prompt, Reader, Readers, Share};
-use super::{Ask, Candidate, Place, placed, trusted};
-use crate::board::Board;
+use super::{Ask, Candidate, Place, bears_more, placed, trusted};
+use crate::board::{Board, Upstream};
 use crate::forecast;
 use crate::line::{self, Capacity, Waiting};
 
@@ -88,7 +88,8 @@
     for waiting in in_order(line.turns, engine, &readers, now).into_iter().take(MOST_PLANNED) {
         let turn = &line.turns[waiting.index];
         let prompt = Prompt { read_ms: waiting.read_ms, left_ms: turn.ask.left_ms(now) };
-        match turn_now(turn.ask, engine, &readers, prompt, most_part_ms) {
+        let bears = |u: &Upstream| bears_more(board, service, u, turn.ask.placers, now);
+        match turn_now(turn.ask, engine, &readers, prompt, most_part_ms, bears) {
             Some((share, place)) => {
                 readers.begin(&share, &place, turn.ask);
                 placed.push((turn.index, place));
@@ -106,9 +107,11 @@
     readers: &Readers<'_>,
     prompt: Prompt,
     most_part_ms: f64,
+    bears: impl Fn(&Upstream) -> bool,
 ) -> Option<(Share, Place)> {
     let may = |r: &Reader<'_>| !ask.avoid.contains(&r.candidate.upstream.tag);
-    let can_answer = |r: &Reader<'_>| r.candidate.has_room(ask.memory.0, engine);
+    let can_answer =
+        |r: &Reader<'_>| r.candidate.has_room(ask.memory.0, engine) && bears(r.candidate.upstream);
     let share = readers.now(prompt, may, can_answer)?;
     if share.part_ms > most_part_ms {
         return None;
--- a/request/tests/board.rs
+++ b/request/tests/board.rs
@@ -29,6 +29,7 @@
         hall: "a".to_owned(),
         slots: 16,
         leaving: false,
+        cold_ms: 0,
     }
 }
 
--- a/request/tests/board/starts.rs
+++ b/request/tests/board/starts.rs
@@ -95,12 +95,13 @@
     board.list(Listed { revision: 6.into(), ..listed(2) });
     board.remove(&upstream(2), 7.into());
     board.list(Listed { revision: 8.into(), ..listed(2) });
-    let told: Vec<u64> = board.relayed().map(|listed| listed.revision.number).collect();
+    let told: Vec<u64> =
+        board.relayed(Instant::now()).map(|listed| listed.revision.number).collect();
     assert_eq!(told, [0, 8]);
     let mut peer = Board::default();
     peer.list(listed(2));
     peer.remove(&upstream(2), 7.into());
-    assert!(board.relayed().all(|listed| peer.accepts(&listed)));
+    assert!(board.relayed(Instant::now()).all(|listed| peer.accepts(&listed)));
     let gone = Listed { leaving: true, ..listed(1) };
     peer.list(Listed { revision: 5.into(), ..listed(1) });
     assert!(peer.accepts(&gone), "that an upstream leaves is taken without a revision, too");
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -68,7 +68,7 @@
 }
 
 fn service() -> Service {
-    Service { name: "model".to_owned(), connections: 100, engine: Some(ENGINE) }
+    Service { name: "model".to_owned(), connections: 100, engine: Some(ENGINE), cold_per_s: None }
 }
 
 fn upstream(i: usize) -> id::Upstream {
@@ -87,6 +87,7 @@
             hall: "hall".to_owned(),
             slots: 16,
             leaving: false,
+            cold_ms: 0,
         });
     }
     board
@@ -106,6 +107,7 @@
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
+        placers: 1,
     }
 }
 
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -67,7 +67,12 @@
 
 impl Fleet {
     fn new() -> Fleet {
-        let service = Service { name: "model".to_owned(), connections: 9, engine: Some(ENGINE) };
+        let service = Service {
+            name: "model".to_owned(),
+            connections: 9,
+            engine: Some(ENGINE),
+            cold_per_s: None,
+        };
         let mut fleet = Fleet {
             board: Board::default(),
             service,
@@ -97,6 +102,7 @@
             hall: "a".to_owned(),
             slots: 16,
             leaving: false,
+            cold_ms: 0,
         });
     }
 
@@ -125,6 +131,7 @@
             hold_limit: Duration::from_secs(2),
             fingerprint: request.fingerprint,
             offset: 0,
+            placers: 1,
         };
         let place = placement::place(&self.board, &self.service, &ask, self.now)?;
         let number = self.board.number();
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -95,7 +95,12 @@
 
 impl Play {
     pub(crate) fn new(engines: usize, figures: Figures) -> Play {
-        let service = Service { name: "model".to_owned(), connections: 9, engine: Some(figures) };
+        let service = Service {
+            name: "model".to_owned(),
+            connections: 9,
+            engine: Some(figures),
+            cold_per_s: None,
+        };
         let time = Duration::from_secs(9);
         let bounds = Bounds { header_bytes: 9, body_bytes: 9, header_time: time, idle_time: time };
         let mut board = Board::default();
@@ -110,6 +115,7 @@
                 hall: "a".to_owned(),
                 slots: figures.slots,
                 leaving: false,
+                cold_ms: 0,
             });
         }
         Play {
@@ -204,6 +210,7 @@
             hold_limit: Duration::from_millis(2_400),
             fingerprint: Fingerprint::of("", "", "", b""),
             offset: 0,
+            placers: 1,
         }
     }
 
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -39,7 +39,7 @@
 const LONG: Route = Route { objective: 2_500, pause: 1_000 };
 
 fn service(engine: Option<Engine>) -> Service {
-    Service { name: "model".to_owned(), connections: 100, engine }
+    Service { name: "model".to_owned(), connections: 100, engine, cold_per_s: None }
 }
 
 fn upstream(i: usize) -> id::Upstream {
@@ -58,6 +58,7 @@
             hall: if i % 2 == 0 { "even" } else { "odd" }.to_owned(),
             slots: 16,
             leaving: false,
+            cold_ms: 0,
         });
     }
     board
@@ -76,6 +77,7 @@
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
+        placers: 1,
     }
 }
 
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -35,7 +35,12 @@
         header_time: Duration::from_secs(3),
         idle_time: Duration::from_secs(15),
     };
-    let service = |name: &str, engine| Service { name: name.to_owned(), connections: 9, engine };
+    let service = |name: &str, engine| Service {
+        name: name.to_owned(),
+        connections: 9,
+        engine,
+        cold_per_s: None,
+    };
     Table::builder(1, bounds)
         .service(service("model", Some(ENGINE)))
         .service(service("plain", None))
@@ -54,6 +59,7 @@
             hall: "a".to_owned(),
             slots: SLOTS,
             leaving: false,
+            cold_ms: 0,
         });
     }
     board
@@ -80,6 +86,7 @@
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
+        placers: 1,
     }
 }
 
--- a/version/src/routes.rs
+++ b/version/src/routes.rs
@@ -103,6 +103,8 @@
     pub connections: u32,
     /// The figures of its engines, where it is a model service.
     pub engine: Option<Engine>,
+    /// Requests a second that one of its upstreams bears while it is cold; none where it does not matter.
+    pub cold_per_s: Option<f64>,
 }
 
 /// An organisation and its keys.
--- a/version/tests/routes.rs
+++ b/version/tests/routes.rs
@@ -91,7 +91,8 @@
 
 #[test]
 fn services_are_found_by_name() {
-    let plain = Service { name: "plain".to_owned(), connections: 96, engine: None };
+    let plain =
+        Service { name: "plain".to_owned(), connections: 96, engine: None, cold_per_s: None };
     let table = builder().service(plain.clone()).build();
     assert_eq!(table.service("plain").map(|s| s.as_ref()), Some(&plain));
     assert!(table.service("other").is_none());
