--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -249,7 +249,7 @@
             Placer::Peer(_, address) => {
                 let service = Tag::of(&self.service.name);
                 let asked = Asked::new(self.request(), service, &ask, self.process.now());
-                tell::send(&self.process.socket, &Message::Asked(asked), *address);
+                tell::send(self.process, &Message::Asked(asked), *address);
             }
         }
     }
@@ -338,7 +338,7 @@
             Some(Placer::Own) => scheduler::cancel_own(self.process, self.number),
             Some(Placer::Peer(_, address)) => {
                 let message = Message::Cancelled(self.request());
-                tell::send(&self.process.socket, &message, address);
+                tell::send(self.process, &message, address);
             }
             None => {}
         }
--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -15,6 +15,7 @@
 use foldlock_request::directory::Directory;
 use hyper::Request;
 
+use crate::fleet::metrics::Text;
 use crate::fleet::process::Process;
 use crate::fleet::{operators, packed, told};
 use crate::log;
@@ -90,10 +91,12 @@
 ) -> Result<(), String> {
     match source {
         Source::Settings(peer) => {
+            process.metrics.peer_read(Text::Settings);
             let settings = directory.decode(read(peer, operators::SETTINGS).await?)?;
             process.take_settings(settings, &format!("peer {peer}"));
         }
         Source::Listing(peer) => {
+            process.metrics.peer_read(Text::Listing);
             let text = read(peer, operators::LISTING).await?;
             let listing =
                 serde_json::from_slice(&text).map_err(|e| format!("listing of {peer}: {e}"))?;
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::changes::{self, News, Word};
 use crate::fleet::join;
+use crate::fleet::metrics::Call;
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
 use crate::log;
@@ -107,7 +108,7 @@
     let mut contact = Contact::default();
     join::find_peers(&process, &directory).await;
     loop {
-        if !is_watcher(&process) && is_told(&process).await {
+        if is_new(&process) || !is_watcher(&process) && is_told(&process).await {
             process.watching.store(false, Ordering::Relaxed);
             contact = Contact { failures: 0, is_behind: false, ..contact };
             // What peers tell goes on where the last watch ended, or beyond.
@@ -116,6 +117,7 @@
             continue;
         }
         let asked = process.moment();
+        process.metrics.called(if contact.at.is_some() { Call::Watch } else { Call::Read });
         let answer = match contact.at {
             Some(at) => tokio::select! {
                 answer = directory.watch(at, WATCH) => answer,
@@ -127,7 +129,6 @@
             },
             None => directory.read().await,
         };
-        process.metrics.directory_calls.inc();
         match answer {
             Ok(changes) => {
                 heard(&process, &mut contact, changes, asked);
@@ -144,6 +145,14 @@
     }
 }
 
+/// Whether this VM has just started and a peer tells it what the directory says: it has not heard all of those
+/// that come before it in the order, so its place there says nothing yet.
+fn is_new<D: Dialect>(process: &Process<D>) -> bool {
+    let now = process.now();
+    let is_large = process.peers.listed_count() > ALL_WATCH;
+    is_large && !process.peers.settled(now) && process.peers.watched(now)
+}
+
 /// Whether this VM is one of those that watch: the first that are heard, in the order in which they
 /// place.
 fn is_watcher<D: Dialect>(process: &Process<D>) -> bool {
@@ -296,7 +305,9 @@
 /// Lists this VM, again and again until the directory has taken it.
 pub async fn announce<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut pause = RETRY;
-    while let Err(fault) = directory.announce(&process.member).await {
+    loop {
+        process.metrics.called(Call::Write);
+        let Err(fault) = directory.announce(&process.member).await else { break };
         log::event(&process.log, Event::DirectoryDown, format!("not listed yet: {fault}"));
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min(MOST_RETRY * 4);
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::changes::{self, News, Word};
 use crate::fleet::follow::{ALL_WATCH, WATCHERS};
+use crate::fleet::metrics::Call;
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -25,7 +26,10 @@
     Duration::from_millis(2_400),
 ];
 
-/// How long the first VMs in the order are waited for: they read the directory and answer within a beat.
+/// How long one of the first VMs in the order waits for others that live: some trips between halls.
+const FIRST: Duration = Duration::from_millis(150);
+
+/// How long the others wait for these: they read the directory and answer within a beat.
 const HEARD: Duration = Duration::from_millis(500);
 
 /// The time that each VM before this one adds: where none of the first ones live, this many calls a second are
@@ -39,7 +43,7 @@
 /// not known then, is read from the directory.
 pub async fn find_peers<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
     for pause in PAUSES {
-        process.metrics.directory_calls.inc();
+        process.metrics.called(Call::Look);
         match directory.members().await {
             Ok(changes) if !changes.changes.is_empty() => {
                 list(process, changes.changes);
@@ -62,13 +66,18 @@
     news.log(process, process.at(), "a look at who is listed");
 }
 
+/// How long the VM at this place in the order waits until it reads the directory.
+pub fn patience(position: usize) -> Duration {
+    if position < WATCHERS { FIRST } else { HEARD + TURN * position as u32 }
+}
+
 /// Waits until a peer is heard that watches, each VM a little longer than the one before it in the order.
 async fn wait<D: Dialect>(process: &Process<D>) {
     let position = process.peers.position_listed();
-    if process.peers.listed_count() <= ALL_WATCH || position < WATCHERS {
+    if process.peers.listed_count() <= ALL_WATCH {
         return;
     }
-    let until = process.now() + HEARD + TURN * position as u32;
+    let until = process.now() + patience(position);
     while process.now() < until && !process.peers.watched(process.now()) {
         tokio::time::sleep(LOOK).await;
     }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -4,7 +4,7 @@
 
 use foldlock_base::error::Kind;
 use foldlock_version::routes::Service;
-use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -22,6 +22,42 @@
     pub prompt_tokens: &'static str,
 }
 
+/// A call to the directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Call {
+    /// A look who is listed, which may be seconds old.
+    Look,
+    /// All that is listed is read.
+    Read,
+    /// Changes are waited for.
+    Watch,
+    /// Something is written.
+    Write,
+}
+
+/// The label of a call to the directory.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByCall {
+    /// The call.
+    pub call: Call,
+}
+
+/// What is read from a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Text {
+    /// The settings.
+    Settings,
+    /// The listings.
+    Listing,
+}
+
+/// The label of a read from a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByText {
+    /// What is read.
+    pub text: Text,
+}
+
 /// The metrics.
 pub struct Metrics {
     registry: Registry,
@@ -39,12 +75,16 @@
     pub resumed: Counter,
     /// Connections opened to upstreams.
     pub connections: Counter,
-    /// Calls to the directory.
-    pub directory_calls: Counter,
+    /// Calls to the directory, by kind; a range of many pages is one.
+    pub directory_calls: Family<ByCall, Counter>,
     /// Calls to the directory that failed.
     pub directory_failures: Counter,
     /// Messages sent to peers.
     pub beats: Counter,
+    /// Bytes of the datagrams sent to peers.
+    pub peer_bytes: Counter,
+    /// Texts read from peers.
+    pub peer_reads: Family<ByText, Counter>,
     /// Reports asked for at engines.
     pub reports: Counter,
     /// Times that the directory came back from an older copy of itself.
@@ -85,9 +125,11 @@
             retries: Counter::default(),
             resumed: Counter::default(),
             connections: Counter::default(),
-            directory_calls: Counter::default(),
+            directory_calls: Family::default(),
             directory_failures: Counter::default(),
             beats: Counter::default(),
+            peer_bytes: Counter::default(),
+            peer_reads: Family::default(),
             reports: Counter::default(),
             restored: Counter::default(),
             notices: Counter::default(),
@@ -108,6 +150,26 @@
 }
 
 impl Metrics {
+    /// A call to the directory begins.
+    pub fn called(&self, call: Call) {
+        self.directory_calls.get_or_create(&ByCall { call }).inc();
+    }
+
+    /// Calls to the directory of a kind.
+    pub fn calls(&self, call: Call) -> u64 {
+        self.directory_calls.get_or_create(&ByCall { call }).get()
+    }
+
+    /// Texts read from peers of a kind.
+    pub fn reads(&self, text: Text) -> u64 {
+        self.peer_reads.get_or_create(&ByText { text }).get()
+    }
+
+    /// A text is read from a peer.
+    pub fn peer_read(&self, text: Text) {
+        self.peer_reads.get_or_create(&ByText { text }).inc();
+    }
+
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests that arrived", self.requests.clone());
@@ -120,6 +182,9 @@
         r.register("directory_calls", "Calls to the directory", self.directory_calls.clone());
         r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
         r.register("peer_messages", "Messages sent to peers", self.beats.clone());
+        let what = "Bytes of the datagrams sent to peers";
+        r.register("peer_sent_bytes", what, self.peer_bytes.clone());
+        r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
         r.register("engine_reports", "Reports asked for at engines", self.reports.clone());
         let what = "Times that the directory came back from an older copy";
         r.register("directory_restored", what, self.restored.clone());
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -24,10 +24,6 @@
 
 pub use cadence::Cadence;
 
-/// How long a VM runs until it has heard of all that is under way: the others find it within two
-/// idle beats, and some of these are lost.
-const SETTLES: Duration = Duration::from_millis(1_000);
-
 /// A VM that a beat is to be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -249,7 +245,7 @@
     /// The VM that places requests, the first in order that answers; none where none does.
     pub fn placer(&self, stopping: bool, now: Instant) -> Option<Placer> {
         let known = self.known.lock().unwrap();
-        let own_settled = self.settled(now);
+        let own_settled = self.age(now) >= known.cadence().settles();
         let mut found: Option<(u8, Placer)> = None;
         for member in known.schedulers(now) {
             let (rank, placer) = match known.peers.get(&member.vm) {
@@ -389,7 +385,7 @@
 
     /// Whether this VM has run for long enough to have heard of all that is under way.
     pub fn settled(&self, now: Instant) -> bool {
-        self.age(now) >= SETTLES
+        self.age(now) >= self.cadence().settles()
     }
 }
 
--- a/daemon/src/fleet/peers/cadence.rs
+++ b/daemon/src/fleet/peers/cadence.rs
@@ -22,6 +22,10 @@
 const SILENT: u32 = 5;
 const LEAST_SILENT: Duration = Duration::from_millis(2_000);
 
+/// Beats until a VM that starts has heard of all that is under way: the others find it within two, and some of
+/// these are lost.
+const SETTLES: u32 = 5;
+
 /// The times of a fleet of some size.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Cadence {
@@ -50,6 +54,11 @@
         self.idle * WANTS
     }
 
+    /// How long a VM runs until it has heard of all that is under way.
+    pub fn settles(self) -> Duration {
+        self.idle * SETTLES
+    }
+
     /// A peer that was not heard for this long is taken for down.
     pub fn silent(self) -> Duration {
         (self.idle * SILENT).max(LEAST_SILENT)
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -48,7 +48,7 @@
         match vms.iter().max_by_key(weight) {
             Some(vm) if vm.vm != process.member.vm => {
                 let message = Message::Poll(listed.tag());
-                tell::send(&process.socket, &message, vm.address);
+                tell::send(process, &message, vm.address);
             }
             _ => {
                 tokio::spawn(ask(process.clone(), listed));
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -117,7 +117,7 @@
 fn answered<D: Dialect>(process: &Process<D>, request: Number, to: SocketAddr, answer: Answer) {
     let answer = encode(&process.board.lock().unwrap(), answer);
     let message = Message::Answered(Answered { request, answer });
-    tell::send(&process.socket, &message, to);
+    tell::send(process, &message, to);
 }
 
 fn encode(board: &Board, answer: Answer) -> message::Answer {
--- a/daemon/src/fleet/stop.rs
+++ b/daemon/src/fleet/stop.rs
@@ -7,6 +7,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
 
+use crate::fleet::metrics::Call;
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -31,6 +32,7 @@
     let _ = process.stopped.set(began);
     process.stopping.cancel();
     process.tell.notify_one();
+    process.metrics.called(Call::Write);
     let _ = tokio::time::timeout(WITHDRAW, directory.withdraw(&process.member.vm)).await;
     tokio::time::sleep(LINGER.saturating_sub(process.now() - began)).await;
     process.tasks.close();
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -7,7 +7,6 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, Beat, Message, State, Work};
 use foldlock_request::step;
-use tokio::net::UdpSocket;
 
 use crate::fleet::peers::Target;
 use crate::fleet::process::Process;
@@ -68,15 +67,17 @@
             wants: target.scheduler,
             state: State { work, ..state.clone() },
         };
-        send(&process.socket, &Message::Beat(beat), target.address);
+        send(process, &Message::Beat(beat), target.address);
     }
     process.metrics.beats.inc_by(told.len() as u64);
 }
 
 /// Sends a message. A full or closed way loses it, as the network may: beats say the same again, and
 /// who asks asks again.
-pub fn send(socket: &UdpSocket, message: &Message, to: std::net::SocketAddr) {
-    let _ = socket.try_send_to(&message::encode(message), to);
+pub fn send<D: Dialect>(process: &Process<D>, message: &Message, to: std::net::SocketAddr) {
+    let bytes = message::encode(message);
+    process.metrics.peer_bytes.inc_by(bytes.len() as u64);
+    let _ = process.socket.try_send_to(&bytes, to);
 }
 
 fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
--- a/daemon/src/fleet/writer.rs
+++ b/daemon/src/fleet/writer.rs
@@ -10,6 +10,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Directory, Fault};
 
+use crate::fleet::metrics::Call;
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
@@ -48,7 +49,7 @@
 async fn write<D: Dialect, R: Directory>(process: &Process<D>, directory: &R, order: &Order) {
     let mut pause = RETRY;
     while !process.stopping.is_cancelled() && !is_moot(process, order) {
-        process.metrics.directory_calls.inc();
+        process.metrics.called(Call::Write);
         match carry_out(process, directory, order).await {
             Ok(()) => return,
             Err(fault) => {
