Tell steps by one VM in two rounds, packed; rounds and retries by the size of the fleet

And each change had all three tell all at once, whatever the size; VMs whose directory does not answer asked it every 2 s each.

Change: the first VM that watches tells a step in two rounds, the others only what it does not know; MessagePack, deflated. A round to all waits for half of the time in which the rate allows one. The longest pause after a failed call grows by VM.

--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -16,10 +16,10 @@
 use foldlock_request::message::{self, Beat, Message, State};
 use foldlock_request::step;
 
-use crate::fleet::peers::News;
+use crate::fleet::peers::{Cadence, News};
 use crate::fleet::process::Process;
 use crate::fleet::tell::{self, Round};
-use crate::fleet::{asks, catch_up, members, notices, reports, scheduler, told};
+use crate::fleet::{asks, catch_up, members, notices, packed, reports, scheduler, told};
 use crate::log;
 
 /// The least time between two beats to the VM that places: what begins and ends gathers for it. A
@@ -46,8 +46,8 @@
     let mut told = Told { first: now, spare: now, all: now };
     let mut due = true;
     loop {
-        let idle = process.peers.cadence().idle();
-        let next = if due { told.first + GATHER } else { told.all + idle };
+        let cadence = process.peers.cadence();
+        let next = told.next(due, process.tell_all.load(Ordering::Relaxed), cadence);
         tokio::select! {
             heard = process.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = heard {
@@ -60,7 +60,10 @@
             () = tokio::time::sleep_until(next.into()) => {
                 let now = process.now();
                 drop_silent(&process, now);
-                let round = told.round(process.tell_all.swap(false, Ordering::Relaxed), idle, now);
+                let round = told.round(process.tell_all.load(Ordering::Relaxed), cadence, now);
+                if round == Round::All {
+                    process.tell_all.store(false, Ordering::Relaxed);
+                }
                 // What the spare ones have not heard yet, the next round tells.
                 due = false;
                 tell::tell(&process, round, now);
@@ -70,10 +73,23 @@
 }
 
 impl Told {
+    /// When somebody is told next.
+    fn next(&self, due: bool, all: bool, cadence: Cadence) -> Instant {
+        let mut next = self.all + cadence.idle();
+        if due {
+            next = next.min(self.first + GATHER);
+        }
+        if all {
+            next = next.min((self.all + cadence.gather()).max(self.first + GATHER));
+        }
+        next
+    }
+
     /// Who is told now.
-    fn round(&mut self, all: bool, idle: Duration, now: Instant) -> Round {
+    fn round(&mut self, all: bool, cadence: Cadence, now: Instant) -> Round {
         self.first = now;
-        if all || now.saturating_duration_since(self.all) >= idle {
+        let since = now.saturating_duration_since(self.all);
+        if since >= cadence.idle() || all && since >= cadence.gather() {
             (self.spare, self.all) = (now, now);
             return Round::All;
         }
@@ -154,9 +170,14 @@
 /// What a peer that watches the directory says of changes there, if they follow on what is known here. Who
 /// misses some reads all that is listed, from a peer.
 fn hear_steps<D: Dialect>(process: &Arc<Process<D>>, state: &State) {
-    match step::decode(&state.steps) {
+    if state.steps.is_empty() || process.watching.load(Ordering::Relaxed) {
+        return;
+    }
+    let steps = packed::unpack(&state.steps)
+        .and_then(|bytes| step::decode(&bytes).map_err(|e| e.to_string()));
+    match steps {
         Ok(steps) => steps.into_iter().for_each(|step| told::step(process, step, &state.vm)),
-        Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
+        Err(why) => log::event(&process.log, Event::BeatUnreadable, why),
     }
 }
 
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -63,6 +63,13 @@
 /// soon as the directory is back.
 const MOST_RETRY_TOLD: Duration = Duration::from_millis(2_000);
 
+/// What each VM of a large fleet adds to the longest pauses: together they make a hundred calls a second of a
+/// directory that does not answer.
+const MOST_RETRY_EACH: Duration = Duration::from_millis(10);
+
+/// How often that pause doubles at most.
+const MOST_DOUBLED: u32 = 8;
+
 /// How often a VM that relies on its peers looks whether it still may.
 const TOLD_LOOK: Duration = Duration::from_millis(150);
 
@@ -219,7 +226,8 @@
         contact.restored = None;
         contact.at = None;
     }
-    if changed {
+    let is_told = process.peers.told_by_others(now) >= at;
+    if changed && !is_told {
         process.tell_all();
     }
 }
@@ -234,7 +242,7 @@
     let mut steps = process.steps.lock().unwrap();
     match from {
         Some(from) if from != to || !changes.is_empty() => {
-            steps.note(Step { from, to, changes }, process.now());
+            steps.note(Step { from, to, changes });
         }
         Some(_) => {}
         None => steps.clear(),
@@ -291,17 +299,21 @@
     contact.failures += 1;
     contact.trouble = Some(process.now());
     process.metrics.directory_failures.inc();
-    let pause = RETRY * 2_u32.saturating_pow(contact.failures.min(8) - 1);
+    let pause = RETRY * 2_u32.saturating_pow(contact.failures.min(MOST_DOUBLED) - 1);
     if is_watcher(process) {
         tokio::time::sleep(pause.min(MOST_RETRY)).await;
         return;
     }
-    let until = process.now() + pause.min(MOST_RETRY_TOLD);
+    let until = process.now() + pause.min(MOST_RETRY_TOLD.max(shared(process)));
     while process.now() < until && !process.peers.watched(process.now()) {
         tokio::time::sleep(TOLD_LOOK.min(until - process.now())).await;
     }
 }
 
+fn shared<D: Dialect>(process: &Process<D>) -> Duration {
+    MOST_RETRY_EACH * process.peers.listed_count() as u32
+}
+
 /// Lists this VM, again and again until the directory has taken it.
 pub async fn announce<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut pause = RETRY;
@@ -310,7 +322,7 @@
         let Err(fault) = directory.announce(&process.member).await else { break };
         log::event(&process.log, Event::DirectoryDown, format!("not listed yet: {fault}"));
         tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(MOST_RETRY * 4);
+        pause = (pause * 2).min((MOST_RETRY * 4).max(shared(&process)));
     }
     process.listed.store(true, Ordering::Relaxed);
 }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -296,6 +296,19 @@
         known.order.iter().take_while(|member| member.vm != self.own.vm).count()
     }
 
+    /// The revision up to which a VM before this one in the order tells all what it sees at the directory; none
+    /// where this VM is the first that does.
+    pub fn told_by_others(&self, now: Instant) -> Revision {
+        let known = self.known.lock().unwrap();
+        let places = known.cadence().places();
+        let watches = |peer: &&Peer| {
+            peer.watching.is_some_and(|at| now.saturating_duration_since(at) < places)
+        };
+        let before = known.order.iter().take_while(|member| member.vm != self.own.vm);
+        let watching = before.filter_map(|member| known.peers.get(&member.vm)).filter(watches);
+        watching.map(|peer| peer.at).max().unwrap_or_default()
+    }
+
     /// Whether a peer was heard just now that the directory answers.
     pub fn watched(&self, now: Instant) -> bool {
         let known = self.known.lock().unwrap();
--- a/daemon/src/fleet/peers/cadence.rs
+++ b/daemon/src/fleet/peers/cadence.rs
@@ -30,13 +30,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Cadence {
     idle: Duration,
+    /// The time in which a VM may tell all others once.
+    shared: Duration,
 }
 
 impl Cadence {
     /// The times of a fleet of this many VMs.
     pub fn of(vms: usize) -> Cadence {
         let shared = Duration::from_secs(1) * vms as u32 / BEATS_PER_S;
-        Cadence { idle: shared.max(IDLE) }
+        Cadence { idle: shared.max(IDLE), shared }
     }
 
     /// The longest time between two beats.
@@ -44,6 +46,11 @@
         self.idle
     }
 
+    /// The least time between two rounds to all that a VM has news for: what comes meanwhile gathers.
+    pub fn gather(self) -> Duration {
+        self.shared / 2
+    }
+
     /// A VM that was not heard for this long places nothing.
     pub fn places(self) -> Duration {
         self.idle * PLACES + ON_ITS_WAY
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -3,11 +3,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, Beat, Message, State, Work};
 use foldlock_request::step;
 
+use crate::fleet::packed;
 use crate::fleet::peers::Target;
 use crate::fleet::process::Process;
 
@@ -81,7 +83,7 @@
 }
 
 fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
-    let steps = if round == Round::All { steps(process, now) } else { String::new() };
+    let steps = if round == Round::All { steps(process, now) } else { Bytes::new() };
     let (digest, starts, departures) = {
         let mut board = process.board.lock().unwrap();
         let departures = if round == Round::All { board.departures() } else { Vec::new() };
@@ -105,10 +107,11 @@
     }
 }
 
-/// What changed of late, for a beat that may be lost and the one after it.
-fn steps<D: Dialect>(process: &Process<D>, now: Instant) -> String {
-    let time = process.peers.cadence().idle() * 2;
-    step::encode(&process.steps.lock().unwrap().told(time, now))
+/// What changed of late, unless a VM before this one in the order tells it.
+fn steps<D: Dialect>(process: &Process<D>, now: Instant) -> Bytes {
+    let known = process.peers.told_by_others(now);
+    let steps = process.steps.lock().unwrap().told(known);
+    if steps.is_empty() { Bytes::new() } else { packed::pack(&step::encode(&steps)) }
 }
 
 fn work<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> Work {
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foldlock_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -78,8 +79,8 @@
     /// each beat, 45 of them would be 80 kB/s of a busy VM.
     pub departures: Vec<Tag>,
     /// What changed in the listings of late, for those that do not watch the directory, as
-    /// [`crate::step::encode`] gives it. It goes with the beats to all.
-    pub steps: String,
+    /// [`crate::step::encode`] gives it, deflated; empty for nothing. It goes with the beats to all.
+    pub steps: Bytes,
     /// What it has under way; none where the receiver does not place its requests.
     pub work: Option<Work>,
 }
--- a/request/src/step.rs
+++ b/request/src/step.rs
@@ -4,7 +4,6 @@
 //! of a change grows with the change, not with the fleet.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -56,29 +55,37 @@
     }
 }
 
-/// Steps as they go with a message; none are an empty text.
-pub fn encode(steps: &[Step]) -> String {
-    if steps.is_empty() {
-        return String::new();
-    }
-    serde_json::to_string(steps).expect("plain data")
+/// Steps as they go with a message. Fields go by name, since some are left out.
+pub fn encode(steps: &[Step]) -> Vec<u8> {
+    rmp_serde::to_vec_named(steps).expect("plain data")
 }
 
 /// Reads steps that came with a message.
-pub fn decode(text: &str) -> Result<Vec<Step>, serde_json::Error> {
-    if text.is_empty() { Ok(Vec::new()) } else { serde_json::from_str(text) }
+pub fn decode(bytes: &[u8]) -> Result<Vec<Step>, rmp_serde::decode::Error> {
+    rmp_serde::from_slice(bytes)
+}
+
+/// Rounds in which each step is told: the datagrams of one may be lost.
+const ROUNDS: u32 = 2;
+
+/// A step that is told.
+#[derive(Debug)]
+struct Told {
+    step: Step,
+    /// Rounds that are left.
+    rounds: u32,
 }
 
 /// The steps of late, as a VM that watches the directory tells them.
 #[derive(Debug, Default)]
 pub struct Steps {
-    steps: VecDeque<(Instant, Step)>,
+    steps: VecDeque<Told>,
 }
 
 impl Steps {
     /// Notes a step.
-    pub fn note(&mut self, step: Step, now: Instant) {
-        self.steps.push_back((now, step));
+    pub fn note(&mut self, step: Step) {
+        self.steps.push_back(Told { step, rounds: ROUNDS });
         while self.changes() > MOST_CHANGES {
             self.steps.pop_front();
         }
@@ -89,17 +96,19 @@
         self.steps.clear();
     }
 
-    /// The steps that were noted within `time`, as peers are told of them.
-    pub fn told(&mut self, time: Duration, now: Instant) -> Vec<Step> {
-        let old = |at: &Instant| now.saturating_duration_since(*at) > time;
-        while self.steps.front().is_some_and(|(at, _)| old(at)) {
-            self.steps.pop_front();
-        }
-        self.steps.iter().map(|(_, step)| step.clone()).collect()
+    /// The steps that are told in this round, those left out that another VM tells, which knows the listings
+    /// up to `known`.
+    pub fn told(&mut self, known: Revision) -> Vec<Step> {
+        self.steps.retain(|told| told.rounds > 0 && told.step.to > known);
+        let tell = |told: &mut Told| {
+            told.rounds -= 1;
+            told.step.clone()
+        };
+        self.steps.iter_mut().map(tell).collect()
     }
 
     /// Changes, a step without any counted as one.
     fn changes(&self) -> usize {
-        self.steps.iter().map(|(_, step)| step.changes.len().max(1)).sum()
+        self.steps.iter().map(|told| told.step.changes.len().max(1)).sum()
     }
 }
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -28,7 +28,7 @@
             settled: false,
             starts: Vec::new(),
             departures: Vec::new(),
-            steps: String::new(),
+            steps: bytes::Bytes::new(),
             work: Some(Work::default()),
         },
     })
