--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -170,7 +170,7 @@
 /// What a peer that watches the directory says of changes there, if they follow on what is known here. Who
 /// misses some reads all that is listed, from a peer.
 fn hear_steps<D: Dialect>(process: &Arc<Process<D>>, state: &State) {
-    if state.steps.is_empty() || process.watching.load(Ordering::Relaxed) {
+    if state.steps.is_empty() {
         return;
     }
     let steps = packed::unpack(&state.steps)
--- a/daemon/src/fleet/told.rs
+++ b/daemon/src/fleet/told.rs
@@ -47,9 +47,10 @@
 }
 
 /// Takes a step of the listings that a peer saw, if it follows on what is known here. What ended here comes
-/// back by a later revision alone, as with [`listing`].
+/// back by a later revision alone, as with [`listing`]. A VM that stands by, and watches less often, takes it as
+/// well: it would else not hear a VM that has just started.
 pub fn step<D: Dialect>(process: &Arc<Process<D>>, step: Step, from: &id::Vm) {
-    if process.watching.load(Ordering::Relaxed) || !step.follows(process.at()) {
+    if !step.follows(process.at()) {
         return;
     }
     let mut news = News::default();
--- /dev/null
+++ b/daemon/tests/fleet_size.rs
@@ -0,0 +1,92 @@
+//! What a VM tells, and asks for, as the fleet grows: counts at 6 to 2,000 VMs, against what a VM may take.
+
+use std::time::Duration;
+
+use foldlock_request::message::{self, Beat, Message, State, Work};
+use foldlockd::fleet::join;
+use foldlockd::fleet::peers::Cadence;
+
+const FLEETS: [usize; 7] = [6, 30, 195, 400, 985, 1_500, 2_000];
+
+/// What control may take of each VM, bytes a second.
+const CONTROL: f64 = 16_384.0;
+
+/// VMs that each VM tells that it lives.
+const TOLD: f64 = 3.0;
+
+/// The beat of a VM that has no request.
+fn idle_beat() -> usize {
+    let state = State {
+        vm: "front-el-ghazala-204".parse().unwrap(),
+        incarnation: 1_780_012_754_015,
+        stamp: 86_400_000_000,
+        version: 4_711,
+        age_ms: Some(1_100),
+        at: 50_000.into(),
+        digest: u64::MAX,
+        leaving: false,
+        watching: false,
+        settled: true,
+        starts: Vec::new(),
+        departures: Vec::new(),
+        steps: bytes::Bytes::new(),
+        work: Some(Work::default()),
+    };
+    let echo = Some(86_400_000_000);
+    let beat = Beat { echo, echo_of: 1_780_012_754_015, granted: 100, wants: true, state };
+    message::encode(&Message::Beat(beat)).len()
+}
+
+/// A fleet in which nothing happens: each VM tells three, and these tell all.
+#[test]
+fn the_vm_that_places_hears_and_tells_at_a_rate_that_does_not_grow_with_the_fleet() {
+    for vms in FLEETS {
+        let beats_per_s = vms as f64 / Cadence::of(vms).idle().as_secs_f64();
+        assert!(beats_per_s <= 2_001.0, "{beats_per_s} a second at {vms} VMs");
+    }
+}
+
+#[test]
+fn a_vm_without_requests_takes_less_for_control_than_it_may() {
+    for vms in FLEETS {
+        let beats_per_s = 2.0 * TOLD / Cadence::of(vms).idle().as_secs_f64();
+        let bytes_per_s = beats_per_s * idle_beat() as f64;
+        assert!(bytes_per_s < CONTROL, "{bytes_per_s} bytes a second at {vms} VMs");
+    }
+}
+
+/// Up to some hundreds of VMs the times are those of a small fleet.
+#[test]
+fn small_fleets_keep_their_times() {
+    for vms in [1, 6, 100, 400] {
+        let cadence = Cadence::of(vms);
+        let ms = |time: Duration| time.as_millis();
+        assert_eq!(ms(cadence.idle()), 200);
+        assert_eq!(ms(cadence.places()), 650);
+        assert_eq!(ms(cadence.wants()), 1_000);
+        assert_eq!(ms(cadence.silent()), 2_000);
+        assert_eq!(ms(cadence.settles()), 1_000);
+    }
+}
+
+/// Settings are in force in 4 s at 1,500 VMs: a watch, its gathering, and a round to all that is lost once.
+#[test]
+fn news_reaches_all_within_the_time_that_settings_have() {
+    let cadence = Cadence::of(1_500);
+    let watch = Duration::from_millis(1_100);
+    assert!(watch + cadence.gather() + cadence.idle() < Duration::from_secs(4));
+}
+
+/// All are killed at once, and none of the first in the order comes back: nobody is heard, and each reads the
+/// directory for itself.
+#[test]
+fn vms_that_hear_nobody_come_to_the_directory_one_after_the_other() {
+    // The smallest directory takes 2,000 reading calls a second, of which one start makes up to eight pages.
+    let most_in_a_second = 250;
+    let times: Vec<Duration> = (0..2_000).map(join::patience).collect();
+    for from in &times {
+        let within = |at: &&Duration| *at >= from && **at < *from + Duration::from_secs(1);
+        let reads = times.iter().filter(within).count();
+        assert!(reads <= most_in_a_second + 3, "{reads} reads in the second after {from:?}");
+    }
+}
--- a/request/tests/rank.rs
+++ b/request/tests/rank.rs
@@ -28,6 +28,18 @@
     assert_eq!(first, ["vm-13", "vm-3"]);
 }
 
+/// A fleet lists its VMs one by one, in any order.
+#[test]
+fn vms_that_are_put_in_one_by_one_stand_as_if_ordered_at_once() {
+    let members: Vec<Member> =
+        (0..300).map(|i| member(i * 7 % 300, 120 + (i % 3) as u32)).collect();
+    let mut ordered = members.clone();
+    rank::order(&mut ordered);
+    let mut inserted = Vec::new();
+    members.into_iter().for_each(|member| rank::insert(&mut inserted, member));
+    assert_eq!(names(&inserted), names(&ordered));
+}
+
 #[test]
 fn all_vms_find_the_same_order() {
     let mut here: Vec<Member> = (0..30).map(|i| member(i, 250)).collect();
--- /dev/null
+++ b/request/tests/step.rs
@@ -0,0 +1,135 @@
+//! Steps of the listings: what a change costs to tell in a large fleet, and who may take it.
+
+use foldlock_request::board::{Board, Listed};
+use foldlock_request::directory::Member;
+use foldlock_request::revision::Revision;
+use foldlock_request::step::{Change, Step, Steps, decode, encode};
+use proptest::prelude::*;
+
+fn listed(i: usize) -> Listed {
+    Listed {
+        id: format!("i-{i:010x}").parse().unwrap(),
+        born: Some(1_780_012_754_015),
+        revision: (i as u64).into(),
+        service: "model".to_owned(),
+        address: format!("10.2.{}.{}:8080", i / 250, i % 250),
+        hall: "charguia".to_owned(),
+        slots: 10,
+        leaving: false,
+        cold_ms: 0,
+    }
+}
+
+fn member(i: usize) -> Member {
+    Member {
+        vm: format!("front-charguia-{i}").parse().unwrap(),
+        hall: "charguia".to_owned(),
+        address: format!("10.1.{}.{}:7000", i / 250, i % 250).parse().unwrap(),
+        incarnation: 1_780_012_754_015,
+        millicores: 120,
+    }
+}
+
+fn step(from: u64, to: u64, changes: Vec<Change>) -> Step {
+    Step { from: from.into(), to: to.into(), changes }
+}
+
+fn one(from: u64) -> Step {
+    step(from, from + 1, vec![Change::Upstream(listed(from as usize))])
+}
+
+#[test]
+fn steps_come_out_as_they_went_in() {
+    let changes = vec![
+        Change::Upstream(Listed { born: None, cold_ms: 300, ..listed(1) }),
+        Change::UpstreamGone("i-2".parse().unwrap(), 7.into()),
+        Change::Member(member(3)),
+        Change::MemberGone("vm-4".parse().unwrap()),
+    ];
+    let steps = vec![step(1, 9, changes), step(9, 12, Vec::new())];
+    assert_eq!(decode(&encode(&steps)).unwrap(), steps);
+    assert!(decode(b"nonsense").is_err());
+}
+
+/// An upstream leaves in a fleet of 1,000 VMs before 3,000 upstreams: what each VM hears of it.
+#[test]
+fn a_change_is_told_in_bytes_that_do_not_grow_with_the_fleet() {
+    let sizes = [(10, 30), (1_000, 3_000)].map(|(vms, upstreams)| {
+        let mut board = Board::default();
+        (0..upstreams).for_each(|i| {
+            board.list(listed(i));
+        });
+        let all: Vec<Listed> = board.listings().cloned().collect();
+        let members: Vec<Member> = (0..vms).map(member).collect();
+        let whole = serde_json::to_vec(&(all, members)).unwrap().len();
+        let leaving = Listed { leaving: true, ..listed(upstreams / 2) };
+        (encode(&[step(5_000, 5_001, vec![Change::Upstream(leaving)])]).len(), whole)
+    });
+    let [(small, _), (large, whole)] = sizes;
+    assert!(large <= small + 8, "{small} and {large} bytes");
+    // An eighth of what a VM may take for control in a second, with 40 changes in it: 16 kB.
+    assert!(large * 40 <= 16_000, "{large} bytes");
+    assert!(whole > 100 * large, "the whole takes {whole} bytes");
+}
+
+#[test]
+fn each_step_is_told_in_two_rounds_and_no_more() {
+    let mut steps = Steps::default();
+    steps.note(one(1));
+    assert_eq!(steps.told(Revision::default()).len(), 1);
+    steps.note(one(2));
+    assert_eq!(steps.told(Revision::default()).len(), 2);
+    assert_eq!(steps.told(Revision::default()), [one(2)]);
+    assert!(steps.told(Revision::default()).is_empty());
+}
+
+#[test]
+fn what_another_vm_tells_is_left_to_it() {
+    let mut steps = Steps::default();
+    (1..5).for_each(|from| steps.note(one(from)));
+    assert_eq!(steps.told(3.into()), [one(3), one(4)]);
+}
+
+/// Three thousand upstreams list themselves at once: one datagram holds what is told of them, whatever the rest.
+#[test]
+fn a_flood_of_changes_fits_a_datagram() {
+    let mut steps = Steps::default();
+    (0..3_000).for_each(|from| steps.note(one(from)));
+    let told = encode(&steps.told(Revision::default()));
+    assert!(told.len() < foldlock_request::message::MOST, "{}", told.len());
+}
+
+#[test]
+fn a_step_of_another_era_or_beyond_what_is_known_is_not_taken() {
+    let at = |era, number| Revision { era, number };
+    let step = Step { from: at(1, 5), to: at(1, 9), changes: Vec::new() };
+    assert!(step.follows(at(1, 5)) && step.follows(at(1, 8)));
+    assert!(!step.follows(at(1, 4)), "what came in between is missing");
+    assert!(!step.follows(at(1, 9)), "it is known");
+    assert!(!step.follows(at(0, 5)) && !step.follows(at(2, 5)));
+}
+
+proptest! {
+    /// Steps of any two watchers, cut anywhere, with some lost: a VM that takes those that follow knows all up
+    /// to the revision that it names.
+    #[test]
+    fn whoever_takes_steps_that_follow_misses_nothing(
+        cuts in prop::collection::vec((1..5_u64, 1..5_u64, any::<bool>(), any::<bool>()), 1..20),
+    ) {
+        let (mut at, mut known, mut ends) = (0_u64, Vec::new(), [0_u64, 0]);
+        for (one, other, one_lost, other_lost) in cuts {
+            for (end, (length, lost)) in ends.iter_mut().zip([(one, one_lost), (other, other_lost)]) {
+                let changes: Vec<u64> = (*end + 1..=*end + length).collect();
+                let step = step(*end, *end + length, Vec::new());
+                *end += length;
+                if !lost && step.follows(at.into()) {
+                    known.extend(changes);
+                    at = step.to.number;
+                }
+            }
+        }
+        known.sort_unstable();
+        known.dedup();
+        prop_assert_eq!(known, (1..=at).collect::<Vec<_>>());
+    }
+}
