--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -89,7 +89,9 @@
         let turn = &line.turns[waiting.index];
         let prompt = Prompt { read_ms: waiting.read_ms, left_ms: turn.ask.left_ms(now) };
         let bears = |u: &Upstream| bears_more(board, service, u, turn.ask.placers, now);
-        match turn_now(turn.ask, engine, &readers, prompt, most_part_ms, bears) {
+        let most_ms =
+            |share: &Share| longest_part_ms(&readers, line.demand, prompt, share, most_part_ms);
+        match turn_now(turn.ask, engine, &readers, prompt, most_ms, bears) {
             Some((share, place)) => {
                 readers.begin(&share, &place, turn.ask);
                 placed.push((turn.index, place));
@@ -106,20 +108,34 @@
     engine: &Engine,
     readers: &Readers<'_>,
     prompt: Prompt,
-    most_part_ms: f64,
+    most_part_ms: impl Fn(&Share) -> f64,
     bears: impl Fn(&Upstream) -> bool,
 ) -> Option<(Share, Place)> {
     let may = |r: &Reader<'_>| !ask.avoid.contains(&r.candidate.upstream.tag);
     let can_answer =
         |r: &Reader<'_>| r.candidate.has_room(ask.memory.0, engine) && bears(r.candidate.upstream);
     let share = readers.now(prompt, may, can_answer)?;
-    if share.part_ms > most_part_ms {
+    if share.part_ms > most_part_ms(&share) {
         return None;
     }
     let place = group(ask, engine, readers, &share)?;
     Some((share, place))
 }
 
+/// The longest part of a prompt that is read by these engines. Where at least as many stay idle beside those that
+/// long prompts keep busy, nothing waits for it, and it may take the time that its first event has.
+fn longest_part_ms(
+    readers: &Readers<'_>,
+    demand: f64,
+    prompt: Prompt,
+    share: &Share,
+    usual_ms: f64,
+) -> f64 {
+    let apart = readers.all().iter().filter(|r| r.apart).count() as f64;
+    let others = apart - demand - share.engines.len() as f64;
+    if others >= share.engines.len() as f64 { usual_ms.max(prompt.left_ms) } else { usual_ms }
+}
+
 /// The prompts of a line in the order of their turns.
 fn in_order(
     turns: &[Turn<'_>],
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -150,6 +150,19 @@
     assert!(engines(one).iter().all(|engine| !engines(two).contains(engine)));
 }
 
+/// The pattern: a calm day, and a prompt whose parts are long on as many engines as may share it. It is in time
+/// if it is placed at once, and never placed while parts of that length are not allowed.
+#[test]
+fn the_longest_prompt_of_a_calm_day_is_read_at_once_where_as_many_engines_stay_idle() {
+    let now = Instant::now();
+    let longest = Ask { objective: Duration::from_millis(4_000), ..ask(700_000, now) };
+    let longest = Ask { hold_limit: Duration::from_millis(4_000), ..longest };
+    let placed = place(&mut board(45), std::slice::from_ref(&longest), now);
+    let [(_, place_of)] = placed.as_slice() else { panic!("no place on 45 idle engines") };
+    assert!(place_of.predicted_ms < 4_000.0, "{}", place_of.predicted_ms);
+    assert!(place(&mut board(20), &[longest], now).is_empty(), "others would wait for its engines");
+}
+
 /// The pattern: many VMs have died, and three engines of 24 are full of parts that nobody alive knows
 /// of. A group of 17 holds one of them as a rule. Each refusal names the first of them, and three
 /// refusals are what a request is tried for at once on a route with one attempt.
