Read settings and listings from the own hall first

Cause: all VMs read a new version, or at their start all listings, from the three VMs that all hear, most of them across halls: VMs times text at three links. Change: a VM first asks some VM of its own hall for what is newer than what it has; most have it by the time at which most read.

--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -1,7 +1,8 @@
 //! Reading from peers what they know and this VM does not: settings, and listings where the directory
 //! is not heard.
 //!
-//! The VMs read one after the other, so that no VM's link carries the same text many times at once.
+//! The VMs read one after the other, so that no VM's link carries the same text many times at once, and from a VM of
+//! their own hall, which may have it by then, before they ask one that is known to.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 use foldlock_connection::http::{self, Client};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
-use hyper::Request;
+use hyper::{Request, StatusCode};
 
 use crate::fleet::metrics::Text;
 use crate::fleet::process::Process;
@@ -23,6 +24,10 @@
 /// How long a read from a peer may take.
 const READ: Duration = Duration::from_millis(800);
 
+/// The same from a VM of the own hall that may not live: the way there takes less than a millisecond, and a text
+/// on the smallest link some ten.
+const READ_NEAR: Duration = Duration::from_millis(100);
+
 /// The time between two VMs.
 const TURN: Duration = Duration::from_millis(2);
 
@@ -65,8 +70,11 @@
 
 async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     tokio::time::sleep(turn(&process)).await;
-    for _ in 0..READS {
+    for read in 0..READS {
         let Some(source) = source(&process) else { break };
+        if read == 0 && read_near(&process, &directory, &source).await {
+            continue;
+        }
         if let Err(why) = read_from(&process, &directory, source).await {
             log::event(&process.log, Event::PeerUnreadable, why);
         }
@@ -84,32 +92,68 @@
     (TURN * before).min(MOST_TURN)
 }
 
+/// Reads from some VM of the own hall, if it has what is missing: most have by the time at which most read, and
+/// so neither the few that all hear nor the links between halls carry a text for each VM. Answers whether it did.
+async fn read_near<D: Dialect, R: Directory>(
+    process: &Arc<Process<D>>,
+    directory: &R,
+    source: &Source,
+) -> bool {
+    let Some(near) = process.peers.neighbour(process.now()) else { return false };
+    let path = match source {
+        Source::Settings(_) => {
+            format!("{}?{}{}", operators::SETTINGS, operators::ABOVE, process.version())
+        }
+        Source::Listing(_) => {
+            format!("{}?{}{}", operators::LISTING, operators::ABOVE, process.at())
+        }
+    };
+    let Ok(text) = read(near, &path, READ_NEAR).await else { return false };
+    take(process, directory, source, near, text).is_ok()
+}
+
 async fn read_from<D: Dialect, R: Directory>(
     process: &Arc<Process<D>>,
     directory: &R,
     source: Source,
+) -> Result<(), String> {
+    let (peer, path) = match source {
+        Source::Settings(peer) => (peer, operators::SETTINGS),
+        Source::Listing(peer) => (peer, operators::LISTING),
+    };
+    let text = read(peer, path, READ).await?;
+    take(process, directory, &source, peer, text)
+}
+
+fn take<D: Dialect, R: Directory>(
+    process: &Arc<Process<D>>,
+    directory: &R,
+    source: &Source,
+    from: SocketAddr,
+    text: Bytes,
 ) -> Result<(), String> {
     match source {
-        Source::Settings(peer) => {
+        Source::Settings(_) => {
             process.metrics.peer_read(Text::Settings);
-            let settings = directory.decode(read(peer, operators::SETTINGS).await?)?;
-            process.take_settings(settings, &format!("peer {peer}"));
+            process.take_settings(directory.decode(text)?, &format!("peer {from}"));
         }
-        Source::Listing(peer) => {
+        Source::Listing(_) => {
             process.metrics.peer_read(Text::Listing);
-            let text = read(peer, operators::LISTING).await?;
             let listing =
-                serde_json::from_slice(&text).map_err(|e| format!("listing of {peer}: {e}"))?;
+                serde_json::from_slice(&text).map_err(|e| format!("listing of {from}: {e}"))?;
             told::listing(process, listing);
         }
     }
     Ok(())
 }
 
-async fn read(peer: SocketAddr, path: &str) -> Result<Bytes, String> {
+async fn read(peer: SocketAddr, path: &str, time: Duration) -> Result<Bytes, String> {
     let request = Request::get(format!("http://{peer}{path}"))
         .body(http::body(Bytes::new()))
         .expect("an address is a valid authority");
-    let answer = Client::default().call(request, READ).await.map_err(|e| format!("{peer}: {e}"))?;
+    let answer = Client::default().call(request, time).await.map_err(|e| format!("{peer}: {e}"))?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("{peer}{path}: it answered {}", answer.status()));
+    }
     packed::unpack(answer.body()).map_err(|why| format!("{peer}{path}: {why}"))
 }
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -2,6 +2,7 @@
 //! settings and a dump of the state.
 
 use std::convert::Infallible;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +33,9 @@
 /// The path under which peers read the listings.
 pub const LISTING: &str = "/listing";
 
+/// In the query of either: answered only where what is held here is newer than this.
+pub const ABOVE: &str = "above=";
+
 /// The path under which an operator lets a request go; its fingerprint follows.
 const RELEASE: &str = "/release/";
 
@@ -110,12 +114,18 @@
         "/dump" => answer::text(StatusCode::OK, JSON, dump(process).to_string()),
         "/decisions" => decisions(process),
         SETTINGS => match process.settings() {
+            Some(settings) if above(request).is_some_and(|v| settings.table.number() <= v) => {
+                answer::text(StatusCode::NOT_FOUND, TEXT, "none newer\n")
+            }
             Some(settings) => {
                 let packed = process.packed_settings.get(settings.table.number(), &settings.text);
                 answer::text(StatusCode::OK, PACKED, packed)
             }
             None => answer::text(StatusCode::NOT_FOUND, TEXT, "no settings yet\n"),
         },
+        LISTING if above(request).is_some_and(|revision| process.at() <= revision) => {
+            answer::text(StatusCode::NOT_FOUND, TEXT, "none newer\n")
+        }
         LISTING => {
             let text = serde_json::to_vec(&process.listing()).expect("plain data");
             let of = xxh3_64(&text);
@@ -129,6 +139,11 @@
     }
 }
 
+/// What the asker has, if it says so.
+fn above<T: FromStr>(request: &Request<Incoming>) -> Option<T> {
+    request.uri().query()?.strip_prefix(ABOVE)?.parse().ok()
+}
+
 /// Sets the gauges to what they measure now.
 fn observe<D: Dialect>(process: &Process<D>) {
     let now = process.now();
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -337,6 +337,18 @@
         from.choose(&mut rand::rng()).map(|peer| peer.member.address)
     }
 
+    /// Some VM of the own hall that is listed and not known to be silent.
+    pub fn neighbour(&self, now: Instant) -> Option<SocketAddr> {
+        let known = self.known.lock().unwrap();
+        let is_near = |peer: &&Peer| {
+            peer.member.hall == self.own.hall
+                && !peer.leaving
+                && peer.contact(known.cadence(), now) != Contact::Silent
+        };
+        let near: Vec<&Peer> = known.peers.values().filter(is_near).collect();
+        near.choose(&mut rand::rng()).map(|peer| peer.member.address)
+    }
+
     /// The age of the oldest word among the peers that are heard, milliseconds.
     pub fn oldest_ms(&self, now: Instant) -> Option<u64> {
         let known = self.known.lock().unwrap();
--- a/request/src/revision.rs
+++ b/request/src/revision.rs
@@ -1,6 +1,7 @@
 //! The directory's revisions: which of two of its words is the newer one.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +32,20 @@
     }
 }
 
+/// A text that is no revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Invalid;
+
+impl FromStr for Revision {
+    type Err = Invalid;
+
+    fn from_str(text: &str) -> Result<Revision, Invalid> {
+        let (era, number) = text.split_once('.').ok_or(Invalid)?;
+        let parse = |part: &str| part.parse().map_err(|_| Invalid);
+        Ok(Revision { era: parse(era)?, number: parse(number)? })
+    }
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.era, self.number)
