--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -163,11 +163,13 @@
 }
 
 /// Whether this VM has just started and a peer tells it what the directory says: it has not heard all of those
-/// that come before it in the order, so its place there says nothing yet.
+/// that come before it in the order, so its place there says nothing yet. One that watches goes on, else the
+/// first VMs of a fleet that starts would each rely on the other.
 fn is_new<D: Dialect>(process: &Process<D>) -> bool {
     let now = process.now();
     let is_large = process.peers.listed_count() > ALL_WATCH;
-    is_large && !process.peers.settled(now) && process.peers.watched(now)
+    let watches = process.watching.load(Ordering::Relaxed);
+    is_large && !watches && !process.peers.settled(now) && process.peers.watched(now)
 }
 
 /// Whether this VM is one of those that watch: the first that are heard, in the order in which they
