Let questions be answered between the beats of a round, and believe an answer that comes late

Cause: at 985 VMs a round to all took the VM that places as long as 985 datagrams take, and a question that came meanwhile waited; each beat to the one that places walked all VMs that listen.

Change: a round to all goes out 64 beats at a time, with what came heard in between; those who place are found without a walk over those who listen; an answer that comes late shows that its VM lives. Tests: daemon/tests/peers.rs (2), no network; the first red before (placed by itself until the next beat).

--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -58,6 +58,7 @@
         return;
     }
     let Some(peer) = process.peers.at(from) else { return };
+    process.peers.answered(&peer.vm);
     if let message::Answer::Placed(placed) = &answered.answer {
         process.peers.granted(&peer.vm, placed.grant);
     }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -66,7 +66,11 @@
                 }
                 // What the spare ones have not heard yet, the next round tells.
                 due = false;
-                tell::tell(&process, round, now);
+                let mut rest = tell::tell(&process, round, now);
+                while let Some(some) = rest {
+                    rest = some.tell_some(&process);
+                    hear_more(&process, &mut buffer, &directory);
+                }
             }
         }
     }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -27,8 +27,6 @@
 /// A VM that a beat is to be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
-    /// The VM.
-    pub vm: id::Vm,
     /// Where it listens.
     pub address: SocketAddr,
     /// The newest stamp that was heard of it.
@@ -219,27 +217,33 @@
         heard.map(|peer| peer.member.clone()).collect()
     }
 
-    /// Who is told: the VMs that place the requests of this one, and those that want to hear.
-    pub fn targets(&self, now: Instant) -> Vec<Target> {
+    /// The VMs that place the requests of this one, or might.
+    pub fn schedulers(&self, now: Instant) -> Vec<Target> {
         let mut known = self.known.lock().unwrap();
         let schedulers: Vec<id::Vm> =
             known.schedulers(now).map(|member| member.vm.clone()).collect();
         let cadence = known.cadence();
-        let target = |(vm, peer): (&id::Vm, &mut Peer)| {
-            let scheduler = schedulers.contains(vm);
-            if scheduler {
-                peer.tried(cadence, now);
-            }
-            (scheduler || peer.wants(cadence, now)).then(|| Target {
-                vm: vm.clone(),
-                address: peer.member.address,
-                echo: peer.stamp,
-                echo_of: peer.member.incarnation,
-                granted: peer.granted,
-                scheduler,
-            })
+        let mut target = |vm: &id::Vm| {
+            let peer = known.peers.get_mut(vm)?;
+            peer.tried(cadence, now);
+            Some(peer.target(true))
         };
-        known.peers.iter_mut().filter_map(target).collect()
+        schedulers.iter().filter_map(&mut target).collect()
+    }
+
+    /// The other VMs that want to hear.
+    pub fn listeners(&self, now: Instant) -> Vec<Target> {
+        let known = self.known.lock().unwrap();
+        let cadence = known.cadence();
+        let schedulers: Vec<&id::Vm> = known.schedulers(now).map(|member| &member.vm).collect();
+        let listens =
+            |peer: &&Peer| peer.wants(cadence, now) && !schedulers.contains(&&peer.member.vm);
+        known.peers.values().filter(listens).map(|peer| peer.target(false)).collect()
+    }
+
+    /// One peer, to be told at once.
+    pub fn target(&self, vm: &id::Vm) -> Option<Target> {
+        self.known.lock().unwrap().peers.get(vm).map(|peer| peer.target(false))
     }
 
     /// The VM that places requests, the first in order that answers; none where none does.
@@ -271,6 +275,13 @@
         }
     }
 
+    /// A VM has answered a question, late or in time: it lives.
+    pub fn answered(&self, vm: &id::Vm) {
+        if let Some(peer) = self.known.lock().unwrap().peers.get_mut(vm) {
+            peer.missed = None;
+        }
+    }
+
     /// A peer has given a place.
     pub fn granted(&self, vm: &id::Vm, grant: u64) {
         if let Some(peer) = self.known.lock().unwrap().peers.get_mut(vm) {
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -7,7 +7,7 @@
 use foldlock_request::rank::Contact;
 use foldlock_request::revision::Revision;
 
-use crate::fleet::peers::Cadence;
+use crate::fleet::peers::{Cadence, Target};
 
 /// How long after that it is tried again.
 const RETRIED: Duration = Duration::from_millis(2_500);
@@ -61,6 +61,17 @@
         }
     }
 
+    /// What a beat to it needs.
+    pub(super) fn target(&self, scheduler: bool) -> Target {
+        Target {
+            address: self.member.address,
+            echo: self.stamp,
+            echo_of: self.member.incarnation,
+            granted: self.granted,
+            scheduler,
+        }
+    }
+
     /// It was heard, and told this.
     pub(super) fn hear(&mut self, state: &State, now: Instant) {
         self.heard = Some(now);
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -13,6 +13,9 @@
 use crate::fleet::peers::Target;
 use crate::fleet::process::Process;
 
+/// Beats that are sent in one go, before what came meanwhile is heard.
+const IN_ONE_GO: usize = 64;
+
 /// Who is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Round {
@@ -33,34 +36,52 @@
 /// Tells one peer at once how things are: it has just started and waits to know.
 pub fn tell_newcomer<D: Dialect>(process: &Process<D>, vm: &id::Vm) {
     let now = process.now();
-    let target = process.peers.targets(now).into_iter().find(|target| target.vm == *vm);
-    tell_targets(process, Round::First, target.as_ref().into_iter().collect(), now);
+    let target: Vec<Target> = process.peers.target(vm).into_iter().collect();
+    tell_targets(process, &state(process, Round::First, now), None, &target);
 }
 
-/// Tells those whose turn it is.
-pub fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) {
-    let targets = process.peers.targets(now);
-    let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
-    let first = scheduler.and_then(|placer| placer.address());
-    let told: Vec<&Target> = targets
-        .iter()
-        .filter(|target| match round {
-            Round::First => Some(target.address) == first,
-            Round::Spare => target.scheduler,
-            Round::All => true,
-        })
-        .collect();
-    tell_targets(process, round, told, now);
+/// Tells those whose turn it is. Answers who is left to be told the same: a round to all of a large fleet takes
+/// tens of milliseconds, in which questions would wait for their answers.
+pub fn tell<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> Option<Rest> {
+    let mut told = process.peers.schedulers(now);
+    if round == Round::First {
+        let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
+        let first = scheduler.and_then(|placer| placer.address());
+        told.retain(|target| Some(target.address) == first);
+    }
+    let listeners = if round == Round::All { process.peers.listeners(now) } else { Vec::new() };
+    if told.is_empty() && listeners.is_empty() {
+        return None;
+    }
+    let state = state(process, round, now);
+    let work = (!told.is_empty()).then(|| work(process, round, now));
+    tell_targets(process, &state, work, &told);
+    (!listeners.is_empty()).then_some(Rest { state, targets: listeners })
 }
 
-fn tell_targets<D: Dialect>(process: &Process<D>, round: Round, told: Vec<&Target>, now: Instant) {
-    if told.is_empty() {
-        return;
+/// VMs that are still to be told of a round.
+#[derive(Debug)]
+pub struct Rest {
+    state: State,
+    targets: Vec<Target>,
+}
+
+impl Rest {
+    /// Tells some of them. Answers the others.
+    pub fn tell_some<D: Dialect>(mut self, process: &Process<D>) -> Option<Rest> {
+        let left = self.targets.split_off(self.targets.len().min(IN_ONE_GO));
+        tell_targets(process, &self.state, None, &self.targets);
+        (!left.is_empty()).then_some(Rest { targets: left, ..self })
     }
-    let state = state(process, round, now);
-    let places = told.iter().any(|target| target.scheduler);
-    let work = places.then(|| work(process, round, now));
-    for target in &told {
+}
+
+fn tell_targets<D: Dialect>(
+    process: &Process<D>,
+    state: &State,
+    work: Option<Work>,
+    targets: &[Target],
+) {
+    for target in targets {
         let work = work.clone().filter(|_| target.scheduler);
         let beat = Beat {
             echo: target.echo,
@@ -71,7 +92,7 @@
         };
         send(process, &Message::Beat(beat), target.address);
     }
-    process.metrics.beats.inc_by(told.len() as u64);
+    process.metrics.beats.inc_by(targets.len() as u64);
 }
 
 /// Sends a message. A full or closed way loses it, as the network may: beats say the same again, and
--- /dev/null
+++ b/daemon/tests/peers.rs
@@ -0,0 +1,77 @@
+//! Which VM places the requests of this one, as answers come, come late, or do not come.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::{Clock, System};
+use foldlock_request::directory::Member;
+use foldlock_request::message::{Beat, State};
+use foldlockd::fleet::peers::{Peers, Placer};
+
+fn member(vm: &str, millicores: u32) -> Member {
+    Member {
+        vm: vm.parse().unwrap(),
+        hall: "a".to_owned(),
+        address: format!("127.0.0.1:{}", 4_000 + millicores).parse().unwrap(),
+        incarnation: 1,
+        millicores,
+    }
+}
+
+fn beat(vm: &Member, wants: bool) -> Beat {
+    let state = State {
+        vm: vm.vm.clone(),
+        incarnation: vm.incarnation,
+        stamp: 9,
+        version: 1,
+        age_ms: Some(10),
+        at: 5.into(),
+        digest: 7,
+        leaving: false,
+        watching: true,
+        settled: true,
+        starts: Vec::new(),
+        departures: Vec::new(),
+        steps: bytes::Bytes::new(),
+        work: None,
+    };
+    Beat { echo: None, echo_of: 0, granted: 0, wants, state }
+}
+
+/// A VM of 120 thousandths that heard a stronger one at that moment.
+fn peers(strong: &Member, now: Instant) -> Peers {
+    let peers = Peers::new(member("vm-weak", 120), now, System.moment());
+    peers.list(strong.clone());
+    peers.heard_beat(&beat(strong, false), now);
+    peers
+}
+
+/// The pattern: a small VM has its processor for a tenth of each tenth of a second, so an answer lies at its door
+/// when it takes the question for unanswered. It would place by itself until the next beat.
+#[test]
+fn an_answer_that_came_late_shows_that_its_vm_lives() {
+    let now = System.now();
+    let strong = member("vm-strong", 1_000);
+    let peers = peers(&strong, now);
+    let other = Some(Placer::Peer(strong.vm.clone(), strong.address));
+    assert_eq!(peers.placer(false, now), other);
+    peers.missed(&strong.vm, now);
+    assert_eq!(peers.placer(false, now), Some(Placer::Own));
+    peers.answered(&strong.vm);
+    assert_eq!(peers.placer(false, now), other);
+}
+
+/// A fleet of 1,000 VMs of which all want to hear: what a VM looks at to tell the one that places.
+#[test]
+fn who_places_is_told_without_those_that_only_listen() {
+    let now = System.now();
+    let peers = Peers::new(member("vm-own", 500), now, System.moment());
+    for number in 0..1_000 {
+        let listener = member(&format!("vm-{number}"), 120);
+        peers.list(listener.clone());
+        peers.heard_beat(&beat(&listener, true), now);
+    }
+    assert_eq!(peers.listeners(now).len() + peers.schedulers(now).len(), 1_000);
+    assert!(peers.schedulers(now).len() <= 6);
+    let later = now + Duration::from_secs(30);
+    assert!(peers.listeners(later).is_empty(), "nobody asked of late");
+}
