--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -28,6 +28,9 @@
 /// for longer than callers wait.
 const MOST_PLANNED: usize = 32;
 
+/// How many times what other long prompts ask for has to be left to them for one to be read in longer parts.
+const TO_SPARE: f64 = 1.5;
+
 /// The part of the time for a first event whose prompt several engines hold that may be predicted.
 const HOLD_MARGIN: f64 = 0.85;
 
@@ -89,8 +92,8 @@
         let turn = &line.turns[waiting.index];
         let prompt = Prompt { read_ms: waiting.read_ms, left_ms: turn.ask.left_ms(now) };
         let bears = |u: &Upstream| bears_more(board, service, u, turn.ask.placers, now);
-        let most_ms =
-            |share: &Share| longest_part_ms(&readers, line.demand, prompt, share, most_part_ms);
+        let demand = demand_of_others(&line, prompt, turn.ask, now);
+        let most_ms = |share: &Share| longest_part_ms(&readers, demand, prompt, share);
         match turn_now(turn.ask, engine, &readers, prompt, most_ms, bears) {
             Some((share, place)) => {
                 readers.begin(&share, &place, turn.ask);
@@ -122,18 +125,20 @@
     Some((share, place))
 }
 
-/// The longest part of a prompt that is read by these engines. Where at least as many stay idle beside those that
-/// long prompts keep busy, nothing waits for it, and it may take the time that its first event has.
-fn longest_part_ms(
-    readers: &Readers<'_>,
-    demand: f64,
-    prompt: Prompt,
-    share: &Share,
-    usual_ms: f64,
-) -> f64 {
+/// The longest part of a prompt that is read by these engines. Where the engines that are left suffice for what
+/// other long prompts ask for, nothing waits for it, and it may take the time that its first event has.
+fn longest_part_ms(readers: &Readers<'_>, demand: f64, prompt: Prompt, share: &Share) -> f64 {
+    let usual_ms = MOST_PART_MS * (1.0 + idle(readers, demand));
     let apart = readers.all().iter().filter(|r| r.apart).count() as f64;
-    let others = apart - demand - share.engines.len() as f64;
-    if others >= share.engines.len() as f64 { usual_ms.max(prompt.left_ms) } else { usual_ms }
+    let left = apart - share.engines.len() as f64;
+    if left >= demand * TO_SPARE { usual_ms.max(prompt.left_ms) } else { usual_ms }
+}
+
+/// What the other long prompts ask for, engines: a prompt's own reading is not in its way.
+fn demand_of_others(line: &Line<'_>, prompt: Prompt, ask: &Ask, now: Instant) -> f64 {
+    let counted = now.saturating_duration_since(ask.arrived) < DEMAND_WINDOW;
+    let own = if counted { prompt.read_ms / (DEMAND_WINDOW.as_secs_f64() * 1e3) } else { 0.0 };
+    (line.demand - own).max(0.0)
 }
 
 /// The prompts of a line in the order of their turns.
