Refuse a prompt at once that all engines together cannot read in time

Change: the VM that places says so when it is first asked; the caller knows after a trip and can do something else. Ruled out: trusting a silent engine for longer: memory has to be back 4 s after its last use, and 2.4 s of silence leave 1.6 for that. Test: request/tests/scheduler.rs, red before (it waits).

--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -175,7 +175,9 @@
             (Kind::NoUpstream, "an operator has drained the data halls of all upstreams")
         }
         Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
-        Nowhere::TooLarge => (Kind::Overloaded, "no upstream has memory for a prompt this long"),
+        Nowhere::TooLarge => {
+            (Kind::Overloaded, "a prompt this long is beyond all upstreams together")
+        }
     };
     let long = read_ms(job, &job.ask(&[])).is_some();
     let cause = if long { retry_after::Cause::FullForLong } else { retry_after::Cause::Full };
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -25,7 +25,7 @@
 use crate::quarantine::Verdict;
 use crate::tag::Tag;
 
-pub use group::{DEMAND_WINDOW, Line, Turn, line};
+pub use group::{DEMAND_WINDOW, Line, Turn, is_too_long, line};
 
 /// The part of the objective within which a short prompt's first event has to be predicted for an
 /// engine to be filled further before others are compared.
@@ -141,7 +141,7 @@
     Drained,
     /// All have as much as they take; it may change soon.
     Full,
-    /// The request is larger than the memory of any engine.
+    /// The request is longer than all engines of the service together read in time.
     TooLarge,
     /// All upstreams of the service asked the VM for a rest, the first of them for this long.
     Resting {
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -134,6 +134,19 @@
     if left >= demand * TO_SPARE { usual_ms.max(prompt.left_ms) } else { usual_ms }
 }
 
+/// Whether a prompt is too long for a service's engines even if all of them were idle: its parts would be longer
+/// than any that are placed, or than memory may be held for it.
+pub fn is_too_long(board: &Board, service: &Service, engine: &Engine, ask: &Ask) -> bool {
+    let Some(read_ms) = ask.long_read_ms(engine) else { return false };
+    let engines = board.open(&service.name).count().clamp(1, MOST_ENGINES);
+    let most_ms = if ask.memory > engine.memory {
+        ask.hold_limit.as_secs_f64() * 1e3 * HOLD_MARGIN
+    } else {
+        (MOST_PART_MS * 2.0).max(ask.objective.as_secs_f64() * 1e3)
+    };
+    read_ms / engines as f64 > most_ms
+}
+
 /// What the other long prompts ask for, engines: a prompt's own reading is not in its way.
 fn demand_of_others(line: &Line<'_>, prompt: Prompt, ask: &Ask, now: Instant) -> f64 {
     let counted = now.saturating_duration_since(ask.arrived) < DEMAND_WINDOW;
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -105,6 +105,9 @@
             return Answer::Nowhere(Nowhere::Drained);
         }
         let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
+        if found.engine.as_ref().is_some_and(|e| placement::is_too_long(board, found, e, &ask)) {
+            return Answer::Nowhere(Nowhere::TooLarge);
+        }
         if let Some(read_ms) = read_ms {
             self.asked.push_back(Asked { at: now, service, read_ms });
         } else {
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -250,6 +250,26 @@
     assert!(second > first);
 }
 
+/// Several engines have to hold this prompt, and would be silent for longer than they may be trusted with it: it is
+/// told so at once, and not after most of its caller's time.
+#[test]
+fn a_prompt_beyond_all_engines_together_is_refused_at_once() {
+    let now = Instant::now();
+    let long = |tokens| Ask {
+        prompt: Tokens(tokens),
+        memory: Tokens(tokens + 1_000),
+        objective: Duration::from_secs(4),
+        pause: Some(Duration::from_secs(1)),
+        ..short(now)
+    };
+    let (mut board, mut scheduler) = (board(40), Scheduler::default());
+    let mut ask = |number, tokens| {
+        scheduler.ask(&mut board, &table(), key(1, number), Tag::of("model"), long(tokens), now)
+    };
+    assert!(matches!(ask(1, 600_000), Answer::Waits), "its parts take 1.6 s");
+    assert!(matches!(ask(2, 800_000), Answer::Nowhere(Nowhere::TooLarge)), "and these 2.8 s");
+}
+
 #[test]
 fn a_service_that_is_not_known_has_no_place() {
     let mut fleet = Fleet::new(1);
