--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -7,8 +7,11 @@
 
 mod flights;
 mod halls;
+mod held;
 mod listed;
 mod load;
+mod outcomes;
+mod reports;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -16,13 +19,12 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::fingerprint::Fingerprint;
 use crate::held::Quarantined;
 use crate::quarantine::Quarantine;
-use crate::report::{self, Observed};
+use crate::report::Observed;
 use crate::revision::Revision;
 use crate::suspicion::{Outcome, Suspicion};
 use crate::tag::Tag;
@@ -31,15 +33,12 @@
 pub use halls::{Hall, Halls};
 pub use listed::{Listed, Start};
 pub use load::{BRISK_MS, Load};
+pub use outcomes::Ended;
 
 /// Ended upstreams that are remembered: no message is on its way for as long as this many upstreams take
 /// to end.
 const ENDED: usize = 1_024;
 
-/// Requests that were let go and are remembered: what a copy of the directory may still list, some seconds
-/// of an operator's work.
-const RELEASED: usize = 256;
-
 /// How long a new start of an upstream is told that was not learnt from the directory: by then the
 /// directory has told it, or the next answer does again.
 const START_TOLD: Duration = Duration::from_secs(10);
@@ -116,20 +115,6 @@
     pub unlisted: Option<Instant>,
 }
 
-/// How long the end of an attempt is told: some beats, of which one arrives.
-const OUTCOME_TOLD: Duration = Duration::from_millis(700);
-
-/// Ends that are told at most; more of them in that time say the same again.
-const MOST_OUTCOMES: usize = 64;
-
-/// The end of an attempt, as peers are told of it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ended {
-    number: u64,
-    upstream: Tag,
-    outcome: Outcome,
-}
-
 /// The board.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -365,81 +350,6 @@
         gone
     }
 
-    /// The directory says that a hall is drained, or taken back. Answers whether that is news.
-    pub fn note_hall(&mut self, hall: Hall) -> bool {
-        let news = self.halls.note(hall);
-        if news {
-            self.halls_changed();
-        }
-        news
-    }
-
-    /// A whole read of the directory, of this revision, listed these halls as drained. Names those that are
-    /// taken back by it.
-    pub fn read_halls(&mut self, drained: &[&str], at: Revision) -> Vec<String> {
-        let taken_back = self.halls.read(drained, at);
-        self.halls_changed();
-        taken_back
-    }
-
-    /// Takes what a peer knows of halls. Answers what is news in that.
-    pub fn hear_halls(&mut self, told: &Halls) -> Vec<Hall> {
-        let news = self.halls.merge(told);
-        self.halls_changed();
-        news
-    }
-
-    /// What is known of halls.
-    pub fn halls(&self) -> &Halls {
-        &self.halls
-    }
-
-    fn halls_changed(&mut self) {
-        self.digest.set(None);
-        for upstream in self.upstreams.values_mut() {
-            upstream.drained = self.halls.is_drained(&upstream.listed.hall);
-        }
-    }
-
-    /// Whether a service has upstreams that would take new work, and all of them are in drained halls.
-    pub fn is_drained(&self, service: &str) -> bool {
-        let staying = |u: &&Upstream| u.listed.service == service && !u.is_leaving();
-        let mut staying = self.upstreams.values().filter(staying).peekable();
-        staying.peek().is_some() && staying.all(|upstream| upstream.drained)
-    }
-
-    /// The directory lists a request that is held. Answers whether that says something new.
-    pub fn list_held(&mut self, entry: Quarantined, now: Instant, wall_ms: u64) -> bool {
-        let time = Duration::from_millis(entry.until_ms.saturating_sub(wall_ms));
-        self.quarantine.hold(entry.fingerprint, entry.proofs, time, now);
-        self.digest.set(None);
-        self.held.insert(entry.fingerprint, entry.clone()).as_ref() != Some(&entry)
-    }
-
-    /// The directory no longer lists a request as held. Answers whether it did.
-    pub fn unlist_held(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let known = self.held.remove(&fingerprint).is_some();
-        if known {
-            self.digest.set(None);
-            self.quarantine.release(fingerprint, now);
-            if self.released.len() == RELEASED {
-                self.released.pop_front();
-            }
-            self.released.push_back(fingerprint);
-        }
-        known
-    }
-
-    /// Whether a request was let go that the directory listed as held, and was not held again.
-    pub fn is_released(&self, fingerprint: Fingerprint) -> bool {
-        self.released.contains(&fingerprint) && !self.held.contains_key(&fingerprint)
-    }
-
-    /// The requests that the directory lists as held.
-    pub fn held(&self) -> impl Iterator<Item = &Quarantined> {
-        self.held.values()
-    }
-
     /// An upstream by id.
     pub fn get(&self, id: &id::Upstream) -> Option<&Upstream> {
         self.upstreams.get(id)
@@ -468,41 +378,6 @@
         self.upstreams.values().filter(move |u| u.listed.service == service && u.is_open())
     }
 
-    /// An attempt of this VM at an upstream has ended in this way.
-    pub fn note(&mut self, id: &id::Upstream, outcome: Outcome, now: Instant) {
-        let Some(upstream) = self.upstreams.get_mut(id) else { return };
-        upstream.note(outcome, now);
-        self.next += 1;
-        let ended = Ended { number: self.next, upstream: upstream.tag, outcome };
-        if self.outcomes.len() == MOST_OUTCOMES {
-            self.outcomes.pop_front();
-        }
-        self.outcomes.push_back((now, ended));
-    }
-
-    /// The ends of late, as peers are told of them.
-    pub fn told_outcomes(&mut self, now: Instant) -> Vec<Ended> {
-        let old = |at: &Instant| now.saturating_duration_since(*at) > OUTCOME_TOLD;
-        while self.outcomes.front().is_some_and(|(at, _)| old(at)) {
-            self.outcomes.pop_front();
-        }
-        self.outcomes.iter().map(|(_, ended)| *ended).collect()
-    }
-
-    /// Takes the ends that a peer told of, those that were heard before left out.
-    pub fn hear_outcomes(&mut self, vm: &id::Vm, told: &[Ended], now: Instant) {
-        let through = self.heard_outcomes.get(vm).copied().unwrap_or(0);
-        for ended in told.iter().filter(|ended| ended.number > through) {
-            let upstream = self.tags.get(&ended.upstream).and_then(|id| self.upstreams.get_mut(id));
-            if let Some(upstream) = upstream {
-                upstream.note(ended.outcome, now);
-            }
-        }
-        if let Some(last) = told.last() {
-            self.heard_outcomes.insert(vm.clone(), through.max(last.number));
-        }
-    }
-
     /// A digest of all listings: two boards with the same have the same.
     pub fn digest(&self) -> u64 {
         if let Some(digest) = self.digest.get() {
@@ -533,31 +408,4 @@
         self.heard_outcomes.remove(vm);
         self.flights.lost(vm, now);
     }
-
-    /// This VM asked an engine for its report. Answers what was known before.
-    pub fn observe(&mut self, id: &id::Upstream, observed: Observed) -> Option<Observed> {
-        let upstream = self.upstreams.get_mut(id)?;
-        upstream.asked = true;
-        upstream.observed.replace(observed)
-    }
-
-    /// The reports that this VM asked for and that still count, as peers are told of them.
-    pub fn told_reports(&self, now: Instant) -> Vec<report::Told> {
-        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
-        let asked = self.upstreams.values().filter(|u| u.asked);
-        asked.filter_map(|u| u.observed.filter(fresh).map(|o| o.told(u.tag, now))).collect()
-    }
-
-    /// Takes the reports that a peer has, where they are newer.
-    pub fn hear_reports(&mut self, told: &[report::Told], now: Instant) {
-        for told in told {
-            let Some(id) = self.tags.get(&told.upstream) else { continue };
-            let Some(upstream) = self.upstreams.get_mut(id) else { continue };
-            let observed = Observed::heard(told, now);
-            if upstream.observed.is_none_or(|known| known.at < observed.at) {
-                upstream.observed = Some(observed);
-                upstream.asked = false;
-            }
-        }
-    }
 }
--- a/request/src/board/halls.rs
+++ b/request/src/board/halls.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{Board, Upstream};
 use crate::revision::Revision;
 
 /// Halls that are remembered at most. A name that nobody has is kept like any other.
@@ -97,3 +98,48 @@
         }
     }
 }
+
+impl Board {
+    /// The directory says that a hall is drained, or taken back. Answers whether that is news.
+    pub fn note_hall(&mut self, hall: Hall) -> bool {
+        let news = self.halls.note(hall);
+        if news {
+            self.halls_changed();
+        }
+        news
+    }
+
+    /// A whole read of the directory, of this revision, listed these halls as drained. Names those that are
+    /// taken back by it.
+    pub fn read_halls(&mut self, drained: &[&str], at: Revision) -> Vec<String> {
+        let taken_back = self.halls.read(drained, at);
+        self.halls_changed();
+        taken_back
+    }
+
+    /// Takes what a peer knows of halls. Answers what is news in that.
+    pub fn hear_halls(&mut self, told: &Halls) -> Vec<Hall> {
+        let news = self.halls.merge(told);
+        self.halls_changed();
+        news
+    }
+
+    /// What is known of halls.
+    pub fn halls(&self) -> &Halls {
+        &self.halls
+    }
+
+    fn halls_changed(&mut self) {
+        self.digest.set(None);
+        for upstream in self.upstreams.values_mut() {
+            upstream.drained = self.halls.is_drained(&upstream.listed.hall);
+        }
+    }
+
+    /// Whether a service has upstreams that would take new work, and all of them are in drained halls.
+    pub fn is_drained(&self, service: &str) -> bool {
+        let staying = |u: &&Upstream| u.listed.service == service && !u.is_leaving();
+        let mut staying = self.upstreams.values().filter(staying).peekable();
+        staying.peek().is_some() && staying.all(|upstream| upstream.drained)
+    }
+}
--- /dev/null
+++ b/request/src/board/reports.rs
@@ -0,0 +1,37 @@
+//! Reports of engines, asked for by this VM or heard from a peer.
+
+use std::time::Instant;
+
+use foldlock_base::id;
+
+use super::{Board, REPORT_LASTS};
+use crate::report::{self, Observed};
+
+impl Board {
+    /// This VM asked an engine for its report. Answers what was known before.
+    pub fn observe(&mut self, id: &id::Upstream, observed: Observed) -> Option<Observed> {
+        let upstream = self.upstreams.get_mut(id)?;
+        upstream.asked = true;
+        upstream.observed.replace(observed)
+    }
+
+    /// The reports that this VM asked for and that still count, as peers are told of them.
+    pub fn told_reports(&self, now: Instant) -> Vec<report::Told> {
+        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
+        let asked = self.upstreams.values().filter(|u| u.asked);
+        asked.filter_map(|u| u.observed.filter(fresh).map(|o| o.told(u.tag, now))).collect()
+    }
+
+    /// Takes the reports that a peer has, where they are newer.
+    pub fn hear_reports(&mut self, told: &[report::Told], now: Instant) {
+        for told in told {
+            let Some(id) = self.tags.get(&told.upstream) else { continue };
+            let Some(upstream) = self.upstreams.get_mut(id) else { continue };
+            let observed = Observed::heard(told, now);
+            if upstream.observed.is_none_or(|known| known.at < observed.at) {
+                upstream.observed = Some(observed);
+                upstream.asked = false;
+            }
+        }
+    }
+}
