--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -14,6 +14,7 @@
 use crate::fleet::changes::{self, News, Word};
 use crate::fleet::join;
 use crate::fleet::metrics::Call;
+use crate::fleet::peers::WATCHERS;
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
 use crate::log;
@@ -43,13 +44,6 @@
 /// How long a trouble of the directory may lie back for an ended listing to be put down to it.
 const RECENT: Duration = Duration::from_secs(3);
 
-/// VMs that watch the directory in a large fleet; the others hear from them. Three, so that two
-/// may fail at once without a gap.
-pub(super) const WATCHERS: usize = 3;
-
-/// The fleet up to which all VMs watch: there the calls cost less than a gap would.
-pub(super) const ALL_WATCH: usize = 10;
-
 /// How much longer than the VM before it in the order a VM relies on what it was told, once no peer
 /// says any more that the directory answers it: so the first few of them ask, and the others hear
 /// from these.
@@ -159,7 +153,7 @@
 /// The pause between two watches of this VM.
 fn gather<D: Dialect>(process: &Process<D>) -> Duration {
     let tells = process.peers.told_by_others(process.now()).is_none();
-    if tells || process.peers.listed_count() <= ALL_WATCH { GATHER } else { GATHER_SPARE }
+    if tells || !process.peers.is_large() { GATHER } else { GATHER_SPARE }
 }
 
 /// Whether this VM has just started and a peer tells it what the directory says: it has not heard all of those
@@ -167,15 +161,17 @@
 /// first VMs of a fleet that starts would each rely on the other.
 fn is_new<D: Dialect>(process: &Process<D>) -> bool {
     let now = process.now();
-    let is_large = process.peers.listed_count() > ALL_WATCH;
     let watches = process.watching.load(Ordering::Relaxed);
-    is_large && !watches && !process.peers.settled(now) && process.peers.watched(now)
+    process.peers.is_large()
+        && !watches
+        && !process.peers.settled(now)
+        && process.peers.watched(now)
 }
 
 /// Whether this VM is one of those that watch: the first that are heard, in the order in which they
 /// place.
 fn is_watcher<D: Dialect>(process: &Process<D>) -> bool {
-    process.peers.listed_count() <= ALL_WATCH || process.peers.position(process.now()) < WATCHERS
+    !process.peers.is_large() || process.peers.position(process.now()) < WATCHERS
 }
 
 /// Whether peers tell what the directory says: one of them was heard just now that it answers, or is
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -12,8 +12,8 @@
 use foldlock_request::directory::{Change, Directory};
 
 use crate::fleet::changes::{self, News, Word};
-use crate::fleet::follow::{ALL_WATCH, WATCHERS};
 use crate::fleet::metrics::Call;
+use crate::fleet::peers::WATCHERS;
 use crate::fleet::process::Process;
 use crate::log;
 
@@ -74,7 +74,7 @@
 /// Waits until a peer is heard that watches, each VM a little longer than the one before it in the order.
 async fn wait<D: Dialect>(process: &Process<D>) {
     let position = process.peers.position_listed();
-    if process.peers.listed_count() <= ALL_WATCH {
+    if !process.peers.is_large() {
         return;
     }
     let until = process.now() + patience(position);
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -24,6 +24,13 @@
 
 pub use cadence::Cadence;
 
+/// VMs that watch the directory in a large fleet; the others hear from them. Three, so that two
+/// may fail at once without a gap.
+pub const WATCHERS: usize = 3;
+
+/// The fleet up to which all VMs watch: there the calls cost less than a gap would.
+const ALL_WATCH: usize = 10;
+
 /// A VM that a beat is to be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -204,6 +211,11 @@
         self.known.lock().unwrap().order.len()
     }
 
+    /// Whether the fleet is so large that a few VMs watch the directory for all.
+    pub fn is_large(&self) -> bool {
+        self.listed_count() > ALL_WATCH
+    }
+
     /// All VMs that are listed but this one.
     pub fn members(&self) -> Vec<Member> {
         let known = self.known.lock().unwrap();
