--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -53,9 +53,9 @@
 /// to be well under the time within which an upstream that leaves gets no more work, 2 s and more.
 const MOST_TURN: Duration = Duration::from_millis(300);
 
-/// What is added to that for each VM before it, without an end: VMs beyond the first few hundred would else all
-/// ask in one moment. It is what a VM may take of the directory's calls if all ask.
-const SHARED: Duration = Duration::from_millis(1);
+/// What each VM before it adds to that, without a longest time: the VMs of a large fleet would else all ask in one
+/// moment. So at most a thousand calls a second are begun.
+const TURN_EACH: Duration = Duration::from_millis(1);
 
 /// The longest pause after a failed call of a VM that need not watch: those that watch tell it as
 /// soon as the directory is back.
@@ -184,7 +184,7 @@
         return false;
     }
     let position = process.peers.position_listed() as u32;
-    let turn = (TURN * position).min(MOST_TURN) + SHARED * position;
+    let turn = (TURN * position).min(MOST_TURN) + TURN_EACH * position;
     tokio::time::sleep(turn).await;
     process.peers.watched(process.now())
 }
@@ -312,13 +312,14 @@
         tokio::time::sleep(pause.min(MOST_RETRY)).await;
         return;
     }
-    let until = process.now() + pause.min(MOST_RETRY_TOLD.max(shared(process)));
+    let until = process.now() + pause.min(MOST_RETRY_TOLD.max(longest_pause(process)));
     while process.now() < until && !process.peers.watched(process.now()) {
         tokio::time::sleep(TOLD_LOOK.min(until - process.now())).await;
     }
 }
 
-fn shared<D: Dialect>(process: &Process<D>) -> Duration {
+/// The longest pause after failed calls by which the calls of all VMs together stay few.
+fn longest_pause<D: Dialect>(process: &Process<D>) -> Duration {
     MOST_RETRY_EACH * process.peers.listed_count() as u32
 }
 
@@ -330,7 +331,7 @@
         let Err(fault) = directory.announce(&process.member).await else { break };
         log::event(&process.log, Event::DirectoryDown, format!("not listed yet: {fault}"));
         tokio::time::sleep(pause).await;
-        pause = (pause * 2).min((MOST_RETRY * 4).max(shared(&process)));
+        pause = (pause * 2).min((MOST_RETRY * 4).max(longest_pause(&process)));
     }
     process.listed.store(true, Ordering::Relaxed);
 }
