Let whoever does not watch yet wait for its turn; list a VM again that was withdrawn late

Cause (F-37): a listing of a VM that is known as it is was taken for nothing new, also where it had withdrawn.

Change: one question in place of three (is_new, is_watcher, is_told): a VM that does not watch asks only after its turn by its place among all that are listed, a beat's time at most and a millisecond for each VM before it. A VM that lists itself again takes part again.

--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -49,8 +49,8 @@
 /// from these.
 const TURN: Duration = Duration::from_millis(15);
 
-/// The longest such time. With the time after which a peer's word counts no more, and a call, it has
-/// to be well under the time within which an upstream that leaves gets no more work, 2 s and more.
+/// The longest such time, beside a beat. With the time after which a peer's word counts no more, and a call, it
+/// has to be well under the time within which an upstream that leaves gets no more work, 2 s and more.
 const MOST_TURN: Duration = Duration::from_millis(300);
 
 /// What each VM before it adds to that, without a longest time: the VMs of a large fleet would else all ask in one
@@ -113,7 +113,7 @@
     let mut contact = Contact::default();
     join::find_peers(&process, &directory).await;
     loop {
-        if is_new(&process) || !is_watcher(&process) && is_told(&process).await {
+        if !asks(&process).await {
             process.watching.store(false, Ordering::Relaxed);
             contact = Contact { failures: 0, is_behind: false, ..contact };
             // What peers tell goes on where the last watch ended, or beyond.
@@ -156,37 +156,41 @@
     if tells || !process.peers.is_large() { GATHER } else { GATHER_SPARE }
 }
 
-/// Whether this VM has just started and a peer tells it what the directory says: it has not heard all of those
-/// that come before it in the order, so its place there says nothing yet. One that watches goes on, else the
-/// first VMs of a fleet that starts would each rely on the other.
-fn is_new<D: Dialect>(process: &Process<D>) -> bool {
+/// Whether this VM asks the directory itself: one of the first that are heard, in the order in which they place, or
+/// one whose turn has come while no peer was heard that does.
+///
+/// A VM that hears nobody stands first as far as it knows. So whoever does not watch yet waits for its turn, by its
+/// place among all that are listed: else all of a large fleet would ask in one moment, once the first are late.
+async fn asks<D: Dialect>(process: &Process<D>) -> bool {
+    if !process.peers.is_large() || process.watching.load(Ordering::Relaxed) && is_watcher(process)
+    {
+        return true;
+    }
+    if is_told(process) {
+        return false;
+    }
+    tokio::time::sleep(turn(process)).await;
+    !is_told(process)
+}
+
+/// Whether a peer was heard just now that the directory answers, and this VM need not ask it as well. One that has
+/// just started has not heard all of those before it, so its place among those that are heard says nothing yet.
+fn is_told<D: Dialect>(process: &Process<D>) -> bool {
     let now = process.now();
-    let watches = process.watching.load(Ordering::Relaxed);
-    process.peers.is_large()
-        && !watches
-        && !process.peers.settled(now)
-        && process.peers.watched(now)
+    process.peers.watched(now) && !(is_watcher(process) && process.peers.settled(now))
 }
 
-/// Whether this VM is one of those that watch: the first that are heard, in the order in which they
-/// place.
+/// Whether this VM is one of those that watch in a large fleet.
 fn is_watcher<D: Dialect>(process: &Process<D>) -> bool {
-    !process.peers.is_large() || process.peers.position(process.now()) < WATCHERS
+    process.peers.position(process.now()) < WATCHERS
 }
 
-/// Whether peers tell what the directory says: one of them was heard just now that it answers, or is
-/// heard soon.
-async fn is_told<D: Dialect>(process: &Process<D>) -> bool {
-    if process.peers.watched(process.now()) {
-        return true;
-    }
-    if process.at().is_none() {
-        return false;
-    }
+/// How long this VM relies on what it was told once no peer says any more that the directory answers it.
+fn turn<D: Dialect>(process: &Process<D>) -> Duration {
     let position = process.peers.position_listed() as u32;
-    let turn = (TURN * position).min(MOST_TURN) + TURN_EACH * position;
-    tokio::time::sleep(turn).await;
-    process.peers.watched(process.now())
+    // From some place on, those before this VM answer with their next beat.
+    let most = MOST_TURN + process.peers.cadence().idle();
+    (TURN * position).min(most) + TURN_EACH * position
 }
 
 fn heard<D: Dialect>(
@@ -308,7 +312,7 @@
     contact.trouble = Some(process.now());
     process.metrics.directory_failures.inc();
     let pause = RETRY * 2_u32.saturating_pow(contact.failures.min(MOST_DOUBLED) - 1);
-    if is_watcher(process) {
+    if !process.peers.is_large() || is_watcher(process) {
         tokio::time::sleep(pause.min(MOST_RETRY)).await;
         return;
     }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -139,10 +139,16 @@
             return None;
         }
         let mut known = self.known.lock().unwrap();
-        let before = known.peers.get(&member.vm);
-        if before.is_some_and(|peer| peer.member == member) {
-            return None;
+        let before = known.peers.get_mut(&member.vm);
+        if let Some(peer) = before.filter(|peer| peer.member == member) {
+            // A withdrawal of its start before may be carried out late; it then lists itself again.
+            let returns = std::mem::replace(&mut peer.leaving, false);
+            if returns {
+                known.place(member);
+            }
+            return returns.then_some(News::Heard);
         }
+        let before = known.peers.get(&member.vm);
         let renewed = before.is_some_and(|peer| peer.member.incarnation != member.incarnation);
         known.peers.insert(member.vm.clone(), Peer::new(member.clone()));
         known.place(member);
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -60,6 +60,20 @@
     assert_eq!(peers.placer(false, now), other);
 }
 
+/// The withdrawal of the start before is carried out late: the VM lists itself again, and goes on as it was.
+#[test]
+fn a_vm_that_lists_itself_again_after_a_late_withdrawal_takes_part() {
+    let now = System.now();
+    let strong = member("vm-strong", 1_000);
+    let peers = peers(&strong, now);
+    peers.withdraw(&strong.vm, now);
+    assert_eq!(peers.listed_count(), 1);
+    assert!(peers.list(strong.clone()).is_some());
+    assert_eq!(peers.listed_count(), 2);
+    assert_eq!(peers.placer(false, now), Some(Placer::Peer(strong.vm.clone(), strong.address)));
+    assert!(peers.list(strong).is_none(), "it says nothing new");
+}
+
 /// A fleet of 1,000 VMs of which all want to hear: what a VM looks at to tell the one that places.
 #[test]
 fn who_places_is_told_without_those_that_only_listen() {
