Learn from any peer that knows the listings while a VM joins

Cause: a look at a fleet that starts shows some of it (50 of 985), so the VMs that stand first there are often not those that watch. Change: while a VM knows no listings, a peer that knows them will do.

--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -177,6 +177,10 @@
 /// just started has not heard all of those before it, so its place among those that are heard says nothing yet.
 fn is_told<D: Dialect>(process: &Process<D>) -> bool {
     let now = process.now();
+    // What it is yet to learn, who watches among it, any peer can tell that knows it.
+    if process.at().is_none() {
+        return process.peers.knows(now);
+    }
     process.peers.watched(now) && !(is_watcher(process) && process.peers.settled(now))
 }
 
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -71,14 +71,14 @@
     if position < WATCHERS { FIRST } else { HEARD + TURN * position as u32 }
 }
 
-/// Waits until a peer is heard that watches, each VM a little longer than the one before it in the order.
+/// Waits until a peer is heard that knows the rest, each VM a little longer than the one before it in the order.
 async fn wait<D: Dialect>(process: &Process<D>) {
     let position = process.peers.position_listed();
     if !process.peers.is_large() {
         return;
     }
     let until = process.now() + patience(position);
-    while process.now() < until && !process.peers.watched(process.now()) {
+    while process.now() < until && !process.peers.knows(process.now()) {
         tokio::time::sleep(LOOK).await;
     }
 }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -346,6 +346,11 @@
         known.peers.values().any(|peer| peer.watching.is_some_and(watched))
     }
 
+    /// Whether a peer was heard of late that knows the directory's listings, from whomever.
+    pub fn knows(&self, now: Instant) -> bool {
+        self.known.lock().unwrap().heard(now).any(|peer| !peer.at.is_none())
+    }
+
     /// A peer that knows something newer of the settings, one of the own hall if possible.
     pub fn newer_settings(&self, version: u64, now: Instant) -> Option<SocketAddr> {
         self.pick(now, |peer| peer.version > version)
