--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -57,6 +57,10 @@
 /// moment. So at most a thousand calls a second are begun.
 const TURN_EACH: Duration = Duration::from_millis(1);
 
+/// How long a VM that has started waits for the listings once a peer is heard that has settings: the first VMs of a
+/// fleet of 1,000 that starts have read theirs after a second, and those that hear them another one later.
+const LEARNS: Duration = Duration::from_secs(3);
+
 /// The longest pause after a failed call of a VM that need not watch: those that watch tell it as
 /// soon as the directory is back.
 const MOST_RETRY_TOLD: Duration = Duration::from_millis(2_000);
@@ -177,9 +181,9 @@
 /// just started has not heard all of those before it, so its place among those that are heard says nothing yet.
 fn is_told<D: Dialect>(process: &Process<D>) -> bool {
     let now = process.now();
-    // What it is yet to learn, who watches among it, any peer can tell that knows it.
+    // What it is yet to learn, who watches among it, comes from any peer that has heard of it.
     if process.at().is_none() {
-        return process.peers.knows(now);
+        return process.peers.knows(now) && process.peers.age(now) < LEARNS;
     }
     process.peers.watched(now) && !(is_watcher(process) && process.peers.settled(now))
 }
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -346,9 +346,9 @@
         known.peers.values().any(|peer| peer.watching.is_some_and(watched))
     }
 
-    /// Whether a peer was heard of late that knows the directory's listings, from whomever.
+    /// Whether a peer was heard of late that has settings, from whomever: the directory is read by someone.
     pub fn knows(&self, now: Instant) -> bool {
-        self.known.lock().unwrap().heard(now).any(|peer| !peer.at.is_none())
+        self.known.lock().unwrap().heard(now).any(|peer| peer.version > 0)
     }
 
     /// A peer that knows something newer of the settings, one of the own hall if possible.
