End the reading of listings that differ at one revision

Cause: an upstream that is not listed again is gone at the VMs that watch, without a change in the directory: its step ended where it began, and was never taken; and a whole listing of the same revision ends nothing. So the digests differed, and each VM read 50 kB again and again, until a later revision came with a whole listing. Change: such a step is taken, and told by each that knows it; a listing that was compared with a peer's is not read again at the same revision. Test: request/tests/step.rs, red before.

--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -65,7 +65,8 @@
     }
     let at = process.at();
     let digest = process.board.lock().unwrap().digest();
-    process.peers.other_listings(at, digest, now).map(Source::Listing)
+    let compared = *process.compared.lock().unwrap() == Some((at, digest));
+    process.peers.other_listings(at, digest, compared, now).map(Source::Listing)
 }
 
 async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
@@ -142,6 +143,10 @@
             let listing =
                 serde_json::from_slice(&text).map_err(|e| format!("listing of {from}: {e}"))?;
             told::listing(process, listing);
+            // What still differs then is for a later revision to settle: two VMs would else read each other's
+            // listings without an end.
+            let digest = process.board.lock().unwrap().digest();
+            *process.compared.lock().unwrap() = Some((process.at(), digest));
         }
     }
     Ok(())
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -356,9 +356,16 @@
         self.pick(now, |peer| peer.version > version)
     }
 
-    /// A peer that knows other listings, of the same revision or a later one.
-    pub fn other_listings(&self, at: Revision, digest: u64, now: Instant) -> Option<SocketAddr> {
-        self.pick(now, |peer| peer.at > at || peer.at == at && peer.digest != digest)
+    /// A peer that knows other listings, of a later revision, or of the same one unless `compared`.
+    pub fn other_listings(
+        &self,
+        at: Revision,
+        digest: u64,
+        compared: bool,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let other = |peer: &Peer| !compared && peer.at == at && peer.digest != digest;
+        self.pick(now, |peer| peer.at > at || other(peer))
     }
 
     /// One of the peers that are heard, drawn at random so that they share the work.
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -106,6 +106,8 @@
     pub packed_listing: Kept,
     /// What changed in the listings of late, as this VM saw it at the directory.
     pub steps: Mutex<Steps>,
+    /// The listings, by their revision and digest, that were compared with a peer's as a whole.
+    pub compared: Mutex<Option<(Revision, u64)>>,
     /// Entries of the directory that name nothing to use.
     pub unreadable: Unreadable,
     /// What the directory is to be told of requests that are held.
@@ -179,6 +181,7 @@
             packed_settings: Kept::default(),
             packed_listing: Kept::default(),
             steps: Mutex::default(),
+            compared: Mutex::default(),
             unreadable: Unreadable::default(),
             register: Register::default(),
             at: Mutex::default(),
--- a/request/src/step.rs
+++ b/request/src/step.rs
@@ -49,9 +49,11 @@
 }
 
 impl Step {
-    /// Whether a VM that knows the listings up to `at` knows those up to its end by it.
+    /// Whether a VM that knows the listings up to `at` knows those up to its end by it. A step may end where it
+    /// begins: an upstream that was not listed again is gone without a change in the directory.
     pub fn follows(&self, at: Revision) -> bool {
-        self.from.era == at.era && self.to.era == at.era && self.from <= at && at < self.to
+        let is_of_era = self.from.era == at.era && self.to.era == at.era;
+        is_of_era && self.from <= at && (at < self.to || self.from == self.to && at == self.to)
     }
 }
 
@@ -99,7 +101,8 @@
     /// The steps that are told in this round, those left out that another VM tells, which knows the listings
     /// up to `known`.
     pub fn told(&mut self, known: Revision) -> Vec<Step> {
-        self.steps.retain(|told| told.rounds > 0 && told.step.to > known);
+        let is_told = |step: &Step| step.to <= known && step.from < step.to;
+        self.steps.retain(|told| told.rounds > 0 && !is_told(&told.step));
         let tell = |told: &mut Told| {
             told.rounds -= 1;
             told.step.clone()
--- a/request/tests/step.rs
+++ b/request/tests/step.rs
@@ -109,6 +109,16 @@
     assert!(!step.follows(at(0, 5)) && !step.follows(at(2, 5)));
 }
 
+/// An upstream that was not listed again in time is gone, though nothing changed in the directory.
+#[test]
+fn what_is_known_without_a_change_in_the_directory_is_told_as_well() {
+    let gone = step(9, 9, vec![Change::UpstreamGone("i-1".parse().unwrap(), 9.into())]);
+    assert!(gone.follows(9.into()) && !gone.follows(8.into()) && !gone.follows(10.into()));
+    let mut steps = Steps::default();
+    steps.note(gone.clone());
+    assert_eq!(steps.told(9.into()), [gone]);
+}
+
 proptest! {
     /// Steps of any two watchers, cut anywhere, with some lost: a VM that takes those that follow knows all up
     /// to the revision that it names.
