Count a VM's wait for its peers in looks, not by the clock

Ruled out by reading: a beat that is lost (two and more fall into the wait), a VM that was among the first three when it joined (the test leaves these out), a watch that went over to a read (the calls of kind `read` are made only where nothing is known yet).

Change: the wait is a number of looks, 10 ms apart, with the sockets read in between. A wait that ends unheard is logged (211) with place and time.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -65,6 +65,8 @@
     HallDrained = 209, Warning;
     /// A drained data hall was taken back: its upstreams are sent work again.
     HallTakenBack = 210, Info;
+    /// No peer was heard in time that knows settings and listings: this VM reads the directory itself.
+    PeersUnheard = 211, Info;
     /// A VM joined the members.
     MemberUp = 300, Info;
     /// A VM is no longer heard.
@@ -133,6 +135,8 @@
     Released = 513, Info;
     /// The directory did not take at once what this VM has to write there.
     WriteFailed = 514, Warning;
+    /// An answer was given up: its caller reads slowly, and answers that wait to be read took too much memory.
+    AnswerGivenUp = 515, Warning;
 }
 
 impl fmt::Display for Event {
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -77,8 +77,22 @@
     if !process.peers.is_large() {
         return;
     }
-    let until = process.now() + patience(position);
-    while process.now() < until && !process.peers.knows(process.now()) {
+    let patience = patience(position);
+    if !comes_about(patience, || process.peers.knows(process.now())).await {
+        let what = format!("place {position}, {} ms: reading the directory", patience.as_millis());
+        log::event(&process.log, Event::PeersUnheard, what);
+    }
+}
+
+/// Waits for this long at most until it is so, and answers whether it is. Looks are counted and not the clock: a VM
+/// that stood still finds what it was told meanwhile only once it goes on.
+pub async fn comes_about(patience: Duration, is_so: impl Fn() -> bool) -> bool {
+    let looks = patience.as_millis() / LOOK.as_millis();
+    for _ in 0..looks {
+        if is_so() {
+            return true;
+        }
         tokio::time::sleep(LOOK).await;
     }
+    is_so()
 }
