Read on for callers that read slowly, within a bound on all of them

Cause, by reading: what an upstream sent waited in a channel of 16 batches; once it was full the attempt waited for its caller without an end, also past the request's deadline, and kept the engine's slot and memory. A stream that was cut by its deadline with the channel full ended as if it were whole: the word of the cut was dropped, and the closed channel was taken for the end. A caller that took nothing kept its connection for ever.

Change (`fleet/unread.rs`): what is not read yet is kept for each answer up to a share, 1/64 of a quarter of the VM's memory; from there on the upstream waits, until the request's deadline. Where all together take more than the quarter, the largest is given up (event 515). An answer that its writer drops is broken off, never whole. A caller that takes nothing for `write_timeout_ms` (15 s) is left. `memory_mb` comes from the platform's limit. `unread` in the dump, two metrics; `foldlock status` names drained halls, cold upstreams and what is unread, and counts peers, where it printed the list of them.

Not bounded by this: bodies of requests (the settings' limit for each) and answers that are collected whole while they come (16 MB each).

--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod held;
 pub mod output;
 pub mod show;
+pub mod status;
 pub mod vm;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,7 +6,7 @@
 use foldlock::app::{App, Command};
 use foldlock::error::Error;
 use foldlock::output::Output;
-use foldlock::{apply, check, held, show, vm};
+use foldlock::{apply, check, held, show, status, vm};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -29,7 +29,7 @@
         Command::Show(args) => show::run(&args, output),
         Command::Why(args) => vm::why(&args, output).await,
         Command::Watch(args) => vm::watch(&args, output).await,
-        Command::Status(args) => vm::status(&args, output).await,
+        Command::Status(args) => status::status(&args, output).await,
         Command::Held(args) => held::show(&args, output).await,
         Command::Release(args) => held::release(&args, output).await,
         Command::Dump(args) => vm::dump(&args, output).await,
--- /dev/null
+++ b/cli/src/status.rs
@@ -0,0 +1,95 @@
+//! `status`: the state of VMs, a line for each.
+
+use std::net::SocketAddr;
+
+use foldlock_connection::http::Client;
+use serde_json::{Value, json};
+
+use crate::app::Status;
+use crate::client;
+use crate::error::Error;
+use crate::output::{Mark, Output};
+
+/// Shows the state of VMs.
+pub async fn status(args: &Status, output: Output) -> Result<(), Error> {
+    let client = Client::default();
+    let mut silent = None;
+    for vm in args.vms() {
+        match client::json::<Value>(&client, *vm, "/dump").await {
+            Ok(Some(dump)) if output.json => output.line(&object(*vm, &dump).to_string()),
+            Ok(Some(dump)) => output.line(&row(*vm, &dump, output)),
+            Ok(None) => {}
+            Err(e) => {
+                output.line(&format!("{vm:<22} {}", output.mark(Mark::Bad, "no answer")));
+                silent = Some(e);
+            }
+        }
+    }
+    silent.map_or(Ok(()), Err)
+}
+
+fn object(vm: SocketAddr, dump: &Value) -> Value {
+    json!({
+        "address": vm.to_string(),
+        "vm": dump["config"]["vm"],
+        "hall": dump["config"]["hall"],
+        "ready": dump["ready"],
+        "version": dump["version"],
+        "requests": dump["requests"],
+        "stopping": dump["stopping"],
+        "drained_halls": dump["drained_halls"],
+        "cold": cold(dump),
+        "unread": dump["unread"],
+    })
+}
+
+fn row(vm: SocketAddr, dump: &Value, output: Output) -> String {
+    let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
+    let state = match (dump["ready"] == true, dump["stopping"] == true) {
+        (true, _) => output.mark(Mark::Good, "ready"),
+        (_, true) => output.mark(Mark::Bad, "stopping"),
+        _ => output.mark(Mark::Bad, "not ready"),
+    };
+    format!(
+        "{vm:<22} {:<12} {:<14} {state}  version {}  {} requests  {} peers{}",
+        text(&dump["config"]["vm"]),
+        text(&dump["config"]["hall"]),
+        dump["version"],
+        dump["requests"],
+        peers(dump),
+        notes(dump),
+    )
+}
+
+/// The number of peers; a VM of a fleet names each.
+fn peers(dump: &Value) -> Value {
+    dump["peers"].as_array().map_or_else(|| dump["peers"].clone(), |peers| json!(peers.len()))
+}
+
+/// Upstreams that are cold.
+fn cold(dump: &Value) -> usize {
+    let upstreams = dump["upstreams"].as_array();
+    let is_cold = |upstream: &&Value| upstream["cold_ms"].as_u64().is_some_and(|left| left > 0);
+    upstreams.map_or(0, |upstreams| upstreams.iter().filter(is_cold).count())
+}
+
+/// What is not as usual.
+fn notes(dump: &Value) -> String {
+    let mut notes = Vec::new();
+    for hall in dump["drained_halls"].as_array().into_iter().flatten() {
+        let name = hall["name"].as_str().unwrap_or_default();
+        let revision = &hall["revision"];
+        notes.push(format!("{name} drained by {}.{}", revision["era"], revision["number"]));
+    }
+    match cold(dump) {
+        0 => {}
+        cold => notes.push(format!("{cold} cold")),
+    }
+    let unread = &dump["unread"];
+    if let Some(bytes) = unread["bytes"].as_u64().filter(|bytes| *bytes > 0) {
+        let largest = unread["largest"][0]["request"].as_str().unwrap_or_default();
+        let answers = &unread["answers"];
+        notes.push(format!("{bytes} bytes unread of {answers} answers, most of {largest}"));
+    }
+    notes.iter().map(|note| format!("  {note}")).collect()
+}
--- a/cli/src/vm.rs
+++ b/cli/src/vm.rs
@@ -1,4 +1,4 @@
-//! `why`, `watch`, `status` and `dump`: what VMs show.
+//! `why`, `watch` and `dump`: what VMs show.
 
 use std::net::SocketAddr;
 
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use tokio::sync::mpsc;
 
-use crate::app::{OneVm, Status, Watch, Why};
+use crate::app::{OneVm, Watch, Why};
 use crate::client;
 use crate::error::Error;
 use crate::output::{Mark, Output};
@@ -102,52 +102,6 @@
     Err(failed(&"the VM ended the stream"))
 }
 
-/// Shows the state of VMs.
-pub async fn status(args: &Status, output: Output) -> Result<(), Error> {
-    let client = Client::default();
-    let mut silent = None;
-    for vm in args.vms() {
-        match client::json::<Value>(&client, *vm, "/dump").await {
-            Ok(Some(dump)) => output.line(&row(*vm, &dump, output)),
-            Ok(None) => {}
-            Err(e) => {
-                output.line(&format!("{vm:<22} {}", output.mark(Mark::Bad, "no answer")));
-                silent = Some(e);
-            }
-        }
-    }
-    silent.map_or(Ok(()), Err)
-}
-
-fn row(vm: SocketAddr, dump: &Value, output: Output) -> String {
-    if output.json {
-        return serde_json::json!({
-            "address": vm.to_string(),
-            "vm": dump["config"]["vm"],
-            "hall": dump["config"]["hall"],
-            "ready": dump["ready"],
-            "version": dump["version"],
-            "requests": dump["requests"],
-            "stopping": dump["stopping"],
-        })
-        .to_string();
-    }
-    let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
-    let state = match (dump["ready"] == true, dump["stopping"] == true) {
-        (true, _) => output.mark(Mark::Good, "ready"),
-        (_, true) => output.mark(Mark::Bad, "stopping"),
-        _ => output.mark(Mark::Bad, "not ready"),
-    };
-    format!(
-        "{vm:<22} {:<12} {:<14} {state}  version {}  {} requests  {} peers",
-        text(&dump["config"]["vm"]),
-        text(&dump["config"]["hall"]),
-        dump["version"],
-        dump["requests"],
-        dump["peers"],
-    )
-}
-
 /// Shows all that a VM knows.
 pub async fn dump(args: &OneVm, output: Output) -> Result<(), Error> {
     let dump: Option<Value> = client::json(&Client::default(), args.vm, "/dump").await?;
--- /dev/null
+++ b/cli/tests/status.rs
@@ -0,0 +1,69 @@
+//! `foldlock status` before a VM of a fleet that says what is not as usual.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
+use std::thread;
+
+use expect_test::expect;
+use serde_json::{Value, json};
+
+/// A VM that answers one call with this dump.
+fn vm(dump: Value) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]);
+        let body = dump.to_string();
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+    });
+    address
+}
+
+fn status(dump: Value, more: &[&str]) -> String {
+    let vm = vm(dump).to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_foldlock"));
+    let output =
+        command.args(["status", "--vm", &vm]).args(more).env("NO_COLOR", "1").output().unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8(output.stdout).unwrap().replace(&vm, "VM")
+}
+
+fn dump() -> Value {
+    json!({
+        "config": {"vm": "front-a-1", "hall": "ariana"},
+        "ready": true, "stopping": false, "version": 7, "requests": 3,
+        "peers": [{"vm": "front-a-2"}, {"vm": "front-b-1"}],
+        "drained_halls": [], "unread": {"bytes": 0, "most": 28_000_000, "answers": 0, "largest": []},
+        "upstreams": [{"id": "i-1", "cold_ms": null}],
+    })
+}
+
+#[test]
+fn a_vm_where_all_is_as_usual_has_a_short_line() {
+    expect![[r#"
+        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers
+    "#]]
+    .assert_eq(&status(dump(), &[]));
+}
+
+#[test]
+fn what_is_not_as_usual_is_named() {
+    let mut dump = dump();
+    dump["drained_halls"] =
+        json!([{"name": "la-marsa", "drained": true, "revision": {"era": 0, "number": 5498}}]);
+    dump["upstreams"] = json!([{"id": "i-1", "cold_ms": 1_500}, {"id": "i-2", "cold_ms": 0}]);
+    dump["unread"] = json!({
+        "bytes": 1_250_000, "most": 28_000_000, "answers": 2,
+        "largest": [{"request": "r-17", "bytes": 1_000_000}, {"request": "r-9", "bytes": 250_000}],
+    });
+    expect![[r#"
+        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  la-marsa drained by 0.5498  1 cold  1250000 bytes unread of 2 answers, most of r-17
+    "#]].assert_eq(&status(dump.clone(), &[]));
+    let object: Value = serde_json::from_str(&status(dump, &["--json"])).unwrap();
+    assert_eq!(object["cold"], 1);
+    assert_eq!(object["drained_halls"][0]["name"], "la-marsa");
+    assert_eq!(object["unread"]["bytes"], 1_250_000);
+}
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -43,6 +43,7 @@
 pub mod tell;
 pub mod told;
 pub mod tries;
+pub mod unread;
 pub mod unreadable;
 pub mod volume;
 pub mod writer;
--- a/daemon/src/fleet/answer.rs
+++ b/daemon/src/fleet/answer.rs
@@ -14,6 +14,8 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
+use crate::fleet::unread::Reader;
+
 /// The stream to the caller ends without its end: hyper closes the connection, so that the answer
 /// cannot be taken for complete.
 #[derive(Debug)]
@@ -31,8 +33,10 @@
 pub enum Body {
     /// All of it.
     Whole(Option<Bytes>),
-    /// Events as they come.
-    Events(mpsc::Receiver<Result<Bytes, Cut>>),
+    /// Lines for an operator, as they come.
+    Lines(mpsc::Receiver<Result<Bytes, Cut>>),
+    /// What an upstream sends, as far as it is not read yet.
+    Unread(Reader),
 }
 
 impl hyper::body::Body for Body {
@@ -45,7 +49,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Body::Events(parts) => parts.poll_recv(context).map(|p| p.map(|r| r.map(Frame::data))),
+            Body::Lines(parts) => parts.poll_recv(context).map(|p| p.map(|r| r.map(Frame::data))),
+            Body::Unread(parts) => parts.poll_next(context).map(|p| p.map(|r| r.map(Frame::data))),
         }
     }
 
@@ -54,7 +59,10 @@
             Body::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Body::Events(_) => SizeHint::default(),
+            Body::Lines(_) => SizeHint::default(),
+            Body::Unread(parts) => {
+                parts.length().map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -26,7 +26,7 @@
 use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
 use crate::fleet::notices::{self, Bar};
-use crate::fleet::outcome::{note, tell};
+use crate::fleet::outcome::{self, note, tell};
 use crate::fleet::process::Entered;
 use crate::fleet::source::{Begun, Next, Source};
 use crate::fleet::tries::Tries;
@@ -54,8 +54,7 @@
 const SLOW_FIRST: f64 = 2.5;
 
 /// The least time for a first event, in objectives of its route. Beyond one objective the answer is
-/// late anyway, and a long prompt that goes elsewhere is read once more by several engines: waiting
-/// for two served more prompts than waiting for one.
+/// late anyway, and a long prompt that goes elsewhere is read once more by several engines.
 const SLOW_OBJECTIVES: f64 = 2.0;
 
 /// How an attempt ended, as far as it is waited for here.
@@ -311,7 +310,9 @@
     } else {
         tell(job, &upstream, Outcome::Answered);
     }
-    End::Whole(Response::from_parts(head, answer::whole(collected)))
+    let (unread, given_up) = job.process.unread.whole(&job.id, collected);
+    outcome::given_up(&job.process, given_up);
+    End::Whole(Response::from_parts(head, Body::Unread(unread)))
 }
 
 async fn first<D: Dialect>(
--- a/daemon/src/fleet/callers.rs
+++ b/daemon/src/fleet/callers.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio_io_timeout::TimeoutStream;
 
 use crate::fleet::process::Process;
 use crate::fleet::serve;
@@ -54,6 +55,8 @@
     // Without it each event would wait for the one before it to be acknowledged. A socket that
     // refuses is already closed, and the first read says so.
     let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(process.config.fleet.write_timeout()));
     let activity = Mutex::new(Activity { requests: 0, since: process.now() });
     let began = Notify::new();
     let service = service_fn(|request| {
@@ -70,8 +73,9 @@
     let bounds = process.settings().map(|s| *s.table.bounds());
     let buffer = bounds.map_or(USUAL_BUFFER, |b| b.header_bytes * 2).max(LEAST_BUFFER);
     let idle = bounds.map_or(USUAL_IDLE, |b| b.idle_time);
-    let connection =
-        http1::Builder::new().max_buf_size(buffer).serve_connection(TokioIo::new(stream), service);
+    let connection = http1::Builder::new()
+        .max_buf_size(buffer)
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut connection = pin!(connection);
     let (mut stopping, mut served) = (false, false);
     loop {
--- a/daemon/src/fleet/config.rs
+++ b/daemon/src/fleet/config.rs
@@ -23,6 +23,12 @@
     /// The share of a processor that this VM has, cores: those with the most place for all.
     #[serde(default)]
     pub processor: f64,
+    /// The memory that this VM has, MB.
+    #[serde(default = "usual_memory_mb")]
+    pub memory_mb: usize,
+    /// How long a caller may take nothing of its answer until its connection is closed, milliseconds.
+    #[serde(default = "usual_write_timeout_ms")]
+    pub write_timeout_ms: u64,
     /// How old the settings may be while requests with a key are served, milliseconds: the
     /// operator's bound on the use of a key that was taken away. Absent: any age.
     #[serde(default)]
@@ -40,6 +46,16 @@
     pub repeat_window_ms: u64,
 }
 
+/// Where the configuration does not say: a small VM.
+fn usual_memory_mb() -> usize {
+    128
+}
+
+/// Where the configuration does not say: as long as callers wait for an answer.
+fn usual_write_timeout_ms() -> u64 {
+    15_000
+}
+
 /// Where the configuration does not say: what both of the users' sites state.
 fn usual_memory_release_ms() -> u64 {
     4_000
@@ -62,6 +78,16 @@
         (self.processor * 1e3) as u32
     }
 
+    /// The memory of this VM, bytes.
+    pub fn memory(&self) -> usize {
+        self.memory_mb * 1_000_000
+    }
+
+    /// How long a caller may take nothing of its answer.
+    pub fn write_timeout(&self) -> Duration {
+        Duration::from_millis(self.write_timeout_ms)
+    }
+
     /// For how long memory is set aside at a time.
     pub fn hold(&self) -> Duration {
         Duration::from_millis(self.memory_release_ms).mul_f64(HOLD)
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -11,9 +11,8 @@
 use foldlock_version::routes::Repeat;
 use hyper::Response;
 use hyper::header;
-use tokio::sync::mpsc;
 
-use crate::fleet::answer::{Body, Cut};
+use crate::fleet::answer::Body;
 use crate::fleet::attempt::{self, End};
 use crate::fleet::gate;
 use crate::fleet::hold::Taken;
@@ -21,9 +20,7 @@
 use crate::fleet::outcome::{self, Streamed};
 use crate::fleet::source::{Begun, Next, Source};
 use crate::fleet::tries::{self, Tries};
-
-/// Batches of events that wait for a slow caller.
-const WAITING: usize = 16;
+use crate::fleet::unread::{Closed, Writer};
 
 /// How many of the route's pauses an upstream may be silent before its stream goes on elsewhere.
 const SILENT_PAUSES: u32 = 3;
@@ -31,8 +28,6 @@
 /// The least such silence: a pass with a long read beside takes up to half a second.
 const LEAST_SILENCE: Duration = Duration::from_millis(1_000);
 
-type Sink = mpsc::Sender<Result<Bytes, Cut>>;
-
 /// The events that were passed on.
 #[derive(Debug, Default)]
 struct Passed {
@@ -81,16 +76,16 @@
 pub fn relay<D: Dialect>(job: Arc<Job<D>>, begun: Begun<D>, tries: Tries) -> Response<Body> {
     let Begun { mut head, first, source } = begun;
     head.headers.remove(header::CONTENT_LENGTH);
-    let (sink, receiver) = mpsc::channel(WAITING);
+    let (sink, unread) = job.process.unread.begin(&job.id);
     let tracker = job.process.tasks.clone();
     tracker.spawn(pass_on(job, source, first, tries, sink));
-    Response::from_parts(head, Body::Events(receiver))
+    Response::from_parts(head, Body::Unread(unread))
 }
 
 /// How a part of a stream, that of one upstream, ended.
 enum Ended {
     Whole,
-    Gone,
+    Closed(Closed),
     Deadline,
     Broken { why: String, silent: bool },
 }
@@ -100,7 +95,7 @@
     mut source: Source<D>,
     first: Vec<Part>,
     mut tries: Tries,
-    sink: Sink,
+    sink: Writer,
 ) {
     let mut passed = Passed { last: job.terms.last_event, ..Passed::default() };
     let first_token = job.held();
@@ -112,18 +107,23 @@
         let upstream = source.flight.upstream.clone();
         let (why, silent) = match ended {
             Ended::Whole => {
+                sink.end();
                 source.finish(&job);
                 let (events, pause) = (passed.count, passed.pause);
                 let streamed = Streamed { first: first_token, engine, events, pause };
                 outcome::finished(&job, Some(streamed));
                 return;
             }
-            Ended::Gone => {
+            Ended::Closed(Closed::Gone) => {
                 failed(&job, Kind::UpstreamFailed, "the caller went away".to_owned());
                 return;
             }
+            Ended::Closed(Closed::GivenUp) => {
+                let why = "the caller reads too slowly for the memory of this VM";
+                failed(&job, Kind::UpstreamFailed, why.to_owned());
+                return;
+            }
             Ended::Deadline => {
-                let _ = sink.try_send(Err(Cut));
                 failed(&job, Kind::DeadlineExceeded, "the stream outlasted its time".to_owned());
                 return;
             }
@@ -134,7 +134,6 @@
         tries.avoid.push(upstream.clone());
         let resumed = resume(&job, &mut tries, &passed, upstream, &why, &sink).await;
         let Some((next, events)) = resumed else {
-            let _ = sink.send(Err(Cut)).await;
             failed(&job, Kind::UpstreamFailed, why);
             return;
         };
@@ -153,7 +152,7 @@
     source: &mut Source<D>,
     first: Vec<Part>,
     passed: &mut Passed,
-    sink: &Sink,
+    sink: &Writer,
 ) -> Ended {
     let silence = silence(job, source);
     let mut parts = first;
@@ -166,14 +165,18 @@
             }
         };
         passed.note(job.process.now());
-        if !bytes.is_empty() && sink.send(Ok(bytes)).await.is_err() {
-            return Ended::Gone;
+        if !bytes.is_empty() {
+            match tokio::time::timeout_at(job.deadline.into(), sink.push(bytes)).await {
+                Ok(Ok(given_up)) => outcome::given_up(&job.process, given_up),
+                Ok(Err(closed)) => return Ended::Closed(closed),
+                Err(_) => return Ended::Deadline,
+            }
         }
         let heard = job.process.now();
         let until = (heard + silence).min(job.deadline);
         let next = tokio::select! {
             next = tokio::time::timeout_at(until.into(), source.next()) => next,
-            () = sink.closed() => return Ended::Gone,
+            closed = sink.closed() => return Ended::Closed(closed),
         };
         parts = match next {
             Ok(Next::Parts(parts)) => parts,
@@ -210,7 +213,7 @@
     passed: &Passed,
     mut from: id::Upstream,
     why: &str,
-    sink: &Sink,
+    sink: &Writer,
 ) -> Option<(Source<D>, Vec<Part>)> {
     let mut why = why.to_owned();
     let last = passed.last?;
@@ -222,12 +225,12 @@
         job.record(Decision::Retried { upstream: from, why });
         let given = tokio::select! {
             given = gate::place(job, &tries.avoid, true) => given.ok()?,
-            () = sink.closed() => return None,
+            _ = sink.closed() => return None,
         };
         from = given.place.flight.upstream.clone();
         let end = tokio::select! {
             end = attempt::run(job, given, Some(last), tries) => end,
-            () = sink.closed() => return None,
+            _ = sink.closed() => return None,
         };
         why = match end {
             End::Events(begun) => {
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -101,6 +101,10 @@
     pub unreadable: Counter,
     /// Data halls that are drained.
     pub drained_halls: Gauge,
+    /// Answers given up since their callers read too slowly.
+    pub given_up: Counter,
+    /// Bytes of answers that callers have not read.
+    pub unread: Gauge,
     /// Requests that wait for this VM to place them.
     pub line: Gauge,
     /// The settings version in force.
@@ -138,6 +142,8 @@
             suspects: Gauge::default(),
             unreadable: Counter::default(),
             drained_halls: Gauge::default(),
+            given_up: Counter::default(),
+            unread: Gauge::default(),
             line: Gauge::default(),
             version: Gauge::default(),
             age_ms: Gauge::default(),
@@ -197,6 +203,9 @@
         let what = "Entries of the directory that name nothing to use";
         r.register("unreadable_entries", what, self.unreadable.clone());
         r.register("drained_halls", "Data halls that are drained", self.drained_halls.clone());
+        let what = "Answers given up since their callers read too slowly";
+        r.register("answers_given_up", what, self.given_up.clone());
+        r.register("unread_bytes", "Bytes that callers have not read", self.unread.clone());
         r.register("waiting", "Requests of all VMs that wait for a place here", self.line.clone());
         r.register("settings_version", "The settings version in force", self.version.clone());
         r.register("settings_age_ms", "Age of the settings", self.age_ms.clone());
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -152,6 +152,7 @@
     metrics.age_ms.set(age);
     let board = process.board.lock().unwrap();
     metrics.flights.set(board.own().count() as i64);
+    metrics.unread.set(process.unread.bytes() as i64);
     metrics.suspects.set(board.quarantine.suspects(now).count() as i64);
     drop(board);
     metrics.line.set(process.scheduler.lock().unwrap().waiting() as i64);
@@ -201,6 +202,7 @@
             json!({
                 "id": u.listed.id, "service": u.listed.service, "address": u.listed.address,
                 "leaving": u.is_leaving(), "drained": u.drained,
+                "cold_ms": u.cold_until.map(|at| at.saturating_duration_since(now).as_millis() as u64),
                 "rests_ms": rests.left(u.tag, moment).map(|left| left.as_millis() as u64),
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.writers, "memory": load.memory, "backlog_ms": load.backlog_ms,
@@ -235,6 +237,7 @@
         "peers": process.peers.dump(now),
         "waiting": waiting,
         "idle_connections": process.pool.len(),
+        "unread": process.unread.dump(),
         "upstreams": upstreams,
         "records": process.ring.newest(RECORDS),
     })
@@ -244,7 +247,7 @@
 fn decisions<D: Dialect>(process: &Arc<Process<D>>) -> Response<Body> {
     let (lines, receiver) = mpsc::channel(LINES);
     tokio::spawn(feed(process.ring.watch(), lines));
-    Response::new(Body::Events(receiver))
+    Response::new(Body::Lines(receiver))
 }
 
 async fn feed(mut decisions: broadcast::Receiver<Line>, lines: mpsc::Sender<Result<Bytes, Cut>>) {
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -11,6 +11,9 @@
 
 use crate::fleet::ending;
 use crate::fleet::job::Job;
+use crate::fleet::process::Process;
+use crate::fleet::unread::GivenUp;
+use crate::log;
 
 /// Notes that an attempt failed, for this VM and the one that places.
 pub fn note<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: Failure) {
@@ -63,3 +66,15 @@
         pause_ms: streamed.map(|s| millis(s.pause)),
     });
 }
+
+/// Notes answers that were given up, since their callers read too slowly for the memory of this VM.
+pub fn given_up<D: Dialect>(process: &Process<D>, answers: Vec<GivenUp>) {
+    for GivenUp { request, bytes } in answers {
+        process.metrics.given_up.inc();
+        if process.trouble_lines.admit(process.now()).is_some() {
+            let all = process.unread.bytes();
+            let what = format!("{request}: {bytes} bytes unread, {all} of the others");
+            log::event(&process.log, Event::AnswerGivenUp, what);
+        }
+    }
+}
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -31,12 +31,12 @@
 use crate::fleet::peers::Peers;
 use crate::fleet::questions::Questions;
 use crate::fleet::register::Register;
+use crate::fleet::unread::Unread;
 use crate::fleet::unreadable::Unreadable;
 use crate::fleet::volume::{self, Volume};
 use crate::log;
 
-/// How long a VM counts as just started: three times as long as 72 VMs that start together take to have
-/// their settings.
+/// How long a VM counts as just started: many that start together have their settings by then.
 const STARTING: Duration = Duration::from_millis(500);
 
 /// Records of requests that are kept: a minute's worth at 8 requests a second, under 1 MB.
@@ -108,6 +108,8 @@
     pub steps: Mutex<Steps>,
     /// The listings, by their revision and digest, that were compared with a peer's as a whole.
     pub compared: Mutex<Option<(Revision, u64)>>,
+    /// Answers that their callers have not read to the end.
+    pub unread: Arc<Unread>,
     /// Entries of the directory that name nothing to use.
     pub unreadable: Unreadable,
     /// What the directory is to be told of requests that are held.
@@ -182,6 +184,7 @@
             packed_listing: Kept::default(),
             steps: Mutex::default(),
             compared: Mutex::default(),
+            unread: Unread::new(config.fleet.memory()),
             unreadable: Unreadable::default(),
             register: Register::default(),
             at: Mutex::default(),
@@ -214,10 +217,8 @@
         self.settings.read().unwrap().clone()
     }
 
-    /// Waits for the first settings while this VM has just started: they are on the way.
-    ///
-    /// 72 VMs that were killed at once had them 60 to 170 ms after their start. 60 to 110 requests came
-    /// in that time, which were refused and late by the time at which they came back.
+    /// Waits for the first settings while this VM has just started: they are on the way, and a request that
+    /// is refused is late by the time at which it comes back.
     pub async fn started(&self) {
         let applied = self.applied.notified();
         if self.version() > 0 {
--- a/daemon/tests/deploy.rs
+++ b/daemon/tests/deploy.rs
@@ -16,7 +16,7 @@
     json!({
         "Node": "front-a-1", "Ip": "10.1.0.40", "Zone": "a",
         "Listen": {"Front": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
-        "PortRange": [7340, 7355], "Limits": {"CpuShare": 0.12},
+        "PortRange": [7340, 7355], "Limits": {"CpuShare": 0.12, "MemoryMb": 160},
         "Bounds": {"GraceS": 8, "StrictRevoke": true, "RevokeMs": 5000, "RetryRatio": 0.2,
                    "RetryWindowS": 10, "RetrySlack": 100, "ReleaseMs": 3000},
         "Provider": {"Address": "10.200.1.7:8223"}
@@ -67,6 +67,7 @@
     assert_eq!(config.fleet.memory_release_ms, 3_000);
     assert_eq!(config.fleet.budget().slack, 100.0);
     assert_eq!(config.fleet.millicores(), 120);
+    assert_eq!(config.fleet.memory(), 160_000_000);
 }
 
 #[test]
--- a/daemon/tests/operating.rs
+++ b/daemon/tests/operating.rs
@@ -13,6 +13,8 @@
         metrics: Some(any),
         directory: String::new(),
         processor: 1.0,
+        memory_mb: 1,
+        write_timeout_ms: 1,
         settings_age_ms: Some(1),
         memory_release_ms: 1,
         stop_ms: 1,
