Split three large files; comments give reasons, not the story of their tuning

`fleet/peers.rs` (474 lines) keeps who is heard; the order of all goes to `peers/known.rs`, whom to read from to `peers/sources.rs`, who places to `peers/placer.rs`. `board.rs` (411): one upstream in `board/upstream.rs`, what upstreams say of themselves in `board/starts.rs`. `placement.rs` (422): candidates in `placement/candidate.rs`. No line of what they do was changed.

--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -2,10 +2,11 @@
 //! the requests of this one.
 
 mod cadence;
+mod known;
 mod peer;
+mod placer;
+mod sources;
 
-use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -15,14 +16,14 @@
 use foldlock_base::prelude::*;
 use foldlock_request::directory::Member;
 use foldlock_request::message::Beat;
-use foldlock_request::rank::{self, Contact};
-use foldlock_request::revision::Revision;
-use rand::seq::IndexedRandom;
+use foldlock_request::rank::Contact;
 use serde_json::json;
 
+use crate::fleet::peers::known::Known;
 use crate::fleet::peers::peer::Peer;
 
 pub use cadence::Cadence;
+pub use placer::Placer;
 
 /// VMs that watch the directory in a large fleet; the others hear from them. Three, so that two
 /// may fail at once without a gap.
@@ -46,34 +47,6 @@
     pub scheduler: bool,
 }
 
-/// The VM that places a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Placer {
-    /// This one.
-    Own,
-    /// A peer.
-    Peer(id::Vm, SocketAddr),
-}
-
-impl fmt::Display for Placer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Placer::Own => f.write_str("this one"),
-            Placer::Peer(vm, address) => write!(f, "{vm} at {address}"),
-        }
-    }
-}
-
-impl Placer {
-    /// Where it listens, if it is a peer.
-    pub fn address(&self) -> Option<SocketAddr> {
-        match self {
-            Placer::Own => None,
-            Placer::Peer(_, address) => Some(*address),
-        }
-    }
-}
-
 /// The peers.
 #[derive(Debug)]
 pub struct Peers {
@@ -86,51 +59,11 @@
     pub reading: AtomicBool,
 }
 
-#[derive(Debug)]
-struct Known {
-    peers: BTreeMap<id::Vm, Peer>,
-    /// All VMs that are listed, this one among them, in the order in which they place.
-    order: Vec<Member>,
-}
-
-impl Known {
-    /// Puts a peer in its place in the order, as it is known now.
-    fn place(&mut self, member: Member) {
-        self.displace(&member.vm);
-        rank::insert(&mut self.order, member);
-    }
-
-    fn displace(&mut self, vm: &id::Vm) {
-        self.order.retain(|member| member.vm != *vm);
-    }
-
-    fn cadence(&self) -> Cadence {
-        Cadence::of(self.order.len())
-    }
-
-    fn contact(&self, vm: &id::Vm, now: Instant) -> Contact {
-        // This VM is always in contact with itself.
-        self.peers.get(vm).map_or(Contact::Heard, |peer| peer.contact(self.cadence(), now))
-    }
-
-    /// The peers that were heard of late.
-    fn heard(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let cadence = self.cadence();
-        self.peers.values().filter(move |peer| peer.is_heard(cadence, now))
-    }
-
-    /// The VMs that are told all, in their order.
-    fn schedulers(&self, now: Instant) -> impl Iterator<Item = &Member> {
-        let order = self.order.iter().map(|member| self.contact(&member.vm, now));
-        rank::told(order).into_iter().map(|index| &self.order[index])
-    }
-}
-
 impl Peers {
     /// No peers yet; stamps count from `began`.
     pub fn new(own: Member, started: Instant, began: Moment) -> Peers {
-        let known = Known { peers: BTreeMap::new(), order: vec![own.clone()] };
-        Peers { started, began, own, known: Mutex::new(known), reading: AtomicBool::new(false) }
+        let known = Mutex::new(Known::new(own.clone()));
+        Peers { started, began, own, known, reading: AtomicBool::new(false) }
     }
 
     /// A VM is listed. Answers what is news in that, if anything.
@@ -325,71 +258,6 @@
         known.order.iter().take_while(|member| member.vm != self.own.vm).count()
     }
 
-    /// The revision up to which a VM before this one in the order tells all what it sees at the directory; none
-    /// where this VM is the first that does.
-    pub fn told_by_others(&self, now: Instant) -> Revision {
-        let known = self.known.lock().unwrap();
-        let places = known.cadence().places();
-        let watches = |peer: &&Peer| {
-            peer.watching.is_some_and(|at| now.saturating_duration_since(at) < places)
-        };
-        let before = known.order.iter().take_while(|member| member.vm != self.own.vm);
-        let watching = before.filter_map(|member| known.peers.get(&member.vm)).filter(watches);
-        watching.map(|peer| peer.at).max().unwrap_or_default()
-    }
-
-    /// Whether a peer was heard just now that the directory answers.
-    pub fn watched(&self, now: Instant) -> bool {
-        let known = self.known.lock().unwrap();
-        let places = known.cadence().places();
-        let watched = |at: Instant| now.saturating_duration_since(at) < places;
-        known.peers.values().any(|peer| peer.watching.is_some_and(watched))
-    }
-
-    /// Whether a peer was heard of late that has settings, from whomever: the directory is read by someone.
-    pub fn knows(&self, now: Instant) -> bool {
-        self.known.lock().unwrap().heard(now).any(|peer| peer.version > 0)
-    }
-
-    /// A peer that knows something newer of the settings, one of the own hall if possible.
-    pub fn newer_settings(&self, version: u64, now: Instant) -> Option<SocketAddr> {
-        self.pick(now, |peer| peer.version > version)
-    }
-
-    /// A peer that knows other listings, of a later revision, or of the same one unless `compared`.
-    pub fn other_listings(
-        &self,
-        at: Revision,
-        digest: u64,
-        compared: bool,
-        now: Instant,
-    ) -> Option<SocketAddr> {
-        let other = |peer: &Peer| !compared && peer.at == at && peer.digest != digest;
-        self.pick(now, |peer| peer.at > at || other(peer))
-    }
-
-    /// One of the peers that are heard, drawn at random so that they share the work.
-    fn pick(&self, now: Instant, of: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
-        let known = self.known.lock().unwrap();
-        let of: Vec<&Peer> = known.heard(now).filter(|peer| of(peer)).collect();
-        let near: Vec<&Peer> =
-            of.iter().copied().filter(|p| p.member.hall == self.own.hall).collect();
-        let from = if near.is_empty() { of } else { near };
-        from.choose(&mut rand::rng()).map(|peer| peer.member.address)
-    }
-
-    /// Some VM of the own hall that is listed and not known to be silent.
-    pub fn neighbour(&self, now: Instant) -> Option<SocketAddr> {
-        let known = self.known.lock().unwrap();
-        let is_near = |peer: &&Peer| {
-            peer.member.hall == self.own.hall
-                && !peer.leaving
-                && peer.contact(known.cadence(), now) != Contact::Silent
-        };
-        let near: Vec<&Peer> = known.peers.values().filter(is_near).collect();
-        near.choose(&mut rand::rng()).map(|peer| peer.member.address)
-    }
-
     /// The age of the oldest word among the peers that are heard, milliseconds.
     pub fn oldest_ms(&self, now: Instant) -> Option<u64> {
         let known = self.known.lock().unwrap();
--- /dev/null
+++ b/daemon/src/fleet/peers/known.rs
@@ -0,0 +1,59 @@
+//! The peers that are listed, and their order.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use foldlock_base::prelude::*;
+use foldlock_request::directory::Member;
+use foldlock_request::rank::{self, Contact};
+
+use crate::fleet::peers::Cadence;
+use crate::fleet::peers::peer::Peer;
+
+#[derive(Debug)]
+pub(super) struct Known {
+    pub(super) peers: BTreeMap<id::Vm, Peer>,
+    /// All VMs that are listed, this one among them, in the order in which they place.
+    pub(super) order: Vec<Member>,
+}
+
+impl Known {
+    /// This VM alone.
+    pub(super) fn new(own: Member) -> Known {
+        Known { peers: BTreeMap::new(), order: vec![own] }
+    }
+
+    /// Puts a peer in its place in the order, as it is known now.
+    pub(super) fn place(&mut self, member: Member) {
+        self.displace(&member.vm);
+        rank::insert(&mut self.order, member);
+    }
+
+    /// Takes a peer out of the order.
+    pub(super) fn displace(&mut self, vm: &id::Vm) {
+        self.order.retain(|member| member.vm != *vm);
+    }
+
+    /// The times of a fleet of this size.
+    pub(super) fn cadence(&self) -> Cadence {
+        Cadence::of(self.order.len())
+    }
+
+    /// What is known of a VM's life.
+    pub(super) fn contact(&self, vm: &id::Vm, now: Instant) -> Contact {
+        // This VM is always in contact with itself.
+        self.peers.get(vm).map_or(Contact::Heard, |peer| peer.contact(self.cadence(), now))
+    }
+
+    /// The peers that were heard of late.
+    pub(super) fn heard(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let cadence = self.cadence();
+        self.peers.values().filter(move |peer| peer.is_heard(cadence, now))
+    }
+
+    /// The VMs that are told all, in their order.
+    pub(super) fn schedulers(&self, now: Instant) -> impl Iterator<Item = &Member> {
+        let order = self.order.iter().map(|member| self.contact(&member.vm, now));
+        rank::told(order).into_iter().map(|index| &self.order[index])
+    }
+}
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -102,8 +102,8 @@
     pub(super) fn contact(&self, cadence: Cadence, now: Instant) -> Contact {
         let since = |at: Instant| now.saturating_duration_since(at);
         // Where all schedulers die at once, the next ones are told at once, and not only when the
-        // dead are no longer taken for heard. Until then each VM placed by its own requests alone,
-        // on engines that it took for empty: 69 refusals, after 43 of 72 VMs had died.
+        // dead are no longer taken for heard. Until then each VM would place by its own requests alone,
+        // on engines that it takes for empty.
         if self.missed.is_some_and(|at| since(at) < cadence.places()) {
             return Contact::Untried;
         }
--- /dev/null
+++ b/daemon/src/fleet/peers/sources.rs
@@ -0,0 +1,78 @@
+//! Which peers know more of the directory than this VM, and are read from.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use foldlock_request::rank::Contact;
+use foldlock_request::revision::Revision;
+use rand::seq::IndexedRandom;
+
+use crate::fleet::peers::Peers;
+use crate::fleet::peers::peer::Peer;
+
+impl Peers {
+    /// The revision up to which a VM before this one in the order tells all what it sees at the directory; none
+    /// where this VM is the first that does.
+    pub fn told_by_others(&self, now: Instant) -> Revision {
+        let known = self.known.lock().unwrap();
+        let places = known.cadence().places();
+        let watches = |peer: &&Peer| {
+            peer.watching.is_some_and(|at| now.saturating_duration_since(at) < places)
+        };
+        let before = known.order.iter().take_while(|member| member.vm != self.own.vm);
+        let watching = before.filter_map(|member| known.peers.get(&member.vm)).filter(watches);
+        watching.map(|peer| peer.at).max().unwrap_or_default()
+    }
+
+    /// Whether a peer was heard just now that the directory answers.
+    pub fn watched(&self, now: Instant) -> bool {
+        let known = self.known.lock().unwrap();
+        let places = known.cadence().places();
+        let watched = |at: Instant| now.saturating_duration_since(at) < places;
+        known.peers.values().any(|peer| peer.watching.is_some_and(watched))
+    }
+
+    /// Whether a peer was heard of late that has settings, from whomever: the directory is read by someone.
+    pub fn knows(&self, now: Instant) -> bool {
+        self.known.lock().unwrap().heard(now).any(|peer| peer.version > 0)
+    }
+
+    /// A peer that knows something newer of the settings, one of the own hall if possible.
+    pub fn newer_settings(&self, version: u64, now: Instant) -> Option<SocketAddr> {
+        self.pick(now, |peer| peer.version > version)
+    }
+
+    /// A peer that knows other listings, of a later revision, or of the same one unless `compared`.
+    pub fn other_listings(
+        &self,
+        at: Revision,
+        digest: u64,
+        compared: bool,
+        now: Instant,
+    ) -> Option<SocketAddr> {
+        let other = |peer: &Peer| !compared && peer.at == at && peer.digest != digest;
+        self.pick(now, |peer| peer.at > at || other(peer))
+    }
+
+    /// One of the peers that are heard, drawn at random so that they share the work.
+    fn pick(&self, now: Instant, of: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
+        let known = self.known.lock().unwrap();
+        let of: Vec<&Peer> = known.heard(now).filter(|peer| of(peer)).collect();
+        let near: Vec<&Peer> =
+            of.iter().copied().filter(|p| p.member.hall == self.own.hall).collect();
+        let from = if near.is_empty() { of } else { near };
+        from.choose(&mut rand::rng()).map(|peer| peer.member.address)
+    }
+
+    /// Some VM of the own hall that is listed and not known to be silent.
+    pub fn neighbour(&self, now: Instant) -> Option<SocketAddr> {
+        let known = self.known.lock().unwrap();
+        let is_near = |peer: &&Peer| {
+            peer.member.hall == self.own.hall
+                && !peer.leaving
+                && peer.contact(known.cadence(), now) != Contact::Silent
+        };
+        let near: Vec<&Peer> = known.peers.values().filter(is_near).collect();
+        near.choose(&mut rand::rng()).map(|peer| peer.member.address)
+    }
+}
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -21,8 +21,7 @@
 use crate::log;
 
 /// How often each engine is asked: a slow or silent one holds up most prompts that several engines
-/// read, and these come several times a second. At 18 engines 30 questions a second cost 0.0025 of
-/// what is earned and bring 0.025 (mean of twenty days, one in four with slow engines).
+/// read, and these come several times a second.
 const EVERY: Duration = Duration::from_millis(600);
 
 /// A change of pace that is logged.
--- a/daemon/src/fleet/volume.rs
+++ b/daemon/src/fleet/volume.rs
@@ -11,8 +11,8 @@
 pub const TROUBLE: u32 = 400;
 
 /// Changes of the listings that are logged one by one in a second. More than that come with a start, or of
-/// many that start at once: then each batch is one line. At 195 VMs that started together a line for each
-/// peer and upstream at each VM made 157,000 lines within a second.
+/// many that start at once: then each batch is one line, since a line for each peer and upstream at each VM
+/// grows with the square of the fleet.
 pub const LISTING: u32 = 8;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -12,6 +12,8 @@
 mod load;
 mod outcomes;
 mod reports;
+mod starts;
+mod upstream;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -24,9 +26,8 @@
 use crate::fingerprint::Fingerprint;
 use crate::held::Quarantined;
 use crate::quarantine::Quarantine;
-use crate::report::Observed;
 use crate::revision::Revision;
-use crate::suspicion::{Outcome, Suspicion};
+use crate::suspicion::Suspicion;
 use crate::tag::Tag;
 
 pub use flights::Holder;
@@ -34,87 +35,12 @@
 pub use listed::{Listed, Start};
 pub use load::{BRISK_MS, Load};
 pub use outcomes::Ended;
+pub use upstream::Upstream;
 
 /// Ended upstreams that are remembered: no message is on its way for as long as this many upstreams take
 /// to end.
 const ENDED: usize = 1_024;
 
-/// How long a new start of an upstream is told that was not learnt from the directory: by then the
-/// directory has told it, or the next answer does again.
-const START_TOLD: Duration = Duration::from_secs(10);
-
-/// Departures that are told at most, 9 bytes each. Those beyond it are told when the directory has told of
-/// others.
-const MOST_DEPARTURES: usize = 256;
-
-/// New starts that are told at most.
-const MOST_STARTS: usize = 64;
-
-/// How long a report counts: an engine that is asked no more is taken for sound again.
-const REPORT_LASTS: Duration = Duration::from_millis(2_500);
-
-impl Upstream {
-    /// How many times longer its work takes than its figures say, as far as is known.
-    pub fn pace(&self, now: Instant) -> f64 {
-        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
-        let report = self.observed.filter(fresh).and_then(|o| o.report);
-        report.map_or(1.0, |report| report.pace.max(1.0))
-    }
-
-    /// Whether it takes new work.
-    pub fn is_open(&self) -> bool {
-        !self.is_leaving() && !self.drained
-    }
-
-    /// Whether it is about to end, by the directory or by its own word.
-    pub fn is_leaving(&self) -> bool {
-        self.listed.leaving || self.told_leaving
-    }
-
-    /// Notes how an attempt ended here.
-    fn note(&mut self, outcome: Outcome, now: Instant) {
-        match outcome {
-            Outcome::Answered => self.suspicion.answered(now),
-            Outcome::Failed(failure) => self.suspicion.failed(failure, now),
-        }
-    }
-
-    /// Whether it is slow from its start, or from having been left idle, and bears few requests.
-    pub fn is_cold(&self, now: Instant) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
-    }
-
-    /// Whether it did not answer when it was last asked for a report.
-    pub fn silent(&self, now: Instant) -> bool {
-        let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
-        self.observed.is_some_and(|o| o.report.is_none() && fresh(&o))
-    }
-}
-
-/// An upstream, as the board knows it.
-#[derive(Debug, Clone)]
-pub struct Upstream {
-    /// How it is listed.
-    pub listed: Listed,
-    /// How VMs name it to each other.
-    pub tag: Tag,
-    /// It said itself, by an answer, that it is leaving. This holds for as long as this start of it is known,
-    /// whatever the directory lists: that may be older, and is away just when much else happens.
-    pub told_leaving: bool,
-    /// Whether its hall is drained: what runs there ends in peace, and nothing new is sent.
-    pub drained: bool,
-    /// Failures of late.
-    pub suspicion: Suspicion,
-    /// The newest report, of this VM or a peer.
-    pub observed: Option<Observed>,
-    /// Whether this VM asked for it.
-    pub asked: bool,
-    /// Until when it is cold.
-    pub cold_until: Option<Instant>,
-    /// When its listing ended while the directory was away; it may still live.
-    pub unlisted: Option<Instant>,
-}
-
 /// The board.
 #[derive(Debug, Default)]
 pub struct Board {
@@ -209,54 +135,6 @@
         Some(known)
     }
 
-    /// An upstream says itself that it has started at this moment. Answers whether that is a later start
-    /// than the one that is known; an earlier one is an answer that came late.
-    ///
-    /// An upstream whose clock went back before it started again is taken for the earlier start until the
-    /// directory tells of it: what it is sent meanwhile is refused or runs there, and a group that counts
-    /// on memory of before is refused and placed anew.
-    pub fn renew(&mut self, id: &id::Upstream, born: u64, now: Instant) -> bool {
-        let Some(known) = self.upstreams.get(id).and_then(|known| known.listed.born) else {
-            return false;
-        };
-        if born <= known {
-            return false;
-        }
-        let Some(before) = self.forget(id) else { return false };
-        self.insert(Listed { born: Some(born), ..before.listed });
-        self.digest.set(None);
-        if self.starts.len() == MOST_STARTS {
-            self.starts.pop_front();
-        }
-        self.starts.push_back((now, Start { upstream: id.clone(), born }));
-        true
-    }
-
-    /// New starts that were not learnt from the directory, as peers are told of them.
-    pub fn told_starts(&mut self, now: Instant) -> Vec<Start> {
-        let old = |at: &Instant| now.saturating_duration_since(*at) > START_TOLD;
-        while self.starts.front().is_some_and(|(at, _)| old(at)) {
-            self.starts.pop_front();
-        }
-        self.starts.iter().map(|(_, start)| start.clone()).collect()
-    }
-
-    /// An upstream says by an answer, to this VM or to a peer, that this start of it is leaving. Names it, if
-    /// that is news.
-    pub fn depart(&mut self, start: Tag) -> Option<id::Upstream> {
-        let id = self.tags.get(&start)?;
-        let upstream = self.upstreams.get_mut(id)?;
-        let known = std::mem::replace(&mut upstream.told_leaving, true);
-        (!known).then(|| id.clone())
-    }
-
-    /// The starts of upstreams that said so and that the directory does not list as leaving yet, as peers
-    /// are told of them.
-    pub fn departures(&self) -> Vec<Tag> {
-        let unheard = self.upstreams.values().filter(|u| u.told_leaving && !u.listed.leaving);
-        unheard.map(|u| u.tag).take(MOST_DEPARTURES).collect()
-    }
-
     /// How VMs name the start of an upstream that is known here.
     pub fn tag_of(&self, id: &id::Upstream) -> Tag {
         self.upstreams.get(id).map_or_else(|| Tag::of(id.as_str()), |known| known.tag)
--- a/request/src/board/reports.rs
+++ b/request/src/board/reports.rs
@@ -4,7 +4,8 @@
 
 use foldlock_base::id;
 
-use super::{Board, REPORT_LASTS};
+use super::Board;
+use super::upstream::REPORT_LASTS;
 use crate::report::{self, Observed};
 
 impl Board {
--- a/request/src/line.rs
+++ b/request/src/line.rs
@@ -2,9 +2,6 @@
 //!
 //! The prompt whose turn it is takes the engines that it needs, and the next ones plan behind it, so
 //! that no two of them are read on one another.
-//!
-//! Worth 0.06 of all that callers' requests are worth where long prompts ask for all engines (mean of
-//! twenty days at 18 engines, against each VM placing its own at once), 0.03 to 0.10 elsewhere.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -63,7 +60,7 @@
 /// the most pressing first, then the rest by their arrival.
 ///
 /// Where not all can be in time, the longest are put back (Moore and Hodgson's rule): each of them
-/// keeps several others waiting. Worth 0.05 of all, measured as above.
+/// keeps several others waiting.
 pub fn order(line: Vec<Waiting>, capacity: Capacity, now: Instant) -> Vec<Waiting> {
     let (mut last, mut rest): (Vec<Waiting>, Vec<Waiting>) =
         line.into_iter().partition(|w| w.left_ms(w.limit, now) <= LAST_CALL_MS);
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -5,10 +5,9 @@
 //! reads fall beside short answers.
 //!
 //! A short prompt opens one engine more only where it were late on those that write already: an
-//! engine with a single short answer is lost to long prompts for as long as that answer lasts. At 18
-//! engines and 88 short prompts a second, that leaves 8 engines to long prompts in place of none, worth
-//! 0.02 of what callers' requests are worth (mean of twelve days).
+//! engine with a single short answer is lost to long prompts for as long as that answer lasts.
 
+mod candidate;
 mod group;
 mod share;
 
@@ -18,13 +17,14 @@
 use foldlock_version::routes::{Engine, Route, Service, Shape};
 use serde::{Deserialize, Serialize};
 
-use crate::board::{BRISK_MS, Board, Load, Upstream};
+use crate::board::{BRISK_MS, Board, Load};
 use crate::fingerprint::Fingerprint;
 use crate::flight::{Flight, Helping};
 use crate::forecast;
 use crate::quarantine::Verdict;
 use crate::tag::Tag;
 
+use candidate::{Candidate, candidates, nowhere};
 pub use group::{DEMAND_WINDOW, Line, Turn, is_too_long, line};
 
 /// The part of the objective within which a short prompt's first event has to be predicted for an
@@ -43,15 +43,6 @@
 /// A prompt that is read in this part of its objective stays whole on one engine.
 const WHOLE: f64 = 0.55;
 
-/// Kept from a pause, milliseconds, for one more short prompt that comes in.
-const PAUSE_MARGIN_MS: f64 = 30.0;
-
-/// Answers with short pauses beside which parts of any length are read: a single one would keep its
-/// engine from long prompts for as long as it lasts, one answer in time against one and a half seconds
-/// of an engine. Worth 0.01 of what callers' requests are worth (mean of thirty days at 18 engines);
-/// two such answers are worth no more.
-const LONE: u32 = 1;
-
 /// What is to be placed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
@@ -155,75 +146,6 @@
     },
 }
 
-#[derive(Clone)]
-struct Candidate<'a> {
-    upstream: &'a Upstream,
-    load: Load,
-    /// How many times longer its work takes than its figures say.
-    pace: f64,
-}
-
-impl<'a> Candidate<'a> {
-    fn new(
-        board: &Board,
-        upstream: &'a Upstream,
-        engine: Option<&Engine>,
-        now: Instant,
-    ) -> Candidate<'a> {
-        let load = board.load(upstream, engine, now);
-        Candidate { upstream, load, pace: upstream.pace(now) }
-    }
-
-    /// When the first event of a prompt comes that is sent now: at the end of the pass that reads it,
-    /// which begins when the one that runs is over.
-    fn predicted_ms(&self, engine: &Engine, part_ms: f64) -> f64 {
-        let writers = self.load.writers + 1;
-        let pass = forecast::pass_ms(engine, writers, self.load.memory);
-        self.load.pass_ms + (self.load.next_ms + part_ms + pass) * self.pace
-    }
-
-    /// What a new read waits for: reads that came before it and, where some request writes, the
-    /// rest of the pass that runs.
-    fn ahead_ms(&self, engine: &Engine) -> f64 {
-        let load = &self.load;
-        let pass = forecast::pass_ms(engine, load.writers, load.memory);
-        let running = if load.writers > 0 { pass / 2.0 } else { 0.0 };
-        running * self.pace + load.backlog_ms
-    }
-
-    /// The milliseconds of reading that one pass may hold so that no answer here pauses for too
-    /// long, with one more whose pause is `pause_ms`.
-    fn allowance_ms(&self, engine: &Engine, pause_ms: u32) -> f64 {
-        self.allowed_ms(engine, self.load.pause_ms.map_or(pause_ms, |ms| ms.min(pause_ms)))
-    }
-
-    /// The longest part of a long prompt that may be read here.
-    fn part_allowance_ms(&self, engine: &Engine) -> f64 {
-        let pause_ms = if self.is_crowded() { self.load.pause_ms } else { self.load.calm_ms };
-        self.allowed_ms(engine, pause_ms.unwrap_or(u32::MAX))
-    }
-
-    fn allowed_ms(&self, engine: &Engine, pause_ms: u32) -> f64 {
-        let pass = forecast::pass_ms(engine, self.load.writers + 1, self.load.memory);
-        (f64::from(pause_ms) - PAUSE_MARGIN_MS) / self.pace - pass
-    }
-
-    /// Whether too many answers with short pauses are under way here for parts of any length.
-    fn is_crowded(&self) -> bool {
-        self.load.brisk > LONE
-    }
-
-    /// Whether an answer with short pauses is under way here.
-    fn is_brisk(&self) -> bool {
-        self.load.pause_ms.is_some_and(|ms| ms <= BRISK_MS)
-    }
-
-    fn has_room(&self, memory: u64, engine: &Engine) -> bool {
-        self.load.requests < self.upstream.listed.slots
-            && self.load.memory + memory <= engine.memory.0
-    }
-}
-
 /// Finds a place for a request that does not wait in a line of others.
 pub fn place(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
     let alone = runs_alone(board, ask.fingerprint, now)?;
@@ -247,15 +169,6 @@
     Ok(place)
 }
 
-/// Why no upstream is a candidate.
-fn nowhere(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Nowhere {
-    if board.is_drained(&service.name) {
-        return Nowhere::Drained;
-    }
-    let left = |u: &Upstream| u.is_cold(now) && !ask.avoid.contains(&u.tag);
-    if board.open(&service.name).any(left) { Nowhere::Full } else { Nowhere::Closed }
-}
-
 /// Whether a request is to run alone, if it may run now at all: one copy at a time does.
 pub fn runs_alone(board: &Board, fingerprint: Fingerprint, now: Instant) -> Result<bool, Nowhere> {
     match board.quarantine.verdict(fingerprint, now) {
@@ -266,53 +179,6 @@
     }
 }
 
-/// The upstreams that take new work, those that are to be trusted alone if there are any, the asker's
-/// hall first.
-fn candidates<'a>(
-    board: &'a Board,
-    service: &'a Service,
-    ask: &Ask,
-    now: Instant,
-) -> Vec<Candidate<'a>> {
-    let open = board
-        .open(&service.name)
-        .filter(|u| !ask.avoid.contains(&u.tag) && bears_more(board, service, u, ask.placers, now));
-    let mut candidates = trusted(board, open.collect(), now);
-    if !candidates.is_empty() {
-        let offset = ask.offset % candidates.len();
-        candidates.rotate_left(offset);
-    }
-    candidates.sort_by_key(|u| (u.is_cold(now), u.listed.hall != ask.hall));
-    let engine = service.engine.as_ref();
-    candidates.into_iter().map(|upstream| Candidate::new(board, upstream, engine, now)).collect()
-}
-
-/// Whether an upstream bears one more request now: a cold one bears some a second, and ends under many more.
-fn bears_more(
-    board: &Board,
-    service: &Service,
-    upstream: &Upstream,
-    placers: usize,
-    now: Instant,
-) -> bool {
-    let Some(per_s) = service.cold_per_s.filter(|_| upstream.is_cold(now)) else { return true };
-    let share = (per_s / placers.max(1) as f64).max(1.0) as usize;
-    board.begun(&upstream.listed.id, now) < share
-}
-
-/// Those that did not fail of late and are not left to a request that runs alone, or all where there are
-/// no others.
-fn trusted<'a>(board: &Board, open: Vec<&'a Upstream>, now: Instant) -> Vec<&'a Upstream> {
-    let sound = |u: &&Upstream| {
-        u.unlisted.is_none()
-            && !u.suspicion.avoided(now)
-            && !u.silent(now)
-            && !board.is_left_alone(&u.listed.id)
-    };
-    let trusted: Vec<&Upstream> = open.iter().copied().filter(sound).collect();
-    if trusted.is_empty() { open } else { trusted }
-}
-
 /// The place of a request that runs alone: where least is under way, which is nothing as a rule.
 fn apart(
     ask: &Ask,
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -9,15 +9,15 @@
 
 use foldlock_version::routes::{Engine, Service};
 
+use super::candidate::{Candidate, bears_more, trusted};
 use super::share::{MOST_ENGINES, Prompt, Reader, Readers, Share};
-use super::{Ask, Candidate, Place, bears_more, placed, trusted};
+use super::{Ask, Place, placed};
 use crate::board::{Board, Upstream};
 use crate::forecast;
 use crate::line::{self, Capacity, Waiting};
 
 /// The longest part, milliseconds, where all engines were busy of late: all that comes meanwhile
-/// waits for it. Twice that where none was, so that the longest prompts find a place on a calm fleet
-/// (0.01 of what callers' requests are worth).
+/// waits for it. Twice that where none was, so that the longest prompts find a place on a calm fleet.
 const MOST_PART_MS: f64 = 1_000.0;
 
 /// The time over which the demand of long prompts is taken: the mix of lengths turns within some
--- a/request/src/placement/share.rs
+++ b/request/src/placement/share.rs
@@ -7,7 +7,8 @@
 
 use foldlock_version::routes::Engine;
 
-use super::{Ask, Candidate, Place};
+use super::candidate::Candidate;
+use super::{Ask, Place};
 use crate::forecast;
 
 /// The shortest part of a long read, milliseconds: under it the steps of each pass cost more than
@@ -22,12 +23,11 @@
 const FREE_MS: f64 = 20.0;
 
 /// The most parts of other prompts that an engine may still have to read to take one more: it reads
-/// the newest part first, so each one that is added holds up all that came before it. Worth 0.03 of
-/// what callers' requests are worth at 18 engines.
+/// the newest part first, so each one that is added holds up all that came before it.
 const MOST_UNREAD: u32 = 3;
 
 /// The part of the time left for a first event within which engines apart from short answers have to
-/// be done; else the prompt is read beside them, which is worth 0.03 of all.
+/// be done; else the prompt is read beside them.
 const IN_TIME: f64 = 0.8;
 
 /// How much later than by waiting a prompt may be done to be placed at once, milliseconds: under one
@@ -39,9 +39,8 @@
 
 /// How much sooner an engine that answers nothing has to be free to be the one that answers,
 /// milliseconds. An engine that plays steps anyway loses nothing by one writer more; one with a single
-/// writer cannot read parts longer than that one's pauses may be, and reads each with a pass of steps.
-/// Worth 0.02 of what callers' requests are worth (mean of twelve days at 18 engines): long answers
-/// write on two or three engines, where they wrote on half of them.
+/// writer cannot read parts longer than that one's pauses may be, and reads each with a pass of steps. So long
+/// answers write on a few engines, and not on all of them.
 const WRITERS_APART_MS: f64 = 200.0;
 
 /// The same for each request more that it answers, milliseconds.
@@ -58,7 +57,7 @@
     /// When the first read that is planned begins there; infinite while none is.
     planned_ms: f64,
     /// What the steps of its writers add to a read, milliseconds. Without it parts come to lie on
-    /// parts that are unread, which costs 0.04 of what callers' requests are worth.
+    /// parts that are unread.
     steps_ms: f64,
     /// The longest part that fits between the answers here, milliseconds.
     most_ms: f64,
--- a/request/src/pressure.rs
+++ b/request/src/pressure.rs
@@ -2,8 +2,7 @@
 //!
 //! At a turn of the mix many short prompts come where long ones read on all engines but a few. What
 //! waits in the line would take each engine as it is free; so as many are kept from the line as the
-//! short prompts of the last moment need. Worth 0.02 to 0.04 of what callers' requests are worth on
-//! days with such turns, at 18 engines and fourfold jumps of short prompts.
+//! short prompts of the last moment need.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- a/request/src/quarantine/case.rs
+++ b/request/src/quarantine/case.rs
@@ -6,10 +6,8 @@
 use crate::tag::Tag;
 
 /// Upstreams that ended under a request from which on it runs alone. Two in a row happen to a request that
-/// is not the cause where it is sent on beside the one that is. With one, a request that ends its engines
-/// costs 3.8 of them in place of 5.8, but each request that any crash cuts asks for an engine of its own,
-/// and 0.3 that did nothing wrong are held; with three, 6.4. Holding at three endings without the proof
-/// holds 1.0 (mean of 20 plays of 20 s before 18 engines).
+/// is not the cause where it is sent on beside the one that is. With one, each request that any crash cuts would
+/// ask for an engine of its own.
 const ALONE_AFTER: usize = 2;
 
 /// For how long a request is kept from all upstreams, by how often it ended one while it ran alone. The
--- a/request/src/retry_after.rs
+++ b/request/src/retry_after.rs
@@ -23,15 +23,11 @@
 
 /// The part of the caller's time, where there are no settings: all VMs have started while the directory
 /// is away, which takes seconds as a rule. Most callers ask once more, so they had better not do it
-/// while it still is; the rest of the time is for their answer. Where all VMs are killed while the
-/// directory is away, this is worth 0.05 of what the day's requests are worth against coming back after
-/// 500 ms (mean of six days with 9 VMs).
+/// while it still is; the rest of the time is for their answer.
 const NO_SETTINGS: f64 = 1.0 / 3.0;
 
 /// All VMs refuse until the directory is back. With a third of the caller's time, the callers of an
-/// outage of 8 s came back with as many who were new, and both were late: on a day with 6 VMs 190
-/// answers that had been in time came late so that 84 more callers were served, late (0.877 to 0.734 of
-/// the day's worth), with 72 VMs 0.04 of it (two days).
+/// outage come back together with as many who are new, and both are late.
 const OLD_SETTINGS: Duration = Duration::from_millis(500);
 
 /// Short requests end within a second or two.
