--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -5,8 +5,7 @@
 //! reads fall beside short answers.
 //!
 //! A short prompt opens one engine more only where it were late on those that write already: an
-//! engine with a single short answer is lost to long prompts for as long as that answer lasts. Where more engines are
-//! idle than long prompts take, it opens one sooner.
+//! engine with a single short answer is lost to long prompts for as long as that answer lasts.
 
 mod candidate;
 mod group;
@@ -27,18 +26,11 @@
 
 use candidate::{Candidate, candidates, nowhere};
 pub use group::{DEMAND_WINDOW, Line, Turn, is_too_long, line};
-use share::MOST_ENGINES;
 
 /// The part of the objective within which a short prompt's first event has to be predicted for an
 /// engine to be filled further before others are compared.
 const IN_TIME: f64 = 0.6;
 
-/// The same where engines are spare: short prompts wait for one another only where that leaves engines to long ones.
-const IN_TIME_SPARE: f64 = 0.3;
-
-/// Idle engines from which on some are spare: as many as two of the longest prompts take.
-const SPARE: usize = 2 * MOST_ENGINES;
-
 /// The part of the objective beyond which a short prompt goes to an engine without short answers
 /// rather than beside others: one prediction in ten is a third too low.
 const BESIDE: f64 = 0.85;
@@ -227,12 +219,9 @@
             && c.predicted_ms(engine, read) <= objective * part
             && c.load.waited_ms + c.predicted_ms(engine, read) <= objective * FIRST
     };
-    let spare = candidates.iter().filter(|c| c.is_idle()).count() >= SPARE;
-    let in_time = if spare { IN_TIME_SPARE } else { IN_TIME };
     let index = candidates
         .iter()
-        .position(|c| c.is_brisk() && fits(c, in_time))
-        .or_else(|| candidates.iter().position(|c| spare && c.is_idle() && fits(c, BESIDE)))
+        .position(|c| c.is_brisk() && fits(c, IN_TIME))
         .or_else(|| least(&candidates, engine, read, |c| c.is_brisk() && fits(c, BESIDE)))
         .or_else(|| candidates.iter().position(|c| fits(c, BESIDE)))
         .or_else(|| least(&candidates, engine, read, |c| c.has_room(memory, engine)))
--- a/request/src/placement/candidate.rs
+++ b/request/src/placement/candidate.rs
@@ -74,11 +74,6 @@
         self.load.brisk > LONE
     }
 
-    /// Whether nothing is under way here.
-    pub(super) fn is_idle(&self) -> bool {
-        self.load.requests == 0 && self.load.helping == 0
-    }
-
     /// Whether an answer with short pauses is under way here.
     pub(super) fn is_brisk(&self) -> bool {
         self.load.pause_ms.is_some_and(|ms| ms <= BRISK_MS)
