A start looks at few VMs, and a failed look is repeated, not followed by a read of all

All 985 VMs looked at all that are listed within a moment, 985 x some 250 kB over the directory's link of 1,000 Mbit/s, two seconds where a call may take one. With processor time the starts are spread enough that the looks come through; nothing but that kept it working. What grows faster than the fleet: VMs that start times what they read.

Change (`fleet/join.rs`): a VM first looks at those alone whose names are like its own (numbered along with it); where these are many, only the first three of them look at all, the others hear from them. A look that fails is repeated, 100 to 400 ms apart and never all at once; a VM that knows nobody reads nothing.

--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -26,12 +26,22 @@
     Duration::from_millis(2_400),
 ];
 
+/// The pause after a look that failed; it doubles with each failure.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The longest such pause: a directory that is back is to be noticed soon, and a look costs it little.
+const MOST_RETRY: Duration = Duration::from_millis(400);
+
 /// How long one of the first VMs in the order waits for others that live: some trips between halls.
 const FIRST: Duration = Duration::from_millis(150);
 
 /// How long the others wait for these: they read the directory and answer within a beat.
 const HEARD: Duration = Duration::from_millis(500);
 
+/// How long a VM waits for the first of those whose names are like its own: they look at all that are listed, and
+/// hear the first of these, before they can tell.
+const HEARD_NEAR: Duration = Duration::from_millis(1_500);
+
 /// The time that each VM before this one adds: where none of the first ones live, this many calls a second are
 /// made of it.
 const TURN: Duration = Duration::from_millis(4);
@@ -41,22 +51,59 @@
 
 /// Looks who is listed, and waits until peers are heard that know the rest, if there are many. What is still
 /// not known then, is read from the directory.
+///
+/// First it looks at those alone whose names are like its own. Were each VM of a large fleet that starts to
+/// look at all, what they read together would grow with the square of the fleet, and come too late for any of
+/// them: so only the first few of those that are alike do.
 pub async fn find_peers<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
     for pause in PAUSES {
+        look(process, directory, alike(process.member.vm.as_str())).await;
+        if process.peers.is_large() && is_told(process, HEARD_NEAR).await {
+            return;
+        }
+        if look(process, directory, "").await {
+            break;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    wait(process).await;
+}
+
+/// What the names of VMs begin with that are numbered along with this one.
+pub fn alike(vm: &str) -> &str {
+    vm.char_indices().next_back().map_or("", |(last, _)| &vm[..last])
+}
+
+/// Looks at VMs that are listed, until the directory answers. Answers whether there are any.
+async fn look<D: Dialect, R: Directory>(process: &Process<D>, directory: &R, prefix: &str) -> bool {
+    let mut pause = RETRY;
+    let mut failures = 0;
+    while !process.stopping.is_cancelled() {
         process.metrics.called(Call::Look);
-        match directory.members().await {
-            Ok(changes) if !changes.changes.is_empty() => {
+        match directory.members(prefix).await {
+            Ok(changes) => {
+                if failures > 0 {
+                    let what = format!("after {failures} failed looks at who is listed");
+                    log::event(&process.log, Event::DirectoryUp, what);
+                }
+                let found = !changes.changes.is_empty();
                 list(process, changes.changes);
-                break;
+                return found;
             }
-            Ok(_) => tokio::time::sleep(pause).await,
             Err(fault) => {
-                log::event(&process.log, Event::DirectoryDown, format!("who is listed: {fault}"));
-                return;
+                if failures == 0 {
+                    let what = format!("who is listed: {fault}");
+                    log::event(&process.log, Event::DirectoryDown, what);
+                }
+                process.metrics.directory_failures.inc();
+                failures += 1;
             }
         }
+        // Those that failed together do not come back together.
+        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        pause = (pause * 2).min(MOST_RETRY);
     }
-    wait(process).await;
+    false
 }
 
 fn list<D: Dialect>(process: &Process<D>, changes: Vec<Change>) {
@@ -84,6 +131,13 @@
     }
 }
 
+/// Whether a VM that is not among the first of those that it knows hears from them in time.
+async fn is_told<D: Dialect>(process: &Process<D>, patience: Duration) -> bool {
+    let position = process.peers.position_listed();
+    let patience = patience + TURN * position as u32;
+    position >= WATCHERS && comes_about(patience, || process.peers.knows(process.now())).await
+}
+
 /// Waits for this long at most until it is so, and answers whether it is. Looks are counted and not the clock: a VM
 /// that stood still finds what it was told meanwhile only once it goes on.
 pub async fn comes_about(patience: Duration, is_so: impl Fn() -> bool) -> bool {
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -133,8 +133,8 @@
     /// All that is listed now.
     fn read(&self) -> impl Future<Output = Result<Changes, Fault>> + Send;
 
-    /// The VMs that were listed a moment ago: cheap, and it may be seconds old.
-    fn members(&self) -> impl Future<Output = Result<Changes, Fault>> + Send;
+    /// The VMs that were listed a moment ago and whose names begin with `prefix`: cheap, and it may be seconds old.
+    fn members(&self, prefix: &str) -> impl Future<Output = Result<Changes, Fault>> + Send;
 
     /// The changes after a revision, as soon as there are some, or none after `wait`.
     fn watch(
