A VM that was told goes on from there, at whatever moment it begins to watch

It had just started and was told by its peers; it learnt the listings from one of them between two of its looks (150 ms), and at the next look it was its turn to ask. Where to go on from was noted only with a look that finds it told, so it read all that is listed, four pages in a fleet of 985.

Change (`fleet/contact.rs`, out of follow.rs): the revision to go on from is worked out when the call is made; a read of all is asked for by its reasons alone (a failed call, a restored or compacted directory, a suspended machine).

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -14,6 +14,7 @@
 pub mod catch_up;
 pub mod changes;
 pub mod config;
+pub mod contact;
 pub mod ending;
 pub mod events;
 pub mod follow;
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -2,16 +2,17 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Change, Changes, Directory, Fault};
+use foldlock_request::directory::{Changes, Directory, Fault};
 use foldlock_request::revision::Revision;
 use foldlock_request::step::{self, Step};
 
-use crate::fleet::changes::{self, News, Word};
+use crate::fleet::changes::{self, News};
+use crate::fleet::contact::Contact;
 use crate::fleet::join;
 use crate::fleet::metrics::Call;
 use crate::fleet::peers::WATCHERS;
@@ -41,9 +42,6 @@
 /// again; from then on it is gone.
 const RELIST: Duration = Duration::from_secs(2);
 
-/// How long a trouble of the directory may lie back for an ended listing to be put down to it.
-const RECENT: Duration = Duration::from_secs(3);
-
 /// How much longer than the VM before it in the order a VM relies on what it was told, once no peer
 /// says any more that the directory answers it: so the first few of them ask, and the others hear
 /// from these.
@@ -87,31 +85,6 @@
 /// The least such time.
 const LEAST_LIST_AGAIN: Duration = Duration::from_secs(2);
 
-/// What is known of the directory itself.
-#[derive(Default)]
-struct Contact {
-    /// The revision from which a watch goes on; none where all is to be read anew.
-    at: Option<Revision>,
-    failures: u32,
-    trouble: Option<Instant>,
-    /// When it came back from a copy, until what it lists is sound again.
-    restored: Option<Instant>,
-    /// Whether the settings that it holds are older than those in force here.
-    is_behind: bool,
-}
-
-impl Contact {
-    /// How what it says now is to be taken.
-    fn word(&self, now: Instant) -> Word {
-        let trouble = |at: Instant| now.saturating_duration_since(at) < RECENT;
-        match self.restored {
-            Some(_) if self.at.is_none() => Word::Copy,
-            _ if self.trouble.is_some_and(trouble) => Word::Lapsed,
-            _ => Word::Sound,
-        }
-    }
-}
-
 /// Follows the directory until the process stops.
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     let mut contact = Contact::default();
@@ -119,20 +92,19 @@
     loop {
         if !asks(&process).await {
             process.watching.store(false, Ordering::Relaxed);
-            contact = Contact { failures: 0, is_behind: false, ..contact };
-            // What peers tell goes on where the last watch ended, or beyond.
-            contact.at = Some(process.at()).filter(|at| !at.is_none());
+            contact.is_told();
             tokio::time::sleep(TOLD_LOOK).await;
             continue;
         }
         let asked = process.moment();
-        process.metrics.called(if contact.at.is_some() { Call::Watch } else { Call::Read });
-        let answer = match contact.at {
+        let from = contact.from(process.at());
+        process.metrics.called(if from.is_some() { Call::Watch } else { Call::Read });
+        let answer = match from {
             Some(at) => tokio::select! {
                 answer = directory.watch(at, WATCH) => answer,
                 // What it told before may have ended in that time.
                 () = process.woke.notified() => {
-                    contact.at = None;
+                    contact.forget();
                     continue;
                 }
             },
@@ -140,15 +112,15 @@
         };
         match answer {
             Ok(changes) => {
-                heard(&process, &mut contact, changes, asked);
+                heard(&process, &mut contact, from, changes, asked);
                 tokio::time::sleep(gather(&process)).await;
             }
             Err(Fault::Compacted) => {
                 log::event(&process.log, Event::DirectoryCompacted, "reading all anew");
-                contact.at = None;
+                contact.forget();
             }
             // What it holds now is read anew; its new era is noted then.
-            Err(Fault::Restored) => contact.at = None,
+            Err(Fault::Restored) => contact.forget(),
             Err(Fault::Unavailable(why)) => failed(&process, &mut contact, &why).await,
         }
     }
@@ -210,31 +182,28 @@
 fn heard<D: Dialect>(
     process: &Arc<Process<D>>,
     contact: &mut Contact,
+    from: Option<Revision>,
     changes: Changes,
     asked: Moment,
 ) {
     let now = process.now();
     process.watching.store(true, Ordering::Relaxed);
-    if contact.failures > 0 {
-        let what = format!("after {} failed calls", contact.failures);
-        log::event(&process.log, Event::DirectoryUp, what);
-        contact.failures = 0;
-        contact.trouble = Some(now);
+    if let Some(failures) = contact.answered(now) {
+        log::event(&process.log, Event::DirectoryUp, format!("after {failures} failed calls"));
     }
     let mut news = News::default();
     let Changes { at, changes } = changes;
-    let from = contact.at;
     note_era(process, at, "the directory");
     // Also where a peer told of it first.
-    contact.restored = contact.restored.or(process.restored(COPY));
-    let word = contact.word(now);
-    if contact.at.is_none() {
+    contact.note_restored(process.restored(COPY));
+    let word = contact.word(from, now);
+    if from.is_none() {
         changes::end_unlisted(process, &changes, at, word, &mut news);
         changes::take_back_unlisted(process, &changes, at, word, &mut news);
     }
     contact.note_settings(process.version(), word, &changes);
     let changed = !changes.is_empty();
-    contact.at = Some(at);
+    contact.goes_on(at);
     process.known_to(at);
     let mut step: Vec<step::Change> =
         changes.iter().filter_map(|change| changes::told(change, word)).collect();
@@ -244,14 +213,10 @@
     step.extend(gone.into_iter().map(|id| step::Change::UpstreamGone(id, at)));
     note_step(process, from, at, step);
     news.log(process, at, "the directory");
-    if !contact.is_behind {
+    if !contact.is_behind() {
         process.fresh.confirm(asked);
     }
-    if contact.restored.is_some() && process.restored(COPY).is_none() {
-        // Once more, and as it is then.
-        contact.restored = None;
-        contact.at = None;
-    }
+    contact.settle(process.restored(COPY));
     let is_told = process.peers.told_by_others(now) >= at;
     if changed && !is_told {
         process.tell_all();
@@ -275,22 +240,6 @@
     }
 }
 
-impl Contact {
-    /// Settings in force are never given up for older ones, and a copy that lacks them does not confirm them:
-    /// a key that was taken away in a version which is lost as well would be served on.
-    fn note_settings(&mut self, in_force: u64, word: Word, changes: &[Change]) {
-        let held = changes.iter().rev().find_map(|change| match change {
-            Change::Settings(settings) => Some(settings.table.number()),
-            _ => None,
-        });
-        match held {
-            Some(number) if number >= in_force => self.is_behind = false,
-            _ if word == Word::Copy => self.is_behind = in_force > 0,
-            _ => {}
-        }
-    }
-}
-
 /// Notes the era of a revision. Answers whether the directory has come back from a copy since what is known
 /// of it: then this VM's own entry may be gone, which no other VM would write again.
 pub(super) fn note_era<D: Dialect>(process: &Arc<Process<D>>, at: Revision, from: &str) -> bool {
@@ -316,16 +265,13 @@
 }
 
 async fn failed<D: Dialect>(process: &Arc<Process<D>>, contact: &mut Contact, why: &str) {
-    if contact.failures == 0 {
+    let failures = contact.failed(process.now());
+    if failures == 1 {
         log::event(&process.log, Event::DirectoryDown, why);
     }
     process.watching.store(false, Ordering::Relaxed);
-    // What a watch would have told may have lapsed and come back meanwhile: read anew.
-    contact.at = None;
-    contact.failures += 1;
-    contact.trouble = Some(process.now());
     process.metrics.directory_failures.inc();
-    let pause = RETRY * 2_u32.saturating_pow(contact.failures.min(MOST_DOUBLED) - 1);
+    let pause = RETRY * 2_u32.saturating_pow(failures.min(MOST_DOUBLED) - 1);
     if !is_large(process) || is_watcher(process) {
         tokio::time::sleep(pause.min(MOST_RETRY)).await;
         return;
