Withdrawals and unread answers in modules that import one way

`leavers.rs` keeps the state alone, `withdraw.rs` the task; what marks a cut stands with the unread parts.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -48,6 +48,7 @@
 pub mod unread;
 pub mod unreadable;
 pub mod volume;
+pub mod withdraw;
 pub mod writer;
 
 use std::sync::Arc;
@@ -107,7 +108,7 @@
     tokio::spawn(scheduler::run(process.clone()));
     tokio::spawn(follow::run(process.clone(), directory.clone()));
     tokio::spawn(follow::announce(process.clone(), directory.clone()));
-    tokio::spawn(leavers::run(process.clone(), directory.clone()));
+    tokio::spawn(withdraw::run(process.clone(), directory.clone()));
     tokio::spawn(writer::run(process.clone(), directory));
     tokio::spawn(process::sweep(process.clone()));
     tokio::spawn(reports::run(process.clone()));
--- a/daemon/src/fleet/answer.rs
+++ b/daemon/src/fleet/answer.rs
@@ -1,6 +1,5 @@
 //! Answers to callers.
 
-use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -14,20 +13,7 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::fleet::unread::Reader;
-
-/// The stream to the caller ends without its end: hyper closes the connection, so that the answer
-/// cannot be taken for complete.
-#[derive(Debug)]
-pub struct Cut;
-
-impl fmt::Display for Cut {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("the answer was broken off")
-    }
-}
-
-impl std::error::Error for Cut {}
+use crate::fleet::unread::{Cut, Reader};
 
 /// The body of an answer.
 pub enum Body {
--- a/daemon/src/fleet/leavers.rs
+++ b/daemon/src/fleet/leavers.rs
@@ -1,33 +1,13 @@
-//! VMs that stop, withdrawn from the directory for them, many with one call.
-//!
-//! All of a fleet stop within a moment where it is taken down or moved: a call of each would be as many calls as there
-//! are VMs. So in a large fleet the first VM in the order writes for those that tell it. Who is not told
-//! in time that this was done, withdraws itself.
+//! The VMs that are to be withdrawn from the directory, and whether this one was.
 
 use std::collections::BTreeSet;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use foldlock_base::prelude::*;
-use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Directory, TOGETHER};
+use foldlock_request::directory::TOGETHER;
 use tokio::sync::Notify;
 
-use crate::fleet::metrics::Call;
-use crate::fleet::process::Process;
-use crate::log;
-
-/// How long leavers gather: with a call and a beat, well under the time for which one that stops lives on.
-const GATHER: Duration = Duration::from_millis(300);
-
-/// How long a VM that stops waits for others to withdraw it: some gatherings, and under the time for which it
-/// still accepts connections.
-const PATIENCE: Duration = Duration::from_millis(2_000);
-
-/// How long the directory may take; peers notice the silence of one that ends anyway.
-const WITHDRAW: Duration = Duration::from_millis(500);
-
 /// The VMs that are to be withdrawn, and whether this one was.
 #[derive(Debug, Default)]
 pub struct Leavers {
@@ -45,6 +25,16 @@
         self.came.notify_one();
     }
 
+    /// Waits until one leaves.
+    pub async fn came(&self) {
+        self.came.notified().await;
+    }
+
+    /// This VM stops, and asks to be withdrawn or does it itself.
+    pub fn stops(&self, asks: bool) {
+        self.asks.store(asks, Ordering::Relaxed);
+    }
+
     /// Whether this VM stops and asks to be withdrawn: it was one of a large fleet then.
     pub fn asks(&self) -> bool {
         self.asks.load(Ordering::Relaxed)
@@ -55,60 +45,14 @@
         self.withdrawn.notify_one();
     }
 
+    /// Waits until this VM's own entry is gone.
+    pub async fn gone(&self) {
+        self.withdrawn.notified().await;
+    }
+
     /// As many as go with one call.
-    fn some(&self) -> Vec<id::Vm> {
+    pub fn some(&self) -> Vec<id::Vm> {
         let mut waiting = self.waiting.lock().unwrap();
         std::iter::from_fn(|| waiting.pop_first()).take(TOGETHER).collect()
     }
 }
-
-/// Withdraws others until the process ends.
-pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    loop {
-        process.leavers.came.notified().await;
-        tokio::time::sleep(GATHER).await;
-        loop {
-            let some = process.leavers.some();
-            if some.is_empty() {
-                break;
-            }
-            withdraw(&process, &directory, &some).await;
-        }
-    }
-}
-
-/// Tells all that this VM stops, and withdraws it, or lets another do that.
-pub async fn leave<D: Dialect, R: Directory>(process: &Process<D>, directory: &R) {
-    let asks = process.peers.is_large() && !is_first(process);
-    process.leavers.asks.store(asks, Ordering::Relaxed);
-    process.tell_all();
-    let withdrawn = process.leavers.withdrawn.notified();
-    if !asks || tokio::time::timeout(PATIENCE, withdrawn).await.is_err() {
-        withdraw(process, directory, std::slice::from_ref(&process.member.vm)).await;
-    }
-}
-
-/// Whether this VM is the one that withdraws others: the first of those that are heard and stay. Where all stop, each
-/// would be that once it has heard the others; so who asks to be withdrawn itself is not.
-pub fn is_first<D: Dialect>(process: &Process<D>) -> bool {
-    !process.leavers.asks() && process.peers.position(process.now()) == 0
-}
-
-async fn withdraw<D: Dialect, R: Directory>(process: &Process<D>, directory: &R, vms: &[id::Vm]) {
-    process.metrics.called(Call::Write);
-    match tokio::time::timeout(WITHDRAW, directory.withdraw(vms)).await {
-        Ok(Ok(())) => {}
-        Ok(Err(fault)) => {
-            process.metrics.directory_failures.inc();
-            log::event(&process.log, Event::WriteFailed, format!("withdrawal of {vms:?}: {fault}"));
-        }
-        Err(_) => {
-            process.metrics.directory_failures.inc();
-            log::event(
-                &process.log,
-                Event::WriteFailed,
-                format!("withdrawal of {vms:?}: no answer"),
-            );
-        }
-    }
-}
--- a/daemon/src/fleet/members.rs
+++ b/daemon/src/fleet/members.rs
@@ -4,9 +4,9 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
 
-use crate::fleet::leavers;
 use crate::fleet::peers::{News, Withdrawal};
 use crate::fleet::process::Process;
+use crate::fleet::withdraw;
 use crate::log;
 
 /// A VM is listed. Answers whether that is news.
@@ -22,7 +22,7 @@
 
 /// A VM says that it stops. The one that withdraws others does so if it asks for that.
 pub fn leaves<D: Dialect>(process: &Process<D>, vm: &id::Vm, asks: bool) {
-    if withdrawn(process, vm) && asks && leavers::is_first(process) {
+    if withdrawn(process, vm) && asks && withdraw::is_first(process) {
         process.leavers.note(vm.clone());
     }
 }
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -22,9 +22,10 @@
 use tokio::sync::{broadcast, mpsc};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::answer::{self, Body, Cut};
+use crate::fleet::answer::{self, Body};
 use crate::fleet::process::Process;
 use crate::fleet::register::Order;
+use crate::fleet::unread::Cut;
 use crate::log;
 
 /// The path under which peers read the settings.
--- a/daemon/src/fleet/stop.rs
+++ b/daemon/src/fleet/stop.rs
@@ -7,8 +7,8 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
 
-use crate::fleet::leavers;
 use crate::fleet::process::Process;
+use crate::fleet::withdraw;
 use crate::log;
 
 /// Kept from the time to stop in, so that the process has ended by itself before it is killed.
@@ -28,7 +28,7 @@
     // The first signal counts.
     let _ = process.stopped.set(began);
     process.stopping.cancel();
-    leavers::leave(process, directory).await;
+    withdraw::leave(process, directory).await;
     tokio::time::sleep(LINGER.saturating_sub(process.now() - began)).await;
     process.tasks.close();
     let until = began + process.config.fleet.stop().saturating_sub(MARGIN);
--- a/daemon/src/fleet/unread.rs
+++ b/daemon/src/fleet/unread.rs
@@ -5,6 +5,7 @@
 //! than the VM has for them, the one that takes most is given up.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
 
@@ -13,8 +14,6 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use crate::fleet::answer::Cut;
-
 /// The part of a VM's memory that such answers may take: connections, settings and the board take the rest.
 const PART: f64 = 0.25;
 
@@ -212,6 +211,19 @@
     }
 }
 
+/// The stream to the caller ends without its end: hyper closes the connection, so that the answer
+/// cannot be taken for complete.
+#[derive(Debug)]
+pub struct Cut;
+
+impl fmt::Display for Cut {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer was broken off")
+    }
+}
+
+impl std::error::Error for Cut {}
+
 /// Where an answer is written.
 #[derive(Debug)]
 pub struct Writer {
