A VM that has just started waits for those that watch, and looks less often at nobody

The watches: such a VM had learnt the listings from one that does not watch itself, heard none that does yet, and took its turn to ask. The looks: where nobody is listed yet, not even a VM alike, it looked at all as well.

Change: for two of the times within which a VM that watches is heard, a VM that has started and hears one that knows relies on it; no second look where the first shows nobody.

--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -152,9 +152,14 @@
 /// just started has not heard all of those before it, so its place among those that are heard says nothing yet.
 fn is_told<D: Dialect>(process: &Process<D>) -> bool {
     let now = process.now();
-    // What it is yet to learn, who watches among it, comes from any peer that has heard of it.
+    // What it is yet to learn, who watches among it, comes from any peer that has heard of it; and those that watch
+    // answer a beat or two after it has learnt who they are.
+    let learns = if process.at().is_none() { LEARNS } else { process.peers.cadence().places() * 2 };
+    if process.peers.age(now) < learns && process.peers.knows(now) {
+        return true;
+    }
     if process.at().is_none() {
-        return process.peers.knows(now) && process.peers.age(now) < LEARNS;
+        return false;
     }
     process.peers.watched(now) && !(is_watcher(process) && process.peers.settled(now))
 }
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -57,11 +57,11 @@
 /// them: so only the first few of those that are alike do.
 pub async fn find_peers<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
     for pause in PAUSES {
-        look(process, directory, alike(process.member.vm.as_str())).await;
+        let found = look(process, directory, alike(process.member.vm.as_str())).await;
         if process.peers.is_large() && is_told(process, HEARD_NEAR).await {
             return;
         }
-        if look(process, directory, "").await {
+        if found && look(process, directory, "").await {
             break;
         }
         tokio::time::sleep(pause).await;
