Plain requests go to a connected upstream among equals

Cause: 11,673 new connections for 18,875 requests on the fleet: a VM has a plain request every two seconds, and the least loaded of 74 upstreams, most of them idle, was another one each time; each opening costs its caller a trip.

Change: a question names up to eight upstreams of the service to which its VM keeps a connection that may still take the request; among those with the least to do one of these is chosen. Engines are chosen as before.

Test: `request/tests/placement.rs`, a plain request goes to a connected upstream among equals, and elsewhere once that one has more to do.

--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -112,6 +112,15 @@
         last.map(|i| i.channel)
     }
 
+    /// The upstreams to which a connection is kept that rested for less than `rest`.
+    pub fn kept(&self, rest: Duration, now: Instant) -> Vec<id::Upstream> {
+        let idle = self.idle.lock().unwrap();
+        let serves = |i: &Idle| {
+            i.until > now && now.saturating_duration_since(i.since) < rest && i.channel.usable()
+        };
+        idle.iter().filter(|(_, kept)| kept.iter().any(serves)).map(|(id, _)| id.clone()).collect()
+    }
+
     /// Keeps a connection whose answer was read to its end, for `keep` at most.
     pub fn keep(&self, upstream: &id::Upstream, channel: Channel, keep: Duration, now: Instant) {
         let mut idle = self.idle.lock().unwrap();
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -14,7 +14,7 @@
 use foldlock_request::suspicion::{Failure as Cause, Outcome};
 use foldlock_request::tag::Tag;
 use foldlock_request::terms::{Handover, Helper, Verdict};
-use foldlock_version::routes::{Repeat, Shape};
+use foldlock_version::routes::Shape;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header;
 use hyper::{Request, Response, StatusCode, Uri};
@@ -35,10 +35,6 @@
 /// nothing.
 const CONNECT: Duration = Duration::from_millis(250);
 
-/// How long a connection may have rested for a request that must not be repeated: an upstream that
-/// closes it meanwhile leaves open whether the request ran.
-const FRESH_REST: Duration = Duration::from_millis(500);
-
 /// The largest whole answer, bytes.
 const MOST_ANSWER: usize = 16 << 20;
 
@@ -239,12 +235,9 @@
 }
 
 async fn channel<D: Dialect>(job: &Job<D>, given: &Given) -> Result<Channel, String> {
-    let rest = match job.route.repeat {
-        Repeat::Never => FRESH_REST,
-        Repeat::Safe | Repeat::Resume => Duration::MAX,
-    };
     let pool = &job.process.pool;
-    if let Some(channel) = pool.take(&given.place.flight.upstream, rest, job.process.now()) {
+    let upstream = &given.place.flight.upstream;
+    if let Some(channel) = pool.take(upstream, job.most_rest(), job.process.now()) {
         return Ok(channel);
     }
     job.process.metrics.connections.inc();
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -10,11 +10,19 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Ask};
 use foldlock_request::ring::Entry;
+use foldlock_request::tag::Tag;
 use foldlock_request::terms::Terms;
 use foldlock_version::routes::{Organisation, Repeat, Route, Service};
 
 use crate::fleet::process::Process;
 
+/// How long a connection may have rested for a request that must not be repeated: an upstream that
+/// closes it meanwhile leaves open whether the request ran.
+const FRESH_REST: Duration = Duration::from_millis(500);
+
+/// Upstreams with a connection that a question names, 9 bytes each.
+const MOST_CONNECTED: usize = 8;
+
 /// The request.
 pub struct Job<D: Dialect> {
     /// The process.
@@ -76,6 +84,28 @@
         self.terms.prompt + most
     }
 
+    /// How long a connection may have rested that is to take the request.
+    pub fn most_rest(&self) -> Duration {
+        match self.route.repeat {
+            Repeat::Never => FRESH_REST,
+            Repeat::Safe | Repeat::Resume => Duration::MAX,
+        }
+    }
+
+    /// Upstreams to which there is a connection. Which engine takes a prompt is decided by other things.
+    fn connected(&self) -> Vec<Tag> {
+        if self.service.engine.is_some() {
+            return Vec::new();
+        }
+        let kept = self.process.pool.kept(self.most_rest(), self.process.now());
+        let board = self.process.board.lock().unwrap();
+        let of_service = |id: &id::Upstream| {
+            let known = board.get(id).filter(|u| u.listed.service == self.service.name)?;
+            Some(known.tag)
+        };
+        kept.iter().filter_map(of_service).take(MOST_CONNECTED).collect()
+    }
+
     /// What is asked of the upstreams, those left out that failed it.
     pub fn ask(&self, avoid: &[id::Upstream]) -> Ask {
         let board = self.process.board.lock().unwrap();
@@ -89,6 +119,7 @@
             arrived: self.arrived,
             limit: self.deadline.saturating_duration_since(self.arrived),
             avoid,
+            connected: self.connected(),
             hall: self.process.member.hall.clone(),
             hold_limit: self.process.config.fleet.held_silence(),
             fingerprint: self.fingerprint,
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -149,6 +149,8 @@
     hold_limit_ms: u32,
     avoid: Vec<Tag>,
     fingerprint: Fingerprint,
+    #[serde(default)]
+    connected: Vec<Tag>,
 }
 
 impl Asked {
@@ -166,6 +168,7 @@
             hold_limit_ms: ask.hold_limit.as_millis() as u32,
             avoid: ask.avoid.clone(),
             fingerprint: ask.fingerprint,
+            connected: ask.connected.clone(),
         }
     }
 
@@ -180,6 +183,7 @@
             arrived: now.checked_sub(millis(self.waited_ms)).unwrap_or(now),
             limit: millis(self.limit_ms),
             avoid: self.avoid.clone(),
+            connected: self.connected.clone(),
             hall,
             hold_limit: millis(self.hold_limit_ms),
             fingerprint: self.fingerprint,
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -60,6 +60,8 @@
     pub limit: Duration,
     /// Upstreams that failed this request, and those that asked its VM for a rest.
     pub avoid: Vec<Tag>,
+    /// Upstreams to which its VM has a connection, which come first among equals.
+    pub connected: Vec<Tag>,
     /// The hall whose upstreams come first.
     pub hall: String,
     /// How long a first event may take for which several engines hold memory.
@@ -201,10 +203,11 @@
     let open = candidates.len();
     let relative =
         |c: &Candidate<'_>| f64::from(c.load.requests) / f64::from(c.upstream.listed.slots.max(1));
-    let best = candidates
-        .into_iter()
-        .min_by(|a, b| relative(a).total_cmp(&relative(b)))
-        .ok_or(Nowhere::Closed)?;
+    let is_new = |c: &Candidate<'_>| !ask.connected.contains(&c.upstream.tag);
+    let compare = |a: &Candidate<'_>, b: &Candidate<'_>| {
+        relative(a).total_cmp(&relative(b)).then(is_new(a).cmp(&is_new(b)))
+    };
+    let best = candidates.into_iter().min_by(compare).ok_or(Nowhere::Closed)?;
     Ok(placed(ask, &best, &[], 0.0, 0.0, open))
 }
 
--- a/request/tests/cold.rs
+++ b/request/tests/cold.rs
@@ -64,6 +64,7 @@
         arrived: now,
         limit: Duration::from_secs(4),
         avoid: Vec::new(),
+        connected: Vec::new(),
         hall: "a".to_owned(),
         hold_limit: Duration::from_secs(2),
         fingerprint: Fingerprint::of("", "", "", b""),
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -103,6 +103,7 @@
         arrived,
         limit: Duration::from_secs(12),
         avoid: Vec::new(),
+        connected: Vec::new(),
         hall: String::new(),
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -44,6 +44,7 @@
         arrived: sent.checked_sub(Duration::from_millis(70)).unwrap(),
         limit: Duration::from_secs(10),
         avoid: vec![Tag::of("i-1")],
+        connected: vec![Tag::of("i-2")],
         hall: "a".to_owned(),
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -128,6 +128,7 @@
             limit: Duration::from_secs(10),
             avoid: Vec::new(),
             hall: "a".to_owned(),
+            connected: Vec::new(),
             hold_limit: Duration::from_secs(2),
             fingerprint: request.fingerprint,
             offset: 0,
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -207,6 +207,7 @@
             limit: Duration::from_millis(kind.time_ms),
             avoid: Vec::new(),
             hall: "a".to_owned(),
+            connected: Vec::new(),
             hold_limit: Duration::from_millis(2_400),
             fingerprint: Fingerprint::of("", "", "", b""),
             offset: 0,
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -73,6 +73,7 @@
         arrived: Instant::now(),
         limit: Duration::from_secs(10),
         avoid: Vec::new(),
+        connected: Vec::new(),
         hall: String::new(),
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
@@ -106,6 +107,21 @@
     assert!(ms(266_000) > 3.0 * ms(133_000));
 }
 
+/// Many VMs that each send a plain request now and then: each goes back to where it has a connection, unless another
+/// upstream has less to do.
+#[test]
+fn a_plain_request_goes_to_a_connected_upstream_among_equals() {
+    let (mut board, now) = (board(9), Instant::now());
+    let plain = service(None);
+    let connected = vec![Tag::of(upstream(5).as_str())];
+    let ask = Ask { connected, ..ask(SHORT, 0) };
+    let placed = placement::place(&board, &plain, &ask, now).unwrap();
+    assert_eq!(placed.flight.upstream, upstream(5));
+    begin(&mut board, placed.flight, now);
+    let placed = placement::place(&board, &plain, &ask, now).unwrap();
+    assert_ne!(placed.flight.upstream, upstream(5));
+}
+
 #[test]
 fn short_prompts_fill_one_engine_after_the_other() {
     let (mut board, now) = (board(4), Instant::now());
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -82,6 +82,7 @@
         arrived,
         limit: Duration::from_secs(10),
         avoid: Vec::new(),
+        connected: Vec::new(),
         hall: "a".to_owned(),
         hold_limit: Duration::from_millis(2_400),
         fingerprint: Fingerprint::of("", "", "", b""),
