--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -58,6 +58,13 @@
     pub text: Text,
 }
 
+/// The label of a decision on a repeat.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByVerdict {
+    /// Whether the budget granted it.
+    pub granted: &'static str,
+}
+
 /// The metrics.
 pub struct Metrics {
     registry: Registry,
@@ -71,6 +78,8 @@
     pub prediction: Histogram,
     /// Requests sent again.
     pub retries: Counter,
+    /// Repeats that the fleet's budget granted or refused.
+    pub budgeted: Family<ByVerdict, Counter>,
     /// Streams that went on elsewhere.
     pub resumed: Counter,
     /// Connections opened to upstreams.
@@ -127,6 +136,7 @@
             first: Family::new_with_constructor(seconds),
             prediction: Histogram::new(exponential_buckets(0.0625, 1.414, 20)),
             retries: Counter::default(),
+            budgeted: Family::default(),
             resumed: Counter::default(),
             connections: Counter::default(),
             directory_calls: Family::default(),
@@ -176,6 +186,12 @@
         self.peer_reads.get_or_create(&ByText { text }).inc();
     }
 
+    /// The budget has granted or refused a repeat.
+    pub fn repeat_decided(&self, granted: bool) {
+        let granted = if granted { "true" } else { "false" };
+        self.budgeted.get_or_create(&ByVerdict { granted }).inc();
+    }
+
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests that arrived", self.requests.clone());
@@ -183,6 +199,8 @@
         r.register("first_event_seconds", "Time to the first event", self.first.clone());
         r.register("prediction_ratio", "Predicted over real time", self.prediction.clone());
         r.register("retries", "Requests sent again", self.retries.clone());
+        let what = "Repeats that the fleet's budget granted or refused";
+        r.register("budgeted_repeats", what, self.budgeted.clone());
         r.register("resumed_streams", "Streams that went on elsewhere", self.resumed.clone());
         r.register("connections", "Connections opened to upstreams", self.connections.clone());
         r.register("directory_calls", "Calls to the directory", self.directory_calls.clone());
--- a/daemon/src/fleet/tries.rs
+++ b/daemon/src/fleet/tries.rs
@@ -1,6 +1,7 @@
 //! How often a request was sent, and whether it may be sent again.
 
 use foldlock_base::prelude::*;
+use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use hyper::Response;
 
@@ -47,6 +48,12 @@
 /// Whether the fleet's budget of repeats has one for this request, which it then takes.
 pub fn within_budget<D: Dialect>(job: &Job<D>) -> bool {
     let vms = job.process.peers.listed_count();
+    let (service, now) = (&job.service.name, job.process.now());
     let mut budget = job.process.budget.lock().unwrap();
-    budget.repeat(&job.service.name, vms, job.process.now())
+    let account = budget.account(service, vms, now);
+    let granted = budget.repeat(service, vms, now);
+    drop(budget);
+    job.process.metrics.repeat_decided(granted);
+    job.record(Decision::Budgeted { granted, account });
+    granted
 }
--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -7,6 +7,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
+
 /// The figures of the budget, from the operator's settings.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Figures {
@@ -22,6 +24,19 @@
 /// the two may disagree at the edges of a window.
 const MARGIN: f64 = 0.8;
 
+/// The state of a service's account.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// Requests that pay for repeats.
+    pub requests: usize,
+    /// Repeats spent in the window.
+    pub spent: usize,
+    /// Repeats that may be spent in the window.
+    pub allowed: f64,
+    /// The VMs that share the slack.
+    pub vms: usize,
+}
+
 #[derive(Debug, Default)]
 struct Counts {
     requests: VecDeque<Instant>,
@@ -64,17 +79,24 @@
 
     /// Takes a repeat if it is within the budget of one of `vms` VMs.
     pub fn repeat(&mut self, service: &str, vms: usize, now: Instant) -> bool {
-        let Figures { ratio, slack, .. } = self.figures;
-        let counts = self.counts(service, now);
-        let share = slack / vms.max(1) as f64;
-        let allowed = MARGIN * (ratio * counts.requests.len() as f64 + share);
-        let within = counts.repeats.len() as f64 + 1.0 <= allowed;
+        let account = self.account(service, vms, now);
+        let within = account.spent as f64 + 1.0 <= account.allowed;
         if within {
-            counts.repeats.push_back(now);
+            self.counts(service, now).repeats.push_back(now);
         }
         within
     }
 
+    /// The account of a service at one of `vms` VMs.
+    pub fn account(&mut self, service: &str, vms: usize, now: Instant) -> Account {
+        let Figures { ratio, slack, .. } = self.figures;
+        let counts = self.counts(service, now);
+        let (requests, spent) = (counts.requests.len(), counts.repeats.len());
+        let share = slack / vms.max(1) as f64;
+        let allowed = MARGIN * (ratio * requests as f64 + share);
+        Account { requests, spent, allowed, vms }
+    }
+
     /// The repeats spent on a service in the current window.
     pub fn spent(&mut self, service: &str, now: Instant) -> usize {
         self.counts(service, now).repeats.len()
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -9,6 +9,7 @@
 use foldlock_version::policy::Route;
 use serde::{Deserialize, Serialize};
 
+use crate::budget::Account;
 use crate::fingerprint::Fingerprint;
 
 /// An upstream as it was seen when a request was routed.
@@ -119,6 +120,13 @@
         /// How.
         why: String,
     },
+    /// The fleet's budget was asked for a repeat of the request.
+    Budgeted {
+        /// Whether it has one left.
+        granted: bool,
+        /// The account of its service before the repeat.
+        account: Account,
+    },
     /// An upstream ended while it worked on the request.
     Ended {
         /// The upstream.
@@ -191,6 +199,7 @@
             Decision::Moved { .. } => Event::Moved,
             Decision::Refused { .. } => Event::Refused,
             Decision::Retried { .. } => Event::Retried,
+            Decision::Budgeted { .. } => Event::RepeatBudgeted,
             Decision::Ended { .. } => Event::EndedUnder,
             Decision::Quarantined { .. } => Event::Quarantined,
             Decision::Cleared => Event::Released,
@@ -239,6 +248,15 @@
             Decision::Retried { upstream, why } => {
                 write!(f, "sent again, since {upstream} failed: {why}")
             }
+            Decision::Budgeted { granted, account } => {
+                let Account { requests, spent, allowed, vms } = account;
+                let verdict = if *granted { "granted" } else { "refused" };
+                write!(
+                    f,
+                    "repeat {verdict}: {spent} of {allowed:.2} spent, {requests} requests, slack \
+                     shared by {vms} VMs"
+                )
+            }
             Decision::Ended { upstream, known, alone } => {
                 let beside = if *alone { "; it was alone there" } else { "" };
                 write!(f, "{upstream} ended under it, {known} in all{beside}")
