--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -137,8 +137,8 @@
     WriteFailed = 514, Warning;
     /// An answer was given up: its caller reads slowly, and answers that wait to be read took too much memory.
     AnswerGivenUp = 515, Warning;
-    /// The budget of repeats was asked for one and has granted or refused it.
-    RepeatBudgeted = 516, Info;
+    /// A request was not sent again after a failure: no upstream takes it, or the fleet's retry budget is spent.
+    NotRepeated = 516, Info;
 }
 
 impl fmt::Display for Event {
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -6,6 +6,7 @@
 //! [`gate`] (placement), [`attempt`], then [`events`] or a whole answer.
 
 pub mod admit;
+pub mod affiliation;
 pub mod answer;
 pub mod asks;
 pub mod attempt;
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -52,7 +52,6 @@
     let due = process.moment().after(patience.saturating_sub(held));
     let (head, body) = request.into_parts();
     let body = read_body(body, body_bytes, deadline).await?;
-    process.budget.lock().unwrap().request(&service.name, process.now());
     let entry = process.ring.begin(Subject {
         request: id.clone(),
         vm: process.member.vm.clone(),
--- /dev/null
+++ b/daemon/src/fleet/affiliation.rs
@@ -0,0 +1,30 @@
+//! The scheduler that holds this VM's share of the fleet's retry budget.
+
+use foldlock_base::prelude::*;
+use foldlock_request::budget;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::directory::Member;
+
+use crate::fleet::process::Process;
+
+/// Notes that this VM turns to a peer as its scheduler. Answers whether it does so as its client.
+pub fn asks_peer<D: Dialect>(process: &Process<D>, scheduler: &id::Vm) -> bool {
+    process.peers.member(scheduler).is_some_and(|member| asks(process, &member))
+}
+
+/// Notes that this VM schedules its own requests. Answers whether it does so as its own client.
+pub fn asks_own<D: Dialect>(process: &Process<D>) -> bool {
+    asks(process, &process.member)
+}
+
+fn asks<D: Dialect>(process: &Process<D>, scheduler: &Member) -> bool {
+    let has_ended = |former: &budget::Process| {
+        let is_own = former.vm == process.member.vm;
+        let known = process.peers.member(&former.vm);
+        !is_own && known.is_none_or(|member| member.incarnation != former.incarnation)
+    };
+    let asked = budget::Process { vm: scheduler.vm.clone(), incarnation: scheduler.incarnation };
+    let window = process.scheduler.lock().unwrap().budget.window();
+    let mut affiliation = process.affiliation.lock().unwrap();
+    affiliation.asks(&asked, window, process.now(), has_ended)
+}
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -7,11 +7,12 @@
 
 use foldlock_base::prelude::*;
 use foldlock_request::board::Board;
+use foldlock_request::budget::Charge;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::{Flight, Helping};
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
-use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::placement::{Ask, Nowhere, Place};
 use foldlock_request::scheduler::Answer;
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
@@ -20,7 +21,7 @@
 use crate::fleet::notices::{self, Bar};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
-use crate::fleet::{scheduler, tell};
+use crate::fleet::{affiliation, scheduler, tell};
 use crate::log;
 
 /// How long an answer may take before the same is asked again: the way there and back takes 3 ms
@@ -164,9 +165,17 @@
                 log::event(&process.log, Event::SchedulerSilent, &vm);
                 process.peers.missed(&vm, process.now());
             }
-            Ended::Gone(upstream) => ask.avoid.push(upstream),
+            Ended::Gone(upstream) => {
+                ask.avoid.push(upstream);
+                ask.charge = Charge::Free;
+            }
             // The next question names it.
-            Ended::Resting | Ended::Later => {}
+            Ended::Resting => ask.charge = Charge::Free,
+            Ended::Later => {}
+        }
+        // It may count already where it was asked for.
+        if ask.charge == Charge::Deposit {
+            ask.charge = Charge::Free;
         }
         if until.is_over(process) {
             return Err(Nowhere::Full);
@@ -247,9 +256,11 @@
         let ask = self.without_resting();
         match placer {
             Placer::Own => scheduler::own(self.process, self.number, self.service, &ask),
-            Placer::Peer(_, address) => {
+            Placer::Peer(vm, address) => {
                 let service = Tag::of(&self.service.name);
-                let asked = Asked::new(self.request(), service, &ask, self.process.now());
+                let is_client = affiliation::asks_peer(self.process, vm);
+                let now = self.process.now();
+                let asked = Asked::new(self.request(), service, &ask, is_client, now);
                 tell::send(self.process, &Message::Asked(asked), *address);
             }
         }
@@ -309,7 +320,7 @@
         let placers = self.process.peers.listed_count();
         let ask = Ask { offset, placers, ..self.without_resting() };
         let now = self.process.now();
-        let placed = placement::place(&self.process.board.lock().unwrap(), self.service, &ask, now);
+        let placed = scheduler::place_alone(self.process, self.service, &ask, now);
         match placed {
             Ok(place) => self.given(place, None),
             Err(Nowhere::Full) => {
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -146,6 +146,9 @@
     if beat.wants && state.version == 0 {
         tell::tell_newcomer(process, &state.vm);
     }
+    if beat.is_client {
+        scheduler::hear_client(process, &state.vm, now);
+    }
     hear_steps(process, state);
     catch_up::start(process, directory);
     for Start { upstream, born } in &state.starts {
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -19,7 +19,7 @@
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{self, Streamed};
 use crate::fleet::source::{Begun, Next, Source};
-use crate::fleet::tries::{self, Tries};
+use crate::fleet::tries::{self, Failure, Tries};
 use crate::fleet::unread::{Closed, Writer};
 
 /// How many of the route's pauses an upstream may be silent before its stream goes on elsewhere.
@@ -221,12 +221,12 @@
         if job.route.repeat != Repeat::Resume || !tries::may_repeat(job, tries, false) {
             return None;
         }
-        job.process.metrics.resumed.inc();
-        job.record(Decision::Retried { upstream: from, why });
+        tries.failure = Some(Failure { upstream: from, why });
         let given = tokio::select! {
-            given = gate::place(job, &tries.avoid, true) => given.ok()?,
+            given = gate::place(job, tries, true) => given.ok()?,
             _ = sink.closed() => return None,
         };
+        job.process.metrics.resumed.inc();
         from = given.place.flight.upstream.clone();
         let end = tokio::select! {
             end = attempt::run(job, given, Some(last), tries) => end,
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -6,6 +6,7 @@
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
 use foldlock_request::board::Load;
+use foldlock_request::budget::Charge;
 use foldlock_request::decision::{Cause, Decision, Seen};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::forecast;
@@ -16,6 +17,7 @@
 use crate::fleet::asks::{self, Given, Until};
 use crate::fleet::job::Job;
 use crate::fleet::notices;
+use crate::fleet::tries::Tries;
 
 /// How often a request looks again for a service without any open upstream.
 const LOOK: Duration = Duration::from_millis(25);
@@ -58,16 +60,20 @@
 /// `begun` says that a part of its answer was delivered.
 pub async fn place<D: Dialect>(
     job: &Job<D>,
-    avoid: &[id::Upstream],
+    tries: &mut Tries,
     begun: bool,
 ) -> Result<Given, Nowhere> {
+    find(job, tries, begun).await.inspect_err(|nowhere| tries.unplaced(job, nowhere))
+}
+
+async fn find<D: Dialect>(job: &Job<D>, tries: &mut Tries, begun: bool) -> Result<Given, Nowhere> {
     let started = job.process.now();
     let known = placement::runs_alone(&job.process.board.lock().unwrap(), job.fingerprint, started);
     if let Err(held @ Nowhere::Quarantined { .. }) = known {
         return Err(held);
     }
     let closed = started + CLOSED;
-    let mut ask = job.ask(avoid);
+    let mut ask = job.ask(&tries.avoid, tries.charge());
     let limit = match read_ms(job, &ask) {
         Some((engine, read_ms)) => {
             let held = (job.deadline - job.arrived).mul_f64(HELD);
@@ -84,6 +90,7 @@
         }
         match asks::place(&job.process, &job.service, ask.clone(), until).await {
             Ok(given) => {
+                tries.placed(job);
                 placed(job, &given, started);
                 return Ok(given);
             }
@@ -167,22 +174,16 @@
         let after = retry_after::Cause::Stopping.retry_after(job.left());
         return Error::unsent(Kind::Draining, why, proof).retry_after(after);
     }
-    let (kind, why) = match nowhere {
+    let kind = match nowhere {
         Nowhere::Quarantined { left_ms } => return quarantined(left_ms, proof),
         Nowhere::Resting { left_ms } => return resting(job, left_ms, proof),
-        Nowhere::Closed => (Kind::NoUpstream, "no upstream takes requests now"),
-        Nowhere::Drained => {
-            (Kind::NoUpstream, "an operator has drained the data halls of all upstreams")
-        }
-        Nowhere::Full => (Kind::Overloaded, "all upstreams have as much as they take"),
-        Nowhere::TooLarge => {
-            (Kind::Overloaded, "a prompt this long is beyond all upstreams together")
-        }
+        Nowhere::Closed | Nowhere::Drained | Nowhere::OverBudget(_) => Kind::NoUpstream,
+        Nowhere::Full | Nowhere::TooLarge => Kind::Overloaded,
     };
-    let long = read_ms(job, &job.ask(&[])).is_some();
+    let long = read_ms(job, &job.ask(&[], Charge::Free)).is_some();
     let cause = if long { retry_after::Cause::FullForLong } else { retry_after::Cause::Full };
     let after = cause.retry_after(job.left());
-    Error::unsent(kind, format!("{}: {why}", job.service.name), proof).retry_after(after)
+    Error::unsent(kind, format!("{}: {nowhere}", job.service.name), proof).retry_after(after)
 }
 
 /// The caller comes back when the first rest is over, or sooner to another VM.
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
+use foldlock_request::budget::Charge;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Ask};
@@ -107,7 +108,7 @@
     }
 
     /// What is asked of the upstreams, those left out that failed it.
-    pub fn ask(&self, avoid: &[id::Upstream]) -> Ask {
+    pub fn ask(&self, avoid: &[id::Upstream], charge: Charge) -> Ask {
         let board = self.process.board.lock().unwrap();
         let avoid = avoid.iter().map(|id| board.tag_of(id)).collect();
         drop(board);
@@ -125,6 +126,7 @@
             fingerprint: self.fingerprint,
             offset: 0,
             placers: 1,
+            charge,
         }
     }
 }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -78,7 +78,7 @@
     pub prediction: Histogram,
     /// Requests sent again.
     pub retries: Counter,
-    /// Repeats that the fleet's budget granted or refused.
+    /// Repeats that the fleet's retry budget granted or refused.
     pub budgeted: Family<ByVerdict, Counter>,
     /// Streams that went on elsewhere.
     pub resumed: Counter,
@@ -199,7 +199,7 @@
         r.register("first_event_seconds", "Time to the first event", self.first.clone());
         r.register("prediction_ratio", "Predicted over real time", self.prediction.clone());
         r.register("retries", "Requests sent again", self.retries.clone());
-        let what = "Repeats that the fleet's budget granted or refused";
+        let what = "Repeats that the fleet's retry budget granted or refused";
         r.register("budgeted_repeats", what, self.budgeted.clone());
         r.register("resumed_streams", "Streams that went on elsewhere", self.resumed.clone());
         r.register("connections", "Connections opened to upstreams", self.connections.clone());
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -35,6 +35,8 @@
 /// A VM that a beat is to be sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
+    /// The VM.
+    pub vm: id::Vm,
     /// Where it listens.
     pub address: SocketAddr,
     /// The newest stamp that was heard of it.
@@ -150,6 +152,13 @@
         self.known.lock().unwrap().order.len()
     }
 
+    /// The number of VMs that are listed, and of those that have withdrawn and are still heard.
+    pub fn running_count(&self) -> usize {
+        let known = self.known.lock().unwrap();
+        let leaving = known.peers.values().filter(|peer| peer.leaving).count();
+        known.order.len() + leaving
+    }
+
     /// Whether the fleet is so large that a few VMs watch the directory for all.
     pub fn is_large(&self) -> bool {
         self.listed_count() > ALL_WATCH
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -64,6 +64,7 @@
     /// What a beat to it needs.
     pub(super) fn target(&self, scheduler: bool) -> Target {
         Target {
+            vm: self.member.vm.clone(),
             address: self.member.address,
             echo: self.stamp,
             echo_of: self.member.incarnation,
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -8,7 +8,7 @@
 use foldlock_base::prelude::*;
 use foldlock_connection::channel::Pool;
 use foldlock_request::board::Board;
-use foldlock_request::budget::Budget;
+use foldlock_request::budget::Affiliation;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Listing, Member, Settings};
 use foldlock_request::flight::Flight;
@@ -83,6 +83,8 @@
     pub board: Mutex<Board>,
     /// What places the requests of the VMs that ask this one; locked before the board.
     pub scheduler: Mutex<Scheduler>,
+    /// The scheduler that holds this VM's share of the fleet's retry budget.
+    pub affiliation: Mutex<Affiliation>,
     /// The requests of this VM that ask for a place.
     pub questions: Questions,
     /// Told when something on the board ends or begins, so that what waits may have a place.
@@ -91,8 +93,6 @@
     pub tell: Notify,
     /// Whether all that want to hear are to be told at once.
     pub tell_all: AtomicBool,
-    /// The budget of repeated attempts.
-    pub budget: Mutex<Budget>,
     /// Idle connections to upstreams.
     pub pool: Pool,
     /// The engines' memory.
@@ -173,12 +173,12 @@
             ring: Ring::new(RECORDS),
             fresh: Fresh::new(config.fleet.settings_age()),
             board: Mutex::default(),
-            scheduler: Mutex::default(),
+            scheduler: Mutex::new(Scheduler::new(config.fleet.budget())),
+            affiliation: Mutex::default(),
             questions: Questions::default(),
             room: Notify::new(),
             tell: Notify::new(),
             tell_all: AtomicBool::new(false),
-            budget: Mutex::new(Budget::new(config.fleet.budget())),
             pool: Pool::default(),
             memory: D::Memory::default(),
             reports: D::Reports::default(),
@@ -328,8 +328,8 @@
         let read = self.config.file.as_deref().map(crate::config::read_fleet);
         let what = match read {
             Some(Ok(fleet)) => {
-                self.budget.lock().unwrap().set(fleet.budget());
-                "the budget of repeats was read again".to_owned()
+                self.scheduler.lock().unwrap().budget.set(fleet.budget());
+                "the figures of the retry budget were read again".to_owned()
             }
             Some(Err(e)) => format!("the old configuration stays: {e}"),
             None => "there is no configuration file".to_owned(),
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -8,13 +8,13 @@
 use foldlock_request::board::{Board, Holder};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
-use foldlock_request::placement::{Ask, Nowhere};
+use foldlock_request::placement::{self, Ask, Nowhere, Place};
 use foldlock_request::scheduler::{Answer, Key};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
 
 use crate::fleet::process::Process;
-use crate::fleet::tell;
+use crate::fleet::{affiliation, tell};
 
 /// The least time between two looks at what waits: what ends gathers for it.
 const GATHER: Duration = Duration::from_millis(3);
@@ -31,14 +31,15 @@
     let now = process.now();
     let ask = asked.ask(peer.hall, now);
     let key = key(Holder::Peer(peer.vm), asked.request);
-    let answer = schedule(process, key, asked.service, ask, now);
+    let answer = schedule(process, key, asked.service, ask, asked.is_client, now);
     answered(process, asked.request, from, answer);
 }
 
 /// A request of this VM asks for a place.
 pub fn own<D: Dialect>(process: &Process<D>, number: u64, service: &Service, ask: &Ask) {
     let key = key(Holder::Own, process.numbered(number));
-    let answer = schedule(process, key, Tag::of(&service.name), ask.clone(), process.now());
+    let (now, is_client) = (process.now(), affiliation::asks_own(process));
+    let answer = schedule(process, key, Tag::of(&service.name), ask.clone(), is_client, now);
     process.questions.deliver(number, answer);
 }
 
@@ -47,11 +48,14 @@
     key: Key,
     service: Tag,
     ask: Ask,
+    is_client: bool,
     now: Instant,
 ) -> Answer {
     let Some(settings) = process.settings() else { return Answer::Nowhere(Nowhere::Closed) };
+    let vms = process.peers.running_count();
     let mut scheduler = process.scheduler.lock().unwrap();
     let mut board = process.board.lock().unwrap();
+    scheduler.budget.hear(&key.holder, is_client, vms, now);
     let answer = scheduler.ask(&mut board, &settings.table, key, service, ask, now);
     if matches!(answer, Answer::Waits) {
         process.room.notify_one();
@@ -59,6 +63,32 @@
     answer
 }
 
+/// Places a request of this VM by what it knows itself, where no scheduler answers. What it spends is
+/// its own part of the fleet's retry budget.
+pub fn place_alone<D: Dialect>(
+    process: &Process<D>,
+    service: &Service,
+    ask: &Ask,
+    now: Instant,
+) -> Result<Place, Nowhere> {
+    let vms = process.peers.running_count();
+    let tag = Tag::of(&service.name);
+    let is_client = affiliation::asks_own(process);
+    let mut scheduler = process.scheduler.lock().unwrap();
+    scheduler.budget.hear(&Holder::Own, is_client, vms, now);
+    scheduler.budget.check(tag, ask.charge).map_err(Nowhere::OverBudget)?;
+    let place = placement::place(&process.board.lock().unwrap(), service, ask, now)?;
+    scheduler.budget.charge(tag, ask.charge, now).map_err(Nowhere::OverBudget)?;
+    Ok(place)
+}
+
+/// A client of this VM is heard.
+pub fn hear_client<D: Dialect>(process: &Process<D>, vm: &id::Vm, now: Instant) {
+    let vms = process.peers.running_count();
+    let mut scheduler = process.scheduler.lock().unwrap();
+    scheduler.budget.hear(&Holder::Peer(vm.clone()), true, vms, now);
+}
+
 /// A peer asks no more.
 pub fn cancelled<D: Dialect>(process: &Process<D>, request: Number, from: SocketAddr) {
     if let Some(peer) = process.peers.at(from) {
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -7,7 +7,6 @@
 
 use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
 use foldlock_base::prelude::*;
-use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Nowhere;
 use foldlock_request::retry_after::Cause;
@@ -23,7 +22,7 @@
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{failed, finished};
 use crate::fleet::process::Process;
-use crate::fleet::tries::{REFUSED_MORE, Tries, may_repeat, within_budget};
+use crate::fleet::tries::{Failure, REFUSED_MORE, Tries, may_repeat};
 
 /// The pause after memory that was counted on turned out to be taken: by then the peers have told
 /// what they placed.
@@ -70,7 +69,7 @@
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut tries = Tries::default();
     loop {
-        let given = match gate::place(&job, &tries.avoid, false).await {
+        let given = match gate::place(&job, &mut tries, false).await {
             Ok(given) => given,
             Err(nowhere) => return no_place(&job, tries, proof, nowhere),
         };
@@ -98,7 +97,7 @@
     if let Some(answer) = tries.own {
         return Ok(answer);
     }
-    let why = "no other upstream takes the request";
+    let why = format!("not sent again: {nowhere}");
     Err(failed(
         job,
         match proof {
@@ -168,7 +167,7 @@
         return Step::Done(no_place(job, std::mem::take(tries), proof, Nowhere::Full));
     }
     tries.avoid.push(upstream.clone());
-    job.record(Decision::Retried { upstream, why });
+    tries.failure = Some(Failure { upstream, why });
     Step::Pause(proof, MEMORY_PAUSE)
 }
 
@@ -183,13 +182,11 @@
     tries.avoid.push(upstream.clone());
     let not_run = matches!(proof, Proof::NotRun(_));
     if may_repeat(job, tries, not_run) {
-        job.process.metrics.retries.inc();
-        job.record(Decision::Retried { upstream, why });
+        tries.failure = Some(Failure { upstream, why });
         return Step::Again(proof);
     }
     if not_run && let Some(pause) = pause(job, tries) {
-        job.process.metrics.retries.inc();
-        job.record(Decision::Retried { upstream, why });
+        tries.failure = Some(Failure { upstream, why });
         tries.avoid.clear();
         return Step::Pause(proof, pause);
     }
@@ -210,7 +207,6 @@
     let pause = REFUSED_PAUSE * 2_u32.checked_pow(more)?;
     let waits = tries.ran == 0
         && job.held() + pause < job.route.objective.mul_f64(REFUSED_HELD)
-        && !job.process.closing()
-        && within_budget(job);
+        && !job.process.closing();
     waits.then_some(pause)
 }
--- a/daemon/src/fleet/suspended.rs
+++ b/daemon/src/fleet/suspended.rs
@@ -30,6 +30,7 @@
     let Some(slept) = process.sleep.noticed(&process.clock) else { return };
     process.peers.forget_heard();
     process.pool.clear();
+    process.scheduler.lock().unwrap().budget.clear();
     process.woke.notify_one();
     process.tell_all();
     let what = format!("for {} ms", slept.as_millis());
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -9,9 +9,9 @@
 use foldlock_request::message::{self, Beat, Message, State, Work};
 use foldlock_request::step;
 
-use crate::fleet::packed;
 use crate::fleet::peers::Target;
 use crate::fleet::process::Process;
+use crate::fleet::{affiliation, packed};
 
 /// Beats that are sent in one go, before what came meanwhile is heard.
 const IN_ONE_GO: usize = 64;
@@ -81,7 +81,11 @@
     work: Option<Work>,
     targets: &[Target],
 ) {
+    let placer = process.peers.placer(process.stopping.is_cancelled(), process.now());
+    let placer = placer.and_then(|placer| placer.address());
     for target in targets {
+        let is_client =
+            Some(target.address) == placer && affiliation::asks_peer(process, &target.vm);
         let work = work.clone().filter(|_| target.scheduler);
         let beat = Beat {
             echo: target.echo,
@@ -89,6 +93,7 @@
             granted: target.granted,
             wants: target.scheduler,
             state: State { work, ..state.clone() },
+            is_client,
         };
         send(process, &Message::Beat(beat), target.address);
     }
--- a/daemon/tests/fleet_size.rs
+++ b/daemon/tests/fleet_size.rs
@@ -27,7 +27,14 @@
         ..State::new("front-el-ghazala-204".parse().unwrap(), 1_780_012_754_015)
     };
     let echo = Some(86_400_000_000);
-    let beat = Beat { echo, echo_of: 1_780_012_754_015, granted: 100, wants: true, state };
+    let beat = Beat {
+        echo,
+        echo_of: 1_780_012_754_015,
+        granted: 100,
+        wants: true,
+        state,
+        is_client: false,
+    };
     message::encode(&Message::Beat(beat)).len()
 }
 
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -28,7 +28,7 @@
         settled: true,
         ..State::new(vm.vm.clone(), vm.incarnation)
     };
-    Beat { echo: None, echo_of: 0, granted: 0, wants, state }
+    Beat { echo: None, echo_of: 0, granted: 0, wants, state, is_client: false }
 }
 
 /// A VM of 120 thousandths that heard a stronger one at that moment.
--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -1,16 +1,29 @@
-//! The budget of repeated attempts that all VMs share.
+//! The retry budget of the fleet, kept for each service by the VM that schedules.
 //!
-//! For each service and window the whole fleet may send `ratio` x requests + `slack` attempts
-//! beyond the first. Each VM spends the ratio of its own requests and an even share of the slack,
-//! so the sum stays within the whole without a message.
+//! In each window the fleet may send `ratio` x requests + `slack` attempts beyond the first of each
+//! request. The scheduler sees them all. A first attempt adds `ratio` tokens to its service's bucket, which
+//! is small; a repeat takes one, or else a part of the slack that was not spent in the last window.
+//!
+//! Nothing is handed over to the next scheduler. It begins with empty buckets, and without slack: each VM is
+//! a client of one scheduler at a time, and its share of the slack counts there once it has been one for a
+//! window. So what a scheduler has spent that was killed, frozen or cut off is not spent again.
+
+mod clients;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::board::Holder;
+use crate::rank::TRIED;
+use crate::tag::Tag;
+
+use clients::Clients;
+pub use clients::{Affiliation, Process};
+
 /// The figures of the budget, from the operator's settings.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Figures {
     /// Repeats allowed for each request.
     pub ratio: f64,
@@ -20,94 +33,160 @@
     pub window: Duration,
 }
 
-/// The part of the budget that is used: requests are counted by the fleet's clock and ours, and
-/// the two may disagree at the edges of a window.
-const MARGIN: f64 = 0.8;
-
-/// The state of a service's account.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Account {
-    /// Requests that pay for repeats.
-    pub requests: usize,
-    /// Repeats spent in the window.
-    pub spent: usize,
-    /// Repeats that may be spent in the window.
-    pub allowed: f64,
-    /// The VMs that share the slack.
-    pub vms: usize,
+/// The part of what a request adds that is used: a repeat counts here when it is scheduled, and by its upstream
+/// when it arrives.
+const MARGIN: f64 = 0.9;
+
+/// The part of the slack that clients bring.
+const CLIENT_SLACK: f64 = 0.75;
+
+/// The part of the slack that a bucket holds: as many schedulers as may follow each other each have one.
+const BUCKET_SLACK: f64 = (1.0 - CLIENT_SLACK) / TRIED as f64;
+
+/// What an attempt is to the budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Charge {
+    /// The first attempt of a request, which adds to the bucket.
+    Deposit,
+    /// An attempt in place of one that reached no upstream.
+    #[default]
+    Free,
+    /// An attempt after one that reached an upstream, which takes from the bucket.
+    Withdraw,
 }
 
-#[derive(Debug, Default)]
-struct Counts {
-    requests: VecDeque<Instant>,
-    repeats: VecDeque<Instant>,
+/// The budget refuses a repeat. The figures are those that decided it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exhausted {
+    /// Repeats that were taken from the slack in the last window.
+    pub spent: u32,
+    /// How many may be.
+    pub slack: u32,
+    /// The VMs that bring this slack.
+    pub clients: u32,
+    /// The VMs that run.
+    pub vms: u32,
 }
 
-impl Counts {
-    fn forget(&mut self, now: Instant, window: Duration) {
-        for times in [&mut self.requests, &mut self.repeats] {
-            while times.front().is_some_and(|at| now.saturating_duration_since(*at) > window) {
-                times.pop_front();
-            }
-        }
-    }
+#[derive(Debug, Default)]
+struct Account {
+    tokens: f64,
+    /// When repeats were taken from the slack.
+    spent: VecDeque<Instant>,
 }
 
-/// What this VM has spent.
-#[derive(Debug)]
+/// The budget, as far as this VM schedules.
+#[derive(Debug, Default)]
 pub struct Budget {
     figures: Figures,
-    services: HashMap<String, Counts>,
+    /// The VMs that run.
+    vms: usize,
+    clients: Clients,
+    accounts: HashMap<Tag, Account>,
 }
 
 impl Budget {
-    /// An unused budget.
+    /// A budget without clients.
     pub fn new(figures: Figures) -> Budget {
-        Budget { figures, services: HashMap::new() }
+        Budget { figures, ..Budget::default() }
     }
 
-    /// Takes other figures; what is spent stays spent.
+    /// Takes other figures; what is spent stays spent. While the window grows, older repeats are unknown.
     pub fn set(&mut self, figures: Figures) {
+        if figures.window > self.figures.window {
+            self.clear();
+        }
         self.figures = figures;
     }
 
-    /// Counts a caller's request for a service.
-    pub fn request(&mut self, service: &str, now: Instant) {
-        let counts = self.counts(service, now);
-        counts.requests.push_back(now);
+    /// Notes that one of `vms` VMs is heard here.
+    pub fn hear(&mut self, vm: &Holder, is_client: bool, vms: usize, now: Instant) {
+        // Before it counts: what was held for those that left is lost.
+        self.clients.expire(self.figures.window, now);
+        self.vms = vms;
+        let (capacity, window) = (self.capacity(), self.figures.window);
+        for account in self.accounts.values_mut() {
+            account.tokens = account.tokens.min(capacity);
+            let is_old = |at: &Instant| now.saturating_duration_since(*at) > window;
+            while account.spent.front().is_some_and(is_old) {
+                account.spent.pop_front();
+            }
+        }
+        self.clients.note(vm, is_client, now);
     }
 
-    /// Takes a repeat if it is within the budget of one of `vms` VMs.
-    pub fn repeat(&mut self, service: &str, vms: usize, now: Instant) -> bool {
-        let account = self.account(service, vms, now);
-        let within = account.spent as f64 + 1.0 <= account.allowed;
-        if within {
-            self.counts(service, now).repeats.push_back(now);
+    /// Counts an attempt at a service, if the budget allows it.
+    pub fn charge(&mut self, service: Tag, charge: Charge, now: Instant) -> Result<(), Exhausted> {
+        match charge {
+            Charge::Deposit => self.deposit(service),
+            Charge::Free => {}
+            Charge::Withdraw => {
+                self.check(service, charge)?;
+                self.withdraw(service, now);
+            }
         }
-        within
+        Ok(())
+    }
+
+    /// Whether the budget allows an attempt at a service.
+    pub fn check(&self, service: Tag, charge: Charge) -> Result<(), Exhausted> {
+        if charge != Charge::Withdraw {
+            return Ok(());
+        }
+        let account = self.accounts.get(&service);
+        let (tokens, spent) = account.map_or((0.0, 0), |it| (it.tokens, it.spent.len()));
+        let slack = self.slack();
+        if tokens >= 1.0 || spent as f64 + 1.0 <= slack {
+            return Ok(());
+        }
+        Err(Exhausted {
+            spent: spent as u32,
+            slack: slack as u32,
+            clients: self.clients.settled() as u32,
+            vms: self.vms as u32,
+        })
+    }
+
+    /// The window over which requests and repeats count.
+    pub fn window(&self) -> Duration {
+        self.figures.window
     }
 
-    /// The account of a service at one of `vms` VMs.
-    pub fn account(&mut self, service: &str, vms: usize, now: Instant) -> Account {
-        let Figures { ratio, slack, .. } = self.figures;
-        let counts = self.counts(service, now);
-        let (requests, spent) = (counts.requests.len(), counts.repeats.len());
-        let share = slack / vms.max(1) as f64;
-        let allowed = MARGIN * (ratio * requests as f64 + share);
-        Account { requests, spent, allowed, vms }
+    /// Forgets all clients: others may have scheduled for them since.
+    pub fn clear(&mut self) {
+        self.clients = Clients::default();
+        self.accounts.clear();
     }
 
-    /// The repeats spent on a service in the current window.
-    pub fn spent(&mut self, service: &str, now: Instant) -> usize {
-        self.counts(service, now).repeats.len()
+    fn deposit(&mut self, service: Tag) {
+        let (earned, capacity) = (MARGIN * self.figures.ratio, self.capacity());
+        let account = self.accounts.entry(service).or_default();
+        account.tokens = (account.tokens + earned).min(capacity);
     }
 
-    fn counts(&mut self, service: &str, now: Instant) -> &mut Counts {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), Counts::default());
+    fn withdraw(&mut self, service: Tag, now: Instant) {
+        let account = self.accounts.entry(service).or_default();
+        if account.tokens >= 1.0 {
+            account.tokens -= 1.0;
+        } else {
+            account.spent.push_back(now);
         }
-        let counts = self.services.get_mut(service).expect("just inserted");
-        counts.forget(now, self.figures.window);
-        counts
+    }
+
+    /// Repeats that may be taken from the slack in a window. Where it is one for each VM, a scheduler of a
+    /// single client has a whole one.
+    fn slack(&self) -> f64 {
+        let slack = self.part(self.clients.settled());
+        (CLIENT_SLACK * slack).max(slack.min(1.0))
+    }
+
+    /// The tokens that a bucket holds at most.
+    fn capacity(&self) -> f64 {
+        BUCKET_SLACK * self.part(self.clients.heard())
+    }
+
+    /// The slack of so many VMs.
+    fn part(&self, vms: usize) -> f64 {
+        self.figures.slack * (vms as f64 / self.vms.max(1) as f64).min(1.0)
     }
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -9,7 +9,7 @@
 use foldlock_version::policy::Route;
 use serde::{Deserialize, Serialize};
 
-use crate::budget::Account;
+use crate::budget::Exhausted;
 use crate::fingerprint::Fingerprint;
 
 /// An upstream as it was seen when a request was routed.
@@ -120,12 +120,17 @@
         /// How.
         why: String,
     },
-    /// The fleet's budget was asked for a repeat of the request.
-    Budgeted {
-        /// Whether it has one left.
-        granted: bool,
-        /// The account of its service before the repeat.
-        account: Account,
+    /// The request is not sent again after a failure.
+    NotRepeated {
+        /// What failed.
+        upstream: id::Upstream,
+        /// How.
+        why: String,
+        /// Why there is no other place for it.
+        nowhere: String,
+        /// The state of the fleet's retry budget, where that is the reason.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        budget: Option<Exhausted>,
     },
     /// An upstream ended while it worked on the request.
     Ended {
@@ -199,7 +204,7 @@
             Decision::Moved { .. } => Event::Moved,
             Decision::Refused { .. } => Event::Refused,
             Decision::Retried { .. } => Event::Retried,
-            Decision::Budgeted { .. } => Event::RepeatBudgeted,
+            Decision::NotRepeated { .. } => Event::NotRepeated,
             Decision::Ended { .. } => Event::EndedUnder,
             Decision::Quarantined { .. } => Event::Quarantined,
             Decision::Cleared => Event::Released,
@@ -248,14 +253,15 @@
             Decision::Retried { upstream, why } => {
                 write!(f, "sent again, since {upstream} failed: {why}")
             }
-            Decision::Budgeted { granted, account } => {
-                let Account { requests, spent, allowed, vms } = account;
-                let verdict = if *granted { "granted" } else { "refused" };
-                write!(
-                    f,
-                    "repeat {verdict}: {spent} of {allowed:.2} spent, {requests} requests, slack \
-                     shared by {vms} VMs"
-                )
+            Decision::NotRepeated { upstream, why, nowhere, budget } => {
+                write!(f, "not sent again after {upstream} failed ({why}): {nowhere}")?;
+                match budget {
+                    Some(Exhausted { spent, slack, clients, vms }) => write!(
+                        f,
+                        "; {spent} of the {slack} repeats of {clients} clients, of {vms} VMs, were spent"
+                    ),
+                    None => Ok(()),
+                }
             }
             Decision::Ended { upstream, known, alone } => {
                 let beside = if *alone { "; it was alone there" } else { "" };
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::{Ended, Load, Start};
+use crate::budget::Charge;
 use crate::fingerprint::Fingerprint;
 use crate::placement::{Ask, Nowhere};
 use crate::revision::Revision;
@@ -47,6 +48,9 @@
     pub wants: bool,
     /// The rest, the same for all receivers.
     pub state: State,
+    /// Whether the sender is a client of the receiver, which then holds its share of the retry budget.
+    #[serde(default)]
+    pub is_client: bool,
 }
 
 /// The state of a VM.
@@ -151,11 +155,16 @@
     fingerprint: Fingerprint,
     #[serde(default)]
     connected: Vec<Tag>,
+    #[serde(default)]
+    charge: Charge,
+    /// Whether its VM asks as a client of the scheduler, which then holds its share of the retry budget.
+    #[serde(default)]
+    pub is_client: bool,
 }
 
 impl Asked {
     /// What is sent.
-    pub fn new(request: Number, service: Tag, ask: &Ask, now: Instant) -> Asked {
+    pub fn new(request: Number, service: Tag, ask: &Ask, is_client: bool, now: Instant) -> Asked {
         Asked {
             request,
             service,
@@ -169,6 +178,8 @@
             avoid: ask.avoid.clone(),
             fingerprint: ask.fingerprint,
             connected: ask.connected.clone(),
+            charge: ask.charge,
+            is_client,
         }
     }
 
@@ -189,6 +200,7 @@
             fingerprint: self.fingerprint,
             offset: 0,
             placers: 1,
+            charge: self.charge,
         }
     }
 }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -11,6 +11,7 @@
 mod group;
 mod share;
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
@@ -18,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::board::{BRISK_MS, Board, Load};
+use crate::budget::{Charge, Exhausted};
 use crate::fingerprint::Fingerprint;
 use crate::flight::{Flight, Helping};
 use crate::forecast;
@@ -74,6 +76,8 @@
     /// The VMs that may place at the same time without hearing of each other: what a cold upstream bears is
     /// divided among them. One where a VM places for all.
     pub placers: usize,
+    /// What it is to the fleet's retry budget.
+    pub charge: Charge,
 }
 
 impl Ask {
@@ -141,6 +145,8 @@
         /// Milliseconds.
         left_ms: u64,
     },
+    /// The fleet's retry budget for the service is spent.
+    OverBudget(Exhausted),
     /// The request ended upstreams and is kept from all for this long.
     Quarantined {
         /// Milliseconds.
@@ -148,6 +154,26 @@
     },
 }
 
+impl fmt::Display for Nowhere {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Nowhere::Closed => f.write_str("no upstream takes requests now"),
+            Nowhere::Drained => {
+                f.write_str("an operator has drained the data halls of all upstreams")
+            }
+            Nowhere::Full => f.write_str("all upstreams have as much as they take"),
+            Nowhere::TooLarge => f.write_str("a prompt this long is beyond all upstreams together"),
+            Nowhere::Resting { left_ms } => {
+                write!(f, "all upstreams asked for a rest, the first for {left_ms} ms more")
+            }
+            Nowhere::OverBudget(_) => f.write_str("the fleet's retry budget is spent"),
+            Nowhere::Quarantined { left_ms } => {
+                write!(f, "the request is kept from all upstreams for {left_ms} ms more")
+            }
+        }
+    }
+}
+
 /// Finds a place for a request that does not wait in a line of others.
 pub fn place(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
     let alone = runs_alone(board, ask.fingerprint, now)?;
--- a/request/src/rank.rs
+++ b/request/src/rank.rs
@@ -11,7 +11,7 @@
 pub const SCHEDULERS: usize = 3;
 
 /// VMs at the head of the order that are told all while it is not known which of them live.
-const TRIED: usize = 2 * SCHEDULERS;
+pub const TRIED: usize = 2 * SCHEDULERS;
 
 /// Orders VMs by how well they can place for all: those with the most of a processor first, equal
 /// ones by a hash, so that no hall and no age of a VM is preferred.
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -10,6 +10,7 @@
 use foldlock_version::routes::{Service, Table};
 
 use crate::board::{Board, Holder};
+use crate::budget::{Budget, Charge, Figures};
 use crate::fingerprint::Fingerprint;
 use crate::placement::{self, Ask, DEMAND_WINDOW, Nowhere, Place, runs_alone};
 use crate::pressure::Pressure;
@@ -52,6 +53,13 @@
     heard: Instant,
 }
 
+/// A request that gets a place, and what that is to the budget.
+struct Charged {
+    key: Key,
+    service: Tag,
+    charge: Charge,
+}
+
 #[derive(Debug)]
 struct Placed {
     place: Place,
@@ -75,9 +83,16 @@
     asked: VecDeque<Asked>,
     grants: HashMap<Holder, u64>,
     pressure: Pressure,
+    /// The fleet's retry budget, as far as this VM schedules it.
+    pub budget: Budget,
 }
 
 impl Scheduler {
+    /// A scheduler that nothing has asked yet.
+    pub fn new(figures: Figures) -> Scheduler {
+        Scheduler { budget: Budget::new(figures), ..Scheduler::default() }
+    }
+
     /// A VM asks for a place, for the first time or again.
     pub fn ask(
         &mut self,
@@ -85,7 +100,7 @@
         table: &Table,
         key: Key,
         service: Tag,
-        ask: Ask,
+        mut ask: Ask,
         now: Instant,
     ) -> Answer {
         if let Some(placed) = self.placed.get(&key) {
@@ -104,6 +119,9 @@
         if board.is_drained(&found.name) {
             return Answer::Nowhere(Nowhere::Drained);
         }
+        if let Err(exhausted) = self.budget.check(service, ask.charge) {
+            return Answer::Nowhere(Nowhere::OverBudget(exhausted));
+        }
         let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
         if found.engine.as_ref().is_some_and(|e| placement::is_too_long(board, found, e, &ask)) {
             return Answer::Nowhere(Nowhere::TooLarge);
@@ -115,12 +133,17 @@
                 Ok(place) => {
                     let objective_ms = ask.objective.as_secs_f64() * 1e3;
                     self.pressure.placed(place.predicted_ms / objective_ms, now);
-                    return self.give(board, key, place, now);
+                    let charged = Charged { key, service, charge: ask.charge };
+                    return self.give(board, charged, place, now);
                 }
                 Err(Nowhere::Full) => self.pressure.waits(now),
                 Err(nowhere) => return Answer::Nowhere(nowhere),
             }
         }
+        if ask.charge == Charge::Deposit {
+            let _always = self.budget.charge(service, ask.charge, now);
+            ask.charge = Charge::Free;
+        }
         self.waiters.push(Waiter { key, service, ask, heard: now });
         Answer::Waits
     }
@@ -205,7 +228,8 @@
                 continue;
             };
             if let Ok(place) = placement::place(board, service, &waiter.ask, now) {
-                let answer = self.give(board, key.clone(), place, now);
+                let charged = waiter.charged();
+                let answer = self.give(board, charged, place, now);
                 answers.push((key, answer));
             }
         }
@@ -237,16 +261,17 @@
             kept: self.pressure.engines(),
         };
         let placed = placement::line(board, service, engine, line, now);
-        let placed: Vec<(Key, Fingerprint, Place)> = placed
+        let placed: Vec<(Charged, Fingerprint, Place)> = placed
             .into_iter()
             .map(|(index, place)| (&self.waiters[index], place))
-            .map(|(waiter, place)| (waiter.key.clone(), waiter.ask.fingerprint, place))
+            .map(|(waiter, place)| (waiter.charged(), waiter.ask.fingerprint, place))
             .collect();
-        for (key, fingerprint, mut place) in placed {
+        for (charged, fingerprint, mut place) in placed {
             // Of two copies in one line the first runs alone, and the other waits for it.
             let Ok(alone) = runs_alone(board, fingerprint, now) else { continue };
             place.flight.alone = alone.then_some(fingerprint);
-            let answer = self.give(board, key.clone(), place, now);
+            let key = charged.key.clone();
+            let answer = self.give(board, charged, place, now);
             answers.push((key, answer));
         }
     }
@@ -257,11 +282,16 @@
         of.map(|asked| asked.read_ms).sum::<f64>() / (DEMAND_WINDOW.as_secs_f64() * 1e3)
     }
 
-    fn give(&mut self, board: &mut Board, key: Key, place: Place, now: Instant) -> Answer {
+    /// Gives a place, unless the budget has no token left for it.
+    fn give(&mut self, board: &mut Board, charged: Charged, place: Place, now: Instant) -> Answer {
+        let Charged { key, service, charge } = charged;
+        self.waiters.retain(|waiter| waiter.key != key);
+        if let Err(exhausted) = self.budget.charge(service, charge, now) {
+            return Answer::Nowhere(Nowhere::OverBudget(exhausted));
+        }
         let grant = self.grants.entry(key.holder.clone()).or_default();
         *grant += 1;
         let grant = *grant;
-        self.waiters.retain(|waiter| waiter.key != key);
         board.grant(&key.holder, key.number, place.flight.clone(), grant, now);
         self.placed.insert(key, Placed { place: place.clone(), grant, at: now });
         Answer::Placed(place, grant)
@@ -282,6 +312,10 @@
 }
 
 impl Waiter {
+    fn charged(&self) -> Charged {
+        Charged { key: self.key.clone(), service: self.service, charge: self.ask.charge }
+    }
+
     fn is_long(&self, service: &Service) -> bool {
         service.engine.as_ref().is_some_and(|engine| self.ask.long_read_ms(engine).is_some())
     }
--- a/request/tests/budget.rs
+++ b/request/tests/budget.rs
@@ -1,46 +1,163 @@
-//! The fleet's budget of repeated attempts.
+//! The retry budget of one scheduler.
 
 use std::time::{Duration, Instant};
 
-use foldlock_request::budget::{Budget, Figures};
+use foldlock_request::board::Holder;
+use foldlock_request::budget::{Budget, Charge, Exhausted, Figures};
+use foldlock_request::tag::Tag;
 use proptest::prelude::*;
 
 const FIGURES: Figures = Figures { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
 
+fn model() -> Tag {
+    Tag::of("model")
+}
+
+fn vm(index: usize) -> Holder {
+    Holder::Peer(format!("vm-{index}").parse().unwrap())
+}
+
+/// A budget whose clients are some VMs of a fleet of `running`, for longer than a window by now.
+fn settled(figures: Figures, clients: usize, running: usize) -> (Budget, Instant) {
+    let (mut budget, mut now) = (Budget::new(figures), Instant::now());
+    for _ in 0..12 {
+        now += Duration::from_secs(1);
+        hear(&mut budget, clients, running, now);
+    }
+    (budget, now)
+}
+
+fn hear(budget: &mut Budget, clients: usize, running: usize, now: Instant) {
+    (0..clients).for_each(|index| budget.hear(&vm(index), true, running, now));
+}
+
+fn deposit(budget: &mut Budget, requests: usize, now: Instant) {
+    (0..requests).for_each(|_| budget.charge(model(), Charge::Deposit, now).unwrap());
+}
+
+fn spend(budget: &mut Budget, service: Tag, now: Instant) -> usize {
+    (0..1_000).filter(|_| budget.charge(service, Charge::Withdraw, now).is_ok()).count()
+}
+
+#[test]
+fn a_new_scheduler_has_no_slack_for_a_window() {
+    let (mut budget, mut now) = (Budget::new(FIGURES), Instant::now());
+    for _ in 0..=10 {
+        hear(&mut budget, 10, 10, now);
+        assert_eq!(spend(&mut budget, model(), now), 0);
+        now += Duration::from_secs(1);
+    }
+    hear(&mut budget, 10, 10, now);
+    assert_eq!(spend(&mut budget, model(), now), 75);
+}
+
 #[test]
-fn a_vm_spends_its_share_and_no_more() {
+fn requests_add_their_ratio_at_a_new_scheduler_too() {
     let (mut budget, now) = (Budget::new(FIGURES), Instant::now());
-    let spent = (0..1_000).filter(|_| budget.repeat("model", 10, now)).count();
-    assert_eq!(spent, 8, "four fifths of a tenth of the slack");
-    assert!(!budget.repeat("model", 10, now));
-    assert!(budget.repeat("plain", 10, now), "each service has a budget of its own");
+    hear(&mut budget, 10, 10, now);
+    deposit(&mut budget, 17, now);
+    assert_eq!(spend(&mut budget, model(), now), 3, "nine tenths of the ratio");
+    deposit(&mut budget, 17, now);
+    assert_eq!(spend(&mut budget, Tag::of("plain"), now), 0, "each service has its own");
 }
 
 #[test]
-fn requests_add_their_ratio() {
-    let (mut budget, now) = (Budget::new(Figures { slack: 0.0, ..FIGURES }), Instant::now());
-    assert!(!budget.repeat("model", 1, now));
-    (0..100).for_each(|_| budget.request("model", now));
-    assert_eq!((0..100).filter(|_| budget.repeat("model", 1, now)).count(), 16);
+fn what_requests_add_is_kept_up_to_a_small_part_of_the_slack() {
+    let (mut budget, now) = (Budget::new(FIGURES), Instant::now());
+    hear(&mut budget, 10, 10, now);
+    deposit(&mut budget, 10_000, now);
+    assert_eq!(spend(&mut budget, model(), now), 4);
 }
 
 #[test]
-fn what_is_spent_comes_back_after_the_window() {
+fn the_slack_comes_back_after_the_window() {
+    let (mut budget, now) = settled(FIGURES, 10, 10);
+    assert_eq!(spend(&mut budget, model(), now), 75);
+    let mut later = now;
+    for _ in 0..10 {
+        later += Duration::from_secs(1);
+        hear(&mut budget, 10, 10, later);
+        assert_eq!(spend(&mut budget, model(), later), 0);
+    }
+    later += Duration::from_secs(1);
+    hear(&mut budget, 10, 10, later);
+    assert_eq!(spend(&mut budget, model(), later), 75);
+}
+
+#[test]
+fn each_service_has_a_slack_of_its_own() {
+    let (mut budget, now) = settled(FIGURES, 10, 10);
+    assert_eq!(spend(&mut budget, model(), now), 75);
+    assert_eq!(spend(&mut budget, Tag::of("plain"), now), 75);
+}
+
+#[test]
+fn a_scheduler_of_a_part_of_the_fleet_has_that_part_of_the_slack() {
+    let (mut budget, now) = settled(FIGURES, 5, 10);
+    assert_eq!(spend(&mut budget, model(), now), 37);
+}
+
+#[test]
+fn the_share_of_vms_that_are_heard_no_more_is_lost() {
+    let (mut budget, now) = settled(FIGURES, 10, 10);
+    let later = now + FIGURES.window / 2;
+    hear(&mut budget, 10, 10, later);
+    assert_eq!(spend(&mut budget, model(), later), 0);
+}
+
+#[test]
+fn a_vm_that_asks_as_the_client_of_another_scheduler_brings_no_slack() {
+    let (mut budget, mut now) = settled(FIGURES, 10, 10);
+    for _ in 0..5 {
+        now += Duration::from_secs(1);
+        (0..10).for_each(|index| budget.hear(&vm(index), false, 10, now));
+    }
+    assert_eq!(spend(&mut budget, model(), now), 0);
+}
+
+#[test]
+fn what_a_bucket_holds_for_vms_that_are_heard_no_more_is_lost() {
     let (mut budget, now) = (Budget::new(FIGURES), Instant::now());
-    while budget.repeat("model", 10, now) {}
-    assert!(!budget.repeat("model", 10, now + FIGURES.window));
-    let later = now + FIGURES.window + Duration::from_millis(1);
-    assert!(budget.repeat("model", 10, later));
-    assert_eq!(budget.spent("model", later), 1);
+    hear(&mut budget, 10, 10, now);
+    deposit(&mut budget, 10_000, now);
+    let later = now + FIGURES.window / 2;
+    hear(&mut budget, 1, 10, later);
+    hear(&mut budget, 1, 10, later);
+    assert_eq!(spend(&mut budget, model(), later), 0);
+}
+
+#[test]
+fn a_vm_alone_in_a_large_fleet_has_a_whole_repeat() {
+    let (mut budget, now) = settled(Figures { slack: 1_040.0, ..FIGURES }, 1, 985);
+    assert_eq!(spend(&mut budget, model(), now), 1);
+}
+
+#[test]
+fn a_refused_repeat_names_the_figures() {
+    let (mut budget, now) = settled(FIGURES, 5, 10);
+    spend(&mut budget, model(), now);
+    let refused = budget.charge(model(), Charge::Withdraw, now);
+    assert_eq!(refused, Err(Exhausted { spent: 37, slack: 37, clients: 5, vms: 10 }));
 }
 
 #[test]
 fn figures_that_are_read_again_keep_what_is_spent() {
-    let (mut budget, now) = (Budget::new(FIGURES), Instant::now());
-    assert!(budget.repeat("model", 10, now));
+    let (mut budget, now) = settled(FIGURES, 10, 10);
+    assert_eq!(spend(&mut budget, model(), now), 75);
+    budget.set(FIGURES);
+    assert_eq!(spend(&mut budget, model(), now), 0);
+    budget.set(Figures { slack: 120.0, ..FIGURES });
+    assert_eq!(spend(&mut budget, model(), now), 15);
     budget.set(Figures { slack: 0.0, ..FIGURES });
-    assert_eq!(budget.spent("model", now), 1);
-    assert!(!budget.repeat("model", 10, now));
+    assert_eq!(spend(&mut budget, model(), now), 0);
+}
+
+#[test]
+fn a_longer_window_begins_without_slack() {
+    let (mut budget, now) = settled(FIGURES, 10, 10);
+    budget.set(Figures { window: FIGURES.window * 2, ..FIGURES });
+    hear(&mut budget, 10, 10, now);
+    assert_eq!(spend(&mut budget, model(), now), 0);
 }
 
 proptest! {
@@ -51,16 +168,15 @@
         vms in 1usize..12,
         events in prop::collection::vec((0usize..12, any::<bool>(), 0u64..400), 0..400),
     ) {
-        let start = Instant::now();
-        let mut budgets: Vec<Budget> = (0..vms).map(|_| Budget::new(FIGURES)).collect();
+        let (mut budget, start) = settled(FIGURES, vms, vms);
         let (mut at, mut requests, mut repeats) = (start, Vec::new(), Vec::new());
-        for (vm, is_request, after_ms) in events {
+        for (index, is_request, after_ms) in events {
             at += Duration::from_millis(after_ms);
-            let budget = &mut budgets[vm % vms];
+            budget.hear(&vm(index % vms), true, vms, at);
             if is_request {
-                budget.request("model", at);
+                budget.charge(model(), Charge::Deposit, at).unwrap();
                 requests.push(at);
-            } else if budget.repeat("model", vms, at) {
+            } else if budget.charge(model(), Charge::Withdraw, at).is_ok() {
                 repeats.push(at);
             }
         }
--- a/request/tests/budget_restarts.rs
+++ b/request/tests/budget_restarts.rs
@@ -1,8 +1,14 @@
-//! The fleet's budget of repeats while VMs start, stop, are killed, are cut off and read their figures again.
+//! The fleet's retry budget while VMs start, stop, are killed, are cut off, follow each other as schedulers and read
+//! their figures again.
 
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use foldlock_request::budget::{Budget, Figures};
+use foldlock_base::id;
+use foldlock_request::board::Holder;
+use foldlock_request::budget::{Affiliation, Budget, Charge, Figures, Process};
+use foldlock_request::rank::TRIED;
+use foldlock_request::tag::Tag;
 use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(10);
@@ -10,35 +16,79 @@
 /// The time that a VM serves on after it has withdrawn.
 const STOP: Duration = Duration::from_secs(8);
 
-const SERVICE: &str = "model";
+/// The time between the heartbeats of a VM.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// The time until it is back after that.
+const DOWN: Duration = Duration::from_secs(1);
 
 fn figures(vms: usize) -> Figures {
     Figures { ratio: 0.2, slack: (vms * 3) as f64, window: WINDOW }
 }
 
+/// Who schedules for a VM.
+#[derive(Debug, Clone, Copy)]
+enum Side {
+    /// The scheduler of the fleet.
+    Fleet,
+    /// The scheduler of a part that is cut off, which knew so many VMs when that began.
+    Part { scheduler: usize, known: usize },
+}
+
 struct Vm {
+    name: id::Vm,
+    incarnation: u64,
     budget: Budget,
-    /// The number of listed VMs as it knows it; `None` where it follows the directory.
-    cut_off: Option<usize>,
+    affiliation: Affiliation,
+    side: Side,
     /// When it ends, if it has withdrawn.
     ends: Option<Instant>,
+    /// When it is back, if it is down.
+    back: Option<Instant>,
 }
 
-/// Something that happens to a part of the fleet, given as a range of VMs in percent.
+/// Something that happens to the fleet, or to a range of its VMs in percent.
 #[derive(Debug, Clone)]
 enum Incident {
-    Traffic { each: usize },
-    Failures { each: usize },
-    Kill { from: usize, share: usize },
-    Stop { from: usize, share: usize },
-    Cut { from: usize, share: usize },
+    Traffic {
+        each: usize,
+    },
+    Failures {
+        each: usize,
+    },
+    Kill {
+        from: usize,
+        share: usize,
+    },
+    Stop {
+        from: usize,
+        share: usize,
+    },
+    /// Cut off from the others, each by itself or together.
+    Cut {
+        from: usize,
+        share: usize,
+        together: bool,
+    },
     Heal,
+    /// Another VM schedules.
+    Elect {
+        vm: usize,
+    },
     Reload,
 }
 
+/// The VMs that run, as all of them know it.
+struct Running {
+    count: usize,
+    schedulers: Vec<Process>,
+}
+
 struct Fleet {
     figures: Figures,
     vms: Vec<Vm>,
+    scheduler: usize,
+    starts: u64,
     now: Instant,
     requests: Vec<Instant>,
     repeats: Vec<Instant>,
@@ -46,72 +96,175 @@
 
 impl Fleet {
     fn new(count: usize) -> Fleet {
-        let (figures, now) = (figures(count), Instant::now());
-        let vms = (0..count).map(|_| Fleet::start(figures, now)).collect();
-        Fleet { figures, vms, now, requests: Vec::new(), repeats: Vec::new() }
+        let mut fleet = Fleet {
+            figures: figures(count),
+            vms: Vec::new(),
+            scheduler: 0,
+            starts: 0,
+            now: Instant::now(),
+            requests: Vec::new(),
+            repeats: Vec::new(),
+        };
+        for index in 0..count {
+            let name = format!("vm-{index}").parse().unwrap();
+            let vm = fleet.start(name);
+            fleet.vms.push(vm);
+        }
+        fleet.pass(WINDOW + HEARTBEAT);
+        fleet
+    }
+
+    fn start(&mut self, name: id::Vm) -> Vm {
+        self.starts += 1;
+        Vm {
+            name,
+            incarnation: self.starts,
+            budget: Budget::new(self.figures),
+            affiliation: Affiliation::default(),
+            side: Side::Fleet,
+            ends: None,
+            back: None,
+        }
     }
 
-    fn start(figures: Figures, _now: Instant) -> Vm {
-        Vm { budget: Budget::new(figures), cut_off: None, ends: None }
+    fn restart(&mut self, index: usize) {
+        let name = self.vms[index].name.clone();
+        self.vms[index] = self.start(name);
     }
 
-    fn listed(&self) -> usize {
-        self.vms.iter().filter(|vm| vm.ends.is_none()).count()
+    fn running(&self) -> usize {
+        self.vms.iter().filter(|vm| vm.back.is_none()).count()
     }
 
+    /// Time passes, in which each VM's heartbeats reach its scheduler.
     fn pass(&mut self, time: Duration) {
-        self.now += time;
-        for vm in &mut self.vms {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = (self.now + HEARTBEAT).min(end);
+            self.end_and_start();
+            self.attempts(0, Charge::Free);
+        }
+    }
+
+    fn end_and_start(&mut self) {
+        for index in 0..self.vms.len() {
+            let vm = &mut self.vms[index];
             if vm.ends.is_some_and(|ends| ends <= self.now) {
-                *vm = Fleet::start(self.figures, self.now);
+                vm.back = Some(vm.ends.take().unwrap() + DOWN);
+            }
+            if vm.back.is_some_and(|back| back <= self.now) {
+                self.restart(index);
             }
         }
+        self.elect_running();
     }
 
-    fn range(&self, from: usize, share: usize) -> std::ops::Range<usize> {
+    /// The next VM schedules if the one that did is down.
+    fn elect_running(&mut self) {
+        let of = TRIED.min(self.vms.len());
+        let next = (0..of).map(|step| (self.scheduler + step) % of);
+        let running = next.clone().find(|index| self.vms[*index].back.is_none());
+        self.scheduler = running.unwrap_or(self.scheduler);
+    }
+
+    fn range(&self, from: usize, share: usize) -> Range<usize> {
         let count = self.vms.len();
         from * count / 100..((from + share) * count / 100).min(count)
     }
 
-    fn traffic(&mut self, each: usize) {
-        for vm in &mut self.vms {
-            for _ in 0..each {
-                vm.budget.request(SERVICE, self.now);
-                self.requests.push(self.now);
+    fn process(&self, index: usize) -> Process {
+        let vm = &self.vms[index];
+        Process { vm: vm.name.clone(), incarnation: vm.incarnation }
+    }
+
+    /// Who may schedule, now.
+    fn schedulers(&self) -> Vec<Process> {
+        (0..TRIED.min(self.vms.len())).map(|index| self.process(index)).collect()
+    }
+
+    /// Attempts at a VM. Answers how many the budget allows.
+    fn attempt(&mut self, index: usize, each: usize, charge: Charge, fleet: &Running) -> usize {
+        let (scheduler, known) = match self.vms[index].side {
+            Side::Fleet => (self.scheduler, fleet.count),
+            Side::Part { scheduler, known } => (scheduler, known),
+        };
+        let (asked, now) = (self.process(scheduler), self.now);
+        let has_ended = |former: &Process| {
+            let now = fleet.schedulers.iter().find(|process| process.vm == former.vm);
+            now.is_some_and(|process| process != former)
+        };
+        let vm = Holder::Peer(self.vms[index].name.clone());
+        let affiliation = &mut self.vms[index].affiliation;
+        let is_client = affiliation.asks(&asked, WINDOW, self.now, has_ended);
+        let budget = &mut self.vms[scheduler].budget;
+        budget.hear(&vm, is_client, known, self.now);
+        (0..each).filter(|_| budget.charge(Tag::of("model"), charge, now).is_ok()).count()
+    }
+
+    fn attempts(&mut self, each: usize, charge: Charge) {
+        let fleet = Running { count: self.running(), schedulers: self.schedulers() };
+        for index in 0..self.vms.len() {
+            if self.vms[index].back.is_some() {
+                continue;
             }
+            let allowed = self.attempt(index, each, charge, &fleet);
+            let times = match charge {
+                Charge::Deposit => &mut self.requests,
+                _ => &mut self.repeats,
+            };
+            times.extend(std::iter::repeat_n(self.now, allowed));
         }
     }
 
-    fn failures(&mut self, each: usize) {
-        let listed = self.listed();
-        for vm in &mut self.vms {
-            let known = vm.cut_off.unwrap_or(listed);
-            let granted = (0..each).filter(|_| vm.budget.repeat(SERVICE, known, self.now)).count();
-            self.repeats.extend(std::iter::repeat_n(self.now, granted));
+    fn cut(&mut self, range: Range<usize>, together: bool) {
+        let known = self.running();
+        let first = range.clone().find(|index| self.vms[*index].back.is_none());
+        let Some(first) = first.filter(|_| !range.contains(&self.scheduler)) else { return };
+        for index in range {
+            let scheduler = if together { first } else { index };
+            self.vms[index].side = Side::Part { scheduler, known };
+        }
+    }
+
+    /// Parts whose scheduler has gone are each by themselves.
+    fn split_parts(&mut self, gone: &Range<usize>) {
+        for index in 0..self.vms.len() {
+            let Side::Part { scheduler, known } = self.vms[index].side else { continue };
+            if gone.contains(&scheduler) {
+                self.vms[index].side = Side::Part { scheduler: index, known };
+            }
         }
     }
 
     fn apply(&mut self, incident: &Incident) {
-        let listed = self.listed();
         match *incident {
-            Incident::Traffic { each } => self.traffic(each),
-            Incident::Failures { each } => self.failures(each),
+            Incident::Traffic { each } => self.attempts(each, Charge::Deposit),
+            Incident::Failures { each } => self.attempts(each, Charge::Withdraw),
             Incident::Kill { from, share } => {
-                for index in self.range(from, share) {
-                    self.vms[index] = Fleet::start(self.figures, self.now);
+                let range = self.range(from, share);
+                self.split_parts(&range);
+                for index in range {
+                    self.restart(index);
                 }
             }
             Incident::Stop { from, share } => {
                 for index in self.range(from, share) {
-                    self.vms[index].ends.get_or_insert(self.now + STOP);
+                    let vm = &mut self.vms[index];
+                    if vm.back.is_none() {
+                        vm.ends.get_or_insert(self.now + STOP);
+                    }
                 }
             }
-            Incident::Cut { from, share } => {
-                for index in self.range(from, share) {
-                    self.vms[index].cut_off.get_or_insert(listed);
-                }
+            Incident::Cut { from, share, together } => {
+                let range = self.range(from, share);
+                self.split_parts(&range);
+                self.cut(range, together);
+            }
+            Incident::Heal => self.vms.iter_mut().for_each(|vm| vm.side = Side::Fleet),
+            Incident::Elect { vm } => {
+                self.scheduler = vm % TRIED.min(self.vms.len());
+                self.elect_running();
             }
-            Incident::Heal => self.vms.iter_mut().for_each(|vm| vm.cut_off = None),
             Incident::Reload => self.vms.iter_mut().for_each(|vm| vm.budget.set(self.figures)),
         }
     }
@@ -136,8 +289,8 @@
 fn killed_vms_do_not_spend_their_share_again() {
     let mut fleet = Fleet::new(72);
     for _ in 0..4 {
-        fleet.traffic(5);
-        fleet.failures(20);
+        fleet.apply(&Incident::Traffic { each: 5 });
+        fleet.apply(&Incident::Failures { each: 20 });
         fleet.assert_within();
         fleet.apply(&Incident::Kill { from: 0, share: 60 });
         fleet.pass(Duration::from_secs(3));
@@ -148,15 +301,34 @@
 #[test]
 fn shares_do_not_grow_as_vms_withdraw() {
     let mut fleet = Fleet::new(72);
-    fleet.traffic(5);
+    fleet.apply(&Incident::Traffic { each: 5 });
     for part in 0..8 {
-        fleet.failures(20);
+        fleet.apply(&Incident::Failures { each: 20 });
         fleet.assert_within();
         fleet.apply(&Incident::Stop { from: part * 10, share: 10 });
         fleet.pass(Duration::from_millis(900));
     }
 }
 
+/// Guards against two schedulers that are asked in turn and each hold the slack of the same VMs.
+#[test]
+fn schedulers_that_are_asked_in_turn_do_not_both_hold_the_slack() {
+    let mut fleet = Fleet::new(72);
+    for turn in 0..20 {
+        fleet.apply(&Incident::Traffic { each: 2 });
+        fleet.apply(&Incident::Elect { vm: turn % 2 });
+        fleet.pass(Duration::from_secs(1));
+    }
+    fleet.pass(Duration::from_millis(500));
+    for vm in 0..2 {
+        fleet.apply(&Incident::Failures { each: 20 });
+        fleet.apply(&Incident::Elect { vm });
+    }
+    fleet.apply(&Incident::Failures { each: 20 });
+    let (spent, _) = fleet.spent();
+    assert!(spent as f64 <= fleet.figures.slack, "{spent}");
+}
+
 fn incident() -> impl Strategy<Value = Incident> {
     let part = || (0usize..100, 1usize..100);
     prop_oneof![
@@ -164,15 +336,17 @@
         4 => (1usize..30).prop_map(|each| Incident::Failures { each }),
         2 => part().prop_map(|(from, share)| Incident::Kill { from, share }),
         2 => part().prop_map(|(from, share)| Incident::Stop { from, share }),
-        1 => part().prop_map(|(from, share)| Incident::Cut { from, share }),
+        2 => (part(), any::<bool>())
+            .prop_map(|((from, share), together)| Incident::Cut { from, share, together }),
         1 => Just(Incident::Heal),
+        2 => (0..TRIED).prop_map(|vm| Incident::Elect { vm }),
         1 => Just(Incident::Reload),
     ]
 }
 
 proptest! {
-    /// Guards against any way in which restarts, withdrawals, cuts and reloads add up to more repeats than
-    /// the fleet may send in a window.
+    /// Guards against any way in which restarts, withdrawals, cuts, changes of the scheduler and reloads add up to
+    /// more repeats than the fleet may send in a window.
     #[test]
     fn the_fleet_keeps_its_budget_through_any_incidents(
         count in prop::sample::select(vec![6usize, 72, 195, 985]),
--- a/request/tests/cold.rs
+++ b/request/tests/cold.rs
@@ -7,6 +7,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Holder, Listed};
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Ask, Nowhere};
 use foldlock_request::scheduler::{Answer, Key, Scheduler};
@@ -70,6 +71,7 @@
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
         placers,
+        charge: Charge::Free,
     }
 }
 
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Listed};
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::line::{Capacity, Waiting, order};
 use foldlock_request::placement::{self, Ask, Line, Place, Turn};
@@ -109,6 +110,7 @@
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
         placers: 1,
+        charge: Charge::Free,
     }
 }
 
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::size::Tokens;
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::message::{Asked, Beat, Message, Number, State, Work, decode, encode};
 use foldlock_request::placement::Ask;
@@ -25,6 +26,7 @@
             work: Some(Work::default()),
             ..State::new("vm-1".parse().unwrap(), 1_780_012_754_015)
         },
+        is_client: true,
     })
 }
 
@@ -50,9 +52,10 @@
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
         placers: 1,
+        charge: Charge::Withdraw,
     };
     let request = Number { incarnation: 1, number: 8 };
-    let message = Message::Asked(Asked::new(request, Tag::of("model"), &ask, sent));
+    let message = Message::Asked(Asked::new(request, Tag::of("model"), &ask, true, sent));
     let Message::Asked(asked) = decode(&encode(&message)).unwrap() else { panic!("{message:?}") };
     assert_eq!((asked.request, asked.service), (request, Tag::of("model")));
     let heard = sent + Duration::from_millis(3);
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -9,6 +9,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Listed};
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Ask, Nowhere};
 use foldlock_request::quarantine::Ending;
@@ -133,6 +134,7 @@
             fingerprint: request.fingerprint,
             offset: 0,
             placers: 1,
+            charge: Charge::Free,
         };
         let place = placement::place(&self.board, &self.service, &ask, self.now)?;
         let number = self.board.number();
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -7,6 +7,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Holder, Listed};
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::forecast;
 use foldlock_request::placement::{Ask, Place};
@@ -212,6 +213,7 @@
             fingerprint: Fingerprint::of("", "", "", b""),
             offset: 0,
             placers: 1,
+            charge: Charge::Free,
         }
     }
 
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Listed};
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
 use foldlock_request::forecast;
@@ -79,6 +80,7 @@
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
         placers: 1,
+        charge: Charge::Free,
     }
 }
 
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::board::{Board, Holder, Listed};
+use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{Ask, Nowhere, Place};
 use foldlock_request::quarantine::Ending;
@@ -88,6 +89,7 @@
         fingerprint: Fingerprint::of("", "", "", b""),
         offset: 0,
         placers: 1,
+        charge: Charge::Free,
     }
 }
 
