What a cold upstream bears is divided by the VMs that run

The class of the incident elsewhere: where no scheduler answers, each VM gives a cold upstream an even part of what it bears, by the VMs listed at that moment; a VM that has withdrawn serves on and gives its part as well. VMs that have withdrawn now count while they are heard.

--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -317,7 +317,7 @@
     /// Places the request by what is known here.
     async fn alone(&self) -> Ended {
         let offset = rand::random_range(0..u16::MAX).into();
-        let placers = self.process.peers.listed_count();
+        let placers = self.process.peers.running_count();
         let ask = Ask { offset, placers, ..self.without_resting() };
         let now = self.process.now();
         let placed = scheduler::place_alone(self.process, self.service, &ask, now);
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -146,13 +146,13 @@
         self.known.lock().unwrap().peers.get(vm).map(|peer| peer.member.clone())
     }
 
-    /// The number of VMs that are listed, this one among them, heard or not: what all share is
-    /// divided by it.
+    /// The number of VMs that are listed, this one among them, heard or not.
     pub fn listed_count(&self) -> usize {
         self.known.lock().unwrap().order.len()
     }
 
-    /// The number of VMs that are listed, and of those that have withdrawn and are still heard.
+    /// The number of VMs that are listed, and of those that have withdrawn and are still heard: bounds of the
+    /// whole fleet are divided by it.
     pub fn running_count(&self) -> usize {
         let known = self.known.lock().unwrap();
         let leaving = known.peers.values().filter(|peer| peer.leaving).count();
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -68,6 +68,19 @@
     assert!(peers.list(strong).is_none(), "it says nothing new");
 }
 
+/// Guards against shares of the fleet's bounds that grow as VMs withdraw which still serve.
+#[test]
+fn a_vm_that_has_withdrawn_counts_as_running_while_it_is_heard() {
+    let now = System.now();
+    let strong = member("vm-strong", 1_000);
+    let peers = peers(&strong, now);
+    assert_eq!(peers.running_count(), 2);
+    peers.withdraw(&strong.vm, now);
+    assert_eq!((peers.listed_count(), peers.running_count()), (1, 2));
+    peers.drop_silent(now + Duration::from_secs(30));
+    assert_eq!(peers.running_count(), 1);
+}
+
 /// A fleet of 1,000 VMs of which all want to hear: what a VM looks at to tell the one that places.
 #[test]
 fn who_places_is_told_without_those_that_only_listen() {
