--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/asks.rs
@@ -12,7 +12,7 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::{Flight, Helping};
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
-use foldlock_request::placement::{Ask, Nowhere, Place};
+use foldlock_request::placement::{Ask, Place, Rejection};
 use foldlock_request::scheduler::Answer;
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
@@ -82,7 +82,7 @@
     let placed = match answer {
         message::Answer::Placed(placed) => placed,
         message::Answer::Waits => return Some(Answer::Waits),
-        message::Answer::Nowhere(nowhere) => return Some(Answer::Nowhere(nowhere)),
+        message::Answer::Rejected(rejection) => return Some(Answer::Rejected(rejection)),
     };
     let id = |tag: Tag| board.by_tag(tag).map(|upstream| upstream.listed.id.clone());
     let helping = |(tag, held): &(Tag, u64)| Some(Helping { upstream: id(*tag)?, held: *held });
@@ -145,7 +145,7 @@
     service: &Arc<Service>,
     mut ask: Ask,
     until: Until,
-) -> Result<Given, Nowhere> {
+) -> Result<Given, Rejection> {
     loop {
         let mut open = Open::new(process, service, &ask, until);
         let placer = process.peers.placer(process.stopping.is_cancelled(), process.now());
@@ -157,9 +157,9 @@
         drop(open);
         match ended {
             Ended::Placed(given) => return Ok(*given),
-            Ended::Nowhere(nowhere) => {
-                note_held(process, ask.fingerprint, nowhere);
-                return Err(nowhere);
+            Ended::Rejected(rejection) => {
+                note_held(process, ask.fingerprint, rejection);
+                return Err(rejection);
             }
             Ended::Silent(vm) => {
                 log::event(&process.log, Event::SchedulerSilent, &vm);
@@ -178,14 +178,14 @@
             ask.charge = Charge::Free;
         }
         if until.is_over(process) {
-            return Err(Nowhere::Full);
+            return Err(Rejection::Full);
         }
     }
 }
 
 /// A request that is held elsewhere is refused here from now on without asking.
-fn note_held<D: Dialect>(process: &Process<D>, fingerprint: Fingerprint, nowhere: Nowhere) {
-    if let Nowhere::Quarantined { left_ms } = nowhere {
+fn note_held<D: Dialect>(process: &Process<D>, fingerprint: Fingerprint, rejection: Rejection) {
+    if let Rejection::Quarantined { left_ms } = rejection {
         let left = Duration::from_millis(left_ms);
         process.board.lock().unwrap().quarantine.hold(fingerprint, 1, left, process.now());
     }
@@ -194,7 +194,7 @@
 /// How it ended to ask one VM.
 enum Ended {
     Placed(Box<Given>),
-    Nowhere(Nowhere),
+    Rejected(Rejection),
     /// The VM does not answer.
     Silent(id::Vm),
     /// The place is at an upstream that takes no more work, which the VM does not know yet.
@@ -309,7 +309,7 @@
                 };
                 self.given(place, Some(by))
             }
-            Answer::Nowhere(nowhere) => Ended::Nowhere(nowhere),
+            Answer::Rejected(rejection) => Ended::Rejected(rejection),
             Answer::Waits => Ended::Later,
         }
     }
@@ -323,11 +323,11 @@
         let placed = scheduler::place_alone(self.process, self.service, &ask, now);
         match placed {
             Ok(place) => self.given(place, None),
-            Err(Nowhere::Full) => {
+            Err(Rejection::Full) => {
                 tokio::time::sleep(LOOK).await;
                 Ended::Later
             }
-            Err(nowhere) => Ended::Nowhere(nowhere),
+            Err(rejection) => Ended::Rejected(rejection),
         }
     }
 
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -10,7 +10,7 @@
 use foldlock_request::decision::{Cause, Decision, Seen};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::forecast;
-use foldlock_request::placement::{self, Ask, Nowhere};
+use foldlock_request::placement::{self, Ask, Rejection};
 use foldlock_request::retry_after;
 use foldlock_version::routes::Engine;
 
@@ -62,14 +62,18 @@
     job: &Job<D>,
     tries: &mut Tries,
     begun: bool,
-) -> Result<Given, Nowhere> {
-    find(job, tries, begun).await.inspect_err(|nowhere| tries.unplaced(job, nowhere))
+) -> Result<Given, Rejection> {
+    find(job, tries, begun).await.inspect_err(|rejection| tries.unplaced(job, rejection))
 }
 
-async fn find<D: Dialect>(job: &Job<D>, tries: &mut Tries, begun: bool) -> Result<Given, Nowhere> {
+async fn find<D: Dialect>(
+    job: &Job<D>,
+    tries: &mut Tries,
+    begun: bool,
+) -> Result<Given, Rejection> {
     let started = job.process.now();
     let known = placement::runs_alone(&job.process.board.lock().unwrap(), job.fingerprint, started);
-    if let Err(held @ Nowhere::Quarantined { .. }) = known {
+    if let Err(held @ Rejection::Quarantined { .. }) = known {
         return Err(held);
     }
     let closed = started + CLOSED;
@@ -94,10 +98,10 @@
                 placed(job, &given, started);
                 return Ok(given);
             }
-            Err(Nowhere::Closed) if job.process.now() < closed && !job.process.closing() => {
+            Err(Rejection::Closed) if job.process.now() < closed && !job.process.closing() => {
                 tokio::time::sleep(LOOK).await;
             }
-            Err(nowhere) => return Err(nowhere),
+            Err(rejection) => return Err(rejection),
         }
     }
 }
@@ -106,12 +110,12 @@
 /// still be in time then. Else the request cannot be served here in time, which its caller is told at once:
 /// other VMs may not have been asked for a rest. A stream that has begun has only this VM to go on with it.
 /// Answers whether it waited.
-async fn rested<D: Dialect>(job: &Job<D>, begun: bool) -> Result<bool, Nowhere> {
+async fn rested<D: Dialect>(job: &Job<D>, begun: bool) -> Result<bool, Rejection> {
     let Some(left) = notices::all_rest(&job.process, &job.service.name) else { return Ok(false) };
     let in_time = job.held() + left < job.route.objective && !job.process.closing();
     let held = begun && left < BEGUN;
     if !(in_time || held) {
-        return Err(Nowhere::Resting { left_ms: left.as_millis() as u64 });
+        return Err(Rejection::Resting { left_ms: left.as_millis() as u64 });
     }
     tokio::time::sleep(left).await;
     job.record(Decision::Waited { cause: Cause::Resting, waited_ms: millis(left) });
@@ -168,22 +172,22 @@
 }
 
 /// The refusal of a request that has not run.
-pub fn refusal<D: Dialect>(job: &Job<D>, nowhere: Nowhere, proof: Unsent) -> Error {
+pub fn refusal<D: Dialect>(job: &Job<D>, rejection: Rejection, proof: Unsent) -> Error {
     if job.process.closing() {
         let why = "this VM is about to end, and there was no place in time";
         let after = retry_after::Cause::Stopping.retry_after(job.left());
         return Error::unsent(Kind::Draining, why, proof).retry_after(after);
     }
-    let kind = match nowhere {
-        Nowhere::Quarantined { left_ms } => return quarantined(left_ms, proof),
-        Nowhere::Resting { left_ms } => return resting(job, left_ms, proof),
-        Nowhere::Closed | Nowhere::Drained | Nowhere::OverBudget(_) => Kind::NoUpstream,
-        Nowhere::Full | Nowhere::TooLarge => Kind::Overloaded,
+    let kind = match rejection {
+        Rejection::Quarantined { left_ms } => return quarantined(left_ms, proof),
+        Rejection::Resting { left_ms } => return resting(job, left_ms, proof),
+        Rejection::Closed | Rejection::Drained | Rejection::OverBudget(_) => Kind::NoUpstream,
+        Rejection::Full | Rejection::TooLarge => Kind::Overloaded,
     };
     let long = read_ms(job, &job.ask(&[], Charge::Free)).is_some();
     let cause = if long { retry_after::Cause::FullForLong } else { retry_after::Cause::Full };
     let after = cause.retry_after(job.left());
-    Error::unsent(kind, format!("{}: {nowhere}", job.service.name), proof).retry_after(after)
+    Error::unsent(kind, format!("{}: {rejection}", job.service.name), proof).retry_after(after)
 }
 
 /// The caller comes back when the first rest is over, or sooner to another VM.
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -8,7 +8,7 @@
 use foldlock_request::board::{Board, Holder};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
-use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::placement::{self, Ask, Place, Rejection};
 use foldlock_request::scheduler::{Answer, Key};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
@@ -51,7 +51,7 @@
     is_client: bool,
     now: Instant,
 ) -> Answer {
-    let Some(settings) = process.settings() else { return Answer::Nowhere(Nowhere::Closed) };
+    let Some(settings) = process.settings() else { return Answer::Rejected(Rejection::Closed) };
     let vms = process.peers.running_count();
     let mut scheduler = process.scheduler.lock().unwrap();
     let mut board = process.board.lock().unwrap();
@@ -70,15 +70,15 @@
     service: &Service,
     ask: &Ask,
     now: Instant,
-) -> Result<Place, Nowhere> {
+) -> Result<Place, Rejection> {
     let vms = process.peers.running_count();
     let tag = Tag::of(&service.name);
     let is_client = affiliation::asks_own(process);
     let mut scheduler = process.scheduler.lock().unwrap();
     scheduler.budget.hear(&Holder::Own, is_client, vms, now);
-    scheduler.budget.check(tag, ask.charge).map_err(Nowhere::OverBudget)?;
+    scheduler.budget.check(tag, ask.charge).map_err(Rejection::OverBudget)?;
     let place = placement::place(&process.board.lock().unwrap(), service, ask, now)?;
-    scheduler.budget.charge(tag, ask.charge, now).map_err(Nowhere::OverBudget)?;
+    scheduler.budget.charge(tag, ask.charge, now).map_err(Rejection::OverBudget)?;
     Ok(place)
 }
 
@@ -154,7 +154,7 @@
     let (place, grant) = match answer {
         Answer::Placed(place, grant) => (place, grant),
         Answer::Waits => return message::Answer::Waits,
-        Answer::Nowhere(nowhere) => return message::Answer::Nowhere(nowhere),
+        Answer::Rejected(rejection) => return message::Answer::Rejected(rejection),
     };
     let tag = |id: &id::Upstream| board.tag_of(id);
     let flight = &place.flight;
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -8,7 +8,7 @@
 use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::placement::Nowhere;
+use foldlock_request::placement::Rejection;
 use foldlock_request::retry_after::Cause;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -71,7 +71,7 @@
     loop {
         let given = match gate::place(&job, &mut tries, false).await {
             Ok(given) => given,
-            Err(nowhere) => return no_place(&job, tries, proof, nowhere),
+            Err(rejection) => return no_place(&job, tries, proof, rejection),
         };
         let upstream = given.place.flight.upstream.clone();
         let attempt = proof.send();
@@ -92,16 +92,16 @@
     job: &Job<D>,
     tries: Tries,
     proof: Proof,
-    nowhere: Nowhere,
+    rejection: Rejection,
 ) -> Result<Response<Body>, Error> {
     if let Some(answer) = tries.own {
         return Ok(answer);
     }
-    let why = format!("not sent again: {nowhere}");
+    let why = format!("not sent again: {rejection}");
     Err(failed(
         job,
         match proof {
-            Proof::NotRun(unsent) => gate::refusal(job, nowhere, unsent),
+            Proof::NotRun(unsent) => gate::refusal(job, rejection, unsent),
             sent => sent.error(Kind::UpstreamFailed, why, false),
         },
     ))
@@ -164,7 +164,7 @@
     why: String,
 ) -> Step {
     if job.held() >= gate::patience(job) {
-        return Step::Done(no_place(job, std::mem::take(tries), proof, Nowhere::Full));
+        return Step::Done(no_place(job, std::mem::take(tries), proof, Rejection::Full));
     }
     tries.avoid.push(upstream.clone());
     tries.failure = Some(Failure { upstream, why });
--- a/daemon/src/fleet/tries.rs
+++ b/daemon/src/fleet/tries.rs
@@ -4,7 +4,7 @@
 use foldlock_request::budget::Charge;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::placement::Nowhere;
+use foldlock_request::placement::Rejection;
 use hyper::Response;
 
 use crate::fleet::answer::Body;
@@ -73,17 +73,17 @@
     }
 
     /// There is no place for the next attempt.
-    pub fn unplaced<D: Dialect>(&mut self, job: &Job<D>, nowhere: &Nowhere) {
-        let budget = match nowhere {
-            Nowhere::OverBudget(exhausted) => {
+    pub fn unplaced<D: Dialect>(&mut self, job: &Job<D>, rejection: &Rejection) {
+        let budget = match rejection {
+            Rejection::OverBudget(exhausted) => {
                 job.process.metrics.repeat_decided(false);
                 Some(*exhausted)
             }
             _ => None,
         };
         if let Some(Failure { upstream, why }) = self.failure.take() {
-            let nowhere = nowhere.to_string();
-            job.record(Decision::NotRepeated { upstream, why, nowhere, budget });
+            let reason = rejection.to_string();
+            job.record(Decision::NotRepeated { upstream, why, reason, budget });
         }
     }
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -127,7 +127,7 @@
         /// How.
         why: String,
         /// Why there is no other place for it.
-        nowhere: String,
+        reason: String,
         /// The state of the fleet's retry budget, where that is the reason.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         budget: Option<Exhausted>,
@@ -253,8 +253,8 @@
             Decision::Retried { upstream, why } => {
                 write!(f, "sent again, since {upstream} failed: {why}")
             }
-            Decision::NotRepeated { upstream, why, nowhere, budget } => {
-                write!(f, "not sent again after {upstream} failed ({why}): {nowhere}")?;
+            Decision::NotRepeated { upstream, why, reason, budget } => {
+                write!(f, "not sent again after {upstream} failed ({why}): {reason}")?;
                 match budget {
                     Some(Exhausted { spent, slack, clients, vms }) => write!(
                         f,
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -12,7 +12,7 @@
 use crate::board::{Ended, Load, Start};
 use crate::budget::Charge;
 use crate::fingerprint::Fingerprint;
-use crate::placement::{Ask, Nowhere};
+use crate::placement::{Ask, Rejection};
 use crate::revision::Revision;
 use crate::tag::Tag;
 use crate::{flight, quarantine, report};
@@ -222,7 +222,8 @@
     /// It waits for one.
     Waits,
     /// There is none, and waiting brings none.
-    Nowhere(Nowhere),
+    #[serde(rename = "Nowhere")]
+    Rejected(Rejection),
 }
 
 /// A place, upstreams by their tags.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -26,7 +26,7 @@
 use crate::quarantine::Verdict;
 use crate::tag::Tag;
 
-use candidate::{Candidate, candidates, nowhere};
+use candidate::{Candidate, candidates, rejection};
 pub use group::{DEMAND_WINDOW, Line, Turn, is_too_long, line};
 
 /// The part of the objective within which a short prompt's first event has to be predicted for an
@@ -131,7 +131,7 @@
 
 /// Why there is no place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Nowhere {
+pub enum Rejection {
     /// No upstream of the service is known to be open.
     Closed,
     /// All upstreams of the service are in data halls that an operator has drained.
@@ -154,20 +154,22 @@
     },
 }
 
-impl fmt::Display for Nowhere {
+impl fmt::Display for Rejection {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Nowhere::Closed => f.write_str("no upstream takes requests now"),
-            Nowhere::Drained => {
+            Rejection::Closed => f.write_str("no upstream takes requests now"),
+            Rejection::Drained => {
                 f.write_str("an operator has drained the data halls of all upstreams")
             }
-            Nowhere::Full => f.write_str("all upstreams have as much as they take"),
-            Nowhere::TooLarge => f.write_str("a prompt this long is beyond all upstreams together"),
-            Nowhere::Resting { left_ms } => {
+            Rejection::Full => f.write_str("all upstreams have as much as they take"),
+            Rejection::TooLarge => {
+                f.write_str("a prompt this long is beyond all upstreams together")
+            }
+            Rejection::Resting { left_ms } => {
                 write!(f, "all upstreams asked for a rest, the first for {left_ms} ms more")
             }
-            Nowhere::OverBudget(_) => f.write_str("the fleet's retry budget is spent"),
-            Nowhere::Quarantined { left_ms } => {
+            Rejection::OverBudget(_) => f.write_str("the fleet's retry budget is spent"),
+            Rejection::Quarantined { left_ms } => {
                 write!(f, "the request is kept from all upstreams for {left_ms} ms more")
             }
         }
@@ -175,11 +177,16 @@
 }
 
 /// Finds a place for a request that does not wait in a line of others.
-pub fn place(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
+pub fn place(
+    board: &Board,
+    service: &Service,
+    ask: &Ask,
+    now: Instant,
+) -> Result<Place, Rejection> {
     let alone = runs_alone(board, ask.fingerprint, now)?;
     let candidates = candidates(board, service, ask, now);
     if candidates.is_empty() {
-        return Err(nowhere(board, service, ask, now));
+        return Err(rejection(board, service, ask, now));
     }
     let engine = service.engine.as_ref();
     let Some(engine) = engine.filter(|engine| ask.long_read_ms(engine).is_some()) else {
@@ -192,18 +199,22 @@
     let turns = [Turn { ask, index: 0 }];
     let line = Line { turns: &turns, demand: 0.0, offset: ask.offset, kept: 0 };
     let placed = group::line(board, service, engine, line, now).pop();
-    let (_, mut place) = placed.ok_or(Nowhere::Full)?;
+    let (_, mut place) = placed.ok_or(Rejection::Full)?;
     place.flight.alone = alone.then_some(ask.fingerprint);
     Ok(place)
 }
 
 /// Whether a request is to run alone, if it may run now at all: one copy at a time does.
-pub fn runs_alone(board: &Board, fingerprint: Fingerprint, now: Instant) -> Result<bool, Nowhere> {
+pub fn runs_alone(
+    board: &Board,
+    fingerprint: Fingerprint,
+    now: Instant,
+) -> Result<bool, Rejection> {
     match board.quarantine.verdict(fingerprint, now) {
         Verdict::Beside => Ok(false),
-        Verdict::Alone if board.runs_alone(fingerprint) => Err(Nowhere::Full),
+        Verdict::Alone if board.runs_alone(fingerprint) => Err(Rejection::Full),
         Verdict::Alone => Ok(true),
-        Verdict::Held(left) => Err(Nowhere::Quarantined { left_ms: left.as_millis() as u64 }),
+        Verdict::Held(left) => Err(Rejection::Quarantined { left_ms: left.as_millis() as u64 }),
     }
 }
 
@@ -212,12 +223,12 @@
     ask: &Ask,
     engine: Option<&Engine>,
     candidates: Vec<Candidate<'_>>,
-) -> Result<Place, Nowhere> {
+) -> Result<Place, Rejection> {
     let open = candidates.len();
     let has_room = |c: &Candidate<'_>| engine.is_none_or(|e| c.has_room(ask.memory.0, e));
     let under_way = |c: &Candidate<'_>| (c.load.requests + c.load.helping, c.load.memory);
     let best = candidates.into_iter().filter(has_room).min_by_key(under_way);
-    let best = best.ok_or(Nowhere::Full)?;
+    let best = best.ok_or(Rejection::Full)?;
     let read_ms = engine.map_or(0.0, |engine| forecast::read_ms(engine, ask.prompt.0));
     let predicted_ms = engine.map_or(0.0, |engine| best.predicted_ms(engine, read_ms));
     let mut place = placed(ask, &best, &[], read_ms, predicted_ms, open);
@@ -225,7 +236,7 @@
     Ok(place)
 }
 
-fn plain(ask: &Ask, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
+fn plain(ask: &Ask, candidates: Vec<Candidate<'_>>) -> Result<Place, Rejection> {
     let open = candidates.len();
     let relative =
         |c: &Candidate<'_>| f64::from(c.load.requests) / f64::from(c.upstream.listed.slots.max(1));
@@ -233,11 +244,11 @@
     let compare = |a: &Candidate<'_>, b: &Candidate<'_>| {
         relative(a).total_cmp(&relative(b)).then(is_new(a).cmp(&is_new(b)))
     };
-    let best = candidates.into_iter().min_by(compare).ok_or(Nowhere::Closed)?;
+    let best = candidates.into_iter().min_by(compare).ok_or(Rejection::Closed)?;
     Ok(placed(ask, &best, &[], 0.0, 0.0, open))
 }
 
-fn short(ask: &Ask, engine: &Engine, candidates: Vec<Candidate<'_>>) -> Result<Place, Nowhere> {
+fn short(ask: &Ask, engine: &Engine, candidates: Vec<Candidate<'_>>) -> Result<Place, Rejection> {
     let read = forecast::read_ms(engine, ask.prompt.0);
     let objective = ask.objective.as_secs_f64() * 1e3;
     let open = candidates.len();
@@ -254,7 +265,7 @@
         .or_else(|| least(&candidates, engine, read, |c| c.is_brisk() && fits(c, BESIDE)))
         .or_else(|| candidates.iter().position(|c| fits(c, BESIDE)))
         .or_else(|| least(&candidates, engine, read, |c| c.has_room(memory, engine)))
-        .ok_or(Nowhere::Full)?;
+        .ok_or(Rejection::Full)?;
     let best = &candidates[index];
     let predicted = best.predicted_ms(engine, read);
     Ok(placed(ask, best, &[], read, predicted, open))
--- a/request/src/placement/candidate.rs
+++ b/request/src/placement/candidate.rs
@@ -4,7 +4,7 @@
 
 use foldlock_version::routes::{Engine, Service};
 
-use super::{Ask, Nowhere};
+use super::{Ask, Rejection};
 use crate::board::{BRISK_MS, Board, Load, Upstream};
 use crate::forecast;
 
@@ -86,12 +86,12 @@
 }
 
 /// Why no upstream is a candidate.
-pub(super) fn nowhere(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Nowhere {
+pub(super) fn rejection(board: &Board, service: &Service, ask: &Ask, now: Instant) -> Rejection {
     if board.is_drained(&service.name) {
-        return Nowhere::Drained;
+        return Rejection::Drained;
     }
     let left = |u: &Upstream| u.is_cold(now) && !ask.avoid.contains(&u.tag);
-    if board.open(&service.name).any(left) { Nowhere::Full } else { Nowhere::Closed }
+    if board.open(&service.name).any(left) { Rejection::Full } else { Rejection::Closed }
 }
 
 /// The upstreams that take new work, those that are to be trusted alone if there are any, the asker's
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -12,7 +12,7 @@
 use crate::board::{Board, Holder};
 use crate::budget::{Budget, Charge, Figures};
 use crate::fingerprint::Fingerprint;
-use crate::placement::{self, Ask, DEMAND_WINDOW, Nowhere, Place, runs_alone};
+use crate::placement::{self, Ask, DEMAND_WINDOW, Place, Rejection, runs_alone};
 use crate::pressure::Pressure;
 use crate::tag::Tag;
 
@@ -42,7 +42,7 @@
     /// It waits for one.
     Waits,
     /// There is none, and waiting brings none.
-    Nowhere(Nowhere),
+    Rejected(Rejection),
 }
 
 #[derive(Debug)]
@@ -112,19 +112,19 @@
             waiter.ask.avoid = ask.avoid;
             return Answer::Waits;
         }
-        let Some(found) = find(table, service) else { return Answer::Nowhere(Nowhere::Closed) };
-        if let Err(held @ Nowhere::Quarantined { .. }) = runs_alone(board, ask.fingerprint, now) {
-            return Answer::Nowhere(held);
+        let Some(found) = find(table, service) else { return Answer::Rejected(Rejection::Closed) };
+        if let Err(held @ Rejection::Quarantined { .. }) = runs_alone(board, ask.fingerprint, now) {
+            return Answer::Rejected(held);
         }
         if board.is_drained(&found.name) {
-            return Answer::Nowhere(Nowhere::Drained);
+            return Answer::Rejected(Rejection::Drained);
         }
         if let Err(exhausted) = self.budget.check(service, ask.charge) {
-            return Answer::Nowhere(Nowhere::OverBudget(exhausted));
+            return Answer::Rejected(Rejection::OverBudget(exhausted));
         }
         let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
         if found.engine.as_ref().is_some_and(|e| placement::is_too_long(board, found, e, &ask)) {
-            return Answer::Nowhere(Nowhere::TooLarge);
+            return Answer::Rejected(Rejection::TooLarge);
         }
         if let Some(read_ms) = read_ms {
             self.asked.push_back(Asked { at: now, service, read_ms });
@@ -136,8 +136,8 @@
                     let charged = Charged { key, service, charge: ask.charge };
                     return self.give(board, charged, place, now);
                 }
-                Err(Nowhere::Full) => self.pressure.waits(now),
-                Err(nowhere) => return Answer::Nowhere(nowhere),
+                Err(Rejection::Full) => self.pressure.waits(now),
+                Err(rejection) => return Answer::Rejected(rejection),
             }
         }
         if ask.charge == Charge::Deposit {
@@ -189,8 +189,8 @@
     /// Tells those that wait and are kept from all upstreams by now.
     fn turn_away(&mut self, board: &Board, now: Instant, answers: &mut Vec<(Key, Answer)>) {
         self.waiters.retain(|waiter| match runs_alone(board, waiter.ask.fingerprint, now) {
-            Err(held @ Nowhere::Quarantined { .. }) => {
-                answers.push((waiter.key.clone(), Answer::Nowhere(held)));
+            Err(held @ Rejection::Quarantined { .. }) => {
+                answers.push((waiter.key.clone(), Answer::Rejected(held)));
                 false
             }
             _ => true,
@@ -201,7 +201,7 @@
     fn turn_away_all(&mut self, service: Tag, answers: &mut Vec<(Key, Answer)>) {
         self.waiters.retain(|waiter| {
             if waiter.service == service {
-                answers.push((waiter.key.clone(), Answer::Nowhere(Nowhere::Drained)));
+                answers.push((waiter.key.clone(), Answer::Rejected(Rejection::Drained)));
             }
             waiter.service != service
         });
@@ -287,7 +287,7 @@
         let Charged { key, service, charge } = charged;
         self.waiters.retain(|waiter| waiter.key != key);
         if let Err(exhausted) = self.budget.charge(service, charge, now) {
-            return Answer::Nowhere(Nowhere::OverBudget(exhausted));
+            return Answer::Rejected(Rejection::OverBudget(exhausted));
         }
         let grant = self.grants.entry(key.holder.clone()).or_default();
         *grant += 1;
--- a/request/tests/cold.rs
+++ b/request/tests/cold.rs
@@ -9,7 +9,7 @@
 use foldlock_request::board::{Board, Holder, Listed};
 use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
-use foldlock_request::placement::{self, Ask, Nowhere};
+use foldlock_request::placement::{self, Ask, Rejection};
 use foldlock_request::scheduler::{Answer, Key, Scheduler};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Bounds, Service, Table};
@@ -142,7 +142,7 @@
     played(&mut board, now, Duration::from_millis(2));
     let later = now + Duration::from_millis(1_999);
     let placed = placement::place(&board, &service(), &ask(later, 1), later);
-    assert!(matches!(placed, Err(Nowhere::Full)), "{placed:?}");
+    assert!(matches!(placed, Err(Rejection::Full)), "{placed:?}");
 }
 
 /// The VM that places is not heard: 91 VMs place for themselves, and none hears of the others in time.
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -11,7 +11,7 @@
 use foldlock_request::board::{Board, Listed};
 use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
-use foldlock_request::placement::{self, Ask, Nowhere};
+use foldlock_request::placement::{self, Ask, Rejection};
 use foldlock_request::quarantine::Ending;
 use foldlock_version::routes::Service;
 use rand::rngs::StdRng;
@@ -119,7 +119,7 @@
         });
     }
 
-    fn place(&mut self, request: &mut Request) -> Result<(), Nowhere> {
+    fn place(&mut self, request: &mut Request) -> Result<(), Rejection> {
         let ask = Ask {
             prompt: Tokens(4_960),
             memory: Tokens(6_300),
@@ -151,7 +151,7 @@
         match request.state {
             State::Waits => match self.place(request) {
                 Ok(()) => true,
-                Err(Nowhere::Quarantined { .. }) => {
+                Err(Rejection::Quarantined { .. }) => {
                     self.score.held += usize::from(!request.deadly);
                     false
                 }
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -9,7 +9,7 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
 use foldlock_request::forecast;
-use foldlock_request::placement::{self, Ask, Nowhere, Place};
+use foldlock_request::placement::{self, Ask, Place, Rejection};
 use foldlock_request::suspicion::{Failure, Outcome};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Engine, Service};
@@ -84,7 +84,7 @@
     }
 }
 
-fn place(board: &Board, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
+fn place(board: &Board, ask: &Ask, now: Instant) -> Result<Place, Rejection> {
     placement::place(board, &service(Some(ENGINE)), ask, now)
 }
 
@@ -95,7 +95,7 @@
 }
 
 /// Places a request and enters it as under way.
-fn enter(board: &mut Board, ask: &Ask, now: Instant) -> Result<Place, Nowhere> {
+fn enter(board: &mut Board, ask: &Ask, now: Instant) -> Result<Place, Rejection> {
     let place = place(board, ask, now)?;
     begin(board, place.flight.clone(), now);
     Ok(place)
@@ -174,7 +174,7 @@
     let pass = forecast::pass_ms(&ENGINE, 2, 6_000);
     assert!(f64::from(placed.flight.part_ms) + pass <= 250.0, "{placed:?}");
     let heavy = place(&board, &ask(LONG, 300_000), now);
-    assert_eq!(heavy.unwrap_err(), Nowhere::Full);
+    assert_eq!(heavy.unwrap_err(), Rejection::Full);
     assert!(place(&board, &ask(SHORT, 5_000), now).is_ok());
 }
 
@@ -202,7 +202,7 @@
     let (mut board, now) = (board(12), Instant::now());
     enter(&mut board, &ask(LONG, 300_000), now).unwrap();
     let second = place(&board, &ask(LONG, 300_000), now);
-    assert_eq!(second.unwrap_err(), Nowhere::Full);
+    assert_eq!(second.unwrap_err(), Rejection::Full);
     let later = now + Duration::from_secs(2);
     assert!(place(&board, &ask(LONG, 300_000), later).is_ok(), "read by then");
 }
@@ -212,9 +212,9 @@
     let (mut board, now) = (board(4), Instant::now());
     enter(&mut board, &ask(LONG, 133_000), now).unwrap();
     let second = ask(LONG, 100_000);
-    assert_eq!(place(&board, &second, now).unwrap_err(), Nowhere::Full);
+    assert_eq!(place(&board, &second, now).unwrap_err(), Rejection::Full);
     let aged = Ask { arrived: now.checked_sub(Duration::from_secs(6)).unwrap(), ..second.clone() };
-    assert_eq!(place(&board, &aged, now).unwrap_err(), Nowhere::Full, "however long it waited");
+    assert_eq!(place(&board, &aged, now).unwrap_err(), Rejection::Full, "however long it waited");
     assert!(place(&board, &second, now + Duration::from_millis(600)).is_ok(), "read by then");
 }
 
@@ -230,7 +230,7 @@
     assert!(read.iter().chain([&placed.flight.upstream]).all(|id| *id > upstream(5)), "{read:?}");
     assert!(placed.predicted_ms < 1_000.0, "{}", placed.predicted_ms);
     let next = ask(LONG, 220_000);
-    assert_eq!(place(&board, &next, now).unwrap_err(), Nowhere::Full, "they are busy now");
+    assert_eq!(place(&board, &next, now).unwrap_err(), Rejection::Full, "they are busy now");
 }
 
 #[test]
@@ -241,7 +241,7 @@
         begin(&mut board, Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
     }
     let brief = Ask { hold_limit: Duration::from_millis(1_500), ..ask(LONG, 300_000) };
-    assert_eq!(place(&board, &brief, now).unwrap_err(), Nowhere::Full, "1.3 s on five engines");
+    assert_eq!(place(&board, &brief, now).unwrap_err(), Rejection::Full, "1.3 s on five engines");
     let placed = place(&board, &ask(LONG, 300_000), now).unwrap();
     assert!(placed.flight.holds_memory());
     assert!(placed.predicted_ms < 2_400.0 * 0.85, "{}", placed.predicted_ms);
@@ -260,7 +260,7 @@
         let placed = place(&board, &ask(SHORT, 5_000), now).unwrap();
         begin(&mut board, Flight { upstream: upstream(i), writing: true, ..placed.flight }, now);
     }
-    assert_eq!(place(&board, &ask(LONG, 220_000), now).unwrap_err(), Nowhere::Full);
+    assert_eq!(place(&board, &ask(LONG, 220_000), now).unwrap_err(), Rejection::Full);
 }
 
 #[test]
@@ -274,7 +274,7 @@
     assert_eq!(placed.flight.upstream, upstream(0), "better than none");
     let avoid = vec![Tag::of("i-00"), Tag::of("i-01")];
     let none = place(&board, &Ask { avoid, ..ask(SHORT, 5_000) }, now);
-    assert_eq!(none.unwrap_err(), Nowhere::Closed);
+    assert_eq!(none.unwrap_err(), Rejection::Closed);
 }
 
 #[test]
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -7,7 +7,7 @@
 use foldlock_request::board::{Board, Holder, Listed};
 use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
-use foldlock_request::placement::{Ask, Nowhere, Place};
+use foldlock_request::placement::{Ask, Place, Rejection};
 use foldlock_request::quarantine::Ending;
 use foldlock_request::scheduler::{Answer, Key, Scheduler};
 use foldlock_request::tag::Tag;
@@ -270,7 +270,7 @@
         scheduler.ask(&mut board, &table(), key(1, number), Tag::of("model"), long(tokens), now)
     };
     assert!(matches!(ask(1, 600_000), Answer::Waits), "its parts take 1.6 s");
-    assert!(matches!(ask(2, 800_000), Answer::Nowhere(Nowhere::TooLarge)), "and these 2.8 s");
+    assert!(matches!(ask(2, 800_000), Answer::Rejected(Rejection::TooLarge)), "and these 2.8 s");
 }
 
 #[test]
@@ -279,9 +279,9 @@
     let ask = short(fleet.now);
     let Fleet { scheduler, board, table, now } = &mut fleet;
     let answer = scheduler.ask(board, table, key(1, 1), Tag::of("other"), ask.clone(), *now);
-    assert!(matches!(answer, Answer::Nowhere(Nowhere::Closed)), "{answer:?}");
+    assert!(matches!(answer, Answer::Rejected(Rejection::Closed)), "{answer:?}");
     let answer = scheduler.ask(board, table, key(1, 2), Tag::of("plain"), ask, *now);
-    assert!(matches!(answer, Answer::Nowhere(Nowhere::Closed)), "no upstream of it is listed");
+    assert!(matches!(answer, Answer::Rejected(Rejection::Closed)), "no upstream of it is listed");
 }
 
 proptest! {
@@ -365,7 +365,8 @@
         let ending = Ending { upstream: Tag::of("i-000"), alone: true };
         fleet.board.quarantine.ended(ask.fingerprint, ending, fleet.now);
         let answers = fleet.scheduler.look(&mut fleet.board, &fleet.table, fleet.now);
-        let held = |answer: &Answer| matches!(answer, Answer::Nowhere(Nowhere::Quarantined { .. }));
+        let held =
+            |answer: &Answer| matches!(answer, Answer::Rejected(Rejection::Quarantined { .. }));
         assert!(answers.iter().any(|(waiting, answer)| *waiting == key(1, 1) && held(answer)));
         assert!(held(&fleet.ask(key(2, 1), ask.clone())));
     }
