--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -20,8 +20,8 @@
 use hyper::{Request, Response, StatusCode, Uri};
 
 use crate::fleet::answer::{self, Body};
-use crate::fleet::asks::Given;
 use crate::fleet::ending;
+use crate::fleet::grant_requests::Grant;
 use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::{Hold, Taken};
 use crate::fleet::job::Job;
@@ -81,14 +81,14 @@
 /// Sends the request to a place.
 pub async fn run<D: Dialect>(
     job: &Arc<Job<D>>,
-    given: Given,
+    grant: Grant,
     last_event: Option<u64>,
     tries: &Tries,
 ) -> End<D> {
-    let upstream = given.place.flight.upstream.clone();
-    let entered = job.process.enter(given.number, given.place.flight.clone());
-    let limit = patience(job, &given.place, tries);
-    let sent = sent(job, given, last_event, entered);
+    let upstream = grant.place.flight.upstream.clone();
+    let entered = job.process.enter(grant.number, grant.place.flight.clone());
+    let limit = patience(job, &grant.place, tries);
+    let sent = sent(job, grant, last_event, entered);
     let until = job.deadline.min(job.process.now() + limit);
     let ended = tokio::select! {
         ended = tokio::time::timeout_at(until.into(), sent) => ended,
@@ -129,21 +129,21 @@
 
 async fn sent<D: Dialect>(
     job: &Arc<Job<D>>,
-    given: Given,
+    grant: Grant,
     last_event: Option<u64>,
     entered: Entered<D>,
 ) -> End<D> {
-    let place = &given.place;
+    let place = &grant.place;
     let upstream = place.flight.upstream.clone();
     let start = notices::start(&job.process, &upstream);
-    let hold = match Hold::take(job, &given).await {
+    let hold = match Hold::take(job, &grant).await {
         Ok(hold) => hold,
         Err(taken) => {
             note(job, &taken.upstream, Cause::Full);
             return End::NoMemory(taken);
         }
     };
-    let mut channel = match channel(job, &given).await {
+    let mut channel = match channel(job, &grant).await {
         Ok(channel) => channel,
         Err(why) => {
             note(job, &upstream, Cause::Silent);
@@ -154,7 +154,7 @@
         // That came to be while memory was set aside for this request, or its connection opened.
         return End::Unsent(format!("{barred} takes nothing now: {bar}"));
     }
-    let request = request(job, place, &hold.helpers(&given), last_event);
+    let request = request(job, place, &hold.helpers(&grant), last_event);
     let sent = job.process.now();
     let answer = match channel.send(request).await {
         Ok(answer) => answer,
@@ -234,14 +234,14 @@
     }
 }
 
-async fn channel<D: Dialect>(job: &Job<D>, given: &Given) -> Result<Channel, String> {
+async fn channel<D: Dialect>(job: &Job<D>, grant: &Grant) -> Result<Channel, String> {
     let pool = &job.process.pool;
-    let upstream = &given.place.flight.upstream;
+    let upstream = &grant.place.flight.upstream;
     if let Some(channel) = pool.take(upstream, job.most_rest(), job.process.now()) {
         return Ok(channel);
     }
     job.process.metrics.connections.inc();
-    match Channel::open(&given.address, CONNECT).await {
+    match Channel::open(&grant.address, CONNECT).await {
         Ok(channel) => Ok(channel),
         Err(Failure::Refused(why) | Failure::Unsent(why) | Failure::Broken(why)) => Err(why),
     }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -18,7 +18,9 @@
 use crate::fleet::peers::{Cadence, News};
 use crate::fleet::process::Process;
 use crate::fleet::tell::{self, Round};
-use crate::fleet::{asks, catch_up, members, notices, packed, reports, scheduler, told};
+use crate::fleet::{
+    catch_up, grant_requests, members, notices, packed, peer_sync, reports, scheduler,
+};
 use crate::log;
 
 /// The least time between two beats to the VM that places: what begins and ends gathers for it. A
@@ -125,7 +127,7 @@
         Ok(Message::Beat(beat)) => hear_beat(process, &beat, directory),
         Ok(Message::Asked(asked)) => scheduler::asked(process, &asked, from),
         Ok(Message::Cancelled(number)) => scheduler::cancelled(process, number, from),
-        Ok(Message::Answered(answered)) => asks::answered(process, answered, from),
+        Ok(Message::Answered(answered)) => grant_requests::answered(process, answered, from),
         Ok(Message::Poll(upstream)) => reports::polled(process, upstream),
         Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
     }
@@ -182,7 +184,7 @@
     let steps = packed::unpack(&state.steps)
         .and_then(|bytes| step::decode(&bytes).map_err(|e| e.to_string()));
     match steps {
-        Ok(steps) => steps.into_iter().for_each(|step| told::step(process, step, &state.vm)),
+        Ok(steps) => steps.into_iter().for_each(|step| peer_sync::step(process, step, &state.vm)),
         Err(why) => log::event(&process.log, Event::BeatUnreadable, why),
     }
 }
--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -18,7 +18,7 @@
 
 use crate::fleet::metrics::Text;
 use crate::fleet::process::Process;
-use crate::fleet::{operators, packed, told};
+use crate::fleet::{operators, packed, peer_sync};
 use crate::log;
 
 /// How long a read from a peer may take.
@@ -142,7 +142,7 @@
             process.metrics.peer_read(Text::Listing);
             let listing =
                 serde_json::from_slice(&text).map_err(|e| format!("listing of {from}: {e}"))?;
-            told::listing(process, listing);
+            peer_sync::listing(process, listing);
             // What still differs then is for a later revision to settle: two VMs would else read each other's
             // listings without an end.
             let digest = process.board.lock().unwrap().digest();
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -223,7 +223,7 @@
         }
         Change::MemberGone(vm) if vm == process.member.vm => {
             if process.stopping.is_cancelled() {
-                process.leavers.withdrawn();
+                process.withdrawals.withdrawn();
             }
             list_again(process);
         }
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -222,14 +222,14 @@
             return None;
         }
         tries.failure = Some(Failure { upstream: from, why });
-        let given = tokio::select! {
-            given = gate::place(job, tries, true) => given.ok()?,
+        let grant = tokio::select! {
+            grant = gate::place(job, tries, true) => grant.ok()?,
             _ = sink.closed() => return None,
         };
         job.process.metrics.resumed.inc();
-        from = given.place.flight.upstream.clone();
+        from = grant.place.flight.upstream.clone();
         let end = tokio::select! {
-            end = attempt::run(job, given, Some(last), tries) => end,
+            end = attempt::run(job, grant, Some(last), tries) => end,
             _ = sink.closed() => return None,
         };
         why = match end {
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -14,7 +14,7 @@
 use foldlock_request::retry_after;
 use foldlock_version::routes::Engine;
 
-use crate::fleet::asks::{self, Given, Until};
+use crate::fleet::grant_requests::{self, Grant, Until};
 use crate::fleet::job::Job;
 use crate::fleet::notices;
 use crate::fleet::tries::Tries;
@@ -62,7 +62,7 @@
     job: &Job<D>,
     tries: &mut Tries,
     begun: bool,
-) -> Result<Given, Rejection> {
+) -> Result<Grant, Rejection> {
     find(job, tries, begun).await.inspect_err(|rejection| tries.unplaced(job, rejection))
 }
 
@@ -70,7 +70,7 @@
     job: &Job<D>,
     tries: &mut Tries,
     begun: bool,
-) -> Result<Given, Rejection> {
+) -> Result<Grant, Rejection> {
     let started = job.process.now();
     let known = placement::runs_alone(&job.process.board.lock().unwrap(), job.fingerprint, started);
     if let Err(held @ Rejection::Quarantined { .. }) = known {
@@ -92,11 +92,11 @@
             // Those that refused it have had their rest.
             ask.avoid.clear();
         }
-        match asks::place(&job.process, &job.service, ask.clone(), until).await {
-            Ok(given) => {
+        match grant_requests::place(&job.process, &job.service, ask.clone(), until).await {
+            Ok(grant) => {
                 tries.placed(job);
-                placed(job, &given, started);
-                return Ok(given);
+                placed(job, &grant, started);
+                return Ok(grant);
             }
             Err(Rejection::Closed) if job.process.now() < closed && !job.process.closing() => {
                 tokio::time::sleep(LOOK).await;
@@ -138,12 +138,12 @@
     Duration::from_secs_f64((read_ms / USUAL_PARTS + passes * pass_ms * STRETCH) / 1e3)
 }
 
-fn placed<D: Dialect>(job: &Job<D>, given: &Given, started: Instant) {
+fn placed<D: Dialect>(job: &Job<D>, grant: &Grant, started: Instant) {
     let asked = job.process.now().saturating_duration_since(started);
     if asked >= WAITED {
         job.record(Decision::Waited { cause: Cause::Engines, waited_ms: millis(asked) });
     }
-    let place = &given.place;
+    let place = &grant.place;
     let named = std::iter::once((&place.flight.upstream, &place.load))
         .chain(place.slowest.iter().map(|(id, load)| (id, load)));
     let seen = named.map(|(id, load)| seen(id, load, place.predicted_ms)).collect();
@@ -154,7 +154,7 @@
         engines: place.flight.helpers.len() as u32 + 1,
         part_ms: f64::from(place.flight.part_ms),
         seen,
-        by: given.by.clone(),
+        by: grant.by.clone(),
         asked_ms: millis(asked),
     });
 }
--- a/daemon/src/fleet/asks.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -37,9 +37,9 @@
 /// How often a VM that places its own requests looks again.
 const LOOK: Duration = Duration::from_millis(25);
 
-/// A place, with the addresses of its upstreams.
+/// An assignment of a request to upstreams, with their addresses.
 #[derive(Debug)]
-pub struct Given {
+pub struct Grant {
     /// The place.
     pub place: Place,
     /// Where the upstream listens.
@@ -145,7 +145,7 @@
     service: &Arc<Service>,
     mut ask: Ask,
     until: Until,
-) -> Result<Given, Rejection> {
+) -> Result<Grant, Rejection> {
     loop {
         let mut open = Open::new(process, service, &ask, until);
         let placer = process.peers.placer(process.stopping.is_cancelled(), process.now());
@@ -156,7 +156,7 @@
         };
         drop(open);
         match ended {
-            Ended::Placed(given) => return Ok(*given),
+            Ended::Placed(grant) => return Ok(*grant),
             Ended::Rejected(rejection) => {
                 note_held(process, ask.fingerprint, rejection);
                 return Err(rejection);
@@ -193,7 +193,7 @@
 
 /// How it ended to ask one VM.
 enum Ended {
-    Placed(Box<Given>),
+    Placed(Box<Grant>),
     Rejected(Rejection),
     /// The VM does not answer.
     Silent(id::Vm),
@@ -307,7 +307,7 @@
                     Some(Placer::Peer(vm, _)) => vm,
                     _ => self.process.member.vm.clone(),
                 };
-                self.given(place, Some(by))
+                self.grant(place, Some(by))
             }
             Answer::Rejected(rejection) => Ended::Rejected(rejection),
             Answer::Waits => Ended::Later,
@@ -322,7 +322,7 @@
         let now = self.process.now();
         let placed = scheduler::place_alone(self.process, self.service, &ask, now);
         match placed {
-            Ok(place) => self.given(place, None),
+            Ok(place) => self.grant(place, None),
             Err(Rejection::Full) => {
                 tokio::time::sleep(LOOK).await;
                 Ended::Later
@@ -332,11 +332,11 @@
     }
 
     /// A place, unless one of its upstreams takes no more work by what is known here.
-    fn given(&self, place: Place, by: Option<id::Vm>) -> Ended {
+    fn grant(&self, place: Place, by: Option<id::Vm>) -> Ended {
         match addresses(self.process, &place.flight) {
             Ok((address, helpers)) => {
                 let number = self.number;
-                Ended::Placed(Box::new(Given { place, address, helpers, number, by }))
+                Ended::Placed(Box::new(Grant { place, address, helpers, number, by }))
             }
             Err(ended) => ended,
         }
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -14,7 +14,7 @@
 use foldlock_request::terms::Helper;
 use futures::future::join_all;
 
-use crate::fleet::asks::Given;
+use crate::fleet::grant_requests::Grant;
 use crate::fleet::job::Job;
 use crate::fleet::notices;
 use crate::fleet::process::Process;
@@ -43,8 +43,8 @@
 
 impl<D: Dialect> Hold<D> {
     /// Sets aside the memory that a place counts on at its helpers.
-    pub async fn take(job: &Arc<Job<D>>, given: &Given) -> Result<Hold<D>, Taken> {
-        let reservations = Arc::new(reservations(job, given));
+    pub async fn take(job: &Arc<Job<D>>, grant: &Grant) -> Result<Hold<D>, Taken> {
+        let reservations = Arc::new(reservations(job, grant));
         let mut hold = Hold {
             process: job.process.clone(),
             reservations: reservations.clone(),
@@ -80,12 +80,12 @@
     }
 
     /// The helpers of a place with their tickets.
-    pub fn helpers(&self, given: &Given) -> Vec<Helper> {
+    pub fn helpers(&self, grant: &Grant) -> Vec<Helper> {
         let ticket = |upstream: &id::Upstream| {
             let reservation = self.reservations.iter().find(|r| r.upstream == *upstream)?;
             Some(reservation.ticket.clone())
         };
-        let helpers = given.place.flight.helpers.iter().zip(&given.helpers);
+        let helpers = grant.place.flight.helpers.iter().zip(&grant.helpers);
         helpers
             .map(|(helping, address)| Helper {
                 address: address.clone(),
@@ -107,8 +107,8 @@
     }
 }
 
-fn reservations<D: Dialect>(job: &Job<D>, given: &Given) -> Vec<Reservation> {
-    let helpers = given.place.flight.helpers.iter().zip(&given.helpers);
+fn reservations<D: Dialect>(job: &Job<D>, grant: &Grant) -> Vec<Reservation> {
+    let helpers = grant.place.flight.helpers.iter().zip(&grant.helpers);
     let held = helpers.filter(|(helping, _)| helping.held > 0);
     held.map(|(helping, address)| Reservation {
         upstream: helping.upstream.clone(),
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -242,7 +242,7 @@
         }
     }
 
-    /// A peer has given a place.
+    /// A peer has granted a place.
     pub fn granted(&self, vm: &id::Vm, grant: u64) {
         if let Some(peer) = self.known.lock().unwrap().peers.get_mut(vm) {
             peer.granted = peer.granted.max(grant);
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -26,7 +26,6 @@
 
 use crate::fleet::config::Config;
 use crate::fleet::fresh::Fresh;
-use crate::fleet::leavers::Leavers;
 use crate::fleet::metrics::Metrics;
 use crate::fleet::packed::Kept;
 use crate::fleet::peers::Peers;
@@ -35,6 +34,7 @@
 use crate::fleet::unread::Unread;
 use crate::fleet::unreadable::Unreadable;
 use crate::fleet::volume::{self, Volume};
+use crate::fleet::withdrawals::Withdrawals;
 use crate::log;
 
 /// How long a VM counts as just started: many that start together have their settings by then.
@@ -116,7 +116,7 @@
     /// What the directory is to be told of requests that are held.
     pub register: Register,
     /// VMs that stop, to be withdrawn for them.
-    pub leavers: Leavers,
+    pub withdrawals: Withdrawals,
     /// The other VMs.
     pub peers: Peers,
     /// The directory's revision up to which listings are known.
@@ -190,7 +190,7 @@
             unread: Unread::new(config.fleet.memory()),
             unreadable: Unreadable::default(),
             register: Register::default(),
-            leavers: Leavers::default(),
+            withdrawals: Withdrawals::default(),
             at: Mutex::default(),
             restored: Mutex::default(),
             watching: AtomicBool::new(false),
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -69,13 +69,13 @@
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut tries = Tries::default();
     loop {
-        let given = match gate::place(&job, &mut tries, false).await {
-            Ok(given) => given,
+        let grant = match gate::place(&job, &mut tries, false).await {
+            Ok(grant) => grant,
             Err(rejection) => return no_place(&job, tries, proof, rejection),
         };
-        let upstream = given.place.flight.upstream.clone();
+        let upstream = grant.place.flight.upstream.clone();
         let attempt = proof.send();
-        let end = attempt::run(&job, given, job.terms.last_event, &tries).await;
+        let end = attempt::run(&job, grant, job.terms.last_event, &tries).await;
         proof = match settle(&job, &mut tries, upstream, attempt, end) {
             Step::Done(answer) => return answer,
             Step::Again(proof) => proof,
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -122,7 +122,7 @@
         at: process.at(),
         digest,
         leaving: process.stopping.is_cancelled(),
-        withdraw: process.leavers.asks(),
+        withdraw: process.withdrawals.asks(),
         watching: process.watching.load(Ordering::Relaxed),
         settled: process.peers.settled(now),
         starts,
--- a/daemon/src/fleet/withdraw.rs
+++ b/daemon/src/fleet/withdraw.rs
@@ -15,7 +15,7 @@
 use crate::fleet::process::Process;
 use crate::log;
 
-/// How long leavers gather: with a call and a beat, well under the time for which one that stops lives on.
+/// How long withdrawals gather: with a call and a beat, well under the time for which one that stops lives on.
 const GATHER: Duration = Duration::from_millis(300);
 
 /// How long a VM that stops waits for others to withdraw it: some gatherings, and under the time for which it
@@ -28,10 +28,10 @@
 /// Withdraws others until the process ends.
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     loop {
-        process.leavers.came().await;
+        process.withdrawals.came().await;
         tokio::time::sleep(GATHER).await;
         loop {
-            let some = process.leavers.some();
+            let some = process.withdrawals.some();
             if some.is_empty() {
                 break;
             }
@@ -43,9 +43,9 @@
 /// Tells all that this VM stops, and withdraws it, or lets another do that.
 pub async fn leave<D: Dialect, R: Directory>(process: &Process<D>, directory: &R) {
     let asks = process.peers.is_large() && !is_first(process);
-    process.leavers.stops(asks);
+    process.withdrawals.stops(asks);
     process.tell_all();
-    let withdrawn = process.leavers.gone();
+    let withdrawn = process.withdrawals.gone();
     if !asks || tokio::time::timeout(PATIENCE, withdrawn).await.is_err() {
         withdraw(process, directory, std::slice::from_ref(&process.member.vm)).await;
     }
@@ -54,7 +54,7 @@
 /// Whether this VM is the one that withdraws others: the first of those that are heard and stay. Where all stop, each
 /// would be that once it has heard the others; so who asks to be withdrawn itself is not.
 pub fn is_first<D: Dialect>(process: &Process<D>) -> bool {
-    !process.leavers.asks() && process.peers.position(process.now()) == 0
+    !process.withdrawals.asks() && process.peers.position(process.now()) == 0
 }
 
 async fn withdraw<D: Dialect, R: Directory>(process: &Process<D>, directory: &R, vms: &[id::Vm]) {
--- a/daemon/src/fleet/leavers.rs
+++ b/daemon/src/fleet/withdrawals.rs
@@ -10,7 +10,7 @@
 
 /// The VMs that are to be withdrawn, and whether this one was.
 #[derive(Debug, Default)]
-pub struct Leavers {
+pub struct Withdrawals {
     waiting: Mutex<BTreeSet<id::Vm>>,
     came: Notify,
     withdrawn: Notify,
@@ -18,7 +18,7 @@
     asks: AtomicBool,
 }
 
-impl Leavers {
+impl Withdrawals {
     /// A VM leaves.
     pub fn note(&self, vm: id::Vm) {
         self.waiting.lock().unwrap().insert(vm);
