--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -18,13 +18,13 @@
 use crate::fleet::register::Order;
 use crate::log;
 
-/// What is new in one listing.
+/// The log lines of the changes in one listing.
 #[derive(Debug, Default)]
-pub struct News {
+pub struct ChangeLog {
     lines: Vec<(Event, String)>,
 }
 
-impl News {
+impl ChangeLog {
     fn add(&mut self, event: Event, what: String) {
         self.lines.push((event, what));
     }
@@ -51,10 +51,10 @@
     }
 }
 
-/// How what the directory says is to be taken.
+/// How far what the directory lists can be trusted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
-    /// As it is.
+pub enum Provenance {
+    /// It is current.
     Sound,
     /// It was away of late: a listing that has ended may only have lapsed.
     Lapsed,
@@ -63,19 +63,19 @@
     Copy,
 }
 
-impl Word {
+impl Provenance {
     /// Whether an upstream whose listing has ended may still live.
     fn may_live(self) -> bool {
-        self != Word::Sound
+        self != Provenance::Sound
     }
 }
 
 /// A change as peers are told of it; none where it is told in another way, or may not hold.
-pub fn told(change: &Change, word: Word) -> Option<step::Change> {
+pub fn told(change: &Change, provenance: Provenance) -> Option<step::Change> {
     Some(match change {
         Change::Upstream(listed) => step::Change::Upstream(listed.clone()),
         // It may live; once it is taken for gone, that is told.
-        Change::UpstreamGone(..) if word.may_live() => return None,
+        Change::UpstreamGone(..) if provenance.may_live() => return None,
         Change::UpstreamGone(id, revision) | Change::UpstreamUnreadable(id, revision, _) => {
             step::Change::UpstreamGone(id.clone(), *revision)
         }
@@ -95,8 +95,8 @@
     process: &Process<D>,
     changes: &[Change],
     revision: Revision,
-    word: Word,
-    news: &mut News,
+    provenance: Provenance,
+    change_log: &mut ChangeLog,
 ) {
     let listed: HashSet<&id::Upstream> = changes
         .iter()
@@ -107,8 +107,8 @@
         .collect();
     let known: Vec<id::Upstream> =
         process.board.lock().unwrap().ids().filter(|id| !listed.contains(id)).cloned().collect();
-    known.iter().for_each(|id| listing_ended(process, id, revision, word, news));
-    if word == Word::Copy {
+    known.iter().for_each(|id| listing_ended(process, id, revision, provenance, change_log));
+    if provenance == Provenance::Copy {
         hold_again(process, changes);
         return;
     }
@@ -117,7 +117,7 @@
     if process.watching.load(Ordering::Relaxed) && !changes.iter().any(is_own) {
         list_again(process);
     }
-    release_unlisted(process, changes, news);
+    release_unlisted(process, changes, change_log);
 }
 
 /// After a whole read of the directory, a hall that is not in it is drained no more. A copy lacks what its
@@ -126,10 +126,10 @@
     process: &Process<D>,
     changes: &[Change],
     revision: Revision,
-    word: Word,
-    news: &mut News,
+    provenance: Provenance,
+    change_log: &mut ChangeLog,
 ) {
-    if word == Word::Copy {
+    if provenance == Provenance::Copy {
         return;
     }
     let drained: Vec<&str> = changes
@@ -141,25 +141,25 @@
         .collect();
     let taken_back = process.board.lock().unwrap().read_halls(&drained, revision);
     for name in taken_back {
-        hall_changed(process, &Hall { name, drained: false, revision }, news);
+        hall_changed(process, &Hall { name, drained: false, revision }, change_log);
     }
 }
 
 /// Takes what a peer knows of halls.
-pub fn halls_told<D: Dialect>(process: &Process<D>, halls: &Halls, news: &mut News) {
+pub fn halls_told<D: Dialect>(process: &Process<D>, halls: &Halls, change_log: &mut ChangeLog) {
     let changed = process.board.lock().unwrap().hear_halls(halls);
-    changed.iter().for_each(|hall| hall_changed(process, hall, news));
+    changed.iter().for_each(|hall| hall_changed(process, hall, change_log));
 }
 
-fn hall_noted<D: Dialect>(process: &Process<D>, hall: Hall, news: &mut News) {
+fn hall_noted<D: Dialect>(process: &Process<D>, hall: Hall, change_log: &mut ChangeLog) {
     if process.board.lock().unwrap().note_hall(hall.clone()) {
-        hall_changed(process, &hall, news);
+        hall_changed(process, &hall, change_log);
     }
 }
 
-fn hall_changed<D: Dialect>(process: &Process<D>, hall: &Hall, news: &mut News) {
+fn hall_changed<D: Dialect>(process: &Process<D>, hall: &Hall, change_log: &mut ChangeLog) {
     let event = if hall.drained { Event::HallDrained } else { Event::HallTakenBack };
-    news.add(event, format!("{}, by revision {}", hall.name, hall.revision));
+    change_log.add(event, format!("{}, by revision {}", hall.name, hall.revision));
     let drained = process.board.lock().unwrap().halls().drained().count();
     process.metrics.drained_halls.set(drained as i64);
     process.room.notify_one();
@@ -189,7 +189,11 @@
     }
 }
 
-fn release_unlisted<D: Dialect>(process: &Process<D>, changes: &[Change], news: &mut News) {
+fn release_unlisted<D: Dialect>(
+    process: &Process<D>,
+    changes: &[Change],
+    change_log: &mut ChangeLog,
+) {
     let listed: HashSet<Fingerprint> = changes
         .iter()
         .filter_map(|change| match change {
@@ -200,25 +204,30 @@
     let known: Vec<Fingerprint> =
         process.board.lock().unwrap().held().map(|entry| entry.fingerprint).collect();
     let gone = known.into_iter().filter(|fingerprint| !listed.contains(fingerprint));
-    gone.for_each(|fingerprint| released(process, fingerprint, news));
+    gone.for_each(|fingerprint| released(process, fingerprint, change_log));
 }
 
 /// Takes one change.
-pub fn apply<D: Dialect>(process: &Process<D>, change: Change, word: Word, news: &mut News) {
+pub fn apply<D: Dialect>(
+    process: &Process<D>,
+    change: Change,
+    provenance: Provenance,
+    change_log: &mut ChangeLog,
+) {
     match change {
         Change::Settings(settings) => process.take_settings(*settings, "the directory"),
-        Change::Upstream(listed) => upstream_listed(process, listed, word, news),
+        Change::Upstream(listed) => upstream_listed(process, listed, provenance, change_log),
         Change::UpstreamGone(id, revision) => {
-            listing_ended(process, &id, revision, word, news);
+            listing_ended(process, &id, revision, provenance, change_log);
         }
         Change::UpstreamUnreadable(id, revision, why) => {
             unreadable(process, id.as_str(), revision, &why);
-            listing_ended(process, &id, revision, Word::Sound, news);
+            listing_ended(process, &id, revision, Provenance::Sound, change_log);
         }
         Change::Member(member) => {
             let what = format!("{} at {}", member.vm, member.address);
             if members::listed(process, member) {
-                news.add(Event::MemberUp, what);
+                change_log.add(Event::MemberUp, what);
             }
         }
         Change::MemberGone(vm) if vm == process.member.vm => {
@@ -230,12 +239,14 @@
         Change::MemberGone(vm) => {
             members::withdrawn(process, &vm);
         }
-        Change::Hall(hall) => hall_noted(process, hall, news),
-        Change::Quarantined(entry) if word == Word::Copy && is_released(process, &entry) => {
+        Change::Hall(hall) => hall_noted(process, hall, change_log),
+        Change::Quarantined(entry)
+            if provenance == Provenance::Copy && is_released(process, &entry) =>
+        {
             release_again(process, &entry);
         }
-        Change::Quarantined(entry) => quarantined(process, entry, news),
-        Change::Released(fingerprint) => released(process, fingerprint, news),
+        Change::Quarantined(entry) => quarantined(process, entry, change_log),
+        Change::Released(fingerprint) => released(process, fingerprint, change_log),
         Change::Unreadable { key, revision, why } => unreadable(process, &key, revision, &why),
         Change::SettingsUnreadable(why) => log::event(&process.log, Event::VersionRefused, why),
     }
@@ -249,7 +260,12 @@
     }
 }
 
-fn upstream_listed<D: Dialect>(process: &Process<D>, listed: Listed, word: Word, news: &mut News) {
+fn upstream_listed<D: Dialect>(
+    process: &Process<D>,
+    listed: Listed,
+    provenance: Provenance,
+    change_log: &mut ChangeLog,
+) {
     let leaving = listed.leaving;
     let cold = Duration::from_millis(u64::from(listed.cold_ms));
     let what = format!("{} of {} at {}", listed.id, listed.service, listed.address);
@@ -257,9 +273,9 @@
     let mut board = process.board.lock().unwrap();
     let before = board.tag_of(&id);
     let known = board.get(&id).is_some();
-    let changed = match word {
-        Word::Sound | Word::Lapsed => board.list(listed),
-        Word::Copy => board.list_copy(listed),
+    let changed = match provenance {
+        Provenance::Sound | Provenance::Lapsed => board.list(listed),
+        Provenance::Copy => board.list_copy(listed),
     };
     board.note_cold(&id, cold, process.now());
     let restarted = known && board.tag_of(&id) != before;
@@ -270,28 +286,32 @@
     }
     if restarted {
         process.pool.forget(&id);
-        news.add(Event::UpstreamRestarted, format!("{id}, by its entry"));
+        change_log.add(Event::UpstreamRestarted, format!("{id}, by its entry"));
     }
     let event = if leaving { Event::UpstreamLeaving } else { Event::UpstreamListed };
-    news.add(event, what);
+    change_log.add(event, what);
     if leaving {
         process.pool.forget(&id);
     }
     process.room.notify_one();
 }
 
-fn quarantined<D: Dialect>(process: &Process<D>, entry: Quarantined, news: &mut News) {
+fn quarantined<D: Dialect>(process: &Process<D>, entry: Quarantined, change_log: &mut ChangeLog) {
     let what = format!("{entry:?}");
     let wall_ms = process.clock.wall_millis();
     if process.board.lock().unwrap().list_held(entry, process.now(), wall_ms) {
-        news.add(Event::Quarantined, what);
+        change_log.add(Event::Quarantined, what);
         process.room.notify_one();
     }
 }
 
-fn released<D: Dialect>(process: &Process<D>, fingerprint: Fingerprint, news: &mut News) {
+fn released<D: Dialect>(
+    process: &Process<D>,
+    fingerprint: Fingerprint,
+    change_log: &mut ChangeLog,
+) {
     if process.board.lock().unwrap().unlist_held(fingerprint, process.now()) {
-        news.add(Event::Released, fingerprint.to_string());
+        change_log.add(Event::Released, fingerprint.to_string());
     }
 }
 
@@ -307,20 +327,25 @@
     process: &Process<D>,
     id: &id::Upstream,
     revision: Revision,
-    word: Word,
-    news: &mut News,
+    provenance: Provenance,
+    change_log: &mut ChangeLog,
 ) {
-    if word.may_live() {
+    if provenance.may_live() {
         process.board.lock().unwrap().unlist(id, process.now());
         return;
     }
     if process.board.lock().unwrap().remove(id, revision) {
-        ended(process, id, "its listing ended", news);
+        ended(process, id, "its listing ended", change_log);
     }
 }
 
 /// An upstream is gone.
-pub fn ended<D: Dialect>(process: &Process<D>, id: &id::Upstream, why: &str, news: &mut News) {
+pub fn ended<D: Dialect>(
+    process: &Process<D>,
+    id: &id::Upstream,
+    why: &str,
+    change_log: &mut ChangeLog,
+) {
     process.pool.forget(id);
-    news.add(Event::UpstreamGone, format!("{id}: {why}"));
+    change_log.add(Event::UpstreamGone, format!("{id}: {why}"));
 }
--- a/daemon/src/fleet/contact.rs
+++ b/daemon/src/fleet/contact.rs
@@ -1,11 +1,11 @@
-//! What is known of the directory itself: up to where it was heard, and whether its word is sound.
+//! What is known of the directory itself: up to where it was heard, and how far it can be trusted.
 
 use std::time::{Duration, Instant};
 
 use foldlock_request::directory::Change;
 use foldlock_request::revision::Revision;
 
-use crate::fleet::changes::Word;
+use crate::fleet::changes::Provenance;
 
 /// How long a trouble of the directory may lie back for an ended listing to be put down to it.
 const RECENT: Duration = Duration::from_secs(3);
@@ -86,12 +86,12 @@
     }
 
     /// How an answer is to be taken that goes on from there, or is a whole read.
-    pub fn word(&self, from: Option<Revision>, now: Instant) -> Word {
+    pub fn provenance(&self, from: Option<Revision>, now: Instant) -> Provenance {
         let trouble = |at: Instant| now.saturating_duration_since(at) < RECENT;
         match self.restored {
-            Some(_) if from.is_none() => Word::Copy,
-            _ if self.trouble.is_some_and(trouble) => Word::Lapsed,
-            _ => Word::Sound,
+            Some(_) if from.is_none() => Provenance::Copy,
+            _ if self.trouble.is_some_and(trouble) => Provenance::Lapsed,
+            _ => Provenance::Sound,
         }
     }
 
@@ -102,14 +102,14 @@
 
     /// Settings in force are never given up for older ones, and a copy that lacks them does not confirm them:
     /// a key that was taken away in a version which is lost as well would be served on.
-    pub fn note_settings(&mut self, in_force: u64, word: Word, changes: &[Change]) {
+    pub fn note_settings(&mut self, in_force: u64, provenance: Provenance, changes: &[Change]) {
         let held = changes.iter().rev().find_map(|change| match change {
             Change::Settings(settings) => Some(settings.table.number()),
             _ => None,
         });
         match held {
             Some(number) if number >= in_force => self.behind = false,
-            _ if word == Word::Copy => self.behind = in_force > 0,
+            _ if provenance == Provenance::Copy => self.behind = in_force > 0,
             _ => {}
         }
     }
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -11,7 +11,7 @@
 use foldlock_request::revision::Revision;
 use foldlock_request::step::{self, Step};
 
-use crate::fleet::changes::{self, News};
+use crate::fleet::changes::{self, ChangeLog};
 use crate::fleet::contact::Contact;
 use crate::fleet::join;
 use crate::fleet::metrics::Call;
@@ -196,28 +196,30 @@
     if let Some(failures) = contact.answered(now) {
         log::event(&process.log, Event::DirectoryUp, format!("after {failures} failed calls"));
     }
-    let mut news = News::default();
+    let mut change_log = ChangeLog::default();
     let Changes { at, changes } = changes;
     note_era(process, at, "the directory");
     // Also where a peer told of it first.
     contact.note_restored(process.restored(COPY));
-    let word = contact.word(from, now);
+    let provenance = contact.provenance(from, now);
     if from.is_none() {
-        changes::end_unlisted(process, &changes, at, word, &mut news);
-        changes::take_back_unlisted(process, &changes, at, word, &mut news);
+        changes::end_unlisted(process, &changes, at, provenance, &mut change_log);
+        changes::take_back_unlisted(process, &changes, at, provenance, &mut change_log);
     }
-    contact.note_settings(process.version(), word, &changes);
+    contact.note_settings(process.version(), provenance, &changes);
     let changed = !changes.is_empty();
     contact.goes_on(at);
     process.known_to(at);
     let mut step: Vec<step::Change> =
-        changes.iter().filter_map(|change| changes::told(change, word)).collect();
-    changes.into_iter().for_each(|change| changes::apply(process, change, word, &mut news));
+        changes.iter().filter_map(|change| changes::told(change, provenance)).collect();
+    changes
+        .into_iter()
+        .for_each(|change| changes::apply(process, change, provenance, &mut change_log));
     let gone = process.board.lock().unwrap().expire(RELIST, at, now);
-    gone.iter().for_each(|id| changes::ended(process, id, "not listed again", &mut news));
+    gone.iter().for_each(|id| changes::ended(process, id, "not listed again", &mut change_log));
     step.extend(gone.into_iter().map(|id| step::Change::UpstreamGone(id, at)));
     note_step(process, from, at, step);
-    news.log(process, at, "the directory");
+    change_log.log(process, at, "the directory");
     if !contact.is_behind() {
         process.fresh.confirm(asked);
     }
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -11,7 +11,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{Change, Directory};
 
-use crate::fleet::changes::{self, News, Word};
+use crate::fleet::changes::{self, ChangeLog, Provenance};
 use crate::fleet::metrics::Call;
 use crate::fleet::peers::WATCHERS;
 use crate::fleet::process::Process;
@@ -107,10 +107,10 @@
 }
 
 fn list<D: Dialect>(process: &Process<D>, changes: Vec<Change>) {
-    let mut news = News::default();
+    let mut change_log = ChangeLog::default();
     let members = changes.into_iter().filter(|change| matches!(change, Change::Member(_)));
-    members.for_each(|member| changes::apply(process, member, Word::Sound, &mut news));
-    news.log(process, process.at(), "a look at who is listed");
+    members.for_each(|member| changes::apply(process, member, Provenance::Sound, &mut change_log));
+    change_log.log(process, process.at(), "a look at who is listed");
 }
 
 /// How long the VM at this place in the order waits until it reads the directory.
--- a/daemon/src/fleet/peer_sync.rs
+++ b/daemon/src/fleet/peer_sync.rs
@@ -9,7 +9,7 @@
 use foldlock_request::directory::{Change, Listing};
 use foldlock_request::step::{self, Step};
 
-use crate::fleet::changes::{self, News, Word};
+use crate::fleet::changes::{self, ChangeLog, Provenance};
 use crate::fleet::follow;
 use crate::fleet::process::Process;
 
@@ -27,7 +27,7 @@
     let revision = listing.at;
     // The peer may know the copy alone.
     let restored = follow::note_era(process, revision, "a peer");
-    let word = if restored { Word::Lapsed } else { Word::Sound };
+    let provenance = if restored { Provenance::Lapsed } else { Provenance::Sound };
     process.known_to(revision);
     let upstreams: Vec<Listed> = {
         let board = process.board.lock().unwrap();
@@ -37,13 +37,15 @@
     let upstreams = upstreams.into_iter().map(Change::Upstream);
     let held = listing.held.into_iter().map(Change::Quarantined);
     let changes: Vec<Change> = upstreams.chain(members).chain(held).collect();
-    let mut news = News::default();
-    changes::halls_told(process, &listing.halls, &mut news);
+    let mut change_log = ChangeLog::default();
+    changes::halls_told(process, &listing.halls, &mut change_log);
     if newer {
-        changes::end_unlisted(process, &changes, revision, word, &mut news);
+        changes::end_unlisted(process, &changes, revision, provenance, &mut change_log);
     }
-    changes.into_iter().for_each(|change| changes::apply(process, change, Word::Sound, &mut news));
-    news.log(process, revision, "a peer");
+    changes
+        .into_iter()
+        .for_each(|change| changes::apply(process, change, Provenance::Sound, &mut change_log));
+    change_log.log(process, revision, "a peer");
 }
 
 /// Takes a step of the listings that a peer saw, if it follows on what is known here. What ended here comes
@@ -53,14 +55,14 @@
     if !step.follows(process.at()) {
         return;
     }
-    let mut news = News::default();
+    let mut change_log = ChangeLog::default();
     for change in step.changes {
         if let Some(change) = accepted(process, change) {
-            changes::apply(process, change, Word::Sound, &mut news);
+            changes::apply(process, change, Provenance::Sound, &mut change_log);
         }
     }
     process.known_to(step.to);
-    news.log(process, step.to, from.as_str());
+    change_log.log(process, step.to, from.as_str());
 }
 
 /// A change that a peer told, unless something newer is known here.
