Names: constants of the fleet's modules say what they bound; exclusions, lost reservations

Texts: 'upstream X is excluded: ...', 'response signature does not match upstream X', 'registration in the directory failed', 'cannot decode the directory listing received from VM X'. No change of behaviour.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -23,9 +23,9 @@
 use crate::fleet::ending;
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::heads::{declared, rest, strip};
-use crate::fleet::hold::{Hold, Taken};
+use crate::fleet::hold::{Hold, ReservationLost};
 use crate::fleet::job::Job;
-use crate::fleet::notices::{self, Bar};
+use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, note, tell};
 use crate::fleet::process::Entered;
 use crate::fleet::source::{Begun, Next, Source};
@@ -33,7 +33,7 @@
 
 /// How long a new connection may take: it comes up in a few ms, and an upstream that is dark says
 /// nothing.
-const CONNECT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// The largest whole answer, bytes.
 const MOST_ANSWER: usize = 16 << 20;
@@ -62,7 +62,7 @@
     /// No byte was sent.
     Unsent(String),
     /// The memory that the place counted on was taken; nothing was sent.
-    NoMemory(Taken),
+    NoMemory(ReservationLost),
     /// The upstream said that it did not run the request.
     NotRun {
         /// What it said.
@@ -150,9 +150,9 @@
             return End::Unsent(why);
         }
     };
-    if let Some((barred, bar)) = barred(job, &place.flight) {
+    if let Some((upstream, reason)) = excluded(job, &place.flight) {
         // That came to be while memory was set aside for this request, or its connection opened.
-        return End::Unsent(format!("{barred} takes nothing now: {bar}"));
+        return End::Unsent(format!("upstream {upstream} is excluded: {reason}"));
     }
     let request = request(job, place, &hold.helpers(&grant), last_event);
     let sent = job.process.now();
@@ -174,7 +174,7 @@
     }
     if head.status.is_success() && !D::genuine(&head.headers) {
         note(job, &upstream, Cause::Broken);
-        return End::Broken("the body is not the upstream's own".to_owned());
+        return End::Broken(format!("response signature does not match upstream {upstream}"));
     }
     let promised = declared(&head.headers);
     strip(&mut head.headers);
@@ -198,10 +198,13 @@
 }
 
 /// The upstream of a flight, or the helper, that may be sent nothing now.
-fn barred<'a, D: Dialect>(job: &Job<D>, flight: &'a Flight) -> Option<(&'a id::Upstream, Bar)> {
+fn excluded<'a, D: Dialect>(
+    job: &Job<D>,
+    flight: &'a Flight,
+) -> Option<(&'a id::Upstream, Exclusion)> {
     let helpers = flight.helpers.iter().map(|helping| &helping.upstream);
     let mut all = std::iter::once(&flight.upstream).chain(helpers);
-    all.find_map(|upstream| Some((upstream, notices::barred(&job.process, upstream)?)))
+    all.find_map(|upstream| Some((upstream, notices::exclusion(&job.process, upstream)?)))
 }
 
 fn refused<D: Dialect>(
@@ -241,7 +244,7 @@
         return Ok(channel);
     }
     job.process.metrics.connections.inc();
-    match Channel::open(&grant.address, CONNECT).await {
+    match Channel::open(&grant.address, CONNECT_TIMEOUT).await {
         Ok(channel) => Ok(channel),
         Err(Failure::Refused(why) | Failure::Unsent(why) | Failure::Broken(why)) => Err(why),
     }
--- a/daemon/src/fleet/catch_up.rs
+++ b/daemon/src/fleet/catch_up.rs
@@ -22,23 +22,23 @@
 use crate::log;
 
 /// How long a read from a peer may take.
-const READ: Duration = Duration::from_millis(800);
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The same from a VM of the own hall that may not live: the way there takes less than a millisecond, and a text
 /// on the smallest link some ten.
-const READ_NEAR: Duration = Duration::from_millis(100);
+const NEAR_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The time between two VMs.
-const TURN: Duration = Duration::from_millis(2);
+const WAIT_PER_VM: Duration = Duration::from_millis(2);
 
 /// The longest such wait: settings have to be in force everywhere in 2 s.
 const MOST_TURN: Duration = Duration::from_millis(400);
 
 /// The pause between two reads.
-const PAUSE: Duration = Duration::from_millis(100);
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Reads in one go; what is still missing then is told by the next beat.
-const READS: u32 = 8;
+const MAX_READS: u32 = 8;
 
 /// Starts to catch up if a peer knows more and nothing is being read yet.
 pub fn start<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
@@ -71,7 +71,7 @@
 
 async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
     tokio::time::sleep(turn(&process)).await;
-    for read in 0..READS {
+    for read in 0..MAX_READS {
         let Some(source) = source(&process) else { break };
         if read == 0 && read_near(&process, &directory, &source).await {
             continue;
@@ -79,7 +79,7 @@
         if let Err(why) = read_from(&process, &directory, source).await {
             log::event(&process.log, Event::PeerUnreadable, why);
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(READ_INTERVAL).await;
     }
     process.peers.reading.store(false, Ordering::Relaxed);
 }
@@ -90,7 +90,7 @@
         return Duration::ZERO;
     }
     let before = rand::random_range(0..process.peers.listed_count() as u32);
-    (TURN * before).min(MOST_TURN)
+    (WAIT_PER_VM * before).min(MOST_TURN)
 }
 
 /// Reads from some VM of the own hall, if it has what is missing: most have by the time at which most read, and
@@ -109,7 +109,7 @@
             format!("{}?{}{}", operators::LISTING, operators::ABOVE, process.at())
         }
     };
-    let Ok(text) = read(near, &path, READ_NEAR).await else { return false };
+    let Ok(text) = read(near, &path, NEAR_READ_TIMEOUT).await else { return false };
     take(process, directory, source, near, text).is_ok()
 }
 
@@ -122,7 +122,7 @@
         Source::Settings(peer) => (peer, operators::SETTINGS),
         Source::Listing(peer) => (peer, operators::LISTING),
     };
-    let text = read(peer, path, READ).await?;
+    let text = read(peer, path, READ_TIMEOUT).await?;
     take(process, directory, &source, peer, text)
 }
 
@@ -140,8 +140,9 @@
         }
         Source::Listing(_) => {
             process.metrics.peer_read(Text::Listing);
-            let listing =
-                serde_json::from_slice(&text).map_err(|e| format!("listing of {from}: {e}"))?;
+            let listing = serde_json::from_slice(&text).map_err(|e| {
+                format!("cannot decode the directory listing received from VM {from}: {e}")
+            })?;
             peer_sync::listing(process, listing);
             // What still differs then is for a later revision to settle: two VMs would else read each other's
             // listings without an end.
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -15,7 +15,7 @@
 use crate::fleet::answer::Body;
 use crate::fleet::attempt::{self, End};
 use crate::fleet::gate;
-use crate::fleet::hold::Taken;
+use crate::fleet::hold::ReservationLost;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{self, Streamed};
 use crate::fleet::source::{Begun, Next, Source};
@@ -242,7 +242,7 @@
                 tries.unsent += 1;
                 why
             }
-            End::NoMemory(Taken { upstream, fault }) => {
+            End::NoMemory(ReservationLost { upstream, fault }) => {
                 tries.unsent += 1;
                 from = upstream;
                 fault.to_string()
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -22,7 +22,7 @@
 
 /// How long one watch waits for a change. It bounds the age of the settings: each answer confirms
 /// them, and keys that were taken away must end within seconds. Each answer is also priced.
-const WATCH: Duration = Duration::from_millis(1_000);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// The pause between two watches, in which changes gather: it bounds the calls while many things
 /// change, and adds to the time in which a change is heard.
@@ -33,14 +33,14 @@
 const GATHER_SPARE: Duration = Duration::from_millis(500);
 
 /// The pause after a call that failed; it doubles with each failure.
-const RETRY: Duration = Duration::from_millis(100);
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The longest such pause: a directory that is back is to be noticed well within its bounds.
 const MOST_RETRY: Duration = Duration::from_millis(400);
 
 /// How long after the directory's return an upstream whose listing lapsed may take to list itself
 /// again; from then on it is gone.
-const RELIST: Duration = Duration::from_secs(2);
+const RELIST_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How much longer than the VM before it in the order a VM relies on what it was told, once no peer
 /// says any more that the directory answers it: so the first few of them ask, and the others hear
@@ -57,7 +57,7 @@
 
 /// How long a VM that has started waits for the listings once a peer is heard that has settings: the first VMs of a
 /// fleet of 1,000 that starts have read theirs after a second, and those that hear them another one later.
-const LEARNS: Duration = Duration::from_secs(3);
+const LEARN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The longest pause after a failed call of a VM that need not watch: those that watch tell it as
 /// soon as the directory is back.
@@ -76,7 +76,7 @@
 /// How long after its return from a copy the directory may still list what is older than what is known. By then
 /// who lives has written itself again, within two seconds, and the entries of who ended since have lapsed,
 /// after three liveness reports of 1.2 s.
-const COPY: Duration = Duration::from_secs(5);
+const RESTORE_PERIOD: Duration = Duration::from_secs(5);
 
 /// The time that each VM adds to that in which all list themselves again, once the directory has come back
 /// from a copy: 150 calls a second, where 400 are free in the smallest installation.
@@ -101,7 +101,7 @@
         process.metrics.called(if from.is_some() { Call::Watch } else { Call::Read });
         let answer = match from {
             Some(at) => tokio::select! {
-                answer = directory.watch(at, WATCH) => answer,
+                answer = directory.watch(at, WATCH_TIMEOUT) => answer,
                 // What it told before may have ended in that time.
                 () = process.woke.notified() => {
                     contact.forget();
@@ -154,7 +154,8 @@
     let now = process.now();
     // What it is yet to learn, who watches among it, comes from any peer that has heard of it; and those that watch
     // answer a beat or two after it has learnt who they are.
-    let learns = if process.at().is_none() { LEARNS } else { process.peers.cadence().places() * 2 };
+    let learns =
+        if process.at().is_none() { LEARN_TIMEOUT } else { process.peers.cadence().places() * 2 };
     if process.peers.age(now) < learns && process.peers.knows(now) {
         return true;
     }
@@ -200,7 +201,7 @@
     let Changes { at, changes } = changes;
     note_era(process, at, "the directory");
     // Also where a peer told of it first.
-    contact.note_restored(process.restored(COPY));
+    contact.note_restored(process.restored(RESTORE_PERIOD));
     let provenance = contact.provenance(from, now);
     if from.is_none() {
         changes::end_unlisted(process, &changes, at, provenance, &mut change_log);
@@ -215,7 +216,7 @@
     changes
         .into_iter()
         .for_each(|change| changes::apply(process, change, provenance, &mut change_log));
-    let gone = process.board.lock().unwrap().expire(RELIST, at, now);
+    let gone = process.board.lock().unwrap().expire(RELIST_TIMEOUT, at, now);
     gone.iter().for_each(|id| changes::ended(process, id, "not listed again", &mut change_log));
     step.extend(gone.into_iter().map(|id| step::Change::UpstreamGone(id, at)));
     note_step(process, from, at, step);
@@ -223,7 +224,7 @@
     if !contact.is_behind() {
         process.fresh.confirm(asked);
     }
-    contact.settle(process.restored(COPY));
+    contact.settle(process.restored(RESTORE_PERIOD));
     let is_told = process.peers.told_by_others(now) >= at;
     if changed && !is_told {
         process.tell_all();
@@ -278,7 +279,7 @@
     }
     process.watching.store(false, Ordering::Relaxed);
     process.metrics.directory_failures.inc();
-    let pause = RETRY * 2_u32.saturating_pow(failures.min(MOST_DOUBLED) - 1);
+    let pause = RETRY_INTERVAL * 2_u32.saturating_pow(failures.min(MOST_DOUBLED) - 1);
     if !is_large(process) || is_watcher(process) {
         tokio::time::sleep(pause.min(MOST_RETRY)).await;
         return;
@@ -296,11 +297,15 @@
 
 /// Lists this VM, again and again until the directory has taken it.
 pub async fn announce<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    let mut pause = RETRY;
+    let mut pause = RETRY_INTERVAL;
     loop {
         process.metrics.called(Call::Write);
         let Err(fault) = directory.announce(&process.member).await else { break };
-        log::event(&process.log, Event::DirectoryDown, format!("not listed yet: {fault}"));
+        log::event(
+            &process.log,
+            Event::DirectoryDown,
+            format!("registration in the directory failed: {fault}"),
+        );
         tokio::time::sleep(pause).await;
         pause = (pause * 2).min((MOST_RETRY * 4).max(longest_pause(&process)));
     }
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -1,4 +1,4 @@
-//! Where a request waits until there is a place for it.
+//! Admission queue: holds a request until it is scheduled.
 
 use std::time::{Duration, Instant};
 
@@ -20,20 +20,20 @@
 use crate::fleet::tries::Tries;
 
 /// How often a request looks again for a service without any open upstream.
-const LOOK: Duration = Duration::from_millis(25);
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// A place that took longer than this was waited for; others only for the way to the VM that places.
-const WAITED: Duration = Duration::from_millis(30);
+/// Grants slower than this count as queueing; faster ones are network latency to the scheduler.
+const LEAST_QUEUED: Duration = Duration::from_millis(30);
 
-/// The part of the time a caller gave after which a request without a place is refused, so that the
-/// caller still has time to come back.
-const PATIENCE: f64 = 0.4;
+/// Share of the deadline a request may queue for before it is rejected, so that its caller can still
+/// retry.
+const MAX_QUEUE_SHARE: f64 = 0.4;
 
 /// The longest wait for a service without any open upstream.
-const CLOSED: Duration = Duration::from_millis(500);
+const MAX_WAIT_CLOSED: Duration = Duration::from_millis(500);
 
-/// The longest rest that a stream is held for that has begun: its caller leaves after a pause of 2 s.
-const BEGUN: Duration = Duration::from_millis(1_500);
+/// Longest backoff of all upstreams that a stream which has begun waits for: its caller leaves after 2 s.
+const MAX_BACKOFF_BEGUN: Duration = Duration::from_millis(1_500);
 
 /// The engines among which a long prompt is usually divided, where 18 serve short ones as well.
 const USUAL_PARTS: f64 = 10.0;
@@ -41,17 +41,15 @@
 /// The writers of the engine that answers a long prompt.
 const USUAL_WRITERS: u32 = 4;
 
-/// The part of the time a caller gave after which a long prompt without a place is refused: a caller
-/// is better told while it can still do something else. Waiting on serves one in fifty of them more.
-const HELD: f64 = 0.7;
+/// Share of the deadline a long prompt may queue for before it is rejected.
+const MAX_QUEUE_SHARE_LONG: f64 = 0.7;
 
-/// How much longer an answer takes for the reads in its passes: long answers had pauses of 100 to 500
-/// ms now and then, at passes of 50 to 70 ms.
-const STRETCH: f64 = 1.5;
+/// Slowdown of decoding caused by prefill chunks in the same batch.
+const PREFILL_SLOWDOWN: f64 = 1.5;
 
 /// How long a request waits for a place at most.
 pub fn patience<D: Dialect>(job: &Job<D>) -> Duration {
-    (job.deadline - job.arrived).mul_f64(PATIENCE)
+    (job.deadline - job.arrived).mul_f64(MAX_QUEUE_SHARE)
 }
 
 /// Finds a place, or says why there is none. The request has not been sent, or each attempt so far
@@ -76,11 +74,11 @@
     if let Err(held @ Rejection::Quarantined { .. }) = known {
         return Err(held);
     }
-    let closed = started + CLOSED;
+    let closed = started + MAX_WAIT_CLOSED;
     let mut ask = job.ask(&tries.avoid, tries.charge());
     let limit = match read_ms(job, &ask) {
         Some((engine, read_ms)) => {
-            let held = (job.deadline - job.arrived).mul_f64(HELD);
+            let held = (job.deadline - job.arrived).mul_f64(MAX_QUEUE_SHARE_LONG);
             ask.limit = ask.limit.saturating_sub(last_start(job, engine, read_ms)).min(held);
             job.arrived + ask.limit
         }
@@ -99,7 +97,7 @@
                 return Ok(grant);
             }
             Err(Rejection::Closed) if job.process.now() < closed && !job.process.closing() => {
-                tokio::time::sleep(LOOK).await;
+                tokio::time::sleep(POLL_INTERVAL).await;
             }
             Err(rejection) => return Err(rejection),
         }
@@ -113,7 +111,7 @@
 async fn rested<D: Dialect>(job: &Job<D>, begun: bool) -> Result<bool, Rejection> {
     let Some(left) = notices::all_rest(&job.process, &job.service.name) else { return Ok(false) };
     let in_time = job.held() + left < job.route.objective && !job.process.closing();
-    let held = begun && left < BEGUN;
+    let held = begun && left < MAX_BACKOFF_BEGUN;
     if !(in_time || held) {
         return Err(Rejection::Resting { left_ms: left.as_millis() as u64 });
     }
@@ -135,12 +133,12 @@
     let answer = expected.min(engine.usual_answer);
     let passes = answer.0 as f64 / f64::from(engine.stride.max(1));
     let pass_ms = forecast::pass_ms(engine, USUAL_WRITERS, engine.memory.0 / 2);
-    Duration::from_secs_f64((read_ms / USUAL_PARTS + passes * pass_ms * STRETCH) / 1e3)
+    Duration::from_secs_f64((read_ms / USUAL_PARTS + passes * pass_ms * PREFILL_SLOWDOWN) / 1e3)
 }
 
 fn placed<D: Dialect>(job: &Job<D>, grant: &Grant, started: Instant) {
     let asked = job.process.now().saturating_duration_since(started);
-    if asked >= WAITED {
+    if asked >= LEAST_QUEUED {
         job.record(Decision::Waited { cause: Cause::Engines, waited_ms: millis(asked) });
     }
     let place = &grant.place;
@@ -192,7 +190,7 @@
 
 /// The caller comes back when the first rest is over, or sooner to another VM.
 fn resting<D: Dialect>(job: &Job<D>, left_ms: u64, proof: Unsent) -> Error {
-    let left = Duration::from_millis(left_ms).max(LOOK);
+    let left = Duration::from_millis(left_ms).max(POLL_INTERVAL);
     let service = &job.service.name;
     let why = format!("{service}: all upstreams asked {} for a rest", job.process.member.vm);
     let after = left.min(retry_after::Cause::Full.retry_after(job.left()));
--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -18,7 +18,7 @@
 use foldlock_version::routes::Service;
 use tokio::sync::mpsc;
 
-use crate::fleet::notices::{self, Bar};
+use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::fleet::{affiliation, scheduler, tell};
@@ -26,16 +26,16 @@
 
 /// How long an answer may take before the same is asked again: the way there and back takes 3 ms
 /// between halls, the rest is for a VM that is busy.
-const ANSWER: Duration = Duration::from_millis(25);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Questions without an answer after which the next VM is asked.
-const QUESTIONS: u32 = 2;
+const MAX_UNANSWERED: u32 = 2;
 
 /// How often a request that waits asks again, so that it is seen when the VM that places is gone.
-const AGAIN: Duration = Duration::from_millis(150);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(150);
 
 /// How often a VM that places its own requests looks again.
-const LOOK: Duration = Duration::from_millis(25);
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// An assignment of a request to upstreams, with their addresses.
 #[derive(Debug)]
@@ -110,9 +110,11 @@
     process: &Process<D>,
     flight: &Flight,
 ) -> Result<(String, Vec<String>), Ended> {
-    let address = |id: &id::Upstream| match notices::barred(process, id) {
-        Some(Bar::Closed | Bar::Drained) => Err(Ended::Gone(notices::start(process, id))),
-        Some(Bar::Resting { .. }) => Err(Ended::Resting),
+    let address = |id: &id::Upstream| match notices::exclusion(process, id) {
+        Some(Exclusion::Closed | Exclusion::Drained) => {
+            Err(Ended::Gone(notices::start(process, id)))
+        }
+        Some(Exclusion::Resting { .. }) => Err(Ended::Resting),
         None => {
             let board = process.board.lock().unwrap();
             let known = board.get(id).map(|upstream| upstream.listed.address.clone());
@@ -234,18 +236,20 @@
         let mut unanswered = 0;
         loop {
             self.send(&placer);
-            match self.answer(ANSWER).await {
+            match self.answer(ANSWER_TIMEOUT).await {
                 None => unanswered += 1,
                 Some(Answer::Waits) => {
                     unanswered = 0;
-                    if let Some(answer) = self.place_in(AGAIN).await {
+                    if let Some(answer) = self.place_in(RENEWAL_INTERVAL).await {
                         return self.ended(answer);
                     }
                 }
                 Some(answer) => return self.ended(answer),
             }
             match &placer {
-                Placer::Peer(vm, _) if unanswered == QUESTIONS => return Ended::Silent(vm.clone()),
+                Placer::Peer(vm, _) if unanswered == MAX_UNANSWERED => {
+                    return Ended::Silent(vm.clone());
+                }
                 _ if self.is_over() => return Ended::Later,
                 _ => {}
             }
@@ -324,7 +328,7 @@
         match placed {
             Ok(place) => self.grant(place, None),
             Err(Rejection::Full) => {
-                tokio::time::sleep(LOOK).await;
+                tokio::time::sleep(POLL_INTERVAL).await;
                 Ended::Later
             }
             Err(rejection) => Ended::Rejected(rejection),
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -21,13 +21,13 @@
 use crate::log;
 
 /// The pause after an order without an answer.
-const AGAIN: Duration = Duration::from_millis(200);
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// How often giving back is tried; after that the memory lapses by itself.
-const RELEASES: u32 = 6;
+const MAX_RELEASES: u32 = 6;
 
 /// Memory that an upstream did not set aside.
-pub struct Taken {
+pub struct ReservationLost {
     /// The upstream.
     pub upstream: id::Upstream,
     /// Why.
@@ -43,7 +43,7 @@
 
 impl<D: Dialect> Hold<D> {
     /// Sets aside the memory that a place counts on at its helpers.
-    pub async fn take(job: &Arc<Job<D>>, grant: &Grant) -> Result<Hold<D>, Taken> {
+    pub async fn take(job: &Arc<Job<D>>, grant: &Grant) -> Result<Hold<D>, ReservationLost> {
         let reservations = Arc::new(reservations(job, grant));
         let mut hold = Hold {
             process: job.process.clone(),
@@ -65,7 +65,7 @@
             notices::heard(&job.process, &reservation.upstream, start, notice);
             // What was set aside is given back as `hold` is dropped.
             let upstream = reservation.upstream.clone();
-            answer.map_err(|fault| Taken { upstream, fault })?;
+            answer.map_err(|fault| ReservationLost { upstream, fault })?;
         }
         let engines = reservations.iter().map(|r| r.upstream.clone()).collect();
         let waited_ms = millis(job.process.now().saturating_duration_since(started));
@@ -130,7 +130,7 @@
     if let Err(fault) = reserve(process, reservation).await {
         let what = format!("{} at {}: {fault}", reservation.ticket, reservation.upstream);
         log::event(&process.log, Event::RenewalFailed, what);
-        tokio::time::sleep(AGAIN).await;
+        tokio::time::sleep(RETRY_INTERVAL).await;
         // The last try within the hold; without it the engine cuts the request, which is seen.
         let _ = reserve(process, reservation).await;
     }
@@ -150,7 +150,7 @@
 
 async fn release<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
     let mut last = None;
-    for _ in 0..RELEASES {
+    for _ in 0..MAX_RELEASES {
         let start = notices::start(process, &reservation.upstream);
         let Noted { notice, answer } = process.memory.release(reservation).await;
         notices::heard(process, &reservation.upstream, start, notice);
@@ -158,7 +158,7 @@
             Ok(()) => return,
             Err(fault) => last = Some(fault),
         }
-        tokio::time::sleep(AGAIN).await;
+        tokio::time::sleep(RETRY_INTERVAL).await;
     }
     let why = last.map_or_else(String::new, |fault| fault.to_string());
     let what = format!("{} at {}: {why}", reservation.ticket, reservation.upstream);
--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -19,7 +19,7 @@
 
 /// The pauses between looks that show nobody, not even this VM, which has listed itself: they were answered
 /// from before. A fleet that starts for the first time shows itself so.
-const PAUSES: [Duration; 4] = [
+const LOOK_PAUSES: [Duration; 4] = [
     Duration::from_millis(60),
     Duration::from_millis(600),
     Duration::from_millis(1_200),
@@ -27,27 +27,27 @@
 ];
 
 /// The pause after a look that failed; it doubles with each failure.
-const RETRY: Duration = Duration::from_millis(100);
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The longest such pause: a directory that is back is to be noticed soon, and a look costs it little.
 const MOST_RETRY: Duration = Duration::from_millis(400);
 
 /// How long one of the first VMs in the order waits for others that live: some trips between halls.
-const FIRST: Duration = Duration::from_millis(150);
+const FIRST_WAIT: Duration = Duration::from_millis(150);
 
 /// How long the others wait for these: they read the directory and answer within a beat.
-const HEARD: Duration = Duration::from_millis(500);
+const PEER_WAIT: Duration = Duration::from_millis(500);
 
 /// How long a VM waits for the first of those whose names are like its own: they look at all that are listed, and
 /// hear the first of these, before they can tell.
-const HEARD_NEAR: Duration = Duration::from_millis(1_500);
+const NEAR_PEER_WAIT: Duration = Duration::from_millis(1_500);
 
 /// The time that each VM before this one adds: where none of the first ones live, this many calls a second are
 /// made of it.
-const TURN: Duration = Duration::from_millis(4);
+const WAIT_PER_VM: Duration = Duration::from_millis(4);
 
 /// How often a VM that waits for its peers looks whether they were heard.
-const LOOK: Duration = Duration::from_millis(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Looks who is listed, and waits until peers are heard that know the rest, if there are many. What is still
 /// not known then, is read from the directory.
@@ -56,9 +56,9 @@
 /// look at all, what they read together would grow with the square of the fleet, and come too late for any of
 /// them: so only the first few of those that are alike do.
 pub async fn find_peers<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
-    for pause in PAUSES {
+    for pause in LOOK_PAUSES {
         let found = look(process, directory, alike(process.member.vm.as_str())).await;
-        if process.peers.is_large() && is_told(process, HEARD_NEAR).await {
+        if process.peers.is_large() && is_told(process, NEAR_PEER_WAIT).await {
             return;
         }
         if found && look(process, directory, "").await {
@@ -76,7 +76,7 @@
 
 /// Looks at VMs that are listed, until the directory answers. Answers whether there are any.
 async fn look<D: Dialect, R: Directory>(process: &Process<D>, directory: &R, prefix: &str) -> bool {
-    let mut pause = RETRY;
+    let mut pause = RETRY_INTERVAL;
     let mut failures = 0;
     while !process.stopping.is_cancelled() {
         process.metrics.called(Call::Look);
@@ -115,7 +115,7 @@
 
 /// How long the VM at this place in the order waits until it reads the directory.
 pub fn patience(position: usize) -> Duration {
-    if position < WATCHERS { FIRST } else { HEARD + TURN * position as u32 }
+    if position < WATCHERS { FIRST_WAIT } else { PEER_WAIT + WAIT_PER_VM * position as u32 }
 }
 
 /// Waits until a peer is heard that knows the rest, each VM a little longer than the one before it in the order.
@@ -134,19 +134,19 @@
 /// Whether a VM that is not among the first of those that it knows hears from them in time.
 async fn is_told<D: Dialect>(process: &Process<D>, patience: Duration) -> bool {
     let position = process.peers.position_listed();
-    let patience = patience + TURN * position as u32;
+    let patience = patience + WAIT_PER_VM * position as u32;
     position >= WATCHERS && comes_about(patience, || process.peers.knows(process.now())).await
 }
 
 /// Waits for this long at most until it is so, and answers whether it is. Looks are counted and not the clock: a VM
 /// that stood still finds what it was told meanwhile only once it goes on.
 pub async fn comes_about(patience: Duration, is_so: impl Fn() -> bool) -> bool {
-    let looks = patience.as_millis() / LOOK.as_millis();
+    let looks = patience.as_millis() / POLL_INTERVAL.as_millis();
     for _ in 0..looks {
         if is_so() {
             return true;
         }
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
     is_so()
 }
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -63,23 +63,23 @@
 }
 
 /// Why this VM may send an upstream nothing new, by what that said itself.
-pub fn barred<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) -> Option<Bar> {
+pub fn exclusion<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) -> Option<Exclusion> {
     let board = process.board.lock().unwrap();
     match board.get(upstream) {
-        Some(known) if known.is_leaving() => return Some(Bar::Closed),
-        Some(known) if known.drained => return Some(Bar::Drained),
+        Some(known) if known.is_leaving() => return Some(Exclusion::Closed),
+        Some(known) if known.drained => return Some(Exclusion::Drained),
         Some(_) => {}
-        None => return Some(Bar::Closed),
+        None => return Some(Exclusion::Closed),
     }
     let start = board.tag_of(upstream);
     drop(board);
     let left = process.rests.lock().unwrap().left(start, process.moment());
-    left.map(|left| Bar::Resting { left })
+    left.map(|left| Exclusion::Resting { left })
 }
 
 /// What keeps new work from an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Bar {
+pub enum Exclusion {
     /// It leaves, or is gone.
     Closed,
     /// An operator has drained its data hall.
@@ -91,12 +91,12 @@
     },
 }
 
-impl fmt::Display for Bar {
+impl fmt::Display for Exclusion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Bar::Closed => f.write_str("it leaves or is gone"),
-            Bar::Drained => f.write_str("its data hall is drained"),
-            Bar::Resting { left } => {
+            Exclusion::Closed => f.write_str("it leaves or is gone"),
+            Exclusion::Drained => f.write_str("its data hall is drained"),
+            Exclusion::Resting { left } => {
                 write!(f, "it rests for {} ms more", left.as_millis())
             }
         }
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -14,7 +14,7 @@
 use foldlock_request::tag::Tag;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::notices::{self, Bar};
+use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
 use crate::fleet::tell;
@@ -76,7 +76,9 @@
 }
 
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
-    if let Some(Bar::Resting { .. } | Bar::Drained) = notices::barred(&process, &listed.id) {
+    if let Some(Exclusion::Resting { .. } | Exclusion::Drained) =
+        notices::exclusion(&process, &listed.id)
+    {
         // It is to get nothing of this VM, a question how it fares included.
         return;
     }
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -17,13 +17,13 @@
 use crate::fleet::{affiliation, tell};
 
 /// The least time between two looks at what waits: what ends gathers for it.
-const GATHER: Duration = Duration::from_millis(3);
+const BATCH_INTERVAL: Duration = Duration::from_millis(3);
 
 /// The longest time between two looks while something waits: engines get free by the clock, too.
-const LOOK: Duration = Duration::from_millis(20);
+const QUEUE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The same while nothing does: what was given and not used is taken back.
-const IDLE: Duration = Duration::from_millis(250);
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// A peer asks for a place.
 pub fn asked<D: Dialect>(process: &Process<D>, asked: &Asked, from: SocketAddr) {
@@ -116,9 +116,9 @@
     loop {
         let idle = process.scheduler.lock().unwrap().is_idle();
         let room = process.room.notified();
-        let _ = tokio::time::timeout(if idle { IDLE } else { LOOK }, room).await;
+        let _ = tokio::time::timeout(if idle { IDLE_INTERVAL } else { QUEUE_INTERVAL }, room).await;
         look(&process);
-        tokio::time::sleep(GATHER).await;
+        tokio::time::sleep(BATCH_INTERVAL).await;
     }
 }
 
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -18,7 +18,7 @@
 use crate::fleet::attempt::{self, End};
 use crate::fleet::events;
 use crate::fleet::gate;
-use crate::fleet::hold::Taken;
+use crate::fleet::hold::ReservationLost;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{failed, finished};
 use crate::fleet::process::Process;
@@ -128,7 +128,7 @@
             let error = attempt.unknown().error(Kind::DeadlineExceeded, why, false);
             return Step::Done(Err(failed(job, error)));
         }
-        End::NoMemory(Taken { upstream, fault }) => {
+        End::NoMemory(ReservationLost { upstream, fault }) => {
             let proof = attempt.refused(Refusal::not_connected());
             return no_memory(job, tries, upstream, proof, fault.to_string());
         }
--- a/daemon/src/fleet/suspended.rs
+++ b/daemon/src/fleet/suspended.rs
@@ -15,12 +15,12 @@
 use crate::log;
 
 /// How often the clocks are compared beside each arrival of a request.
-const LOOK: Duration = Duration::from_millis(200);
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Looks for suspensions until the process stops.
 pub async fn run<D: Dialect>(process: Arc<Process<D>>) {
     while !process.stopping.is_cancelled() {
-        tokio::time::sleep(LOOK).await;
+        tokio::time::sleep(CHECK_INTERVAL).await;
         check(&process);
     }
 }
--- a/request/src/budget/clients.rs
+++ b/request/src/budget/clients.rs
@@ -8,11 +8,11 @@
 use crate::board::Holder;
 
 /// How long a VM counts at a scheduler after it asked, as a part of the budget's window.
-const LASTS: f64 = 0.4;
+const CLIENT_TIMEOUT: f64 = 0.4;
 
 /// How long a VM stays a client of the scheduler that it asked last as one, as a part of the budget's
 /// window: longer than it counts there, so that it never counts at two.
-const STAYS: f64 = 0.45;
+const AFFILIATION_TIMEOUT: f64 = 0.45;
 
 /// A process of a VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,7 +39,7 @@
         now: Instant,
         has_ended: impl FnOnce(&Process) -> bool,
     ) -> bool {
-        let stays = window.mul_f64(STAYS);
+        let stays = window.mul_f64(AFFILIATION_TIMEOUT);
         let is_bound = self.scheduler.as_ref().is_some_and(|(former, at)| {
             former != scheduler && now.saturating_duration_since(*at) < stays && !has_ended(former)
         });
@@ -73,7 +73,7 @@
 
 impl Clients {
     /// How often all are looked through, as a part of the time that one counts.
-    const SWEEP: f64 = 0.05;
+    const SWEEP_INTERVAL: f64 = 0.05;
 
     /// Notes that a VM is heard.
     pub(super) fn note(&mut self, vm: &Holder, is_client: bool, now: Instant) {
@@ -89,9 +89,9 @@
 
     /// Forgets VMs that were not heard of late.
     pub(super) fn expire(&mut self, window: Duration, now: Instant) {
-        let lasts = window.mul_f64(LASTS);
+        let lasts = window.mul_f64(CLIENT_TIMEOUT);
         let age = |at: Instant| now.saturating_duration_since(at);
-        if self.swept.is_some_and(|at| age(at) < lasts.mul_f64(Self::SWEEP)) {
+        if self.swept.is_some_and(|at| age(at) < lasts.mul_f64(Self::SWEEP_INTERVAL)) {
             return;
         }
         self.swept = Some(now);
