The number of running VMs is read, not counted, for each heartbeat

It is asked for with each heartbeat of a client: at 985 VMs some 2,000 a second, each of which went through all peers. By reading; no measurement.

--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -154,9 +154,7 @@
     /// The number of VMs that are listed, and of those that have withdrawn and are still heard: bounds of the
     /// whole fleet are divided by it.
     pub fn running_count(&self) -> usize {
-        let known = self.known.lock().unwrap();
-        let leaving = known.peers.values().filter(|peer| peer.leaving).count();
-        known.order.len() + leaving
+        self.known.lock().unwrap().peers.len() + 1
     }
 
     /// Whether the fleet is so large that a few VMs watch the directory for all.
