--- a/daemon/src/fleet/affiliation.rs
+++ b/daemon/src/fleet/affiliation.rs
@@ -7,17 +7,17 @@
 
 use crate::fleet::process::Process;
 
-/// Notes that this VM turns to a peer as its scheduler. Answers whether it does so as its client.
-pub fn asks_peer<D: Dialect>(process: &Process<D>, scheduler: &id::Vm) -> bool {
-    process.peers.member(scheduler).is_some_and(|member| asks(process, &member))
+/// Records a message to a peer that schedules. Returns whether this VM is its client.
+pub fn contact_peer<D: Dialect>(process: &Process<D>, scheduler: &id::Vm) -> bool {
+    process.peers.member(scheduler).is_some_and(|member| contact(process, &member))
 }
 
-/// Notes that this VM schedules its own requests. Answers whether it does so as its own client.
-pub fn asks_own<D: Dialect>(process: &Process<D>) -> bool {
-    asks(process, &process.member)
+/// Records that this VM schedules its own requests. Returns whether it is its own client.
+pub fn contact_own<D: Dialect>(process: &Process<D>) -> bool {
+    contact(process, &process.member)
 }
 
-fn asks<D: Dialect>(process: &Process<D>, scheduler: &Member) -> bool {
+fn contact<D: Dialect>(process: &Process<D>, scheduler: &Member) -> bool {
     let has_ended = |former: &budget::Process| {
         let is_own = former.vm == process.member.vm;
         let known = process.peers.member(&former.vm);
@@ -26,5 +26,5 @@
     let asked = budget::Process { vm: scheduler.vm.clone(), incarnation: scheduler.incarnation };
     let window = process.scheduler.lock().unwrap().budget.window();
     let mut affiliation = process.affiliation.lock().unwrap();
-    affiliation.asks(&asked, window, process.now(), has_ended)
+    affiliation.contact(&asked, window, process.now(), has_ended)
 }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -149,7 +149,7 @@
         tell::tell_newcomer(process, &state.vm);
     }
     if beat.is_client {
-        scheduler::hear_client(process, &state.vm, now);
+        scheduler::on_client_heartbeat(process, &state.vm, now);
     }
     hear_steps(process, state);
     catch_up::start(process, directory);
--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -262,7 +262,7 @@
             Placer::Own => scheduler::own(self.process, self.number, self.service, &ask),
             Placer::Peer(vm, address) => {
                 let service = Tag::of(&self.service.name);
-                let is_client = affiliation::asks_peer(self.process, vm);
+                let is_client = affiliation::contact_peer(self.process, vm);
                 let now = self.process.now();
                 let asked = Asked::new(self.request(), service, &ask, is_client, now);
                 tell::send(self.process, &Message::Asked(asked), *address);
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -38,7 +38,7 @@
 /// A request of this VM asks for a place.
 pub fn own<D: Dialect>(process: &Process<D>, number: u64, service: &Service, ask: &Ask) {
     let key = key(Holder::Own, process.numbered(number));
-    let (now, is_client) = (process.now(), affiliation::asks_own(process));
+    let (now, is_client) = (process.now(), affiliation::contact_own(process));
     let answer = schedule(process, key, Tag::of(&service.name), ask.clone(), is_client, now);
     process.questions.deliver(number, answer);
 }
@@ -55,7 +55,7 @@
     let vms = process.peers.running_count();
     let mut scheduler = process.scheduler.lock().unwrap();
     let mut board = process.board.lock().unwrap();
-    scheduler.budget.hear(&key.holder, is_client, vms, now);
+    scheduler.budget.record_contact(&key.holder, is_client, vms, now);
     let answer = scheduler.ask(&mut board, &settings.table, key, service, ask, now);
     if matches!(answer, Answer::Waits) {
         process.room.notify_one();
@@ -73,20 +73,20 @@
 ) -> Result<Place, Rejection> {
     let vms = process.peers.running_count();
     let tag = Tag::of(&service.name);
-    let is_client = affiliation::asks_own(process);
+    let is_client = affiliation::contact_own(process);
     let mut scheduler = process.scheduler.lock().unwrap();
-    scheduler.budget.hear(&Holder::Own, is_client, vms, now);
+    scheduler.budget.record_contact(&Holder::Own, is_client, vms, now);
     scheduler.budget.check(tag, ask.charge).map_err(Rejection::OverBudget)?;
     let place = placement::place(&process.board.lock().unwrap(), service, ask, now)?;
     scheduler.budget.charge(tag, ask.charge, now).map_err(Rejection::OverBudget)?;
     Ok(place)
 }
 
-/// A client of this VM is heard.
-pub fn hear_client<D: Dialect>(process: &Process<D>, vm: &id::Vm, now: Instant) {
+/// A client has sent its heartbeat.
+pub fn on_client_heartbeat<D: Dialect>(process: &Process<D>, vm: &id::Vm, now: Instant) {
     let vms = process.peers.running_count();
     let mut scheduler = process.scheduler.lock().unwrap();
-    scheduler.budget.hear(&Holder::Peer(vm.clone()), true, vms, now);
+    scheduler.budget.record_contact(&Holder::Peer(vm.clone()), true, vms, now);
 }
 
 /// A peer asks no more.
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -85,7 +85,7 @@
     let placer = placer.and_then(|placer| placer.address());
     for target in targets {
         let is_client =
-            Some(target.address) == placer && affiliation::asks_peer(process, &target.vm);
+            Some(target.address) == placer && affiliation::contact_peer(process, &target.vm);
         let work = work.clone().filter(|_| target.scheduler);
         let beat = Beat {
             echo: target.echo,
--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -99,8 +99,8 @@
         self.figures = figures;
     }
 
-    /// Notes that one of `vms` VMs is heard here.
-    pub fn hear(&mut self, vm: &Holder, is_client: bool, vms: usize, now: Instant) {
+    /// Records a message from one of `vms` VMs.
+    pub fn record_contact(&mut self, vm: &Holder, is_client: bool, vms: usize, now: Instant) {
         // Before it counts: what was held for those that left is lost.
         self.clients.expire(self.figures.window, now);
         self.vms = vms;
@@ -112,7 +112,7 @@
                 account.spent.pop_front();
             }
         }
-        self.clients.note(vm, is_client, now);
+        self.clients.record(vm, is_client, now);
     }
 
     /// Counts an attempt at a service, if the budget allows it.
@@ -182,7 +182,7 @@
 
     /// The tokens that a bucket holds at most.
     fn capacity(&self) -> f64 {
-        BUCKET_SLACK * self.part(self.clients.heard())
+        BUCKET_SLACK * self.part(self.clients.contacts())
     }
 
     /// The slack of so many VMs.
--- a/request/src/budget/clients.rs
+++ b/request/src/budget/clients.rs
@@ -7,10 +7,10 @@
 
 use crate::board::Holder;
 
-/// How long a VM counts at a scheduler after it asked, as a part of the budget's window.
+/// How long a scheduler counts a VM after its last message, as a share of the budget's window.
 const CLIENT_TIMEOUT: f64 = 0.4;
 
-/// How long a VM stays a client of the scheduler that it asked last as one, as a part of the budget's
+/// How long a VM stays a client of a scheduler after its last message to it, as a share of the budget's
 /// window: longer than it counts there, so that it never counts at two.
 const AFFILIATION_TIMEOUT: f64 = 0.45;
 
@@ -30,9 +30,9 @@
 }
 
 impl Affiliation {
-    /// Notes that this VM asks a scheduler. Answers whether it does so as its client: it changes to another
-    /// scheduler once the former has ended, which `has_ended` tells, or no longer counts it.
-    pub fn asks(
+    /// Records a message to a scheduler. Returns whether this VM is its client: it changes to another one
+    /// when the former has ended, as `has_ended` says, or no longer counts it.
+    pub fn contact(
         &mut self,
         scheduler: &Process,
         window: Duration,
@@ -72,11 +72,11 @@
 }
 
 impl Clients {
-    /// How often all are looked through, as a part of the time that one counts.
+    /// Time between two sweeps for expired VMs, as a share of `CLIENT_TIMEOUT`.
     const SWEEP_INTERVAL: f64 = 0.05;
 
-    /// Notes that a VM is heard.
-    pub(super) fn note(&mut self, vm: &Holder, is_client: bool, now: Instant) {
+    /// Records a message from a VM.
+    pub(super) fn record(&mut self, vm: &Holder, is_client: bool, now: Instant) {
         if !self.seen.contains_key(vm) {
             self.seen.insert(vm.clone(), Seen { at: now, client: None });
         }
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Forgets VMs that were not heard of late.
+    /// Forgets VMs that have sent nothing of late.
     pub(super) fn expire(&mut self, window: Duration, now: Instant) {
         let lasts = window.mul_f64(CLIENT_TIMEOUT);
         let age = |at: Instant| now.saturating_duration_since(at);
@@ -104,14 +104,14 @@
         self.settled = self.seen.values().filter(is_settled).count();
     }
 
-    /// The clients that have been here for a window: what they held at another scheduler before is spent
-    /// or lost by now.
+    /// The clients of longer than a window: what another scheduler spent for them before is out of the
+    /// window.
     pub(super) fn settled(&self) -> usize {
         self.settled
     }
 
-    /// The VMs that are heard, as clients or not.
-    pub(super) fn heard(&self) -> usize {
+    /// The VMs that sent something of late, as clients or not.
+    pub(super) fn contacts(&self) -> usize {
         self.seen.len()
     }
 }
--- a/request/tests/budget.rs
+++ b/request/tests/budget.rs
@@ -28,7 +28,7 @@
 }
 
 fn hear(budget: &mut Budget, clients: usize, running: usize, now: Instant) {
-    (0..clients).for_each(|index| budget.hear(&vm(index), true, running, now));
+    (0..clients).for_each(|index| budget.record_contact(&vm(index), true, running, now));
 }
 
 fn deposit(budget: &mut Budget, requests: usize, now: Instant) {
@@ -110,7 +110,7 @@
     let (mut budget, mut now) = settled(FIGURES, 10, 10);
     for _ in 0..5 {
         now += Duration::from_secs(1);
-        (0..10).for_each(|index| budget.hear(&vm(index), false, 10, now));
+        (0..10).for_each(|index| budget.record_contact(&vm(index), false, 10, now));
     }
     assert_eq!(spend(&mut budget, model(), now), 0);
 }
@@ -172,7 +172,7 @@
         let (mut at, mut requests, mut repeats) = (start, Vec::new(), Vec::new());
         for (index, is_request, after_ms) in events {
             at += Duration::from_millis(after_ms);
-            budget.hear(&vm(index % vms), true, vms, at);
+            budget.record_contact(&vm(index % vms), true, vms, at);
             if is_request {
                 budget.charge(model(), Charge::Deposit, at).unwrap();
                 requests.push(at);
--- a/request/tests/budget_restarts.rs
+++ b/request/tests/budget_restarts.rs
@@ -195,9 +195,9 @@
         };
         let vm = Holder::Peer(self.vms[index].name.clone());
         let affiliation = &mut self.vms[index].affiliation;
-        let is_client = affiliation.asks(&asked, WINDOW, self.now, has_ended);
+        let is_client = affiliation.contact(&asked, WINDOW, self.now, has_ended);
         let budget = &mut self.vms[scheduler].budget;
-        budget.hear(&vm, is_client, known, self.now);
+        budget.record_contact(&vm, is_client, known, self.now);
         (0..each).filter(|_| budget.charge(Tag::of("model"), charge, now).is_ok()).count()
     }
 
