--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -33,25 +33,25 @@
     pub window: Duration,
 }
 
-/// The part of what a request adds that is used: a repeat counts here when it is scheduled, and by its upstream
-/// when it arrives.
+/// Share of the ratio that is used: repeats are counted here when they are scheduled, and by upstreams when
+/// they arrive.
 const MARGIN: f64 = 0.9;
 
-/// The part of the slack that clients bring.
+/// Share of the slack that is spent through clients.
 const CLIENT_SLACK: f64 = 0.75;
 
-/// The part of the slack that a bucket holds: as many schedulers as may follow each other each have one.
+/// Share of the slack that a bucket holds: each VM that may be asked to schedule has one.
 const BUCKET_SLACK: f64 = (1.0 - CLIENT_SLACK) / TRIED as f64;
 
 /// What an attempt is to the budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Charge {
-    /// The first attempt of a request, which adds to the bucket.
+    /// The first attempt of a request, which pays into the budget.
     Deposit,
     /// An attempt in place of one that reached no upstream.
     #[default]
     Free,
-    /// An attempt after one that reached an upstream, which takes from the bucket.
+    /// An attempt after one that reached an upstream, which takes a repeat from the budget.
     Withdraw,
 }
 
@@ -91,7 +91,8 @@
         Budget { figures, ..Budget::default() }
     }
 
-    /// Takes other figures; what is spent stays spent. While the window grows, older repeats are unknown.
+    /// Takes other figures; what is spent stays spent. With a longer window the budget begins anew: it has
+    /// forgotten the repeats that now count again.
     pub fn set(&mut self, figures: Figures) {
         if figures.window > self.figures.window {
             self.clear();
