A queued request pays into the retry budget by a call of its own

The scheduler charged a deposit and dropped the result that can't be an error. Seen when the change was read once more; no change of behaviour. New test: a queued request pays once, a queued repeat when it is placed.

--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -129,6 +129,16 @@
         Ok(())
     }
 
+    /// Counts an attempt that is queued. Returns what is left to charge when it is placed: a request pays at once, a
+    /// repeat is taken when it is sent.
+    pub fn queue(&mut self, service: Tag, charge: Charge) -> Charge {
+        if charge != Charge::Deposit {
+            return charge;
+        }
+        self.deposit(service);
+        Charge::Free
+    }
+
     /// Whether the budget allows an attempt at a service.
     pub fn check(&self, service: Tag, charge: Charge) -> Result<(), Exhausted> {
         if charge != Charge::Withdraw {
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -140,10 +140,7 @@
                 Err(rejection) => return Answer::Rejected(rejection),
             }
         }
-        if ask.charge == Charge::Deposit {
-            let _always = self.budget.charge(service, ask.charge, now);
-            ask.charge = Charge::Free;
-        }
+        ask.charge = self.budget.queue(service, ask.charge);
         self.waiters.push(Waiter { key, service, ask, heard: now });
         Answer::Waits
     }
--- a/request/tests/budget.rs
+++ b/request/tests/budget.rs
@@ -61,6 +61,20 @@
     assert_eq!(spend(&mut budget, Tag::of("plain"), now), 0, "each service has its own");
 }
 
+#[test]
+fn a_request_that_is_queued_pays_once_and_a_repeat_when_it_is_placed() {
+    let (mut budget, now) = (Budget::new(FIGURES), Instant::now());
+    hear(&mut budget, 10, 10, now);
+    for _ in 0..6 {
+        let left = budget.queue(model(), Charge::Deposit);
+        budget.charge(model(), left, now).unwrap();
+    }
+    let left = budget.queue(model(), Charge::Withdraw);
+    assert_eq!(left, Charge::Withdraw);
+    assert!(budget.charge(model(), left, now).is_ok(), "six requests pay for one repeat");
+    assert!(budget.charge(model(), left, now).is_err());
+}
+
 #[test]
 fn what_requests_add_is_kept_up_to_a_small_part_of_the_slack() {
     let (mut budget, now) = (Budget::new(FIGURES), Instant::now());
