The retry budget looks at all services only when clients expire

Each question and each heartbeat of a client went through the accounts of all services, at the VM that schedules. Seen when the change was read once more; its cost was not measured. Surplus tokens are dropped when clients expire or the figures change, and repeats that are out of the window when their service is asked for.

--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -76,7 +76,7 @@
     let is_client = affiliation::contact_own(process);
     let mut scheduler = process.scheduler.lock().unwrap();
     scheduler.budget.record_contact(&Holder::Own, is_client, vms, now);
-    scheduler.budget.check(tag, ask.charge).map_err(Rejection::OverBudget)?;
+    scheduler.budget.check(tag, ask.charge, now).map_err(Rejection::OverBudget)?;
     let place = placement::place(&process.board.lock().unwrap(), service, ask, now)?;
     scheduler.budget.charge(tag, ask.charge, now).map_err(Rejection::OverBudget)?;
     Ok(place)
--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -75,6 +75,16 @@
     spent: VecDeque<Instant>,
 }
 
+impl Account {
+    /// Forgets repeats that are out of the window.
+    fn forget(&mut self, window: Duration, now: Instant) {
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) > window;
+        while self.spent.front().is_some_and(is_old) {
+            self.spent.pop_front();
+        }
+    }
+}
+
 /// The budget, as far as this VM schedules.
 #[derive(Debug, Default)]
 pub struct Budget {
@@ -98,20 +108,15 @@
             self.clear();
         }
         self.figures = figures;
+        self.drop_surplus();
     }
 
     /// Records a message from one of `vms` VMs.
     pub fn record_contact(&mut self, vm: &Holder, is_client: bool, vms: usize, now: Instant) {
-        // Before it counts: what was held for those that left is lost.
-        self.clients.expire(self.figures.window, now);
         self.vms = vms;
-        let (capacity, window) = (self.capacity(), self.figures.window);
-        for account in self.accounts.values_mut() {
-            account.tokens = account.tokens.min(capacity);
-            let is_old = |at: &Instant| now.saturating_duration_since(*at) > window;
-            while account.spent.front().is_some_and(is_old) {
-                account.spent.pop_front();
-            }
+        // Before it counts: what was held for those that left is lost.
+        if self.clients.expire(self.figures.window, now) {
+            self.drop_surplus();
         }
         self.clients.record(vm, is_client, now);
     }
@@ -122,7 +127,7 @@
             Charge::Deposit => self.deposit(service),
             Charge::Free => {}
             Charge::Withdraw => {
-                self.check(service, charge)?;
+                self.check(service, charge, now)?;
                 self.withdraw(service, now);
             }
         }
@@ -140,14 +145,15 @@
     }
 
     /// Whether the budget allows an attempt at a service.
-    pub fn check(&self, service: Tag, charge: Charge) -> Result<(), Exhausted> {
+    pub fn check(&mut self, service: Tag, charge: Charge, now: Instant) -> Result<(), Exhausted> {
         if charge != Charge::Withdraw {
             return Ok(());
         }
-        let account = self.accounts.get(&service);
-        let (tokens, spent) = account.map_or((0.0, 0), |it| (it.tokens, it.spent.len()));
-        let slack = self.slack();
-        if tokens >= 1.0 || spent as f64 + 1.0 <= slack {
+        let (slack, window) = (self.slack(), self.figures.window);
+        let account = self.accounts.entry(service).or_default();
+        account.forget(window, now);
+        let spent = account.spent.len();
+        if account.tokens >= 1.0 || spent as f64 + 1.0 <= slack {
             return Ok(());
         }
         Err(Exhausted {
@@ -169,6 +175,12 @@
         self.accounts.clear();
     }
 
+    fn drop_surplus(&mut self) {
+        let capacity = self.capacity();
+        let accounts = self.accounts.values_mut();
+        accounts.for_each(|account| account.tokens = account.tokens.min(capacity));
+    }
+
     fn deposit(&mut self, service: Tag) {
         let (earned, capacity) = (MARGIN * self.figures.ratio, self.capacity());
         let account = self.accounts.entry(service).or_default();
--- a/request/src/budget/clients.rs
+++ b/request/src/budget/clients.rs
@@ -87,12 +87,12 @@
         }
     }
 
-    /// Forgets VMs that have sent nothing of late.
-    pub(super) fn expire(&mut self, window: Duration, now: Instant) {
+    /// Forgets VMs that have sent nothing of late, if that was not done just now. Returns whether it was done.
+    pub(super) fn expire(&mut self, window: Duration, now: Instant) -> bool {
         let lasts = window.mul_f64(CLIENT_TIMEOUT);
         let age = |at: Instant| now.saturating_duration_since(at);
         if self.swept.is_some_and(|at| age(at) < lasts.mul_f64(Self::SWEEP_INTERVAL)) {
-            return;
+            return false;
         }
         self.swept = Some(now);
         self.seen.retain(|_, seen| {
@@ -102,6 +102,7 @@
         let is_settled =
             |seen: &&Seen| seen.client.as_ref().is_some_and(|client| age(client.first) > window);
         self.settled = self.seen.values().filter(is_settled).count();
+        true
     }
 
     /// The clients of longer than a window: what another scheduler spent for them before is out of the
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -119,7 +119,7 @@
         if board.is_drained(&found.name) {
             return Answer::Rejected(Rejection::Drained);
         }
-        if let Err(exhausted) = self.budget.check(service, ask.charge) {
+        if let Err(exhausted) = self.budget.check(service, ask.charge, now) {
             return Answer::Rejected(Rejection::OverBudget(exhausted));
         }
         let read_ms = found.engine.as_ref().and_then(|engine| ask.long_read_ms(engine));
