Rate limits of upstreams: the header is decoded and logged (412), what is sent is counted by kind

The incident's hypotheses could not be told apart by the logs: nothing showed that an upstream names a limit, nor that parts of prompts and orders reach it beside the requests placed. Line 412 names the upstream and what it says; counters foldlock_upstream_messages_total{sent="Request|Part|Order"} stand beside foldlock_engine_reports_total. No change in where anything is sent.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -105,6 +105,8 @@
     EntryUnreadable = 410, Warning;
     /// An upstream asked this VM for a rest and gets nothing from it until that is over.
     UpstreamRests = 411, Info;
+    /// An upstream has named, changed or ended its rate limit, or named one that cannot be read.
+    UpstreamLimited = 412, Info;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request waits.
--- a/base/src/prelude.rs
+++ b/base/src/prelude.rs
@@ -5,4 +5,4 @@
 pub use crate::error::{Error, Kind, Ran};
 pub use crate::event::Event;
 pub use crate::id;
-pub use crate::size::Tokens;
+pub use crate::size::{Rate, Tokens};
--- a/base/src/size.rs
+++ b/base/src/size.rs
@@ -4,6 +4,7 @@
 use std::iter::Sum;
 use std::ops::{Add, Sub};
 use std::str::FromStr;
+use std::time::Duration;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -76,3 +77,56 @@
         digits.parse::<u64>().map(|count| Tokens(count.saturating_mul(unit)))
     }
 }
+
+/// Requests a second; finite and not negative.
+#[derive(Debug, Default, Clone, Copy, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// So many requests a second; none where that is no rate.
+    pub fn per_second(requests: f64) -> Option<Rate> {
+        (requests.is_finite() && requests >= 0.0).then_some(Rate(requests))
+    }
+
+    /// Requests in a second.
+    pub fn as_f64(self) -> f64 {
+        self.0
+    }
+
+    /// Requests in this time.
+    pub fn over(self, time: Duration) -> f64 {
+        self.0 * time.as_secs_f64()
+    }
+
+    /// The smaller of two rates.
+    pub fn min(self, other: Rate) -> Rate {
+        Rate(self.0.min(other.0))
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+/// Why a text is no rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RateFault;
+
+impl fmt::Display for RateFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a rate is a decimal number of requests a second, 0 or more")
+    }
+}
+
+impl std::error::Error for RateFault {}
+
+impl FromStr for Rate {
+    type Err = RateFault;
+    fn from_str(text: &str) -> Result<Rate, RateFault> {
+        let requests: f64 = text.trim().parse().map_err(|_| RateFault)?;
+        Rate::per_second(requests).ok_or(RateFault)
+    }
+}
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -25,6 +25,7 @@
 use crate::fleet::heads::{declared, rest, strip};
 use crate::fleet::hold::{Hold, ReservationLost};
 use crate::fleet::job::Job;
+use crate::fleet::metrics::Sent;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, note, tell};
 use crate::fleet::process::Entered;
@@ -156,6 +157,8 @@
     }
     let request = request(job, place, &hold.helpers(&grant), last_event);
     let sent = job.process.now();
+    job.process.metrics.sent(Sent::Request, 1);
+    job.process.metrics.sent(Sent::Part, place.flight.helpers.len());
     let answer = match channel.send(request).await {
         Ok(answer) => answer,
         Err(Failure::Refused(why) | Failure::Unsent(why)) => return End::Unsent(why),
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -16,6 +16,7 @@
 
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::job::Job;
+use crate::fleet::metrics::Sent;
 use crate::fleet::notices;
 use crate::fleet::process::Process;
 use crate::log;
@@ -58,6 +59,7 @@
         let starts: Vec<Tag> = reservations.iter().map(start).collect();
         let memory = &job.process.memory;
         let time = job.process.config.fleet.hold();
+        job.process.metrics.sent(Sent::Order, reservations.len());
         let answers = join_all(reservations.iter().map(|r| memory.reserve(r, time))).await;
         for ((reservation, start), Noted { notice, answer }) in
             reservations.iter().zip(starts).zip(answers)
@@ -139,6 +141,7 @@
 async fn reserve<D: Dialect>(process: &Process<D>, reservation: &Reservation) -> Result<(), Fault> {
     let time = process.config.fleet.hold();
     let start = notices::start(process, &reservation.upstream);
+    process.metrics.sent(Sent::Order, 1);
     let Noted { notice, answer } = process.memory.reserve(reservation, time).await;
     notices::heard(process, &reservation.upstream, start, notice);
     answer
@@ -152,6 +155,7 @@
     let mut last = None;
     for _ in 0..MAX_RELEASES {
         let start = notices::start(process, &reservation.upstream);
+        process.metrics.sent(Sent::Order, 1);
         let Noted { notice, answer } = process.memory.release(reservation).await;
         notices::heard(process, &reservation.upstream, start, notice);
         match answer {
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -58,6 +58,24 @@
     pub text: Text,
 }
 
+/// What is sent to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Sent {
+    /// A request of a caller, whichever attempt it is.
+    Request,
+    /// A part of a prompt that another engine answers.
+    Part,
+    /// An order to set memory aside, renew it or give it back.
+    Order,
+}
+
+/// The label of what is sent to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BySent {
+    /// What is sent.
+    pub sent: Sent,
+}
+
 /// The label of a decision on a repeat.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ByVerdict {
@@ -96,6 +114,8 @@
     pub peer_reads: Family<ByText, Counter>,
     /// Reports asked for at engines.
     pub reports: Counter,
+    /// What else is sent to upstreams, by kind.
+    pub upstream_messages: Family<BySent, Counter>,
     /// Times that the directory came back from an older copy of itself.
     pub restored: Counter,
     /// Answers in which an upstream says of itself that it leaves, or wants a rest.
@@ -145,6 +165,7 @@
             peer_bytes: Counter::default(),
             peer_reads: Family::default(),
             reports: Counter::default(),
+            upstream_messages: Family::default(),
             restored: Counter::default(),
             notices: Counter::default(),
             ended_under: Counter::default(),
@@ -176,6 +197,11 @@
         self.directory_calls.get_or_create(&ByCall { call }).get()
     }
 
+    /// Messages of a kind are sent to upstreams.
+    pub fn sent(&self, sent: Sent, count: usize) {
+        self.upstream_messages.get_or_create(&BySent { sent }).inc_by(count as u64);
+    }
+
     /// Texts read from peers of a kind.
     pub fn reads(&self, text: Text) -> u64 {
         self.peer_reads.get_or_create(&ByText { text }).get()
@@ -210,6 +236,8 @@
         r.register("peer_sent_bytes", what, self.peer_bytes.clone());
         r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
         r.register("engine_reports", "Reports asked for at engines", self.reports.clone());
+        let what = "Requests, parts and orders sent to upstreams";
+        r.register("upstream_messages", what, self.upstream_messages.clone());
         let what = "Times that the directory came back from an older copy";
         r.register("directory_restored", what, self.restored.clone());
         let what = "Answers whose upstream says that it leaves or wants a rest";
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -8,7 +8,7 @@
 
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::notice::Notice;
+use foldlock_request::notice::{Notice, RateLimit};
 use foldlock_request::tag::Tag;
 
 use crate::fleet::process::Process;
@@ -36,6 +36,11 @@
     if let Some(rest) = notice.rest {
         rests(process, upstream, start, rest);
     }
+    if let RateLimit::Limited(_) | RateLimit::Unreadable = notice.rate_limit
+        && process.trouble_lines.admit(process.now()).is_some()
+    {
+        log::event(&process.log, Event::UpstreamLimited, format!("{upstream} {notice}"));
+    }
 }
 
 /// A start of an upstream leaves, by an answer to this VM or to a peer: all VMs are told at once, and none
--- a/request/src/notice.rs
+++ b/request/src/notice.rs
@@ -3,37 +3,61 @@
 use std::fmt;
 use std::time::Duration;
 
+use foldlock_base::prelude::*;
+
 /// What an upstream says of itself. It concerns the start of its program that gave the answer, and no
 /// later one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Notice {
     /// It is about to leave and wants no new work of anybody.
     pub leaving: bool,
     /// For how long it wants nothing from the VM that it answers, counted from the answer.
     pub rest: Option<Duration>,
+    /// The requests that it takes from all VMs together.
+    pub rate_limit: RateLimit,
+}
+
+/// What an answer says of its upstream's rate limit.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum RateLimit {
+    /// Nothing: the answer does not speak of the upstream that was asked.
+    #[default]
+    Unknown,
+    /// There is none.
+    Unlimited,
+    /// The upstream takes so much.
+    Limited(Rate),
+    /// There is one that cannot be read.
+    Unreadable,
 }
 
 impl Notice {
-    /// Whether it says nothing.
+    /// Whether it asks for nothing.
     pub fn is_empty(self) -> bool {
-        self == Notice::default()
+        let is_limited = matches!(self.rate_limit, RateLimit::Limited(_) | RateLimit::Unreadable);
+        !self.leaving && self.rest.is_none() && !is_limited
     }
 }
 
 impl fmt::Display for Notice {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let leaves = self.leaving.then(|| "leaves".to_owned());
         let rest = self.rest.map(|rest| format!("asks for {} ms of rest", rest.as_millis()));
-        match (self.leaving, rest) {
-            (true, Some(rest)) => write!(f, "leaves and {rest}"),
-            (true, None) => f.write_str("leaves"),
-            (false, Some(rest)) => f.write_str(&rest),
-            (false, None) => f.write_str("says nothing of itself"),
+        let limit = match self.rate_limit {
+            RateLimit::Unknown | RateLimit::Unlimited => None,
+            RateLimit::Limited(rate) => Some(format!("takes {rate} from all VMs")),
+            RateLimit::Unreadable => Some("names a rate limit that cannot be read".to_owned()),
+        };
+        let said: Vec<String> = [leaves, rest, limit].into_iter().flatten().collect();
+        if said.is_empty() {
+            return f.write_str("says nothing of itself");
         }
+        f.write_str(&said.join(" and "))
     }
 }
 
 /// An answer with what its upstream says of itself; nothing where there was no answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Noted<T> {
     /// What it says.
     pub notice: Notice,
