Tests: rate limits of upstreams, by the fleet's programs and by VMs in one process (red)

The server counts from outside whatever reaches it, requests, orders and reports; a VM counts from half a second after it was told, unless it was disturbed in the last 3 s.

--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
 
 use crate::proxy::Link;
 use crate::world::{GRACE, Part, World};
@@ -172,6 +173,20 @@
     }
 }
 
+/// Has servers name rate limits, one after the other, until cancelled.
+pub(crate) async fn limit_servers(world: Arc<World>, seed: u64, stop: CancellationToken) {
+    let mut draw = StdRng::seed_from_u64(seed);
+    while !stop.is_cancelled() {
+        let place = &world.places[draw.random_range(0..world.places.len())];
+        let rate = draw.random_range(1..12) as f64 / 4.0;
+        let time = Duration::from_millis(draw.random_range(4_000..8_000));
+        println!("{} takes {rate} a second for {time:?}", place.id());
+        place.limit(Some(rate));
+        let _ = tokio::time::timeout(time, stop.cancelled()).await;
+        place.limit(None);
+    }
+}
+
 /// Ends servers as requests do that end them, and starts others in their places after a while.
 pub(crate) async fn end_servers(world: Arc<World>, seed: u64) {
     let mut draw = StdRng::seed_from_u64(seed);
@@ -246,7 +261,7 @@
 /// A server refuses all that it is sent, and asks for rest.
 async fn rest(world: &World, place: usize, time: Duration) {
     let id = world.places[place].id();
-    world.places[place].say(Word { rest: Some(time), leaving: false });
+    world.places[place].say(Word { rest: Some(time), ..Word::default() });
     tokio::time::sleep(time).await;
     if world.places[place].id() == id {
         world.places[place].say(Word::default());
@@ -272,7 +287,7 @@
 /// A server says that it leaves, in its answers and perhaps its entry, serves on for a while, and is replaced.
 async fn drain(world: &World, place: usize, listed: bool) {
     let id = world.places[place].id();
-    world.places[place].say(Word { leaving: true, rest: None });
+    world.places[place].say(Word { leaving: true, ..Word::default() });
     if listed {
         world.list(&world.places[place], true);
     }
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -15,6 +15,7 @@
 
 mod caller;
 mod fault;
+mod limits;
 mod proxy;
 mod world;
 
@@ -139,8 +140,15 @@
         let ends = fault::end_servers(world.clone(), seed);
         (tokio::spawn(ends), tokio::spawn(caller::run_deadly(world.clone(), seed, stop.clone())))
     });
+    let unlimited = CancellationToken::new();
+    let limits = (!planned)
+        .then(|| tokio::spawn(fault::limit_servers(world.clone(), seed, unlimited.clone())));
     fault::play(&world, &mut draw, time, planned).await;
     let taken = changes.await.unwrap();
+    unlimited.cancel();
+    if let Some(limits) = limits {
+        limits.await.unwrap();
+    }
     serves_again(&world).await;
     stop.cancel();
     let mut sent = Vec::new();
@@ -287,6 +295,7 @@
     }
     few_end(world);
     words_are_kept(world);
+    limits::are_kept(world);
     for (id, run) in world.book.all() {
         if run.organisation.as_deref() == Some("gone") && run.at > taken + REVOKE {
             let after = run.at - taken;
@@ -309,7 +318,8 @@
 fn words_are_kept(world: &World) {
     let mut by_way: BTreeMap<(String, usize), Vec<Arrival>> = BTreeMap::new();
     for arrival in world.book.arrivals() {
-        by_way.entry((arrival.server.clone(), arrival.vm)).or_default().push(arrival);
+        let Some(vm) = arrival.vm else { continue };
+        by_way.entry((arrival.server.clone(), vm)).or_default().push(arrival);
     }
     let (mut leaving, mut rests) = (0, 0);
     for ((server, vm), arrivals) in by_way {
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -181,6 +181,11 @@
 }
 
 impl Place {
+    /// The server names this rate limit from now on.
+    pub(crate) fn limit(&self, rate: Option<f64>) {
+        self.instance.lock().unwrap().server.limit(rate);
+    }
+
     /// The server says this of itself from now on.
     pub(crate) fn say(&self, word: Word) {
         self.instance.lock().unwrap().server.say(word);
