Rate limits that upstreams name are kept by the VM that schedules, whatever is sent

Cause: nothing read what an upstream says it takes from all VMs together. The class: a bound of the whole fleet that one VM hears of, and that all have to keep.

Change: all attempts pass the scheduler, so it counts them: what it grants, and what VMs say that they sent on the grants of others (told for a second, so that a short answer is not missed). A named rate allows a burst of a quarter second and its mean over 4 s, both from that count; cold upstreams use the same count with their own bound. A limit has a version: one learnt from an answer that was asked for after the known limit was heard takes its place, else the stricter holds, so all VMs agree in whatever order they hear. A grant names the limit that its scheduler knew; a VM that knows a later one gives it back and tells the scheduler, so a VM that was told never sends unpaced. Limited upstreams read no parts for others and are not asked for reports: these count as well. Where all upstreams of a service are limited, requests queue while the rate gets to them in time, the others are rejected at once and told to come back one after the other.

Tried first: a window of a burst alone (k requests in k/N s). The property found 21 of 20 with two schedulers at once: each forgets its overshoot before it hears of the other's. Newcomers took the turn of those that waited (one waited 3.2 s); they queue behind now.

No change of a bound of a test; Answer::Placed is boxed since Place grew.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -35,6 +35,7 @@
 pub mod peers;
 pub mod process;
 pub mod questions;
+pub mod rate_limits;
 pub mod record;
 pub mod register;
 pub mod reports;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -10,6 +10,7 @@
 use foldlock_connection::sse::Cutter;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::flight::Flight;
+use foldlock_request::notice::RateLimit;
 use foldlock_request::placement::Place;
 use foldlock_request::suspicion::{Failure as Cause, Outcome};
 use foldlock_request::tag::Tag;
@@ -29,6 +30,7 @@
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, note, tell};
 use crate::fleet::process::Entered;
+use crate::fleet::rate_limits;
 use crate::fleet::source::{Begun, Next, Source};
 use crate::fleet::tries::Tries;
 
@@ -151,7 +153,7 @@
             return End::Unsent(why);
         }
     };
-    if let Some((upstream, reason)) = excluded(job, &place.flight) {
+    if let Some((upstream, reason)) = excluded(job, place) {
         // That came to be while memory was set aside for this request, or its connection opened.
         return End::Unsent(format!("upstream {upstream} is excluded: {reason}"));
     }
@@ -169,9 +171,13 @@
         }
     };
     let (mut head, body) = answer.into_parts();
-    notices::heard(&job.process, &upstream, start, D::notice(head.status, &head.headers));
+    let notice = D::notice(head.status, &head.headers);
+    notices::heard(&job.process, &upstream, start, sent, notice);
     let rest = rest(&head.headers);
     match D::verdict(&job.terms.request, head.status, &head.headers) {
+        Verdict::Ran if notice.rate_limit == RateLimit::Unlimited => {
+            rate_limits::stated(&job.process, start, None, sent);
+        }
         Verdict::Ran => {}
         verdict => return refused(job, &place.flight, start, verdict, &head),
     }
@@ -200,11 +206,15 @@
     }
 }
 
-/// The upstream of a flight, or the helper, that may be sent nothing now.
+/// The upstream of a place, or the helper, that may be sent nothing now.
 fn excluded<'a, D: Dialect>(
     job: &Job<D>,
-    flight: &'a Flight,
+    place: &'a Place,
 ) -> Option<(&'a id::Upstream, Exclusion)> {
+    let flight = &place.flight;
+    if !rate_limits::unknown_to_scheduler(&job.process, place).is_empty() {
+        return Some((&flight.upstream, Exclusion::RateLimited));
+    }
     let helpers = flight.helpers.iter().map(|helping| &helping.upstream);
     let mut all = std::iter::once(&flight.upstream).chain(helpers);
     all.find_map(|upstream| Some((upstream, notices::exclusion(&job.process, upstream)?)))
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -19,7 +19,7 @@
 use crate::fleet::process::Process;
 use crate::fleet::tell::{self, Round};
 use crate::fleet::{
-    catch_up, grant_requests, members, notices, packed, peer_sync, reports, scheduler,
+    catch_up, grant_requests, members, notices, packed, peer_sync, rate_limits, reports, scheduler,
 };
 use crate::log;
 
@@ -129,6 +129,11 @@
         Ok(Message::Cancelled(number)) => scheduler::cancelled(process, number, from),
         Ok(Message::Answered(answered)) => grant_requests::answered(process, answered, from),
         Ok(Message::Poll(upstream)) => reports::polled(process, upstream),
+        Ok(Message::RateLimits(limits)) => {
+            if let Some(peer) = process.peers.at(from) {
+                rate_limits::heard(process, &limits, &peer.vm, from);
+            }
+        }
         Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
     }
 }
@@ -159,6 +164,9 @@
     for start in &state.departures {
         notices::leaves(process, *start, &state.vm);
     }
+    for limit in &state.rate_limits {
+        rate_limits::hear(process, *limit, &state.vm);
+    }
     let mut board = process.board.lock().unwrap();
     if news == News::Renewed {
         board.peer_lost(&state.vm, now);
@@ -167,6 +175,7 @@
     board.hear_outcomes(&state.vm, &work.outcomes, now);
     board.hear_reports(&work.reports, now);
     board.quarantine.hear(&work.suspects, now);
+    board.hear_sent(&state.vm, &work.sent, now);
     let granted = if of_this_start { beat.granted } else { 0 };
     let room = board.hear(&state.vm, &work.flights, granted, now);
     drop(board);
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -16,6 +16,7 @@
 
 use crate::fleet::grant_requests::{self, Grant, Until};
 use crate::fleet::job::Job;
+use crate::fleet::metrics::{ByLimited, Limited};
 use crate::fleet::notices;
 use crate::fleet::tries::Tries;
 
@@ -142,6 +143,10 @@
         job.record(Decision::Waited { cause: Cause::Engines, waited_ms: millis(asked) });
     }
     let place = &grant.place;
+    if place.limited > 0 {
+        let elsewhere = ByLimited { limited: Limited::Elsewhere };
+        job.process.metrics.rate_limited.get_or_create(&elsewhere).inc();
+    }
     let named = std::iter::once((&place.flight.upstream, &place.load))
         .chain(place.slowest.iter().map(|(id, load)| (id, load)));
     let seen = named.map(|(id, load)| seen(id, load, place.predicted_ms)).collect();
@@ -153,6 +158,7 @@
         part_ms: f64::from(place.flight.part_ms),
         seen,
         by: grant.by.clone(),
+        limited: place.limited as u32,
         asked_ms: millis(asked),
     });
 }
@@ -179,6 +185,7 @@
     let kind = match rejection {
         Rejection::Quarantined { left_ms } => return quarantined(left_ms, proof),
         Rejection::Resting { left_ms } => return resting(job, left_ms, proof),
+        Rejection::Limited { after_ms } => return rate_limited(job, after_ms, proof),
         Rejection::Closed | Rejection::Drained | Rejection::OverBudget(_) => Kind::NoUpstream,
         Rejection::Full | Rejection::TooLarge => Kind::Overloaded,
     };
@@ -198,6 +205,13 @@
     Error::unsent(Kind::Overloaded, why, proof).retry_after(after)
 }
 
+/// The caller comes back when its turn may have come.
+fn rate_limited<D: Dialect>(job: &Job<D>, after_ms: u64, proof: Unsent) -> Error {
+    job.process.metrics.rate_limited.get_or_create(&ByLimited { limited: Limited::Rejected }).inc();
+    let why = format!("{}: all upstreams are at the rate limits that they name", job.service.name);
+    Error::unsent(Kind::Overloaded, why, proof).retry_after(Duration::from_millis(after_ms))
+}
+
 fn quarantined(left_ms: u64, proof: Unsent) -> Error {
     let left = Duration::from_millis(left_ms);
     let why = format!(
--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -13,6 +13,7 @@
 use foldlock_request::flight::{Flight, Helping};
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
 use foldlock_request::placement::{Ask, Place, Rejection};
+use foldlock_request::rate_limit::Told;
 use foldlock_request::scheduler::Answer;
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
@@ -21,7 +22,7 @@
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
-use crate::fleet::{affiliation, scheduler, tell};
+use crate::fleet::{affiliation, rate_limits, scheduler, tell};
 use crate::log;
 
 /// How long an answer may take before the same is asked again: the way there and back takes 3 ms
@@ -63,6 +64,11 @@
     if let message::Answer::Placed(placed) = &answered.answer {
         process.peers.granted(&peer.vm, placed.grant);
     }
+    if let message::Answer::Placed(placed) = &answered.answer
+        && let Some(limit) = placed.limit
+    {
+        rate_limits::hear(process, Told { upstream: placed.upstream, limit }, &peer.vm);
+    }
     let answer = decode(&process.board.lock().unwrap(), answered.answer);
     // A place at an upstream that is not known here is of no use: another VM is asked.
     if let Some(answer) = answer {
@@ -101,8 +107,10 @@
         load: placed.load,
         slowest: slowest.collect(),
         open: placed.open,
+        limited: placed.limited,
+        limit: placed.limit,
     };
-    Some(Answer::Placed(place, placed.grant))
+    Some(Answer::Placed(Box::new(place), placed.grant))
 }
 
 /// Where the upstream of a flight and its helpers listen, or the first of them that may be sent nothing.
@@ -115,6 +123,7 @@
             Err(Ended::Gone(notices::start(process, id)))
         }
         Some(Exclusion::Resting { .. }) => Err(Ended::Resting),
+        Some(Exclusion::RateLimited) => Err(Ended::Superseded),
         None => {
             let board = process.board.lock().unwrap();
             let known = board.get(id).map(|upstream| upstream.listed.address.clone());
@@ -171,8 +180,8 @@
                 ask.avoid.push(upstream);
                 ask.charge = Charge::Free;
             }
-            // The next question names it.
-            Ended::Resting => ask.charge = Charge::Free,
+            // The next question names it, or the scheduler has been told by then.
+            Ended::Resting | Ended::Superseded => ask.charge = Charge::Free,
             Ended::Later => {}
         }
         // It may count already where it was asked for.
@@ -203,6 +212,8 @@
     Gone(Tag),
     /// The place is at an upstream that has asked this VM for a rest since the question was sent.
     Resting,
+    /// The place was granted without knowledge of a rate limit that this VM knows.
+    Superseded,
     /// There is no place yet.
     Later,
 }
@@ -308,10 +319,17 @@
         match answer {
             Answer::Placed(place, _) => {
                 let by = match self.asked.take() {
-                    Some(Placer::Peer(vm, _)) => vm,
+                    Some(Placer::Peer(vm, address)) => {
+                        let limits = rate_limits::unknown_to_scheduler(self.process, &place);
+                        if !limits.is_empty() {
+                            rate_limits::send(self.process, limits, address);
+                            return Ended::Superseded;
+                        }
+                        vm
+                    }
                     _ => self.process.member.vm.clone(),
                 };
-                self.grant(place, Some(by))
+                self.grant(*place, Some(by))
             }
             Answer::Rejected(rejection) => Ended::Rejected(rejection),
             Answer::Waits => Ended::Later,
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -59,12 +59,13 @@
         let starts: Vec<Tag> = reservations.iter().map(start).collect();
         let memory = &job.process.memory;
         let time = job.process.config.fleet.hold();
-        job.process.metrics.sent(Sent::Order, reservations.len());
+        reservations.iter().for_each(|reservation| note_order(&job.process, reservation));
+        let sent = job.process.now();
         let answers = join_all(reservations.iter().map(|r| memory.reserve(r, time))).await;
         for ((reservation, start), Noted { notice, answer }) in
             reservations.iter().zip(starts).zip(answers)
         {
-            notices::heard(&job.process, &reservation.upstream, start, notice);
+            notices::heard(&job.process, &reservation.upstream, start, sent, notice);
             // What was set aside is given back as `hold` is dropped.
             let upstream = reservation.upstream.clone();
             answer.map_err(|fault| ReservationLost { upstream, fault })?;
@@ -141,12 +142,19 @@
 async fn reserve<D: Dialect>(process: &Process<D>, reservation: &Reservation) -> Result<(), Fault> {
     let time = process.config.fleet.hold();
     let start = notices::start(process, &reservation.upstream);
-    process.metrics.sent(Sent::Order, 1);
+    note_order(process, reservation);
+    let sent = process.now();
     let Noted { notice, answer } = process.memory.reserve(reservation, time).await;
-    notices::heard(process, &reservation.upstream, start, notice);
+    notices::heard(process, &reservation.upstream, start, sent, notice);
     answer
 }
 
+/// An order is about to be sent.
+fn note_order<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
+    process.metrics.sent(Sent::Order, 1);
+    process.board.lock().unwrap().note_ungranted(&reservation.upstream, process.now());
+}
+
 async fn release_all<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
     join_all(reservations.iter().map(|r| release(&process, r))).await;
 }
@@ -155,9 +163,10 @@
     let mut last = None;
     for _ in 0..MAX_RELEASES {
         let start = notices::start(process, &reservation.upstream);
-        process.metrics.sent(Sent::Order, 1);
+        note_order(process, reservation);
+        let sent = process.now();
         let Noted { notice, answer } = process.memory.release(reservation).await;
-        notices::heard(process, &reservation.upstream, start, notice);
+        notices::heard(process, &reservation.upstream, start, sent, notice);
         match answer {
             Ok(()) => return,
             Err(fault) => last = Some(fault),
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -76,6 +76,22 @@
     pub sent: Sent,
 }
 
+/// What became of a request for which upstreams were at their rate limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Limited {
+    /// It was placed while others were at their limits.
+    Elsewhere,
+    /// It was rejected, since all were.
+    Rejected,
+}
+
+/// The label of what became of such a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByLimited {
+    /// What became of it.
+    pub limited: Limited,
+}
+
 /// The label of a decision on a repeat.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ByVerdict {
@@ -118,7 +134,11 @@
     pub upstream_messages: Family<BySent, Counter>,
     /// Times that the directory came back from an older copy of itself.
     pub restored: Counter,
-    /// Answers in which an upstream says of itself that it leaves, or wants a rest.
+    /// Requests for which upstreams were at their rate limits.
+    pub rate_limited: Family<ByLimited, Counter>,
+    /// Upstreams that name a rate limit.
+    pub limited_upstreams: Gauge,
+    /// Answers in which an upstream says of itself that it leaves, wants a rest or takes only so much.
     pub notices: Counter,
     /// Upstreams that ended under a request of this VM; one counts for each request.
     pub ended_under: Counter,
@@ -167,6 +187,8 @@
             reports: Counter::default(),
             upstream_messages: Family::default(),
             restored: Counter::default(),
+            rate_limited: Family::default(),
+            limited_upstreams: Gauge::default(),
             notices: Counter::default(),
             ended_under: Counter::default(),
             held: Counter::default(),
@@ -240,7 +262,11 @@
         r.register("upstream_messages", what, self.upstream_messages.clone());
         let what = "Times that the directory came back from an older copy";
         r.register("directory_restored", what, self.restored.clone());
-        let what = "Answers whose upstream says that it leaves or wants a rest";
+        let what = "Requests for which upstreams were at their rate limits";
+        r.register("rate_limited_requests", what, self.rate_limited.clone());
+        let what = "Upstreams that name a rate limit";
+        r.register("limited_upstreams", what, self.limited_upstreams.clone());
+        let what = "Answers whose upstream says that it leaves, wants a rest or takes only so much";
         r.register("upstream_notices", what, self.notices.clone());
         let what = "Requests under which an upstream ended";
         r.register("upstream_endings", what, self.ended_under.clone());
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -4,7 +4,7 @@
 //! upstream leaves, and no directory tells who is to rest.
 
 use std::fmt;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
@@ -12,6 +12,7 @@
 use foldlock_request::tag::Tag;
 
 use crate::fleet::process::Process;
+use crate::fleet::rate_limits;
 use crate::log;
 
 /// The start of an upstream that something is sent to now: what the answer says concerns this one alone.
@@ -19,11 +20,12 @@
     process.board.lock().unwrap().tag_of(upstream)
 }
 
-/// An upstream said this of itself in an answer to this VM.
+/// An upstream said this of itself in an answer to what this VM sent at that time.
 pub fn heard<D: Dialect>(
     process: &Process<D>,
     upstream: &id::Upstream,
     start: Tag,
+    sent: Instant,
     notice: Notice,
 ) {
     if notice.is_empty() {
@@ -36,10 +38,12 @@
     if let Some(rest) = notice.rest {
         rests(process, upstream, start, rest);
     }
-    if let RateLimit::Limited(_) | RateLimit::Unreadable = notice.rate_limit
-        && process.trouble_lines.admit(process.now()).is_some()
-    {
-        log::event(&process.log, Event::UpstreamLimited, format!("{upstream} {notice}"));
+    match notice.rate_limit {
+        RateLimit::Limited(rate) => rate_limits::stated(process, start, Some(rate), sent),
+        RateLimit::Unreadable if process.trouble_lines.admit(process.now()).is_some() => {
+            log::event(&process.log, Event::UpstreamLimited, format!("{upstream} {notice}"));
+        }
+        _ => {}
     }
 }
 
@@ -94,6 +98,8 @@
         /// What is left of it.
         left: Duration,
     },
+    /// It named another rate limit since the place was granted.
+    RateLimited,
 }
 
 impl fmt::Display for Exclusion {
@@ -104,6 +110,7 @@
             Exclusion::Resting { left } => {
                 write!(f, "it rests for {} ms more", left.as_millis())
             }
+            Exclusion::RateLimited => f.write_str("its rate limit has changed"),
         }
     }
 }
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -4,10 +4,11 @@
 use std::convert::Infallible;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use foldlock_base::prelude::*;
+use foldlock_request::board::{Board, Upstream};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::quarantine::Verdict;
@@ -154,6 +155,7 @@
     let board = process.board.lock().unwrap();
     metrics.flights.set(board.own().count() as i64);
     metrics.unread.set(process.unread.bytes() as i64);
+    metrics.limited_upstreams.set(board.limited_count() as i64);
     metrics.suspects.set(board.quarantine.suspects(now).count() as i64);
     drop(board);
     metrics.line.set(process.scheduler.lock().unwrap().waiting() as i64);
@@ -205,6 +207,7 @@
                 "leaving": u.is_leaving(), "drained": u.drained,
                 "cold_ms": u.cold_until.map(|at| at.saturating_duration_since(now).as_millis() as u64),
                 "rests_ms": rests.left(u.tag, moment).map(|left| left.as_millis() as u64),
+                "rate_limit": rate_limit(&board, u, now),
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.writers, "memory": load.memory, "backlog_ms": load.backlog_ms,
                 "pace": u.pace(now), "silent": u.silent(now),
@@ -244,6 +247,18 @@
     })
 }
 
+/// The rate limit that an upstream names: since when, by whose word, and how much of it is used as far as is known here.
+fn rate_limit(board: &Board, upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
+    let known = upstream.rate_limit.as_ref()?;
+    let rate = known.limit.rate?;
+    let second = Duration::from_secs(1);
+    Some(json!({
+        "rate": rate, "version": known.limit.version, "by": known.by,
+        "since_ms": now.saturating_duration_since(known.since).as_millis() as u64,
+        "sent_last_second": board.sent_within(&upstream.listed.id, second, now),
+    }))
+}
+
 /// Streams decisions as JSON lines until the watcher leaves.
 fn decisions<D: Dialect>(process: &Arc<Process<D>>) -> Response<Body> {
     let (lines, receiver) = mpsc::channel(LINES);
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -17,7 +17,7 @@
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::peers::Placer;
 use crate::fleet::process::Process;
-use crate::fleet::tell;
+use crate::fleet::{rate_limits, tell};
 use crate::log;
 
 /// How often each engine is asked: a slow or silent one holds up most prompts that several engines
@@ -72,7 +72,9 @@
     let is_engine =
         |l: &&Listed| settings.table.service(&l.service).is_some_and(|s| s.engine.is_some());
     let board = process.board.lock().unwrap();
-    board.listings().filter(is_engine).cloned().collect()
+    // A question counts as a request to an engine that names a rate limit.
+    let is_limited = |l: &&Listed| board.get(&l.id).is_some_and(|engine| engine.is_limited());
+    board.listings().filter(is_engine).filter(|l| !is_limited(l)).cloned().collect()
 }
 
 async fn ask<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
@@ -82,11 +84,14 @@
         // It is to get nothing of this VM, a question how it fares included.
         return;
     }
+    if rate_limits::is_limited(&process, &listed.id) {
+        return;
+    }
     let at = process.now();
     let start = notices::start(&process, &listed.id);
     process.metrics.reports.inc();
     let Noted { notice, answer } = process.reports.report(&listed.id, &listed.address).await;
-    notices::heard(&process, &listed.id, start, notice);
+    notices::heard(&process, &listed.id, start, at, notice);
     if let Err(Fault::Unreadable(why)) = &answer {
         if process.trouble_lines.admit(process.now()).is_some() {
             log::event(&process.log, Event::ReportUnreadable, format!("{}: {why}", listed.id));
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -170,5 +170,7 @@
         slowest: place.slowest.iter().map(|(id, load)| (tag(id), load.clone())).collect(),
         open: place.open,
         alone: flight.alone,
+        limited: place.limited,
+        limit: place.limit,
     })
 }
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -110,10 +110,13 @@
 
 fn state<D: Dialect>(process: &Process<D>, round: Round, now: Instant) -> State {
     let steps = if round == Round::All { steps(process, now) } else { Bytes::new() };
-    let (digest, starts, departures) = {
+    let (digest, starts, departures, rate_limits) = {
         let mut board = process.board.lock().unwrap();
-        let departures = if round == Round::All { board.departures() } else { Vec::new() };
-        (board.digest(), board.told_starts(now), departures)
+        let (departures, rate_limits) = match round {
+            Round::All => (board.departures(), board.told_limits(now)),
+            _ => (Vec::new(), Vec::new()),
+        };
+        (board.digest(), board.told_starts(now), departures, rate_limits)
     };
     State {
         stamp: process.peers.stamp(process.moment()),
@@ -127,6 +130,7 @@
         settled: process.peers.settled(now),
         starts,
         departures,
+        rate_limits,
         steps,
         ..State::new(process.member.vm.clone(), process.member.incarnation)
     }
@@ -146,5 +150,6 @@
         outcomes: board.told_outcomes(now),
         reports: board.told_reports(now),
         suspects: board.quarantine.told(round == Round::All, now),
+        sent: board.told_sent(now),
     }
 }
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -143,6 +143,7 @@
         part_ms: 0.0,
         seen: flight.seen.clone(),
         by: None,
+        limited: 0,
         asked_ms: 0.0,
     });
 }
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -194,6 +194,7 @@
                     part_ms: 0.0,
                     seen: Vec::new(),
                     by: None,
+                    limited: 0,
                     asked_ms: 0.0,
                 },
             );
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -8,6 +8,7 @@
 mod flights;
 mod halls;
 mod held;
+mod limits;
 mod listed;
 mod load;
 mod outcomes;
@@ -32,6 +33,7 @@
 
 pub use flights::Holder;
 pub use halls::{Hall, Halls};
+pub use limits::Sent;
 pub use listed::{Listed, Start};
 pub use load::{BRISK_MS, Load};
 pub use outcomes::Ended;
@@ -59,6 +61,7 @@
     released: VecDeque<Fingerprint>,
     outcomes: VecDeque<(Instant, Ended)>,
     heard_outcomes: HashMap<id::Vm, u64>,
+    own_sent: limits::OwnSent,
     next: u64,
     /// The digest of the listings, until one changes: it is asked for with each beat.
     digest: Cell<Option<u64>>,
@@ -123,6 +126,7 @@
             observed: None,
             asked: false,
             cold_until: None,
+            rate_limit: None,
             unlisted: None,
         };
         self.upstreams.insert(id, upstream);
--- a/request/src/board/flights.rs
+++ b/request/src/board/flights.rs
@@ -1,6 +1,6 @@
 //! What is under way, by the VM that has it, and summed up by upstream.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
@@ -10,15 +10,12 @@
 use super::{Board, Upstream};
 use crate::fingerprint::Fingerprint;
 use crate::flight::{Flight, Told, Tracked};
+use crate::pace::Pace;
 
 /// How long a place that was given counts before its VM tells of the attempt: several beats, of
 /// which some may be lost.
 const GRANT_LASTS: Duration = Duration::from_millis(1_000);
 
-/// The time over which a cold upstream's requests are counted: a second, and what the way of one may differ
-/// from that of the next.
-const BEGUN: Duration = Duration::from_millis(1_100);
-
 /// The VM that has a flight under way.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Holder {
@@ -43,15 +40,15 @@
     works: HashMap<id::Upstream, Work>,
     /// Those that run alone; hardly ever any.
     alone: Vec<(Serial, Fingerprint, id::Upstream)>,
-    /// When requests of late began at each upstream.
-    begun: HashMap<id::Upstream, VecDeque<Instant>>,
+    /// What was sent to each upstream of late.
+    paces: HashMap<id::Upstream, Pace>,
     serial: Serial,
 }
 
 impl Flights {
     fn begin(&mut self, holder: Holder, number: u64, tracked: Tracked, grant: Option<u64>) {
         if !self.knows(&holder, number) {
-            self.note_begun(&tracked.flight.upstream, tracked.sent);
+            self.note_sent(&tracked.flight.upstream, &holder, number, tracked.sent);
         }
         self.end(&holder, number, tracked.sent);
         self.serial += 1;
@@ -68,14 +65,33 @@
         self.by_holder.entry(holder).or_default().insert(number, entry);
     }
 
-    fn note_begun(&mut self, upstream: &id::Upstream, at: Instant) {
-        let begun = self.begun.entry(upstream.clone()).or_default();
-        begun.push_back(at);
-        while begun.front().is_some_and(|first| at.saturating_duration_since(*first) > BEGUN) {
-            begun.pop_front();
+    pub(super) fn note_sent(
+        &mut self,
+        upstream: &id::Upstream,
+        holder: &Holder,
+        number: u64,
+        at: Instant,
+    ) {
+        self.pace_mut(upstream).record(holder, number, at);
+    }
+
+    pub(super) fn set_limited(&mut self, upstream: &id::Upstream, is_limited: bool) {
+        if is_limited || self.paces.contains_key(upstream) {
+            self.pace_mut(upstream).set_limited(is_limited);
         }
     }
 
+    fn pace_mut(&mut self, upstream: &id::Upstream) -> &mut Pace {
+        if !self.paces.contains_key(upstream) {
+            self.paces.insert(upstream.clone(), Pace::default());
+        }
+        self.paces.get_mut(upstream).expect("just inserted")
+    }
+
+    pub(super) fn pace(&self, upstream: &id::Upstream) -> Option<&Pace> {
+        self.paces.get(upstream)
+    }
+
     fn work(&mut self, upstream: &id::Upstream) -> &mut Work {
         if !self.works.contains_key(upstream) {
             self.works.insert(upstream.clone(), Work::default());
@@ -144,13 +160,14 @@
     /// the VMs that sent it still tell.
     pub(super) fn restarted(&mut self, upstream: &id::Upstream) {
         self.works.remove(upstream);
-        self.begun.remove(upstream);
+        self.paces.remove(upstream);
         self.alone.retain(|(.., at)| at != upstream);
     }
 
     /// Ends all flights of a peer.
     pub(super) fn lost(&mut self, vm: &id::Vm, now: Instant) {
         let holder = Holder::Peer(vm.clone());
+        self.paces.values_mut().for_each(|pace| pace.renumber(&holder));
         let flights = self.by_holder.remove(&holder).unwrap_or_default();
         for Entry { serial, tracked, .. } in flights.into_values() {
             self.alone.retain(|(alone, ..)| *alone != serial);
@@ -163,6 +180,7 @@
     /// Enters an attempt of this VM.
     pub fn enter(&mut self, number: u64, flight: Flight, now: Instant) {
         let tracked = self.tracked(flight, now);
+        self.note_own_sent(&tracked.flight.upstream, number, now);
         self.flights.begin(Holder::Own, number, tracked, None);
     }
 
@@ -233,8 +251,7 @@
 
     /// The requests that began at an upstream within the last second, as far as is known here.
     pub fn begun(&self, upstream: &id::Upstream, now: Instant) -> usize {
-        let late = |at: &&Instant| now.saturating_duration_since(**at) <= BEGUN;
-        self.flights.begun.get(upstream).map_or(0, |begun| begun.iter().filter(late).count())
+        self.flights.pace(upstream).map_or(0, |pace| pace.begun(now))
     }
 
     /// The attempts of all VMs that tell theirs, and the places given.
--- a/request/src/board/upstream.rs
+++ b/request/src/board/upstream.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::Listed;
+use crate::rate_limit;
 use crate::report::Observed;
 use crate::suspicion::{Outcome, Suspicion};
 use crate::tag::Tag;
@@ -30,6 +31,8 @@
     pub asked: bool,
     /// Until when it is cold.
     pub cold_until: Option<Instant>,
+    /// The rate limit that it names, if it ever did.
+    pub rate_limit: Option<rate_limit::Known>,
     /// When its listing ended while the directory was away; it may still live.
     pub unlisted: Option<Instant>,
 }
@@ -65,6 +68,11 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it names a rate limit.
+    pub fn is_limited(&self) -> bool {
+        self.rate_limit.as_ref().is_some_and(|known| known.limit.rate.is_some())
+    }
+
     /// Whether it did not answer when it was last asked for a report.
     pub fn silent(&self, now: Instant) -> bool {
         let fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_LASTS;
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -93,6 +93,9 @@
         /// The VM that placed it; none where its own VM did by what it knows alone.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         by: Option<id::Vm>,
+        /// Upstreams that took no more just then, by their rate limits.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        limited: u32,
         /// The time that it took to be placed, milliseconds.
         #[serde(default)]
         asked_ms: f64,
@@ -194,6 +197,10 @@
     },
 }
 
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
 impl Decision {
     /// The log event of the decision.
     pub fn event(&self) -> Event {
@@ -226,8 +233,11 @@
             Decision::Waited { cause, waited_ms } => {
                 write!(f, "waited {waited_ms:.1} ms: {}", cause.text())
             }
-            Decision::Routed { upstream, route, predicted_ms, seen, .. } => {
+            Decision::Routed { upstream, route, predicted_ms, seen, limited, .. } => {
                 write!(f, "routed to {upstream}")?;
+                if *limited > 0 {
+                    write!(f, ", {limited} others at their rate limits")?;
+                }
                 if let Some(route) = route {
                     write!(f, " by {}", name(route))?;
                     write!(f, ", first token predicted in {predicted_ms:.1} ms")?;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -9,13 +9,14 @@
 use foldlock_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::board::{Ended, Load, Start};
+use crate::board::{Ended, Load, Sent, Start};
 use crate::budget::Charge;
 use crate::fingerprint::Fingerprint;
 use crate::placement::{Ask, Rejection};
+use crate::rate_limit::Limit;
 use crate::revision::Revision;
 use crate::tag::Tag;
-use crate::{flight, quarantine, report};
+use crate::{flight, quarantine, rate_limit, report};
 
 /// The longest message, bytes: what one UDP datagram holds.
 pub const MOST: usize = 60_000;
@@ -33,6 +34,8 @@
     Answered(Answered),
     /// The receiver is to ask an engine for its report.
     Poll(Tag),
+    /// Rate limits of upstreams that the receiver has to know at once.
+    RateLimits(Vec<rate_limit::Told>),
 }
 
 /// The state of a VM, as one peer is told of it.
@@ -90,6 +93,9 @@
     /// Whether it stops and asks the receiver to withdraw it from the directory.
     #[serde(default)]
     pub withdraw: bool,
+    /// Rate limits that upstreams named of late, or whose end was noticed. They go with the beats to all.
+    #[serde(default)]
+    pub rate_limits: Vec<rate_limit::Told>,
 }
 
 impl State {
@@ -111,6 +117,7 @@
             steps: Bytes::new(),
             work: None,
             withdraw: false,
+            rate_limits: Vec::new(),
         }
     }
 }
@@ -126,6 +133,9 @@
     pub reports: Vec<report::Told>,
     /// What it learnt of requests under which upstreams ended.
     pub suspects: Vec<quarantine::News>,
+    /// What it sent of late to upstreams that name a rate limit.
+    #[serde(default)]
+    pub sent: Vec<Sent>,
 }
 
 /// A request by the number that its VM gave it.
@@ -251,6 +261,12 @@
     pub open: usize,
     /// The request, if it runs alone there.
     pub alone: Option<Fingerprint>,
+    /// Upstreams that took no more just then, by their rate limits.
+    #[serde(default)]
+    pub limited: usize,
+    /// What the sender knows of the upstream's rate limit.
+    #[serde(default)]
+    pub limit: Option<Limit>,
 }
 
 /// Encodes a message.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -24,9 +24,10 @@
 use crate::flight::{Flight, Helping};
 use crate::forecast;
 use crate::quarantine::Verdict;
+use crate::rate_limit::Limit;
 use crate::tag::Tag;
 
-use candidate::{Candidate, candidates, rejection};
+use candidate::{Candidate, at_their_limit, candidates, rejection};
 pub use group::{DEMAND_WINDOW, Line, Turn, is_too_long, line};
 
 /// The part of the objective within which a short prompt's first event has to be predicted for an
@@ -127,6 +128,10 @@
     pub slowest: Vec<(id::Upstream, Load)>,
     /// The upstreams among which it was chosen.
     pub open: usize,
+    /// Upstreams that took no more just then, by their rate limits.
+    pub limited: usize,
+    /// What is known of the upstream's rate limit where the place was granted.
+    pub limit: Option<Limit>,
 }
 
 /// Why there is no place.
@@ -145,6 +150,11 @@
         /// Milliseconds.
         left_ms: u64,
     },
+    /// All upstreams of the service name rate limits, and the request would wait too long.
+    Limited {
+        /// When to come back, milliseconds.
+        after_ms: u64,
+    },
     /// The fleet's retry budget for the service is spent.
     OverBudget(Exhausted),
     /// The request ended upstreams and is kept from all for this long.
@@ -168,6 +178,9 @@
             Rejection::Resting { left_ms } => {
                 write!(f, "all upstreams asked for a rest, the first for {left_ms} ms more")
             }
+            Rejection::Limited { after_ms } => {
+                write!(f, "all upstreams are at their rate limits, come back in {after_ms} ms")
+            }
             Rejection::OverBudget(_) => f.write_str("the fleet's retry budget is spent"),
             Rejection::Quarantined { left_ms } => {
                 write!(f, "the request is kept from all upstreams for {left_ms} ms more")
@@ -190,11 +203,13 @@
     }
     let engine = service.engine.as_ref();
     let Some(engine) = engine.filter(|engine| ask.long_read_ms(engine).is_some()) else {
-        return match engine {
+        let limited = at_their_limit(board, service, ask, now);
+        let place = match engine {
             _ if alone => apart(ask, engine, candidates),
             Some(engine) => short(ask, engine, candidates),
             None => plain(ask, candidates),
         };
+        return place.map(|place| Place { limited, ..place });
     };
     let turns = [Turn { ask, index: 0 }];
     let line = Line { turns: &turns, demand: 0.0, offset: ask.offset, kept: 0 };
@@ -204,6 +219,26 @@
     Ok(place)
 }
 
+/// Finds a place for a long prompt on one upstream that names a rate limit, if all do or if this one has got nothing
+/// for a while. None of them reads a part for another.
+pub fn place_whole(
+    board: &Board,
+    service: &Service,
+    ask: &Ask,
+    now: Instant,
+) -> Result<Place, Rejection> {
+    let alone = runs_alone(board, ask.fingerprint, now)?;
+    let all = board.limited_rate(&service.name).is_some();
+    let mut candidates = candidates(board, service, ask, now);
+    candidates.retain(|c| c.upstream.is_limited() && (all || c.is_due));
+    let mut place = apart(ask, service.engine.as_ref(), candidates)?;
+    if !all && place.predicted_ms > ask.left_ms(now) {
+        return Err(Rejection::Full);
+    }
+    place.flight.alone = alone.then_some(ask.fingerprint);
+    Ok(place)
+}
+
 /// Whether a request is to run alone, if it may run now at all: one copy at a time does.
 pub fn runs_alone(
     board: &Board,
@@ -261,7 +296,8 @@
     };
     let index = candidates
         .iter()
-        .position(|c| c.is_brisk() && fits(c, IN_TIME))
+        .position(|c| c.is_due && fits(c, BESIDE))
+        .or_else(|| candidates.iter().position(|c| c.is_brisk() && fits(c, IN_TIME)))
         .or_else(|| least(&candidates, engine, read, |c| c.is_brisk() && fits(c, BESIDE)))
         .or_else(|| candidates.iter().position(|c| fits(c, BESIDE)))
         .or_else(|| least(&candidates, engine, read, |c| c.has_room(memory, engine)))
@@ -324,5 +360,7 @@
         load: best.load.clone(),
         slowest: slowest(helpers),
         open,
+        limited: 0,
+        limit: best.upstream.rate_limit.as_ref().map(|known| known.limit),
     }
 }
--- a/request/src/placement/candidate.rs
+++ b/request/src/placement/candidate.rs
@@ -1,16 +1,20 @@
 //! The upstreams that may take a request, and what would become of it there.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foldlock_version::routes::{Engine, Service};
 
 use super::{Ask, Rejection};
 use crate::board::{BRISK_MS, Board, Load, Upstream};
 use crate::forecast;
+use crate::pace::Bound;
 
 /// Kept from a pause, milliseconds, for one more short prompt that comes in.
 const PAUSE_MARGIN_MS: f64 = 30.0;
 
+/// How long an upstream that names a rate limit may go without a request.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Answers with short pauses beside which parts of any length are read: a single one would keep its
 /// engine from long prompts for as long as it lasts.
 const LONE: u32 = 1;
@@ -22,6 +26,8 @@
     pub(super) load: Load,
     /// How many times longer its work takes than its figures say.
     pub(super) pace: f64,
+    /// Whether it names a rate limit and has got nothing for a while: an answer shows whether the limit holds.
+    pub(super) is_due: bool,
 }
 
 impl<'a> Candidate<'a> {
@@ -32,7 +38,7 @@
         now: Instant,
     ) -> Candidate<'a> {
         let load = board.load(upstream, engine, now);
-        Candidate { upstream, load, pace: upstream.pace(now) }
+        Candidate { upstream, load, pace: upstream.pace(now), is_due: is_due(board, upstream, now) }
     }
 
     /// When the first event of a prompt comes that is sent now: at the end of the pass that reads it,
@@ -90,7 +96,8 @@
     if board.is_drained(&service.name) {
         return Rejection::Drained;
     }
-    let left = |u: &Upstream| u.is_cold(now) && !ask.avoid.contains(&u.tag);
+    let is_paced = |u: &Upstream| u.is_cold(now) || u.is_limited();
+    let left = |u: &Upstream| is_paced(u) && !ask.avoid.contains(&u.tag);
     if board.open(&service.name).any(left) { Rejection::Full } else { Rejection::Closed }
 }
 
@@ -110,12 +117,22 @@
         let offset = ask.offset % candidates.len();
         candidates.rotate_left(offset);
     }
-    candidates.sort_by_key(|u| (u.is_cold(now), u.listed.hall != ask.hall));
+    candidates.sort_by_key(|u| (rank(u, now), u.listed.hall != ask.hall));
     let engine = service.engine.as_ref();
     candidates.into_iter().map(|upstream| Candidate::new(board, upstream, engine, now)).collect()
 }
 
-/// Whether an upstream bears one more request now: a cold one bears some a second, and ends under many more.
+/// The order in which upstreams are filled: those that ask for less come last.
+fn rank(upstream: &Upstream, now: Instant) -> (bool, bool) {
+    (upstream.is_limited(), upstream.is_cold(now))
+}
+
+fn is_due(board: &Board, upstream: &Upstream, now: Instant) -> bool {
+    upstream.is_limited() && board.sent_within(&upstream.listed.id, PROBE_INTERVAL, now) == 0
+}
+
+/// Whether an upstream takes one more request now, as it is cold or names a rate limit. Without a scheduler nobody
+/// knows what others send, and one that names a limit gets nothing.
 pub(super) fn bears_more(
     board: &Board,
     service: &Service,
@@ -123,9 +140,17 @@
     placers: usize,
     now: Instant,
 ) -> bool {
-    let Some(per_s) = service.cold_per_s.filter(|_| upstream.is_cold(now)) else { return true };
-    let share = (per_s / placers.max(1) as f64).max(1.0) as usize;
-    board.begun(&upstream.listed.id, now) < share
+    if upstream.is_limited() && placers > 1 {
+        return false;
+    }
+    let cold = service.cold_per_s.map(|per_s| Bound::cold(per_s, placers));
+    board.takes_more(upstream, cold, now)
+}
+
+/// The upstreams that would be open to a request but for their rate limits.
+pub(super) fn at_their_limit(board: &Board, service: &Service, ask: &Ask, now: Instant) -> usize {
+    let limited = board.open(&service.name).filter(|u| u.is_limited());
+    limited.filter(|u| !bears_more(board, service, u, ask.placers, now)).count()
 }
 
 /// Those that did not fail of late and are not left to a request that runs alone, or all where there are
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -78,7 +78,9 @@
     line: Line<'_>,
     now: Instant,
 ) -> Vec<(usize, Place)> {
-    let open = trusted(board, board.open(&service.name).collect(), now);
+    // A part read for another engine is work that a rate limit leaves no room for.
+    let unlimited = board.open(&service.name).filter(|upstream| !upstream.is_limited());
+    let open = trusted(board, unlimited.collect(), now);
     let candidate = |upstream| Candidate::new(board, upstream, Some(engine), now);
     let mut candidates: Vec<Candidate<'_>> = open.into_iter().map(candidate).collect();
     candidates.reverse();
@@ -138,7 +140,11 @@
 /// than any that are placed, or than memory may be held for it.
 pub fn is_too_long(board: &Board, service: &Service, engine: &Engine, ask: &Ask) -> bool {
     let Some(read_ms) = ask.long_read_ms(engine) else { return false };
-    let engines = board.open(&service.name).count().clamp(1, MOST_ENGINES);
+    if board.limited_rate(&service.name).is_some() && ask.memory > engine.memory {
+        return true;
+    }
+    let unlimited = board.open(&service.name).filter(|upstream| !upstream.is_limited());
+    let engines = unlimited.count().clamp(1, MOST_ENGINES);
     let most_ms = if ask.memory > engine.memory {
         ask.hold_limit.as_secs_f64() * 1e3 * HOLD_MARGIN
     } else {
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -4,6 +4,8 @@
 //! for all has no such moment. It keeps nothing that lasts: another VM takes over with what it is
 //! told, and a VM that hears no scheduler places its own requests by what it knows.
 
+mod backlog;
+
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,8 @@
 use crate::pressure::Pressure;
 use crate::tag::Tag;
 
+use backlog::Backlog;
+
 /// How long a request waits without a word of its VM, which asks again several times in this time:
 /// its caller has left, or its VM has ended or asks elsewhere.
 const ASK_LASTS: Duration = Duration::from_millis(600);
@@ -38,7 +42,7 @@
 #[derive(Debug, Clone)]
 pub enum Answer {
     /// There is a place, given by the message with this number.
-    Placed(Place, u64),
+    Placed(Box<Place>, u64),
     /// It waits for one.
     Waits,
     /// There is none, and waiting brings none.
@@ -83,6 +87,7 @@
     asked: VecDeque<Asked>,
     grants: HashMap<Holder, u64>,
     pressure: Pressure,
+    backlog: Backlog,
     /// The fleet's retry budget, as far as this VM schedules it.
     pub budget: Budget,
 }
@@ -104,7 +109,7 @@
         now: Instant,
     ) -> Answer {
         if let Some(placed) = self.placed.get(&key) {
-            return Answer::Placed(placed.place.clone(), placed.grant);
+            return Answer::Placed(Box::new(placed.place.clone()), placed.grant);
         }
         if let Some(waiter) = self.waiters.iter_mut().find(|waiter| waiter.key == key) {
             waiter.heard = now;
@@ -126,10 +131,17 @@
         if found.engine.as_ref().is_some_and(|e| placement::is_too_long(board, found, e, &ask)) {
             return Answer::Rejected(Rejection::TooLarge);
         }
+        let limited_rate = board.limited_rate(&found.name);
         if let Some(read_ms) = read_ms {
             self.asked.push_back(Asked { at: now, service, read_ms });
         } else {
-            match placement::place(board, found, &ask, now) {
+            // Nobody overtakes those that wait for their turn.
+            let queues = limited_rate.is_some() && self.waiting_for(service) > 0;
+            let placed = match queues {
+                true => Err(Rejection::Full),
+                false => placement::place(board, found, &ask, now),
+            };
+            match placed {
                 Ok(place) => {
                     let objective_ms = ask.objective.as_secs_f64() * 1e3;
                     self.pressure.placed(place.predicted_ms / objective_ms, now);
@@ -140,6 +152,12 @@
                 Err(rejection) => return Answer::Rejected(rejection),
             }
         }
+        if let Some(rate) = limited_rate {
+            let ahead = self.waiting_for(service);
+            if let Err(limited) = self.backlog.check(service, rate, &ask, ahead, false, now) {
+                return Answer::Rejected(limited);
+            }
+        }
         ask.charge = self.budget.queue(service, ask.charge);
         self.waiters.push(Waiter { key, service, ask, heard: now });
         Answer::Waits
@@ -163,6 +181,10 @@
         self.waiters.len()
     }
 
+    fn waiting_for(&self, service: Tag) -> usize {
+        self.waiters.iter().filter(|waiter| waiter.service == service).count()
+    }
+
     /// Places what waits and has a place now.
     pub fn look(&mut self, board: &mut Board, table: &Table, now: Instant) -> Vec<(Key, Answer)> {
         self.forget(board, now);
@@ -179,10 +201,70 @@
             }
             self.place_short(board, service, tag, now, &mut answers);
             self.place_long(board, service, tag, now, &mut answers);
+            if board.limited_count() > 0 {
+                self.place_whole(board, service, tag, now, &mut answers);
+                self.turn_away_late(board, service, tag, now, &mut answers);
+            }
         }
         answers
     }
 
+    /// Long prompts at upstreams that name rate limits, which read no parts for others.
+    fn place_whole(
+        &mut self,
+        board: &mut Board,
+        service: &Service,
+        tag: Tag,
+        now: Instant,
+        answers: &mut Vec<(Key, Answer)>,
+    ) {
+        for key in self.due(tag, |waiter| waiter.is_long(service)) {
+            let Some(waiter) = self.waiters.iter().find(|waiter| waiter.key == key) else {
+                continue;
+            };
+            if let Ok(place) = placement::place_whole(board, service, &waiter.ask, now) {
+                let charged = waiter.charged();
+                let answer = self.give(board, charged, place, now);
+                answers.push((key, answer));
+            }
+        }
+    }
+
+    /// Rejects those that would wait too long for upstreams that all name rate limits.
+    fn turn_away_late(
+        &mut self,
+        board: &Board,
+        service: &Service,
+        tag: Tag,
+        now: Instant,
+        answers: &mut Vec<(Key, Answer)>,
+    ) {
+        let Some(rate) = board.limited_rate(&service.name) else { return };
+        let mut ahead = 0;
+        for key in self.due(tag, |_| true) {
+            let Some(waiter) = self.waiters.iter().find(|waiter| waiter.key == key) else {
+                continue;
+            };
+            match self.backlog.check(tag, rate, &waiter.ask, ahead, true, now) {
+                Ok(()) => ahead += 1,
+                Err(limited) => {
+                    self.waiters.retain(|waiter| waiter.key != key);
+                    answers.push((key, Answer::Rejected(limited)));
+                }
+            }
+        }
+    }
+
+    /// The requests of a service that wait, the one that is due first before the others.
+    fn due(&self, service: Tag, of: impl Fn(&Waiter) -> bool) -> Vec<Key> {
+        let waiters = self.waiters.iter().filter(|waiter| waiter.service == service && of(waiter));
+        let mut due: Vec<(Instant, &Key)> = waiters
+            .map(|waiter| (waiter.ask.arrived + waiter.ask.objective, &waiter.key))
+            .collect();
+        due.sort();
+        due.into_iter().map(|(_, key)| key.clone()).collect()
+    }
+
     /// Tells those that wait and are kept from all upstreams by now.
     fn turn_away(&mut self, board: &Board, now: Instant, answers: &mut Vec<(Key, Answer)>) {
         self.waiters.retain(|waiter| match runs_alone(board, waiter.ask.fingerprint, now) {
@@ -213,14 +295,7 @@
         now: Instant,
         answers: &mut Vec<(Key, Answer)>,
     ) {
-        let mut due: Vec<(Instant, Key)> = self
-            .waiters
-            .iter()
-            .filter(|waiter| waiter.service == tag && !waiter.is_long(service))
-            .map(|waiter| (waiter.ask.arrived + waiter.ask.objective, waiter.key.clone()))
-            .collect();
-        due.sort();
-        for (_, key) in due {
+        for key in self.due(tag, |waiter| !waiter.is_long(service)) {
             let Some(waiter) = self.waiters.iter().find(|waiter| waiter.key == key) else {
                 continue;
             };
@@ -291,7 +366,7 @@
         let grant = *grant;
         board.grant(&key.holder, key.number, place.flight.clone(), grant, now);
         self.placed.insert(key, Placed { place: place.clone(), grant, at: now });
-        Answer::Placed(place, grant)
+        Answer::Placed(Box::new(place), grant)
     }
 
     /// Forgets what is asked for no more.
--- a/request/tests/patterns/play.rs
+++ b/request/tests/patterns/play.rs
@@ -232,7 +232,7 @@
         let (board, table) = (&mut self.board, &self.table);
         let answer = self.scheduler.ask(board, table, Play::key(number), self.service, ask, now);
         if let Answer::Placed(place, _) = answer {
-            self.placed(number, place, now);
+            self.placed(number, *place, now);
         }
     }
 
@@ -254,7 +254,7 @@
     fn look(&mut self, now: Instant) {
         for (key, answer) in self.scheduler.look(&mut self.board, &self.table, now) {
             if let Answer::Placed(place, _) = answer {
-                self.placed(key.number, place, now);
+                self.placed(key.number, *place, now);
             }
         }
     }
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -125,7 +125,7 @@
     fn look(&mut self) -> Vec<(Key, Place)> {
         let answers = self.scheduler.look(&mut self.board, &self.table, self.now);
         let place = |(key, answer)| match answer {
-            Answer::Placed(place, _) => (key, place),
+            Answer::Placed(place, _) => (key, *place),
             answer => panic!("{key:?}: {answer:?}"),
         };
         answers.into_iter().map(place).collect()
@@ -142,7 +142,7 @@
 
 fn placed(answer: Answer) -> (Place, u64) {
     match answer {
-        Answer::Placed(place, grant) => (place, grant),
+        Answer::Placed(place, grant) => (*place, grant),
         answer => panic!("{answer:?}"),
     }
 }
@@ -338,7 +338,7 @@
         let ask = suspicious(suspected(fleet.now));
         suspect(&mut fleet, &ask);
         let alone = match fleet.ask(key(0, 2), ask.clone()) {
-            Answer::Placed(place, _) => place,
+            Answer::Placed(place, _) => *place,
             _ => fleet.look().pop().expect("there is room").1,
         };
         assert_eq!(alone.flight.alone, Some(ask.fingerprint));
