Rate limits: status names limited upstreams, their number is counted as it changes

On call must see which upstream is limited, since when, by whose word and how much of it is used: the dump and status say so. The count of limited upstreams was a walk over all upstreams for each look of the scheduler, and the upstreams left out a second walk for each placement; both come from what is walked anyway. The property's fleet is split by job.

--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -39,6 +39,7 @@
         "stopping": dump["stopping"],
         "drained_halls": dump["drained_halls"],
         "cold": cold(dump),
+        "limited": limited(dump),
         "unread": dump["unread"],
     })
 }
@@ -73,6 +74,15 @@
     upstreams.map_or(0, |upstreams| upstreams.iter().filter(is_cold).count())
 }
 
+/// Upstreams that name a rate limit, with what is known of it.
+fn limited(dump: &Value) -> Vec<Value> {
+    let upstreams = dump["upstreams"].as_array().into_iter().flatten();
+    let limited = upstreams.filter(|upstream| upstream["rate_limit"].is_object());
+    limited
+        .map(|upstream| json!({"upstream": upstream["id"], "limit": upstream["rate_limit"]}))
+        .collect()
+}
+
 /// What is not as usual.
 fn notes(dump: &Value) -> String {
     let mut notes = Vec::new();
@@ -85,6 +95,15 @@
         0 => {}
         cold => notes.push(format!("{cold} cold")),
     }
+    for of in limited(dump) {
+        let (upstream, limit) = (of["upstream"].as_str().unwrap_or_default(), &of["limit"]);
+        let by = limit["by"].as_str().unwrap_or_default();
+        let (rate, sent) = (&limit["rate"], &limit["sent_last_second"]);
+        let since_s = limit["since_ms"].as_u64().unwrap_or(0) / 1_000;
+        notes.push(format!(
+            "{upstream} takes {rate}/s since {since_s} s by {by}, {sent} sent in the last second"
+        ));
+    }
     let unread = &dump["unread"];
     if let Some(bytes) = unread["bytes"].as_u64().filter(|bytes| *bytes > 0) {
         let largest = unread["largest"][0]["request"].as_str().unwrap_or_default();
--- a/cli/tests/status.rs
+++ b/cli/tests/status.rs
@@ -54,16 +54,24 @@
     let mut dump = dump();
     dump["drained_halls"] =
         json!([{"name": "la-marsa", "drained": true, "revision": {"era": 0, "number": 5498}}]);
-    dump["upstreams"] = json!([{"id": "i-1", "cold_ms": 1_500}, {"id": "i-2", "cold_ms": 0}]);
+    let limit = json!({
+        "rate": 2.5, "version": 1, "by": "front-a-2", "since_ms": 12_300, "sent_last_second": 2,
+    });
+    dump["upstreams"] = json!([
+        {"id": "i-1", "cold_ms": 1_500},
+        {"id": "i-2", "cold_ms": 0},
+        {"id": "i-3", "cold_ms": null, "rate_limit": limit},
+    ]);
     dump["unread"] = json!({
         "bytes": 1_250_000, "most": 28_000_000, "answers": 2,
         "largest": [{"request": "r-17", "bytes": 1_000_000}, {"request": "r-9", "bytes": 250_000}],
     });
     expect![[r#"
-        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  la-marsa drained by 0.5498  1 cold  1250000 bytes unread of 2 answers, most of r-17
+        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  la-marsa drained by 0.5498  1 cold  i-3 takes 2.5/s since 12 s by front-a-2, 2 sent in the last second  1250000 bytes unread of 2 answers, most of r-17
     "#]].assert_eq(&status(dump.clone(), &[]));
     let object: Value = serde_json::from_str(&status(dump, &["--json"])).unwrap();
     assert_eq!(object["cold"], 1);
     assert_eq!(object["drained_halls"][0]["name"], "la-marsa");
     assert_eq!(object["unread"]["bytes"], 1_250_000);
+    assert_eq!(object["limited"][0]["limit"]["rate"], 2.5);
 }
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -62,6 +62,8 @@
     outcomes: VecDeque<(Instant, Ended)>,
     heard_outcomes: HashMap<id::Vm, u64>,
     own_sent: limits::OwnSent,
+    /// The upstreams that name a rate limit.
+    limited: usize,
     next: u64,
     /// The digest of the listings, until one changes: it is asked for with each beat.
     digest: Cell<Option<u64>>,
@@ -136,6 +138,7 @@
         let known = self.upstreams.remove(id)?;
         self.tags.remove(&known.tag);
         self.flights.restarted(id);
+        self.limited -= usize::from(known.is_limited());
         Some(known)
     }
 
--- a/request/src/board/limits.rs
+++ b/request/src/board/limits.rs
@@ -67,9 +67,12 @@
     ) -> Option<id::Upstream> {
         let id = self.tags.get(&instance)?;
         let upstream = self.upstreams.get_mut(id)?;
+        let was_limited = upstream.is_limited();
         let is_news = rate_limit::state(&mut upstream.rate_limit, rate, sent, own, now);
-        self.flights.set_limited(id, upstream.is_limited());
-        is_news.then(|| id.clone())
+        let is_limited = upstream.is_limited();
+        let id = id.clone();
+        self.count_limited(&id, was_limited, is_limited);
+        is_news.then_some(id)
     }
 
     /// Takes a limit that a peer told of. Says what became of it, and names the upstream; nothing where that is not
@@ -82,9 +85,23 @@
     ) -> Option<(Heard, id::Upstream)> {
         let id = self.tags.get(&told.upstream)?;
         let upstream = self.upstreams.get_mut(id)?;
+        let was_limited = upstream.is_limited();
         let heard = rate_limit::hear(&mut upstream.rate_limit, told.limit, from, now);
-        self.flights.set_limited(id, upstream.is_limited());
-        Some((heard, id.clone()))
+        let is_limited = upstream.is_limited();
+        let id = id.clone();
+        self.count_limited(&id, was_limited, is_limited);
+        Some((heard, id))
+    }
+
+    fn count_limited(&mut self, id: &id::Upstream, was_limited: bool, is_limited: bool) {
+        if was_limited == is_limited {
+            return;
+        }
+        self.flights.set_limited(id, is_limited);
+        match is_limited {
+            true => self.limited += 1,
+            false => self.limited -= 1,
+        }
     }
 
     /// The limits that peers are told of.
@@ -177,7 +194,7 @@
 
     /// The upstreams that name a limit.
     pub fn limited_count(&self) -> usize {
-        self.upstreams.values().filter(|u| u.is_limited()).count()
+        self.limited
     }
 }
 
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -27,7 +27,7 @@
 use crate::rate_limit::Limit;
 use crate::tag::Tag;
 
-use candidate::{Candidate, at_their_limit, candidates, rejection};
+use candidate::{Candidate, candidates, rejection};
 pub use group::{DEMAND_WINDOW, Line, Turn, is_too_long, line};
 
 /// The part of the objective within which a short prompt's first event has to be predicted for an
@@ -197,13 +197,12 @@
     now: Instant,
 ) -> Result<Place, Rejection> {
     let alone = runs_alone(board, ask.fingerprint, now)?;
-    let candidates = candidates(board, service, ask, now);
+    let (candidates, limited) = candidates(board, service, ask, now);
     if candidates.is_empty() {
         return Err(rejection(board, service, ask, now));
     }
     let engine = service.engine.as_ref();
     let Some(engine) = engine.filter(|engine| ask.long_read_ms(engine).is_some()) else {
-        let limited = at_their_limit(board, service, ask, now);
         let place = match engine {
             _ if alone => apart(ask, engine, candidates),
             Some(engine) => short(ask, engine, candidates),
@@ -229,7 +228,7 @@
 ) -> Result<Place, Rejection> {
     let alone = runs_alone(board, ask.fingerprint, now)?;
     let all = board.limited_rate(&service.name).is_some();
-    let mut candidates = candidates(board, service, ask, now);
+    let (mut candidates, _) = candidates(board, service, ask, now);
     candidates.retain(|c| c.upstream.is_limited() && (all || c.is_due));
     let mut place = apart(ask, service.engine.as_ref(), candidates)?;
     if !all && place.predicted_ms > ask.left_ms(now) {
--- a/request/src/placement/candidate.rs
+++ b/request/src/placement/candidate.rs
@@ -102,24 +102,26 @@
 }
 
 /// The upstreams that take new work, those that are to be trusted alone if there are any, the asker's
-/// hall first.
+/// hall first; and how many take no more now by their rate limits.
 pub(super) fn candidates<'a>(
     board: &'a Board,
     service: &'a Service,
     ask: &Ask,
     now: Instant,
-) -> Vec<Candidate<'a>> {
-    let open = board
-        .open(&service.name)
-        .filter(|u| !ask.avoid.contains(&u.tag) && bears_more(board, service, u, ask.placers, now));
-    let mut candidates = trusted(board, open.collect(), now);
+) -> (Vec<Candidate<'a>>, usize) {
+    let open = board.open(&service.name).filter(|u| !ask.avoid.contains(&u.tag));
+    let (open, spent): (Vec<&Upstream>, Vec<&Upstream>) =
+        open.partition(|u| bears_more(board, service, u, ask.placers, now));
+    let limited = spent.into_iter().filter(|u| u.is_limited()).count();
+    let mut candidates = trusted(board, open, now);
     if !candidates.is_empty() {
         let offset = ask.offset % candidates.len();
         candidates.rotate_left(offset);
     }
     candidates.sort_by_key(|u| (rank(u, now), u.listed.hall != ask.hall));
     let engine = service.engine.as_ref();
-    candidates.into_iter().map(|upstream| Candidate::new(board, upstream, engine, now)).collect()
+    let candidate = |upstream| Candidate::new(board, upstream, engine, now);
+    (candidates.into_iter().map(candidate).collect(), limited)
 }
 
 /// The order in which upstreams are filled: those that ask for less come last.
@@ -147,12 +149,6 @@
     board.takes_more(upstream, cold, now)
 }
 
-/// The upstreams that would be open to a request but for their rate limits.
-pub(super) fn at_their_limit(board: &Board, service: &Service, ask: &Ask, now: Instant) -> usize {
-    let limited = board.open(&service.name).filter(|u| u.is_limited());
-    limited.filter(|u| !bears_more(board, service, u, ask.placers, now)).count()
-}
-
 /// Those that did not fail of late and are not left to a request that runs alone, or all where there are
 /// no others.
 pub(super) fn trusted<'a>(
--- /dev/null
+++ b/request/tests/rate_limits/check.rs
@@ -0,0 +1,38 @@
+//! What upstreams got, held against their limits.
+
+use std::time::Instant;
+
+use foldlock_base::size::Rate;
+use proptest::prelude::*;
+
+use crate::fleet::{Fleet, SPAN, TOLD, UPSTREAMS};
+
+impl Fleet {
+    /// Each span of each upstream, by the highest limit that it named within it.
+    pub(crate) fn check(&self) -> Result<(), TestCaseError> {
+        for index in 0..UPSTREAMS {
+            let counted: Vec<Instant> =
+                self.arrivals[index].iter().filter(|a| a.counts).map(|a| a.at).collect();
+            for last in &counted {
+                let from = *last - SPAN;
+                let Some(limit) = self.highest(index, from - TOLD, *last) else { continue };
+                let came = counted.iter().filter(|at| **at > from && *at <= last).count();
+                let most = (1.5 * limit.over(SPAN) + 5.0) as usize;
+                prop_assert!(came <= most, "{came} of {most} at {limit}, upstream {index}");
+            }
+        }
+        Ok(())
+    }
+
+    /// The highest limit that an upstream named in this time; none if it had none for a part of it.
+    fn highest(&self, upstream: usize, from: Instant, to: Instant) -> Option<Rate> {
+        let named = &self.named[upstream];
+        let before = named.iter().rev().find(|(at, _)| *at <= from)?;
+        let within = named.iter().filter(|(at, _)| *at > from && *at <= to);
+        let mut highest = before.1?;
+        for (_, limit) in within {
+            highest = if (*limit)? > highest { (*limit)? } else { highest };
+        }
+        Some(highest)
+    }
+}
--- a/request/tests/rate_limits.rs
+++ b/request/tests/rate_limits/fleet.rs
@@ -1,8 +1,4 @@
-//! Upstreams that name how many requests a second they take from all VMs together, while VMs are killed, frozen and cut
-//! off, and follow each other as schedulers.
-//!
-//! Guards against an upstream that gets more in four seconds than one and a half times its limit and five requests beside,
-//! summed over the VMs that it told half a second before or earlier, and against a limit that is not used.
+//! A fleet without network: VMs that schedule, send and tell each other what they know, and upstreams that name limits.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -14,42 +10,41 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
 use foldlock_request::placement::{Ask, Place, Rejection};
-use foldlock_request::rate_limit::{Limit, Told};
+use foldlock_request::rate_limit::Told;
 use foldlock_request::scheduler::{Answer, Key, Scheduler};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Bounds, Service, Table};
-use proptest::prelude::*;
 
 /// The time between two looks at the fleet.
-const STEP: Duration = Duration::from_millis(10);
+pub(crate) const STEP: Duration = Duration::from_millis(10);
 
 /// The time between the heartbeats of a VM.
 const HEARTBEAT: Duration = Duration::from_millis(200);
 
 /// The time over which an upstream counts.
-const SPAN: Duration = Duration::from_secs(4);
+pub(crate) const SPAN: Duration = Duration::from_secs(4);
 
 /// The time after which a VM is bound by what it was told.
-const TOLD: Duration = Duration::from_millis(500);
+pub(crate) const TOLD: Duration = Duration::from_millis(500);
 
 /// The time for which a disturbance excuses a VM.
 const EXCUSED: Duration = Duration::from_secs(3);
 
 /// The VMs that may schedule, and that all others tell what they sent.
-const SCHEDULERS: usize = 3;
+pub(crate) const SCHEDULERS: usize = 3;
 
 /// The upstreams of the service.
-const UPSTREAMS: usize = 2;
+pub(crate) const UPSTREAMS: usize = 2;
 
-fn upstream(index: usize) -> id::Upstream {
+pub(crate) fn upstream(index: usize) -> id::Upstream {
     format!("i-{index}").parse().unwrap()
 }
 
-fn vm_name(index: usize) -> id::Vm {
+pub(crate) fn vm_name(index: usize) -> id::Vm {
     format!("vm-{index}").parse().unwrap()
 }
 
-fn rate(per_s: f64) -> Rate {
+pub(crate) fn rate(per_s: f64) -> Rate {
     Rate::per_second(per_s).unwrap()
 }
 
@@ -63,7 +58,7 @@
     Table::builder(1, bounds).service(service()).build()
 }
 
-fn board() -> Board {
+pub(crate) fn board() -> Board {
     let mut board = Board::default();
     for index in 0..UPSTREAMS {
         board.list(Listed {
@@ -100,25 +95,25 @@
     }
 }
 
-struct Vm {
-    board: Board,
-    scheduler: Scheduler,
-    incarnation: u64,
+pub(crate) struct Vm {
+    pub(crate) board: Board,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) incarnation: u64,
     /// Requests of this process.
-    numbers: u64,
+    pub(crate) numbers: u64,
     /// Until when it does nothing.
-    frozen: Option<Instant>,
+    pub(crate) frozen: Option<Instant>,
     /// Whether it reaches no other VM.
-    cut: bool,
+    pub(crate) cut: bool,
     /// The scheduler that it asks in place of the fleet's.
-    asks: Option<usize>,
-    disturbed: Option<Instant>,
+    pub(crate) asks: Option<usize>,
+    pub(crate) disturbed: Option<Instant>,
     /// When each upstream first told this VM of a limit.
-    told: [Option<Instant>; UPSTREAMS],
+    pub(crate) told: [Option<Instant>; UPSTREAMS],
 }
 
 /// A request that an upstream works on.
-struct Running {
+pub(crate) struct Running {
     vm: usize,
     incarnation: u64,
     number: u64,
@@ -129,62 +124,29 @@
     limit: Option<Rate>,
 }
 
-struct Arrival {
-    at: Instant,
+pub(crate) struct Arrival {
+    pub(crate) at: Instant,
     /// Whether it counts: its VM was told in time, and nothing disturbed it.
-    counts: bool,
-}
-
-#[derive(Debug, Clone)]
-enum Incident {
-    /// So much time passes while each of some VMs sends a request every step or so.
-    Load {
-        ms: u64,
-        each_s: usize,
-    },
-    /// An upstream names a limit, in quarters of a request a second, or none.
-    Name {
-        upstream: usize,
-        quarters: Option<u32>,
-    },
-    Kill {
-        vm: usize,
-    },
-    Freeze {
-        vm: usize,
-        ms: u64,
-    },
-    Cut {
-        vm: usize,
-    },
-    /// Some VMs ask another scheduler than the rest.
-    Split {
-        from: usize,
-        scheduler: usize,
-    },
-    Heal,
-    Elect {
-        vm: usize,
-    },
+    pub(crate) counts: bool,
 }
 
-struct Fleet {
-    table: Table,
-    vms: Vec<Vm>,
-    scheduler: usize,
-    starts: u64,
-    now: Instant,
-    next_heartbeat: Instant,
-    limits: [Option<Rate>; UPSTREAMS],
+pub(crate) struct Fleet {
+    pub(crate) table: Table,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) scheduler: usize,
+    pub(crate) starts: u64,
+    pub(crate) now: Instant,
+    pub(crate) next_heartbeat: Instant,
+    pub(crate) limits: [Option<Rate>; UPSTREAMS],
     /// When each upstream named which limit.
-    named: [Vec<(Instant, Option<Rate>)>; UPSTREAMS],
-    running: VecDeque<Running>,
-    arrivals: [Vec<Arrival>; UPSTREAMS],
-    refused: usize,
+    pub(crate) named: [Vec<(Instant, Option<Rate>)>; UPSTREAMS],
+    pub(crate) running: VecDeque<Running>,
+    pub(crate) arrivals: [Vec<Arrival>; UPSTREAMS],
+    pub(crate) refused: usize,
 }
 
 impl Fleet {
-    fn new(count: usize) -> Fleet {
+    pub(crate) fn new(count: usize) -> Fleet {
         let now = Instant::now();
         let mut fleet = Fleet {
             table: table(),
@@ -206,7 +168,7 @@
         fleet
     }
 
-    fn start(&mut self) -> Vm {
+    pub(crate) fn start(&mut self) -> Vm {
         self.starts += 1;
         Vm {
             board: board(),
@@ -221,7 +183,7 @@
         }
     }
 
-    fn name(&mut self, upstream: usize, limit: Option<Rate>) {
+    pub(crate) fn name(&mut self, upstream: usize, limit: Option<Rate>) {
         self.limits[upstream] = limit;
         self.named[upstream].push((self.now, limit));
     }
@@ -244,48 +206,8 @@
         order.into_iter().find(|scheduler| self.reaches(vm, *scheduler))
     }
 
-    fn play(&mut self, incident: &Incident) {
-        let count = self.vms.len();
-        match *incident {
-            Incident::Load { ms, each_s } => self.load(Duration::from_millis(ms), each_s),
-            Incident::Name { upstream, quarters } => {
-                self.name(upstream, quarters.map(|quarters| rate(f64::from(quarters) / 4.0)));
-            }
-            Incident::Kill { vm } => {
-                let told = self.vms[vm % count].told;
-                self.vms[vm % count] = self.start();
-                self.vms[vm % count].told = told;
-                self.vms[vm % count].disturbed = Some(self.now);
-                for other in 0..count {
-                    let now = self.now;
-                    self.vms[other].board.peer_lost(&vm_name(vm % count), now);
-                }
-            }
-            Incident::Freeze { vm, ms } => {
-                let until = self.now + Duration::from_millis(ms);
-                self.vms[vm % count].frozen = Some(until);
-                self.vms[vm % count].disturbed = Some(until);
-            }
-            Incident::Cut { vm } => self.vms[vm % count].cut = true,
-            Incident::Split { from, scheduler } => {
-                let scheduler = scheduler % SCHEDULERS.min(count);
-                let range = from * count / 100..count;
-                self.vms[range].iter_mut().for_each(|vm| vm.asks = Some(scheduler));
-            }
-            Incident::Heal => {
-                for vm in &mut self.vms {
-                    if std::mem::take(&mut vm.cut) {
-                        vm.disturbed = Some(self.now);
-                    }
-                    vm.asks = None;
-                }
-            }
-            Incident::Elect { vm } => self.scheduler = vm % SCHEDULERS.min(count),
-        }
-    }
-
     /// Requests come, so many a second in all, at one VM after the other.
-    fn load(&mut self, time: Duration, each_s: usize) {
+    pub(crate) fn load(&mut self, time: Duration, each_s: usize) {
         let end = self.now + time;
         let mut due = 0.0;
         while self.now < end {
@@ -467,34 +389,6 @@
             }
         }
     }
-
-    /// Each span of each upstream, by the highest limit that it named within it.
-    fn check(&self) -> Result<(), TestCaseError> {
-        for index in 0..UPSTREAMS {
-            let counted: Vec<Instant> =
-                self.arrivals[index].iter().filter(|a| a.counts).map(|a| a.at).collect();
-            for last in &counted {
-                let from = *last - SPAN;
-                let Some(limit) = self.highest(index, from - TOLD, *last) else { continue };
-                let came = counted.iter().filter(|at| **at > from && *at <= last).count();
-                let most = (1.5 * limit.over(SPAN) + 5.0) as usize;
-                prop_assert!(came <= most, "{came} of {most} at {limit}, upstream {index}");
-            }
-        }
-        Ok(())
-    }
-
-    /// The highest limit that an upstream named in this time; none if it had none for a part of it.
-    fn highest(&self, upstream: usize, from: Instant, to: Instant) -> Option<Rate> {
-        let named = &self.named[upstream];
-        let before = named.iter().rev().find(|(at, _)| *at <= from)?;
-        let within = named.iter().filter(|(at, _)| *at > from && *at <= to);
-        let mut highest = before.1?;
-        for (_, limit) in within {
-            highest = if (*limit)? > highest { (*limit)? } else { highest };
-        }
-        Some(highest)
-    }
 }
 
 fn flight(upstream: &id::Upstream) -> Flight {
@@ -508,132 +402,3 @@
         alone: None,
     }
 }
-
-fn incident() -> impl Strategy<Value = Incident> {
-    let load = (50..1_500_u64, 5..120_usize);
-    prop_oneof![
-        6 => load.prop_map(|(ms, each_s)| Incident::Load { ms, each_s }),
-        3 => (0..UPSTREAMS, proptest::option::weighted(0.8, 0..40_u32))
-            .prop_map(|(upstream, quarters)| Incident::Name { upstream, quarters }),
-        2 => (0..SCHEDULERS + 3).prop_map(|vm| Incident::Kill { vm }),
-        2 => (0..SCHEDULERS + 3, 100..3_000_u64).prop_map(|(vm, ms)| Incident::Freeze { vm, ms }),
-        1 => (0..SCHEDULERS + 3).prop_map(|vm| Incident::Cut { vm }),
-        2 => (0..100_usize, 0..SCHEDULERS)
-            .prop_map(|(from, scheduler)| Incident::Split { from, scheduler }),
-        1 => Just(Incident::Heal),
-        2 => (0..SCHEDULERS).prop_map(|vm| Incident::Elect { vm }),
-    ]
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig::with_cases(48))]
-
-    #[test]
-    fn the_fleet_keeps_to_rate_limits_through_any_incidents(
-        count in prop_oneof![3 => Just(6_usize), 1 => Just(72), 1 => Just(195)],
-        incidents in proptest::collection::vec(incident(), 1..40),
-    ) {
-        let mut fleet = Fleet::new(count);
-        fleet.name(0, Some(rate(2.5)));
-        fleet.load(Duration::from_secs(2), 60);
-        incidents.iter().for_each(|incident| fleet.play(incident));
-        fleet.load(SPAN, 60);
-        fleet.check()?;
-    }
-}
-
-/// The largest fleet, with two schedulers at once, each of which is killed.
-#[test]
-fn two_schedulers_at_once_do_not_each_spend_the_rate() {
-    for count in [6, 72, 195, 985] {
-        for per_s in [0.5, 1.0, 2.6, 10.0] {
-            let mut fleet = Fleet::new(count);
-            (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(per_s))));
-            fleet.load(Duration::from_secs(2), 80);
-            fleet.play(&Incident::Split { from: 50, scheduler: 1 });
-            fleet.load(SPAN + SPAN, 80);
-            for vm in [0, 1, 0] {
-                fleet.play(&Incident::Kill { vm });
-                fleet.load(Duration::from_secs(1), 80);
-            }
-            fleet.load(SPAN, 80);
-            fleet.check().unwrap();
-        }
-    }
-}
-
-/// Callers are served at the rate that is named while they wait.
-#[test]
-fn the_rate_is_used_while_callers_wait() {
-    for per_s in [1.0, 2.6, 10.0, 40.0] {
-        let mut fleet = Fleet::new(6);
-        (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(per_s))));
-        fleet.load(Duration::from_secs(2), 200);
-        let before: usize = fleet.arrivals.iter().map(Vec::len).sum();
-        fleet.load(Duration::from_secs(10), 200);
-        let came = fleet.arrivals.iter().map(Vec::len).sum::<usize>() - before;
-        let least = 0.8 * per_s * 10.0 * UPSTREAMS as f64;
-        assert!(came as f64 >= least, "{came} of {least} at {per_s}/s");
-        fleet.check().unwrap();
-    }
-}
-
-/// All that was learnt before the limit ended is forgotten with the first answer that was asked for afterwards.
-#[test]
-fn a_limit_that_has_ended_binds_nobody() {
-    let mut fleet = Fleet::new(6);
-    (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(1.0))));
-    fleet.load(Duration::from_secs(4), 100);
-    (0..UPSTREAMS).for_each(|index| fleet.name(index, None));
-    fleet.load(Duration::from_secs(3), 100);
-    let (before, refused) = (fleet.arrivals.iter().map(Vec::len).sum::<usize>(), fleet.refused);
-    fleet.load(Duration::from_secs(2), 100);
-    let came = fleet.arrivals.iter().map(Vec::len).sum::<usize>() - before;
-    assert_eq!((came, fleet.refused - refused), (200, 0));
-}
-
-/// An upstream that takes nothing at all is asked now and then whether that still holds.
-#[test]
-fn an_upstream_that_takes_nothing_is_noticed_when_it_takes_requests_again() {
-    let mut fleet = Fleet::new(6);
-    fleet.name(0, Some(rate(0.0)));
-    fleet.load(Duration::from_secs(30), 20);
-    let of_first = fleet.arrivals[0].len();
-    assert!(of_first <= 20, "{of_first}");
-    fleet.name(0, None);
-    fleet.load(Duration::from_secs(15), 20);
-    let before = fleet.arrivals[0].len();
-    fleet.load(Duration::from_secs(5), 20);
-    assert!(fleet.arrivals[0].len() > before + 20, "{}", fleet.arrivals[0].len() - before);
-}
-
-/// A limit is ordered by who knew of it, not by when it was heard.
-#[test]
-fn vms_come_to_the_same_limit_in_whatever_order_they_hear() {
-    let mut boards = [board(), board(), board()];
-    let tag = Tag::of("i-0");
-    let now = Instant::now();
-    let later = now + Duration::from_secs(1);
-    let vm = vm_name(0);
-    boards[0].state_limit(tag, Some(rate(5.0)), now, &vm, now).unwrap();
-    // Sent before the limit was known: the stricter holds, and no limit at all says nothing.
-    assert!(boards[0].state_limit(tag, None, now - STEP, &vm, now + STEP).is_none());
-    assert!(boards[0].state_limit(tag, Some(rate(8.0)), now - STEP, &vm, now + STEP).is_none());
-    let first = boards[0].told_limits(now + STEP)[0];
-    boards[0].state_limit(tag, Some(rate(3.0)), now - STEP, &vm, now + STEP).unwrap();
-    let second = boards[0].told_limits(now + STEP)[0];
-    // Sent after it.
-    boards[0].state_limit(tag, None, later, &vm, later).unwrap();
-    let third = boards[0].told_limits(later)[0];
-    assert_eq!(third.limit, Limit { version: 2, rate: None });
-    for (board, order) in
-        boards[1..].iter_mut().zip([[second, first, third], [third, first, second]])
-    {
-        order.iter().for_each(|told| {
-            board.hear_limit(*told, &vm, later);
-        });
-    }
-    for board in &boards {
-        assert_eq!(board.limit_of(&upstream(0)).unwrap().limit, third.limit);
-    }
-}
--- /dev/null
+++ b/request/tests/rate_limits/main.rs
@@ -0,0 +1,130 @@
+//! Upstreams that name how many requests a second they take from all VMs together, while VMs are killed, frozen and cut
+//! off, and follow each other as schedulers.
+//!
+//! Guards against an upstream that gets more in four seconds than one and a half times its limit and five requests beside,
+//! summed over the VMs that it told half a second before or earlier, and against a limit that is not used.
+
+mod check;
+mod fleet;
+mod incident;
+
+use std::time::{Duration, Instant};
+
+use fleet::{Fleet, SPAN, STEP, UPSTREAMS, board, rate, upstream, vm_name};
+use foldlock_request::rate_limit::Limit;
+use foldlock_request::tag::Tag;
+use incident::{Incident, incident};
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn the_fleet_keeps_to_rate_limits_through_any_incidents(
+        count in prop_oneof![3 => Just(6_usize), 1 => Just(72), 1 => Just(195)],
+        incidents in proptest::collection::vec(incident(), 1..40),
+    ) {
+        let mut fleet = Fleet::new(count);
+        fleet.name(0, Some(rate(2.5)));
+        fleet.load(Duration::from_secs(2), 60);
+        incidents.iter().for_each(|incident| fleet.play(incident));
+        fleet.load(SPAN, 60);
+        fleet.check()?;
+    }
+}
+
+/// The largest fleet, with two schedulers at once, each of which is killed.
+#[test]
+fn two_schedulers_at_once_do_not_each_spend_the_rate() {
+    for count in [6, 72, 195, 985] {
+        for per_s in [0.5, 1.0, 2.6, 10.0] {
+            let mut fleet = Fleet::new(count);
+            (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(per_s))));
+            fleet.load(Duration::from_secs(2), 80);
+            fleet.play(&Incident::Split { from: 50, scheduler: 1 });
+            fleet.load(SPAN + SPAN, 80);
+            for vm in [0, 1, 0] {
+                fleet.play(&Incident::Kill { vm });
+                fleet.load(Duration::from_secs(1), 80);
+            }
+            fleet.load(SPAN, 80);
+            fleet.check().unwrap();
+        }
+    }
+}
+
+/// Callers are served at the rate that is named while they wait.
+#[test]
+fn the_rate_is_used_while_callers_wait() {
+    for per_s in [1.0, 2.6, 10.0, 40.0] {
+        let mut fleet = Fleet::new(6);
+        (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(per_s))));
+        fleet.load(Duration::from_secs(2), 200);
+        let before: usize = fleet.arrivals.iter().map(Vec::len).sum();
+        fleet.load(Duration::from_secs(10), 200);
+        let came = fleet.arrivals.iter().map(Vec::len).sum::<usize>() - before;
+        let least = 0.8 * per_s * 10.0 * UPSTREAMS as f64;
+        assert!(came as f64 >= least, "{came} of {least} at {per_s}/s");
+        fleet.check().unwrap();
+    }
+}
+
+/// All that was learnt before the limit ended is forgotten with the first answer that was asked for afterwards.
+#[test]
+fn a_limit_that_has_ended_binds_nobody() {
+    let mut fleet = Fleet::new(6);
+    (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(1.0))));
+    fleet.load(Duration::from_secs(4), 100);
+    (0..UPSTREAMS).for_each(|index| fleet.name(index, None));
+    fleet.load(Duration::from_secs(3), 100);
+    let (before, refused) = (fleet.arrivals.iter().map(Vec::len).sum::<usize>(), fleet.refused);
+    fleet.load(Duration::from_secs(2), 100);
+    let came = fleet.arrivals.iter().map(Vec::len).sum::<usize>() - before;
+    assert_eq!((came, fleet.refused - refused), (200, 0));
+}
+
+/// An upstream that takes nothing at all is asked now and then whether that still holds.
+#[test]
+fn an_upstream_that_takes_nothing_is_noticed_when_it_takes_requests_again() {
+    let mut fleet = Fleet::new(6);
+    fleet.name(0, Some(rate(0.0)));
+    fleet.load(Duration::from_secs(30), 20);
+    let of_first = fleet.arrivals[0].len();
+    assert!(of_first <= 20, "{of_first}");
+    fleet.name(0, None);
+    fleet.load(Duration::from_secs(15), 20);
+    let before = fleet.arrivals[0].len();
+    fleet.load(Duration::from_secs(5), 20);
+    assert!(fleet.arrivals[0].len() > before + 20, "{}", fleet.arrivals[0].len() - before);
+}
+
+/// A limit is ordered by who knew of it, not by when it was heard.
+#[test]
+fn vms_come_to_the_same_limit_in_whatever_order_they_hear() {
+    let mut boards = [board(), board(), board()];
+    let tag = Tag::of("i-0");
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let vm = vm_name(0);
+    boards[0].state_limit(tag, Some(rate(5.0)), now, &vm, now).unwrap();
+    // Sent before the limit was known: the stricter holds, and no limit at all says nothing.
+    assert!(boards[0].state_limit(tag, None, now - STEP, &vm, now + STEP).is_none());
+    assert!(boards[0].state_limit(tag, Some(rate(8.0)), now - STEP, &vm, now + STEP).is_none());
+    let first = boards[0].told_limits(now + STEP)[0];
+    boards[0].state_limit(tag, Some(rate(3.0)), now - STEP, &vm, now + STEP).unwrap();
+    let second = boards[0].told_limits(now + STEP)[0];
+    // Sent after it.
+    boards[0].state_limit(tag, None, later, &vm, later).unwrap();
+    let third = boards[0].told_limits(later)[0];
+    assert_eq!(third.limit, Limit { version: 2, rate: None });
+    for (board, order) in
+        boards[1..].iter_mut().zip([[second, first, third], [third, first, second]])
+    {
+        order.iter().for_each(|told| {
+            board.hear_limit(*told, &vm, later);
+        });
+    }
+    for board in &boards {
+        assert_eq!(board.limit_of(&upstream(0)).unwrap().limit, third.limit);
+    }
+}
