--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
-use foldlock_base::size::Tokens;
+use foldlock_base::size::{Rate, Tokens};
 use foldlock_request::board::{Board, Listed};
 use foldlock_request::budget::Charge;
 use foldlock_request::fingerprint::Fingerprint;
@@ -329,3 +329,50 @@
         }
     }
 }
+
+/// The first engines name a limit of so many requests a second.
+fn limit(board: &mut Board, engines: usize, per_s: f64, now: Instant) {
+    for i in 0..engines {
+        let tag = Tag::of(upstream(i).as_str());
+        let vm = "vm-1".parse().unwrap();
+        board.state_limit(tag, Rate::per_second(per_s), now, &vm, now).unwrap();
+    }
+}
+
+/// Guards against parts that reach an engine beyond the requests that it takes.
+#[test]
+fn engines_that_name_a_rate_limit_read_no_part_for_others() {
+    let now = Instant::now();
+    let mut board = board(18);
+    limit(&mut board, 6, 2.0, now);
+    let later = now + Duration::from_secs(1);
+    let prompt = Ask { arrived: later, ..ask(LONG, 133_000) };
+    let place = place(&board, &prompt, later).unwrap();
+    assert!(!place.flight.helpers.is_empty());
+    let limited: Vec<id::Upstream> = (0..6).map(upstream).collect();
+    let helpers = place.flight.helpers.iter().map(|helping| &helping.upstream);
+    for engine in helpers.chain([&place.flight.upstream]) {
+        assert!(!limited.contains(engine), "{engine}");
+    }
+}
+
+/// Guards against long prompts that wait for nothing where no engine may read for another.
+#[test]
+fn a_long_prompt_stays_whole_where_all_engines_name_rate_limits() {
+    let now = Instant::now();
+    let mut board = board(4);
+    limit(&mut board, 4, 2.0, now);
+    let later = now + Duration::from_secs(1);
+    let service = service(Some(ENGINE));
+    let prompt = Ask { arrived: later, ..ask(LONG, 133_000) };
+    assert!(!placement::is_too_long(&board, &service, &ENGINE, &prompt));
+    for _ in 0..4 {
+        let place = placement::place_whole(&board, &service, &prompt, later).unwrap();
+        assert!(place.flight.helpers.is_empty());
+        begin(&mut board, place.flight, later);
+    }
+    let fifth = placement::place_whole(&board, &service, &prompt, later);
+    assert!(matches!(fifth, Err(Rejection::Full)), "each takes one in half a second: {fifth:?}");
+    // What only several of them hold is known not to be servable.
+    assert!(placement::is_too_long(&board, &service, &ENGINE, &ask(LONG, 300_000)));
+}
--- a/request/tests/rate_limits/fleet.rs
+++ b/request/tests/rate_limits/fleet.rs
@@ -52,7 +52,7 @@
     Service { name: "plain".to_owned(), connections: 99, engine: None, cold_per_s: None }
 }
 
-fn table() -> Table {
+pub(crate) fn table() -> Table {
     let time = Duration::from_secs(9);
     let bounds = Bounds { header_bytes: 9, body_bytes: 9, header_time: time, idle_time: time };
     Table::builder(1, bounds).service(service()).build()
@@ -76,7 +76,7 @@
     board
 }
 
-fn ask(now: Instant, number: u64) -> Ask {
+pub(crate) fn ask(now: Instant, number: u64) -> Ask {
     Ask {
         prompt: Tokens(0),
         memory: Tokens(0),
--- a/request/tests/rate_limits/main.rs
+++ b/request/tests/rate_limits/main.rs
@@ -10,8 +10,11 @@
 
 use std::time::{Duration, Instant};
 
-use fleet::{Fleet, SPAN, STEP, UPSTREAMS, board, rate, upstream, vm_name};
+use fleet::{Fleet, SPAN, STEP, UPSTREAMS, ask, board, rate, table, upstream, vm_name};
+use foldlock_request::board::Holder;
+use foldlock_request::placement::Rejection;
 use foldlock_request::rate_limit::Limit;
+use foldlock_request::scheduler::{Answer, Key, Scheduler};
 use foldlock_request::tag::Tag;
 use incident::{Incident, incident};
 use proptest::prelude::*;
@@ -128,3 +131,28 @@
         assert_eq!(board.limit_of(&upstream(0)).unwrap().limit, third.limit);
     }
 }
+
+/// Guards against rejected callers that all come back in the same second.
+#[test]
+fn rejected_callers_come_back_one_after_the_other() {
+    let (mut board, now) = (board(), Instant::now());
+    for index in 0..UPSTREAMS {
+        let tag = Tag::of(upstream(index).as_str());
+        board.state_limit(tag, Some(rate(2.0)), now, &vm_name(0), now).unwrap();
+    }
+    let (table, mut scheduler) = (table(), Scheduler::default());
+    let mut after_ms = Vec::new();
+    for number in 0..20 {
+        let key = Key { holder: Holder::Own, incarnation: 1, number };
+        let ask = ask(now, number);
+        match scheduler.ask(&mut board, &table, key, Tag::of("plain"), ask, now) {
+            Answer::Rejected(Rejection::Limited { after_ms: after }) => after_ms.push(after),
+            answer => assert!(matches!(answer, Answer::Waits), "{answer:?}"),
+        }
+    }
+    // Four a second in all: the first may wait for its turn, the others come back at that rate.
+    assert_eq!(after_ms.len(), 19);
+    let pauses: Vec<u64> = after_ms.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(pauses.iter().all(|ms| (249..=251).contains(ms)), "{after_ms:?}");
+    assert!((250..=750).contains(&after_ms[0]), "{after_ms:?}");
+}
