--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -376,3 +376,22 @@
     // What only several of them hold is known not to be servable.
     assert!(placement::is_too_long(&board, &service, &ENGINE, &ask(LONG, 300_000)));
 }
+
+/// Guards against a limit that is believed for ever, since its engine gets nothing while others have room.
+#[test]
+fn an_engine_that_names_a_rate_limit_is_asked_again_while_others_have_room() {
+    let now = Instant::now();
+    let mut board = board(2);
+    limit(&mut board, 1, 2.0, now);
+    let mut sent = [0, 0];
+    for step in 1..50 {
+        let at = now + Duration::from_millis(200 * step);
+        let ask = Ask { arrived: at, ..ask(SHORT, 5_000) };
+        let place = place(&board, &ask, at).unwrap();
+        let engine = usize::from(place.flight.upstream == upstream(1));
+        sent[engine] += 1;
+        let number = begin(&mut board, place.flight, at);
+        board.leave(number, at + Duration::from_millis(100));
+    }
+    assert!((3..=6).contains(&sent[0]), "{sent:?}");
+}
--- a/request/tests/rate_limits/main.rs
+++ b/request/tests/rate_limits/main.rs
@@ -10,7 +10,7 @@
 
 use std::time::{Duration, Instant};
 
-use fleet::{Fleet, SPAN, STEP, UPSTREAMS, ask, board, rate, table, upstream, vm_name};
+use fleet::{Fleet, SCHEDULERS, SPAN, STEP, UPSTREAMS, ask, board, rate, table, upstream, vm_name};
 use foldlock_request::board::Holder;
 use foldlock_request::placement::Rejection;
 use foldlock_request::rate_limit::Limit;
@@ -40,12 +40,12 @@
 #[test]
 fn two_schedulers_at_once_do_not_each_spend_the_rate() {
     for count in [6, 72, 195, 985] {
-        for per_s in [0.5, 1.0, 2.6, 10.0] {
+        for per_s in [0.5, 1.0, 2.6, 10.0, 40.0] {
             let mut fleet = Fleet::new(count);
             (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(per_s))));
-            fleet.load(Duration::from_secs(2), 80);
+            fleet.load(Duration::from_secs(2), 300);
             fleet.play(&Incident::Split { from: 50, scheduler: 1 });
-            fleet.load(SPAN + SPAN, 80);
+            fleet.load(SPAN + SPAN, 300);
             for vm in [0, 1, 0] {
                 fleet.play(&Incident::Kill { vm });
                 fleet.load(Duration::from_secs(1), 80);
@@ -56,6 +56,19 @@
     }
 }
 
+/// VMs that were told do not use the grants of schedulers that know of no limit.
+#[test]
+fn schedulers_that_start_anew_grant_nothing_beyond_what_others_know() {
+    let mut fleet = Fleet::new(6);
+    (0..UPSTREAMS).for_each(|index| fleet.name(index, Some(rate(1.0))));
+    fleet.load(Duration::from_secs(20), 50);
+    fleet.load(Duration::from_secs(5), 0);
+    (0..SCHEDULERS).for_each(|vm| fleet.play(&Incident::Kill { vm }));
+    fleet.load(STEP, 10_000);
+    fleet.load(SPAN, 50);
+    fleet.check().unwrap();
+}
+
 /// Callers are served at the rate that is named while they wait.
 #[test]
 fn the_rate_is_used_while_callers_wait() {
