A request that waits for a VM's first settings waits for their confirmation, too

Cause: who waits was woken by settings in force. Those of a peer count for keys only once a heartbeat's echo confirms them, some 0.1 s later, so each was refused when it woke. The class: waiting for one condition, then being checked by another.

Change: a request that fails that check waits, within the same half second of the start, until settings are in force and confirmed, and is checked once more.

No key is trusted that was not before: the check itself is the same.

--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -40,7 +40,13 @@
 ) -> Result<Job<D>, Error> {
     suspended::check(process);
     process.started().await;
-    let admitted = check(process, &terms, &request).inspect_err(|error| {
+    let checked = match check(process, &terms, &request) {
+        Err(error) if error.kind() == Kind::StoreUnavailable && process.first_confirmed().await => {
+            check(process, &terms, &request)
+        }
+        checked => checked,
+    };
+    let admitted = checked.inspect_err(|error| {
         if process.trouble_lines.admit(process.now()).is_some() {
             log::refused(&process.log, id, error);
         }
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -207,7 +207,7 @@
     }
     let sent = process.peers.stamped(echo);
     if let Some(at) = sent.before(Duration::from_millis(age_ms)) {
-        process.fresh.confirm(at);
+        process.confirm(at);
     }
 }
 
--- a/daemon/src/fleet/follow.rs
+++ b/daemon/src/fleet/follow.rs
@@ -222,7 +222,7 @@
     note_step(process, from, at, step);
     change_log.log(process, at, "the directory");
     if !contact.is_behind() {
-        process.fresh.confirm(asked);
+        process.confirm(asked);
     }
     contact.settle(process.restored(RESTORE_PERIOD));
     let is_told = process.peers.told_by_others(now) >= at;
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -136,7 +136,7 @@
     /// The callers' connections and the streams that are passed on.
     pub tasks: TaskTracker,
     settings: RwLock<Option<Arc<Settings>>>,
-    /// Told when settings are in force.
+    /// Notified when settings are in force, and when they are first confirmed.
     applied: Notify,
     next_request: AtomicU64,
 }
@@ -224,13 +224,41 @@
     /// Waits for the first settings while this VM has just started: they are on the way, and a request that
     /// is refused is late by the time at which it comes back.
     pub async fn started(&self) {
-        let applied = self.applied.notified();
-        if self.version() > 0 {
-            return;
-        }
+        self.wait_at_start(|| self.version() > 0).await;
+    }
+
+    /// Waits until the settings are confirmed for keys, while this VM has just started: the first heartbeat that
+    /// confirms those of a peer comes after them. Returns whether they are.
+    pub async fn first_confirmed(&self) -> bool {
+        let is_confirmed = || self.version() > 0 && self.fresh.holds(self.moment());
+        self.wait_at_start(is_confirmed).await;
+        is_confirmed()
+    }
+
+    /// Waits for a condition that settings or their confirmation bring about, until this VM no longer counts as just
+    /// started.
+    async fn wait_at_start(&self, is_met: impl Fn() -> bool) {
         let left = STARTING.saturating_sub(self.peers.age(self.now()));
-        // Without settings by then, the request is refused by who looks at them next.
-        let _ = tokio::time::timeout(left, applied).await;
+        let met = async {
+            loop {
+                let changed = self.applied.notified();
+                if is_met() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Who waits looks again at what it waited for.
+        let _ = tokio::time::timeout(left, met).await;
+    }
+
+    /// The settings in force were the newest at this moment.
+    pub fn confirm(&self, at: Moment) {
+        let is_first = self.fresh.age(at).is_none();
+        self.fresh.confirm(at);
+        if is_first {
+            self.applied.notify_waiters();
+        }
     }
 
     /// The number of the settings version in force; 0 before there is one.
