Settings that were never confirmed are told from old ones

On call read "the settings were last confirmed 0 ms ago" in refusals of VMs whose settings nobody had confirmed yet: none was turned into 0. Refusals and the line of listings (207) say that they have not been confirmed. Others that turn none into 0 were looked for (map_or(0) in daemon/src/fleet): the number of the version (0 is none there, as on the wire), the size of a body, the events of an answer without any; the age's gauge is -1.

--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -154,8 +154,13 @@
     };
     let moment = process.moment();
     if !process.fresh.holds(moment) {
-        let age = process.fresh.age(moment).map_or(0, |age| age.as_millis());
-        let why = format!("the settings were last confirmed {age} ms ago: keys may have changed");
+        let why = match process.fresh.age(moment) {
+            Some(age) => format!(
+                "the settings were last confirmed {} ms ago: keys may have changed",
+                age.as_millis()
+            ),
+            None => "the settings have not been confirmed since this VM started".to_owned(),
+        };
         let time = terms.patience.unwrap_or(USUAL_PATIENCE);
         let after = Cause::OldSettings.retry_after(time);
         return Err(refuse(Kind::StoreUnavailable, why).retry_after(after));
--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -45,8 +45,11 @@
             .iter()
             .map(|(number, (count, text))| format!("{count} x {number} {text}"))
             .collect();
-        let age = process.fresh.age(process.moment()).map_or(0, |age| age.as_millis());
-        let what = format!("revision {revision} from {from}, {age} ms old: {}", counts.join(" "));
+        let age = match process.fresh.age(process.moment()) {
+            Some(age) => format!("{} ms old", age.as_millis()),
+            None => "not confirmed yet".to_owned(),
+        };
+        let what = format!("revision {revision} from {from}, {age}: {}", counts.join(" "));
         log::event(&process.log, Event::ListingTaken, what);
     }
 }
