Names and comments of the rate limits in the field's terms

No change of behaviour: merge, adopted, stale, dispatch, announced, limited_since, source in place of hear, news, behind, sent, told, since, by; comments in plain technical English. The dump names the source of a limit `source`.

--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -97,11 +97,11 @@
     }
     for of in limited(dump) {
         let (upstream, limit) = (of["upstream"].as_str().unwrap_or_default(), &of["limit"]);
-        let by = limit["by"].as_str().unwrap_or_default();
+        let source = limit["source"].as_str().unwrap_or_default();
         let (rate, sent) = (&limit["rate"], &limit["sent_last_second"]);
         let since_s = limit["since_ms"].as_u64().unwrap_or(0) / 1_000;
         notes.push(format!(
-            "{upstream} takes {rate}/s since {since_s} s by {by}, {sent} sent in the last second"
+            "{upstream} takes {rate}/s since {since_s} s by {source}, {sent} sent in the last second"
         ));
     }
     let unread = &dump["unread"];
--- a/cli/tests/status.rs
+++ b/cli/tests/status.rs
@@ -55,7 +55,7 @@
     dump["drained_halls"] =
         json!([{"name": "la-marsa", "drained": true, "revision": {"era": 0, "number": 5498}}]);
     let limit = json!({
-        "rate": 2.5, "version": 1, "by": "front-a-2", "since_ms": 12_300, "sent_last_second": 2,
+        "rate": 2.5, "version": 1, "source": "front-a-2", "since_ms": 12_300, "sent_last_second": 2,
     });
     dump["upstreams"] = json!([
         {"id": "i-1", "cold_ms": 1_500},
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -176,7 +176,7 @@
     let rest = rest(&head.headers);
     match D::verdict(&job.terms.request, head.status, &head.headers) {
         Verdict::Ran if notice.rate_limit == RateLimit::Unlimited => {
-            rate_limits::stated(&job.process, start, None, sent);
+            rate_limits::observe(&job.process, start, None, sent);
         }
         Verdict::Ran => {}
         verdict => return refused(job, &place.flight, start, verdict, &head),
@@ -206,7 +206,7 @@
     }
 }
 
-/// The upstream of a place, or the helper, that may be sent nothing now.
+/// The first upstream of a place that must not be sent anything.
 fn excluded<'a, D: Dialect>(
     job: &Job<D>,
     place: &'a Place,
--- a/daemon/src/fleet/beats.rs
+++ b/daemon/src/fleet/beats.rs
@@ -131,7 +131,7 @@
         Ok(Message::Poll(upstream)) => reports::polled(process, upstream),
         Ok(Message::RateLimits(limits)) => {
             if let Some(peer) = process.peers.at(from) {
-                rate_limits::heard(process, &limits, &peer.vm, from);
+                rate_limits::on_announcement(process, &limits, &peer.vm, from);
             }
         }
         Err(e) => log::event(&process.log, Event::BeatUnreadable, e),
@@ -165,7 +165,7 @@
         notices::leaves(process, *start, &state.vm);
     }
     for limit in &state.rate_limits {
-        rate_limits::hear(process, *limit, &state.vm);
+        rate_limits::merge(process, *limit, &state.vm);
     }
     let mut board = process.board.lock().unwrap();
     if news == News::Renewed {
@@ -175,7 +175,7 @@
     board.hear_outcomes(&state.vm, &work.outcomes, now);
     board.hear_reports(&work.reports, now);
     board.quarantine.hear(&work.suspects, now);
-    board.hear_sent(&state.vm, &work.sent, now);
+    board.merge_dispatches(&state.vm, &work.dispatches, now);
     let granted = if of_this_start { beat.granted } else { 0 };
     let room = board.hear(&state.vm, &work.flights, granted, now);
     drop(board);
--- a/daemon/src/fleet/gate.rs
+++ b/daemon/src/fleet/gate.rs
@@ -205,7 +205,7 @@
     Error::unsent(Kind::Overloaded, why, proof).retry_after(after)
 }
 
-/// The caller comes back when its turn may have come.
+/// Retry-After is the next free turn.
 fn rate_limited<D: Dialect>(job: &Job<D>, after_ms: u64, proof: Unsent) -> Error {
     job.process.metrics.rate_limited.get_or_create(&ByLimited { limited: Limited::Rejected }).inc();
     let why = format!("{}: all upstreams are at the rate limits that they name", job.service.name);
--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -13,7 +13,7 @@
 use foldlock_request::flight::{Flight, Helping};
 use foldlock_request::message::{self, Answered, Asked, Message, Number};
 use foldlock_request::placement::{Ask, Place, Rejection};
-use foldlock_request::rate_limit::Told;
+use foldlock_request::rate_limit::Entry;
 use foldlock_request::scheduler::Answer;
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::Service;
@@ -67,7 +67,7 @@
     if let message::Answer::Placed(placed) = &answered.answer
         && let Some(limit) = placed.limit
     {
-        rate_limits::hear(process, Told { upstream: placed.upstream, limit }, &peer.vm);
+        rate_limits::merge(process, Entry { upstream: placed.upstream, limit }, &peer.vm);
     }
     let answer = decode(&process.board.lock().unwrap(), answered.answer);
     // A place at an upstream that is not known here is of no use: another VM is asked.
@@ -180,7 +180,7 @@
                 ask.avoid.push(upstream);
                 ask.charge = Charge::Free;
             }
-            // The next question names it, or the scheduler has been told by then.
+            // The next request names it, or the scheduler has received the limit by then.
             Ended::Resting | Ended::Superseded => ask.charge = Charge::Free,
             Ended::Later => {}
         }
@@ -212,7 +212,7 @@
     Gone(Tag),
     /// The place is at an upstream that has asked this VM for a rest since the question was sent.
     Resting,
-    /// The place was granted without knowledge of a rate limit that this VM knows.
+    /// The scheduler did not know the latest rate limit of the upstream.
     Superseded,
     /// There is no place yet.
     Later,
--- a/daemon/src/fleet/hold.rs
+++ b/daemon/src/fleet/hold.rs
@@ -149,10 +149,10 @@
     answer
 }
 
-/// An order is about to be sent.
+/// Counts an order that is about to be sent.
 fn note_order<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
     process.metrics.sent(Sent::Order, 1);
-    process.board.lock().unwrap().note_ungranted(&reservation.upstream, process.now());
+    process.board.lock().unwrap().record_unscheduled(&reservation.upstream, process.now());
 }
 
 async fn release_all<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -76,19 +76,19 @@
     pub sent: Sent,
 }
 
-/// What became of a request for which upstreams were at their rate limits.
+/// Outcome of a request for which upstreams were at their rate limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Limited {
-    /// It was placed while others were at their limits.
+    /// Placed at another upstream.
     Elsewhere,
-    /// It was rejected, since all were.
+    /// Rejected, since all upstreams were.
     Rejected,
 }
 
-/// The label of what became of such a request.
+/// The label of such an outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ByLimited {
-    /// What became of it.
+    /// The outcome.
     pub limited: Limited,
 }
 
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -20,7 +20,7 @@
     process.board.lock().unwrap().tag_of(upstream)
 }
 
-/// An upstream said this of itself in an answer to what this VM sent at that time.
+/// Applies what an upstream said of itself in an answer to a message sent at `sent`.
 pub fn heard<D: Dialect>(
     process: &Process<D>,
     upstream: &id::Upstream,
@@ -39,7 +39,7 @@
         rests(process, upstream, start, rest);
     }
     match notice.rate_limit {
-        RateLimit::Limited(rate) => rate_limits::stated(process, start, Some(rate), sent),
+        RateLimit::Limited(rate) => rate_limits::observe(process, start, Some(rate), sent),
         RateLimit::Unreadable if process.trouble_lines.admit(process.now()).is_some() => {
             log::event(&process.log, Event::UpstreamLimited, format!("{upstream} {notice}"));
         }
@@ -98,7 +98,7 @@
         /// What is left of it.
         left: Duration,
     },
-    /// It named another rate limit since the place was granted.
+    /// Its rate limit has changed since the place was granted.
     RateLimited,
 }
 
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -247,14 +247,14 @@
     })
 }
 
-/// The rate limit that an upstream names: since when, by whose word, and how much of it is used as far as is known here.
+/// The rate limit of an upstream, with its age, source and recent use.
 fn rate_limit(board: &Board, upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
     let known = upstream.rate_limit.as_ref()?;
     let rate = known.limit.rate?;
     let second = Duration::from_secs(1);
     Some(json!({
-        "rate": rate, "version": known.limit.version, "by": known.by,
-        "since_ms": now.saturating_duration_since(known.since).as_millis() as u64,
+        "rate": rate, "version": known.limit.version, "source": known.source,
+        "since_ms": now.saturating_duration_since(known.limited_since).as_millis() as u64,
         "sent_last_second": board.sent_within(&upstream.listed.id, second, now),
     }))
 }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -227,16 +227,15 @@
         self.wait_at_start(|| self.version() > 0).await;
     }
 
-    /// Waits until the settings are confirmed for keys, while this VM has just started: the first heartbeat that
-    /// confirms those of a peer comes after them. Returns whether they are.
+    /// Waits during startup until the settings are confirmed: those of a peer arrive before the heartbeat that confirms
+    /// them. Returns whether they are.
     pub async fn first_confirmed(&self) -> bool {
         let is_confirmed = || self.version() > 0 && self.fresh.holds(self.moment());
         self.wait_at_start(is_confirmed).await;
         is_confirmed()
     }
 
-    /// Waits for a condition that settings or their confirmation bring about, until this VM no longer counts as just
-    /// started.
+    /// Waits for a condition on the settings until startup is over.
     async fn wait_at_start(&self, is_met: impl Fn() -> bool) {
         let left = STARTING.saturating_sub(self.peers.age(self.now()));
         let met = async {
@@ -248,11 +247,11 @@
                 changed.await;
             }
         };
-        // Who waits looks again at what it waited for.
+        // The caller checks the condition again.
         let _ = tokio::time::timeout(left, met).await;
     }
 
-    /// The settings in force were the newest at this moment.
+    /// Records that the settings in force were the newest at this moment.
     pub fn confirm(&self, at: Moment) {
         let is_first = self.fresh.age(at).is_none();
         self.fresh.confirm(at);
--- a/daemon/src/fleet/rate_limits.rs
+++ b/daemon/src/fleet/rate_limits.rs
@@ -1,7 +1,7 @@
-//! Rate limits that upstreams name in their answers: learnt, told to the VMs that schedule, and kept to.
+//! Rate limits that upstreams name in their answers: observed, replicated to all VMs, and enforced.
 //!
-//! The scheduler paces what all VMs send. A VM that knows of a limit sends nothing on a grant of a scheduler that did
-//! not know of it, and tells the scheduler.
+//! The scheduler paces the requests of all VMs. A VM discards a grant whose scheduler did not know the latest limit, and
+//! sends that limit to the scheduler.
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -12,81 +12,86 @@
 use foldlock_request::flight::Flight;
 use foldlock_request::message::Message;
 use foldlock_request::placement::Place;
-use foldlock_request::rate_limit::{Heard, Limit, Told};
+use foldlock_request::rate_limit::{Entry, Limit, Merge};
 use foldlock_request::tag::Tag;
 
 use crate::fleet::process::Process;
 use crate::fleet::tell;
 use crate::log;
 
-/// An instance of an upstream named a limit, or none, in an answer to what this VM sent at that time.
-pub fn stated<D: Dialect>(process: &Process<D>, start: Tag, rate: Option<Rate>, sent: Instant) {
+/// Applies the limit in an answer of an upstream instance to a request sent at `sent`.
+pub fn observe<D: Dialect>(process: &Process<D>, start: Tag, rate: Option<Rate>, sent: Instant) {
     let now = process.now();
     let own = &process.member.vm;
     let mut board = process.board.lock().unwrap();
-    let Some(upstream) = board.state_limit(start, rate, sent, own, now) else { return };
-    let told = told(&board, &upstream);
+    let Some(upstream) = board.observe_limit(start, rate, sent, own, now) else { return };
+    let entry = entry(&board, &upstream);
     drop(board);
     log_change(process, &upstream, rate, own);
     let scheduler = process.peers.placer(process.stopping.is_cancelled(), now);
     if let Some(address) = scheduler.and_then(|placer| placer.address()) {
-        send(process, told.into_iter().collect(), address);
+        send(process, entry.into_iter().collect(), address);
     }
-    spread(process);
+    broadcast(process);
 }
 
-/// A peer told of limits. One that knows less is told at once.
-pub fn heard<D: Dialect>(process: &Process<D>, told: &[Told], from: &id::Vm, address: SocketAddr) {
-    let behind: Vec<Told> = told.iter().filter_map(|told| hear(process, *told, from)).collect();
-    if !behind.is_empty() {
-        send(process, behind, address);
+/// Merges limits sent by a peer. Replies with those that are older than the known ones.
+pub fn on_announcement<D: Dialect>(
+    process: &Process<D>,
+    entries: &[Entry],
+    from: &id::Vm,
+    address: SocketAddr,
+) {
+    let newer: Vec<Entry> = entries.iter().filter_map(|e| merge(process, *e, from)).collect();
+    if !newer.is_empty() {
+        send(process, newer, address);
     }
 }
 
-/// Takes a limit that a peer told of. Answers what is known here, if the peer knows less.
-pub fn hear<D: Dialect>(process: &Process<D>, limit: Told, from: &id::Vm) -> Option<Told> {
+/// Merges a limit announced by a peer. Returns the known one if the peer's is older.
+pub fn merge<D: Dialect>(process: &Process<D>, announced: Entry, from: &id::Vm) -> Option<Entry> {
     let mut board = process.board.lock().unwrap();
-    let (heard, upstream) = board.hear_limit(limit, from, process.now())?;
-    let own = told(&board, &upstream);
+    let (merged, upstream) = board.merge_limit(announced, from, process.now())?;
+    let own = entry(&board, &upstream);
     drop(board);
-    match heard {
-        Heard::News => {
-            log_change(process, &upstream, limit.limit.rate, from);
-            spread(process);
+    match merged {
+        Merge::Adopted => {
+            log_change(process, &upstream, announced.limit.rate, from);
+            broadcast(process);
             None
         }
-        Heard::Same => None,
-        Heard::Behind => own,
+        Merge::Same => None,
+        Merge::Stale => own,
     }
 }
 
-/// The limits because of which a place must not be used: its scheduler knew less of them than this VM.
-pub fn unknown_to_scheduler<D: Dialect>(process: &Process<D>, place: &Place) -> Vec<Told> {
+/// Limits that forbid the use of a place, since its scheduler did not know them.
+pub fn unknown_to_scheduler<D: Dialect>(process: &Process<D>, place: &Place) -> Vec<Entry> {
     let board = process.board.lock().unwrap();
     let Flight { upstream, helpers, .. } = &place.flight;
     let helpers = helpers.iter().map(|helping| &helping.upstream);
     let limited = helpers.filter(|id| board.get(id).is_some_and(|helper| helper.is_limited()));
     let own = (!board.may_send(upstream, place.limit)).then_some(upstream);
-    own.into_iter().chain(limited).filter_map(|id| told(&board, id)).collect()
+    own.into_iter().chain(limited).filter_map(|id| entry(&board, id)).collect()
 }
 
-/// Whether an upstream names a limit.
+/// Whether an upstream has a rate limit.
 pub fn is_limited<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) -> bool {
     process.board.lock().unwrap().get(upstream).is_some_and(|known| known.is_limited())
 }
 
-/// Tells a VM of limits.
-pub fn send<D: Dialect>(process: &Process<D>, limits: Vec<Told>, to: SocketAddr) {
+/// Sends limits to a VM.
+pub fn send<D: Dialect>(process: &Process<D>, limits: Vec<Entry>, to: SocketAddr) {
     tell::send(process, &Message::RateLimits(limits), to);
 }
 
-fn told(board: &Board, upstream: &id::Upstream) -> Option<Told> {
+fn entry(board: &Board, upstream: &id::Upstream) -> Option<Entry> {
     let known = board.get(upstream)?;
     let limit: Limit = known.rate_limit.as_ref()?.limit;
-    Some(Told { upstream: known.tag, limit })
+    Some(Entry { upstream: known.tag, limit })
 }
 
-fn spread<D: Dialect>(process: &Process<D>) {
+fn broadcast<D: Dialect>(process: &Process<D>) {
     process.tell_all();
     process.room.notify_one();
 }
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -72,7 +72,7 @@
     let is_engine =
         |l: &&Listed| settings.table.service(&l.service).is_some_and(|s| s.engine.is_some());
     let board = process.board.lock().unwrap();
-    // A question counts as a request to an engine that names a rate limit.
+    // Reports may count against the rate limit.
     let is_limited = |l: &&Listed| board.get(&l.id).is_some_and(|engine| engine.is_limited());
     board.listings().filter(is_engine).filter(|l| !is_limited(l)).cloned().collect()
 }
--- a/daemon/src/fleet/tell.rs
+++ b/daemon/src/fleet/tell.rs
@@ -113,7 +113,7 @@
     let (digest, starts, departures, rate_limits) = {
         let mut board = process.board.lock().unwrap();
         let (departures, rate_limits) = match round {
-            Round::All => (board.departures(), board.told_limits(now)),
+            Round::All => (board.departures(), board.announced_limits(now)),
             _ => (Vec::new(), Vec::new()),
         };
         (board.digest(), board.told_starts(now), departures, rate_limits)
@@ -150,6 +150,6 @@
         outcomes: board.told_outcomes(now),
         reports: board.told_reports(now),
         suspects: board.quarantine.told(round == Round::All, now),
-        sent: board.told_sent(now),
+        dispatches: board.announced_dispatches(now),
     }
 }
--- a/request/src/board.rs
+++ b/request/src/board.rs
@@ -33,7 +33,7 @@
 
 pub use flights::Holder;
 pub use halls::{Hall, Halls};
-pub use limits::Sent;
+pub use limits::Dispatch;
 pub use listed::{Listed, Start};
 pub use load::{BRISK_MS, Load};
 pub use outcomes::Ended;
@@ -61,7 +61,7 @@
     released: VecDeque<Fingerprint>,
     outcomes: VecDeque<(Instant, Ended)>,
     heard_outcomes: HashMap<id::Vm, u64>,
-    own_sent: limits::OwnSent,
+    own_dispatches: limits::OwnDispatches,
     /// The upstreams that name a rate limit.
     limited: usize,
     next: u64,
--- a/request/src/board/flights.rs
+++ b/request/src/board/flights.rs
@@ -48,7 +48,7 @@
 impl Flights {
     fn begin(&mut self, holder: Holder, number: u64, tracked: Tracked, grant: Option<u64>) {
         if !self.knows(&holder, number) {
-            self.note_sent(&tracked.flight.upstream, &holder, number, tracked.sent);
+            self.record_dispatch(&tracked.flight.upstream, &holder, number, tracked.sent);
         }
         self.end(&holder, number, tracked.sent);
         self.serial += 1;
@@ -65,7 +65,7 @@
         self.by_holder.entry(holder).or_default().insert(number, entry);
     }
 
-    pub(super) fn note_sent(
+    pub(super) fn record_dispatch(
         &mut self,
         upstream: &id::Upstream,
         holder: &Holder,
@@ -180,7 +180,7 @@
     /// Enters an attempt of this VM.
     pub fn enter(&mut self, number: u64, flight: Flight, now: Instant) {
         let tracked = self.tracked(flight, now);
-        self.note_own_sent(&tracked.flight.upstream, number, now);
+        self.record_own_dispatch(&tracked.flight.upstream, number, now);
         self.flights.begin(Holder::Own, number, tracked, None);
     }
 
--- a/request/src/board/limits.rs
+++ b/request/src/board/limits.rs
@@ -1,4 +1,4 @@
-//! The rate limits of upstreams, and what was sent to those that have one.
+//! Rate limits of upstreams, and the requests that count against them.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -8,38 +8,38 @@
 
 use super::{Board, Holder, Upstream};
 use crate::pace::Bound;
-use crate::rate_limit::{self, Heard, Known, Limit, Told};
+use crate::rate_limit::{self, Entry, Limit, Merge, State};
 use crate::tag::Tag;
 
-/// How long a message to a limited upstream is told: some heartbeats of a large fleet, of which one arrives.
-const SENT_TOLD: Duration = Duration::from_secs(1);
+/// How long a dispatch is included in heartbeats: several of them, since some are lost.
+const ANNOUNCE_FOR: Duration = Duration::from_secs(1);
 
-/// Messages to limited upstreams that are told at most.
-const MOST_SENT: usize = 64;
+/// Most dispatches in a heartbeat.
+const MAX_DISPATCHES: usize = 64;
 
-/// Limits that are told at most.
-const MOST_LIMITS: usize = 256;
+/// Most limits in a heartbeat.
+const MAX_LIMITS: usize = 256;
 
-/// A message to a limited upstream, as peers are told of it.
+/// A message sent to a rate-limited upstream, as announced to schedulers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sent {
+pub struct Dispatch {
     /// The upstream.
     pub upstream: Tag,
-    /// The number that its VM gave the message.
+    /// Number of the message, unique within the sender's process.
     pub number: u64,
-    /// How long ago it was sent, milliseconds.
+    /// Age, milliseconds.
     pub age_ms: u32,
 }
 
-/// Messages of this VM to limited upstreams.
+/// Recent messages of this VM to rate-limited upstreams.
 #[derive(Debug, Default)]
-pub(super) struct OwnSent {
+pub(super) struct OwnDispatches {
     sent: VecDeque<(Instant, Tag, u64)>,
 }
 
-impl OwnSent {
+impl OwnDispatches {
     fn add(&mut self, upstream: Tag, number: u64, now: Instant) {
-        if self.sent.len() == MOST_SENT {
+        if self.sent.len() == MAX_DISPATCHES {
             self.sent.pop_front();
         }
         self.sent.push_back((now, upstream, number));
@@ -47,7 +47,7 @@
 
     fn forget(&mut self, now: Instant) {
         let is_old =
-            |(at, ..): &(Instant, Tag, u64)| now.saturating_duration_since(*at) > SENT_TOLD;
+            |(at, ..): &(Instant, Tag, u64)| now.saturating_duration_since(*at) > ANNOUNCE_FOR;
         while self.sent.front().is_some_and(is_old) {
             self.sent.pop_front();
         }
@@ -55,9 +55,9 @@
 }
 
 impl Board {
-    /// This VM had an answer to what it sent at that time, by which an instance of an upstream has this limit or
-    /// none. Names the upstream, if that is news.
-    pub fn state_limit(
+    /// Applies the limit named in an answer to a request that this VM sent at `sent`. Returns the upstream if its limit
+    /// has changed.
+    pub fn observe_limit(
         &mut self,
         instance: Tag,
         rate: Option<Rate>,
@@ -68,25 +68,24 @@
         let id = self.tags.get(&instance)?;
         let upstream = self.upstreams.get_mut(id)?;
         let was_limited = upstream.is_limited();
-        let is_news = rate_limit::state(&mut upstream.rate_limit, rate, sent, own, now);
+        let is_news = rate_limit::observe(&mut upstream.rate_limit, rate, sent, own, now);
         let is_limited = upstream.is_limited();
         let id = id.clone();
         self.count_limited(&id, was_limited, is_limited);
         is_news.then_some(id)
     }
 
-    /// Takes a limit that a peer told of. Says what became of it, and names the upstream; nothing where that is not
-    /// known here.
-    pub fn hear_limit(
+    /// Merges a limit announced by a peer. Returns none for an unknown upstream.
+    pub fn merge_limit(
         &mut self,
-        told: Told,
+        told: Entry,
         from: &id::Vm,
         now: Instant,
-    ) -> Option<(Heard, id::Upstream)> {
+    ) -> Option<(Merge, id::Upstream)> {
         let id = self.tags.get(&told.upstream)?;
         let upstream = self.upstreams.get_mut(id)?;
         let was_limited = upstream.is_limited();
-        let heard = rate_limit::hear(&mut upstream.rate_limit, told.limit, from, now);
+        let heard = rate_limit::merge(&mut upstream.rate_limit, told.limit, from, now);
         let is_limited = upstream.is_limited();
         let id = id.clone();
         self.count_limited(&id, was_limited, is_limited);
@@ -104,22 +103,21 @@
         }
     }
 
-    /// The limits that peers are told of.
-    pub fn told_limits(&self, now: Instant) -> Vec<Told> {
+    /// Limits to include in heartbeats.
+    pub fn announced_limits(&self, now: Instant) -> Vec<Entry> {
         let told = |u: &Upstream| {
-            let known = u.rate_limit.as_ref().filter(|known| known.is_told(now))?;
-            Some(Told { upstream: u.tag, limit: known.limit })
+            let known = u.rate_limit.as_ref().filter(|known| known.is_announced(now))?;
+            Some(Entry { upstream: u.tag, limit: known.limit })
         };
-        self.upstreams.values().filter_map(told).take(MOST_LIMITS).collect()
+        self.upstreams.values().filter_map(told).take(MAX_LIMITS).collect()
     }
 
-    /// What is known of the limit of an upstream.
-    pub fn limit_of(&self, id: &id::Upstream) -> Option<&Known> {
+    /// The limit of an upstream, if it ever named one.
+    pub fn limit_of(&self, id: &id::Upstream) -> Option<&State> {
         self.upstreams.get(id)?.rate_limit.as_ref()
     }
 
-    /// Whether a message may be sent that a scheduler granted by this knowledge of the limit. Else it knew less than
-    /// this VM does.
+    /// Whether a grant may be used whose scheduler knew this limit. It must not if this VM knows a later one.
     pub fn may_send(&self, id: &id::Upstream, granted: Option<Limit>) -> bool {
         let Some(known) = self.limit_of(id) else { return true };
         match granted {
@@ -128,48 +126,46 @@
         }
     }
 
-    /// Records a message of this VM that no grant covers.
-    pub fn note_ungranted(&mut self, id: &id::Upstream, now: Instant) {
+    /// Records a message to an upstream that was sent without a grant, such as an order.
+    pub fn record_unscheduled(&mut self, id: &id::Upstream, now: Instant) {
         if !self.upstreams.get(id).is_some_and(Upstream::is_limited) {
             return;
         }
         let number = self.number();
-        self.flights.note_sent(id, &Holder::Own, number, now);
-        self.note_own_sent(id, number, now);
+        self.flights.record_dispatch(id, &Holder::Own, number, now);
+        self.record_own_dispatch(id, number, now);
     }
 
-    /// A message of this VM goes to an upstream. The VMs that schedule are told if it is limited: an answer may
-    /// take less time than they take to hear of the attempt.
-    pub(super) fn note_own_sent(&mut self, id: &id::Upstream, number: u64, now: Instant) {
+    /// Records a message for announcement to schedulers. Flights alone miss requests that end between two heartbeats.
+    pub(super) fn record_own_dispatch(&mut self, id: &id::Upstream, number: u64, now: Instant) {
         let Some(upstream) = self.upstreams.get(id).filter(|u| u.is_limited()) else { return };
         let tag = upstream.tag;
-        self.own_sent.add(tag, number, now);
+        self.own_dispatches.add(tag, number, now);
     }
 
-    /// The messages of this VM to limited upstreams, as peers are told of them.
-    pub fn told_sent(&mut self, now: Instant) -> Vec<Sent> {
-        self.own_sent.forget(now);
-        let told = |(at, upstream, number): &(Instant, Tag, u64)| Sent {
+    /// Dispatches to include in heartbeats.
+    pub fn announced_dispatches(&mut self, now: Instant) -> Vec<Dispatch> {
+        self.own_dispatches.forget(now);
+        let told = |(at, upstream, number): &(Instant, Tag, u64)| Dispatch {
             upstream: *upstream,
             number: *number,
             age_ms: now.saturating_duration_since(*at).as_millis() as u32,
         };
-        self.own_sent.sent.iter().map(told).collect()
+        self.own_dispatches.sent.iter().map(told).collect()
     }
 
-    /// Takes the messages that a peer told of.
-    pub fn hear_sent(&mut self, vm: &id::Vm, told: &[Sent], now: Instant) {
+    /// Counts the dispatches that a peer has announced.
+    pub fn merge_dispatches(&mut self, vm: &id::Vm, told: &[Dispatch], now: Instant) {
         let holder = Holder::Peer(vm.clone());
         for sent in told {
             let Some(id) = self.tags.get(&sent.upstream) else { continue };
             let age = Duration::from_millis(u64::from(sent.age_ms));
             let at = now.checked_sub(age).unwrap_or(now);
-            self.flights.note_sent(id, &holder, sent.number, at);
+            self.flights.record_dispatch(id, &holder, sent.number, at);
         }
     }
 
-    /// Whether an upstream takes one more request now, by the limit that it names and by what it bears while it is
-    /// cold.
+    /// Whether both the rate limit and the bound for cold upstreams allow one more request.
     pub fn takes_more(&self, upstream: &Upstream, cold: Option<Bound>, now: Instant) -> bool {
         let pace = self.flights.pace(&upstream.listed.id);
         let allows = |bound: Bound| pace.is_none_or(|pace| pace.allows(bound, now));
@@ -177,12 +173,12 @@
         cold.is_none_or(allows) && named_bounds(upstream, now).all(allows)
     }
 
-    /// The requests that an upstream was sent within this time, as far as is known here.
+    /// Requests sent to an upstream within a window, as far as this VM has learned.
     pub fn sent_within(&self, id: &id::Upstream, window: Duration, now: Instant) -> usize {
         self.flights.pace(id).map_or(0, |pace| pace.sent_within(window, now))
     }
 
-    /// The rates of a service's open upstreams together, if all of them are limited.
+    /// Sum of the rates of a service's open upstreams; none if one of them is unlimited.
     pub fn limited_rate(&self, service: &str) -> Option<Rate> {
         let mut rate = None;
         for upstream in self.open(service) {
@@ -192,16 +188,17 @@
         rate
     }
 
-    /// The upstreams that name a limit.
+    /// Number of upstreams with a rate limit.
     pub fn limited_count(&self) -> usize {
         self.limited
     }
 }
 
-/// The bounds of the limit that an upstream names. They begin spent: what was sent before is not known here.
+/// Bounds of a named rate. The burst starts out spent, since earlier requests may not have been counted here.
 fn named_bounds(upstream: &Upstream, now: Instant) -> impl Iterator<Item = Bound> {
     let known = upstream.rate_limit.as_ref();
-    let named = known.and_then(|known| Some((known.since, Bound::named(known.limit.rate?))));
+    let named =
+        known.and_then(|known| Some((known.limited_since, Bound::named(known.limit.rate?))));
     let bounds = named.map(|(since, [burst, sustained])| {
         let is_new = now.saturating_duration_since(since) < burst.window;
         let count = if is_new { 0 } else { burst.count };
--- a/request/src/board/upstream.rs
+++ b/request/src/board/upstream.rs
@@ -32,7 +32,7 @@
     /// Until when it is cold.
     pub cold_until: Option<Instant>,
     /// The rate limit that it names, if it ever did.
-    pub rate_limit: Option<rate_limit::Known>,
+    pub rate_limit: Option<rate_limit::State>,
     /// When its listing ended while the directory was away; it may still live.
     pub unlisted: Option<Instant>,
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -93,7 +93,7 @@
         /// The VM that placed it; none where its own VM did by what it knows alone.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         by: Option<id::Vm>,
-        /// Upstreams that took no more just then, by their rate limits.
+        /// Upstreams that were at their rate limits.
         #[serde(default, skip_serializing_if = "is_zero")]
         limited: u32,
         /// The time that it took to be placed, milliseconds.
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -9,7 +9,7 @@
 use foldlock_base::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::board::{Ended, Load, Sent, Start};
+use crate::board::{Dispatch, Ended, Load, Start};
 use crate::budget::Charge;
 use crate::fingerprint::Fingerprint;
 use crate::placement::{Ask, Rejection};
@@ -34,8 +34,8 @@
     Answered(Answered),
     /// The receiver is to ask an engine for its report.
     Poll(Tag),
-    /// Rate limits of upstreams that the receiver has to know at once.
-    RateLimits(Vec<rate_limit::Told>),
+    /// Rate limits that the receiver needs before its next grant.
+    RateLimits(Vec<rate_limit::Entry>),
 }
 
 /// The state of a VM, as one peer is told of it.
@@ -93,9 +93,9 @@
     /// Whether it stops and asks the receiver to withdraw it from the directory.
     #[serde(default)]
     pub withdraw: bool,
-    /// Rate limits that upstreams named of late, or whose end was noticed. They go with the beats to all.
+    /// Recently observed rate limits, and recent ends of rate limits. Sent in heartbeats to all.
     #[serde(default)]
-    pub rate_limits: Vec<rate_limit::Told>,
+    pub rate_limits: Vec<rate_limit::Entry>,
 }
 
 impl State {
@@ -133,9 +133,9 @@
     pub reports: Vec<report::Told>,
     /// What it learnt of requests under which upstreams ended.
     pub suspects: Vec<quarantine::News>,
-    /// What it sent of late to upstreams that name a rate limit.
+    /// Recent messages to rate-limited upstreams.
     #[serde(default)]
-    pub sent: Vec<Sent>,
+    pub dispatches: Vec<Dispatch>,
 }
 
 /// A request by the number that its VM gave it.
@@ -261,10 +261,10 @@
     pub open: usize,
     /// The request, if it runs alone there.
     pub alone: Option<Fingerprint>,
-    /// Upstreams that took no more just then, by their rate limits.
+    /// Upstreams that were at their rate limits.
     #[serde(default)]
     pub limited: usize,
-    /// What the sender knows of the upstream's rate limit.
+    /// The upstream's rate limit as known to the sender.
     #[serde(default)]
     pub limit: Option<Limit>,
 }
--- a/request/src/notice.rs
+++ b/request/src/notice.rs
@@ -13,26 +13,26 @@
     pub leaving: bool,
     /// For how long it wants nothing from the VM that it answers, counted from the answer.
     pub rest: Option<Duration>,
-    /// The requests that it takes from all VMs together.
+    /// Its rate limit for the whole fleet.
     pub rate_limit: RateLimit,
 }
 
 /// What an answer says of its upstream's rate limit.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum RateLimit {
-    /// Nothing: the answer does not speak of the upstream that was asked.
+    /// The answer says nothing about the upstream that was asked.
     #[default]
     Unknown,
-    /// There is none.
+    /// No limit.
     Unlimited,
-    /// The upstream takes so much.
+    /// A limit.
     Limited(Rate),
-    /// There is one that cannot be read.
+    /// A malformed limit.
     Unreadable,
 }
 
 impl Notice {
-    /// Whether it asks for nothing.
+    /// Whether it asks VMs to change nothing.
     pub fn is_empty(self) -> bool {
         let is_limited = matches!(self.rate_limit, RateLimit::Limited(_) | RateLimit::Unreadable);
         !self.leaving && self.rest.is_none() && !is_limited
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -128,9 +128,9 @@
     pub slowest: Vec<(id::Upstream, Load)>,
     /// The upstreams among which it was chosen.
     pub open: usize,
-    /// Upstreams that took no more just then, by their rate limits.
+    /// Upstreams that were at their rate limits.
     pub limited: usize,
-    /// What is known of the upstream's rate limit where the place was granted.
+    /// The upstream's rate limit as known to the VM that granted the place.
     pub limit: Option<Limit>,
 }
 
@@ -150,9 +150,9 @@
         /// Milliseconds.
         left_ms: u64,
     },
-    /// All upstreams of the service name rate limits, and the request would wait too long.
+    /// All upstreams of the service are rate-limited, and the request would queue for too long.
     Limited {
-        /// When to come back, milliseconds.
+        /// Retry-After, milliseconds.
         after_ms: u64,
     },
     /// The fleet's retry budget for the service is spent.
@@ -218,8 +218,8 @@
     Ok(place)
 }
 
-/// Finds a place for a long prompt on one upstream that names a rate limit, if all do or if this one has got nothing
-/// for a while. None of them reads a part for another.
+/// Finds a place for a long prompt on a single rate-limited upstream, if all are limited or one is due for a probe. Limited
+/// upstreams take no parts of a split prompt.
 pub fn place_whole(
     board: &Board,
     service: &Service,
--- a/request/src/placement/candidate.rs
+++ b/request/src/placement/candidate.rs
@@ -12,7 +12,7 @@
 /// Kept from a pause, milliseconds, for one more short prompt that comes in.
 const PAUSE_MARGIN_MS: f64 = 30.0;
 
-/// How long an upstream that names a rate limit may go without a request.
+/// Longest time without a request to a rate-limited upstream while there is traffic.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Answers with short pauses beside which parts of any length are read: a single one would keep its
@@ -26,7 +26,7 @@
     pub(super) load: Load,
     /// How many times longer its work takes than its figures say.
     pub(super) pace: f64,
-    /// Whether it names a rate limit and has got nothing for a while: an answer shows whether the limit holds.
+    /// Whether it is rate-limited and due for a probe, since only an answer shows whether the limit has ended.
     pub(super) is_due: bool,
 }
 
@@ -102,7 +102,7 @@
 }
 
 /// The upstreams that take new work, those that are to be trusted alone if there are any, the asker's
-/// hall first; and how many take no more now by their rate limits.
+/// hall first; and the number of those at their rate limits.
 pub(super) fn candidates<'a>(
     board: &'a Board,
     service: &'a Service,
@@ -124,7 +124,7 @@
     (candidates.into_iter().map(candidate).collect(), limited)
 }
 
-/// The order in which upstreams are filled: those that ask for less come last.
+/// Order in which upstreams are filled: limited and cold ones last.
 fn rank(upstream: &Upstream, now: Instant) -> (bool, bool) {
     (upstream.is_limited(), upstream.is_cold(now))
 }
@@ -133,8 +133,8 @@
     upstream.is_limited() && board.sent_within(&upstream.listed.id, PROBE_INTERVAL, now) == 0
 }
 
-/// Whether an upstream takes one more request now, as it is cold or names a rate limit. Without a scheduler nobody
-/// knows what others send, and one that names a limit gets nothing.
+/// Whether an upstream takes one more request, by its rate limit or while it is cold. Without a scheduler the requests
+/// of other VMs are unknown, so a limited upstream takes none.
 pub(super) fn bears_more(
     board: &Board,
     service: &Service,
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -78,7 +78,7 @@
     line: Line<'_>,
     now: Instant,
 ) -> Vec<(usize, Place)> {
-    // A part read for another engine is work that a rate limit leaves no room for.
+    // Parts of split prompts would count against the rate limit.
     let unlimited = board.open(&service.name).filter(|upstream| !upstream.is_limited());
     let open = trusted(board, unlimited.collect(), now);
     let candidate = |upstream| Candidate::new(board, upstream, Some(engine), now);
--- a/request/src/rate_limit.rs
+++ b/request/src/rate_limit.rs
@@ -1,8 +1,8 @@
-//! The rate limit that an upstream names in its answers, as VMs know it and tell each other.
+//! The rate limit that an upstream names in its answers, replicated to all VMs.
 //!
-//! Answers overtake each other, and each VM gets its own. A limit that was learnt from an answer whose request was sent
-//! after the known one was heard takes its place, by a higher version. Of two answers of which neither is known to be
-//! the later one the stricter holds. So all VMs come to the same limit, in whatever order they hear.
+//! Answers arrive out of order and at different VMs. If a request was sent after the current limit was learned, its
+//! answer supersedes that limit with a higher version. Between concurrent answers the lower rate wins. Merging is
+//! commutative and idempotent, so all VMs converge.
 
 use std::time::{Duration, Instant};
 
@@ -11,73 +11,72 @@
 
 use crate::tag::Tag;
 
-/// The lowest rate that limits nothing, requests a second: no upstream is sent as much.
+/// Rates from here on count as no limit, requests a second.
 const UNBOUNDED: f64 = 10_000.0;
 
-/// How long a limit is told after it was heard of an upstream, or after a peer was seen to know less.
-const TOLD: Duration = Duration::from_secs(3);
+/// How long a limit is announced after an upstream named it, or after a peer announced an older one.
+const ANNOUNCE_FOR: Duration = Duration::from_secs(3);
 
-/// A rate limit, or that there is none any more.
+/// A rate limit, or the absence of one.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
-    /// Rises with each limit that is known to be later than the one before.
+    /// Higher for each limit that is causally later.
     pub version: u32,
-    /// Requests a second from all VMs together; none where there is no limit.
+    /// Requests a second over the whole fleet; none if unlimited.
     pub rate: Option<Rate>,
 }
 
 impl Limit {
-    /// Whether this limit holds where the other was known.
+    /// Whether this limit replaces the other one.
     pub fn supersedes(self, other: Limit) -> bool {
         let rate = |limit: Limit| limit.rate.map_or(f64::INFINITY, Rate::as_f64);
         self.version > other.version || self.version == other.version && rate(self) < rate(other)
     }
 }
 
-/// The limit of an upstream, as VMs tell each other.
+/// The limit of an upstream instance, as announced between VMs.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Told {
+pub struct Entry {
     /// The instance of the upstream.
     pub upstream: Tag,
     /// The limit.
     pub limit: Limit,
 }
 
-/// What a VM knows of the limit of one upstream instance.
+/// A VM's replica of the limit of one upstream instance.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Known {
+pub struct State {
     /// The limit.
     pub limit: Limit,
-    /// When this VM learnt it.
-    pub heard: Instant,
-    /// Since when this VM knows of any limit without a break.
-    pub since: Instant,
-    /// The VM that it was told by, or this one.
-    pub by: id::Vm,
-    /// When it was last heard of the upstream itself, or had to be told again.
-    fresh: Instant,
+    /// When this VM adopted the limit.
+    pub learned: Instant,
+    /// Start of the current uninterrupted period with a limit.
+    pub limited_since: Instant,
+    /// The VM from which the limit was received; this one if by an answer.
+    pub source: id::Vm,
+    /// When the upstream last named the limit, or a peer last announced an older one.
+    refreshed: Instant,
 }
 
-impl Known {
-    fn new(limit: Limit, by: id::Vm, now: Instant) -> Known {
-        Known { limit, heard: now, since: now, by, fresh: now }
+impl State {
+    fn new(limit: Limit, source: id::Vm, now: Instant) -> State {
+        State { limit, learned: now, limited_since: now, source, refreshed: now }
     }
 
-    /// Whether peers are told of it.
-    pub fn is_told(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.fresh) < TOLD
+    /// Whether the limit is included in heartbeats.
+    pub fn is_announced(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.refreshed) < ANNOUNCE_FOR
     }
 
-    fn replace(&mut self, limit: Limit, by: id::Vm, now: Instant) {
-        let since = if self.limit.rate.is_some() { self.since } else { now };
-        *self = Known { since, ..Known::new(limit, by, now) };
+    fn replace(&mut self, limit: Limit, source: id::Vm, now: Instant) {
+        let limited_since = if self.limit.rate.is_some() { self.limited_since } else { now };
+        *self = State { limited_since, ..State::new(limit, source, now) };
     }
 }
 
-/// Takes what the upstream said itself, in an answer to a request that was sent at that time. Returns whether it
-/// changed what is known.
-pub fn state(
-    known: &mut Option<Known>,
+/// Applies an answer of the upstream to a request sent at `sent`. Returns whether the limit has changed.
+pub fn observe(
+    known: &mut Option<State>,
     rate: Option<Rate>,
     sent: Instant,
     own: &id::Vm,
@@ -85,49 +84,49 @@
 ) -> bool {
     let rate = rate.filter(|rate| rate.as_f64() < UNBOUNDED);
     let Some(known) = known else {
-        *known = rate.map(|_| Known::new(Limit { version: 1, rate }, own.clone(), now));
+        *known = rate.map(|_| State::new(Limit { version: 1, rate }, own.clone(), now));
         return rate.is_some();
     };
     if known.limit.rate == rate {
         if rate.is_some() {
-            known.fresh = now;
+            known.refreshed = now;
         }
         return false;
     }
-    let is_later = sent >= known.heard;
+    let is_later = sent >= known.learned;
     let version = known.limit.version + u32::from(is_later);
     let limit = Limit { version, rate };
-    let is_news = limit.supersedes(known.limit);
-    if is_news {
+    let has_changed = limit.supersedes(known.limit);
+    if has_changed {
         known.replace(limit, own.clone(), now);
     }
-    is_news
+    has_changed
 }
 
-/// What became of a limit that a peer told of.
+/// Result of merging an announced limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Heard {
-    /// It is news.
-    News,
-    /// It is known.
+pub enum Merge {
+    /// The limit was adopted.
+    Adopted,
+    /// The limit was known already.
     Same,
-    /// The peer knows less.
-    Behind,
+    /// The announced limit is older than the known one.
+    Stale,
 }
 
-/// Takes what a peer told.
-pub fn hear(known: &mut Option<Known>, limit: Limit, from: &id::Vm, now: Instant) -> Heard {
+/// Merges a limit announced by a peer.
+pub fn merge(known: &mut Option<State>, limit: Limit, from: &id::Vm, now: Instant) -> Merge {
     let Some(known) = known else {
-        *known = Some(Known::new(limit, from.clone(), now));
-        return Heard::News;
+        *known = Some(State::new(limit, from.clone(), now));
+        return Merge::Adopted;
     };
     if known.limit == limit {
-        return Heard::Same;
+        return Merge::Same;
     }
     if limit.supersedes(known.limit) {
         known.replace(limit, from.clone(), now);
-        return Heard::News;
+        return Merge::Adopted;
     }
-    known.fresh = now;
-    Heard::Behind
+    known.refreshed = now;
+    Merge::Stale
 }
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -135,11 +135,12 @@
         if let Some(read_ms) = read_ms {
             self.asked.push_back(Asked { at: now, service, read_ms });
         } else {
-            // Nobody overtakes those that wait for their turn.
-            let queues = limited_rate.is_some() && self.waiting_for(service) > 0;
-            let placed = match queues {
-                true => Err(Rejection::Full),
-                false => placement::place(board, found, &ask, now),
+            // Queued requests go first.
+            let must_queue = limited_rate.is_some() && self.waiting_for(service) > 0;
+            let placed = if must_queue {
+                Err(Rejection::Full)
+            } else {
+                placement::place(board, found, &ask, now)
             };
             match placed {
                 Ok(place) => {
@@ -209,7 +210,7 @@
         answers
     }
 
-    /// Long prompts at upstreams that name rate limits, which read no parts for others.
+    /// Places long prompts on single rate-limited upstreams.
     fn place_whole(
         &mut self,
         board: &mut Board,
@@ -230,7 +231,7 @@
         }
     }
 
-    /// Rejects those that would wait too long for upstreams that all name rate limits.
+    /// Rejects queued requests that would wait too long, where all upstreams are rate-limited.
     fn turn_away_late(
         &mut self,
         board: &Board,
@@ -255,7 +256,7 @@
         }
     }
 
-    /// The requests of a service that wait, the one that is due first before the others.
+    /// Queued requests of a service, by due time.
     fn due(&self, service: Tag, of: impl Fn(&Waiter) -> bool) -> Vec<Key> {
         let waiters = self.waiters.iter().filter(|waiter| waiter.service == service && of(waiter));
         let mut due: Vec<(Instant, &Key)> = waiters
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -335,7 +335,7 @@
     for i in 0..engines {
         let tag = Tag::of(upstream(i).as_str());
         let vm = "vm-1".parse().unwrap();
-        board.state_limit(tag, Rate::per_second(per_s), now, &vm, now).unwrap();
+        board.observe_limit(tag, Rate::per_second(per_s), now, &vm, now).unwrap();
     }
 }
 
--- a/request/tests/rate_limits/fleet.rs
+++ b/request/tests/rate_limits/fleet.rs
@@ -10,7 +10,7 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
 use foldlock_request::placement::{Ask, Place, Rejection};
-use foldlock_request::rate_limit::Told;
+use foldlock_request::rate_limit::Entry;
 use foldlock_request::scheduler::{Answer, Key, Scheduler};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Bounds, Service, Table};
@@ -275,7 +275,7 @@
             return false;
         }
         if let Some(limit) = place.limit {
-            self.hear_limit(vm, scheduler, Told { upstream: Tag::of(id.as_str()), limit });
+            self.merge_limit(vm, scheduler, Entry { upstream: Tag::of(id.as_str()), limit });
         }
         let upstream = (0..UPSTREAMS).find(|index| upstream(*index) == *id).unwrap();
         let now = self.now;
@@ -300,12 +300,12 @@
 
     fn tell_limit(&mut self, vm: usize, scheduler: usize, id: &id::Upstream) {
         let limit = self.vms[vm].board.limit_of(id).unwrap().limit;
-        self.hear_limit(scheduler, vm, Told { upstream: Tag::of(id.as_str()), limit });
+        self.merge_limit(scheduler, vm, Entry { upstream: Tag::of(id.as_str()), limit });
     }
 
-    fn hear_limit(&mut self, vm: usize, from: usize, told: Told) {
+    fn merge_limit(&mut self, vm: usize, from: usize, entry: Entry) {
         let now = self.now;
-        self.vms[vm].board.hear_limit(told, &vm_name(from), now);
+        self.vms[vm].board.merge_limit(entry, &vm_name(from), now);
     }
 
     /// Answers that begin now. Half of them say what held when they were asked for, as if another had overtaken them.
@@ -323,7 +323,7 @@
             let of = &mut self.vms[vm];
             of.board.leave(number, now);
             let tag = Tag::of(upstream(index).as_str());
-            let news = of.board.state_limit(tag, limit, sent, &vm_name(vm), now);
+            let news = of.board.observe_limit(tag, limit, sent, &vm_name(vm), now);
             if limit.is_some() {
                 of.told[index].get_or_insert(now);
             }
@@ -342,25 +342,26 @@
             }
             let now = self.now;
             let of = &mut self.vms[vm].board;
-            let (limits, sent, flights) = (of.told_limits(now), of.told_sent(now), of.told(now));
+            let (limits, sent, flights) =
+                (of.announced_limits(now), of.announced_dispatches(now), of.told(now));
             for scheduler in (0..SCHEDULERS.min(self.vms.len())).filter(|index| *index != vm) {
                 if !self.reaches(vm, scheduler) {
                     continue;
                 }
                 let board = &mut self.vms[scheduler].board;
                 limits.iter().for_each(|told| {
-                    board.hear_limit(*told, &vm_name(vm), now);
+                    board.merge_limit(*told, &vm_name(vm), now);
                 });
-                board.hear_sent(&vm_name(vm), &sent, now);
+                board.merge_dispatches(&vm_name(vm), &sent, now);
                 board.hear(&vm_name(vm), &flights, u64::MAX, now);
             }
         }
         // Schedulers tell all others what limits they know.
         for scheduler in 0..SCHEDULERS.min(self.vms.len()) {
-            let limits = self.vms[scheduler].board.told_limits(self.now);
+            let limits = self.vms[scheduler].board.announced_limits(self.now);
             for vm in (0..self.vms.len()).filter(|vm| *vm != scheduler) {
                 if !self.is_frozen(scheduler) && self.reaches(scheduler, vm) {
-                    limits.iter().for_each(|told| self.hear_limit(vm, scheduler, *told));
+                    limits.iter().for_each(|told| self.merge_limit(vm, scheduler, *told));
                 }
             }
         }
--- a/request/tests/rate_limits/main.rs
+++ b/request/tests/rate_limits/main.rs
@@ -122,22 +122,22 @@
     let now = Instant::now();
     let later = now + Duration::from_secs(1);
     let vm = vm_name(0);
-    boards[0].state_limit(tag, Some(rate(5.0)), now, &vm, now).unwrap();
+    boards[0].observe_limit(tag, Some(rate(5.0)), now, &vm, now).unwrap();
     // Sent before the limit was known: the stricter holds, and no limit at all says nothing.
-    assert!(boards[0].state_limit(tag, None, now - STEP, &vm, now + STEP).is_none());
-    assert!(boards[0].state_limit(tag, Some(rate(8.0)), now - STEP, &vm, now + STEP).is_none());
-    let first = boards[0].told_limits(now + STEP)[0];
-    boards[0].state_limit(tag, Some(rate(3.0)), now - STEP, &vm, now + STEP).unwrap();
-    let second = boards[0].told_limits(now + STEP)[0];
+    assert!(boards[0].observe_limit(tag, None, now - STEP, &vm, now + STEP).is_none());
+    assert!(boards[0].observe_limit(tag, Some(rate(8.0)), now - STEP, &vm, now + STEP).is_none());
+    let first = boards[0].announced_limits(now + STEP)[0];
+    boards[0].observe_limit(tag, Some(rate(3.0)), now - STEP, &vm, now + STEP).unwrap();
+    let second = boards[0].announced_limits(now + STEP)[0];
     // Sent after it.
-    boards[0].state_limit(tag, None, later, &vm, later).unwrap();
-    let third = boards[0].told_limits(later)[0];
+    boards[0].observe_limit(tag, None, later, &vm, later).unwrap();
+    let third = boards[0].announced_limits(later)[0];
     assert_eq!(third.limit, Limit { version: 2, rate: None });
     for (board, order) in
         boards[1..].iter_mut().zip([[second, first, third], [third, first, second]])
     {
         order.iter().for_each(|told| {
-            board.hear_limit(*told, &vm, later);
+            board.merge_limit(*told, &vm, later);
         });
     }
     for board in &boards {
@@ -151,7 +151,7 @@
     let (mut board, now) = (board(), Instant::now());
     for index in 0..UPSTREAMS {
         let tag = Tag::of(upstream(index).as_str());
-        board.state_limit(tag, Some(rate(2.0)), now, &vm_name(0), now).unwrap();
+        board.observe_limit(tag, Some(rate(2.0)), now, &vm_name(0), now).unwrap();
     }
     let (table, mut scheduler) = (table(), Scheduler::default());
     let mut after_ms = Vec::new();
