Retry budget: shares are divided by the most VMs of the last window

Cause: a scheduler divided its clients by the VMs that run at the moment. Change: the divisor is the maximum over the budget's window.

--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -10,6 +10,7 @@
 //! partitioned is not spent a second time.
 
 mod clients;
+mod peak;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -22,6 +23,7 @@
 
 use clients::Clients;
 pub use clients::{Affiliation, Process};
+use peak::Peak;
 
 /// The parameters of the budget, from the operator's settings.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -91,8 +93,10 @@
 #[derive(Debug, Default)]
 pub struct Budget {
     parameters: Parameters,
-    /// The VMs of the fleet.
-    vms: usize,
+    /// The most VMs that the fleet had within the last window. A VM that has stopped still counts as a client for a
+    /// while, and in a partition it counts for longer. With the current number, the shares of two schedulers
+    /// could add up to more than the slack.
+    vms: Peak,
     clients: Clients,
     accounts: HashMap<Tag, Account>,
 }
@@ -115,7 +119,7 @@
 
     /// Records a message from a VM of a fleet of `vms`. `is_client` says whether it is a client of this scheduler.
     pub fn record_contact(&mut self, vm: &Holder, is_client: bool, vms: usize, now: Instant) {
-        self.vms = vms;
+        self.vms.record(vms, self.parameters.window, now);
         // Before this VM is recorded, so that the tokens of expired VMs are dropped even if it is one of them.
         if self.clients.expire(self.parameters.window, now) {
             self.cap_tokens();
@@ -162,7 +166,7 @@
             spent: spent as u32,
             slack: slack as u32,
             clients: self.clients.settled() as u32,
-            vms: self.vms as u32,
+            vms: self.vms.max() as u32,
         })
     }
 
@@ -212,6 +216,6 @@
 
     /// Returns the share of the slack for this number of VMs.
     fn slack_of(&self, vms: usize) -> f64 {
-        self.parameters.slack * (vms as f64 / self.vms.max(1) as f64).min(1.0)
+        self.parameters.slack * (vms as f64 / self.vms.max().max(1) as f64).min(1.0)
     }
 }
