Scheduling policy in the configuration, callers in grant requests

Cause: the scheduler knows neither the organisation nor the priority of a request, nor how long its caller waits.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -138,5 +138,11 @@
         let location = format!("{name}:{}:{}", failure.position.line, failure.position.column);
         Invalid::Text(location, failure.reason)
     })?;
-    serde_json::from_value(source.value()).map_err(|e| Invalid::Text(name, e.to_string()))
+    let file: File = serde_json::from_value(source.value())
+        .map_err(|e| Invalid::Text(name.clone(), e.to_string()))?;
+    if let Some(fleet) = &file.fleet {
+        let check = fleet.scheduling.check();
+        check.map_err(|e| Invalid::Text(name, format!("fleet.scheduling.{e}")))?;
+    }
+    Ok(file)
 }
--- a/daemon/src/fleet/config.rs
+++ b/daemon/src/fleet/config.rs
@@ -5,6 +5,7 @@
 
 use foldlock_base::id;
 use foldlock_request::budget::Parameters;
+use foldlock_request::scheduler::Policy;
 use serde::{Deserialize, Serialize};
 
 /// The `fleet` section of the configuration file.
@@ -46,6 +47,9 @@
     pub repeat_slack: f64,
     /// Window over which requests and retries are counted, milliseconds.
     pub repeat_window_ms: u64,
+    /// How this VM admits and orders requests while it is the scheduler.
+    #[serde(default)]
+    pub scheduling: Policy,
 }
 
 /// Default: the memory of a small VM.
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -7,6 +7,7 @@
 use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::{Caller, Priority};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Requirements};
@@ -129,6 +130,19 @@
             offset: 0,
             schedulers: 1,
             charge,
+            caller: self.caller(),
+        }
+    }
+
+    fn caller(&self) -> Caller {
+        let organisation = self.organisation.as_deref();
+        Caller {
+            organisation: organisation.map(|organisation| Tag::of(&organisation.name)),
+            priority: Priority {
+                organisation: organisation.map_or(0, |organisation| organisation.priority),
+                route: self.route.priority,
+            },
+            time_limit: self.deadline.saturating_duration_since(self.arrived),
         }
     }
 }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -175,7 +175,7 @@
             ring: Ring::new(MAX_RECORDS),
             freshness: Freshness::new(config.fleet.max_settings_age()),
             cluster: Mutex::default(),
-            scheduler: Mutex::new(Scheduler::new(config.fleet.budget())),
+            scheduler: Mutex::new(Scheduler::new(config.fleet.budget(), config.fleet.scheduling)),
             affiliation: Mutex::default(),
             pending_grants: pending_grants::Table::default(),
             cluster_changed: Notify::new(),
@@ -357,14 +357,16 @@
         self.request_id().to_string()
     }
 
-    /// Reads the configuration file again and applies the parameters of the retry budget; other values
+    /// Reads the configuration file again and applies the parameters of the retry budget and the scheduling policy; other values
     /// take effect only at a start of the process.
     pub fn reload(&self) {
         let read = self.config.file.as_deref().map(crate::config::read_fleet);
         let what = match read {
             Some(Ok(fleet)) => {
-                self.scheduler.lock().unwrap().budget.set(fleet.budget());
-                "retry budget parameters reloaded".to_owned()
+                let mut scheduler = self.scheduler.lock().unwrap();
+                scheduler.budget.set(fleet.budget());
+                scheduler.set_policy(fleet.scheduling);
+                "retry budget parameters and scheduling policy reloaded".to_owned()
             }
             Some(Err(e)) => {
                 format!("configuration file not reloaded, keeping the previous configuration: {e}")
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -214,6 +214,11 @@
         Rejection::Quarantined { left_ms } => return quarantine_error(left_ms, proof),
         Rejection::Backoff { left_ms } => return backoff_error(job, left_ms, proof),
         Rejection::RateLimited { after_ms } => return rate_limit_error(job, after_ms, proof),
+        Rejection::Overloaded { after_ms, .. } => {
+            let why = format!("{}: {rejection}", job.service.name);
+            let after = Duration::from_millis(after_ms);
+            return Error::unsent(Kind::Overloaded, why, proof).retry_after(after);
+        }
         Rejection::NoUpstream | Rejection::Drained | Rejection::OverBudget(_) => Kind::NoUpstream,
         Rejection::Full | Rejection::TooLarge => Kind::Overloaded,
     };
--- a/daemon/tests/deploy.rs
+++ b/daemon/tests/deploy.rs
@@ -49,10 +49,13 @@
     format!("{before}{text}{}", render(rest, fields))
 }
 
+fn template() -> String {
+    std::fs::read_to_string(root().join("deploy/vm.jsonc")).unwrap()
+}
+
 fn read(fields: &Value) -> Mode {
-    let template = std::fs::read_to_string(root().join("deploy/vm.jsonc")).unwrap();
     let file = tempfile::NamedTempFile::new().unwrap();
-    std::fs::write(file.path(), render(&template, fields)).unwrap();
+    std::fs::write(file.path(), render(&template(), fields)).unwrap();
     let app = App::parse_from(["foldlockd", "--config", file.path().to_str().unwrap()]);
     Config::read(app).unwrap()
 }
@@ -87,6 +90,24 @@
     assert_eq!(config.fleet.memory_release_ms, 4_000);
 }
 
+/// Guards against a setting that has no effect without another one: shares are computed only with forecasts.
+#[test]
+fn fair_shares_without_forecasts_are_reported_with_their_path() {
+    let shares = |admission: &str| {
+        let rendered = render(&template(), &sample());
+        let section = format!(
+            "\"scheduling\": {{\"admission\": \"{admission}\", \"fair_shares\": true}}, \"stop_ms\""
+        );
+        let file = tempfile::NamedTempFile::new().unwrap();
+        std::fs::write(file.path(), rendered.replacen("\"stop_ms\"", &section, 1)).unwrap();
+        let app = App::parse_from(["foldlockd", "--config", file.path().to_str().unwrap()]);
+        Config::read(app).map(drop).map_err(|e| e.to_string())
+    };
+    let error = shares("timeout").unwrap_err();
+    assert!(error.contains("fleet.scheduling.fair_shares: requires"), "{error}");
+    assert_eq!(shares("forecast"), Ok(()));
+}
+
 #[test]
 fn an_unknown_name_is_reported_with_the_file() {
     let file = tempfile::NamedTempFile::new().unwrap();
--- a/daemon/tests/operating.rs
+++ b/daemon/tests/operating.rs
@@ -21,6 +21,7 @@
         repeat_ratio: 0.0,
         repeat_slack: 0.0,
         repeat_window_ms: 1,
+        scheduling: Default::default(),
     };
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATING.md");
     let page = std::fs::read_to_string(page).unwrap();
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod affinity;
 pub mod backoff;
 pub mod budget;
+pub mod caller;
 pub mod claim;
 pub mod cluster;
 pub mod cursor;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::Charge;
+use crate::caller::{Caller, Priority};
 use crate::cluster::{Completion, Dispatch, Load, Restart};
 use crate::fingerprint::Fingerprint;
 use crate::placement::{Rejection, Requirements};
@@ -189,6 +190,13 @@
     /// budget.
     #[serde(default)]
     pub is_client: bool,
+    #[serde(default)]
+    priority: Priority,
+    #[serde(default)]
+    organisation: Option<Tag>,
+    /// Absent in the messages of releases that have no time limit.
+    #[serde(default)]
+    time_limit_ms: Option<u32>,
 }
 
 impl GrantRequest {
@@ -215,6 +223,9 @@
             connected: requirements.connected.clone(),
             charge: requirements.charge,
             is_client,
+            priority: requirements.caller.priority,
+            organisation: requirements.caller.organisation,
+            time_limit_ms: u32::try_from(requirements.caller.time_limit.as_millis()).ok(),
         }
     }
 
@@ -236,6 +247,11 @@
             offset: 0,
             schedulers: 1,
             charge: self.charge,
+            caller: Caller {
+                organisation: self.organisation,
+                priority: self.priority,
+                time_limit: self.time_limit_ms.map_or(Duration::MAX, millis),
+            },
         }
     }
 }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -20,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::budget::{Charge, Exhausted};
+use crate::caller::Caller;
 use crate::cluster::{Cluster, INTERACTIVE_PAUSE_MS, Load};
 use crate::fingerprint::Fingerprint;
 use crate::flight::{Flight, Helper};
@@ -82,6 +83,8 @@
     pub schedulers: usize,
     /// Its charge to the fleet's retry budget.
     pub charge: Charge,
+    /// Its caller.
+    pub caller: Caller,
 }
 
 impl Requirements {
@@ -167,6 +170,13 @@
         /// Retry-After, milliseconds.
         after_ms: u64,
     },
+    /// The request cannot be served within its time, by the forecast of its wait.
+    Overloaded {
+        /// Retry-After, milliseconds.
+        after_ms: u64,
+        /// The forecast wait, milliseconds.
+        wait_ms: u64,
+    },
     /// The fleet's retry budget for the service is exhausted.
     OverBudget(Exhausted),
     /// The request crashed upstreams and is quarantined for this time.
@@ -191,6 +201,9 @@
             Rejection::RateLimited { after_ms } => {
                 write!(f, "all upstreams are at their rate limits, retry in {after_ms} ms")
             }
+            Rejection::Overloaded { wait_ms, .. } => {
+                write!(f, "all upstreams are at capacity, the forecast wait is {wait_ms} ms")
+            }
             Rejection::OverBudget(_) => f.write_str("the fleet's retry budget is exhausted"),
             Rejection::Quarantined { left_ms } => {
                 write!(f, "the request is quarantined for {left_ms} ms more")
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -7,6 +7,7 @@
 //! local state.
 
 mod backlog;
+mod policy;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -23,6 +24,7 @@
 use crate::tag::Tag;
 
 use backlog::Backlog;
+pub use policy::{Admission, Policy};
 
 /// Time after which a queued request is dropped if its VM has not repeated the grant request. A VM
 /// repeats it several times within this time, so the caller has left, or the VM has stopped or asks
@@ -93,14 +95,20 @@
     grant_numbers: HashMap<Holder, u64>,
     pressure: Pressure,
     backlog: Backlog,
+    policy: Policy,
     /// The fleet's retry budget, for requests that this VM schedules.
     pub budget: Budget,
 }
 
 impl Scheduler {
     /// Creates a scheduler without requests.
-    pub fn new(parameters: Parameters) -> Scheduler {
-        Scheduler { budget: Budget::new(parameters), ..Scheduler::default() }
+    pub fn new(parameters: Parameters, policy: Policy) -> Scheduler {
+        Scheduler { budget: Budget::new(parameters), policy, ..Scheduler::default() }
+    }
+
+    /// Changes the policy; queued requests keep their places.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
     }
 
     /// Handles a grant request of a VM, the first one or a repeated one.
--- a/request/tests/cold.rs
+++ b/request/tests/cold.rs
@@ -7,6 +7,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::{Cluster, Holder, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Rejection, Requirements};
@@ -73,6 +74,7 @@
         offset: 0,
         schedulers,
         charge: Charge::Free,
+        caller: Caller::default(),
     }
 }
 
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::{Cluster, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::long_queue::{Capacity, Entry, order};
@@ -116,6 +117,7 @@
         offset: 0,
         schedulers: 1,
         charge: Charge::Free,
+        caller: Caller::default(),
     }
 }
 
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -4,6 +4,7 @@
 
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::{Caller, Priority};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::message::{
     Activity, GrantRequest, Heartbeat, Message, Number, State, decode, encode,
@@ -55,6 +56,11 @@
         offset: 0,
         schedulers: 1,
         charge: Charge::Withdraw,
+        caller: Caller {
+            organisation: Some(Tag::of("org-1")),
+            priority: Priority { organisation: 1, route: 2 },
+            time_limit: Duration::from_secs(15),
+        },
     };
     let request = Number { incarnation: 1, number: 8 };
     let message = Message::GrantRequest(GrantRequest::new(
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -10,6 +10,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::{Cluster, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{self, Rejection, Requirements};
@@ -136,6 +137,7 @@
             offset: 0,
             schedulers: 1,
             charge: Charge::Free,
+            caller: Caller::default(),
         };
         let placement = placement::place(&self.cluster, &self.service, &requirements, self.now)?;
         let number = self.cluster.next_number();
--- a/request/tests/patterns/simulation.rs
+++ b/request/tests/patterns/simulation.rs
@@ -8,6 +8,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::{Cluster, Holder, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::forecast;
@@ -220,6 +221,7 @@
             offset: 0,
             schedulers: 1,
             charge: Charge::Free,
+            caller: Caller::default(),
         }
     }
 
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -5,6 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::{Rate, Tokens};
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::{Cluster, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
@@ -81,6 +82,7 @@
         offset: 0,
         schedulers: 1,
         charge: Charge::Free,
+        caller: Caller::default(),
     }
 }
 
--- a/request/tests/rate_limits/fleet.rs
+++ b/request/tests/rate_limits/fleet.rs
@@ -7,6 +7,7 @@
 use foldlock_base::id;
 use foldlock_base::size::{Rate, Tokens};
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::{Cluster, Holder, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
@@ -94,6 +95,7 @@
         offset: 0,
         schedulers: 1,
         charge: Charge::Free,
+        caller: Caller::default(),
     }
 }
 
