Order of queued requests: priorities, shares, deadlines and ageing

Cause: the scheduler places short prompts before long ones and ignores priorities and organisations, so late requests take the slots of those that could be in time. Measured: nothing yet; it builds.

--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -38,7 +38,7 @@
 
 /// Share of the objective beyond which a short prompt goes to an engine without short responses
 /// instead of sharing one: one prediction in ten is a third too low.
-const MAX_PREDICTED_SHARE: f64 = 0.85;
+pub(crate) const MAX_PREDICTED_SHARE: f64 = 0.85;
 
 /// Share of the objective within which the first event must come of the prompt that waits longest
 /// for the pass that would read the new one too: each added prefill delays those before it. Without
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -7,7 +7,9 @@
 //! local state.
 
 mod backlog;
+pub mod order;
 mod policy;
+pub mod shares;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
