Order of queued requests: compact slots instead of items while grants are simulated

Cause: half of the time of an order went into reading items and into a heap that a single flow does not need. Change: cost and organisation are kept in a slot of each item; a single flow uses no heap.

--- a/request/src/scheduler/order.rs
+++ b/request/src/scheduler/order.rs
@@ -137,26 +137,26 @@
     pub fn order(&self, items: &[Item], fair_shares: bool) -> Vec<usize> {
         let Some(epoch) = items.iter().map(|item| item.arrived).min() else { return Vec::new() };
         let ordered = &items[..items.len().min(1 << INDEX_BITS)];
-        let mut ranks: Vec<(Priority, Vec<Key>)> = Vec::new();
+        let mut slots = Vec::with_capacity(ordered.len());
+        let mut classes: Vec<(Priority, Vec<Key>)> = Vec::new();
         for (index, item) in ordered.iter().enumerate() {
+            slots.push(Slot::new(item));
             let key = Key::new(item, index, epoch);
-            match ranks.binary_search_by_key(&item.priority, |(priority, _)| *priority) {
-                Ok(class) => ranks[class].1.push(key),
-                Err(class) => ranks.insert(class, (item.priority, vec![key])),
+            match classes.binary_search_by_key(&item.priority, |(priority, _)| *priority) {
+                Ok(class) => classes[class].1.push(key),
+                Err(class) => classes.insert(class, (item.priority, vec![key])),
             }
         }
         let mut order = Vec::with_capacity(items.len());
-        let mut slots = vec![Slot::default(); ordered.len()];
-        for (priority, ranks) in ranks {
+        for (priority, keys) in classes {
             let class = self.classes.binary_search_by_key(&priority, |class| class.priority);
             let class = class.ok().map(|index| &self.classes[index]);
             let ageing = class.map_or_else(Ageing::default, |class| class.ageing);
-            let clock = class.map_or(&UNUSED, |class| &class.clock);
-            let mut simulation = Simulation::new(items, &mut slots, ageing);
+            let mut simulation = Simulation::new(&mut slots, keys.len(), ageing);
             if fair_shares {
-                simulation.add_organisations(&ranks, clock);
+                simulation.add_organisations(&keys, class.map_or(&UNUSED, |class| &class.clock));
             } else {
-                simulation.add_flow(0, ranks.into_iter());
+                simulation.add_flow(0, keys.into_iter());
             }
             simulation.run(&mut order);
         }
@@ -289,17 +289,25 @@
     is_shifted: bool,
 }
 
-/// What is known of an item while grants are simulated.
-#[derive(Debug, Clone, Copy, Default)]
+/// What a simulation needs of an item, in less memory.
+#[derive(Debug, Clone, Copy)]
 struct Slot {
+    organisation: Option<Tag>,
+    cost_us: u32,
     flow: u32,
     is_granted: bool,
 }
 
+impl Slot {
+    fn new(item: &Item) -> Slot {
+        let cost_us = shares::charged_us(item.cost_ms);
+        Slot { organisation: item.organisation, cost_us, flow: 0, is_granted: false }
+    }
+}
+
 /// Simulates the grants of one priority.
 struct Simulation<'a> {
-    items: &'a [Item],
-    /// By item.
+    /// By index of the item.
     slots: &'a mut [Slot],
     flows: Vec<Flow>,
     /// Keys without start times, by flow and in the order within each flow.
@@ -308,8 +316,8 @@
 }
 
 impl<'a> Simulation<'a> {
-    fn new(items: &'a [Item], slots: &'a mut [Slot], ageing: Ageing) -> Simulation<'a> {
-        Simulation { items, slots, flows: Vec::new(), ranks: Vec::new(), ageing }
+    fn new(slots: &'a mut [Slot], len: usize, ageing: Ageing) -> Simulation<'a> {
+        Simulation { slots, flows: Vec::new(), ranks: Vec::with_capacity(len), ageing }
     }
 
     /// Adds the items of one flow, which is ahead of the virtual time by its lead.
@@ -324,7 +332,7 @@
     /// Adds the items of each organisation as a flow.
     fn add_organisations(&mut self, keys: &[Key], clock: &Clock) {
         let group = |(position, key): (usize, &Key)| {
-            let organisation = self.items[key.index()].organisation;
+            let organisation = self.slots[key.index()].organisation;
             let group = organisation.map_or(0, |tag| u64::from(u32::from(tag)) + 1);
             group << INDEX_BITS | position as u64
         };
@@ -333,7 +341,7 @@
         let mut lead_us = clock.leads_us();
         let key = |position: &u64| keys[*position as usize & ((1 << INDEX_BITS) - 1)];
         for of_flow in grouped.chunk_by(|a, b| a >> INDEX_BITS == b >> INDEX_BITS) {
-            let organisation = self.items[key(&of_flow[0]).index()].organisation;
+            let organisation = self.slots[key(&of_flow[0]).index()].organisation;
             self.add_flow(lead_us(organisation), of_flow.iter().map(key));
         }
     }
@@ -346,47 +354,66 @@
             order.extend(turns.into_iter().map(Key::index));
             return;
         }
-        let mut turns = turns.into_iter().peekable();
+        let mut turns = turns.as_slice();
         let mut late = late.into_iter();
         // The next items of the flows with a grant by age, whose start times in `turns` are wrong.
         let mut shifted: BinaryHeap<Reverse<Key>> = BinaryHeap::new();
-        for _ in 0..self.ranks.len() {
-            while turns.next_if(|key| self.flow(key.index()).is_shifted).is_some() {}
-            self.refresh(&mut shifted);
-            let turn = match (turns.peek(), shifted.peek()) {
-                (Some(turn), Some(Reverse(shifted))) => *turn.min(shifted),
-                (Some(turn), None) | (None, Some(Reverse(turn))) => *turn,
-                (None, None) => return,
-            };
+        while let Some(turn) = self.next_turn(&mut turns, &mut shifted) {
             let aged = if turn.is_newcomer() && self.ageing.is_due() {
                 late.find(|index| !self.slots[*index].is_granted)
             } else {
                 None
             };
-            if turns.peek() == Some(&turn) && aged.is_none() {
-                turns.next();
-            }
             let index = aged.unwrap_or(turn.index());
-            self.grant(index);
             order.push(index);
             self.ageing.count(if aged.is_some() { Basis::Aged } else { Basis::Turn });
-            if aged.is_some() && !self.flow(index).is_shifted {
+            let slot = &mut self.slots[index];
+            slot.is_granted = true;
+            let flow = &mut self.flows[slot.flow as usize];
+            flow.start_us = flow.start_us.saturating_add(u64::from(slot.cost_us));
+            // The order within a single flow does not depend on start times.
+            if aged.is_some() && self.flows.len() > 1 && !self.flow(index).is_shifted {
                 self.flows[self.slots[index].flow as usize].is_shifted = true;
                 shifted.extend(self.head(index).map(Reverse));
             }
         }
     }
 
+    /// The next item by turn: the first of those in `turns` whose start times are right, or of the shifted flows.
+    fn next_turn(
+        &mut self,
+        turns: &mut &[Key],
+        shifted: &mut BinaryHeap<Reverse<Key>>,
+    ) -> Option<Key> {
+        while let [first, rest @ ..] = turns
+            && (self.slots[first.index()].is_granted || self.flow(first.index()).is_shifted)
+        {
+            *turns = rest;
+        }
+        // A key in the heap may be outdated. Keys only ever grow, so once the first one is up to date, it is the least.
+        while let Some(mut first) = shifted.peek_mut() {
+            match self.head(first.0.index()) {
+                Some(key) if key == first.0 => break,
+                Some(key) => first.0 = key,
+                None => {
+                    PeekMut::pop(first);
+                }
+            }
+        }
+        let shifted = shifted.peek().map(|Reverse(key)| *key);
+        turns.first().copied().into_iter().chain(shifted).min()
+    }
+
     /// The keys with start times, in the order of the grants if none are by age.
     fn turns(&mut self) -> Vec<Key> {
         let mut turns = Vec::with_capacity(self.ranks.len());
         for (number, flow) in self.flows.iter().enumerate() {
             let mut start_us = flow.start_us;
             for key in &self.ranks[flow.next..flow.end] {
-                self.slots[key.index()].flow = number as u32;
+                let slot = &mut self.slots[key.index()];
+                slot.flow = number as u32;
                 turns.push(key.with_start(start_us));
-                let cost_us = shares::charged_us(self.items[key.index()].cost_ms);
-                start_us = start_us.saturating_add(cost_us);
+                start_us = start_us.saturating_add(u64::from(slot.cost_us));
             }
         }
         turns.sort_unstable();
@@ -405,13 +432,6 @@
         &self.flows[self.slots[index].flow as usize]
     }
 
-    fn grant(&mut self, index: usize) {
-        let slot = &mut self.slots[index];
-        slot.is_granted = true;
-        let flow = &mut self.flows[slot.flow as usize];
-        flow.start_us = flow.start_us.saturating_add(shares::charged_us(self.items[index].cost_ms));
-    }
-
     /// The next key of the flow of an item.
     fn head(&mut self, index: usize) -> Option<Key> {
         let flow = &mut self.flows[self.slots[index].flow as usize];
@@ -421,17 +441,4 @@
         let key = self.ranks[flow.next..flow.end].first()?;
         Some(key.with_start(flow.start_us))
     }
-
-    /// Brings the first key up to date. Keys only ever grow, so the first one is then the least of all flows.
-    fn refresh(&mut self, shifted: &mut BinaryHeap<Reverse<Key>>) {
-        while let Some(mut first) = shifted.peek_mut() {
-            match self.head(first.0.index()) {
-                Some(key) if key == first.0 => return,
-                Some(key) => first.0 = key,
-                None => {
-                    PeekMut::pop(first);
-                }
-            }
-        }
-    }
 }
--- a/request/src/scheduler/shares.rs
+++ b/request/src/scheduler/shares.rs
@@ -24,9 +24,9 @@
 const MAX_ACCOUNTS: usize = 1_024;
 
 /// The cost that is charged for a request, microseconds.
-pub(super) fn charged_us(cost_ms: f64) -> u64 {
+pub(super) fn charged_us(cost_ms: f64) -> u32 {
     let cost_ms = if cost_ms.is_nan() { MIN_COST_MS } else { cost_ms };
-    (cost_ms.clamp(MIN_COST_MS, MAX_COST_MS) * 1e3) as u64
+    (cost_ms.clamp(MIN_COST_MS, MAX_COST_MS) * 1e3) as u32
 }
 
 /// What an organisation was granted; requests without an organisation share one account.
@@ -77,7 +77,7 @@
         }
         let account = Account {
             organisation,
-            finish_us: start_us.saturating_add(charged_us(cost_ms)),
+            finish_us: start_us.saturating_add(u64::from(charged_us(cost_ms))),
             granted: now,
         };
         match self.accounts.binary_search_by_key(&organisation, |a| a.organisation) {
