Forecast of the start, and admission by it

Cause: a request that cannot be served in its caller's time is queued until its queue timeout. Change: scheduler::forecast measures capacity during backlog and forecasts the wait of requests that can and that cannot be in time; scheduler::admission decides on it. Nothing calls them yet. Measured: nothing yet; it compiles.

--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -6,7 +6,9 @@
 //! from what the VMs announce, and a VM that reaches no scheduler places its own requests from its
 //! local state.
 
+pub mod admission;
 mod backlog;
+pub mod forecast;
 mod policy;
 
 use std::collections::{HashMap, VecDeque};
