--- a/request/src/scheduler/admission.rs
+++ b/request/src/scheduler/admission.rs
@@ -9,10 +9,10 @@
 
 use foldlock_base::clock::millis;
 
-/// Share of the forecast wait that must be too long for a request that is already queued. One
-/// prediction in ten is a third too low, and a rejection after a wait leaves its caller less time
-/// than one at once. Near the head of the queue this margin is near zero.
-const QUEUED_SHARE: f64 = 0.75;
+/// Factor on the forecast wait of a new request: one prediction in ten is a third too low. Without
+/// it, requests at the limit would be queued for seconds and then rejected, which leaves their
+/// callers no time for another attempt.
+const NEW_REQUEST_FACTOR: f64 = 4.0 / 3.0;
 
 /// A request for which a placement is requested.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,13 +43,16 @@
     pub wait: Duration,
 }
 
-/// Decides on a new request, from the forecast of the wait until its start.
+/// Decides on a new request with a margin for the error of the forecast. A queued request that was
+/// admitted by this is rejected only if its forecast has become worse by more than the margin.
+pub fn decide_new(request: &Request, wait: Duration) -> Result<(), Overloaded> {
+    let cautious = Duration::try_from_secs_f64(wait.as_secs_f64() * NEW_REQUEST_FACTOR);
+    decide(request, cautious.unwrap_or(Duration::MAX)).map_err(|_| Overloaded { wait })
+}
+
+/// Decides on a request, from the forecast of the time until its start. To be called for a queued
+/// request in each round of placement.
 pub fn decide(request: &Request, wait: Duration) -> Result<(), Overloaded> {
     let end = request.waited.saturating_add(wait).saturating_add(request.service_time);
     if end > request.time_limit { Err(Overloaded { wait }) } else { Ok(()) }
 }
-
-/// Decides again on a queued request, from a new forecast.
-pub fn decide_queued(request: &Request, wait: Duration) -> Result<(), Overloaded> {
-    decide(request, wait.mul_f64(QUEUED_SHARE)).map_err(|_| Overloaded { wait })
-}
--- a/request/src/scheduler/forecast.rs
+++ b/request/src/scheduler/forecast.rs
@@ -289,9 +289,11 @@
         if in_time <= left * IN_TIME_SHARE {
             return duration(in_time);
         }
-        let served = tiers.rate * left;
-        let ahead = (tiers.ahead_in_time + tiers.ahead_late - served).max(0.0);
-        duration(left + ahead / tiers.late_rate())
+        // Until then, late work gets what is left by the work that can be in time.
+        let for_late = (tiers.rate - tiers.in_time_arrivals) * left - tiers.ahead_in_time;
+        let late = tiers.ahead_late - for_late.max(tiers.rate * LATE_SHARE * left);
+        let becoming_late = tiers.ahead_in_time - tiers.rate * (1.0 - LATE_SHARE) * left;
+        duration(left + (late.max(0.0) + becoming_late.max(0.0)) / tiers.late_rate())
     }
 
     /// These tiers without implausible values; none if the rate is unknown.
