Too long by the caller's time where a forecast decides on admission

Cause: a prompt within one engine's memory was rejected as too long by its objective, although a late response is worth more than a rejection. Change: placement::Deadline says which limit applies, to is_too_long and to the longest part of a placed prompt, so that what is admitted can be placed. The scheduler passes its policy's deadline; with the default it is the objective as before.

--- a/request/src/forecast.rs
+++ b/request/src/forecast.rs
@@ -4,6 +4,7 @@
 //! which yields one token per request; prompts are read in between. So the pause between two events
 //! of a request is one pass, and a long prefill in it makes that pause longer.
 
+use foldlock_base::size::Tokens;
 use foldlock_version::routes::Engine;
 
 /// Pairs in a million, the unit of [`Engine::ms_per_million_pairs`].
@@ -12,6 +13,16 @@
 /// Tokens in a thousand, the unit of [`Engine::per_context_ms`].
 const THOUSAND: f64 = 1e3;
 
+/// Number of engines among which a long prompt is usually divided, of 18 that serve short prompts
+/// as well.
+const EXPECTED_PREFILL_PARTS: f64 = 10.0;
+
+/// Number of decoding requests on the engine that generates the response to a long prompt.
+const EXPECTED_DECODING: u32 = 4;
+
+/// Slowdown of decoding caused by prefill chunks in the same batch.
+const PREFILL_SLOWDOWN: f64 = 1.5;
+
 /// Milliseconds to read a prompt of `tokens` on an idle engine: the tokens themselves and the pairs
 /// of each token with those before it.
 pub fn prefill_ms(engine: &Engine, tokens: u64) -> f64 {
@@ -28,3 +39,40 @@
         + context as f64 / THOUSAND * engine.per_context_ms;
     step * f64::from(engine.stride)
 }
+
+/// Decode passes of a response.
+fn passes(engine: &Engine, answer: Tokens) -> f64 {
+    answer.0 as f64 / f64::from(engine.stride.max(1))
+}
+
+/// Milliseconds that the response to a long prompt takes after its prefill.
+pub fn long_response_ms(engine: &Engine, answer: Tokens) -> f64 {
+    let pass_ms = pass_ms(engine, EXPECTED_DECODING, engine.memory.0 / 2);
+    passes(engine, answer) * pass_ms * PREFILL_SLOWDOWN
+}
+
+/// Milliseconds from the placement of a long prompt to the end of its response. `prefill_ms` is its
+/// prefill on a single engine.
+pub fn long_service_ms(engine: &Engine, prefill_ms: f64, answer: Tokens) -> f64 {
+    prefill_ms / EXPECTED_PREFILL_PARTS + long_response_ms(engine, answer)
+}
+
+/// Milliseconds from the placement of a short prompt to the end of its response, on an engine that is
+/// full of such prompts: its decode passes, and the prefills of all of them in between.
+pub fn short_service_ms(engine: &Engine, prompt: Tokens, answer: Tokens) -> f64 {
+    let requests = fitting(engine, prompt, answer);
+    let context = requests * mean_context(prompt, answer);
+    let pass_ms = pass_ms(engine, requests as u32, context);
+    passes(engine, answer).max(1.0) * pass_ms + prefill_ms(engine, prompt.0) * requests as f64
+}
+
+/// The number of such requests that an engine runs at the same time.
+pub fn fitting(engine: &Engine, prompt: Tokens, answer: Tokens) -> u64 {
+    let by_memory = engine.memory.0 / mean_context(prompt, answer);
+    by_memory.min(u64::from(engine.slots)).max(1)
+}
+
+/// Tokens that a request holds on average while it is decoding.
+fn mean_context(prompt: Tokens, answer: Tokens) -> u64 {
+    (prompt.0 + answer.0 / 2).max(1)
+}
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -30,7 +30,7 @@
 use crate::tag::Tag;
 
 use candidate::{Candidate, candidates, rejection};
-pub use group::{DEMAND_WINDOW, LongPrompt, LongQueue, is_too_long, place_long};
+pub use group::{DEMAND_WINDOW, Deadline, LongPrompt, LongQueue, is_too_long, place_long};
 
 /// Share of the objective within which a short prompt's first event must be predicted for an engine
 /// to be filled further before other engines are compared.
@@ -114,6 +114,30 @@
             && self.memory <= engine.memory;
         (!short).then_some(prefill_ms)
     }
+
+    /// The expected length of the response: what the caller allows, but at most the usual length,
+    /// since callers often allow far more.
+    fn answer(&self, engine: &Engine) -> Tokens {
+        Tokens(self.memory.0.saturating_sub(self.prompt.0)).min(engine.mean_answer)
+    }
+
+    /// The usual time from its placement to the end of the response.
+    pub fn service_time(&self, engine: &Engine) -> Duration {
+        let answer = self.answer(engine);
+        let ms = match self.long_prefill_ms(engine) {
+            Some(prefill_ms) => forecast::long_service_ms(engine, prefill_ms, answer),
+            None => forecast::short_service_ms(engine, self.prompt, answer),
+        };
+        Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
+    }
+
+    /// Time in which a long prompt has to be read so that its response ends within the caller's time.
+    fn left_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
+        let waited = now.saturating_duration_since(self.arrived);
+        let response_ms = forecast::long_response_ms(engine, self.answer(engine));
+        let response = Duration::try_from_secs_f64(response_ms / 1e3).unwrap_or(Duration::MAX);
+        self.caller.time_limit.saturating_sub(waited).saturating_sub(response)
+    }
 }
 
 /// The longest acceptable pause between events of a route's streams; none for responses that are
@@ -235,8 +259,13 @@
         return placement.map(|placement| Placement { limited, ..placement });
     };
     let prompts = [LongPrompt { requirements, index: 0 }];
-    let queue =
-        LongQueue { prompts: &prompts, demand: 0.0, offset: requirements.offset, short_only: 0 };
+    let queue = LongQueue {
+        prompts: &prompts,
+        demand: 0.0,
+        offset: requirements.offset,
+        short_only: 0,
+        deadline: Deadline::Objective,
+    };
     let placed = place_long(cluster, service, engine, queue, now).pop();
     let (_, mut placement) = placed.ok_or(Rejection::Full)?;
     placement.flight.isolated = isolated.then_some(requirements.fingerprint);
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -61,6 +61,17 @@
     pub index: usize,
 }
 
+/// The deadline up to which a long prompt within one engine's memory may be read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Deadline {
+    /// Its objective: a prompt that cannot meet it on idle engines is too long.
+    #[default]
+    Objective,
+    /// The caller's time limit less the time for the response. A late response is worth less than one
+    /// in time, but more than a rejection.
+    TimeLimit,
+}
+
 /// The queued long prompts of one service.
 #[derive(Debug, Clone, Copy)]
 pub struct LongQueue<'a> {
@@ -72,6 +83,8 @@
     pub offset: usize,
     /// The number of engines to keep free for short prompts that were not placed in time.
     pub short_only: usize,
+    /// The deadline up to which a prompt may be read where nothing else waits for its engines.
+    pub deadline: Deadline,
 }
 
 /// Places those queued prompts whose engines are free now, each with its index. The others are
@@ -102,7 +115,14 @@
         let accepts =
             |u: &Upstream| accepts_more(cluster, service, u, long.requirements.schedulers, now);
         let demand = demand_of_others(&queue, prompt, long.requirements, now);
-        let max_ms = |share: &Share| longest_part_ms(&plans, demand, prompt, share);
+        let left_ms = match queue.deadline {
+            Deadline::Objective => prompt.left_ms,
+            Deadline::TimeLimit => {
+                let left = long.requirements.left_for_prefill(engine, now);
+                prompt.left_ms.max(left.as_secs_f64() * 1e3)
+            }
+        };
+        let max_ms = |share: &Share| longest_part_ms(&plans, demand, left_ms, share);
         match place_now(long.requirements, engine, &plans, prompt, max_ms, accepts) {
             Some((share, placement)) => {
                 plans.start(&share, &placement, long.requirements);
@@ -136,26 +156,25 @@
 }
 
 /// The longest part of a prompt that these engines may read. Where the remaining engines cover the
-/// demand of other long prompts, nothing waits for it, and it may take all the time until the
-/// deadline of its first event.
-fn longest_part_ms(plans: &EnginePlans<'_>, demand: f64, prompt: Prompt, share: &Share) -> f64 {
+/// demand of other long prompts, nothing waits for it, and it may take all the time that is left
+/// until its deadline.
+fn longest_part_ms(plans: &EnginePlans<'_>, demand: f64, left_ms: f64, share: &Share) -> f64 {
     let usual_max_ms = MAX_PART_MS * (1.0 + idle_share(plans, demand));
     let for_long = plans.all().iter().filter(|r| r.for_long).count() as f64;
     let left = for_long - share.engines.len() as f64;
-    if left >= demand * SPARE_CAPACITY_FACTOR {
-        usual_max_ms.max(prompt.left_ms)
-    } else {
-        usual_max_ms
-    }
+    if left >= demand * SPARE_CAPACITY_FACTOR { usual_max_ms.max(left_ms) } else { usual_max_ms }
 }
 
 /// Whether a prompt is too long for a service's engines even if all of them were idle: its parts
-/// would be longer than the longest part allowed, or would take longer than memory may be reserved.
+/// would be longer than the longest part allowed by the deadline, or would take longer than memory
+/// may be reserved.
 pub fn is_too_long(
     cluster: &Cluster,
     service: &Service,
     engine: &Engine,
     requirements: &Requirements,
+    deadline: Deadline,
+    now: Instant,
 ) -> bool {
     let Some(prefill_ms) = requirements.long_prefill_ms(engine) else { return false };
     if cluster.limited_rate(&service.name).is_some() && requirements.memory > engine.memory {
@@ -166,7 +185,12 @@
     let max_ms = if requirements.memory > engine.memory {
         requirements.reservation_timeout.as_secs_f64() * 1e3 * RESERVATION_SHARE
     } else {
-        (MAX_PART_MS * 2.0).max(requirements.objective.as_secs_f64() * 1e3)
+        match deadline {
+            Deadline::Objective => {
+                (MAX_PART_MS * 2.0).max(requirements.objective.as_secs_f64() * 1e3)
+            }
+            Deadline::TimeLimit => requirements.left_for_prefill(engine, now).as_secs_f64() * 1e3,
+        }
     };
     prefill_ms / engines as f64 > max_ms
 }
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -148,11 +148,10 @@
         }
         let prefill_ms =
             found.engine.as_ref().and_then(|engine| requirements.long_prefill_ms(engine));
-        if found
-            .engine
-            .as_ref()
-            .is_some_and(|e| placement::is_too_long(cluster, found, e, &requirements))
-        {
+        let deadline = self.policy.deadline();
+        if found.engine.as_ref().is_some_and(|e| {
+            placement::is_too_long(cluster, found, e, &requirements, deadline, now)
+        }) {
             return Reply::Rejected(Rejection::TooLarge);
         }
         let limited_rate = cluster.limited_rate(&found.name);
@@ -380,6 +379,7 @@
             demand: self.demand(tag),
             offset: 0,
             short_only: self.pressure.engines(),
+            deadline: self.policy.deadline(),
         };
         let placed = placement::place_long(cluster, service, engine, queue, now);
         let placed: Vec<(ChargedRequest, Fingerprint, Placement)> = placed
--- a/request/src/scheduler/forecast.rs
+++ b/request/src/scheduler/forecast.rs
@@ -343,23 +343,12 @@
     Duration::try_from_secs_f64(seconds).map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
 }
 
-/// Time for which a short prompt occupies a slot of an engine that is full of such prompts, by the
-/// engine model: its decode passes, and the prefills of all of them in between.
-pub fn residence(engine: &Engine, prompt: Tokens, answer: Tokens) -> Duration {
-    let held = (prompt.0 + answer.0 / 2).max(1);
-    let requests = u64::from(engine.slots).min(engine.memory.0 / held).max(1);
-    let passes = (answer.0 as f64 / f64::from(engine.stride.max(1))).max(1.0);
-    let pass_ms = forecast::pass_ms(engine, requests as u32, requests * held);
-    let prefill_ms = forecast::prefill_ms(engine, prompt.0) * requests as f64;
-    duration((passes * pass_ms + prefill_ms) / MS_PER_S)
-}
-
 /// Short requests per second by the engine model. `slots` are weighted by the speed of their
 /// engines; prompts are of the given length, responses of the usual one.
 pub fn short_model_rate(engine: &Engine, slots: f64, prompt: Tokens) -> f64 {
-    let held = (prompt.0 + engine.mean_answer.0 / 2).max(1);
-    let fitting = (engine.memory.0 / held).max(1) as f64 / f64::from(engine.slots.max(1));
-    slots * fitting.min(1.0) / residence(engine, prompt, engine.mean_answer).as_secs_f64()
+    let fitting = forecast::fitting(engine, prompt, engine.mean_answer) as f64;
+    let usable = slots * fitting / f64::from(engine.slots.max(1));
+    usable / forecast::short_service_ms(engine, prompt, engine.mean_answer) * MS_PER_S
 }
 
 /// Prefill milliseconds per second by the engine model. `engines` are weighted by their speed.
--- a/request/src/scheduler/policy.rs
+++ b/request/src/scheduler/policy.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::placement::Deadline;
+use crate::scheduler::Scheduler;
+
 /// Which requests are queued.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -40,4 +43,19 @@
     pub fn is_forecast(self) -> bool {
         self.admission == Admission::Forecast
     }
+
+    /// The deadline by which long prompts are too long.
+    pub fn deadline(self) -> Deadline {
+        match self.admission {
+            Admission::Timeout => Deadline::Objective,
+            Admission::Forecast => Deadline::TimeLimit,
+        }
+    }
+}
+
+impl Scheduler {
+    /// The policy in force.
+    pub fn policy(&self) -> Policy {
+        self.policy
+    }
 }
