Queue timeout by the service time, and a histogram of forecast errors

Cause: short prompts queued for 0.4 of their caller's time and long ones for 0.7, whatever their response takes. Change: with admission = forecast, the queue timeout of requests to engines is the time limit less the service time, at least 125 ms from the start of the wait, so that a free engine can still serve a request whose estimated service time is too long. It also bounds retries after a failed memory reservation. Streams that have begun, plain services and VMs without forecast keep their timeouts. foldlock_forecast_error_seconds by kind and by early or late start.

--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
+use foldlock_request::scheduler::forecast;
 use foldlock_version::routes::Service;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -99,6 +100,15 @@
     pub granted: &'static str,
 }
 
+/// Labels of a forecast start.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByStart {
+    /// The kind of request.
+    pub kind: &'static str,
+    /// `late` if it started later than forecast, otherwise `early`.
+    pub start: &'static str,
+}
+
 /// The metrics.
 pub struct Metrics {
     registry: Registry,
@@ -110,6 +120,8 @@
     pub first_event_seconds: Family<ByLength, Histogram>,
     /// Predicted divided by measured time to the first event.
     pub prediction_ratio: Histogram,
+    /// Seconds between the forecast and the actual start of queued requests.
+    pub forecast_error_seconds: Family<ByStart, Histogram>,
     /// Retries.
     pub retries: Counter,
     /// Retries that the fleet's retry budget granted or denied.
@@ -175,6 +187,7 @@
             errors: Family::default(),
             first_event_seconds: Family::new_with_constructor(seconds),
             prediction_ratio: Histogram::new(exponential_buckets(0.0625, 1.414, 20)),
+            forecast_error_seconds: Family::new_with_constructor(seconds),
             retries: Counter::default(),
             budgeted_retries: Family::default(),
             resumed_streams: Counter::default(),
@@ -250,6 +263,8 @@
             self.first_event_seconds.clone(),
         );
         r.register("prediction_ratio", "Predicted over real time", self.prediction_ratio.clone());
+        let what = "Time between forecast and actual start of queued requests";
+        r.register("forecast_error_seconds", what, self.forecast_error_seconds.clone());
         r.register("retries", "Requests sent again", self.retries.clone());
         let what = "Repeats that the fleet's retry budget granted or refused";
         r.register("budgeted_repeats", what, self.budgeted_retries.clone());
@@ -321,6 +336,14 @@
         }
     }
 
+    /// Observes the forecast relative to the actual start of a queued request.
+    pub fn observe_forecast(&self, error: forecast::Error) {
+        let start = if error.is_late() { "late" } else { "early" };
+        let labels = ByStart { kind: error.kind.as_str(), start };
+        let difference = error.difference().as_secs_f64();
+        self.forecast_error_seconds.get_or_create(&labels).observe(difference);
+    }
+
     /// Encodes the metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -37,25 +37,44 @@
 /// caller disconnects after 2 s.
 const MAX_BACKOFF_RESUMING: Duration = Duration::from_millis(1_500);
 
-/// Number of engines among which a long prompt is usually divided, of 18 that serve short prompts
-/// as well.
-const EXPECTED_PREFILL_PARTS: f64 = 10.0;
-
-/// Number of decoding requests on the engine that generates the response to a long prompt.
-const EXPECTED_DECODING: u32 = 4;
+/// Minimum queue timeout where a forecast decides on admission. The service time is an estimate for
+/// busy engines, so a request whose time it exceeds may still be served by a free one. Two schedulers
+/// that do not reply and a third that does take this long.
+const MIN_GRANT_TIME: Duration = Duration::from_millis(125);
 
 /// Share of its deadline for which a long prompt may be queued before it is rejected.
 const MAX_QUEUE_SHARE_LONG: f64 = 0.7;
 
-/// Slowdown of decoding caused by prefill chunks in the same batch.
-const PREFILL_SLOWDOWN: f64 = 1.5;
+/// Time from arrival within which a request is retried after a failed memory reservation.
+pub fn retry_timeout<D: Dialect>(job: &Job<D>) -> Duration {
+    let requirements = job.requirements(&[], Charge::Free);
+    forecast_timeout(job, &requirements).unwrap_or_else(|| timeout(job))
+}
 
-/// Queue timeout of requests other than long prompts, and time within which a request is retried
-/// after a failed memory reservation.
-pub fn timeout<D: Dialect>(job: &Job<D>) -> Duration {
+/// Queue timeout of requests other than long prompts.
+fn timeout<D: Dialect>(job: &Job<D>) -> Duration {
     (job.deadline - job.arrived).mul_f64(MAX_QUEUE_SHARE)
 }
 
+/// Queue timeout from arrival where a forecast decides on admission; none elsewhere. The scheduler
+/// rejects requests that cannot be served, so the others are queued for as long as that leaves time
+/// for the response.
+fn forecast_timeout<D: Dialect>(job: &Job<D>, requirements: &Requirements) -> Option<Duration> {
+    let engine = job.service.engine.as_ref()?;
+    let policy = job.process.scheduler.lock().unwrap().policy();
+    let prefill_ms = requirements.long_prefill_ms(engine);
+    let time_limit = requirements.caller.time_limit;
+    policy.is_forecast().then(|| time_limit.saturating_sub(service_time(job, engine, prefill_ms)))
+}
+
+/// Queue timeout of a long prompt from arrival where no forecast decides; none for others.
+fn long_timeout<D: Dialect>(job: &Job<D>, requirements: &Requirements) -> Option<Duration> {
+    let engine = job.service.engine.as_ref()?;
+    let service_time = service_time(job, engine, Some(requirements.long_prefill_ms(engine)?));
+    let max_queue_time = (job.deadline - job.arrived).mul_f64(MAX_QUEUE_SHARE_LONG);
+    Some(requirements.queue_timeout.saturating_sub(service_time).min(max_queue_time))
+}
+
 /// Waits until the request is granted a placement, or returns why it is rejected. The request must
 /// be safe to send: not sent before, known not to have run in any attempt, or retryable.
 ///
@@ -86,14 +105,13 @@
     }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
     let mut requirements = job.requirements(&history.excluded, history.charge());
-    let expires_at = match prefill_ms(job, &requirements) {
-        Some((engine, prefill_ms)) => {
-            let max_queue_time = (job.deadline - job.arrived).mul_f64(MAX_QUEUE_SHARE_LONG);
-            requirements.queue_timeout = requirements
-                .queue_timeout
-                .saturating_sub(service_time(job, engine, prefill_ms))
-                .min(max_queue_time);
-            job.arrived + requirements.queue_timeout
+    // The rest of a stream that has begun takes less than the service time of a whole response.
+    let by_forecast = if stream_begun { None } else { forecast_timeout(job, &requirements) };
+    let by_forecast = by_forecast.map(|timeout| timeout.max(job.elapsed() + MIN_GRANT_TIME));
+    let expires_at = match by_forecast.or_else(|| long_timeout(job, &requirements)) {
+        Some(timeout) => {
+            requirements.queue_timeout = timeout;
+            job.arrived + timeout
         }
         None => started + timeout(job),
     };
@@ -142,27 +160,19 @@
     Ok(true)
 }
 
-/// Prefill time on a single engine if this is a long prompt, in milliseconds.
-fn prefill_ms<'a, D: Dialect>(
-    job: &'a Job<D>,
-    requirements: &Requirements,
-) -> Option<(&'a Engine, f64)> {
-    let engine = job.service.engine.as_ref()?;
-    Some((engine, requirements.long_prefill_ms(engine)?))
-}
-
-/// Time that a long prompt needs from its placement to the end of the response.
+/// Time that a request needs from its placement to the end of the response. `prefill_ms` is the
+/// prefill of a long prompt.
 ///
 /// The response length that the caller expects is capped at the usual length: it is often far too
 /// high, and prompts would be rejected while engines are free.
-fn service_time<D: Dialect>(job: &Job<D>, engine: &Engine, prefill_ms: f64) -> Duration {
+fn service_time<D: Dialect>(job: &Job<D>, engine: &Engine, prefill_ms: Option<f64>) -> Duration {
     let expected = job.terms.expected_answer.unwrap_or(engine.mean_answer);
     let answer = expected.min(engine.mean_answer);
-    let passes = answer.0 as f64 / f64::from(engine.stride.max(1));
-    let pass_ms = forecast::pass_ms(engine, EXPECTED_DECODING, engine.memory.0 / 2);
-    Duration::from_secs_f64(
-        (prefill_ms / EXPECTED_PREFILL_PARTS + passes * pass_ms * PREFILL_SLOWDOWN) / 1e3,
-    )
+    let ms = match prefill_ms {
+        Some(prefill_ms) => forecast::long_service_ms(engine, prefill_ms, answer),
+        None => forecast::short_service_ms(engine, job.terms.prompt, answer),
+    };
+    Duration::from_secs_f64(ms / 1e3)
 }
 
 fn record_grant<D: Dialect>(job: &Job<D>, grant: &Grant, started: Instant) {
@@ -222,7 +232,9 @@
         Rejection::NoUpstream | Rejection::Drained | Rejection::OverBudget(_) => Kind::NoUpstream,
         Rejection::Full | Rejection::TooLarge => Kind::Overloaded,
     };
-    let long = prefill_ms(job, &job.requirements(&[], Charge::Free)).is_some();
+    let requirements = job.requirements(&[], Charge::Free);
+    let engine = job.service.engine.as_ref();
+    let long = engine.is_some_and(|engine| requirements.long_prefill_ms(engine).is_some());
     let cause =
         if long { retry_after::Cause::FullForLongPrompts } else { retry_after::Cause::Full };
     let after = cause.retry_after(job.remaining());
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -169,7 +169,7 @@
     proof: Proof,
     why: String,
 ) -> Action {
-    if job.elapsed() >= queue::timeout(job) {
+    if job.elapsed() >= queue::retry_timeout(job) {
         return Action::Respond(unplaced_response(
             job,
             std::mem::take(history),
