Promised return times: the scheduler's table, and their announcement

Cause: with tripled traffic, more than half of the rejected callers that returned at the stated time were rejected again. The VM that receives such a rejection announces it, and the schedulers merge what they receive. Rejection::Overloaded says whether its time is promised; the record and the log line of a rejection (504) have the forecast wait and the promise; foldlock_promises_total counts promises by outcome. The scheduler makes no promise yet.

--- a/daemon/src/complete.rs
+++ b/daemon/src/complete.rs
@@ -224,9 +224,7 @@
 
     /// Records that the request is rejected.
     pub fn record_rejection(&self, entry: &Entry, error: &Error) {
-        let retry_after_ms = error.retry().map(|d| d.as_millis() as u64);
-        let why = error.message().to_owned();
-        self.step(entry, Decision::Rejected { kind: error.kind(), why, retry_after_ms });
+        self.step(entry, Decision::rejected(error));
     }
 
     /// Claims the idempotency key, if there is one and the request must not be repeated.
--- a/daemon/src/fleet/announce.rs
+++ b/daemon/src/fleet/announce.rs
@@ -151,6 +151,10 @@
 }
 
 fn activity<D: Dialect>(process: &Process<D>, audience: Audience, now: Instant) -> Activity {
+    let promises = match audience {
+        Audience::Scheduler => Vec::new(),
+        _ => process.promises.lock().unwrap().announced(now),
+    };
     let mut cluster = process.cluster.lock().unwrap();
     Activity {
         flights: cluster.announced_flights(now),
@@ -158,5 +162,6 @@
         reports: cluster.announced_reports(now),
         suspects: cluster.quarantine.announced(audience == Audience::All, now),
         dispatches: cluster.announced_dispatches(now),
+        promises,
     }
 }
--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -13,6 +13,7 @@
 use foldlock_request::flight::{Flight, Helper};
 use foldlock_request::message::{self, GrantReply, GrantRequest, Message, Number};
 use foldlock_request::placement::{Placement, Rejection, Requirements};
+use foldlock_request::promise;
 use foldlock_request::rate_limit::Entry;
 use foldlock_request::scheduler::Reply;
 use foldlock_request::tag::Tag;
@@ -174,6 +175,7 @@
             Outcome::Granted(grant) => return Ok(*grant),
             Outcome::Rejected(rejection) => {
                 record_quarantine(process, requirements.fingerprint, rejection);
+                record_promise(process, service, &requirements, rejection);
                 return Err(rejection);
             }
             Outcome::NoReply(vm) => {
@@ -217,6 +219,25 @@
     }
 }
 
+/// Records a return time that the scheduler promises. It is announced to the schedulers, and this VM
+/// has it if it becomes the scheduler itself.
+fn record_promise<D: Dialect>(
+    process: &Process<D>,
+    service: &Service,
+    requirements: &Requirements,
+    rejection: Rejection,
+) {
+    let Rejection::Overloaded { after_ms, promised: true, .. } = rejection else { return };
+    let (after, now) = (Duration::from_millis(after_ms), process.now());
+    let capacity = promise::capacity(service, requirements);
+    let fingerprint = requirements.fingerprint;
+    let added = process.promises.lock().unwrap().add(fingerprint, capacity, after, now);
+    if let Some(announcement) = added {
+        process.scheduler.lock().unwrap().promises.merge(&[announcement], now);
+        process.announce.notify_one();
+    }
+}
+
 /// How a grant request to one scheduler ended.
 enum Outcome {
     Granted(Box<Grant>),
--- a/daemon/src/fleet/heartbeat.rs
+++ b/daemon/src/fleet/heartbeat.rs
@@ -178,6 +178,11 @@
     for limit in &state.rate_limits {
         rate_limits::merge(process, *limit, &state.vm);
     }
+    if let Some(activity) = &state.activity
+        && !activity.promises.is_empty()
+    {
+        process.scheduler.lock().unwrap().promises.merge(&activity.promises, now);
+    }
     let mut cluster = process.cluster.lock().unwrap();
     if update == Update::Restarted {
         cluster.remove_peer(&state.vm, now);
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
+use foldlock_request::scheduler::{Counts, Promises};
 use foldlock_version::routes::Service;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -99,6 +100,26 @@
     pub granted: &'static str,
 }
 
+/// Outcome of a promised return time of a rejected caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Promised {
+    /// Promised.
+    Made,
+    /// Not promised, as no time was free.
+    Declined,
+    /// The caller returned in time.
+    Redeemed,
+    /// The caller did not return in time.
+    Expired,
+}
+
+/// Label of an outcome of a promise.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByPromised {
+    /// The outcome.
+    pub promised: Promised,
+}
+
 /// The metrics.
 pub struct Metrics {
     registry: Registry,
@@ -156,6 +177,10 @@
     pub unread_bytes: Gauge,
     /// Requests queued at this VM's scheduler.
     pub queue_len: Gauge,
+    /// Promised return times of rejected callers at this VM's scheduler, by outcome.
+    pub promises: Family<ByPromised, Counter>,
+    /// Promised return times that this VM's scheduler stores, including those announced by peers.
+    pub stored_promises: Gauge,
     /// Settings version in force.
     pub settings_version: Gauge,
     /// Age of the settings, ms; -1 before they are first confirmed.
@@ -198,6 +223,8 @@
             aborted_responses: Counter::default(),
             unread_bytes: Gauge::default(),
             queue_len: Gauge::default(),
+            promises: Family::default(),
+            stored_promises: Gauge::default(),
             settings_version: Gauge::default(),
             settings_age_ms: Gauge::default(),
             attempts: Gauge::default(),
@@ -240,6 +267,21 @@
         self.budgeted_retries.get_or_create(&ByVerdict { granted }).inc();
     }
 
+    /// Updates the metrics of promises to the counts of the scheduler.
+    pub fn update_promises(&self, promises: &Promises) {
+        let Counts { made, declined, redeemed, expired } = promises.counts();
+        for (promised, count) in [
+            (Promised::Made, made),
+            (Promised::Declined, declined),
+            (Promised::Redeemed, redeemed),
+            (Promised::Expired, expired),
+        ] {
+            let counter = self.promises.get_or_create(&ByPromised { promised });
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+        self.stored_promises.set(promises.len() as i64);
+    }
+
     fn register(&mut self) {
         let r = &mut self.registry;
         r.register("requests", "Requests that arrived", self.requests.clone());
@@ -291,6 +333,10 @@
             "Requests of all VMs that wait for a place here",
             self.queue_len.clone(),
         );
+        let what = "Times for rejected callers to return that were promised, not promised, kept or passed unused";
+        r.register("promises", what, self.promises.clone());
+        let what = "Promised times that the scheduler of this VM stores";
+        r.register("stored_promises", what, self.stored_promises.clone());
         r.register(
             "settings_version",
             "The settings version in force",
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -166,7 +166,10 @@
     metrics.limited_upstreams.set(cluster.limited_count() as i64);
     metrics.suspects.set(cluster.quarantine.suspects(now).count() as i64);
     drop(cluster);
-    metrics.queue_len.set(process.scheduler.lock().unwrap().queue_len() as i64);
+    let scheduler = process.scheduler.lock().unwrap();
+    metrics.queue_len.set(scheduler.queue_len() as i64);
+    metrics.update_promises(&scheduler.promises);
+    drop(scheduler);
     metrics.peers.set(process.peers.up(now).len() as i64);
 }
 
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -7,6 +7,7 @@
 use foldlock_base::prelude::*;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::placement::Rejection;
 use foldlock_request::suspicion::{Failure, Outcome};
 
 use crate::fleet::crash;
@@ -32,16 +33,29 @@
 
 /// Records that a request was rejected or failed. Returns the error.
 pub fn record_error<D: Dialect>(job: &Job<D>, error: Error) -> Error {
-    let why = error.message().to_owned();
-    let retry_after_ms = error.retry().map(|d| d.as_millis() as u64);
     job.record(if error.ran() == Ran::No {
-        Decision::Rejected { kind: error.kind(), why, retry_after_ms }
+        Decision::rejected(&error)
     } else {
+        let why = error.message().to_owned();
         Decision::Failed { kind: error.kind(), ran: error.ran(), why }
     });
     error
 }
 
+/// Records that a request was rejected as no placement was granted, with the forecast that led to it. Returns the
+/// error.
+pub fn record_rejection<D: Dialect>(job: &Job<D>, error: Error, rejection: Rejection) -> Error {
+    let mut decision = Decision::rejected(&error);
+    // A VM that shuts down states another reason and Retry-After.
+    if let Decision::Rejected { kind: Kind::Overloaded, wait_ms, promised, .. } = &mut decision
+        && let Rejection::Overloaded { wait_ms: forecast_ms, promised: is_promised, .. } = rejection
+    {
+        (*wait_ms, *promised) = (Some(forecast_ms), Some(is_promised));
+    }
+    job.record(decision);
+    error
+}
+
 /// Measurements of a completely relayed stream.
 #[derive(Debug, Clone, Copy)]
 pub struct Stats {
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -14,6 +14,7 @@
 use foldlock_request::directory::{Listing, Member, Settings};
 use foldlock_request::flight::Flight;
 use foldlock_request::message::Number;
+use foldlock_request::promise;
 use foldlock_request::revision::Revision;
 use foldlock_request::ring::Ring;
 use foldlock_request::scheduler::Scheduler;
@@ -88,6 +89,8 @@
     pub affiliation: Mutex<Affiliation>,
     /// Grant requests of this VM without a reply.
     pub pending_grants: pending_grants::Table,
+    /// Promised return times of rejected callers of this VM.
+    pub promises: Mutex<promise::Received>,
     /// Notified when the cluster state changes such that a queued request may get a placement.
     pub cluster_changed: Notify,
     /// Notified when the state of this VM is to be announced to peers.
@@ -178,6 +181,7 @@
             scheduler: Mutex::new(Scheduler::new(config.fleet.budget(), config.fleet.scheduling)),
             affiliation: Mutex::default(),
             pending_grants: pending_grants::Table::default(),
+            promises: Mutex::default(),
             cluster_changed: Notify::new(),
             announce: Notify::new(),
             announce_to_all: AtomicBool::new(false),
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -136,9 +136,10 @@
 }
 
 fn place_queued<D: Dialect>(process: &Process<D>) {
-    let Some(settings) = process.settings() else { return };
     let now = process.now();
     let mut scheduler = process.scheduler.lock().unwrap();
+    scheduler.promises.expire(now);
+    let Some(settings) = process.settings() else { return };
     let mut cluster = process.cluster.lock().unwrap();
     let replies = scheduler.place_queued(&mut cluster, &settings.table, now);
     drop((scheduler, cluster));
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -18,7 +18,7 @@
 use crate::fleet::attempt::{self, End};
 use crate::fleet::events;
 use crate::fleet::job::Job;
-use crate::fleet::outcome::{record_completion, record_error};
+use crate::fleet::outcome::{record_completion, record_error, record_rejection};
 use crate::fleet::process::Process;
 use crate::fleet::queue;
 use crate::fleet::reservations;
@@ -99,14 +99,16 @@
     if let Some(response) = history.upstream_response {
         return Ok(response);
     }
-    let why = format!("not retried: {rejection}");
-    Err(record_error(
-        job,
-        match proof {
-            Proof::NotRun(unsent) => queue::rejection_error(job, rejection, unsent),
-            sent => sent.error(Kind::UpstreamFailed, why, false),
-        },
-    ))
+    Err(match proof {
+        Proof::NotRun(unsent) => {
+            let error = queue::rejection_error(job, rejection, unsent);
+            record_rejection(job, error, rejection)
+        }
+        sent => {
+            let why = format!("not retried: {rejection}");
+            record_error(job, sent.error(Kind::UpstreamFailed, why, false))
+        }
+    })
 }
 
 /// Decides what to do after an attempt.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -160,14 +160,9 @@
 
 fn record_failure(job: &Job, e: &Error) {
     job.process.metrics.count_error(e.kind());
-    let why = e.message().to_owned();
     job.record(match e.ran() {
-        Ran::No => Decision::Rejected {
-            kind: e.kind(),
-            why,
-            retry_after_ms: e.retry().map(|d| d.as_millis() as u64),
-        },
-        ran => Decision::Failed { kind: e.kind(), ran, why },
+        Ran::No => Decision::rejected(e),
+        ran => Decision::Failed { kind: e.kind(), ran, why: e.message().to_owned() },
     });
 }
 
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use foldlock_base::error::{Kind, Ran};
+use foldlock_base::error::{Error, Kind, Ran};
 use foldlock_base::event::Event;
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
@@ -119,6 +119,13 @@
         why: String,
         /// The time after which the caller is asked to retry, in milliseconds.
         retry_after_ms: Option<u64>,
+        /// The forecast wait that led to the rejection, in milliseconds.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait_ms: Option<u64>,
+        /// Whether the caller was promised to be served if it returns at that time; none if the
+        /// rejection was not for lack of capacity by a forecast.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        promised: Option<bool>,
     },
     /// The request is retried.
     Retried {
@@ -214,6 +221,17 @@
 }
 
 impl Decision {
+    /// The rejection of a request with this error.
+    pub fn rejected(error: &Error) -> Decision {
+        Decision::Rejected {
+            kind: error.kind(),
+            why: error.message().to_owned(),
+            retry_after_ms: error.retry().map(|after| after.as_millis() as u64),
+            wait_ms: None,
+            promised: None,
+        }
+    }
+
     /// The log event for the decision.
     pub fn event(&self) -> Event {
         match self {
@@ -265,10 +283,15 @@
                 Ok(())
             }
             Decision::Moved { from, why } => write!(f, "moved away from {from}: {why}"),
-            Decision::Rejected { kind, why, retry_after_ms } => {
+            // `why` states the forecast wait.
+            Decision::Rejected { kind, why, retry_after_ms, promised, .. } => {
                 write!(f, "rejected ({kind}): {why}")?;
-                match retry_after_ms {
-                    Some(ms) => write!(f, "; retry after {ms} ms"),
+                if let Some(ms) = retry_after_ms {
+                    write!(f, "; retry after {ms} ms")?;
+                }
+                match promised {
+                    Some(true) => f.write_str(" (promised)"),
+                    Some(false) => f.write_str(" (not promised)"),
                     None => Ok(()),
                 }
             }
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod notice;
 pub mod placement;
 pub mod pressure;
+pub mod promise;
 pub mod prompt;
 pub mod quarantine;
 pub mod quarantine_entry;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -17,7 +17,7 @@
 use crate::rate_limit::Limit;
 use crate::revision::Revision;
 use crate::tag::Tag;
-use crate::{flight, quarantine, rate_limit, report};
+use crate::{flight, promise, quarantine, rate_limit, report};
 
 /// Maximum size of an encoded message in bytes; it fits a UDP datagram.
 pub const MAX_BYTES: usize = 60_000;
@@ -152,6 +152,10 @@
     /// Recent messages to rate-limited upstreams.
     #[serde(default)]
     pub dispatches: Vec<Dispatch>,
+    /// Promised return times of its callers, at most [`promise::MAX_ANNOUNCED`], the newest. Not
+    /// sent in heartbeats to the scheduler alone, which made the promises.
+    #[serde(default)]
+    pub promises: Vec<promise::Announcement>,
 }
 
 /// Identifies a request by the number that its VM assigned.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -176,6 +176,9 @@
         after_ms: u64,
         /// The forecast wait, milliseconds.
         wait_ms: u64,
+        /// Whether the scheduler promises to serve the caller if it returns at that time.
+        #[serde(default)]
+        promised: bool,
     },
     /// The fleet's retry budget for the service is exhausted.
     OverBudget(Exhausted),
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -8,6 +8,7 @@
 
 mod backlog;
 mod policy;
+mod promises;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -25,6 +26,7 @@
 
 use backlog::Backlog;
 pub use policy::{Admission, Policy};
+pub use promises::{Counts, MAX_PROMISES, Promise, Promises};
 
 /// Time after which a queued request is dropped if its VM has not repeated the grant request. A VM
 /// repeats it several times within this time, so the caller has left, or the VM has stopped or asks
@@ -98,6 +100,8 @@
     policy: Policy,
     /// The fleet's retry budget, for requests that this VM schedules.
     pub budget: Budget,
+    /// The promised return times of rejected callers.
+    pub promises: Promises,
 }
 
 impl Scheduler {
--- /dev/null
+++ b/request/src/scheduler/promises.rs
@@ -0,0 +1,256 @@
+//! The times at which the scheduler has promised rejected callers that they are served if they
+//! return.
+//!
+//! Load patterns A and B: with tripled traffic, more than half of the rejected callers returned at
+//! the stated time and were rejected again for the same reason. The promised times of a service are
+//! spaced, so that no more callers return than the guaranteed rate can serve.
+
+use std::collections::{BTreeSet, HashMap};
+use std::ops::Bound;
+use std::time::{Duration, Instant};
+
+use crate::fingerprint::Fingerprint;
+use crate::promise::{Announcement, GRACE, MAX_AHEAD, MAX_ANNOUNCED};
+use crate::tag::Tag;
+
+/// Maximum number of promises, about 2 MB: those of 5 s at 1,400 rejections a second.
+pub const MAX_PROMISES: usize = 10_000;
+
+/// Share of a caller's remaining time that it accepts as Retry-After; the rest is left for the
+/// response.
+const MAX_SHARE: u32 = 3;
+
+/// How early a caller may return: its latency and the rounding of Retry-After differ by some
+/// milliseconds from one request to the next.
+const MAX_EARLY: Duration = Duration::from_millis(50);
+
+/// The difference in time up to which an announcement belongs to the promise that is stored for the
+/// same request. Heartbeats arrive within 50 ms, or later at a VM that is busy.
+const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(200);
+
+/// A promise that its caller has redeemed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Promise {
+    /// The capacity of which it is a part, see [`promise::capacity`](crate::promise::capacity). A
+    /// route with several services may have chosen another one this time.
+    pub service: Tag,
+    /// The promised time.
+    pub at: Instant,
+    /// When it was made, or first announced if another VM made it. Failures after this time can
+    /// have reduced the capacity on which it was based.
+    pub made: Instant,
+}
+
+/// Counts of promises since the process started.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Promises made.
+    pub made: u64,
+    /// Rejections without a promise, as no time was free.
+    pub declined: u64,
+    /// Promises whose callers returned in time, including those of another scheduler.
+    pub redeemed: u64,
+    /// Promises made here whose callers did not return to this scheduler in time.
+    pub expired: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    service: Tag,
+    made: Instant,
+    /// The promised time. Announcements of one promise differ by their transit times; these are the
+    /// earliest and the latest.
+    earliest: Instant,
+    latest: Instant,
+    /// Whether another VM announced it.
+    announced: bool,
+    /// Whether its caller has returned. It is then kept until its end, as it is still announced.
+    redeemed: bool,
+}
+
+impl Entry {
+    fn end(&self) -> Instant {
+        self.latest + GRACE
+    }
+}
+
+/// The promises of a scheduler, by request.
+#[derive(Debug, Default)]
+pub struct Promises {
+    entries: HashMap<Fingerprint, Entry>,
+    /// The ends of all entries.
+    ends: BTreeSet<(Instant, Fingerprint)>,
+    /// Promised times to come, by service. They remain taken when a caller returns early, as the
+    /// capacity is then used.
+    times: HashMap<Tag, BTreeSet<Instant>>,
+    counts: Counts,
+}
+
+impl Promises {
+    /// Promises the earliest free time to the caller of a rejected request, and returns the
+    /// Retry-After. A request that has a promise gets the same time again.
+    ///
+    /// `wait`: the forecast wait; the promised time is not before the part of it that exceeds
+    /// `remaining` has passed. `remaining`: the time for which the caller still waits.
+    /// `rate_per_second`: the rate at which returning callers can be served. `service` identifies
+    /// the capacity with that rate, see [`promise::capacity`](crate::promise::capacity).
+    pub fn promise(
+        &mut self,
+        fingerprint: Fingerprint,
+        service: Tag,
+        wait: Duration,
+        remaining: Duration,
+        rate_per_second: f64,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.expire(now);
+        let stored = self.entries.get(&fingerprint);
+        if let Some(entry) = stored.filter(|entry| !entry.redeemed) {
+            return Some(entry.latest.saturating_duration_since(now));
+        }
+        let has_room = stored.is_some() || self.entries.len() < MAX_PROMISES;
+        let at = interval(rate_per_second)
+            .filter(|_| has_room)
+            .and_then(|interval| self.free_time(service, wait, remaining, interval, now));
+        let Some(at) = at else {
+            self.counts.declined += 1;
+            return None;
+        };
+        self.counts.made += 1;
+        let entry = Entry {
+            service,
+            made: now,
+            earliest: at,
+            latest: at,
+            announced: false,
+            redeemed: false,
+        };
+        self.store(fingerprint, entry);
+        self.times.entry(service).or_default().insert(at);
+        Some(at - now)
+    }
+
+    /// The promise of a caller that has returned, which is removed; none if there is none for this
+    /// time.
+    pub fn redeem(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Promise> {
+        let entry = self.entries.get_mut(&fingerprint)?;
+        if entry.redeemed || now + MAX_EARLY < entry.earliest || now >= entry.end() {
+            return None;
+        }
+        entry.redeemed = true;
+        self.counts.redeemed += 1;
+        Some(Promise { service: entry.service, at: entry.latest, made: entry.made })
+    }
+
+    /// Adds promises that a VM announces.
+    pub fn merge(&mut self, announced: &[Announcement], now: Instant) {
+        self.expire(now);
+        for announcement in announced.iter().take(MAX_ANNOUNCED) {
+            if let Some(at) = announcement.at(now) {
+                self.merge_one(announcement.fingerprint, announcement.service, at, now);
+            }
+        }
+    }
+
+    fn merge_one(&mut self, fingerprint: Fingerprint, service: Tag, at: Instant, now: Instant) {
+        let entry = match self.entries.get(&fingerprint) {
+            Some(stored) if !stored.redeemed => Entry {
+                earliest: stored.earliest.min(at),
+                latest: stored.latest.max(at),
+                ..*stored
+            },
+            Some(stored) if at <= stored.latest + MAX_ANNOUNCEMENT_DELAY => return,
+            None if self.entries.len() >= MAX_PROMISES => return,
+            _ => {
+                if at > now {
+                    self.times.entry(service).or_default().insert(at);
+                }
+                Entry {
+                    service,
+                    made: now,
+                    earliest: at,
+                    latest: at,
+                    announced: true,
+                    redeemed: false,
+                }
+            }
+        };
+        self.store(fingerprint, entry);
+    }
+
+    /// Removes promises that have ended.
+    pub fn expire(&mut self, now: Instant) {
+        while let Some((end, fingerprint)) = self.ends.first().copied()
+            && end <= now
+        {
+            self.ends.pop_first();
+            let entry = self.entries.remove(&fingerprint);
+            if entry.is_some_and(|entry| !entry.announced && !entry.redeemed) {
+                self.counts.expired += 1;
+            }
+        }
+        self.times.retain(|_, times| {
+            while times.first().is_some_and(|time| *time <= now) {
+                times.pop_first();
+            }
+            !times.is_empty()
+        });
+    }
+
+    /// The number of promises, including redeemed ones that have not ended.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no promises.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Counts since the process started.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn store(&mut self, fingerprint: Fingerprint, entry: Entry) {
+        if let Some(replaced) = self.entries.insert(fingerprint, entry) {
+            self.ends.remove(&(replaced.end(), fingerprint));
+        }
+        self.ends.insert((entry.end(), fingerprint));
+    }
+
+    /// The earliest time that is an interval away from all promised times of the service. The first
+    /// one is an interval from now, in which the guaranteed rate yields one request.
+    fn free_time(
+        &self,
+        service: Tag,
+        wait: Duration,
+        remaining: Duration,
+        interval: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
+        let latest = (remaining / MAX_SHARE).min(MAX_AHEAD);
+        let earliest = wait.saturating_sub(remaining).max(interval);
+        if earliest > latest {
+            return None;
+        }
+        let mut free = now + earliest;
+        let Some(times) = self.times.get(&service) else { return Some(free) };
+        // `earliest` is at least an interval.
+        for time in times.range((Bound::Excluded(free - interval), Bound::Unbounded)) {
+            if *time >= free + interval {
+                break;
+            }
+            free = *time + interval;
+            if free > now + latest {
+                return None;
+            }
+        }
+        Some(free)
+    }
+}
+
+/// The time between two requests at this rate; none if the rate is zero or implausible.
+fn interval(rate_per_second: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(1.0 / rate_per_second).ok().filter(|interval| !interval.is_zero())
+}
