Admission, order, returns and room for short prompts in the scheduler

Cause: the scheduler's queues go by deadline alone, hold what cannot be served, and let each newcomer take a slot that has become free. Change: with admission = forecast, services with an engine model are admitted and placed by forecasts, in one order of short and long prompts; engines are kept from long prompts while both kinds do not fit. A caller's patience limits how long its request may wait for the first event.

--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -143,6 +143,7 @@
                 route: self.route.priority,
             },
             time_limit: self.deadline.saturating_duration_since(self.arrived),
+            patience: self.route.patience.unwrap_or(Duration::MAX),
         }
     }
 }
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -142,7 +142,11 @@
     let Some(settings) = process.settings() else { return };
     let mut cluster = process.cluster.lock().unwrap();
     let replies = scheduler.place_queued(&mut cluster, &settings.table, now);
+    let errors = scheduler.take_forecast_errors();
     drop((scheduler, cluster));
+    for error in errors {
+        process.metrics.observe_forecast(error);
+    }
     for (Key { holder, incarnation, number }, reply) in replies {
         match holder {
             Holder::Own => process.pending_grants.deliver(number, reply),
--- a/request/src/caller.rs
+++ b/request/src/caller.rs
@@ -28,10 +28,17 @@
     pub priority: Priority,
     /// Time from arrival after which the caller no longer waits for the response.
     pub time_limit: Duration,
+    /// Longest time without an event, the first one included, after which the caller disconnects.
+    pub patience: Duration,
 }
 
 impl Default for Caller {
     fn default() -> Caller {
-        Caller { organisation: None, priority: Priority::default(), time_limit: Duration::MAX }
+        Caller {
+            organisation: None,
+            priority: Priority::default(),
+            time_limit: Duration::MAX,
+            patience: Duration::MAX,
+        }
     }
 }
--- a/request/src/long_queue.rs
+++ b/request/src/long_queue.rs
@@ -18,6 +18,8 @@
     pub objective: Duration,
     /// Time from arrival after which the prompt is no longer placed.
     pub queue_timeout: Duration,
+    /// Prompts of lower classes go first.
+    pub class: u16,
     /// Its index among the queued prompts.
     pub index: usize,
 }
@@ -56,12 +58,24 @@
 /// longest usual wait for engines that are busy with prefills.
 const URGENT_WINDOW_MS: f64 = 500.0;
 
-/// Sorts the queue: first the prompts that are about to time out, then those whose first event can
+/// Sorts the queue by class, and each class as [`order_class`] does, behind the lower classes.
+pub fn order(mut queue: Vec<Entry>, mut capacity: Capacity, now: Instant) -> Vec<Entry> {
+    queue.sort_by_key(|entry| entry.class);
+    let mut order = Vec::with_capacity(queue.len());
+    for of_class in queue.chunk_by(|a, b| a.class == b.class) {
+        let prefill_ms: f64 = of_class.iter().map(|entry| entry.prefill_ms).sum();
+        order.extend(order_class(of_class.to_vec(), capacity, now));
+        capacity.busy_ms += prefill_ms / capacity.engines.max(1.0);
+    }
+    order
+}
+
+/// Sorts a class: first the prompts that are about to time out, then those whose first event can
 /// be in time, earliest deadline first, then the rest by arrival.
 ///
 /// Where not all can be in time, the longest are deprioritized (Moore and Hodgson's rule): each of
 /// them delays several others.
-pub fn order(queue: Vec<Entry>, capacity: Capacity, now: Instant) -> Vec<Entry> {
+fn order_class(queue: Vec<Entry>, capacity: Capacity, now: Instant) -> Vec<Entry> {
     let (mut urgent, mut rest): (Vec<Entry>, Vec<Entry>) =
         queue.into_iter().partition(|w| w.left_ms(w.queue_timeout, now) <= URGENT_WINDOW_MS);
     urgent.sort_by(Entry::compare_arrival);
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -203,6 +203,8 @@
     /// Absent in the messages of releases that have no time limit.
     #[serde(default)]
     time_limit_ms: Option<u32>,
+    #[serde(default)]
+    patience_ms: Option<u32>,
 }
 
 impl GrantRequest {
@@ -232,6 +234,7 @@
             priority: requirements.caller.priority,
             organisation: requirements.caller.organisation,
             time_limit_ms: u32::try_from(requirements.caller.time_limit.as_millis()).ok(),
+            patience_ms: u32::try_from(requirements.caller.patience.as_millis()).ok(),
         }
     }
 
@@ -257,6 +260,7 @@
                 organisation: self.organisation,
                 priority: self.priority,
                 time_limit: self.time_limit_ms.map_or(Duration::MAX, millis),
+                patience: self.patience_ms.map_or(Duration::MAX, millis),
             },
         }
     }
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -30,7 +30,7 @@
 use crate::tag::Tag;
 
 use candidate::{Candidate, candidates, rejection};
-pub use group::{DEMAND_WINDOW, Deadline, LongPrompt, LongQueue, is_too_long, place_long};
+pub use group::{DEMAND_WINDOW, Deadline, Kept, LongPrompt, LongQueue, is_too_long, place_long};
 
 /// Share of the objective within which a short prompt's first event must be predicted for an engine
 /// to be filled further before other engines are compared.
@@ -261,12 +261,12 @@
         };
         return placement.map(|placement| Placement { limited, ..placement });
     };
-    let prompts = [LongPrompt { requirements, index: 0 }];
+    let prompts = [LongPrompt { requirements, index: 0, class: 0 }];
     let queue = LongQueue {
         prompts: &prompts,
         demand: 0.0,
         offset: requirements.offset,
-        short_only: 0,
+        kept: Kept::default(),
         deadline: Deadline::Objective,
     };
     let placed = place_long(cluster, service, engine, queue, now).pop();
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -59,6 +59,17 @@
     pub requirements: &'a Requirements,
     /// Index that is returned with the placement.
     pub index: usize,
+    /// Prompts of lower classes are placed first.
+    pub class: u16,
+}
+
+/// The engines that long prompts leave to short ones.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// Their number.
+    pub engines: usize,
+    /// Whether engines with short responses count among them. They then read no parts of long prompts.
+    pub crowded: bool,
 }
 
 /// The deadline up to which a long prompt within one engine's memory may be read.
@@ -81,8 +92,8 @@
     pub demand: f64,
     /// Where to begin in the order of engines, as [`Requirements::offset`].
     pub offset: usize,
-    /// The number of engines to keep free for short prompts that were not placed in time.
-    pub short_only: usize,
+    /// The engines to keep free for short prompts.
+    pub kept: Kept,
     /// The deadline up to which a prompt may be read where nothing else waits for its engines.
     pub deadline: Deadline,
 }
@@ -105,7 +116,7 @@
     let offset = queue.offset % candidates.len().max(1);
     candidates.rotate_left(offset);
     let mut plans = EnginePlans::new(candidates, engine);
-    plans.keep_for_short(queue.short_only);
+    plans.keep_for_short(queue.kept);
     let max_part_ms = MAX_PART_MS * (1.0 + idle_share(&plans, queue.demand));
     let mut placed = Vec::new();
     for entry in queue_order(queue.prompts, engine, &plans, now).into_iter().take(MAX_PLANNED) {
@@ -221,6 +232,7 @@
         prefill_ms: forecast::prefill_ms(engine, long.requirements.prompt.0),
         objective: long.requirements.objective,
         queue_timeout: long.requirements.queue_timeout,
+        class: long.class,
         index,
     };
     let entries = prompts.iter().enumerate().map(entry).collect();
--- a/request/src/placement/share.rs
+++ b/request/src/placement/share.rs
@@ -5,12 +5,12 @@
 //! sooner. But each part is read inside the passes of its engine, so engines without short
 //! responses come first.
 
-use std::cmp::Ordering;
+use std::cmp::{Ordering, Reverse};
 
 use foldlock_version::routes::Engine;
 
 use super::candidate::Candidate;
-use super::{Placement, Requirements};
+use super::{Kept, Placement, Requirements};
 use crate::forecast;
 
 /// The shortest part of a long prefill, milliseconds: below it, the decode steps of each pass cost
@@ -165,9 +165,20 @@
         plans
     }
 
-    /// Keeps engines free for short prompts: of the engines for long prompts, those that are free
-    /// soonest.
-    pub(super) fn keep_for_short(&mut self, engines: usize) {
+    /// Keeps engines free for short prompts: those with the most short responses if they count, then, of the
+    /// engines for long prompts, those that are free soonest.
+    pub(super) fn keep_for_short(&mut self, kept: Kept) {
+        let Kept { mut engines, crowded } = kept;
+        if crowded {
+            let mut with_short: Vec<usize> =
+                (0..self.all.len()).filter(|index| !self.all[*index].for_long).collect();
+            with_short.sort_by_key(|index| Reverse(self.all[*index].candidate.load.interactive));
+            with_short.truncate(engines);
+            engines -= with_short.len();
+            for index in with_short {
+                self.all[index].short_only = true;
+            }
+        }
         let for_long = self.order.iter().copied().filter(|index| self.all[*index].for_long);
         let kept: Vec<usize> = for_long.take(engines).collect();
         for index in kept {
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -8,27 +8,33 @@
 
 pub mod admission;
 mod backlog;
+mod by_forecast;
 pub mod forecast;
 pub mod order;
+mod outlook;
 mod policy;
 mod promises;
+pub mod reserve;
 pub mod shares;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use foldlock_version::routes::{Service, Table};
+use foldlock_version::routes::{Engine, Service, Table};
 
 use crate::budget::{Budget, Charge, Parameters};
+use crate::caller::Priority;
 use crate::cluster::{Cluster, Holder};
 use crate::fingerprint::Fingerprint;
 use crate::placement::{
-    self, DEMAND_WINDOW, Placement, Rejection, Requirements, requires_isolation,
+    self, DEMAND_WINDOW, Kept, Placement, Rejection, Requirements, requires_isolation,
 };
 use crate::pressure::Pressure;
 use crate::tag::Tag;
 
 use backlog::Backlog;
+use by_forecast::Forecast;
+use outlook::Outlook;
 pub use policy::{Admission, Policy};
 pub use promises::{Counts, MAX_PROMISES, Promise, Promises};
 
@@ -68,6 +74,10 @@
     service: Tag,
     requirements: Requirements,
     last_requested: Instant,
+    /// Whether its caller has returned at a promised time.
+    returned: bool,
+    /// The forecast with which it was queued.
+    forecast: Option<Forecast>,
 }
 
 /// A request that gets a placement, with its charge to the retry budget.
@@ -102,6 +112,9 @@
     pressure: Pressure,
     backlog: Backlog,
     policy: Policy,
+    /// The load of the services whose requests are admitted by forecasts.
+    outlooks: HashMap<Tag, Outlook>,
+    forecast_errors: Vec<forecast::Error>,
     /// The fleet's retry budget, for requests that this VM schedules.
     pub budget: Budget,
     /// The promised return times of rejected callers.
@@ -161,11 +174,15 @@
             return Reply::Rejected(Rejection::TooLarge);
         }
         let limited_rate = cluster.limited_rate(&found.name);
+        let by_forecast = self.forecast_engine(found);
+        let returned =
+            by_forecast.is_some_and(|engine| self.on_arrival(engine, service, &requirements, now));
         if let Some(prefill_ms) = prefill_ms {
             self.long_arrivals.push_back(LongArrival { at: now, service, prefill_ms });
         } else {
             // Queued requests go first.
-            let must_queue = limited_rate.is_some() && self.queued_for(service) > 0;
+            let must_queue = limited_rate.is_some() && self.queued_for(service) > 0
+                || by_forecast.is_some() && self.is_short_queued(service, found);
             let placed = if must_queue {
                 Err(Rejection::Full)
             } else {
@@ -175,7 +192,13 @@
                 Ok(placement) => {
                     let objective_ms = requirements.objective.as_secs_f64() * 1e3;
                     self.pressure.on_placed(placement.predicted_ms / objective_ms, now);
-                    let charged = ChargedRequest { key, service, charge: requirements.charge };
+                    let charge = requirements.charge;
+                    if let Some(engine) = by_forecast {
+                        let queued =
+                            QueuedRequest::new(key.clone(), service, requirements, returned, now);
+                        self.on_granted(engine, service, &queued, &placement, now);
+                    }
+                    let charged = ChargedRequest { key, service, charge };
                     return self.grant(cluster, charged, placement, now);
                 }
                 Err(Rejection::Full) => self.pressure.on_queued(now),
@@ -190,8 +213,13 @@
                 return Reply::Rejected(limited);
             }
         }
+        let forecast = match self.admit(cluster, found, &requirements, returned, now) {
+            Ok(forecast) => forecast,
+            Err(overloaded) => return Reply::Rejected(overloaded),
+        };
         requirements.charge = self.budget.queue(service, requirements.charge);
-        self.queue.push(QueuedRequest { key, service, requirements, last_requested: now });
+        let queued = QueuedRequest::new(key, service, requirements, returned, now);
+        self.queue.push(QueuedRequest { forecast, ..queued });
         Reply::Queued
     }
 
@@ -213,6 +241,10 @@
         self.queue.len()
     }
 
+    fn is_short_queued(&self, tag: Tag, service: &Service) -> bool {
+        self.queue.iter().any(|queued| queued.service == tag && !queued.is_long(service))
+    }
+
     fn queued_for(&self, service: Tag) -> usize {
         self.queue.iter().filter(|queued| queued.service == service).count()
     }
@@ -237,8 +269,12 @@
                 self.reject_drained(tag, &mut replies);
                 continue;
             }
-            self.place_short(cluster, service, tag, now, &mut replies);
-            self.place_long(cluster, service, tag, now, &mut replies);
+            if let Some(engine) = self.forecast_engine(service) {
+                self.place_in_order(cluster, service, engine, now, &mut replies);
+            } else {
+                self.place_short(cluster, service, tag, now, &mut replies);
+                self.place_long(cluster, service, tag, now, &mut replies, |_| true);
+            }
             if cluster.limited_count() > 0 {
                 self.place_whole(cluster, service, tag, now, &mut replies);
                 self.reject_late(cluster, service, tag, now, &mut replies);
@@ -356,7 +392,7 @@
         }
     }
 
-    /// Places long prompts in the order of the long queue.
+    /// Places long prompts in the order of the long queue, those that `may` be placed now.
     fn place_long(
         &mut self,
         cluster: &mut Cluster,
@@ -364,47 +400,98 @@
         tag: Tag,
         now: Instant,
         replies: &mut Vec<(Key, Reply)>,
+        may: impl Fn(&QueuedRequest) -> bool,
     ) {
         let Some(engine) = &service.engine else { return };
         let queued = self.queue.iter().enumerate();
         let prompts: Vec<placement::LongPrompt<'_>> = queued
-            .filter(|(_, queued)| queued.service == tag && queued.is_long(service))
+            .filter(|(_, queued)| queued.service == tag && queued.is_long(service) && may(queued))
             .filter(|(_, queued)| {
                 requires_isolation(cluster, queued.requirements.fingerprint, now).is_ok()
             })
             .map(|(index, queued)| placement::LongPrompt {
                 requirements: &queued.requirements,
                 index,
+                class: self.long_class(queued),
             })
             .collect();
         if prompts.is_empty() {
             return;
         }
+        let demand = self.demand(tag);
         let queue = placement::LongQueue {
             prompts: &prompts,
-            demand: self.demand(tag),
+            demand,
             offset: 0,
-            short_only: self.pressure.engines(),
+            kept: self.kept_for_short(cluster, service, engine, demand, now),
             deadline: self.policy.deadline(),
         };
         let placed = placement::place_long(cluster, service, engine, queue, now);
-        let placed: Vec<(ChargedRequest, Fingerprint, Placement)> = placed
+        let placed: Vec<(Key, Fingerprint, Placement)> = placed
             .into_iter()
             .map(|(index, placement)| (&self.queue[index], placement))
             .map(|(queued, placement)| {
-                (queued.charged(), queued.requirements.fingerprint, placement)
+                (queued.key.clone(), queued.requirements.fingerprint, placement)
             })
             .collect();
-        for (charged, fingerprint, mut placement) in placed {
+        for (key, fingerprint, mut placement) in placed {
             // Of two copies in the queue, the first runs isolated and the other stays queued.
             let Ok(isolated) = requires_isolation(cluster, fingerprint, now) else { continue };
             placement.flight.isolated = isolated.then_some(fingerprint);
-            let key = charged.key.clone();
-            let reply = self.grant(cluster, charged, placement, now);
+            let Some(index) = self.queue.iter().position(|queued| queued.key == key) else {
+                continue;
+            };
+            let reply = self.grant_queued(cluster, service, index, placement, now);
             replies.push((key, reply));
         }
     }
 
+    /// The class of a queued long prompt, lower ones first: by priority, and in each those whose callers have returned
+    /// at promised times first.
+    fn long_class(&self, queued: &QueuedRequest) -> u16 {
+        if !self.policy.is_forecast() {
+            return 0;
+        }
+        let Priority { organisation, route } = queued.requirements.caller.priority;
+        (u16::from(organisation) << 8 | u16::from(route)) * 2 + u16::from(!queued.returned)
+    }
+
+    /// The engines that long prompts leave to short ones.
+    fn kept_for_short(
+        &self,
+        cluster: &Cluster,
+        service: &Service,
+        engine: &Engine,
+        demand: f64,
+        now: Instant,
+    ) -> Kept {
+        let outlook = self.outlooks.get(&Tag::of(&service.name));
+        let Some(outlook) = outlook.filter(|_| self.policy.is_forecast()) else {
+            return Kept { engines: self.pressure.engines(), crowded: false };
+        };
+        let engines = by_forecast::speed(cluster, service, now);
+        match outlook.kept_for_short(engine, engines, demand, now) {
+            0 => Kept { engines: self.pressure.engines(), crowded: false },
+            engines => Kept { engines, crowded: true },
+        }
+    }
+
+    /// Grants a placement to a queued request.
+    fn grant_queued(
+        &mut self,
+        cluster: &mut Cluster,
+        service: &Service,
+        index: usize,
+        placement: Placement,
+        now: Instant,
+    ) -> Reply {
+        let queued = self.queue.remove(index);
+        if let Some(engine) = self.forecast_engine(service) {
+            self.on_granted(engine, queued.service, &queued, &placement, now);
+        }
+        self.grant(cluster, queued.charged(), placement, now)
+    }
+
     /// The mean number of engines that recent long prompts keep busy.
     fn demand(&self, service: Tag) -> f64 {
         let of_service = self.long_arrivals.iter().filter(|arrival| arrival.service == service);
@@ -449,6 +536,16 @@
 }
 
 impl QueuedRequest {
+    fn new(
+        key: Key,
+        service: Tag,
+        requirements: Requirements,
+        returned: bool,
+        now: Instant,
+    ) -> QueuedRequest {
+        QueuedRequest { key, service, requirements, last_requested: now, returned, forecast: None }
+    }
+
     fn charged(&self) -> ChargedRequest {
         ChargedRequest {
             key: self.key.clone(),
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -9,7 +9,9 @@
 use foldlock_request::cluster::{Cluster, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::long_queue::{Capacity, Entry, order};
-use foldlock_request::placement::{self, Deadline, LongPrompt, LongQueue, Placement, Requirements};
+use foldlock_request::placement::{
+    self, Deadline, Kept, LongPrompt, LongQueue, Placement, Requirements,
+};
 use foldlock_request::report::{Observed, Report};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Engine, Service};
@@ -38,6 +40,7 @@
         prefill_ms,
         objective: Duration::from_millis(objective_ms),
         queue_timeout: Duration::from_secs(12),
+        class: 0,
         index,
     };
     (now, entry)
@@ -109,6 +112,7 @@
         pause: Some(Duration::from_millis(1_000)),
         arrived,
         queue_timeout: Duration::from_secs(12),
+        class: 0,
         excluded: Vec::new(),
         connected: Vec::new(),
         hall: String::new(),
@@ -126,13 +130,13 @@
     let long: Vec<LongPrompt<'_>> = prompts
         .iter()
         .enumerate()
-        .map(|(index, requirements)| LongPrompt { requirements, index })
+        .map(|(index, requirements)| LongPrompt { requirements, index, class: 0 })
         .collect();
     let queue = LongQueue {
         prompts: &long,
         demand: 0.0,
         offset: 0,
-        short_only: 0,
+        kept: Kept::default(),
         deadline: Deadline::Objective,
     };
     let placed = placement::place_long(cluster, &service(), &ENGINE, queue, now);
@@ -174,12 +178,12 @@
 
 /// Whether a prompt can be placed on idle engines, of which other long prompts need `demand`.
 fn can_be_placed(engines: usize, demand: f64, prompt: &Requirements, now: Instant) -> bool {
-    let long = [LongPrompt { requirements: prompt, index: 0 }];
+    let long = [LongPrompt { requirements: prompt, index: 0, class: 0 }];
     let queue = LongQueue {
         prompts: &long,
         demand,
         offset: 0,
-        short_only: 0,
+        kept: Kept::default(),
         deadline: Deadline::Objective,
     };
     let placed = placement::place_long(&cluster(engines), &service(), &ENGINE, queue, now);
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -62,6 +62,7 @@
             organisation: Some(Tag::of("org-1")),
             priority: Priority { organisation: 1, route: 2 },
             time_limit: Duration::from_secs(15),
+            patience: Duration::from_secs(2),
         },
     };
     let request = Number { incarnation: 1, number: 8 };
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -11,7 +11,7 @@
 use foldlock_request::flight::Flight;
 use foldlock_request::forecast;
 use foldlock_request::placement::{
-    self, Deadline, LongPrompt, LongQueue, Placement, Rejection, Requirements,
+    self, Deadline, Kept, LongPrompt, LongQueue, Placement, Rejection, Requirements,
 };
 use foldlock_request::suspicion::{Failure, Outcome};
 use foldlock_request::tag::Tag;
@@ -457,9 +457,14 @@
         placement::is_too_long(&cluster, &service, &ENGINE, prompt, deadline, now + after)
     };
     let place = |deadline| {
-        let prompts = [LongPrompt { requirements: &prompt, index: 0 }];
-        let queue =
-            LongQueue { prompts: &prompts, demand: 0.0, offset: 0, short_only: 0, deadline };
+        let prompts = [LongPrompt { requirements: &prompt, index: 0, class: 0 }];
+        let queue = LongQueue {
+            prompts: &prompts,
+            demand: 0.0,
+            offset: 0,
+            kept: Kept::default(),
+            deadline,
+        };
         placement::place_long(&cluster, &service, &ENGINE, queue, now).len()
     };
     assert!(too_long(&prompt, Deadline::Objective, Duration::ZERO));
--- a/version/src/routes.rs
+++ b/version/src/routes.rs
@@ -58,6 +58,9 @@
     pub timeout: Duration,
     /// Latency target for the response, or for the first event of a stream.
     pub objective: Duration,
+    /// Longest time without an event of a stream, the first one included, after which callers
+    /// disconnect; none if they wait until the timeout.
+    pub patience: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Services that requests are sent to.
--- a/version/tests/routes.rs
+++ b/version/tests/routes.rs
@@ -25,6 +25,7 @@
         delivery: Delivery::Complete,
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(300),
+        patience: None,
         priority: 1,
         targets: vec![Target { service: "plain".to_owned(), weight: 1 }],
         max_attempts: 2,
