--- a/request/src/scheduler/order.rs
+++ b/request/src/scheduler/order.rs
@@ -136,7 +136,7 @@
     /// Times are compared in microseconds. Only the first 1,048,576 items are ordered; others follow as they are.
     pub fn order(&self, items: &[Item], fair_shares: bool) -> Vec<usize> {
         let Some(epoch) = items.iter().map(|item| item.arrived).min() else { return Vec::new() };
-        let ordered = &items[..items.len().min(1 << INDEX_BITS)];
+        let ordered = &items[..items.len().min(INDEX_MASK + 1)];
         let mut slots = Vec::with_capacity(ordered.len());
         let mut classes: Vec<(Priority, Vec<Key>)> = Vec::new();
         for (index, item) in ordered.iter().enumerate() {
@@ -222,6 +222,8 @@
 /// Bits of a key for the index of its item.
 const INDEX_BITS: u32 = 20;
 
+const INDEX_MASK: usize = (1 << INDEX_BITS) - 1;
+
 /// Bits of a key for each of arrival and deadline: 71 min in microseconds, beyond which times compare as equal.
 const TIME_BITS: u32 = 32;
 
@@ -261,7 +263,7 @@
     }
 
     fn index(self) -> usize {
-        self.0 as usize & ((1 << INDEX_BITS) - 1)
+        self.0 as usize & INDEX_MASK
     }
 
     fn is_newcomer(self) -> bool {
@@ -339,7 +341,7 @@
         let mut grouped: Vec<u64> = keys.iter().enumerate().map(group).collect();
         grouped.sort_unstable();
         let mut lead_us = clock.leads_us();
-        let key = |position: &u64| keys[*position as usize & ((1 << INDEX_BITS) - 1)];
+        let key = |position: &u64| keys[*position as usize & INDEX_MASK];
         for of_flow in grouped.chunk_by(|a, b| a >> INDEX_BITS == b >> INDEX_BITS) {
             let organisation = self.slots[key(&of_flow[0]).index()].organisation;
             self.add_flow(lead_us(organisation), of_flow.iter().map(key));
@@ -425,7 +427,7 @@
         let late = self.ranks.iter().filter(|key| key.is_newcomer() && key.is_late());
         let mut arrivals: Vec<u64> = late.map(|key| key.arrival()).collect();
         arrivals.sort_unstable();
-        arrivals.into_iter().map(|arrival| arrival as usize & ((1 << INDEX_BITS) - 1)).collect()
+        arrivals.into_iter().map(|arrival| arrival as usize & INDEX_MASK).collect()
     }
 
     fn flow(&self, index: usize) -> &Flow {
--- a/request/src/scheduler/shares.rs
+++ b/request/src/scheduler/shares.rs
@@ -25,8 +25,8 @@
 
 /// The cost that is charged for a request, microseconds.
 pub(super) fn charged_us(cost_ms: f64) -> u32 {
-    let cost_ms = if cost_ms.is_nan() { MIN_COST_MS } else { cost_ms };
-    (cost_ms.clamp(MIN_COST_MS, MAX_COST_MS) * 1e3) as u32
+    // A cost that is not a number becomes 0 by the conversion.
+    ((cost_ms.clamp(MIN_COST_MS, MAX_COST_MS) * 1e3) as u32).max((MIN_COST_MS * 1e3) as u32)
 }
 
 /// What an organisation was granted; requests without an organisation share one account.
--- a/request/tests/queue_order.rs
+++ b/request/tests/queue_order.rs
@@ -241,6 +241,17 @@
     assert_eq!(first_six.iter().filter(|index| **index % 3 == 0).count(), 2);
 }
 
+/// Guards against requests of unknown cost that use no share: they are counted where no engine model exists.
+#[test]
+fn requests_of_unknown_cost_are_counted() {
+    let now = Instant::now();
+    let of = |sender, cost_ms| Item { cost_ms, ..item(sender, now) };
+    for cost_ms in [f64::NAN, 0.0, -5.0] {
+        let queue = [of(0, cost_ms), of(0, cost_ms), of(1, cost_ms)];
+        assert_eq!(Discipline::default().order(&queue, true), [0, 2, 1]);
+    }
+}
+
 /// Guards against state that grows with the organisations ever seen, and against malformed costs that stop the clock.
 #[test]
 fn state_is_bounded() {
@@ -252,8 +263,8 @@
         discipline.on_granted(&Item { cost_ms, returned: true, ..item(i, start) }, start);
     }
     assert_eq!(discipline.account_count(), 1_024);
-    let queue = [item(3_000, start), item(2_996, start), item(2_997, start)];
-    assert_eq!(discipline.order(&queue, true)[0], 0);
+    // The one with the highest cost keeps its account; an unknown one starts at the virtual time.
+    assert_eq!(discipline.order(&[item(1, start), item(3_000, start)], true), [1, 0]);
     discipline.expire(start + ms(29_000));
     assert_eq!(discipline.account_count(), 1_024);
     discipline.expire(start + ms(30_000));
