--- a/request/src/scheduler/order.rs
+++ b/request/src/scheduler/order.rs
@@ -402,8 +402,10 @@
                 }
             }
         }
-        let shifted = shifted.peek().map(|Reverse(key)| *key);
-        turns.first().copied().into_iter().chain(shifted).min()
+        match (turns.first(), shifted.peek()) {
+            (Some(turn), Some(Reverse(shifted))) => Some(*turn.min(shifted)),
+            (turn, shifted) => turn.or(shifted.map(|Reverse(key)| key)).copied(),
+        }
     }
 
     /// The keys with start times, in the order of the grants if none are by age.
--- a/request/src/scheduler/shares.rs
+++ b/request/src/scheduler/shares.rs
@@ -15,8 +15,8 @@
 /// limit, one implausible prompt length would move the virtual time beyond all other accounts.
 const MAX_COST_MS: f64 = 600_000.0;
 
-/// Time after its last grant after which an account is dropped: twice the longest time limit of callers, so that all
-/// requests that were queued beside the charged one have been granted or rejected.
+/// Time after its last grant after which an account is dropped: twice the longest time limit of both load patterns
+/// (15 s), so that all requests that were queued beside the charged one have been granted or rejected.
 pub(super) const RETENTION: Duration = Duration::from_secs(30);
 
 /// Maximum number of accounts: more than twice the 450 organisations that a scheduler must serve. A full clock takes
