--- a/request/src/scheduler/shares.rs
+++ b/request/src/scheduler/shares.rs
@@ -15,8 +15,8 @@
 /// limit, one implausible prompt length would move the virtual time beyond all other accounts.
 const MAX_COST_MS: f64 = 600_000.0;
 
-/// Time after its last grant after which an account is dropped: twice the longest time limit of callers, so that all
-/// requests that were queued beside the charged one have been granted or rejected.
+/// Time after its last grant after which an account is dropped: twice the longest time limit of both load patterns
+/// (15 s), so that all requests that were queued beside the charged one have been granted or rejected.
 pub(super) const RETENTION: Duration = Duration::from_secs(30);
 
 /// Maximum number of accounts: more than twice the 450 organisations that a scheduler must serve. A full clock takes
@@ -25,8 +25,8 @@
 
 /// The cost that is charged for a request, microseconds.
 pub(super) fn charged_us(cost_ms: f64) -> u32 {
-    let cost_ms = if cost_ms.is_nan() { MIN_COST_MS } else { cost_ms };
-    (cost_ms.clamp(MIN_COST_MS, MAX_COST_MS) * 1e3) as u32
+    // A cost that is not a number becomes 0 by the conversion.
+    ((cost_ms.clamp(MIN_COST_MS, MAX_COST_MS) * 1e3) as u32).max((MIN_COST_MS * 1e3) as u32)
 }
 
 /// What an organisation was granted; requests without an organisation share one account.
