--- a/request/src/scheduler/admission.rs
+++ b/request/src/scheduler/admission.rs
@@ -43,8 +43,9 @@
     pub wait: Duration,
 }
 
-/// Decides on a new request that cannot be placed at once, with a margin for the error of the forecast. A queued request that was
-/// admitted by this is rejected only if its forecast has become worse by more than the margin.
+/// Decides on a new request that cannot be placed at once, with a margin for the error of the
+/// forecast. A queued request that was admitted by this is rejected only if its forecast has become
+/// worse by more than the margin.
 pub fn decide_new(request: &Request, wait: Duration) -> Result<(), Overloaded> {
     let cautious = Duration::try_from_secs_f64(wait.as_secs_f64() * NEW_REQUEST_FACTOR);
     decide(request, cautious.unwrap_or(Duration::MAX)).map_err(|_| Overloaded { wait })
