Announcements of a promise no longer move its time; two active schedulers are tested

Cause: an announcement that was delayed moved the promised time that a repeated grant request is told. Change: announcements up to 200 ms later leave the time as it is, later ones count as another scheduler's promise. Measured: two schedulers with announcements every 200 ms promise at most twice the rate of one in any second, and each keeps the other's promises.

--- a/request/src/scheduler/promises.rs
+++ b/request/src/scheduler/promises.rs
@@ -58,9 +58,10 @@
 struct Entry {
     service: Tag,
     made: Instant,
-    /// The promised time. Announcements of one promise differ by their transit times; these are the
-    /// earliest and the latest.
+    /// The earliest promised time. Announcements of one promise differ by their transit times, and
+    /// two schedulers that are active at the same time may promise different times.
     earliest: Instant,
+    /// The latest promised time, without differences by transit times.
     latest: Instant,
     /// Whether another VM announced it.
     announced: bool,
@@ -159,14 +160,15 @@
     }
 
     fn merge_one(&mut self, fingerprint: Fingerprint, service: Tag, at: Instant, now: Instant) {
-        let entry = match self.entries.get(&fingerprint) {
-            Some(stored) if !stored.redeemed => Entry {
-                earliest: stored.earliest.min(at),
-                latest: stored.latest.max(at),
-                ..*stored
-            },
-            Some(stored) if at <= stored.latest + MAX_ANNOUNCEMENT_DELAY => return,
-            None if self.entries.len() >= MAX_PROMISES => return,
+        let is_full = self.entries.len() >= MAX_PROMISES;
+        let entry = match self.entries.get_mut(&fingerprint) {
+            Some(stored) if at <= stored.latest + MAX_ANNOUNCEMENT_DELAY => {
+                stored.earliest = stored.earliest.min(at);
+                return;
+            }
+            // The caller was told a later time by another scheduler.
+            Some(stored) if !stored.redeemed => Entry { latest: at, ..*stored },
+            None if is_full => return,
             _ => {
                 if at > now {
                     self.times.entry(service).or_default().taken.insert(at);
--- a/request/tests/promises.rs
+++ b/request/tests/promises.rs
@@ -142,6 +142,39 @@
     assert_eq!(standby.counts(), Counts { made: 1, redeemed: 2, ..Counts::default() });
 }
 
+/// The bound is that of two schedulers without knowledge of each other. Guards against promises that
+/// one of them does not keep.
+#[test]
+fn two_active_schedulers_promise_at_most_twice_the_rate_and_keep_each_others_promises() {
+    let (rate, start) = (20, Instant::now());
+    let mut schedulers = [Promises::default(), Promises::default()];
+    let mut received = [Received::default(), Received::default()];
+    let mut promised = Vec::new();
+    for tick in 0..400 {
+        let now = start + ms(10) * tick as u32;
+        for side in 0..2 {
+            let number = tick * 2 + side;
+            let after = promise(&mut schedulers[side], number, f64::from(rate), now);
+            promised.extend(after.map(|after| (now + after, number)));
+            after.and_then(|after| received[side].add(request(number), service(), after, now));
+            // Heartbeats are at most 200 ms apart.
+            if tick % 20 == 19 {
+                schedulers[1 - side].merge(&received[side].announced(now), now + ms(3));
+            }
+        }
+    }
+    promised.sort();
+    for (at, _) in &promised {
+        let second = promised.iter().filter(|(other, _)| other >= at && *other < *at + ms(1_000));
+        assert!(second.count() <= 2 * rate as usize);
+    }
+    let last = start + ms(3_990);
+    let due = promised.iter().filter(|(at, _)| *at > last - ms(1_000) && *at < last);
+    for (_, number) in due {
+        assert!(schedulers.iter_mut().all(|s| s.redeem(request(*number), last).is_some()));
+    }
+}
+
 /// Guards against a promise that is redeemed as often as it is announced.
 #[test]
 fn a_redeemed_promise_is_not_restored_by_its_announcement() {
