A settings version is visible only once its engines are known

`watch::advance` made a version visible before `Process::apply_settings` gave its engines to the routing. `Current::advance` now runs a callback before the version becomes visible, one version at a time; `Process::advance` applies engines and shards in it. The task that applied each version a second time is gone.

--- a/daemon/src/current.rs
+++ b/daemon/src/current.rs
@@ -1,7 +1,7 @@
 //! The settings version in force. Its number only increases.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 
 use foldlock_request::cursor::Key;
 use foldlock_version::check::Fault;
@@ -52,6 +52,8 @@
 /// Holds the version in force.
 pub struct Current {
     version: RwLock<Arc<Version>>,
+    /// Held while a version is put in force, so that versions are prepared in their order.
+    advancing: Mutex<()>,
     newest_refused: RwLock<u64>,
     number: watch::Sender<u64>,
 }
@@ -60,6 +62,7 @@
     fn default() -> Self {
         Current {
             version: RwLock::new(Arc::new(Version::empty())),
+            advancing: Mutex::new(()),
             newest_refused: RwLock::new(0),
             number: watch::Sender::new(0),
         }
@@ -77,11 +80,6 @@
         *self.number.borrow()
     }
 
-    /// A receiver for the number of each version that comes into force.
-    pub fn subscribe(&self) -> watch::Receiver<u64> {
-        self.number.subscribe()
-    }
-
     /// Number of the newest version that this release refused; 0 if there is none.
     pub fn newest_refused(&self) -> u64 {
         *self.newest_refused.read().unwrap()
@@ -92,8 +90,9 @@
         number > self.number() && number > self.newest_refused()
     }
 
-    /// Puts a version in force if it is newer and has no faults.
-    pub fn advance(&self, head: Head, texts: Texts) -> Outcome {
+    /// Puts a version in force if it is newer and has no faults. `prepare` runs before the version
+    /// becomes visible, so that a request that is admitted under it finds its engines.
+    pub fn advance(&self, head: Head, texts: Texts, prepare: impl FnOnce(&Version)) -> Outcome {
         if !self.should_fetch(head.version) {
             return Outcome::Stale;
         }
@@ -108,12 +107,12 @@
         let key = Key::new(&tree.fleet.cursor_secret);
         let number = head.version;
         let next = Arc::new(Version { head, texts, tree, key });
-        let mut version = self.version.write().unwrap();
-        if version.head.version >= number {
+        let _advancing = self.advancing.lock().unwrap();
+        if self.get().head.version >= number {
             return Outcome::Stale;
         }
-        *version = next;
-        drop(version);
+        prepare(&next);
+        *self.version.write().unwrap() = next;
         self.number.send_if_modified(|n| {
             let newer = number > *n;
             *n = (*n).max(number);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -15,13 +15,15 @@
 use foldlock_request::fair::Queue;
 use foldlock_request::retry::Budget;
 use foldlock_request::ring::Ring;
+use foldlock_version::head::Head;
 use foldlock_version::policy::Class;
+use foldlock_version::tree::Texts;
 use slog::Logger;
 use tokio::net::TcpListener;
 
 use crate::claims::Claims;
 use crate::config::Config;
-use crate::current::Current;
+use crate::current::{Current, Outcome, Version};
 use crate::drain::Drain;
 use crate::engines::Engines;
 use crate::home::{self, Home, Shard};
@@ -91,8 +93,6 @@
     next_request: AtomicU64,
     listed_leaving: Mutex<Vec<id::Upstream>>,
     store_unavailable: AtomicBool,
-    /// Whether the first settings have been applied to engines and shards.
-    applied: AtomicBool,
 }
 
 /// A started process and its bound addresses.
@@ -115,7 +115,6 @@
     tokio::spawn(listen::serve_callers(process.clone(), callers));
     tokio::spawn(listen::serve_control(process.clone(), control));
     tokio::spawn(watch::run(process.clone()));
-    tokio::spawn(watch::apply_versions(process.clone()));
     tokio::spawn(peers::run(process.clone()));
     tokio::spawn(poll_vms(process.clone()));
     tokio::spawn(poll_reports(process.clone()));
@@ -159,7 +158,6 @@
             next_request: AtomicU64::new(0),
             listed_leaving: Mutex::default(),
             store_unavailable: AtomicBool::new(false),
-            applied: AtomicBool::new(false),
             config,
             clock,
             log,
@@ -173,15 +171,16 @@
         self.shards.read().unwrap().clone()
     }
 
-    /// Applies the settings in force to engines, shards and metrics.
-    pub fn apply_settings(&self) {
-        let version = self.current.get();
+    /// Puts a settings version in force once its engines and shards are known to the routing.
+    pub fn advance(&self, head: Head, texts: Texts) -> Outcome {
+        self.current.advance(head, texts, |version| self.apply(version))
+    }
+
+    /// Applies a settings version to engines, shards and metrics.
+    fn apply(&self, version: &Version) {
         self.engines.apply(&version.tree);
         *self.shards.write().unwrap() = Arc::new(home::shards(&version.tree.fleet));
         self.metrics.settings_version.set(version.head.version as i64);
-        if version.head.version > 0 {
-            self.applied.store(true, Ordering::Release);
-        }
     }
 
     /// A new request id, unique across VMs and restarts.
@@ -205,9 +204,9 @@
         }
     }
 
-    /// Whether this VM can serve: its settings are applied and it is not shutting down.
+    /// Whether this VM can serve: it has settings and is not shutting down.
     pub fn ready(&self) -> bool {
-        self.applied.load(Ordering::Acquire) && !self.drain.stopping()
+        self.current.number() > 0 && !self.drain.stopping()
     }
 
     /// Whether the platform's VM list marks an upstream as leaving.
--- a/daemon/src/watch.rs
+++ b/daemon/src/watch.rs
@@ -111,11 +111,10 @@
 
 fn advance(process: &Arc<Process>, head: Head, texts: Texts, source: &str) {
     let number = head.version;
-    match process.current.advance(head, texts) {
+    match process.advance(head, texts) {
         Outcome::Advanced => {
             let details = format!("version {number} from {source}");
             log::event(&process.log, Event::VersionInForce, details);
-            process.apply_settings();
             process.peers.exchange_now();
         }
         Outcome::Stale => {}
@@ -170,11 +169,3 @@
     }
     Some(texts)
 }
-
-/// Applies each version that comes into force, whichever task put it in force.
-pub async fn apply_versions(process: Arc<Process>) {
-    let mut versions = process.current.subscribe();
-    while versions.changed().await.is_ok() {
-        process.apply_settings();
-    }
-}
