SIGHUP is blocked until its handler is installed

`main` now blocks it first, and `fleet::run` unblocks it after it has installed the handler, so that a pending one reloads. The other mode has no handler and unblocks it at once, as before.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -62,7 +62,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::log;
+use crate::{log, reload};
 use config::Config;
 use process::Process;
 
@@ -76,6 +76,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    reload::unblock_signal()?;
     let process = start::<D, R>(config, directory.clone(), log).await?;
     loop {
         tokio::select! {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peers;
 pub mod plain;
 pub mod process;
+pub mod reload;
 pub mod resume;
 pub mod serve;
 pub mod sink;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -7,13 +7,17 @@
 use foldlock_platform::headers::Headers;
 use foldlockd::app::App;
 use foldlockd::config::{Config, Mode};
-use foldlockd::{drain, fleet, log, process};
+use foldlockd::{drain, fleet, log, process, reload};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for a bad configuration; clap uses the same for a bad command line.
 const EXIT_BAD_CONFIG: u8 = 2;
 
 fn main() -> ExitCode {
+    if let Err(e) = reload::block_signal() {
+        eprintln!("foldlockd: {e}");
+        return ExitCode::FAILURE;
+    }
     let app = App::parse();
     let check = app.check;
     let mode = match Config::read(app) {
@@ -49,6 +53,8 @@
 }
 
 fn serve_multi_threaded(config: Config) -> std::io::Result<()> {
+    // This mode has no configuration to reload: the signal ends the process.
+    reload::unblock_signal()?;
     let mut runtime = tokio::runtime::Builder::new_multi_thread();
     if let Some(threads) = config.threads {
         runtime.worker_threads(threads.max(1));
