A failed connection to an engine is recorded in its health

A failed connection is now a variant of the engine's failures and of the ends of an attempt. In a group, `group::begin` records it for the engine of the segment.

--- a/connection/src/engine.rs
+++ b/connection/src/engine.rs
@@ -111,6 +111,8 @@
 /// Why a call to an engine failed.
 #[derive(Debug)]
 pub enum Failure {
+    /// There was no connection to the engine, so nothing was sent.
+    NotConnected(String),
     /// The request did not run.
     NotRun {
         /// Evidence that the request did not run.
@@ -129,6 +131,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Failure::NotConnected(why) => write!(f, "not connected: {why}"),
             Failure::NotRun { why, .. } => write!(f, "not run: {why}"),
             Failure::Broken(why) => write!(f, "broken: {why}"),
             Failure::Gone => write!(f, "gone"),
@@ -139,7 +142,8 @@
 impl std::error::Error for Failure {}
 
 impl Failure {
-    fn not_connected(why: String) -> Failure {
+    /// The request could not be built, so nothing was sent. This says nothing of the engine.
+    fn not_built(why: String) -> Failure {
         Failure::NotRun { proof: Refusal::not_connected(), leaving: false, why }
     }
 }
@@ -147,7 +151,7 @@
 impl From<Http> for Failure {
     fn from(failure: Http) -> Failure {
         match failure {
-            Http::Connect(why) => Failure::not_connected(why),
+            Http::Connect(why) => Failure::NotConnected(why),
             Http::Broken(why) => Failure::Broken(why),
         }
     }
@@ -267,7 +271,7 @@
     request: http::request::Builder,
     bytes: Bytes,
 ) -> Result<Request<http_body_util::Full<Bytes>>, Failure> {
-    request.body(body(bytes)).map_err(|e| Failure::not_connected(e.to_string()))
+    request.body(body(bytes)).map_err(|e| Failure::not_built(e.to_string()))
 }
 
 fn segment_headers(request: http::request::Builder, segment: &Segment) -> http::request::Builder {
--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -28,6 +28,8 @@
 pub enum End {
     /// The whole answer was sent to the caller.
     Finished,
+    /// There was no connection to the engine, so nothing was sent; the reason.
+    NotConnected(String),
     /// The request did not run.
     NotRun {
         /// Proof that it did not run.
@@ -83,7 +85,8 @@
 fn record_health(placement: &Placement, end: &End) {
     match end {
         End::Broken(_) | End::Slow(_) => placement.flight().on_failure(),
-        End::NotRun { why, .. } if why.starts_with("no connection") => {
+        // A group records it for the engine of the segment, see `group::begin`.
+        End::NotConnected(_) if matches!(placement, Placement::Engine(_)) => {
             placement.flight().on_failure()
         }
         _ => {}
@@ -125,6 +128,7 @@
         Placement::Group(group) => group::begin(job, group, progress).await,
     };
     result.map_err(|failure| match failure {
+        Failure::NotConnected(why) => End::NotConnected(why),
         Failure::NotRun { proof, leaving, why } => {
             if leaving {
                 job.process.upstream_leaving(placement.engine());
--- a/daemon/src/group.rs
+++ b/daemon/src/group.rs
@@ -176,11 +176,18 @@
             deadline: job.left(),
             ..order.clone()
         };
-        let client = &group.flights[i].client;
+        let flight = &group.flights[i];
+        let record_health = |failure: &Failure| {
+            if matches!(failure, Failure::NotConnected(_)) {
+                flight.on_failure();
+            }
+        };
         if i == last {
-            return client.generate(&Order { segment: Some(reserved), ..part }).await;
+            let order = Order { segment: Some(reserved), ..part };
+            return flight.client.generate(&order).await.inspect_err(record_health);
         }
-        context = client.prefill(&part, &reserved).await?;
+        let prefill = flight.client.prefill(&part, &reserved).await;
+        context = prefill.inspect_err(record_health)?;
         group.flights[i].on_prefill_done();
         at = end;
     }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
-use foldlock_base::error::{Attempt, Proof};
+use foldlock_base::error::{Attempt, Proof, Refusal};
 use foldlock_base::prelude::*;
 use foldlock_connection::engine::Job as Order;
 use foldlock_connection::events::Event as Part;
@@ -229,6 +229,7 @@
 ) -> Result<Proof, Error> {
     let moved = matches!(end, End::Slow(_));
     let (proof, why) = match end {
+        End::NotConnected(why) => (attempt.refused(Refusal::not_connected()), why),
         End::NotRun { proof, why } => (attempt.refused(proof), why),
         End::Broken(why) | End::Slow(why) => (attempt.unknown(), why),
         End::Finished | End::Deadline | End::Gone => unreachable!("these end the request"),
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use foldlockd::config::Config;
 use serde_json::json;
 use standin::client::{self, Answer, Request};
 use standin::fleet::{Fleet, MODEL, Plan};
@@ -48,3 +49,19 @@
     let expected = standin::answer::generate(request.prompt.as_bytes(), request.max_tokens);
     assert_eq!(answer.text, expected);
 }
+
+/// The configuration of a VM that gets no settings from peers.
+pub(crate) fn config(fleet: &Fleet) -> Config {
+    let any = "127.0.0.1:0".parse().unwrap();
+    Config {
+        vm: "vm-9".parse().unwrap(),
+        hall: "charguia".parse().unwrap(),
+        listen: any,
+        control: any,
+        kv: fleet.kv.server.address,
+        vms: fleet.list.server.address,
+        drain: Duration::from_millis(100),
+        threads: None,
+        log_level: "error".to_owned(),
+    }
+}
--- a/daemon/tests/ready.rs
+++ b/daemon/tests/ready.rs
@@ -4,32 +4,14 @@
 mod common;
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use foldlock_base::size::Tokens;
 use foldlock_version::head::Head;
 use foldlock_version::tree::Texts;
-use foldlockd::config::Config;
 use foldlockd::current::{Current, Outcome};
 use foldlockd::process;
 use standin::fleet::{Fleet, MODEL};
 
-/// The configuration of a VM that gets no settings from peers.
-fn config(fleet: &Fleet) -> Config {
-    let any = "127.0.0.1:0".parse().unwrap();
-    Config {
-        vm: "vm-9".parse().unwrap(),
-        hall: "charguia".parse().unwrap(),
-        listen: any,
-        control: any,
-        kv: fleet.kv.server.address,
-        vms: fleet.list.server.address,
-        drain: Duration::from_millis(100),
-        threads: None,
-        log_level: "error".to_owned(),
-    }
-}
-
 fn head() -> Head {
     Head::default().next("1", "test", BTreeMap::new())
 }
@@ -40,7 +22,7 @@
 async fn a_version_is_visible_only_once_its_engines_are_known() {
     let fleet = Fleet::stand_ins(common::plan()).await;
     let log = slog::Logger::root(slog::Discard, slog::o!());
-    let vm = process::start(config(&fleet), log).await.unwrap().process;
+    let vm = process::start(common::config(&fleet), log).await.unwrap().process;
     let texts: Texts = fleet.texts();
     let has_engines = || vm.engines.memory(&MODEL.parse().unwrap()).1 > Tokens(0);
     assert!(!has_engines());
