Long silence: the reports of a silent engine show that it is alive

A prompt for which several engines reserve memory was rejected as too long, or its attempt ended, where the main engine sends nothing for the reserved silence timeout (2.4 s). With admission "forecast" the VM requests reports of the main engine at a quarter of that timeout. Two unanswered in a row end the attempt, and reservations are renewed only while the last answer is younger than one interval, so that they expire in time even if release orders are lost. Requirements::reservation_timeout is the request's time limit. Without forecast nothing changes.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -141,6 +141,8 @@
     ResponseAborted = 515, Warning;
     /// A request was not retried after a failure: no upstream accepts it, or the fleet's retry budget is exhausted.
     NotRetried = 516, Info;
+    /// An engine that sends nothing for a divided prompt did not report that it is alive.
+    EngineSilent = 530, Info;
 }
 
 impl fmt::Display for Event {
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -23,6 +23,7 @@
 pub mod heartbeat;
 pub mod job;
 pub mod join;
+pub mod liveness;
 pub mod log_throttle;
 pub mod members;
 pub mod metrics;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -10,6 +10,7 @@
 use foldlock_connection::sse::Decoder;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::flight::Flight;
+use foldlock_request::liveness::Ending;
 use foldlock_request::notice::RateLimit;
 use foldlock_request::placement::Placement;
 use foldlock_request::suspicion::{Failure as Cause, Outcome};
@@ -25,6 +26,7 @@
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
 use crate::fleet::job::Job;
+use crate::fleet::liveness::{Evidence, Poller};
 use crate::fleet::metrics::Sent;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, record_failure};
@@ -90,11 +92,30 @@
 ) -> End<D> {
     let upstream = grant.placement.flight.upstream.clone();
     let attempt_guard = job.process.begin_attempt(grant.number, grant.placement.flight.clone());
-    let timeout = response_timeout(job, &grant.placement, history);
-    let sending = send(job, grant, last_event, attempt_guard);
+    let flight = grant.placement.flight.clone();
+    let incarnation = notices::incarnation(&job.process, &upstream);
+    let poller = Poller::new(job, &flight);
+    let timeout = match &poller {
+        // The engine's silence is judged by its reports.
+        Some(_) => job.remaining(),
+        None => response_timeout(job, &grant.placement, history),
+    };
+    let evidence = poller.as_ref().map(Poller::evidence);
+    let sending = send(job, grant, last_event, attempt_guard, evidence);
+    tokio::pin!(sending);
     let until = job.deadline.min(job.process.now() + timeout);
     let ended = tokio::select! {
-        ended = tokio::time::timeout_at(until.into(), sending) => ended,
+        ended = tokio::time::timeout_at(until.into(), &mut sending) => ended,
+        ending = judge(poller, job, &flight, incarnation) => {
+            if ending == Ending::Restarted {
+                // `sending` keeps the attempt in the cluster state meanwhile.
+                record_failure(job, &upstream, Cause::Malformed);
+                crash::detect(job, &flight, incarnation).await;
+            } else {
+                record_failure(job, &upstream, Cause::Unresponsive);
+            }
+            return End::Broken(format!("upstream {ending}"));
+        }
         () = job.process.aborting.cancelled() => {
             return End::Broken("VM shut down before the response was received".to_owned());
         }
@@ -112,6 +133,19 @@
     }
 }
 
+/// Waits until the engine counts as crashed by its reports; forever if it is not polled.
+async fn judge<D: Dialect>(
+    poller: Option<Poller>,
+    job: &Job<D>,
+    flight: &Flight,
+    incarnation: Tag,
+) -> Ending {
+    match poller {
+        Some(poller) => poller.run(job, flight, incarnation).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Time to wait for the response or its first event before the request is sent to another upstream.
 fn response_timeout<D: Dialect>(
     job: &Job<D>,
@@ -140,11 +174,12 @@
     grant: Grant,
     last_event: Option<u64>,
     attempt_guard: Guard<D>,
+    evidence: Option<Evidence>,
 ) -> End<D> {
     let placement = &grant.placement;
     let upstream = placement.flight.upstream.clone();
     let incarnation = notices::incarnation(&job.process, &upstream);
-    let reservations = match Reservations::reserve(job, &grant).await {
+    let reservations = match Reservations::reserve(job, &grant, evidence).await {
         Ok(reservations) => reservations,
         Err(lost) => {
             record_failure(job, &lost.upstream, Cause::Overloaded);
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -125,7 +125,7 @@
             excluded,
             connected: self.connected(),
             hall: self.process.member.hall.clone(),
-            reservation_timeout: self.process.config.fleet.reserved_silence_timeout(),
+            reservation_timeout: self.reservation_timeout(),
             fingerprint: self.fingerprint,
             offset: 0,
             schedulers: 1,
@@ -134,6 +134,22 @@
         }
     }
 
+    /// The longest time to the first event while several engines reserve memory. An engine whose reports show that it is
+    /// alive may be silent for the caller's time.
+    fn reservation_timeout(&self) -> Duration {
+        let fleet = &self.process.config.fleet;
+        if fleet.scheduling.is_forecast() {
+            self.time_limit()
+        } else {
+            fleet.reserved_silence_timeout()
+        }
+    }
+
+    /// Time from the arrival after which the caller no longer waits.
+    fn time_limit(&self) -> Duration {
+        self.deadline.saturating_duration_since(self.arrived)
+    }
+
     fn caller(&self) -> Caller {
         let organisation = self.organisation.as_deref();
         Caller {
@@ -142,7 +158,7 @@
                 organisation: organisation.map_or(0, |organisation| organisation.priority),
                 route: self.route.priority,
             },
-            time_limit: self.deadline.saturating_duration_since(self.arrived),
+            time_limit: self.time_limit(),
         }
     }
 }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
+use foldlock_request::liveness::{Ending, Reply};
 use foldlock_version::routes::Service;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -92,6 +93,20 @@
     pub limited: Limited,
 }
 
+/// Labels of report requests about the main engine of an attempt that sends nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByReply {
+    /// The result.
+    pub reply: &'static str,
+}
+
+/// Label of an attempt that ended since its main engine counted as crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByEnding {
+    /// Why it counted as crashed.
+    pub ending: &'static str,
+}
+
 /// Label of a decision on a retry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ByVerdict {
@@ -114,6 +129,10 @@
     pub retries: Counter,
     /// Retries that the fleet's retry budget granted or denied.
     pub budgeted_retries: Family<ByVerdict, Counter>,
+    /// Report requests about main engines that send nothing while memory is reserved.
+    pub liveness_replies: Family<ByReply, Counter>,
+    /// Attempts that ended since their main engine counted as crashed by its reports.
+    pub liveness_endings: Family<ByEnding, Counter>,
     /// Streams resumed at another upstream.
     pub resumed_streams: Counter,
     /// Connections opened to upstreams.
@@ -177,6 +196,8 @@
             prediction_ratio: Histogram::new(exponential_buckets(0.0625, 1.414, 20)),
             retries: Counter::default(),
             budgeted_retries: Family::default(),
+            liveness_replies: Family::default(),
+            liveness_endings: Family::default(),
             resumed_streams: Counter::default(),
             connections: Counter::default(),
             directory_calls: Family::default(),
@@ -234,6 +255,16 @@
         self.peer_reads.get_or_create(&ByText { text }).inc();
     }
 
+    /// Counts a report request about a main engine that sends nothing.
+    pub fn count_liveness_reply(&self, reply: Reply) {
+        self.liveness_replies.get_or_create(&ByReply { reply: reply.as_str() }).inc();
+    }
+
+    /// Counts an attempt that ended since its main engine counted as crashed.
+    pub fn count_liveness_ending(&self, ending: Ending) {
+        self.liveness_endings.get_or_create(&ByEnding { ending: ending.as_str() }).inc();
+    }
+
     /// Counts a retry that the retry budget granted or denied.
     pub fn count_retry_decision(&self, granted: bool) {
         let granted = if granted { "true" } else { "false" };
@@ -266,6 +297,11 @@
         r.register("peer_sent_bytes", what, self.peer_bytes.clone());
         r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
         r.register("engine_reports", "Reports asked for at engines", self.engine_reports.clone());
+        let what = "Report requests about engines that send nothing while memory is reserved";
+        r.register("liveness_replies", what, self.liveness_replies.clone());
+        let what =
+            "Attempts that ended since the reports of their engine did not show that it is alive";
+        r.register("liveness_endings", what, self.liveness_endings.clone());
         let what = "Requests, parts and orders sent to upstreams";
         r.register("upstream_messages", what, self.upstream_messages.clone());
         let what = "Times that the directory came back from an older copy";
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -77,15 +77,20 @@
     cluster.listings().filter(is_engine).filter(|l| !is_limited(l)).cloned().collect()
 }
 
-async fn fetch<D: Dialect>(process: Arc<Process<D>>, listed: Listed) {
+/// Requests the report of an engine and records it. Returns the result; none if the engine must not be sent report requests
+/// now, or if the report is of an earlier incarnation.
+pub async fn fetch<D: Dialect>(
+    process: Arc<Process<D>>,
+    listed: Listed,
+) -> Option<Result<Report, report::Failure>> {
     if let Some(Exclusion::Backoff { .. } | Exclusion::Drained) =
         notices::exclusion(&process, &listed.id)
     {
         // It must receive nothing from this VM, polls included.
-        return;
+        return None;
     }
     if rate_limits::is_limited(&process, &listed.id) {
-        return;
+        return None;
     }
     let at = process.now();
     let incarnation = notices::incarnation(&process, &listed.id);
@@ -97,7 +102,7 @@
         if process.problem_lines.admit(process.now()).is_some() {
             log::event(&process.log, Event::ReportUnreadable, format!("{}: {why}", listed.id));
         }
-        return;
+        return Some(result);
     }
     let born = result.as_ref().ok().and_then(|report| report.born);
     if let Some(born) = born {
@@ -105,13 +110,14 @@
         let cluster = process.cluster.lock().unwrap();
         if cluster.get(&listed.id).is_some_and(|upstream| upstream.listed.born > Some(born)) {
             // A late report of an earlier incarnation.
-            return;
+            return None;
         }
     }
     let observed = Observed { report: result.as_ref().ok().copied(), at };
     let before = process.cluster.lock().unwrap().record_report(&listed.id, observed);
     log_change(&process, &listed.id, before, &result);
     process.announce.notify_one();
+    Some(result)
 }
 
 /// Handles a start time that an upstream reported to this VM or to a peer. If it is a new incarnation, drops the
--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -16,6 +16,7 @@
 
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::job::Job;
+use crate::fleet::liveness::Evidence;
 use crate::fleet::metrics::Sent;
 use crate::fleet::notices;
 use crate::fleet::process::Process;
@@ -43,8 +44,12 @@
 }
 
 impl<D: Dialect> Reservations<D> {
-    /// Reserves the memory that a placement requires at its helpers.
-    pub async fn reserve(job: &Arc<Job<D>>, grant: &Grant) -> Result<Reservations<D>, Failure> {
+    /// Reserves the memory that a placement requires at its helpers. Without evidence, it is renewed unconditionally.
+    pub async fn reserve(
+        job: &Arc<Job<D>>,
+        grant: &Grant,
+        evidence: Option<Evidence>,
+    ) -> Result<Reservations<D>, Failure> {
         let reservations = Arc::new(reservations(job, grant));
         let mut reserved = Reservations {
             process: job.process.clone(),
@@ -73,7 +78,7 @@
         let engines = reservations.iter().map(|r| r.upstream.clone()).collect();
         let waited_ms = millis(job.process.now().saturating_duration_since(started));
         job.record(Decision::Reserved { engines, waited_ms });
-        reserved.renewal = Some(tokio::spawn(renew(job.process.clone(), reservations)));
+        reserved.renewal = Some(tokio::spawn(renew(job.process.clone(), reservations, evidence)));
         Ok(reserved)
     }
 
@@ -123,9 +128,16 @@
         .collect()
 }
 
-async fn renew<D: Dialect>(process: Arc<Process<D>>, reservations: Arc<Vec<Reservation>>) {
+async fn renew<D: Dialect>(
+    process: Arc<Process<D>>,
+    reservations: Arc<Vec<Reservation>>,
+    mut evidence: Option<Evidence>,
+) {
     loop {
         tokio::time::sleep(process.config.fleet.renewal_interval()).await;
+        if let Some(evidence) = &mut evidence {
+            evidence.wait_until_recent(&process).await;
+        }
         join_all(reservations.iter().map(|r| renew_one(&process, r))).await;
     }
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -11,6 +11,7 @@
 
 use crate::budget::Exhausted;
 use crate::fingerprint::Fingerprint;
+use crate::liveness::Ending;
 
 /// A candidate upstream as it was when a request was routed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -185,6 +186,20 @@
         /// Time until the memory was reserved, in milliseconds.
         waited_ms: f64,
     },
+    /// The main engine of a divided prompt has sent nothing, and its last report request gave no evidence that it is alive.
+    Silent {
+        /// The engine.
+        upstream: id::Upstream,
+        /// Time since the attempt began, in milliseconds.
+        silent_ms: f64,
+        /// Time since the engine was last known to be alive, in milliseconds.
+        evidence_age_ms: f64,
+        /// The number of report requests in a row that were not answered.
+        unanswered: u32,
+        /// Why the attempt ends; none if it goes on.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        ending: Option<Ending>,
+    },
     /// The response was delivered completely.
     Finished {
         /// Time from arrival to the first token, in milliseconds.
@@ -230,6 +245,7 @@
             Decision::Resumed { .. } => Event::Resumed,
             Decision::Claimed { .. } => Event::Claimed,
             Decision::Reserved { .. } => Event::Reserved,
+            Decision::Silent { .. } => Event::EngineSilent,
             Decision::Finished { .. } => Event::Finished,
             Decision::Failed { .. } => Event::Failed,
         }
@@ -307,6 +323,17 @@
                 let names: Vec<&str> = engines.iter().map(id::Upstream::as_str).collect();
                 write!(f, "held memory at {} in {waited_ms:.1} ms", names.join(", "))
             }
+            Decision::Silent { upstream, silent_ms, evidence_age_ms, unanswered, ending } => {
+                write!(
+                    f,
+                    "{upstream} sent nothing for {silent_ms:.0} ms, known to be alive \
+                     {evidence_age_ms:.0} ms ago, {unanswered} report requests unanswered"
+                )?;
+                match ending {
+                    Some(ending) => write!(f, "; ended: it {ending}"),
+                    None => f.write_str("; waiting on"),
+                }
+            }
             Decision::Finished { first_token_ms, engine_ms, tokens, pause_ms } => {
                 write!(
                     f,
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forecast;
 pub mod health;
 pub mod limit;
+pub mod liveness;
 pub mod long_queue;
 pub mod memory;
 pub mod message;
--- /dev/null
+++ b/request/src/liveness.rs
@@ -0,0 +1,141 @@
+//! Liveness of the main engine of an attempt for which other engines reserve memory.
+//!
+//! Load pattern A: prompts of about 590,000 tokens and more are read for longer than an engine may be silent while others
+//! reserve memory. The engine's reports show that it is alive meanwhile. The memory must be released within the release
+//! time of a crash, and a reservation lasts for 0.85 of that time after its last renewal. All times are relative to the
+//! silence timeout, 0.6 of the release time.
+
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+/// Number of report requests in a silence timeout. A quarter of it is the 0.15 of the release time that a reservation
+/// does not last for: a renewal within that time after the last evidence expires in time if the engine crashed.
+const POLLS_PER_TIMEOUT: u32 = 4;
+
+/// Unanswered report requests in a row after which the engine counts as crashed. A single one may be lost; with three the
+/// memory could not be released by orders within the release time.
+const MAX_UNANSWERED: u32 = 2;
+
+/// Result of a report request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// A report of the incarnation that the attempt was sent to.
+    Report,
+    /// A report of a later incarnation, which does not know the attempt.
+    Restarted,
+    /// No response in time.
+    Unanswered,
+    /// A response without a readable report, or the engine must not be sent report requests.
+    Inconclusive,
+}
+
+/// Why an attempt ends before its request's time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// The engine left several report requests in a row unanswered.
+    Unanswered,
+    /// The engine restarted.
+    Restarted,
+    /// There was no evidence for the silence timeout.
+    Silent,
+}
+
+/// The evidence that the engine of one attempt is alive.
+#[derive(Debug, Clone, Copy)]
+pub struct Liveness {
+    timeout: Duration,
+    evidence: Instant,
+    asked: Instant,
+    unanswered: u32,
+}
+
+impl Liveness {
+    /// Liveness of an engine that is sent an attempt now. Without evidence the attempt ends after the silence timeout.
+    pub fn new(timeout: Duration, now: Instant) -> Liveness {
+        Liveness { timeout, evidence: now, asked: now, unanswered: 0 }
+    }
+
+    /// Interval between report requests. One that takes longer is unanswered.
+    pub fn interval(&self) -> Duration {
+        self.timeout / POLLS_PER_TIMEOUT
+    }
+
+    /// When the next report is to be requested.
+    pub fn next_poll(&self) -> Instant {
+        self.asked + self.interval()
+    }
+
+    /// Records the result of a report request that was sent at `asked`. Returns why the attempt ends, if it does.
+    ///
+    /// The silence timeout is checked only here: after a stall of this VM the engine is asked first.
+    pub fn on_reply(&mut self, reply: Reply, asked: Instant, now: Instant) -> Option<Ending> {
+        self.asked = asked;
+        match reply {
+            Reply::Report => {
+                // The engine may have crashed since it responded, but not before it was asked.
+                self.evidence = asked;
+                self.unanswered = 0;
+                None
+            }
+            Reply::Restarted => Some(Ending::Restarted),
+            Reply::Unanswered => {
+                self.unanswered += 1;
+                (self.unanswered >= MAX_UNANSWERED).then_some(Ending::Unanswered)
+            }
+            Reply::Inconclusive => {
+                (self.evidence_age(now) >= self.timeout).then_some(Ending::Silent)
+            }
+        }
+    }
+
+    /// When the engine was last known to be alive.
+    pub fn evidence(&self) -> Instant {
+        self.evidence
+    }
+
+    /// Time since then.
+    pub fn evidence_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.evidence)
+    }
+
+    /// Number of unanswered report requests in a row.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+}
+
+impl Reply {
+    /// The label of metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reply::Report => "report",
+            Reply::Restarted => "restarted",
+            Reply::Unanswered => "unanswered",
+            Reply::Inconclusive => "inconclusive",
+        }
+    }
+}
+
+impl Ending {
+    /// The label of metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Ending::Unanswered => "unanswered",
+            Ending::Restarted => "restarted",
+            Ending::Silent => "silent",
+        }
+    }
+}
+
+impl fmt::Display for Ending {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ending::Unanswered => "left several report requests in a row unanswered",
+            Ending::Restarted => "restarted",
+            Ending::Silent => "gave no evidence that it is alive for the silence timeout",
+        })
+    }
+}
--- /dev/null
+++ b/request/tests/liveness.rs
@@ -0,0 +1,88 @@
+//! When an engine that sends nothing counts as crashed.
+
+use std::time::{Duration, Instant};
+
+use foldlock_request::liveness::{Ending, Liveness, Reply};
+
+/// The silence timeout where memory must be released within 4 s.
+const TIMEOUT: Duration = Duration::from_millis(2_400);
+
+/// How long a report request takes that is not answered.
+const UNANSWERED_TIME: Duration = Duration::from_millis(250);
+
+/// Polls with these results. Returns why the attempt ended, if it did, and the time.
+fn poll(liveness: &mut Liveness, replies: &[Reply]) -> (Option<Ending>, Instant) {
+    let mut now = liveness.next_poll();
+    for reply in replies {
+        let asked = liveness.next_poll();
+        now = if *reply == Reply::Unanswered { asked + UNANSWERED_TIME } else { asked };
+        let ending = liveness.on_reply(*reply, asked, now);
+        if ending.is_some() {
+            return (ending, now);
+        }
+    }
+    (None, now)
+}
+
+#[test]
+fn an_engine_that_reports_is_alive_however_long_it_is_silent() {
+    let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+    assert_eq!(poll(&mut liveness, &[Reply::Report; 100]).0, None);
+}
+
+/// Memory must be released within 4 s of a crash. The six release orders take up to 2.5 s (250 ms each, 200 ms apart), so
+/// the attempt must end within 1.5 s. Renewals stop one interval after the last evidence, and a reservation lasts for
+/// 3.4 s.
+#[test]
+fn a_crash_at_any_moment_is_detected_while_memory_can_be_released_in_time() {
+    let start = Instant::now();
+    for answered in 0..5 {
+        let mut liveness = Liveness::new(TIMEOUT, start);
+        assert_eq!(poll(&mut liveness, &vec![Reply::Report; answered]).0, None);
+        // The earliest moment at which an engine with this evidence may have crashed.
+        let crash = liveness.evidence();
+        let (ending, at) = poll(&mut liveness, &[Reply::Unanswered; 2]);
+        assert_eq!(ending, Some(Ending::Unanswered));
+        assert!(at - crash <= Duration::from_millis(1_500), "{:?}", at - crash);
+    }
+    let interval = Liveness::new(TIMEOUT, start).interval();
+    assert!(interval + Duration::from_millis(3_400) <= Duration::from_millis(4_000));
+}
+
+#[test]
+fn single_lost_report_requests_do_not_end_an_attempt() {
+    let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+    let replies = [Reply::Unanswered, Reply::Report].repeat(20);
+    assert_eq!(poll(&mut liveness, &replies).0, None);
+}
+
+#[test]
+fn an_engine_that_gives_no_evidence_has_the_silence_timeout() {
+    let start = Instant::now();
+    let mut liveness = Liveness::new(TIMEOUT, start);
+    let (ending, at) = poll(&mut liveness, &[Reply::Inconclusive; 10]);
+    assert_eq!((ending, at), (Some(Ending::Silent), start + TIMEOUT));
+    let mut liveness = Liveness::new(TIMEOUT, start);
+    let replies = [Reply::Unanswered, Reply::Inconclusive, Reply::Unanswered];
+    assert_eq!(poll(&mut liveness, &replies).0, Some(Ending::Unanswered));
+}
+
+#[test]
+fn a_restarted_engine_ends_the_attempt_at_once() {
+    let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+    let replies = [Reply::Report, Reply::Restarted];
+    assert_eq!(poll(&mut liveness, &replies).0, Some(Ending::Restarted));
+}
+
+/// A VM with a share of a core may not run for seconds. The engine did not stop because the VM did.
+#[test]
+fn after_a_stall_of_the_vm_the_engine_is_asked_before_the_attempt_is_judged() {
+    let start = Instant::now();
+    let mut liveness = Liveness::new(TIMEOUT, start);
+    let late = start + 3 * TIMEOUT;
+    assert_eq!(liveness.on_reply(Reply::Unanswered, late, late + UNANSWERED_TIME), None);
+    let late = liveness.next_poll();
+    assert_eq!(liveness.on_reply(Reply::Report, late, late), None);
+    assert_eq!(liveness.next_poll(), late + liveness.interval());
+    assert_eq!(liveness.evidence_age(late), Duration::ZERO);
+}
