Long silence: one record when the silence timeout is over, and none for an engine that was removed

A report request of an engine that is no longer listed gives no evidence; before, it counted as a restart. The record of a request shows once that its attempt goes on past the silence timeout.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -141,7 +141,7 @@
     ResponseAborted = 515, Warning;
     /// A request was not retried after a failure: no upstream accepts it, or the fleet's retry budget is exhausted.
     NotRetried = 516, Info;
-    /// An engine that sends nothing for a divided prompt did not report that it is alive.
+    /// An engine sends nothing for a divided prompt; its reports decide whether the attempt goes on.
     EngineSilent = 530, Info;
 }
 
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
+use foldlock_request::cluster::Listed;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::flight::Flight;
@@ -15,7 +16,6 @@
 use tokio::sync::watch;
 
 use crate::fleet::job::Job;
-use crate::fleet::notices;
 use crate::fleet::process::Process;
 use crate::fleet::reports;
 
@@ -38,7 +38,8 @@
 /// Requests the reports for one attempt.
 pub struct Poller {
     liveness: Liveness,
-    began: Instant,
+    /// Whether the attempt has gone on for longer than the silence timeout.
+    is_extended: bool,
     evidence: watch::Sender<Instant>,
 }
 
@@ -51,7 +52,7 @@
         }
         let began = job.process.now();
         let liveness = Liveness::new(fleet.reserved_silence_timeout(), began);
-        Some(Poller { liveness, began, evidence: watch::Sender::new(began) })
+        Some(Poller { liveness, is_extended: false, evidence: watch::Sender::new(began) })
     }
 
     /// The evidence of this poller.
@@ -75,7 +76,9 @@
                 self.record(job, flight, Some(ending));
                 return ending;
             }
-            if reply != Reply::Report {
+            let is_extended = self.is_extended;
+            self.is_extended = self.liveness.is_extended(job.process.now());
+            if reply != Reply::Report || self.is_extended != is_extended {
                 self.record(job, flight, None);
             }
         }
@@ -86,7 +89,7 @@
         let now = job.process.now();
         job.record(Decision::Silent {
             upstream: flight.upstream.clone(),
-            silent_ms: millis(now.saturating_duration_since(self.began)),
+            silent_ms: millis(self.liveness.silence(now)),
             evidence_age_ms: millis(self.liveness.evidence_age(now)),
             unanswered: self.liveness.unanswered(),
             ending,
@@ -96,14 +99,13 @@
 
 /// Requests one report of the main engine.
 async fn poll<D: Dialect>(job: &Job<D>, flight: &Flight, sent_to: Tag) -> Reply {
-    let listed = {
-        let cluster = job.process.cluster.lock().unwrap();
-        cluster.get(&flight.upstream).map(|upstream| upstream.listed.clone())
-    };
-    let Some(listed) = listed else { return Reply::Inconclusive };
+    let Some((listed, _)) = entry(job, flight) else { return Reply::Inconclusive };
     let result = reports::fetch(job.process.clone(), listed).await;
-    if notices::incarnation(&job.process, &flight.upstream) != sent_to {
-        return Reply::Restarted;
+    match entry(job, flight) {
+        // It was removed from the directory, and a later incarnation would have another entry.
+        None => return Reply::Inconclusive,
+        Some((_, incarnation)) if incarnation != sent_to => return Reply::Restarted,
+        Some(_) => {}
     }
     match result {
         Some(Ok(_)) => Reply::Report,
@@ -111,3 +113,9 @@
         Some(Err(report::Failure::Unreadable(_))) | None => Reply::Inconclusive,
     }
 }
+
+/// The main engine as it is listed now, with its incarnation.
+fn entry<D: Dialect>(job: &Job<D>, flight: &Flight) -> Option<(Listed, Tag)> {
+    let cluster = job.process.cluster.lock().unwrap();
+    cluster.get(&flight.upstream).map(|upstream| (upstream.listed.clone(), upstream.tag))
+}
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -186,7 +186,8 @@
         /// Time until the memory was reserved, in milliseconds.
         waited_ms: f64,
     },
-    /// The main engine of a divided prompt has sent nothing, and its last report request gave no evidence that it is alive.
+    /// The main engine of a divided prompt has sent nothing, and a report was requested of it: the request gave no evidence
+    /// that it is alive, or the silence timeout is over.
     Silent {
         /// The engine.
         upstream: id::Upstream,
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -47,6 +47,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Liveness {
     timeout: Duration,
+    began: Instant,
     evidence: Instant,
     asked: Instant,
     unanswered: u32,
@@ -55,7 +56,7 @@
 impl Liveness {
     /// Liveness of an engine that is sent an attempt now. Without evidence the attempt ends after the silence timeout.
     pub fn new(timeout: Duration, now: Instant) -> Liveness {
-        Liveness { timeout, evidence: now, asked: now, unanswered: 0 }
+        Liveness { timeout, began: now, evidence: now, asked: now, unanswered: 0 }
     }
 
     /// Interval between report requests. One that takes longer is unanswered.
@@ -91,6 +92,16 @@
         }
     }
 
+    /// Time since the attempt began.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.began)
+    }
+
+    /// Whether the attempt goes on only since the engine reports: it would have ended by the silence timeout.
+    pub fn is_extended(&self, now: Instant) -> bool {
+        self.silence(now) >= self.timeout
+    }
+
     /// When the engine was last known to be alive.
     pub fn evidence(&self) -> Instant {
         self.evidence
--- a/request/tests/liveness.rs
+++ b/request/tests/liveness.rs
@@ -27,7 +27,10 @@
 #[test]
 fn an_engine_that_reports_is_alive_however_long_it_is_silent() {
     let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+    assert_eq!(poll(&mut liveness, &[Reply::Report; 3]).0, None);
+    assert!(!liveness.is_extended(liveness.evidence()));
     assert_eq!(poll(&mut liveness, &[Reply::Report; 100]).0, None);
+    assert!(liveness.is_extended(liveness.evidence()));
 }
 
 /// Memory must be released within 4 s of a crash. The six release orders take up to 2.5 s (250 ms each, 200 ms apart), so
