Settings read from a peer count as confirmed if a peer confirmed them before

Cause: the heartbeat that announces a version to a starting VM carries its confirmation, but arrives before the VM has read the version, so it was discarded. The VM accepted no keys until the next periodic heartbeat.

Change: the confirmed version and moment are kept with the peer and count when that version comes into force. The moment is the same as before, so the age limit applies unchanged. The first confirmation is announced to subscribers at once, logged as event 212, and the steps of the start are a histogram.

A VM that begins to request heartbeats receives one at once, also if it has settings: it used another scheduler until the next periodic heartbeat.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -67,6 +67,8 @@
     HallUndrained = 210, Info;
     /// No peer with settings and listings was up in time: this VM reads the directory itself.
     NoPeerSettings = 211, Info;
+    /// The settings in force were confirmed as the newest ones for the first time since the start.
+    SettingsConfirmed = 212, Info;
     /// A VM joined the fleet.
     PeerUp = 300, Info;
     /// A VM is down: its heartbeats stopped.
--- a/daemon/src/fleet/heartbeat.rs
+++ b/daemon/src/fleet/heartbeat.rs
@@ -152,6 +152,8 @@
 ) {
     let now = process.now();
     let state = &heartbeat.state;
+    // A restarted VM is a new subscriber although its previous incarnation was one.
+    let was_new = process.peers.is_new_subscriber(&state.vm, now);
     let Some(update) = process.peers.on_heartbeat(heartbeat, now) else { return };
     // An echo of an earlier incarnation of this process confirms nothing for this one.
     let echoes_own_incarnation = heartbeat.echo_of == process.member.incarnation;
@@ -161,7 +163,10 @@
     if state.leaving {
         members::on_leaving(process, &state.vm, state.withdraw);
     }
-    if heartbeat.requests_heartbeats && state.version == 0 {
+    // It uses another scheduler until it has received a heartbeat of this VM, and cannot accept keys
+    // without settings.
+    let is_new = was_new || update == Update::Restarted;
+    if heartbeat.requests_heartbeats && (is_new || state.version == 0) {
         announce::to_new_peer(process, &state.vm);
     }
     if heartbeat.is_client {
@@ -212,14 +217,19 @@
 }
 
 /// Confirms the own settings: the peer had last confirmed the same version `age_ms` before it sent
-/// this heartbeat, and it sent the heartbeat after this VM had sent the stamp that it echoes.
+/// this heartbeat, and it sent the heartbeat after this VM had sent the stamp that it echoes. If
+/// this VM does not have that version yet, the confirmation counts once it does.
 fn confirm<D: Dialect>(process: &Process<D>, heartbeat: &Heartbeat) {
     let (Some(echo), Some(age_ms)) = (heartbeat.echo, heartbeat.state.age_ms) else { return };
-    if heartbeat.state.version != process.version() || heartbeat.state.version == 0 {
+    let State { vm, version, .. } = &heartbeat.state;
+    if *version == 0 {
         return;
     }
     let sent = process.peers.stamped(echo);
-    if let Some(at) = sent.before(Duration::from_millis(age_ms)) {
+    let Some(at) = sent.before(Duration::from_millis(age_ms)) else { return };
+    // Recorded before the comparison: settings that come into force meanwhile find it.
+    process.peers.record_confirmation(vm, *version, at);
+    if *version == process.version() {
         process.confirm(at);
     }
 }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -76,6 +76,24 @@
     pub sent: Sent,
 }
 
+/// A step from the start of the process to the first request that it can serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Step {
+    /// Settings are in force.
+    Settings,
+    /// The settings are confirmed as the newest ones.
+    Confirmed,
+    /// The listings have been received.
+    Listings,
+}
+
+/// Label of a step of the start.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByStep {
+    /// The step.
+    pub step: Step,
+}
+
 /// Outcome of a request when upstreams were at their rate limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Limited {
@@ -128,6 +146,8 @@
     pub peer_bytes: Counter,
     /// Documents read from peers.
     pub peer_reads: Family<ByText, Counter>,
+    /// Seconds from the start of the process to the first completion of each step.
+    pub startup_seconds: Family<ByStep, Histogram>,
     /// Reports requested from engines.
     pub engine_reports: Counter,
     /// Other messages to upstreams by kind.
@@ -184,6 +204,7 @@
             heartbeats: Counter::default(),
             peer_bytes: Counter::default(),
             peer_reads: Family::default(),
+            startup_seconds: Family::new_with_constructor(seconds),
             engine_reports: Counter::default(),
             upstream_messages: Family::default(),
             directory_restores: Counter::default(),
@@ -234,6 +255,11 @@
         self.peer_reads.get_or_create(&ByText { text }).inc();
     }
 
+    /// Observes the time from the start of the process to a step.
+    pub fn observe_startup(&self, step: Step, since_start: Duration) {
+        self.startup_seconds.get_or_create(&ByStep { step }).observe(since_start.as_secs_f64());
+    }
+
     /// Counts a retry that the retry budget granted or denied.
     pub fn count_retry_decision(&self, granted: bool) {
         let granted = if granted { "true" } else { "false" };
@@ -265,6 +291,8 @@
         let what = "Bytes of the datagrams sent to peers";
         r.register("peer_sent_bytes", what, self.peer_bytes.clone());
         r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
+        let what = "Time from the start of the process to each step of it";
+        r.register("startup_seconds", what, self.startup_seconds.clone());
         r.register("engine_reports", "Reports asked for at engines", self.engine_reports.clone());
         let what = "Requests, parts and orders sent to upstreams";
         r.register("upstream_messages", what, self.upstream_messages.clone());
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -1,6 +1,7 @@
 //! The other VMs of the fleet: which are up, how fresh their settings are, and which of them
 //! schedules the requests of this one.
 
+mod confirmations;
 mod membership;
 mod peer;
 mod scheduler;
@@ -193,6 +194,13 @@
         schedulers.iter().filter_map(&mut target).collect()
     }
 
+    /// Whether a VM has not requested heartbeats recently, so that it may have none of this VM's.
+    pub fn is_new_subscriber(&self, vm: &id::Vm, now: Instant) -> bool {
+        let membership = self.membership.lock().unwrap();
+        let timing = membership.timing();
+        membership.peers.get(vm).is_some_and(|peer| !peer.is_subscribed(timing, now))
+    }
+
     /// The other VMs that requested heartbeats recently.
     pub fn subscribers(&self, now: Instant) -> Vec<Target> {
         let membership = self.membership.lock().unwrap();
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::Moment;
 use foldlock_request::directory::Member;
 use foldlock_request::message::State;
 use foldlock_request::rank::Liveness;
@@ -27,6 +28,8 @@
     /// The newest stamp received from it.
     pub(super) stamp: Option<u64>,
     pub(super) version: u64,
+    /// The newest settings version that it confirmed, and the moment as of which it did.
+    pub(super) confirmed: Option<(u64, Moment)>,
     pub(super) revision: Revision,
     pub(super) digest: u64,
     pub(super) synced: bool,
@@ -52,6 +55,7 @@
             last_seen: None,
             stamp: None,
             version: 0,
+            confirmed: None,
             revision: Revision::default(),
             digest: 0,
             synced: false,
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -28,7 +28,7 @@
 use crate::fleet::config::Config;
 use crate::fleet::freshness::Freshness;
 use crate::fleet::log_throttle::{self, Throttle};
-use crate::fleet::metrics::Metrics;
+use crate::fleet::metrics::{Metrics, Step};
 use crate::fleet::peers::Peers;
 use crate::fleet::pending_grants;
 use crate::fleet::unread;
@@ -253,15 +253,26 @@
         let _ = tokio::time::timeout(remaining, met).await;
     }
 
-    /// Records that the settings in force were the newest ones at this moment.
+    /// Records that the settings in force were the newest ones at this moment. The first time, peers
+    /// that start as well may wait for it, so it is announced at once.
     pub fn confirm(&self, at: Moment) {
         let is_first = self.freshness.age(at).is_none();
         self.freshness.confirm(at);
         if is_first {
             self.settings_changed.notify_waiters();
+            self.observe_startup(Step::Confirmed);
+            let age_ms = self.moment().since(at).as_millis();
+            let what = format!("version {}, confirmed as of {age_ms} ms ago", self.version());
+            log::event(&self.log, Event::SettingsConfirmed, what);
+            self.announce_to_all();
         }
     }
 
+    /// Observes the time from the start of the process to the first completion of a step.
+    fn observe_startup(&self, step: Step) {
+        self.metrics.observe_startup(step, self.peers.age(self.now()));
+    }
+
     /// The number of the settings version in force; 0 before there is one.
     pub fn version(&self) -> u64 {
         self.settings.read().unwrap().as_ref().map_or(0, |s| s.table.number())
@@ -274,11 +285,18 @@
         if current.as_ref().is_some_and(|c| c.table.number() >= number) {
             return;
         }
-        *current = Some(Arc::new(settings));
+        let previous = current.replace(Arc::new(settings));
         drop(current);
         self.settings_changed.notify_waiters();
         self.metrics.settings_version.set(number as i64);
         log::event(&self.log, Event::VersionInForce, format!("version {number} from {from}"));
+        if previous.is_none() {
+            self.observe_startup(Step::Settings);
+        }
+        // A peer may have confirmed this version before it came into force here.
+        if let Some(at) = self.peers.confirmation(number) {
+            self.confirm(at);
+        }
         self.announce_to_all();
     }
 
@@ -315,6 +333,9 @@
         let mut current = self.revision.lock().unwrap();
         let before = *current;
         *current = before.max(revision);
+        if before.is_none() && !revision.is_none() {
+            self.observe_startup(Step::Listings);
+        }
         before
     }
 
