A VM without listings requests no grants

Cause: a starting VM that had settings but no listings requested grants, could not resolve the upstream of the grant, dropped it and took the scheduler for unresponsive after 50 ms. It then asked other VMs, which placed its requests without knowing of the first grants.

Change: such a request waits as it does for a service without upstreams.

--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -162,6 +162,9 @@
     expiry: Expiry,
 ) -> Result<Grant, Rejection> {
     loop {
+        if !can_use_grant(process, service) {
+            return Err(Rejection::NoUpstream);
+        }
         let mut pending = Pending::new(process, service, &requirements, expiry);
         let scheduler = process.peers.scheduler(process.stopping.is_cancelled(), process.now());
         log_scheduler_change(process, scheduler.as_ref());
@@ -199,6 +202,15 @@
     }
 }
 
+/// Whether this VM knows upstreams of the service. Before its first listings, it would drop each
+/// grant and take the scheduler that sent it for unresponsive.
+fn can_use_grant<D: Dialect>(process: &Process<D>, service: &Service) -> bool {
+    if !process.revision().is_none() {
+        return true;
+    }
+    process.cluster.lock().unwrap().listings().any(|listed| listed.service == service.name)
+}
+
 /// Records a quarantine that the scheduler reports: copies of the request are then rejected without
 /// a grant request.
 fn record_quarantine<D: Dialect>(
