A starting VM reads the listings directly after the settings

Cause: after each read from a peer a VM paused for 100 ms, also between the settings and the listings of its start. A VM whose peer had no listings yet waited for a random delay as well, which spreads the reads of running VMs.

Change: the delays are decided in a module without network and clock. A VM without listings reads them at once, up to the fleet size at which one peer can send them to all VMs within the timeout; in larger fleets the others take turns. Delays of running VMs are unchanged. The first listings of a VM are announced to subscribers at once, since other starting VMs wait for them.

Tests: with the delays of before, two of the three tests of the module fail; the test of the announcement fails without it.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -35,6 +35,7 @@
 pub mod process;
 pub mod queue;
 pub mod rate_limits;
+pub mod read_pace;
 pub mod record;
 pub mod reports;
 pub mod reservations;
--- a/daemon/src/fleet/peer_sync.rs
+++ b/daemon/src/fleet/peer_sync.rs
@@ -46,6 +46,11 @@
         .into_iter()
         .for_each(|change| changes::apply(process, change, Provenance::Current, &mut change_log));
     change_log.log(process, revision, "a peer");
+    if own_revision.is_none() {
+        // Other starting VMs may wait for listings, and VMs that were listed just now have not
+        // received a heartbeat of this one.
+        process.announce_to_all();
+    }
 }
 
 /// Merges one step of the listings from a peer, if it continues from the own revision. A listing
--- a/daemon/src/fleet/resync.rs
+++ b/daemon/src/fleet/resync.rs
@@ -2,7 +2,8 @@
 //!
 //! The VMs read one after the other, so that no VM's link carries the same text many times at once.
 //! Each first tries a VM of its own hall, which may have the text by then, and only then a peer
-//! that announced it.
+//! that announced it. A VM that has just started does not wait for its turn, since callers wait for
+//! it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,25 +19,14 @@
 
 use crate::fleet::metrics::Text;
 use crate::fleet::process::Process;
+use crate::fleet::read_pace::{Holdings, READ_TIMEOUT};
 use crate::fleet::{compression, operators, peer_sync};
 use crate::log;
 
-/// The timeout of a read from a peer.
-const READ_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// The timeout of a read from a VM of the own hall, which may be down: the latency within a hall
 /// is less than a millisecond, and a text takes some ten milliseconds on the smallest link.
 const NEIGHBOUR_READ_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// The time between the reads of two VMs.
-const DELAY_PER_VM: Duration = Duration::from_millis(2);
-
-/// The maximum delay of a VM: settings have to be in force everywhere in 2 s.
-const MAX_DELAY: Duration = Duration::from_millis(400);
-
-/// The pause between two reads.
-const READ_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The maximum number of reads in a row; the next heartbeat starts another resync for what is still
 /// missing.
 const MAX_READS: u32 = 8;
@@ -55,6 +45,15 @@
     Listing(SocketAddr),
 }
 
+impl Source {
+    fn text(&self) -> Text {
+        match self {
+            Source::Settings(_) => Text::Settings,
+            Source::Listing(_) => Text::Listing,
+        }
+    }
+}
+
 fn source<D: Dialect>(process: &Process<D>) -> Option<Source> {
     let now = process.now();
     let newer = process.peers.newer_settings(process.version(), now);
@@ -71,28 +70,31 @@
 }
 
 async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    tokio::time::sleep(initial_delay(&process)).await;
+    tokio::time::sleep(holdings(&process).initial_delay(turn(&process))).await;
     for read in 0..MAX_READS {
         let Some(source) = source(&process) else { break };
         if read == 0 && read_from_neighbour(&process, &directory, &source).await {
             continue;
         }
-        if let Err(why) = read_from(&process, &directory, source).await {
+        let text = source.text();
+        let result = read_from(&process, &directory, source).await;
+        let succeeded = result.is_ok();
+        if let Err(why) = result {
             log::event(&process.log, Event::PeerReadFailed, why);
         }
-        tokio::time::sleep(READ_INTERVAL).await;
+        let pause = holdings(&process).pause_after(text, succeeded, turn(&process));
+        tokio::time::sleep(pause).await;
     }
     process.peers.reading.store(false, Ordering::Relaxed);
 }
 
-/// The random delay that spreads the reads of many VMs. A VM without settings reads at once, as
-/// callers wait for it.
-fn initial_delay<D: Dialect>(process: &Process<D>) -> Duration {
-    if process.version() == 0 {
-        return Duration::ZERO;
-    }
-    let before = rand::random_range(0..process.peers.listed_count() as u32);
-    (DELAY_PER_VM * before).min(MAX_DELAY)
+fn holdings<D: Dialect>(process: &Process<D>) -> Holdings {
+    Holdings { settings: process.version() > 0, listings: !process.revision().is_none() }
+}
+
+/// A random number below the number of listed VMs, which spreads their reads.
+fn turn<D: Dialect>(process: &Process<D>) -> u32 {
+    rand::random_range(0..process.peers.listed_count() as u32)
 }
 
 /// Reads from a VM of the own hall, if it has the newer text. By the time most VMs read, most
