A starting VM waits for the reply of the first VM in the order

Cause: a VM that starts uses the first VM that it hears as scheduler, and when all VMs start at once these differ.

The bound is what a grant request to a VM that turns out to be down takes.

Tests: two tests of the decision, without network.

--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -35,6 +35,14 @@
 /// Interval at which a queued request is sent again, to detect a scheduler that has failed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time for which a VM that has just started waits for the reply of a VM that precedes the others in
+/// the order: as long as for a grant reply of a scheduler that turns out to be down.
+const FIRST_REPLY_TIMEOUT: Duration =
+    REPLY_TIMEOUT.checked_mul(MAX_UNANSWERED_REQUESTS).expect("a short time");
+
+/// Interval at which it checks for that reply.
+const FIRST_REPLY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Delay before a request that could not be placed locally is tried again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -165,6 +173,7 @@
         if !can_use_grant(process, service) {
             return Err(Rejection::NoUpstream);
         }
+        wait_for_scheduler(process, expiry).await;
         let mut pending = Pending::new(process, service, &requirements, expiry);
         let scheduler = process.peers.scheduler(process.stopping.is_cancelled(), process.now());
         log_scheduler_change(process, scheduler.as_ref());
@@ -211,6 +220,19 @@
     process.cluster.lock().unwrap().listings().any(|listed| listed.service == service.name)
 }
 
+/// Waits, on a VM that has just started, until it has received a heartbeat of the first VM in the
+/// order or that VM has not replied in time. Otherwise each VM of a fleet that starts would use the
+/// first VM that it happens to hear, and these would place requests on the same engines without
+/// knowing of each other's grants.
+async fn wait_for_scheduler<D: Dialect>(process: &Process<D>, expiry: Expiry) {
+    while process.is_starting()
+        && process.peers.awaits_scheduler(FIRST_REPLY_TIMEOUT, process.now())
+        && !expiry.is_over(process)
+    {
+        tokio::time::sleep(FIRST_REPLY_POLL_INTERVAL).await;
+    }
+}
+
 /// Records a quarantine that the scheduler reports: copies of the request are then rejected without
 /// a grant request.
 fn record_quarantine<D: Dialect>(
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -241,6 +241,21 @@
         found.map(|(_, scheduler)| scheduler)
     }
 
+    /// Whether a VM that this one would prefer as scheduler may still reply to its first heartbeat: it
+    /// precedes all VMs in the order that are up, and was sent a heartbeat less than `timeout` ago or
+    /// is about to be.
+    pub fn awaits_scheduler(&self, timeout: Duration, now: Instant) -> bool {
+        let membership = self.membership.lock().unwrap();
+        let preceding = membership
+            .schedulers(now)
+            .map_while(|member| membership.peers.get(&member.vm))
+            .take_while(|peer| peer.liveness(membership.timing(), now) != Liveness::Up);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
+        preceding
+            .filter(|peer| peer.grant_timeout_at.is_none())
+            .any(|peer| peer.probed_since.is_none_or(is_recent))
+    }
+
     /// Records that grant requests to a VM timed out. The next one in the order is the scheduler
     /// until the VM sends a heartbeat or a grant reply.
     pub fn on_grant_timeout(&self, vm: &id::Vm, now: Instant) {
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -237,6 +237,11 @@
         is_confirmed()
     }
 
+    /// Whether this VM has just started, so that it may still receive its first messages from peers.
+    pub fn is_starting(&self) -> bool {
+        self.peers.age(self.now()) < STARTUP_WINDOW
+    }
+
     /// Waits for a condition on the settings until startup is over.
     async fn wait_during_startup(&self, is_met: impl Fn() -> bool) {
         let remaining = STARTUP_WINDOW.saturating_sub(self.peers.age(self.now()));
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -107,3 +107,35 @@
     let later = now + Duration::from_secs(30);
     assert!(peers.subscribers(later).is_empty(), "no recent subscription");
 }
+
+/// All VMs start at once. Guards against a VM that uses a later VM of the order as scheduler because it
+/// happens to hear it first, while the first one is up and about to reply.
+#[test]
+fn a_starting_vm_waits_for_the_reply_of_the_first_vm_in_the_order() {
+    const TIMEOUT: Duration = Duration::from_millis(50);
+    let now = System.now();
+    let (first, second) = (member("vm-first", 2_000), member("vm-second", 1_000));
+    let peers = peers(&second, now);
+    assert!(!peers.awaits_scheduler(TIMEOUT, now), "the first known VM is up");
+    peers.list(first.clone());
+    assert!(peers.awaits_scheduler(TIMEOUT, now), "it is about to be sent a heartbeat");
+    peers.schedulers(now);
+    assert!(peers.awaits_scheduler(TIMEOUT, now + TIMEOUT / 2));
+    assert!(!peers.awaits_scheduler(TIMEOUT, now + TIMEOUT), "it did not reply in time");
+    peers.on_heartbeat(&heartbeat(&first, false), now);
+    assert!(!peers.awaits_scheduler(TIMEOUT, now), "it is up");
+}
+
+/// Guards against a wait for VMs that this one precedes, or whose grant requests timed out.
+#[test]
+fn a_starting_vm_waits_for_no_vm_that_it_would_not_use() {
+    const TIMEOUT: Duration = Duration::from_millis(50);
+    let now = System.now();
+    let peers = Peers::new(member("vm-own", 1_500), now, System.moment());
+    peers.list(member("vm-later", 1_000));
+    assert!(!peers.awaits_scheduler(TIMEOUT, now));
+    let first = member("vm-first", 2_000);
+    peers.list(first.clone());
+    peers.on_grant_timeout(&first.vm, now);
+    assert!(!peers.awaits_scheduler(TIMEOUT, now));
+}
