--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -19,6 +19,7 @@
 use foldlock_version::routes::Service;
 use tokio::sync::mpsc;
 
+use crate::fleet::metrics::Step;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::peers::Scheduler;
 use crate::fleet::process::Process;
@@ -40,8 +41,8 @@
 const FIRST_REPLY_TIMEOUT: Duration =
     REPLY_TIMEOUT.checked_mul(MAX_UNANSWERED_REQUESTS).expect("a short time");
 
-/// Interval at which it checks for that reply.
-const FIRST_REPLY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval at which a VM that has just started checks for what its requests wait for.
+const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Delay before a request that could not be placed locally is tried again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -170,10 +171,12 @@
     expiry: Expiry,
 ) -> Result<Grant, Rejection> {
     loop {
-        if !can_use_grant(process, service) {
+        let needs_listings = || !can_use_grant(process, service);
+        wait_during_startup(process, expiry, Step::Listings, needs_listings).await;
+        if needs_listings() {
             return Err(Rejection::NoUpstream);
         }
-        wait_for_scheduler(process, expiry).await;
+        wait_during_startup(process, expiry, Step::Scheduler, || awaits_scheduler(process)).await;
         let mut pending = Pending::new(process, service, &requirements, expiry);
         let scheduler = process.peers.scheduler(process.stopping.is_cancelled(), process.now());
         log_scheduler_change(process, scheduler.as_ref());
@@ -220,16 +223,27 @@
     process.cluster.lock().unwrap().listings().any(|listed| listed.service == service.name)
 }
 
-/// Waits, on a VM that has just started, until it has received a heartbeat of the first VM in the
-/// order or that VM has not replied in time. Otherwise each VM of a fleet that starts would use the
-/// first VM that it happens to hear, and these would place requests on the same engines without
-/// knowing of each other's grants.
-async fn wait_for_scheduler<D: Dialect>(process: &Process<D>, expiry: Expiry) {
-    while process.is_starting()
-        && process.peers.awaits_scheduler(FIRST_REPLY_TIMEOUT, process.now())
-        && !expiry.is_over(process)
-    {
-        tokio::time::sleep(FIRST_REPLY_POLL_INTERVAL).await;
+/// Whether a VM that this one would prefer as scheduler may still reply to its first heartbeat. If
+/// requests did not wait for that, each VM of a fleet that starts would use the first VM that it
+/// happens to hear, and these would place requests on the same engines without knowing of each
+/// other's grants.
+fn awaits_scheduler<D: Dialect>(process: &Process<D>) -> bool {
+    process.peers.awaits_scheduler(FIRST_REPLY_TIMEOUT, process.now())
+}
+
+/// Waits, on a VM that has just started, while `is_missing` holds.
+async fn wait_during_startup<D: Dialect>(
+    process: &Process<D>,
+    expiry: Expiry,
+    step: Step,
+    is_missing: impl Fn() -> bool,
+) {
+    let waits = || process.is_starting() && is_missing() && !expiry.is_over(process);
+    if waits() {
+        process.metrics.count_startup_wait(step);
+    }
+    while waits() {
+        tokio::time::sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
 
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -85,6 +85,8 @@
     Confirmed,
     /// The listings have been received.
     Listings,
+    /// The first VM in the order has replied, or has not replied in time.
+    Scheduler,
 }
 
 /// Label of a step of the start.
@@ -148,6 +150,8 @@
     pub peer_reads: Family<ByText, Counter>,
     /// Seconds from the start of the process to the first completion of each step.
     pub startup_seconds: Family<ByStep, Histogram>,
+    /// Requests that waited for a step of the start.
+    pub startup_waits: Family<ByStep, Counter>,
     /// Reports requested from engines.
     pub engine_reports: Counter,
     /// Other messages to upstreams by kind.
@@ -205,6 +209,7 @@
             peer_bytes: Counter::default(),
             peer_reads: Family::default(),
             startup_seconds: Family::new_with_constructor(seconds),
+            startup_waits: Family::default(),
             engine_reports: Counter::default(),
             upstream_messages: Family::default(),
             directory_restores: Counter::default(),
@@ -255,6 +260,11 @@
         self.peer_reads.get_or_create(&ByText { text }).inc();
     }
 
+    /// Counts a request that waits for a step of the start.
+    pub fn count_startup_wait(&self, step: Step) {
+        self.startup_waits.get_or_create(&ByStep { step }).inc();
+    }
+
     /// Observes the time from the start of the process to a step.
     pub fn observe_startup(&self, step: Step, since_start: Duration) {
         self.startup_seconds.get_or_create(&ByStep { step }).observe(since_start.as_secs_f64());
@@ -293,6 +303,8 @@
         r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
         let what = "Time from the start of the process to each step of it";
         r.register("startup_seconds", what, self.startup_seconds.clone());
+        let what = "Requests that waited for a step of the start";
+        r.register("startup_waits", what, self.startup_waits.clone());
         r.register("engine_reports", "Reports asked for at engines", self.engine_reports.clone());
         let what = "Requests, parts and orders sent to upstreams";
         r.register("upstream_messages", what, self.upstream_messages.clone());
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -226,14 +226,14 @@
     /// Waits during startup for the first settings. They arrive shortly, whereas a rejected request would
     /// miss its objective by the time the caller retries it.
     pub async fn wait_for_settings(&self) {
-        self.wait_during_startup(|| self.version() > 0).await;
+        self.wait_during_startup(Step::Settings, || self.version() > 0).await;
     }
 
     /// Waits during startup until the settings are confirmed: settings read from a peer arrive before the
     /// heartbeat that confirms them. Returns whether they are confirmed.
     pub async fn wait_for_confirmation(&self) -> bool {
         let is_confirmed = || self.version() > 0 && self.freshness.is_fresh(self.moment());
-        self.wait_during_startup(is_confirmed).await;
+        self.wait_during_startup(Step::Confirmed, is_confirmed).await;
         is_confirmed()
     }
 
@@ -243,7 +243,10 @@
     }
 
     /// Waits for a condition on the settings until startup is over.
-    async fn wait_during_startup(&self, is_met: impl Fn() -> bool) {
+    async fn wait_during_startup(&self, step: Step, is_met: impl Fn() -> bool) {
+        if self.is_starting() && !is_met() {
+            self.metrics.count_startup_wait(step);
+        }
         let remaining = STARTUP_WINDOW.saturating_sub(self.peers.age(self.now()));
         let met = async {
             loop {
