--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -20,6 +20,7 @@
 use foldlock_version::routes::Service;
 use tokio::sync::mpsc;
 
+use crate::fleet::metrics::Step;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::peers::Scheduler;
 use crate::fleet::process::Process;
@@ -36,6 +37,14 @@
 /// Interval at which a queued request is sent again, to detect a scheduler that has failed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Time for which a VM that has just started waits for the reply of a VM that precedes the others in
+/// the order: as long as for a grant reply of a scheduler that turns out to be down.
+const FIRST_REPLY_TIMEOUT: Duration =
+    REPLY_TIMEOUT.checked_mul(MAX_UNANSWERED_REQUESTS).expect("a short time");
+
+/// Interval at which a VM that has just started checks for what its requests wait for.
+const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Delay before a request that could not be placed locally is tried again.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -163,6 +172,12 @@
     expiry: Expiry,
 ) -> Result<Grant, Rejection> {
     loop {
+        let needs_listings = || !can_use_grant(process, service);
+        wait_during_startup(process, expiry, Step::Listings, needs_listings).await;
+        if needs_listings() {
+            return Err(Rejection::NoUpstream);
+        }
+        wait_during_startup(process, expiry, Step::Scheduler, || awaits_scheduler(process)).await;
         let mut pending = Pending::new(process, service, &requirements, expiry);
         let scheduler = process.peers.scheduler(process.stopping.is_cancelled(), process.now());
         log_scheduler_change(process, scheduler.as_ref());
@@ -201,6 +216,39 @@
     }
 }
 
+/// Whether this VM knows upstreams of the service. Before its first listings, it would drop each
+/// grant and take the scheduler that sent it for unresponsive.
+fn can_use_grant<D: Dialect>(process: &Process<D>, service: &Service) -> bool {
+    if !process.revision().is_none() {
+        return true;
+    }
+    process.cluster.lock().unwrap().listings().any(|listed| listed.service == service.name)
+}
+
+/// Whether a VM that this one would prefer as scheduler may still reply to its first heartbeat. If
+/// requests did not wait for that, each VM of a fleet that starts would use the first VM that it
+/// happens to hear, and these would place requests on the same engines without knowing of each
+/// other's grants.
+fn awaits_scheduler<D: Dialect>(process: &Process<D>) -> bool {
+    process.peers.awaits_scheduler(FIRST_REPLY_TIMEOUT, process.now())
+}
+
+/// Waits, on a VM that has just started, while `is_missing` holds.
+async fn wait_during_startup<D: Dialect>(
+    process: &Process<D>,
+    expiry: Expiry,
+    step: Step,
+    is_missing: impl Fn() -> bool,
+) {
+    let waits = || process.is_starting() && is_missing() && !expiry.is_over(process);
+    if waits() {
+        process.metrics.count_startup_wait(step);
+    }
+    while waits() {
+        tokio::time::sleep(STARTUP_POLL_INTERVAL).await;
+    }
+}
+
 /// Records a quarantine that the scheduler reports: copies of the request are then rejected without
 /// a grant request.
 fn record_quarantine<D: Dialect>(
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -78,6 +78,26 @@
     pub sent: Sent,
 }
 
+/// A step from the start of the process to the first request that it can serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Step {
+    /// Settings are in force.
+    Settings,
+    /// The settings are confirmed as the newest ones.
+    Confirmed,
+    /// The listings have been received.
+    Listings,
+    /// The first VM in the order has replied, or has not replied in time.
+    Scheduler,
+}
+
+/// Label of a step of the start.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByStep {
+    /// The step.
+    pub step: Step,
+}
+
 /// Outcome of a request when upstreams were at their rate limits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Limited {
@@ -179,6 +199,10 @@
     pub peer_bytes: Counter,
     /// Documents read from peers.
     pub peer_reads: Family<ByText, Counter>,
+    /// Seconds from the start of the process to the first completion of each step.
+    pub startup_seconds: Family<ByStep, Histogram>,
+    /// Requests that waited for a step of the start.
+    pub startup_waits: Family<ByStep, Counter>,
     /// Reports requested from engines.
     pub engine_reports: Counter,
     /// Other messages to upstreams by kind.
@@ -242,6 +266,8 @@
             heartbeats: Counter::default(),
             peer_bytes: Counter::default(),
             peer_reads: Family::default(),
+            startup_seconds: Family::new_with_constructor(seconds),
+            startup_waits: Family::default(),
             engine_reports: Counter::default(),
             upstream_messages: Family::default(),
             directory_restores: Counter::default(),
@@ -304,6 +330,16 @@
         self.liveness_endings.get_or_create(&ByEnding { ending: ending.as_str() }).inc();
     }
 
+    /// Counts a request that waits for a step of the start.
+    pub fn count_startup_wait(&self, step: Step) {
+        self.startup_waits.get_or_create(&ByStep { step }).inc();
+    }
+
+    /// Observes the time from the start of the process to a step.
+    pub fn observe_startup(&self, step: Step, since_start: Duration) {
+        self.startup_seconds.get_or_create(&ByStep { step }).observe(since_start.as_secs_f64());
+    }
+
     /// Counts a retry that the retry budget granted or denied.
     pub fn count_retry_decision(&self, granted: bool) {
         let granted = if granted { "true" } else { "false" };
@@ -352,6 +388,10 @@
         let what = "Bytes of the datagrams sent to peers";
         r.register("peer_sent_bytes", what, self.peer_bytes.clone());
         r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
+        let what = "Time from the start of the process to each step of it";
+        r.register("startup_seconds", what, self.startup_seconds.clone());
+        let what = "Requests that waited for a step of the start";
+        r.register("startup_waits", what, self.startup_waits.clone());
         r.register("engine_reports", "Reports asked for at engines", self.engine_reports.clone());
         let what = "Report requests about engines that send nothing while memory is reserved";
         r.register("liveness_replies", what, self.liveness_replies.clone());
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -1,6 +1,7 @@
 //! The other VMs of the fleet: which are up, how fresh their settings are, and which of them
 //! schedules the requests of this one.
 
+mod confirmations;
 mod membership;
 mod peer;
 mod scheduler;
@@ -193,6 +194,13 @@
         schedulers.iter().filter_map(&mut target).collect()
     }
 
+    /// Whether a VM has not requested heartbeats recently, so that it may have none of this VM's.
+    pub fn is_new_subscriber(&self, vm: &id::Vm, now: Instant) -> bool {
+        let membership = self.membership.lock().unwrap();
+        let timing = membership.timing();
+        membership.peers.get(vm).is_some_and(|peer| !peer.is_subscribed(timing, now))
+    }
+
     /// The other VMs that requested heartbeats recently.
     pub fn subscribers(&self, now: Instant) -> Vec<Target> {
         let membership = self.membership.lock().unwrap();
@@ -233,6 +241,21 @@
         found.map(|(_, scheduler)| scheduler)
     }
 
+    /// Whether a VM that this one would prefer as scheduler may still reply to its first heartbeat: it
+    /// precedes all VMs in the order that are up, and was sent a heartbeat less than `timeout` ago or
+    /// is about to be.
+    pub fn awaits_scheduler(&self, timeout: Duration, now: Instant) -> bool {
+        let membership = self.membership.lock().unwrap();
+        let preceding = membership
+            .schedulers(now)
+            .map_while(|member| membership.peers.get(&member.vm))
+            .take_while(|peer| peer.liveness(membership.timing(), now) != Liveness::Up);
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
+        preceding
+            .filter(|peer| peer.grant_timeout_at.is_none())
+            .any(|peer| peer.probed_since.is_none_or(is_recent))
+    }
+
     /// Records that grant requests to a VM timed out. The next one in the order is the scheduler
     /// until the VM sends a heartbeat or a grant reply.
     pub fn on_grant_timeout(&self, vm: &id::Vm, now: Instant) {
