Grant requests carry the caller only with admission by forecasts

Cause: a scheduler of the previous release cannot decode a message with more fields than it has. Change: the caller's terms are one last field, absent unless the VM's policy is forecast. Measured: without forecast the message has the 14 fields of the previous release, by test.

--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -150,7 +150,11 @@
         self.deadline.saturating_duration_since(self.arrived)
     }
 
+    /// The caller, if requests are admitted by forecasts; otherwise it has no effect.
     fn caller(&self) -> Caller {
+        if !self.process.scheduler.lock().unwrap().policy().is_forecast() {
+            return Caller::default();
+        }
         let organisation = self.organisation.as_deref();
         Caller {
             organisation: organisation.map(|organisation| Tag::of(&organisation.name)),
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -196,17 +196,45 @@
     /// budget.
     #[serde(default)]
     pub is_client: bool,
-    #[serde(default)]
-    priority: Priority,
-    #[serde(default)]
+    /// Absent if the caller has no effect. The message is then the one of the previous release, which cannot decode
+    /// more fields than it has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    caller: Option<CallerTerms>,
+}
+
+/// A caller, with times as durations.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct CallerTerms {
     organisation: Option<Tag>,
-    /// Absent in the messages of releases that have no time limit.
-    #[serde(default)]
+    priority: Priority,
     time_limit_ms: Option<u32>,
-    #[serde(default)]
     patience_ms: Option<u32>,
 }
 
+impl CallerTerms {
+    fn new(caller: &Caller) -> Option<CallerTerms> {
+        let millis = |time: Duration| u32::try_from(time.as_millis()).ok();
+        let terms = CallerTerms {
+            organisation: caller.organisation,
+            priority: caller.priority,
+            time_limit_ms: millis(caller.time_limit),
+            patience_ms: millis(caller.patience),
+        };
+        (*caller != Caller::default()).then_some(terms)
+    }
+
+    fn caller(self) -> Caller {
+        let time =
+            |ms: Option<u32>| ms.map_or(Duration::MAX, |ms| Duration::from_millis(ms.into()));
+        Caller {
+            organisation: self.organisation,
+            priority: self.priority,
+            time_limit: time(self.time_limit_ms),
+            patience: time(self.patience_ms),
+        }
+    }
+}
+
 impl GrantRequest {
     /// The grant request for these requirements, as of `now`.
     pub fn new(
@@ -231,10 +259,7 @@
             connected: requirements.connected.clone(),
             charge: requirements.charge,
             is_client,
-            priority: requirements.caller.priority,
-            organisation: requirements.caller.organisation,
-            time_limit_ms: u32::try_from(requirements.caller.time_limit.as_millis()).ok(),
-            patience_ms: u32::try_from(requirements.caller.patience.as_millis()).ok(),
+            caller: CallerTerms::new(&requirements.caller),
         }
     }
 
@@ -256,12 +281,7 @@
             offset: 0,
             schedulers: 1,
             charge: self.charge,
-            caller: Caller {
-                organisation: self.organisation,
-                priority: self.priority,
-                time_limit: self.time_limit_ms.map_or(Duration::MAX, millis),
-                patience: self.patience_ms.map_or(Duration::MAX, millis),
-            },
+            caller: self.caller.map_or_else(Caller::default, CallerTerms::caller),
         }
     }
 }
--- a/request/tests/line.rs
+++ b/request/tests/line.rs
@@ -112,7 +112,6 @@
         pause: Some(Duration::from_millis(1_000)),
         arrived,
         queue_timeout: Duration::from_secs(12),
-        class: 0,
         excluded: Vec::new(),
         connected: Vec::new(),
         hall: String::new(),
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -40,10 +40,8 @@
     assert_eq!(decode(&encode(&heartbeat())).unwrap(), heartbeat());
 }
 
-#[test]
-fn a_grant_request_carries_times_as_durations() {
-    let sent = Instant::now();
-    let requirements = Requirements {
+fn requirements(sent: Instant) -> Requirements {
+    Requirements {
         prompt: Tokens(5_000),
         memory: Tokens(6_000),
         objective: Duration::from_millis(400),
@@ -64,7 +62,13 @@
             time_limit: Duration::from_secs(15),
             patience: Duration::from_secs(2),
         },
-    };
+    }
+}
+
+#[test]
+fn a_grant_request_carries_times_as_durations() {
+    let sent = Instant::now();
+    let requirements = requirements(sent);
     let request = Number { incarnation: 1, number: 8 };
     let message = Message::GrantRequest(GrantRequest::new(
         request,
@@ -98,6 +102,25 @@
     assert_eq!(rmp_serde::from_slice::<Rejection>(&rejection).unwrap(), expected);
 }
 
+/// Guards against grant requests that a scheduler of the previous release cannot decode although admission by
+/// forecasts is off: it accepts 14 fields.
+#[test]
+fn a_grant_request_without_a_caller_is_that_of_the_previous_release() {
+    let fields = |caller: Caller| {
+        let now = Instant::now();
+        let request = Number { incarnation: 1, number: 8 };
+        let requirements = Requirements { caller, ..requirements(now) };
+        let request = GrantRequest::new(request, Tag::of("model"), &requirements, false, now);
+        let encoded = rmp_serde::to_vec(&request).unwrap();
+        assert_eq!(rmp_serde::from_slice::<GrantRequest>(&encoded).unwrap(), request);
+        // The first byte of a short array holds its length.
+        encoded[0] & 0x0f
+    };
+    assert_eq!(fields(Caller::default()), 14);
+    let priority = Priority { organisation: 0, route: 1 };
+    assert_eq!(fields(Caller { priority, ..Caller::default() }), 15);
+}
+
 /// Guards against heartbeats that grow beyond what is stated for the most promises.
 #[test]
 fn announced_promises_take_28_bytes_each() {
