--- a/daemon/tests/deploy.rs
+++ b/daemon/tests/deploy.rs
@@ -95,11 +95,12 @@
 fn fair_shares_without_forecasts_are_reported_with_their_path() {
     let shares = |admission: &str| {
         let rendered = render(&template(), &sample());
-        let section = format!(
-            "\"scheduling\": {{\"admission\": \"{admission}\", \"fair_shares\": true}}, \"stop_ms\""
-        );
+        let (before, scheduling) = rendered.split_once("\"scheduling\": {").unwrap();
+        let (_, after) = scheduling.split_once('}').unwrap();
+        let section = format!("\"admission\": \"{admission}\", \"fair_shares\": true");
         let file = tempfile::NamedTempFile::new().unwrap();
-        std::fs::write(file.path(), rendered.replacen("\"stop_ms\"", &section, 1)).unwrap();
+        let text = format!("{before}\"scheduling\": {{ {section} }}{after}");
+        std::fs::write(file.path(), text).unwrap();
         let app = App::parse_from(["foldlockd", "--config", file.path().to_str().unwrap()]);
         Config::read(app).map(drop).map_err(|e| e.to_string())
     };
