Long parts of prompts that cannot be in time are bounded by their shortest parts

Cause: a prompt of 39 s of prefill was placed on the five engines that were free, in parts of 8 s, though 17 engines would have read it in 2.3 s a moment later. Change: at most 1.5 times the shortest possible part.

--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -38,6 +38,10 @@
 /// which several engines reserve memory.
 const RESERVATION_SHARE: f64 = 0.85;
 
+/// The longest part of a prompt that cannot be in time, as a ratio of its shortest possible parts. Few engines that
+/// are free now would read it for several times as long as more engines do a moment later.
+const MAX_PART_RATIO: f64 = 1.5;
+
 /// Share of an engine's free memory that is used: requests that other VMs have just placed there
 /// may take the rest.
 const FREE_MEMORY_SHARE: f64 = 0.97;
@@ -129,8 +133,10 @@
         let left_ms = match queue.deadline {
             Deadline::Objective => prompt.left_ms,
             Deadline::TimeLimit => {
-                let left = long.requirements.left_for_prefill(engine, now);
-                prompt.left_ms.max(left.as_secs_f64() * 1e3)
+                let left = long.requirements.left_for_prefill(engine, now).as_secs_f64() * 1e3;
+                let parts = MAX_ENGINES.min(plans.all().len()).max(1);
+                let shortest_ms = prompt.prefill_ms / parts as f64;
+                prompt.left_ms.max(left.min(shortest_ms * MAX_PART_RATIO))
             }
         };
         let max_ms = |share: &Share| longest_part_ms(&plans, demand, left_ms, share);
