The order of the queue goes by the share of the objective that is left; too long is final

Cause: by absolute time, middle prompts wait behind all short ones until they are late; a prompt that is too long for its caller's time is told to return in 3 s, and is rejected again. Change: time left is compared as a share of the objective; Retry-After of a too long prompt is the caller's remaining time.

--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -232,6 +232,11 @@
         Rejection::NoUpstream | Rejection::Drained | Rejection::OverBudget(_) => Kind::NoUpstream,
         Rejection::Full | Rejection::TooLarge => Kind::Overloaded,
     };
+    if rejection == Rejection::TooLarge {
+        // No return within the caller's time would help.
+        let why = format!("{}: {rejection}", job.service.name);
+        return Error::unsent(kind, why, proof).retry_after(job.remaining());
+    }
     let requirements = job.requirements(&[], Charge::Free);
     let engine = job.service.engine.as_ref();
     let long = engine.is_some_and(|engine| requirements.long_prefill_ms(engine).is_some());
--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -112,14 +112,16 @@
         let by_patience = requirements.caller.patience.saturating_sub(first_event);
         let start_limit = requirements.caller.time_limit.saturating_sub(service_time);
         let in_time = order::can_be_in_time(waited, typical, objective);
+        let in_time_left = objective
+            .mul_f64(MAX_PREDICTED_SHARE)
+            .saturating_sub(first_event)
+            .saturating_sub(waited);
         Candidate {
             item: Item {
                 organisation: requirements.caller.organisation,
                 priority: requirements.caller.priority,
                 arrived: requirements.arrived,
-                // A request that needs longer until its first event has to start earlier.
-                deadline: requirements.arrived
-                    + objective.mul_f64(MAX_PREDICTED_SHARE).saturating_sub(first_event),
+                deadline: now + urgency_time(in_time_left, objective),
                 in_time,
                 cost_ms: order::cost_ms(engine, requirements.prompt),
                 returned,
@@ -131,10 +133,7 @@
                 service_time,
                 in_time,
             },
-            in_time_left: objective
-                .mul_f64(MAX_PREDICTED_SHARE)
-                .saturating_sub(first_event)
-                .saturating_sub(waited),
+            in_time_left,
             prompt: requirements.prompt,
         }
     }
@@ -274,6 +273,13 @@
     }
 }
 
+/// Scales the time within which a request has to start to objectives of one second. By the time itself, a prompt with
+/// a long objective would wait behind all short ones until it has no time left at all, and be late by any delay.
+fn urgency_time(left: Duration, objective: Duration) -> Duration {
+    let share = left.as_secs_f64() / objective.as_secs_f64().max(1e-3);
+    Duration::from_secs_f64(share.min(1.0))
+}
+
 /// The typical time from grant to first event of a long prompt.
 fn long_first_event(engine: &Engine, prefill_ms: f64) -> Duration {
     let pass_ms = forecast::pass_ms(engine, engine.slots, engine.memory.0 / 2);
