A slow directory is not read by each VM that starts

Cause: a VM that starts waits 0.5 s for settings from the first three VMs in the order and then reads the directory itself. If a read takes longer, all VMs read: in a test with reads of 0.9 s, 24 of 24 VMs.

Change: while three VMs that precede it are up, a VM waits for another second, the timeout of a read. A read of its own would not end earlier. If the directory turns away the first three for that long, the others read it a second later than before.

Test: 24 VMs and reads of 0.9 s make at most three full reads; 24 before.

--- a/daemon/src/fleet/join.rs
+++ b/daemon/src/fleet/join.rs
@@ -41,6 +41,11 @@
 /// within a heartbeat.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which the other VMs wait further while the first ones are up, but have no settings yet: as
+/// long as one read of the directory may take. An own read would not end earlier, and a directory
+/// that responds slowly would get one from each VM of the fleet.
+const READ_TIME: Duration = Duration::from_millis(1_000);
+
 /// Time for which a VM waits for the first VMs with the same name prefix. These read all listed
 /// VMs, and receive heartbeats from the first VMs of the fleet, before they can respond.
 const NEIGHBOUR_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -138,8 +143,14 @@
     if !process.peers.is_large() {
         return;
     }
-    let timeout = peer_timeout(position);
-    if !poll_until(timeout, || process.peers.any_has_settings(process.now())).await {
+    let mut timeout = peer_timeout(position);
+    let has_settings = || process.peers.any_has_settings(process.now());
+    let mut found = poll_until(timeout, has_settings).await;
+    if !found && process.peers.position(process.now()) >= WATCHERS {
+        timeout += READ_TIME;
+        found = poll_until(READ_TIME, has_settings).await;
+    }
+    if !found {
         let what = format!(
             "no peer up within {} ms, position {position} in the order: reading the directory",
             timeout.as_millis()
