A request that redeemed a promise keeps it for its next grant requests

Cause: a VM that could not use a grant (the engine failed, left or had no memory) requests another placement with a new number. The promise was redeemed by the first grant request, so the second one was treated as new and could be rejected again for lack of capacity.

Change: the table stores the arrival of the request that redeemed the promise. The same request redeems it again until the promise ends.

--- a/request/src/scheduler/promises.rs
+++ b/request/src/scheduler/promises.rs
@@ -28,6 +28,11 @@
 /// same request. Heartbeats arrive within 50 ms, or later at a VM that is busy.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(200);
 
+/// The difference in arrival up to which two grant requests are for the same request. The arrival is
+/// sent as an age, so it differs by the transit time; a grant request that takes 25 ms counts as
+/// unanswered.
+const MAX_ARRIVAL_DIFFERENCE: Duration = Duration::from_millis(25);
+
 /// A promise that its caller has redeemed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Promise {
@@ -65,14 +70,22 @@
     latest: Instant,
     /// Whether another VM announced it.
     announced: bool,
-    /// Whether its caller has returned. It is then kept until its end, as it is still announced.
-    redeemed: bool,
+    /// When the request arrived with which its caller returned. It is then kept until its end, as it
+    /// is still announced, and as that request may need another placement.
+    redeemed: Option<Instant>,
 }
 
 impl Entry {
     fn end(&self) -> Instant {
         self.latest + GRACE
     }
+
+    /// Whether it was redeemed by the request that arrived then.
+    fn is_redeemed_by(&self, arrived: Instant) -> bool {
+        self.redeemed.is_some_and(|redeemed| {
+            arrived.max(redeemed) - arrived.min(redeemed) <= MAX_ARRIVAL_DIFFERENCE
+        })
+    }
 }
 
 /// The promises of a scheduler, by request.
@@ -105,7 +118,7 @@
     ) -> Option<Duration> {
         self.expire(now);
         let stored = self.entries.get(&fingerprint);
-        if let Some(entry) = stored.filter(|entry| !entry.redeemed) {
+        if let Some(entry) = stored.filter(|entry| entry.redeemed.is_none()) {
             return Some(entry.latest.saturating_duration_since(now));
         }
         let has_room = stored.is_some() || self.entries.len() < MAX_PROMISES;
@@ -131,22 +144,35 @@
             earliest: at,
             latest: at,
             announced: false,
-            redeemed: false,
+            redeemed: None,
         };
         self.store(fingerprint, entry);
         Some(at - now)
     }
 
-    /// The promise of a caller that has returned, which is removed; none if there is none for this
-    /// time.
-    pub fn redeem(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<Promise> {
+    /// The promise of a caller that has returned with a request that arrived at `arrived`; none if
+    /// there is none for this time, or another request has redeemed it. The same request redeems it
+    /// again: it has a new number when its VM could not use the first grant.
+    pub fn redeem(
+        &mut self,
+        fingerprint: Fingerprint,
+        arrived: Instant,
+        now: Instant,
+    ) -> Option<Promise> {
         let entry = self.entries.get_mut(&fingerprint)?;
-        if entry.redeemed || now + MAX_EARLY < entry.earliest || now >= entry.end() {
+        if now >= entry.end() {
+            return None;
+        }
+        let promise = Promise { service: entry.service, at: entry.latest, made: entry.made };
+        if entry.is_redeemed_by(arrived) {
+            return Some(promise);
+        }
+        if entry.redeemed.is_some() || now + MAX_EARLY < entry.earliest {
             return None;
         }
-        entry.redeemed = true;
+        entry.redeemed = Some(arrived);
         self.counts.redeemed += 1;
-        Some(Promise { service: entry.service, at: entry.latest, made: entry.made })
+        Some(promise)
     }
 
     /// Adds promises that a VM announces.
@@ -167,7 +193,7 @@
                 return;
             }
             // The caller was told a later time by another scheduler.
-            Some(stored) if !stored.redeemed => Entry { latest: at, ..*stored },
+            Some(stored) if stored.redeemed.is_none() => Entry { latest: at, ..*stored },
             None if is_full => return,
             _ => {
                 if at > now {
@@ -179,7 +205,7 @@
                     earliest: at,
                     latest: at,
                     announced: true,
-                    redeemed: false,
+                    redeemed: None,
                 }
             }
         };
@@ -193,7 +219,7 @@
         {
             self.ends.pop_first();
             let entry = self.entries.remove(&fingerprint);
-            if entry.is_some_and(|entry| !entry.announced && !entry.redeemed) {
+            if entry.is_some_and(|entry| !entry.announced && entry.redeemed.is_none()) {
                 self.counts.expired += 1;
             }
         }
