Queued copies of a suspect request no longer delay other requests

Cause: with admission by forecasts, the placement of queued short requests ends at the first one that finds no room. A copy of a suspect request finds none until the first copy has ended, so all requests behind it were queued although engines were free.

Change: the placement goes on after a request that must run isolated.

Test: a_queued_copy_of_a_suspect_does_not_delay_other_requests; without the change it fails with admission by forecasts and passes with timeouts.

--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -11,7 +11,7 @@
 use super::outlook::{Candidate, Wait};
 use super::{Key, QueuedRequest, Reply, Scheduler};
 use crate::cluster::Cluster;
-use crate::placement::{self, Placement, Rejection, Requirements};
+use crate::placement::{self, Placement, Rejection, Requirements, requires_isolation};
 use crate::promise;
 use crate::tag::Tag;
 
@@ -125,13 +125,15 @@
                 continue;
             };
             let requirements = &self.queue[index].requirements;
+            let is_shared = requires_isolation(cluster, requirements.fingerprint, now) == Ok(false);
             match placement::place(cluster, service, requirements, now) {
                 Ok(placement) => {
                     let reply = self.grant_queued(cluster, service, index, placement, now);
                     replies.push((key.clone(), reply));
                 }
-                // The next ones would find no room either, unless this one excludes some upstreams.
-                Err(_) if requirements.excluded.is_empty() => break,
+                // The next ones would find no room either, unless this one excludes some upstreams or
+                // must run isolated: it may wait for an idle engine or for the end of its first copy.
+                Err(_) if requirements.excluded.is_empty() && is_shared => break,
                 Err(_) => {}
             }
         }
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -421,3 +421,25 @@
         }
     }
 }
+
+/// Guards against a copy of a suspect request that delays all others: they would wait until the
+/// first copy has ended, although engines are free.
+#[test]
+fn a_queued_copy_of_a_suspect_does_not_delay_other_requests() {
+    for admission in [Admission::Timeout, Admission::Forecast] {
+        let mut fleet = Fleet::new(6);
+        fleet.scheduler.set_policy(Policy { admission, ..Policy::default() });
+        let requirements = suspicious(short(fleet.now));
+        suspect(&mut fleet, &requirements);
+        granted(fleet.request(key(0, 1), requirements.clone()));
+        assert!(matches!(fleet.request(key(1, 1), requirements), Reply::Queued));
+        for number in 2..5 {
+            let reply = fleet.request(key(0, number), short(fleet.now));
+            let is_placed = match reply {
+                Reply::Granted(..) => true,
+                _ => fleet.place_queued().iter().any(|(placed, _)| *placed == key(0, number)),
+            };
+            assert!(is_placed, "{admission:?}: request {number}");
+        }
+    }
+}
