A confirmation that makes settings fresh is announced at once

Cause: only the first confirmation ended the wait of requests in the startup window and was announced to peers that start. After an outage of the directory the first one may be too old to accept keys; the next one then had no effect until the end of the window or the next periodic heartbeat.

Change: the confirmation that makes the settings fresh is announced like the first one. The age limit is unchanged.

Test: the_confirmation_that_makes_settings_fresh_is_announced_at_once fails without the change and passes with it.

--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -265,17 +265,22 @@
         let _ = tokio::time::timeout(remaining, met).await;
     }
 
-    /// Records that the settings in force were the newest ones at this moment. The first time, peers
-    /// that start as well may wait for it, so it is announced at once.
+    /// Records that the settings in force were the newest ones at this moment. Requests here and peers
+    /// that start as well may wait for the first confirmation, or for one that makes the settings fresh
+    /// after an outage of the directory, so these are announced at once.
     pub fn confirm(&self, at: Moment) {
         let is_first = self.freshness.age(at).is_none();
+        let was_fresh = self.freshness.is_fresh(self.moment());
         self.freshness.confirm(at);
+        let becomes_fresh = !was_fresh && self.freshness.is_fresh(self.moment());
         if is_first {
-            self.settings_changed.notify_waiters();
             self.observe_startup(Step::Confirmed);
             let age_ms = self.moment().since(at).as_millis();
             let what = format!("version {}, confirmed as of {age_ms} ms ago", self.version());
             log::event(&self.log, Event::SettingsConfirmed, what);
+        }
+        if is_first || becomes_fresh {
+            self.settings_changed.notify_waiters();
             self.announce_to_all();
         }
     }
@@ -409,6 +414,11 @@
         log::event(&self.log, Event::Reloaded, what);
     }
 
+    /// Whether the policy in force admits and orders requests by forecasts. It may change with a reload.
+    pub fn is_forecast(&self) -> bool {
+        self.scheduler.lock().unwrap().policy().is_forecast()
+    }
+
     /// Adds an attempt to the cluster state. The scheduler that granted its placement has recorded it already;
     /// the other VMs receive it with the next heartbeat.
     pub fn begin_attempt(self: &Arc<Self>, number: u64, flight: Flight) -> Guard<D> {
