Reservations are not renewed with old evidence, and a reload applies to silent engines

Cause: a renewal that failed was repeated 200 ms later without a check of the evidence, and a renewal could be sent with evidence of 0.15 of the release time, which left no time for the order itself (up to 250 ms). If the main engine crashed meanwhile and the release orders were lost, the memory was reserved for longer than memory_release_ms. And the poller and the reservation timeout used the policy of the process start, the queue timeout that of the last reload.

Change: renewals and their repetition wait for evidence of at most 0.075 of the release time. All of a VM's decisions use the policy in force.

The bound in a_crash_at_any_moment_... includes the time of the order.

--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -137,11 +137,10 @@
     /// The longest time to the first event while several engines reserve memory. An engine whose reports show that it is
     /// alive may be silent for the caller's time.
     fn reservation_timeout(&self) -> Duration {
-        let fleet = &self.process.config.fleet;
-        if fleet.scheduling.is_forecast() {
+        if self.process.is_forecast() {
             self.time_limit()
         } else {
-            fleet.reserved_silence_timeout()
+            self.process.config.fleet.reserved_silence_timeout()
         }
     }
 
@@ -152,7 +151,7 @@
 
     /// The caller, if requests are admitted by forecasts; otherwise it has no effect.
     fn caller(&self) -> Caller {
-        if !self.process.scheduler.lock().unwrap().policy().is_forecast() {
+        if !self.process.is_forecast() {
             return Caller::default();
         }
         let organisation = self.organisation.as_deref();
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -46,18 +46,18 @@
 impl Poller {
     /// A poller of the main engine of an attempt that begins now; none if the attempt has the silence timeout instead.
     pub fn new<D: Dialect>(job: &Job<D>, flight: &Flight) -> Option<Poller> {
-        let fleet = &job.process.config.fleet;
-        if !flight.has_reservations() || !fleet.scheduling.is_forecast() {
+        if !flight.has_reservations() || !job.process.is_forecast() {
             return None;
         }
         let began = job.process.now();
-        let liveness = Liveness::new(fleet.reserved_silence_timeout(), began);
+        let timeout = job.process.config.fleet.reserved_silence_timeout();
+        let liveness = Liveness::new(timeout, began);
         Some(Poller { liveness, is_extended: false, evidence: watch::Sender::new(began) })
     }
 
     /// The evidence of this poller.
     pub fn evidence(&self) -> Evidence {
-        Evidence { at: self.evidence.subscribe(), max_age: self.liveness.interval() }
+        Evidence { at: self.evidence.subscribe(), max_age: self.liveness.max_renewal_age() }
     }
 
     /// Polls until the attempt ends, and returns why it does.
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -61,10 +61,11 @@
 /// for the response.
 fn forecast_timeout<D: Dialect>(job: &Job<D>, requirements: &Requirements) -> Option<Duration> {
     let engine = job.service.engine.as_ref()?;
-    let policy = job.process.scheduler.lock().unwrap().policy();
     let prefill_ms = requirements.long_prefill_ms(engine);
     let time_limit = requirements.caller.time_limit;
-    policy.is_forecast().then(|| time_limit.saturating_sub(service_time(job, engine, prefill_ms)))
+    job.process
+        .is_forecast()
+        .then(|| time_limit.saturating_sub(service_time(job, engine, prefill_ms)))
 }
 
 /// Queue timeout of a long prompt from arrival where no forecast decides; none for others.
--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -138,15 +138,23 @@
         if let Some(evidence) = &mut evidence {
             evidence.wait_until_recent(&process).await;
         }
-        join_all(reservations.iter().map(|r| renew_one(&process, r))).await;
+        join_all(reservations.iter().map(|r| renew_one(&process, r, evidence.clone()))).await;
     }
 }
 
-async fn renew_one<D: Dialect>(process: &Process<D>, reservation: &Reservation) {
+async fn renew_one<D: Dialect>(
+    process: &Process<D>,
+    reservation: &Reservation,
+    evidence: Option<Evidence>,
+) {
     if let Err(failure) = reserve(process, reservation).await {
         let what = format!("{} at {}: {failure}", reservation.reservation_id, reservation.upstream);
         log::event(&process.log, Event::RenewalFailed, what);
         tokio::time::sleep(RETRY_INTERVAL).await;
+        if let Some(mut evidence) = evidence {
+            // The main engine may have crashed since the first order.
+            evidence.wait_until_recent(process).await;
+        }
         // The last try before the reservation expires. If it fails, the engine aborts the request,
         // which the attempt detects.
         let _ = reserve(process, reservation).await;
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -18,6 +18,10 @@
 /// memory could not be released by orders within the release time.
 const MAX_UNANSWERED: u32 = 2;
 
+/// Share of the interval up to which evidence allows a renewal. The rest, 300 ms where memory must be released within 4 s,
+/// is left for the order: a reservation lasts from the arrival of the order, and an order takes at most 250 ms.
+const RENEWAL_AGE_SHARE: f64 = 0.5;
+
 /// Result of a report request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
@@ -64,6 +68,11 @@
         self.timeout / POLLS_PER_TIMEOUT
     }
 
+    /// Maximum age of the evidence with which a renewal of a reservation may be sent.
+    pub fn max_renewal_age(&self) -> Duration {
+        self.interval().mul_f64(RENEWAL_AGE_SHARE)
+    }
+
     /// When the next report is to be requested.
     pub fn next_poll(&self) -> Instant {
         self.asked + self.interval()
--- a/request/tests/liveness.rs
+++ b/request/tests/liveness.rs
@@ -34,8 +34,8 @@
 }
 
 /// Memory must be released within 4 s of a crash. The six release orders take up to 2.5 s (250 ms each, 200 ms apart), so
-/// the attempt must end within 1.5 s. Renewals stop one interval after the last evidence, and a reservation lasts for
-/// 3.4 s.
+/// the attempt must end within 1.5 s. Renewals stop half an interval after the last evidence, and a reservation
+/// lasts for 3.4 s.
 #[test]
 fn a_crash_at_any_moment_is_detected_while_memory_can_be_released_in_time() {
     let start = Instant::now();
@@ -48,8 +48,9 @@
         assert_eq!(ending, Some(Ending::Unanswered));
         assert!(at - crash <= Duration::from_millis(1_500), "{:?}", at - crash);
     }
-    let interval = Liveness::new(TIMEOUT, start).interval();
-    assert!(interval + Duration::from_millis(3_400) <= Duration::from_millis(4_000));
+    // A reservation lasts from the arrival of the order, which takes up to 250 ms.
+    let renewed = Liveness::new(TIMEOUT, start).max_renewal_age() + Duration::from_millis(250);
+    assert!(renewed + Duration::from_millis(3_400) <= Duration::from_millis(4_000));
 }
 
 #[test]
