--- a/request/tests/scheduler_failure.rs
+++ b/request/tests/scheduler_failure.rs
@@ -562,7 +562,8 @@
     for fault in UNREACHABLE {
         let mut fleet = Fleet::new(2, ms(250), true);
         let large = fleet.arrive_all(14, "large", ms(10));
-        let small = fleet.arrive_all(7, "small", ms(25));
+        // They arrive after most of the others.
+        let small = fleet.arrive_all(7, "small", ms(255));
         fleet.run(ms(450));
         fleet.nodes[0].fault = fault;
         fleet.run(ms(6_000));
