The rest of a stream is queued for as long as its caller waits

Cause: without any time limit, the placement of a long prompt that is resumed could choose few engines, as for a caller that waits for ever.

Change: the VM adds the service time, which the scheduler subtracts, to the time limit of the caller; no patience, as it began anew with the last event.

Test: a_stream_that_has_begun_is_queued_whatever_the_forecast passes; the placement of a resumed long prompt has no test of its own.

--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -76,6 +76,16 @@
     Some(requirements.queue_timeout.saturating_sub(service_time).min(max_queue_time))
 }
 
+/// Lets the scheduler queue the rest of a stream for as long as its caller waits: its forecast is for a
+/// whole response, and the caller's patience began anew with the last event.
+fn allow_whole_time<D: Dialect>(job: &Job<D>, requirements: &mut Requirements) {
+    let Some(engine) = &job.service.engine else { return };
+    let service_time = service_time(job, engine, requirements.long_prefill_ms(engine));
+    let caller = &mut requirements.caller;
+    caller.time_limit = caller.time_limit.saturating_add(service_time);
+    caller.patience = Duration::MAX;
+}
+
 /// Waits until the request is granted a placement, or returns why it is rejected. The request must
 /// be safe to send: not sent before, known not to have run in any attempt, or retryable.
 ///
@@ -107,10 +117,7 @@
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
     let mut requirements = job.requirements(&history.excluded, history.charge());
     if stream_begun {
-        // The scheduler's forecast is for a whole response, and the caller's patience began anew with
-        // the last event. Only this VM can resume the stream, so no forecast rejects it.
-        requirements.caller.time_limit = Duration::MAX;
-        requirements.caller.patience = Duration::MAX;
+        allow_whole_time(job, &mut requirements);
     }
     // The rest of a stream that has begun takes less than the service time of a whole response.
     let by_forecast = if stream_begun { None } else { forecast_timeout(job, &requirements) };
