--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -61,10 +61,11 @@
 /// for the response.
 fn forecast_timeout<D: Dialect>(job: &Job<D>, requirements: &Requirements) -> Option<Duration> {
     let engine = job.service.engine.as_ref()?;
-    let policy = job.process.scheduler.lock().unwrap().policy();
     let prefill_ms = requirements.long_prefill_ms(engine);
     let time_limit = requirements.caller.time_limit;
-    policy.is_forecast().then(|| time_limit.saturating_sub(service_time(job, engine, prefill_ms)))
+    job.process
+        .is_forecast()
+        .then(|| time_limit.saturating_sub(service_time(job, engine, prefill_ms)))
 }
 
 /// Queue timeout of a long prompt from arrival where no forecast decides; none for others.
@@ -75,6 +76,16 @@
     Some(requirements.queue_timeout.saturating_sub(service_time).min(max_queue_time))
 }
 
+/// Lets the scheduler queue the rest of a stream for as long as its caller waits: its forecast is for a
+/// whole response, and the caller's patience began anew with the last event.
+fn allow_whole_time<D: Dialect>(job: &Job<D>, requirements: &mut Requirements) {
+    let Some(engine) = &job.service.engine else { return };
+    let service_time = service_time(job, engine, requirements.long_prefill_ms(engine));
+    let caller = &mut requirements.caller;
+    caller.time_limit = caller.time_limit.saturating_add(service_time);
+    caller.patience = Duration::MAX;
+}
+
 /// Waits until the request is granted a placement, or returns why it is rejected. The request must
 /// be safe to send: not sent before, known not to have run in any attempt, or retryable.
 ///
@@ -105,6 +116,9 @@
     }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
     let mut requirements = job.requirements(&history.excluded, history.charge());
+    if stream_begun {
+        allow_whole_time(job, &mut requirements);
+    }
     // The rest of a stream that has begun takes less than the service time of a whole response.
     let by_forecast = if stream_begun { None } else { forecast_timeout(job, &requirements) };
     let by_forecast = by_forecast.map(|timeout| timeout.max(job.elapsed() + MIN_GRANT_TIME));
