--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -26,7 +26,7 @@
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
 use crate::fleet::job::Job;
-use crate::fleet::liveness::{Evidence, Poller};
+use crate::fleet::liveness::{Crashed, Evidence, Poller};
 use crate::fleet::metrics::Sent;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, record_failure};
@@ -106,15 +106,16 @@
     let until = job.deadline.min(job.process.now() + timeout);
     let ended = tokio::select! {
         ended = tokio::time::timeout_at(until.into(), &mut sending) => ended,
-        ending = judge(poller, job, &flight, incarnation) => {
-            if ending == Ending::Restarted {
+        crashed = detect_crash(poller, job) => {
+            let Crashed { upstream: engine, ending } = crashed;
+            let has_restarted = ending == Ending::Restarted;
+            let cause = if has_restarted { Cause::Malformed } else { Cause::Unresponsive };
+            record_failure(job, &engine, cause);
+            if has_restarted && engine == upstream {
                 // `sending` keeps the attempt in the cluster state meanwhile.
-                record_failure(job, &upstream, Cause::Malformed);
                 crash::detect(job, &flight, incarnation).await;
-            } else {
-                record_failure(job, &upstream, Cause::Unresponsive);
             }
-            return End::Broken(format!("upstream {ending}"));
+            return End::Broken(format!("{engine} {ending}"));
         }
         () = job.process.aborting.cancelled() => {
             return End::Broken("VM shut down before the response was received".to_owned());
@@ -133,15 +134,10 @@
     }
 }
 
-/// Waits until the engine counts as crashed by its reports; forever if it is not polled.
-async fn judge<D: Dialect>(
-    poller: Option<Poller>,
-    job: &Job<D>,
-    flight: &Flight,
-    incarnation: Tag,
-) -> Ending {
+/// Waits until an engine of the attempt counts as crashed by its reports; forever if they are not polled.
+async fn detect_crash<D: Dialect>(poller: Option<Poller>, job: &Job<D>) -> Crashed {
     match poller {
-        Some(poller) => poller.run(job, flight, incarnation).await,
+        Some(poller) => poller.run(job).await,
         None => std::future::pending().await,
     }
 }
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -1,4 +1,4 @@
-//! Requests reports of the main engine of an attempt while it sends nothing and other engines reserve memory for it.
+//! Requests reports of the engines of an attempt while the main engine sends nothing and others reserve memory for it.
 //!
 //! The decisions are in [`foldlock_request::liveness`]. Takes effect with `admission = "forecast"`; without it, the silence
 //! timeout ends the attempt.
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
+use foldlock_base::prelude::*;
 use foldlock_request::cluster::Listed;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
@@ -13,9 +14,11 @@
 use foldlock_request::liveness::{Ending, Liveness, Reply};
 use foldlock_request::report;
 use foldlock_request::tag::Tag;
+use futures::future::join_all;
 use tokio::sync::watch;
 
 use crate::fleet::job::Job;
+use crate::fleet::notices;
 use crate::fleet::process::Process;
 use crate::fleet::reports;
 
@@ -35,60 +38,117 @@
     }
 }
 
+/// An engine of an attempt.
+struct Engine {
+    upstream: id::Upstream,
+    /// The incarnation that the attempt is sent to.
+    incarnation: Tag,
+    liveness: Liveness,
+}
+
+/// An engine that counts as crashed.
+pub struct Crashed {
+    /// The engine.
+    pub upstream: id::Upstream,
+    /// Why it counts as crashed.
+    pub ending: Ending,
+}
+
 /// Requests the reports for one attempt.
 pub struct Poller {
-    liveness: Liveness,
+    /// The main engine, then its helpers.
+    engines: Vec<Engine>,
     /// Whether the attempt has gone on for longer than the silence timeout.
     is_extended: bool,
     evidence: watch::Sender<Instant>,
 }
 
 impl Poller {
-    /// A poller of the main engine of an attempt that begins now; none if the attempt has the silence timeout instead.
+    /// A poller for an attempt that begins now; none if the attempt has the silence timeout instead.
     pub fn new<D: Dialect>(job: &Job<D>, flight: &Flight) -> Option<Poller> {
         let fleet = &job.process.config.fleet;
         if !flight.has_reservations() || !fleet.scheduling.is_forecast() {
             return None;
         }
-        let began = job.process.now();
-        let liveness = Liveness::new(fleet.reserved_silence_timeout(), began);
-        Some(Poller { liveness, is_extended: false, evidence: watch::Sender::new(began) })
+        let now = job.process.now();
+        let liveness = Liveness::new(fleet.reserved_silence_timeout(), now);
+        let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
+        let engine = |upstream: &id::Upstream| Engine {
+            upstream: upstream.clone(),
+            incarnation: notices::incarnation(&job.process, upstream),
+            liveness,
+        };
+        let engines = std::iter::once(&flight.upstream).chain(helpers).map(engine).collect();
+        Some(Poller { engines, is_extended: false, evidence: watch::Sender::new(now) })
     }
 
     /// The evidence of this poller.
     pub fn evidence(&self) -> Evidence {
-        Evidence { at: self.evidence.subscribe(), max_age: self.liveness.interval() }
+        Evidence { at: self.evidence.subscribe(), max_age: self.engines[0].liveness.interval() }
     }
 
     /// Polls until the attempt ends, and returns why it does.
-    pub async fn run<D: Dialect>(mut self, job: &Job<D>, flight: &Flight, sent_to: Tag) -> Ending {
+    ///
+    /// The helpers are polled only where the silence timeout would have ended the attempt: the main engine may be silent
+    /// since it waits for the part of a helper that crashed.
+    pub async fn run<D: Dialect>(mut self, job: &Job<D>) -> Crashed {
         loop {
-            tokio::time::sleep_until(self.liveness.next_poll().into()).await;
+            let main = &self.engines[0].liveness;
+            tokio::time::sleep_until(main.next_poll().into()).await;
             let asked = job.process.now();
-            let timeout = self.liveness.interval();
-            let reply = tokio::time::timeout(timeout, poll(job, flight, sent_to)).await;
-            let reply = reply.unwrap_or(Reply::Unanswered);
-            job.process.metrics.count_liveness_reply(reply);
-            let ending = self.liveness.on_reply(reply, asked, job.process.now());
-            self.evidence.send_replace(self.liveness.evidence());
-            if let Some(ending) = ending {
-                job.process.metrics.count_liveness_ending(ending);
-                self.record(job, flight, Some(ending));
-                return ending;
-            }
-            let is_extended = self.is_extended;
-            self.is_extended = self.liveness.is_extended(job.process.now());
-            if reply != Reply::Report || self.is_extended != is_extended {
-                self.record(job, flight, None);
+            let was_extended = std::mem::replace(&mut self.is_extended, main.is_extended(asked));
+            let polled = if self.is_extended { self.engines.len() } else { 1 };
+            let replies = join_all(self.engines[..polled].iter().map(|engine| engine.poll(job)));
+            for (index, reply) in replies.await.into_iter().enumerate() {
+                let engine = &mut self.engines[index];
+                let ending = engine.liveness.on_reply(reply, asked, job.process.now());
+                job.process.metrics.count_liveness_reply(reply);
+                let is_first_extension = index == 0 && self.is_extended && !was_extended;
+                if reply != Reply::Report || is_first_extension {
+                    engine.record(job, ending);
+                }
+                if let Some(ending) = ending {
+                    job.process.metrics.count_liveness_ending(ending);
+                    return Crashed { upstream: engine.upstream.clone(), ending };
+                }
             }
+            self.evidence.send_replace(self.engines[0].liveness.evidence());
         }
     }
+}
+
+impl Engine {
+    /// Requests one report.
+    async fn poll<D: Dialect>(&self, job: &Job<D>) -> Reply {
+        let Some((listed, _)) = self.entry(job) else { return Reply::Inconclusive };
+        let fetch = reports::fetch(job.process.clone(), listed);
+        let Ok(result) = tokio::time::timeout(self.liveness.interval(), fetch).await else {
+            return Reply::Unanswered;
+        };
+        match self.entry(job) {
+            // It was removed from the directory.
+            None => return Reply::Inconclusive,
+            Some((_, incarnation)) if incarnation != self.incarnation => return Reply::Restarted,
+            Some(_) => {}
+        }
+        match result {
+            Some(Ok(_)) => Reply::Report,
+            Some(Err(report::Failure::Unresponsive(_))) => Reply::Unanswered,
+            Some(Err(report::Failure::Unreadable(_))) | None => Reply::Inconclusive,
+        }
+    }
+
+    /// The engine as it is listed now, with its incarnation.
+    fn entry<D: Dialect>(&self, job: &Job<D>) -> Option<(Listed, Tag)> {
+        let cluster = job.process.cluster.lock().unwrap();
+        cluster.get(&self.upstream).map(|upstream| (upstream.listed.clone(), upstream.tag))
+    }
 
     /// Records a decision, with the age of the evidence that led to it.
-    fn record<D: Dialect>(&self, job: &Job<D>, flight: &Flight, ending: Option<Ending>) {
+    fn record<D: Dialect>(&self, job: &Job<D>, ending: Option<Ending>) {
         let now = job.process.now();
         job.record(Decision::Silent {
-            upstream: flight.upstream.clone(),
+            upstream: self.upstream.clone(),
             silent_ms: millis(self.liveness.silence(now)),
             evidence_age_ms: millis(self.liveness.evidence_age(now)),
             unanswered: self.liveness.unanswered(),
@@ -96,26 +156,3 @@
         });
     }
 }
-
-/// Requests one report of the main engine.
-async fn poll<D: Dialect>(job: &Job<D>, flight: &Flight, sent_to: Tag) -> Reply {
-    let Some((listed, _)) = entry(job, flight) else { return Reply::Inconclusive };
-    let result = reports::fetch(job.process.clone(), listed).await;
-    match entry(job, flight) {
-        // It was removed from the directory, and a later incarnation would have another entry.
-        None => return Reply::Inconclusive,
-        Some((_, incarnation)) if incarnation != sent_to => return Reply::Restarted,
-        Some(_) => {}
-    }
-    match result {
-        Some(Ok(_)) => Reply::Report,
-        Some(Err(report::Failure::Unresponsive(_))) => Reply::Unanswered,
-        Some(Err(report::Failure::Unreadable(_))) | None => Reply::Inconclusive,
-    }
-}
-
-/// The main engine as it is listed now, with its incarnation.
-fn entry<D: Dialect>(job: &Job<D>, flight: &Flight) -> Option<(Listed, Tag)> {
-    let cluster = job.process.cluster.lock().unwrap();
-    cluster.get(&flight.upstream).map(|upstream| (upstream.listed.clone(), upstream.tag))
-}
