--- a/request/tests/liveness.rs
+++ b/request/tests/liveness.rs
@@ -65,6 +65,10 @@
     let mut liveness = Liveness::new(TIMEOUT, start);
     let (ending, at) = poll(&mut liveness, &[Reply::Inconclusive; 10]);
     assert_eq!((ending, at), (Some(Ending::Silent), start + TIMEOUT));
+    assert_eq!(poll(&mut liveness, &[Reply::Report]).0, None);
+    let evidence = liveness.evidence();
+    let (ending, at) = poll(&mut liveness, &[Reply::Inconclusive; 10]);
+    assert_eq!((ending, at), (Some(Ending::Silent), evidence + TIMEOUT));
     let mut liveness = Liveness::new(TIMEOUT, start);
     let replies = [Reply::Unanswered, Reply::Inconclusive, Reply::Unanswered];
     assert_eq!(poll(&mut liveness, &replies).0, Some(Ending::Unanswered));
