Record the decisions of admission by forecasts

Cause: operators could not see which figures queued, rejected or granted a request at the scheduler.

Change: the scheduler collects bounded records of requests that are queued or rejected by a forecast, granted in order or returned at a promised time, and of changes of the kept engines; an overview has the queue by organisation and kind. A grant names the forecast wait and its basis, for VMs that state their callers. Nothing is recorded with `timeout`.

--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -12,6 +12,7 @@
 use crate::budget::Exhausted;
 use crate::fingerprint::Fingerprint;
 use crate::liveness::Ending;
+use crate::scheduler::order::{Basis, Reason};
 
 /// A candidate upstream as it was when a request was routed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -103,6 +104,12 @@
         /// Time until the request was placed, in milliseconds.
         #[serde(default, rename = "asked_ms")]
         placement_ms: f64,
+        /// The number of the grant request, as in the scheduler's log lines.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        grant_request: Option<u64>,
+        /// Why it was granted, if the request was queued by a forecast.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        reason: Option<Reason>,
     },
     /// A queued request was moved to another upstream before it ran.
     Moved {
@@ -127,6 +134,12 @@
         /// rejection was not for lack of capacity by a forecast.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         promised: Option<bool>,
+        /// The scheduler that rejected it by a forecast.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        by: Option<id::Vm>,
+        /// The number of the grant request, as in that scheduler's log lines.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        grant_request: Option<u64>,
     },
     /// The request is retried.
     Retried {
@@ -245,6 +258,8 @@
             retry_after_ms: error.retry().map(|after| after.as_millis() as u64),
             wait_ms: None,
             promised: None,
+            by: None,
+            grant_request: None,
         }
     }
 
@@ -280,8 +295,14 @@
             Decision::Waited { cause, waited_ms } => {
                 write!(f, "waited {waited_ms:.1} ms: {}", cause.text())
             }
-            Decision::Routed { upstream, route, predicted_ms, candidates, limited, .. } => {
+            Decision::Routed {
+                upstream, route, predicted_ms, candidates, limited, reason, ..
+            } => {
                 write!(f, "routed to {upstream}")?;
+                if let Some(Reason { wait_ms, basis }) = reason {
+                    let basis = basis_text(*basis);
+                    write!(f, ", queued with a forecast wait of {wait_ms} ms, granted {basis}")?;
+                }
                 if *limited > 0 {
                     write!(f, ", {limited} others at their rate limits")?;
                 }
@@ -301,15 +322,21 @@
             }
             Decision::Moved { from, why } => write!(f, "moved away from {from}: {why}"),
             // `why` states the forecast wait.
-            Decision::Rejected { kind, why, retry_after_ms, promised, .. } => {
+            Decision::Rejected {
+                kind, why, retry_after_ms, promised, by, grant_request, ..
+            } => {
                 write!(f, "rejected ({kind}): {why}")?;
                 if let Some(ms) = retry_after_ms {
                     write!(f, "; retry after {ms} ms")?;
                 }
                 match promised {
-                    Some(true) => f.write_str(" (promised)"),
-                    Some(false) => f.write_str(" (not promised)"),
-                    None => Ok(()),
+                    Some(true) => f.write_str(" (promised)")?,
+                    Some(false) => f.write_str(" (not promised)")?,
+                    None => {}
+                }
+                match (by, grant_request) {
+                    (Some(by), Some(number)) => write!(f, "; by {by}, grant request {number}"),
+                    _ => Ok(()),
                 }
             }
             Decision::Retried { upstream, why } => {
@@ -386,6 +413,14 @@
     }
 }
 
+fn basis_text(basis: Basis) -> &'static str {
+    match basis {
+        Basis::Returned => "at the promised time",
+        Basis::Aged => "by its age among late requests",
+        Basis::Turn => "in its turn",
+    }
+}
+
 /// The name of a route as in the settings.
 pub fn route_name(route: &Route) -> String {
     serde_json::to_value(route).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -16,6 +16,7 @@
 use crate::placement::{Rejection, Requirements};
 use crate::rate_limit::Limit;
 use crate::revision::Revision;
+use crate::scheduler::order::Reason;
 use crate::tag::Tag;
 use crate::{flight, promise, quarantine, rate_limit, report};
 
@@ -347,6 +348,10 @@
     /// The upstream's rate limit, if the sender has one on record.
     #[serde(default)]
     pub limit: Option<Limit>,
+    /// Why it was granted, if the request was queued by a forecast. Omitted otherwise, as VMs of the previous release
+    /// cannot decode further fields; no field may follow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reason: Option<Reason>,
 }
 
 /// Encodes a message.
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -27,6 +27,7 @@
 use crate::forecast;
 use crate::quarantine::Verdict;
 use crate::rate_limit::Limit;
+use crate::scheduler::order::Reason;
 use crate::tag::Tag;
 
 use candidate::{Candidate, candidates, rejection};
@@ -167,6 +168,8 @@
     pub limited: usize,
     /// The upstream's rate limit as recorded by the VM that granted the placement.
     pub limit: Option<Limit>,
+    /// Why it was granted, if the request was queued by a forecast.
+    pub reason: Option<Reason>,
 }
 
 /// Why a request was not placed.
@@ -438,6 +441,7 @@
         load: best.load.clone(),
         busiest_helpers: busiest_helpers(helpers),
         candidates: candidate_count,
+        reason: None,
         limited: 0,
         limit: best.upstream.rate_limit.as_ref().map(|state| state.limit),
     }
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -12,8 +12,10 @@
 pub mod forecast;
 pub mod order;
 mod outlook;
+pub mod overview;
 mod policy;
 mod promises;
+pub mod record;
 pub mod reserve;
 pub mod shares;
 
@@ -33,10 +35,10 @@
 use crate::tag::Tag;
 
 use backlog::Backlog;
-use by_forecast::Forecast;
 use outlook::Outlook;
 pub use policy::{Admission, Policy};
 pub use promises::{Counts, MAX_PROMISES, Promise, Promises};
+use record::{Forecast, Log};
 
 /// Time after which a queued request is dropped if its VM has not repeated the grant request. A VM
 /// repeats it several times within this time, so the caller has left, or the VM has stopped or asks
@@ -78,6 +80,8 @@
     returned: bool,
     /// The forecast with which it was queued.
     forecast: Option<Forecast>,
+    /// The number of requests before it in the last round of placement.
+    rank: usize,
 }
 
 /// A request that gets a placement, with its charge to the retry budget.
@@ -115,6 +119,7 @@
     /// The load of the services whose requests are admitted by forecasts.
     outlooks: HashMap<Tag, Outlook>,
     forecast_errors: Vec<forecast::Error>,
+    log: Log,
     /// The fleet's retry budget, for requests that this VM schedules.
     pub budget: Budget,
     /// The promised return times of rejected callers.
@@ -175,8 +180,8 @@
         }
         let limited_rate = cluster.limited_rate(&found.name);
         let by_forecast = self.forecast_engine(found);
-        let returned =
-            by_forecast.is_some_and(|engine| self.on_arrival(engine, service, &requirements, now));
+        let returned = by_forecast
+            .is_some_and(|engine| self.on_arrival(engine, &key, service, &requirements, now));
         if let Some(prefill_ms) = prefill_ms {
             self.long_arrivals.push_back(LongArrival { at: now, service, prefill_ms });
         } else {
@@ -213,7 +218,7 @@
                 return Reply::Rejected(limited);
             }
         }
-        let forecast = match self.admit(cluster, found, &requirements, returned, now) {
+        let forecast = match self.admit(cluster, found, &key, &requirements, returned, now) {
             Ok(forecast) => forecast,
             Err(overloaded) => return Reply::Rejected(overloaded),
         };
@@ -280,6 +285,7 @@
                 self.reject_late(cluster, service, tag, now, &mut replies);
             }
         }
+        self.record_kept(cluster, table, now);
         replies
     }
 
@@ -482,14 +488,20 @@
         cluster: &mut Cluster,
         service: &Service,
         index: usize,
-        placement: Placement,
+        mut placement: Placement,
         now: Instant,
     ) -> Reply {
         let queued = self.queue.remove(index);
-        if let Some(engine) = self.forecast_engine(service) {
-            self.on_granted(engine, queued.service, &queued, &placement, now);
+        let record = self
+            .forecast_engine(service)
+            .and_then(|engine| self.on_granted(engine, queued.service, &queued, &placement, now));
+        placement.reason = record.as_ref().and_then(|record| queued.reason(record));
+        let reply = self.grant(cluster, queued.charged(), placement, now);
+        // The retry budget may deny the grant.
+        if let (Reply::Granted(..), Some(record)) = (&reply, record) {
+            self.log.add(record);
         }
-        self.grant(cluster, queued.charged(), placement, now)
+        reply
     }
 
     /// The mean number of engines that recent long prompts keep busy.
@@ -543,7 +555,15 @@
         returned: bool,
         now: Instant,
     ) -> QueuedRequest {
-        QueuedRequest { key, service, requirements, last_requested: now, returned, forecast: None }
+        QueuedRequest {
+            key,
+            service,
+            requirements,
+            last_requested: now,
+            returned,
+            forecast: None,
+            rank: 0,
+        }
     }
 
     fn charged(&self) -> ChargedRequest {
--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -2,14 +2,17 @@
 //!
 //! Other services, and all services with another policy, queue as in [`super`].
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use foldlock_version::routes::{Engine, Service};
+use foldlock_version::routes::{Engine, Service, Table};
 
 use super::admission::{decide, decide_new};
 use super::forecast::{Error, Kind};
-use super::outlook::{Candidate, Wait};
-use super::{Key, QueuedRequest, Reply, Scheduler};
+use super::order::Reason;
+use super::outlook::{Candidate, Outlook, Wait};
+use super::record::{Forecast, KeptChange, Outcome, Record, Return, Taken};
+use super::{Key, QueuedRequest, Reply, Scheduler, find};
+use crate::caller::Caller;
 use crate::cluster::Cluster;
 use crate::placement::{self, Placement, Rejection, Requirements};
 use crate::promise;
@@ -18,16 +21,11 @@
 /// Maximum number of forecast errors that are kept until they are collected.
 const MAX_ERRORS: usize = 1_024;
 
-/// The forecast with which a request was queued.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Forecast {
-    at: Instant,
-    wait: Duration,
-}
-
 /// A queued request, and its place in the order of the queue.
 struct Waiting {
     key: Key,
+    /// Its index in the queue.
+    index: usize,
     candidate: Candidate,
 }
 
@@ -41,6 +39,7 @@
     pub(super) fn on_arrival(
         &mut self,
         engine: &Engine,
+        key: &Key,
         tag: Tag,
         requirements: &Requirements,
         now: Instant,
@@ -49,6 +48,9 @@
         let outlook = self.outlooks.entry(tag).or_default();
         let candidate = outlook.candidate(engine, requirements, returned, now);
         outlook.record_arrival(&candidate, now);
+        if returned {
+            self.log.add(record(key, &candidate, 0, None, Outcome::Redeemed, now));
+        }
         returned
     }
 
@@ -57,6 +59,7 @@
         &mut self,
         cluster: &Cluster,
         service: &Service,
+        key: &Key,
         requirements: &Requirements,
         returned: bool,
         now: Instant,
@@ -68,14 +71,23 @@
         let Some(outlook) = self.outlooks.get(&tag) else { return Ok(None) };
         let candidate = outlook.candidate(engine, requirements, returned, now);
         let engines = speed(cluster, service, now);
-        let forecast = outlook.wait(engine, engines, &queued, &candidate, now);
-        if !returned && decide_new(&candidate.request, forecast.wait).is_err() {
-            return Err(self.overloaded(service, requirements, &candidate, forecast, now));
+        let wait = outlook.wait(engine, engines, &queued, &candidate, now);
+        let forecast = forecast(outlook, &candidate, wait, now);
+        let rank = queued.iter().filter(|other| precedes(other, &candidate)).count();
+        let outcome = if !returned && decide_new(&candidate.request, wait.wait).is_err() {
+            Outcome::RejectedNew
+        } else {
+            Outcome::Queued
+        };
+        let record = record(key, &candidate, rank, Some(forecast), outcome, now);
+        if outcome == Outcome::RejectedNew {
+            return Err(self.overloaded(service, requirements, &candidate, wait, record));
         }
-        Ok(Some(Forecast { at: now, wait: forecast.wait }))
+        self.log.add(record);
+        Ok(Some(forecast))
     }
 
-    /// Records a placement that was granted.
+    /// Records a placement that was granted. Returns its record, if the request was queued by a forecast.
     pub(super) fn on_granted(
         &mut self,
         engine: &Engine,
@@ -83,16 +95,57 @@
         queued: &QueuedRequest,
         placement: &Placement,
         now: Instant,
-    ) {
+    ) -> Option<Record> {
         let outlook = self.outlooks.entry(tag).or_default();
         let candidate = outlook.candidate(engine, &queued.requirements, queued.returned, now);
-        outlook.record_grant(&candidate, placement.predicted_ms, now);
-        let Some(Forecast { at, wait }) = queued.forecast else { return };
+        let basis = outlook.record_grant(&candidate, placement.predicted_ms, now);
+        let Forecast { at, wait, .. } = queued.forecast?;
         if self.forecast_errors.len() < MAX_ERRORS {
             let kind = if candidate.is_long() { Kind::Long } else { Kind::Short };
             let actual = now.saturating_duration_since(at);
             self.forecast_errors.push(Error { kind, forecast: wait, actual });
         }
+        let outcome = Outcome::Granted(basis);
+        Some(record(&queued.key, &candidate, queued.rank, queued.forecast, outcome, now))
+    }
+
+    /// Removes and returns the decisions since the last call. There are none unless requests are admitted by forecasts.
+    pub fn take_decisions(&mut self) -> Taken {
+        self.log.take()
+    }
+
+    /// Decisions since the process started, by outcome and kind of request.
+    pub fn decision_counts(&self) -> impl Iterator<Item = (Outcome, Kind, u64)> {
+        self.log.counts()
+    }
+
+    /// The engines that are kept free for short prompts, as last recorded.
+    pub fn kept_engines(&self) -> usize {
+        self.log.kept_engines()
+    }
+
+    /// Records the engines that are kept free of long prompts, where their number has changed.
+    pub(super) fn record_kept(&mut self, cluster: &Cluster, table: &Table, now: Instant) {
+        if !self.policy.is_forecast() {
+            return self.log.clear_kept();
+        }
+        for (tag, outlook) in &self.outlooks {
+            if !self.log.is_kept_due(*tag, now) {
+                continue;
+            }
+            let Some(service) = find(table, *tag) else { continue };
+            let Some(engine) = self.forecast_engine(service) else { continue };
+            let (all, long) = (speed(cluster, service, now), self.demand(*tag));
+            let change = KeptChange {
+                service: service.name.clone(),
+                previous: 0,
+                engines: outlook.kept_for_short(engine, all, long, now),
+                short: outlook.short_demand(engine, now),
+                long,
+                all,
+            };
+            self.log.set_kept(*tag, change, now);
+        }
     }
 
     /// Removes and returns the errors of the forecasts of requests that were granted since the last call.
@@ -112,6 +165,9 @@
         let tag = Tag::of(&service.name);
         self.reject_hopeless(cluster, service, engine, now, replies);
         let waiting = self.waiting(tag, engine, now);
+        for (rank, waiting) in waiting.iter().enumerate() {
+            self.queue[waiting.index].rank = rank;
+        }
         let is_short = |waiting: &Waiting| !waiting.candidate.is_long();
         let first_short = waiting.iter().position(is_short).unwrap_or(0);
         let before_short: Vec<&Key> = waiting[..first_short].iter().map(|w| &w.key).collect();
@@ -154,12 +210,12 @@
         let engines = speed(cluster, service, now);
         let waiting = self.waiting(tag, engine, now);
         let mut kept: Vec<Candidate> = Vec::with_capacity(waiting.len());
-        for Waiting { key, candidate } in waiting {
+        for Waiting { key, candidate, .. } in waiting {
             let Some(outlook) = self.outlooks.get(&tag) else { return };
-            let forecast = outlook.wait(engine, engines, &kept, &candidate, now);
+            let wait = outlook.wait(engine, engines, &kept, &candidate, now);
             let is_served = candidate.item.returned
                 || candidate.item.in_time
-                || decide(&candidate.request, forecast.wait).is_ok();
+                || decide(&candidate.request, wait.wait).is_ok();
             if is_served {
                 kept.push(candidate);
                 continue;
@@ -167,22 +223,25 @@
             let Some(index) = self.queue.iter().position(|queued| queued.key == key) else {
                 continue;
             };
+            let forecast = forecast(outlook, &candidate, wait, now);
             let queued = self.queue.remove(index);
+            let outcome = Outcome::RejectedQueued;
+            let record = record(&key, &candidate, kept.len(), Some(forecast), outcome, now);
             let rejection =
-                self.overloaded(service, &queued.requirements, &candidate, forecast, now);
+                self.overloaded(service, &queued.requirements, &candidate, wait, record);
             replies.push((key, Reply::Rejected(rejection)));
         }
     }
 
     /// The rejection of a request that cannot be served within its time, with a promised time to return if there is
-    /// one.
+    /// one. Adds it to the record of the decision.
     fn overloaded(
         &mut self,
         service: &Service,
         requirements: &Requirements,
         candidate: &Candidate,
         forecast: Wait,
-        now: Instant,
+        mut record: Record,
     ) -> Rejection {
         let remaining = candidate.remaining(requirements.caller.time_limit);
         let capacity = promise::capacity(service, requirements);
@@ -192,11 +251,14 @@
             forecast.wait,
             remaining,
             forecast.returns_per_s,
-            now,
+            record.at,
         );
+        // All times before a third of the remaining time are promised to others.
+        let after = promised.unwrap_or(forecast.wait.max(remaining / 3));
+        record.returns = Some(Return { after, promised: promised.is_some() });
+        self.log.add(record);
         Rejection::Overloaded {
-            // All times before a third of the remaining time are promised to others.
-            after_ms: promised.unwrap_or(forecast.wait.max(remaining / 3)).as_millis() as u64,
+            after_ms: after.as_millis() as u64,
             wait_ms: forecast.wait.as_millis() as u64,
             promised: promised.is_some(),
         }
@@ -205,20 +267,71 @@
     /// The queued requests of a service in the order in which they are placed.
     fn waiting(&self, tag: Tag, engine: &Engine, now: Instant) -> Vec<Waiting> {
         let Some(outlook) = self.outlooks.get(&tag) else { return Vec::new() };
-        let queued: Vec<&QueuedRequest> =
-            self.queue.iter().filter(|queued| queued.service == tag).collect();
-        let candidate = |queued: &&QueuedRequest| {
+        let queued = self.queue.iter().enumerate();
+        let queued: Vec<(usize, &QueuedRequest)> =
+            queued.filter(|(_, queued)| queued.service == tag).collect();
+        let candidate = |(_, queued): &(usize, &QueuedRequest)| {
             outlook.candidate(engine, &queued.requirements, queued.returned, now)
         };
         let candidates: Vec<Candidate> = queued.iter().map(candidate).collect();
         let items: Vec<_> = candidates.iter().map(|candidate| candidate.item).collect();
         let order = outlook.discipline.order(&items, self.policy.fair_shares);
-        let waiting =
-            |index: usize| Waiting { key: queued[index].key.clone(), candidate: candidates[index] };
+        let waiting = |index: usize| Waiting {
+            key: queued[index].1.key.clone(),
+            index: queued[index].0,
+            candidate: candidates[index],
+        };
         order.into_iter().map(waiting).collect()
     }
 }
 
+impl QueuedRequest {
+    /// The reason of its grant, for its VM; none for a VM of the previous release, which cannot decode it. A VM of this
+    /// release states the caller while requests are admitted by forecasts.
+    pub(super) fn reason(&self, record: &Record) -> Option<Reason> {
+        let (Outcome::Granted(basis), Some(forecast)) = (record.outcome, record.forecast) else {
+            return None;
+        };
+        let is_understood = self.requirements.caller != Caller::default();
+        is_understood.then(|| Reason { wait_ms: forecast.wait.as_millis() as u64, basis })
+    }
+}
+
+fn forecast(outlook: &Outlook, candidate: &Candidate, wait: Wait, now: Instant) -> Forecast {
+    let Wait { wait, rate, .. } = wait;
+    Forecast { at: now, wait, rate, measured: outlook.measured(candidate, now) }
+}
+
+fn record(
+    key: &Key,
+    candidate: &Candidate,
+    rank: usize,
+    forecast: Option<Forecast>,
+    outcome: Outcome,
+    now: Instant,
+) -> Record {
+    Record {
+        key: key.clone(),
+        at: now,
+        kind: if candidate.is_long() { Kind::Long } else { Kind::Short },
+        rank,
+        waited: candidate.request.waited,
+        forecast,
+        in_time: candidate.item.in_time,
+        returns: None,
+        outcome,
+    }
+}
+
+/// Whether a queued request goes before another one, without shares and ageing.
+fn precedes(queued: &Candidate, new: &Candidate) -> bool {
+    let rank = |candidate: &Candidate| {
+        let item = &candidate.item;
+        (item.priority, !item.returned, !item.in_time, item.deadline, item.arrived)
+    };
+    rank(queued) <= rank(new)
+}
+
 /// The open engines of a service, weighted by speed.
 pub(super) fn speed(cluster: &Cluster, service: &Service, now: Instant) -> f64 {
     cluster.open(&service.name).map(|upstream| 1.0 / upstream.slowdown(now)).sum()
--- a/request/src/scheduler/order.rs
+++ b/request/src/scheduler/order.rs
@@ -12,6 +12,7 @@
 
 use foldlock_base::size::Tokens;
 use foldlock_version::routes::Engine;
+use serde::{Deserialize, Serialize};
 
 use super::shares::{self, Clock};
 use crate::caller::Priority;
@@ -69,7 +70,8 @@
 }
 
 /// Why a request was granted before the others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Basis {
     /// Its caller returned at a promised time.
     Returned,
@@ -89,6 +91,15 @@
     }
 }
 
+/// The grant of a queued request, for the record of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reason {
+    /// The forecast wait with which it was queued, milliseconds.
+    pub wait_ms: u64,
+    /// Why it was granted before the others.
+    pub basis: Basis,
+}
+
 /// A grant that was charged, for the log.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Grant {
--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -11,7 +11,8 @@
 
 use super::admission;
 use super::forecast::{Throughput, Tiers, long_model_rate, short_model_rate};
-use super::order::{self, Discipline, Item};
+use super::order::{self, Basis, Discipline, Item};
+use super::overview::Rate;
 use super::reserve::{self, CURRENT, Demand, MEAN_WINDOW};
 use crate::caller::Priority;
 use crate::forecast;
@@ -67,6 +68,8 @@
 pub(super) struct Wait {
     /// Time until its start.
     pub(super) wait: Duration,
+    /// Work served per second: short prompts, or milliseconds of prefill.
+    pub(super) rate: f64,
     /// Returning requests of its size that can be served in a second.
     pub(super) returns_per_s: f64,
 }
@@ -152,13 +155,22 @@
         self.long_arrivals.push_back(Arrival { at: now, priority, prefill_ms });
     }
 
-    /// Records a placement, with the predicted time to its first event.
-    pub(super) fn record_grant(&mut self, candidate: &Candidate, predicted_ms: f64, now: Instant) {
-        self.discipline.on_granted(&candidate.item, now);
-        if candidate.is_long() {
-            return;
+    /// Records a placement, with the predicted time to its first event. Returns why it was granted before the others.
+    pub(super) fn record_grant(
+        &mut self,
+        candidate: &Candidate,
+        predicted_ms: f64,
+        now: Instant,
+    ) -> Basis {
+        let basis = self.discipline.on_granted(&candidate.item, now).basis;
+        if !candidate.is_long() {
+            self.short.record_grant(1.0, now);
+            self.record_predicted(predicted_ms);
         }
-        self.short.record_grant(1.0, now);
+        basis
+    }
+
+    fn record_predicted(&mut self, predicted_ms: f64) {
         let Ok(predicted) = Duration::try_from_secs_f64(predicted_ms / MS_PER_S) else { return };
         let typical = self.typical.unwrap_or(predicted);
         let weighted = typical.mul_f64(1.0 - TYPICAL_WEIGHT) + predicted.mul_f64(TYPICAL_WEIGHT);
@@ -213,7 +225,7 @@
         } else {
             tiers.wait(false)
         };
-        Wait { wait, returns_per_s: rate * super::forecast::LATE_SHARE }
+        Wait { wait, rate, returns_per_s: rate * super::forecast::LATE_SHARE }
     }
 
     /// More urgent and shorter prompts are read first, those that are queued and those that arrive meanwhile. The current demand is expected to last for `BURST_TIME`, and the mean demand to return after it.
@@ -259,7 +271,26 @@
             wait = wait.min(BURST_TIME + tiers(MEAN_WINDOW, left).wait(false));
         }
         let returns_per_s = current.rate * super::forecast::LATE_SHARE / prefill_ms.max(1.0);
-        Wait { wait, returns_per_s }
+        Wait { wait, rate: current.rate, returns_per_s }
+    }
+
+    /// The length of the backlog from which the rate for a request was measured. The rate for long prompts is the engine
+    /// model's.
+    pub(super) fn measured(&self, candidate: &Candidate, now: Instant) -> Duration {
+        if candidate.is_long() { Duration::ZERO } else { self.short.measured(now) }
+    }
+
+    /// The rate at which queued short prompts are served, if any arrived in the last 30 s; the engine model's rate is that
+    /// for prompts of their mean length.
+    pub(super) fn short_rate(&self, engine: &Engine, engines: f64, now: Instant) -> Option<Rate> {
+        let prompt = self.demand.mean_prompt(MEAN_WINDOW, now)?;
+        let model_rate = short_model_rate(engine, engines * f64::from(engine.slots), prompt);
+        Some(Rate { per_s: self.short.rate(model_rate, now), measured: self.short.measured(now) })
+    }
+
+    /// Engines that short prompts need, by the arrivals of the last second.
+    pub(super) fn short_demand(&self, engine: &Engine, now: Instant) -> f64 {
+        self.demand.engines(engine, CURRENT, now)
     }
 
     /// The number of engines to keep free of long prompts, which themselves need `long` engines.
--- a/version/src/routes.rs
+++ b/version/src/routes.rs
@@ -198,6 +198,11 @@
         self.requires_key
     }
 
+    /// All organisations, in the order of the settings.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.iter()
+    }
+
     /// The organisation that a key belongs to.
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
         self.keys.get(key).map(|index| &self.organisations[*index])
