--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -10,6 +10,9 @@
 use crate::error::Error;
 use crate::output::{Mark, Output};
 
+/// Groups of queued requests that the line of a VM names; the dump has all.
+const MAX_GROUPS: usize = 3;
+
 /// Shows the state of VMs.
 pub async fn status(args: &Status, output: Output) -> Result<(), Error> {
     let client = Client::default();
@@ -41,6 +44,7 @@
         "cold": cold(dump),
         "limited": limited(dump),
         "unread": dump["unread"],
+        "scheduling": dump["scheduling"],
     })
 }
 
@@ -110,5 +114,45 @@
         let answers = &unread["answers"];
         notes.push(format!("{bytes} unread bytes of {answers} responses, most of {largest}"));
     }
+    notes.extend(scheduling(&dump["scheduling"]));
     notes.iter().map(|note| format!("  {note}")).collect()
 }
+
+/// Where requests are queued by forecasts, or engines are kept free: the largest groups of the queue, the rate, and the
+/// promises.
+fn scheduling(scheduling: &Value) -> Vec<String> {
+    let mut notes = Vec::new();
+    for service in scheduling["services"].as_array().into_iter().flatten() {
+        let name = service["service"].as_str().unwrap_or_default();
+        let groups = service["queue"].as_array().map_or(&[][..], Vec::as_slice);
+        let queued: u64 = groups.iter().filter_map(|group| group["requests"].as_u64()).sum();
+        if queued > 0 {
+            let largest: Vec<String> = groups.iter().take(MAX_GROUPS).map(group).collect();
+            notes.push(format!("{name}: {queued} queued ({})", largest.join(", ")));
+            if let Some(rate) = service["rate"].as_f64() {
+                let measured = match service["measured_ms"].as_u64().unwrap_or(0) {
+                    0 => "by the engine model".to_owned(),
+                    ms => format!("measured over {ms} ms"),
+                };
+                notes.push(format!("{name}: {rate:.1} short prompts/s {measured}"));
+            }
+        }
+        match service["kept"].as_u64().unwrap_or(0) {
+            0 => {}
+            kept => notes.push(format!("{name}: {kept} engines kept for short prompts")),
+        }
+    }
+    match scheduling["promises"]["stored"].as_u64().unwrap_or(0) {
+        0 => {}
+        stored => notes.push(format!("{stored} promises")),
+    }
+    notes
+}
+
+/// The queued requests of one kind of one organisation.
+fn group(group: &Value) -> String {
+    let organisation = group["organisation"].as_str().unwrap_or("no organisation");
+    let kind = group["kind"].as_str().unwrap_or_default();
+    let (requests, wait) = (&group["requests"], &group["longest_wait_ms"]);
+    format!("{organisation} {kind} {requests} for up to {wait} ms")
+}
--- a/cli/tests/status.rs
+++ b/cli/tests/status.rs
@@ -49,6 +49,29 @@
     .assert_eq(&status(dump(), &[]));
 }
 
+/// Guards against a queue whose organisation operators cannot see, and against a line that grows with the number of
+/// organisations.
+#[test]
+fn the_queue_of_a_scheduler_is_summed_up() {
+    let group = |organisation: Value, requests: u64| json!({"organisation": organisation, "kind": "short", "requests": requests, "longest_wait_ms": 900});
+    let mut dump = dump();
+    dump["scheduling"] = json!({
+        "services": [
+            {
+                "service": "model", "rate": 216.04, "measured_ms": 2_000, "kept": 3,
+                "queue": [group("acme".into(), 40), group(Value::Null, 9), group("b".into(), 2), group("c".into(), 1)],
+            },
+            {"service": "other", "rate": null, "measured_ms": null, "kept": 0, "queue": []},
+        ],
+        "promises": {"stored": 12},
+    });
+    expect![[r#"
+        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  model: 52 queued (acme short 40 for up to 900 ms, no organisation short 9 for up to 900 ms, b short 2 for up to 900 ms)  model: 216.0 short prompts/s measured over 2000 ms  model: 3 engines kept for short prompts  12 promises
+    "#]].assert_eq(&status(dump.clone(), &[]));
+    let object: Value = serde_json::from_str(&status(dump, &["--json"])).unwrap();
+    assert_eq!(object["scheduling"]["services"][0]["queue"][3]["organisation"], "c");
+}
+
 #[test]
 fn unusual_conditions_are_listed() {
     let mut dump = dump();
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -6,12 +6,14 @@
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
 use foldlock_request::caller::{Caller, Priority};
+use foldlock_request::cluster::Load;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::message::{
-    Activity, GrantRequest, Heartbeat, Message, Number, State, decode, encode,
+    Activity, Grant, GrantRequest, Heartbeat, Message, Number, State, decode, encode,
 };
 use foldlock_request::placement::{Rejection, Requirements};
 use foldlock_request::promise::{Announcement, MAX_ANNOUNCED};
+use foldlock_request::scheduler::order::{Basis, Reason};
 use foldlock_request::tag::Tag;
 use proptest::prelude::*;
 
@@ -121,6 +123,34 @@
     assert_eq!(fields(Caller { priority, ..Caller::default() }), 15);
 }
 
+/// Guards against grants that a VM of the previous release cannot decode: it accepts 13 fields.
+#[test]
+fn a_grant_without_a_reason_is_that_of_the_previous_release() {
+    let fields = |reason: Option<Reason>| {
+        let grant = Grant {
+            number: 1,
+            upstream: Tag::of("i-1"),
+            helpers: Vec::new(),
+            part_ms: 0.0,
+            memory: 6_500,
+            pause_ms: 250,
+            predicted_ms: 120.0,
+            load: Load::default(),
+            busiest_helpers: Vec::new(),
+            candidates: 3,
+            isolated: None,
+            limited: 0,
+            limit: None,
+            reason,
+        };
+        let encoded = rmp_serde::to_vec(&grant).unwrap();
+        assert_eq!(rmp_serde::from_slice::<Grant>(&encoded).unwrap(), grant);
+        encoded[0] & 0x0f
+    };
+    assert_eq!(fields(None), 13);
+    assert_eq!(fields(Some(Reason { wait_ms: 1_200, basis: Basis::Aged })), 14);
+}
+
 /// Guards against heartbeats that grow beyond what is stated for the most promises.
 #[test]
 fn announced_promises_take_28_bytes_each() {
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -10,6 +10,9 @@
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{Placement, Rejection, Requirements};
 use foldlock_request::quarantine::Crash;
+use foldlock_request::scheduler::forecast::Kind;
+use foldlock_request::scheduler::order::Basis;
+use foldlock_request::scheduler::record::{MAX_RECORDS, Outcome, Record};
 use foldlock_request::scheduler::{Admission, Key, Policy, Reply, Scheduler};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Bounds, Engine, Service, Table};
@@ -421,3 +424,175 @@
         }
     }
 }
+
+fn own(number: u64) -> Key {
+    Key { holder: Holder::Own, incarnation: 1, number }
+}
+
+/// A short prompt of this organisation, whose caller waits for 10 s.
+fn of(organisation: &str, arrived: Instant) -> Requirements {
+    let caller = Caller {
+        organisation: Some(Tag::of(organisation)),
+        time_limit: Duration::from_secs(10),
+        ..Caller::default()
+    };
+    Requirements { caller, ..short(arrived) }
+}
+
+/// One engine whose slots are all in use, and two queued requests, numbered 101 and 102. Returns the number of those that
+/// were placed at once.
+fn full(admission: Admission) -> (Fleet, u64) {
+    let mut fleet = Fleet::new(1);
+    fleet.scheduler.set_policy(Policy { admission, ..Policy::default() });
+    let placed = (1..100)
+        .find(|number| {
+            let requirements = of("acme", fleet.now);
+            matches!(fleet.request(own(*number), requirements), Reply::Queued)
+        })
+        .unwrap();
+    fleet.cancel(&own(placed));
+    fleet.scheduler.take_decisions();
+    fleet.request(own(101), of("acme", fleet.now));
+    fleet.request(own(102), of("other", fleet.now));
+    (fleet, placed - 1)
+}
+
+fn decisions(fleet: &mut Fleet) -> Vec<Record> {
+    fleet.scheduler.take_decisions().decisions
+}
+
+/// Guards against decisions of which operators find no record, or one without the figures that decided it.
+#[test]
+fn each_decision_by_a_forecast_is_recorded_with_its_inputs() {
+    let (mut fleet, placed) = full(Admission::Forecast);
+    let queued = decisions(&mut fleet);
+    let of_queued = |r: &Record| (r.key.number, r.outcome, r.rank, r.kind, r.in_time);
+    assert_eq!(
+        queued.iter().map(of_queued).collect::<Vec<_>>(),
+        [
+            (101, Outcome::Queued, 0, Kind::Short, true),
+            (102, Outcome::Queued, 1, Kind::Short, true)
+        ]
+    );
+    let forecast = queued[1].forecast.unwrap();
+    assert!(forecast.rate > 0.0 && forecast.measured.is_zero(), "{forecast:?}");
+
+    // A caller with no time left is rejected at once; 102 is rejected when its time is nearly over.
+    let late = Requirements {
+        fingerprint: Fingerprint::of("late", "", "", b""),
+        ..of("acme", fleet.now.checked_sub(Duration::from_millis(9_900)).unwrap())
+    };
+    assert!(matches!(fleet.request(own(103), late), Reply::Rejected(_)));
+    let rejected = decisions(&mut fleet);
+    assert_eq!((rejected[0].outcome, rejected[0].key.number), (Outcome::RejectedNew, 103));
+    assert_eq!(rejected[0].waited, Duration::from_millis(9_900));
+    assert!(!rejected[0].in_time && rejected[0].returns.is_some());
+
+    // The first one in the order gets the place that becomes free, and its VM the reason.
+    fleet.advance(20);
+    for number in 1..=placed {
+        fleet.cancel(&own(number));
+    }
+    let placements = fleet.place_queued();
+    let granted = decisions(&mut fleet);
+    assert_eq!(granted.len(), 2);
+    assert_eq!((granted[0].outcome, granted[0].rank), (Outcome::Granted(Basis::Turn), 0));
+    assert_eq!(granted[0].forecast_age(), Some(Duration::from_millis(20)));
+    let reason = placements[0].1.reason.unwrap();
+    assert_eq!(u128::from(reason.wait_ms), granted[0].forecast.unwrap().wait.as_millis());
+    let counts = fleet.scheduler.decision_counts();
+    assert_eq!(counts.map(|(_, _, count)| count).sum::<u64>(), 6);
+}
+
+/// Guards against a queued request that ends without a record when it is rejected, and against a promise whose redemption
+/// is not seen.
+#[test]
+fn later_rejections_and_returns_are_recorded() {
+    let (mut fleet, _) = full(Admission::Forecast);
+    decisions(&mut fleet);
+    fleet.advance(9_900);
+    let replies = fleet.scheduler.place_queued(&mut fleet.cluster, &fleet.table, fleet.now);
+    assert!(replies.iter().all(|(_, reply)| matches!(reply, Reply::Rejected(_))), "{replies:?}");
+    let outcomes: Vec<Outcome> = decisions(&mut fleet).iter().map(|r| r.outcome).collect();
+    assert_eq!(outcomes, [Outcome::RejectedQueued; 2]);
+
+    let requirements = of("acme", fleet.now);
+    let second = Duration::from_secs(1);
+    let promises = &mut fleet.scheduler.promises;
+    let capacity = Tag::of("model");
+    let fingerprint = requirements.fingerprint;
+    promises.promise(fingerprint, capacity, Duration::ZERO, 9 * second, 1.0, fleet.now).unwrap();
+    fleet.advance(1_000);
+    fleet.request(own(104), Requirements { arrived: fleet.now, ..requirements });
+    assert_eq!(decisions(&mut fleet)[0].outcome, Outcome::Redeemed);
+}
+
+/// Guards against records where no forecast decides, and against a reason that a VM of the previous release, which states
+/// no caller, cannot decode.
+#[test]
+fn nothing_is_recorded_without_forecasts_and_no_reason_sent_to_older_vms() {
+    let (mut fleet, placed) = full(Admission::Timeout);
+    fleet.cancel(&own(1));
+    assert!(!fleet.place_queued().is_empty());
+    let taken = fleet.scheduler.take_decisions();
+    assert!(taken.decisions.is_empty() && taken.kept.is_empty());
+    assert!(fleet.scheduler.overview(&fleet.cluster, &fleet.table, fleet.now).is_empty());
+    assert!(placed > 0);
+
+    let (mut fleet, _) = full(Admission::Forecast);
+    for number in [101, 102] {
+        fleet.cancel(&own(number));
+    }
+    fleet.request(own(105), short(fleet.now));
+    fleet.cancel(&own(1));
+    let placed = fleet.place_queued();
+    assert_eq!((placed.len(), placed[0].1.reason), (1, None));
+}
+
+/// Guards against memory that grows while nobody takes the records, and against decisions that are then not counted.
+#[test]
+fn records_are_bounded_and_decisions_are_counted() {
+    let (mut fleet, _) = full(Admission::Forecast);
+    let queued = MAX_RECORDS as u64 + 10;
+    for number in 1_000..1_000 + queued {
+        fleet.request(own(number), of("acme", fleet.now));
+        fleet.cancel(&own(number));
+    }
+    let taken = fleet.scheduler.take_decisions();
+    assert_eq!((taken.decisions.len(), taken.left_out), (MAX_RECORDS, 12));
+    let counts = fleet.scheduler.decision_counts();
+    let queued_count = counts.filter(|(outcome, ..)| *outcome == Outcome::Queued);
+    assert_eq!(queued_count.map(|(.., count)| count).sum::<u64>(), queued + 3);
+}
+
+/// Guards against a queue whose organisations cannot be told apart, and against a number of kept engines that is logged
+/// with every request.
+#[test]
+fn the_overview_has_the_queue_by_organisation_and_changes_of_kept_engines_are_spaced() {
+    let (mut fleet, _) = full(Admission::Forecast);
+    fleet.advance(50);
+    fleet.request(own(103), of("acme", fleet.now));
+    let overviews = fleet.scheduler.overview(&fleet.cluster, &fleet.table, fleet.now);
+    let model = &overviews[0];
+    let queued: Vec<_> = model.queued.iter().map(|q| (q.organisation, q.count)).collect();
+    assert_eq!(queued, [(Some(Tag::of("acme")), 2), (Some(Tag::of("other")), 1)]);
+    assert_eq!(model.queued[0].longest_wait, Duration::from_millis(50));
+    assert!(model.rate.is_some() && model.short > 0.0, "{model:?}");
+
+    let mut fleet = Fleet::new(6);
+    let policy = Policy { admission: Admission::Forecast, ..Policy::default() };
+    fleet.scheduler.set_policy(policy);
+    let mut changes = 0;
+    for number in 0..100 {
+        // More long prompts than six engines read, and short prompts beside them.
+        fleet.request(own(2 * number), of("acme", fleet.now));
+        let caller = Caller { time_limit: Duration::from_secs(15), ..Caller::default() };
+        let requirements = Requirements { caller, ..long(150_000, fleet.now) };
+        fleet.request(own(2 * number + 1), requirements);
+        fleet.scheduler.place_queued(&mut fleet.cluster, &fleet.table, fleet.now);
+        changes += fleet.scheduler.take_decisions().kept.len();
+        fleet.advance(10);
+    }
+    assert!((1..=4).contains(&changes), "{changes}");
+    assert!(fleet.scheduler.kept_engines() > 0);
+}
