--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -293,7 +293,7 @@
             return None;
         };
         let is_understood = self.requirements.caller != Caller::default();
-        is_understood.then(|| Reason { wait_ms: forecast.wait.as_millis() as u64, basis })
+        is_understood.then_some(Reason { wait_ms: forecast.wait.as_millis() as u32, basis })
     }
 }
 
--- a/request/src/scheduler/order.rs
+++ b/request/src/scheduler/order.rs
@@ -94,8 +94,8 @@
 /// The grant of a queued request, for the record of the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reason {
-    /// The forecast wait with which it was queued, milliseconds.
-    pub wait_ms: u64,
+    /// The forecast wait with which it was queued, milliseconds; an hour at most.
+    pub wait_ms: u32,
     /// Why it was granted before the others.
     pub basis: Basis,
 }
