--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -13,6 +13,12 @@
 /// Groups of queued requests that the line of a VM names; the dump has all.
 const MAX_GROUPS: usize = 3;
 
+/// Slow engines that the line of a VM names.
+const MAX_SLOW: usize = 3;
+
+/// Slowdown from which an engine is named: it then serves a third less than its configured speed.
+const MIN_SLOWDOWN: f64 = 1.5;
+
 /// Shows the state of VMs.
 pub async fn status(args: &Status, output: Output) -> Result<(), Error> {
     let client = Client::default();
@@ -114,10 +120,30 @@
         let answers = &unread["answers"];
         notes.push(format!("{bytes} unread bytes of {answers} responses, most of {largest}"));
     }
+    notes.extend(slow(dump));
     notes.extend(scheduling(&dump["scheduling"]));
     notes.iter().map(|note| format!("  {note}")).collect()
 }
 
+/// The slowest engines, and who fetched the report that says so.
+fn slow(dump: &Value) -> Vec<String> {
+    let upstreams = dump["upstreams"].as_array().into_iter().flatten();
+    let pace = |upstream: &Value| upstream["pace"].as_f64().unwrap_or(1.0);
+    let mut slow: Vec<&Value> = upstreams.filter(|u| pace(u) >= MIN_SLOWDOWN).collect();
+    slow.sort_by(|one, other| pace(other).total_cmp(&pace(one)));
+    let note = |upstream: &&Value| {
+        let (id, report) = (upstream["id"].as_str().unwrap_or_default(), &upstream["report"]);
+        let by = if report["own"] == true { "this VM" } else { "a peer" };
+        let age = report["age_ms"].as_u64().unwrap_or(0);
+        format!("{id} {:.1} times slower, reported to {by} {age} ms ago", pace(upstream))
+    };
+    let mut notes: Vec<String> = slow.iter().take(MAX_SLOW).map(note).collect();
+    if slow.len() > MAX_SLOW {
+        notes.push(format!("{} more slow engines", slow.len() - MAX_SLOW));
+    }
+    notes
+}
+
 /// Where requests are queued by forecasts, or engines are kept free: the largest groups of the queue, the rate, and the
 /// promises.
 fn scheduling(scheduling: &Value) -> Vec<String> {
--- a/cli/tests/status.rs
+++ b/cli/tests/status.rs
@@ -49,6 +49,23 @@
     .assert_eq(&status(dump(), &[]));
 }
 
+/// Guards against slow engines that operators cannot name, and against a line that grows with their number.
+#[test]
+fn the_slowest_engines_are_named_with_the_source_of_the_report() {
+    let upstream = |id: &str, pace: f64, own: bool| json!({"id": id, "cold_ms": null, "pace": pace, "report": {"age_ms": 340, "own": own}});
+    let mut dump = dump();
+    dump["upstreams"] = json!([
+        upstream("i-1", 1.2, true),
+        upstream("i-2", 1.6, true),
+        upstream("i-3", 4.0, true),
+        upstream("i-4", 2.0, false),
+        upstream("i-5", 1.5, false),
+    ]);
+    expect![[r#"
+        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  i-3 4.0 times slower, reported to this VM 340 ms ago  i-4 2.0 times slower, reported to a peer 340 ms ago  i-2 1.6 times slower, reported to this VM 340 ms ago  1 more slow engines
+    "#]].assert_eq(&status(dump, &[]));
+}
+
 /// Guards against a queue whose organisation operators cannot see, and against a line that grows with the number of
 /// organisations.
 #[test]
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -237,7 +237,7 @@
                 "rate_limit": rate_limit(&cluster, u, now),
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.decoding, "memory": load.memory, "backlog_ms": load.backlog_ms,
-                "pace": u.slowdown(now), "silent": u.is_unresponsive(now),
+                "pace": u.slowdown(now), "silent": u.is_unresponsive(now), "report": report(u, now),
             })
         })
         .collect();
@@ -275,6 +275,12 @@
     })
 }
 
+/// The age of the newest report of an engine, and whether this VM fetched it itself.
+fn report(upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
+    let age = now.saturating_duration_since(upstream.observed?.at);
+    Some(json!({"age_ms": age.as_millis() as u64, "own": upstream.is_own_report}))
+}
+
 /// The rate limit of an upstream with its age, source and recent use.
 fn rate_limit(cluster: &Cluster, upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
     let limited = upstream.rate_limit.as_ref()?;
