--- a/base/tests/catalogue.rs
+++ b/base/tests/catalogue.rs
@@ -42,5 +42,14 @@
     for kind in Kind::ALL {
         writeln!(page, "| `{kind}` | {} | {} |", kind.status(), kind.ran()).unwrap();
     }
+    page.push_str(
+        "\nWhere requests are admitted by forecasts (`admission` = `forecast`), a request to an engine that cannot be \
+         served within\nits caller's time is rejected with `overloaded` at once, and its message states the forecast \
+         wait. `Retry-After` is then a\ntime that the scheduler computes: if it could promise one, the caller is served \
+         if it sends the same request from 50 ms before\nthat time until 2 s after it, through any VM. It is at most a \
+         third of the time for which the caller still waits. Without a\npromise it is the forecast wait, or that third \
+         if it is longer. The response does not say which; the request's record does\n(`promised`, [OPERATIONS.md]\
+         (OPERATIONS.md), section 8). Other rejections with `overloaded` state a constant delay.\n",
+    );
     expect_file!["../../docs/ERRORS.md"].assert_eq(&page);
 }
--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -133,8 +133,12 @@
             if !self.log.is_kept_due(*tag, now) {
                 continue;
             }
-            let Some(service) = find(table, *tag) else { continue };
-            let Some(engine) = self.forecast_engine(service) else { continue };
+            let service = find(table, *tag);
+            let Some((service, engine)) = service.and_then(|s| Some((s, s.engine.as_ref()?)))
+            else {
+                self.log.remove_kept(*tag);
+                continue;
+            };
             let (all, long) = (speed(cluster, service, now), self.demand(*tag));
             let change = KeptChange {
                 service: service.name.clone(),
--- a/request/src/scheduler/record.rs
+++ b/request/src/scheduler/record.rs
@@ -179,6 +179,11 @@
         self.kept.values().map(|kept| kept.engines).sum()
     }
 
+    /// Forgets the kept engines of a service that no longer exists.
+    pub fn remove_kept(&mut self, service: Tag) {
+        self.kept.remove(&service);
+    }
+
     /// Forgets the kept engines, as none are kept any more.
     pub fn clear_kept(&mut self) {
         self.kept.clear();
