--- a/base/tests/catalogue.rs
+++ b/base/tests/catalogue.rs
@@ -49,7 +49,7 @@
          if it sends the same request from 50 ms before\nthat time until 2 s after it, through any VM. It is at most a \
          third of the time for which the caller still waits. Without a\npromise it is the forecast wait, or that third \
          if it is longer. The response does not say which; the request's record does\n(`promised`, [OPERATIONS.md]\
-         (OPERATIONS.md), section 8). Other rejections with `overloaded` state a constant delay.\n",
+         (OPERATIONS.md), section 8).\n",
     );
     expect_file!["../../docs/ERRORS.md"].assert_eq(&page);
 }
