--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -6,6 +6,7 @@
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
 use foldlock_request::budget::Charge;
+use foldlock_request::caller::Caller;
 use foldlock_request::cluster::Load;
 use foldlock_request::decision::{Cause, Decision, Snapshot};
 use foldlock_request::dialect::Dialect;
@@ -126,7 +127,7 @@
         {
             Ok(grant) => {
                 history.on_granted(job);
-                record_grant(job, &grant, started);
+                record_grant(job, &grant, &requirements, started);
                 return Ok(grant);
             }
             Err(Rejected { rejection: Rejection::NoUpstream, .. })
@@ -178,12 +179,19 @@
     Duration::from_secs_f64(ms / 1e3)
 }
 
-fn record_grant<D: Dialect>(job: &Job<D>, grant: &Grant, started: Instant) {
+fn record_grant<D: Dialect>(
+    job: &Job<D>,
+    grant: &Grant,
+    requirements: &Requirements,
+    started: Instant,
+) {
     let queued = job.process.now().saturating_duration_since(started);
     if queued >= MIN_QUEUE_TIME {
         job.record(Decision::Waited { cause: Cause::Engines, waited_ms: millis(queued) });
     }
     let placement = &grant.placement;
+    // The scheduler may have lines about it: that its caller has returned, or that it was queued.
+    let by_forecast = job.service.engine.is_some() && requirements.caller != Caller::default();
     if placement.limited > 0 {
         let label = ByLimited { limited: Limited::Elsewhere };
         job.process.metrics.rate_limited.get_or_create(&label).inc();
@@ -201,7 +209,7 @@
         by: grant.by.clone(),
         limited: placement.limited as u32,
         placement_ms: millis(queued),
-        grant_request: placement.reason.is_some().then_some(grant.number),
+        grant_request: (by_forecast && grant.by.is_some()).then_some(grant.number),
         reason: placement.reason,
     });
 }
