--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -24,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::answer::{self, Body};
+use crate::fleet::decisions;
 use crate::fleet::process::Process;
 use crate::fleet::unread::Truncated;
 use crate::fleet::write_queue::Write;
@@ -169,6 +170,7 @@
     let scheduler = process.scheduler.lock().unwrap();
     metrics.queue_len.set(scheduler.queue_len() as i64);
     metrics.update_promises(&scheduler.promises);
+    metrics.update_decisions(&scheduler);
     drop(scheduler);
     metrics.peers.set(process.peers.up(now).len() as i64);
 }
@@ -212,9 +214,14 @@
 
 fn dump<D: Dialect>(process: &Process<D>) -> serde_json::Value {
     let now = process.now();
-    let waiting = process.scheduler.lock().unwrap().queue_len();
+    let settings = process.settings();
     let moment = process.moment();
+    let scheduler = process.scheduler.lock().unwrap();
     let cluster = process.cluster.lock().unwrap();
+    let waiting = scheduler.queue_len();
+    let table = settings.as_ref().map(|settings| &settings.table);
+    let scheduling = decisions::dump(&scheduler, &cluster, table, now);
+    drop(scheduler);
     let backoffs = process.backoffs.lock().unwrap();
     let loads = cluster.loads(None, now);
     let upstreams: Vec<_> = cluster
@@ -230,7 +237,7 @@
                 "rate_limit": rate_limit(&cluster, u, now),
                 "suspicion": u.suspicion.weight(now), "requests": load.requests,
                 "writers": load.decoding, "memory": load.memory, "backlog_ms": load.backlog_ms,
-                "pace": u.slowdown(now), "silent": u.is_unresponsive(now),
+                "pace": u.slowdown(now), "silent": u.is_unresponsive(now), "report": report(u, now),
             })
         })
         .collect();
@@ -260,6 +267,7 @@
         "settings_age_ms": process.freshness.age(process.moment()).map(|age| age.as_millis() as u64),
         "peers": process.peers.dump(now),
         "waiting": waiting,
+        "scheduling": scheduling,
         "idle_connections": process.pool.len(),
         "unread": process.unread.dump(),
         "upstreams": upstreams,
@@ -267,6 +275,12 @@
     })
 }
 
+/// The age of the newest report of an engine, and whether this VM fetched it itself.
+fn report(upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
+    let age = now.saturating_duration_since(upstream.observed?.at);
+    Some(json!({"age_ms": age.as_millis() as u64, "own": upstream.is_own_report}))
+}
+
 /// The rate limit of an upstream with its age, source and recent use.
 fn rate_limit(cluster: &Cluster, upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
     let limited = upstream.rate_limit.as_ref()?;
