Note of reports from evidence, and when an engine has to be asked

Engines are asked for a report every 600 ms whatever their responses show. The module decides from first events, failures and reports when that is necessary; nothing uses it yet.

--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod decision;
 pub mod dialect;
 pub mod directory;
+pub mod evidence;
 pub mod fair;
 pub mod fingerprint;
 pub mod flight;
