Scheduler asks engines for reports by evidence with admission by forecasts

Cause: each engine is asked every 600 ms, whatever its responses show. Without admission by forecasts nothing changes.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -145,6 +145,8 @@
     NotRetried = 516, Info;
     /// An engine sends nothing for a divided prompt; its reports decide whether the attempt goes on.
     EngineSilent = 530, Info;
+    /// Attempts put an engine in doubt: its report is requested until they are in time again.
+    EngineDoubted = 531, Info;
 }
 
 impl fmt::Display for Event {
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
+use foldlock_request::evidence::{Doubt, Reason};
 use foldlock_request::liveness::{Ending, Reply};
 use foldlock_request::scheduler::{Counts, Promises, forecast};
 use foldlock_version::routes::Service;
@@ -128,6 +129,20 @@
     pub ending: &'static str,
 }
 
+/// Label of a report request that evidence gave reason for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByReason {
+    /// Why the engine was asked.
+    pub reason: &'static str,
+}
+
+/// Label of an engine that came into doubt.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByDoubt {
+    /// The first sign of a fault.
+    pub doubt: &'static str,
+}
+
 /// Label of a decision on a retry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ByVerdict {
@@ -185,6 +200,10 @@
     pub liveness_replies: Family<ByReply, Counter>,
     /// Attempts that ended since their main engine counted as crashed by its reports.
     pub liveness_endings: Family<ByEnding, Counter>,
+    /// Report requests that this VM decided on as the scheduler, by reason, where evidence decides.
+    pub report_requests: Family<ByReason, Counter>,
+    /// Engines that came into doubt by attempts, as decided by this VM as the scheduler.
+    pub engine_doubts: Family<ByDoubt, Counter>,
     /// Streams resumed at another upstream.
     pub resumed_streams: Counter,
     /// Connections opened to upstreams.
@@ -259,6 +278,8 @@
             budgeted_retries: Family::default(),
             liveness_replies: Family::default(),
             liveness_endings: Family::default(),
+            report_requests: Family::default(),
+            engine_doubts: Family::default(),
             resumed_streams: Counter::default(),
             connections: Counter::default(),
             directory_calls: Family::default(),
@@ -330,6 +351,16 @@
         self.liveness_endings.get_or_create(&ByEnding { ending: ending.as_str() }).inc();
     }
 
+    /// Counts a report request that evidence gave reason for.
+    pub fn count_report_request(&self, reason: Reason) {
+        self.report_requests.get_or_create(&ByReason { reason: reason.as_str() }).inc();
+    }
+
+    /// Counts an engine that came into doubt.
+    pub fn count_doubt(&self, doubt: Doubt) {
+        self.engine_doubts.get_or_create(&ByDoubt { doubt: doubt.as_str() }).inc();
+    }
+
     /// Counts a request that waits for a step of the start.
     pub fn count_startup_wait(&self, step: Step) {
         self.startup_waits.get_or_create(&ByStep { step }).inc();
@@ -398,6 +429,10 @@
         let what =
             "Attempts that ended since the reports of their engine did not show that it is alive";
         r.register("liveness_endings", what, self.liveness_endings.clone());
+        let what = "Report requests of the scheduler by reason, where evidence decides on them";
+        r.register("report_requests", what, self.report_requests.clone());
+        let what = "Engines that attempts put in doubt, by the first sign of a fault";
+        r.register("engine_doubts", what, self.engine_doubts.clone());
         let what = "Requests, parts and orders sent to upstreams";
         r.register("upstream_messages", what, self.upstream_messages.clone());
         let what = "Times that the directory came back from an older copy";
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -1,13 +1,16 @@
 //! Polls the reports of engines. The scheduler distributes the polls over the VMs that are up, so that slow and
 //! unresponsive engines are detected early and no VM polls many engines.
+//!
+//! With `admission = "forecast"` only the engines are polled about which [`foldlock_request::evidence`] decides so; without
+//! it, all of them every 600 ms.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use foldlock_base::prelude::*;
-use foldlock_request::cluster::Listed;
+use foldlock_request::cluster::{Due, Listed};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Member;
+use foldlock_request::evidence::{self, POLL_INTERVAL};
 use foldlock_request::message::Message;
 use foldlock_request::notice::Annotated;
 use foldlock_request::report::{self, Observed, Report, Reports};
@@ -20,29 +23,31 @@
 use crate::fleet::{announce, rate_limits};
 use crate::log;
 
-/// Interval between polls of each engine. A slow or unresponsive engine delays most prompts that are split over several
-/// engines, and these arrive several times a second.
-const POLL_INTERVAL: Duration = Duration::from_millis(600);
-
 /// Minimum change of the slowdown that is logged.
 const MIN_LOGGED_CHANGE: f64 = 0.1;
 
-/// Polls the engines while this VM is the scheduler, until the process stops.
+/// Polls the engines while this VM is the scheduler, until the process stops. By forecast, the evidence decides which
+/// ones; otherwise all of them at each poll interval.
 pub async fn run<D: Dialect>(process: Arc<Process<D>>) {
     while !process.stopping.is_cancelled() {
-        tokio::time::sleep(POLL_INTERVAL).await;
-        if process.peers.scheduler(false, process.now()) == Some(Scheduler::Own) {
-            poll(&process);
+        let by_evidence = process.scheduler.lock().unwrap().policy().is_forecast();
+        tokio::time::sleep(if by_evidence { evidence::TICK } else { POLL_INTERVAL }).await;
+        if process.peers.scheduler(false, process.now()) != Some(Scheduler::Own) {
+            continue;
+        }
+        let engines = if by_evidence { due(&process) } else { engines(&process) };
+        if !engines.is_empty() {
+            poll(&process, engines);
         }
     }
 }
 
 /// Distributes the engines over the VMs that are up by rendezvous hashing, so that the same VM polls an engine each
 /// time, on an open connection.
-fn poll<D: Dialect>(process: &Arc<Process<D>>) {
+fn poll<D: Dialect>(process: &Arc<Process<D>>, engines: Vec<Listed>) {
     let mut vms = process.peers.up(process.now());
     vms.push(process.member.clone());
-    for listed in engines(process) {
+    for listed in engines {
         let weight = |vm: &&Member| xxh3_64(format!("{} {}", vm.vm, listed.id).as_bytes());
         match vms.iter().max_by_key(weight) {
             Some(vm) if vm.vm != process.member.vm => {
@@ -56,6 +61,27 @@
     }
 }
 
+/// The engines that have to be asked now by what is known of them.
+fn due<D: Dialect>(process: &Process<D>) -> Vec<Listed> {
+    let Some(settings) = process.settings() else { return Vec::new() };
+    let now = process.now();
+    let scheduler = process.scheduler.lock().unwrap();
+    let mut cluster = process.cluster.lock().unwrap();
+    let round = scheduler.due_reports(&mut cluster, &settings.table, now);
+    drop((scheduler, cluster));
+    for doubted in &round.doubted {
+        process.metrics.count_doubt(doubted.doubt);
+        if process.problem_lines.admit(now).is_some() {
+            log::event(&process.log, Event::EngineDoubted, doubted.describe(now));
+        }
+    }
+    let count = |due: Due| {
+        process.metrics.count_report_request(due.reason);
+        due.listed
+    };
+    round.due.into_iter().map(count).collect()
+}
+
 /// Handles a message of the scheduler that requests the report of an engine.
 pub fn on_poll<D: Dialect>(process: &Arc<Process<D>>, upstream: Tag) {
     let cluster = process.cluster.lock().unwrap();
--- a/request/src/cluster.rs
+++ b/request/src/cluster.rs
@@ -4,6 +4,7 @@
 //! A VM announces all of its attempts each time, so a lost message costs accuracy for one heartbeat interval
 //! and nothing else. The load of each upstream is updated incrementally as attempts begin and end.
 
+mod evidence;
 mod flights;
 mod halls;
 mod limits;
@@ -23,6 +24,7 @@
 use foldlock_base::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::evidence::Evidence;
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::Quarantine;
 use crate::quarantine_entry;
@@ -30,6 +32,7 @@
 use crate::suspicion::Suspicion;
 use crate::tag::Tag;
 
+pub use evidence::{Doubted, Due, Round};
 pub use flights::Holder;
 pub use halls::{Hall, Halls};
 pub use limits::Dispatch;
@@ -129,6 +132,7 @@
             cold_until: None,
             rate_limit: None,
             unlisted: None,
+            evidence: Evidence::default(),
         };
         self.upstreams.insert(id, upstream);
     }
--- /dev/null
+++ b/request/src/cluster/evidence.rs
@@ -0,0 +1,151 @@
+//! What first events of attempts show of their engines, and the engines that have to be asked for a report.
+
+use std::time::{Duration, Instant};
+
+use foldlock_base::id;
+
+use super::{Cluster, Holder, Listed, Upstream};
+use crate::evidence::{Doubt, Evidence, Expectation, Reason};
+use crate::flight::Tracked;
+use crate::report::Observed;
+use crate::tag::Tag;
+
+/// An engine that has to be asked for its report.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Due {
+    /// The engine.
+    pub listed: Listed,
+    /// Why it is asked.
+    pub reason: Reason,
+}
+
+/// An engine that came into doubt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Doubted {
+    /// The engine.
+    pub upstream: id::Upstream,
+    /// The first sign of a fault.
+    pub doubt: Doubt,
+    /// Age of the last evidence that it is neither slow nor dark; none if there is none.
+    pub evidence_age: Option<Duration>,
+    /// Its last report.
+    pub observed: Option<Observed>,
+}
+
+impl Doubted {
+    /// The inputs of the decision, for the log.
+    pub fn describe(&self, now: Instant) -> String {
+        let Doubted { upstream, doubt, evidence_age, observed } = self;
+        let age_ms = evidence_age.map_or(-1, |age| age.as_millis() as i64);
+        let report = match observed {
+            None => "none".to_owned(),
+            Some(Observed { report, at }) => {
+                let slowdown = report
+                    .map_or("no response".to_owned(), |r| format!("slowdown {:.2}", r.slowdown));
+                format!("{slowdown}, {} ms old", now.saturating_duration_since(*at).as_millis())
+            }
+        };
+        format!("{upstream}: {}, evidence_age_ms {age_ms}, last report {report}", doubt.as_str())
+    }
+}
+
+/// The result of one round of decisions.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Round {
+    /// The engines to ask now.
+    pub due: Vec<Due>,
+    /// The engines that came into doubt since the last round.
+    pub doubted: Vec<Doubted>,
+}
+
+impl Cluster {
+    /// Sets the predicted time to the first event of a placement that was granted now. Without it, the attempt shows
+    /// nothing of its engines. Responses that are sent whole have no first event.
+    pub fn expect_first_event(
+        &mut self,
+        holder: &Holder,
+        number: u64,
+        predicted_ms: f64,
+        now: Instant,
+    ) {
+        let Some(entry) = self.flights.entry_mut(holder, number) else { return };
+        let is_stream = entry.tracked.flight.pause_ms != u32::MAX;
+        entry.expected = Expectation::new(predicted_ms, now).filter(|_| is_stream);
+    }
+
+    /// Records that a long prompt relies on these engines.
+    pub fn rely_on<'a>(&mut self, engines: impl Iterator<Item = &'a id::Upstream>, now: Instant) {
+        for id in engines {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.evidence.on_long_prompt(now);
+            }
+        }
+    }
+
+    /// Records that a queued long prompt may rely on any engine of a service.
+    pub fn rely_on_service(&mut self, service: &str, now: Instant) {
+        let open = |u: &&mut Upstream| u.listed.service == service && u.is_open();
+        self.upstreams.values_mut().filter(open).for_each(|u| u.evidence.on_long_prompt(now));
+    }
+
+    pub(super) fn judge_first_event(&mut self, holder: &Holder, number: u64, now: Instant) {
+        let Some(entry) = self.flights.entry_mut(holder, number) else { return };
+        let Some(expected) = entry.expected.take() else { return };
+        let engines = incarnations(&entry.tracked);
+        self.update(&engines, |evidence| evidence.on_first_event(expected, now));
+    }
+
+    /// The engines to ask for their reports, which count as asked now. Engines of other services, and those with a rate
+    /// limit, to which the requests may count, are not among them.
+    pub fn due_reports(&mut self, is_engine: impl Fn(&Listed) -> bool, now: Instant) -> Round {
+        self.record_missing_events(now);
+        let mut round = Round::default();
+        let works = &self.flights.works;
+        for upstream in self.upstreams.values_mut() {
+            if upstream.is_limited() || !is_engine(&upstream.listed) {
+                continue;
+            }
+            let evidence = &mut upstream.evidence;
+            evidence.on_use(works.contains_key(&upstream.listed.id), now);
+            if let Some(doubt) = evidence.take_doubt(now) {
+                let age = |sound: Instant| now.saturating_duration_since(sound);
+                round.doubted.push(Doubted {
+                    upstream: upstream.listed.id.clone(),
+                    doubt,
+                    evidence_age: evidence.sound_until(upstream.observed).map(age),
+                    observed: upstream.observed,
+                });
+            }
+            if let Some(reason) = evidence.due(upstream.observed, now) {
+                evidence.on_asked(now);
+                round.due.push(Due { listed: upstream.listed.clone(), reason });
+            }
+        }
+        round
+    }
+
+    /// Puts the engines of attempts in doubt whose first event has not come in time. A placement that its VM has not
+    /// announced may not have been sent.
+    fn record_missing_events(&mut self, now: Instant) {
+        let entries = self.flights.by_holder.values().flat_map(|flights| flights.values());
+        let is_missing = |expected: Expectation| expected.is_late(now);
+        let missing = entries.filter(|e| e.grant.is_none() && e.expected.is_some_and(is_missing));
+        let engines: Vec<_> = missing.flat_map(|entry| incarnations(&entry.tracked)).collect();
+        self.update(&engines, |evidence| evidence.on_doubt(Doubt::Missing, now));
+    }
+
+    /// Updates the evidence of those incarnations that are the current ones.
+    fn update(&mut self, engines: &[Tag], update: impl Fn(&mut Evidence)) {
+        for tag in engines {
+            let current = self.tags.get(tag).and_then(|id| self.upstreams.get_mut(id));
+            if let Some(upstream) = current.filter(|upstream| upstream.tag == *tag) {
+                update(&mut upstream.evidence);
+            }
+        }
+    }
+}
+
+/// The engines of an attempt: the one that responds and those that read a part.
+fn incarnations(tracked: &Tracked) -> Vec<Tag> {
+    std::iter::once(tracked.tag).chain(tracked.helper_tags.iter().copied()).collect()
+}
--- a/request/src/cluster/flights.rs
+++ b/request/src/cluster/flights.rs
@@ -8,6 +8,7 @@
 
 use super::load::{Load, Serial, Work};
 use super::{Cluster, Upstream};
+use crate::evidence::Expectation;
 use crate::fingerprint::Fingerprint;
 use crate::flight::{Announcement, Flight, Tracked};
 use crate::sliding_window::SlidingWindow;
@@ -26,18 +27,20 @@
 }
 
 #[derive(Debug)]
-struct Entry {
+pub(super) struct Entry {
     serial: Serial,
-    tracked: Tracked,
+    pub(super) tracked: Tracked,
     /// The number of the grant, until the VM has announced the flight.
-    grant: Option<u64>,
+    pub(super) grant: Option<u64>,
+    /// Its first event as predicted with the grant; none if it is not judged.
+    pub(super) expected: Option<Expectation>,
 }
 
 /// All in-flight attempts.
 #[derive(Debug, Default)]
 pub(super) struct Flights {
-    by_holder: HashMap<Holder, HashMap<u64, Entry>>,
-    works: HashMap<id::Upstream, Work>,
+    pub(super) by_holder: HashMap<Holder, HashMap<u64, Entry>>,
+    pub(super) works: HashMap<id::Upstream, Work>,
     /// Isolated flights; rarely any, so they are searched linearly.
     isolated: Vec<(Serial, Fingerprint, id::Upstream)>,
     /// Recent dispatches to each upstream.
@@ -50,6 +53,7 @@
         if !self.contains(&holder, number) {
             self.record_dispatch(&tracked.flight.upstream, &holder, number, tracked.sent);
         }
+        let expected = self.entry(&holder, number).and_then(|entry| entry.expected);
         self.end(&holder, number, tracked.sent);
         self.serial += 1;
         let serial = self.serial;
@@ -61,7 +65,7 @@
         for helper in &flight.helpers {
             self.work(&helper.upstream).add_helper(serial, &tracked, helper.reserved);
         }
-        let entry = Entry { serial, tracked, grant };
+        let entry = Entry { serial, tracked, grant, expected };
         self.by_holder.entry(holder).or_default().insert(number, entry);
     }
 
@@ -139,7 +143,15 @@
     }
 
     fn contains(&self, holder: &Holder, number: u64) -> bool {
-        self.by_holder.get(holder).is_some_and(|flights| flights.contains_key(&number))
+        self.entry(holder, number).is_some()
+    }
+
+    fn entry(&self, holder: &Holder, number: u64) -> Option<&Entry> {
+        self.by_holder.get(holder)?.get(&number)
+    }
+
+    pub(super) fn entry_mut(&mut self, holder: &Holder, number: u64) -> Option<&mut Entry> {
+        self.by_holder.get_mut(holder)?.get_mut(&number)
     }
 
     fn confirm(&mut self, holder: &Holder, number: u64) {
@@ -205,7 +217,15 @@
 
     /// Records the first event of an attempt of this VM.
     pub fn record_first_event(&mut self, number: u64, now: Instant) {
-        self.flights.record_first_event(&Holder::Own, number, now);
+        self.on_first_event(&Holder::Own, number, now);
+    }
+
+    fn on_first_event(&mut self, holder: &Holder, number: u64, now: Instant) -> bool {
+        let is_first = self.flights.record_first_event(holder, number, now);
+        if is_first {
+            self.judge_first_event(holder, number, now);
+        }
+        is_first
     }
 
     /// Removes an attempt of this VM that has ended.
@@ -302,7 +322,7 @@
             }
             self.flights.confirm(&holder, flight.number);
             if flight.decoding {
-                has_capacity |= self.flights.record_first_event(&holder, flight.number, now);
+                has_capacity |= self.on_first_event(&holder, flight.number, now);
             }
         }
         let numbers: HashSet<u64> = announced.iter().map(|flight| flight.number).collect();
--- a/request/src/cluster/upstream.rs
+++ b/request/src/cluster/upstream.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::Listed;
+use crate::evidence::{Doubt, Evidence};
 use crate::rate_limit;
 use crate::report::Observed;
 use crate::suspicion::{Outcome, Suspicion};
@@ -35,6 +36,8 @@
     pub rate_limit: Option<rate_limit::State>,
     /// When its listing lapsed while the directory was unavailable; it may still run.
     pub unlisted: Option<Instant>,
+    /// What attempts have shown of it.
+    pub evidence: Evidence,
 }
 
 impl Upstream {
@@ -59,7 +62,10 @@
     pub(super) fn record_outcome(&mut self, outcome: Outcome, now: Instant) {
         match outcome {
             Outcome::Answered => self.suspicion.record_success(now),
-            Outcome::Failed(failure) => self.suspicion.record_failure(failure, now),
+            Outcome::Failed(failure) => {
+                self.suspicion.record_failure(failure, now);
+                self.evidence.on_doubt(Doubt::Failure, now);
+            }
         }
     }
 
--- a/request/src/evidence.rs
+++ b/request/src/evidence.rs
@@ -133,12 +133,14 @@
     }
 }
 
-/// An engine that came into doubt.
+/// The signs of faults that put an engine in doubt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Suspicion {
-    doubt: Doubt,
+struct Signs {
+    first: Doubt,
     since: Instant,
     last: Instant,
+    /// Whether [`Evidence::take_doubt`] has returned them.
+    taken: bool,
 }
 
 /// What is known of one incarnation of an engine besides its last report.
@@ -146,7 +148,7 @@
 pub struct Evidence {
     /// Until when first events show that it was neither slow nor dark.
     sound: Option<Instant>,
-    suspicion: Option<Suspicion>,
+    signs: Option<Signs>,
     asked: Option<Instant>,
     /// Begin of its current use. Uses that are less than [`POLL_INTERVAL`] apart are one.
     used_since: Option<Instant>,
@@ -157,27 +159,22 @@
 }
 
 impl Evidence {
-    /// Records the first event of an attempt. Returns the doubt if the engine was not in doubt before.
-    pub fn on_first_event(&mut self, expected: Expectation, now: Instant) -> Option<Doubt> {
+    /// Records the first event of an attempt.
+    pub fn on_first_event(&mut self, expected: Expectation, now: Instant) {
         let Some(until) = expected.shown_until(now) else {
             return self.on_doubt(Doubt::Late, now);
         };
         self.sound = self.sound.max(Some(until));
-        // Events of requests that were sent before the fault may still be in time.
-        if self.suspicion.is_some_and(|suspicion| suspicion.last < expected.sent) {
-            self.suspicion = None;
+        // First events of requests that were sent before the fault may still be in time.
+        if self.signs.is_some_and(|signs| signs.last < expected.sent) {
+            self.signs = None;
         }
-        None
     }
 
-    /// Records a sign of a fault. Returns it if the engine was not in doubt before.
-    pub fn on_doubt(&mut self, doubt: Doubt, now: Instant) -> Option<Doubt> {
-        if let Some(suspicion) = self.suspicion(now) {
-            self.suspicion = Some(Suspicion { last: now, ..suspicion });
-            return None;
-        }
-        self.suspicion = Some(Suspicion { doubt, since: now, last: now });
-        Some(doubt)
+    /// Records a sign of a fault.
+    pub fn on_doubt(&mut self, doubt: Doubt, now: Instant) {
+        let new = Signs { first: doubt, since: now, last: now, taken: false };
+        self.signs = Some(Signs { last: now, ..self.signs(now).unwrap_or(new) });
     }
 
     /// Records that a long prompt relies on it, or may do so soon.
@@ -202,13 +199,15 @@
         self.asked = Some(now);
     }
 
-    /// The doubt that attempts give reason for.
-    pub fn doubt(&self, now: Instant) -> Option<Doubt> {
-        self.suspicion(now).map(|suspicion| suspicion.doubt)
+    /// The doubt that attempts give reason for, once for each time that the engine comes into doubt.
+    pub fn take_doubt(&mut self, now: Instant) -> Option<Doubt> {
+        let signs = self.signs(now).filter(|signs| !signs.taken)?;
+        self.signs = Some(Signs { taken: true, ..signs });
+        Some(signs.first)
     }
 
-    fn suspicion(&self, now: Instant) -> Option<Suspicion> {
-        self.suspicion.filter(|suspicion| age(suspicion.last, now) < DOUBT_TIME)
+    fn signs(&self, now: Instant) -> Option<Signs> {
+        self.signs.filter(|signs| age(signs.last, now) < DOUBT_TIME)
     }
 
     /// Until when first events and the last report show that it was neither slow nor dark.
@@ -228,9 +227,9 @@
         let is_asked_again = is_over(self.asked, POLL_INTERVAL);
         let is_asked_since = |at: Instant| self.asked.is_some_and(|asked| asked >= at);
         let sound = self.sound_until(observed);
-        if let Some(suspicion) = self.suspicion(now) {
-            let is_due = is_asked_again || !is_asked_since(suspicion.since);
-            return is_due.then_some(Reason::Doubt(suspicion.doubt));
+        if let Some(signs) = self.signs(now) {
+            let is_due = is_asked_again || !is_asked_since(signs.since);
+            return is_due.then_some(Reason::Doubt(signs.first));
         }
         let report = observed.map(|observed| observed.report);
         let in_doubt = match report {
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -14,6 +14,7 @@
 mod outlook;
 mod policy;
 mod promises;
+mod reports;
 pub mod reserve;
 pub mod shares;
 
@@ -516,6 +517,14 @@
         *number += 1;
         let number = *number;
         cluster.grant(&key.holder, key.number, placement.flight.clone(), number, now);
+        if self.policy.is_forecast() {
+            let flight = &placement.flight;
+            cluster.expect_first_event(&key.holder, key.number, placement.predicted_ms, now);
+            if !flight.helpers.is_empty() {
+                let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
+                cluster.rely_on(std::iter::once(&flight.upstream).chain(helpers), now);
+            }
+        }
         self.grants.insert(key, Grant { placement: placement.clone(), number, at: now });
         Reply::Granted(Box::new(placement), number)
     }
