Pace of streams as evidence, and tests of report requests by evidence

Cause: first events alone are rare at an engine that only decodes, and it would be asked every 600 ms. VMs with admission by forecasts announce until when the pauses between events were in time, as a last field of an attempt that VMs without it never receive.

--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -8,6 +8,7 @@
 use foldlock_connection::sse;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::evidence::Pace;
 use foldlock_version::routes::Retry;
 use hyper::Response;
 use hyper::header;
@@ -167,6 +168,7 @@
     writer: &Writer,
 ) -> RelayEnd {
     let timeout = silence_timeout(job, stream);
+    let mut pace = pace(job);
     let mut events = first;
     loop {
         let bytes = match progress.new_bytes(&events) {
@@ -176,7 +178,11 @@
                 return RelayEnd::Broken { why, unresponsive: false };
             }
         };
-        progress.record_time(job.process.now());
+        let now = job.process.now();
+        progress.record_time(now);
+        if let Some(sound_until) = pace.as_mut().and_then(|pace| pace.on_events(now)) {
+            stream.attempt_guard.record_pace(sound_until);
+        }
         if !bytes.is_empty() {
             match tokio::time::timeout_at(job.deadline.into(), writer.push(bytes)).await {
                 Ok(Ok(aborted)) => outcome::record_aborted(&job.process, aborted),
@@ -200,6 +206,12 @@
     }
 }
 
+/// The pace of the engine as evidence for the scheduler, if that asks for reports by evidence.
+fn pace<D: Dialect>(job: &Job<D>) -> Option<Pace> {
+    let is_forecast = job.process.config.fleet.scheduling.is_forecast();
+    job.service.engine.as_ref().filter(|_| is_forecast).and_then(Pace::new)
+}
+
 fn timed_out<D: Dialect>(job: &Job<D>, last_received: Instant) -> RelayEnd {
     let ms = job.process.now().saturating_duration_since(last_received).as_millis();
     RelayEnd::Broken { why: format!("no event for {ms} ms"), unresponsive: true }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -430,6 +430,11 @@
         self.process.cluster.lock().unwrap().record_first_event(self.number, self.process.now());
         self.process.notify_change();
     }
+
+    /// Records until when events show that the engine was not slow. It is announced with the next heartbeat.
+    pub fn record_pace(&self, sound_until: Instant) {
+        self.process.cluster.lock().unwrap().record_pace(self.number, sound_until);
+    }
 }
 
 impl<D: Dialect> Drop for Guard<D> {
--- a/request/src/cluster/evidence.rs
+++ b/request/src/cluster/evidence.rs
@@ -6,7 +6,7 @@
 
 use super::{Cluster, Holder, Listed, Upstream};
 use crate::evidence::{Doubt, Evidence, Expectation, Reason};
-use crate::flight::Tracked;
+use crate::flight::{Announcement, Tracked};
 use crate::report::Observed;
 use crate::tag::Tag;
 
@@ -95,6 +95,23 @@
         self.update(&engines, |evidence| evidence.on_first_event(expected, now));
     }
 
+    /// Records until when the events of an attempt of this VM show that its engine was not slow.
+    pub fn record_pace(&mut self, number: u64, sound_until: Instant) {
+        let Some(entry) = self.flights.entry_mut(&Holder::Own, number) else { return };
+        entry.sound_until = Some(sound_until);
+        let engine = entry.tracked.tag;
+        self.update(&[engine], |evidence| evidence.on_sound(sound_until));
+    }
+
+    /// Merges what a peer announced of the pace of an attempt.
+    pub(super) fn merge_pace(&mut self, announced: &Announcement, now: Instant) {
+        let Some(age_ms) = announced.sound_age_ms else { return };
+        let age = Duration::from_millis(u64::from(age_ms));
+        if let Some(sound_until) = now.checked_sub(age) {
+            self.update(&[announced.upstream], |evidence| evidence.on_sound(sound_until));
+        }
+    }
+
     /// The engines to ask for their reports, which count as asked now. Engines of other services, and those with a rate
     /// limit, to which the requests may count, are not among them.
     pub fn due_reports(&mut self, is_engine: impl Fn(&Listed) -> bool, now: Instant) -> Round {
@@ -106,7 +123,9 @@
                 continue;
             }
             let evidence = &mut upstream.evidence;
-            evidence.on_use(works.contains_key(&upstream.listed.id), now);
+            if works.contains_key(&upstream.listed.id) {
+                evidence.on_use(now);
+            }
             if let Some(doubt) = evidence.take_doubt(now) {
                 let age = |sound: Instant| now.saturating_duration_since(sound);
                 round.doubted.push(Doubted {
--- a/request/src/cluster/flights.rs
+++ b/request/src/cluster/flights.rs
@@ -34,6 +34,8 @@
     pub(super) grant: Option<u64>,
     /// Its first event as predicted with the grant; none if it is not judged.
     pub(super) expected: Option<Expectation>,
+    /// Until when its events show that its engine was not slow, for attempts of this VM.
+    pub(super) sound_until: Option<Instant>,
 }
 
 /// All in-flight attempts.
@@ -65,7 +67,7 @@
         for helper in &flight.helpers {
             self.work(&helper.upstream).add_helper(serial, &tracked, helper.reserved);
         }
-        let entry = Entry { serial, tracked, grant, expected };
+        let entry = Entry { serial, tracked, grant, expected, sound_until: None };
         self.by_holder.entry(holder).or_default().insert(number, entry);
     }
 
@@ -296,7 +298,12 @@
     pub fn announced_flights(&self, now: Instant) -> Vec<Announcement> {
         let own = self.flights.by_holder.get(&Holder::Own);
         let entries = own.into_iter().flatten().filter(|(_, entry)| entry.grant.is_none());
-        entries.map(|(number, entry)| entry.tracked.announcement(*number, now)).collect()
+        let announce = |(number, entry): (&u64, &Entry)| {
+            let age = |at| now.saturating_duration_since(at).as_millis() as u32 + 1;
+            let sound_age_ms = entry.sound_until.map(age);
+            Announcement { sound_age_ms, ..entry.tracked.announcement(*number, now) }
+        };
+        entries.map(announce).collect()
     }
 
     /// Merges all attempts that a peer announced when it had received this VM's grants up to `granted`. Attempts
@@ -312,6 +319,7 @@
         let holder = Holder::Peer(vm.clone());
         let mut has_capacity = false;
         for flight in announced {
+            self.merge_pace(flight, now);
             if !self.flights.contains(&holder, flight.number) {
                 let resolve = |tag| self.tags.get(&tag).cloned();
                 let Some(tracked) = Tracked::from_announcement(flight, resolve, now) else {
--- a/request/src/evidence.rs
+++ b/request/src/evidence.rs
@@ -1,11 +1,14 @@
 //! When an engine has to be asked for a report, by what its recent attempts have shown.
 //!
-//! Load pattern B on a quiet day: 69 engines, most of them in use now and then, are asked every 600 ms each. First events
-//! at the predicted pace show the same. An engine that turns four times slower or dark while it is used is asked no later
+//! Load pattern B on a quiet day: 69 engines, most of them in use now and then, are asked every 600 ms each. Events at the
+//! predicted pace show the same. An engine that turns four times slower or dark while it is used is asked no later
 //! than 600 ms after that, as with polling.
 
 use std::time::{Duration, Instant};
 
+use foldlock_version::routes::Engine;
+
+use crate::forecast;
 use crate::report::Observed;
 
 /// Interval between report requests to an engine in doubt, and the age up to which evidence counts for an engine in use. A
@@ -74,6 +77,31 @@
     }
 }
 
+/// The pace of the events of one response after the first, as its VM receives them.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    limit: Duration,
+    last: Option<Instant>,
+}
+
+impl Pace {
+    /// The pace of an engine with these figures. None if it could be four times slower while it runs a single request, and
+    /// still as fast as when it is full.
+    pub fn new(engine: &Engine) -> Option<Pace> {
+        let full_ms = forecast::pass_ms(engine, engine.slots, engine.memory.0);
+        let full = Duration::try_from_secs_f64(full_ms / 1e3).ok()?;
+        let limit = full.mul_f64(MAX_RATIO) + SLACK;
+        let slow_ms = forecast::pass_ms(engine, 1, 0) * SLOWDOWN;
+        (slow_ms > limit.as_secs_f64() * 1e3).then_some(Pace { limit, last: None })
+    }
+
+    /// Records events that arrived together. Returns until when they show that the engine was not slow: the arrival of
+    /// the previous ones, since it may have turned slow after these.
+    pub fn on_events(&mut self, now: Instant) -> Option<Instant> {
+        self.last.replace(now).filter(|last| age(*last, now) <= self.limit)
+    }
+}
+
 /// A sign of a fault in attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Doubt {
@@ -111,7 +139,7 @@
     Doubt(Doubt),
     /// It is part of a long prompt, and its evidence is old.
     LongPrompt,
-    /// It is in use, and its evidence is old.
+    /// It was used after its last evidence, which is old.
     Used,
     /// Its last report is old, though it is unused or has evidence.
     Routine,
@@ -146,14 +174,13 @@
 /// What is known of one incarnation of an engine besides its last report.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Evidence {
-    /// Until when first events show that it was neither slow nor dark.
+    /// Until when events show that it was neither slow nor dark.
     sound: Option<Instant>,
     signs: Option<Signs>,
     asked: Option<Instant>,
     /// Begin of its current use. Uses that are less than [`POLL_INTERVAL`] apart are one.
     used_since: Option<Instant>,
     last_used: Option<Instant>,
-    is_used: bool,
     /// When a long prompt last relied on it.
     relied: Option<Instant>,
 }
@@ -164,7 +191,7 @@
         let Some(until) = expected.shown_until(now) else {
             return self.on_doubt(Doubt::Late, now);
         };
-        self.sound = self.sound.max(Some(until));
+        self.on_sound(until);
         // First events of requests that were sent before the fault may still be in time.
         if self.signs.is_some_and(|signs| signs.last < expected.sent) {
             self.signs = None;
@@ -182,12 +209,13 @@
         self.relied = Some(now);
     }
 
-    /// Records whether it has attempts now.
-    pub fn on_use(&mut self, is_used: bool, now: Instant) {
-        self.is_used = is_used;
-        if !is_used {
-            return;
-        }
+    /// Records that it was neither slow nor dark at a time.
+    pub fn on_sound(&mut self, at: Instant) {
+        self.sound = self.sound.max(Some(at));
+    }
+
+    /// Records that it has attempts now.
+    pub fn on_use(&mut self, now: Instant) {
         if self.last_used.is_none_or(|last| age(last, now) >= POLL_INTERVAL) {
             self.used_since = Some(now);
         }
@@ -210,7 +238,7 @@
         self.signs.filter(|signs| age(signs.last, now) < DOUBT_TIME)
     }
 
-    /// Until when first events and the last report show that it was neither slow nor dark.
+    /// Until when events and the last report show that it was neither slow nor dark.
     pub fn sound_until(&self, observed: Option<Observed>) -> Option<Instant> {
         let is_healthy = |o: &Observed| o.report.is_some_and(|report| report.slowdown <= 1.0);
         self.sound.max(observed.filter(is_healthy).map(|o| o.at))
@@ -250,7 +278,9 @@
         if self.relied.is_some_and(|at| relies(&at)) {
             return Some(Reason::LongPrompt);
         }
-        if self.is_used && is_over(sound.max(self.used_since).max(self.asked), POLL_INTERVAL) {
+        // A fault since then would be unknown, and the attempts would have met it.
+        let known = sound.max(self.asked);
+        if self.last_used > known && is_over(known.max(self.used_since), POLL_INTERVAL) {
             return Some(Reason::Used);
         }
         let last = observed.map(|observed| observed.at).max(self.asked);
--- a/request/src/flight.rs
+++ b/request/src/flight.rs
@@ -79,6 +79,11 @@
     pub(crate) decoding: bool,
     pub(crate) isolated: Option<Fingerprint>,
     pub(crate) age_ms: u32,
+    /// Age of the last moment at which its events show that its engine was not slow, rounded up. Omitted if there is none,
+    /// as VMs of the previous release cannot decode further fields; the fields are identified by position, so no field
+    /// may follow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) sound_age_ms: Option<u32>,
 }
 
 impl Tracked {
@@ -97,6 +102,7 @@
             decoding: flight.decoding,
             isolated: flight.isolated,
             age_ms: now.saturating_duration_since(self.sent).as_millis() as u32,
+            sound_age_ms: None,
         }
     }
 
