--- a/request/tests/evidence.rs
+++ b/request/tests/evidence.rs
@@ -324,6 +324,8 @@
             }
             let announced = peer.cluster.announced_flights(peer.at(now));
             let message = rmp_serde::to_vec(&announced).unwrap();
+            // VMs without evidence by pace must receive the nine fields that they can decode.
+            assert_eq!(message[1], if has_pace && now >= 100 { 0x9a } else { 0x99 });
             let announced: Vec<Announcement> = rmp_serde::from_slice(&message).unwrap();
             let vm = "vm-1".parse().unwrap();
             fleet.cluster.merge_flights(&vm, &announced, 0, fleet.at(now));
