--- a/request/src/cluster.rs
+++ b/request/src/cluster.rs
@@ -55,6 +55,8 @@
     restarts: VecDeque<(Instant, Restart)>,
     tags: HashMap<Tag, id::Upstream>,
     flights: flights::Flights,
+    /// First events that are awaited, where this VM asks for reports by evidence.
+    awaited: evidence::Queue,
     /// Requests during which upstreams crashed.
     pub quarantine: Quarantine,
     /// Quarantined requests that the directory lists.
--- a/request/src/cluster/evidence.rs
+++ b/request/src/cluster/evidence.rs
@@ -1,15 +1,19 @@
 //! What first events of attempts show of their engines, and the engines that have to be asked for a report.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
 
 use super::{Cluster, Holder, Listed, Upstream};
-use crate::evidence::{Doubt, Evidence, Expectation, Reason};
+use crate::evidence::{Doubt, Evidence, Expectation, POLL_INTERVAL, Reason};
 use crate::flight::{Announcement, Tracked};
 use crate::report::Observed;
 use crate::tag::Tag;
 
+/// Maximum number of first events that are awaited: more than 3,000 engines run. Beyond it, the oldest ones are not judged.
+const MAX_AWAITED: usize = 65_536;
+
 /// An engine that has to be asked for its report.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Due {
@@ -32,6 +36,38 @@
     pub observed: Option<Observed>,
 }
 
+/// An attempt whose first event is awaited.
+#[derive(Debug)]
+struct Awaited {
+    holder: Holder,
+    number: u64,
+    expected: Expectation,
+}
+
+/// The first events that are awaited, by the time after which they are late. To go through all attempts each time would
+/// take 3 ms at 3,000 engines with 12 attempts each.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    by_time: BTreeMap<(Instant, u64), Awaited>,
+    last: u64,
+}
+
+impl Queue {
+    fn push(&mut self, late_after: Instant, awaited: Awaited) {
+        if self.by_time.len() == MAX_AWAITED {
+            self.by_time.pop_first();
+        }
+        self.last += 1;
+        self.by_time.insert((late_after, self.last), awaited);
+    }
+
+    /// Removes and returns those that are late.
+    fn take_late(&mut self, now: Instant) -> impl Iterator<Item = Awaited> + use<> {
+        let later = self.by_time.split_off(&(now, 0));
+        std::mem::replace(&mut self.by_time, later).into_values()
+    }
+}
+
 impl Doubted {
     /// The inputs of the decision, for the log.
     pub fn describe(&self, now: Instant) -> String {
@@ -71,6 +107,10 @@
         let Some(entry) = self.flights.entry_mut(holder, number) else { return };
         let is_stream = entry.tracked.flight.pause_ms != u32::MAX;
         entry.expected = Expectation::new(predicted_ms, now).filter(|_| is_stream);
+        if let Some(expected) = entry.expected {
+            let awaited = Awaited { holder: holder.clone(), number, expected };
+            self.awaited.push(expected.late_after(), awaited);
+        }
     }
 
     /// Records that a long prompt relies on these engines.
@@ -146,11 +186,19 @@
     /// Puts the engines of attempts in doubt whose first event has not come in time. A placement that its VM has not
     /// announced may not have been sent.
     fn record_missing_events(&mut self, now: Instant) {
-        let entries = self.flights.by_holder.values().flat_map(|flights| flights.values());
-        let is_missing = |expected: Expectation| expected.is_late(now);
-        let missing = entries.filter(|e| e.grant.is_none() && e.expected.is_some_and(is_missing));
-        let engines: Vec<_> = missing.flat_map(|entry| incarnations(&entry.tracked)).collect();
-        self.update(&engines, |evidence| evidence.on_doubt(Doubt::Missing, now));
+        for awaited in self.awaited.take_late(now) {
+            let entry = self.flights.entry_mut(&awaited.holder, awaited.number);
+            let Some(entry) = entry.filter(|entry| entry.expected == Some(awaited.expected)) else {
+                // The event has arrived, or the attempt has ended.
+                continue;
+            };
+            if entry.grant.is_none() {
+                let engines = incarnations(&entry.tracked);
+                self.update(&engines, |evidence| evidence.on_doubt(Doubt::Missing, now));
+            }
+            // Its engines stay in doubt for longer than this interval.
+            self.awaited.push(now + POLL_INTERVAL, awaited);
+        }
     }
 
     /// Updates the evidence of those incarnations that are the current ones.
--- a/request/src/cluster/flights.rs
+++ b/request/src/cluster/flights.rs
@@ -41,7 +41,7 @@
 /// All in-flight attempts.
 #[derive(Debug, Default)]
 pub(super) struct Flights {
-    pub(super) by_holder: HashMap<Holder, HashMap<u64, Entry>>,
+    by_holder: HashMap<Holder, HashMap<u64, Entry>>,
     pub(super) works: HashMap<id::Upstream, Work>,
     /// Isolated flights; rarely any, so they are searched linearly.
     isolated: Vec<(Serial, Fingerprint, id::Upstream)>,
--- a/request/src/evidence.rs
+++ b/request/src/evidence.rs
@@ -37,6 +37,9 @@
 /// Added to the time of a first event: announcement to the scheduler (5 ms), and delays on VMs with an eighth of a core.
 const SLACK: Duration = Duration::from_millis(20);
 
+/// Maximum time to a first event that is judged. No caller waits longer.
+const MAX_PREDICTED: Duration = Duration::from_secs(3_600);
+
 /// The slowdown that must be detected within [`POLL_INTERVAL`]: that of a third of the engines of load pattern B.
 const SLOWDOWN: f64 = 4.0;
 
@@ -51,24 +54,19 @@
     /// The expectation for an attempt that is sent now; none without a prediction.
     pub fn new(predicted_ms: f64, sent: Instant) -> Option<Expectation> {
         let predicted = Duration::try_from_secs_f64(predicted_ms / 1e3).ok()?;
-        (!predicted.is_zero()).then_some(Expectation { sent, predicted })
-    }
-
-    /// When the attempt was sent.
-    pub fn sent(&self) -> Instant {
-        self.sent
+        let is_plausible = !predicted.is_zero() && predicted < MAX_PREDICTED;
+        is_plausible.then_some(Expectation { sent, predicted })
     }
 
-    /// Whether the first event is late if it has not arrived before this time.
-    pub fn is_late(&self, now: Instant) -> bool {
-        let limit = self.predicted.mul_f64(MAX_RATIO) + SLACK;
-        now.saturating_duration_since(self.sent) > limit
+    /// Time after which the first event is late.
+    pub fn late_after(&self) -> Instant {
+        self.sent + self.predicted.mul_f64(MAX_RATIO) + SLACK
     }
 
     /// Until when a first event at this time shows that the engine was not slow; none if the event is late. With
     /// `s` the time until the engine turned slow, the event takes `s + SLOWDOWN * (predicted - s)`.
     fn shown_until(&self, at: Instant) -> Option<Instant> {
-        if self.is_late(at) {
+        if at > self.late_after() {
             return None;
         }
         let measured = at.saturating_duration_since(self.sent).as_secs_f64();
