--- a/request/src/long_queue.rs
+++ b/request/src/long_queue.rs
@@ -19,7 +19,7 @@
     /// Time from arrival after which the prompt is no longer placed.
     pub queue_timeout: Duration,
     /// Prompts of lower classes go first.
-    pub class: u16,
+    pub class: u32,
     /// Its index among the queued prompts.
     pub index: usize,
 }
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -60,7 +60,7 @@
     /// Index that is returned with the placement.
     pub index: usize,
     /// Prompts of lower classes are placed first.
-    pub class: u16,
+    pub class: u32,
 }
 
 /// The engines that long prompts leave to short ones.
--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -448,12 +448,12 @@
 
     /// The class of a queued long prompt, lower ones first: by priority, and in each those whose callers have returned
     /// at promised times first.
-    fn long_class(&self, queued: &QueuedRequest) -> u16 {
+    fn long_class(&self, queued: &QueuedRequest) -> u32 {
         if !self.policy.is_forecast() {
             return 0;
         }
         let Priority { organisation, route } = queued.requirements.caller.priority;
-        (u16::from(organisation) << 8 | u16::from(route)) * 2 + u16::from(!queued.returned)
+        (u32::from(organisation) << 8 | u32::from(route)) * 2 + u32::from(!queued.returned)
     }
 
     /// The engines that long prompts leave to short ones.
