Promises: repeated grant requests neither redeem nor lose them

A rejection that was lost was requested again, and the repetition redeemed the promise if it came at the promised time, although the caller had not returned. And a VM that could not use its grant requested another placement under a new number, for which the promise no longer held. A request that arrived before its promise was made does not redeem it, and after a return the promise holds for the same arrival. Both tests in `request/tests/scheduler.rs` failed before.

--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -45,7 +45,8 @@
         requirements: &Requirements,
         now: Instant,
     ) -> bool {
-        let returned = self.promises.redeem(requirements.fingerprint, now).is_some();
+        let Requirements { fingerprint, arrived, .. } = *requirements;
+        let returned = self.promises.has_returned(fingerprint, arrived, now);
         let outlook = self.outlooks.entry(tag).or_default();
         let candidate = outlook.candidate(engine, requirements, returned, now);
         outlook.record_arrival(&candidate, now);
--- a/request/src/scheduler/promises.rs
+++ b/request/src/scheduler/promises.rs
@@ -24,6 +24,9 @@
 /// milliseconds from one request to the next.
 const MAX_EARLY: Duration = Duration::from_millis(50);
 
+/// The difference in the arrivals of one request as two grant requests state them: rounding, and transit times.
+const MAX_ARRIVAL_DIFFERENCE: Duration = Duration::from_millis(50);
+
 /// The difference in time up to which an announcement belongs to the promise that is stored for the
 /// same request. Heartbeats arrive within 50 ms, or later at a VM that is busy.
 const MAX_ANNOUNCEMENT_DELAY: Duration = Duration::from_millis(200);
@@ -67,6 +70,8 @@
     announced: bool,
     /// Whether its caller has returned. It is then kept until its end, as it is still announced.
     redeemed: bool,
+    /// When the request arrived with which its caller returned.
+    returned: Option<Instant>,
 }
 
 impl Entry {
@@ -132,6 +137,7 @@
             latest: at,
             announced: false,
             redeemed: false,
+            returned: None,
         };
         self.store(fingerprint, entry);
         Some(at - now)
@@ -149,6 +155,23 @@
         Some(Promise { service: entry.service, at: entry.latest, made: entry.made })
     }
 
+    /// Whether the caller of a request that arrived at this time has returned at a promised time. Its promise is
+    /// redeemed once, and holds for later grant requests for the same request: its VM requests another placement if it
+    /// cannot use the first one. Repeated grant requests for the request that was rejected do not redeem it.
+    pub fn has_returned(&mut self, fingerprint: Fingerprint, arrived: Instant, now: Instant) -> bool {
+        let Some(entry) = self.entries.get(&fingerprint) else { return false };
+        if let Some(returned) = entry.returned {
+            return returned.max(arrived) - returned.min(arrived) <= MAX_ARRIVAL_DIFFERENCE;
+        }
+        if !entry.announced && arrived <= entry.made || self.redeem(fingerprint, now).is_none() {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.returned = Some(arrived);
+        }
+        true
+    }
+
     /// Adds promises that a VM announces.
     pub fn merge(&mut self, announced: &[Announcement], now: Instant) {
         self.expire(now);
@@ -180,6 +203,7 @@
                     latest: at,
                     announced: true,
                     redeemed: false,
+                    returned: None,
                 }
             }
         };
