Scheduler: newcomers behind more urgent long prompts, requests and load of removed services

With admission by forecasts, a short prompt took a slot that had just become free before the next round offered it to a more urgent long prompt. Requests that were queued when the settings lost their service were queued until their VMs gave up; they are rejected now. The load of services that are gone from the settings was kept for good. Without forecasts all of this is as before.

--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -130,6 +130,9 @@
     /// Changes the policy; queued requests keep their places.
     pub fn set_policy(&mut self, policy: Policy) {
         self.policy = policy;
+        if !policy.is_forecast() {
+            self.outlooks.clear();
+        }
     }
 
     /// Handles a grant request of a VM, the first one or a repeated one.
@@ -181,8 +184,9 @@
             self.long_arrivals.push_back(LongArrival { at: now, service, prefill_ms });
         } else {
             // Queued requests go first.
+            let priority = requirements.caller.priority;
             let must_queue = limited_rate.is_some() && self.queued_for(service) > 0
-                || by_forecast.is_some() && self.is_short_queued(service, found);
+                || by_forecast.is_some() && self.is_preceded(service, found, priority);
             let placed = if must_queue {
                 Err(Rejection::Full)
             } else {
@@ -241,8 +245,12 @@
         self.queue.len()
     }
 
-    fn is_short_queued(&self, tag: Tag, service: &Service) -> bool {
-        self.queue.iter().any(|queued| queued.service == tag && !queued.is_long(service))
+    /// Whether a new short request has to be queued, as others of its service are: short ones, or more urgent ones.
+    fn is_preceded(&self, tag: Tag, service: &Service, priority: Priority) -> bool {
+        let precedes = |queued: &QueuedRequest| {
+            queued.requirements.caller.priority < priority || !queued.is_long(service)
+        };
+        self.queue.iter().any(|queued| queued.service == tag && precedes(queued))
     }
 
     fn queued_for(&self, service: Tag) -> usize {
@@ -258,15 +266,21 @@
         now: Instant,
     ) -> Vec<(Key, Reply)> {
         self.expire(cluster, now);
+        self.expire_outlooks(table);
         let mut replies = Vec::new();
         let mut services: Vec<Tag> = self.queue.iter().map(|queued| queued.service).collect();
         services.sort_unstable();
         services.dedup();
         self.reject_quarantined(cluster, now, &mut replies);
         for tag in services {
-            let Some(service) = find(table, tag) else { continue };
+            let Some(service) = find(table, tag) else {
+                if self.policy.is_forecast() {
+                    self.reject_all(tag, Rejection::NoUpstream, &mut replies);
+                }
+                continue;
+            };
             if cluster.is_drained(&service.name) {
-                self.reject_drained(tag, &mut replies);
+                self.reject_all(tag, Rejection::Drained, &mut replies);
                 continue;
             }
             if let Some(engine) = self.forecast_engine(service) {
@@ -361,11 +375,12 @@
         });
     }
 
-    /// Rejects the queued requests of a service whose data halls have all been drained.
-    fn reject_drained(&mut self, service: Tag, replies: &mut Vec<(Key, Reply)>) {
+    /// Rejects the queued requests of a service whose data halls have all been drained, or that the settings no longer
+    /// contain.
+    fn reject_all(&mut self, service: Tag, reason: Rejection, replies: &mut Vec<(Key, Reply)>) {
         self.queue.retain(|queued| {
             if queued.service == service {
-                replies.push((queued.key.clone(), Reply::Rejected(Rejection::Drained)));
+                replies.push((queued.key.clone(), Reply::Rejected(reason)));
             }
             queued.service != service
         });
@@ -535,6 +550,21 @@
     }
 }
 
+impl Scheduler {
+    /// The number of services whose load is kept.
+    pub fn outlook_count(&self) -> usize {
+        self.outlooks.len()
+    }
+
+    /// Drops the load of services that the settings no longer contain. Their number is compared first, as the names of
+    /// all services are hashed otherwise; it thus never exceeds that of the services.
+    fn expire_outlooks(&mut self, table: &Table) {
+        if self.outlooks.len() > table.services().count() {
+            self.outlooks.retain(|tag, _| find(table, *tag).is_some());
+        }
+    }
+}
+
 impl QueuedRequest {
     fn new(
         key: Key,
