Scheduler: priorities in forecasts, requests without room, and rounds of one pass

Faults of admission by forecasts: - A forecast counted queued and arriving short requests of lower priority as ahead, so urgent requests were rejected for less urgent ones. - A round stopped at the first short request that found no room. A copy of a suspect that waits for the first copy, or a prompt that needs more memory than is free, stopped all others for as long. A new request no longer orders the queue, and no longer visits all engines. - The arrivals of long prompts were kept for 30 s in any number.

Shares are charged only for grants that the retry budget allows.

--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -25,7 +25,6 @@
 use crate::budget::{Budget, Charge, Parameters};
 use crate::caller::Priority;
 use crate::cluster::{Cluster, Holder};
-use crate::fingerprint::Fingerprint;
 use crate::placement::{
     self, DEMAND_WINDOW, Kept, Placement, Rejection, Requirements, requires_isolation,
 };
@@ -195,15 +194,16 @@
             match placed {
                 Ok(placement) => {
                     let objective_ms = requirements.objective.as_secs_f64() * 1e3;
-                    self.pressure.on_placed(placement.predicted_ms / objective_ms, now);
-                    let charge = requirements.charge;
-                    if let Some(engine) = by_forecast {
-                        let queued =
-                            QueuedRequest::new(key.clone(), service, requirements, returned, now);
-                        self.on_granted(engine, service, &queued, &placement, now);
+                    let predicted_ms = placement.predicted_ms;
+                    self.pressure.on_placed(predicted_ms / objective_ms, now);
+                    let charged = ChargedRequest { key, service, charge: requirements.charge };
+                    let reply = self.grant(cluster, charged, placement, now);
+                    if let (Some(engine), Reply::Granted(..)) = (by_forecast, &reply) {
+                        let outlook = self.outlooks.entry(service).or_default();
+                        let candidate = outlook.candidate(engine, &requirements, returned, now);
+                        self.on_granted(service, &candidate, None, predicted_ms, now);
                     }
-                    let charged = ChargedRequest { key, service, charge };
-                    return self.grant(cluster, charged, placement, now);
+                    return reply;
                 }
                 Err(Rejection::Full) => self.pressure.on_queued(now),
                 Err(rejection) => return Reply::Rejected(rejection),
@@ -287,7 +287,10 @@
                 self.place_in_order(cluster, service, engine, now, &mut replies);
             } else {
                 self.place_short(cluster, service, tag, now, &mut replies);
-                self.place_long(cluster, service, tag, now, &mut replies, |_| true);
+                let mut placed =
+                    self.place_long(cluster, service, tag, now, &mut replies, |_| true);
+                placed.sort_unstable();
+                self.remove_indices(&placed);
             }
             if cluster.limited_count() > 0 {
                 self.place_whole(cluster, service, tag, now, &mut replies);
@@ -314,6 +317,7 @@
                 placement::place_whole(cluster, service, &queued.requirements, now)
             {
                 let charged = queued.charged();
+                self.queue.retain(|queued| queued.key != key);
                 let reply = self.grant(cluster, charged, placement, now);
                 replies.push((key, reply));
             }
@@ -401,13 +405,15 @@
             };
             if let Ok(placement) = placement::place(cluster, service, &queued.requirements, now) {
                 let charged = queued.charged();
+                self.queue.retain(|queued| queued.key != key);
                 let reply = self.grant(cluster, charged, placement, now);
                 replies.push((key, reply));
             }
         }
     }
 
-    /// Places long prompts in the order of the long queue, those that `may` be placed now.
+    /// Places long prompts in the order of the long queue, those that `may` be placed now by their indices. Returns the
+    /// indices of those that were granted a placement or rejected. They stay in the queue.
     fn place_long(
         &mut self,
         cluster: &mut Cluster,
@@ -415,12 +421,16 @@
         tag: Tag,
         now: Instant,
         replies: &mut Vec<(Key, Reply)>,
-        may: impl Fn(&QueuedRequest) -> bool,
-    ) {
-        let Some(engine) = &service.engine else { return };
+        may: impl Fn(usize) -> bool,
+    ) -> Vec<usize> {
+        let Some(engine) = &service.engine else { return Vec::new() };
+        let demand = self.demand(tag);
+        let kept = self.kept_for_short(cluster, service, engine, demand, now);
         let queued = self.queue.iter().enumerate();
         let prompts: Vec<placement::LongPrompt<'_>> = queued
-            .filter(|(_, queued)| queued.service == tag && queued.is_long(service) && may(queued))
+            .filter(|(index, queued)| {
+                queued.service == tag && queued.is_long(service) && may(*index)
+            })
             .filter(|(_, queued)| {
                 requires_isolation(cluster, queued.requirements.fingerprint, now).is_ok()
             })
@@ -431,34 +441,40 @@
             })
             .collect();
         if prompts.is_empty() {
-            return;
+            return Vec::new();
         }
-        let demand = self.demand(tag);
         let queue = placement::LongQueue {
             prompts: &prompts,
             demand,
             offset: 0,
-            kept: self.kept_for_short(cluster, service, engine, demand, now),
+            kept,
             deadline: self.policy.deadline(),
         };
-        let placed = placement::place_long(cluster, service, engine, queue, now);
-        let placed: Vec<(Key, Fingerprint, Placement)> = placed
-            .into_iter()
-            .map(|(index, placement)| (&self.queue[index], placement))
-            .map(|(queued, placement)| {
-                (queued.key.clone(), queued.requirements.fingerprint, placement)
-            })
-            .collect();
-        for (key, fingerprint, mut placement) in placed {
+        let mut placed = placement::place_long(cluster, service, engine, queue, now);
+        placed.retain_mut(|(index, placement)| {
+            let QueuedRequest { key, requirements, .. } = &self.queue[*index];
             // Of two copies in the queue, the first runs isolated and the other stays queued.
-            let Ok(isolated) = requires_isolation(cluster, fingerprint, now) else { continue };
-            placement.flight.isolated = isolated.then_some(fingerprint);
-            let Some(index) = self.queue.iter().position(|queued| queued.key == key) else {
-                continue;
+            let Ok(isolated) = requires_isolation(cluster, requirements.fingerprint, now) else {
+                return false;
+            };
+            placement.flight.isolated = isolated.then_some(requirements.fingerprint);
+            let key = key.clone();
+            let candidate = self.forecast_engine(service).and_then(|engine| {
+                let outlook = self.outlooks.get(&tag)?;
+                let QueuedRequest { requirements, returned, .. } = &self.queue[*index];
+                Some(outlook.candidate(engine, requirements, *returned, now))
+            });
+            let reply = match candidate {
+                Some(candidate) => {
+                    let placement = placement.clone();
+                    self.grant_queued(cluster, *index, &candidate, placement, now)
+                }
+                None => self.grant(cluster, self.queue[*index].charged(), placement.clone(), now),
             };
-            let reply = self.grant_queued(cluster, service, index, placement, now);
             replies.push((key, reply));
-        }
+            true
+        });
+        placed.into_iter().map(|(index, _)| index).collect()
     }
 
     /// The class of a queued long prompt, lower ones first: by priority, and in each those whose callers have returned
@@ -473,38 +489,51 @@
 
     /// The engines that long prompts leave to short ones.
     fn kept_for_short(
-        &self,
+        &mut self,
         cluster: &Cluster,
         service: &Service,
         engine: &Engine,
         demand: f64,
         now: Instant,
     ) -> Kept {
-        let outlook = self.outlooks.get(&Tag::of(&service.name));
+        let outlook = self.outlooks.get_mut(&Tag::of(&service.name));
         let Some(outlook) = outlook.filter(|_| self.policy.is_forecast()) else {
             return Kept { engines: self.pressure.engines(), crowded: false };
         };
-        let engines = by_forecast::speed(cluster, service, now);
+        let engines = outlook.engines(now, || by_forecast::speed(cluster, service, now));
         match outlook.kept_for_short(engine, engines, demand, now) {
             0 => Kept { engines: self.pressure.engines(), crowded: false },
             engines => Kept { engines, crowded: true },
         }
     }
 
-    /// Grants a placement to a queued request.
+    /// Grants a placement to a queued request, which stays in the queue.
     fn grant_queued(
         &mut self,
         cluster: &mut Cluster,
-        service: &Service,
         index: usize,
+        candidate: &outlook::Candidate,
         placement: Placement,
         now: Instant,
     ) -> Reply {
-        let queued = self.queue.remove(index);
-        if let Some(engine) = self.forecast_engine(service) {
-            self.on_granted(engine, queued.service, &queued, &placement, now);
+        let queued = &self.queue[index];
+        let (charged, service, forecast) = (queued.charged(), queued.service, queued.forecast);
+        let predicted_ms = placement.predicted_ms;
+        let reply = self.grant(cluster, charged, placement, now);
+        if let Reply::Granted(..) = reply {
+            self.on_granted(service, candidate, forecast, predicted_ms, now);
         }
-        self.grant(cluster, queued.charged(), placement, now)
+        reply
+    }
+
+    /// Removes requests from the queue by their indices, which are in ascending order.
+    fn remove_indices(&mut self, indices: &[usize]) {
+        let mut indices = indices.iter().copied().peekable();
+        let mut index = 0;
+        self.queue.retain(|_| {
+            index += 1;
+            indices.next_if_eq(&(index - 1)).is_none()
+        });
     }
 
     /// The mean number of engines that recent long prompts keep busy.
@@ -523,7 +552,6 @@
         now: Instant,
     ) -> Reply {
         let ChargedRequest { key, service, charge } = charged;
-        self.queue.retain(|queued| queued.key != key);
         if let Err(exhausted) = self.budget.charge(service, charge, now) {
             return Reply::Rejected(Rejection::OverBudget(exhausted));
         }
--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -4,14 +4,15 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_base::prelude::*;
 use foldlock_version::routes::{Engine, Service};
 
 use super::admission::{decide, decide_new};
 use super::forecast::{Error, Kind};
-use super::outlook::{Candidate, Wait};
-use super::{Key, QueuedRequest, Reply, Scheduler};
+use super::outlook::{Ahead, Arriving, Candidate, Wait};
+use super::{Key, Promises, QueuedRequest, Reply, Scheduler};
 use crate::cluster::Cluster;
-use crate::placement::{self, Placement, Rejection, Requirements};
+use crate::placement::{self, Rejection, Requirements, requires_isolation};
 use crate::promise;
 use crate::tag::Tag;
 
@@ -25,9 +26,9 @@
     wait: Duration,
 }
 
-/// A queued request, and its place in the order of the queue.
+/// A queued request, by its index in the queue.
 struct Waiting {
-    key: Key,
+    index: usize,
     candidate: Candidate,
 }
 
@@ -64,31 +65,38 @@
     ) -> Result<Option<Forecast>, Rejection> {
         let Some(engine) = self.forecast_engine(service) else { return Ok(None) };
         let tag = Tag::of(&service.name);
-        let waiting = self.waiting(tag, engine, now);
-        let queued: Vec<Candidate> = waiting.iter().map(|waiting| waiting.candidate).collect();
-        let Some(outlook) = self.outlooks.get(&tag) else { return Ok(None) };
+        let Some(outlook) = self.outlooks.get_mut(&tag) else { return Ok(None) };
+        let engines = outlook.engines(now, || speed(cluster, service, now));
         let candidate = outlook.candidate(engine, requirements, returned, now);
-        let engines = speed(cluster, service, now);
-        let forecast = outlook.wait(engine, engines, &queued, &candidate, now);
+        let mut ahead = Ahead::default();
+        for queued in self.queue.iter().filter(|queued| queued.service == tag) {
+            if let Some((prefill_ms, in_time)) =
+                outlook.ahead_of(&candidate, engine, &queued.requirements, now)
+            {
+                ahead.add(prefill_ms, in_time);
+            }
+        }
+        let shared = outlook.shared(engine, engines, now);
+        let arriving = outlook.arriving(&candidate, now);
+        let forecast = outlook.wait(engine, &shared, &ahead, &arriving, &candidate, now);
         if !returned && decide_new(&candidate.request, forecast.wait).is_err() {
-            return Err(self.overloaded(service, requirements, &candidate, forecast, now));
+            let promises = &mut self.promises;
+            return Err(overloaded(promises, service, requirements, &candidate, forecast, now));
         }
         Ok(Some(Forecast { at: now, wait: forecast.wait }))
     }
 
-    /// Records a placement that was granted.
+    /// Records a placement that was granted to a request.
     pub(super) fn on_granted(
         &mut self,
-        engine: &Engine,
         tag: Tag,
-        queued: &QueuedRequest,
-        placement: &Placement,
+        candidate: &Candidate,
+        forecast: Option<Forecast>,
+        predicted_ms: f64,
         now: Instant,
     ) {
-        let outlook = self.outlooks.entry(tag).or_default();
-        let candidate = outlook.candidate(engine, &queued.requirements, queued.returned, now);
-        outlook.record_grant(&candidate, placement.predicted_ms, now);
-        let Some(Forecast { at, wait }) = queued.forecast else { return };
+        self.outlooks.entry(tag).or_default().record_grant(candidate, predicted_ms, now);
+        let Some(Forecast { at, wait }) = forecast else { return };
         if self.forecast_errors.len() < MAX_ERRORS {
             let kind = if candidate.is_long() { Kind::Long } else { Kind::Short };
             let actual = now.saturating_duration_since(at);
@@ -111,115 +119,170 @@
         replies: &mut Vec<(Key, Reply)>,
     ) {
         let tag = Tag::of(&service.name);
-        self.reject_hopeless(cluster, service, engine, now, replies);
-        let waiting = self.waiting(tag, engine, now);
+        let mut waiting = self.waiting(tag, engine, now);
+        let hopeless = self.reject_hopeless(cluster, service, engine, &waiting, now, replies);
+        self.remove(hopeless, &mut waiting);
         let is_short = |waiting: &Waiting| !waiting.candidate.is_long();
         let first_short = waiting.iter().position(is_short).unwrap_or(0);
-        let before_short: Vec<&Key> = waiting[..first_short].iter().map(|w| &w.key).collect();
-        if !before_short.is_empty() {
-            let of = |queued: &QueuedRequest| before_short.contains(&&queued.key);
-            self.place_long(cluster, service, tag, now, replies, of);
+        let are_all_first = !waiting[first_short..].iter().any(|waiting| !is_short(waiting));
+        if first_short > 0 {
+            let mut before_short = vec![false; self.queue.len()];
+            waiting[..first_short].iter().for_each(|waiting| before_short[waiting.index] = true);
+            let may = |index: usize| before_short[index];
+            let placed = self.place_long(cluster, service, tag, now, replies, may);
+            self.remove(placed, &mut waiting);
         }
-        for Waiting { key, .. } in waiting.iter().filter(|waiting| is_short(waiting)) {
-            let Some(index) = self.queue.iter().position(|queued| queued.key == *key) else {
-                continue;
-            };
-            let requirements = &self.queue[index].requirements;
-            match placement::place(cluster, service, requirements, now) {
-                Ok(placement) => {
-                    let reply = self.grant_queued(cluster, service, index, placement, now);
-                    replies.push((key.clone(), reply));
-                }
-                // The next ones would find no room either, unless this one excludes some upstreams.
-                Err(_) if requirements.excluded.is_empty() => break,
-                Err(_) => {}
-            }
+        let placed = self.place_short_in_order(cluster, service, &waiting, now, replies);
+        self.remove(placed, &mut waiting);
+        if first_short == 0 || !are_all_first {
+            let placed = self.place_long(cluster, service, tag, now, replies, |_| true);
+            self.remove(placed, &mut waiting);
         }
-        self.place_long(cluster, service, tag, now, replies, |_| true);
-        let are_short_queued = self.queue.iter().any(|q| q.service == tag && !q.is_long(service));
+        let are_short_queued = waiting.iter().any(is_short);
         if let Some(outlook) = self.outlooks.get_mut(&tag) {
             outlook.end_round(are_short_queued, now);
         }
     }
 
-    /// Rejects queued requests that cannot be served within their callers' time any more.
-    fn reject_hopeless(
+    /// Grants placements to short requests in order, and returns their indices. They stay in the queue.
+    fn place_short_in_order(
         &mut self,
-        cluster: &Cluster,
+        cluster: &mut Cluster,
         service: &Service,
-        engine: &Engine,
+        waiting: &[Waiting],
         now: Instant,
         replies: &mut Vec<(Key, Reply)>,
-    ) {
-        let tag = Tag::of(&service.name);
-        let engines = speed(cluster, service, now);
-        let waiting = self.waiting(tag, engine, now);
-        let mut kept: Vec<Candidate> = Vec::with_capacity(waiting.len());
-        for Waiting { key, candidate } in waiting {
-            let Some(outlook) = self.outlooks.get(&tag) else { return };
-            let forecast = outlook.wait(engine, engines, &kept, &candidate, now);
-            let is_served = candidate.item.returned
-                || candidate.item.in_time
-                || decide(&candidate.request, forecast.wait).is_ok();
-            if is_served {
-                kept.push(candidate);
+    ) -> Vec<usize> {
+        let mut placed = Vec::new();
+        // Requests that need as much memory as one that found no room would find none either.
+        let mut max_memory = Tokens(u64::MAX);
+        for Waiting { index, candidate } in waiting.iter().filter(|w| !w.candidate.is_long()) {
+            let requirements = &self.queue[*index].requirements;
+            if requirements.memory >= max_memory {
                 continue;
             }
-            let Some(index) = self.queue.iter().position(|queued| queued.key == key) else {
-                continue;
-            };
-            let queued = self.queue.remove(index);
-            let rejection =
-                self.overloaded(service, &queued.requirements, &candidate, forecast, now);
-            replies.push((key, Reply::Rejected(rejection)));
+            match placement::place(cluster, service, requirements, now) {
+                Ok(placement) => {
+                    let reply = self.grant_queued(cluster, *index, candidate, placement, now);
+                    replies.push((self.queue[*index].key.clone(), reply));
+                    placed.push(*index);
+                }
+                // Others may find room: it excludes some upstreams, or waits for a copy of itself to end.
+                Err(_)
+                    if !requirements.excluded.is_empty()
+                        || requires_isolation(cluster, requirements.fingerprint, now)
+                            != Ok(false) => {}
+                Err(Rejection::Full) => max_memory = requirements.memory,
+                Err(_) => break,
+            }
         }
+        placed
+    }
+
+    /// Removes requests from the queue, and from those that wait.
+    fn remove(&mut self, mut indices: Vec<usize>, waiting: &mut Vec<Waiting>) {
+        indices.sort_unstable();
+        waiting.retain_mut(|waiting| match indices.binary_search(&waiting.index) {
+            Ok(_) => false,
+            Err(before) => {
+                waiting.index -= before;
+                true
+            }
+        });
+        self.remove_indices(&indices);
     }
 
-    /// The rejection of a request that cannot be served within its time, with a promised time to return if there is
-    /// one.
-    fn overloaded(
+    /// Rejects queued requests that cannot be served within their callers' time any more, and returns their indices.
+    /// They stay in the queue.
+    fn reject_hopeless(
         &mut self,
+        cluster: &Cluster,
         service: &Service,
-        requirements: &Requirements,
-        candidate: &Candidate,
-        forecast: Wait,
+        engine: &Engine,
+        waiting: &[Waiting],
         now: Instant,
-    ) -> Rejection {
-        let remaining = candidate.remaining(requirements.caller.time_limit);
-        let capacity = promise::capacity(service, requirements);
-        let promised = self.promises.promise(
-            requirements.fingerprint,
-            capacity,
-            forecast.wait,
-            remaining,
-            forecast.returns_per_s,
-            now,
-        );
-        Rejection::Overloaded {
-            // All times before a third of the remaining time are promised to others.
-            after_ms: promised.unwrap_or(forecast.wait.max(remaining / 3)).as_millis() as u64,
-            wait_ms: forecast.wait.as_millis() as u64,
-            promised: promised.is_some(),
+        replies: &mut Vec<(Key, Reply)>,
+    ) -> Vec<usize> {
+        let Some(outlook) = self.outlooks.get_mut(&Tag::of(&service.name)) else {
+            return Vec::new();
+        };
+        let engines = outlook.engines(now, || speed(cluster, service, now));
+        let shared = outlook.shared(engine, engines, now);
+        let arrivals = outlook.long_arrivals(now);
+        let (mut long, short): (Vec<&Waiting>, Vec<&Waiting>) =
+            waiting.iter().partition(|waiting| waiting.candidate.is_long());
+        // Long prompts are forecast in the order in which they are expected to be read.
+        let prefill_ms = |waiting: &Waiting| waiting.candidate.prefill_ms.unwrap_or_default();
+        long.sort_by(|a, b| {
+            let priority = |waiting: &Waiting| waiting.candidate.item.priority;
+            priority(a).cmp(&priority(b)).then(prefill_ms(a).total_cmp(&prefill_ms(b)))
+        });
+        let mut hopeless = Vec::new();
+        let mut ahead = Ahead::default();
+        for Waiting { index, candidate } in short.into_iter().chain(long) {
+            let arriving = candidate.prefill_ms.map_or_else(Arriving::default, |prefill_ms| {
+                arrivals.before(candidate.item.priority, prefill_ms)
+            });
+            let forecast = outlook.wait(engine, &shared, &ahead, &arriving, candidate, now);
+            // A caller that has returned is rejected only if even an immediate start would be too late.
+            let wait = if candidate.item.returned { Duration::ZERO } else { forecast.wait };
+            if candidate.item.in_time || decide(&candidate.request, wait).is_ok() {
+                ahead.add(candidate.prefill_ms, candidate.item.in_time);
+                continue;
+            }
+            let QueuedRequest { key, requirements, .. } = &self.queue[*index];
+            let promises = &mut self.promises;
+            let rejection = overloaded(promises, service, requirements, candidate, forecast, now);
+            replies.push((key.clone(), Reply::Rejected(rejection)));
+            hopeless.push(*index);
         }
+        hopeless
     }
 
     /// The queued requests of a service in the order in which they are placed.
     fn waiting(&self, tag: Tag, engine: &Engine, now: Instant) -> Vec<Waiting> {
         let Some(outlook) = self.outlooks.get(&tag) else { return Vec::new() };
-        let queued: Vec<&QueuedRequest> =
-            self.queue.iter().filter(|queued| queued.service == tag).collect();
-        let candidate = |queued: &&QueuedRequest| {
-            outlook.candidate(engine, &queued.requirements, queued.returned, now)
-        };
-        let candidates: Vec<Candidate> = queued.iter().map(candidate).collect();
+        let queued = self.queue.iter().enumerate().filter(|(_, queued)| queued.service == tag);
+        let (indices, candidates): (Vec<usize>, Vec<Candidate>) = queued
+            .map(|(index, QueuedRequest { requirements, returned, .. })| {
+                (index, outlook.candidate(engine, requirements, *returned, now))
+            })
+            .unzip();
         let items: Vec<_> = candidates.iter().map(|candidate| candidate.item).collect();
         let order = outlook.discipline.order(&items, self.policy.fair_shares);
         let waiting =
-            |index: usize| Waiting { key: queued[index].key.clone(), candidate: candidates[index] };
+            |place: usize| Waiting { index: indices[place], candidate: candidates[place] };
         order.into_iter().map(waiting).collect()
     }
 }
 
+/// The rejection of a request that cannot be served within its time, with a promised time to return if there is one.
+fn overloaded(
+    promises: &mut Promises,
+    service: &Service,
+    requirements: &Requirements,
+    candidate: &Candidate,
+    forecast: Wait,
+    now: Instant,
+) -> Rejection {
+    let remaining = candidate.remaining(requirements.caller.time_limit);
+    let capacity = promise::capacity(service, requirements);
+    let promised = promises.promise(
+        requirements.fingerprint,
+        capacity,
+        forecast.wait,
+        remaining,
+        forecast.returns_per_s,
+        now,
+    );
+    Rejection::Overloaded {
+        // All times before a third of the remaining time are promised to others.
+        after_ms: promised.unwrap_or(forecast.wait.max(remaining / 3)).as_millis() as u64,
+        wait_ms: forecast.wait.as_millis() as u64,
+        promised: promised.is_some(),
+    }
+}
+
 /// The open engines of a service, weighted by speed.
 pub(super) fn speed(cluster: &Cluster, service: &Service, now: Instant) -> f64 {
     cluster.open(&service.name).map(|upstream| 1.0 / upstream.slowdown(now)).sum()
--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -3,7 +3,7 @@
 //! Brings together the order of the queue, the measured throughput and the demand of short prompts. The scheduler
 //! updates it with each request; it has no clock and no network.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
@@ -27,6 +27,17 @@
 /// Time for which the current demand is expected to last. The mix of prompt lengths changes within a few seconds.
 const BURST_TIME: Duration = Duration::from_secs(2);
 
+/// Time for which the sum of the engines' speeds is reused: the longest time between two rounds of placement. Without
+/// it, each new request would visit all engines.
+const MAX_SPEED_AGE: Duration = Duration::from_millis(20);
+
+/// Maximum number of priorities whose arrivals are counted: 0 to 9 for organisations and for routes.
+const MAX_PRIORITIES: usize = 100;
+
+/// Maximum number of long prompts whose arrivals are kept: 333 a second for the mean window, as many as 3,000 engines
+/// read whose prefills take 9 s.
+const MAX_LONG_ARRIVALS: usize = 10_000;
+
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1e3;
 
@@ -55,11 +66,71 @@
     }
 }
 
-/// Work that is queued before a request: numbers of short prompts, or prefill milliseconds.
+/// Work that is queued before a request.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct Ahead {
+    /// Short prompts that can be in time.
     in_time: f64,
+    /// Short prompts that cannot.
     late: f64,
+    /// Prefill of long prompts, milliseconds.
+    prefill_ms: f64,
+}
+
+impl Ahead {
+    /// Adds a request that is queued before others.
+    pub(super) fn add(&mut self, prefill_ms: Option<f64>, in_time: bool) {
+        match prefill_ms {
+            Some(prefill_ms) => self.prefill_ms += prefill_ms,
+            None if in_time => self.in_time += 1.0,
+            None => self.late += 1.0,
+        }
+    }
+}
+
+/// Prefill of long prompts that arrive and are read before a request, milliseconds a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct Arriving {
+    current: f64,
+    mean: f64,
+}
+
+impl Arriving {
+    fn add(&mut self, arrival: &Arrival, now: Instant) {
+        let age = age(arrival.at, now);
+        if age <= CURRENT {
+            self.current += arrival.prefill_ms / CURRENT.as_secs_f64();
+        }
+        if age <= MEAN_WINDOW {
+            self.mean += arrival.prefill_ms / MEAN_WINDOW.as_secs_f64();
+        }
+    }
+}
+
+/// What the forecasts of one time have in common.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Shared {
+    /// The engines of the service, weighted by speed.
+    engines: f64,
+    /// The engines that short prompts need at the moment.
+    short: f64,
+    /// Those that they need on average.
+    mean_short: f64,
+}
+
+/// The long prompts that arrived, shortest ones of the most urgent priority first, for forecasts of many requests.
+pub(super) struct LongArrivals {
+    /// Priority and prefill of each, with the sum up to and including it.
+    sums: Vec<(Priority, f64, Arriving)>,
+}
+
+impl LongArrivals {
+    /// The arrivals that are read before a prompt.
+    pub(super) fn before(&self, priority: Priority, prefill_ms: f64) -> Arriving {
+        let count =
+            self.sums.partition_point(|(other, ms, _)| (*other, *ms) < (priority, prefill_ms));
+        count.checked_sub(1).map_or_else(Arriving::default, |last| self.sums[last].2)
+    }
 }
 
 /// The forecast wait of a request, and the rate at which requests like it can return.
@@ -84,10 +155,14 @@
 pub(super) struct Outlook {
     pub(super) discipline: Discipline,
     short: Throughput,
+    /// The arrivals of short prompts, by priority.
+    short_arrivals: BTreeMap<Priority, Throughput>,
     demand: Demand,
     long_arrivals: VecDeque<Arrival>,
     /// Typical time from grant to first event of short prompts.
     typical: Option<Duration>,
+    /// The engines, weighted by speed, and when that was computed.
+    engines: Option<(Instant, f64)>,
 }
 
 impl Outlook {
@@ -143,9 +218,18 @@
     pub(super) fn record_arrival(&mut self, candidate: &Candidate, now: Instant) {
         let Some(prefill_ms) = candidate.prefill_ms else {
             self.demand.record(candidate.prompt, now);
-            return self.short.record_arrival(1.0, candidate.item.in_time, now);
+            let priority = candidate.item.priority;
+            let has_room = self.short_arrivals.len() < MAX_PRIORITIES;
+            if has_room || self.short_arrivals.contains_key(&priority) {
+                let arrivals = self.short_arrivals.entry(priority).or_default();
+                arrivals.record_arrival(1.0, candidate.item.in_time, now);
+            }
+            return;
         };
-        while self.long_arrivals.front().is_some_and(|first| age(first.at, now) > MEAN_WINDOW) {
+        let is_old = |arrival: &Arrival| age(arrival.at, now) > MEAN_WINDOW;
+        while self.long_arrivals.len() >= MAX_LONG_ARRIVALS
+            || self.long_arrivals.front().is_some_and(is_old)
+        {
             self.long_arrivals.pop_front();
         }
         let priority = candidate.item.priority;
@@ -171,40 +255,103 @@
         self.discipline.expire(now);
     }
 
-    /// The forecast wait of a request behind others, which are given in the order of the queue. `engines` are those
-    /// of the service, weighted by speed.
+    /// The engines, weighted by speed, which `speed` computes.
+    pub(super) fn engines(&mut self, now: Instant, speed: impl FnOnce() -> f64) -> f64 {
+        match self.engines {
+            Some((at, engines)) if at <= now && age(at, now) < MAX_SPEED_AGE => engines,
+            _ => self.engines.insert((now, speed())).1,
+        }
+    }
+
+    /// What the forecasts of this time have in common. `engines` are those of the service, weighted by speed.
+    pub(super) fn shared(&self, engine: &Engine, engines: f64, now: Instant) -> Shared {
+        Shared {
+            engines,
+            short: self.demand.engines(engine, CURRENT, now),
+            mean_short: self.demand.engines(engine, MEAN_WINDOW, now),
+        }
+    }
+
+    /// Whether a queued request goes before a new one; with the values for [`Ahead::add`]. Costs less than a
+    /// [`Candidate`] of each.
+    pub(super) fn ahead_of(
+        &self,
+        candidate: &Candidate,
+        engine: &Engine,
+        queued: &Requirements,
+        now: Instant,
+    ) -> Option<(Option<f64>, bool)> {
+        let priority = queued.caller.priority;
+        match (queued.long_prefill_ms(engine), candidate.prefill_ms) {
+            (Some(other_ms), Some(own_ms)) => {
+                let first = (priority, other_ms) < (candidate.item.priority, own_ms);
+                first.then_some((Some(other_ms), false))
+            }
+            (None, None) if priority <= candidate.item.priority => {
+                let waited = now.saturating_duration_since(queued.arrived);
+                Some((None, order::can_be_in_time(waited, self.typical, queued.objective)))
+            }
+            _ => None,
+        }
+    }
+
+    /// The long prompts that arrived and are read before this one.
+    pub(super) fn arriving(&self, candidate: &Candidate, now: Instant) -> Arriving {
+        let Some(prefill_ms) = candidate.prefill_ms else { return Arriving::default() };
+        let goes_first = |arrival: &&Arrival| {
+            (arrival.priority, arrival.prefill_ms) < (candidate.item.priority, prefill_ms)
+        };
+        let mut arriving = Arriving::default();
+        self.long_arrivals.iter().filter(goes_first).for_each(|other| arriving.add(other, now));
+        arriving
+    }
+
+    /// All long prompts that arrived, for [`LongArrivals::before`].
+    pub(super) fn long_arrivals(&self, now: Instant) -> LongArrivals {
+        let mut arrivals: Vec<&Arrival> = self.long_arrivals.iter().collect();
+        arrivals.sort_by(|a, b| {
+            a.priority.cmp(&b.priority).then(a.prefill_ms.total_cmp(&b.prefill_ms))
+        });
+        let mut sum = Arriving::default();
+        let sums = arrivals.into_iter().map(|arrival| {
+            sum.add(arrival, now);
+            (arrival.priority, arrival.prefill_ms, sum)
+        });
+        LongArrivals { sums: sums.collect() }
+    }
+
+    /// The forecast wait of a request. `ahead` is queued before it, and `arriving` are the long prompts that arrive and
+    /// are read before it.
     pub(super) fn wait(
         &self,
         engine: &Engine,
-        engines: f64,
-        queued: &[Candidate],
+        shared: &Shared,
+        ahead: &Ahead,
+        arriving: &Arriving,
         candidate: &Candidate,
         now: Instant,
     ) -> Wait {
         match candidate.prefill_ms {
-            Some(prefill_ms) => self.long_wait(engine, engines, queued, candidate, prefill_ms, now),
-            None => self.short_wait(engine, engines, queued, candidate, now),
+            Some(prefill_ms) => long_wait(shared, ahead, arriving, prefill_ms),
+            None => self.short_wait(engine, shared, ahead, candidate, now),
         }
     }
 
     fn short_wait(
         &self,
         engine: &Engine,
-        engines: f64,
-        queued: &[Candidate],
+        shared: &Shared,
+        ahead: &Ahead,
         candidate: &Candidate,
         now: Instant,
     ) -> Wait {
-        let model_rate =
-            short_model_rate(engine, engines * f64::from(engine.slots), candidate.prompt);
-        let rate = self.short.rate(model_rate, now);
-        let mut ahead = Ahead::default();
-        for other in queued.iter().filter(|other| !other.is_long()) {
-            if other.item.in_time { ahead.in_time += 1.0 } else { ahead.late += 1.0 }
-        }
+        let slots = shared.engines * f64::from(engine.slots);
+        let rate = self.short.rate(short_model_rate(engine, slots, candidate.prompt), now);
+        // Less urgent requests are served after it.
+        let arrivals = self.short_arrivals.range(..=candidate.item.priority);
         let tiers = Tiers {
             rate,
-            in_time_arrivals: self.short.in_time_arrivals(now),
+            in_time_arrivals: arrivals.map(|(_, arrivals)| arrivals.in_time_arrivals(now)).sum(),
             ahead_in_time: ahead.in_time,
             ahead_late: ahead.late,
         };
@@ -216,52 +363,6 @@
         Wait { wait, returns_per_s: rate * super::forecast::LATE_SHARE }
     }
 
-    /// More urgent and shorter prompts are read first, those that are queued and those that arrive meanwhile. The current demand is expected to last for `BURST_TIME`, and the mean demand to return after it.
-    fn long_wait(
-        &self,
-        engine: &Engine,
-        engines: f64,
-        queued: &[Candidate],
-        candidate: &Candidate,
-        prefill_ms: f64,
-        now: Instant,
-    ) -> Wait {
-        let priority = candidate.item.priority;
-        let goes_first =
-            |other: Priority, other_ms: f64| (other, other_ms) < (priority, prefill_ms);
-
-        let ahead: f64 = queued
-            .iter()
-            .filter_map(|other| Some((other.item.priority, other.prefill_ms?)))
-            .filter(|(other, other_ms)| goes_first(*other, *other_ms))
-            .map(|(_, other_ms)| other_ms)
-            .sum();
-        let tiers = |window: Duration, work: f64| {
-            let short = self.demand.engines(engine, window, now);
-            let arrivals = self.long_arrivals.iter().rev();
-            let arriving: f64 = arrivals
-                .take_while(|arrival| age(arrival.at, now) <= window)
-                .filter(|arrival| goes_first(arrival.priority, arrival.prefill_ms))
-                .map(|arrival| arrival.prefill_ms)
-                .sum();
-            Tiers {
-                rate: long_model_rate(reserve::left_for_long(short, engines)),
-                in_time_arrivals: arriving / window.as_secs_f64(),
-                ahead_in_time: 0.0,
-                ahead_late: work,
-            }
-        };
-        let work = ahead + prefill_ms;
-        let current = tiers(CURRENT, work);
-        let mut wait = current.wait(false);
-        if wait > BURST_TIME {
-            let left = work * (1.0 - BURST_TIME.as_secs_f64() / wait.as_secs_f64());
-            wait = wait.min(BURST_TIME + tiers(MEAN_WINDOW, left).wait(false));
-        }
-        let returns_per_s = current.rate * super::forecast::LATE_SHARE / prefill_ms.max(1.0);
-        Wait { wait, returns_per_s }
-    }
-
     /// The number of engines to keep free of long prompts, which themselves need `long` engines.
     pub(super) fn kept_for_short(
         &self,
@@ -274,6 +375,27 @@
     }
 }
 
+/// More urgent and shorter prompts are read first, those that are queued and those that arrive meanwhile. The current
+/// demand is expected to last for `BURST_TIME`, and the mean demand to return after it.
+fn long_wait(shared: &Shared, ahead: &Ahead, arriving: &Arriving, prefill_ms: f64) -> Wait {
+    let tiers = |short: f64, arriving: f64, work: f64| Tiers {
+        rate: long_model_rate(reserve::left_for_long(short, shared.engines)),
+        in_time_arrivals: arriving,
+        ahead_in_time: 0.0,
+        ahead_late: work,
+    };
+    let work = ahead.prefill_ms + prefill_ms;
+    let current = tiers(shared.short, arriving.current, work);
+    let mut wait = current.wait(false);
+    if wait > BURST_TIME {
+        let left = work * (1.0 - BURST_TIME.as_secs_f64() / wait.as_secs_f64());
+        let mean = tiers(shared.mean_short, arriving.mean, left);
+        wait = wait.min(BURST_TIME + mean.wait(false));
+    }
+    let returns_per_s = current.rate * super::forecast::LATE_SHARE / prefill_ms.max(1.0);
+    Wait { wait, returns_per_s }
+}
+
 /// The typical time from grant to first event of a long prompt.
 fn long_first_event(engine: &Engine, prefill_ms: f64) -> Duration {
     let pass_ms = forecast::pass_ms(engine, engine.slots, engine.memory.0 / 2);
--- a/request/src/scheduler/promises.rs
+++ b/request/src/scheduler/promises.rs
@@ -158,7 +158,12 @@
     /// Whether the caller of a request that arrived at this time has returned at a promised time. Its promise is
     /// redeemed once, and holds for later grant requests for the same request: its VM requests another placement if it
     /// cannot use the first one. Repeated grant requests for the request that was rejected do not redeem it.
-    pub fn has_returned(&mut self, fingerprint: Fingerprint, arrived: Instant, now: Instant) -> bool {
+    pub fn has_returned(
+        &mut self,
+        fingerprint: Fingerprint,
+        arrived: Instant,
+        now: Instant,
+    ) -> bool {
         let Some(entry) = self.entries.get(&fingerprint) else { return false };
         if let Some(returned) = entry.returned {
             return returned.max(arrived) - returned.min(arrived) <= MAX_ARRIVAL_DIFFERENCE;
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -5,7 +5,7 @@
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
-use foldlock_request::caller::Caller;
+use foldlock_request::caller::{Caller, Priority};
 use foldlock_request::cluster::{Cluster, Holder, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::placement::{Placement, Rejection, Requirements};
@@ -30,23 +30,22 @@
     mean_answer: Tokens(1_500),
 };
 
-fn table() -> Table {
-    let bounds = Bounds {
+fn bounds() -> Bounds {
+    Bounds {
         max_header_bytes: 16_384,
         max_body_bytes: 4_096,
         header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
-    };
-    let service = |name: &str, engine| Service {
-        name: name.to_owned(),
-        max_connections: 9,
-        engine,
-        cold_per_s: None,
-    };
-    Table::builder(1, bounds)
-        .service(service("model", Some(ENGINE)))
-        .service(service("plain", None))
-        .build()
+    }
+}
+
+fn plain() -> Service {
+    Service { name: "plain".to_owned(), max_connections: 9, engine: None, cold_per_s: None }
+}
+
+fn table() -> Table {
+    let model = Service { name: "model".to_owned(), engine: Some(ENGINE), ..plain() };
+    Table::builder(1, bounds()).service(model).service(plain()).build()
 }
 
 fn cluster(engines: usize) -> Cluster {
@@ -421,3 +420,264 @@
         }
     }
 }
+
+fn by_forecast(engines: usize) -> Fleet {
+    let mut fleet = Fleet::new(engines);
+    let policy = Policy { admission: Admission::Forecast, ..Policy::default() };
+    fleet.scheduler.set_policy(policy);
+    fleet
+}
+
+impl Fleet {
+    fn replies(&mut self) -> Vec<(Key, Reply)> {
+        self.scheduler.place_queued(&mut self.cluster, &self.table, self.now)
+    }
+
+    /// Queues `queued` short prompts of this VM behind as many as the engines run.
+    fn fill(&mut self, engines: usize, queued: usize, caller: Caller) {
+        for _ in 0..engines * SLOTS as usize + queued {
+            let number = self.cluster.next_number();
+            let requirements = Requirements { caller, ..short(self.now) };
+            let own = Key { holder: Holder::Own, incarnation: 1, number };
+            if let Reply::Granted(placement, _) = self.request(own, requirements) {
+                self.cluster.begin_attempt(number, placement.flight, self.now);
+            }
+        }
+        assert_eq!(self.scheduler.queue_len(), queued);
+    }
+}
+
+fn caller(route: u8, time_limit_ms: u64) -> Caller {
+    Caller {
+        priority: Priority { organisation: 0, route },
+        time_limit: Duration::from_millis(time_limit_ms),
+        ..Caller::default()
+    }
+}
+
+fn is_overloaded(reply: &Reply) -> bool {
+    matches!(reply, Reply::Rejected(Rejection::Overloaded { .. }))
+}
+
+/// Messages of other releases may contain any priority. Guards against a class of long prompts that exceeds its type.
+#[test]
+fn any_priority_of_a_long_prompt_is_valid() {
+    let mut fleet = by_forecast(4);
+    for (number, organisation) in [u8::MAX, 128, 0].into_iter().enumerate() {
+        let priority = Priority { organisation, route: u8::MAX };
+        let caller = Caller { priority, ..Caller::default() };
+        let requirements = Requirements { caller, ..long(60_000, fleet.now) };
+        fleet.request(key(1, number as u64), requirements);
+    }
+    assert_eq!(fleet.place_queued()[0].0, key(1, 2), "the most urgent one is placed first");
+}
+
+/// Guards against an inversion of priority: a forecast that counts less urgent queued requests as ahead.
+#[test]
+fn an_urgent_request_is_not_rejected_for_less_urgent_ones() {
+    let mut fleet = by_forecast(1);
+    fleet.fill(1, 60, caller(1, 3_600_000));
+    // The queued requests are late then, and none arrived recently.
+    fleet.advance(2_200);
+    let late = |route| Requirements {
+        caller: caller(route, 5_000),
+        ..short(fleet.now - Duration::from_millis(390))
+    };
+    let (urgent, usual) = (late(0), late(1));
+    assert!(is_overloaded(&fleet.request(key(1, 1), usual)));
+    assert!(matches!(fleet.request(key(1, 2), urgent), Reply::Queued));
+}
+
+/// Guards against an inversion of priority: a forecast by which less urgent requests that arrive take the capacity.
+#[test]
+fn an_urgent_request_is_not_rejected_for_less_urgent_arrivals() {
+    let mut fleet = by_forecast(1);
+    fleet.fill(1, 10, caller(0, 3_600_000));
+    fleet.advance(2_200);
+    for number in 0..20 {
+        let arriving = Requirements { caller: caller(1, 10_000), ..short(fleet.now) };
+        fleet.request(key(1, number), arriving);
+    }
+    let urgent =
+        Requirements { caller: caller(0, 6_000), ..short(fleet.now - Duration::from_millis(390)) };
+    assert!(matches!(fleet.request(key(2, 1), urgent), Reply::Queued));
+}
+
+/// Guards against a queue that stops behind one request that cannot be placed while others can: a copy of a suspect
+/// whose first copy still runs, and a prompt that needs more memory than is free.
+#[test]
+fn one_request_without_room_does_not_stop_the_others() {
+    let mut fleet = by_forecast(3);
+    let suspected = suspicious(short(fleet.now));
+    suspect(&mut fleet, &suspected);
+    granted(fleet.request(key(0, 1), suspected.clone()));
+    assert!(matches!(fleet.request(key(0, 2), suspected), Reply::Queued));
+    assert!(matches!(fleet.request(key(0, 3), short(fleet.now)), Reply::Queued));
+    assert_eq!(fleet.place_queued()[0].0, key(0, 3));
+
+    let mut fleet = by_forecast(1);
+    let large = |now| Requirements {
+        objective: Duration::from_secs(5),
+        pause: Some(Duration::from_millis(250)),
+        ..long(90_000, now)
+    };
+    granted(fleet.request(key(0, 1), large(fleet.now)));
+    granted(fleet.request(key(0, 2), large(fleet.now)));
+    assert!(matches!(fleet.request(key(0, 3), large(fleet.now)), Reply::Queued));
+    let small = Requirements { caller: caller(1, 10_000), ..short(fleet.now) };
+    assert!(matches!(fleet.request(key(0, 4), small), Reply::Queued));
+    assert_eq!(fleet.place_queued()[0].0, key(0, 4));
+    assert_eq!(fleet.scheduler.queue_len(), 1);
+}
+
+/// Guards against requests that are queued until their time is over because the settings no longer contain their
+/// service. Without forecasts they are queued as before.
+#[test]
+fn queued_requests_of_a_removed_service_are_rejected() {
+    for mut fleet in [by_forecast(1), Fleet::new(1)] {
+        let is_forecast = fleet.scheduler.policy().is_forecast();
+        fleet.fill(1, 1, Caller::default());
+        let others = Service { name: "other".to_owned(), ..plain() };
+        fleet.table = Table::builder(2, bounds()).service(others).build();
+        let replies = fleet.replies();
+        if is_forecast {
+            assert!(matches!(replies[0].1, Reply::Rejected(Rejection::NoUpstream)), "{replies:?}");
+            assert_eq!(fleet.scheduler.queue_len(), 0);
+        } else {
+            assert_eq!((replies.len(), fleet.scheduler.queue_len()), (0, 1));
+        }
+    }
+}
+
+/// Guards against state that grows with each service that the settings have ever contained.
+#[test]
+fn the_load_of_removed_services_is_dropped() {
+    let mut fleet = by_forecast(1);
+    for number in 0..5 {
+        let name = format!("model-{number}");
+        let model = Service { name: name.clone(), engine: Some(ENGINE), ..plain() };
+        fleet.table = Table::builder(number, bounds()).service(model).build();
+        let Fleet { scheduler, cluster, table, now } = &mut fleet;
+        let key = key(1, number);
+        scheduler.request(cluster, table, key, Tag::of(&name), short(*now), *now);
+        fleet.replies();
+        assert_eq!(fleet.scheduler.outlook_count(), 1);
+    }
+    fleet.scheduler.set_policy(Policy::default());
+    assert_eq!(fleet.scheduler.outlook_count(), 0);
+}
+
+/// A request that is rejected with a promise, and the time of that promise.
+fn rejected_with_promise(fleet: &mut Fleet) -> (Requirements, u64) {
+    fleet.fill(4, 120, caller(0, 3_600_000));
+    // The queued requests are late then, and none arrived recently.
+    fleet.advance(2_200);
+    let requirements = Requirements {
+        fingerprint: Fingerprint::of("", "POST", "/v1/", b"1"),
+        caller: caller(0, 6_000),
+        ..short(fleet.now - Duration::from_millis(390))
+    };
+    match fleet.request(key(1, 1), requirements.clone()) {
+        Reply::Rejected(Rejection::Overloaded { after_ms, promised: true, .. }) => {
+            (requirements, after_ms)
+        }
+        reply => panic!("{reply:?}"),
+    }
+}
+
+/// Guards against a promise that the repeated grant request of the rejected caller redeems: the rejection was lost, and
+/// the caller has not returned.
+#[test]
+fn a_repeated_grant_request_does_not_redeem_a_promise() {
+    let mut fleet = by_forecast(4);
+    let (rejected, after_ms) = rejected_with_promise(&mut fleet);
+    fleet.advance(after_ms);
+    assert!(is_overloaded(&fleet.request(key(1, 1), rejected.clone())));
+    let returned = Requirements { arrived: fleet.now, ..rejected };
+    assert!(matches!(fleet.request(key(2, 1), returned), Reply::Queued));
+}
+
+/// Guards against a promise that is lost with a grant that its VM could not use: the VM requests another placement for
+/// the same request under a new number.
+#[test]
+fn a_promise_is_kept_for_the_next_grant_request_of_the_same_request() {
+    let mut fleet = by_forecast(4);
+    let (rejected, after_ms) = rejected_with_promise(&mut fleet);
+    fleet.advance(after_ms);
+    let returned = Requirements { arrived: fleet.now, ..rejected };
+    assert!(matches!(fleet.request(key(2, 1), returned.clone()), Reply::Queued));
+    fleet.cancel(&key(2, 1));
+    fleet.advance(20);
+    assert!(matches!(fleet.request(key(2, 2), returned.clone()), Reply::Queued));
+    let copy = Requirements { arrived: fleet.now + Duration::from_millis(500), ..returned };
+    fleet.advance(500);
+    assert!(is_overloaded(&fleet.request(key(3, 1), copy)), "another caller");
+}
+
+/// Guards against a returned request that is queued although even an immediate start would be too late.
+#[test]
+fn a_returned_request_is_rejected_once_its_time_is_over() {
+    let mut fleet = by_forecast(4);
+    let (rejected, after_ms) = rejected_with_promise(&mut fleet);
+    fleet.advance(after_ms);
+    let returned = Requirements { arrived: fleet.now, ..rejected };
+    for _ in 0..65 {
+        fleet.request(key(2, 1), returned.clone());
+        let replies = fleet.replies();
+        if let Some((_, reply)) = replies.iter().find(|(of, _)| *of == key(2, 1)) {
+            assert!(is_overloaded(reply), "{reply:?}");
+            assert!(fleet.now - returned.arrived > Duration::from_secs(2), "early");
+            return;
+        }
+        fleet.advance(100);
+    }
+    panic!("it is neither granted nor rejected within its time of 6 s");
+}
+
+/// Guards against a newcomer that takes the slot of a more urgent long prompt before the next round.
+#[test]
+fn a_newcomer_does_not_precede_a_more_urgent_long_prompt() {
+    let mut fleet = by_forecast(2);
+    let urgent = Requirements { caller: caller(0, 15_000), ..long(60_000, fleet.now) };
+    assert!(matches!(fleet.request(key(1, 1), urgent), Reply::Queued));
+    let newcomer = Requirements { caller: caller(1, 10_000), ..short(fleet.now) };
+    assert!(matches!(fleet.request(key(1, 3), newcomer), Reply::Queued));
+    let placed: Vec<Key> = fleet.place_queued().into_iter().map(|(key, _)| key).collect();
+    assert_eq!(placed, [key(1, 1), key(1, 3)]);
+
+    let equal = Requirements { caller: caller(1, 15_000), ..long(60_000, fleet.now) };
+    assert!(matches!(fleet.request(key(1, 4), equal), Reply::Queued));
+    let newcomer = Requirements { caller: caller(1, 10_000), ..short(fleet.now) };
+    granted(fleet.request(key(1, 5), newcomer));
+}
+
+/// The time of a round with so many queued short and long prompts: the shortest of some, as others run beside it.
+fn round(queued: u64) -> Duration {
+    let mut fleet = by_forecast(1);
+    for number in 0..10 {
+        granted(fleet.request(key(1, number), short(fleet.now)));
+    }
+    for number in 10..10 + queued {
+        let caller = Caller { time_limit: Duration::MAX, ..caller((number % 3) as u8, 0) };
+        let requirements = match number % 2 {
+            0 => short(fleet.now),
+            _ => long(60_000 + number, fleet.now),
+        };
+        fleet.request(key(1, number), Requirements { caller, ..requirements });
+    }
+    assert_eq!(fleet.scheduler.queue_len() as u64, queued);
+    let time = |_| {
+        let started = Instant::now();
+        fleet.replies();
+        started.elapsed()
+    };
+    (0..5).map(time).min().unwrap()
+}
+
+/// Guards against a round that takes the square of the queue's length. Eight times as many requests take 8 times as
+/// long, and 64 times with the square; sorting adds less than half.
+#[test]
+fn a_round_does_not_take_the_square_of_the_queue() {
+    let (few, many) = (round(250), round(2_000));
+    assert!(many < few * 20, "{few:?} with 250, {many:?} with 2,000");
+}
