Forecast: one engine model rate for short prompts of all lengths

The rate of short prompts is measured over all lengths, but was limited by the engine model's rate for the length of the prompt whose wait was forecast. For a middle prompt, which is a fourth of the rate, a measured rate of more than four times that counted as implausible and was replaced by it: the forecasts of queued requests jumped by a factor of four between rounds, and requests were rejected after seconds in the queue. The model's rate is now that of the mean length of recent short prompts.

--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -116,6 +116,9 @@
     short: f64,
     /// Those that they need on average.
     mean_short: f64,
+    /// The mean length of recent short prompts. The rate is measured in prompts of any length, so the engine model's
+    /// rate has to be that of the same mix, whatever the length of the prompt whose wait is forecast.
+    mean_prompt: Option<Tokens>,
 }
 
 /// The long prompts that arrived, shortest ones of the most urgent priority first, for forecasts of many requests.
@@ -269,6 +272,7 @@
             engines,
             short: self.demand.engines(engine, CURRENT, now),
             mean_short: self.demand.engines(engine, MEAN_WINDOW, now),
+            mean_prompt: self.demand.mean_prompt(MEAN_WINDOW, now),
         }
     }
 
@@ -346,7 +350,8 @@
         now: Instant,
     ) -> Wait {
         let slots = shared.engines * f64::from(engine.slots);
-        let rate = self.short.rate(short_model_rate(engine, slots, candidate.prompt), now);
+        let prompt = shared.mean_prompt.unwrap_or(candidate.prompt);
+        let rate = self.short.rate(short_model_rate(engine, slots, prompt), now);
         // Less urgent requests are served after it.
         let arrivals = self.short_arrivals.range(..=candidate.item.priority);
         let tiers = Tiers {
--- a/request/src/scheduler/reserve.rs
+++ b/request/src/scheduler/reserve.rs
@@ -61,11 +61,7 @@
     /// The engines that short prompts occupy if they arrive as they did within the `window`, at the engines' stated
     /// speed.
     pub fn engines(&self, engine: &Engine, window: Duration, now: Instant) -> f64 {
-        let recent =
-            self.buckets.iter().rev().take_while(|bucket| age(bucket.start, now) <= window);
-        let (prompts, tokens) = recent.fold((0, 0_u64), |(prompts, tokens), bucket| {
-            (prompts + bucket.prompts, tokens.saturating_add(bucket.tokens))
-        });
+        let (prompts, tokens) = self.recent(window, now);
         if prompts == 0 {
             return 0.0;
         }
@@ -73,6 +69,21 @@
         let per_engine = forecast::short_model_rate(engine, f64::from(engine.slots), mean);
         f64::from(prompts) / window.as_secs_f64() / per_engine
     }
+
+    /// The mean length of the short prompts within the `window`; none without prompts.
+    pub fn mean_prompt(&self, window: Duration, now: Instant) -> Option<Tokens> {
+        let (prompts, tokens) = self.recent(window, now);
+        tokens.checked_div(u64::from(prompts)).map(Tokens)
+    }
+
+    /// The prompts within the `window`, and their tokens.
+    fn recent(&self, window: Duration, now: Instant) -> (u32, u64) {
+        let recent =
+            self.buckets.iter().rev().take_while(|bucket| age(bucket.start, now) <= window);
+        recent.fold((0, 0), |(prompts, tokens), bucket| {
+            (prompts + bucket.prompts, tokens.saturating_add(bucket.tokens))
+        })
+    }
 }
 
 /// The engines to keep free of long prompts. `short` and `long` are the engines that these kinds of prompts need, of
--- a/request/tests/patterns/main.rs
+++ b/request/tests/patterns/main.rs
@@ -3,6 +3,7 @@
 //! written, less a margin of a few percent for the variation between seeds.
 
 mod crash;
+#[allow(dead_code, reason = "the tests of overload use other parts")]
 mod simulation;
 
 use foldlock_base::size::Tokens;
@@ -30,6 +31,7 @@
     objective_ms: 300,
     pause_ms: 250,
     time_ms: 10_000,
+    priority: 0,
 };
 
 const MIDDLE: Kind = Kind {
@@ -39,6 +41,7 @@
     objective_ms: 1_500,
     pause_ms: 600,
     time_ms: 10_000,
+    priority: 0,
 };
 
 const LONG: Kind = Kind {
@@ -48,6 +51,7 @@
     objective_ms: 3_000,
     pause_ms: 1_000,
     time_ms: 15_000,
+    priority: 0,
 };
 
 const LONGEST: Kind = Kind { name: "longest", tokens: 300_000, ..LONG };
--- a/request/tests/patterns/simulation.rs
+++ b/request/tests/patterns/simulation.rs
@@ -2,19 +2,20 @@
 //! prefill and decode in passes, at the speeds that their operators state. Only the arrivals and
 //! prompt lengths are random.
 
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
 use foldlock_request::budget::Charge;
-use foldlock_request::caller::Caller;
+use foldlock_request::caller::{Caller, Priority};
 use foldlock_request::cluster::{Cluster, Holder, Listed};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::forecast;
-use foldlock_request::placement::{Placement, Requirements};
+use foldlock_request::placement::{Placement, Rejection, Requirements};
 use foldlock_request::report::Observed;
-use foldlock_request::scheduler::{Key, Reply, Scheduler};
+use foldlock_request::scheduler::{Key, Policy, Reply, Scheduler};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Bounds, Engine as Figures, Service, Table};
 use rand::rngs::StdRng;
@@ -31,6 +32,7 @@
     pub(crate) objective_ms: u64,
     pub(crate) pause_ms: u64,
     pub(crate) time_ms: u64,
+    pub(crate) priority: u8,
 }
 
 /// Requests of one kind that arrive at a constant rate for some time.
@@ -42,18 +44,31 @@
     pub(crate) per_s: f64,
 }
 
+/// A request and what has become of it.
 #[derive(Debug, Clone)]
-struct Request {
-    kind: Kind,
-    arrival: Instant,
+pub(crate) struct Request {
+    pub(crate) kind: Kind,
+    pub(crate) arrival: Instant,
     tokens: u64,
+    /// Time from its arrival after which its caller no longer waits.
+    pub(crate) time: Duration,
+    number: u64,
+    fingerprint: Fingerprint,
+    /// Whether its caller returned at a promised time.
+    pub(crate) returned: bool,
+    /// When and why it was rejected.
+    pub(crate) rejected: Option<(Instant, Rejection)>,
+    /// When its caller gave up in the queue.
+    pub(crate) cancelled: Option<Instant>,
+    /// When it was granted a placement.
+    pub(crate) granted: Option<Instant>,
     /// The prompt parts that are not prefilled yet.
     parts_left: usize,
-    placement: Option<Placement>,
-    first_event: Option<Instant>,
+    pub(crate) placement: Option<Placement>,
+    pub(crate) first_event: Option<Instant>,
     last_event: Option<Instant>,
     max_pause: Duration,
-    events_left: u32,
+    pub(crate) events_left: u32,
 }
 
 #[derive(Debug, Default)]
@@ -91,7 +106,17 @@
     engines: BTreeMap<id::Upstream, Engine>,
     requests: Vec<Request>,
     by_number: HashMap<u64, usize>,
+    /// The requests without a placement, by number.
+    unplaced: BTreeMap<u64, usize>,
     start: Instant,
+    /// The requests that have not arrived, by index.
+    arrivals: BinaryHeap<Reverse<(Instant, usize)>>,
+    /// The shortest time between two rounds of placing queued requests.
+    pub(crate) round_interval: Duration,
+    /// Whether callers have priorities and time limits.
+    are_callers_known: bool,
+    /// The replies to first grant requests and to queued requests, as text.
+    pub(crate) replies: Vec<String>,
     /// The largest number of engines that decoded at the same time.
     pub(crate) max_decoding: usize,
 }
@@ -135,11 +160,28 @@
             engines: (0..engines).map(|i| (id(i), Engine::default())).collect(),
             requests: Vec::new(),
             by_number: HashMap::new(),
+            unplaced: BTreeMap::new(),
             start: Instant::now(),
+            arrivals: BinaryHeap::new(),
+            round_interval: Duration::ZERO,
+            are_callers_known: false,
+            replies: Vec::new(),
             max_decoding: 0,
         }
     }
 
+    /// Requests state the priorities and time limits of their callers, to a scheduler with this policy.
+    pub(crate) fn with_callers(mut self, policy: Policy) -> Simulation {
+        self.scheduler.set_policy(policy);
+        self.are_callers_known = true;
+        self
+    }
+
+    /// The requests, including those of callers that returned.
+    pub(crate) fn requests(&self) -> &[Request] {
+        &self.requests
+    }
+
     /// The last engines become unresponsive for good, which their reports state from the start.
     pub(crate) fn stall(&mut self, engines: usize) {
         let stalled: Vec<id::Upstream> = self.engines.keys().rev().take(engines).cloned().collect();
@@ -156,11 +198,13 @@
             self.draw_arrivals(phase, &mut rng);
         }
         self.requests.sort_by_key(|request| request.arrival);
-        let mut next = 0;
+        let arrivals = self.requests.iter().enumerate();
+        self.arrivals =
+            arrivals.map(|(index, request)| Reverse((request.arrival, index))).collect();
         let end = self.start + Duration::from_secs(60);
-        let mut next_attempt = self.start;
+        let (mut next_attempt, mut next_round) = (self.start, self.start);
         loop {
-            let arrival = self.requests.get(next).map(|request| request.arrival);
+            let arrival = self.arrivals.peek().map(|Reverse((arrival, _))| *arrival);
             let pass_end = self.engines.values().filter_map(|engine| engine.pass_ends).min();
             let retry = (!self.scheduler.is_idle()).then_some(next_attempt);
             let Some(now) = [arrival, pass_end, retry].into_iter().flatten().min() else { break };
@@ -168,13 +212,16 @@
                 break;
             }
             if arrival == Some(now) {
+                let Reverse((_, next)) = self.arrivals.pop().expect("it was the first");
                 self.arrive(next, now);
-                next += 1;
             }
             self.finish_passes(now);
             self.cancel_expired(now);
-            self.place_queued(now);
-            next_attempt = now + Duration::from_millis(20);
+            if now >= next_round {
+                self.place_queued(now);
+                next_round = now + self.round_interval;
+                next_attempt = now + Duration::from_millis(20);
+            }
             self.begin_passes(now);
         }
         self.scores()
@@ -193,6 +240,13 @@
                 kind: phase.kind,
                 arrival: self.start + Duration::from_secs_f64(at_ms / 1e3),
                 tokens: (phase.kind.tokens as f64 * spread) as u64,
+                time: Duration::from_millis(phase.kind.time_ms),
+                number: 0,
+                fingerprint: Fingerprint::of("", "", "", &self.requests.len().to_be_bytes()),
+                returned: false,
+                rejected: None,
+                cancelled: None,
+                granted: None,
                 parts_left: 0,
                 placement: None,
                 first_event: None,
@@ -206,22 +260,27 @@
     fn requirements_for(&self, index: usize) -> Requirements {
         let request = &self.requests[index];
         let kind = &request.kind;
+        let caller = Caller {
+            priority: Priority { organisation: 0, route: kind.priority },
+            time_limit: request.time,
+            ..Caller::default()
+        };
         Requirements {
             prompt: Tokens(request.tokens),
             memory: Tokens(request.tokens + self.figures.mean_answer.0),
             objective: Duration::from_millis(kind.objective_ms),
             pause: Some(Duration::from_millis(kind.pause_ms)),
             arrived: request.arrival,
-            queue_timeout: Duration::from_millis(kind.time_ms),
+            queue_timeout: request.time,
             excluded: Vec::new(),
             hall: "a".to_owned(),
             connected: Vec::new(),
             reservation_timeout: Duration::from_millis(2_400),
-            fingerprint: Fingerprint::of("", "", "", b""),
+            fingerprint: request.fingerprint,
             offset: 0,
             schedulers: 1,
             charge: Charge::Free,
-            caller: Caller::default(),
+            caller: if self.are_callers_known { caller } else { Caller::default() },
         }
     }
 
@@ -232,6 +291,8 @@
     fn arrive(&mut self, index: usize, now: Instant) {
         let number = self.cluster.next_number();
         self.by_number.insert(number, index);
+        self.unplaced.insert(number, index);
+        self.requests[index].number = number;
         self.request_placement(number, index, now);
     }
 
@@ -246,31 +307,62 @@
             requirements,
             now,
         );
-        if let Reply::Granted(placement, _) = answer {
-            self.on_placed(number, *placement, now);
+        self.on_reply(number, answer, now);
+    }
+
+    fn on_reply(&mut self, number: u64, reply: Reply, now: Instant) {
+        let at = (now - self.start).as_micros();
+        match reply {
+            Reply::Granted(placement, _) => {
+                self.replies.push(format!("{at} {number} {:?}", placement.flight));
+                self.on_placed(number, *placement, now);
+            }
+            Reply::Queued => self.replies.push(format!("{at} {number} queued")),
+            Reply::Rejected(rejection) => {
+                self.replies.push(format!("{at} {number} {rejection:?}"));
+                self.on_rejected(number, rejection, now);
+            }
         }
     }
 
+    /// A caller with a promise returns at its time, and has less time left then.
+    fn on_rejected(&mut self, number: u64, rejection: Rejection, now: Instant) {
+        let index = self.by_number.remove(&number).expect("its request");
+        self.unplaced.remove(&number);
+        let request = &mut self.requests[index];
+        request.rejected = Some((now, rejection));
+        let Rejection::Overloaded { after_ms, promised: true, .. } = rejection else { return };
+        let arrival = now + Duration::from_millis(after_ms);
+        let returning = Request {
+            arrival,
+            time: request.time.saturating_sub(arrival - request.arrival),
+            returned: true,
+            rejected: None,
+            ..request.clone()
+        };
+        self.arrivals.push(Reverse((arrival, self.requests.len())));
+        self.requests.push(returning);
+    }
+
     /// Cancels requests whose callers have no time left.
     fn cancel_expired(&mut self, now: Instant) {
         let is_expired = |(_, index): &(&u64, &usize)| {
             let request = &self.requests[**index];
-            let time = Duration::from_millis(request.kind.time_ms);
-            request.placement.is_none() && now >= request.arrival + time
+            request.placement.is_none() && now >= request.arrival + request.time
         };
         let expired: Vec<u64> =
-            self.by_number.iter().filter(is_expired).map(|(number, _)| *number).collect();
+            self.unplaced.iter().filter(is_expired).map(|(number, _)| *number).collect();
         for number in expired {
             self.scheduler.cancel(&mut self.cluster, &Simulation::key(number), now);
-            self.by_number.remove(&number);
+            let index = self.by_number.remove(&number).expect("its request");
+            self.unplaced.remove(&number);
+            self.requests[index].cancelled = Some(now);
         }
     }
 
     fn place_queued(&mut self, now: Instant) {
         for (key, answer) in self.scheduler.place_queued(&mut self.cluster, &self.table, now) {
-            if let Reply::Granted(placement, _) = answer {
-                self.on_placed(key.number, *placement, now);
-            }
+            self.on_reply(key.number, answer, now);
         }
     }
 
@@ -288,7 +380,9 @@
             let engine = self.engines.get_mut(id).unwrap();
             engine.queued.push((index, f64::from(flight.part_ms)));
         }
+        self.unplaced.remove(&number);
         self.requests[index].placement = Some(placement);
+        self.requests[index].granted = Some(now);
     }
 
     /// Completes the passes that end now: prompt parts are prefilled, and each decoding request
@@ -337,7 +431,7 @@
         if self.requests[index].parts_left > 0 {
             return false;
         }
-        let number = self.number_of(index);
+        let number = self.requests[index].number;
         let request = &mut self.requests[index];
         if let Some(last) = request.last_event.replace(now) {
             request.max_pause = request.max_pause.max(now - last);
@@ -353,11 +447,6 @@
         request.events_left > 0
     }
 
-    fn number_of(&self, index: usize) -> u64 {
-        let found = self.by_number.iter().find(|(_, other)| **other == index);
-        *found.expect("the request has a number").0
-    }
-
     fn begin_passes(&mut self, now: Instant) {
         for engine in self.engines.values_mut().filter(|engine| !engine.stalled) {
             if engine.pass_ends.is_some() || engine.queued.is_empty() && engine.decoding.is_empty()
@@ -386,20 +475,25 @@
 
     fn scores(&self) -> HashMap<&'static str, Score> {
         let mut scores: HashMap<&'static str, Score> = HashMap::new();
-        for request in &self.requests {
+        for request in self.requests.iter().filter(|request| !request.returned) {
             let score = scores.entry(request.kind.name).or_default();
             score.total += 1;
-            let Some(first) = request.first_event.filter(|_| request.events_left == 0) else {
-                continue;
-            };
-            let objective = Duration::from_millis(request.kind.objective_ms);
-            let pause = Duration::from_millis(request.kind.pause_ms);
-            if first <= request.arrival + objective && request.max_pause <= pause {
-                score.in_time += 1;
-            } else {
-                score.late += 1;
+            match request.is_in_time() {
+                Some(true) => score.in_time += 1,
+                Some(false) => score.late += 1,
+                None => {}
             }
         }
         scores
     }
 }
+
+impl Request {
+    /// Whether its response is complete, and its first event and pauses were within their targets.
+    pub(crate) fn is_in_time(&self) -> Option<bool> {
+        let first = self.first_event.filter(|_| self.events_left == 0)?;
+        let objective = Duration::from_millis(self.kind.objective_ms);
+        let pause = Duration::from_millis(self.kind.pause_ms);
+        Some(first <= self.arrival + objective && self.max_pause <= pause)
+    }
+}
