Order: short prompts that can be in time, by a quarter of the placements

While all slots are in use, more than half of the placements are predicted to take longer than 0.85 of the objective. The typical time to the first event was their mean, over prompts of all lengths, so no new short prompt counted as one that can be in time: all were served by arrival, and all were late, as before the order existed. It is now the lower quartile of the time less the prompt's own prefill.

--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -17,9 +17,14 @@
 use crate::forecast;
 use crate::placement::{MAX_PREDICTED_SHARE, Requirements};
 
-/// Weight of the latest placement in the typical time from grant to first event. While requests are queued, ten
-/// placements take less than a second.
-const TYPICAL_WEIGHT: f64 = 0.1;
+/// How far the typical delay moves with each placement. While requests are queued, ten placements take less than a
+/// second, in which it can move by half a pass.
+const TYPICAL_STEP: Duration = Duration::from_millis(4);
+
+/// The typical delay is this quantile of the predicted ones. While all slots are in use, more than half of the placements
+/// are predicted to be late; with their mean, no new request would count as one that can be in time, and all would be
+/// served by arrival, late. A quarter of the placements are fast enough for those that go first.
+const TYPICAL_QUANTILE: f64 = 0.25;
 
 /// Number of engines among which a queued long prompt is expected to be divided.
 const EXPECTED_PARTS: f64 = 10.0;
@@ -53,6 +58,8 @@
     /// Time within which a short prompt has to start to be in time.
     in_time_left: Duration,
     prompt: Tokens,
+    /// Its prefill time on one engine, whether it is long or not.
+    prefill: Duration,
 }
 
 impl Candidate {
@@ -162,7 +169,7 @@
     short_arrivals: BTreeMap<Priority, Throughput>,
     demand: Demand,
     long_arrivals: VecDeque<Arrival>,
-    /// Typical time from grant to first event of short prompts.
+    /// Typical time from grant to first event of short prompts, less their own prefill.
     typical: Option<Duration>,
     /// The engines, weighted by speed, and when that was computed.
     engines: Option<(Instant, f64)>,
@@ -182,7 +189,7 @@
         let objective = requirements.objective;
         let typical = match prefill_ms {
             Some(prefill_ms) => Some(long_first_event(engine, prefill_ms)),
-            None => self.typical,
+            None => self.typical_first_event(engine, requirements.prompt),
         };
         let service_time = requirements.service_time(engine);
         let first_event = typical.unwrap_or_default();
@@ -214,9 +221,15 @@
                 .saturating_sub(first_event)
                 .saturating_sub(waited),
             prompt: requirements.prompt,
+            prefill: prefill(engine, requirements.prompt),
         }
     }
 
+    /// The typical time from grant to first event of a short prompt; none without placements.
+    fn typical_first_event(&self, engine: &Engine, prompt: Tokens) -> Option<Duration> {
+        Some(self.typical?.saturating_add(prefill(engine, prompt)))
+    }
+
     /// Records the arrival of a request.
     pub(super) fn record_arrival(&mut self, candidate: &Candidate, now: Instant) {
         let Some(prefill_ms) = candidate.prefill_ms else {
@@ -247,9 +260,16 @@
         }
         self.short.record_grant(1.0, now);
         let Ok(predicted) = Duration::try_from_secs_f64(predicted_ms / MS_PER_S) else { return };
-        let typical = self.typical.unwrap_or(predicted);
-        let weighted = typical.mul_f64(1.0 - TYPICAL_WEIGHT) + predicted.mul_f64(TYPICAL_WEIGHT);
-        self.typical = Some(weighted);
+        let delay = predicted.saturating_sub(candidate.prefill);
+        self.typical = Some(match self.typical {
+            None => delay,
+            Some(typical) if delay > typical => {
+                typical.saturating_add(TYPICAL_STEP.mul_f64(TYPICAL_QUANTILE)).min(delay)
+            }
+            Some(typical) => {
+                typical.saturating_sub(TYPICAL_STEP.mul_f64(1.0 - TYPICAL_QUANTILE)).max(delay)
+            }
+        });
     }
 
     /// Records the end of a round of placement.
@@ -293,7 +313,8 @@
             }
             (None, None) if priority <= candidate.item.priority => {
                 let waited = now.saturating_duration_since(queued.arrived);
-                Some((None, order::can_be_in_time(waited, self.typical, queued.objective)))
+                let typical = self.typical_first_event(engine, queued.prompt);
+                Some((None, order::can_be_in_time(waited, typical, queued.objective)))
             }
             _ => None,
         }
@@ -408,6 +429,12 @@
         .unwrap_or(Duration::MAX)
 }
 
+/// The prefill time of a prompt on one engine.
+fn prefill(engine: &Engine, prompt: Tokens) -> Duration {
+    let prefill_ms = forecast::prefill_ms(engine, prompt.0);
+    Duration::try_from_secs_f64(prefill_ms / MS_PER_S).unwrap_or(Duration::MAX)
+}
+
 fn age(at: Instant, now: Instant) -> Duration {
     now.saturating_duration_since(at)
 }
