Placement of long prompts: busy engines are visited once

For each number of parts, up to 17, all engines were visited to find those that can read a part, and the candidates for the response were sorted also where too few could. An engine that can read no part of the shortest length can read no longer one, so only the others are visited again. The placements are the same; the tests of placement, line and patterns pass.

A trial in a release build, 3,000 engines with ten requests each and 500 long and 500 short prompts queued: a round took 13.4 to 16.5 ms before and 6.7 to 7.1 ms now; 2.1 to 3.1 ms with 1,000 short ones only. What is left is mostly the load of each engine, which each search computes for all of them.

--- a/request/src/placement/share.rs
+++ b/request/src/placement/share.rs
@@ -5,6 +5,7 @@
 //! sooner. But each part is read inside the passes of its engine, so engines without short
 //! responses come first.
 
+use std::cell::LazyCell;
 use std::cmp::{Ordering, Reverse};
 
 use foldlock_version::routes::Engine;
@@ -206,11 +207,17 @@
         can_be_main: impl Fn(&EnginePlan<'_>) -> bool,
     ) -> Option<Share> {
         let max_parts = ((prefill_ms / MIN_PART_MS) as usize).clamp(1, MAX_ENGINES);
-        let main_candidates = self.main_candidates(can_be_main);
+        let max_parts = max_parts.min(self.all.len());
+        // An engine that may read no part of the shortest length may read no longer one. While most engines are busy,
+        // the others are visited once instead of for each number of parts.
+        let min_part_ms = prefill_ms / max_parts as f64;
+        let order = self.order.iter().copied();
+        let usable: Vec<usize> = order.filter(|i| may(&self.all[*i], min_part_ms)).collect();
+        let main_candidates = LazyCell::new(|| self.main_candidates(can_be_main));
         let share = |parts: usize| {
             let part_ms = prefill_ms / parts as f64;
             let may = |index: &usize| may(&self.all[*index], part_ms);
-            let free = self.order.iter().copied().filter(may);
+            let free = usable.iter().copied().filter(may);
             let mut engines: Vec<usize> = free.take(parts).collect();
             if engines.len() < parts {
                 return None;
@@ -224,7 +231,7 @@
             let done_ms = engines.iter().map(done).fold(0.0, f64::max);
             Some(Share { done_ms, part_ms, engines })
         };
-        let shares = (1..=max_parts.min(self.all.len())).filter_map(share);
+        let shares = (1..=max_parts.min(usable.len())).filter_map(share);
         shares.min_by(|a, b| a.done_ms.total_cmp(&b.done_ms))
     }
 
