The rest of a stream that has begun is not rejected by a forecast

The scheduler compared a request for the rest of a response with the service time of a whole one, from the arrival of the first request. A long response whose engine failed near its end was rejected and cut, although the VM expects the rest to take less. Such requests state no limits now; the VM's own queue timeout applies as before. With admission by timeout nothing changes, as no limits are stated. The test of the scheduler uses the new limits; the VM's part has no test.

--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -105,6 +105,9 @@
     }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
     let mut requirements = job.requirements(&history.excluded, history.charge());
+    if stream_begun {
+        requirements.caller = requirements.caller.without_limits();
+    }
     // The rest of a stream that has begun takes less than the service time of a whole response.
     let by_forecast = if stream_begun { None } else { forecast_timeout(job, &requirements) };
     let by_forecast = by_forecast.map(|timeout| timeout.max(job.elapsed() + MIN_GRANT_TIME));
--- a/request/src/caller.rs
+++ b/request/src/caller.rs
@@ -32,6 +32,14 @@
     pub patience: Duration,
 }
 
+impl Caller {
+    /// The caller of a response whose first events have been delivered. Its limits are not compared with forecasts, which
+    /// are of whole responses: the rest takes less time, and only this VM can resume it.
+    pub fn without_limits(self) -> Caller {
+        Caller { time_limit: Duration::MAX, patience: Duration::MAX, ..self }
+    }
+}
+
 impl Default for Caller {
     fn default() -> Caller {
         Caller {
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -488,6 +488,21 @@
     assert!(matches!(fleet.request(key(1, 2), urgent), Reply::Queued));
 }
 
+/// Guards against a response that is cut because the rest of it would be rejected as a whole response.
+#[test]
+fn the_rest_of_a_response_is_queued_whatever_its_forecast() {
+    let mut fleet = by_forecast(1);
+    fleet.fill(1, 10, caller(0, 3_600_000));
+    let whole = Requirements {
+        caller: caller(0, 10_000),
+        ..short(fleet.now - Duration::from_millis(9_500))
+    };
+    let rest = Requirements { caller: whole.caller.without_limits(), ..whole.clone() };
+    assert!(is_overloaded(&fleet.request(key(1, 1), whole)));
+    assert!(matches!(fleet.request(key(1, 2), rest), Reply::Queued));
+    assert_eq!(Caller::default().without_limits(), Caller::default());
+}
+
 /// Guards against an inversion of priority: a forecast by which less urgent requests that arrive take the capacity.
 #[test]
 fn an_urgent_request_is_not_rejected_for_less_urgent_arrivals() {
