--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -2,29 +2,28 @@
 //!
 //! Other services, and all services with another policy, queue as in [`super`].
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use foldlock_base::prelude::*;
 use foldlock_version::routes::{Engine, Service, Table};
 
 use super::admission::{decide, decide_new};
 use super::forecast::{Error, Kind};
-use super::order::Reason;
-use super::outlook::{Candidate, Outlook, Wait};
+use super::order::{Basis, Reason};
+use super::outlook::{Ahead, Arriving, Candidate, Outlook, Wait};
 use super::record::{Forecast, KeptChange, Outcome, Record, Return, Taken};
-use super::{Key, QueuedRequest, Reply, Scheduler, find};
+use super::{Key, Promises, QueuedRequest, Reply, Scheduler, find};
 use crate::caller::Caller;
 use crate::cluster::Cluster;
-use crate::placement::{self, Placement, Rejection, Requirements, requires_isolation};
+use crate::placement::{self, Rejection, Requirements, requires_isolation};
 use crate::promise;
 use crate::tag::Tag;
 
 /// Maximum number of forecast errors that are kept until they are collected.
 const MAX_ERRORS: usize = 1_024;
 
-/// A queued request, and its place in the order of the queue.
+/// A queued request, by its index in the queue.
 struct Waiting {
-    key: Key,
-    /// Its index in the queue.
     index: usize,
     candidate: Candidate,
 }
@@ -51,7 +50,7 @@
         let outlook = self.outlooks.entry(tag).or_default();
         let candidate = outlook.candidate(engine, requirements, returned, now);
         outlook.record_arrival(&candidate, now);
-        if returned {
+        if redeemed {
             self.log.add(record(key, &candidate, 0, None, Outcome::Redeemed, now));
         }
         returned
@@ -69,47 +68,56 @@
     ) -> Result<Option<Forecast>, Rejection> {
         let Some(engine) = self.forecast_engine(service) else { return Ok(None) };
         let tag = Tag::of(&service.name);
-        let waiting = self.waiting(tag, engine, now);
-        let queued: Vec<Candidate> = waiting.iter().map(|waiting| waiting.candidate).collect();
-        let Some(outlook) = self.outlooks.get(&tag) else { return Ok(None) };
+        let Some(outlook) = self.outlooks.get_mut(&tag) else { return Ok(None) };
+        let engines = outlook.engines(now, || speed(cluster, service, now));
         let candidate = outlook.candidate(engine, requirements, returned, now);
-        let engines = speed(cluster, service, now);
-        let wait = outlook.wait(engine, engines, &queued, &candidate, now);
+        let mut ahead = Ahead::default();
+        let mut rank = 0;
+        for queued in self.queue.iter().filter(|queued| queued.service == tag) {
+            if let Some((prefill_ms, in_time)) =
+                outlook.ahead_of(&candidate, engine, &queued.requirements, now)
+            {
+                ahead.add(prefill_ms, in_time);
+                rank += 1;
+            }
+        }
+        let shared = outlook.shared(engine, engines, now);
+        let arriving = outlook.arriving(&candidate, now);
+        let wait = outlook.wait(engine, &shared, &ahead, &arriving, &candidate, now);
         let forecast = forecast(outlook, &candidate, wait, now);
-        let rank = queued.iter().filter(|other| precedes(other, &candidate)).count();
-        let outcome = if !returned && decide_new(&candidate.request, wait.wait).is_err() {
-            Outcome::RejectedNew
-        } else {
-            Outcome::Queued
-        };
-        let record = record(key, &candidate, rank, Some(forecast), outcome, now);
-        if outcome == Outcome::RejectedNew {
-            return Err(self.overloaded(service, requirements, &candidate, wait, record));
+        if !returned && decide_new(&candidate.request, wait.wait).is_err() {
+            let outcome = Outcome::RejectedNew;
+            let record = record(key, &candidate, rank, Some(forecast), outcome, now);
+            let promises = &mut self.promises;
+            let (rejection, record) =
+                overloaded(promises, service, requirements, &candidate, wait, record);
+            self.log.add(record);
+            return Err(rejection);
         }
-        self.log.add(record);
+        self.log.add(record(key, &candidate, rank, Some(forecast), Outcome::Queued, now));
         Ok(Some(forecast))
     }
 
-    /// Records a placement that was granted. Returns its record, if the request was queued by a forecast.
+    /// Updates the load by a placement that was granted.
     pub(super) fn on_granted(
         &mut self,
-        engine: &Engine,
         tag: Tag,
-        queued: &QueuedRequest,
-        placement: &Placement,
+        candidate: &Candidate,
+        predicted_ms: f64,
         now: Instant,
-    ) -> Option<Record> {
-        let outlook = self.outlooks.entry(tag).or_default();
-        let candidate = outlook.candidate(engine, &queued.requirements, queued.returned, now);
-        let basis = outlook.record_grant(&candidate, placement.predicted_ms, now);
-        let Forecast { at, wait, .. } = queued.forecast?;
-        if self.forecast_errors.len() < MAX_ERRORS {
-            let kind = if candidate.is_long() { Kind::Long } else { Kind::Short };
-            let actual = now.saturating_duration_since(at);
-            self.forecast_errors.push(Error { kind, forecast: wait, actual });
+    ) {
+        self.outlooks.entry(tag).or_default().record_grant(candidate, predicted_ms, now);
+    }
+
+    /// Records the grant of a request that was queued by a forecast.
+    pub(super) fn record_grant(&mut self, record: Record) {
+        if let Some(Forecast { wait, .. }) = record.forecast
+            && self.forecast_errors.len() < MAX_ERRORS
+        {
+            let actual = record.forecast_age().unwrap_or_default();
+            self.forecast_errors.push(Error { kind: record.kind, forecast: wait, actual });
         }
-        let outcome = Outcome::Granted(basis);
-        Some(record(&queued.key, &candidate, queued.rank, queued.forecast, outcome, now))
+        self.log.add(record);
     }
 
     /// Removes and returns the decisions since the last call. There are none unless requests are admitted by forecasts.
@@ -170,131 +178,164 @@
         replies: &mut Vec<(Key, Reply)>,
     ) {
         let tag = Tag::of(&service.name);
-        self.reject_hopeless(cluster, service, engine, now, replies);
-        let waiting = self.waiting(tag, engine, now);
+        let mut waiting = self.waiting(tag, engine, now);
+        let hopeless = self.reject_hopeless(cluster, service, engine, &waiting, now, replies);
+        self.remove(hopeless, &mut waiting);
         for (rank, waiting) in waiting.iter().enumerate() {
             self.queue[waiting.index].rank = rank;
         }
         let is_short = |waiting: &Waiting| !waiting.candidate.is_long();
         let first_short = waiting.iter().position(is_short).unwrap_or(0);
-        let before_short: Vec<&Key> = waiting[..first_short].iter().map(|w| &w.key).collect();
-        if !before_short.is_empty() {
-            let of = |queued: &QueuedRequest| before_short.contains(&&queued.key);
-            self.place_long(cluster, service, tag, now, replies, of);
+        let are_all_first = !waiting[first_short..].iter().any(|waiting| !is_short(waiting));
+        if first_short > 0 {
+            let mut before_short = vec![false; self.queue.len()];
+            waiting[..first_short].iter().for_each(|waiting| before_short[waiting.index] = true);
+            let may = |index: usize| before_short[index];
+            let placed = self.place_long(cluster, service, tag, now, replies, may);
+            self.remove(placed, &mut waiting);
+        }
+        let placed = self.place_short_in_order(cluster, service, &waiting, now, replies);
+        self.remove(placed, &mut waiting);
+        if first_short == 0 || !are_all_first {
+            let placed = self.place_long(cluster, service, tag, now, replies, |_| true);
+            self.remove(placed, &mut waiting);
         }
-        for Waiting { key, .. } in waiting.iter().filter(|waiting| is_short(waiting)) {
-            let Some(index) = self.queue.iter().position(|queued| queued.key == *key) else {
+        let are_short_queued = waiting.iter().any(is_short);
+        if let Some(outlook) = self.outlooks.get_mut(&tag) {
+            outlook.end_round(are_short_queued, now);
+        }
+    }
+
+    /// Grants placements to short requests in order, and returns their indices. They stay in the queue.
+    fn place_short_in_order(
+        &mut self,
+        cluster: &mut Cluster,
+        service: &Service,
+        waiting: &[Waiting],
+        now: Instant,
+        replies: &mut Vec<(Key, Reply)>,
+    ) -> Vec<usize> {
+        let mut placed = Vec::new();
+        // Requests that need as much memory as one that found no room would find none either.
+        let mut max_memory = Tokens(u64::MAX);
+        for Waiting { index, candidate } in waiting.iter().filter(|w| !w.candidate.is_long()) {
+            let requirements = &self.queue[*index].requirements;
+            if requirements.memory >= max_memory {
                 continue;
-            };
-            let requirements = &self.queue[index].requirements;
-            let is_shared = requires_isolation(cluster, requirements.fingerprint, now) == Ok(false);
+            }
             match placement::place(cluster, service, requirements, now) {
                 Ok(placement) => {
-                    let reply = self.grant_queued(cluster, service, index, placement, now);
-                    replies.push((key.clone(), reply));
+                    let reply = self.grant_queued(cluster, *index, candidate, placement, now);
+                    replies.push((self.queue[*index].key.clone(), reply));
+                    placed.push(*index);
                 }
-                // The next ones would find no room either, unless this one excludes some upstreams or
-                // must run isolated: it may wait for an idle engine or for the end of its first copy.
-                Err(_) if requirements.excluded.is_empty() && is_shared => break,
-                Err(_) => {}
+                // Others may find room: it excludes some upstreams, or waits for a copy of itself to end.
+                Err(_)
+                    if !requirements.excluded.is_empty()
+                        || requires_isolation(cluster, requirements.fingerprint, now)
+                            != Ok(false) => {}
+                Err(Rejection::Full) => max_memory = requirements.memory,
+                Err(_) => break,
             }
         }
-        self.place_long(cluster, service, tag, now, replies, |_| true);
-        let are_short_queued = self.queue.iter().any(|q| q.service == tag && !q.is_long(service));
-        if let Some(outlook) = self.outlooks.get_mut(&tag) {
-            outlook.end_round(are_short_queued, now);
-        }
+        placed
     }
 
-    /// Rejects queued requests that cannot be served within their callers' time any more.
+    /// Removes requests from the queue, and from those that wait.
+    fn remove(&mut self, mut indices: Vec<usize>, waiting: &mut Vec<Waiting>) {
+        indices.sort_unstable();
+        waiting.retain_mut(|waiting| match indices.binary_search(&waiting.index) {
+            Ok(_) => false,
+            Err(before) => {
+                waiting.index -= before;
+                true
+            }
+        });
+        self.remove_indices(&indices);
+    }
+
+    /// Rejects queued requests that cannot be served within their callers' time any more, and returns their indices.
+    /// They stay in the queue.
     fn reject_hopeless(
         &mut self,
         cluster: &Cluster,
         service: &Service,
         engine: &Engine,
+        waiting: &[Waiting],
         now: Instant,
         replies: &mut Vec<(Key, Reply)>,
-    ) {
-        let tag = Tag::of(&service.name);
-        let engines = speed(cluster, service, now);
-        let waiting = self.waiting(tag, engine, now);
-        let mut kept: Vec<Candidate> = Vec::with_capacity(waiting.len());
-        for Waiting { key, candidate, .. } in waiting {
-            let Some(outlook) = self.outlooks.get(&tag) else { return };
-            let wait = outlook.wait(engine, engines, &kept, &candidate, now);
-            let is_served = candidate.item.returned
-                || candidate.item.in_time
-                || decide(&candidate.request, wait.wait).is_ok();
-            if is_served {
-                kept.push(candidate);
+    ) -> Vec<usize> {
+        let Some(outlook) = self.outlooks.get_mut(&Tag::of(&service.name)) else {
+            return Vec::new();
+        };
+        let engines = outlook.engines(now, || speed(cluster, service, now));
+        let shared = outlook.shared(engine, engines, now);
+        let arrivals = outlook.long_arrivals(now);
+        let (mut long, short): (Vec<&Waiting>, Vec<&Waiting>) =
+            waiting.iter().partition(|waiting| waiting.candidate.is_long());
+        // Long prompts are forecast in the order in which they are expected to be read.
+        let prefill_ms = |waiting: &Waiting| waiting.candidate.prefill_ms.unwrap_or_default();
+        long.sort_by(|a, b| {
+            let priority = |waiting: &Waiting| waiting.candidate.item.priority;
+            priority(a).cmp(&priority(b)).then(prefill_ms(a).total_cmp(&prefill_ms(b)))
+        });
+        let mut hopeless = Vec::new();
+        let mut ahead = Ahead::default();
+        for Waiting { index, candidate } in short.into_iter().chain(long) {
+            let arriving = candidate.prefill_ms.map_or_else(Arriving::default, |prefill_ms| {
+                arrivals.before(candidate.item.priority, prefill_ms)
+            });
+            let wait = outlook.wait(engine, &shared, &ahead, &arriving, candidate, now);
+            // A caller that has returned is rejected only if even an immediate start would be too late.
+            let least = if candidate.item.returned { Duration::ZERO } else { wait.wait };
+            if candidate.item.in_time || decide(&candidate.request, least).is_ok() {
+                ahead.add(candidate.prefill_ms, candidate.item.in_time);
                 continue;
             }
-            let Some(index) = self.queue.iter().position(|queued| queued.key == key) else {
-                continue;
-            };
-            let forecast = forecast(outlook, &candidate, wait, now);
-            let queued = self.queue.remove(index);
+            let QueuedRequest { key, requirements, rank, .. } = &self.queue[*index];
+            let forecast = forecast(outlook, candidate, wait, now);
             let outcome = Outcome::RejectedQueued;
-            let record = record(&key, &candidate, kept.len(), Some(forecast), outcome, now);
-            let rejection =
-                self.overloaded(service, &queued.requirements, &candidate, wait, record);
-            replies.push((key, Reply::Rejected(rejection)));
-        }
-    }
-
-    /// The rejection of a request that cannot be served within its time, with a promised time to return if there is
-    /// one. Adds it to the record of the decision.
-    fn overloaded(
-        &mut self,
-        service: &Service,
-        requirements: &Requirements,
-        candidate: &Candidate,
-        forecast: Wait,
-        mut record: Record,
-    ) -> Rejection {
-        let remaining = candidate.remaining(requirements.caller.time_limit);
-        let capacity = promise::capacity(service, requirements);
-        let promised = self.promises.promise(
-            requirements.fingerprint,
-            capacity,
-            forecast.wait,
-            remaining,
-            forecast.returns_per_s,
-            record.at,
-        );
-        // All times before a third of the remaining time are promised to others.
-        let after = promised.unwrap_or(forecast.wait.max(remaining / 3));
-        record.returns = Some(Return { after, promised: promised.is_some() });
-        self.log.add(record);
-        Rejection::Overloaded {
-            after_ms: after.as_millis() as u64,
-            wait_ms: forecast.wait.as_millis() as u64,
-            promised: promised.is_some(),
+            let record = record(key, candidate, *rank, Some(forecast), outcome, now);
+            let promises = &mut self.promises;
+            let (rejection, record) =
+                overloaded(promises, service, requirements, candidate, wait, record);
+            replies.push((key.clone(), Reply::Rejected(rejection)));
+            self.log.add(record);
+            hopeless.push(*index);
         }
+        hopeless
     }
 
     /// The queued requests of a service in the order in which they are placed.
     fn waiting(&self, tag: Tag, engine: &Engine, now: Instant) -> Vec<Waiting> {
         let Some(outlook) = self.outlooks.get(&tag) else { return Vec::new() };
-        let queued = self.queue.iter().enumerate();
-        let queued: Vec<(usize, &QueuedRequest)> =
-            queued.filter(|(_, queued)| queued.service == tag).collect();
-        let candidate = |(_, queued): &(usize, &QueuedRequest)| {
-            outlook.candidate(engine, &queued.requirements, queued.returned, now)
-        };
-        let candidates: Vec<Candidate> = queued.iter().map(candidate).collect();
+        let queued = self.queue.iter().enumerate().filter(|(_, queued)| queued.service == tag);
+        let (indices, candidates): (Vec<usize>, Vec<Candidate>) = queued
+            .map(|(index, QueuedRequest { requirements, returned, .. })| {
+                (index, outlook.candidate(engine, requirements, *returned, now))
+            })
+            .unzip();
         let items: Vec<_> = candidates.iter().map(|candidate| candidate.item).collect();
         let order = outlook.discipline.order(&items, self.policy.fair_shares);
-        let waiting = |index: usize| Waiting {
-            key: queued[index].1.key.clone(),
-            index: queued[index].0,
-            candidate: candidates[index],
-        };
+        let waiting =
+            |place: usize| Waiting { index: indices[place], candidate: candidates[place] };
         order.into_iter().map(waiting).collect()
     }
 }
 
 impl QueuedRequest {
+    /// The record of its grant, if it was queued by a forecast.
+    pub(super) fn granted(
+        &self,
+        candidate: &Candidate,
+        basis: Basis,
+        now: Instant,
+    ) -> Option<Record> {
+        let outcome = Outcome::Granted(basis);
+        self.forecast?;
+        Some(record(&self.key, candidate, self.rank, self.forecast, outcome, now))
+    }
+
     /// The reason of its grant, for its VM; none for a VM of the previous release, which cannot decode it. A VM of this
     /// release states the caller while requests are admitted by forecasts.
     pub(super) fn reason(&self, record: &Record) -> Option<Reason> {
@@ -332,13 +373,35 @@
     }
 }
 
-/// Whether a queued request goes before another one, without shares and ageing.
-fn precedes(queued: &Candidate, new: &Candidate) -> bool {
-    let rank = |candidate: &Candidate| {
-        let item = &candidate.item;
-        (item.priority, !item.returned, !item.in_time, item.deadline, item.arrived)
+/// The rejection of a request that cannot be served within its time, with a promised time to return if there is one.
+/// Adds the time to the record of the decision.
+fn overloaded(
+    promises: &mut Promises,
+    service: &Service,
+    requirements: &Requirements,
+    candidate: &Candidate,
+    forecast: Wait,
+    mut record: Record,
+) -> (Rejection, Record) {
+    let remaining = candidate.remaining(requirements.caller.time_limit);
+    let capacity = promise::capacity(service, requirements);
+    let promised = promises.promise(
+        requirements.fingerprint,
+        capacity,
+        forecast.wait,
+        remaining,
+        forecast.returns_per_s,
+        record.at,
+    );
+    // All times before a third of the remaining time are promised to others.
+    let after = promised.unwrap_or(forecast.wait.max(remaining / 3));
+    record.returns = Some(Return { after, promised: promised.is_some() });
+    let rejection = Rejection::Overloaded {
+        after_ms: after.as_millis() as u64,
+        wait_ms: forecast.wait.as_millis() as u64,
+        promised: promised.is_some(),
     };
-    rank(queued) <= rank(new)
+    (rejection, record)
 }
 
 /// The open engines of a service, weighted by speed.
--- a/request/src/scheduler/order.rs
+++ b/request/src/scheduler/order.rs
@@ -134,6 +134,16 @@
     granted: Instant,
 }
 
+impl Class {
+    fn basis(&self, item: &Item) -> Basis {
+        match item {
+            Item { returned: true, .. } => Basis::Returned,
+            Item { in_time: false, .. } if self.ageing.is_due() => Basis::Aged,
+            _ => Basis::Turn,
+        }
+    }
+}
+
 /// The queueing discipline of a service: what earlier grants mean for the next ones.
 #[derive(Debug, Clone, Default)]
 pub struct Discipline {
@@ -181,17 +191,22 @@
             let basis = if item.returned { Basis::Returned } else { Basis::Turn };
             return Grant { basis, lead: Duration::ZERO };
         };
-        let basis = match item {
-            Item { returned: true, .. } => Basis::Returned,
-            Item { in_time: false, .. } if class.ageing.is_due() => Basis::Aged,
-            _ => Basis::Turn,
-        };
+        let basis = class.basis(item);
         class.ageing.count(basis);
         class.clock.charge(item.organisation, item.cost_ms, basis == Basis::Turn, now);
         class.granted = now;
         Grant { basis, lead: class.clock.lead(item.organisation) }
     }
 
+    /// Why a request is granted before the others, if it is granted now.
+    pub fn basis(&self, item: &Item) -> Basis {
+        match self.classes.binary_search_by_key(&item.priority, |class| class.priority) {
+            Ok(index) => self.classes[index].basis(item),
+            Err(_) if item.returned => Basis::Returned,
+            Err(_) => Basis::Turn,
+        }
+    }
+
     /// Drops the accounts of organisations without effect on the order and without recent grants.
     pub fn expire(&mut self, now: Instant) {
         for class in &mut self.classes {
--- a/request/src/scheduler/promises.rs
+++ b/request/src/scheduler/promises.rs
@@ -167,7 +167,9 @@
         if entry.is_redeemed_by(arrived) {
             return Some(promise);
         }
-        if entry.redeemed.is_some() || now + MAX_EARLY < entry.earliest {
+        // A repeated grant request for the request that was rejected is no return.
+        let is_repeated = !entry.announced && arrived <= entry.made;
+        if entry.redeemed.is_some() || is_repeated || now + MAX_EARLY < entry.earliest {
             return None;
         }
         entry.redeemed = Some(arrived);
