Forecast: departures after a sudden rise of the traffic

Cause: the engine model expects slots to become free as under a steady load. When the traffic triples, nearly all running requests have just begun, and fewer slots become free for as long as one of them takes; requests were admitted and rejected later. Change: the part of the rate that is not measured follows the grants of a residence time before.

--- a/request/src/scheduler/forecast.rs
+++ b/request/src/scheduler/forecast.rs
@@ -194,9 +194,13 @@
     }
 
     /// Work per second: measured over the last two seconds of backlog, and the engine model's rate
-    /// for the part of them that is not measured. Never zero. To be computed once in each round of
-    /// placement.
+    /// for the part of them that is not measured. Never zero.
     pub fn rate(&self, model_rate: f64, now: Instant) -> f64 {
+        self.rate_expecting(model_rate, model_rate, now)
+    }
+
+    /// As [`Throughput::rate`], with another expected rate for the part that is not measured.
+    pub fn rate_expecting(&self, model_rate: f64, expected_rate: f64, now: Instant) -> f64 {
         let (mut length, mut work) = (Duration::ZERO, 0.0);
         for segment in self.segments.iter().filter(|segment| segment.is_usable(now)) {
             length += segment.length;
@@ -208,7 +212,7 @@
             let measured = if missing > 0.0 { UNKNOWN_RATE } else { work / window };
             return measured.clamp(UNKNOWN_RATE.recip(), UNKNOWN_RATE);
         }
-        let rate = (work + model_rate * missing) / window;
+        let rate = (work + expected_rate * missing) / window;
         if rate > model_rate * MAX_RATIO {
             return model_rate;
         }
@@ -259,6 +263,48 @@
     }
 }
 
+/// Recent grants of short requests, from which follows how many of them end within the next second.
+///
+/// After a sudden rise of the traffic, all slots are taken by requests that have just begun. For as long as one of them
+/// takes, fewer slots become free than the engine model expects of a steady load.
+#[derive(Debug, Clone, Default)]
+pub struct Departures {
+    /// Start and number of the grants within `SEGMENT` of it, oldest first.
+    granted: VecDeque<(Instant, u32)>,
+    /// When the first grant was recorded.
+    first: Option<Instant>,
+}
+
+impl Departures {
+    /// Time over which departures are expected.
+    const HORIZON: Duration = Duration::from_secs(1);
+
+    /// Records a grant.
+    pub fn record_grant(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        let age = |at: Instant| now.saturating_duration_since(at);
+        while self.granted.front().is_some_and(|(at, _)| age(*at) > MAX_AGE) {
+            self.granted.pop_front();
+        }
+        match self.granted.back_mut() {
+            Some((at, count)) if age(*at) < SEGMENT => *count += 1,
+            _ => self.granted.push_back((now, 1)),
+        }
+    }
+
+    /// Requests that end in a second, of those that take the residence time; none if grants were recorded for a shorter
+    /// time, as by a new scheduler.
+    pub fn rate(&self, residence: Duration, now: Instant) -> Option<f64> {
+        let begin = now.checked_sub(residence)?;
+        self.first.filter(|first| *first <= begin && residence < MAX_AGE)?;
+        let ending = self.granted.iter().filter(|(at, _)| {
+            *at + SEGMENT > begin && *at < begin + Departures::HORIZON.min(residence)
+        });
+        let count: u32 = ending.map(|(_, count)| count).sum();
+        Some(f64::from(count) / Departures::HORIZON.min(residence).as_secs_f64())
+    }
+}
+
 impl Segment {
     fn is_usable(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.end) <= MAX_AGE
--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -10,7 +10,7 @@
 use foldlock_version::routes::Engine;
 
 use super::admission;
-use super::forecast::{Throughput, Tiers, long_model_rate, short_model_rate};
+use super::forecast::{Departures, Throughput, Tiers, long_model_rate, short_model_rate};
 use super::order::{self, Basis, Discipline, Item};
 use super::overview::Rate;
 use super::reserve::{self, CURRENT, Demand, MEAN_WINDOW};
@@ -168,6 +168,7 @@
 pub(super) struct Outlook {
     pub(super) discipline: Discipline,
     short: Throughput,
+    departures: Departures,
     /// The arrivals of short prompts, by priority.
     short_arrivals: BTreeMap<Priority, Throughput>,
     demand: Demand,
@@ -261,6 +262,7 @@
             return;
         }
         self.short.record_grant(1.0, now);
+        self.departures.record_grant(now);
         let Ok(predicted) = Duration::try_from_secs_f64(predicted_ms / MS_PER_S) else { return };
         let delay = predicted.saturating_sub(candidate.prefill);
         self.typical = Some(match self.typical {
@@ -374,7 +376,7 @@
     ) -> Wait {
         let slots = shared.engines * f64::from(engine.slots);
         let prompt = shared.mean_prompt.unwrap_or(candidate.prompt);
-        let rate = self.short.rate(short_model_rate(engine, slots, prompt), now);
+        let rate = self.short_rate_of(engine, slots, prompt, now);
         // Less urgent requests are served after it.
         let arrivals = self.short_arrivals.range(..=candidate.item.priority);
         let tiers = Tiers {
@@ -391,6 +393,16 @@
         Wait { wait, rate, returns_per_s: rate * super::forecast::LATE_SHARE }
     }
 
+    /// The rate at which queued short prompts of this length are served.
+    fn short_rate_of(&self, engine: &Engine, slots: f64, prompt: Tokens, now: Instant) -> f64 {
+        let model_rate = short_model_rate(engine, slots, prompt);
+        let residence_ms = forecast::short_service_ms(engine, prompt, engine.mean_answer);
+        let residence = Duration::try_from_secs_f64(residence_ms / MS_PER_S).ok();
+        let departures = residence.and_then(|residence| self.departures.rate(residence, now));
+        let expected_rate = departures.map_or(model_rate, |rate| rate.min(model_rate));
+        self.short.rate_expecting(model_rate, expected_rate, now)
+    }
+
     /// Why a request is granted before the others, if it is granted now.
     pub(super) fn basis(&self, candidate: &Candidate) -> Basis {
         self.discipline.basis(&candidate.item)
@@ -406,8 +418,8 @@
     /// for prompts of their mean length.
     pub(super) fn short_rate(&self, engine: &Engine, engines: f64, now: Instant) -> Option<Rate> {
         let prompt = self.demand.mean_prompt(MEAN_WINDOW, now)?;
-        let model_rate = short_model_rate(engine, engines * f64::from(engine.slots), prompt);
-        Some(Rate { per_s: self.short.rate(model_rate, now), measured: self.short.measured(now) })
+        let per_s = self.short_rate_of(engine, engines * f64::from(engine.slots), prompt, now);
+        Some(Rate { per_s, measured: self.short.measured(now) })
     }
 
     /// Engines that short prompts need, by the arrivals of the last second.
--- a/request/tests/admission.rs
+++ b/request/tests/admission.rs
@@ -5,7 +5,7 @@
 
 use foldlock_base::size::Tokens;
 use foldlock_request::scheduler::admission::{self, Overloaded, Request};
-use foldlock_request::scheduler::forecast::{self, Error, Kind, Throughput, Tiers};
+use foldlock_request::scheduler::forecast::{self, Departures, Error, Kind, Throughput, Tiers};
 use foldlock_version::routes::Engine;
 use proptest::prelude::*;
 
@@ -303,3 +303,21 @@
     assert_eq!((error.difference(), error.kind.to_string()), (ms(100), "long".to_owned()));
     assert!(Error { actual: ms(301), ..error }.is_late());
 }
+
+/// Guards against a forecast that expects slots to become free as under a steady load although nearly all requests have
+/// just begun, as in the seconds after a sudden rise of the traffic.
+#[test]
+fn departures_follow_the_grants_of_a_residence_time_before() {
+    let start = Instant::now();
+    let residence = Duration::from_millis(2_400);
+    let mut departures = Departures::default();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    // 50 grants a second for three seconds, then 200.
+    (0..150).for_each(|number| departures.record_grant(at(number * 20)));
+    assert_eq!(departures.rate(residence, at(2_000)), None, "shorter than the residence time");
+    (0..600).for_each(|number| departures.record_grant(at(3_000 + number * 5)));
+    let rate = |ms| departures.rate(residence, at(ms)).unwrap();
+    assert!((45.0..60.0).contains(&rate(4_000)), "{}", rate(4_000));
+    assert!((190.0..230.0).contains(&rate(6_000)), "{}", rate(6_000));
+    assert_eq!(departures.rate(Duration::MAX, at(6_000)), None);
+}
