--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -242,7 +242,7 @@
     }
 }
 
-/// Whether this VM knows upstreams of the service. Before its first listings, it would drop each
+/// Whether any upstream of the service is listed here. Before its first listings, it would drop each
 /// grant and take the scheduler that sent it for unresponsive.
 fn can_use_grant<D: Dialect>(process: &Process<D>, service: &Service) -> bool {
     if !process.revision().is_none() {
@@ -252,9 +252,8 @@
 }
 
 /// Whether a VM that this one would prefer as scheduler may still reply to its first heartbeat. If
-/// requests did not wait for that, each VM of a fleet that starts would use the first VM that it
-/// happens to hear, and these would place requests on the same engines without knowing of each
-/// other's grants.
+/// requests did not wait for that, each VM of a fleet that starts would use the first VM from which it
+/// receives a heartbeat, and several VMs would place requests on the same engines concurrently.
 fn awaits_scheduler<D: Dialect>(process: &Process<D>) -> bool {
     process.peers.awaits_scheduler(FIRST_REPLY_TIMEOUT, process.now())
 }
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -108,8 +108,8 @@
     assert!(peers.subscribers(later).is_empty(), "no recent subscription");
 }
 
-/// All VMs start at once. Guards against a VM that uses a later VM of the order as scheduler because it
-/// happens to hear it first, while the first one is up and about to reply.
+/// All VMs start at once. Guards against a VM that uses a later VM of the order as scheduler because its
+/// heartbeat arrives first, while the first one is up and about to reply.
 #[test]
 fn a_starting_vm_waits_for_the_reply_of_the_first_vm_in_the_order() {
     const TIMEOUT: Duration = Duration::from_millis(50);
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -27,7 +27,7 @@
 pub enum Reply {
     /// A report of the incarnation that the attempt was sent to.
     Report,
-    /// A report of a later incarnation, which does not know the attempt.
+    /// A report of a later incarnation, which does not run the attempt.
     Restarted,
     /// No response in time.
     Unanswered,
--- a/request/src/scheduler/forecast.rs
+++ b/request/src/scheduler/forecast.rs
@@ -1,7 +1,7 @@
 //! Forecasts when a queued request starts, from the capacity that recent grants show.
 //!
-//! Answers load pattern A (`docs/design/overload.md`): capacity is scarce for some seconds, and each caller has to know
-//! at once whether its request will be served. Alternatives are in `docs/design/admission.md`.
+//! Answers load pattern A (`docs/design/overload.md`): capacity is scarce for some seconds, and whether a
+//! request can be served has to be decided at once. Alternatives are in `docs/design/admission.md`.
 
 use std::collections::VecDeque;
 use std::fmt;
--- a/request/src/scheduler/promises.rs
+++ b/request/src/scheduler/promises.rs
@@ -194,7 +194,7 @@
                 stored.earliest = stored.earliest.min(at);
                 return;
             }
-            // The caller was told a later time by another scheduler.
+            // Another scheduler promised the caller a later time.
             Some(stored) if stored.redeemed.is_none() => Entry { latest: at, ..*stored },
             None if is_full => return,
             _ => {
--- a/request/src/scheduler/record.rs
+++ b/request/src/scheduler/record.rs
@@ -63,7 +63,7 @@
     pub measured: Duration,
 }
 
-/// The time to return that a rejected caller was told.
+/// The Retry-After of a rejection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Return {
     /// Time until then.
--- a/request/tests/promises.rs
+++ b/request/tests/promises.rs
@@ -71,7 +71,7 @@
     }
 }
 
-/// Guards against a caller that is told two times because a rejection was lost or it returned early.
+/// Guards against two different promises to a caller because a rejection was lost or it returned early.
 #[test]
 fn the_same_request_gets_the_same_promise_until_it_is_redeemed() {
     let (start, mut promises) = (Instant::now(), Promises::default());
--- a/request/tests/scheduler_failure.rs
+++ b/request/tests/scheduler_failure.rs
@@ -662,8 +662,8 @@
     }
 }
 
-/// Guards against a rejection for lack of data: a scheduler that takes over has no measurement, and may know neither
-/// the engines' load nor any engine.
+/// Guards against a rejection for lack of data: a scheduler that takes over has no measurement, and may have
+/// received neither the engines' load nor any listing.
 #[test]
 fn a_scheduler_without_data_rejects_no_request_for_lack_of_capacity() {
     for engines in [0, 1, 8] {
