Soak: admission by forecasts for even seeds

Cause: the soak ran without the new parts. Change: even seeds run with forecasts and fair shares, odd ones with the policy of before.

--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -26,6 +26,7 @@
 use foldlock_platform_standin::caller::Call;
 use foldlock_platform_standin::server::Arrival;
 use foldlock_platform_standin::settings::{self, Route};
+use foldlock_request::scheduler::{Admission, Policy};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -112,10 +113,16 @@
 /// Settings version from which the route is added.
 const ADDED_VERSION: u64 = 9;
 
+/// The scheduling policy of a seed: forecasts and shares for even ones.
+fn scheduling(seed: u64) -> Policy {
+    let admission = if seed % 2 == 0 { Admission::Forecast } else { Admission::Timeout };
+    Policy { admission, fair_shares: seed % 2 == 0 }
+}
+
 /// Runs one seed. Returns the violated guarantees and the number of successful requests.
 async fn run(seed: u64, duration: Duration) -> (Vec<String>, usize) {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
-    let world = World::start(folder.clone(), &settings_at(1)).await;
+    let world = World::start(folder.clone(), &settings_at(1), scheduling(seed)).await;
     check_recovery(&world).await;
     let stop = CancellationToken::new();
     let mut callers = Vec::new();
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -9,6 +9,7 @@
 
 use foldlock_platform_standin::server::{Journal, Notice, Server};
 use foldlock_platform_standin::store::{Entry, Store};
+use foldlock_request::scheduler::Policy;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -58,6 +59,7 @@
     pub(crate) caller_link: Proxy,
     pub(crate) store_link: Proxy,
     folder: PathBuf,
+    scheduling: Policy,
     process: Mutex<Process>,
 }
 
@@ -96,7 +98,12 @@
 }
 
 impl Vm {
-    async fn new(index: usize, store: SocketAddr, folder: &std::path::Path) -> Vm {
+    async fn new(
+        index: usize,
+        store: SocketAddr,
+        folder: &std::path::Path,
+        scheduling: Policy,
+    ) -> Vm {
         let listen = free();
         let vm = Vm {
             name: format!("vm-{index}"),
@@ -104,6 +111,7 @@
             caller_link: Proxy::start(listen).await,
             store_link: Proxy::start(store).await,
             folder: folder.to_owned(),
+            scheduling,
             process: Mutex::default(),
         };
         fs::write(vm.config_path(), vm.config().to_string()).unwrap();
@@ -122,6 +130,7 @@
                 "settings_age_ms": MAX_SETTINGS_AGE.as_millis() as u64,
                 "stop_ms": STOP_TIMEOUT.as_millis() as u64,
                 "repeat_ratio": 0.2, "repeat_slack": 100.0, "repeat_window_ms": 10_000,
+                "scheduling": self.scheduling,
             },
         })
     }
@@ -194,7 +203,7 @@
 
 impl World {
     /// Starts the store, the servers and the VM processes.
-    pub(crate) async fn start(folder: PathBuf, settings: &Value) -> Arc<World> {
+    pub(crate) async fn start(folder: PathBuf, settings: &Value, scheduling: Policy) -> Arc<World> {
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
         let store = Store::default();
@@ -209,7 +218,7 @@
         }
         let mut vms = Vec::new();
         for index in 0..VM_COUNT {
-            vms.push(Vm::new(index, store_served.address, &folder).await);
+            vms.push(Vm::new(index, store_served.address, &folder, scheduling).await);
         }
         let world = World {
             store,
