--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -115,8 +115,8 @@
 
 /// The scheduling policy of a seed: forecasts and shares for even ones.
 fn scheduling(seed: u64) -> Policy {
-    let admission = if seed % 2 == 0 { Admission::Forecast } else { Admission::Timeout };
-    Policy { admission, fair_shares: seed % 2 == 0 }
+    let admission = if seed.is_multiple_of(2) { Admission::Forecast } else { Admission::Timeout };
+    Policy { admission, fair_shares: seed.is_multiple_of(2) }
 }
 
 /// Runs one seed. Returns the violated guarantees and the number of successful requests.
