Long silence: bounded for engines that report and send no event

An attempt's connection was cut without notice, the main engine never received the request but answered report requests, and reservations were renewed for 14 s, the whole time of the request. Change: reports before the first event are limited to three silence timeouts, or twice the predicted time to the first event. The test that an engine may be silent for any time is replaced by one of both sides of the bound.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -94,7 +94,7 @@
     let attempt_guard = job.process.begin_attempt(grant.number, grant.placement.flight.clone());
     let flight = grant.placement.flight.clone();
     let incarnation = notices::incarnation(&job.process, &upstream);
-    let poller = Poller::new(job, &flight);
+    let poller = Poller::new(job, &grant.placement);
     let timeout = match &poller {
         // The engine's silence is judged by its reports.
         Some(_) => job.remaining(),
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -10,8 +10,8 @@
 use foldlock_request::cluster::Listed;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::flight::Flight;
 use foldlock_request::liveness::{Ending, Liveness, Reply};
+use foldlock_request::placement::Placement;
 use foldlock_request::report;
 use foldlock_request::tag::Tag;
 use futures::future::join_all;
@@ -65,12 +65,15 @@
 
 impl Poller {
     /// A poller for an attempt that begins now; none if the attempt has the silence timeout instead.
-    pub fn new<D: Dialect>(job: &Job<D>, flight: &Flight) -> Option<Poller> {
+    pub fn new<D: Dialect>(job: &Job<D>, placement: &Placement) -> Option<Poller> {
+        let flight = &placement.flight;
         if !flight.has_reservations() || !job.process.is_forecast() {
             return None;
         }
         let now = job.process.now();
-        let liveness = Liveness::new(job.process.config.fleet.reserved_silence_timeout(), now);
+        let timeout = job.process.config.fleet.reserved_silence_timeout();
+        let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1e3);
+        let liveness = Liveness::new(timeout, predicted, now);
         let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
         let engine = |upstream: &id::Upstream| Engine {
             upstream: upstream.clone(),
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -18,6 +18,14 @@
 /// memory could not be released by orders within the release time.
 const MAX_UNANSWERED: u32 = 2;
 
+/// Longest silence of an engine that reports, in silence timeouts: 7.2 s where memory must be released within 4 s. An engine
+/// whose connection was cut without notice reports as well, and does not run the attempt: memory of its helpers stayed
+/// reserved for 14 s. Memory that no request uses must be released within 9 s.
+const MAX_SILENT_TIMEOUTS: u32 = 3;
+
+/// The same by the predicted time to the first event, for prompts that take longer: an engine may be half as fast.
+const MAX_PREDICTED_RATIO: f64 = 2.0;
+
 /// Share of the interval up to which evidence allows a renewal. The rest, 300 ms where memory must be released within 4 s,
 /// is left for the order: a reservation lasts from the arrival of the order, and an order takes at most 250 ms.
 const RENEWAL_AGE_SHARE: f64 = 0.5;
@@ -43,7 +51,7 @@
     Unanswered,
     /// The engine restarted.
     Restarted,
-    /// There was no evidence for the silence timeout.
+    /// There was no evidence for the silence timeout, or no event for the longest silence of an engine that reports.
     Silent,
 }
 
@@ -55,12 +63,19 @@
     evidence: Instant,
     asked: Instant,
     unanswered: u32,
+    /// Reports that may still come before the first event. Reports are counted and not the time, since a stall of this VM
+    /// is not a silence of the engine.
+    reports_left: u32,
 }
 
 impl Liveness {
     /// Liveness of an engine that is sent an attempt now. Without evidence the attempt ends after the silence timeout.
-    pub fn new(timeout: Duration, now: Instant) -> Liveness {
-        Liveness { timeout, began: now, evidence: now, asked: now, unanswered: 0 }
+    /// `predicted`: the time to the first event.
+    pub fn new(timeout: Duration, predicted: Duration, now: Instant) -> Liveness {
+        let longest = predicted.mul_f64(MAX_PREDICTED_RATIO).max(timeout * MAX_SILENT_TIMEOUTS);
+        let interval = timeout / POLLS_PER_TIMEOUT;
+        let reports_left = longest.div_duration_f64(interval).ceil() as u32;
+        Liveness { timeout, began: now, evidence: now, asked: now, unanswered: 0, reports_left }
     }
 
     /// Interval between report requests. One that takes longer is unanswered.
@@ -88,7 +103,8 @@
                 // The engine may have crashed since it responded, but not before it was asked.
                 self.evidence = asked;
                 self.unanswered = 0;
-                None
+                self.reports_left = self.reports_left.saturating_sub(1);
+                (self.reports_left == 0).then_some(Ending::Silent)
             }
             Reply::Restarted => Some(Ending::Restarted),
             Reply::Unanswered => {
@@ -155,7 +171,7 @@
         f.write_str(match self {
             Ending::Unanswered => "left several report requests in a row unanswered",
             Ending::Restarted => "restarted",
-            Ending::Silent => "gave no evidence that it is alive for the silence timeout",
+            Ending::Silent => "sent no event, or gave no evidence that it is alive, in time",
         })
     }
 }
--- a/request/tests/liveness.rs
+++ b/request/tests/liveness.rs
@@ -7,6 +7,9 @@
 /// The silence timeout where memory must be released within 4 s.
 const TIMEOUT: Duration = Duration::from_millis(2_400);
 
+/// Predicted time to the first event; the engine may be silent for twice this time.
+const PREDICTED: Duration = Duration::from_secs(35);
+
 /// How long a report request takes that is not answered.
 const UNANSWERED_TIME: Duration = Duration::from_millis(250);
 
@@ -25,12 +28,33 @@
 }
 
 #[test]
-fn an_engine_that_reports_is_alive_however_long_it_is_silent() {
-    let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+fn an_engine_that_reports_is_alive_for_twice_its_predicted_time() {
+    let mut liveness = Liveness::new(TIMEOUT, PREDICTED, Instant::now());
     assert_eq!(poll(&mut liveness, &[Reply::Report; 3]).0, None);
     assert!(!liveness.is_extended(liveness.evidence()));
     assert_eq!(poll(&mut liveness, &[Reply::Report; 100]).0, None);
     assert!(liveness.is_extended(liveness.evidence()));
+    let began = liveness.evidence() - 103 * liveness.interval();
+    let (ending, at) = poll(&mut liveness, &[Reply::Report; 100]);
+    assert_eq!(ending, Some(Ending::Silent));
+    assert!(at - began <= 2 * PREDICTED + liveness.interval(), "{:?}", at - began);
+}
+
+/// Guards against memory that stays reserved for an attempt that its engine never received: it reports, and sends no
+/// event. Reserved memory that no request uses must be released within 9 s.
+#[test]
+fn an_engine_that_reports_and_never_sends_an_event_ends_the_attempt() {
+    for predicted_ms in [0, 800, 2_900] {
+        let start = Instant::now();
+        let mut liveness = Liveness::new(TIMEOUT, Duration::from_millis(predicted_ms), start);
+        let (ending, at) = poll(&mut liveness, &[Reply::Report; 100]);
+        assert_eq!(ending, Some(Ending::Silent));
+        assert!(
+            at - start >= 3 * TIMEOUT && at - start < Duration::from_secs(9),
+            "{:?}",
+            at - start
+        );
+    }
 }
 
 /// Memory must be released within 4 s of a crash. The six release orders take up to 2.5 s (250 ms each, 200 ms apart), so
@@ -40,7 +64,7 @@
 fn a_crash_at_any_moment_is_detected_while_memory_can_be_released_in_time() {
     let start = Instant::now();
     for answered in 0..5 {
-        let mut liveness = Liveness::new(TIMEOUT, start);
+        let mut liveness = Liveness::new(TIMEOUT, PREDICTED, start);
         assert_eq!(poll(&mut liveness, &vec![Reply::Report; answered]).0, None);
         // The earliest moment at which an engine with this evidence may have crashed.
         let crash = liveness.evidence();
@@ -49,13 +73,14 @@
         assert!(at - crash <= Duration::from_millis(1_500), "{:?}", at - crash);
     }
     // A reservation lasts from the arrival of the order, which takes up to 250 ms.
-    let renewed = Liveness::new(TIMEOUT, start).max_renewal_age() + Duration::from_millis(250);
+    let renewed =
+        Liveness::new(TIMEOUT, PREDICTED, start).max_renewal_age() + Duration::from_millis(250);
     assert!(renewed + Duration::from_millis(3_400) <= Duration::from_millis(4_000));
 }
 
 #[test]
 fn single_lost_report_requests_do_not_end_an_attempt() {
-    let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+    let mut liveness = Liveness::new(TIMEOUT, PREDICTED, Instant::now());
     let replies = [Reply::Unanswered, Reply::Report].repeat(20);
     assert_eq!(poll(&mut liveness, &replies).0, None);
 }
@@ -63,21 +88,21 @@
 #[test]
 fn an_engine_that_gives_no_evidence_has_the_silence_timeout() {
     let start = Instant::now();
-    let mut liveness = Liveness::new(TIMEOUT, start);
+    let mut liveness = Liveness::new(TIMEOUT, PREDICTED, start);
     let (ending, at) = poll(&mut liveness, &[Reply::Inconclusive; 10]);
     assert_eq!((ending, at), (Some(Ending::Silent), start + TIMEOUT));
     assert_eq!(poll(&mut liveness, &[Reply::Report]).0, None);
     let evidence = liveness.evidence();
     let (ending, at) = poll(&mut liveness, &[Reply::Inconclusive; 10]);
     assert_eq!((ending, at), (Some(Ending::Silent), evidence + TIMEOUT));
-    let mut liveness = Liveness::new(TIMEOUT, start);
+    let mut liveness = Liveness::new(TIMEOUT, PREDICTED, start);
     let replies = [Reply::Unanswered, Reply::Inconclusive, Reply::Unanswered];
     assert_eq!(poll(&mut liveness, &replies).0, Some(Ending::Unanswered));
 }
 
 #[test]
 fn a_restarted_engine_ends_the_attempt_at_once() {
-    let mut liveness = Liveness::new(TIMEOUT, Instant::now());
+    let mut liveness = Liveness::new(TIMEOUT, PREDICTED, Instant::now());
     let replies = [Reply::Report, Reply::Restarted];
     assert_eq!(poll(&mut liveness, &replies).0, Some(Ending::Restarted));
 }
@@ -86,7 +111,7 @@
 #[test]
 fn after_a_stall_of_the_vm_the_engine_is_asked_before_the_attempt_is_judged() {
     let start = Instant::now();
-    let mut liveness = Liveness::new(TIMEOUT, start);
+    let mut liveness = Liveness::new(TIMEOUT, PREDICTED, start);
     let late = start + 3 * TIMEOUT;
     assert_eq!(liveness.on_reply(Reply::Unanswered, late, late + UNANSWERED_TIME), None);
     let late = liveness.next_poll();
