Streams tests: one request more in the retry budget

A request that meets a fault on each of four engines needs four retries, which is all that the budget of a VM with one request allows, and the request's weight decays from before the first attempt. A first attempt of 20 ms or more with retries 5 ms apart is refused the fourth retry (Budget with a manual clock).

Change: each VM serves a request before the faults are set. Faults and assertions are unchanged.

--- a/daemon/tests/streams.rs
+++ b/daemon/tests/streams.rs
@@ -13,6 +13,12 @@
     // One request may hit the fault on each engine in turn.
     let policy = json!({ "retries": 4, "retry_budget_percent": 100 });
     let fleet = Fleet::start(Plan { policy, ..plan() }).await;
+    // A VM that has had one request may retry it a fourth time only while its weight in the budget, which
+    // decays, is at least the decayed weight of one retry: not after a slow first attempt (F-52).
+    for vm in 0..fleet.vms.len() {
+        let request = streamed_request(prompt(100), 30);
+        assert_complete(&send(&fleet, vm, &request).await, &request);
+    }
     for engine in &fleet.engines {
         engine.engine.add_fault(Fault { kind, at, count: 1 });
     }
