Admission: callers with little time left are served while most of them can be

Cause: a prompt was rejected as too long if the mean response, with the slowdown by prefills, did not fit into the time left. The forecast rejected queued long prompts by the same service time of 3.0 to 3.6 s.

Change: the service time is the median, ln 2 of the mean, without the slowdown; a prompt is too long only if not even the shortest response fits.

--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -62,11 +62,8 @@
 /// for the response.
 fn forecast_timeout<D: Dialect>(job: &Job<D>, requirements: &Requirements) -> Option<Duration> {
     let engine = job.service.engine.as_ref()?;
-    let prefill_ms = requirements.long_prefill_ms(engine);
     let time_limit = requirements.caller.time_limit;
-    job.process
-        .is_forecast()
-        .then(|| time_limit.saturating_sub(service_time(job, engine, prefill_ms)))
+    job.process.is_forecast().then(|| time_limit.saturating_sub(requirements.service_time(engine)))
 }
 
 /// Queue timeout of a long prompt from arrival where no forecast decides; none for others.
@@ -81,7 +78,7 @@
 /// whole response, and the caller's patience began anew with the last event.
 fn allow_whole_time<D: Dialect>(job: &Job<D>, requirements: &mut Requirements) {
     let Some(engine) = &job.service.engine else { return };
-    let service_time = service_time(job, engine, requirements.long_prefill_ms(engine));
+    let service_time = requirements.service_time(engine);
     let caller = &mut requirements.caller;
     caller.time_limit = caller.time_limit.saturating_add(service_time);
     caller.patience = Duration::MAX;
--- a/request/src/forecast.rs
+++ b/request/src/forecast.rs
@@ -4,6 +4,8 @@
 //! which yields one token per request; prompts are read in between. So the pause between two events
 //! of a request is one pass, and a long prefill in it makes that pause longer.
 
+use std::f64::consts::LN_2;
+
 use foldlock_base::size::Tokens;
 use foldlock_version::routes::Engine;
 
@@ -15,7 +17,7 @@
 
 /// Number of engines among which a long prompt is usually divided, of 18 that serve short prompts
 /// as well.
-const EXPECTED_PREFILL_PARTS: f64 = 10.0;
+pub const EXPECTED_PREFILL_PARTS: f64 = 10.0;
 
 /// Number of decoding requests on the engine that generates the response to a long prompt.
 const EXPECTED_DECODING: u32 = 4;
@@ -51,6 +53,18 @@
     passes(engine, answer) * pass_ms * PREFILL_SLOWDOWN
 }
 
+/// Milliseconds that half of the responses to long prompts take at most after the prefill. Response
+/// lengths are distributed geometrically, so their median is ln 2 of the mean that the operator states.
+pub fn median_response_ms(engine: &Engine, answer: Tokens) -> f64 {
+    let pass_ms = pass_ms(engine, EXPECTED_DECODING, engine.memory.0 / 2);
+    passes(engine, answer) * LN_2 * pass_ms
+}
+
+/// Milliseconds that the shortest response takes after the prefill: one pass without other requests.
+pub fn shortest_response_ms(engine: &Engine, prompt: Tokens) -> f64 {
+    pass_ms(engine, 1, prompt.0)
+}
+
 /// Milliseconds from the placement of a long prompt to the end of its response. `prefill_ms` is its
 /// prefill on a single engine.
 pub fn long_service_ms(engine: &Engine, prefill_ms: f64, answer: Tokens) -> f64 {
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -12,6 +12,7 @@
 mod group;
 mod share;
 
+use std::f64::consts::LN_2;
 use std::fmt;
 use std::time::{Duration, Instant};
 
@@ -122,23 +123,36 @@
         Tokens(self.memory.0.saturating_sub(self.prompt.0)).min(engine.mean_answer)
     }
 
-    /// The usual time from its placement to the end of the response.
+    /// The time from its placement to the end of the response that half of such requests take at most. A
+    /// request that has less time left than this would probably be served in vain.
     pub fn service_time(&self, engine: &Engine) -> Duration {
         let answer = self.answer(engine);
         let ms = match self.long_prefill_ms(engine) {
-            Some(prefill_ms) => forecast::long_service_ms(engine, prefill_ms, answer),
-            None => forecast::short_service_ms(engine, self.prompt, answer),
+            Some(prefill_ms) => {
+                prefill_ms / forecast::EXPECTED_PREFILL_PARTS
+                    + forecast::median_response_ms(engine, answer)
+            }
+            None => forecast::short_service_ms(engine, self.prompt, answer) * LN_2,
         };
         Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
     }
 
-    /// Time in which a long prompt has to be read so that its response ends within the caller's time.
-    fn left_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
+    /// Time in which a long prompt has to be read so that at least the shortest response ends within the
+    /// caller's time.
+    fn most_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
+        self.left_before(forecast::shortest_response_ms(engine, self.prompt), now)
+    }
+
+    fn left_before(&self, response_ms: f64, now: Instant) -> Duration {
         let waited = now.saturating_duration_since(self.arrived);
-        let response_ms = forecast::long_response_ms(engine, self.answer(engine));
         let response = Duration::try_from_secs_f64(response_ms / 1e3).unwrap_or(Duration::MAX);
         self.caller.time_limit.saturating_sub(waited).saturating_sub(response)
     }
+
+    /// Time in which a long prompt has to be read so that its response ends within the caller's time.
+    fn left_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
+        self.left_before(forecast::long_response_ms(engine, self.answer(engine)), now)
+    }
 }
 
 /// The longest acceptable pause between events of a route's streams; none for responses that are
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -206,7 +206,7 @@
             Deadline::Objective => {
                 (MAX_PART_MS * 2.0).max(requirements.objective.as_secs_f64() * 1e3)
             }
-            Deadline::TimeLimit => requirements.left_for_prefill(engine, now).as_secs_f64() * 1e3,
+            Deadline::TimeLimit => requirements.most_for_prefill(engine, now).as_secs_f64() * 1e3,
         }
     };
     prefill_ms / engines as f64 > max_ms
