Layer test: submodules belong to their module

Cause: imports_have_no_cycles reads the files of src/fleet only. Imports in a submodule, such as src/fleet/process/settings.rs, would not count, so a module that is split into submodules could import one that uses it.

Change: the source of a module includes that of its submodules. The assertions are unchanged.

Measured: with an import of queue added to a submodule of process, the test fails. Without this change it passes there, run without its assertion on grant_requests: after the split of that module, it does not find the import in the submodule.

--- a/daemon/tests/layers.rs
+++ b/daemon/tests/layers.rs
@@ -5,15 +5,14 @@
 use std::fs;
 use std::path::Path;
 
-/// The modules of `src/fleet`, each with the modules of the folder that it imports.
+/// The modules of `src/fleet`, each with the modules of the folder that it or one of its submodules imports.
 fn modules() -> BTreeMap<String, BTreeSet<String>> {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/fleet");
     let files = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
     let sources = files.filter(|path| path.extension().is_some_and(|e| e == "rs"));
     let entries = sources.map(|path| {
         let name = path.file_stem().unwrap().to_str().unwrap().to_owned();
-        let imports = imports(&fs::read_to_string(&path).unwrap());
-        (name, imports)
+        (name, imports(&source(&path)))
     });
     let mut modules: BTreeMap<String, BTreeSet<String>> = entries.collect();
     let names: BTreeSet<String> = modules.keys().cloned().collect();
@@ -21,6 +20,19 @@
     modules
 }
 
+/// The source of a module, followed by that of its submodules.
+fn source(path: &Path) -> String {
+    let mut text = fs::read_to_string(path).unwrap();
+    let submodules = fs::read_dir(path.with_extension("")).into_iter().flatten();
+    for submodule in submodules.map(|entry| entry.unwrap().path()) {
+        if submodule.extension().is_some_and(|e| e == "rs") {
+            text.push('\n');
+            text.push_str(&source(&submodule));
+        }
+    }
+    text
+}
+
 /// The first path segments after `crate::fleet::`, including those in braces.
 fn imports(source: &str) -> BTreeSet<String> {
     let code: String = source.lines().filter(|line| !line.trim_start().starts_with("//")).collect();
