Fleet metrics: labels and registration in files of their own

Change: labels.rs has the label types and registration.rs the names under which the metrics are registered.

--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -1,5 +1,8 @@
 //! Metrics of a VM in a fleet, with units in their names.
 
+mod labels;
+mod registration;
+
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
@@ -7,7 +10,6 @@
 use foldlock_request::liveness::{Ending, Reply};
 use foldlock_request::scheduler::{Counts, Promises, Scheduler, forecast};
 use foldlock_version::routes::Service;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -15,178 +17,10 @@
 use prometheus_client::registry::Registry;
 
 use crate::metrics::{ByKind, band};
-
-/// Labels of a request with a response.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByLength {
-    /// `model` if the service has an engine, otherwise `plain`.
-    pub target: &'static str,
-    /// Upper end of the band of prompt lengths.
-    pub prompt_tokens: &'static str,
-}
-
-/// A call to the directory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Call {
-    /// Reads the listed VMs; the response may be seconds old.
-    Look,
-    /// Reads all listings.
-    Read,
-    /// Waits for changes.
-    Watch,
-    /// Writes an entry.
-    Write,
-}
-
-/// Label of a call to the directory.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByCall {
-    /// The call.
-    pub call: Call,
-}
-
-/// A document that is read from a peer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Text {
-    /// The settings.
-    Settings,
-    /// The listings.
-    Listing,
-}
-
-/// Label of a read from a peer.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByText {
-    /// The document.
-    pub text: Text,
-}
-
-/// A message to an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Sent {
-    /// A request of a caller, first attempt or retry.
-    Request,
-    /// A prefill part of a prompt whose response another engine generates.
-    Part,
-    /// An order that reserves memory, renews a reservation or releases it.
-    Order,
-}
-
-/// Label of a message to an upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct BySent {
-    /// The kind of message.
-    pub sent: Sent,
-}
-
-/// A step from the start of the process to the first request that it can serve.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Step {
-    /// Settings are in force.
-    Settings,
-    /// The settings are confirmed as the newest ones.
-    Confirmed,
-    /// The listings have been received.
-    Listings,
-    /// The first VM in the order has replied, or has not replied in time.
-    Scheduler,
-}
-
-/// Label of a step of the start.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByStep {
-    /// The step.
-    pub step: Step,
-}
-
-/// Outcome of a request when upstreams were at their rate limits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Limited {
-    /// Sent to another upstream.
-    Elsewhere,
-    /// Rejected because all upstreams were at their rate limits.
-    Rejected,
-}
-
-/// Label of an outcome under rate limits.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByLimited {
-    /// The outcome.
-    pub limited: Limited,
-}
-
-/// Labels of report requests about the main engine of an attempt that sends nothing.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByReply {
-    /// The result.
-    pub reply: &'static str,
-}
-
-/// Label of an attempt that ended since its main engine counted as crashed.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByEnding {
-    /// Why it counted as crashed.
-    pub ending: &'static str,
-}
-
-/// Label of a report request that evidence gave reason for.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByReason {
-    /// Why the engine was asked.
-    pub reason: &'static str,
-}
-
-/// Label of an engine that came into doubt.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByDoubt {
-    /// The first sign of a fault.
-    pub doubt: &'static str,
-}
-
-/// Label of a decision on a retry.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByVerdict {
-    /// Whether the retry budget granted it.
-    pub granted: &'static str,
-}
-
-/// Labels of a forecast start.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByStart {
-    /// The kind of request.
-    pub kind: &'static str,
-    /// `late` if it started later than forecast, otherwise `early`.
-    pub start: &'static str,
-}
-
-/// Outcome of a promised return time of a rejected caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Promised {
-    /// Promised.
-    Made,
-    /// Not promised, as no time was free.
-    Declined,
-    /// The caller returned in time.
-    Redeemed,
-    /// The caller did not return in time.
-    Expired,
-}
-
-/// Label of an outcome of a promise.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByPromised {
-    /// The outcome.
-    pub promised: Promised,
-}
-
-/// Labels of a decision of the scheduler by a forecast.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ByDecision {
-    /// The outcome.
-    pub outcome: &'static str,
-    /// The kind of request.
-    pub kind: &'static str,
-}
+pub use labels::{
+    ByCall, ByDecision, ByDoubt, ByEnding, ByLength, ByLimited, ByPromised, ByReason, ByReply,
+    BySent, ByStart, ByStep, ByText, ByVerdict, Call, Limited, Promised, Sent, Step, Text,
+};
 
 /// The metrics.
 pub struct Metrics {
@@ -417,90 +251,6 @@
         self.kept_engines.set(scheduler.kept_engines() as i64);
     }
 
-    fn register(&mut self) {
-        let r = &mut self.registry;
-        r.register("requests", "Requests that arrived", self.requests.clone());
-        r.register("errors", "Answers that are not a success", self.errors.clone());
-        r.register(
-            "first_event_seconds",
-            "Time to the first event",
-            self.first_event_seconds.clone(),
-        );
-        r.register("prediction_ratio", "Predicted over real time", self.prediction_ratio.clone());
-        let what = "Time between forecast and actual start of queued requests";
-        r.register("forecast_error_seconds", what, self.forecast_error_seconds.clone());
-        r.register("retries", "Requests sent again", self.retries.clone());
-        let what = "Repeats that the fleet's retry budget granted or refused";
-        r.register("budgeted_repeats", what, self.budgeted_retries.clone());
-        r.register(
-            "resumed_streams",
-            "Streams that went on elsewhere",
-            self.resumed_streams.clone(),
-        );
-        r.register("connections", "Connections opened to upstreams", self.connections.clone());
-        r.register("directory_calls", "Calls to the directory", self.directory_calls.clone());
-        r.register("directory_failures", "Failed calls to it", self.directory_failures.clone());
-        r.register("peer_messages", "Messages sent to peers", self.heartbeats.clone());
-        let what = "Bytes of the datagrams sent to peers";
-        r.register("peer_sent_bytes", what, self.peer_bytes.clone());
-        r.register("peer_reads", "Texts read from peers", self.peer_reads.clone());
-        let what = "Time from the start of the process to each step of it";
-        r.register("startup_seconds", what, self.startup_seconds.clone());
-        let what = "Requests that waited for a step of the start";
-        r.register("startup_waits", what, self.startup_waits.clone());
-        r.register("engine_reports", "Reports asked for at engines", self.engine_reports.clone());
-        let what = "Report requests about engines that send nothing while memory is reserved";
-        r.register("liveness_replies", what, self.liveness_replies.clone());
-        let what =
-            "Attempts that ended since the reports of their engine did not show that it is alive";
-        r.register("liveness_endings", what, self.liveness_endings.clone());
-        let what = "Report requests of the scheduler by reason, where evidence decides on them";
-        r.register("report_requests", what, self.report_requests.clone());
-        let what = "Engines that attempts put in doubt, by the first sign of a fault";
-        r.register("engine_doubts", what, self.engine_doubts.clone());
-        let what = "Requests, parts and orders sent to upstreams";
-        r.register("upstream_messages", what, self.upstream_messages.clone());
-        let what = "Times that the directory came back from an older copy";
-        r.register("directory_restored", what, self.directory_restores.clone());
-        let what = "Requests for which upstreams were at their rate limits";
-        r.register("rate_limited_requests", what, self.rate_limited.clone());
-        let what = "Upstreams that name a rate limit";
-        r.register("limited_upstreams", what, self.limited_upstreams.clone());
-        let what = "Answers whose upstream says that it leaves, wants a rest or takes only so much";
-        r.register("upstream_notices", what, self.upstream_notices.clone());
-        let what = "Requests under which an upstream ended";
-        r.register("upstream_endings", what, self.crashes.clone());
-        r.register("quarantined", "Requests kept from all upstreams", self.quarantined.clone());
-        r.register("suspects", "Requests that are held or run alone", self.suspects.clone());
-        let what = "Entries of the directory that name nothing to use";
-        r.register("unreadable_entries", what, self.unreadable_entries.clone());
-        r.register("drained_halls", "Data halls that are drained", self.drained_halls.clone());
-        let what = "Answers given up since their callers read too slowly";
-        r.register("answers_given_up", what, self.aborted_responses.clone());
-        r.register("unread_bytes", "Bytes that callers have not read", self.unread_bytes.clone());
-        r.register(
-            "waiting",
-            "Requests of all VMs that wait for a place here",
-            self.queue_len.clone(),
-        );
-        let what = "Times for rejected callers to return that were promised, not promised, kept or passed unused";
-        r.register("promises", what, self.promises.clone());
-        let what = "Promised times that the scheduler of this VM stores";
-        r.register("stored_promises", what, self.stored_promises.clone());
-        let what = "Decisions of this VM's scheduler by forecasts";
-        r.register("scheduler_decisions", what, self.decisions.clone());
-        let what = "Engines that this VM's scheduler keeps free of long prompts";
-        r.register("kept_engines", what, self.kept_engines.clone());
-        r.register(
-            "settings_version",
-            "The settings version in force",
-            self.settings_version.clone(),
-        );
-        r.register("settings_age_ms", "Age of the settings", self.settings_age_ms.clone());
-        r.register("attempts", "Attempts under way", self.attempts.clone());
-        r.register("peers", "Peers that are heard", self.peers.clone());
-    }
-
     /// Counts an error response.
     pub fn count_error(&self, kind: Kind) {
         self.errors.get_or_create(&ByKind { kind: kind.as_str() }).inc();
