Fleet process: settings, listings and attempts in files of their own

Change: settings.rs has the settings with the waits for them and the reload, listings.rs the listings and their revision, and guard.rs the in-flight attempts.

--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -1,5 +1,9 @@
 //! The state that all tasks of a fleet VM's process share.
 
+mod guard;
+mod listings;
+mod settings;
+
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, RwLock};
 use std::time::{Duration, Instant};
@@ -11,8 +15,7 @@
 use foldlock_request::budget::Affiliation;
 use foldlock_request::cluster::Cluster;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::directory::{Listing, Member, Settings};
-use foldlock_request::flight::Flight;
+use foldlock_request::directory::{Member, Settings};
 use foldlock_request::message::Number;
 use foldlock_request::promise;
 use foldlock_request::revision::Revision;
@@ -29,18 +32,14 @@
 use crate::fleet::config::Config;
 use crate::fleet::freshness::Freshness;
 use crate::fleet::log_throttle::{self, Throttle};
-use crate::fleet::metrics::{Metrics, Step};
+use crate::fleet::metrics::Metrics;
 use crate::fleet::peers::Peers;
 use crate::fleet::pending_grants;
 use crate::fleet::unread;
 use crate::fleet::unreadable;
 use crate::fleet::withdrawals::Withdrawals;
 use crate::fleet::write_queue;
-use crate::log;
-
-/// Time after the start in which requests wait for settings. VMs that start together have received
-/// theirs by then.
-const STARTUP_WINDOW: Duration = Duration::from_millis(500);
+pub use guard::Guard;
 
 /// Request records kept in memory: one minute at 8 requests per second, less than 1 MB.
 const MAX_RECORDS: usize = 512;
@@ -149,13 +148,6 @@
     next_request: AtomicU64,
 }
 
-/// Keeps an attempt in the cluster state and removes it when dropped, so that it is removed however the
-/// attempt ends.
-pub struct Guard<D: Dialect> {
-    process: Arc<Process<D>>,
-    number: u64,
-}
-
 impl<D: Dialect> Process<D> {
     /// A process without settings, listings or peers.
     pub fn new(config: Config, socket: UdpSocket, log: Logger) -> Process<D> {
@@ -228,101 +220,6 @@
         self.clock.moment()
     }
 
-    /// The settings in force, if any.
-    pub fn settings(&self) -> Option<Arc<Settings>> {
-        self.settings.read().unwrap().clone()
-    }
-
-    /// Waits during startup for the first settings. They arrive shortly, whereas a rejected request would
-    /// miss its objective by the time the caller retries it.
-    pub async fn wait_for_settings(&self) {
-        self.wait_during_startup(Step::Settings, || self.version() > 0).await;
-    }
-
-    /// Waits during startup until the settings are confirmed: settings read from a peer arrive before the
-    /// heartbeat that confirms them. Returns whether they are confirmed.
-    pub async fn wait_for_confirmation(&self) -> bool {
-        let is_confirmed = || self.version() > 0 && self.freshness.is_fresh(self.moment());
-        self.wait_during_startup(Step::Confirmed, is_confirmed).await;
-        is_confirmed()
-    }
-
-    /// Whether this VM has just started, so that it may still receive its first messages from peers.
-    pub fn is_starting(&self) -> bool {
-        self.peers.age(self.now()) < STARTUP_WINDOW
-    }
-
-    /// Waits for a condition on the settings until startup is over.
-    async fn wait_during_startup(&self, step: Step, is_met: impl Fn() -> bool) {
-        if self.is_starting() && !is_met() {
-            self.metrics.count_startup_wait(step);
-        }
-        let remaining = STARTUP_WINDOW.saturating_sub(self.peers.age(self.now()));
-        let met = async {
-            loop {
-                let changed = self.settings_changed.notified();
-                if is_met() {
-                    return;
-                }
-                changed.await;
-            }
-        };
-        // The result is ignored: the caller checks the condition again.
-        let _ = tokio::time::timeout(remaining, met).await;
-    }
-
-    /// Records that the settings in force were the newest ones at this moment. Requests here and peers
-    /// that start as well may wait for the first confirmation, or for one that makes the settings fresh
-    /// after an outage of the directory, so these are announced at once.
-    pub fn confirm(&self, at: Moment) {
-        let is_first = self.freshness.age(at).is_none();
-        let was_fresh = self.freshness.is_fresh(self.moment());
-        self.freshness.confirm(at);
-        let becomes_fresh = !was_fresh && self.freshness.is_fresh(self.moment());
-        if is_first {
-            self.observe_startup(Step::Confirmed);
-            let age_ms = self.moment().since(at).as_millis();
-            let what = format!("version {}, confirmed as of {age_ms} ms ago", self.version());
-            log::event(&self.log, Event::SettingsConfirmed, what);
-        }
-        if is_first || becomes_fresh {
-            self.settings_changed.notify_waiters();
-            self.announce_to_all();
-        }
-    }
-
-    /// Observes the time from the start of the process to the first completion of a step.
-    fn observe_startup(&self, step: Step) {
-        self.metrics.observe_startup(step, self.peers.age(self.now()));
-    }
-
-    /// The number of the settings version in force; 0 before there is one.
-    pub fn version(&self) -> u64 {
-        self.settings.read().unwrap().as_ref().map_or(0, |s| s.table.number())
-    }
-
-    /// Puts settings in force if they are newer than the current ones, and ignores them otherwise.
-    pub fn apply_settings(&self, settings: Settings, from: &str) {
-        let number = settings.table.number();
-        let mut current = self.settings.write().unwrap();
-        if current.as_ref().is_some_and(|c| c.table.number() >= number) {
-            return;
-        }
-        let previous = current.replace(Arc::new(settings));
-        drop(current);
-        self.settings_changed.notify_waiters();
-        self.metrics.settings_version.set(number as i64);
-        log::event(&self.log, Event::VersionInForce, format!("version {number} from {from}"));
-        if previous.is_none() {
-            self.observe_startup(Step::Settings);
-        }
-        // A peer may have confirmed this version before it came into force here.
-        if let Some(at) = self.peers.confirmation(number) {
-            self.confirm(at);
-        }
-        self.announce_to_all();
-    }
-
     /// Announces the state of this VM at once to all peers that requested heartbeats.
     pub fn announce_to_all(&self) {
         self.announce_to_all.store(true, Ordering::Relaxed);
@@ -345,45 +242,6 @@
             .is_some_and(|at| self.now().saturating_duration_since(*at) > accept_time)
     }
 
-    /// The directory revision up to which changes of the listings have been received. Unset before the first
-    /// listing.
-    pub fn revision(&self) -> Revision {
-        *self.revision.lock().unwrap()
-    }
-
-    /// Records that changes of the listings were received up to this revision. Returns the revision before.
-    pub fn advance_revision(&self, revision: Revision) -> Revision {
-        let mut current = self.revision.lock().unwrap();
-        let before = *current;
-        *current = before.max(revision);
-        if before.is_none() && !revision.is_none() {
-            self.observe_startup(Step::Listings);
-        }
-        before
-    }
-
-    /// Records that the directory was restored from an older copy.
-    pub fn record_restored(&self) {
-        *self.restored.lock().unwrap() = Some(self.now());
-    }
-
-    /// When the directory was restored from an older copy, if that was less than `within` ago.
-    pub fn restored_within(&self, within: Duration) -> Option<Instant> {
-        let at = (*self.restored.lock().unwrap())?;
-        (self.now().saturating_duration_since(at) < within).then_some(at)
-    }
-
-    /// The listings as this VM has them: upstreams, VMs, quarantined requests and halls.
-    pub fn listing(&self) -> Listing {
-        let cluster = self.cluster.lock().unwrap();
-        let upstreams = cluster.peer_listings(self.now()).collect();
-        let quarantined = cluster.quarantined().cloned().collect();
-        let halls = cluster.halls().clone();
-        drop(cluster);
-        let members = self.peers.members();
-        Listing { revision: self.revision(), upstreams, members, quarantined, halls }
-    }
-
     /// A generated id for a request whose own id is missing or invalid.
     pub fn request_id(&self) -> id::Request {
         let next = self.next_request.fetch_add(1, Ordering::Relaxed);
@@ -400,64 +258,6 @@
     pub fn reservation_id(&self) -> String {
         self.request_id().to_string()
     }
-
-    /// Reads the configuration file again and applies the parameters of the retry budget and the scheduling policy; other values
-    /// take effect only at a start of the process.
-    pub fn reload(&self) {
-        let read = self.config.file.as_deref().map(crate::config::read_fleet);
-        let what = match read {
-            Some(Ok(fleet)) => {
-                let mut scheduler = self.scheduler.lock().unwrap();
-                scheduler.budget.set(fleet.budget());
-                scheduler.set_policy(fleet.scheduling);
-                "retry budget parameters and scheduling policy reloaded".to_owned()
-            }
-            Some(Err(e)) => {
-                format!("configuration file not reloaded, keeping the previous configuration: {e}")
-            }
-            None => "no configuration file to reload".to_owned(),
-        };
-        log::event(&self.log, Event::Reloaded, what);
-    }
-
-    /// Whether the policy in force admits and orders requests by forecasts. It may change with a reload.
-    pub fn is_forecast(&self) -> bool {
-        self.scheduler.lock().unwrap().policy().is_forecast()
-    }
-
-    /// Adds an attempt to the cluster state. The scheduler that granted its placement has recorded it already;
-    /// the other VMs receive it with the next heartbeat.
-    pub fn begin_attempt(self: &Arc<Self>, number: u64, flight: Flight) -> Guard<D> {
-        self.cluster.lock().unwrap().begin_attempt(number, flight, self.now());
-        self.announce.notify_one();
-        Guard { process: self.clone(), number }
-    }
-
-    /// Notifies the scheduler and the heartbeat task that an attempt of this VM has progressed or ended.
-    fn notify_change(&self) {
-        self.cluster_changed.notify_one();
-        self.announce.notify_one();
-    }
-}
-
-impl<D: Dialect> Guard<D> {
-    /// Records that the first event of the response has arrived.
-    pub fn record_first_event(&self) {
-        self.process.cluster.lock().unwrap().record_first_event(self.number, self.process.now());
-        self.process.notify_change();
-    }
-
-    /// Records until when events show that the engine was not slow. It is announced with the next heartbeat.
-    pub fn record_pace(&self, sound_until: Instant) {
-        self.process.cluster.lock().unwrap().record_pace(self.number, sound_until);
-    }
-}
-
-impl<D: Dialect> Drop for Guard<D> {
-    fn drop(&mut self) {
-        self.process.cluster.lock().unwrap().end_attempt(self.number, self.process.now());
-        self.process.notify_change();
-    }
 }
 
 /// Closes expired idle connections until the process stops.
