Events: pace of streams by the policy in force

Cause: `pace` read the admission from the configuration of the start, whereas all other readers use the policy in force (`Process::is_forecast`).

Change: `pace` reads the policy in force when an upstream starts to respond. A stream that runs during a reload keeps what applied when it started.

--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -206,9 +206,10 @@
     }
 }
 
-/// The pace of the engine as evidence for the scheduler, if that asks for reports by evidence.
+/// The pace of the engine as evidence for the scheduler, if the policy in force when the engine starts to respond asks
+/// for reports by evidence.
 fn pace<D: Dialect>(job: &Job<D>) -> Option<Pace> {
-    let is_forecast = job.process.config.fleet.scheduling.is_forecast();
+    let is_forecast = job.process.is_forecast();
     job.service.engine.as_ref().filter(|_| is_forecast).and_then(Pace::new)
 }
 
