--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -5,23 +5,20 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
-use foldlock_version::routes::{Engine, Service, Table};
+use foldlock_version::routes::{Engine, Service};
 
 use super::admission::{decide, decide_new};
-use super::forecast::{Error, Kind};
+use super::forecast::Kind;
 use super::order::{Basis, Reason};
 use super::outlook::{Ahead, Arriving, Candidate, Outlook, Wait};
-use super::record::{Forecast, KeptChange, Outcome, Record, Return, Taken};
-use super::{Key, Promises, QueuedRequest, Reply, Scheduler, find};
+use super::record::{Forecast, Outcome, Record, Return};
+use super::{Key, Promises, QueuedRequest, Reply, Scheduler};
 use crate::caller::Caller;
 use crate::cluster::Cluster;
 use crate::placement::{self, Rejection, Requirements, requires_isolation};
 use crate::promise;
 use crate::tag::Tag;
 
-/// Maximum number of forecast errors that are kept until they are collected.
-const MAX_ERRORS: usize = 1_024;
-
 /// A queued request, by its index in the queue.
 struct Waiting {
     index: usize,
@@ -109,65 +106,6 @@
         self.outlooks.entry(tag).or_default().record_grant(candidate, predicted_ms, now);
     }
 
-    /// Records the grant of a request that was queued by a forecast.
-    pub(super) fn record_grant(&mut self, record: Record) {
-        if let Some(Forecast { wait, .. }) = record.forecast
-            && self.forecast_errors.len() < MAX_ERRORS
-        {
-            let actual = record.forecast_age().unwrap_or_default();
-            self.forecast_errors.push(Error { kind: record.kind, forecast: wait, actual });
-        }
-        self.log.add(record);
-    }
-
-    /// Removes and returns the decisions since the last call. There are none unless requests are admitted by forecasts.
-    pub fn take_decisions(&mut self) -> Taken {
-        self.log.take()
-    }
-
-    /// Decisions since the process started, by outcome and kind of request.
-    pub fn decision_counts(&self) -> impl Iterator<Item = (Outcome, Kind, u64)> {
-        self.log.counts()
-    }
-
-    /// The engines that are kept free for short prompts, as last recorded.
-    pub fn kept_engines(&self) -> usize {
-        self.log.kept_engines()
-    }
-
-    /// Records the engines that are kept free of long prompts, where their number has changed.
-    pub(super) fn record_kept(&mut self, cluster: &Cluster, table: &Table, now: Instant) {
-        if !self.policy.is_forecast() {
-            return self.log.clear_kept();
-        }
-        for (tag, outlook) in &self.outlooks {
-            if !self.log.is_kept_due(*tag, now) {
-                continue;
-            }
-            let service = find(table, *tag);
-            let Some((service, engine)) = service.and_then(|s| Some((s, s.engine.as_ref()?)))
-            else {
-                self.log.remove_kept(*tag);
-                continue;
-            };
-            let (all, long) = (speed(cluster, service, now), self.demand(*tag));
-            let change = KeptChange {
-                service: service.name.clone(),
-                previous: 0,
-                engines: outlook.kept_for_short(engine, all, long, now),
-                short: outlook.short_demand(engine, now),
-                long,
-                all,
-            };
-            self.log.set_kept(*tag, change, now);
-        }
-    }
-
-    /// Removes and returns the errors of the forecasts of requests that were granted since the last call.
-    pub fn take_forecast_errors(&mut self) -> Vec<Error> {
-        std::mem::take(&mut self.forecast_errors)
-    }
-
     /// Grants placements to the queued requests of a service in order, and rejects those that can no longer be served.
     pub(super) fn place_in_order(
         &mut self,
--- a/request/src/scheduler/record.rs
+++ b/request/src/scheduler/record.rs
@@ -7,15 +7,22 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use super::Key;
-use super::forecast::Kind;
+use foldlock_version::routes::Table;
+
+use super::by_forecast::speed;
+use super::forecast::{Error, Kind};
 use super::order::Basis;
+use super::{Key, Scheduler, find};
+use crate::cluster::Cluster;
 use crate::tag::Tag;
 
 /// Maximum number of decisions that are kept until they are taken. Rounds of placement are at most 250 ms apart, and
 /// 286 requests a second arrive at tripled traffic on A: each is decided on at most three times.
 pub const MAX_RECORDS: usize = 1_024;
 
+/// Maximum number of forecast errors that are kept until they are collected.
+const MAX_ERRORS: usize = 1_024;
+
 /// Minimum time between two records of the engines that a service keeps: their number follows the arrivals of the last
 /// second and may change with each of them.
 pub const KEPT_INTERVAL: Duration = Duration::from_millis(250);
@@ -199,3 +206,64 @@
         self.counts.iter().map(|((outcome, kind), count)| (*outcome, *kind, *count))
     }
 }
+
+impl Scheduler {
+    /// Records the grant of a request that was queued by a forecast.
+    pub(super) fn record_grant(&mut self, record: Record) {
+        if let Some(Forecast { wait, .. }) = record.forecast
+            && self.forecast_errors.len() < MAX_ERRORS
+        {
+            let actual = record.forecast_age().unwrap_or_default();
+            self.forecast_errors.push(Error { kind: record.kind, forecast: wait, actual });
+        }
+        self.log.add(record);
+    }
+
+    /// Removes and returns the decisions since the last call. There are none unless requests are admitted by forecasts.
+    pub fn take_decisions(&mut self) -> Taken {
+        self.log.take()
+    }
+
+    /// Decisions since the process started, by outcome and kind of request.
+    pub fn decision_counts(&self) -> impl Iterator<Item = (Outcome, Kind, u64)> {
+        self.log.counts()
+    }
+
+    /// The engines that are kept free for short prompts, as last recorded.
+    pub fn kept_engines(&self) -> usize {
+        self.log.kept_engines()
+    }
+
+    /// Records the engines that are kept free of long prompts, where their number has changed.
+    pub(super) fn record_kept(&mut self, cluster: &Cluster, table: &Table, now: Instant) {
+        if !self.policy.is_forecast() {
+            return self.log.clear_kept();
+        }
+        for (tag, outlook) in &self.outlooks {
+            if !self.log.is_kept_due(*tag, now) {
+                continue;
+            }
+            let service = find(table, *tag);
+            let Some((service, engine)) = service.and_then(|s| Some((s, s.engine.as_ref()?)))
+            else {
+                self.log.remove_kept(*tag);
+                continue;
+            };
+            let (all, long) = (speed(cluster, service, now), self.demand(*tag));
+            let change = KeptChange {
+                service: service.name.clone(),
+                previous: 0,
+                engines: outlook.kept_for_short(engine, all, long, now),
+                short: outlook.short_demand(engine, now),
+                long,
+                all,
+            };
+            self.log.set_kept(*tag, change, now);
+        }
+    }
+
+    /// Removes and returns the errors of the forecasts of requests that were granted since the last call.
+    pub fn take_forecast_errors(&mut self) -> Vec<Error> {
+        std::mem::take(&mut self.forecast_errors)
+    }
+}
