Request bodies: a bound on the bytes held for upstreams

Cause: a VM holds the body of each request until its response is complete.

Above it, the largest body is dropped. Its request is aborted, unless an upstream has read the whole body: then it continues without retries. Nothing sent: 503 overloaded, ran no, with Retry-After. Otherwise 502 upstream_failed, ran unknown, with Retry-After on routes that allow retries. Event 517, a gauge, two counters, the dump and foldlock status show it. Below the bound, behaviour is unchanged.

A body is received into one buffer.

--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -50,6 +50,7 @@
         "cold": cold(dump),
         "limited": limited(dump),
         "unread": dump["unread"],
+        "unsent": dump["unsent"],
         "scheduling": dump["scheduling"],
     })
 }
@@ -120,6 +121,12 @@
         let answers = &unread["answers"];
         notes.push(format!("{bytes} unread bytes of {answers} responses, most of {largest}"));
     }
+    let unsent = &dump["unsent"];
+    if let Some(bytes) = unsent["bytes"].as_u64().filter(|bytes| *bytes > 0) {
+        let largest = unsent["largest"][0]["request"].as_str().unwrap_or_default();
+        let bodies = &unsent["bodies"];
+        notes.push(format!("{bytes} bytes of {bodies} request bodies, most of {largest}"));
+    }
     notes.extend(slow(dump));
     notes.extend(scheduling(&dump["scheduling"]));
     notes.iter().map(|note| format!("  {note}")).collect()
--- a/cli/tests/status.rs
+++ b/cli/tests/status.rs
@@ -37,6 +37,7 @@
         "ready": true, "stopping": false, "version": 7, "requests": 3,
         "peers": [{"vm": "front-a-2"}, {"vm": "front-b-1"}],
         "drained_halls": [], "unread": {"bytes": 0, "most": 28_000_000, "answers": 0, "largest": []},
+        "unsent": {"bytes": 0, "most": 28_000_000, "bodies": 0, "largest": []},
         "upstreams": [{"id": "i-1", "cold_ms": null}],
     })
 }
@@ -106,12 +107,17 @@
         "bytes": 1_250_000, "most": 28_000_000, "answers": 2,
         "largest": [{"request": "r-17", "bytes": 1_000_000}, {"request": "r-9", "bytes": 250_000}],
     });
+    dump["unsent"] = json!({
+        "bytes": 9_000_000, "most": 28_000_000, "bodies": 3,
+        "largest": [{"request": "r-21", "bytes": 8_000_000}],
+    });
     expect![[r#"
-        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  la-marsa drained by 0.5498  1 cold  i-3 limited to 2.5/s for 12 s by front-a-2, 2 sent in the last second  1250000 unread bytes of 2 responses, most of r-17
+        VM        front-a-1    ariana         ready  version 7  3 requests  2 peers  la-marsa drained by 0.5498  1 cold  i-3 limited to 2.5/s for 12 s by front-a-2, 2 sent in the last second  1250000 unread bytes of 2 responses, most of r-17  9000000 bytes of 3 request bodies, most of r-21
     "#]].assert_eq(&status(dump.clone(), &[]));
     let object: Value = serde_json::from_str(&status(dump, &["--json"])).unwrap();
     assert_eq!(object["cold"], 1);
     assert_eq!(object["drained_halls"][0]["name"], "la-marsa");
     assert_eq!(object["unread"]["bytes"], 1_250_000);
+    assert_eq!(object["unsent"]["bytes"], 9_000_000);
     assert_eq!(object["limited"][0]["limit"]["rate"], 2.5);
 }
--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -16,6 +16,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 
 use crate::http::chain;
 
@@ -37,8 +38,18 @@
 }
 
 /// A connection to an upstream, for one request at a time.
+///
+/// Closed when dropped. Without this, hyper would keep the connection and the rest of a request's body until the
+/// upstream has read it.
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
+    connection: AbortHandle,
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
 }
 
 struct Idle {
@@ -78,8 +89,8 @@
             .await
             .map_err(|e| Failure::Unsent(chain(&e)))?;
         // The task ends with the connection; errors are returned to the request that uses it.
-        tokio::spawn(connection);
-        Ok(Channel { sender })
+        let connection = tokio::spawn(connection).abort_handle();
+        Ok(Channel { sender, connection })
     }
 
     /// Sends a request and returns the response once its head has been received.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -50,6 +50,7 @@
 pub mod suspended;
 pub mod unread;
 pub mod unreadable;
+pub mod unsent;
 pub mod watch;
 pub mod withdraw;
 pub mod withdrawals;
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use foldlock_base::error::Unsent;
 use foldlock_base::prelude::*;
 use foldlock_request::decision::{Decision, Subject};
@@ -16,12 +15,14 @@
 use http::request::Parts;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 
 use crate::fleet::job::Job;
+use crate::fleet::outcome;
 use crate::fleet::process::Process;
 use crate::fleet::suspended;
+use crate::fleet::unsent::{Body, OUT_OF_MEMORY};
 use crate::log;
 
 /// Timeout of requests whose caller states none: that of the platform's longest route.
@@ -60,7 +61,11 @@
     let elapsed = process.now().saturating_duration_since(arrived);
     let due = process.moment().after(timeout.saturating_sub(elapsed));
     let (head, body) = request.into_parts();
-    let body = read_body(body, body_bytes, deadline).await?;
+    let body = read_body(process, id, body, body_bytes, deadline).await?;
+    let fingerprint = match body.bytes() {
+        Some(bytes) => fingerprint(organisation.as_deref(), &head, &bytes),
+        None => return Err(out_of_memory(process, deadline)),
+    };
     let entry = process.ring.begin(Subject {
         request: id.clone(),
         vm: process.member.vm.clone(),
@@ -70,7 +75,6 @@
         prompt: terms.prompt,
         arrived_ms: process.clock.wall_millis(),
     });
-    let fingerprint = fingerprint(organisation.as_deref(), &head, &body);
     let job = Job {
         process: process.clone(),
         id: id.clone(),
@@ -201,16 +205,46 @@
     Fingerprint::of(organisation, head.method.as_str(), target, body)
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, Error> {
-    let collecting = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout_at(deadline.into(), collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(reject(Kind::TooLarge, format!("the body is larger than {max_bytes} bytes")))
-        }
-        Ok(Err(e)) => Err(reject(Kind::BadRequest, format!("the body could not be read: {e}"))),
-        Err(_) => {
-            Err(reject(Kind::RequestTimeout, "the body was not complete before the deadline"))
+async fn read_body<D: Dialect>(
+    process: &Process<D>,
+    id: &id::Request,
+    body: Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+) -> Result<Body, Error> {
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let mut receiver = process.unsent.receive(id, length);
+    let mut body = Limited::new(body, max_bytes);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = receiver.dropped() => return Err(out_of_memory(process, deadline)),
+            frame = tokio::time::timeout_at(deadline.into(), body.frame()) => frame,
+        };
+        match frame {
+            Ok(None) => return Ok(receiver.finish()),
+            Ok(Some(Ok(frame))) => {
+                if let Some(bytes) = frame.data_ref() {
+                    outcome::record_dropped(process, receiver.push(bytes));
+                }
+            }
+            Ok(Some(Err(e))) if e.is::<LengthLimitError>() => {
+                let why = format!("the body is larger than {max_bytes} bytes");
+                return Err(reject(Kind::TooLarge, why));
+            }
+            Ok(Some(Err(e))) => {
+                return Err(reject(Kind::BadRequest, format!("the body could not be read: {e}")));
+            }
+            Err(_) => {
+                let why = "the body was not complete before the deadline";
+                return Err(reject(Kind::RequestTimeout, why));
+            }
         }
     }
 }
+
+/// The error of a request whose body was dropped to free memory before it was admitted.
+fn out_of_memory<D: Dialect>(process: &Process<D>, deadline: Instant) -> Error {
+    let after = Cause::Memory.retry_after(deadline.saturating_duration_since(process.now()));
+    reject(Kind::Overloaded, OUT_OF_MEMORY).retry_after(after)
+}
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -81,6 +81,11 @@
     Broken(String),
     /// The deadline of the request passed.
     Deadline,
+    /// The body was dropped to free memory before the upstream had read it.
+    Aborted {
+        /// Whether a part of the request may have been sent.
+        is_sent: bool,
+    },
 }
 
 /// Sends the request to its placement and waits for the response or its first events.
@@ -120,6 +125,7 @@
         () = job.process.aborting.cancelled() => {
             return End::Broken("VM shut down before the response was received".to_owned());
         }
+        () = job.body.aborted() => return End::Aborted { is_sent: job.body.is_sent() },
     };
     match ended {
         Ok(end) => end,
@@ -193,7 +199,8 @@
         // It may have been excluded while memory was reserved or the connection was opened.
         return End::Unsent(format!("upstream {upstream} is excluded: {reason}"));
     }
-    let request = build_request(job, placement, &reservations.helpers(&grant), last_event);
+    let Some(body) = job.body.send() else { return End::Aborted { is_sent: false } };
+    let request = build_request(job, body, placement, &reservations.helpers(&grant), last_event);
     let sent = job.process.now();
     job.process.metrics.count_upstream_messages(Sent::Request, 1);
     job.process.metrics.count_upstream_messages(Sent::Part, placement.flight.helpers.len());
@@ -303,6 +310,7 @@
 
 fn build_request<D: Dialect>(
     job: &Job<D>,
+    body: Bytes,
     placement: &Placement,
     helpers: &[Helper],
     last_event: Option<u64>,
@@ -322,7 +330,7 @@
         },
     );
     let target = job.head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
     *request.headers_mut() = headers;
@@ -355,7 +363,8 @@
         }
     };
     let now = job.process.now();
-    if has_length && !idle_timeout.is_zero() {
+    // A connection on which the body is still being sent cannot be reused, but would hold the body.
+    if has_length && !idle_timeout.is_zero() && !job.body.is_unread() {
         job.process.pool.put(&upstream, channel, idle_timeout, now);
     }
     if head.status.is_server_error() {
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -22,6 +22,7 @@
 use crate::fleet::retry::{self, Failure, History};
 use crate::fleet::stream::{Item, Started, Stream};
 use crate::fleet::unread::{Closed, Writer};
+use crate::fleet::unsent::OUT_OF_MEMORY;
 
 /// Number of pauses of the route without an event after which a stream is resumed at another upstream.
 const SILENCE_TIMEOUT_PAUSES: u32 = 3;
@@ -92,7 +93,12 @@
     Complete,
     Closed(Closed),
     Deadline,
-    Broken { why: String, unresponsive: bool },
+    /// The request's body was dropped to free memory before the upstream had read it.
+    Aborted,
+    Broken {
+        why: String,
+        unresponsive: bool,
+    },
 }
 
 async fn relay_all<D: Dialect>(
@@ -140,6 +146,10 @@
                 );
                 return;
             }
+            RelayEnd::Aborted => {
+                record_failed(&job, Kind::UpstreamFailed, OUT_OF_MEMORY.to_owned());
+                return;
+            }
             RelayEnd::Broken { why, unresponsive } => (why, unresponsive),
         };
         stream.fail(&job, unresponsive).await;
@@ -184,7 +194,11 @@
             stream.attempt_guard.record_pace(sound_until);
         }
         if !bytes.is_empty() {
-            match tokio::time::timeout_at(job.deadline.into(), writer.push(bytes)).await {
+            let pushed = tokio::select! {
+                pushed = tokio::time::timeout_at(job.deadline.into(), writer.push(bytes)) => pushed,
+                () = job.body.aborted() => return RelayEnd::Aborted,
+            };
+            match pushed {
                 Ok(Ok(aborted)) => outcome::record_aborted(&job.process, aborted),
                 Ok(Err(closed)) => return RelayEnd::Closed(closed),
                 Err(_) => return RelayEnd::Deadline,
@@ -195,6 +209,7 @@
         let next = tokio::select! {
             next = tokio::time::timeout_at(until.into(), stream.next()) => next,
             closed = writer.closed() => return RelayEnd::Closed(closed),
+            () = job.body.aborted() => return RelayEnd::Aborted,
         };
         events = match next {
             Ok(Item::Events(events)) => events,
@@ -246,9 +261,11 @@
             return None;
         }
         history.failure = Some(Failure { upstream: from, why });
+        job.body.begin_attempt();
         let grant = tokio::select! {
             grant = queue::wait_for_grant(job, history, true) => grant.ok()?,
             _ = writer.closed() => return None,
+            () = job.body.dropped() => return None,
         };
         job.process.metrics.resumed_streams.inc();
         from = grant.placement.flight.upstream.clone();
@@ -261,7 +278,7 @@
                 job.record(Decision::Resumed { index: last, upstream: from });
                 return Some((started.stream, started.first));
             }
-            End::Deadline => return None,
+            End::Deadline | End::Aborted { .. } => return None,
             End::Unsent(why) => {
                 history.unsent += 1;
                 why
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use foldlock_base::clock::Moment;
 use foldlock_base::prelude::*;
 use foldlock_request::budget::Charge;
@@ -17,6 +16,7 @@
 use foldlock_version::routes::{Organisation, Retry, Route, Service};
 
 use crate::fleet::process::Process;
+use crate::fleet::unsent::Body;
 
 /// Maximum idle time of a connection for a request that must not be retried: if the upstream closes
 /// an idle connection just then, it is unknown whether the request ran.
@@ -46,7 +46,7 @@
     /// Its method, target and headers.
     pub head: http::request::Parts,
     /// Its body.
-    pub body: Bytes,
+    pub body: Body,
     /// When its headers had arrived.
     pub arrived: Instant,
     /// When the response has to be complete.
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -257,6 +257,12 @@
     pub aborted_responses: Counter,
     /// Response bytes that callers have not read.
     pub unread_bytes: Gauge,
+    /// Requests aborted because all request bodies exceeded their bound.
+    pub aborted_requests: Counter,
+    /// Bodies dropped for the same reason whose requests continued without retries.
+    pub released_bodies: Counter,
+    /// Bytes of request bodies that are held for upstreams.
+    pub unsent_bytes: Gauge,
     /// Requests queued at this VM's scheduler.
     pub queue_len: Gauge,
     /// Promised return times of rejected callers at this VM's scheduler, by outcome.
@@ -315,6 +321,9 @@
             drained_halls: Gauge::default(),
             aborted_responses: Counter::default(),
             unread_bytes: Gauge::default(),
+            aborted_requests: Counter::default(),
+            released_bodies: Counter::default(),
+            unsent_bytes: Gauge::default(),
             queue_len: Gauge::default(),
             promises: Family::default(),
             stored_promises: Gauge::default(),
@@ -478,6 +487,13 @@
         let what = "Answers given up since their callers read too slowly";
         r.register("answers_given_up", what, self.aborted_responses.clone());
         r.register("unread_bytes", "Bytes that callers have not read", self.unread_bytes.clone());
+        let what = "Requests aborted since request bodies used too much memory";
+        r.register("aborted_requests", what, self.aborted_requests.clone());
+        let what =
+            "Request bodies dropped since they used too much memory, of requests that went on";
+        r.register("released_bodies", what, self.released_bodies.clone());
+        let what = "Bytes of request bodies held for upstreams";
+        r.register("unsent_bytes", what, self.unsent_bytes.clone());
         r.register(
             "waiting",
             "Requests of all VMs that wait for a place here",
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -164,6 +164,7 @@
     let cluster = process.cluster.lock().unwrap();
     metrics.attempts.set(cluster.own_attempts().count() as i64);
     metrics.unread_bytes.set(process.unread.bytes() as i64);
+    metrics.unsent_bytes.set(process.unsent.bytes() as i64);
     metrics.limited_upstreams.set(cluster.limited_count() as i64);
     metrics.suspects.set(cluster.quarantine.suspects(now).count() as i64);
     drop(cluster);
@@ -270,6 +271,7 @@
         "scheduling": scheduling,
         "idle_connections": process.pool.len(),
         "unread": process.unread.dump(),
+        "unsent": process.unsent.dump(),
         "upstreams": upstreams,
         "records": process.ring.newest(MAX_DUMP_RECORDS),
     })
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -34,6 +34,7 @@
 use crate::fleet::pending_grants;
 use crate::fleet::unread;
 use crate::fleet::unreadable;
+use crate::fleet::unsent;
 use crate::fleet::withdrawals::Withdrawals;
 use crate::fleet::write_queue;
 use crate::log;
@@ -119,6 +120,8 @@
     pub last_compared: Mutex<Option<(Revision, u64)>>,
     /// Responses that their callers have not read completely.
     pub unread: Arc<unread::Buffers>,
+    /// Request bodies that are held for upstreams.
+    pub unsent: Arc<unsent::Bodies>,
     /// Directory entries that cannot be decoded.
     pub unreadable: unreadable::Entries,
     /// Pending writes to the directory, such as entries of quarantined requests.
@@ -200,6 +203,7 @@
             steps: Mutex::default(),
             last_compared: Mutex::default(),
             unread: unread::Buffers::new(config.fleet.memory()),
+            unsent: unsent::Bodies::new(config.fleet.memory()),
             unreadable: unreadable::Entries::default(),
             directory_writes: write_queue::Queue::default(),
             withdrawals: Withdrawals::default(),
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -95,6 +95,7 @@
 /// Whether a request may be retried, provided that the fleet's retry budget allows it.
 pub fn may_retry<D: Dialect>(job: &Job<D>, history: &History, not_run: bool) -> bool {
     (not_run || job.is_retryable())
+        && job.body.is_held()
         && history.unsent <= MAX_UNSENT
         && history.ran < job.route.max_attempts
         && history.ran + history.refused < job.route.max_attempts + MAX_EXTRA_ATTEMPTS
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -23,6 +23,7 @@
 use crate::fleet::queue;
 use crate::fleet::reservations;
 use crate::fleet::retry::{Failure, History, MAX_EXTRA_ATTEMPTS, may_retry};
+use crate::fleet::unsent::OUT_OF_MEMORY;
 
 /// Delay after a failed memory reservation: by then the peers have announced their placements.
 const RESERVATION_RETRY_DELAY: Duration = Duration::from_millis(30);
@@ -70,7 +71,13 @@
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut history = History::default();
     loop {
-        let grant = match queue::wait_for_grant(&job, &mut history, false).await {
+        job.body.begin_attempt();
+        let granted = tokio::select! {
+            biased;
+            () = job.body.dropped() => return aborted_response(&job, history, proof),
+            granted = queue::wait_for_grant(&job, &mut history, false) => granted,
+        };
+        let grant = match granted {
             Ok(grant) => grant,
             Err(rejection) => return unplaced_response(&job, history, proof, rejection),
         };
@@ -111,6 +118,29 @@
     })
 }
 
+/// The response to a request whose body was dropped to free memory: an upstream's own failure response if there was
+/// one, else an error.
+fn aborted_response<D: Dialect>(
+    job: &Job<D>,
+    history: History,
+    proof: Proof,
+) -> Result<Response<Body>, Error> {
+    if let Some(response) = history.upstream_response {
+        return Ok(response);
+    }
+    let after = Cause::Memory.retry_after(job.remaining());
+    let error = match proof {
+        Proof::NotRun(unsent) => {
+            Error::unsent(Kind::Overloaded, OUT_OF_MEMORY, unsent).retry_after(after)
+        }
+        sent => {
+            let error = sent.error(Kind::UpstreamFailed, OUT_OF_MEMORY, false);
+            if job.is_retryable() { error.retry_after(after) } else { error }
+        }
+    };
+    Err(record_error(job, error))
+}
+
 /// Decides what to do after an attempt.
 fn next_action<D: Dialect>(
     job: &Arc<Job<D>>,
@@ -136,6 +166,12 @@
             let error = attempt.unknown().error(Kind::DeadlineExceeded, why, false);
             return Action::Respond(Err(record_error(job, error)));
         }
+        End::Aborted { is_sent } => {
+            let proof =
+                if is_sent { attempt.unknown() } else { attempt.refused(Refusal::not_connected()) };
+            let history = std::mem::take(history);
+            return Action::Respond(aborted_response(job, history, proof));
+        }
         End::ReservationFailed(reservations::Failure { upstream, cause }) => {
             let proof = attempt.refused(Refusal::not_connected());
             return on_reservation_failure(job, history, upstream, proof, cause.to_string());
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -88,7 +88,7 @@
         let now = job.process.now();
         let upstream = &self.flight.upstream;
         outcome::record(job, upstream, Outcome::Answered);
-        if !self.idle_timeout.is_zero() {
+        if !self.idle_timeout.is_zero() && !job.body.is_unread() {
             job.process.pool.put(upstream, self.channel, self.idle_timeout, now);
         }
     }
--- /dev/null
+++ b/daemon/src/fleet/unsent.rs
@@ -0,0 +1,286 @@
+//! Request bodies that are held for upstreams, with a bound on their total size.
+//!
+//! Answers load where upstreams read bodies slowly or not at all, or callers send them slowly: each body is limited by
+//! the settings, but their number is not, and a process that exceeds the VM's memory is killed with all its requests.
+//! If all bodies together exceed the bound of the VM, the largest is dropped. Its request is aborted, unless an upstream
+//! has read the whole body: then the request continues, but cannot be retried.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use foldlock_base::prelude::*;
+use serde_json::json;
+use tokio::sync::Notify;
+
+/// Share of the VM's memory for bodies. It equals that of unread responses; connections, settings and the cluster state
+/// need the remaining half.
+const MEMORY_SHARE: f64 = 0.25;
+
+/// Maximum number of bodies in a dump, the largest ones.
+const MAX_DUMPED: usize = 10;
+
+/// Message of the errors of aborted requests.
+pub const OUT_OF_MEMORY: &str =
+    "request bodies use too much memory of this VM, and this was the largest";
+
+/// The bodies of all requests of a VM.
+#[derive(Debug)]
+pub struct Bodies {
+    /// Bound on the total size, bytes.
+    max_bytes: usize,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    next: u64,
+    bytes: usize,
+    entries: BTreeMap<u64, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    request: id::Request,
+    /// Bytes received so far; 0 after the body was dropped.
+    bytes: usize,
+    /// The complete body; empty before it was received and after it was dropped.
+    content: Bytes,
+    /// Whether the current attempt may have sent a part of it.
+    is_sent: bool,
+    state: State,
+    /// Notified when the body is dropped.
+    changed: Arc<Notify>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// It is being received, or it was received.
+    Held,
+    /// It was dropped after an upstream had read it: the request cannot be retried.
+    Released,
+    /// It was dropped before: the request is aborted.
+    Aborted,
+}
+
+/// What became of the request of a body that was dropped to free memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It continues without retries.
+    Continued,
+    /// It is aborted.
+    Aborted,
+}
+
+/// A body that was dropped to free memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dropped {
+    /// The request of the body.
+    pub request: id::Request,
+    /// Bytes of the body that were held.
+    pub bytes: usize,
+    /// Bytes of all other bodies.
+    pub others: usize,
+    /// What became of the request.
+    pub fate: Fate,
+}
+
+impl Bodies {
+    /// Creates the table of a VM with this much memory, bytes.
+    pub fn new(memory: usize) -> Arc<Bodies> {
+        let max_bytes = (memory as f64 * MEMORY_SHARE) as usize;
+        Arc::new(Bodies { max_bytes, inner: Mutex::default() })
+    }
+
+    /// Begins to receive a body of this length; none if the length is not declared.
+    pub fn receive(self: &Arc<Bodies>, request: &id::Request, length: Option<usize>) -> Receiver {
+        let changed = Arc::new(Notify::new());
+        let entry = Entry {
+            request: request.clone(),
+            bytes: 0,
+            content: Bytes::new(),
+            is_sent: false,
+            state: State::Held,
+            changed: changed.clone(),
+        };
+        let mut inner = self.inner.lock().unwrap();
+        let number = inner.next;
+        inner.next += 1;
+        inner.entries.insert(number, entry);
+        let body = Body { bodies: self.clone(), number, changed };
+        Receiver { body, buffer: Vec::new(), length: length.unwrap_or(usize::MAX) }
+    }
+
+    /// Returns the total size of all bodies, bytes.
+    pub fn bytes(&self) -> usize {
+        self.inner.lock().unwrap().bytes
+    }
+
+    /// Returns the total size and the largest bodies, for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let inner = self.inner.lock().unwrap();
+        let mut entries: Vec<&Entry> = inner.entries.values().filter(|e| e.bytes > 0).collect();
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.bytes));
+        let largest = entries.iter().take(MAX_DUMPED);
+        let largest: Vec<_> =
+            largest.map(|e| json!({"request": e.request, "bytes": e.bytes})).collect();
+        json!({"bytes": inner.bytes, "most": self.max_bytes, "bodies": entries.len(), "largest": largest})
+    }
+}
+
+impl Inner {
+    /// Drops the largest bodies until the total size is at most `max_bytes`; of equal ones the newest, whose request has
+    /// progressed the least.
+    fn drop_largest(&mut self, max_bytes: usize) -> Vec<Dropped> {
+        let mut dropped = Vec::new();
+        while self.bytes > max_bytes
+            && let Some(largest) = self.entries.values_mut().max_by_key(|entry| entry.bytes)
+        {
+            let bytes = std::mem::take(&mut largest.bytes);
+            self.bytes -= bytes;
+            // The connection drops its reference when the last byte is in the buffer of the socket.
+            let is_read = largest.is_sent && largest.content.is_unique();
+            let fate = if is_read { Fate::Continued } else { Fate::Aborted };
+            largest.state = if is_read { State::Released } else { State::Aborted };
+            largest.content = Bytes::new();
+            largest.changed.notify_one();
+            let request = largest.request.clone();
+            dropped.push(Dropped { request, bytes, others: self.bytes, fate });
+        }
+        dropped
+    }
+}
+
+/// Receives a body.
+#[derive(Debug)]
+pub struct Receiver {
+    body: Body,
+    buffer: Vec<u8>,
+    /// Declared length, or the maximum.
+    length: usize,
+}
+
+impl Receiver {
+    /// Adds received bytes, unless the body was dropped. Returns the bodies that were dropped to free memory.
+    ///
+    /// The bytes are copied, as a part of a connection's read buffer would keep all of it in memory.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<Dropped> {
+        let bodies = &self.body.bodies;
+        let mut inner = bodies.inner.lock().unwrap();
+        let Some(entry) = inner.entries.get_mut(&self.body.number) else { return Vec::new() };
+        if entry.state != State::Held {
+            return Vec::new();
+        }
+        entry.bytes += bytes.len();
+        inner.bytes += bytes.len();
+        let dropped = inner.drop_largest(bodies.max_bytes);
+        drop(inner);
+        if self.body.is_held() {
+            self.reserve(bytes.len());
+            self.buffer.extend_from_slice(bytes);
+        } else {
+            self.buffer = Vec::new();
+        }
+        dropped
+    }
+
+    /// Doubles the capacity if it is exceeded, but not beyond the declared length.
+    fn reserve(&mut self, additional: usize) {
+        let required = self.buffer.len() + additional;
+        if required > self.buffer.capacity() {
+            let capacity = (self.buffer.capacity() * 2).min(self.length).max(required);
+            self.buffer.reserve_exact(capacity - self.buffer.len());
+        }
+    }
+
+    /// Waits until the body is dropped.
+    pub async fn dropped(&self) {
+        self.body.dropped().await;
+    }
+
+    /// Ends the receipt of the body.
+    pub fn finish(mut self) -> Body {
+        self.buffer.shrink_to_fit();
+        let mut inner = self.body.bodies.inner.lock().unwrap();
+        let entry = inner.entries.get_mut(&self.body.number);
+        if let Some(entry) = entry.filter(|entry| entry.state == State::Held) {
+            entry.content = Bytes::from(self.buffer);
+        }
+        drop(inner);
+        self.body
+    }
+}
+
+/// The body of a request, held until this is dropped.
+#[derive(Debug)]
+pub struct Body {
+    bodies: Arc<Bodies>,
+    number: u64,
+    changed: Arc<Notify>,
+}
+
+impl Body {
+    fn entry<T>(&self, read: impl FnOnce(&mut Entry) -> T) -> T {
+        let mut inner = self.bodies.inner.lock().unwrap();
+        read(inner.entries.get_mut(&self.number).expect("it is in the table until it is dropped"))
+    }
+
+    /// The bytes; none if they were dropped.
+    pub fn bytes(&self) -> Option<Bytes> {
+        self.entry(|entry| (entry.state == State::Held).then(|| entry.content.clone()))
+    }
+
+    /// Begins an attempt, which has sent nothing yet.
+    pub fn begin_attempt(&self) {
+        self.entry(|entry| entry.is_sent = false);
+    }
+
+    /// The bytes for the current attempt, which may send a part of them from now on; none if they were dropped.
+    pub fn send(&self) -> Option<Bytes> {
+        self.entry(|entry| {
+            let is_held = entry.state == State::Held;
+            entry.is_sent = is_held;
+            is_held.then(|| entry.content.clone())
+        })
+    }
+
+    /// Whether the current attempt may have sent a part of the body.
+    pub fn is_sent(&self) -> bool {
+        self.entry(|entry| entry.is_sent)
+    }
+
+    /// Whether the body can still be sent.
+    pub fn is_held(&self) -> bool {
+        self.entry(|entry| entry.state == State::Held)
+    }
+
+    /// Whether a connection holds a part of the body that its upstream has not read.
+    pub fn is_unread(&self) -> bool {
+        self.entry(|entry| !entry.content.is_empty() && !entry.content.is_unique())
+    }
+
+    /// Waits until the body is dropped.
+    pub async fn dropped(&self) {
+        self.wait(|state| state != State::Held).await;
+    }
+
+    /// Waits until the request is aborted since its body was dropped before an upstream had read it.
+    pub async fn aborted(&self) {
+        self.wait(|state| state == State::Aborted).await;
+    }
+
+    async fn wait(&self, is_met: impl Fn(State) -> bool) {
+        while !is_met(self.entry(|entry| entry.state)) {
+            self.changed.notified().await;
+        }
+    }
+}
+
+impl Drop for Body {
+    fn drop(&mut self) {
+        let mut inner = self.bodies.inner.lock().unwrap();
+        if let Some(entry) = inner.entries.remove(&self.number) {
+            inner.bytes -= entry.bytes;
+        }
+    }
+}
--- a/request/src/retry_after.rs
+++ b/request/src/retry_after.rs
@@ -17,6 +17,8 @@
     Full,
     /// No group of upstreams has capacity for a long prompt.
     FullForLongPrompts,
+    /// The request's body exceeded the memory of the VM.
+    Memory,
 }
 
 /// Short, since a new connection reaches another VM.
@@ -38,6 +40,10 @@
 /// The mix of prompt lengths changes within seconds.
 const FULL_FOR_LONG_PROMPTS: Duration = Duration::from_secs(3);
 
+/// Bodies are held until their responses are complete, for most of them within a second or two, as for
+/// [`FULL`].
+const MEMORY: Duration = Duration::from_millis(500);
+
 impl Cause {
     /// The retry time for a caller that has `time` left.
     pub fn retry_after(self, time: Duration) -> Duration {
@@ -47,6 +53,7 @@
             Cause::StaleSettings => STALE_SETTINGS,
             Cause::Full => FULL,
             Cause::FullForLongPrompts => FULL_FOR_LONG_PROMPTS,
+            Cause::Memory => MEMORY,
         }
     }
 }
