Request bodies: responses that are collected count as well

Cause: a response that is not a stream is collected whole, up to 16 MB, before it is forwarded.

Change: the bytes collected so far are entries in the table of request bodies, under the same bound. If such an entry is the largest, its request is aborted: 502 upstream_failed, ran unknown, with Retry-After on routes that allow retries. A complete response is counted with the unread responses, as before. Event 517 states whether the bytes are those of a request or a response. A response is collected in one buffer, like the body of a request.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -143,7 +143,7 @@
     ResponseAborted = 515, Warning;
     /// A request was not retried after a failure: no upstream accepts it, or the fleet's retry budget is exhausted.
     NotRetried = 516, Info;
-    /// The body of a request was dropped: all bodies used too much memory. The request is aborted, or continues without retries.
+    /// The body of a request or response was dropped: all bodies used too much memory. The request is aborted, or continues without retries.
     BodyDropped = 517, Warning;
     /// A new request was queued by the forecast of its wait.
     QueuedByForecast = 520, Debug;
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -125,7 +125,9 @@
     if let Some(bytes) = unsent["bytes"].as_u64().filter(|bytes| *bytes > 0) {
         let largest = unsent["largest"][0]["request"].as_str().unwrap_or_default();
         let bodies = &unsent["bodies"];
-        notes.push(format!("{bytes} bytes of {bodies} request bodies, most of {largest}"));
+        notes.push(format!(
+            "{bytes} bytes of {bodies} request and response bodies, most of {largest}"
+        ));
     }
     notes.extend(slow(dump));
     notes.extend(scheduling(&dump["scheduling"]));
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -22,7 +22,7 @@
 use crate::fleet::outcome;
 use crate::fleet::process::Process;
 use crate::fleet::suspended;
-use crate::fleet::unsent::{Body, OUT_OF_MEMORY};
+use crate::fleet::unsent::{Body, OUT_OF_MEMORY, Part};
 use crate::log;
 
 /// Timeout of requests whose caller states none: that of the platform's longest route.
@@ -213,7 +213,7 @@
     deadline: Instant,
 ) -> Result<Body, Error> {
     let length = body.size_hint().exact().map(|length| length as usize);
-    let mut receiver = process.unsent.receive(id, length);
+    let mut receiver = process.unsent.receive(id, Part::Request, length);
     let mut body = Limited::new(body, max_bytes);
     loop {
         let frame = tokio::select! {
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -18,6 +18,7 @@
 use foldlock_request::terms::{self, Helper, Verdict};
 use foldlock_version::routes::Delivery;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::{Request, Response, StatusCode, Uri};
 
@@ -35,6 +36,7 @@
 use crate::fleet::reservations::{self, Reservations};
 use crate::fleet::retry::History;
 use crate::fleet::stream::{Item, Started, Stream};
+use crate::fleet::unsent::Part;
 
 /// Timeout of a new connection. It is established within a few milliseconds, and an unreachable
 /// upstream does not respond at all.
@@ -81,7 +83,7 @@
     Broken(String),
     /// The deadline of the request passed.
     Deadline,
-    /// The body was dropped to free memory before the upstream had read it.
+    /// The body was dropped to free memory before the upstream had read it, or the response while it was collected.
     Aborted {
         /// Whether a part of the request may have been sent.
         is_sent: bool,
@@ -354,8 +356,9 @@
         ..
     } = stream;
     let upstream = flight.upstream.clone();
-    let collected = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(collected) => collected.to_bytes(),
+    let collected = match collect(job, body).await {
+        Ok(Some(collected)) => collected,
+        Ok(None) => return End::Aborted { is_sent: true },
         Err(e) => {
             record_failure(job, &upstream, Cause::Malformed);
             crash::detect(job, &flight, incarnation).await;
@@ -383,6 +386,27 @@
     End::Complete(Response::from_parts(head, Body::Buffered(reader)))
 }
 
+/// Collects a response. Returns none if it was dropped to free memory.
+async fn collect<D: Dialect>(
+    job: &Job<D>,
+    body: Incoming,
+) -> Result<Option<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let mut receiver = job.process.unsent.receive(&job.id, Part::Response, length);
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = receiver.dropped() => return Ok(None),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame.transpose()? else { return Ok(receiver.finish().bytes()) };
+        if let Some(bytes) = frame.data_ref() {
+            outcome::record_dropped(&job.process, receiver.push(bytes));
+        }
+    }
+}
+
 async fn read_first_events<D: Dialect>(
     job: &Arc<Job<D>>,
     head: http::response::Parts,
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -257,11 +257,11 @@
     pub aborted_responses: Counter,
     /// Response bytes that callers have not read.
     pub unread_bytes: Gauge,
-    /// Requests aborted because all request bodies exceeded their bound.
+    /// Requests aborted because all bodies exceeded their bound.
     pub aborted_requests: Counter,
     /// Bodies dropped for the same reason whose requests continued without retries.
     pub released_bodies: Counter,
-    /// Bytes of request bodies that are held for upstreams.
+    /// Bytes of request bodies that are held for upstreams, and of responses that are collected.
     pub unsent_bytes: Gauge,
     /// Requests queued at this VM's scheduler.
     pub queue_len: Gauge,
@@ -487,12 +487,13 @@
         let what = "Answers given up since their callers read too slowly";
         r.register("answers_given_up", what, self.aborted_responses.clone());
         r.register("unread_bytes", "Bytes that callers have not read", self.unread_bytes.clone());
-        let what = "Requests aborted since request bodies used too much memory";
+        let what = "Requests aborted since bodies of requests and responses used too much memory";
         r.register("aborted_requests", what, self.aborted_requests.clone());
         let what =
-            "Request bodies dropped since they used too much memory, of requests that went on";
+            "Request bodies dropped since bodies used too much memory, of requests that went on";
         r.register("released_bodies", what, self.released_bodies.clone());
-        let what = "Bytes of request bodies held for upstreams";
+        let what =
+            "Bytes of request bodies held for upstreams, and of responses that are collected";
         r.register("unsent_bytes", what, self.unsent_bytes.clone());
         r.register(
             "waiting",
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -15,7 +15,7 @@
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
 use crate::fleet::unread::Aborted;
-use crate::fleet::unsent::{Dropped, Fate};
+use crate::fleet::unsent::{Dropped, Fate, Part};
 use crate::log;
 
 /// Records that an attempt failed, and announces it to the scheduler. Connections to an unresponsive upstream are
@@ -110,7 +110,11 @@
 
 /// Records bodies that were dropped because all bodies exceeded their bound.
 pub fn record_dropped<D: Dialect>(process: &Process<D>, dropped: Vec<Dropped>) {
-    for Dropped { request, bytes, others, fate } in dropped {
+    for Dropped { request, part, bytes, others, fate } in dropped {
+        let part = match part {
+            Part::Request => "request",
+            Part::Response => "response",
+        };
         let fate = match fate {
             Fate::Aborted => {
                 process.metrics.aborted_requests.inc();
@@ -122,7 +126,9 @@
             }
         };
         if process.problem_lines.admit(process.now()).is_some() {
-            let what = format!("{request}: {bytes} bytes, {others} bytes of other bodies, {fate}");
+            let what = format!(
+                "{request}: {bytes} bytes of its {part}, {others} bytes of other bodies, {fate}"
+            );
             log::event(&process.log, Event::BodyDropped, what);
         }
     }
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -120,7 +120,7 @@
     pub last_compared: Mutex<Option<(Revision, u64)>>,
     /// Responses that their callers have not read completely.
     pub unread: Arc<unread::Buffers>,
-    /// Request bodies that are held for upstreams.
+    /// Request bodies that are held for upstreams, and responses that are collected.
     pub unsent: Arc<unsent::Bodies>,
     /// Directory entries that cannot be decoded.
     pub unreadable: unreadable::Entries,
--- a/daemon/src/fleet/unsent.rs
+++ b/daemon/src/fleet/unsent.rs
@@ -1,9 +1,9 @@
-//! Request bodies that are held for upstreams, with a bound on their total size.
+//! Request bodies that are held for upstreams, and responses that are collected whole, with a bound on their total size.
 //!
-//! Answers load where upstreams read bodies slowly or not at all, or callers send them slowly: each body is limited by
-//! the settings, but their number is not, and a process that exceeds the VM's memory is killed with all its requests.
-//! If all bodies together exceed the bound of the VM, the largest is dropped. Its request is aborted, unless an upstream
-//! has read the whole body: then the request continues, but cannot be retried.
+//! Answers load where upstreams read bodies or send responses slowly or not at all, or callers send bodies slowly: each
+//! body is limited, but their number is not, and a process that exceeds the VM's memory is killed with all its requests.
+//! If all bodies together exceed the bound of the VM, the largest is dropped. Its request is aborted, unless it is a
+//! request body that an upstream has read completely: then the request continues, but cannot be retried.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -22,9 +22,9 @@
 
 /// Message of the errors of aborted requests.
 pub const OUT_OF_MEMORY: &str =
-    "request bodies use too much memory of this VM, and this was the largest";
+    "bodies of requests and responses use too much memory of this VM, and this was the largest";
 
-/// The bodies of all requests of a VM.
+/// The bodies of all requests of a VM, and the responses that it collects.
 #[derive(Debug)]
 pub struct Bodies {
     /// Bound on the total size, bytes.
@@ -42,6 +42,7 @@
 #[derive(Debug)]
 struct Entry {
     request: id::Request,
+    part: Part,
     /// Bytes received so far; 0 after the body was dropped.
     bytes: usize,
     /// The complete body; empty before it was received and after it was dropped.
@@ -63,6 +64,15 @@
     Aborted,
 }
 
+/// What a body is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// The body of a request.
+    Request,
+    /// The body of a response.
+    Response,
+}
+
 /// What became of the request of a body that was dropped to free memory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fate {
@@ -77,6 +87,8 @@
 pub struct Dropped {
     /// The request of the body.
     pub request: id::Request,
+    /// What the body is.
+    pub part: Part,
     /// Bytes of the body that were held.
     pub bytes: usize,
     /// Bytes of all other bodies.
@@ -93,10 +105,16 @@
     }
 
     /// Begins to receive a body of this length; none if the length is not declared.
-    pub fn receive(self: &Arc<Bodies>, request: &id::Request, length: Option<usize>) -> Receiver {
+    pub fn receive(
+        self: &Arc<Bodies>,
+        request: &id::Request,
+        part: Part,
+        length: Option<usize>,
+    ) -> Receiver {
         let changed = Arc::new(Notify::new());
         let entry = Entry {
             request: request.clone(),
+            part,
             bytes: 0,
             content: Bytes::new(),
             is_sent: false,
@@ -144,8 +162,8 @@
             largest.state = if is_read { State::Released } else { State::Aborted };
             largest.content = Bytes::new();
             largest.changed.notify_one();
-            let request = largest.request.clone();
-            dropped.push(Dropped { request, bytes, others: self.bytes, fate });
+            let (request, part) = (largest.request.clone(), largest.part);
+            dropped.push(Dropped { request, part, bytes, others: self.bytes, fate });
         }
         dropped
     }
