--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -18,6 +18,7 @@
 use foldlock_request::terms::{self, Helper, Verdict};
 use foldlock_version::routes::Delivery;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::header;
 use hyper::{Request, Response, StatusCode, Uri};
 
@@ -35,6 +36,7 @@
 use crate::fleet::reservations::{self, Reservations};
 use crate::fleet::retry::History;
 use crate::fleet::stream::{Item, Started, Stream};
+use crate::fleet::unsent::Part;
 
 /// Timeout of a new connection. It is established within a few milliseconds, and an unreachable
 /// upstream does not respond at all.
@@ -81,6 +83,11 @@
     Broken(String),
     /// The deadline of the request passed.
     Deadline,
+    /// The body was dropped to free memory before the upstream had read it, or the response while it was collected.
+    Aborted {
+        /// Whether a part of the request may have been sent.
+        is_sent: bool,
+    },
 }
 
 /// Sends the request to its placement and waits for the response or its first events.
@@ -120,6 +127,7 @@
         () = job.process.aborting.cancelled() => {
             return End::Broken("VM shut down before the response was received".to_owned());
         }
+        () = job.body.aborted() => return End::Aborted { is_sent: job.body.is_sent() },
     };
     match ended {
         Ok(end) => end,
@@ -193,7 +201,8 @@
         // It may have been excluded while memory was reserved or the connection was opened.
         return End::Unsent(format!("upstream {upstream} is excluded: {reason}"));
     }
-    let request = build_request(job, placement, &reservations.helpers(&grant), last_event);
+    let Some(body) = job.body.send() else { return End::Aborted { is_sent: false } };
+    let request = build_request(job, body, placement, &reservations.helpers(&grant), last_event);
     let sent = job.process.now();
     job.process.metrics.count_upstream_messages(Sent::Request, 1);
     job.process.metrics.count_upstream_messages(Sent::Part, placement.flight.helpers.len());
@@ -303,6 +312,7 @@
 
 fn build_request<D: Dialect>(
     job: &Job<D>,
+    body: Bytes,
     placement: &Placement,
     helpers: &[Helper],
     last_event: Option<u64>,
@@ -322,7 +332,7 @@
         },
     );
     let target = job.head.uri.path_and_query().map_or("/", |path| path.as_str());
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(Full::new(body));
     *request.method_mut() = job.head.method.clone();
     *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
     *request.headers_mut() = headers;
@@ -346,8 +356,9 @@
         ..
     } = stream;
     let upstream = flight.upstream.clone();
-    let collected = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(collected) => collected.to_bytes(),
+    let collected = match collect(job, body).await {
+        Ok(Some(collected)) => collected,
+        Ok(None) => return End::Aborted { is_sent: true },
         Err(e) => {
             record_failure(job, &upstream, Cause::Malformed);
             crash::detect(job, &flight, incarnation).await;
@@ -355,7 +366,8 @@
         }
     };
     let now = job.process.now();
-    if has_length && !idle_timeout.is_zero() {
+    // A connection on which the body is still being sent cannot be reused, but would hold the body.
+    if has_length && !idle_timeout.is_zero() && !job.body.is_unread() {
         job.process.pool.put(&upstream, channel, idle_timeout, now);
     }
     if head.status.is_server_error() {
@@ -374,6 +386,27 @@
     End::Complete(Response::from_parts(head, Body::Buffered(reader)))
 }
 
+/// Collects a response. Returns none if it was dropped to free memory.
+async fn collect<D: Dialect>(
+    job: &Job<D>,
+    body: Incoming,
+) -> Result<Option<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+    let length = body.size_hint().exact().map(|length| length as usize);
+    let mut receiver = job.process.unsent.receive(&job.id, Part::Response, length);
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = receiver.dropped() => return Ok(None),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame.transpose()? else { return Ok(receiver.finish().bytes()) };
+        if let Some(bytes) = frame.data_ref() {
+            outcome::record_dropped(&job.process, receiver.push(bytes));
+        }
+    }
+}
+
 async fn read_first_events<D: Dialect>(
     job: &Arc<Job<D>>,
     head: http::response::Parts,
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -91,6 +91,12 @@
     pub aborted_responses: Counter,
     /// Response bytes that callers have not read.
     pub unread_bytes: Gauge,
+    /// Requests aborted because all bodies exceeded their bound.
+    pub aborted_requests: Counter,
+    /// Bodies dropped for the same reason whose requests continued without retries.
+    pub released_bodies: Counter,
+    /// Bytes of request bodies that are held for upstreams, and of responses that are collected.
+    pub unsent_bytes: Gauge,
     /// Requests queued at this VM's scheduler.
     pub queue_len: Gauge,
     /// Promised return times of rejected callers at this VM's scheduler, by outcome.
@@ -149,6 +155,9 @@
             drained_halls: Gauge::default(),
             aborted_responses: Counter::default(),
             unread_bytes: Gauge::default(),
+            aborted_requests: Counter::default(),
+            released_bodies: Counter::default(),
+            unsent_bytes: Gauge::default(),
             queue_len: Gauge::default(),
             promises: Family::default(),
             stored_promises: Gauge::default(),
--- a/daemon/src/fleet/metrics/registration.rs
+++ b/daemon/src/fleet/metrics/registration.rs
@@ -64,6 +64,14 @@
         let what = "Answers given up since their callers read too slowly";
         r.register("answers_given_up", what, self.aborted_responses.clone());
         r.register("unread_bytes", "Bytes that callers have not read", self.unread_bytes.clone());
+        let what = "Requests aborted since bodies of requests and responses used too much memory";
+        r.register("aborted_requests", what, self.aborted_requests.clone());
+        let what =
+            "Request bodies dropped since bodies used too much memory, of requests that went on";
+        r.register("released_bodies", what, self.released_bodies.clone());
+        let what =
+            "Bytes of request bodies held for upstreams, and of responses that are collected";
+        r.register("unsent_bytes", what, self.unsent_bytes.clone());
         r.register(
             "waiting",
             "Requests of all VMs that wait for a place here",
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -37,6 +37,7 @@
 use crate::fleet::pending_grants;
 use crate::fleet::unread;
 use crate::fleet::unreadable;
+use crate::fleet::unsent;
 use crate::fleet::withdrawals::Withdrawals;
 use crate::fleet::write_queue;
 pub use guard::Guard;
@@ -118,6 +119,8 @@
     pub last_compared: Mutex<Option<(Revision, u64)>>,
     /// Responses that their callers have not read completely.
     pub unread: Arc<unread::Buffers>,
+    /// Request bodies that are held for upstreams, and responses that are collected.
+    pub unsent: Arc<unsent::Bodies>,
     /// Directory entries that cannot be decoded.
     pub unreadable: unreadable::Entries,
     /// Pending writes to the directory, such as entries of quarantined requests.
@@ -192,6 +195,7 @@
             steps: Mutex::default(),
             last_compared: Mutex::default(),
             unread: unread::Buffers::new(config.fleet.memory()),
+            unsent: unsent::Bodies::new(config.fleet.memory()),
             unreadable: unreadable::Entries::default(),
             directory_writes: write_queue::Queue::default(),
             withdrawals: Withdrawals::default(),
