Grant requests: queued requests move to the current scheduler

Cause: a request stayed with the scheduler at which it was queued for as long as that replied, also if it was its own VM and all others used another one.

Change: a VM with a queued request checks every 25 ms, and at each reply that it is queued, whether it uses another scheduler by now, and requests the grant there.

Measured: a_queued_request_moves_to_the_scheduler_that_its_vm_uses_by_now fails without the change and passes with it.

--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -37,6 +37,10 @@
 /// Interval at which a queued request is sent again, to detect a scheduler that has failed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Interval at which a VM with a queued request checks whether it uses another scheduler by now. In the time until then, both
+/// place requests.
+const SCHEDULER_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Time for which a VM that has just started waits for the reply of a VM that precedes the others in
 /// the order: as long as for a grant reply of a scheduler that turns out to be down.
 const FIRST_REPLY_TIMEOUT: Duration =
@@ -360,9 +364,10 @@
             self.send(&scheduler);
             match self.next_reply(REPLY_TIMEOUT).await {
                 None => timeouts += 1,
+                Some(Reply::Queued) if self.is_outdated(&scheduler) => return Outcome::Queued,
                 Some(Reply::Queued) => {
                     timeouts = 0;
-                    if let Some(reply) = self.placement_within(RENEWAL_INTERVAL).await {
+                    if let Some(reply) = self.placement_within(RENEWAL_INTERVAL, &scheduler).await {
                         return self.outcome(reply);
                     }
                 }
@@ -420,19 +425,28 @@
         self.expiry.is_over(self.process)
     }
 
+    /// Whether this VM uses another scheduler by now. Two schedulers at once each count the grants of the other, so a
+    /// request that stays with the one that has fewer requests may get none.
+    fn is_outdated(&self, scheduler: &Scheduler) -> bool {
+        let current =
+            self.process.peers.scheduler(self.process.stopping.is_cancelled(), self.process.now());
+        current.is_some_and(|current| current != *scheduler)
+    }
+
     /// The next reply, if it arrives within `time`.
     async fn next_reply(&mut self, time: Duration) -> Option<Reply> {
         let deadline = (self.process.now() + time).min(self.expiry.at);
         tokio::time::timeout_at(deadline.into(), self.replies.recv()).await.ok().flatten()
     }
 
-    /// The next reply other than `Queued`, if it arrives within `time`.
-    async fn placement_within(&mut self, time: Duration) -> Option<Reply> {
-        let deadline = self.process.now() + time;
+    /// The next reply other than `Queued`, if it arrives within `time` and before this VM uses another scheduler.
+    async fn placement_within(&mut self, time: Duration, scheduler: &Scheduler) -> Option<Reply> {
+        let deadline = (self.process.now() + time).min(self.expiry.at);
         loop {
             let remaining = deadline.saturating_duration_since(self.process.now());
-            match self.next_reply(remaining).await {
+            match self.next_reply(remaining.min(SCHEDULER_CHECK_INTERVAL)).await {
                 Some(Reply::Queued) => {}
+                None if self.process.now() < deadline && !self.is_outdated(scheduler) => {}
                 reply => return reply,
             }
         }
