--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -191,10 +191,10 @@
                 Err(rejection) => return Reply::Rejected(rejection),
             }
         }
-        if let Some(rate) = limited_rate {
-            let ahead = self.queued_for(service);
+        if let Some(capacity) = cluster.limited_capacity(&found.name) {
+            let ahead = self.queued_before(service, &requirements);
             if let Err(limited) =
-                self.backlog.check(service, rate, &requirements, ahead, false, now)
+                self.backlog.check(service, &capacity, &requirements, ahead, false, now)
             {
                 return Reply::Rejected(limited);
             }
--- a/request/src/scheduler/queue.rs
+++ b/request/src/scheduler/queue.rs
@@ -75,6 +75,13 @@
         self.queue.iter().filter(|queued| queued.service == service).count()
     }
 
+    /// The number of queued requests of a service with an earlier deadline, or the same.
+    pub(super) fn queued_before(&self, service: Tag, requirements: &Requirements) -> usize {
+        let deadline = |of: &Requirements| of.arrived + of.objective;
+        let queued = self.queue.iter().filter(|queued| queued.service == service);
+        queued.filter(|queued| deadline(&queued.requirements) <= deadline(requirements)).count()
+    }
+
     /// Queued requests of a service, earliest deadline first.
     pub(super) fn keys_by_deadline(
         &self,
@@ -110,13 +117,13 @@
         now: Instant,
         replies: &mut Vec<(Key, Reply)>,
     ) {
-        let Some(rate) = cluster.limited_rate(&service.name) else { return };
+        let Some(capacity) = cluster.limited_capacity(&service.name) else { return };
         let mut ahead = 0;
         for key in self.keys_by_deadline(tag, |_| true) {
             let Some(queued) = self.queue.iter().find(|queued| queued.key == key) else {
                 continue;
             };
-            match self.backlog.check(tag, rate, &queued.requirements, ahead, true, now) {
+            match self.backlog.check(tag, &capacity, &queued.requirements, ahead, true, now) {
                 Ok(()) => ahead += 1,
                 Err(limited) => {
                     self.queue.retain(|queued| queued.key != key);
