Request bodies: a connection that holds an aborted body is not pooled

A response may be complete before the abort of its request takes effect. The table has no reference to a dropped body, so `is_unread` was false and the connection returned to the pool, where it held the rest of the body without being counted until its idle timeout. A body that was dropped before its upstream had read it now remains unread. The new test in daemon/tests/unsent.rs fails before the change.

--- a/daemon/src/fleet/unsent.rs
+++ b/daemon/src/fleet/unsent.rs
@@ -272,9 +272,14 @@
         self.entry(|entry| entry.state == State::Held)
     }
 
-    /// Whether a connection holds a part of the body that its upstream has not read.
+    /// Whether a connection may hold a part of the body that its upstream has not read.
     pub fn is_unread(&self) -> bool {
-        self.entry(|entry| !entry.content.is_empty() && !entry.content.is_unique())
+        self.entry(|entry| match entry.state {
+            State::Held => !entry.content.is_empty() && !entry.content.is_unique(),
+            State::Released => false,
+            // The connection keeps its reference until it is closed.
+            State::Aborted => true,
+        })
     }
 
     /// Waits until the body is dropped.
--- a/daemon/tests/unsent.rs
+++ b/daemon/tests/unsent.rs
@@ -113,6 +113,18 @@
     assert_eq!(bodies.bytes(), 0);
 }
 
+/// Guards against an idle connection that keeps the body of an aborted request, which no longer counts: the response may
+/// be complete before the abort takes effect.
+#[test]
+fn a_body_that_is_dropped_while_it_is_sent_remains_unread() {
+    let bodies = Bodies::new(400);
+    let body = received(&bodies, 1, 90);
+    let _sent = body.send();
+    let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
+    assert_eq!(dropped[0].fate, Fate::Aborted);
+    assert!(body.is_unread());
+}
+
 /// Guards against the abort of a request whose upstream needs nothing more from this VM.
 #[test]
 fn a_request_whose_body_was_read_continues_without_retries() {
