Request bodies: a request that waits after refusals is aborted at once

Between the attempts of a request that was refused everywhere, its body was still marked as sent by the last attempt, and the delay did not end when the body was dropped. Such a body was logged and counted as "continues without retries", although the request could only be aborted, and its response came after the delay of up to 800 ms in the test. The last attempt now ends before the delay, and the delay ends with the body.

A request whose body was dropped during the attempt that is refused is no longer delayed: it gets the error of that attempt, as docs/design/request-bodies.md says. This case has no test of its own.

--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -88,7 +88,11 @@
             Action::Respond(response) => return response,
             Action::Retry(proof) => proof,
             Action::RetryAfter(proof, delay) => {
-                tokio::time::sleep(delay).await;
+                job.body.begin_attempt();
+                tokio::select! {
+                    () = tokio::time::sleep(delay) => {}
+                    () = job.body.dropped() => {}
+                }
                 proof
             }
         };
@@ -255,6 +259,7 @@
     let excess = history.refused.checked_sub(job.route.max_attempts + MAX_EXTRA_ATTEMPTS)?;
     let delay = REFUSAL_RETRY_DELAY * 2_u32.checked_pow(excess)?;
     let may_wait = history.ran == 0
+        && job.body.is_held()
         && job.elapsed() + delay < job.route.objective.mul_f64(MAX_REFUSED_WAIT_SHARE)
         && !job.process.rejects_new_requests();
     may_wait.then_some(delay)
