Request bodies: wording

`Fate` was a figurative name: the type is now `Effect`, of a drop on the request of the body. The documentation of the Retry-After cause said that one body exceeded the memory of the VM, where all bodies together exceed their bound. No change of behaviour.

--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -15,7 +15,7 @@
 use crate::fleet::job::Job;
 use crate::fleet::process::Process;
 use crate::fleet::unread::Aborted;
-use crate::fleet::unsent::{Dropped, Fate, Part};
+use crate::fleet::unsent::{Dropped, Effect, Part};
 use crate::log;
 
 /// Records that an attempt failed, and announces it to the scheduler. Connections to an unresponsive upstream are
@@ -110,24 +110,24 @@
 
 /// Records bodies that were dropped because all bodies exceeded their bound.
 pub fn record_dropped<D: Dialect>(process: &Process<D>, dropped: Vec<Dropped>) {
-    for Dropped { request, part, bytes, others, fate } in dropped {
+    for Dropped { request, part, bytes, others, effect } in dropped {
         let part = match part {
             Part::Request => "request",
             Part::Response => "response",
         };
-        let fate = match fate {
-            Fate::Aborted => {
+        let effect = match effect {
+            Effect::Aborted => {
                 process.metrics.aborted_requests.inc();
                 "request aborted"
             }
-            Fate::Continued => {
+            Effect::Continued => {
                 process.metrics.released_bodies.inc();
                 "request continues without retries"
             }
         };
         if process.problem_lines.admit(process.now()).is_some() {
             let what = format!(
-                "{request}: {bytes} bytes of its {part}, {others} bytes of other bodies, {fate}"
+                "{request}: {bytes} bytes of its {part}, {others} bytes of other bodies, {effect}"
             );
             log::event(&process.log, Event::BodyDropped, what);
         }
--- a/daemon/src/fleet/unsent.rs
+++ b/daemon/src/fleet/unsent.rs
@@ -73,9 +73,9 @@
     Response,
 }
 
-/// What became of the request of a body that was dropped to free memory.
+/// Effect of a drop on the request of the body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
+pub enum Effect {
     /// It continues without retries.
     Continued,
     /// It is aborted.
@@ -93,8 +93,8 @@
     pub bytes: usize,
     /// Bytes of all other bodies.
     pub others: usize,
-    /// What became of the request.
-    pub fate: Fate,
+    /// Effect on the request.
+    pub effect: Effect,
 }
 
 impl Bodies {
@@ -158,12 +158,12 @@
             self.bytes -= bytes;
             // The connection drops its reference when the last byte is in the buffer of the socket.
             let is_read = largest.is_sent && largest.content.is_unique();
-            let fate = if is_read { Fate::Continued } else { Fate::Aborted };
+            let effect = if is_read { Effect::Continued } else { Effect::Aborted };
             largest.state = if is_read { State::Released } else { State::Aborted };
             largest.content = Bytes::new();
             largest.changed.notify_one();
             let (request, part) = (largest.request.clone(), largest.part);
-            dropped.push(Dropped { request, part, bytes, others: self.bytes, fate });
+            dropped.push(Dropped { request, part, bytes, others: self.bytes, effect });
         }
         dropped
     }
--- a/daemon/tests/unsent.rs
+++ b/daemon/tests/unsent.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use foldlock_base::id;
-use foldlockd::fleet::unsent::{Bodies, Body, Dropped, Fate, Part, Receiver};
+use foldlockd::fleet::unsent::{Bodies, Body, Dropped, Effect, Part, Receiver};
 use proptest::prelude::*;
 
 /// The memory of the smallest VMs, bytes.
@@ -49,7 +49,7 @@
             assert!(bodies.bytes() <= MAX_BYTES);
         }
     }
-    assert!(aborted.iter().all(|dropped| dropped.fate == Fate::Aborted));
+    assert!(aborted.iter().all(|dropped| dropped.effect == Effect::Aborted));
     // The bound is 427 reads. In the first round all bodies are equal, so the newest are aborted; then the largest.
     let served = receivers.into_iter().filter(|(_, receiver)| !is_ready(receiver.dropped()));
     let served: Vec<usize> = served.map(|(number, _)| number).collect();
@@ -67,7 +67,7 @@
         part: Part::Request,
         bytes: 50,
         others: 70,
-        fate: Fate::Aborted,
+        effect: Effect::Aborted,
     };
     assert_eq!(receiver.push(&[7; 40]), [expected]);
     assert!(is_ready(large.aborted()) && is_ready(large.dropped()));
@@ -90,7 +90,7 @@
         part: Part::Response,
         bytes: 60,
         others: 50,
-        fate: Fate::Aborted,
+        effect: Effect::Aborted,
     };
     assert_eq!(dropped, [expected]);
     assert!(is_ready(response.dropped()) && !is_ready(body.dropped()));
@@ -121,7 +121,7 @@
     let body = received(&bodies, 1, 90);
     let _sent = body.send();
     let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
-    assert_eq!(dropped[0].fate, Fate::Aborted);
+    assert_eq!(dropped[0].effect, Effect::Aborted);
     assert!(body.is_unread());
 }
 
@@ -132,7 +132,7 @@
     let read = received(&bodies, 1, 90);
     drop(read.send());
     let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
-    assert_eq!(dropped[0].fate, Fate::Continued);
+    assert_eq!(dropped[0].effect, Effect::Continued);
     assert!(!read.is_held() && is_ready(read.dropped()) && !is_ready(read.aborted()));
 }
 
@@ -148,7 +148,7 @@
             body.begin_attempt();
         }
         let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
-        assert_eq!(dropped[0].fate, Fate::Aborted);
+        assert_eq!(dropped[0].effect, Effect::Aborted);
         assert_eq!(body.is_sent(), is_sent);
     }
 }
@@ -213,14 +213,14 @@
                     let was_dropped = is_ready(receiver.dropped());
                     let dropped = receiver.push(&vec![7; length]);
                     model.bytes += if was_dropped { 0 } else { length };
-                    for Dropped { request: id, bytes, others, fate, .. } in dropped {
+                    for Dropped { request: id, bytes, others, effect, .. } in dropped {
                         prop_assert_eq!(models.values().map(|m| m.bytes).max(), Some(bytes));
                         let lost = models.iter_mut().find(|(number, _)| request(**number) == id);
                         let (_, lost) = lost.unwrap();
                         prop_assert_eq!(std::mem::take(&mut lost.bytes), bytes);
                         let is_read = lost.was_sent && lost.sent.is_none();
-                        let expected = if is_read { Fate::Continued } else { Fate::Aborted };
-                        prop_assert_eq!(fate, expected);
+                        let expected = if is_read { Effect::Continued } else { Effect::Aborted };
+                        prop_assert_eq!(effect, expected);
                         prop_assert_eq!(others, models.values().map(|m| m.bytes).sum::<usize>());
                     }
                 }
--- a/request/src/retry_after.rs
+++ b/request/src/retry_after.rs
@@ -17,7 +17,7 @@
     Full,
     /// No group of upstreams has capacity for a long prompt.
     FullForLongPrompts,
-    /// The request's body exceeded the memory of the VM.
+    /// Bodies of requests and responses exceeded their bound in the VM's memory, and the request had the largest.
     Memory,
 }
 
