Placement: a prompt that is not too long can be placed

Cause: with admission by forecasts, a prompt is too long only if it cannot be read in the time limit without the shortest response, but parts of that length were placed only up to the time limit without the mean response. A prompt between the two was admitted, and never placed on idle engines.

Change: both use the time limit without the shortest response, as docs/design/admission.md says. With admission by timeout, neither is used.

Measured (request/tests/placement.rs): a prompt that one idle engine reads in 3.7 s, with 3.9 s left, was not too long and not placed before, and is placed after.

--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -139,20 +139,12 @@
 
     /// Time in which a long prompt has to be read so that at least the shortest response ends within the
     /// caller's time.
-    fn most_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
-        self.left_before(forecast::shortest_response_ms(engine, self.prompt), now)
-    }
-
-    fn left_before(&self, response_ms: f64, now: Instant) -> Duration {
+    fn left_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
         let waited = now.saturating_duration_since(self.arrived);
+        let response_ms = forecast::shortest_response_ms(engine, self.prompt);
         let response = Duration::try_from_secs_f64(response_ms / 1e3).unwrap_or(Duration::MAX);
         self.caller.time_limit.saturating_sub(waited).saturating_sub(response)
     }
-
-    /// Time in which a long prompt has to be read so that its response ends within the caller's time.
-    fn left_for_prefill(&self, engine: &Engine, now: Instant) -> Duration {
-        self.left_before(forecast::long_response_ms(engine, self.answer(engine)), now)
-    }
 }
 
 /// The longest acceptable pause between events of a route's streams; none for responses that are
--- a/request/src/placement/group.rs
+++ b/request/src/placement/group.rs
@@ -82,7 +82,7 @@
     /// Its objective: a prompt that cannot meet it on idle engines is too long.
     #[default]
     Objective,
-    /// The caller's time limit less the time for the response. A late response is worth less than one
+    /// The caller's time limit less the time for the shortest response. A late response is worth less than one
     /// in time, but more than a rejection.
     TimeLimit,
 }
@@ -206,7 +206,7 @@
             Deadline::Objective => {
                 (MAX_PART_MS * 2.0).max(requirements.objective.as_secs_f64() * 1e3)
             }
-            Deadline::TimeLimit => requirements.most_for_prefill(engine, now).as_secs_f64() * 1e3,
+            Deadline::TimeLimit => requirements.left_for_prefill(engine, now).as_secs_f64() * 1e3,
         }
     };
     prefill_ms / engines as f64 > max_ms
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -474,7 +474,7 @@
     let too_long = |prompt: &Requirements, deadline, after| {
         placement::is_too_long(&cluster, &service, &ENGINE, prompt, deadline, now + after)
     };
-    let place = |deadline| {
+    let place_after = |deadline, after| {
         let prompts = [LongPrompt { requirements: &prompt, index: 0, class: 0 }];
         let queue = LongQueue {
             prompts: &prompts,
@@ -483,14 +483,17 @@
             kept: Kept::default(),
             deadline,
         };
-        placement::place_long(&cluster, &service, &ENGINE, queue, now).len()
+        placement::place_long(&cluster, &service, &ENGINE, queue, now + after).len()
     };
+    let place = |deadline| place_after(deadline, Duration::ZERO);
     assert!(too_long(&prompt, Deadline::Objective, Duration::ZERO));
     assert_eq!(place(Deadline::Objective), 0);
     assert!(!too_long(&prompt, Deadline::TimeLimit, Duration::ZERO));
     assert_eq!(place(Deadline::TimeLimit), 1);
     // What it has waited counts, and the time for the shortest response, one pass of 81 ms.
-    assert!(!too_long(&prompt, Deadline::TimeLimit, Duration::from_millis(11_100)));
+    let latest = Duration::from_millis(11_100);
+    assert!(!too_long(&prompt, Deadline::TimeLimit, latest));
+    assert_eq!(place_after(Deadline::TimeLimit, latest), 1, "placed while it is not too long");
     assert!(too_long(&prompt, Deadline::TimeLimit, Duration::from_millis(11_300)));
     // The memory of several engines stays bounded by the reservation timeout.
     let large = Requirements { caller, ..requirements(LONG, 300_000) };
