Scheduler: a backlog ends also when its callers have left

Cause: a round of placement ended the backlog of a service only if it had queued requests. When the callers of all of them had left, the measured rate of long prompts, which is that of the present backlog, stayed in use for 10 s, and the open segment of short prompts stayed open.

Change: each round ends the backlogs of services without queued requests.

--- a/request/src/scheduler.rs
+++ b/request/src/scheduler.rs
@@ -241,6 +241,10 @@
         let mut services: Vec<Tag> = self.queue.iter().map(|queued| queued.service).collect();
         services.sort_unstable();
         services.dedup();
+        // Their callers may have left since the last round.
+        for (_, outlook) in self.outlooks.iter_mut().filter(|(tag, _)| !services.contains(tag)) {
+            outlook.end_round(false, false, now);
+        }
         self.reject_quarantined(cluster, now, &mut replies);
         for tag in services {
             let Some(service) = find(table, tag) else {
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -776,6 +776,28 @@
     assert!(forecast(&mut fleet, 1_003).measured.is_zero(), "data of another backlog");
 }
 
+/// Guards against a forecast by the grants of an earlier backlog, here none in 2 s, which ended as the callers of all
+/// queued requests left.
+#[test]
+fn the_rate_of_a_backlog_is_dropped_when_its_callers_have_left() {
+    let mut fleet = by_forecast(2);
+    fleet.fill(2, 0, caller(0, 3_600_000));
+    let long = |now| Requirements { caller: caller(0, 15_000), ..long(100_000, now) };
+    assert!(matches!(fleet.request(own(1_001), long(fleet.now)), Reply::Queued));
+    for _ in 0..110 {
+        fleet.advance(20);
+        assert!(fleet.replies().is_empty());
+    }
+    fleet.cancel(&own(1_001));
+    fleet.replies();
+    fleet.advance(20);
+    fleet.scheduler.take_decisions();
+    let reply = fleet.request(own(1_002), long(fleet.now));
+    let decision = fleet.scheduler.take_decisions().decisions.pop().unwrap();
+    assert!(matches!(reply, Reply::Queued), "{reply:?}: {decision:?}");
+    assert!(decision.forecast.unwrap().measured.is_zero(), "{decision:?}");
+}
+
 /// Guards against a response that is cut because the rest of it would be rejected as a whole response.
 #[test]
 fn the_rest_of_a_response_is_queued_whatever_its_forecast() {
