Returns: a caller's patience does not limit its promised return

Cause: the last possible start up to which a return is promised included the caller's patience. It counts from the last event or the arrival of a request, so it begins anew when the caller returns; a caller whose patience was nearly over got no promise, although it could be served.

Change: the last possible start is that of the caller's time limit.

Measured (request/tests/scheduler.rs): a caller with 6 of 10 s left and a patience of 2 s gets a promise, and got none before.

--- a/request/src/scheduler/admission.rs
+++ b/request/src/scheduler/admission.rs
@@ -28,13 +28,6 @@
     pub in_time: bool,
 }
 
-impl Request {
-    /// Time until its last possible start.
-    pub fn left_to_start(&self) -> Duration {
-        self.time_limit.saturating_sub(self.waited).saturating_sub(self.service_time)
-    }
-}
-
 impl fmt::Display for Request {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Request { waited, time_limit, service_time, in_time } = *self;
--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -324,8 +324,10 @@
     mut record: Record,
 ) -> (Rejection, Record) {
     let remaining = candidate.remaining(requirements.caller.time_limit);
-    // A third of this is accepted: whoever returns later than its last possible start is rejected again.
-    let limited = remaining.min(candidate.request.left_to_start().saturating_mul(3));
+    // Whoever returns later than its last possible start is rejected again. Its patience begins anew with its return.
+    let left_to_start = remaining.saturating_sub(candidate.request.service_time);
+    // A third of this is accepted.
+    let limited = remaining.min(left_to_start.saturating_mul(3));
     let capacity = promise::capacity(service, requirements);
     let promised = promises.promise(
         requirements.fingerprint,
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -750,6 +750,23 @@
     assert!(is_promised(1_002, Duration::from_millis(500)));
 }
 
+/// Guards against callers that get no promise because they do not wait for the first event of this attempt any longer:
+/// their patience begins anew with the next one.
+#[test]
+fn a_caller_whose_patience_is_over_gets_a_promise() {
+    let mut fleet = by_forecast(10);
+    fleet.fill(10, 8, caller(0, 3_600_000));
+    fleet.advance(500);
+    let patience = Duration::from_secs(2);
+    let impatient = Caller { patience, ..caller(0, 10_000) };
+    let late = Requirements { caller: impatient, ..short(fleet.now - 2 * patience) };
+    let reply = fleet.request(own(1_001), late);
+    let Reply::Rejected(Rejection::Overloaded { promised, .. }) = reply else {
+        panic!("not rejected");
+    };
+    assert!(promised);
+}
+
 /// Guards against a forecast by which long prompts get their guaranteed share of the engines while short prompts use all
 /// slots.
 #[test]
