Returns: Retry-After of callers without a time limit is bounded

Cause: without a promise, a third of the caller's remaining time is stated. For a caller whose time is not limited, but who disconnects without events, this does not fit into the field of milliseconds and was truncated.

Change: at most the longest forecast, one hour.

Measured (request/tests/scheduler.rs): Retry-After was 6,148,914,691,236,515,871 ms, and is 3,600,000 ms at most.

--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -8,7 +8,7 @@
 use foldlock_version::routes::{Engine, Service};
 
 use super::admission::{decide, decide_new};
-use super::forecast::Kind;
+use super::forecast::{Kind, MAX_WAIT};
 use super::order::{Basis, Reason};
 use super::outlook::{Ahead, Arriving, Candidate, Outlook, Wait};
 use super::record::{Forecast, Outcome, Record, Return};
@@ -337,8 +337,9 @@
         forecast.returns_per_s,
         record.at,
     );
-    // All times before a third of the remaining time are promised to others.
-    let after = promised.unwrap_or(forecast.wait.max(remaining / 3));
+    // All times before a third of the remaining time are promised to others. That of a caller without a time limit has
+    // no end.
+    let after = promised.unwrap_or(forecast.wait.max((remaining / 3).min(MAX_WAIT)));
     record.returns = Some(Return { after, promised: promised.is_some() });
     let rejection = Rejection::Overloaded {
         after_ms: after.as_millis() as u64,
--- a/request/src/scheduler/forecast.rs
+++ b/request/src/scheduler/forecast.rs
@@ -18,7 +18,7 @@
 pub const LATE_SHARE: f64 = 1.0 / 8.0;
 
 /// Longest forecast. No caller waits for as long.
-const MAX_WAIT: Duration = Duration::from_secs(3_600);
+pub(super) const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
 /// Share of the time left within which a request must be forecast to start to count as in time: one
 /// prediction in ten is a third too low.
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -767,6 +767,29 @@
     assert!(promised);
 }
 
+/// Guards against a Retry-After of any length for callers whose time is not limited, but who disconnect without events.
+#[test]
+fn the_retry_after_of_a_caller_without_a_time_limit_is_bounded() {
+    let mut fleet = by_forecast(1);
+    fleet.fill(1, 5, caller(0, 3_600_000));
+    fleet.advance(500);
+    let patience = Duration::from_secs(2);
+    let unlimited = Caller { patience, ..Caller::default() };
+    let mut after = Vec::new();
+    for number in 0..100 {
+        let fingerprint = Fingerprint::of("", "", "", &[number as u8]);
+        let arrived = fleet.now - 2 * patience;
+        let late = Requirements { caller: unlimited, fingerprint, ..short(arrived) };
+        let reply = fleet.request(own(1_000 + number), late);
+        let Reply::Rejected(Rejection::Overloaded { after_ms, promised, .. }) = reply else {
+            panic!("not rejected");
+        };
+        after.push((after_ms, promised));
+    }
+    assert!(after.iter().any(|(_, promised)| !promised), "more callers than promises");
+    assert!(after.iter().all(|(after_ms, _)| *after_ms <= 3_600_000), "{after:?}");
+}
+
 /// Guards against a forecast by which long prompts get their guaranteed share of the engines while short prompts use all
 /// slots.
 #[test]
