Queue timeout: the mean service time of long prompts, tested

An engine with a zero rate in the settings made the conversion to a duration panic. The branch for short prompts had no callers left.

Change: forecast::mean_long_service_time returns a duration that saturates, and the one caller uses it directly.

--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -13,7 +13,6 @@
 use foldlock_request::forecast;
 use foldlock_request::placement::{self, Rejection, Requirements};
 use foldlock_request::retry_after;
-use foldlock_version::routes::Engine;
 
 use crate::fleet::grant_requests::{self, Expiry, Grant, Rejected};
 use crate::fleet::job::Job;
@@ -69,7 +68,11 @@
 /// Queue timeout of a long prompt from arrival where no forecast decides; none for others.
 fn long_timeout<D: Dialect>(job: &Job<D>, requirements: &Requirements) -> Option<Duration> {
     let engine = job.service.engine.as_ref()?;
-    let service_time = service_time(job, engine, Some(requirements.long_prefill_ms(engine)?));
+    let prefill_ms = requirements.long_prefill_ms(engine)?;
+    // Callers often allow far longer responses than usual; prompts would be rejected while engines are free.
+    let expected = job.terms.expected_answer.unwrap_or(engine.mean_answer);
+    let answer = expected.min(engine.mean_answer);
+    let service_time = forecast::mean_long_service_time(engine, prefill_ms, answer);
     let max_queue_time = (job.deadline - job.arrived).mul_f64(MAX_QUEUE_SHARE_LONG);
     Some(requirements.queue_timeout.saturating_sub(service_time).min(max_queue_time))
 }
@@ -176,21 +179,6 @@
     Ok(true)
 }
 
-/// Time that a request needs from its placement to the end of the response. `prefill_ms` is the
-/// prefill of a long prompt.
-///
-/// The response length that the caller expects is capped at the usual length: it is often far too
-/// high, and prompts would be rejected while engines are free.
-fn service_time<D: Dialect>(job: &Job<D>, engine: &Engine, prefill_ms: Option<f64>) -> Duration {
-    let expected = job.terms.expected_answer.unwrap_or(engine.mean_answer);
-    let answer = expected.min(engine.mean_answer);
-    let ms = match prefill_ms {
-        Some(prefill_ms) => forecast::long_service_ms(engine, prefill_ms, answer),
-        None => forecast::short_service_ms(engine, job.terms.prompt, answer),
-    };
-    Duration::from_secs_f64(ms / 1e3)
-}
-
 fn record_grant<D: Dialect>(
     job: &Job<D>,
     grant: &Grant,
--- a/request/src/forecast.rs
+++ b/request/src/forecast.rs
@@ -5,6 +5,7 @@
 //! of a request is one pass, and a long prefill in it makes that pause longer.
 
 use std::f64::consts::LN_2;
+use std::time::Duration;
 
 use foldlock_base::size::Tokens;
 use foldlock_version::routes::Engine;
@@ -48,7 +49,7 @@
 }
 
 /// Milliseconds that the response to a long prompt takes after its prefill.
-pub fn long_response_ms(engine: &Engine, answer: Tokens) -> f64 {
+fn long_response_ms(engine: &Engine, answer: Tokens) -> f64 {
     let pass_ms = pass_ms(engine, EXPECTED_DECODING, engine.memory.0 / 2);
     passes(engine, answer) * pass_ms * PREFILL_SLOWDOWN
 }
@@ -65,10 +66,11 @@
     pass_ms(engine, 1, prompt.0)
 }
 
-/// Milliseconds from the placement of a long prompt to the end of its response. `prefill_ms` is its
+/// The mean time from the placement of a long prompt to the end of its response. `prefill_ms` is its
 /// prefill on a single engine.
-pub fn long_service_ms(engine: &Engine, prefill_ms: f64, answer: Tokens) -> f64 {
-    prefill_ms / EXPECTED_PREFILL_PARTS + long_response_ms(engine, answer)
+pub fn mean_long_service_time(engine: &Engine, prefill_ms: f64, answer: Tokens) -> Duration {
+    let ms = prefill_ms / EXPECTED_PREFILL_PARTS + long_response_ms(engine, answer);
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::MAX)
 }
 
 /// Milliseconds from the placement of a short prompt to the end of its response, on an engine that is
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -462,6 +462,23 @@
     }
 }
 
+/// Guards against queue timeouts that change where no forecast decides: they leave time for the mean response, slowed down
+/// by prefills. And against a panic for an engine whose rates are zero.
+#[test]
+fn the_mean_service_time_is_that_of_the_mean_response() {
+    let service_time = |engine: &Engine, prefill_ms| {
+        forecast::mean_long_service_time(engine, prefill_ms, engine.mean_answer)
+    };
+    // A tenth of the prefill, and 30.3 passes of 65.7 ms for one and a half times as long.
+    let expected = Duration::from_millis(3_087)..Duration::from_millis(3_090);
+    let mean = service_time(&ENGINE, 1_000.0);
+    assert!(expected.contains(&mean), "{mean:?}");
+    let stopped = Engine { prefill_tokens_per_ms: 0.0, ..ENGINE };
+    let prefill_ms = requirements(LONG, 100_000).long_prefill_ms(&stopped).unwrap();
+    assert_eq!(service_time(&stopped, prefill_ms), Duration::MAX);
+    assert_eq!(requirements(LONG, 100_000).service_time(&stopped), Duration::MAX);
+}
+
 /// Guards against prompts that are rejected as too long although their callers wait long enough for
 /// a late response, and against such prompts that are admitted and then never placed.
 #[test]
