Scheduler: comments on returned callers name resumed streams

Cause: the rest of a stream that has begun has the same place in the queue as a caller that has returned, but the comments named only the latter.

Change: comments of two items. No test, as no code changes.

--- a/request/src/scheduler/outlook.rs
+++ b/request/src/scheduler/outlook.rs
@@ -185,7 +185,8 @@
 }
 
 impl Outlook {
-    /// The request as the forecast sees it. `returned`: its caller has returned at a promised time.
+    /// The request as the forecast sees it. `returned`: its caller has returned at a promised time, or is reading its
+    /// response already.
     pub(super) fn candidate(
         &self,
         engine: &Engine,
--- a/request/src/scheduler/queue.rs
+++ b/request/src/scheduler/queue.rs
@@ -19,7 +19,7 @@
     pub(super) service: Tag,
     pub(super) requirements: Requirements,
     pub(super) last_requested: Instant,
-    /// Whether its caller has returned at a promised time.
+    /// Whether its caller has returned at a promised time, or is reading its response already.
     pub(super) returned: bool,
     /// The forecast with which it was queued.
     pub(super) forecast: Option<Forecast>,
