--- a/request/src/scheduler/by_forecast.rs
+++ b/request/src/scheduler/by_forecast.rs
@@ -8,7 +8,7 @@
 use foldlock_version::routes::{Engine, Service};
 
 use super::admission::{decide, decide_new};
-use super::forecast::Kind;
+use super::forecast::{Kind, MAX_WAIT};
 use super::order::{Basis, Reason};
 use super::outlook::{Ahead, Arriving, Candidate, Outlook, Wait};
 use super::record::{Forecast, Outcome, Record, Return};
@@ -324,8 +324,10 @@
     mut record: Record,
 ) -> (Rejection, Record) {
     let remaining = candidate.remaining(requirements.caller.time_limit);
-    // A third of this is accepted: whoever returns later than its last possible start is rejected again.
-    let limited = remaining.min(candidate.request.left_to_start().saturating_mul(3));
+    // Whoever returns later than its last possible start is rejected again. Its patience begins anew with its return.
+    let left_to_start = remaining.saturating_sub(candidate.request.service_time);
+    // A third of this is accepted.
+    let limited = remaining.min(left_to_start.saturating_mul(3));
     let capacity = promise::capacity(service, requirements);
     let promised = promises.promise(
         requirements.fingerprint,
@@ -335,8 +337,9 @@
         forecast.returns_per_s,
         record.at,
     );
-    // All times before a third of the remaining time are promised to others.
-    let after = promised.unwrap_or(forecast.wait.max(remaining / 3));
+    // All times before a third of the remaining time are promised to others. That of a caller without a time limit has
+    // no end.
+    let after = promised.unwrap_or(forecast.wait.max((remaining / 3).min(MAX_WAIT)));
     record.returns = Some(Return { after, promised: promised.is_some() });
     let rejection = Rejection::Overloaded {
         after_ms: after.as_millis() as u64,
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -462,6 +462,23 @@
     }
 }
 
+/// Guards against queue timeouts that change where no forecast decides: they leave time for the mean response, slowed down
+/// by prefills. And against a panic for an engine whose rates are zero.
+#[test]
+fn the_mean_service_time_is_that_of_the_mean_response() {
+    let service_time = |engine: &Engine, prefill_ms| {
+        forecast::mean_long_service_time(engine, prefill_ms, engine.mean_answer)
+    };
+    // A tenth of the prefill, and 30.3 passes of 65.7 ms for one and a half times as long.
+    let expected = Duration::from_millis(3_087)..Duration::from_millis(3_090);
+    let mean = service_time(&ENGINE, 1_000.0);
+    assert!(expected.contains(&mean), "{mean:?}");
+    let stopped = Engine { prefill_tokens_per_ms: 0.0, ..ENGINE };
+    let prefill_ms = requirements(LONG, 100_000).long_prefill_ms(&stopped).unwrap();
+    assert_eq!(service_time(&stopped, prefill_ms), Duration::MAX);
+    assert_eq!(requirements(LONG, 100_000).service_time(&stopped), Duration::MAX);
+}
+
 /// Guards against prompts that are rejected as too long although their callers wait long enough for
 /// a late response, and against such prompts that are admitted and then never placed.
 #[test]
@@ -474,7 +491,7 @@
     let too_long = |prompt: &Requirements, deadline, after| {
         placement::is_too_long(&cluster, &service, &ENGINE, prompt, deadline, now + after)
     };
-    let place = |deadline| {
+    let place_after = |deadline, after| {
         let prompts = [LongPrompt { requirements: &prompt, index: 0, class: 0 }];
         let queue = LongQueue {
             prompts: &prompts,
@@ -483,14 +500,17 @@
             kept: Kept::default(),
             deadline,
         };
-        placement::place_long(&cluster, &service, &ENGINE, queue, now).len()
+        placement::place_long(&cluster, &service, &ENGINE, queue, now + after).len()
     };
+    let place = |deadline| place_after(deadline, Duration::ZERO);
     assert!(too_long(&prompt, Deadline::Objective, Duration::ZERO));
     assert_eq!(place(Deadline::Objective), 0);
     assert!(!too_long(&prompt, Deadline::TimeLimit, Duration::ZERO));
     assert_eq!(place(Deadline::TimeLimit), 1);
     // What it has waited counts, and the time for the shortest response, one pass of 81 ms.
-    assert!(!too_long(&prompt, Deadline::TimeLimit, Duration::from_millis(11_100)));
+    let latest = Duration::from_millis(11_100);
+    assert!(!too_long(&prompt, Deadline::TimeLimit, latest));
+    assert_eq!(place_after(Deadline::TimeLimit, latest), 1, "placed while it is not too long");
     assert!(too_long(&prompt, Deadline::TimeLimit, Duration::from_millis(11_300)));
     // The memory of several engines stays bounded by the reservation timeout.
     let large = Requirements { caller, ..requirements(LONG, 300_000) };
--- a/request/tests/scheduler.rs
+++ b/request/tests/scheduler.rs
@@ -750,6 +750,46 @@
     assert!(is_promised(1_002, Duration::from_millis(500)));
 }
 
+/// Guards against callers that get no promise because they do not wait for the first event of this attempt any longer:
+/// their patience begins anew with the next one.
+#[test]
+fn a_caller_whose_patience_is_over_gets_a_promise() {
+    let mut fleet = by_forecast(10);
+    fleet.fill(10, 8, caller(0, 3_600_000));
+    fleet.advance(500);
+    let patience = Duration::from_secs(2);
+    let impatient = Caller { patience, ..caller(0, 10_000) };
+    let late = Requirements { caller: impatient, ..short(fleet.now - 2 * patience) };
+    let reply = fleet.request(own(1_001), late);
+    let Reply::Rejected(Rejection::Overloaded { promised, .. }) = reply else {
+        panic!("not rejected");
+    };
+    assert!(promised);
+}
+
+/// Guards against a Retry-After of any length for callers whose time is not limited, but who disconnect without events.
+#[test]
+fn the_retry_after_of_a_caller_without_a_time_limit_is_bounded() {
+    let mut fleet = by_forecast(1);
+    fleet.fill(1, 5, caller(0, 3_600_000));
+    fleet.advance(500);
+    let patience = Duration::from_secs(2);
+    let unlimited = Caller { patience, ..Caller::default() };
+    let mut after = Vec::new();
+    for number in 0..100 {
+        let fingerprint = Fingerprint::of("", "", "", &[number as u8]);
+        let arrived = fleet.now - 2 * patience;
+        let late = Requirements { caller: unlimited, fingerprint, ..short(arrived) };
+        let reply = fleet.request(own(1_000 + number), late);
+        let Reply::Rejected(Rejection::Overloaded { after_ms, promised, .. }) = reply else {
+            panic!("not rejected");
+        };
+        after.push((after_ms, promised));
+    }
+    assert!(after.iter().any(|(_, promised)| !promised), "more callers than promises");
+    assert!(after.iter().all(|(after_ms, _)| *after_ms <= 3_600_000), "{after:?}");
+}
+
 /// Guards against a forecast by which long prompts get their guaranteed share of the engines while short prompts use all
 /// slots.
 #[test]
@@ -776,6 +816,28 @@
     assert!(forecast(&mut fleet, 1_003).measured.is_zero(), "data of another backlog");
 }
 
+/// Guards against a forecast by the grants of an earlier backlog, here none in 2 s, which ended as the callers of all
+/// queued requests left.
+#[test]
+fn the_rate_of_a_backlog_is_dropped_when_its_callers_have_left() {
+    let mut fleet = by_forecast(2);
+    fleet.fill(2, 0, caller(0, 3_600_000));
+    let long = |now| Requirements { caller: caller(0, 15_000), ..long(100_000, now) };
+    assert!(matches!(fleet.request(own(1_001), long(fleet.now)), Reply::Queued));
+    for _ in 0..110 {
+        fleet.advance(20);
+        assert!(fleet.replies().is_empty());
+    }
+    fleet.cancel(&own(1_001));
+    fleet.replies();
+    fleet.advance(20);
+    fleet.scheduler.take_decisions();
+    let reply = fleet.request(own(1_002), long(fleet.now));
+    let decision = fleet.scheduler.take_decisions().decisions.pop().unwrap();
+    assert!(matches!(reply, Reply::Queued), "{reply:?}: {decision:?}");
+    assert!(decision.forecast.unwrap().measured.is_zero(), "{decision:?}");
+}
+
 /// Guards against a response that is cut because the rest of it would be rejected as a whole response.
 #[test]
 fn the_rest_of_a_response_is_queued_whatever_its_forecast() {
