Attempts: a complete response takes precedence over an abort

Cause: when a response was complete and its request was aborted for memory, or the VM stopped, at the same moment, the select chose at random, and a response that was ready could be lost.

Change: the response is polled first. No test: the two would have to become ready between two polls.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -112,6 +112,8 @@
     tokio::pin!(sending);
     let until = job.deadline.min(job.process.now() + timeout);
     let ended = tokio::select! {
+        // A response that is complete by now is delivered, whatever else happened at the same moment.
+        biased;
         ended = tokio::time::timeout_at(until.into(), &mut sending) => ended,
         crashed = detect_crash(poller, job) => {
             let Crashed { upstream: engine, ending } = crashed;
