Retry budget: a scheduler relies on a confirmed size of the fleet

Cause: a VM that is cut off keeps its list of VMs.

Change: a larger number of VMs expires only once the list is confirmed, either by messages from all listed VMs or by the directory. A scheduler that takes over VMs from a scheduler that may still run, and had no confirmed list before, holds no slack until then. All VMs record the size of the fleet with their heartbeats, so that a VM that is cut off knows the size from before.

The new tests of intact fleets (start, restart in turn, removal, loss of all VMs) pass with the previous rule too, so the slack returns no later than before; the new test of a partition fails with it (220 retries).

--- a/daemon/src/fleet/heartbeat.rs
+++ b/daemon/src/fleet/heartbeat.rs
@@ -62,6 +62,7 @@
             () = tokio::time::sleep_until(next.into()) => {
                 let now = process.now();
                 mark_down(&process, now);
+                scheduler::record_size(&process, now);
                 let audience =
                     last_sent.audience(process.announce_to_all.load(Ordering::Relaxed), timing, now);
                 if audience == Audience::All {
--- a/daemon/src/fleet/scheduler.rs
+++ b/daemon/src/fleet/scheduler.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
+use foldlock_request::budget::Budget;
 use foldlock_request::cluster::{Cluster, Holder};
 use foldlock_request::dialect::Dialect;
 use foldlock_request::message::{self, GrantReply, GrantRequest, Message, Number};
@@ -64,10 +65,9 @@
     now: Instant,
 ) -> Reply {
     let Some(settings) = process.settings() else { return Reply::Rejected(Rejection::NoUpstream) };
-    let vms = process.peers.running_count();
     let mut scheduler = process.scheduler.lock().unwrap();
     let mut cluster = process.cluster.lock().unwrap();
-    scheduler.budget.record_contact(&key.holder, is_client, vms, now);
+    record_contact(process, &mut scheduler.budget, &key.holder, is_client, now);
     let reply = scheduler.request(&mut cluster, &settings.table, key, service, requirements, now);
     if matches!(reply, Reply::Queued) {
         process.cluster_changed.notify_one();
@@ -83,11 +83,10 @@
     requirements: &Requirements,
     now: Instant,
 ) -> Result<Placement, Rejection> {
-    let vms = process.peers.running_count();
     let tag = Tag::of(&service.name);
     let is_client = affiliation::contact_own(process);
     let mut scheduler = process.scheduler.lock().unwrap();
-    scheduler.budget.record_contact(&Holder::Own, is_client, vms, now);
+    record_contact(process, &mut scheduler.budget, &Holder::Own, is_client, now);
     scheduler.budget.check(tag, requirements.charge, now).map_err(Rejection::OverBudget)?;
     let placement = placement::place(&process.cluster.lock().unwrap(), service, requirements, now)?;
     scheduler.budget.charge(tag, requirements.charge, now).map_err(Rejection::OverBudget)?;
@@ -96,9 +95,37 @@
 
 /// Handles a heartbeat of a client, a VM whose share of the retry budget is kept here.
 pub fn on_client_heartbeat<D: Dialect>(process: &Process<D>, vm: &id::Vm, now: Instant) {
-    let vms = process.peers.running_count();
     let mut scheduler = process.scheduler.lock().unwrap();
-    scheduler.budget.record_contact(&Holder::Peer(vm.clone()), true, vms, now);
+    let vm = Holder::Peer(vm.clone());
+    record_contact(process, &mut scheduler.budget, &vm, true, now);
+}
+
+/// Records the size of the fleet in the retry budget, whether this VM is the scheduler or not.
+pub fn record_size<D: Dialect>(process: &Process<D>, now: Instant) {
+    let mut scheduler = process.scheduler.lock().unwrap();
+    scheduler.budget.record_size(process.peers.running_count(), now);
+    confirm_size(process, &mut scheduler.budget, now);
+}
+
+/// Records a message of a VM in the retry budget, with the size of the fleet as listed here.
+fn record_contact<D: Dialect>(
+    process: &Process<D>,
+    budget: &mut Budget,
+    vm: &Holder,
+    is_client: bool,
+    now: Instant,
+) {
+    budget.record_contact(vm, is_client, process.peers.running_count(), now);
+    confirm_size(process, budget, now);
+}
+
+/// Confirms the size of the fleet as of the time at which the settings were confirmed: the directory confirms both
+/// together.
+fn confirm_size<D: Dialect>(process: &Process<D>, budget: &mut Budget, now: Instant) {
+    let age = process.freshness.age(process.moment());
+    if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
+        budget.confirm_size(at);
+    }
 }
 
 /// Handles the cancellation of a peer's grant request.
--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -7,10 +7,11 @@
 //! No state is handed over to the next scheduler. A new scheduler starts with empty buckets and without slack:
 //! each VM is a client of one scheduler at a time, and its share of the slack counts there once it has been a
 //! client for a whole window. So slack that was spent by a scheduler which was then killed, suspended or
-//! partitioned is not spent a second time.
+//! partitioned is not spent a second time. A scheduler divides the slack by the size of the fleet, and holds none
+//! while it cannot know this size (see `size`).
 
 mod clients;
-mod peak;
+mod size;
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -23,7 +24,7 @@
 
 use clients::Clients;
 pub use clients::{Affiliation, Process};
-use peak::Peak;
+use size::Size;
 
 /// The parameters of the budget, from the operator's settings.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -64,11 +65,11 @@
 pub struct Exhausted {
     /// Retries counted against the slack in the last window.
     pub spent: u32,
-    /// The slack available to this scheduler.
+    /// The slack available to this scheduler: 0 while it does not know the size of the fleet.
     pub slack: u32,
     /// The clients whose shares make up this slack.
     pub clients: u32,
-    /// The VMs of the fleet.
+    /// The VMs of the fleet that this scheduler lists.
     pub vms: u32,
 }
 
@@ -93,10 +94,10 @@
 #[derive(Debug, Default)]
 pub struct Budget {
     parameters: Parameters,
-    /// The most VMs that the fleet had within the last window. A VM that has stopped still counts as a client for a
+    /// Its maximum is used, at least over the last window. A VM that has stopped still counts as a client for a
     /// while, and in a partition it counts for longer. With the current number, the shares of two schedulers
     /// could add up to more than the slack.
-    vms: Peak,
+    size: Size,
     clients: Clients,
     accounts: HashMap<Tag, Account>,
 }
@@ -119,12 +120,32 @@
 
     /// Records a message from a VM of a fleet of `vms`. `is_client` says whether it is a client of this scheduler.
     pub fn record_contact(&mut self, vm: &Holder, is_client: bool, vms: usize, now: Instant) {
-        self.vms.record(vms, self.parameters.window, now);
+        let window = self.parameters.window;
+        self.size.record(vms, window, now);
         // Before this VM is recorded, so that the tokens of expired VMs are dropped even if it is one of them.
-        if self.clients.expire(self.parameters.window, now) {
+        if self.clients.expire(window, now) {
             self.cap_tokens();
         }
         self.clients.record(vm, is_client, now);
+        // Only while there is no slack to lose: one VM that changes its scheduler does not affect the others.
+        if !is_client && self.clients.settled() == 0 {
+            self.size.record_takeover(window, now);
+        }
+        if self.clients.contacts() >= vms {
+            self.size.confirm(window, now);
+        }
+    }
+
+    /// Records the number of listed VMs, also while this VM is not a scheduler. If it becomes one when it is cut off, it
+    /// then knows the size that the fleet had before.
+    pub fn record_size(&mut self, vms: usize, now: Instant) {
+        self.size.record(vms, self.parameters.window, now);
+    }
+
+    /// Records that the list of VMs was the newest of the directory at a time. Without it, the list is confirmed only
+    /// by messages from all listed VMs.
+    pub fn confirm_size(&mut self, at: Instant) {
+        self.size.confirm(self.parameters.window, at);
     }
 
     /// Charges an attempt at a service, if the budget allows it.
@@ -166,7 +187,7 @@
             spent: spent as u32,
             slack: slack as u32,
             clients: self.clients.settled() as u32,
-            vms: self.vms.max() as u32,
+            vms: self.size.max() as u32,
         })
     }
 
@@ -205,6 +226,9 @@
     /// Returns how many retries may be counted against the slack in a window. If the slack is at least one per VM, a
     /// scheduler with a single client has one retry.
     fn slack(&self) -> f64 {
+        if !self.size.is_known() {
+            return 0.0;
+        }
         let slack = self.slack_of(self.clients.settled());
         (CLIENT_SLACK_SHARE * slack).max(slack.min(1.0))
     }
@@ -216,6 +240,6 @@
 
     /// Returns the share of the slack for this number of VMs.
     fn slack_of(&self, vms: usize) -> f64 {
-        self.parameters.slack * (vms as f64 / self.vms.max().max(1) as f64).min(1.0)
+        self.parameters.slack * (vms as f64 / self.size.max().max(1) as f64).min(1.0)
     }
 }
--- a/request/tests/budget_restarts.rs
+++ b/request/tests/budget_restarts.rs
@@ -278,6 +278,20 @@
         (within(&self.retries), allowed)
     }
 
+    /// Removes a range of VMs for good.
+    fn remove(&mut self, range: Range<usize>) {
+        for index in range {
+            self.vms[index].back = Some(self.now + Duration::from_secs(3_600));
+        }
+        self.elect_running();
+    }
+
+    /// Spends all of the slack, and returns the retries of the window that ends now.
+    fn spend(&mut self) -> usize {
+        self.apply(&Incident::Failures { each: 200 });
+        self.spent().0
+    }
+
     fn assert_within(&self) {
         let (spent, allowed) = self.spent();
         assert!(spent as f64 <= allowed, "{spent} repeats where {allowed:.1} are allowed");
@@ -329,6 +343,100 @@
     assert!(spent as f64 <= fleet.parameters.slack, "{spent}");
 }
 
+/// The part of the slack of 72 VMs that is distributed over the clients.
+const CLIENT_SLACK: usize = 162;
+
+/// Time after which a scheduler has the whole slack: its clients are bound to the former one for 0.45 of the window,
+/// count after a window, and the last one sends its heartbeat a second later.
+const TAKEOVER: Duration = Duration::from_millis(15_500);
+
+/// Guards against an intact fleet whose retries are rejected while its VMs start and are restarted in turn. Only a
+/// change of the scheduler costs slack, for no longer than before.
+#[test]
+fn an_intact_fleet_has_its_whole_slack_as_vms_start_and_restart_in_turn() {
+    let mut fleet = Fleet::new(72);
+    fleet.advance(HEARTBEAT);
+    assert_eq!(fleet.spend(), CLIENT_SLACK);
+    for part in (1..10).rev() {
+        fleet.apply(&Incident::Stop { from: part * 10, share: 10 });
+        fleet.advance(Duration::from_secs(5));
+        assert_eq!(fleet.spend(), CLIENT_SLACK, "while part {part} restarts");
+    }
+    fleet.apply(&Incident::Stop { from: 0, share: 10 });
+    fleet.advance(STOP + TAKEOVER);
+    assert_eq!(fleet.spend(), CLIENT_SLACK, "with the next scheduler");
+    fleet.apply(&Incident::Kill { from: 0, share: 100 });
+    fleet.advance(WINDOW + HEARTBEAT * 2);
+    assert_eq!(fleet.spend(), CLIENT_SLACK, "after the loss of all VMs");
+}
+
+/// Guards against an intact fleet that does not have its whole slack a window after VMs were removed, the scheduler
+/// among them or not.
+#[test]
+fn an_intact_fleet_has_its_whole_slack_after_vms_are_removed() {
+    for (removed, time) in [(1..66, WINDOW + HEARTBEAT), (0..5, TAKEOVER)] {
+        let mut fleet = Fleet::new(72);
+        fleet.advance(HEARTBEAT);
+        fleet.remove(removed.clone());
+        fleet.advance(time);
+        assert_eq!(fleet.spend(), CLIENT_SLACK, "without {removed:?}");
+    }
+}
+
+/// Guards against a partition that forms while VMs restart, and takes the VMs that it knows for the whole fleet. Its
+/// scheduler is new, or was the one of the fleet until then. The fleet's scheduler reaches the directory.
+#[test]
+fn a_partition_formed_in_a_restart_does_not_count_as_a_small_fleet() {
+    for (scheduler, share) in [(0, 11), (0, 23), (1, 23)] {
+        let mut fleet = Fleet::new(72);
+        fleet.apply(&Incident::Elect { vm: scheduler });
+        fleet.advance(TAKEOVER);
+        fleet.apply(&Incident::Stop { from: 24, share: 76 });
+        fleet.advance(STOP);
+        fleet.apply(&Incident::Elect { vm: 0 });
+        fleet.apply(&Incident::Partition { from: 2, share, together: true });
+        assert_eq!(fleet.running(), 17);
+        for _ in 0..60 {
+            fleet.advance(HEARTBEAT);
+            let now = fleet.now;
+            fleet.vms[0].budget.confirm_size(now);
+            fleet.spend();
+            fleet.assert_within();
+        }
+    }
+}
+
+/// Retries that a budget allows 20 s after 8 VMs of another scheduler turned to it, which lists 17 VMs.
+fn spend_of_eight(mut budget: Budget, start: Instant, confirms: bool) -> usize {
+    let mut now = start;
+    for second in 0..20 {
+        now = start + HEARTBEAT * second;
+        for index in 1..9 {
+            let vm = Holder::Peer(format!("vm-{index}").parse().unwrap());
+            budget.record_contact(&vm, second > 4, 17, now);
+        }
+        if confirms {
+            budget.confirm_size(now);
+        }
+    }
+    (0..200).filter(|_| budget.charge(Tag::of("model"), Charge::Withdraw, now).is_ok()).count()
+}
+
+/// Guards against a scheduler that holds no slack for as long as a listed VM is silent: the directory may confirm the
+/// list, or may have confirmed a larger one before.
+#[test]
+fn a_scheduler_that_does_not_reach_all_vms_has_slack_by_a_confirmed_list() {
+    let (start, new) = (Instant::now(), || Budget::new(parameters(72)));
+    assert_eq!(spend_of_eight(new(), start, false), 0, "17 VMs may be too few");
+    assert_eq!(spend_of_eight(new(), start, true), CLIENT_SLACK * 8 / 17);
+    let mut budget = new();
+    for second in 0..6 {
+        budget.record_size(72, start + HEARTBEAT * second);
+        budget.confirm_size(start + HEARTBEAT * second);
+    }
+    assert_eq!(spend_of_eight(budget, start + HEARTBEAT * 6, false), CLIENT_SLACK * 8 / 72);
+}
+
 fn incident() -> impl Strategy<Value = Incident> {
     let range = || (0usize..100, 1usize..100);
     prop_oneof![
