Retry budget: peers confirm the size of the fleet without own requests

A scheduler confirms its list of VMs by messages from all VMs on it. It lists itself, but records a message of its own only when it has a request. Without one, the list stayed unconfirmed while the directory was unavailable, and the scheduler held no slack although all other VMs sent heartbeats to it.

Messages from all other listed VMs now confirm the list. In the test fleet, the scheduler now records itself as its own client, as in the daemon.

--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -131,7 +131,8 @@
         if !is_client && self.clients.settled() == 0 {
             self.size.record_takeover(window, now);
         }
-        if self.clients.contacts() >= vms {
+        // Without requests of its own, this VM is no contact of itself.
+        if self.clients.peers() + 1 >= vms {
             self.size.confirm(window, now);
         }
     }
--- a/request/src/budget/clients.rs
+++ b/request/src/budget/clients.rs
@@ -117,4 +117,9 @@
     pub(super) fn contacts(&self) -> usize {
         self.seen.len()
     }
+
+    /// Returns the number of other VMs that have not timed out.
+    pub(super) fn peers(&self) -> usize {
+        self.seen.len() - usize::from(self.seen.contains_key(&Holder::Own))
+    }
 }
--- a/request/tests/budget_restarts.rs
+++ b/request/tests/budget_restarts.rs
@@ -193,7 +193,8 @@
             let now = fleet.schedulers.iter().find(|process| process.vm == former.vm);
             now.is_some_and(|process| process != former)
         };
-        let vm = Holder::Peer(self.vms[index].name.clone());
+        let peer = || Holder::Peer(self.vms[index].name.clone());
+        let vm = if index == scheduler { Holder::Own } else { peer() };
         let affiliation = &mut self.vms[index].affiliation;
         let is_client = affiliation.contact(&target, WINDOW, self.now, has_ended);
         let budget = &mut self.vms[scheduler].budget;
@@ -406,12 +407,12 @@
     }
 }
 
-/// Retries that a budget allows 20 s after 8 VMs of another scheduler turned to it, which lists 17 VMs.
-fn spend_of_eight(mut budget: Budget, start: Instant, confirms: bool) -> usize {
+/// Retries that a budget allows 20 s after peers turned to it from another scheduler. It lists 17 VMs.
+fn spend_of(peers: usize, mut budget: Budget, start: Instant, confirms: bool) -> usize {
     let mut now = start;
     for second in 0..20 {
         now = start + HEARTBEAT * second;
-        for index in 1..9 {
+        for index in 1..=peers {
             let vm = Holder::Peer(format!("vm-{index}").parse().unwrap());
             budget.record_contact(&vm, second > 4, 17, now);
         }
@@ -427,14 +428,22 @@
 #[test]
 fn a_scheduler_that_does_not_reach_all_vms_has_slack_by_a_confirmed_list() {
     let (start, new) = (Instant::now(), || Budget::new(parameters(72)));
-    assert_eq!(spend_of_eight(new(), start, false), 0, "17 VMs may be too few");
-    assert_eq!(spend_of_eight(new(), start, true), CLIENT_SLACK * 8 / 17);
+    assert_eq!(spend_of(8, new(), start, false), 0, "17 VMs may be too few");
+    assert_eq!(spend_of(8, new(), start, true), CLIENT_SLACK * 8 / 17);
     let mut budget = new();
     for second in 0..6 {
         budget.record_size(72, start + HEARTBEAT * second);
         budget.confirm_size(start + HEARTBEAT * second);
     }
-    assert_eq!(spend_of_eight(budget, start + HEARTBEAT * 6, false), CLIENT_SLACK * 8 / 72);
+    assert_eq!(spend_of(8, budget, start + HEARTBEAT * 6, false), CLIENT_SLACK * 8 / 72);
+}
+
+/// Guards against a scheduler without requests of its own that holds no slack while the directory is unavailable,
+/// although all other VMs send heartbeats to it.
+#[test]
+fn a_scheduler_without_own_requests_confirms_the_list_by_its_peers() {
+    let budget = Budget::new(parameters(72));
+    assert_eq!(spend_of(16, budget, Instant::now(), false), CLIENT_SLACK * 16 / 17);
 }
 
 fn incident() -> impl Strategy<Value = Incident> {
