Grant requests: no return to a scheduler that did not reply

Cause: a queued request moves to the scheduler that its VM uses by now. Any heartbeat makes a scheduler usable again after a timeout, so where only messages to it are lost, a request moved back after each heartbeat, spent 50 ms without a reply, and was cancelled at the scheduler that could grant it a placement. Found in the review.

Change: a request does not move to a scheduler that did not reply to it before.

--- a/daemon/src/fleet/grant_requests.rs
+++ b/daemon/src/fleet/grant_requests.rs
@@ -101,6 +101,7 @@
     mut requirements: Requirements,
     expiry: Expiry,
 ) -> Result<Grant, Rejected> {
+    let mut unresponsive = Vec::new();
     loop {
         let needs_listings = || !can_use_grant(process, service);
         wait_during_startup(process, expiry, Step::Listings, needs_listings).await;
@@ -108,7 +109,7 @@
             return Err(Rejection::NoUpstream.into());
         }
         wait_during_startup(process, expiry, Step::Scheduler, || awaits_scheduler(process)).await;
-        let mut pending = Pending::new(process, service, &requirements, expiry);
+        let mut pending = Pending::new(process, service, &requirements, &unresponsive, expiry);
         let scheduler = process.peers.scheduler(process.stopping.is_cancelled(), process.now());
         log_scheduler_change(process, scheduler.as_ref());
         let outcome = match scheduler {
@@ -127,6 +128,7 @@
             Outcome::NoReply(vm) => {
                 log::event(&process.log, Event::SchedulerTimeout, &vm);
                 process.peers.on_grant_timeout(&vm, process.now());
+                unresponsive.push(vm);
             }
             Outcome::Unavailable(upstream) => {
                 requirements.excluded.push(upstream);
--- a/daemon/src/fleet/grant_requests/pending.rs
+++ b/daemon/src/fleet/grant_requests/pending.rs
@@ -59,6 +59,8 @@
     process: &'a Arc<Process<D>>,
     service: &'a Service,
     requirements: &'a Requirements,
+    /// The schedulers that did not reply to this request.
+    unresponsive: &'a [id::Vm],
     expiry: Expiry,
     number: u64,
     replies: mpsc::UnboundedReceiver<Reply>,
@@ -70,11 +72,13 @@
         process: &'a Arc<Process<D>>,
         service: &'a Service,
         requirements: &'a Requirements,
+        unresponsive: &'a [id::Vm],
         expiry: Expiry,
     ) -> Pending<'a, D> {
         let number = process.cluster.lock().unwrap().next_number();
         let replies = process.pending_grants.add(number);
-        Pending { process, service, requirements, expiry, number, replies, scheduler: None }
+        let scheduler = None;
+        Pending { process, service, requirements, unresponsive, expiry, number, replies, scheduler }
     }
 
     /// Sends the grant request until the scheduler has granted or rejected it, or fails to reply.
@@ -147,11 +151,16 @@
     }
 
     /// Whether this VM uses another scheduler by now. Two schedulers at once each count the grants of the other, so a
-    /// request that stays with the one that has fewer requests may get none.
+    /// request that stays with the one that has fewer requests may get none. A scheduler that did not reply to this
+    /// request does not count: if only messages to it are lost, its heartbeats make it the current one again.
     fn is_outdated(&self, scheduler: &Scheduler) -> bool {
         let current =
             self.process.peers.scheduler(self.process.stopping.is_cancelled(), self.process.now());
-        current.is_some_and(|current| current != *scheduler)
+        current.is_some_and(|current| {
+            let is_unresponsive =
+                matches!(&current, Scheduler::Peer(vm, _) if self.unresponsive.contains(vm));
+            current != *scheduler && !is_unresponsive
+        })
     }
 
     /// The next reply, if it arrives within `time`.
