--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -8,10 +8,10 @@
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use standin::proxy::Mode;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-use crate::proxy::Mode;
 use crate::world::{Part, STOP_TIMEOUT, World};
 
 /// How long a server accepts requests after it announced that it is leaving.
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -14,7 +14,6 @@
 mod caller;
 mod fault;
 mod limits;
-mod proxy;
 mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -14,10 +14,9 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use standin::port::free;
+use standin::proxy::Proxy;
 use standin::server::Handle;
 
-use crate::proxy::Proxy;
-
 /// Number of VMs in a run.
 pub(crate) const VM_COUNT: usize = 3;
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod memory;
 pub mod plain;
 pub mod port;
+pub mod proxy;
 pub mod server;
 pub mod stream;
 pub mod vms;
--- a/daemon/tests/soak/proxy.rs
+++ b/standin/src/proxy.rs
@@ -4,16 +4,20 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Timeout of a connection that shows whether the queue of a listener is full.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// How a proxy treats its connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Mode {
+pub enum Mode {
+    /// All bytes are forwarded.
     Open,
     /// Bytes are delayed.
     Delayed(Duration),
@@ -25,11 +29,17 @@
     Reset,
     /// Connections are reset and the port is closed, as if the process behind it had exited.
     Closed,
+    /// No bytes are forwarded, and new connections are not established, as if the network were partitioned.
+    Unreachable,
+    /// Existing connections are kept, and new ones are refused.
+    RefusesNew,
 }
 
 /// A proxy for a target address that may change.
-pub(crate) struct Proxy {
-    pub(crate) address: SocketAddr,
+#[derive(Debug)]
+pub struct Proxy {
+    /// Where it listens.
+    pub address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     mode: watch::Sender<Mode>,
     task: JoinHandle<()>,
@@ -37,7 +47,7 @@
 
 impl Proxy {
     /// Starts a proxy in [`Mode::Open`].
-    pub(crate) async fn start(target: SocketAddr) -> Proxy {
+    pub async fn start(target: SocketAddr) -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let target = Arc::new(Mutex::new(target));
@@ -47,12 +57,12 @@
     }
 
     /// Sets the mode, for existing connections too.
-    pub(crate) fn set(&self, mode: Mode) {
+    pub fn set(&self, mode: Mode) {
         self.mode.send_replace(mode);
     }
 
     /// Sets the target of new connections.
-    pub(crate) fn set_target(&self, target: SocketAddr) {
+    pub fn set_target(&self, target: SocketAddr) {
         *self.target.lock().unwrap() = target;
     }
 }
@@ -77,18 +87,45 @@
             }
             closed = wait_closed(&mut modes) => {
                 drop(listener);
-                if !closed || modes.wait_for(|mode| *mode != Mode::Closed).await.is_err() {
+                let mode = *modes.borrow();
+                // Its queue is full, so that the system drops further connection requests.
+                let full = if mode == Mode::Unreachable { Some(full_listener(address).await) } else { None };
+                if !closed || modes.wait_for(|new| *new != mode).await.is_err() {
                     return;
                 }
+                drop(full);
                 listener = listen(address).await;
             }
         }
     }
 }
 
-/// Waits for [`Mode::Closed`]; false if the proxy was dropped.
+/// Waits for a mode without a listener; false if the proxy was dropped.
 async fn wait_closed(modes: &mut watch::Receiver<Mode>) -> bool {
-    modes.wait_for(|mode| *mode == Mode::Closed).await.is_ok()
+    modes
+        .wait_for(|mode| matches!(mode, Mode::Closed | Mode::Unreachable | Mode::RefusesNew))
+        .await
+        .is_ok()
+}
+
+/// Listens on an address without accepting, with a full queue of connections.
+async fn full_listener(address: SocketAddr) -> (Socket, Vec<TcpStream>) {
+    let socket = loop {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a free descriptor");
+        socket.set_reuse_address(true).expect("a socket takes the option");
+        if socket.bind(&address.into()).is_ok() {
+            break socket;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    socket.listen(0).expect("a bound socket listens");
+    let mut queued = Vec::new();
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(QUEUE_TIMEOUT, TcpStream::connect(address)).await
+    {
+        queued.push(stream);
+    }
+    (socket, queued)
 }
 
 /// Listens on the previous address again. Retries, since connections accepted last may hold the port for a
@@ -134,7 +171,10 @@
 ) {
     let mut buffer = vec![0; 16 << 10];
     while let Ok(length) = from.read(&mut buffer).await {
-        let blocked = |mode: &Mode| *mode == Mode::Blackhole || to_caller && *mode == Mode::OneWay;
+        let blocked = |mode: &Mode| {
+            matches!(mode, Mode::Blackhole | Mode::Unreachable)
+                || to_caller && *mode == Mode::OneWay
+        };
         let mode = modes.wait_for(|mode| !blocked(mode)).await.map(|mode| *mode);
         if let Ok(Mode::Delayed(delay)) = mode {
             tokio::time::sleep(delay).await;
