Dial: a service that no VM reaches is rejected at once

Cause: while no VM that responds reaches a service, each request was placed up to seven times, for up to two seconds, before its rejection. A peer that could not testify was not asked for any service for a second.

Change: after three connections in a row without a witness, a service counts as lost: new requests are rejected as not run, and the VM looks for the service every 200 ms, so that no request has to find out that it is back. Silence of a stream is judged since its last event. The dump and status show partitions, lost services and carried tunnels.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -113,6 +113,10 @@
     Partitioned = 413, Warning;
     /// This VM can connect to these upstreams again.
     PartitionEnded = 414, Info;
+    /// Neither this VM nor any peer that it asked reaches upstreams of a service: new requests to it are rejected at once.
+    ServiceLost = 415, Warning;
+    /// Upstreams of the service are reached again, directly or through a peer.
+    ServiceFound = 416, Info;
     /// A request was admitted.
     Admitted = 500, Debug;
     /// A request was queued.
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -47,6 +47,9 @@
         "requests": dump["requests"],
         "stopping": dump["stopping"],
         "drained_halls": dump["drained_halls"],
+        "partitions": dump["partitions"],
+        "lost_services": dump["lost_services"],
+        "carried_tunnels": dump["carried_tunnels"],
         "cold": cold(dump),
         "limited": limited(dump),
         "unread": dump["unread"],
@@ -102,6 +105,7 @@
         let revision = &hall["revision"];
         notes.push(format!("{name} drained by {}.{}", revision["era"], revision["number"]));
     }
+    notes.extend(unreachable(dump));
     match cold(dump) {
         0 => {}
         cold => notes.push(format!("{cold} cold")),
@@ -134,6 +138,28 @@
     notes.iter().map(|note| format!("  {note}")).collect()
 }
 
+/// Upstreams that the VM reaches through peers alone, or not at all, and what it carries for peers.
+fn unreachable(dump: &Value) -> Vec<String> {
+    let mut notes = Vec::new();
+    for partition in dump["partitions"].as_array().into_iter().flatten() {
+        let text = |field: &str| partition[field].as_str().unwrap_or_default().to_owned();
+        let since_s = partition["since_ms"].as_u64().unwrap_or(0) / 1_000;
+        notes.push(format!(
+            "{} in {} reached through peers for {since_s} s",
+            text("service"),
+            text("hall")
+        ));
+    }
+    for service in dump["lost_services"].as_array().into_iter().flatten() {
+        notes.push(format!("no path to {}", service.as_str().unwrap_or_default()));
+    }
+    match dump["carried_tunnels"].as_u64().unwrap_or(0) {
+        0 => {}
+        carried => notes.push(format!("{carried} tunnels carried for peers")),
+    }
+    notes
+}
+
 /// The slowest engines, and who fetched the report that says so.
 fn slow(dump: &Value) -> Vec<String> {
     let upstreams = dump["upstreams"].as_array().into_iter().flatten();
--- a/connection/src/tunnel.rs
+++ b/connection/src/tunnel.rs
@@ -54,6 +54,8 @@
 pub enum Failure {
     /// The peer did not respond, or carries no tunnels now: this says nothing about the upstream.
     Unavailable(String),
+    /// The peer does not reach the upstream, and cannot tell whether its own path has failed.
+    Unknown,
     /// The peer reaches other upstreams, but this one refuses its connections.
     Refused,
     /// The peer reaches other upstreams, but this one does not respond to it.
@@ -64,6 +66,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Failure::Unavailable(why) => f.write_str(why),
+            Failure::Unknown => f.write_str("the peer may have lost its path to the upstream"),
             Failure::Refused => f.write_str("the upstream refuses connections of the peer"),
             Failure::Unreachable => f.write_str("the upstream does not respond to the peer"),
         }
@@ -131,6 +134,7 @@
     let response = sender.send_request(request).await.map_err(|e| unavailable(chain(&e)))?;
     match response.status() {
         StatusCode::SWITCHING_PROTOCOLS => {}
+        StatusCode::FAILED_DEPENDENCY => return Err(Failure::Unknown),
         StatusCode::BAD_GATEWAY => return Err(Failure::Refused),
         StatusCode::GATEWAY_TIMEOUT => return Err(Failure::Unreachable),
         status => return Err(unavailable(format!("the peer responded {status}"))),
--- a/daemon/src/fleet/dial.rs
+++ b/daemon/src/fleet/dial.rs
@@ -18,7 +18,7 @@
 use tokio::task::JoinHandle;
 
 use crate::fleet::process::Process;
-use crate::fleet::tunnel_client;
+use crate::fleet::tunnel_client::{self, Target};
 use crate::log;
 
 /// Timeout of a direct connection. It is established within a few milliseconds, and an unreachable upstream does not
@@ -29,6 +29,9 @@
 /// keep working.
 const SUSPECTED_MAX_IDLE: Duration = Duration::from_millis(500);
 
+/// Interval between connections that look for a lost service.
+const FIND_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Connections to other upstreams by which this VM checks its own path before it testifies.
 const CONTROL_CONNECTIONS: usize = 2;
 
@@ -41,14 +44,6 @@
     pub why: String,
 }
 
-/// An upstream to connect to.
-#[derive(Debug, Clone)]
-struct Target {
-    upstream: id::Upstream,
-    service: String,
-    hall: String,
-}
-
 /// Opens a connection to an upstream at `address`, `IP:port`.
 pub async fn connect<D: Dialect>(
     process: &Arc<Process<D>>,
@@ -73,7 +68,7 @@
     };
     match failed {
         Some(failure) => {
-            let tunnel = tunnel_client::open(process, upstream, &target.hall).await;
+            let tunnel = tunnel_client::open(process, &target).await;
             conclude(process, &target, failure, tunnel).await
         }
         None => race(process, target, direct).await,
@@ -89,8 +84,8 @@
     target: Target,
     mut direct: Direct,
 ) -> Result<Channel, Failure> {
-    let (upstream, hall) = (target.upstream.clone(), target.hall.clone());
-    let tunnel = tunnel_client::open(process, &upstream, &hall);
+    let tunnel_target = target.clone();
+    let tunnel = tunnel_client::open(process, &tunnel_target);
     tokio::pin!(tunnel);
     let ended = |direct: Result<_, tokio::task::JoinError>| {
         direct.unwrap_or_else(|e| Err(channel::Failure::Unsent(e.to_string())))
@@ -108,6 +103,7 @@
     };
     match tunnelled {
         Ok((tunnel, via)) => {
+            record_found(process, &target.service);
             let process = process.clone();
             tokio::spawn(async move {
                 if ended(direct.await).is_err() {
@@ -134,11 +130,15 @@
     let why = reason(failure);
     match tunnelled {
         Ok((tunnel, via)) => {
+            record_found(process, &target.service);
             record_disproved(process, target);
             Channel::through(tunnel, via).await.map_err(unconfirmed)
         }
         Err(testimonies) => {
             let verdict = reachability::judge(is_refused, &testimonies);
+            if verdict == Verdict::Unknown {
+                record_unknown(process, target);
+            }
             let why = match testimonies.len() {
                 0 => why,
                 asked => format!("{why}; not reached through {asked} peers"),
@@ -187,11 +187,7 @@
     if process.reachability.lock().unwrap().reaches_service(service, now) {
         return true;
     }
-    let others: Vec<id::Upstream> = {
-        let cluster = process.cluster.lock().unwrap();
-        let is_other = |listed: &&Listed| listed.service == service && listed.id != *except;
-        cluster.listings().filter(is_other).map(|listed| listed.id.clone()).collect()
-    };
+    let others = upstreams_of(process, service, Some(except));
     let chosen = others.choose_multiple(&mut rand::rng(), CONTROL_CONNECTIONS);
     let mut connecting: FuturesUnordered<_> = chosen
         .filter_map(|other| listed(process, other))
@@ -225,7 +221,8 @@
 pub fn record_reached<D: Dialect>(process: &Process<D>, service: &str, hall: &str) {
     let now = process.now();
     let change = process.reachability.lock().unwrap().on_reached(service, hall, now);
-    log_change(process, change);
+    log_change(process, service, change);
+    record_found(process, service);
 }
 
 fn record_disproved<D: Dialect>(process: &Process<D>, target: &Target) {
@@ -234,10 +231,58 @@
         let mut reachability = process.reachability.lock().unwrap();
         reachability.on_disproved(&target.service, &target.hall, now)
     };
-    log_change(process, change);
+    log_change(process, &target.service, change);
+}
+
+/// Records that neither this VM nor a peer could tell about an upstream. If its service is lost with that, looks for it until
+/// it is reached again, so that no request has to.
+fn record_unknown<D: Dialect>(process: &Arc<Process<D>>, target: &Target) {
+    let change = process.reachability.lock().unwrap().on_unknown(&target.service);
+    if change.is_some() {
+        tokio::spawn(find_service(process.clone(), target.service.clone()));
+    }
+    log_change(process, &target.service, change);
+}
+
+async fn find_service<D: Dialect>(process: Arc<Process<D>>, service: String) {
+    loop {
+        tokio::time::sleep(FIND_INTERVAL).await;
+        let is_lost = process.reachability.lock().unwrap().is_lost(&service);
+        if !is_lost || process.stopping.is_cancelled() {
+            return;
+        }
+        let upstreams = upstreams_of(&process, &service, None);
+        let chosen = upstreams.choose(&mut rand::rng()).cloned();
+        if let Some((target, address)) = chosen.and_then(|upstream| listed(&process, &upstream)) {
+            // A success is recorded with the connection, which is not needed any more.
+            let _ = connect(&process, &target.upstream, &address).await;
+        }
+    }
+}
+
+/// The listed upstreams of a service, without one of them.
+fn upstreams_of<D: Dialect>(
+    process: &Process<D>,
+    service: &str,
+    except: Option<&id::Upstream>,
+) -> Vec<id::Upstream> {
+    let cluster = process.cluster.lock().unwrap();
+    let is_chosen =
+        |listed: &&Listed| listed.service == service && except.is_none_or(|id| *id != listed.id);
+    cluster.listings().filter(is_chosen).map(|listed| listed.id.clone()).collect()
+}
+
+/// Whether requests to a service cannot be served now, by any path.
+pub fn is_lost<D: Dialect>(process: &Process<D>, service: &str) -> bool {
+    process.reachability.lock().unwrap().is_lost(service)
+}
+
+fn record_found<D: Dialect>(process: &Process<D>, service: &str) {
+    let change = process.reachability.lock().unwrap().on_found(service);
+    log_change(process, service, change);
 }
 
-fn log_change<D: Dialect>(process: &Process<D>, change: Option<Change>) {
+fn log_change<D: Dialect>(process: &Process<D>, service: &str, change: Option<Change>) {
     let Some(change) = change else { return };
     if process.problem_lines.admit(process.now()).is_none() {
         return;
@@ -245,13 +290,13 @@
     let (event, partition) = match change {
         Change::Began(partition) => (Event::Partitioned, partition),
         Change::Ended(partition) => (Event::PartitionEnded, partition),
+        Change::Lost => return log::event(&process.log, Event::ServiceLost, service),
+        Change::Found => return log::event(&process.log, Event::ServiceFound, service),
     };
     let lasted = process.now().saturating_duration_since(partition.since);
-    let group = partition.group;
     let what = format!(
-        "upstreams of {} in {}, {} ms after the first failed connection",
-        group.service,
-        group.hall,
+        "upstreams of {service} in {}, {} ms after the first failed connection",
+        partition.group.hall,
         lasted.as_millis()
     );
     log::event(&process.log, event, what);
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -152,7 +152,8 @@
             }
             RelayEnd::Broken { why, unresponsive } => (why, unresponsive),
         };
-        stream.fail(&job, unresponsive).await;
+        let silent_since = progress.last_at.filter(|_| unresponsive);
+        stream.fail(&job, silent_since).await;
         history.ran += 1;
         history.excluded.push(upstream.clone());
         let resumed = resume(&job, &mut history, &progress, upstream, &why, &writer).await;
--- a/daemon/src/fleet/metrics/labels.rs
+++ b/daemon/src/fleet/metrics/labels.rs
@@ -54,6 +54,8 @@
     Opened,
     /// It does not reach the upstream either.
     Unreachable,
+    /// It does not reach the upstream, and may have lost its own path.
+    Unknown,
     /// It did not respond, or carries no tunnels now.
     Unavailable,
 }
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -13,6 +13,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::quarantine::Verdict;
+use foldlock_request::reachability::Partition;
 use foldlock_request::ring::Item;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -262,6 +263,10 @@
         })
         .collect();
     let quarantined: Vec<_> = cluster.quarantined().collect();
+    let reachability = process.reachability.lock().unwrap();
+    let partitions: Vec<_> = reachability.partitions().map(|p| partition(&p, now)).collect();
+    let lost: Vec<_> = reachability.lost().map(str::to_owned).collect();
+    drop(reachability);
     let drained: Vec<_> = cluster.halls().drained().collect();
     json!({
         "drained_halls": drained,
@@ -276,6 +281,9 @@
         "version": process.version(),
         "settings_age_ms": process.freshness.age(process.moment()).map(|age| age.as_millis() as u64),
         "peers": process.peers.dump(now),
+        "partitions": partitions,
+        "lost_services": lost,
+        "carried_tunnels": process.tunnels.carried(),
         "waiting": waiting,
         "scheduling": scheduling,
         "idle_connections": process.pool.len(),
@@ -286,6 +294,15 @@
     })
 }
 
+/// Upstreams that this VM cannot connect to while peers can.
+fn partition(partition: &Partition, now: Instant) -> serde_json::Value {
+    let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+    json!({
+        "service": partition.group.service, "hall": partition.group.hall,
+        "since_ms": age(partition.since), "last_failure_ms": age(partition.last_failure),
+    })
+}
+
 /// The age of the newest report of an engine, and whether this VM fetched it itself.
 fn report(upstream: &Upstream, now: Instant) -> Option<serde_json::Value> {
     let age = now.saturating_duration_since(upstream.observed?.at);
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -14,6 +14,7 @@
 use foldlock_request::placement::{self, Rejection, Requirements};
 use foldlock_request::retry_after;
 
+use crate::fleet::dial;
 use crate::fleet::grant_requests::{self, Expiry, Grant, Rejected};
 use crate::fleet::job::Job;
 use crate::fleet::metrics::{ByLimited, Limited};
@@ -116,6 +117,9 @@
     if let Err(quarantined @ Rejection::Quarantined { .. }) = isolation {
         return Err(quarantined);
     }
+    if !stream_begun && dial::is_lost(&job.process, &job.service.name) {
+        return Err(Rejection::NoUpstream);
+    }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
     let mut requirements = job.requirements(&history.excluded, history.charge());
     if stream_begun {
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -93,13 +93,12 @@
         }
     }
 
-    /// Records that the stream failed: its upstream sent nothing in time, or the stream was truncated. In the latter
-    /// case it is checked whether the upstream crashed.
-    pub async fn fail(self, job: &Arc<Job<D>>, unresponsive: bool) {
-        if unresponsive {
-            outcome::record_silence(job, &self.flight.upstream, self.sent);
-        } else {
-            outcome::record_broken(job, &self.flight, self.incarnation).await;
+    /// Records that the stream failed: its upstream has sent nothing since a time, or the stream was truncated. In the
+    /// latter case it is checked whether the upstream crashed.
+    pub async fn fail(self, job: &Arc<Job<D>>, silent_since: Option<Instant>) {
+        match silent_since {
+            Some(at) => outcome::record_silence(job, &self.flight.upstream, at),
+            None => outcome::record_broken(job, &self.flight, self.incarnation).await,
         }
     }
 }
--- a/daemon/src/fleet/tunnels.rs
+++ b/daemon/src/fleet/tunnels.rs
@@ -1,4 +1,4 @@
-//! The tunnels that this VM carries for peers, and the peers that carry none now.
+//! The tunnels that this VM carries for peers, and the peers that open none for it now.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -11,14 +11,14 @@
 /// Share of the VM's memory for the tunnels that it carries.
 const MEMORY_SHARE: f64 = 0.1;
 
-/// How long a peer that carries no tunnels is not asked.
+/// How long a peer that opened no tunnel to a service is not asked again.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
 /// The tunnels of this VM, and those that it carries.
 #[derive(Debug)]
 pub struct Tunnels {
-    /// When peers that carried no tunnel may be asked again.
-    paused: Mutex<HashMap<id::Vm, Instant>>,
+    /// When peers that opened no tunnel to a service may be asked again.
+    paused: Mutex<HashMap<(id::Vm, String), Instant>>,
     carried: AtomicUsize,
     max_carried: usize,
 }
@@ -50,15 +50,16 @@
         self.carried.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Whether a peer is not asked for tunnels now.
-    pub fn is_paused(&self, vm: &id::Vm, now: Instant) -> bool {
-        self.paused.lock().unwrap().get(vm).is_some_and(|until| *until > now)
+    /// Whether a peer is not asked for tunnels to a service now.
+    pub fn is_paused(&self, vm: &id::Vm, service: &str, now: Instant) -> bool {
+        let key = (vm.clone(), service.to_owned());
+        self.paused.lock().unwrap().get(&key).is_some_and(|until| *until > now)
     }
 
-    /// Records that a peer carries no tunnels now.
-    pub fn pause(&self, vm: &id::Vm, now: Instant) {
+    /// Records that a peer opens no tunnels to a service now.
+    pub fn pause(&self, vm: &id::Vm, service: &str, now: Instant) {
         let mut paused = self.paused.lock().unwrap();
         paused.retain(|_, until| *until > now);
-        paused.insert(vm.clone(), now + PAUSE);
+        paused.insert((vm.clone(), service.to_owned()), now + PAUSE);
     }
 }
--- a/request/src/reachability.rs
+++ b/request/src/reachability.rs
@@ -14,6 +14,9 @@
 /// Failed connections in a row that peers could open, from which a group counts as partitioned.
 const MIN_FAILURES: u32 = 2;
 
+/// Connections in a row that failed here and at all peers, without a witness, from which a service counts as lost.
+const MIN_LOST: u32 = 3;
+
 /// Age of the last direct connection to a service up to which it shows that this VM reaches the service.
 const EVIDENCE_MAX_AGE: Duration = Duration::from_secs(1);
 
@@ -40,6 +43,10 @@
 /// A change to be logged.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
+    /// A service has been lost: neither this VM nor a peer that was asked reaches any of its upstreams.
+    Lost,
+    /// A lost service is reached again, directly or through a peer.
+    Found,
     /// A partition was detected.
     Began(Partition),
     /// A direct connection succeeded again.
@@ -71,9 +78,41 @@
 #[derive(Debug, Default)]
 pub struct Reachability {
     paths: Vec<Path>,
+    /// Services, each with the connections to its upstreams in a row that failed without a witness.
+    lost: Vec<(String, u32)>,
 }
 
 impl Reachability {
+    /// Records that an upstream could not be reached, and that no peer could tell why. Returns whether its service is lost with
+    /// that.
+    pub fn on_unknown(&mut self, service: &str) -> Option<Change> {
+        let index = self.lost.iter().position(|(lost, _)| lost == service).unwrap_or_else(|| {
+            self.lost.push((service.to_owned(), 0));
+            self.lost.len() - 1
+        });
+        let failures = &mut self.lost[index].1;
+        *failures += 1;
+        (*failures == MIN_LOST).then_some(Change::Lost)
+    }
+
+    /// Records that an upstream of a service was reached by any path. Returns whether the service was lost before.
+    pub fn on_found(&mut self, service: &str) -> Option<Change> {
+        let entry = self.lost.iter_mut().find(|(lost, _)| lost == service)?;
+        let failures = std::mem::take(&mut entry.1);
+        (failures >= MIN_LOST).then_some(Change::Found)
+    }
+
+    /// Whether a service is lost.
+    pub fn is_lost(&self, service: &str) -> bool {
+        self.lost.iter().any(|(lost, failures)| lost == service && *failures >= MIN_LOST)
+    }
+
+    /// The lost services.
+    pub fn lost(&self) -> impl Iterator<Item = &str> {
+        let lost = self.lost.iter().filter(|(_, failures)| *failures >= MIN_LOST);
+        lost.map(|(service, _)| service.as_str())
+    }
+
     /// Records that an upstream of a group was reached directly.
     pub fn on_reached(&mut self, service: &str, hall: &str, now: Instant) -> Option<Change> {
         let path = self.path(service, hall, now);
--- a/request/tests/reachability.rs
+++ b/request/tests/reachability.rs
@@ -132,3 +132,20 @@
         prop_assert!(!reachability.partitions().any(|p| p.group.hall == HALL));
     }
 }
+
+#[test]
+fn a_service_is_lost_after_three_connections_without_a_witness_until_any_path_works() {
+    let mut reachability = Reachability::default();
+    assert_eq!(reachability.on_unknown(SERVICE), None);
+    assert_eq!(reachability.on_unknown("plain"), None);
+    assert_eq!(reachability.on_unknown(SERVICE), None);
+    assert_eq!(reachability.on_found(SERVICE), None, "it was not lost");
+    for _ in 0..2 {
+        assert_eq!(reachability.on_unknown(SERVICE), None);
+    }
+    assert_eq!(reachability.on_unknown(SERVICE), Some(Change::Lost));
+    assert_eq!(reachability.on_unknown(SERVICE), None, "reported once");
+    assert!(reachability.is_lost(SERVICE) && !reachability.is_lost("plain"));
+    assert_eq!(reachability.on_found(SERVICE), Some(Change::Found));
+    assert_eq!(reachability.lost().count(), 0);
+}
