--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -45,6 +45,8 @@
     CallerLink(usize, Mode, Duration),
     StoreLink(usize, Mode, Duration),
     ServerLink(usize, Mode, Duration),
+    /// A VM loses its links to all servers, while callers, the store and the other VMs still reach it.
+    Partition(usize, Mode, Duration),
     Crash(usize, Duration),
     Drain(usize),
     /// A server leaves and announces it only in its responses, not in its entry.
@@ -73,7 +75,7 @@
         let vm = rng.random_range(0..world.vms.len());
         let endpoint = rng.random_range(0..world.endpoints.len());
         let duration = Duration::from_millis(rng.random_range(100..2_500));
-        match rng.random_range(0..18) {
+        match rng.random_range(0..20) {
             0 => Fault::Kill(vm, duration / 4),
             1 | 2 => Fault::Stop(vm),
             3 => Fault::Freeze(vm, duration),
@@ -87,6 +89,7 @@
             13 | 14 => Fault::LeaveUnlisted(endpoint),
             15 | 16 => Fault::Backoff(endpoint, duration),
             17 => Fault::Restore(duration),
+            18 | 19 => Fault::Partition(vm, random_partition(rng), duration * 2),
             _ => Fault::Compact,
         }
     }
@@ -97,6 +100,11 @@
     [Mode::Delayed(delay), Mode::Blackhole, Mode::OneWay, Mode::Reset][rng.random_range(0..4)]
 }
 
+/// How connections from a VM to servers behave during a partition.
+pub(crate) fn random_partition(rng: &mut StdRng) -> Mode {
+    [Mode::Closed, Mode::Unreachable, Mode::RefusesNew][rng.random_range(0..3)]
+}
+
 fn random_behaviour(rng: &mut StdRng) -> Behaviour {
     let delay = Duration::from_millis(rng.random_range(20..400));
     [
@@ -155,16 +163,23 @@
         }
         Fault::ServerLink(endpoint, mode, duration) => {
             let disturbance = world.begin_disturbance(Part::Servers);
-            world.endpoints[endpoint].link.set(mode);
+            world.endpoints[endpoint].links.set(mode);
+            tokio::time::sleep(duration).await;
+            world.endpoints[endpoint].links.set(Mode::Open);
+            world.end_disturbance(disturbance);
+        }
+        Fault::Partition(vm, mode, duration) => {
+            let disturbance = world.begin_disturbance(Part::Servers);
+            world.set_server_links(vm, mode);
             tokio::time::sleep(duration).await;
-            world.endpoints[endpoint].link.set(Mode::Open);
+            world.set_server_links(vm, Mode::Open);
             world.end_disturbance(disturbance);
         }
         Fault::Crash(endpoint, downtime) => {
             let disturbance = world.begin_disturbance(Part::Servers);
-            world.endpoints[endpoint].link.set(Mode::Reset);
+            world.endpoints[endpoint].links.set(Mode::Reset);
             tokio::time::sleep(downtime).await;
-            world.endpoints[endpoint].link.set(Mode::Open);
+            world.endpoints[endpoint].links.set(Mode::Open);
             world.replace(&world.endpoints[endpoint]).await;
             world.end_disturbance(disturbance);
         }
@@ -213,12 +228,12 @@
         return;
     };
     let disturbance = world.begin_disturbance(Part::Servers);
-    endpoint.link.set(Mode::Closed);
+    endpoint.links.set(Mode::Closed);
     tokio::time::sleep(downtime).await;
     if endpoint.id() == server {
         world.replace(endpoint).await;
     }
-    endpoint.link.set(Mode::Open);
+    endpoint.links.set(Mode::Open);
     world.end_disturbance(disturbance);
 }
 
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod caller;
 mod fault;
 mod limits;
+mod links;
 mod world;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -30,6 +31,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
+use standin::proxy::Mode;
 use tokio_util::sync::CancellationToken;
 use world::{MAX_SETTINGS_AGE, Part, VM_COUNT, World};
 
@@ -77,6 +79,12 @@
 /// Time within which memory reservations must be released.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time after a VM was cut off from all servers from which it must serve its callers.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Requests to a VM that is cut off.
+const PARTITION_REQUESTS: usize = 18;
+
 /// Interval between checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -157,6 +165,7 @@
         limits.await.unwrap();
     }
     check_recovery(&world).await;
+    check_partition(&world, &mut rng).await;
     stop.cancel();
     let mut outcomes = Vec::new();
     for caller in callers {
@@ -242,6 +251,31 @@
     }
 }
 
+/// Cuts one VM off from all servers, and checks that it serves its callers once [`CONTACT_TIME`] has passed.
+async fn check_partition(world: &World, rng: &mut StdRng) {
+    tokio::time::sleep(world::SETTLE_TIME).await;
+    let vm = rng.random_range(0..VM_COUNT);
+    let mode = fault::random_partition(rng);
+    println!("partition of {} from all servers, {mode:?}", world.vms[vm].name);
+    let disturbance = world.begin_disturbance(Part::Servers);
+    world.set_server_links(vm, mode);
+    tokio::time::sleep(CONTACT_TIME).await;
+    let mut served = 0;
+    for _ in 0..PARTITION_REQUESTS / 2 {
+        for kind in [Kind::Safe, Kind::Stream] {
+            served += usize::from(serves(world, vm, kind).await);
+        }
+    }
+    world.set_server_links(vm, Mode::Open);
+    world.end_disturbance(disturbance);
+    if served < PARTITION_REQUESTS * 2 / 3 {
+        let name = &world.vms[vm].name;
+        world.record_violation(format!(
+            "{name} served {served} of {PARTITION_REQUESTS} requests while it was partitioned ({mode:?})"
+        ));
+    }
+}
+
 async fn serves(world: &World, vm: usize, kind: Kind) -> bool {
     let Some(mut connection) = Connection::open(vm, world.vms[vm].listen).await else {
         return false;
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -1,5 +1,6 @@
 //! The processes and stand-ins of one run, and the disturbances of each part.
 
+use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -14,9 +15,11 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use standin::port::free;
-use standin::proxy::Proxy;
+use standin::proxy::{Mode, Proxy};
 use standin::server::Handle;
 
+use crate::links::Links;
+
 /// Number of VMs in a run.
 pub(crate) const VM_COUNT: usize = 3;
 
@@ -57,6 +60,7 @@
     pub(crate) listen: SocketAddr,
     pub(crate) caller_link: Proxy,
     pub(crate) store_link: Proxy,
+    _store_served: Handle,
     folder: PathBuf,
     scheduling: Policy,
     process: Mutex<Process>,
@@ -71,7 +75,7 @@
 /// A server address at which one instance after the other serves.
 pub(crate) struct Endpoint {
     pub(crate) service: &'static str,
-    pub(crate) link: Proxy,
+    pub(crate) links: Links,
     instance: Mutex<Instance>,
 }
 
@@ -93,22 +97,26 @@
     pub(crate) violations: Mutex<Vec<String>>,
     disturbances: Mutex<Vec<(Part, Instant, Option<Instant>)>>,
     last_tick: Mutex<Instant>,
-    _store_served: Handle,
 }
 
 impl Vm {
     async fn new(
         index: usize,
-        store: SocketAddr,
+        store: &Store,
+        endpoints: &[Endpoint],
         folder: &std::path::Path,
         scheduling: Policy,
     ) -> Vm {
         let listen = free();
+        let link = |endpoint: &Endpoint| (endpoint.links.listed, endpoint.links.address(index));
+        let addresses: BTreeMap<_, _> = endpoints.iter().map(link).collect();
+        let store_served = store.with_addresses(addresses).serve().await;
         let vm = Vm {
             name: format!("vm-{index}"),
             listen,
             caller_link: Proxy::start(listen).await,
-            store_link: Proxy::start(store).await,
+            store_link: Proxy::start(store_served.address).await,
+            _store_served: store_served,
             folder: folder.to_owned(),
             scheduling,
             process: Mutex::default(),
@@ -207,7 +215,6 @@
         fs::create_dir_all(&folder).unwrap();
         let store = Store::default();
         store.put_settings(settings);
-        let store_served = store.serve().await;
         let journal = Arc::new(Journal::default());
         let mut endpoints = Vec::new();
         for (service, count) in SERVICES {
@@ -217,7 +224,7 @@
         }
         let mut vms = Vec::new();
         for index in 0..VM_COUNT {
-            vms.push(Vm::new(index, store_served.address, &folder, scheduling).await);
+            vms.push(Vm::new(index, &store, &endpoints, &folder, scheduling).await);
         }
         let world = World {
             store,
@@ -227,7 +234,6 @@
             violations: Mutex::default(),
             disturbances: Mutex::default(),
             last_tick: Mutex::new(Instant::now()),
-            _store_served: store_served,
         };
         world.endpoints.iter().for_each(|endpoint| world.register(endpoint, false));
         world.vms.iter().for_each(Vm::start);
@@ -249,7 +255,7 @@
     /// Writes the store entry of the endpoint's current instance.
     pub(crate) fn register(&self, endpoint: &Endpoint, leaving: bool) {
         endpoint.instance.lock().unwrap().leaving = leaving;
-        let entry = Entry { service: endpoint.service, address: endpoint.link.address, leaving };
+        let entry = Entry { service: endpoint.service, address: endpoint.links.listed, leaving };
         self.store.put_server(&endpoint.id(), &entry);
     }
 
@@ -274,13 +280,18 @@
         let id = format!("{}-{}", endpoint.service, next_number());
         let server = Server::new(&id, self.journal.clone());
         let served = server.serve().await;
-        endpoint.link.set_target(served.address);
+        endpoint.links.set_target(served.address);
         let next = Instance { id, server, leaving: false, _served: served };
         let before = std::mem::replace(&mut *endpoint.instance.lock().unwrap(), next);
         self.store.remove_server(&before.id);
         self.register(endpoint, false);
     }
 
+    /// Sets the mode of all links of a VM to servers.
+    pub(crate) fn set_server_links(&self, vm: usize, mode: Mode) {
+        self.endpoints.iter().for_each(|endpoint| endpoint.links.set_vm(vm, mode));
+    }
+
     /// Number of memory reservations at the current instances.
     pub(crate) fn reservation_count(&self) -> usize {
         self.endpoints
@@ -363,7 +374,7 @@
     let id = format!("{service}-{index}");
     let server = Server::new(&id, journal.clone());
     let served = server.serve().await;
-    let link = Proxy::start(served.address).await;
+    let links = Links::start(served.address, VM_COUNT).await;
     let instance = Mutex::new(Instance { id, server, leaving: false, _served: served });
-    Endpoint { service, link, instance }
+    Endpoint { service, links, instance }
 }
