Tunnels: a VM that has just lost its own path declines at once

Cause: a partitioned VM that was asked for a tunnel first waited for its own connection to fail, so a request that asked it first took 100 ms longer, twice that behind two of them.

Change: a VM whose own connections to the group, or to another one since, have failed within the last second declines at once. Older failures do not count, since a VM without requests does not find out that its path works again.

--- a/daemon/src/fleet/dial.rs
+++ b/daemon/src/fleet/dial.rs
@@ -166,6 +166,14 @@
     upstream: &id::Upstream,
 ) -> Result<TcpStream, Testimony> {
     let Some((target, address)) = listed(process, upstream) else { return Err(Testimony::None) };
+    let has_just_failed = {
+        let reachability = process.reachability.lock().unwrap();
+        reachability.has_just_failed(&target.service, &target.hall, process.now())
+    };
+    if has_just_failed {
+        // The peer should not have to wait for one more failure.
+        return Err(Testimony::None);
+    }
     let service = target.service.clone();
     match connect_directly(process.clone(), target, address).await {
         Ok(stream) => Ok(stream),
--- a/request/src/reachability.rs
+++ b/request/src/reachability.rs
@@ -17,7 +17,7 @@
 /// Connections in a row that failed here and at all peers, without a witness, from which a service counts as lost.
 const MIN_LOST: u32 = 3;
 
-/// Age of the last direct connection to a service up to which it shows that this VM reaches the service.
+/// Age of a connection up to which its outcome says something about the paths of this VM now.
 const EVIDENCE_MAX_AGE: Duration = Duration::from_secs(1);
 
 /// Upstreams of one service in one data hall.
@@ -141,8 +141,21 @@
 
     /// Whether direct connections to a group are likely to fail.
     pub fn is_suspected(&self, service: &str, hall: &str) -> bool {
+        self.suspects(service, hall).next().is_some()
+    }
+
+    /// The same by failures of the last second. Without requests of its own, this VM does not find out that a partition has
+    /// ended.
+    pub fn has_just_failed(&self, service: &str, hall: &str, now: Instant) -> bool {
+        let is_recent = |path: &Path| now.saturating_duration_since(path.last) < EVIDENCE_MAX_AGE;
+        self.suspects(service, hall).any(is_recent)
+    }
+
+    /// The partitioned paths by which a group is suspected: its own, and others that failed after it was last reached.
+    fn suspects(&self, service: &str, hall: &str) -> impl Iterator<Item = &Path> {
         let last_reached = self.find(service, hall).and_then(|path| path.last_reached);
-        self.paths.iter().filter(|path| path.is_partitioned()).any(|path| {
+        let (service, hall) = (service.to_owned(), hall.to_owned());
+        self.paths.iter().filter(|path| path.is_partitioned()).filter(move |path| {
             path.group.service == service && path.group.hall == hall
                 || last_reached.is_none_or(|at| at < path.first)
         })
--- a/request/tests/reachability.rs
+++ b/request/tests/reachability.rs
@@ -149,3 +149,15 @@
     assert_eq!(reachability.on_found(SERVICE), Some(Change::Found));
     assert_eq!(reachability.lost().count(), 0);
 }
+
+/// Guards against a VM without requests of its own that carries no tunnels long after its partition has ended.
+#[test]
+fn an_old_failure_does_not_keep_a_vm_from_carrying_tunnels() {
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
+    reachability.on_disproved(SERVICE, HALL, now);
+    reachability.on_disproved(SERVICE, HALL, now);
+    assert!(reachability.has_just_failed(SERVICE, HALL, after(now, 900)));
+    assert!(reachability.has_just_failed(SERVICE, OTHER_HALL, after(now, 900)));
+    assert!(!reachability.has_just_failed(SERVICE, HALL, after(now, 1_100)));
+    assert!(reachability.is_suspected(SERVICE, HALL));
+}
