Tunnels: all listed VMs may carry them, not the schedulers alone

Cause: peers were chosen among those whose heartbeats arrive, which in a fleet are the scheduler and its standbys.

Evidence: Tunis grown, half of 76 VMs without upstreams: three VMs carried all of 956 tunnels, the scheduler among them.

Change: any listed VM that is not known to be down is a candidate.

--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -180,6 +180,20 @@
         up.map(|peer| peer.member.clone()).collect()
     }
 
+    /// The listed VMs that may be up, other than this one, each with whether it is the scheduler of this VM or a standby.
+    /// A VM hears few of the others in a large fleet, and does not know whether the rest is up.
+    pub fn may_be_up(&self, now: Instant) -> Vec<(Member, bool)> {
+        let membership = self.membership.lock().unwrap();
+        let schedulers: Vec<&id::Vm> =
+            membership.schedulers(now).map(|member| &member.vm).collect();
+        let is_candidate = |peer: &&Peer| {
+            !peer.leaving && peer.liveness(membership.timing(), now) != Liveness::Down
+        };
+        let candidates = membership.peers.values().filter(is_candidate);
+        let entry = |peer: &Peer| (peer.member.clone(), schedulers.contains(&&peer.member.vm));
+        candidates.map(entry).collect()
+    }
+
     /// The scheduler of this VM and the standby schedulers.
     pub fn schedulers(&self, now: Instant) -> Vec<Target> {
         let mut membership = self.membership.lock().unwrap();
--- a/daemon/src/fleet/tunnels.rs
+++ b/daemon/src/fleet/tunnels.rs
@@ -1,4 +1,4 @@
-//! The tunnels that this VM carries for peers, and the peers that open none for it now.
+//! The tunnels that this VM carries for peers, and which peers open tunnels for it.
 
 use std::collections::HashMap;
 use std::sync::Mutex;
@@ -14,11 +14,25 @@
 /// How long a peer that opened no tunnel to a service is not asked again.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
-/// The tunnels of this VM, and those that it carries.
+/// How long a peer that opened a tunnel to a service is preferred.
+const PREFERENCE: Duration = Duration::from_secs(5);
+
+/// What a peer last did when it was asked for a tunnel to a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It opened one.
+    Preferred,
+    /// It has not been asked of late.
+    Unknown,
+    /// It opened none.
+    Paused,
+}
+
+/// The tunnels that this VM carries, and the standing of its peers.
 #[derive(Debug)]
 pub struct Tunnels {
-    /// When peers that opened no tunnel to a service may be asked again.
-    paused: Mutex<HashMap<(id::Vm, String), Instant>>,
+    /// The standing of peers for a service, until when.
+    standings: Mutex<HashMap<(id::Vm, String), (Standing, Instant)>>,
     carried: AtomicUsize,
     max_carried: usize,
 }
@@ -27,7 +41,7 @@
     /// Creates the state of a VM with this much memory, bytes.
     pub fn new(memory: usize) -> Tunnels {
         let max_carried = (memory as f64 * MEMORY_SHARE) as usize / tunnel::MAX_MEMORY_BYTES;
-        Tunnels { paused: Mutex::default(), carried: AtomicUsize::new(0), max_carried }
+        Tunnels { standings: Mutex::default(), carried: AtomicUsize::new(0), max_carried }
     }
 
     /// The number of tunnels that this VM carries for peers.
@@ -50,16 +64,29 @@
         self.carried.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Whether a peer is not asked for tunnels to a service now.
-    pub fn is_paused(&self, vm: &id::Vm, service: &str, now: Instant) -> bool {
+    /// The standing of a peer for a service.
+    pub fn standing(&self, vm: &id::Vm, service: &str, now: Instant) -> Standing {
         let key = (vm.clone(), service.to_owned());
-        self.paused.lock().unwrap().get(&key).is_some_and(|until| *until > now)
+        let standings = self.standings.lock().unwrap();
+        let current = standings.get(&key).filter(|(_, until)| *until > now);
+        current.map_or(Standing::Unknown, |(standing, _)| *standing)
+    }
+
+    /// The peers that opened a tunnel to a service of late.
+    pub fn preferred(&self, service: &str, now: Instant) -> Vec<id::Vm> {
+        let standings = self.standings.lock().unwrap();
+        let preferred = standings.iter().filter(|((_, of), (standing, until))| {
+            of == service && *standing == Standing::Preferred && *until > now
+        });
+        preferred.map(|((vm, _), _)| vm.clone()).collect()
     }
 
-    /// Records that a peer opens no tunnels to a service now.
-    pub fn pause(&self, vm: &id::Vm, service: &str, now: Instant) {
-        let mut paused = self.paused.lock().unwrap();
-        paused.retain(|_, until| *until > now);
-        paused.insert((vm.clone(), service.to_owned()), now + PAUSE);
+    /// Records whether a peer opened a tunnel to a service.
+    pub fn record(&self, vm: &id::Vm, service: &str, opened: bool, now: Instant) {
+        let (standing, time) =
+            if opened { (Standing::Preferred, PREFERENCE) } else { (Standing::Paused, PAUSE) };
+        let mut standings = self.standings.lock().unwrap();
+        standings.retain(|_, (_, until)| *until > now);
+        standings.insert((vm.clone(), service.to_owned()), (standing, now + time));
     }
 }
