Reachability: responses on open connections say nothing of new ones

Cause: during a partition in which open connections live on and new ones are refused, each response ended the partition in the VM's records, and made it a witness that testified against sound upstreams.

Evidence: by reading; request/tests/reachability.rs has the case.

Change: only established connections end a partition or make a witness. A response still shows that its upstream is alive.

--- a/daemon/src/fleet/dial.rs
+++ b/daemon/src/fleet/dial.rs
@@ -156,7 +156,7 @@
 ) -> Result<TcpStream, channel::Failure> {
     process.metrics.connections.inc();
     let stream = channel::connect(&address, CONNECT_TIMEOUT).await?;
-    record_reached(&process, &target.service, &target.hall);
+    record_connected(&process, &target);
     Ok(stream)
 }
 
@@ -185,7 +185,7 @@
     }
 }
 
-/// Whether this VM reaches other upstreams of a service: one has been reached just now, or some can be connected to.
+/// Whether this VM can connect to other upstreams of a service: it has connected to one just now, or does so here.
 async fn reaches_others<D: Dialect>(
     process: &Arc<Process<D>>,
     service: &str,
@@ -220,17 +220,20 @@
 
 /// Records that an upstream responded on a direct connection.
 pub fn record_response<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) {
-    if let Some(target) = target(process, upstream) {
-        record_reached(process, &target.service, &target.hall);
-    }
+    let Some(target) = target(process, upstream) else { return };
+    let now = process.now();
+    process.reachability.lock().unwrap().on_response(&target.service, &target.hall, now);
+    record_found(process, &target.service);
 }
 
-/// Records that an upstream of a group was reached directly.
-pub fn record_reached<D: Dialect>(process: &Process<D>, service: &str, hall: &str) {
+fn record_connected<D: Dialect>(process: &Process<D>, target: &Target) {
     let now = process.now();
-    let change = process.reachability.lock().unwrap().on_reached(service, hall, now);
-    log_change(process, service, change);
-    record_found(process, service);
+    let change = {
+        let mut reachability = process.reachability.lock().unwrap();
+        reachability.on_connected(&target.service, &target.hall, now)
+    };
+    log_change(process, &target.service, change);
+    record_found(process, &target.service);
 }
 
 fn record_disproved<D: Dialect>(process: &Process<D>, target: &Target) {
--- a/request/src/reachability.rs
+++ b/request/src/reachability.rs
@@ -56,9 +56,11 @@
 #[derive(Debug, Clone)]
 struct Path {
     group: Group,
-    /// When an upstream of the group was last reached directly.
-    last_reached: Option<Instant>,
-    /// Failures since then that peers disproved, with the time of the first and the last.
+    /// When a direct connection to an upstream of the group was last established.
+    last_connected: Option<Instant>,
+    /// When an upstream of the group last responded on a direct connection.
+    last_response: Option<Instant>,
+    /// Failed connections since the last one that peers disproved, with the time of the first and the last.
     disproved: u32,
     first: Instant,
     last: Instant,
@@ -113,11 +115,17 @@
         lost.map(|(service, _)| service.as_str())
     }
 
-    /// Records that an upstream of a group was reached directly.
-    pub fn on_reached(&mut self, service: &str, hall: &str, now: Instant) -> Option<Change> {
+    /// Records that an upstream of a group responded on a direct connection. Open connections may work while new ones fail, so
+    /// this does not end a partition.
+    pub fn on_response(&mut self, service: &str, hall: &str, now: Instant) {
+        self.path(service, hall, now).last_response = Some(now);
+    }
+
+    /// Records that a direct connection to an upstream of a group was established.
+    pub fn on_connected(&mut self, service: &str, hall: &str, now: Instant) -> Option<Change> {
         let path = self.path(service, hall, now);
         let ended = path.is_partitioned().then(|| Change::Ended(path.partition()));
-        path.last_reached = Some(now);
+        path.last_connected = Some(now);
         path.disproved = 0;
         ended
     }
@@ -134,7 +142,7 @@
     }
 
     /// How long to wait for a direct connection before a peer is asked: not at all if the group is partitioned, or another
-    /// group has been since this one was last reached.
+    /// group has been since the last connection to this one.
     pub fn tunnel_delay(&self, service: &str, hall: &str) -> Duration {
         if self.is_suspected(service, hall) { Duration::ZERO } else { TUNNEL_DELAY }
     }
@@ -151,29 +159,30 @@
         self.suspects(service, hall).any(is_recent)
     }
 
-    /// The partitioned paths by which a group is suspected: its own, and others that failed after it was last reached.
+    /// The partitioned paths by which a group is suspected: its own, and others that failed after the last connection to it.
     fn suspects(&self, service: &str, hall: &str) -> impl Iterator<Item = &Path> {
-        let last_reached = self.find(service, hall).and_then(|path| path.last_reached);
+        let last_connected = self.find(service, hall).and_then(|path| path.last_connected);
         let (service, hall) = (service.to_owned(), hall.to_owned());
         self.paths.iter().filter(|path| path.is_partitioned()).filter(move |path| {
             path.group.service == service && path.group.hall == hall
-                || last_reached.is_none_or(|at| at < path.first)
+                || last_connected.is_none_or(|at| at < path.first)
         })
     }
 
-    /// Whether an upstream of a group has been reached directly since `at`.
+    /// Whether an upstream of a group has been reached directly since `at`, by a new connection or an open one.
     pub fn is_reached_since(&self, service: &str, hall: &str, at: Instant) -> bool {
-        self.find(service, hall).and_then(|path| path.last_reached).is_some_and(|last| last >= at)
+        let last = self.find(service, hall).and_then(|p| p.last_connected.max(p.last_response));
+        last.is_some_and(|last| last >= at)
     }
 
-    /// Whether this VM has reached an upstream of a service so recently that its failure to reach another one says something
-    /// about that upstream.
+    /// Whether this VM has connected to an upstream of a service so recently that its failure to connect to another one says
+    /// something about that upstream.
     pub fn reaches_service(&self, service: &str, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < EVIDENCE_MAX_AGE;
         self.paths
             .iter()
             .filter(|path| path.group.service == service)
-            .any(|path| path.last_reached.is_some_and(is_recent))
+            .any(|path| path.last_connected.is_some_and(is_recent))
     }
 
     /// The current partitions.
@@ -189,7 +198,14 @@
         let is_group = |path: &Path| path.group.service == service && path.group.hall == hall;
         let index = self.paths.iter().position(is_group).unwrap_or_else(|| {
             let group = Group { service: service.to_owned(), hall: hall.to_owned() };
-            let path = Path { group, last_reached: None, disproved: 0, first: now, last: now };
+            let path = Path {
+                group,
+                last_connected: None,
+                last_response: None,
+                disproved: 0,
+                first: now,
+                last: now,
+            };
             self.paths.push(path);
             self.paths.len() - 1
         });
--- a/request/tests/reachability.rs
+++ b/request/tests/reachability.rs
@@ -22,7 +22,7 @@
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     assert_eq!(reachability.on_disproved(SERVICE, HALL, now), None);
     assert_eq!(reachability.tunnel_delay(SERVICE, HALL), TUNNEL_DELAY);
-    reachability.on_reached(SERVICE, HALL, after(now, 10));
+    reachability.on_connected(SERVICE, HALL, after(now, 10));
     assert_eq!(reachability.on_disproved(SERVICE, HALL, after(now, 20)), None);
     assert_eq!(reachability.partitions().count(), 0);
 }
@@ -36,7 +36,7 @@
     assert_eq!((partition.since, partition.last_failure), (now, after(now, 5)));
     assert_eq!(reachability.on_disproved(SERVICE, HALL, after(now, 6)), None, "logged once");
     assert_eq!(reachability.tunnel_delay(SERVICE, HALL), Duration::ZERO);
-    let ended = reachability.on_reached(SERVICE, HALL, after(now, 9));
+    let ended = reachability.on_connected(SERVICE, HALL, after(now, 9));
     assert!(matches!(ended, Some(Change::Ended(_))), "{ended:?}");
     assert_eq!(reachability.tunnel_delay(SERVICE, HALL), TUNNEL_DELAY);
 }
@@ -46,12 +46,12 @@
 #[test]
 fn another_group_is_suspected_unless_it_was_reached_since() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
-    reachability.on_reached(SERVICE, OTHER_HALL, now);
+    reachability.on_connected(SERVICE, OTHER_HALL, now);
     reachability.on_disproved(SERVICE, HALL, after(now, 10));
     reachability.on_disproved(SERVICE, HALL, after(now, 11));
     assert!(reachability.is_suspected(SERVICE, OTHER_HALL));
     assert!(reachability.is_suspected("plain", HALL), "it was never reached");
-    reachability.on_reached(SERVICE, OTHER_HALL, after(now, 12));
+    reachability.on_connected(SERVICE, OTHER_HALL, after(now, 12));
     assert!(!reachability.is_suspected(SERVICE, OTHER_HALL));
     assert!(reachability.is_suspected(SERVICE, HALL));
 }
@@ -60,7 +60,7 @@
 fn only_a_service_that_was_reached_just_now_makes_a_witness() {
     let (mut reachability, now) = (Reachability::default(), Instant::now());
     assert!(!reachability.reaches_service(SERVICE, now));
-    reachability.on_reached(SERVICE, OTHER_HALL, now);
+    reachability.on_connected(SERVICE, OTHER_HALL, now);
     assert!(reachability.reaches_service(SERVICE, after(now, 900)));
     assert!(!reachability.reaches_service("plain", after(now, 1)));
     assert!(!reachability.reaches_service(SERVICE, after(now, 1_100)));
@@ -118,7 +118,7 @@
         for (index, (is_other, is_reached)) in outcomes.iter().enumerate() {
             let now = after(start, index as u64);
             if *is_reached {
-                reachability.on_reached(SERVICE, hall(*is_other), now);
+                reachability.on_connected(SERVICE, hall(*is_other), now);
             } else {
                 reachability.on_disproved(SERVICE, hall(*is_other), now);
             }
@@ -128,7 +128,7 @@
         reachability.on_disproved(SERVICE, HALL, now);
         prop_assert!(reachability.is_suspected(SERVICE, HALL));
         prop_assert!(reachability.partitions().any(|p| p.group.hall == HALL));
-        reachability.on_reached(SERVICE, HALL, now);
+        reachability.on_connected(SERVICE, HALL, now);
         prop_assert!(!reachability.partitions().any(|p| p.group.hall == HALL));
     }
 }
@@ -161,3 +161,16 @@
     assert!(!reachability.has_just_failed(SERVICE, HALL, after(now, 1_100)));
     assert!(reachability.is_suspected(SERVICE, HALL));
 }
+
+/// Guards against a VM whose open connections live on while new ones are refused: it would testify against sound upstreams, and
+/// its partition would begin and end with each response.
+#[test]
+fn responses_on_open_connections_neither_end_a_partition_nor_make_a_witness() {
+    let (mut reachability, now) = (Reachability::default(), Instant::now());
+    reachability.on_disproved(SERVICE, HALL, now);
+    reachability.on_disproved(SERVICE, HALL, now);
+    reachability.on_response(SERVICE, HALL, after(now, 10));
+    assert_eq!(reachability.partitions().count(), 1);
+    assert!(!reachability.reaches_service(SERVICE, after(now, 10)));
+    assert!(reachability.is_reached_since(SERVICE, HALL, after(now, 5)), "the upstream is alive");
+}
