Connections: orders and report requests give up theirs as requests do

Cause: with pooled connections of their own for orders and report requests, an upstream that restarts, leaves or crashes, or a suspension of the machine, closed the idle connections of requests alone.

Change: Process::close_idle closes both.

--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -297,14 +297,14 @@
         return;
     }
     if restarted {
-        process.pool.remove(&id);
+        process.close_idle(&id);
         change_log
             .add(Event::UpstreamRestarted, format!("{id}, new incarnation in its directory entry"));
     }
     let event = if leaving { Event::UpstreamLeaving } else { Event::UpstreamListed };
     change_log.add(event, what);
     if leaving {
-        process.pool.remove(&id);
+        process.close_idle(&id);
     }
     process.cluster_changed.notify_one();
 }
@@ -359,6 +359,6 @@
     why: &str,
     change_log: &mut ChangeLog,
 ) {
-    process.pool.remove(id);
+    process.close_idle(id);
     change_log.add(Event::UpstreamGone, format!("{id}: {why}"));
 }
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -75,7 +75,7 @@
     let crashes = cluster.quarantine.crash_count(job.fingerprint) as u32;
     drop(cluster);
     announce::to_scheduler(&job.process);
-    job.process.pool.remove(&upstream);
+    job.process.close_idle(&upstream);
     job.process.metrics.crashes.inc();
     job.record(Decision::Crashed { upstream, crashes, isolated });
     if let Some(status) = status {
--- a/daemon/src/fleet/notices.rs
+++ b/daemon/src/fleet/notices.rs
@@ -56,7 +56,7 @@
 pub fn mark_leaving<D: Dialect>(process: &Process<D>, incarnation: Tag, received_by: &id::Vm) {
     // Not listed here, or already marked.
     let Some(upstream) = process.cluster.lock().unwrap().mark_leaving(incarnation) else { return };
-    process.pool.remove(&upstream);
+    process.close_idle(&upstream);
     let what = format!("{upstream}, as stated in a response to {received_by}");
     log::event(&process.log, Event::UpstreamLeaving, what);
     process.announce_to_all();
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -26,7 +26,7 @@
 pub fn record_failure<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, failure: Failure) {
     record(job, upstream, Outcome::Failed(failure));
     if failure == Failure::Unresponsive {
-        job.process.pool.remove(upstream);
+        job.process.close_idle(upstream);
     }
 }
 
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -241,6 +241,12 @@
         self.announce.notify_one();
     }
 
+    /// Closes the idle connections to an upstream.
+    pub fn close_idle(&self, upstream: &id::Upstream) {
+        self.pool.remove(upstream);
+        self.call_pool.remove(upstream);
+    }
+
     /// Whether this VM accepts new connections: it has sufficiently fresh settings and is not stopping.
     pub fn ready(&self) -> bool {
         let moment = self.moment();
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -164,7 +164,7 @@
     if !process.cluster.lock().unwrap().observe_restart(upstream, born, process.now()) {
         return;
     }
-    process.pool.remove(upstream);
+    process.close_idle(upstream);
     let what = format!("{upstream} at {born}, reported by {from}");
     log::event(&process.log, Event::UpstreamRestarted, what);
     process.announce_to_all();
--- a/daemon/src/fleet/suspended.rs
+++ b/daemon/src/fleet/suspended.rs
@@ -30,6 +30,7 @@
     let Some(slept) = process.suspensions.detect(&process.clock) else { return };
     process.peers.reset_liveness();
     process.pool.clear();
+    process.call_pool.clear();
     process.scheduler.lock().unwrap().budget.clear();
     process.after_suspension.notify_one();
     process.announce_to_all();
--- a/daemon/src/fleet/tunnels.rs
+++ b/daemon/src/fleet/tunnels.rs
@@ -18,7 +18,7 @@
 const PREFERENCE: Duration = Duration::from_secs(5);
 
 /// What a peer last did when it was asked for a tunnel to a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
     /// It opened one.
     Preferred,
