Attempts: an engine without reports is blamed only if it cannot be reached

Cause: two report requests of an attempt without a response counted as a crash of the engine, announced to all VMs, also where the path of this VM had failed.

Evidence: by reading, in the search for the class of the partitions from upstreams; platform/tests/fleet/long_silence.rs holds that an engine that has ended is still blamed.

Change: the failure is recorded once a connection shows that it is the engine's.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -120,8 +120,11 @@
         crashed = detect_crash(poller, job) => {
             let Crashed { upstream: engine, ending } = crashed;
             let has_restarted = ending == Ending::Restarted;
-            let cause = if has_restarted { Cause::Malformed } else { Cause::Unresponsive };
-            record_failure(job, &engine, cause);
+            if has_restarted {
+                record_failure(job, &engine, Cause::Malformed);
+            } else {
+                outcome::record_silence(job, &engine, job.process.now());
+            }
             if has_restarted && engine == upstream {
                 // `sending` keeps the attempt in the cluster state meanwhile.
                 crash::detect(job, &flight, incarnation).await;
