--- a/daemon/src/fleet/dial.rs
+++ b/daemon/src/fleet/dial.rs
@@ -165,19 +165,19 @@
     process: &Arc<Process<D>>,
     upstream: &id::Upstream,
 ) -> Result<TcpStream, Testimony> {
-    let Some((target, address)) = listed(process, upstream) else { return Err(Testimony::None) };
+    let Some((target, address)) = listed(process, upstream) else { return Err(Testimony::Unknown) };
     let has_just_failed = {
         let reachability = process.reachability.lock().unwrap();
         reachability.has_just_failed(&target.service, &target.hall, process.now())
     };
     if has_just_failed {
         // The peer should not have to wait for one more failure.
-        return Err(Testimony::None);
+        return Err(Testimony::Unknown);
     }
     let service = target.service.clone();
     match connect_directly(process.clone(), target, address).await {
         Ok(stream) => Ok(stream),
-        Err(_) if !reaches_others(process, &service, upstream).await => Err(Testimony::None),
+        Err(_) if !reaches_others(process, &service, upstream).await => Err(Testimony::Unknown),
         Err(channel::Failure::Refused(_)) => Err(Testimony::Refused),
         Err(channel::Failure::Unsent(_) | channel::Failure::Broken(_)) => {
             Err(Testimony::Unreachable)
--- a/daemon/src/fleet/tunnel_client.rs
+++ b/daemon/src/fleet/tunnel_client.rs
@@ -68,7 +68,7 @@
         }
     }
     if testimonies.is_empty() && candidates.has_peers {
-        testimonies.push(Testimony::None);
+        testimonies.push(Testimony::Unknown);
     }
     Err(testimonies)
 }
@@ -95,7 +95,7 @@
         Ok(tunnel) => Ok((tunnel, peer.vm)),
         Err(Failure::Refused) => Err(Some(Testimony::Refused)),
         Err(Failure::Unreachable) => Err(Some(Testimony::Unreachable)),
-        Err(Failure::Unknown) => Err(Some(Testimony::None)),
+        Err(Failure::Unknown) => Err(Some(Testimony::Unknown)),
         Err(Failure::Unavailable(_)) => Err(None),
     }
 }
--- a/daemon/src/fleet/tunnel_server.rs
+++ b/daemon/src/fleet/tunnel_server.rs
@@ -36,7 +36,7 @@
             let status = match testimony {
                 Testimony::Refused => StatusCode::BAD_GATEWAY,
                 Testimony::Unreachable => StatusCode::GATEWAY_TIMEOUT,
-                Testimony::None => StatusCode::FAILED_DEPENDENCY,
+                Testimony::Unknown => StatusCode::FAILED_DEPENDENCY,
             };
             answer::text(status, "text/plain", format!("cannot connect to {upstream}\n"))
         }
--- a/request/src/reachability.rs
+++ b/request/src/reachability.rs
@@ -232,7 +232,7 @@
     /// The upstream did not respond to it.
     Unreachable,
     /// It could not tell.
-    None,
+    Unknown,
 }
 
 /// Peers that have to confirm a failure, if as many were asked.
@@ -241,7 +241,8 @@
 /// Judges an upstream that this VM could not reach: whether it `refused` the direct connection, and the testimonies of the
 /// peers that were asked. A VM without peers has its own connection alone.
 pub fn judge(refused: bool, testimonies: &[Testimony]) -> Verdict {
-    let witnesses = testimonies.iter().filter(|testimony| **testimony != Testimony::None).count();
+    let witnesses =
+        testimonies.iter().filter(|testimony| **testimony != Testimony::Unknown).count();
     if witnesses < testimonies.len().min(MIN_WITNESSES) {
         return Verdict::Unknown;
     }
--- a/request/tests/reachability.rs
+++ b/request/tests/reachability.rs
@@ -75,14 +75,14 @@
 /// Guards against a crash that is recorded for a request since a port refused connections of a partitioned VM.
 #[test]
 fn a_crash_needs_a_witness_that_is_refused_as_well() {
-    use Testimony::{None, Refused, Unreachable};
+    use Testimony::{Refused, Unknown, Unreachable};
     assert_eq!(judge(true, &[Refused]), Verdict::Refused);
     assert_eq!(judge(true, &[Refused, Refused]), Verdict::Refused);
     assert_eq!(judge(true, &[Unreachable]), Verdict::Unreachable);
     assert_eq!(judge(false, &[Refused]), Verdict::Unreachable);
-    assert_eq!(judge(true, &[None]), Verdict::Unknown);
-    assert_eq!(judge(true, &[Refused, None]), Verdict::Unknown, "one of two is not enough");
-    assert_eq!(judge(true, &[Refused, None, Refused]), Verdict::Refused);
+    assert_eq!(judge(true, &[Unknown]), Verdict::Unknown);
+    assert_eq!(judge(true, &[Refused, Unknown]), Verdict::Unknown, "one of two is not enough");
+    assert_eq!(judge(true, &[Refused, Unknown, Refused]), Verdict::Refused);
 }
 
 #[test]
@@ -95,8 +95,11 @@
 }
 
 fn testimonies() -> impl Strategy<Value = Vec<Testimony>> {
-    let testimony =
-        prop_oneof![Just(Testimony::Refused), Just(Testimony::Unreachable), Just(Testimony::None)];
+    let testimony = prop_oneof![
+        Just(Testimony::Refused),
+        Just(Testimony::Unreachable),
+        Just(Testimony::Unknown)
+    ];
     vec(testimony, 0..4)
 }
 
@@ -105,7 +108,7 @@
     /// not either.
     #[test]
     fn an_upstream_is_blamed_by_witnesses_alone(refused: bool, testimonies in testimonies()) {
-        let witnesses = testimonies.iter().filter(|t| **t != Testimony::None).count();
+        let witnesses = testimonies.iter().filter(|t| **t != Testimony::Unknown).count();
         let is_blamed = judge(refused, &testimonies) != Verdict::Unknown;
         prop_assert_eq!(is_blamed, witnesses >= testimonies.len().min(2));
     }
