Crashes: a refused witness is enough where the own path hangs

What callers saw: a request that crashes upstreams, at a VM whose connections hang, ran on three upstreams through peers without a record, so it was quarantined late.

Cause: a crash needed the VM's own connection to be refused, which a path that hangs never is.

Change: with witnesses, theirs decide.

--- a/request/src/reachability.rs
+++ b/request/src/reachability.rs
@@ -239,15 +239,19 @@
 const MIN_WITNESSES: usize = 2;
 
 /// Judges an upstream that this VM could not reach: whether it `refused` the direct connection, and the testimonies of the
-/// peers that were asked. A VM without peers has its own connection alone.
+/// peers that were asked. With witnesses, theirs decide: the path of this VM may have failed as well as the upstream. A VM
+/// without peers has its own connection alone.
 pub fn judge(refused: bool, testimonies: &[Testimony]) -> Verdict {
     let witnesses =
         testimonies.iter().filter(|testimony| **testimony != Testimony::Unknown).count();
     if witnesses < testimonies.len().min(MIN_WITNESSES) {
         return Verdict::Unknown;
     }
-    let is_confirmed = testimonies.is_empty() || testimonies.contains(&Testimony::Refused);
-    if refused && is_confirmed { Verdict::Refused } else { Verdict::Unreachable }
+    let is_refused = match testimonies {
+        [] => refused,
+        _ => testimonies.contains(&Testimony::Refused),
+    };
+    if is_refused { Verdict::Refused } else { Verdict::Unreachable }
 }
 
 /// Traffic between data halls on the way from this VM over a peer to an upstream: peers with less are preferred.
