Crashes: shared parts of prompts and begun responses on record

A response counts as begun 200 ms after its first event, since that event can be on its way when the crash begins. The header itself is passed on unchanged. No decision changes.

--- a/daemon/src/complete.rs
+++ b/daemon/src/complete.rs
@@ -338,6 +338,7 @@
             settings_age_ms: None,
             prompt: Some(tokens),
             fingerprint: None,
+            parts: Vec::new(),
         },
     );
     let claim = caller.claim(&entry, caller.policy.repeatable).await;
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -96,7 +96,15 @@
     let settings_age_ms = age.map(|age| age.as_millis() as u64);
     let prompt = job.service.engine.is_some().then_some(job.terms.prompt);
     let fingerprint = Some(fingerprint);
-    job.record(Decision::Admitted { timeout_ms, version, settings_age_ms, prompt, fingerprint });
+    let parts = job.terms.parts.clone();
+    job.record(Decision::Admitted {
+        timeout_ms,
+        version,
+        settings_age_ms,
+        prompt,
+        fingerprint,
+        parts,
+    });
     Ok(job)
 }
 
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -25,7 +25,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 
 use crate::fleet::answer::{self, Body};
-use crate::fleet::crash;
+use crate::fleet::crash::{self, Interrupted};
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
@@ -127,7 +127,9 @@
             }
             if has_restarted && engine == upstream {
                 // `sending` keeps the attempt in the cluster state meanwhile.
-                crash::detect(job, &flight, incarnation).await;
+                let attempt =
+                    Interrupted { flight: &flight, incarnation, sent: began, first_event: None };
+                crash::detect(job, attempt).await;
             }
             return End::Broken(format!("{engine} {ending}"));
         }
@@ -223,7 +225,9 @@
         Ok(response) => response,
         Err(Failure::Refused(why) | Failure::Unsent(why)) => return End::Unsent(why),
         Err(Failure::Broken(why)) => {
-            outcome::record_broken(job, &placement.flight, incarnation).await;
+            let flight = &placement.flight;
+            let attempt = Interrupted { flight, incarnation, sent, first_event: None };
+            outcome::record_broken(job, attempt).await;
             return End::Broken(why);
         }
     };
@@ -253,6 +257,7 @@
         flight: placement.flight.clone(),
         incarnation,
         sent,
+        first_event: None,
         predicted_ms: placement.predicted_ms,
         attempt_guard,
         reservations,
@@ -376,6 +381,7 @@
     let Stream {
         flight,
         incarnation,
+        sent,
         attempt_guard: _attempt_guard,
         reservations: _reservations,
         channel,
@@ -388,7 +394,8 @@
         Ok(Some(collected)) => collected,
         Ok(None) => return End::Aborted { is_sent: true },
         Err(e) => {
-            outcome::record_broken(job, &flight, incarnation).await;
+            let attempt = Interrupted { flight: &flight, incarnation, sent, first_event: None };
+            outcome::record_broken(job, attempt).await;
             return End::Broken(format!("response truncated: {}", chain(&*e)));
         }
     };
@@ -441,6 +448,7 @@
 ) -> End<D> {
     match stream.next().await {
         Item::Events(first) => {
+            stream.first_event = Some(job.process.now());
             stream.attempt_guard.record_first_event();
             End::Streaming(Box::new(Started { head, first, stream }))
         }
@@ -449,7 +457,7 @@
             End::Streaming(Box::new(Started { head, first: Vec::new(), stream }))
         }
         Item::Broken(why) => {
-            outcome::record_broken(job, &stream.flight, stream.incarnation).await;
+            outcome::record_broken(job, stream.interrupted()).await;
             End::Broken(why)
         }
     }
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -1,7 +1,7 @@
 //! Detects whether an upstream crashed during a request, and quarantines requests that caused crashes.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use foldlock_request::decision::Decision;
@@ -30,14 +30,38 @@
     Path,
 }
 
+/// Time after its first event for which a response may still be the one that crashed its upstream: the event can be on
+/// its way when the crash begins.
+pub const MIN_DECODING: Duration = Duration::from_millis(200);
+
+/// An attempt whose connection broke.
+#[derive(Debug, Clone, Copy)]
+pub struct Interrupted<'a> {
+    /// The attempt.
+    pub flight: &'a Flight,
+    /// The incarnation of the upstream that the request was sent to.
+    pub incarnation: Tag,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// When the first event of the response was received; none if none was.
+    pub first_event: Option<Instant>,
+}
+
+impl Interrupted<'_> {
+    /// Whether the response had begun, so that the request did not cause a crash at this time.
+    fn had_begun(&self, at: Instant) -> bool {
+        self.first_event.is_some_and(|first| at.saturating_duration_since(first) >= MIN_DECODING)
+    }
+}
+
 /// Checks, after the connection of an attempt broke, whether its upstream crashed, and records the crash for the
 /// request. The attempt must still be in the cluster state, so that no second copy of an isolated request is placed
 /// before the result is known.
 ///
 /// A closed port refuses connections. An upstream that does not respond may be partitioned, which the request did not
 /// cause.
-pub async fn detect<D: Dialect>(job: &Job<D>, flight: &Flight, incarnation: Tag) -> Finding {
-    let upstream = &flight.upstream;
+pub async fn detect<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>) -> Finding {
+    let upstream = &attempt.flight.upstream;
     let entry = {
         let cluster = job.process.cluster.lock().unwrap();
         // An upstream that is leaving or no longer listed exits without a crash.
@@ -45,13 +69,14 @@
         entry.map(|entry| (entry.listed.address.clone(), entry.tag))
     };
     let Some((address, tag)) = entry else { return Finding::Upstream };
-    if tag != incarnation {
+    let at = job.process.now();
+    if tag != attempt.incarnation {
         // It has restarted already.
-        record(job, flight, incarnation);
+        record(job, attempt, at);
         return Finding::Upstream;
     }
     match dial::connect(&job.process, upstream, &address).await {
-        Err(dial::Failure { verdict: Verdict::Refused, .. }) => record(job, flight, incarnation),
+        Err(dial::Failure { verdict: Verdict::Refused, .. }) => record(job, attempt, at),
         Err(dial::Failure { verdict: Verdict::Unreachable, .. }) => {}
         Err(dial::Failure { verdict: Verdict::Unknown, .. }) => return Finding::Path,
         Ok(channel) if channel.via().is_some() => return Finding::Path,
@@ -62,8 +87,11 @@
     Finding::Upstream
 }
 
-fn record<D: Dialect>(job: &Job<D>, flight: &Flight, incarnation: Tag) {
+/// Records a crash, which broke the connection of an attempt `at` this time.
+fn record<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>, at: Instant) {
     let now = job.process.now();
+    let Interrupted { flight, incarnation, .. } = attempt;
+    let begun = attempt.had_begun(at);
     let upstream = flight.upstream.clone();
     let isolated = flight.isolated.is_some();
     let crash = Crash { upstream: incarnation, isolated };
@@ -77,7 +105,7 @@
     announce::to_scheduler(&job.process);
     job.process.close_idle(&upstream);
     job.process.metrics.crashes.inc();
-    job.record(Decision::Crashed { upstream, crashes, isolated });
+    job.record(Decision::Crashed { upstream, crashes, isolated, begun });
     if let Some(status) = status {
         quarantine(job, status);
     }
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -7,12 +7,10 @@
 use foldlock_base::prelude::*;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
-use foldlock_request::flight::Flight;
 use foldlock_request::placement::Rejection;
 use foldlock_request::suspicion::{Failure, Outcome};
-use foldlock_request::tag::Tag;
 
-use crate::fleet::crash;
+use crate::fleet::crash::{self, Interrupted};
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Origin;
 use crate::fleet::job::Job;
@@ -32,9 +30,9 @@
 
 /// Records that the connection of an attempt broke, or its response was not valid, unless the path of this VM has failed
 /// and not the upstream.
-pub async fn record_broken<D: Dialect>(job: &Job<D>, flight: &Flight, incarnation: Tag) {
-    if crash::detect(job, flight, incarnation).await == crash::Finding::Upstream {
-        record_failure(job, &flight.upstream, Failure::Malformed);
+pub async fn record_broken<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>) {
+    if crash::detect(job, attempt).await == crash::Finding::Upstream {
+        record_failure(job, &attempt.flight.upstream, Failure::Malformed);
     }
 }
 
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::fleet::crash::Interrupted;
 use crate::fleet::job::Job;
 use crate::fleet::outcome;
 use crate::fleet::process::Guard;
@@ -36,6 +37,8 @@
     pub incarnation: Tag,
     /// When the request was sent.
     pub sent: Instant,
+    /// When its first event was received.
+    pub first_event: Option<Instant>,
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
     pub(super) attempt_guard: Guard<D>,
@@ -58,6 +61,16 @@
 }
 
 impl<D: Dialect> Stream<D> {
+    /// The attempt, after its connection broke.
+    pub fn interrupted(&self) -> Interrupted<'_> {
+        Interrupted {
+            flight: &self.flight,
+            incarnation: self.incarnation,
+            sent: self.sent,
+            first_event: self.first_event,
+        }
+    }
+
     /// Waits for the next events.
     pub async fn next(&mut self) -> Item {
         loop {
@@ -98,7 +111,7 @@
     pub async fn fail(self, job: &Arc<Job<D>>, silent_since: Option<Instant>) {
         match silent_since {
             Some(at) => outcome::record_silence(job, &self.flight.upstream, at),
-            None => outcome::record_broken(job, &self.flight, self.incarnation).await,
+            None => outcome::record_broken(job, self.interrupted()).await,
         }
     }
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -12,6 +12,7 @@
 use crate::budget::Exhausted;
 use crate::fingerprint::Fingerprint;
 use crate::liveness::Ending;
+use crate::part::Part;
 use crate::scheduler::order::{Basis, Reason};
 
 /// A candidate upstream as it was when a request was routed.
@@ -69,6 +70,9 @@
         /// The fingerprint, equal for requests that are the same to an upstream.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         fingerprint: Option<Fingerprint>,
+        /// The parts of its prompt that it shares with others.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<Part>,
     },
     /// The request was queued.
     Waited {
@@ -179,6 +183,9 @@
         /// Whether the request ran isolated on the upstream.
         #[serde(rename = "alone")]
         isolated: bool,
+        /// Whether the response had begun: the request and its parts did not cause the crash.
+        #[serde(default)]
+        begun: bool,
     },
     /// The request is quarantined: no upstream gets it.
     Quarantined {
@@ -361,11 +368,12 @@
                 }
             }
             Decision::Tunnelled { upstream, via } => write!(f, "sent to {upstream} through {via}"),
-            Decision::Crashed { upstream, crashes, isolated } => {
+            Decision::Crashed { upstream, crashes, isolated, begun } => {
                 let suffix = if *isolated { "; the request ran isolated there" } else { "" };
+                let phase = if *begun { "; the response had begun" } else { "" };
                 write!(
                     f,
-                    "{upstream} crashed while it processed the request, {crashes} crashes in all{suffix}"
+                    "{upstream} crashed while it processed the request, {crashes} crashes in all{suffix}{phase}"
                 )
             }
             Decision::Quarantined { quarantine_ms, solo_crashes } => {
--- a/request/src/fingerprint.rs
+++ b/request/src/fingerprint.rs
@@ -8,6 +8,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::part::Part;
+use crate::tag::Tag;
+
 /// A digest of what an upstream receives: the organisation, the method, the path with its query,
 /// and the body. Request ids are not part of it, since each arrival and each attempt has its own.
 ///
@@ -30,6 +33,15 @@
         hasher.update(body);
         Fingerprint(hasher.digest())
     }
+
+    /// The fingerprint of a part that prompts to a service share.
+    pub fn of_part(service: Tag, part: Part) -> Fingerprint {
+        let mut hasher = Xxh3::new();
+        hasher.update(b"part\0");
+        hasher.update(&u32::from(service).to_be_bytes());
+        hasher.update(&u64::from(part).to_be_bytes());
+        Fingerprint(hasher.digest())
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod memory;
 pub mod message;
 pub mod notice;
+pub mod part;
 pub mod placement;
 pub mod pressure;
 pub mod promise;
--- a/request/src/terms.rs
+++ b/request/src/terms.rs
@@ -5,6 +5,8 @@
 
 use foldlock_base::prelude::*;
 
+use crate::part::Part;
+
 /// The parameters of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Terms {
@@ -23,6 +25,9 @@
     /// The caller's estimate of the number of tokens in the answer: right in the median, often far
     /// off.
     pub expected_answer: Option<Tokens>,
+    /// The parts of the prompt that it shares with others, in their order. The request's own part, the last, is not
+    /// among them.
+    pub parts: Vec<Part>,
 }
 
 /// What the status and headers of a response state about an attempt.
