Crashes: parts of prompts that crash upstreams are found and quarantined

Callers saw engine after engine crash under requests that share one part of their prompts and nothing else, and their streams cut with them.

Cause: evidence was kept under the digest of the whole request, which is narrower than what caused the crashes; each such request had a case of its own, and cost two engines.

Fix: a log of crashes by the shared parts of the requests that they interrupted before these began (request/src/crash_log.rs). A part with three rounds of crashes, with which no request has begun since the first, is the culprit, unless another explains the crashes better. VMs announce crashes, and parts that are cleared of them, to all others, so each decides by itself and rejects such requests at once; the quarantine, its probes, its listing in the directory and its release are those of single requests, under the key of the part.

--- a/cli/src/held.rs
+++ b/cli/src/held.rs
@@ -1,4 +1,4 @@
-//! `held` and `release`: requests that are quarantined or isolated because upstreams crashed while
+//! `held` and `release`: requests and parts of prompts that are quarantined or isolated because upstreams crashed while
 //! running them.
 
 use foldlock_connection::http::Client;
@@ -45,7 +45,12 @@
         let seconds = suspect["held_ms"].as_u64().unwrap_or(0) as f64 / 1e3;
         format!("is quarantined for {seconds:.1} s")
     };
+    let part = listed.and_then(|entry| entry["part"].as_str());
     let from = listed.map_or_else(String::new, |entry| {
+        if let Some(part) = part {
+            let (service, request) = (text(&entry["service"]), text(&entry["request"]));
+            return format!("; part {part} of prompts to {service}, last during request {request}");
+        }
         let (path, organisation) = (text(&entry["path"]), text(&entry["organisation"]));
         let (request, vm) = (text(&entry["request"]), text(&entry["vm"]));
         format!("; {path} of {organisation}, latest request {request} at {vm}")
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -17,6 +17,7 @@
 pub mod config;
 pub mod contact;
 pub mod crash;
+pub mod crash_sync;
 pub mod decisions;
 pub mod dial;
 pub mod events;
@@ -125,6 +126,7 @@
     tokio::spawn(writer::run(process.clone(), directory));
     tokio::spawn(process::sweep(process.clone()));
     tokio::spawn(reports::run(process.clone()));
+    tokio::spawn(crash_sync::run(process.clone()));
     tokio::spawn(suspended::run(process.clone()));
     let what = format!("incarnation {}, listen {}", process.member.incarnation, fleet.peers);
     log::event(&process.log, Event::Started, what);
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -26,6 +26,7 @@
 
 use crate::fleet::answer::{self, Body};
 use crate::fleet::crash::{self, Interrupted};
+use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
@@ -216,6 +217,10 @@
         // It may have been excluded while memory was reserved or the connection was opened.
         return End::Unsent(format!("upstream {upstream} is excluded: {reason}"));
     }
+    if let Some((part, _)) = crash_sync::quarantined_part(job) {
+        // Its quarantine began after the grant.
+        return End::Unsent(format!("part {part} of the prompt is quarantined"));
+    }
     let Some(body) = job.body.send() else { return End::Aborted { is_sent: false } };
     let request = build_request(job, body, placement, &reservations.helpers(&grant), last_event);
     let sent = job.process.now();
@@ -258,6 +263,7 @@
         incarnation,
         sent,
         first_event: None,
+        is_sound: false,
         predicted_ms: placement.predicted_ms,
         attempt_guard,
         reservations,
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -6,6 +6,7 @@
 use foldlock_base::prelude::*;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::flight::Flight;
 use foldlock_request::quarantine::{Crash, Status};
 use foldlock_request::quarantine_entry;
@@ -14,6 +15,7 @@
 use foldlock_request::tag::Tag;
 
 use crate::fleet::announce;
+use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::job::Job;
 use crate::fleet::write_queue::Write;
@@ -99,28 +101,36 @@
     if cluster.tag_of(&upstream) == incarnation {
         cluster.record_outcome(&upstream, Outcome::Failed(Cause::Unresponsive), now);
     }
-    let status = cluster.quarantine.record_crash(job.fingerprint, crash, now);
-    let crashes = cluster.quarantine.crash_count(job.fingerprint) as u32;
+    // A probe of a part runs isolated under the key of the part.
+    let suspect = flight.isolated.unwrap_or(job.fingerprint);
+    let status = cluster.quarantine.record_crash(suspect, crash, now);
+    let crashes = cluster.quarantine.crash_count(suspect) as u32;
     drop(cluster);
+    if !begun {
+        crash_sync::record(job, incarnation, attempt.sent);
+    }
     announce::to_scheduler(&job.process);
     job.process.close_idle(&upstream);
     job.process.metrics.crashes.inc();
     job.record(Decision::Crashed { upstream, crashes, isolated, begun });
     if let Some(status) = status {
-        quarantine(job, status);
+        quarantine(job, suspect, status);
     }
     job.process.announce.notify_one();
     job.process.cluster_changed.notify_one();
 }
 
 /// Quarantines the request. The entry in the directory reaches all VMs, also those that start later.
-fn quarantine<D: Dialect>(job: &Job<D>, status: Status) {
+fn quarantine<D: Dialect>(job: &Job<D>, suspect: Fingerprint, status: Status) {
     let Status { solo_crashes, remaining, crashes } = status;
     let quarantine_ms = remaining.as_millis() as u64;
     job.process.metrics.quarantined.inc();
     job.record(Decision::Quarantined { quarantine_ms, solo_crashes });
+    let service = Tag::of(&job.service.name);
+    let part = job.terms.parts.iter().copied().find(|part| part.fingerprint(service) == suspect);
+    job.process.quarantine_changed.notify_waiters();
     job.process.directory_writes.push(Write::Quarantine(quarantine_entry::Entry {
-        fingerprint: job.fingerprint,
+        fingerprint: suspect,
         organisation: job.organisation.as_ref().map_or_else(String::new, |o| o.name.clone()),
         path: job.head.uri.path().to_owned(),
         service: job.service.name.clone(),
@@ -129,13 +139,32 @@
         ended: crashes as u32,
         proofs: solo_crashes,
         until_ms: job.process.clock.wall_millis() + quarantine_ms,
+        part,
     }));
 }
 
+/// Records that the response began at a time and did not crash its upstream, so neither did the parts of its prompt.
+pub fn record_begun<D: Dialect>(job: &Job<D>, at: Instant) {
+    if job.terms.parts.is_empty() {
+        return;
+    }
+    let service = Tag::of(&job.service.name);
+    let mut cluster = job.process.cluster.lock().unwrap();
+    cluster.crash_log.record_begun(service, &job.terms.parts, at);
+    let is_suspected = !cluster.quarantine.is_empty();
+    drop(cluster);
+    if is_suspected {
+        job.terms.parts.iter().for_each(|part| clear(job, part.fingerprint(service)));
+    }
+}
+
 /// Records that the request completed, so it did not cause the crashes during it: clears them and releases its
 /// quarantine.
 pub fn record_completion<D: Dialect>(job: &Arc<Job<D>>) {
-    let fingerprint = job.fingerprint;
+    clear(job, job.fingerprint);
+}
+
+fn clear<D: Dialect>(job: &Job<D>, fingerprint: Fingerprint) {
     let mut cluster = job.process.cluster.lock().unwrap();
     if !cluster.quarantine.record_completion(fingerprint, job.process.now()) {
         return;
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet::answer::Body;
 use crate::fleet::attempt::{self, End};
+use crate::fleet::crash;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{self, Stats};
 use crate::fleet::queue;
@@ -119,6 +120,9 @@
         let (why, unresponsive) = match end {
             RelayEnd::Complete => {
                 writer.end();
+                if let Some(first_event) = stream.first_event {
+                    crash::record_begun(&job, first_event);
+                }
                 stream.complete(&job);
                 let stats = Stats {
                     first_event,
@@ -191,6 +195,9 @@
         };
         let now = job.process.now();
         progress.record_time(now);
+        if let Some(first_event) = stream.take_sound_start(now) {
+            crash::record_begun(job, first_event);
+        }
         if let Some(sound_until) = pace.as_mut().and_then(|pace| pace.on_events(now)) {
             stream.attempt_guard.record_pace(sound_until);
         }
--- a/daemon/src/fleet/heartbeat.rs
+++ b/daemon/src/fleet/heartbeat.rs
@@ -19,8 +19,8 @@
 use crate::fleet::peers::{Timing, Update};
 use crate::fleet::process::Process;
 use crate::fleet::{
-    compression, grant_requests, members, notices, peer_sync, rate_limits, reports, resync,
-    scheduler,
+    compression, crash_sync, grant_requests, members, notices, peer_sync, rate_limits, reports,
+    resync, scheduler,
 };
 use crate::log;
 
@@ -142,6 +142,11 @@
                 rate_limits::on_announcement(process, &limits, &peer.vm, from);
             }
         }
+        Ok(Message::Crashes(crashes)) => {
+            if process.peers.by_address(from).is_some() {
+                crash_sync::merge(process, crashes);
+            }
+        }
         Err(e) => log::event(&process.log, Event::MessageUnreadable, e),
     }
 }
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -114,7 +114,11 @@
     pub fn requirements(&self, excluded: &[id::Upstream], charge: Charge) -> Requirements {
         let cluster = self.process.cluster.lock().unwrap();
         let excluded = excluded.iter().map(|id| cluster.tag_of(id)).collect();
+        // A request with a part whose quarantine is over runs isolated in place of all others with that part.
+        let service = Tag::of(&self.service.name);
+        let suspect = cluster.part_verdict(service, &self.terms.parts, self.process.now());
         drop(cluster);
+        let fingerprint = suspect.map_or(self.fingerprint, |(part, _)| part.fingerprint(service));
         Requirements {
             prompt: self.terms.prompt,
             memory: self.memory(),
@@ -126,7 +130,7 @@
             connected: self.connected(),
             hall: self.process.member.hall.clone(),
             reservation_timeout: self.reservation_timeout(),
-            fingerprint: self.fingerprint,
+            fingerprint,
             offset: 0,
             schedulers: 1,
             charge,
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -211,7 +211,11 @@
         return answer::text(StatusCode::BAD_REQUEST, TEXT, "invalid fingerprint\n");
     };
     let now = process.now();
-    if !process.cluster.lock().unwrap().quarantine.release(fingerprint, now) {
+    let mut cluster = process.cluster.lock().unwrap();
+    cluster.crash_log.release(fingerprint, now);
+    let was_recorded = cluster.quarantine.release(fingerprint, now);
+    drop(cluster);
+    if !was_recorded {
         return answer::text(
             StatusCode::NOT_FOUND,
             TEXT,
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -99,6 +99,10 @@
     pub promises: Mutex<promise::Received>,
     /// Notified when the cluster state changes such that a queued request may get a placement.
     pub cluster_changed: Notify,
+    /// Notified when a crash is added to the crash log.
+    pub crash_logged: Notify,
+    /// Notified when a part of prompts is quarantined.
+    pub quarantine_changed: Notify,
     /// Notified when the state of this VM is to be announced to peers.
     pub announce: Notify,
     /// Whether the next announcement goes at once to all peers that requested heartbeats.
@@ -192,6 +196,8 @@
             pending_grants: pending_grants::Table::default(),
             promises: Mutex::default(),
             cluster_changed: Notify::new(),
+            crash_logged: Notify::new(),
+            quarantine_changed: Notify::new(),
             announce: Notify::new(),
             announce_to_all: AtomicBool::new(false),
             pool: Pool::default(),
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -14,6 +14,7 @@
 use foldlock_request::placement::{self, Rejection, Requirements};
 use foldlock_request::retry_after;
 
+use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::grant_requests::{self, Expiry, Grant, Rejected};
 use crate::fleet::job::Job;
@@ -121,6 +122,7 @@
         return Err(Rejection::NoUpstream);
     }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
+    crash_sync::check(job).await?;
     let mut requirements = job.requirements(&history.excluded, history.charge());
     if stream_begun {
         allow_whole_time(job, &mut requirements);
@@ -141,9 +143,14 @@
             // The backoff of the upstreams that refused the request is over.
             requirements.excluded.clear();
         }
-        match grant_requests::request(&job.process, &job.service, requirements.clone(), expiry)
-            .await
-        {
+        let granted = tokio::select! {
+            biased;
+            rejection = crash_sync::quarantined(job) => Err(rejection.into()),
+            granted =
+                grant_requests::request(&job.process, &job.service, requirements.clone(), expiry) =>
+                granted,
+        };
+        match granted {
             Ok(grant) => {
                 history.on_granted(job);
                 record_grant(job, &grant, &requirements, started);
@@ -238,7 +245,7 @@
         return Error::unsent(Kind::Draining, why, proof).retry_after(after);
     }
     let kind = match rejection {
-        Rejection::Quarantined { left_ms } => return quarantine_error(left_ms, proof),
+        Rejection::Quarantined { left_ms } => return quarantine_error(job, left_ms, proof),
         Rejection::Backoff { left_ms } => return backoff_error(job, left_ms, proof),
         Rejection::RateLimited { after_ms } => return rate_limit_error(job, after_ms, proof),
         Rejection::Overloaded { after_ms, .. } => {
@@ -280,12 +287,17 @@
     Error::unsent(Kind::Overloaded, why, proof).retry_after(Duration::from_millis(after_ms))
 }
 
-fn quarantine_error(left_ms: u64, proof: Unsent) -> Error {
+fn quarantine_error<D: Dialect>(job: &Job<D>, left_ms: u64, proof: Unsent) -> Error {
     let remaining = Duration::from_millis(left_ms);
-    let why = format!(
-        "upstreams crashed during this request, the last of them while it ran isolated: quarantined \
-         for {:.1} s",
-        remaining.as_secs_f64()
-    );
+    let seconds = remaining.as_secs_f64();
+    let why = match crash_sync::quarantined_part(job) {
+        Some((part, _)) => format!(
+            "upstreams crashed during requests with part {part} of this prompt: quarantined for {seconds:.1} s"
+        ),
+        None => format!(
+            "upstreams crashed during this request, the last of them while it ran isolated: quarantined for \
+             {seconds:.1} s"
+        ),
+    };
     Error::unsent(Kind::Quarantined, why, proof).retry_after(remaining)
 }
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -16,6 +16,7 @@
 use crate::fleet::admit;
 use crate::fleet::answer::{self, Body};
 use crate::fleet::attempt::{self, End};
+use crate::fleet::crash;
 use crate::fleet::events;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{record_completion, record_error, record_rejection};
@@ -156,6 +157,7 @@
     let (why, proof) = match end {
         End::Complete(response) => {
             record_completion(job, None);
+            crash::record_begun(job, job.process.now());
             return Action::Respond(Ok(response));
         }
         End::Streaming(started) => {
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::fleet::crash::Interrupted;
+use crate::fleet::crash::{Interrupted, MIN_DECODING};
 use crate::fleet::job::Job;
 use crate::fleet::outcome;
 use crate::fleet::process::Guard;
@@ -39,6 +39,8 @@
     pub sent: Instant,
     /// When its first event was received.
     pub first_event: Option<Instant>,
+    /// Whether it was recorded that the response began and did not crash its upstream.
+    pub(super) is_sound: bool,
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
     pub(super) attempt_guard: Guard<D>,
@@ -71,6 +73,16 @@
         }
     }
 
+    /// When the response began, once it has outlived the time in which it would have crashed its upstream. Returns it
+    /// once.
+    pub fn take_sound_start(&mut self, now: Instant) -> Option<Instant> {
+        let first = self.first_event.filter(|first| {
+            !self.is_sound && now.saturating_duration_since(*first) >= MIN_DECODING
+        })?;
+        self.is_sound = true;
+        Some(first)
+    }
+
     /// Waits for the next events.
     pub async fn next(&mut self) -> Item {
         loop {
--- a/request/src/cluster.rs
+++ b/request/src/cluster.rs
@@ -24,6 +24,7 @@
 use foldlock_base::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::crash_log;
 use crate::evidence::Evidence;
 use crate::fingerprint::Fingerprint;
 use crate::quarantine::Quarantine;
@@ -59,6 +60,8 @@
     awaited: evidence::Queue,
     /// Requests during which upstreams crashed.
     pub quarantine: Quarantine,
+    /// Crashes of upstreams by the parts of the prompts that they interrupted.
+    pub crash_log: crash_log::Log,
     /// Quarantined requests that the directory lists.
     quarantined: BTreeMap<Fingerprint, quarantine_entry::Entry>,
     /// Requests that the directory listed as quarantined and that have been released.
--- a/request/src/cluster/quarantined.rs
+++ b/request/src/cluster/quarantined.rs
@@ -4,7 +4,10 @@
 
 use super::Cluster;
 use crate::fingerprint::Fingerprint;
+use crate::part::Part;
+use crate::quarantine::Verdict;
 use crate::quarantine_entry;
+use crate::tag::Tag;
 
 /// Maximum number of released requests that are remembered, in case a restored copy of the directory still lists
 /// them: as many as an operator releases within some seconds.
@@ -24,12 +27,33 @@
         self.quarantined.insert(entry.fingerprint, entry.clone()).as_ref() != Some(&entry)
     }
 
+    /// How requests with these shared parts may run, if not like others: the strictest verdict, with its part.
+    pub fn part_verdict(
+        &self,
+        service: Tag,
+        parts: &[Part],
+        now: Instant,
+    ) -> Option<(Part, Verdict)> {
+        if self.quarantine.is_empty() {
+            return None;
+        }
+        let verdicts = parts
+            .iter()
+            .map(|part| (*part, self.quarantine.verdict(part.fingerprint(service), now)))
+            .filter(|(_, verdict)| *verdict != Verdict::Shared);
+        verdicts.max_by_key(|(_, verdict)| match verdict {
+            Verdict::Quarantined(left) => *left,
+            Verdict::Shared | Verdict::Isolated => Duration::ZERO,
+        })
+    }
+
     /// Releases a request that the directory no longer lists as quarantined. Returns whether it was listed.
     pub fn unlist_quarantined(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         let was_listed = self.quarantined.remove(&fingerprint).is_some();
         if was_listed {
             self.digest.set(None);
             self.quarantine.release(fingerprint, now);
+            self.crash_log.release(fingerprint, now);
             if self.released.len() == MAX_RELEASED {
                 self.released.pop_front();
             }
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod claim;
 pub mod cluster;
+pub mod crash_log;
 pub mod cursor;
 pub mod decision;
 pub mod dialect;
--- a/request/src/message.rs
+++ b/request/src/message.rs
@@ -18,7 +18,7 @@
 use crate::revision::Revision;
 use crate::scheduler::order::Reason;
 use crate::tag::Tag;
-use crate::{flight, promise, quarantine, rate_limit, report};
+use crate::{crash_log, flight, promise, quarantine, rate_limit, report};
 
 /// Maximum size of an encoded message in bytes; it fits a UDP datagram.
 pub const MAX_BYTES: usize = 60_000;
@@ -41,6 +41,9 @@
     Poll(Tag),
     /// Rate limits that the receiver needs before its next grant.
     RateLimits(Vec<rate_limit::Entry>),
+    /// Crashes of upstreams, and parts of prompts that are cleared of them. VMs of the previous release cannot decode it,
+    /// and ignore it.
+    Crashes(Vec<crash_log::Announcement>),
 }
 
 /// The state of a VM, as sent to one peer.
--- a/request/src/quarantine.rs
+++ b/request/src/quarantine.rs
@@ -112,6 +112,25 @@
         self.apply_crash(fingerprint, crash, now, now)
     }
 
+    /// Quarantines a part of prompts during whose requests these upstreams crashed, the last of them most recently. Returns
+    /// the status if it was not quarantined for that crash before.
+    pub fn impose(
+        &mut self,
+        fingerprint: Fingerprint,
+        upstreams: &[Tag],
+        now: Instant,
+    ) -> Option<Status> {
+        let (last, others) = upstreams.split_last()?;
+        let case = self.case(fingerprint, now);
+        if case.crashes.iter().any(|crash| crash.upstream == *last) {
+            return None;
+        }
+        for upstream in others {
+            self.apply_crash(fingerprint, Crash { upstream: *upstream, isolated: false }, now, now);
+        }
+        self.record_crash(fingerprint, Crash { upstream: *last, isolated: true }, now)
+    }
+
     /// Records that a request of this VM completed. Returns whether crashes were cleared.
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         if !self.cases.get(&fingerprint).is_some_and(Case::is_suspected) {
--- a/request/src/quarantine/case.rs
+++ b/request/src/quarantine/case.rs
@@ -52,7 +52,7 @@
 /// The crash of an upstream during a request.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct UpstreamCrash {
-    upstream: Tag,
+    pub(super) upstream: Tag,
     /// When it was last observed, by any copy of the request.
     at: Instant,
     /// When it was observed by an isolated copy.
--- /dev/null
+++ b/request/tests/crash_log.rs
@@ -0,0 +1,301 @@
+//! The crash log: which parts of prompts are found to crash upstreams.
+//!
+//! Guards against evidence that is kept for each request by itself, and against holding back parts that sound requests
+//! share with the cause.
+
+use std::time::{Duration, Instant};
+
+use foldlock_request::crash_log::{Interrupted, Log, SETTLE_TIME};
+use foldlock_request::part::Part;
+use foldlock_request::tag::Tag;
+use proptest::prelude::*;
+
+const FIRST: &str = "a0";
+const BAD: &str = "bad0";
+const OTHER_BAD: &str = "bad1";
+const RARE: &str = "c0";
+
+fn part(text: &str) -> Part {
+    text.parse().unwrap()
+}
+
+fn parts(ids: &[&str]) -> Vec<Part> {
+    ids.iter().map(|id| part(id)).collect()
+}
+
+fn service() -> Tag {
+    Tag::of("model")
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A log with a clock and numbered upstreams.
+struct Scene {
+    log: Log,
+    start: Instant,
+    crashes: u32,
+}
+
+impl Scene {
+    fn new() -> Scene {
+        Scene { log: Log::default(), start: Instant::now(), crashes: 0 }
+    }
+
+    /// An upstream crashes at `at`, and interrupts requests with these parts that were sent 100 ms before.
+    fn crash(&mut self, at: u64, requests: &[&[&str]]) {
+        self.crash_sent(at, at.saturating_sub(100), requests);
+    }
+
+    fn crash_sent(&mut self, at: u64, sent: u64, requests: &[&[&str]]) {
+        self.crashes += 1;
+        let upstream = Tag::of(&format!("i-{}", self.crashes));
+        for (number, ids) in requests.iter().enumerate() {
+            let request = Interrupted {
+                request: format!("r-{}-{number}", self.crashes).parse().unwrap(),
+                service: service(),
+                parts: parts(ids),
+                sent: self.start + ms(sent),
+            };
+            self.log.record_crash(upstream, request, self.start + ms(at));
+        }
+    }
+
+    fn begin(&mut self, at: u64, ids: &[&str]) {
+        self.log.record_begun(service(), &parts(ids), self.start + ms(at));
+    }
+
+    fn culprits(&self, at: u64) -> Vec<String> {
+        let culprits = self.log.culprits(self.start + ms(at));
+        let mut parts: Vec<String> = culprits.iter().map(|c| c.part.to_string()).collect();
+        parts.sort();
+        parts
+    }
+}
+
+fn names(ids: &[&str]) -> Vec<String> {
+    ids.iter().map(|id| part(id).to_string()).collect()
+}
+
+const SETTLED: u64 = SETTLE_TIME.as_millis() as u64;
+
+#[test]
+fn a_part_is_a_culprit_after_three_rounds_and_some_time() {
+    let mut scene = Scene::new();
+    for round in 1..=3 {
+        scene.begin(round * 1_000 - 50, &[FIRST, RARE]);
+        scene.crash(round * 1_000, &[&[FIRST, BAD, RARE], &[FIRST, RARE]]);
+        if round < 3 {
+            assert_eq!(scene.culprits(round * 1_000 + SETTLED), [""; 0]);
+        }
+    }
+    scene.begin(3_100, &[FIRST, RARE]);
+    assert_eq!(scene.culprits(3_000 + SETTLED - 1), [""; 0], "others may still begin");
+    assert_eq!(scene.culprits(3_000 + SETTLED), names(&[BAD]));
+}
+
+#[test]
+fn requests_wait_while_it_is_being_decided_and_no_longer() {
+    let mut scene = Scene::new();
+    (1..=3).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD]]));
+    let is_pending = |at| scene.log.is_pending(service(), &parts(&[BAD]), scene.start + ms(at));
+    assert!(is_pending(3_000 + SETTLED - 1));
+    assert!(!is_pending(3_000 + SETTLED));
+    assert!(!scene.log.is_pending(service(), &parts(&[RARE]), scene.start + ms(3_100)));
+}
+
+/// On a route with little traffic no other request may begin between the crashes.
+#[test]
+fn the_first_part_of_the_prompts_is_not_the_culprit_if_a_later_one_explains_the_crashes() {
+    let mut scene = Scene::new();
+    (1..=9).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD]]));
+    assert_eq!(scene.culprits(9_000 + SETTLED), names(&[BAD]));
+}
+
+#[test]
+fn a_first_part_that_crashes_upstreams_alone_is_found() {
+    let mut scene = Scene::new();
+    (1..=3).for_each(|round| scene.crash(round * 1_000, &[&[BAD]]));
+    assert_eq!(scene.culprits(3_000 + SETTLED), names(&[BAD]));
+}
+
+#[test]
+fn upstreams_that_crash_together_are_one_round() {
+    let mut scene = Scene::new();
+    for upstream in 0..17 {
+        scene.crash(1_000 + upstream, &[&[FIRST, RARE], &[FIRST, "c1"], &[FIRST, "c2"]]);
+    }
+    assert_eq!(scene.culprits(1_017 + SETTLED), [""; 0]);
+    let sent_before = |scene: &mut Scene| scene.crash_sent(1_100, 900, &[&[FIRST, RARE]]);
+    sent_before(&mut scene);
+    assert_eq!(scene.culprits(1_100 + SETTLED), [""; 0]);
+}
+
+/// A sound request is retried on the same upstreams as the cause.
+#[test]
+fn parts_with_the_same_crashes_are_told_apart_by_the_next_one() {
+    for order in [[FIRST, BAD, RARE], [FIRST, RARE, BAD]] {
+        let mut scene = Scene::new();
+        let beside: [&[&str]; 2] = [&[FIRST, BAD], &[FIRST, RARE]];
+        (1..=3).for_each(|round| scene.crash(round * 1_000, &beside));
+        assert_eq!(scene.culprits(3_000 + SETTLED), [""; 0], "{order:?}");
+        scene.crash(4_000, &[&[FIRST, BAD]]);
+        assert_eq!(scene.culprits(4_000 + SETTLED), names(&[BAD]), "{order:?}");
+    }
+}
+
+#[test]
+fn a_part_that_comes_only_with_the_culprit_does_not_delay_it_for_long() {
+    let mut scene = Scene::new();
+    (1..=4).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD, RARE]]));
+    // Either explains the crashes. The later one is held back, and then the other if it goes on.
+    assert_eq!(scene.culprits(4_000 + SETTLED), names(&[RARE]));
+    (5..=7).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD]]));
+    assert!(scene.culprits(7_000 + SETTLED).contains(&part(BAD).to_string()));
+}
+
+#[test]
+fn two_culprits_at_once_are_both_found() {
+    let mut scene = Scene::new();
+    for round in 1..=4 {
+        scene.crash(round * 1_000, &[&[FIRST, BAD]]);
+        scene.crash(round * 1_000 + 400, &[&[FIRST, OTHER_BAD], &[FIRST, RARE]]);
+        scene.begin(round * 1_000 + 600, &[FIRST, RARE]);
+    }
+    assert_eq!(scene.culprits(4_600 + SETTLED), names(&[BAD, OTHER_BAD]));
+}
+
+#[test]
+fn a_request_with_two_culprits_hides_neither() {
+    let mut scene = Scene::new();
+    scene.crash(500, &[&[FIRST, BAD, OTHER_BAD]]);
+    for round in 1..=3 {
+        scene.crash(round * 1_000, &[&[FIRST, BAD]]);
+        scene.crash(round * 1_000 + 400, &[&[FIRST, OTHER_BAD]]);
+    }
+    assert_eq!(scene.culprits(3_400 + SETTLED), names(&[BAD, OTHER_BAD]));
+}
+
+/// A part that was served for long turns bad, for instance with a new version of the weights.
+#[test]
+fn a_part_that_has_begun_before_is_found_as_well() {
+    let mut scene = Scene::new();
+    (0..100).for_each(|at| scene.begin(at * 10, &[FIRST, BAD]));
+    (2..=4).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD]]));
+    assert_eq!(scene.culprits(4_000 + SETTLED), names(&[BAD]));
+}
+
+#[test]
+fn a_request_that_begins_clears_its_parts() {
+    let mut scene = Scene::new();
+    (1..=2).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, RARE]]));
+    scene.begin(2_200, &[FIRST, RARE]);
+    (3..=4).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, RARE]]));
+    assert_eq!(scene.culprits(4_000 + SETTLED), [""; 0]);
+    scene.crash(5_000, &[&[FIRST, RARE]]);
+    assert_eq!(scene.culprits(5_000 + SETTLED), names(&[RARE]));
+}
+
+#[test]
+fn an_operator_clears_a_part() {
+    let mut scene = Scene::new();
+    (1..=3).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD]]));
+    scene.log.release(part(BAD).fingerprint(service()), scene.start + ms(4_000));
+    assert_eq!(scene.culprits(5_000), [""; 0]);
+}
+
+#[test]
+fn a_part_is_counted_by_service() {
+    let mut scene = Scene::new();
+    scene.crash(1_000, &[&[FIRST, BAD]]);
+    (2..=3).for_each(|round| {
+        let request = Interrupted {
+            request: format!("other-{round}").parse().unwrap(),
+            service: Tag::of("other"),
+            parts: parts(&[FIRST, BAD]),
+            sent: scene.start + ms(round * 1_000 - 100),
+        };
+        let upstream = Tag::of(&format!("other-{round}"));
+        scene.log.record_crash(upstream, request, scene.start + ms(round * 1_000));
+    });
+    assert_eq!(scene.culprits(3_000 + SETTLED), [""; 0]);
+}
+
+#[test]
+fn requests_without_shared_parts_are_not_recorded() {
+    let mut scene = Scene::new();
+    (1..=9).for_each(|round| scene.crash(round * 1_000, &[&[]]));
+    assert!(scene.log.is_empty());
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut scene = Scene::new();
+    for number in 0..100_000_u64 {
+        scene.begin(number, &[&format!("{number:x}")]);
+    }
+    for number in 0..2_000_u64 {
+        scene.crash(100_000 + number, &[&[FIRST, &format!("{number:x}")]]);
+    }
+    assert!(scene.log.len() <= 256);
+    let announced = scene.log.announced(scene.start + ms(102_000));
+    assert!(announced.len() <= 128, "{}", announced.len());
+}
+
+/// Only one of the VMs observes begins; the others observe the crashes.
+#[test]
+fn a_peer_clears_parts_with_which_its_requests_begin() {
+    let (mut one, mut two) = (Scene::new(), Scene::new());
+    two.start = one.start;
+    for round in 1..=4 {
+        one.crash(round * 1_000, &[&[FIRST, RARE]]);
+        two.begin(round * 1_000 + 100, &[FIRST, RARE]);
+        let now = one.start + ms(round * 1_000 + 300);
+        let announced = one.log.announced(now);
+        assert!(two.log.merge(announced, now), "a new crash");
+        one.log.merge(two.log.announced(now), now);
+        assert_eq!(two.log.announced(now), [], "announced once");
+    }
+    assert_eq!(one.culprits(4_000 + SETTLED), [""; 0]);
+    assert_eq!(two.culprits(4_000 + SETTLED), [""; 0]);
+}
+
+proptest! {
+    /// Datagrams are lost, doubled and reordered; each crash is announced three times.
+    #[test]
+    fn all_vms_reach_the_same_result(
+        crashes in proptest::collection::vec((0..3_usize, 0..4_u64, 0..4_u64), 1..12),
+        order in any::<u64>(),
+    ) {
+        let start = Instant::now();
+        let mut vms: Vec<Scene> = (0..3).map(|_| Scene { start, ..Scene::new() }).collect();
+        let mut at = 1_000;
+        for (number, (vm, first, second)) in crashes.iter().enumerate() {
+            at += 300;
+            let (first, second) = (format!("{first:x}"), format!("b{second:x}"));
+            vms[*vm].crashes = 100 * (*vm as u32) + number as u32;
+            vms[*vm].crash(at, &[&[FIRST, &first, &second]]);
+        }
+        let now = start + ms(at + 2_000);
+        let mut messages = Vec::new();
+        for (from, vm) in vms.iter_mut().enumerate() {
+            for _ in 0..3 {
+                messages.push((from, vm.log.announced(now)));
+            }
+        }
+        let rotation = order as usize % messages.len();
+        messages.rotate_left(rotation);
+        for (number, (from, message)) in messages.iter().enumerate() {
+            for (to, vm) in vms.iter_mut().enumerate() {
+                // Each receiver loses one of the three.
+                if to != *from && (number + to) % 3 != 0 {
+                    vm.log.merge(message.clone(), now);
+                }
+            }
+        }
+        let results: Vec<Vec<String>> = vms.iter().map(|vm| vm.culprits(at + 2_000)).collect();
+        prop_assert_eq!(&results[0], &results[1]);
+        prop_assert_eq!(&results[0], &results[2]);
+    }
+}
--- a/request/tests/quarantine.rs
+++ b/request/tests/quarantine.rs
@@ -249,3 +249,22 @@
         prop_assert_eq!(counts[0], after.len().min(16));
     }
 }
+
+/// Guards against a quarantine that is extended by the crashes that led to it.
+#[test]
+fn an_imposed_quarantine_counts_each_crash_once() {
+    let (mut quarantine, now) = (Quarantine::default(), Instant::now());
+    let upstreams: Vec<Tag> = (1..=3).map(|number| Tag::of(&format!("i-{number}"))).collect();
+    let status = quarantine.impose(request(1), &upstreams, now).unwrap();
+    assert_eq!((status.solo_crashes, status.crashes), (1, 3));
+    assert_eq!(status.remaining, Duration::from_secs(15));
+    assert_eq!(quarantine.impose(request(1), &upstreams, later(now, 10)), None);
+    assert_eq!(quarantine.verdict(request(1), later(now, 16)), Verdict::Isolated, "a probe");
+    // The probe crashes its upstream, at this VM and as announced by another.
+    let probed = later(now, 17);
+    assert!(quarantine.record_crash(request(1), isolated(4), probed).is_some());
+    let all: Vec<Tag> = (1..=4).map(|number| Tag::of(&format!("i-{number}"))).collect();
+    assert_eq!(quarantine.impose(request(1), &all, later(probed, 1)), None);
+    let expected = Verdict::Quarantined(Duration::from_secs(119));
+    assert_eq!(quarantine.verdict(request(1), later(probed, 1)), expected);
+}
