Streams: an end of the connection before the first event is no complete response

A 200 with neither a length nor chunks that ended with its connection before any event reached the caller as an empty success, was counted as completed and cleared the request of crashes, also where another upstream would have served it. The same holds for a crash between two events of such a stream: the connection of a crashed process ends like a complete response.

Cause: the end of the connection was taken for the end of the stream without asking whether it says so. Now such a stream is complete only if its upstream has not crashed, and one without any event only if the caller resumes it; else it is retried or resumed. Its connection is not kept.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -256,7 +256,9 @@
         record_failure(job, &upstream, Cause::Malformed);
         return End::Broken(format!("response signature does not match upstream {upstream}"));
     }
-    let has_length = has_body_length(&head.headers);
+    let is_close_delimited = !has_body_length(&head.headers);
+    // A connection that ends with its response cannot be used again.
+    let idle_timeout = if is_close_delimited { Duration::ZERO } else { idle_timeout };
     strip_hop_by_hop(&mut head.headers);
     let stream = Stream {
         flight: placement.flight.clone(),
@@ -269,13 +271,14 @@
         reservations,
         channel,
         idle_timeout,
+        is_close_delimited,
         body,
         decoder: Decoder::default(),
     };
     if head.status.is_success() && matches!(job.route.delivery, Delivery::Streaming { .. }) {
-        read_first_events(job, head, stream).await
+        read_first_events(job, head, stream, last_event).await
     } else {
-        read_complete(job, head, stream, has_length).await
+        read_complete(job, head, stream).await
     }
 }
 
@@ -382,7 +385,6 @@
     job: &Arc<Job<D>>,
     head: http::response::Parts,
     stream: Stream<D>,
-    has_length: bool,
 ) -> End<D> {
     let Stream {
         flight,
@@ -407,7 +409,7 @@
     };
     let now = job.process.now();
     // A connection on which the body is still being sent cannot be reused, but would hold the body.
-    if has_length && !idle_timeout.is_zero() && !job.body.is_unread() {
+    if !idle_timeout.is_zero() && !job.body.is_unread() {
         job.process.pool.put(&upstream, channel, idle_timeout, now);
     }
     if head.status.is_server_error() {
@@ -451,13 +453,18 @@
     job: &Arc<Job<D>>,
     head: http::response::Parts,
     mut stream: Stream<D>,
+    last_event: Option<u64>,
 ) -> End<D> {
-    match stream.next().await {
+    match stream.next_item(job).await {
         Item::Events(first) => {
             stream.first_event = Some(job.process.now());
             stream.attempt_guard.record_first_event();
             End::Streaming(Box::new(Started { head, first, stream }))
         }
+        Item::End if stream.is_close_delimited && last_event.is_none() => {
+            outcome::record_broken(job, stream.interrupted()).await;
+            End::Broken("the connection ended before the first event".to_owned())
+        }
         Item::End => {
             // A resumed stream has no events left if the caller already has the last one.
             End::Streaming(Box::new(Started { head, first: Vec::new(), stream }))
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -18,6 +18,7 @@
 use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::job::Job;
+use crate::fleet::stream::Stream;
 use crate::fleet::write_queue::Write;
 
 /// How long the connection of a successful check is kept for another request.
@@ -59,34 +60,56 @@
 /// Checks, after the connection of an attempt broke, whether its upstream crashed, and records the crash for the
 /// request. The attempt must still be in the cluster state, so that no second copy of an isolated request is placed
 /// before the result is known.
-///
-/// A closed port refuses connections. An upstream that does not respond may be partitioned, which the request did not
-/// cause.
 pub async fn detect<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>) -> Finding {
+    let at = job.process.now();
+    match state(job, attempt).await {
+        State::Crashed => record(job, attempt, at),
+        State::Unknown => return Finding::Path,
+        State::Running | State::Leaving | State::Unreachable => {}
+    }
+    Finding::Upstream
+}
+
+/// Whether the upstream of a stream has crashed.
+pub async fn has_crashed<D: Dialect>(job: &Job<D>, stream: &Stream<D>) -> bool {
+    state(job, stream.interrupted()).await == State::Crashed
+}
+
+/// The state of an upstream after a connection to it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Crashed,
+    Running,
+    /// It is leaving or no longer listed, and exits without a crash.
+    Leaving,
+    /// It does not respond: it may be partitioned, which no request causes.
+    Unreachable,
+    /// The path of this VM has failed.
+    Unknown,
+}
+
+/// A crashed process has a closed port, which refuses connections, or has restarted already.
+async fn state<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>) -> State {
     let upstream = &attempt.flight.upstream;
     let entry = {
         let cluster = job.process.cluster.lock().unwrap();
-        // An upstream that is leaving or no longer listed exits without a crash.
         let entry = cluster.get(upstream).filter(|u| u.is_open() && u.unlisted.is_none());
         entry.map(|entry| (entry.listed.address.clone(), entry.tag))
     };
-    let Some((address, tag)) = entry else { return Finding::Upstream };
-    let at = job.process.now();
+    let Some((address, tag)) = entry else { return State::Leaving };
     if tag != attempt.incarnation {
-        // It has restarted already.
-        record(job, attempt, at);
-        return Finding::Upstream;
+        return State::Crashed;
     }
     match dial::connect(&job.process, upstream, &address).await {
-        Err(dial::Failure { verdict: Verdict::Refused, .. }) => record(job, attempt, at),
-        Err(dial::Failure { verdict: Verdict::Unreachable, .. }) => {}
-        Err(dial::Failure { verdict: Verdict::Unknown, .. }) => return Finding::Path,
-        Ok(channel) if channel.via().is_some() => return Finding::Path,
+        Err(dial::Failure { verdict: Verdict::Refused, .. }) => State::Crashed,
+        Err(dial::Failure { verdict: Verdict::Unreachable, .. }) => State::Unreachable,
+        Err(dial::Failure { verdict: Verdict::Unknown, .. }) => State::Unknown,
+        Ok(channel) if channel.via().is_some() => State::Unknown,
         Ok(channel) => {
             job.process.pool.put(upstream, channel, PROBE_IDLE_TIMEOUT, job.process.now());
+            State::Running
         }
     }
-    Finding::Upstream
 }
 
 /// Records a crash, which broke the connection of an attempt `at` this time.
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -215,7 +215,7 @@
         let last_received = job.process.now();
         let until = (last_received + timeout).min(job.deadline);
         let next = tokio::select! {
-            next = tokio::time::timeout_at(until.into(), stream.next()) => next,
+            next = tokio::time::timeout_at(until.into(), stream.next_item(job)) => next,
             closed = writer.closed() => return RelayEnd::Closed(closed),
             () = job.body.aborted() => return RelayEnd::Aborted,
         };
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::fleet::crash::{Interrupted, MIN_DECODING};
+use crate::fleet::crash::{self, Interrupted, MIN_DECODING};
 use crate::fleet::job::Job;
 use crate::fleet::outcome;
 use crate::fleet::process::Guard;
@@ -48,6 +48,8 @@
     pub(super) channel: Channel,
     /// How long the connection may be idle afterwards; zero if it cannot be reused.
     pub(super) idle_timeout: Duration,
+    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
+    pub(super) is_close_delimited: bool,
     pub(super) body: Incoming,
     pub(super) decoder: Decoder,
 }
@@ -83,8 +85,18 @@
         Some(first)
     }
 
-    /// Waits for the next events.
-    pub async fn next(&mut self) -> Item {
+    /// Waits for the next item. A stream that ends with its connection is complete only if its upstream has not crashed:
+    /// the connection of a crashed process ends in the same way.
+    pub async fn next_item(&mut self, job: &Job<D>) -> Item {
+        match self.next().await {
+            Item::End if self.is_close_delimited && crash::has_crashed(job, self).await => {
+                Item::Broken("the upstream crashed between two events".to_owned())
+            }
+            item => item,
+        }
+    }
+
+    async fn next(&mut self) -> Item {
         loop {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
