Streams: events end in an empty line of any line ending

A stream whose lines end in CR LF or CR was never taken apart: it ended "inside an event", and the caller got a failure in place of a whole stream, or it was cut at 256 KiB.

Cause: the decoder looked for two LF. Now a line ends in LF, CR LF or CR, and a stream has ended inside an event if the empty line is missing, in all three. Empty lines between events are passed on and belong to none; an LF that arrives after the CR of an empty line follows by itself, so no event waits for the next.

--- a/connection/tests/sse.rs
+++ b/connection/tests/sse.rs
@@ -29,6 +29,35 @@
     assert_eq!(events.iter().map(|e| e.id).collect::<Vec<_>>(), [None, None]);
 }
 
+/// Guards against an event that is held back until the next one, or a stream that seems to end inside an event.
+#[test]
+fn a_line_may_end_in_any_way() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = format!("id: 1{end}data: a{end}{end}id: 2{end}data: b{end}{end}");
+        let (events, buffered) = decode(&[text.as_bytes()]);
+        assert_eq!(events.iter().map(|e| e.id).collect::<Vec<_>>(), [Some(1), Some(2)], "{end:?}");
+        assert_eq!(buffered, 0, "{end:?}");
+        // In single bytes an LF after the last CR is passed on by itself.
+        let bytes: Vec<&[u8]> = text.as_bytes().chunks(1).collect();
+        let (events, buffered) = decode(&bytes);
+        let ids: Vec<u64> = events.iter().filter_map(|e| e.id).collect();
+        let whole: Vec<u8> = events.iter().flat_map(|e| e.bytes.to_vec()).collect();
+        assert_eq!((ids, buffered), (vec![1, 2], 0), "{end:?}");
+        assert_eq!(whole, text.as_bytes());
+        let incomplete = format!("id: 1{end}data: a{end}");
+        assert_eq!(decode(&[incomplete.as_bytes()]).1, incomplete.len(), "{end:?}");
+    }
+}
+
+#[test]
+fn empty_lines_between_events_are_passed_on_and_belong_to_none() {
+    let text = b"\n\nid: 1\ndata: a\n\n\n\r\n";
+    let (events, buffered) = decode(&[text]);
+    assert_eq!(events.iter().filter_map(|e| e.id).collect::<Vec<_>>(), [1]);
+    assert_eq!(events.iter().flat_map(|e| e.bytes.to_vec()).collect::<Vec<u8>>(), text);
+    assert_eq!(buffered, 0);
+}
+
 #[test]
 fn an_overlong_event_is_rejected() {
     let mut decoder = Decoder::default();
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -68,7 +68,7 @@
                 }
             }
             self.last_id = event.id.or(self.last_id);
-            self.count += 1;
+            self.count += u64::from(!event.is_blank());
             new.extend_from_slice(&event.bytes);
         }
         Ok(new.freeze())
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -97,16 +97,20 @@
     }
 
     async fn next(&mut self) -> Item {
+        let mut events = Vec::new();
         loop {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
                 Some(Err(e)) => return Item::Broken(chain(&e)),
-                None if self.decoder.buffered() == 0 => return Item::End,
-                None => return Item::Broken("stream ended inside an event".to_owned()),
+                None if self.decoder.buffered() > 0 => {
+                    return Item::Broken("stream ended inside an event".to_owned());
+                }
+                // Empty lines alone are no response.
+                None if events.is_empty() || self.first_event.is_none() => return Item::End,
+                None => return Item::Events(events),
             };
             let Ok(bytes) = frame.into_data() else { continue };
             self.decoder.push(&bytes);
-            let mut events = Vec::new();
             loop {
                 match self.decoder.next_event() {
                     Ok(Some(event)) => events.push(event),
@@ -114,7 +118,7 @@
                     Err(_) => return Item::Broken("event exceeds the maximum length".to_owned()),
                 }
             }
-            if !events.is_empty() {
+            if !events.iter().all(Event::is_blank) {
                 return Item::Events(events);
             }
         }
