Crashes: common parts are not held back while most upstreams are down

Causes: three rounds within a second in which nearly all upstreams were down say nothing, as nothing can begin; a VM announced what its requests began with only shortly after a crash; requests with a suspected part waited for the decision, and so could not clear it. Besides, each further crash put the decision off.

Now rounds count against the share of other requests that crashes interrupt meanwhile, each part that is cleared late is announced at once, nothing waits, and a crash counts from half a second on, whatever follows. A VM announces a culprit to all others, so that one that saw few requests has it too while the directory is away.

--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -173,9 +173,12 @@
     }
     let service = Tag::of(&job.service.name);
     let mut cluster = job.process.cluster.lock().unwrap();
-    cluster.crash_log.record_begun(service, &job.terms.parts, at);
+    let clears = cluster.crash_log.record_begun(service, &job.terms.parts, at);
     let is_suspected = !cluster.quarantine.is_empty();
     drop(cluster);
+    if clears {
+        job.process.crash_logged.notify_one();
+    }
     if is_suspected {
         job.terms.parts.iter().for_each(|part| clear(job, part.fingerprint(service)));
     }
--- a/daemon/src/fleet/crash_sync.rs
+++ b/daemon/src/fleet/crash_sync.rs
@@ -61,9 +61,13 @@
 /// Merges crashes that a peer announced.
 pub fn merge<D: Dialect>(process: &Process<D>, announcements: Vec<Announcement>) {
     let now = process.now();
-    if process.cluster.lock().unwrap().crash_log.merge(announcements, now) {
+    let merged = process.cluster.lock().unwrap().crash_log.merge(announcements, now);
+    if merged.new_crash {
         process.crash_logged.notify_one();
     }
+    if !merged.culprits.is_empty() {
+        impose(process, merged.culprits);
+    }
 }
 
 fn announce<D: Dialect>(process: &Process<D>) {
@@ -78,25 +82,31 @@
 }
 
 fn quarantine_culprits<D: Dialect>(process: &Process<D>) {
+    let culprits = process.cluster.lock().unwrap().crash_log.culprits(process.now());
+    for culprit in impose(process, culprits) {
+        process.cluster.lock().unwrap().crash_log.announce(culprit);
+    }
+}
+
+/// Quarantines these parts. Returns those that were not quarantined for their last crash before.
+fn impose<D: Dialect>(process: &Process<D>, culprits: Vec<Culprit>) -> Vec<Culprit> {
     let now = process.now();
-    let mut cluster = process.cluster.lock().unwrap();
-    let imposed: Vec<(Culprit, Status)> = cluster
-        .crash_log
-        .culprits(now)
-        .into_iter()
-        .filter_map(|culprit| {
-            let fingerprint = culprit.fingerprint();
-            let status = cluster.quarantine.impose(fingerprint, &culprit.upstreams, now)?;
-            Some((culprit, status))
-        })
-        .collect();
-    drop(cluster);
-    if imposed.is_empty() {
-        return;
+    let mut imposed = Vec::new();
+    for culprit in culprits {
+        let mut cluster = process.cluster.lock().unwrap();
+        let fingerprint = culprit.fingerprint();
+        let status = cluster.quarantine.impose(fingerprint, &culprit.upstreams, now);
+        drop(cluster);
+        if let Some(status) = status {
+            on_quarantined(process, &culprit, status);
+            imposed.push(culprit);
+        }
+    }
+    if !imposed.is_empty() {
+        process.quarantine_changed.notify_waiters();
+        process.cluster_changed.notify_one();
     }
-    imposed.iter().for_each(|(culprit, status)| on_quarantined(process, culprit, *status));
-    process.quarantine_changed.notify_waiters();
-    process.cluster_changed.notify_one();
+    imposed
 }
 
 /// Logs a quarantine. The scheduler, and a VM that observed a crash itself, list it in the directory.
@@ -151,22 +161,11 @@
     }
 }
 
-/// Rejects a request with a quarantined part. Waits while it is about to be decided whether a part is a culprit.
-pub async fn check<D: Dialect>(job: &Job<D>) -> Result<(), Rejection> {
-    let is_pending = || {
-        let service = Tag::of(&job.service.name);
-        let cluster = job.process.cluster.lock().unwrap();
-        cluster.crash_log.is_pending(service, &job.terms.parts, job.process.now())
-    };
-    loop {
-        if let Some((_, left)) = quarantined_part(job) {
-            return Err(Rejection::Quarantined { left_ms: left.as_millis() as u64 });
-        }
-        if !is_pending() || job.remaining().is_zero() {
-            return Ok(());
-        }
-        tokio::time::sleep(INTERVAL / 2).await;
-    }
+/// Rejects a request with a quarantined part.
+pub fn check<D: Dialect>(job: &Job<D>) -> Result<(), Rejection> {
+    quarantined_part(job).map_or(Ok(()), |(_, left)| {
+        Err(Rejection::Quarantined { left_ms: left.as_millis() as u64 })
+    })
 }
 
 /// Waits until a part of the request's prompt is quarantined.
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -122,7 +122,7 @@
         return Err(Rejection::NoUpstream);
     }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
-    crash_sync::check(job).await?;
+    crash_sync::check(job)?;
     let mut requirements = job.requirements(&history.excluded, history.charge());
     if stream_begun {
         allow_whole_time(job, &mut requirements);
--- a/request/src/crash_log.rs
+++ b/request/src/crash_log.rs
@@ -7,12 +7,14 @@
 //! so crashes count in rounds: a crash starts a new round for a part if the request was sent after the previous round.
 //! Upstreams that crash together, whatever the reason, are one round.
 //!
-//! A part with [`ROUNDS`] rounds is a culprit. Where several parts have as many, those that tell requests apart best come
-//! first: not the first part of a prompt, which most requests have, and the latest one in the prompt. The crashes that a
-//! culprit explains count for no other part.
+//! A part with [`ROUNDS`] rounds or more is a culprit if so many are unlikely for a sound one. The probability that a crash
+//! interrupts a sound request before it begins is estimated from the requests of this VM without the part, since the
+//! first of the rounds: it is high when few upstreams are left. Where several parts qualify, those that tell requests apart
+//! best come first: not the first part of a prompt, which most requests have, then the one with most rounds, then the
+//! latest one in the prompt. The crashes that a culprit explains count for no other part.
 //!
-//! Each VM announces the crashes that it observes, and which of the parts in question its requests have begun with. All
-//! VMs so reach the same result without a scheduler.
+//! Each VM announces the crashes that it observes, which of the parts in question its requests have begun with, and the
+//! culprits that it finds. No scheduler takes part in that.
 
 mod announcement;
 
@@ -21,17 +23,28 @@
 
 use foldlock_base::id;
 
+use serde::{Deserialize, Serialize};
+
 use crate::fingerprint::Fingerprint;
 use crate::part::Part;
 use crate::tag::Tag;
 
-pub use announcement::Announcement;
+pub use announcement::{Announcement, Merged};
 
-/// Number of rounds after which a part is a culprit.
+/// Minimum number of rounds of a culprit.
 const ROUNDS: usize = 3;
 
-/// Time from the last crash to the decision: a request that is sent at that time has begun to respond, and all VMs have
-/// received that it has.
+/// Probability of its rounds below which a part is not taken for sound.
+const MAX_PROBABILITY: f64 = 0.05;
+
+/// The same for a part with which requests began recently: that it crashes upstreams now is less likely beforehand.
+const MAX_PROBABILITY_IF_BEGUN: f64 = 0.0025;
+
+/// Time for which it counts that requests began with a part.
+const BEGUN_MEMORY: Duration = Duration::from_secs(60);
+
+/// Time from which a crash counts: another request that was sent at that time has begun, and all VMs have received that
+/// it has.
 pub const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Time for which crashes count. Any request that begins clears its parts, so old crashes only count for parts with which
@@ -44,6 +57,9 @@
 /// Maximum number of requests that are kept for one crash.
 const MAX_REQUESTS: usize = 32;
 
+/// Maximum number of requests of this VM on record that began while crashes are on record.
+const MAX_WITNESSES: usize = 512;
+
 /// Maximum number of parts in each of the two generations of [`Begun`].
 const MAX_BEGUN: usize = 2_048;
 
@@ -61,6 +77,10 @@
 }
 
 impl Interrupted {
+    fn has_part(&self, part: Fingerprint) -> bool {
+        self.positions().any(|(found, _)| found == part)
+    }
+
     /// The position of each part.
     fn positions(&self) -> impl Iterator<Item = (Fingerprint, usize)> {
         let parts = self.parts.iter().enumerate();
@@ -73,67 +93,61 @@
     upstream: Tag,
     /// When it was first observed.
     at: Instant,
-    requests: Vec<Interrupted>,
+    requests: Vec<(Interrupted, Origin)>,
 }
 
 impl Crash {
     /// Whether it interrupted a request with this part.
     fn has_part(&self, part: Fingerprint) -> bool {
-        self.requests.iter().flat_map(Interrupted::positions).any(|(found, _)| found == part)
+        self.requests.iter().any(|(request, _)| request.has_part(part))
     }
 }
 
-/// When a request with a part last began to respond.
-#[derive(Debug, Clone, Copy)]
-struct Begin {
+/// The VM that observed something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    Own,
+    Peer,
+}
+
+/// A request of this VM that began to respond.
+#[derive(Debug)]
+struct Witness {
     at: Instant,
-    /// The last one of this VM.
-    own: Option<Instant>,
+    service: Tag,
+    parts: Vec<Fingerprint>,
 }
 
 /// When requests last began to respond, by part. When the newer generation is full it replaces the older one, so the
 /// memory is bounded and recent parts are kept.
 #[derive(Debug, Default)]
 struct Begun {
-    newer: HashMap<Fingerprint, Begin>,
-    older: HashMap<Fingerprint, Begin>,
+    newer: HashMap<Fingerprint, (Instant, Origin)>,
+    older: HashMap<Fingerprint, (Instant, Origin)>,
 }
 
 impl Begun {
-    fn get(&self, part: Fingerprint) -> Option<Begin> {
+    fn get(&self, part: Fingerprint) -> Option<(Instant, Origin)> {
         self.newer.get(&part).or_else(|| self.older.get(&part)).copied()
     }
 
     fn at(&self, part: Fingerprint) -> Option<Instant> {
-        self.get(part).map(|begin| begin.at)
-    }
-
-    fn own_at(&self, part: Fingerprint) -> Option<Instant> {
-        self.get(part).and_then(|begin| begin.own)
-    }
-
-    fn record(&mut self, part: Fingerprint, at: Instant) {
-        self.insert(part, at, None);
+        self.get(part).map(|(at, _)| at)
     }
 
-    fn record_own(&mut self, part: Fingerprint, at: Instant) {
-        self.insert(part, at, Some(at));
-    }
-
-    fn insert(&mut self, part: Fingerprint, at: Instant, own: Option<Instant>) {
-        let begin = match self.get(part) {
-            Some(last) => Begin { at: last.at.max(at), own: last.own.max(own) },
-            None => Begin { at, own },
-        };
+    fn record(&mut self, part: Fingerprint, at: Instant, origin: Origin) {
+        if self.at(part).is_some_and(|last| last >= at) {
+            return;
+        }
         if self.newer.len() >= MAX_BEGUN && !self.newer.contains_key(&part) {
             self.older = std::mem::take(&mut self.newer);
         }
-        self.newer.insert(part, begin);
+        self.newer.insert(part, (at, origin));
     }
 }
 
 /// A part that crashes upstreams.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Culprit {
     /// The service whose upstreams it crashes.
     pub service: Tag,
@@ -153,8 +167,9 @@
 }
 
 /// The evidence against a part.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Evidence {
+    service: Tag,
     rounds: usize,
     last_round: Option<Instant>,
     /// The lowest position in a prompt.
@@ -164,6 +179,10 @@
 }
 
 impl Evidence {
+    fn new(service: Tag, position: usize) -> Evidence {
+        Evidence { service, rounds: 0, last_round: None, position, crashes: Vec::new() }
+    }
+
     /// The order in which parts are tried as an explanation, the best last.
     fn rank(&self) -> (bool, usize, usize) {
         (self.position > 0, self.rounds, self.position)
@@ -175,6 +194,10 @@
 pub struct Log {
     crashes: VecDeque<Crash>,
     begun: Begun,
+    /// Parts that are not cleared of their last crash, with its time.
+    uncleared: HashMap<Fingerprint, Instant>,
+    /// Requests of this VM that began while crashes were on record, the newest last.
+    witnesses: VecDeque<Witness>,
     /// The upstreams whose crashes interrupted requests of this VM, the newest last.
     own: VecDeque<Tag>,
     outbox: announcement::Outbox,
@@ -187,22 +210,53 @@
         if request.parts.is_empty() {
             return;
         }
-        self.outbox.add(upstream, request.clone(), now);
+        self.outbox.add_crash(upstream, request.clone(), now);
         if self.own.len() == MAX_CRASHES {
             self.own.pop_front();
         }
         self.own.push_back(upstream);
-        self.insert(upstream, request, now, now);
+        self.insert(upstream, (request, Origin::Own), now, now);
     }
 
-    /// Records that a request of this VM began to respond at a time, and did not crash its upstream since.
-    pub fn record_begun(&mut self, service: Tag, parts: &[Part], at: Instant) {
-        parts.iter().for_each(|part| self.begun.record_own(part.fingerprint(service), at));
+    /// Records that a request of this VM began to respond at a time, and did not crash its upstream since. Returns whether
+    /// that clears a part of a crash, which is to be announced.
+    pub fn record_begun(&mut self, service: Tag, parts: &[Part], at: Instant) -> bool {
+        let mut clears = false;
+        for part in parts {
+            clears |= self.begin(service, *part, at, Origin::Own);
+        }
+        if !self.crashes.is_empty() {
+            if self.witnesses.len() == MAX_WITNESSES {
+                self.witnesses.pop_front();
+            }
+            let parts = parts.iter().map(|part| part.fingerprint(service)).collect();
+            self.witnesses.push_back(Witness { at, service, parts });
+        }
+        clears
+    }
+
+    fn begin(&mut self, service: Tag, part: Part, at: Instant, origin: Origin) -> bool {
+        let fingerprint = part.fingerprint(service);
+        self.begun.record(fingerprint, at, origin);
+        let clears = self.uncleared.get(&fingerprint).is_some_and(|crash| *crash <= at);
+        if clears {
+            self.uncleared.remove(&fingerprint);
+            if origin == Origin::Own {
+                self.outbox.add_cleared(service, part, at);
+            }
+        }
+        clears
+    }
+
+    /// Announces a culprit that this VM has found to all others.
+    pub fn announce(&mut self, culprit: Culprit) {
+        self.outbox.add_culprit(culprit);
     }
 
     /// Clears a part that was released, and drops the crashes during its requests: they count for no other part either.
     pub fn release(&mut self, part: Fingerprint, now: Instant) {
-        self.begun.record(part, now);
+        self.begun.record(part, now, Origin::Peer);
+        self.uncleared.remove(&part);
         self.crashes.retain(|crash| !crash.has_part(part));
     }
 
@@ -221,19 +275,6 @@
         self.crashes.len()
     }
 
-    /// Whether one of these parts may turn out to be a culprit within [`SETTLE_TIME`]. Requests with it wait for that.
-    pub fn is_pending(&self, service: Tag, parts: &[Part], now: Instant) -> bool {
-        if self.is_empty() || parts.is_empty() {
-            return false;
-        }
-        let evidence = self.evidence(&HashSet::new(), now);
-        let is_pending = |part: &Part| {
-            let evidence = evidence.get(&part.fingerprint(service));
-            evidence.is_some_and(|e| e.rounds >= ROUNDS && !is_settled(e, now))
-        };
-        parts.iter().any(is_pending)
-    }
-
     /// The parts that crash upstreams, by the evidence so far.
     pub fn culprits(&self, now: Instant) -> Vec<Culprit> {
         let mut culprits = Vec::new();
@@ -251,21 +292,62 @@
         explained: &HashSet<usize>,
         now: Instant,
     ) -> Option<(Fingerprint, Vec<usize>)> {
-        let evidence = self.evidence(explained, now);
-        let candidates = || evidence.iter().filter(|(_, e)| e.rounds >= ROUNDS);
-        let (part, best) = candidates().max_by_key(|(part, e)| (e.rank(), **part))?;
-        // One more round probably tells two equal parts apart.
-        let is_equal = |e: &Evidence| e.position > 0 && e.rounds == best.rounds;
-        let is_tied =
-            best.rounds == ROUNDS && candidates().filter(|(_, e)| is_equal(e)).count() > 1;
-        (is_settled(best, now) && !is_tied).then(|| (*part, best.crashes.clone()))
+        let mut evidence: Vec<(Fingerprint, Evidence)> = self
+            .evidence(explained, now)
+            .into_iter()
+            .filter(|(_, evidence)| evidence.rounds >= ROUNDS)
+            .collect();
+        evidence.sort_by_key(|(part, evidence)| std::cmp::Reverse((evidence.rank(), *part)));
+        // A first part is not tried before all others are cleared or explain crashes.
+        let only_first = evidence.first().is_some_and(|(_, best)| best.position == 0);
+        let equal = |found: &Evidence| {
+            let is_equal = |e: &Evidence| e.position > 0 && e.rounds == found.rounds;
+            evidence.iter().filter(|(_, e)| is_equal(e)).count()
+        };
+        let is_decided = |(part, found): &&(Fingerprint, Evidence)| {
+            // One more round probably tells two equal parts apart.
+            let is_tied = found.rounds == ROUNDS && equal(found) > 1;
+            (only_first || found.position > 0) && !is_tied && self.is_significant(*part, found, now)
+        };
+        let (part, found) = evidence.iter().find(is_decided)?;
+        Some((*part, found.crashes.clone()))
+    }
+
+    /// Whether so many rounds are unlikely for a sound part.
+    fn is_significant(&self, part: Fingerprint, evidence: &Evidence, now: Instant) -> bool {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let has_begun = self.begun.at(part).is_some_and(|at| since(at) < BEGUN_MEMORY);
+        let max = if has_begun { MAX_PROBABILITY_IF_BEGUN } else { MAX_PROBABILITY };
+        self.interrupted_share(part, evidence, now).powi(evidence.rounds as i32) <= max
+    }
+
+    /// The share of the requests of this VM without a part that crashes interrupted before they began, since the first
+    /// crash of its evidence. It starts from two interrupted requests of three, so few requests say little. Requests that began within [`SETTLE_TIME`] do not count yet,
+    /// since one with the part may have begun as well.
+    fn interrupted_share(&self, part: Fingerprint, evidence: &Evidence, now: Instant) -> f64 {
+        let Some(first) = evidence.crashes.first().map(|index| self.crashes[*index].at) else {
+            return 1.0;
+        };
+        let interrupted = self.crashes.iter().filter(|crash| crash.at >= first);
+        let interrupted =
+            interrupted.flat_map(|crash| &crash.requests).filter(|(request, origin)| {
+                *origin == Origin::Own
+                    && request.service == evidence.service
+                    && !request.has_part(part)
+            });
+        let begun = self.witnesses.iter().filter(|witness| {
+            witness.at >= first
+                && now.saturating_duration_since(witness.at) >= SETTLE_TIME
+                && witness.service == evidence.service
+                && !witness.parts.contains(&part)
+        });
+        let (interrupted, begun) = (interrupted.count() as f64, begun.count() as f64);
+        (interrupted + 2.0) / (interrupted + begun + 3.0)
     }
 
     fn culprit(&self, part: Fingerprint, crashes: &[usize]) -> Option<Culprit> {
         let last = self.crashes.get(*crashes.last()?)?;
-        let with_part =
-            |r: &&Interrupted| r.parts.iter().any(|id| id.fingerprint(r.service) == part);
-        let request = last.requests.iter().find(with_part)?;
+        let (request, _) = last.requests.iter().find(|(request, _)| request.has_part(part))?;
         let id = request.parts.iter().find(|id| id.fingerprint(request.service) == part)?;
         Some(Culprit {
             service: request.service,
@@ -275,20 +357,21 @@
         })
     }
 
-    /// The evidence against each part, without the crashes that are explained.
+    /// The evidence against each part, without the crashes that are explained and those that have not settled.
     fn evidence(&self, explained: &HashSet<usize>, now: Instant) -> HashMap<Fingerprint, Evidence> {
         let mut all: HashMap<Fingerprint, Evidence> = HashMap::new();
-        let recent = |crash: &Crash| now.saturating_duration_since(crash.at) < RETENTION;
+        let counts = |crash: &Crash| {
+            (SETTLE_TIME..RETENTION).contains(&now.saturating_duration_since(crash.at))
+        };
         let crashes = self.crashes.iter().enumerate();
-        for (index, crash) in crashes.filter(|(i, c)| !explained.contains(i) && recent(c)) {
-            for request in &crash.requests {
+        for (index, crash) in crashes.filter(|(i, c)| !explained.contains(i) && counts(c)) {
+            for (request, _) in &crash.requests {
                 for (part, position) in request.positions() {
                     if self.begun.at(part).is_some_and(|begun| begun >= crash.at) {
                         continue;
                     }
-                    let evidence = all
-                        .entry(part)
-                        .or_insert_with(|| Evidence { position, ..Evidence::default() });
+                    let evidence =
+                        all.entry(part).or_insert_with(|| Evidence::new(request.service, position));
                     evidence.position = evidence.position.min(position);
                     if evidence.last_round.is_none_or(|last| request.sent >= last) {
                         evidence.rounds += 1;
@@ -303,8 +386,36 @@
         all
     }
 
+    /// Marks the parts of a request that a crash interrupted, and announces those with which requests of this VM have
+    /// begun since.
+    fn mark_uncleared(&mut self, request: &Interrupted, crash: Instant) {
+        for part in &request.parts {
+            let fingerprint = part.fingerprint(request.service);
+            match self.begun.get(fingerprint).filter(|(begun, _)| *begun >= crash) {
+                Some((begun, Origin::Own)) => {
+                    self.outbox.add_cleared(request.service, *part, begun);
+                }
+                Some((_, Origin::Peer)) => {}
+                None => {
+                    let last = self.uncleared.entry(fingerprint).or_insert(crash);
+                    *last = crash.max(*last);
+                }
+            }
+        }
+        if self.uncleared.len() > MAX_CRASHES * MAX_REQUESTS {
+            self.uncleared.clear();
+        }
+    }
+
     /// Adds a request to the crash of its upstream. Returns whether the crash is new.
-    fn insert(&mut self, upstream: Tag, request: Interrupted, at: Instant, now: Instant) -> bool {
+    fn insert(
+        &mut self,
+        upstream: Tag,
+        (request, origin): (Interrupted, Origin),
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        self.mark_uncleared(&request, at);
         while self
             .crashes
             .front()
@@ -314,9 +425,10 @@
         }
         if let Some(crash) = self.crashes.iter_mut().find(|crash| crash.upstream == upstream) {
             crash.at = crash.at.min(at);
-            let is_known = crash.requests.iter().any(|known| known.request == request.request);
+            let mut known = crash.requests.iter();
+            let is_known = known.any(|(known, _)| known.request == request.request);
             if !is_known && crash.requests.len() < MAX_REQUESTS {
-                crash.requests.push(request);
+                crash.requests.push((request, origin));
             }
             return false;
         }
@@ -325,12 +437,7 @@
         }
         // Announcements of different VMs arrive in any order.
         let position = self.crashes.partition_point(|crash| crash.at <= at);
-        self.crashes.insert(position, Crash { upstream, at, requests: vec![request] });
+        self.crashes.insert(position, Crash { upstream, at, requests: vec![(request, origin)] });
         true
     }
 }
-
-fn is_settled(evidence: &Evidence, now: Instant) -> bool {
-    let since = |at| now.saturating_duration_since(at);
-    evidence.last_round.is_some_and(|at| since(at) >= SETTLE_TIME)
-}
--- a/request/src/crash_log/announcement.rs
+++ b/request/src/crash_log/announcement.rs
@@ -1,22 +1,17 @@
 //! Announcements of crashes, and of parts that are cleared of them, between VMs.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use foldlock_base::id;
 use serde::{Deserialize, Serialize};
 
-use super::{Interrupted, Log, RETENTION};
-use crate::fingerprint::Fingerprint;
+use super::{Culprit, Interrupted, Log, Origin, RETENTION};
 use crate::part::Part;
 use crate::tag::Tag;
 
-/// Number of times that each crash is announced, since datagrams may be lost.
+/// Number of times that each observation is announced, since datagrams may be lost.
 const REPEATS: u32 = 3;
 
-/// Number of VMs after which no further one announces that a part is cleared of a crash.
-const CONFIRMATIONS: u32 = 3;
-
 /// Maximum number of crashed requests, and of cleared parts, in one message.
 const MAX_ANNOUNCED: usize = 64;
 
@@ -40,11 +35,15 @@
     },
     /// A request with this part began to respond.
     Begun {
-        /// The key of the part.
-        part: Fingerprint,
+        /// Its service.
+        service: Tag,
+        /// The part.
+        part: Part,
         /// Time since then, milliseconds.
         age_ms: u32,
     },
+    /// A part is a culprit.
+    Culprit(Culprit),
 }
 
 /// A crash that is still to be announced.
@@ -56,113 +55,81 @@
     repeats_left: u32,
 }
 
-/// The VMs that announced that a part is cleared of the crashes up to a time.
+/// A part that is still to be announced as cleared.
 #[derive(Debug)]
-struct Clearing {
-    crash: Instant,
-    confirmations: u32,
-    /// Whether this VM is one of them.
-    announced: bool,
+struct Cleared {
+    service: Tag,
+    part: Part,
+    begun: Instant,
+    repeats_left: u32,
 }
 
 /// What this VM has yet to announce.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     crashes: Vec<Pending>,
-    clearings: HashMap<Fingerprint, Clearing>,
+    cleared: Vec<Cleared>,
+    culprits: Vec<(Culprit, u32)>,
 }
 
 impl Outbox {
-    pub(super) fn add(&mut self, upstream: Tag, request: Interrupted, at: Instant) {
+    pub(super) fn add_culprit(&mut self, culprit: Culprit) {
+        if self.culprits.len() < MAX_ANNOUNCED {
+            self.culprits.push((culprit, REPEATS));
+        }
+    }
+
+    pub(super) fn add_crash(&mut self, upstream: Tag, request: Interrupted, at: Instant) {
         if self.crashes.len() < MAX_ANNOUNCED {
             self.crashes.push(Pending { upstream, request, at, repeats_left: REPEATS });
         }
     }
 
-    /// The announcements that clear a part of the crashes up to `crash`.
-    fn clearing(&mut self, part: Fingerprint, crash: Instant) -> &mut Clearing {
-        let new = || Clearing { crash, confirmations: 0, announced: false };
-        let clearing = self.clearings.entry(part).or_insert_with(new);
-        if clearing.crash < crash {
-            *clearing = new();
+    pub(super) fn add_cleared(&mut self, service: Tag, part: Part, begun: Instant) {
+        let is_same = |cleared: &&mut Cleared| cleared.service == service && cleared.part == part;
+        if let Some(cleared) = self.cleared.iter_mut().find(is_same) {
+            (cleared.begun, cleared.repeats_left) = (begun, REPEATS);
+        } else if self.cleared.len() < MAX_ANNOUNCED {
+            self.cleared.push(Cleared { service, part, begun, repeats_left: REPEATS });
         }
-        clearing
     }
 }
 
 impl Log {
-    /// What to announce to all VMs now. Each crash is announced several times, so this is called repeatedly for a while
-    /// after a crash.
+    /// What to announce to all VMs now. Each observation is announced several times, so this is called repeatedly for a
+    /// while after one.
     pub fn announced(&mut self, now: Instant) -> Vec<Announcement> {
         let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
-        let mut announced: Vec<Announcement> = Vec::new();
-        for pending in &mut self.outbox.crashes {
+        let crashes = self.outbox.crashes.iter_mut().map(|pending| {
             pending.repeats_left -= 1;
             let Interrupted { request, service, parts, sent } = pending.request.clone();
-            announced.push(Announcement::Crashed {
-                upstream: pending.upstream,
-                request,
-                service,
-                parts,
-                sent_age_ms: age(sent),
-                age_ms: age(pending.at),
-            });
-        }
+            let (sent_age_ms, age_ms) = (age(sent), age(pending.at));
+            let upstream = pending.upstream;
+            Announcement::Crashed { upstream, request, service, parts, sent_age_ms, age_ms }
+        });
+        let cleared = self.outbox.cleared.iter_mut().map(|cleared| {
+            cleared.repeats_left -= 1;
+            let Cleared { service, part, begun, .. } = *cleared;
+            Announcement::Begun { service, part, age_ms: age(begun) }
+        });
+        let culprits = self.outbox.culprits.iter_mut().map(|(culprit, repeats_left)| {
+            *repeats_left -= 1;
+            Announcement::Culprit(culprit.clone())
+        });
+        let announced = crashes.chain(cleared).chain(culprits).collect();
         self.outbox.crashes.retain(|pending| pending.repeats_left > 0);
-        let cleared = self.cleared_parts();
-        announced.extend(
-            cleared.into_iter().map(|(part, at)| Announcement::Begun { part, age_ms: age(at) }),
-        );
+        self.outbox.cleared.retain(|cleared| cleared.repeats_left > 0);
+        self.outbox.culprits.retain(|(_, repeats_left)| *repeats_left > 0);
         announced
     }
 
-    /// The parts with which requests of this VM have begun after a crash, unless enough VMs have announced that.
-    fn cleared_parts(&mut self) -> Vec<(Fingerprint, Instant)> {
-        let crashes = self.crashes_by_part();
-        self.outbox.clearings.retain(|part, _| crashes.contains_key(part));
-        let mut cleared = Vec::new();
-        for (part, crashes) in crashes {
-            let Some(begun) = self.begun.own_at(part) else { continue };
-            let Some(crash) = crashes.into_iter().rev().find(|crash| *crash <= begun) else {
-                continue;
-            };
-            let clearing = self.outbox.clearing(part, crash);
-            let is_due = !clearing.announced && clearing.confirmations < CONFIRMATIONS;
-            if is_due && cleared.len() < MAX_ANNOUNCED {
-                clearing.announced = true;
-                cleared.push((part, begun));
-            }
-        }
-        cleared
-    }
-
-    /// The times of the crashes that interrupted requests with each part, in order.
-    fn crashes_by_part(&self) -> HashMap<Fingerprint, Vec<Instant>> {
-        let mut by_part: HashMap<Fingerprint, Vec<Instant>> = HashMap::new();
-        for crash in &self.crashes {
-            for (part, _) in crash.requests.iter().flat_map(Interrupted::positions) {
-                by_part.entry(part).or_default().push(crash.at);
-            }
-        }
-        by_part
-    }
-
-    /// Records that a peer announced a request with this part that began to respond at a time.
-    fn merge_begun(&mut self, part: Fingerprint, at: Instant) {
-        self.begun.record(part, at);
-        let crash = self.crashes.iter().rev().find(|crash| crash.at <= at && crash.has_part(part));
-        if let Some(at) = crash.map(|crash| crash.at) {
-            self.outbox.clearing(part, at).confirmations += 1;
-        }
-    }
-
-    /// Merges what a peer announced. Merging is idempotent. Returns whether it contains a crash that is new here.
-    pub fn merge(&mut self, announcements: Vec<Announcement>, now: Instant) -> bool {
+    /// Merges what a peer announced. Merging is idempotent.
+    pub fn merge(&mut self, announcements: Vec<Announcement>, now: Instant) -> Merged {
         let at = |age_ms: u32| {
             let age = Duration::from_millis(u64::from(age_ms)).min(RETENTION);
             now.checked_sub(age).unwrap_or(now)
         };
-        let mut is_new = false;
+        let mut merged = Merged::default();
         for announcement in announcements {
             match announcement {
                 Announcement::Crashed {
@@ -174,13 +141,24 @@
                     age_ms,
                 } => {
                     let request = Interrupted { request, service, parts, sent: at(sent_age_ms) };
-                    is_new |= self.insert(upstream, request, at(age_ms), now);
+                    let request = (request, Origin::Peer);
+                    merged.new_crash |= self.insert(upstream, request, at(age_ms), now);
                 }
-                Announcement::Begun { part, age_ms } => {
-                    self.merge_begun(part, at(age_ms));
+                Announcement::Begun { service, part, age_ms } => {
+                    self.begin(service, part, at(age_ms), Origin::Peer);
                 }
+                Announcement::Culprit(culprit) => merged.culprits.push(culprit),
             }
         }
-        is_new
+        merged
     }
 }
+
+/// What the announcements of a peer contained.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Merged {
+    /// Whether there was a crash that is new here.
+    pub new_crash: bool,
+    /// The culprits that the peer has found.
+    pub culprits: Vec<Culprit>,
+}
--- a/request/src/quarantine.rs
+++ b/request/src/quarantine.rs
@@ -125,10 +125,12 @@
         if case.crashes.iter().any(|crash| crash.upstream == *last) {
             return None;
         }
+        let was_quarantined = case.remaining(now).is_some();
         for upstream in others {
             self.apply_crash(fingerprint, Crash { upstream: *upstream, isolated: false }, now, now);
         }
-        self.record_crash(fingerprint, Crash { upstream: *last, isolated: true }, now)
+        let status = self.record_crash(fingerprint, Crash { upstream: *last, isolated: true }, now);
+        status.filter(|_| !was_quarantined)
     }
 
     /// Records that a request of this VM completed. Returns whether crashes were cleared.
