Crashes: the culprit is found while nearly all engines are down

Found by a simulation (request/tests/patterns/crash.rs) in which requests with one part that crashes engines come up to 20 times a second beside 38 sound ones: nothing begins any more, so that the share of interrupted requests says nothing.

Now two more tests need no request that begins: the crashes that interrupted requests with a part, against those expected by its share in all interrupted requests; and a part in all crashes, if it is the only one and nothing began with it lately.

--- a/request/src/crash_log.rs
+++ b/request/src/crash_log.rs
@@ -7,11 +7,13 @@
 //! so crashes count in rounds: a crash starts a new round for a part if the request was sent after the previous round.
 //! Upstreams that crash together, whatever the reason, are one round.
 //!
-//! A part with [`ROUNDS`] rounds or more is a culprit if so many are unlikely for a sound one. The probability that a crash
-//! interrupts a sound request before it begins is estimated from the requests of this VM without the part, since the
-//! first of the rounds: it is high when few upstreams are left. Where several parts qualify, those that tell requests apart
-//! best come first: not the first part of a prompt, which most requests have, then the one with most rounds, then the
-//! latest one in the prompt. The crashes that a culprit explains count for no other part.
+//! A part with [`ROUNDS`] rounds or more is a culprit if that is unlikely for a sound one, by one of three tests. The
+//! number of its rounds is compared with the share of other requests that crashes interrupt before they begin, which is
+//! high when few upstreams are left. And the crashes that interrupted requests with it are compared with those expected by
+//! its share in all interrupted requests. And a part with twice as many rounds is one if no request began with it lately
+//! and no other part is in all crashes. Where several parts qualify, those that tell requests apart best come first: not
+//! the first part of a prompt, which most requests have, then the one with most rounds, then the latest one in the prompt.
+//! The crashes that a culprit explains count for no other part.
 //!
 //! Each VM announces the crashes that it observes, which of the parts in question its requests have begun with, and the
 //! culprits that it finds. No scheduler takes part in that.
@@ -40,6 +42,12 @@
 /// The same for a part with which requests began recently: that it crashes upstreams now is less likely beforehand.
 const MAX_PROBABILITY_IF_BEGUN: f64 = 0.0025;
 
+/// Number of rounds after which a part is a culprit if it is the only one that explains all crashes.
+const SOLE_ROUNDS: usize = 6;
+
+/// Share of the crashes that are expected to interrupt a request with their cause: there may be other causes.
+const CAUSE_COVERAGE: f64 = 0.9;
+
 /// Time for which it counts that requests began with a part.
 const BEGUN_MEMORY: Duration = Duration::from_secs(60);
 
@@ -304,21 +312,98 @@
             let is_equal = |e: &Evidence| e.position > 0 && e.rounds == found.rounds;
             evidence.iter().filter(|(_, e)| is_equal(e)).count()
         };
+        // While nothing begins, the frequency of a part says little, but few parts are in all crashes.
+        let is_sole = |part: Fingerprint, found: &Evidence| {
+            let crashes = found.crashes.len();
+            let explains_all = |(part, e): &&(Fingerprint, Evidence)| {
+                e.position > 0 && e.crashes.len() >= crashes && !self.has_begun(*part, now)
+            };
+            found.rounds >= SOLE_ROUNDS
+                && !self.has_begun(part, now)
+                && self.covers_all(found, explained, now)
+                && evidence.iter().filter(explains_all).count() == 1
+        };
         let is_decided = |(part, found): &&(Fingerprint, Evidence)| {
             // One more round probably tells two equal parts apart.
             let is_tied = found.rounds == ROUNDS && equal(found) > 1;
-            (only_first || found.position > 0) && !is_tied && self.is_significant(*part, found, now)
+            (only_first || found.position > 0)
+                && !is_tied
+                && (self.is_significant(*part, found, explained, now) || is_sole(*part, found))
         };
         let (part, found) = evidence.iter().find(is_decided)?;
         Some((*part, found.crashes.clone()))
     }
 
-    /// Whether so many rounds are unlikely for a sound part.
-    fn is_significant(&self, part: Fingerprint, evidence: &Evidence, now: Instant) -> bool {
+    /// Whether the evidence is unlikely for a sound part: by the number of its rounds, or by the crashes that interrupted
+    /// requests with it.
+    fn is_significant(
+        &self,
+        part: Fingerprint,
+        evidence: &Evidence,
+        explained: &HashSet<usize>,
+        now: Instant,
+    ) -> bool {
+        let max =
+            if self.has_begun(part, now) { MAX_PROBABILITY_IF_BEGUN } else { MAX_PROBABILITY };
+        let share = self.interrupted_share(part, evidence, now);
+        share.powi(evidence.rounds as i32) <= max
+            || self.coverage_odds(part, evidence, explained, now) >= max.recip()
+    }
+
+    /// Whether a request with a part began recently.
+    fn has_begun(&self, part: Fingerprint, now: Instant) -> bool {
         let since = |at: Instant| now.saturating_duration_since(at);
-        let has_begun = self.begun.at(part).is_some_and(|at| since(at) < BEGUN_MEMORY);
-        let max = if has_begun { MAX_PROBABILITY_IF_BEGUN } else { MAX_PROBABILITY };
-        self.interrupted_share(part, evidence, now).powi(evidence.rounds as i32) <= max
+        self.begun.at(part).is_some_and(|at| since(at) < BEGUN_MEMORY)
+    }
+
+    /// Whether all crashes of the service, since the first that interrupted a request with a part, did so.
+    fn covers_all(&self, evidence: &Evidence, explained: &HashSet<usize>, now: Instant) -> bool {
+        let Some(first) = evidence.crashes.first() else { return false };
+        let of_service =
+            |crash: &Crash| crash.requests.iter().any(|(r, _)| r.service == evidence.service);
+        let crashes = self.crashes.iter().enumerate().skip(*first);
+        let counted = crashes.filter(|(index, crash)| {
+            let is_settled = now.saturating_duration_since(crash.at) >= SETTLE_TIME;
+            is_settled && !explained.contains(index) && of_service(crash)
+        });
+        counted.count() == evidence.crashes.len()
+    }
+
+    /// How much likelier it is that the crashes interrupted requests with a part if it is their cause than by the share
+    /// that it has in all interrupted requests. This tells the cause apart also while all upstreams are down.
+    fn coverage_odds(
+        &self,
+        part: Fingerprint,
+        evidence: &Evidence,
+        explained: &HashSet<usize>,
+        now: Instant,
+    ) -> f64 {
+        let Some(first) = evidence.crashes.first() else { return 0.0 };
+        let crashes = self.crashes.iter().enumerate().skip(*first);
+        let settled = crashes.filter(|(index, crash)| {
+            now.saturating_duration_since(crash.at) >= SETTLE_TIME && !explained.contains(index)
+        });
+        // Requests of each crash, and those of them with the part.
+        let counts: Vec<(usize, usize)> = settled
+            .map(|(_, crash)| {
+                let of_service =
+                    crash.requests.iter().filter(|(r, _)| r.service == evidence.service);
+                let has_part = of_service.clone().filter(|(request, _)| request.has_part(part));
+                (of_service.count(), has_part.count())
+            })
+            .filter(|(all, _)| *all > 0)
+            .collect();
+        let sum = |count: fn(&(usize, usize)) -> usize| counts.iter().map(count).sum::<usize>();
+        let share = sum(|(_, with)| *with) as f64 / sum(|(all, _)| *all) as f64;
+        let odds = counts.iter().map(|(all, with)| {
+            let by_share = 1.0 - (1.0 - share).powi(*all as i32);
+            if *with > 0 {
+                CAUSE_COVERAGE / by_share
+            } else {
+                (1.0 - CAUSE_COVERAGE) / (1.0 - by_share)
+            }
+        });
+        odds.product()
     }
 
     /// The share of the requests of this VM without a part that crashes interrupted before they began, since the first
