Crashes: a request with several suspected parts is no probe

Now only a request with exactly one part to be probed runs; one with several is rejected with a Retry-After.

--- a/request/src/cluster/quarantined.rs
+++ b/request/src/cluster/quarantined.rs
@@ -13,6 +13,10 @@
 /// them: as many as an operator releases within some seconds.
 const MAX_RELEASED: usize = 256;
 
+/// Retry-After of a request with several parts that have to be probed: until then a request with one of them alone has
+/// probably shown whether it is sound.
+const AMBIGUOUS_RETRY: Duration = Duration::from_secs(15);
+
 impl Cluster {
     /// Applies a directory entry of a quarantined request. Returns whether it is new or has changed.
     pub fn list_quarantined(
@@ -27,7 +31,8 @@
         self.quarantined.insert(entry.fingerprint, entry.clone()).as_ref() != Some(&entry)
     }
 
-    /// How requests with these shared parts may run, if not like others: the strictest verdict, with its part.
+    /// How requests with these shared parts may run, if not like others: the strictest verdict, with its part. One with
+    /// several parts that each have to be probed is no probe, since its crash would not tell which part caused it.
     pub fn part_verdict(
         &self,
         service: Tag,
@@ -37,14 +42,21 @@
         if self.quarantine.is_empty() {
             return None;
         }
-        let verdicts = parts
+        let verdicts: Vec<(Part, Verdict)> = parts
             .iter()
             .map(|part| (*part, self.quarantine.verdict(part.fingerprint(service), now)))
-            .filter(|(_, verdict)| *verdict != Verdict::Shared);
-        verdicts.max_by_key(|(_, verdict)| match verdict {
+            .filter(|(_, verdict)| *verdict != Verdict::Shared)
+            .collect();
+        let strictest = verdicts.iter().max_by_key(|(_, verdict)| match verdict {
             Verdict::Quarantined(left) => *left,
             Verdict::Shared | Verdict::Isolated => Duration::ZERO,
-        })
+        });
+        match strictest {
+            Some((part, Verdict::Isolated)) if verdicts.len() > 1 => {
+                Some((*part, Verdict::Quarantined(AMBIGUOUS_RETRY)))
+            }
+            strictest => strictest.copied(),
+        }
     }
 
     /// Releases a request that the directory no longer lists as quarantined. Returns whether it was listed.
--- a/request/tests/crash_log.rs
+++ b/request/tests/crash_log.rs
@@ -5,8 +5,10 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_request::cluster::Cluster;
 use foldlock_request::crash_log::{Interrupted, Log, SETTLE_TIME};
 use foldlock_request::part::Part;
+use foldlock_request::quarantine::Verdict;
 use foldlock_request::tag::Tag;
 use proptest::prelude::*;
 
@@ -402,3 +404,21 @@
         prop_assert_eq!(receivers[0].culprits(at + 2_000), receivers[1].culprits(at + 2_000));
     }
 }
+
+/// Guards against a sound part being quarantined again by a probe that holds the culprit as well.
+#[test]
+fn a_request_with_two_suspected_parts_is_no_probe() {
+    let mut cluster = Cluster::default();
+    let now = Instant::now();
+    let upstreams = [Tag::of("i-1"), Tag::of("i-2"), Tag::of("i-3")];
+    for id in [BAD, RARE] {
+        cluster.quarantine.impose(part(id).fingerprint(service()), &upstreams, now);
+    }
+    let verdict = |ids: &[&str], at| cluster.part_verdict(service(), &parts(ids), now + ms(at));
+    assert!(matches!(verdict(&[FIRST, BAD], 1_000), Some((_, Verdict::Quarantined(_)))));
+    assert_eq!(verdict(&[FIRST, "c1"], 1_000), None);
+    assert_eq!(verdict(&[FIRST, BAD], 16_000), Some((part(BAD), Verdict::Isolated)));
+    assert_eq!(verdict(&[FIRST, RARE], 16_000), Some((part(RARE), Verdict::Isolated)));
+    let both = verdict(&[FIRST, BAD, RARE], 16_000);
+    assert!(matches!(both, Some((_, Verdict::Quarantined(_)))), "{both:?}");
+}
