--- a/request/src/crash_log/announcement.rs
+++ b/request/src/crash_log/announcement.rs
@@ -5,7 +5,7 @@
 use foldlock_base::id;
 use serde::{Deserialize, Serialize};
 
-use super::{Culprit, Interrupted, Log, Origin, RETENTION};
+use super::{Culprit, Interrupted, Log, Origin, RETENTION, Record};
 use crate::part::Part;
 use crate::tag::Tag;
 
@@ -141,8 +141,8 @@
                     age_ms,
                 } => {
                     let request = Interrupted { request, service, parts, sent: at(sent_age_ms) };
-                    let request = (request, Origin::Peer);
-                    merged.new_crash |= self.insert(upstream, request, at(age_ms), now);
+                    let record = Record::new(request, Origin::Peer);
+                    merged.new_crash |= self.insert(upstream, record, at(age_ms), now);
                 }
                 Announcement::Begun { service, part, age_ms } => {
                     self.begin(service, part, at(age_ms), Origin::Peer);
