--- a/daemon/src/fleet/crash_sync.rs
+++ b/daemon/src/fleet/crash_sync.rs
@@ -1,7 +1,7 @@
 //! Announces crashes to the peers, and quarantines the parts of prompts that cause them.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
 use foldlock_request::crash_log::{self, Announcement, Culprit, Interrupted};
@@ -43,7 +43,7 @@
 }
 
 /// Records a request of this VM that a crash interrupted before it began to respond.
-pub fn record<D: Dialect>(job: &Job<D>, upstream: Tag, sent: std::time::Instant) {
+pub fn record<D: Dialect>(job: &Job<D>, upstream: Tag, sent: Instant) {
     let request = Interrupted {
         request: job.id.clone(),
         service: Tag::of(&job.service.name),
--- a/request/src/crash_log.rs
+++ b/request/src/crash_log.rs
@@ -47,6 +47,9 @@
 /// Maximum number of requests that are kept for one crash.
 const MAX_REQUESTS: usize = 32;
 
+/// Maximum number of upstreams that are named for a culprit.
+const MAX_UPSTREAMS: usize = 16;
+
 /// Maximum number of requests of this VM on record that began while crashes are on record.
 const MAX_WITNESSES: usize = 512;
 
@@ -158,7 +161,7 @@
     pub part: Part,
     /// The last request with it that was interrupted.
     pub request: id::Request,
-    /// The upstreams that crashed, in the order of time.
+    /// The last upstreams that crashed, in the order of time.
     pub upstreams: Vec<Tag>,
 }
 
@@ -268,6 +271,7 @@
 
     fn culprit(&self, part: Fingerprint, crashes: &[usize]) -> Option<Culprit> {
         let last = self.crashes.get(*crashes.last()?)?;
+        let recent = &crashes[crashes.len().saturating_sub(MAX_UPSTREAMS)..];
         let record = last.requests.iter().find(|record| record.has_part(part))?;
         let position = record.parts.iter().position(|found| *found == part)?;
         let Interrupted { request, service, parts, .. } = &record.request;
@@ -275,7 +279,7 @@
             service: *service,
             part: parts[position],
             request: request.clone(),
-            upstreams: crashes.iter().map(|index| self.crashes[*index].upstream).collect(),
+            upstreams: recent.iter().map(|index| self.crashes[*index].upstream).collect(),
         })
     }
 
