Crashes: a part that most requests have is no culprit for being in all crashes

Such a part is in all crashes anyway. Now the test by a sole part applies to parts of at most half of the interrupted requests.

--- a/request/src/crash_log/evidence.rs
+++ b/request/src/crash_log/evidence.rs
@@ -21,6 +21,9 @@
 /// Number of rounds after which a part is a culprit if it is the only one that explains all crashes.
 const SOLE_ROUNDS: usize = 6;
 
+/// The highest share of such a part in the interrupted requests: one that most requests have is in all crashes anyway.
+const MAX_SOLE_SHARE: f64 = 0.5;
+
 /// Share of the crashes that are expected to interrupt a request with their cause: there may be other causes.
 const CAUSE_COVERAGE: f64 = 0.9;
 
@@ -87,7 +90,7 @@
             };
             found.rounds >= SOLE_ROUNDS
                 && !self.has_begun(part, now)
-                && self.covers_all(found, explained, now)
+                && self.covers_all(part, found, explained, now)
                 && evidence.iter().filter(explains_all).count() == 1
         };
         let is_decided = |(part, found): &&(Fingerprint, Evidence<'_>)| {
@@ -138,18 +141,36 @@
         settled.map(|(_, crash)| crash)
     }
 
-    /// Whether all crashes of the service, since the first that interrupted a request with a part, did so.
+    /// Whether all crashes of the service, since the first that interrupted a request with a part, did so, although most
+    /// requests do not have it.
     fn covers_all(
         &self,
+        part: Fingerprint,
         evidence: &Evidence<'_>,
         explained: &HashSet<usize>,
         now: Instant,
     ) -> bool {
-        let Some(first) = evidence.crashes.first() else { return false };
-        let crashes = self.settled(*first, explained, now);
-        let of_service =
-            crashes.filter(|crash| crash.of_service(evidence.service).next().is_some());
-        of_service.count() == evidence.crashes.len()
+        let counts = self.counts(part, evidence, explained, now);
+        counts.iter().all(|(_, with)| *with > 0) && share_of(&counts) <= MAX_SOLE_SHARE
+    }
+
+    /// The interrupted requests of each crash, from the first that interrupted a request with a part, and those of them
+    /// with the part.
+    fn counts(
+        &self,
+        part: Fingerprint,
+        evidence: &Evidence<'_>,
+        explained: &HashSet<usize>,
+        now: Instant,
+    ) -> Vec<(usize, usize)> {
+        let Some(first) = evidence.crashes.first() else { return Vec::new() };
+        let count = |crash: &Crash| {
+            let requests = crash.of_service(evidence.service);
+            let with_part = requests.clone().filter(|record| record.has_part(part));
+            (requests.count(), with_part.count())
+        };
+        let counts = self.settled(*first, explained, now).map(count);
+        counts.filter(|(all, _)| *all > 0).collect()
     }
 
     /// How much likelier it is that the crashes interrupted requests with a part if it is their cause than by the share
@@ -161,19 +182,8 @@
         explained: &HashSet<usize>,
         now: Instant,
     ) -> f64 {
-        let Some(first) = evidence.crashes.first() else { return 0.0 };
-        // Requests of each crash, and those of them with the part.
-        let counts: Vec<(usize, usize)> = self
-            .settled(*first, explained, now)
-            .map(|crash| {
-                let requests = crash.of_service(evidence.service);
-                let with_part = requests.clone().filter(|record| record.has_part(part));
-                (requests.count(), with_part.count())
-            })
-            .filter(|(all, _)| *all > 0)
-            .collect();
-        let sum = |count: fn(&(usize, usize)) -> usize| counts.iter().map(count).sum::<usize>();
-        let share = sum(|(_, with)| *with) as f64 / sum(|(all, _)| *all) as f64;
+        let counts = self.counts(part, evidence, explained, now);
+        let share = share_of(&counts);
         let odds = counts.iter().map(|(all, with)| {
             let by_share = 1.0 - (1.0 - share).powi(*all as i32);
             if *with > 0 {
@@ -240,3 +250,9 @@
         all
     }
 }
+
+/// The share of the requests with a part in all that were counted.
+fn share_of(counts: &[(usize, usize)]) -> f64 {
+    let (all, with) = counts.iter().fold((0, 0), |(a, w), (all, with)| (a + all, w + with));
+    with as f64 / f64::from(all.max(1) as u32)
+}
