--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -7,10 +7,12 @@
 use foldlock_request::budget::Charge;
 use foldlock_request::caller::{Caller, Priority};
 use foldlock_request::cluster::Load;
+use foldlock_request::crash_log::{self, Interrupted};
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::message::{
-    Activity, Grant, GrantRequest, Heartbeat, Message, Number, State, decode, encode,
+    Activity, Grant, GrantRequest, Heartbeat, MAX_BYTES, Message, Number, State, decode, encode,
 };
+use foldlock_request::part::{MAX_PARTS, Part};
 use foldlock_request::placement::{Rejection, Requirements};
 use foldlock_request::promise::{Announcement, MAX_ANNOUNCED};
 use foldlock_request::scheduler::order::{Basis, Reason};
@@ -188,3 +190,23 @@
         let _ = decode(&bytes);
     }
 }
+
+/// Guards against a message that does not fit a datagram however many crashes and culprits there are.
+#[test]
+fn announced_crashes_pass_unchanged_and_fit_a_datagram() {
+    let (mut log, now) = (crash_log::Log::default(), Instant::now());
+    for number in 0..500 {
+        let part = |id: usize| format!("{id:x}").parse::<Part>().unwrap();
+        let request = Interrupted {
+            request: format!("request-{number:08}").parse().unwrap(),
+            service: Tag::of("model"),
+            parts: (0..MAX_PARTS).map(|id| part(id + number)).collect(),
+            sent: now,
+        };
+        log.record_crash(Tag::of(&format!("i-{number}")), request, now);
+    }
+    let message = Message::Crashes(log.announced(now));
+    let bytes = encode(&message);
+    assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
+    assert_eq!(decode(&bytes).unwrap(), message);
+}
