--- a/daemon/src/fleet/crash_sync.rs
+++ b/daemon/src/fleet/crash_sync.rs
@@ -23,6 +23,9 @@
 /// Interval between announcements, and between decisions, while crashes are recent.
 const INTERVAL: Duration = Duration::from_millis(50);
 
+/// The number of datagrams that are sent before other tasks run.
+const BATCH_SIZE: usize = 64;
+
 /// Time after a crash for which it is announced and decided upon.
 const ACTIVE_TIME: Duration = crash_log::SETTLE_TIME.saturating_add(Duration::from_millis(250));
 
@@ -32,7 +35,7 @@
         process.crash_logged.notified().await;
         let mut until = process.now() + ACTIVE_TIME;
         while process.now() < until {
-            announce(&process);
+            announce(&process).await;
             quarantine_culprits(&process);
             tokio::select! {
                 () = tokio::time::sleep(INTERVAL) => {}
@@ -70,14 +73,15 @@
     }
 }
 
-fn announce<D: Dialect>(process: &Process<D>) {
+async fn announce<D: Dialect>(process: &Process<D>) {
     let announced = process.cluster.lock().unwrap().crash_log.announced(process.now());
     if announced.is_empty() {
         return;
     }
     let message = Message::Crashes(announced);
-    for member in process.peers.members() {
-        announce::send(process, &message, member.address);
+    for batch in process.peers.members().chunks(BATCH_SIZE) {
+        batch.iter().for_each(|member| announce::send(process, &message, member.address));
+        tokio::task::yield_now().await;
     }
 }
 
