Crashes: a probe that had begun counts for its request, and each begin once

By reading: a probe whose response had begun when its upstream crashed would have quarantined its part again, which the begin had just cleared; and a stream that lasted over 200 ms counted twice as a request that began.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -265,7 +265,7 @@
         incarnation,
         sent,
         first_event: None,
-        is_sound: false,
+        is_start_recorded: false,
         predicted_ms: placement.predicted_ms,
         attempt_guard,
         reservations,
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -118,14 +118,14 @@
     let Interrupted { flight, incarnation, .. } = attempt;
     let begun = attempt.had_begun(at);
     let upstream = flight.upstream.clone();
-    let isolated = flight.isolated.is_some();
+    // A probe of a part runs isolated under the key of the part, which is cleared once it has begun.
+    let suspect = flight.isolated.filter(|_| !begun).unwrap_or(job.fingerprint);
+    let isolated = flight.isolated == Some(suspect);
     let crash = Crash { upstream: incarnation, isolated };
     let mut cluster = job.process.cluster.lock().unwrap();
     if cluster.tag_of(&upstream) == incarnation {
         cluster.record_outcome(&upstream, Outcome::Failed(Cause::Unresponsive), now);
     }
-    // A probe of a part runs isolated under the key of the part.
-    let suspect = flight.isolated.unwrap_or(job.fingerprint);
     let status = cluster.quarantine.record_crash(suspect, crash, now);
     let crashes = cluster.quarantine.crash_count(suspect) as u32;
     drop(cluster);
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -120,7 +120,7 @@
         let (why, unresponsive) = match end {
             RelayEnd::Complete => {
                 writer.end();
-                if let Some(first_event) = stream.first_event {
+                if let Some(first_event) = stream.take_start() {
                     crash::record_begun(&job, first_event);
                 }
                 stream.complete(&job);
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -40,7 +40,7 @@
     /// When its first event was received.
     pub first_event: Option<Instant>,
     /// Whether it was recorded that the response began and did not crash its upstream.
-    pub(super) is_sound: bool,
+    pub(super) is_start_recorded: bool,
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
     pub(super) attempt_guard: Guard<D>,
@@ -78,11 +78,16 @@
     /// When the response began, once it has outlived the time in which it would have crashed its upstream. Returns it
     /// once.
     pub fn take_sound_start(&mut self, now: Instant) -> Option<Instant> {
-        let first = self.first_event.filter(|first| {
-            !self.is_sound && now.saturating_duration_since(*first) >= MIN_DECODING
-        })?;
-        self.is_sound = true;
-        Some(first)
+        let first = self.first_event?;
+        let has_outlived = now.saturating_duration_since(first) >= MIN_DECODING;
+        has_outlived.then(|| self.take_start()).flatten()
+    }
+
+    /// When the response began, if that was not recorded yet.
+    pub fn take_start(&mut self) -> Option<Instant> {
+        let first = self.first_event.filter(|_| !self.is_start_recorded);
+        self.is_start_recorded = true;
+        first
     }
 
     /// Waits for the next item. A stream that ends with its connection is complete only if its upstream has not crashed:
--- a/request/src/fingerprint.rs
+++ b/request/src/fingerprint.rs
@@ -1,5 +1,5 @@
 //! Fingerprints of requests, by which a repeated request is recognized across callers and request
-//! ids.
+//! ids, and of parts that prompts share.
 
 use std::fmt;
 use std::num::ParseIntError;
--- a/request/src/quarantine.rs
+++ b/request/src/quarantine.rs
@@ -6,6 +6,9 @@
 //! upstream crashes too (a solo crash), the request is quarantined, that is kept from all upstreams, for a time that
 //! grows with each solo crash. Afterwards it runs isolated again.
 //!
+//! Parts of prompts that crash upstreams are found by [`crate::crash_log`] and quarantined in the same way, each under a
+//! fingerprint of its own.
+//!
 //! A crash is a process that ended and whose port is closed. A reset connection, an invalid or truncated response, an
 //! upstream that does not respond and one that announced that it is leaving are not crashes.
 
