Crashes: a common part is no culprit because a rare one begins first

Now the interrupted requests with the part count in the share that crashes interrupt, as they would if it were sound.

--- a/request/src/crash_log/evidence.rs
+++ b/request/src/crash_log/evidence.rs
@@ -27,6 +27,9 @@
 /// Share of the crashes that are expected to interrupt a request with their cause: there may be other causes.
 const CAUSE_COVERAGE: f64 = 0.9;
 
+/// The share of interrupted requests where no request without the part is known.
+const UNKNOWN_SHARE: f64 = 2.0 / 3.0;
+
 /// Time for which it counts that requests began with a part.
 const BEGUN_MEMORY: Duration = Duration::from_secs(60);
 
@@ -195,9 +198,10 @@
         odds.product()
     }
 
-    /// The share of the requests of this VM without a part that crashes interrupted before they began, since the first
-    /// crash of its evidence. It starts from two interrupted requests of three, so few requests say little. Requests that
-    /// began within [`SETTLE_TIME`] do not count yet, since one with the part may have begun as well.
+    /// The share of the requests of this VM that crashes interrupted before they began, since the first crash of the
+    /// evidence against a part. Those with the part count as well, as they would if it were sound, and two of three more,
+    /// so few requests say little. Requests that began within [`SETTLE_TIME`] do not count yet, since one with the part may
+    /// have begun as well.
     fn interrupted_share(&self, part: Fingerprint, evidence: &Evidence<'_>, now: Instant) -> f64 {
         let Some(first) = evidence.crashes.first().map(|index| self.crashes[*index].at) else {
             return 1.0;
@@ -205,15 +209,21 @@
         let crashes = self.crashes.iter().filter(|crash| crash.at >= first);
         let interrupted = crashes
             .flat_map(|crash| crash.of_service(evidence.service))
-            .filter(|record| record.origin == Origin::Own && !record.has_part(part));
+            .filter(|record| record.origin == Origin::Own);
+        let (with_part, others): (Vec<&Record>, Vec<&Record>) =
+            interrupted.partition(|record| record.has_part(part));
         let begun = self.witnesses.iter().filter(|witness| {
             witness.at >= first
                 && now.saturating_duration_since(witness.at) >= SETTLE_TIME
                 && witness.service == evidence.service
                 && !witness.parts.contains(&part)
         });
-        let (interrupted, begun) = (interrupted.count() as f64, begun.count() as f64);
-        (interrupted + 2.0) / (interrupted + begun + 3.0)
+        let begun = begun.count();
+        if others.is_empty() && begun == 0 {
+            return UNKNOWN_SHARE;
+        }
+        let interrupted = (with_part.len() + others.len()) as f64;
+        (interrupted + 2.0) / (interrupted + begun as f64 + 3.0)
     }
 
     /// The evidence against each part, without the crashes that are explained and those that have not settled.
