Crashes: a known culprit explains its crashes at all VMs

Now each culprit on record, whoever found it, explains its crashes until a request with it begins or it is released.

--- a/daemon/src/fleet/crash_sync.rs
+++ b/daemon/src/fleet/crash_sync.rs
@@ -99,6 +99,7 @@
     for culprit in culprits {
         let mut cluster = process.cluster.lock().unwrap();
         let fingerprint = culprit.fingerprint();
+        cluster.crash_log.record_culprit(fingerprint);
         let status = cluster.quarantine.impose(fingerprint, &culprit.upstreams, now);
         drop(cluster);
         if let Some(status) = status {
--- a/request/src/cluster/quarantined.rs
+++ b/request/src/cluster/quarantined.rs
@@ -27,6 +27,9 @@
     ) -> bool {
         let remaining = Duration::from_millis(entry.until_ms.saturating_sub(wall_ms));
         self.quarantine.merge_entry(entry.fingerprint, entry.proofs, remaining, now);
+        if entry.part.is_some() {
+            self.crash_log.record_culprit(entry.fingerprint);
+        }
         self.digest.set(None);
         self.quarantined.insert(entry.fingerprint, entry.clone()).as_ref() != Some(&entry)
     }
--- a/request/src/crash_log.rs
+++ b/request/src/crash_log.rs
@@ -47,6 +47,9 @@
 /// Maximum number of requests that are kept for one crash.
 const MAX_REQUESTS: usize = 32;
 
+/// Maximum number of culprits on record.
+const MAX_KNOWN: usize = 1_024;
+
 /// Maximum number of upstreams that are named for a culprit.
 const MAX_UPSTREAMS: usize = 16;
 
@@ -179,6 +182,8 @@
     begun: Begun,
     /// Parts that are not cleared of their last crash, with its time.
     uncleared: HashMap<Fingerprint, Instant>,
+    /// The parts that were found to be culprits.
+    known: HashSet<Fingerprint>,
     /// Requests of this VM that began while crashes were on record, the newest last.
     witnesses: VecDeque<Witness>,
     /// The upstreams whose crashes interrupted requests of this VM, the newest last.
@@ -221,6 +226,7 @@
     fn begin(&mut self, service: Tag, part: Part, at: Instant, origin: Origin) -> bool {
         let fingerprint = part.fingerprint(service);
         self.begun.record(fingerprint, at, origin);
+        self.known.remove(&fingerprint);
         let clears = self.uncleared.get(&fingerprint).is_some_and(|crash| *crash <= at);
         if clears {
             self.uncleared.remove(&fingerprint);
@@ -236,10 +242,18 @@
         self.outbox.add_culprit(culprit);
     }
 
+    /// Records that a part is a culprit, whoever found it: it explains its crashes until a request with it begins.
+    pub fn record_culprit(&mut self, part: Fingerprint) {
+        if self.known.len() < MAX_KNOWN {
+            self.known.insert(part);
+        }
+    }
+
     /// Clears a part that was released, and drops the crashes during its requests: they count for no other part either.
     pub fn release(&mut self, part: Fingerprint, now: Instant) {
         self.begun.record(part, now, Origin::Peer);
         self.uncleared.remove(&part);
+        self.known.remove(&part);
         self.crashes.retain(|crash| !crash.has_part(part));
     }
 
@@ -262,6 +276,11 @@
     pub fn culprits(&self, now: Instant) -> Vec<Culprit> {
         let mut culprits = Vec::new();
         let mut explained = HashSet::new();
+        for part in &self.known {
+            let crashes = self.crashes_with(*part);
+            culprits.extend(self.culprit(*part, &crashes));
+            explained.extend(crashes);
+        }
         while let Some((part, crashes)) = self.best_explanation(&explained, now) {
             culprits.extend(self.culprit(part, &crashes));
             explained.extend(crashes);
@@ -269,6 +288,15 @@
         culprits
     }
 
+    /// The indices of the crashes that interrupted requests with a part and of which it is not cleared.
+    fn crashes_with(&self, part: Fingerprint) -> Vec<usize> {
+        let begun = self.begun.at(part);
+        let counts = |crash: &Crash| begun.is_none_or(|begun| begun < crash.at);
+        let crashes = self.crashes.iter().enumerate();
+        let with_part = crashes.filter(|(_, crash)| counts(crash) && crash.has_part(part));
+        with_part.map(|(index, _)| index).collect()
+    }
+
     fn culprit(&self, part: Fingerprint, crashes: &[usize]) -> Option<Culprit> {
         let last = self.crashes.get(*crashes.last()?)?;
         let recent = &crashes[crashes.len().saturating_sub(MAX_UPSTREAMS)..];
--- a/request/tests/crash_log.rs
+++ b/request/tests/crash_log.rs
@@ -378,6 +378,24 @@
     assert_eq!(scene.culprits(1_201 + SETTLED), [""; 0]);
 }
 
+/// Guards against another part being blamed for the crashes of a culprit that another VM has found.
+#[test]
+fn a_culprit_that_a_peer_found_explains_its_crashes() {
+    let mut scene = Scene::new();
+    let bad = part(BAD).fingerprint(service());
+    for round in 1..=4 {
+        scene.begin(round * 1_000 - 50, &[FIRST]);
+        scene.crash(round * 1_000, &[&[FIRST, BAD, RARE]]);
+    }
+    scene.begin_others(1_000, 4_000);
+    assert_eq!(scene.culprits(4_000 + SETTLED), names(&[RARE]), "either explains the crashes");
+    scene.log.record_culprit(bad);
+    assert_eq!(scene.culprits(4_000 + SETTLED), names(&[BAD]));
+    scene.begin(5_000, &[FIRST, BAD]);
+    scene.crash(6_000, &[&[FIRST, RARE]]);
+    assert_eq!(scene.culprits(6_000 + SETTLED), names(&[RARE]), "it is cleared of them");
+}
+
 /// Guards against a common part being held back when an upstream is back and another request begins first.
 #[test]
 fn a_common_part_is_no_culprit_because_a_rare_one_begins_first() {
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -262,6 +262,7 @@
         for culprit in self.cluster.crash_log.culprits(self.now) {
             let fingerprint = culprit.fingerprint();
             self.score.culprits.insert(culprit.part);
+            self.cluster.crash_log.record_culprit(fingerprint);
             self.cluster.quarantine.impose(fingerprint, &culprit.upstreams, self.now);
         }
     }
