--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -234,7 +234,10 @@
             cluster.quarantine.record_crash(suspect, crash, now);
             if !request.is_begun {
                 let interrupted = Interrupted {
-                    request: format!("r-{}", request.fingerprint).parse().unwrap(),
+                    // A caller that repeats a request gives it another id.
+                    request: format!("r-{}-{}", request.fingerprint, request.repeated)
+                        .parse()
+                        .unwrap(),
                     service: service(),
                     parts: request.parts.clone(),
                     sent: since,
@@ -352,6 +355,7 @@
     for interval in intervals_ms {
         for seed in 1..=6 {
             let score = simulate_part(seed, 30, Duration::from_millis(*interval));
+            println!("every {interval} ms, seed {seed}: {score:?}");
             let culprits: Vec<String> = score.culprits.iter().map(Part::to_string).collect();
             assert_eq!(culprits, ["0000bad0"], "every {interval} ms, seed {seed}: {score:?}");
             assert!(score.late <= 3, "every {interval} ms, seed {seed}: {score:?}");
