--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -141,9 +141,9 @@
     Reserved = 510, Debug;
     /// An upstream crashed while it ran a request.
     Crashed = 511, Warning;
-    /// A request is quarantined from all upstreams, because one crashed while the request ran isolated there.
+    /// A request is quarantined from all upstreams, because one crashed while the request ran isolated there; or a part of prompts, because upstreams crash during requests with it.
     Quarantined = 512, Warning;
-    /// A request suspected of crashing upstreams completed, or was released from quarantine.
+    /// A request or a part of prompts that was suspected of crashing upstreams is cleared, or was released from quarantine.
     Cleared = 513, Info;
     /// A write of this VM to the directory failed; it may be retried.
     WriteFailed = 514, Warning;
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -18,7 +18,6 @@
 use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::job::Job;
-use crate::fleet::stream::Stream;
 use crate::fleet::write_queue::Write;
 
 /// How long the connection of a successful check is kept for another request.
@@ -70,9 +69,9 @@
     Finding::Upstream
 }
 
-/// Whether the upstream of a stream has crashed.
-pub async fn has_crashed<D: Dialect>(job: &Job<D>, stream: &Stream<D>) -> bool {
-    state(job, stream.interrupted()).await == State::Crashed
+/// Whether the upstream of an attempt has crashed.
+pub async fn has_crashed<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>) -> bool {
+    state(job, attempt).await == State::Crashed
 }
 
 /// The state of an upstream after a connection to it ended.
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -94,7 +94,9 @@
     /// the connection of a crashed process ends in the same way.
     pub async fn next_item(&mut self, job: &Job<D>) -> Item {
         match self.next().await {
-            Item::End if self.is_close_delimited && crash::has_crashed(job, self).await => {
+            Item::End
+                if self.is_close_delimited && crash::has_crashed(job, self.interrupted()).await =>
+            {
                 Item::Broken("the upstream crashed between two events".to_owned())
             }
             item => item,
