--- a/request/src/crash_log.rs
+++ b/request/src/crash_log.rs
@@ -8,7 +8,7 @@
 //! rounds before, which was sent after the last of them. Upstreams that crash together, whatever the reason, are one round.
 //!
 //! A part with three rounds or more is a culprit if that is unlikely for a sound one, by one of three tests. The
-//! number of its rounds is compared with the share of other requests that crashes interrupt before they begin, which
+//! number of its rounds is compared with the share of all requests that crashes interrupt before they begin, which
 //! is high when few upstreams are left. And the crashes that interrupted requests with it are compared with those
 //! expected by its share in all interrupted requests. And a part with twice as many rounds is one if no request began
 //! with it lately, no other part is in all crashes, and most interrupted requests do not have it. Where several parts
