Review case 1: surplus answers that repeat a true rejection as well

A second answer to an answered request contradicts the first one; the rejection of another request once more contradicts nothing, and shows the same.

Done: the faulty server rejects one request in 25, and its surplus answers repeat that rejection by turns. The scripts keep their files in one temporary folder.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -8,8 +8,9 @@
   echo "not built: cargo build --release --locked --package foldlockd; review/build.sh" >&2
   exit 2
 fi
-REVIEW_PIDS=$(mktemp)
-export REVIEW_PIDS
+work=$(mktemp -d)
+export TMPDIR=$work REVIEW_PIDS=$work/pids
+: > "$REVIEW_PIDS"
 stop() {
   local pid
   for pid in "${child:-}" $(cat "$REVIEW_PIDS"); do
@@ -17,7 +18,7 @@
       "$PWD"/target/release/foldlockd* | "$PWD/$program"*) kill -KILL "$pid" 2>/dev/null ;;
     esac
   done
-  rm -f "$REVIEW_PIDS"
+  if [ -z "${KEEP_LOGS:-}" ]; then rm -rf "$work"; fi
 }
 trap stop EXIT
 trap 'exit 2' INT TERM
--- a/review/standins/src/not_run.rs
+++ b/review/standins/src/not_run.rs
@@ -23,12 +23,18 @@
 /// One answer in so many of the faulty server is followed by a surplus one: 0.05.
 const SURPLUS_INTERVAL: u64 = 20;
 
+/// The faulty server rejects one request in so many, which it does not run.
+const REFUSED_INTERVAL: u64 = 25;
+
 struct Server {
     id: String,
     born: u64,
     is_faulty: bool,
     answers: AtomicU64,
     running: AtomicUsize,
+    arrivals: AtomicU64,
+    /// The last request that it rejected.
+    refused: Mutex<Option<String>>,
     shared: Arc<Shared>,
 }
 
@@ -37,6 +43,8 @@
     /// The servers that ran each request.
     runs: Mutex<BTreeMap<String, Vec<String>>>,
     surplus: AtomicUsize,
+    /// Requests in whose place a second rejection of another request arrived.
+    after_refusal: Mutex<Vec<String>>,
 }
 
 pub fn run(work: &Path, record: &Record, has_trouble: bool) -> io::Result<Finding> {
@@ -45,6 +53,7 @@
         record: record.clone(),
         runs: Mutex::default(),
         surplus: AtomicUsize::new(0),
+        after_refusal: Mutex::default(),
     });
     for number in 0..SERVERS {
         let server = Server {
@@ -53,6 +62,8 @@
             is_faulty: has_trouble && number == 0,
             answers: AtomicU64::new(0),
             running: AtomicUsize::new(0),
+            arrivals: AtomicU64::new(0),
+            refused: Mutex::new(None),
             shared: shared.clone(),
         };
         let address = world.server_address(number);
@@ -129,11 +140,13 @@
 
 fn judge(shared: &Shared, unsafe_ids: &Answers, has_trouble: bool) -> Finding {
     let runs = shared.runs.lock().unwrap();
-    let mut breaks = 0;
+    let after_refusal = shared.after_refusal.lock().unwrap();
+    let (mut breaks, mut after_true) = (0, 0);
     for (id, status) in unsafe_ids {
         let servers = runs.get(id).map_or(&[][..], Vec::as_slice);
         if servers.len() > 1 {
             breaks += 1;
+            after_true += usize::from(after_refusal.contains(id));
             shared.record.add(&format!(
                 "TWICE: unsafe request {id} ran at {}; its client got {status}",
                 servers.join(" and ")
@@ -144,7 +157,7 @@
     let surplus = shared.surplus.load(Ordering::Relaxed);
     let is_valid = served * 2 > unsafe_ids.len() && served > 100 && (surplus > 0) == has_trouble;
     let summary = format!(
-        "{} unsafe requests, {served} answered 200; {surplus} surplus answers; {breaks} unsafe requests ran more than once",
+        "{} unsafe requests, {served} answered 200; {surplus} surplus answers; {breaks} unsafe requests ran more than once, {after_true} of them after the second copy of a true rejection",
         unsafe_ids.len()
     );
     Finding { breaks, is_valid, summary }
@@ -166,8 +179,8 @@
 impl Server {
     /// Answers the requests on one channel, one after the other.
     fn answer_all(&self, mut connection: Connection) -> io::Result<()> {
-        // The request that was answered already and gets a second answer.
-        let mut surplus_for: Option<String> = None;
+        // A request that was answered or rejected already and gets a second answer, and whether it was rejected.
+        let mut surplus_for: Option<(String, bool)> = None;
         while let Some(request) = connection.read_request()? {
             let running = self.running.load(Ordering::Relaxed);
             if let Some(answer) = report(&request, running, self.born) {
@@ -180,25 +193,35 @@
                 connection.write(&response("421 Misdirected Request", &headers, b""))?;
                 continue;
             }
-            if running >= SLOTS {
+            let arrivals = self.arrivals.fetch_add(1, Ordering::Relaxed) + 1;
+            let is_refused = self.is_faulty && arrivals.is_multiple_of(REFUSED_INTERVAL);
+            if running >= SLOTS || is_refused {
                 let headers = format!("Not-Run: 1\r\nRequest-Id: {id}\r\n");
                 connection.write(&response("503 Service Unavailable", &headers, b""))?;
+                self.shared.record.add(&format!("{} rejects {id}", self.id));
+                *self.refused.lock().unwrap() = Some(id);
                 continue;
             }
-            if let Some(earlier) = surplus_for.take() {
-                // The bytes belong to no request: the earlier one has its whole answer.
+            if let Some((earlier, is_refusal)) = surplus_for.take() {
+                // The bytes belong to no request: the earlier one has its whole answer or rejection.
                 let headers = format!("Not-Run: 1\r\nRequest-Id: {earlier}\r\n");
                 connection.write(&response("503 Service Unavailable", &headers, b""))?;
                 self.shared.surplus.fetch_add(1, Ordering::Relaxed);
+                if is_refusal {
+                    self.shared.after_refusal.lock().unwrap().push(id.clone());
+                }
                 self.shared.record.add(&format!(
-                    "{} sends a surplus answer for {earlier} where that for {id} is due",
+                    "{} sends a surplus answer for {earlier} (rejected before: {is_refusal}) where that for {id} is due",
                     self.id
                 ));
             }
             let answered = self.run(&mut connection, &id);
             let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
             if self.is_faulty && number.is_multiple_of(SURPLUS_INTERVAL) {
-                surplus_for = Some(id);
+                // By turns the rejection of another request once more, which is true, and a second answer to this one.
+                let refused = self.refused.lock().unwrap().clone();
+                let refused = refused.filter(|_| number.is_multiple_of(2 * SURPLUS_INTERVAL));
+                surplus_for = Some(refused.map_or((id, false), |refused| (refused, true)));
             }
             answered?;
         }
