Review case 2: a fleet misses a change of the desired state (CONFIG)

Cause: a step moves a machine's revision past a change of the settings before it has read their text. If the watchers that have it lose power then, the machine that takes over watches from behind the change and confirms the older settings as the newest.

Nothing is fixed.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" spoiled-event "review/2"
+exec "$(dirname "$0")/../run-case.sh" stale-fleet "review/2"
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,7 +9,7 @@
 
 mod not_run;
 mod silent_stop;
-mod spoiled_event;
+mod stale_fleet;
 
 use std::env;
 use std::io;
@@ -68,7 +68,7 @@
 fn run(case: &str, work: &PathBuf, record: &Record, has_trouble: bool) -> io::Result<Finding> {
     match case {
         "not-run" => not_run::run(work, record, has_trouble),
-        "spoiled-event" => spoiled_event::run(work, record, has_trouble),
+        "stale-fleet" => stale_fleet::run(work, record, has_trouble),
         "silent-stop" => silent_stop::run(work, record, has_trouble),
         _ => Err(io::Error::other(format!("unknown case {case}"))),
     }
--- a/review/standins/src/vm.rs
+++ b/review/standins/src/vm.rs
@@ -66,7 +66,13 @@
 
 impl Vm {
     /// Starts the process of machine `number` and waits until it is ready.
-    pub fn start(network: Network, number: u8, store: SocketAddr, folder: &Path) -> io::Result<Vm> {
+    pub fn start(
+        network: Network,
+        number: u8,
+        cores: &str,
+        store: SocketAddr,
+        folder: &Path,
+    ) -> io::Result<Vm> {
         let zone = ZONES[usize::from(number - 1) % ZONES.len()];
         let name = format!("front-{zone}-{number}");
         let (front, ready) =
@@ -79,7 +85,7 @@
             ("Listen.Ready", ready.to_string()),
             ("PortRange.0", PEER_PORT.to_string()),
             ("Provider.Address", store.to_string()),
-            ("Limits.CpuShare", "0.25".to_owned()),
+            ("Limits.CpuShare", cores.to_owned()),
             ("Limits.MemoryMb", "260".to_owned()),
             ("Bounds.StrictRevoke", "true".to_owned()),
             ("Bounds.RevokeMs", "5000".to_owned()),
@@ -118,6 +124,22 @@
         ask().is_ok_and(|status| status == 200)
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        let _ = self.child.lock().unwrap().kill();
+    }
+
+    /// Waits for the end of a killed process.
+    pub fn reap(&self) {
+        let _ = self.child.lock().unwrap().wait();
+    }
+
+    /// Starts the process again after its end.
+    pub fn start_again(&self) -> io::Result<()> {
+        *self.child.lock().unwrap() = spawn(&self.settings, &self.log)?;
+        Ok(())
+    }
+
     /// Stops the process as the platform does: SIGTERM, SIGKILL after the grace time, and after a short delay a new start.
     pub fn restart(&self, grace: Duration) -> io::Result<()> {
         let id = self.child.lock().unwrap().id().to_string();
@@ -130,8 +152,7 @@
             thread::sleep(Duration::from_millis(20));
         }
         thread::sleep(RESTART_DELAY);
-        *self.child.lock().unwrap() = spawn(&self.settings, &self.log)?;
-        Ok(())
+        self.start_again()
     }
 }
 
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -26,7 +26,7 @@
 const HOST: &str = "ficu95.example";
 
 /// The key of all clients, and its tenant.
-const KEY: &str = "n2ctnfzs989anu6wsjnb";
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 const TENANT: &str = "hule930";
 
 /// The routes, as in the sheet of a small deployment.
@@ -81,22 +81,35 @@
         let store = Store::default();
         let store_address = network.address(STORE_HOST, 8223);
         store.serve(store_address)?;
+        let folder = folder.to_owned();
+        let world = World { network, store, store_address, vms: Vec::new(), folder };
+        world.put_config(7, &[KEY]);
+        Ok(world)
+    }
+
+    /// Writes the operator's desired state with these keys of the tenant.
+    pub fn put_config(&self, version: u64, keys: &[&str]) {
         let routes = ROUTES.replace("HOST", HOST);
-        let tenants = format!(r#"[{{"Name":"{TENANT}","ApiKeys":["{KEY}"],"Priority":1}}]"#);
-        store.put(
+        let keys = keys.iter().map(|key| format!(r#""{key}""#)).collect::<Vec<_>>().join(",");
+        let tenants = format!(r#"[{{"Name":"{TENANT}","ApiKeys":[{keys}],"Priority":1}}]"#);
+        self.store.put(
             "op/config",
             &format!(
-                r#"{{"Version":7,"Routes":[{routes}],"Services":[{SERVICES}],"Limits":{LIMITS},"Tenants":{tenants}}}"#
+                r#"{{"Version":{version},"Routes":[{routes}],"Services":[{SERVICES}],"Limits":{LIMITS},"Tenants":{tenants}}}"#
             ),
         );
-        let folder = folder.to_owned();
-        Ok(World { network, store, store_address, vms: Vec::new(), folder })
     }
 
     /// Starts the machines and waits until they are ready.
     pub fn start_vms(&mut self) -> io::Result<()> {
-        for number in 1..=VMS {
-            self.vms.push(Vm::start(self.network, number, self.store_address, &self.folder)?);
+        self.start_machines(VMS, |_| "0.25")
+    }
+
+    /// The same for this many machines, each with its share of a core.
+    pub fn start_machines(&mut self, count: u8, cores: impl Fn(u8) -> &'static str) -> io::Result<()> {
+        for number in 1..=count {
+            let vm = Vm::start(self.network, number, cores(number), self.store_address, &self.folder)?;
+            self.vms.push(vm);
         }
         // By then all of them know each other.
         std::thread::sleep(Duration::from_secs(2));
@@ -155,6 +168,7 @@
 /// A client that keeps its channel to one machine.
 pub struct Client {
     address: SocketAddr,
+    key: String,
     connection: Option<Connection>,
 }
 
@@ -163,7 +177,12 @@
 
 impl Client {
     pub fn new(address: SocketAddr) -> Client {
-        Client { address, connection: None }
+        Client::with_key(address, KEY)
+    }
+
+    /// A client with a key of its own.
+    pub fn with_key(address: SocketAddr, key: &str) -> Client {
+        Client { address, key: key.to_owned(), connection: None }
     }
 
     /// Whether the next request uses the channel of the one before.
@@ -186,8 +205,9 @@
             "GET" => String::new(),
             _ => format!("Content-Length: {}\r\n", body.len()),
         };
+        let key = &self.key;
         let text = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nKey: {KEY}\r\n{headers}{length}\r\n{body}"
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nKey: {key}\r\n{headers}{length}\r\n{body}"
         );
         connection.write(text.as_bytes())?;
         let response = connection.read_response()?;
