--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -37,7 +37,8 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new(Path::new(folder).join("record.txt"));
     let work = env::temp_dir().join(format!("foldlock-review-{}", std::process::id()));
-    let finding = std::fs::create_dir_all(&work).and_then(|()| run(case, &work, &record, has_trouble));
+    let finding =
+        std::fs::create_dir_all(&work).and_then(|()| run(case, &work, &record, has_trouble));
     let code = match &finding {
         Ok(finding) => {
             record.add(&finding.summary);
--- a/review/standins/src/not_run.rs
+++ b/review/standins/src/not_run.rs
@@ -169,7 +169,8 @@
         for stream in listener.incoming().flatten() {
             let server = server.clone();
             thread::spawn(move || {
-                let _ = Connection::new(stream).and_then(|connection| server.answer_all(connection));
+                let _ =
+                    Connection::new(stream).and_then(|connection| server.answer_all(connection));
             });
         }
     });
@@ -236,7 +237,8 @@
         thread::sleep(WORK);
         self.running.fetch_sub(1, Ordering::Relaxed);
         let stamp = stamp(&self.id, self.answers.load(Ordering::Relaxed));
-        let headers = format!("Request-Id: {id}\r\nServer-Stamp: {stamp}\r\nKeep-Alive: timeout=5\r\n");
+        let headers =
+            format!("Request-Id: {id}\r\nServer-Stamp: {stamp}\r\nKeep-Alive: timeout=5\r\n");
         let body = format!("{id} {}", "x".repeat(780));
         connection.write(&response("200 OK", &headers, body.as_bytes()))
     }
--- a/review/standins/src/silent_stop.rs
+++ b/review/standins/src/silent_stop.rs
@@ -243,7 +243,8 @@
         for stream in listener.incoming().flatten() {
             let server = server.clone();
             thread::spawn(move || {
-                let _ = Connection::new(stream).and_then(|connection| server.answer_all(connection));
+                let _ =
+                    Connection::new(stream).and_then(|connection| server.answer_all(connection));
             });
         }
     });
--- a/review/standins/src/stale_fleet.rs
+++ b/review/standins/src/stale_fleet.rs
@@ -66,7 +66,10 @@
         });
         serve(id, born, address, runs.clone(), record.clone())?;
     }
-    world.start_machines(MACHINES, |number| if number <= WATCHERS { WATCHER_CORES } else { "0.25" })?;
+    world.start_machines(
+        MACHINES,
+        |number| if number <= WATCHERS { WATCHER_CORES } else { "0.25" },
+    )?;
     record.add("all machines are ready");
     let world = Arc::new(world);
     let (watchers, others) = world.vms.split_at(usize::from(WATCHERS));
@@ -77,7 +80,8 @@
         version += 1;
         world.put_config(version, &[KEY, &key]);
         thread::sleep(SETTLE);
-        let accepted = others.iter().filter(|vm| ask(vm, &key, &format!("before-{round}")) == 200).count();
+        let accepted =
+            others.iter().filter(|vm| ask(vm, &key, &format!("before-{round}")) == 200).count();
         version += 1;
         world.put_config(version, &[KEY]);
         let acknowledged = Instant::now();
@@ -102,7 +106,9 @@
         }
         let runs = runs.lock().unwrap();
         let ran = |limit: Duration| {
-            sent.iter().filter(|sent| sent.after > limit && runs.contains(&sent.id)).collect::<Vec<_>>()
+            sent.iter()
+                .filter(|sent| sent.after > limit && runs.contains(&sent.id))
+                .collect::<Vec<_>>()
         };
         let stale = ran(APPLY);
         for sent in &stale {
@@ -136,7 +142,13 @@
 }
 
 /// Sends requests with the key to all machines that were not disturbed, until the others have power again.
-fn ask_all(world: &Arc<World>, key: &str, round: usize, acknowledged: Instant, record: &Record) -> Vec<Sent> {
+fn ask_all(
+    world: &Arc<World>,
+    key: &str,
+    round: usize,
+    acknowledged: Instant,
+    record: &Record,
+) -> Vec<Sent> {
     let clients: Vec<_> = (usize::from(WATCHERS)..usize::from(MACHINES))
         .map(|machine| {
             let (world, key, record) = (world.clone(), key.to_owned(), record.clone());
@@ -174,7 +186,8 @@
         for stream in listener.incoming().flatten() {
             let (id, runs, record) = (id.clone(), runs.clone(), record.clone());
             thread::spawn(move || {
-                let _ = Connection::new(stream).and_then(|connection| answer_all(connection, &id, born, &runs, &record));
+                let _ = Connection::new(stream)
+                    .and_then(|connection| answer_all(connection, &id, born, &runs, &record));
             });
         }
     });
@@ -202,7 +215,8 @@
         record.add(&format!("{server} runs {id} of tenant {}", request.header("tenant")));
         runs.lock().unwrap().push(id.clone());
         let stamp = stamp(server, 0);
-        let headers = format!("Request-Id: {id}\r\nServer-Stamp: {stamp}\r\nKeep-Alive: timeout=5\r\n");
+        let headers =
+            format!("Request-Id: {id}\r\nServer-Stamp: {stamp}\r\nKeep-Alive: timeout=5\r\n");
         connection.write(&response("200 OK", &headers, b"tag"))?;
     }
     Ok(())
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -35,7 +35,8 @@
             for stream in listener.incoming().flatten() {
                 let store = store.clone();
                 thread::spawn(move || {
-                    let _ = Connection::new(stream).and_then(|connection| store.answer_all(connection));
+                    let _ =
+                        Connection::new(stream).and_then(|connection| store.answer_all(connection));
                 });
             }
         });
@@ -83,10 +84,9 @@
     fn range(&self, request: &Request) -> String {
         let (prefix, after) = (request.parameter("PathPrefix"), request.parameter("SinceRev"));
         let state = self.shared.0.lock().unwrap();
-        let mut found = state
-            .items
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix) && (after.is_empty() || key.as_str() > after));
+        let mut found = state.items.iter().filter(|(key, _)| {
+            key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+        });
         let page: Vec<String> = found
             .by_ref()
             .take(PAGE_SIZE)
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -106,9 +106,14 @@
     }
 
     /// The same for this many machines, each with its share of a core.
-    pub fn start_machines(&mut self, count: u8, cores: impl Fn(u8) -> &'static str) -> io::Result<()> {
+    pub fn start_machines(
+        &mut self,
+        count: u8,
+        cores: impl Fn(u8) -> &'static str,
+    ) -> io::Result<()> {
         for number in 1..=count {
-            let vm = Vm::start(self.network, number, cores(number), self.store_address, &self.folder)?;
+            let vm =
+                Vm::start(self.network, number, cores(number), self.store_address, &self.folder)?;
             self.vms.push(vm);
         }
         // By then all of them know each other.
@@ -192,7 +197,13 @@
 
     /// Sends a request and reads its response. The client opens a new channel after a failure, and where the machine
     /// closes the channel.
-    pub fn ask(&mut self, method: &str, path: &str, headers: &str, body: &str) -> io::Result<Response> {
+    pub fn ask(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &str,
+        body: &str,
+    ) -> io::Result<Response> {
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => {
