Watch: log from which revision a VM begins to watch the directory

The logs could not tell whether their watch began past the change, the directory responded with older data, or the newer text could not be decoded: in all three the newer version comes into force nowhere.

Event 213 names the revisions that the first response covers, and the settings that are in force with it. No logic is changed.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -69,6 +69,8 @@
     NoPeerSettings = 211, Info;
     /// The settings in force were confirmed as the newest ones for the first time since the start.
     SettingsConfirmed = 212, Info;
+    /// This VM begins to watch the directory itself.
+    WatchStarted = 213, Info;
     /// A VM joined the fleet.
     PeerUp = 300, Info;
     /// A VM is down: its heartbeats stopped.
--- a/daemon/src/fleet/watch.rs
+++ b/daemon/src/fleet/watch.rs
@@ -212,7 +212,9 @@
     requested_at: Moment,
 ) {
     let now = process.now();
-    process.watching.store(true, Ordering::Relaxed);
+    if !process.watching.swap(true, Ordering::Relaxed) {
+        log_start(process, from, changes.revision);
+    }
     if let Some(failures) = contact.on_success(now) {
         log::event(&process.log, Event::DirectoryUp, format!("after {failures} failed calls"));
     }
@@ -257,6 +259,17 @@
     }
 }
 
+/// Logs that this VM begins to watch: the revisions that its first response covers, and the settings that it would
+/// confirm.
+fn log_start<D: Dialect>(process: &Process<D>, from: Option<Revision>, to: Revision) {
+    let covered = match from {
+        Some(from) => format!("changes from revision {from} to {to}"),
+        None => format!("all listings at revision {to}"),
+    };
+    let what = format!("{covered}, settings version {} in force", process.version());
+    log::event(&process.log, Event::WatchStarted, what);
+}
+
 /// Records the changes as a step to announce to peers. After a full sync the changes since the
 /// previous revision are not known, so the steps are cleared.
 fn record_step<D: Dialect>(
