--- a/daemon/src/fleet/contact.rs
+++ b/daemon/src/fleet/contact.rs
@@ -11,27 +11,60 @@
 /// How long after an outage of the directory a missing listing may be due to the outage.
 const OUTAGE_WINDOW: Duration = Duration::from_secs(3);
 
+/// What to request from the directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Query {
+    /// All listings and the settings.
+    All,
+    /// The settings alone.
+    Settings,
+    /// The changes after a revision.
+    Changes(Revision),
+}
+
+/// The settings in the directory, as of its last response to this VM.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Stored {
+    /// They were not read since this VM began to watch.
+    #[default]
+    Unknown,
+    /// The number of their version; 0 if there are none.
+    Version(u64),
+}
+
 /// The state of the connection to the directory.
+///
+/// Peers announce changes of the listings as steps between revisions, and the settings apart from
+/// these. So the revision of the listings does not imply that this VM has the settings of that
+/// revision. A VM that begins to watch therefore reads the settings first, and its watch resumes
+/// from the older of the two revisions.
 #[derive(Debug, Default)]
 pub struct Contact {
     /// The revision from which this VM's own watch resumes.
     watch_revision: Option<Revision>,
+    /// The revision at which this VM read the settings before its first watch.
+    settings_revision: Option<Revision>,
+    /// The settings in the directory.
+    stored: Stored,
     /// Whether all listings have to be read again.
     needs_full_read: bool,
     failures: u32,
     last_outage: Option<Instant>,
     /// When the directory was restored from an older copy, until its listings are complete again.
     restored: Option<Instant>,
-    /// Whether the directory's settings are older than those in force on this VM.
-    has_older_settings: bool,
 }
 
 impl Contact {
-    /// The revision from which to watch; none if all listings have to be read. A VM that did not
-    /// watch resumes from the revision that peers `announced`, whenever that was.
-    pub fn watch_from(&self, announced: Revision) -> Option<Revision> {
-        let announced = Some(announced).filter(|revision| !revision.is_none());
-        if self.needs_full_read { None } else { self.watch_revision.or(announced) }
+    /// What to request next, if peers announced the listings up to the revision `announced`.
+    pub fn next_query(&self, announced: Revision) -> Query {
+        if self.needs_full_read || self.watch_revision.is_none() && announced.is_none() {
+            return Query::All;
+        }
+        match (self.watch_revision, self.settings_revision) {
+            (Some(revision), _) => Query::Changes(revision),
+            (None, Some(revision)) => Query::Changes(revision.min(announced)),
+            (None, None) => Query::Settings,
+        }
     }
 
     /// Sets the revision from which the next watch resumes.
@@ -40,18 +73,28 @@
         self.needs_full_read = false;
     }
 
-    /// Discards the revision: no watch can resume from it, so all listings have to be read again.
+    /// Records that the settings were read at a revision.
+    pub fn on_settings_read(&mut self, revision: Revision) {
+        self.settings_revision = Some(revision);
+    }
+
+    /// Discards the revisions: no watch can resume from them, so everything has to be read again.
     pub fn reset(&mut self) {
-        self.watch_revision = None;
+        self.stop_watch();
         self.needs_full_read = true;
     }
 
     /// Resets the state for a VM that no longer watches, as peers announce the directory's changes.
     pub fn follow_peers(&mut self) {
-        self.watch_revision = None;
+        self.stop_watch();
         self.needs_full_read = false;
         self.failures = 0;
-        self.has_older_settings = false;
+    }
+
+    fn stop_watch(&mut self) {
+        self.watch_revision = None;
+        self.settings_revision = None;
+        self.stored = Stored::Unknown;
     }
 
     /// Records a failed call. Returns the number of failures since the last response. Listings may
@@ -87,34 +130,35 @@
         }
     }
 
-    /// How reliable a response is: of a watch that resumed at `from`, or of a full read if that is
-    /// none.
-    pub fn provenance(&self, from: Option<Revision>, now: Instant) -> Provenance {
+    /// How reliable a response to a query is.
+    pub fn provenance(&self, query: Query, now: Instant) -> Provenance {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < OUTAGE_WINDOW;
         match self.restored {
-            Some(_) if from.is_none() => Provenance::AfterRestore,
+            Some(_) if query == Query::All => Provenance::AfterRestore,
             _ if self.last_outage.is_some_and(is_recent) => Provenance::AfterOutage,
             _ => Provenance::Current,
         }
     }
 
-    /// Whether the directory's settings are older than those in force on this VM.
-    pub fn has_older_settings(&self) -> bool {
-        self.has_older_settings
-    }
-
-    /// Compares the directory's settings with those in force. Settings in force are never replaced
-    /// by older ones, and a restored copy that lacks them does not confirm them: a key revoked in a
-    /// version that was lost as well would otherwise remain valid.
-    pub fn note_settings(&mut self, in_force: u64, provenance: Provenance, changes: &[Change]) {
-        let listed = changes.iter().rev().find_map(|change| match change {
-            Change::Settings(settings) => Some(settings.table.number()),
+    /// Records the settings that a response to a query includes.
+    pub fn note_settings(&mut self, query: Query, changes: &[Change]) {
+        let included = changes.iter().rev().find_map(|change| match change {
+            Change::Settings(settings) => Some(Stored::Version(settings.table.number())),
             _ => None,
         });
-        match listed {
-            Some(number) if number >= in_force => self.has_older_settings = false,
-            _ if provenance == Provenance::AfterRestore => self.has_older_settings = in_force > 0,
-            _ => {}
-        }
+        self.stored = match (included, query) {
+            (Some(stored), _) => stored,
+            (None, Query::Changes(_)) => self.stored,
+            (None, Query::All | Query::Settings) => Stored::Version(0),
+        };
+    }
+
+    /// Whether the directory's responses confirm the settings in force, given the newest version
+    /// that this VM has or a peer has announced.
+    ///
+    /// A directory that was restored from an older copy may lack that version. It does not confirm
+    /// an older one: a key that was revoked in between would remain valid.
+    pub fn confirms(&self, newest: u64) -> bool {
+        matches!(self.stored, Stored::Version(number) if number >= newest)
     }
 }
--- a/daemon/src/fleet/metrics/labels.rs
+++ b/daemon/src/fleet/metrics/labels.rs
@@ -18,6 +18,8 @@
     Look,
     /// Reads all listings.
     Read,
+    /// Reads the settings.
+    Settings,
     /// Waits for changes.
     Watch,
     /// Writes an entry.
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -10,7 +10,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::Moment;
@@ -59,6 +59,8 @@
     stamp_origin: Moment,
     own: Member,
     membership: Mutex<Membership>,
+    /// The newest settings version that a peer has announced.
+    newest_version: AtomicU64,
     /// Whether settings or listings are being read from a peer.
     pub reading: AtomicBool,
 }
@@ -67,7 +69,14 @@
     /// Creates an empty set of peers; stamps are counted from `stamp_origin`.
     pub fn new(own: Member, started: Instant, stamp_origin: Moment) -> Peers {
         let membership = Mutex::new(Membership::new(own.clone()));
-        Peers { started, stamp_origin, own, membership, reading: AtomicBool::new(false) }
+        Peers {
+            started,
+            stamp_origin,
+            own,
+            membership,
+            newest_version: AtomicU64::new(0),
+            reading: AtomicBool::new(false),
+        }
     }
 
     /// Adds a VM that is listed in the directory. Returns what that changes, if anything.
@@ -129,6 +138,7 @@
             return None;
         }
         peer.on_heartbeat(state, now);
+        self.newest_version.fetch_max(state.version, Ordering::Relaxed);
         if heartbeat.requests_heartbeats {
             peer.last_subscribed = Some(now);
         }
--- a/daemon/src/fleet/peers/sources.rs
+++ b/daemon/src/fleet/peers/sources.rs
@@ -1,6 +1,7 @@
 //! The peers that have newer settings or listings than this VM, from which it reads them.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use foldlock_request::rank::Liveness;
@@ -39,6 +40,11 @@
         self.membership.lock().unwrap().up(now).any(|peer| peer.version > 0)
     }
 
+    /// The newest settings version that a peer has announced, whether it is still up or not.
+    pub fn newest_version(&self) -> u64 {
+        self.newest_version.load(Ordering::Relaxed)
+    }
+
     /// A peer with newer settings than `version`, preferably in the own hall.
     pub fn newer_settings(&self, version: u64, now: Instant) -> Option<SocketAddr> {
         self.pick(now, |peer| peer.version > version)
--- a/daemon/src/fleet/watch.rs
+++ b/daemon/src/fleet/watch.rs
@@ -11,8 +11,8 @@
 use foldlock_request::revision::Revision;
 use foldlock_request::step::{self, Step};
 
-use crate::fleet::changes::{self, ChangeLog};
-use crate::fleet::contact::Contact;
+use crate::fleet::changes::{self, ChangeLog, Provenance};
+use crate::fleet::contact::{Contact, Query};
 use crate::fleet::join;
 use crate::fleet::metrics::Call;
 use crate::fleet::peers::WATCHERS;
@@ -100,23 +100,13 @@
             tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
-        let requested_at = process.moment();
-        let from = contact.watch_from(process.revision());
-        process.metrics.count_directory_call(if from.is_some() { Call::Watch } else { Call::Read });
-        let answer = match from {
-            Some(at) => tokio::select! {
-                answer = directory.watch(at, WATCH_TIMEOUT) => answer,
-                // Entries received before may have expired during the suspension.
-                () = process.after_suspension.notified() => {
-                    contact.reset();
-                    continue;
-                }
-            },
-            None => directory.read().await,
-        };
-        match answer {
-            Ok(changes) => {
-                on_changes(&process, &mut contact, from, changes, requested_at);
+        let mut performed = perform_next(&process, &directory, &mut contact).await;
+        if performed == Ok(Performed::Settings) {
+            performed = perform_next(&process, &directory, &mut contact).await;
+        }
+        match performed {
+            Ok(Performed::Suspended) => {}
+            Ok(Performed::Settings | Performed::Listings) => {
                 tokio::time::sleep(watch_interval(&process)).await;
             }
             Err(directory::Failure::Compacted) => {
@@ -136,6 +126,55 @@
     }
 }
 
+/// A query to the directory whose response was applied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Performed {
+    /// The settings alone.
+    Settings,
+    /// All listings, or changes of them, and the settings.
+    Listings,
+    /// None: the machine was suspended during the query.
+    Suspended,
+}
+
+/// Performs the next query and applies its response.
+async fn perform_next<D: Dialect, R: Directory>(
+    process: &Arc<Process<D>>,
+    directory: &R,
+    contact: &mut Contact,
+) -> Result<Performed, directory::Failure> {
+    let requested_at = process.moment();
+    let query = contact.next_query(process.revision());
+    process.metrics.count_directory_call(call(query));
+    let changes = match query {
+        Query::All => directory.read().await?,
+        Query::Settings => {
+            let settings = directory.settings().await?;
+            on_settings(process, contact, settings, requested_at);
+            return Ok(Performed::Settings);
+        }
+        Query::Changes(revision) => tokio::select! {
+            changes = directory.watch(revision, WATCH_TIMEOUT) => changes?,
+            // Entries received before may have expired during the suspension.
+            () = process.after_suspension.notified() => {
+                contact.reset();
+                return Ok(Performed::Suspended);
+            }
+        },
+    };
+    on_changes(process, contact, query, changes, requested_at);
+    Ok(Performed::Listings)
+}
+
+/// The query as a label of metrics.
+fn call(query: Query) -> Call {
+    match query {
+        Query::All => Call::Read,
+        Query::Settings => Call::Settings,
+        Query::Changes(_) => Call::Watch,
+    }
+}
+
 /// Interval between two watches of this VM: longer if another VM announces the changes too.
 fn watch_interval<D: Dialect>(process: &Process<D>) -> Duration {
     let announces = process.peers.announced_by_others(process.now()).is_none();
@@ -204,17 +243,34 @@
     (TAKEOVER_DELAY_PER_VM * position).min(max) + UNCAPPED_TAKEOVER_DELAY_PER_VM * position
 }
 
+/// Applies the settings that this VM read before its first watch. Its watch is announced at once:
+/// peers that lost their watcher would otherwise call the directory as well.
+fn on_settings<D: Dialect>(
+    process: &Arc<Process<D>>,
+    contact: &mut Contact,
+    changes: Changes,
+    requested_at: Moment,
+) {
+    contact.note_settings(Query::Settings, &changes.changes);
+    contact.on_settings_read(changes.revision);
+    let mut change_log = ChangeLog::default();
+    let settings = changes.changes.into_iter();
+    settings
+        .for_each(|change| changes::apply(process, change, Provenance::Current, &mut change_log));
+    confirm(process, contact, requested_at);
+    begin_watch(process, Query::Settings, changes.revision);
+    process.announce_to_all();
+}
+
 fn on_changes<D: Dialect>(
     process: &Arc<Process<D>>,
     contact: &mut Contact,
-    from: Option<Revision>,
+    query: Query,
     changes: Changes,
     requested_at: Moment,
 ) {
     let now = process.now();
-    if !process.watching.swap(true, Ordering::Relaxed) {
-        log_start(process, from, changes.revision);
-    }
+    begin_watch(process, query, changes.revision);
     if let Some(failures) = contact.on_success(now) {
         log::event(&process.log, Event::DirectoryUp, format!("after {failures} failed calls"));
     }
@@ -223,12 +279,12 @@
     detect_restore(process, at, "the directory");
     // A peer may have announced the restore first.
     contact.note_restored(process.restored_within(RESTORE_PERIOD));
-    let provenance = contact.provenance(from, now);
-    if from.is_none() {
+    let provenance = contact.provenance(query, now);
+    if query == Query::All {
         changes::remove_unlisted(process, &changes, at, provenance, &mut change_log);
         changes::undrain_unlisted(process, &changes, at, provenance, &mut change_log);
     }
-    contact.note_settings(process.version(), provenance, &changes);
+    contact.note_settings(query, &changes);
     let changed = !changes.is_empty();
     contact.resume_at(at);
     process.advance_revision(at);
@@ -247,11 +303,9 @@
         )
     });
     step.extend(expired.into_iter().map(|id| step::Change::UpstreamRemoved(id, at)));
-    record_step(process, from, at, step);
+    record_step(process, query, at, step);
     change_log.log(process, at, "the directory");
-    if !contact.has_older_settings() {
-        process.confirm(requested_at);
-    }
+    confirm(process, contact, requested_at);
     contact.on_restore_end(process.restored_within(RESTORE_PERIOD));
     let is_announced = process.peers.announced_by_others(now) >= at;
     if changed && !is_announced {
@@ -259,12 +313,25 @@
     }
 }
 
-/// Logs that this VM begins to watch: the revisions that its first response covers, and the settings that it would
-/// confirm.
-fn log_start<D: Dialect>(process: &Process<D>, from: Option<Revision>, to: Revision) {
-    let covered = match from {
-        Some(from) => format!("changes from revision {from} to {to}"),
-        None => format!("all listings at revision {to}"),
+/// Confirms the settings in force as of a request, if its response shows that they are the newest.
+fn confirm<D: Dialect>(process: &Process<D>, contact: &Contact, requested_at: Moment) {
+    if contact.confirms(process.version().max(process.peers.newest_version())) {
+        process.confirm(requested_at);
+    }
+}
+
+/// Records that the directory responds to this VM. Logs the first response: what it covers, and the
+/// settings in force with it.
+fn begin_watch<D: Dialect>(process: &Process<D>, query: Query, revision: Revision) {
+    if process.watching.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let covered = match query {
+        Query::All => format!("all listings at revision {revision}"),
+        Query::Settings => {
+            format!("settings at revision {revision}, listings at {}", process.revision())
+        }
+        Query::Changes(from) => format!("changes from revision {from} to {revision}"),
     };
     let what = format!("{covered}, settings version {} in force", process.version());
     log::event(&process.log, Event::WatchStarted, what);
@@ -274,17 +341,17 @@
 /// previous revision are not known, so the steps are cleared.
 fn record_step<D: Dialect>(
     process: &Process<D>,
-    from: Option<Revision>,
+    query: Query,
     to: Revision,
     changes: Vec<step::Change>,
 ) {
     let mut steps = process.steps.lock().unwrap();
-    match from {
-        Some(from) if from != to || !changes.is_empty() => {
+    match query {
+        Query::Changes(from) if from != to || !changes.is_empty() => {
             steps.push(Step { from, to, changes });
         }
-        Some(_) => {}
-        None => steps.clear(),
+        Query::Changes(_) | Query::Settings => {}
+        Query::All => steps.clear(),
     }
 }
 
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -135,6 +135,9 @@
     /// Reads all current listings.
     fn read(&self) -> impl Future<Output = Result<Changes, Failure>> + Send;
 
+    /// Reads the current settings. The revision is that of the directory.
+    fn settings(&self) -> impl Future<Output = Result<Changes, Failure>> + Send;
+
     /// Reads the VMs whose ids begin with `prefix`. Cheap for the directory; the result may be
     /// seconds old.
     fn members(&self, prefix: &str) -> impl Future<Output = Result<Changes, Failure>> + Send;
