Watch: a full read that is due stays due while a VM follows its peers

Callers could be sent to an upstream whose entry is gone (DRAIN), for good: found by reading, as the class of settings lost with the watchers. A VM whose call to the directory failed owes a full read, since entries may have lapsed without an event; it forgot it as soon as it received a heartbeat of a watcher. If that watcher ended before it had read all listings itself, the VM took over by a watch from the announced revision.

Fix: the debt is kept until the read is made, and so is a restore of the directory that a VM noted while it followed peers. It costs one full read at the VM's next takeover.

--- a/daemon/src/fleet/contact.rs
+++ b/daemon/src/fleet/contact.rs
@@ -85,9 +85,9 @@
     }
 
     /// Resets the state for a VM that no longer watches, as peers announce the directory's changes.
+    /// A full read that is due stays so: the peers may end before they make theirs.
     pub fn follow_peers(&mut self) {
         self.stop_watch();
-        self.needs_full_read = false;
         self.failures = 0;
     }
 
--- a/daemon/src/fleet/watch.rs
+++ b/daemon/src/fleet/watch.rs
@@ -97,6 +97,7 @@
         if !should_watch(&process).await {
             process.watching.store(false, Ordering::Relaxed);
             contact.follow_peers();
+            contact.note_restored(process.restored_within(RESTORE_PERIOD));
             tokio::time::sleep(WATCHER_CHECK_INTERVAL).await;
             continue;
         }
--- a/daemon/tests/contact.rs
+++ b/daemon/tests/contact.rs
@@ -63,6 +63,20 @@
     assert_eq!(contact.next_query(WATCHED), Query::Changes(ANNOUNCED));
 }
 
+/// Guards against entries that lapsed while the directory was unavailable and stay: a VM whose call failed relied on its
+/// peers for a moment, which ended before they had read all listings.
+#[test]
+fn a_full_read_that_is_due_stays_so_while_a_vm_relies_on_its_peers() {
+    let mut contact = Contact::default();
+    contact.resume_at(WATCHED);
+    contact.on_failure(Instant::now());
+    contact.follow_peers();
+    assert_eq!(contact.next_query(ANNOUNCED), Query::All);
+    contact.resume_at(ANNOUNCED);
+    contact.follow_peers();
+    assert_eq!(contact.next_query(ANNOUNCED), Query::Settings, "once");
+}
+
 /// After the directory was restored from a copy and its listings are complete again, it is read
 /// once more.
 #[test]
