Settings: those that cannot be decoded do not confirm the ones in force

Callers with a key that a version revoked went on to be served if a VM could not decode that version: it logged 201 and confirmed the version before as the newest at each watch.

Requests without a key go on by the settings in force; those with one are rejected as not run once these are too old.

Test: settings::settings_that_cannot_be_decoded_do_not_confirm_those_in_force, fails with the fix taken out (ready for 10 s), passes with it.

--- a/daemon/src/fleet/contact.rs
+++ b/daemon/src/fleet/contact.rs
@@ -30,6 +30,8 @@
     Unknown,
     /// The number of their version; 0 if there are none.
     Version(u64),
+    /// They cannot be decoded. They may have revoked keys, so they confirm no other version.
+    Unreadable,
 }
 
 /// The state of the connection to the directory.
@@ -144,6 +146,7 @@
     pub fn note_settings(&mut self, query: Query, changes: &[Change]) {
         let included = changes.iter().rev().find_map(|change| match change {
             Change::Settings(settings) => Some(Stored::Version(settings.table.number())),
+            Change::SettingsUnreadable(_) => Some(Stored::Unreadable),
             _ => None,
         });
         self.stored = match (included, query) {
