Steps: announce upstreams that may register again after an outage

Callers could be sent to an upstream that had left during an outage of the directory (DRAIN), for good: found by reading, as the class of settings lost with the watchers. After an outage a missing entry counts as a removal only once the upstream has not registered again for 2 s. Until then the step left it out, but moved the revision of all VMs past it; the removal was announced by the watchers that waited. If these ended, no VM removed it. All listings of a peer listed it as any other.

Fix: a step says that the entry is gone and the upstream may register again, and so do the listings. Whichever VM watches when the time is over removes it and announces that. VMs of the previous release cannot decode such a step and read all listings from a peer.

--- a/daemon/src/fleet/changes.rs
+++ b/daemon/src/fleet/changes.rs
@@ -81,8 +81,10 @@
 pub fn announced(change: &Change, provenance: Provenance) -> Option<step::Change> {
     Some(match change {
         Change::Upstream(listed) => step::Change::Upstream(listed.clone()),
-        // It may be running; its removal is announced once it has not registered again in time.
-        Change::UpstreamRemoved(..) if provenance.may_be_running() => return None,
+        // Its removal is announced once it has not registered again in time, by any VM that watches then.
+        Change::UpstreamRemoved(id, revision) if provenance.may_be_running() => {
+            step::Change::UpstreamUnlisted(id.clone(), *revision)
+        }
         Change::UpstreamRemoved(id, revision) | Change::UpstreamUnreadable(id, revision, _) => {
             step::Change::UpstreamRemoved(id.clone(), *revision)
         }
--- a/daemon/src/fleet/peer_sync.rs
+++ b/daemon/src/fleet/peer_sync.rs
@@ -45,6 +45,10 @@
     changes
         .into_iter()
         .for_each(|change| changes::apply(process, change, Provenance::Current, &mut change_log));
+    let now = process.now();
+    let mut cluster = process.cluster.lock().unwrap();
+    listing.unlisted.iter().for_each(|id| cluster.unlist(id, now));
+    drop(cluster);
     change_log.log(process, revision, "a peer");
     if own_revision.is_none() {
         // Other starting VMs may wait for listings, and VMs that were listed just now have not
@@ -63,8 +67,12 @@
     }
     let mut change_log = ChangeLog::default();
     for change in step.changes {
+        let provenance = match change {
+            step::Change::UpstreamUnlisted(..) => Provenance::AfterOutage,
+            _ => Provenance::Current,
+        };
         if let Some(change) = filter_stale(process, change) {
-            changes::apply(process, change, Provenance::Current, &mut change_log);
+            changes::apply(process, change, provenance, &mut change_log);
         }
     }
     process.advance_revision(step.to);
@@ -78,7 +86,8 @@
         step::Change::Upstream(listed) => {
             cluster.accepts(&listed).then_some(Change::Upstream(listed))?
         }
-        step::Change::UpstreamRemoved(id, revision) => {
+        step::Change::UpstreamRemoved(id, revision)
+        | step::Change::UpstreamUnlisted(id, revision) => {
             let is_newer =
                 cluster.get(&id).is_some_and(|current| current.listed.revision > revision);
             (!is_newer).then_some(Change::UpstreamRemoved(id, revision))?
--- a/daemon/src/fleet/process/listings.rs
+++ b/daemon/src/fleet/process/listings.rs
@@ -44,8 +44,9 @@
         let upstreams = cluster.peer_listings(self.now()).collect();
         let quarantined = cluster.quarantined().cloned().collect();
         let halls = cluster.halls().clone();
+        let unlisted = cluster.unlisted().cloned().collect();
         drop(cluster);
         let members = self.peers.members();
-        Listing { revision: self.revision(), upstreams, members, quarantined, halls }
+        Listing { revision: self.revision(), upstreams, members, quarantined, halls, unlisted }
     }
 }
--- a/request/src/cluster.rs
+++ b/request/src/cluster.rs
@@ -224,6 +224,11 @@
         }
     }
 
+    /// The ids of upstreams that [`Cluster::unlist`] has marked.
+    pub fn unlisted(&self) -> impl Iterator<Item = &id::Upstream> {
+        self.upstreams.iter().filter(|(_, u)| u.unlisted.is_some()).map(|(id, _)| id)
+    }
+
     /// Removes upstreams that have had no listing for `grace`, as of a revision, and returns their ids.
     pub fn expire(
         &mut self,
--- a/request/src/directory.rs
+++ b/request/src/directory.rs
@@ -57,6 +57,10 @@
     /// The data halls that are drained or were undrained.
     #[serde(default)]
     pub halls: Halls,
+    /// The upstreams among them whose entries are gone after an outage of the directory. They may
+    /// still run and register again.
+    #[serde(default)]
+    pub unlisted: Vec<id::Upstream>,
 }
 
 /// A change in the directory.
--- a/request/src/step.rs
+++ b/request/src/step.rs
@@ -19,7 +19,8 @@
 /// share a datagram with the rest of a VM's state. A VM that misses a step reads all listings.
 const MAX_CHANGES: usize = 200;
 
-/// One change of the listings.
+/// One change of the listings. A VM of a release that does not have a variant cannot decode the
+/// message, and reads all listings.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// An upstream was listed.
@@ -27,6 +28,9 @@
     /// An upstream was removed, as of this revision.
     #[serde(rename = "UpstreamGone")]
     UpstreamRemoved(id::Upstream, Revision),
+    /// The entry of an upstream is gone after an outage of the directory, as of this revision. The
+    /// upstream may still run and register again.
+    UpstreamUnlisted(id::Upstream, Revision),
     /// A VM was listed.
     Member(Member),
     /// A VM has withdrawn.
--- a/request/tests/step.rs
+++ b/request/tests/step.rs
@@ -43,6 +43,7 @@
     let changes = vec![
         Change::Upstream(Listed { born: None, cold_ms: 300, ..listed(1) }),
         Change::UpstreamRemoved("i-2".parse().unwrap(), 7.into()),
+        Change::UpstreamUnlisted("i-5".parse().unwrap(), 8.into()),
         Change::Member(member(3)),
         Change::MemberWithdrawn("vm-4".parse().unwrap()),
     ];
