Peers: do not read again from a peer that did not respond

Callers were served by replaced settings for longer than necessary after VMs lost power: the others read newer settings from the VMs that had announced them, each read takes 800 ms where nothing answers, and the dead ones were drawn again for the 2 s that they count as up.

Fix: a peer whose read failed is not read from before its next heartbeat, and peers with a heartbeat within the scheduler timeout go first.

Tests: two in daemon/tests/peers.rs, which fail with the fix taken out, pass with it.

--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -42,6 +42,8 @@
     pub(super) probed_since: Option<Instant>,
     /// When grant requests to it timed out, if nothing has been received from it since.
     pub(super) grant_timeout_at: Option<Instant>,
+    /// Whether a read from it has failed, and nothing has been received from it since.
+    pub(super) read_failed: bool,
     /// The newest grant received from it.
     pub(super) last_grant: u64,
 }
@@ -63,6 +65,7 @@
             last_subscribed: None,
             probed_since: None,
             grant_timeout_at: None,
+            read_failed: false,
             last_grant: 0,
         }
     }
@@ -89,6 +92,7 @@
         self.synced = state.synced;
         self.probed_since = None;
         self.grant_timeout_at = None;
+        self.read_failed = false;
         let is_fresh = state.age_ms.is_some_and(|ms| Duration::from_millis(ms) < MAX_WATCHER_AGE);
         if state.watching && is_fresh {
             self.last_watching = Some(now);
--- a/daemon/src/fleet/peers/sources.rs
+++ b/daemon/src/fleet/peers/sources.rs
@@ -63,11 +63,26 @@
         self.pick(now, |peer| peer.revision > revision || other(peer))
     }
 
-    /// A random matching peer that is up, preferably in the own hall, so that the peers share the
-    /// load.
+    /// Records that a read from a peer failed. It is not read from again before its next heartbeat:
+    /// each read from a VM that lost power takes the whole timeout.
+    pub fn on_read_failed(&self, address: SocketAddr) {
+        let mut membership = self.membership.lock().unwrap();
+        let peers = membership.peers.values_mut();
+        peers
+            .filter(|peer| peer.member.address == address)
+            .for_each(|peer| peer.read_failed = true);
+    }
+
+    /// A random matching peer, preferably in the own hall, so that the peers share the load. Peers
+    /// without a recent heartbeat count only if there are no others.
     fn pick(&self, now: Instant, matches: impl Fn(&Peer) -> bool) -> Option<SocketAddr> {
         let membership = self.membership.lock().unwrap();
-        let candidates: Vec<&Peer> = membership.up(now).filter(|peer| matches(peer)).collect();
+        let timing = membership.timing();
+        let matches = |peer: &&Peer| !peer.read_failed && matches(peer);
+        let up: Vec<&Peer> = membership.up(now).filter(matches).collect();
+        let is_recent = |peer: &&Peer| peer.liveness(timing, now) == Liveness::Up;
+        let recent: Vec<&Peer> = up.iter().copied().filter(is_recent).collect();
+        let candidates = if recent.is_empty() { up } else { recent };
         let near: Vec<&Peer> =
             candidates.iter().copied().filter(|p| p.member.hall == self.own.hall).collect();
         let from = if near.is_empty() { candidates } else { near };
--- a/daemon/src/fleet/resync.rs
+++ b/daemon/src/fleet/resync.rs
@@ -137,7 +137,8 @@
         Source::Settings(peer) => (peer, operators::SETTINGS_PATH),
         Source::Listing(peer) => (peer, operators::LISTING_PATH),
     };
-    let text = read(peer, path, READ_TIMEOUT).await?;
+    let text =
+        read(peer, path, READ_TIMEOUT).await.inspect_err(|_| process.peers.on_read_failed(peer))?;
     merge(process, directory, &source, peer, text)
 }
 
--- a/daemon/tests/peers.rs
+++ b/daemon/tests/peers.rs
@@ -132,3 +132,38 @@
     strong.list(first);
     assert!(!strong.awaits_scheduler(TIMEOUT, now), "this VM precedes it");
 }
+
+/// Guards against newer settings that come into force late: two VMs that announced them and lost power were asked again and
+/// again, 800 ms each time, while another VM had them.
+#[test]
+fn settings_are_not_read_again_from_a_peer_that_did_not_respond() {
+    let now = System.now();
+    let (dead, alive) = (member("vm-dead", 1_000), member("vm-alive", 900));
+    let peers = peers(&dead, now);
+    assert_eq!(peers.newer_settings(0, now), Some(dead.address));
+    peers.on_read_failed(dead.address);
+    assert_eq!(peers.newer_settings(0, now), None);
+    peers.list(alive.clone());
+    peers.on_heartbeat(&heartbeat(&alive, false), now);
+    assert_eq!(peers.newer_settings(0, now), Some(alive.address));
+    let mut next = heartbeat(&dead, false);
+    next.state.stamp += 1;
+    peers.on_heartbeat(&next, now);
+    peers.on_read_failed(alive.address);
+    assert_eq!(peers.newer_settings(0, now), Some(dead.address), "it sent a heartbeat since");
+}
+
+/// A peer counts as up for 2 s after its last heartbeat, which is long for settings that have to be in force.
+#[test]
+fn settings_are_read_from_peers_with_recent_heartbeats_first() {
+    let began = System.now();
+    let (late, recent) = (member("vm-late", 1_000), member("vm-recent", 900));
+    let peers = peers(&late, began);
+    let now = began + peers.timing().scheduler_timeout();
+    assert_eq!(peers.newer_settings(0, now), Some(late.address), "there is no other");
+    peers.list(recent.clone());
+    peers.on_heartbeat(&heartbeat(&recent, false), now);
+    for _ in 0..20 {
+        assert_eq!(peers.newer_settings(0, now), Some(recent.address));
+    }
+}
