--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -266,6 +266,8 @@
         sent,
         first_event: None,
         is_start_recorded: false,
+        is_counted: false,
+        pending: Vec::new(),
         predicted_ms: placement.predicted_ms,
         attempt_guard,
         reservations,
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -1,4 +1,4 @@
-//! Relays streams event by event, and resumes them at another upstream after a failure.
+//! Relays streams event by event. After a failure or a long silence they are resumed at another upstream.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,18 +14,17 @@
 use hyper::header;
 
 use crate::fleet::answer::Body;
-use crate::fleet::attempt::{self, End};
 use crate::fleet::crash;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{self, Stats};
-use crate::fleet::queue;
-use crate::fleet::reservations;
-use crate::fleet::retry::{self, Failure, History};
+use crate::fleet::resume::{self, Resumed};
+use crate::fleet::retry::History;
+use crate::fleet::silence::{End as Next, Silent};
 use crate::fleet::stream::{Item, Started, Stream};
 use crate::fleet::unread::{Closed, Writer};
 use crate::fleet::unsent::OUT_OF_MEMORY;
 
-/// Number of pauses of the route without an event after which a stream is resumed at another upstream.
+/// Number of pauses of the route without an event after which another upstream is asked to resume a stream.
 const SILENCE_TIMEOUT_PAUSES: u32 = 3;
 
 /// Minimum of that timeout: a pass that shares its engine with a long prefill takes up to half a second.
@@ -96,10 +95,9 @@
     Deadline,
     /// The request's body was dropped to free memory before the upstream had read it.
     Aborted,
-    Broken {
-        why: String,
-        unresponsive: bool,
-    },
+    Broken(String),
+    /// No event was received for the silence timeout.
+    Silent,
 }
 
 async fn relay_all<D: Dialect>(
@@ -115,68 +113,78 @@
     job.process.metrics.observe_prediction(stream.predicted_ms, engine);
     let mut events = first;
     loop {
-        let end = pump(&job, &mut stream, events, &mut progress, &writer).await;
-        let upstream = stream.flight.upstream.clone();
-        let (why, unresponsive) = match end {
-            RelayEnd::Complete => {
-                writer.end();
-                if let Some(first_event) = stream.take_start() {
-                    crash::record_begun(&job, first_event);
-                }
-                stream.complete(&job);
-                let stats = Stats {
-                    first_event,
-                    engine,
-                    events: progress.count,
-                    longest_pause: progress.longest_pause,
+        let end = match pump(&job, &mut stream, events, &mut progress, &writer).await {
+            RelayEnd::Complete => Next::Complete(stream),
+            RelayEnd::Silent => {
+                let silent = Silent {
+                    job: &job,
+                    writer: &writer,
+                    last_event: progress.last_id,
+                    since: progress.last_at.unwrap_or(stream.sent),
+                    timeout: silence_timeout(&job, &stream),
                 };
-                outcome::record_completion(&job, Some(stats));
-                return;
-            }
-            RelayEnd::Closed(Closed::Disconnected) => {
-                record_failed(&job, Kind::UpstreamFailed, "caller disconnected".to_owned());
-                return;
+                silent.wait(stream, &mut history).await
             }
-            RelayEnd::Closed(Closed::Aborted) => {
-                let why = "caller reads too slowly, response aborted to free memory of this VM";
-                record_failed(&job, Kind::UpstreamFailed, why.to_owned());
-                return;
+            RelayEnd::Broken(why) => {
+                let last = progress.last_id;
+                resume::after_failure(&job, stream, &mut history, last, why.clone(), &writer)
+                    .await
+                    .map_or(Next::Broken(why), Next::Resumed)
             }
-            RelayEnd::Deadline => {
-                record_failed(
+            RelayEnd::Closed(closed) => Next::Closed(closed),
+            RelayEnd::Deadline => Next::Deadline,
+            RelayEnd::Aborted => Next::Aborted,
+        };
+        (stream, events) = match end {
+            Next::Continued(stream, events) => (stream, events),
+            Next::Resumed(Resumed { stream, first }) => (stream, first),
+            Next::Complete(stream) => {
+                writer.end();
+                complete(
                     &job,
-                    Kind::DeadlineExceeded,
-                    "stream exceeded the request deadline".to_owned(),
+                    stream,
+                    Stats {
+                        first_event,
+                        engine,
+                        events: progress.count,
+                        longest_pause: progress.longest_pause,
+                    },
                 );
                 return;
             }
-            RelayEnd::Aborted => {
-                record_failed(&job, Kind::UpstreamFailed, OUT_OF_MEMORY.to_owned());
-                return;
+            Next::Broken(why) => return record_failed(&job, Kind::UpstreamFailed, &why),
+            Next::Closed(Closed::Disconnected) => {
+                return record_failed(&job, Kind::UpstreamFailed, "caller disconnected");
             }
-            RelayEnd::Broken { why, unresponsive } => (why, unresponsive),
-        };
-        let silent_since = progress.last_at.filter(|_| unresponsive);
-        stream.fail(&job, silent_since).await;
-        history.ran += 1;
-        history.excluded.push(upstream.clone());
-        let resumed = resume(&job, &mut history, &progress, upstream, &why, &writer).await;
-        let Some((next, first)) = resumed else {
-            record_failed(&job, Kind::UpstreamFailed, why);
-            return;
+            Next::Closed(Closed::Aborted) => {
+                let why = "caller reads too slowly, response aborted to free memory of this VM";
+                return record_failed(&job, Kind::UpstreamFailed, why);
+            }
+            Next::Deadline => {
+                let why = "stream exceeded the request deadline";
+                return record_failed(&job, Kind::DeadlineExceeded, why);
+            }
+            Next::Aborted => return record_failed(&job, Kind::UpstreamFailed, OUT_OF_MEMORY),
         };
-        (stream, events) = (next, first);
     }
 }
 
-fn record_failed<D: Dialect>(job: &Job<D>, kind: Kind, why: String) {
+fn complete<D: Dialect>(job: &Arc<Job<D>>, mut stream: Stream<D>, stats: Stats) {
+    if let Some(first_event) = stream.take_start() {
+        crash::record_begun(job, first_event);
+    }
+    stream.complete(job);
+    outcome::record_completion(job, Some(stats));
+}
+
+fn record_failed<D: Dialect>(job: &Job<D>, kind: Kind, why: &str) {
     job.process.metrics.count_error(kind);
-    job.record(Decision::Failed { kind, ran: Ran::Yes, why });
+    job.record(Decision::Failed { kind, ran: Ran::Yes, why: why.to_owned() });
 }
 
 /// Relays the events of one upstream.
 async fn pump<D: Dialect>(
-    job: &Job<D>,
+    job: &Arc<Job<D>>,
     stream: &mut Stream<D>,
     first: Vec<sse::Event>,
     progress: &mut Progress,
@@ -190,7 +198,7 @@
             Ok(bytes) => bytes,
             Err(Gap { expected, got }) => {
                 let why = format!("received event {got}, expected {expected}");
-                return RelayEnd::Broken { why, unresponsive: false };
+                return RelayEnd::Broken(why);
             }
         };
         let now = job.process.now();
@@ -222,9 +230,14 @@
         events = match next {
             Ok(Item::Events(events)) => events,
             Ok(Item::End) => return RelayEnd::Complete,
-            Ok(Item::Broken(why)) => return RelayEnd::Broken { why, unresponsive: false },
+            Ok(Item::Broken(why)) => return RelayEnd::Broken(why),
             Err(_) if job.remaining().is_zero() => return RelayEnd::Deadline,
-            Err(_) => return timed_out(job, last_received),
+            Err(_) if stream.reservations.is_empty() => return RelayEnd::Silent,
+            Err(_) => {
+                outcome::record_silence(job, &stream.flight.upstream, last_received);
+                let ms = job.process.now().saturating_duration_since(last_received).as_millis();
+                return RelayEnd::Broken(format!("no event for {ms} ms"));
+            }
         };
     }
 }
@@ -236,12 +249,7 @@
     job.service.engine.as_ref().filter(|_| is_forecast).and_then(Pace::new)
 }
 
-fn timed_out<D: Dialect>(job: &Job<D>, last_received: Instant) -> RelayEnd {
-    let ms = job.process.now().saturating_duration_since(last_received).as_millis();
-    RelayEnd::Broken { why: format!("no event for {ms} ms"), unresponsive: true }
-}
-
-/// Time without an event after which the upstream of a stream counts as unresponsive.
+/// Time without an event after which another upstream is asked to resume the stream.
 fn silence_timeout<D: Dialect>(job: &Job<D>, stream: &Stream<D>) -> Duration {
     let timeout = match (job.pause(), job.route.retry) {
         (Some(pause), Retry::Resume) => (pause * SILENCE_TIMEOUT_PAUSES).max(MIN_SILENCE_TIMEOUT),
@@ -253,68 +261,3 @@
         timeout.min(job.process.config.fleet.reserved_silence_timeout())
     }
 }
-
-/// Resumes the stream at another upstream after the last relayed event. Returns none if it cannot be resumed.
-async fn resume<D: Dialect>(
-    job: &Arc<Job<D>>,
-    history: &mut History,
-    progress: &Progress,
-    mut from: id::Upstream,
-    why: &str,
-    writer: &Writer,
-) -> Option<(Stream<D>, Vec<sse::Event>)> {
-    let mut why = why.to_owned();
-    let last = progress.last_id?;
-    loop {
-        if job.route.retry != Retry::Resume || !retry::may_retry(job, history, false) {
-            return None;
-        }
-        history.failure = Some(Failure { upstream: from, why });
-        job.body.begin_attempt();
-        let grant = tokio::select! {
-            grant = queue::wait_for_grant(job, history, true) => grant.ok()?,
-            _ = writer.closed() => return None,
-            () = job.body.dropped() => return None,
-        };
-        job.process.metrics.resumed_streams.inc();
-        from = grant.placement.flight.upstream.clone();
-        let end = tokio::select! {
-            end = attempt::run(job, grant, Some(last), history) => end,
-            _ = writer.closed() => return None,
-        };
-        why = match end {
-            End::Streaming(started) => {
-                job.record(Decision::Resumed { index: last, upstream: from });
-                return Some((started.stream, started.first));
-            }
-            End::Deadline | End::Aborted { .. } => return None,
-            End::Unsent(why) => {
-                history.unsent += 1;
-                why
-            }
-            End::ReservationFailed(reservations::Failure { upstream, cause }) => {
-                history.unsent += 1;
-                from = upstream;
-                cause.to_string()
-            }
-            End::NotRun { why, at_fault } => {
-                history.refused += 1;
-                from = at_fault;
-                why
-            }
-            End::ServerError(answer) => {
-                history.ran += 1;
-                format!("responded with status {}", answer.status())
-            }
-            End::Complete(answer) => {
-                history.ran += 1;
-                format!("responded with status {}", answer.status())
-            }
-            End::Broken(why) => {
-                history.ran += 1;
-                why
-            }
-        };
-        history.excluded.push(from.clone());
-    }
-}
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -19,8 +19,8 @@
 use crate::metrics::{ByKind, band};
 pub use labels::{
     ByCall, ByDecision, ByDoubt, ByEnding, ByLength, ByLimited, ByPromised, ByReason, ByReply,
-    BySent, ByStart, ByStep, ByText, ByTunnel, ByVerdict, Call, Limited, Promised, Sent, Step,
-    Text, TunnelResult,
+    BySent, BySilence, ByStart, ByStep, ByText, ByTunnel, ByVerdict, Call, Limited, Promised, Sent,
+    Silence, Step, Text, TunnelResult,
 };
 
 /// The metrics.
@@ -50,6 +50,8 @@
     pub engine_doubts: Family<ByDoubt, Counter>,
     /// Streams resumed at another upstream.
     pub resumed_streams: Counter,
+    /// Silences of upstreams in the middle of streams, by how they ended.
+    pub silences: Family<BySilence, Counter>,
     /// Connections opened to upstreams.
     pub connections: Counter,
     /// Requests for tunnels to upstreams through peers.
@@ -141,6 +143,7 @@
             report_requests: Family::default(),
             engine_doubts: Family::default(),
             resumed_streams: Counter::default(),
+            silences: Family::default(),
             connections: Counter::default(),
             tunnels: Family::default(),
             carried_tunnels: Gauge::default(),
@@ -239,6 +242,11 @@
         self.startup_seconds.get_or_create(&ByStep { step }).observe(since_start.as_secs_f64());
     }
 
+    /// Counts a silence of an upstream in the middle of a stream.
+    pub fn count_silence(&self, ended: Silence) {
+        self.silences.get_or_create(&BySilence { ended }).inc();
+    }
+
     /// Counts a retry that the retry budget granted or denied.
     pub fn count_retry_decision(&self, granted: bool) {
         let granted = if granted { "true" } else { "false" };
--- a/daemon/src/fleet/metrics/labels.rs
+++ b/daemon/src/fleet/metrics/labels.rs
@@ -195,3 +195,21 @@
     /// The kind of request.
     pub kind: &'static str,
 }
+
+/// How the silence of an upstream in the middle of a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Silence {
+    /// It sent events again, or ended the stream.
+    Continued,
+    /// Another upstream resumed the stream.
+    Resumed,
+    /// The stream was not completed.
+    Failed,
+}
+
+/// Label of a silence.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BySilence {
+    /// How it ended.
+    pub ended: Silence,
+}
--- a/daemon/src/fleet/metrics/registration.rs
+++ b/daemon/src/fleet/metrics/registration.rs
@@ -23,6 +23,11 @@
             "Streams that went on elsewhere",
             self.resumed_streams.clone(),
         );
+        r.register(
+            "silences",
+            "Silences of upstreams in the middle of streams",
+            self.silences.clone(),
+        );
         r.register("connections", "Connections opened to upstreams", self.connections.clone());
         let what = "Requests to peers for tunnels to upstreams";
         r.register("tunnels", what, self.tunnels.clone());
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -48,9 +48,30 @@
     was_granted: bool,
     /// Retries that were charged to the fleet's retry budget.
     charged_retries: u32,
+    /// The upstream of the current attempt to resume a stream, while an earlier attempt may still go on.
+    pub attempt: Option<id::Upstream>,
 }
 
 impl History {
+    /// Counts an attempt that may have run.
+    pub fn count_run(&mut self, upstream: id::Upstream) {
+        self.ran += 1;
+        self.excluded.push(upstream);
+    }
+
+    /// Begins an attempt to resume a stream.
+    pub fn begin_attempt(&mut self, upstream: id::Upstream) {
+        self.attempt = Some(upstream);
+    }
+
+    /// Ends such an attempt if it was cancelled. One that was sent may have run; one that was not leaves its token of the retry
+    /// budget to the next.
+    pub fn end_attempt(&mut self, is_sent: bool) {
+        if let Some(upstream) = self.attempt.take().filter(|_| is_sent) {
+            self.count_run(upstream);
+        }
+    }
+
     /// How the next attempt is charged to the fleet's retry budget. A retry that was not sent leaves its
     /// token to the next one.
     pub fn charge(&self) -> Charge {
--- /dev/null
+++ b/daemon/src/fleet/silence.rs
@@ -0,0 +1,180 @@
+//! A stream whose upstream sends nothing for a while: it stays open while another upstream is asked to resume it.
+//!
+//! Load patterns: engines are silent for a second or so while they read long prompts or run out of memory, many of their
+//! streams at once, often when there is no capacity or retry budget to resume them elsewhere. Silence is a suspicion only:
+//! the upstream may also be dead behind a connection that hangs. So whichever upstream sends events first goes on with the
+//! stream, and the other attempt is cancelled.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foldlock_base::clock::millis;
+use foldlock_connection::sse;
+use foldlock_request::decision::Decision;
+use foldlock_request::dialect::Dialect;
+use foldlock_request::suspicion;
+
+use crate::fleet::job::Job;
+use crate::fleet::metrics::Silence;
+use crate::fleet::outcome;
+use crate::fleet::resume::{self, Resumed};
+use crate::fleet::retry::History;
+use crate::fleet::stream::{Item, Stream};
+use crate::fleet::unread::{Closed, Writer};
+
+/// How the silence of an upstream ended.
+pub enum End<D: Dialect> {
+    /// It sent events again.
+    Continued(Stream<D>, Vec<sse::Event>),
+    /// Another upstream resumed the stream.
+    Resumed(Resumed<D>),
+    /// It ended the stream, which is complete.
+    Complete(Stream<D>),
+    /// Its connection broke, for this reason, and no other upstream resumed the stream.
+    Broken(String),
+    /// The connection to the caller ended.
+    Closed(Closed),
+    /// The deadline of the request passed.
+    Deadline,
+    /// The body of the request was dropped to free memory before the upstream had read it.
+    Aborted,
+}
+
+/// A stream whose upstream has sent nothing since a time.
+pub struct Silent<'a, D: Dialect> {
+    /// The request.
+    pub job: &'a Arc<Job<D>>,
+    /// Where the response goes.
+    pub writer: &'a Writer,
+    /// The last event that was relayed, after which another upstream resumes; none if the events have no ids.
+    pub last_event: Option<u64>,
+    /// When the upstream last sent events.
+    pub since: Instant,
+    /// Time without an event after which another upstream is asked for, and again if none is granted.
+    pub timeout: Duration,
+}
+
+impl<D: Dialect> Silent<'_, D> {
+    /// Waits until the upstream or another one goes on with the stream, at most until the deadline of the request.
+    pub async fn wait(self, mut stream: Stream<D>, history: &mut History) -> End<D> {
+        let job = self.job;
+        self.record(&stream);
+        stream.count(history);
+        let end = loop {
+            match self.race(stream, history).await {
+                Raced::End(end) => break end,
+                Raced::NotResumed(open) => stream = open,
+            }
+            match self.next_item(&mut stream).await {
+                Some(Ok(Item::Broken(why))) => break self.replace(stream, history, why).await,
+                Some(Ok(Item::Events(events))) => break End::Continued(stream, events),
+                Some(Ok(Item::End)) => break End::Complete(stream),
+                Some(Err(end)) => break end,
+                None => {}
+            }
+        };
+        if let End::Continued(stream, _) = &end {
+            // It is alive, so the suspicion that its silence raised is lowered.
+            outcome::record(job, &stream.flight.upstream, suspicion::Outcome::Answered);
+        }
+        job.process.metrics.count_silence(match end {
+            End::Continued(..) | End::Complete(_) => Silence::Continued,
+            End::Resumed(_) => Silence::Resumed,
+            _ => Silence::Failed,
+        });
+        end
+    }
+
+    /// Records the silence as evidence for the scheduler, and for the request.
+    fn record(&self, stream: &Stream<D>) {
+        let upstream = &stream.flight.upstream;
+        outcome::record_silence(self.job, upstream, self.since);
+        self.job.record(Decision::Silent {
+            upstream: upstream.clone(),
+            silent_ms: millis(self.elapsed()),
+            evidence_age_ms: millis(self.elapsed()),
+            unanswered: 0,
+            ending: None,
+        });
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.job.process.now().saturating_duration_since(self.since)
+    }
+
+    /// Asks for another upstream while the silent one may still send events.
+    async fn race(&self, stream: Stream<D>, history: &mut History) -> Raced<D> {
+        let job = self.job;
+        let from = stream.flight.upstream.clone();
+        let why = format!("no event for {} ms", self.elapsed().as_millis());
+        let mut open = Some(stream);
+        let mut broken = String::new();
+        let raced = {
+            let resuming = resume::run(job, history, self.last_event, from, why, self.writer);
+            tokio::pin!(resuming);
+            loop {
+                tokio::select! {
+                    biased;
+                    (item, stream) = next_of(&mut open, job) => match item {
+                        Item::Events(events) => break Raced::End(End::Continued(stream, events)),
+                        Item::End => break Raced::End(End::Complete(stream)),
+                        Item::Broken(why) => {
+                            stream.fail(job).await;
+                            broken = why;
+                        }
+                    },
+                    resumed = &mut resuming => break match (resumed, open.take()) {
+                        (Some(resumed), _) => Raced::End(End::Resumed(resumed)),
+                        (None, Some(stream)) => Raced::NotResumed(stream),
+                        (None, None) => Raced::End(End::Broken(broken)),
+                    },
+                    closed = self.writer.closed() => break Raced::End(End::Closed(closed)),
+                    () = job.body.aborted() => break Raced::End(End::Aborted),
+                    () = tokio::time::sleep_until(job.deadline.into()) => {
+                        break Raced::End(End::Deadline);
+                    }
+                }
+            }
+        };
+        // The attempt to resume was cancelled if it has not ended.
+        history.end_attempt(job.body.is_sent());
+        raced
+    }
+
+    /// Resumes the stream elsewhere after its connection broke.
+    async fn replace(&self, stream: Stream<D>, history: &mut History, why: String) -> End<D> {
+        resume::after_failure(self.job, stream, history, self.last_event, why.clone(), self.writer)
+            .await
+            .map_or(End::Broken(why), End::Resumed)
+    }
+
+    /// Waits for the next item for as long as the timeout; returns none if there is none.
+    async fn next_item(&self, stream: &mut Stream<D>) -> Option<Result<Item, End<D>>> {
+        let job = self.job;
+        let until = (job.process.now() + self.timeout).min(job.deadline);
+        let next = tokio::select! {
+            next = tokio::time::timeout_at(until.into(), stream.next_item(job)) => next,
+            closed = self.writer.closed() => return Some(Err(End::Closed(closed))),
+            () = job.body.aborted() => return Some(Err(End::Aborted)),
+        };
+        match next {
+            Ok(item) => Some(Ok(item)),
+            Err(_) if job.remaining().is_zero() => Some(Err(End::Deadline)),
+            Err(_) => None,
+        }
+    }
+}
+
+/// What ended first: the silence, or the attempt to resume the stream elsewhere.
+enum Raced<D: Dialect> {
+    End(End<D>),
+    /// No upstream may resume the stream now. The silent one is still open.
+    NotResumed(Stream<D>),
+}
+
+/// The next item of a stream, which is taken with it; waits forever if there is no stream.
+async fn next_of<D: Dialect>(open: &mut Option<Stream<D>>, job: &Job<D>) -> (Item, Stream<D>) {
+    let Some(stream) = open else { return std::future::pending().await };
+    let item = stream.next_item(job).await;
+    (item, open.take().expect("it is open"))
+}
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -1,6 +1,5 @@
 //! Reads a stream of an upstream event by event.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foldlock_connection::channel::Channel;
@@ -18,6 +17,7 @@
 use crate::fleet::outcome;
 use crate::fleet::process::Guard;
 use crate::fleet::reservations::Reservations;
+use crate::fleet::retry::History;
 
 /// A stream whose first events were received.
 pub struct Started<D: Dialect> {
@@ -41,6 +41,10 @@
     pub first_event: Option<Instant>,
     /// Whether it was recorded that the response began and did not crash its upstream.
     pub(super) is_start_recorded: bool,
+    /// Whether the attempt is counted in the history of its request.
+    pub(super) is_counted: bool,
+    /// Events that were received and not returned yet: empty lines are returned with the next event.
+    pub(super) pending: Vec<Event>,
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
     pub(super) attempt_guard: Guard<D>,
@@ -103,8 +107,8 @@
         }
     }
 
+    /// Keeps what it has received if it is cancelled.
     async fn next(&mut self) -> Item {
-        let mut events = Vec::new();
         loop {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
@@ -113,20 +117,20 @@
                     return Item::Broken("stream ended inside an event".to_owned());
                 }
                 // Empty lines alone are no response.
-                None if events.is_empty() || self.first_event.is_none() => return Item::End,
-                None => return Item::Events(events),
+                None if self.pending.is_empty() || self.first_event.is_none() => return Item::End,
+                None => return Item::Events(std::mem::take(&mut self.pending)),
             };
             let Ok(bytes) = frame.into_data() else { continue };
             self.decoder.push(&bytes);
             loop {
                 match self.decoder.next_event() {
-                    Ok(Some(event)) => events.push(event),
+                    Ok(Some(event)) => self.pending.push(event),
                     Ok(None) => break,
                     Err(_) => return Item::Broken("event exceeds the maximum length".to_owned()),
                 }
             }
-            if !events.iter().all(Event::is_blank) {
-                return Item::Events(events);
+            if !self.pending.iter().all(Event::is_blank) {
+                return Item::Events(std::mem::take(&mut self.pending));
             }
         }
     }
@@ -141,12 +145,16 @@
         }
     }
 
-    /// Records that the stream failed: its upstream has sent nothing since a time, or the stream was truncated. In the
-    /// latter case it is checked whether the upstream crashed.
-    pub async fn fail(self, job: &Arc<Job<D>>, silent_since: Option<Instant>) {
-        match silent_since {
-            Some(at) => outcome::record_silence(job, &self.flight.upstream, at),
-            None => outcome::record_broken(job, self.interrupted()).await,
+    /// Records that the stream was truncated, and checks whether its upstream crashed.
+    pub async fn fail(self, job: &Job<D>) {
+        outcome::record_broken(job, self.interrupted()).await;
+    }
+
+    /// Counts the attempt in the history of its request: another one is asked for. An upstream that is silent several times
+    /// counts once.
+    pub fn count(&mut self, history: &mut History) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            history.count_run(self.flight.upstream.clone());
         }
     }
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -221,13 +221,13 @@
         waited_ms: f64,
     },
     /// The main engine of a divided prompt has sent nothing, and a report was requested of it: the request gave no evidence
-    /// that it is alive, or the silence timeout is over.
+    /// that it is alive, or the silence timeout is over. Or an upstream has sent nothing in the middle of a stream.
     Silent {
-        /// The engine.
+        /// The upstream.
         upstream: id::Upstream,
-        /// Time since the attempt began, in milliseconds.
+        /// Time since the attempt began, or since the last event, in milliseconds.
         silent_ms: f64,
-        /// Time since the engine was last known to be alive, in milliseconds.
+        /// Time since the upstream was last known to be alive, in milliseconds.
         evidence_age_ms: f64,
         /// The number of report requests in a row that were not answered.
         unanswered: u32,
