--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -11,7 +11,6 @@
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::flight::Flight;
-use foldlock_request::liveness::Ending;
 use foldlock_request::notice::RateLimit;
 use foldlock_request::placement::Placement;
 use foldlock_request::reachability::Verdict as Reached;
@@ -25,13 +24,13 @@
 use hyper::{Request, Response, StatusCode, Uri};
 
 use crate::fleet::answer::{self, Body};
-use crate::fleet::crash::{self, Interrupted};
+use crate::fleet::crash::Interrupted;
 use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Grant;
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
 use crate::fleet::job::Job;
-use crate::fleet::liveness::{Crashed, Evidence, Poller};
+use crate::fleet::liveness::{self, Evidence, Poller};
 use crate::fleet::metrics::Sent;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, record_failure};
@@ -101,7 +100,7 @@
     let attempt_guard = job.process.begin_attempt(grant.number, grant.placement.flight.clone());
     let flight = grant.placement.flight.clone();
     let incarnation = notices::incarnation(&job.process, &upstream);
-    let poller = Poller::new(job, &grant.placement);
+    let mut poller = Poller::new(job, &grant.placement);
     let timeout = match &poller {
         // The engine's silence is judged by its reports.
         Some(_) => job.remaining(),
@@ -118,21 +117,11 @@
         // A response that is complete by now is delivered, whatever else happened at the same moment.
         biased;
         ended = tokio::time::timeout_at(until.into(), &mut sending) => ended,
-        crashed = detect_crash(poller, job) => {
-            let Crashed { upstream: engine, ending } = crashed;
-            let has_restarted = ending == Ending::Restarted;
-            if has_restarted {
-                record_failure(job, &engine, Cause::Malformed);
-            } else {
-                outcome::record_silence(job, &engine, job.process.now());
-            }
-            if has_restarted && engine == upstream {
-                // `sending` keeps the attempt in the cluster state meanwhile.
-                let attempt =
-                    Interrupted { flight: &flight, incarnation, sent: began, first_event: None };
-                crash::detect(job, attempt).await;
-            }
-            return End::Broken(format!("{engine} {ending}"));
+        crashed = liveness::detect_crash(&mut poller, job) => {
+            // `sending` keeps the attempt in the cluster state meanwhile.
+            let attempt =
+                Interrupted { flight: &flight, incarnation, sent: began, first_event: None };
+            return End::Broken(outcome::record_crashed(job, crashed, attempt).await);
         }
         () = job.process.aborting.cancelled() => {
             return End::Broken("VM shut down before the response was received".to_owned());
@@ -140,6 +129,10 @@
         () = job.body.aborted() => return End::Aborted { is_sent: job.body.is_sent() },
     };
     match ended {
+        Ok(End::Streaming(mut started)) => {
+            started.stream.poller = poller;
+            End::Streaming(started)
+        }
         Ok(end) => end,
         Err(_) if job.remaining().is_zero() => {
             record_failure(job, &upstream, Cause::ServerError);
@@ -152,14 +145,6 @@
     }
 }
 
-/// Waits until an engine of the attempt counts as crashed by its reports; forever if they are not polled.
-async fn detect_crash<D: Dialect>(poller: Option<Poller>, job: &Job<D>) -> Crashed {
-    match poller {
-        Some(poller) => poller.run(job).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Time to wait for the response or its first event before the request is sent to another upstream.
 fn response_timeout<D: Dialect>(
     job: &Job<D>,
@@ -267,6 +252,7 @@
         first_event: None,
         is_start_recorded: false,
         is_counted: false,
+        poller: None,
         pending: Vec::new(),
         predicted_ms: placement.predicted_ms,
         attempt_guard,
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -203,6 +203,7 @@
         };
         let now = job.process.now();
         progress.record_time(now);
+        stream.poller.iter().for_each(|poller| poller.record_events(now));
         if let Some(first_event) = stream.take_sound_start(now) {
             crash::record_begun(job, first_event);
         }
@@ -232,7 +233,9 @@
             Ok(Item::End) => return RelayEnd::Complete,
             Ok(Item::Broken(why)) => return RelayEnd::Broken(why),
             Err(_) if job.remaining().is_zero() => return RelayEnd::Deadline,
-            Err(_) if stream.reservations.is_empty() => return RelayEnd::Silent,
+            Err(_) if stream.reservations.is_empty() || stream.poller.is_some() => {
+                return RelayEnd::Silent;
+            }
             Err(_) => {
                 outcome::record_silence(job, &stream.flight.upstream, last_received);
                 let ms = job.process.now().saturating_duration_since(last_received).as_millis();
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -1,4 +1,5 @@
-//! Requests reports of the engines of an attempt while the main engine sends nothing and others reserve memory for it.
+//! Requests reports of the engines of an attempt while the main engine sends nothing and others reserve memory for it:
+//! before the first event, and during a silence in the middle of the stream.
 //!
 //! The decisions are in [`foldlock_request::liveness`]. Takes effect with `admission = "forecast"`; without it, the silence
 //! timeout ends the attempt.
@@ -31,7 +32,7 @@
 
 impl Evidence {
     /// Waits until the evidence is recent enough to renew reservations: a renewal later than this after a crash would
-    /// expire too late. Returns at once if the engine is no longer polled, since it has sent something.
+    /// expire too late. Returns at once if there is no poller any more.
     pub async fn wait_until_recent<D: Dialect>(&mut self, process: &Process<D>) {
         let is_recent = |at: &Instant| process.now().saturating_duration_since(*at) <= self.max_age;
         let _ = self.at.wait_for(is_recent).await;
@@ -58,6 +59,8 @@
 pub struct Poller {
     /// The main engine, then its helpers.
     engines: Vec<Engine>,
+    /// The silence timeout.
+    timeout: Duration,
     /// Whether the attempt has gone on for longer than the silence timeout.
     is_extended: bool,
     evidence: watch::Sender<Instant>,
@@ -81,7 +84,19 @@
             liveness,
         };
         let engines = std::iter::once(&flight.upstream).chain(helpers).map(engine).collect();
-        Some(Poller { engines, is_extended: false, evidence: watch::Sender::new(now) })
+        Some(Poller { engines, timeout, is_extended: false, evidence: watch::Sender::new(now) })
+    }
+
+    /// Records that the main engine has sent events, which shows that it is alive.
+    pub fn record_events(&self, now: Instant) {
+        self.evidence.send_replace(now);
+    }
+
+    /// Begins anew for a silence in the middle of the stream: the main engine has sent nothing since this time.
+    pub fn restart(&mut self, since: Instant) {
+        let liveness = Liveness::new(self.timeout, Duration::ZERO, since);
+        self.engines.iter_mut().for_each(|engine| engine.liveness = liveness);
+        self.is_extended = false;
     }
 
     /// The evidence of this poller.
@@ -92,11 +107,11 @@
         }
     }
 
-    /// Polls until the attempt ends, and returns why it does.
+    /// Polls until the attempt ends, and returns why it does. Goes on where it was if it is cancelled.
     ///
     /// The helpers are polled only where the silence timeout would have ended the attempt: the main engine may be silent
     /// since it waits for the part of a helper that crashed.
-    pub async fn run<D: Dialect>(mut self, job: &Job<D>) -> Crashed {
+    pub async fn run<D: Dialect>(&mut self, job: &Job<D>) -> Crashed {
         loop {
             let main = &self.engines[0].liveness;
             tokio::time::sleep_until(main.next_poll().into()).await;
@@ -122,6 +137,14 @@
     }
 }
 
+/// Waits until an engine of an attempt counts as crashed by its reports; forever if they are not polled.
+pub async fn detect_crash<D: Dialect>(poller: &mut Option<Poller>, job: &Job<D>) -> Crashed {
+    match poller {
+        Some(poller) => poller.run(job).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Engine {
     /// Requests one report.
     async fn poll<D: Dialect>(&self, job: &Job<D>) -> Reply {
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -7,6 +7,7 @@
 use foldlock_base::prelude::*;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::liveness::Ending;
 use foldlock_request::placement::Rejection;
 use foldlock_request::suspicion::{Failure, Outcome};
 
@@ -14,6 +15,7 @@
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Origin;
 use crate::fleet::job::Job;
+use crate::fleet::liveness::Crashed;
 use crate::fleet::process::Process;
 use crate::fleet::unread::Aborted;
 use crate::fleet::unsent::{Dropped, Effect, Part};
@@ -47,6 +49,24 @@
     });
 }
 
+/// Records that an engine of an attempt counts as crashed by its reports. Returns it as the reason for which the attempt ends.
+pub async fn record_crashed<D: Dialect>(
+    job: &Arc<Job<D>>,
+    crashed: Crashed,
+    attempt: Interrupted<'_>,
+) -> String {
+    let Crashed { upstream: engine, ending } = crashed;
+    if ending != Ending::Restarted {
+        record_silence(job, &engine, job.process.now());
+    } else {
+        record_failure(job, &engine, Failure::Malformed);
+        if engine == attempt.flight.upstream {
+            crash::detect(job, attempt).await;
+        }
+    }
+    format!("{engine} {ending}")
+}
+
 /// Records how an attempt ended, and announces it to the scheduler.
 pub fn record<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, outcome: Outcome) {
     job.process.cluster.lock().unwrap().record_outcome(upstream, outcome, job.process.now());
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -15,6 +15,7 @@
 use foldlock_request::suspicion;
 
 use crate::fleet::job::Job;
+use crate::fleet::liveness::{self, Crashed, Poller};
 use crate::fleet::metrics::Silence;
 use crate::fleet::outcome;
 use crate::fleet::resume::{self, Resumed};
@@ -60,20 +61,26 @@
         let job = self.job;
         self.record(&stream);
         stream.count(history);
-        let end = loop {
-            match self.race(stream, history).await {
+        let mut poller = stream.poller.take();
+        poller.iter_mut().for_each(|poller| poller.restart(self.since));
+        let mut end = loop {
+            match self.race(stream, &mut poller, history).await {
                 Raced::End(end) => break end,
                 Raced::NotResumed(open) => stream = open,
             }
-            match self.next_item(&mut stream).await {
-                Some(Ok(Item::Broken(why))) => break self.replace(stream, history, why).await,
-                Some(Ok(Item::Events(events))) => break End::Continued(stream, events),
-                Some(Ok(Item::End)) => break End::Complete(stream),
-                Some(Err(end)) => break end,
-                None => {}
+            match self.next(&mut stream, &mut poller).await {
+                Next::Item(Item::Events(events)) => break End::Continued(stream, events),
+                Next::Item(Item::End) => break End::Complete(stream),
+                Next::Item(Item::Broken(why)) => break self.replace(stream, history, why).await,
+                Next::Crashed(crashed) => {
+                    break self.replace_crashed(stream, history, crashed).await;
+                }
+                Next::End(end) => break end,
+                Next::Nothing => {}
             }
         };
-        if let End::Continued(stream, _) = &end {
+        if let End::Continued(stream, _) = &mut end {
+            stream.poller = poller;
             // It is alive, so the suspicion that its silence raised is lowered.
             outcome::record(job, &stream.flight.upstream, suspicion::Outcome::Answered);
         }
@@ -103,7 +110,12 @@
     }
 
     /// Asks for another upstream while the silent one may still send events.
-    async fn race(&self, stream: Stream<D>, history: &mut History) -> Raced<D> {
+    async fn race(
+        &self,
+        stream: Stream<D>,
+        poller: &mut Option<Poller>,
+        history: &mut History,
+    ) -> Raced<D> {
         let job = self.job;
         let from = stream.flight.upstream.clone();
         let why = format!("no event for {} ms", self.elapsed().as_millis());
@@ -123,6 +135,12 @@
                             broken = why;
                         }
                     },
+                    crashed = liveness::detect_crash(poller, job), if open.is_some() => {
+                        if let Some(stream) = open.take() {
+                            let attempt = stream.interrupted();
+                            broken = outcome::record_crashed(job, crashed, attempt).await;
+                        }
+                    }
                     resumed = &mut resuming => break match (resumed, open.take()) {
                         (Some(resumed), _) => Raced::End(End::Resumed(resumed)),
                         (None, Some(stream)) => Raced::NotResumed(stream),
@@ -148,23 +166,46 @@
             .map_or(End::Broken(why), End::Resumed)
     }
 
-    /// Waits for the next item for as long as the timeout; returns none if there is none.
-    async fn next_item(&self, stream: &mut Stream<D>) -> Option<Result<Item, End<D>>> {
+    /// The same after an engine has crashed behind an open connection.
+    async fn replace_crashed(
+        &self,
+        stream: Stream<D>,
+        history: &mut History,
+        crashed: Crashed,
+    ) -> End<D> {
+        let from = stream.flight.upstream.clone();
+        let why = outcome::record_crashed(self.job, crashed, stream.interrupted()).await;
+        drop(stream);
+        resume::run(self.job, history, self.last_event, from, why.clone(), self.writer)
+            .await
+            .map_or(End::Broken(why), End::Resumed)
+    }
+
+    /// Waits for the next item of the stream, for as long as the timeout.
+    async fn next(&self, stream: &mut Stream<D>, poller: &mut Option<Poller>) -> Next<D> {
         let job = self.job;
         let until = (job.process.now() + self.timeout).min(job.deadline);
-        let next = tokio::select! {
-            next = tokio::time::timeout_at(until.into(), stream.next_item(job)) => next,
-            closed = self.writer.closed() => return Some(Err(End::Closed(closed))),
-            () = job.body.aborted() => return Some(Err(End::Aborted)),
-        };
-        match next {
-            Ok(item) => Some(Ok(item)),
-            Err(_) if job.remaining().is_zero() => Some(Err(End::Deadline)),
-            Err(_) => None,
+        tokio::select! {
+            item = stream.next_item(job) => Next::Item(item),
+            crashed = liveness::detect_crash(poller, job) => Next::Crashed(crashed),
+            closed = self.writer.closed() => Next::End(End::Closed(closed)),
+            () = job.body.aborted() => Next::End(End::Aborted),
+            () = tokio::time::sleep_until(until.into()) => {
+                if job.remaining().is_zero() { Next::End(End::Deadline) } else { Next::Nothing }
+            }
         }
     }
 }
 
+/// What follows on a silence while no other upstream may resume the stream.
+enum Next<D: Dialect> {
+    Item(Item),
+    Crashed(Crashed),
+    End(End<D>),
+    /// The upstream is still silent.
+    Nothing,
+}
+
 /// What ended first: the silence, or the attempt to resume the stream elsewhere.
 enum Raced<D: Dialect> {
     End(End<D>),
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -14,6 +14,7 @@
 
 use crate::fleet::crash::{self, Interrupted, MIN_DECODING};
 use crate::fleet::job::Job;
+use crate::fleet::liveness::Poller;
 use crate::fleet::outcome;
 use crate::fleet::process::Guard;
 use crate::fleet::reservations::Reservations;
@@ -43,6 +44,8 @@
     pub(super) is_start_recorded: bool,
     /// Whether the attempt is counted in the history of its request.
     pub(super) is_counted: bool,
+    /// Polls the engines while the main engine is silent and others reserve memory.
+    pub(super) poller: Option<Poller>,
     /// Events that were received and not returned yet: empty lines are returned with the next event.
     pub(super) pending: Vec<Event>,
     /// The predicted time to the first event, milliseconds.
