--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -38,6 +38,7 @@
 pub mod peers;
 pub mod pending_grants;
 pub mod process;
+pub mod progress;
 pub mod queue;
 pub mod rate_limits;
 pub mod read_pace;
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -1,9 +1,8 @@
 //! Relays streams event by event. After a failure or a long silence they are resumed at another upstream.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use foldlock_base::prelude::*;
 use foldlock_connection::sse;
 use foldlock_request::decision::Decision;
@@ -17,6 +16,7 @@
 use crate::fleet::crash;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{self, Stats};
+use crate::fleet::progress::{New, Progress};
 use crate::fleet::resume::{self, Resumed};
 use crate::fleet::retry::History;
 use crate::fleet::silence::{End as Next, Silent};
@@ -30,50 +30,6 @@
 /// Minimum of that timeout: a pass that shares its engine with a long prefill takes up to half a second.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// The events relayed so far.
-#[derive(Debug, Default)]
-struct Progress {
-    last_id: Option<u64>,
-    count: u64,
-    last_at: Option<Instant>,
-    longest_pause: Duration,
-}
-
-/// An event is missing.
-#[derive(Debug)]
-struct Gap {
-    expected: u64,
-    got: u64,
-}
-
-impl Progress {
-    /// Records the time at which events were received.
-    fn record_time(&mut self, now: Instant) {
-        if let Some(at) = self.last_at.replace(now) {
-            self.longest_pause = self.longest_pause.max(now.saturating_duration_since(at));
-        }
-    }
-
-    /// Returns the bytes of events that the caller does not have yet.
-    fn new_bytes(&mut self, events: &[sse::Event]) -> Result<Bytes, Gap> {
-        let mut new = BytesMut::new();
-        for event in events {
-            if let (Some(last), Some(id)) = (self.last_id, event.id) {
-                if id <= last {
-                    continue;
-                }
-                if id > last + 1 {
-                    return Err(Gap { expected: last + 1, got: id });
-                }
-            }
-            self.last_id = event.id.or(self.last_id);
-            self.count += u64::from(!event.is_blank());
-            new.extend_from_slice(&event.bytes);
-        }
-        Ok(new.freeze())
-    }
-}
-
 /// Responds with a stream that has started, and relays the rest of it in a task.
 pub fn relay<D: Dialect>(
     job: Arc<Job<D>>,
@@ -107,7 +63,7 @@
     mut history: History,
     writer: Writer,
 ) {
-    let mut progress = Progress { last_id: job.terms.last_event, ..Progress::default() };
+    let mut progress = Progress::after(job.terms.last_event);
     let first_event = job.elapsed();
     let engine = job.process.now().saturating_duration_since(stream.sent);
     job.process.metrics.observe_prediction(stream.predicted_ms, engine);
@@ -194,13 +150,7 @@
     let mut pace = pace(job);
     let mut events = first;
     loop {
-        let bytes = match progress.new_bytes(&events) {
-            Ok(bytes) => bytes,
-            Err(Gap { expected, got }) => {
-                let why = format!("received event {got}, expected {expected}");
-                return RelayEnd::Broken(why);
-            }
-        };
+        let New { bytes, gap } = progress.new_events(&events);
         let now = job.process.now();
         progress.record_time(now);
         stream.poller.iter().for_each(|poller| poller.record_events(now));
@@ -221,6 +171,9 @@
                 Err(_) => return RelayEnd::Deadline,
             }
         }
+        if let Some(gap) = gap {
+            return RelayEnd::Broken(gap.to_string());
+        }
         let last_received = job.process.now();
         let until = (last_received + timeout).min(job.deadline);
         let next = tokio::select! {
