Attempts: one record of a silence, and pauses that double between requests for a placement

By reading the diff: an attempt without a response recorded its upstream as unresponsive after each further timeout, 180 ms for plain services, and requested a placement as often, up to the deadline. One silent attempt is evidence once.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -95,7 +95,7 @@
 /// Sends the request to its placement and waits for the response or its first events.
 ///
 /// After the response timeout another placement is requested. The attempt goes on until there is one: its upstream may be
-/// sound.
+/// sound. If none is granted, it is requested again after pauses that double.
 pub async fn run<D: Dialect>(
     job: &Arc<Job<D>>,
     grant: Grant,
@@ -116,6 +116,7 @@
     tokio::pin!(attempt);
     let began = job.process.now();
     let mut until = job.deadline.min(began + timeout);
+    let mut pause = timeout;
     loop {
         tokio::select! {
             // A response that is complete by now is delivered, whatever else happened at the same moment.
@@ -127,7 +128,9 @@
             record_failure(job, &upstream, Cause::ServerError);
             return End::Deadline;
         }
-        outcome::record_silence(job, &upstream, began);
+        if pause == timeout {
+            outcome::record_silence(job, &upstream, began);
+        }
         let ms = job.process.now().saturating_duration_since(began).as_millis();
         let why = format!("no response within {ms} ms");
         if has_reservations {
@@ -153,7 +156,8 @@
             }
         }
         history.uncount_run();
-        until = job.deadline.min(job.process.now() + timeout);
+        until = job.deadline.min(job.process.now() + pause);
+        pause *= 2;
     }
 }
 
