--- a/daemon/src/fleet/peers/membership.rs
+++ b/daemon/src/fleet/peers/membership.rs
@@ -51,12 +51,6 @@
         self.peers.values().filter(move |peer| peer.is_up(timing, now))
     }
 
-    /// The peers before a VM in the order.
-    pub(super) fn before(&self, vm: &id::Vm) -> impl Iterator<Item = &Peer> {
-        let before = self.order.iter().take_while(move |member| member.vm != *vm);
-        before.filter_map(|member| self.peers.get(&member.vm))
-    }
-
     /// The scheduler and the standby schedulers, in their order.
     pub(super) fn schedulers(&self, now: Instant) -> impl Iterator<Item = &Member> {
         let order = self.order.iter().map(|member| self.liveness(&member.vm, now));
--- a/daemon/src/fleet/peers/peer.rs
+++ b/daemon/src/fleet/peers/peer.rs
@@ -104,12 +104,6 @@
         self.last_seen.is_some_and(|at| now.saturating_duration_since(at) < timing.down_timeout())
     }
 
-    /// Whether it recently announced that it watches the directory.
-    pub(super) fn watches(&self, timing: Timing, now: Instant) -> bool {
-        self.last_watching
-            .is_some_and(|at| now.saturating_duration_since(at) < timing.scheduler_timeout())
-    }
-
     /// Whether it recently requested heartbeats from this VM.
     pub(super) fn is_subscribed(&self, timing: Timing, now: Instant) -> bool {
         self.last_subscribed
--- a/daemon/src/fleet/peers/sources.rs
+++ b/daemon/src/fleet/peers/sources.rs
@@ -16,22 +16,22 @@
     /// changes; none if this VM is the first watcher.
     pub fn announced_by_others(&self, now: Instant) -> Revision {
         let membership = self.membership.lock().unwrap();
-        let before = membership.before(&self.own.vm);
-        let watching = before.filter(|peer| peer.watches(membership.timing(), now));
+        let timeout = membership.timing().scheduler_timeout();
+        let is_watcher = |peer: &&Peer| {
+            peer.last_watching.is_some_and(|at| now.saturating_duration_since(at) < timeout)
+        };
+        let before = membership.order.iter().take_while(|member| member.vm != self.own.vm);
+        let watching =
+            before.filter_map(|member| membership.peers.get(&member.vm)).filter(is_watcher);
         watching.map(|peer| peer.revision).max().unwrap_or_default()
     }
 
-    /// The number of VMs before this one in the order that watch the directory.
-    pub fn watchers_before(&self, now: Instant) -> usize {
-        let membership = self.membership.lock().unwrap();
-        let before = membership.before(&self.own.vm);
-        before.filter(|peer| peer.watches(membership.timing(), now)).count()
-    }
-
     /// Whether a peer that is up watches the directory.
     pub fn has_watcher(&self, now: Instant) -> bool {
         let membership = self.membership.lock().unwrap();
-        membership.peers.values().any(|peer| peer.watches(membership.timing(), now))
+        let timeout = membership.timing().scheduler_timeout();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < timeout;
+        membership.peers.values().any(|peer| peer.last_watching.is_some_and(is_recent))
     }
 
     /// Whether a peer that is up has settings, whatever their source: some VM then reads the
--- a/daemon/src/fleet/watch.rs
+++ b/daemon/src/fleet/watch.rs
@@ -191,7 +191,7 @@
 /// listed VMs. Otherwise all VMs of a large fleet would call at once as soon as the first ones are
 /// late.
 async fn should_watch<D: Dialect>(process: &Process<D>) -> bool {
-    if !is_large(process) || process.watching.load(Ordering::Relaxed) && is_needed(process) {
+    if !is_large(process) || process.watching.load(Ordering::Relaxed) && is_watcher(process) {
         return true;
     }
     if follows_peers(process) {
@@ -222,13 +222,6 @@
     process.peers.has_watcher(now) && !(is_watcher(process) && process.peers.is_synced(now))
 }
 
-/// Whether a VM that watches goes on: it is one of the first VMs in the order, or these do not watch
-/// yet, such as after a restart. If all VMs that took over stopped at once, no VM would watch until
-/// the takeover delay has passed again, and then many.
-fn is_needed<D: Dialect>(process: &Process<D>) -> bool {
-    is_watcher(process) || process.peers.watchers_before(process.now()) < WATCHERS
-}
-
 /// Whether this VM is one of the watchers of a large fleet. A stopping VM does not become one: if
 /// all VMs stop, each would see itself as the first of those that remain.
 fn is_watcher<D: Dialect>(process: &Process<D>) -> bool {
