Reservations: repeat a renewal for as long as the reservation lasts

An engine whose reservation expires ends the request.

A renewal that fails is now repeated, 250 ms later where there is no response and 200 ms where it is refused, until it succeeds or the reservation has expired; each repetition needs evidence that the main engine is alive, as before. Renewals are scheduled for each reservation by itself, so that one that is repeated neither delays nor repeats the others. After the expiry none is sent: it would reserve memory that no request uses. The line about a renewal that failed goes through the limit on problem lines.

--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -10,6 +10,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::memory::{self, Memory, Reservation};
 use foldlock_request::notice::Annotated;
+use foldlock_request::renewal::{Outcome, Renewal};
 use foldlock_request::tag::Tag;
 use foldlock_request::terms::Helper;
 use futures::future::join_all;
@@ -23,7 +24,7 @@
 use crate::fleet::process::Process;
 use crate::log;
 
-/// Delay after a reservation order that failed.
+/// Delay after a release order that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Maximum number of release orders for a reservation; after that it expires by itself.
@@ -130,37 +131,54 @@
         .collect()
 }
 
+/// Renews the reservations until one has expired.
 async fn renew<D: Dialect>(
     process: Arc<Process<D>>,
     reservations: Arc<Vec<Reservation>>,
     mut evidence: Option<Evidence>,
 ) {
+    let fleet = &process.config.fleet;
+    let (lifetime, interval) = (fleet.reservation_time(), fleet.renewal_interval());
+    let mut renewals = vec![Renewal::new(lifetime, interval, process.now()); reservations.len()];
     loop {
-        tokio::time::sleep(process.config.fleet.renewal_interval()).await;
-        if let Some(evidence) = &mut evidence {
-            evidence.wait_until_recent(&process).await;
+        let Some(due) = renewals.iter().map(Renewal::due).min() else { return };
+        let Some(limit) = renewals.iter().map(Renewal::limit).min() else { return };
+        let ready = async {
+            tokio::time::sleep_until(due.into()).await;
+            if let Some(evidence) = &mut evidence {
+                evidence.wait_until_recent(&process).await;
+            }
+        };
+        if tokio::time::timeout_at(limit.into(), ready).await.is_err() {
+            return;
         }
-        join_all(reservations.iter().map(|r| renew_one(&process, r, evidence.clone()))).await;
+        let now = process.now();
+        let due = renewals.iter_mut().zip(reservations.iter()).filter(|(r, _)| r.due() <= now);
+        join_all(due.map(|(renewal, reservation)| renew_one(&process, renewal, reservation))).await;
     }
 }
 
 async fn renew_one<D: Dialect>(
     process: &Arc<Process<D>>,
+    renewal: &mut Renewal,
     reservation: &Reservation,
-    evidence: Option<Evidence>,
 ) {
-    if let Err(failure) = reserve(process, reservation).await {
-        let what = format!("{} at {}: {failure}", reservation.reservation_id, reservation.upstream);
-        log::event(&process.log, Event::RenewalFailed, what);
-        tokio::time::sleep(RETRY_INTERVAL).await;
-        if let Some(mut evidence) = evidence {
-            // The main engine may have crashed since the first order.
-            evidence.wait_until_recent(process).await;
+    let sent = process.now();
+    let outcome = match reserve(process, reservation).await {
+        Ok(()) => Outcome::Renewed,
+        Err(failure) => {
+            if process.problem_lines.admit(process.now()).is_some() {
+                let Reservation { reservation_id, upstream, .. } = reservation;
+                let what = format!("{reservation_id} at {upstream}: {failure}");
+                log::event(&process.log, Event::RenewalFailed, what);
+            }
+            match failure {
+                memory::Failure::Insufficient => Outcome::Refused,
+                memory::Failure::Unconfirmed(_) => Outcome::Unconfirmed,
+            }
         }
-        // The last try before the reservation expires. If it fails, the engine aborts the request,
-        // which the attempt detects.
-        let _ = reserve(process, reservation).await;
-    }
+    };
+    renewal.on_order(outcome, sent, process.now());
 }
 
 async fn reserve<D: Dialect>(
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod rank;
 pub mod rate_limit;
 pub mod reachability;
+pub mod renewal;
 pub mod report;
 pub mod retry;
 pub mod retry_after;
