Liveness: unanswered report requests do not end an attempt

Callers of divided prompts lost responses of sound engines: an engine that is stopped for 1.5 s leaves two report requests in a row unanswered, for which the attempt ended (502 before the first event, a cut stream after it), and goes on afterwards.

An unanswered report request now only delays renewals. Events are evidence as before. Once a reservation was not renewed in time, so that the engines have ended the request, the attempt ends (`expired`); a renewal without a response is counted as carried out for that. A restart that the renewals come upon ends the attempt as well.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -4,6 +4,7 @@
 //! The decisions are in [`foldlock_request::liveness`]. Takes effect with `admission = "forecast"`; without it, the silence
 //! timeout ends the attempt.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
@@ -23,27 +24,84 @@
 use crate::fleet::process::Process;
 use crate::fleet::reports;
 
-/// When the main engine of an attempt was last known to be alive.
+/// An engine of an attempt, as of when the attempt began.
 #[derive(Clone)]
-pub struct Evidence {
-    at: watch::Receiver<Instant>,
-    max_age: Duration,
+struct Target {
+    upstream: id::Upstream,
+    /// The incarnation that the attempt is sent to.
+    incarnation: Tag,
+}
+
+/// What the poller of an attempt and its renewals tell each other.
+struct Shared {
+    main: Target,
+    /// When the main engine was last known to be alive.
+    evidence: watch::Sender<Instant>,
+    /// Why the attempt ends, as found by the renewals.
+    ending: watch::Sender<Option<(id::Upstream, Ending)>>,
+    interval: Duration,
+    max_renewal_age: Duration,
+}
+
+impl Shared {
+    /// Records that the main engine was alive at a time.
+    fn record(&self, alive: Instant) {
+        self.evidence.send_if_modified(|evidence| {
+            let is_later = alive > *evidence;
+            *evidence = alive.max(*evidence);
+            is_later
+        });
+    }
+
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(*self.evidence.borrow()) <= self.max_renewal_age
+    }
 }
 
+/// When the main engine of an attempt was last known to be alive.
+#[derive(Clone)]
+pub struct Evidence(Arc<Shared>);
+
 impl Evidence {
-    /// Waits until the evidence is recent enough to renew reservations: a renewal later than this after a crash would
-    /// expire too late. Returns at once if there is no poller any more.
-    pub async fn wait_until_recent<D: Dialect>(&mut self, process: &Process<D>) {
-        let is_recent = |at: &Instant| process.now().saturating_duration_since(*at) <= self.max_age;
-        let _ = self.at.wait_for(is_recent).await;
+    /// Waits until the evidence is recent enough to renew reservations, and requests reports meanwhile: a renewal later
+    /// than this after a crash would expire too late.
+    pub async fn wait_until_recent<D: Dialect>(&self, process: &Arc<Process<D>>) {
+        let shared = &self.0;
+        let mut evidence = shared.evidence.subscribe();
+        while !shared.is_recent(process.now()) {
+            let asked = process.now();
+            evidence.mark_unchanged();
+            let reply = shared.main.poll(process, shared.interval).await;
+            process.metrics.count_liveness_reply(reply);
+            match reply {
+                Reply::Report => shared.record(asked),
+                Reply::Restarted => self.end(&shared.main.upstream, Ending::Restarted),
+                Reply::Unanswered | Reply::Inconclusive => {
+                    let next = asked + shared.max_renewal_age;
+                    let _ = tokio::time::timeout_at(next.into(), evidence.changed()).await;
+                }
+            }
+        }
+    }
+
+    /// Records that the memory reserved at a helper has expired.
+    pub fn record_expired<D: Dialect>(&self, process: &Process<D>, helper: &id::Upstream) {
+        let is_alive = self.0.is_recent(process.now());
+        self.end(if is_alive { helper } else { &self.0.main.upstream }, Ending::Expired);
+    }
+
+    fn end(&self, upstream: &id::Upstream, ending: Ending) {
+        self.0.ending.send_if_modified(|found| {
+            let is_first = found.is_none();
+            found.get_or_insert_with(|| (upstream.clone(), ending));
+            is_first
+        });
     }
 }
 
-/// An engine of an attempt.
+/// An engine of an attempt, with the evidence that it is alive.
 struct Engine {
-    upstream: id::Upstream,
-    /// The incarnation that the attempt is sent to.
-    incarnation: Tag,
+    target: Target,
     liveness: Liveness,
 }
 
@@ -63,7 +121,7 @@
     timeout: Duration,
     /// Whether the attempt has gone on for longer than the silence timeout.
     is_extended: bool,
-    evidence: watch::Sender<Instant>,
+    shared: Arc<Shared>,
 }
 
 impl Poller {
@@ -78,18 +136,25 @@
         let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1e3);
         let liveness = Liveness::new(timeout, predicted, now);
         let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
-        let engine = |upstream: &id::Upstream| Engine {
+        let target = |upstream: &id::Upstream| Target {
             upstream: upstream.clone(),
             incarnation: notices::incarnation(&job.process, upstream),
-            liveness,
         };
+        let engine = |upstream| Engine { target: target(upstream), liveness };
         let engines = std::iter::once(&flight.upstream).chain(helpers).map(engine).collect();
-        Some(Poller { engines, timeout, is_extended: false, evidence: watch::Sender::new(now) })
+        let shared = Arc::new(Shared {
+            main: target(&flight.upstream),
+            evidence: watch::Sender::new(now),
+            ending: watch::Sender::new(None),
+            interval: liveness.interval(),
+            max_renewal_age: liveness.max_renewal_age(),
+        });
+        Some(Poller { engines, timeout, is_extended: false, shared })
     }
 
     /// Records that the main engine has sent events, which shows that it is alive.
     pub fn record_events(&self, now: Instant) {
-        self.evidence.send_replace(now);
+        self.shared.record(now);
     }
 
     /// Begins anew for a silence in the middle of the stream: the main engine has sent nothing since this time.
@@ -101,10 +166,7 @@
 
     /// The evidence of this poller.
     pub fn evidence(&self) -> Evidence {
-        Evidence {
-            at: self.evidence.subscribe(),
-            max_age: self.engines[0].liveness.max_renewal_age(),
-        }
+        Evidence(self.shared.clone())
     }
 
     /// Polls until the attempt ends, and returns why it does. Goes on where it was if it is cancelled.
@@ -112,9 +174,20 @@
     /// The helpers are polled only where the silence timeout would have ended the attempt: the main engine may be silent
     /// since it waits for the part of a helper that crashed.
     pub async fn run<D: Dialect>(&mut self, job: &Job<D>) -> Crashed {
+        let mut found = self.shared.ending.subscribe();
         loop {
             let main = &self.engines[0].liveness;
-            tokio::time::sleep_until(main.next_poll().into()).await;
+            tokio::select! {
+                found = found.wait_for(Option::is_some) => {
+                    let found = found.ok().and_then(|found| found.clone());
+                    if let Some((upstream, ending)) = found {
+                        self.engines[0].record(job, Some(ending));
+                        job.process.metrics.count_liveness_ending(ending);
+                        return Crashed { upstream, ending };
+                    }
+                }
+                () = tokio::time::sleep_until(main.next_poll().into()) => {}
+            }
             let asked = job.process.now();
             let was_extended = std::mem::replace(&mut self.is_extended, main.is_extended(asked));
             let polled = if self.is_extended { self.engines.len() } else { 1 };
@@ -129,10 +202,11 @@
                 }
                 if let Some(ending) = ending {
                     job.process.metrics.count_liveness_ending(ending);
-                    return Crashed { upstream: engine.upstream.clone(), ending };
+                    let upstream = engine.target.upstream.clone();
+                    return Crashed { upstream, ending };
                 }
             }
-            self.evidence.send_replace(self.engines[0].liveness.evidence());
+            self.shared.record(self.engines[0].liveness.evidence());
         }
     }
 }
@@ -145,15 +219,15 @@
     }
 }
 
-impl Engine {
-    /// Requests one report.
-    async fn poll<D: Dialect>(&self, job: &Job<D>) -> Reply {
-        let Some((listed, _)) = self.entry(job) else { return Reply::Inconclusive };
-        let fetch = reports::fetch(job.process.clone(), listed);
-        let Ok(result) = tokio::time::timeout(self.liveness.interval(), fetch).await else {
+impl Target {
+    /// Requests one report, which takes at most `timeout`.
+    async fn poll<D: Dialect>(&self, process: &Arc<Process<D>>, timeout: Duration) -> Reply {
+        let Some((listed, _)) = self.entry(process) else { return Reply::Inconclusive };
+        let fetch = reports::fetch(process.clone(), listed);
+        let Ok(result) = tokio::time::timeout(timeout, fetch).await else {
             return Reply::Unanswered;
         };
-        match self.entry(job) {
+        match self.entry(process) {
             // It was removed from the directory.
             None => return Reply::Inconclusive,
             Some((_, incarnation)) if incarnation != self.incarnation => return Reply::Restarted,
@@ -167,16 +241,22 @@
     }
 
     /// The engine as it is listed now, with its incarnation.
-    fn entry<D: Dialect>(&self, job: &Job<D>) -> Option<(Listed, Tag)> {
-        let cluster = job.process.cluster.lock().unwrap();
+    fn entry<D: Dialect>(&self, process: &Process<D>) -> Option<(Listed, Tag)> {
+        let cluster = process.cluster.lock().unwrap();
         cluster.get(&self.upstream).map(|upstream| (upstream.listed.clone(), upstream.tag))
     }
+}
+
+impl Engine {
+    async fn poll<D: Dialect>(&self, job: &Job<D>) -> Reply {
+        self.target.poll(&job.process, self.liveness.interval()).await
+    }
 
     /// Records a decision, with the age of the evidence that led to it.
     fn record<D: Dialect>(&self, job: &Job<D>, ending: Option<Ending>) {
         let now = job.process.now();
         job.record(Decision::Silent {
-            upstream: self.upstream.clone(),
+            upstream: self.target.upstream.clone(),
             silent_ms: millis(self.liveness.silence(now)),
             evidence_age_ms: millis(self.liveness.evidence_age(now)),
             unanswered: self.liveness.unanswered(),
--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -131,11 +131,12 @@
         .collect()
 }
 
-/// Renews the reservations until one has expired.
+/// Renews the reservations while there is evidence that the main engine is alive, until one has expired. The engines end the
+/// request then.
 async fn renew<D: Dialect>(
     process: Arc<Process<D>>,
     reservations: Arc<Vec<Reservation>>,
-    mut evidence: Option<Evidence>,
+    evidence: Option<Evidence>,
 ) {
     let fleet = &process.config.fleet;
     let (lifetime, interval) = (fleet.reservation_time(), fleet.renewal_interval());
@@ -145,17 +146,22 @@
         let Some(limit) = renewals.iter().map(Renewal::limit).min() else { return };
         let ready = async {
             tokio::time::sleep_until(due.into()).await;
-            if let Some(evidence) = &mut evidence {
+            if let Some(evidence) = &evidence {
                 evidence.wait_until_recent(&process).await;
             }
         };
         if tokio::time::timeout_at(limit.into(), ready).await.is_err() {
-            return;
+            break;
         }
         let now = process.now();
         let due = renewals.iter_mut().zip(reservations.iter()).filter(|(r, _)| r.due() <= now);
         join_all(due.map(|(renewal, reservation)| renew_one(&process, renewal, reservation))).await;
     }
+    let first = renewals.iter().zip(reservations.iter()).min_by_key(|(r, _)| r.expires());
+    if let (Some((renewal, reservation)), Some(evidence)) = (first, evidence) {
+        tokio::time::sleep_until(renewal.expires().into()).await;
+        evidence.record_expired(&process, &reservation.upstream);
+    }
 }
 
 async fn renew_one<D: Dialect>(
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -14,10 +14,6 @@
 /// does not last for: a renewal within that time after the last evidence expires in time if the engine crashed.
 const POLLS_PER_TIMEOUT: u32 = 4;
 
-/// Unanswered report requests in a row after which the engine counts as crashed. A single one may be lost; with three the
-/// memory could not be released by orders within the release time.
-const MAX_UNANSWERED: u32 = 2;
-
 /// Longest silence of an engine that reports, in silence timeouts: 7.2 s where memory must be released within 4 s. An engine
 /// whose connection was cut without notice reports as well, and does not run the attempt: memory of its helpers stayed
 /// reserved for 14 s. Memory that no request uses must be released within 9 s.
@@ -47,10 +43,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Ending {
-    /// The engine left several report requests in a row unanswered.
-    Unanswered,
     /// The engine restarted.
     Restarted,
+    /// The memory that the engine reserved has expired, so the engines have ended the request.
+    Expired,
     /// There was no evidence for the silence timeout, or no event for the longest silence of an engine that reports.
     Silent,
 }
@@ -108,8 +104,9 @@
             }
             Reply::Restarted => Some(Ending::Restarted),
             Reply::Unanswered => {
+                // The engine may be stopped for a while. Without evidence, its reservations expire.
                 self.unanswered += 1;
-                (self.unanswered >= MAX_UNANSWERED).then_some(Ending::Unanswered)
+                None
             }
             Reply::Inconclusive => {
                 (self.evidence_age(now) >= self.timeout).then_some(Ending::Silent)
@@ -159,8 +156,8 @@
     /// The label of metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Ending::Unanswered => "unanswered",
             Ending::Restarted => "restarted",
+            Ending::Expired => "expired",
             Ending::Silent => "silent",
         }
     }
@@ -169,8 +166,10 @@
 impl fmt::Display for Ending {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Ending::Unanswered => "left several report requests in a row unanswered",
             Ending::Restarted => "restarted",
+            Ending::Expired => {
+                "did not confirm that it is alive, or a renewal, before reserved memory expired"
+            }
             Ending::Silent => "sent no event, or gave no evidence that it is alive, in time",
         })
     }
