Liveness: no evidence for the silence timeout does not end an attempt

Callers of divided prompts lost responses after 2.4 s of silence when the engine's reports were no evidence: they could not be read, or the engine may not be asked (backoff, drained hall, rate limit). The engine may be sound.

Such a reply ends nothing any more. Without evidence reservations are not renewed, so they expire within `memory_release_ms` of a crash, which ends the attempt; an engine that goes on until then has its response delivered.

`a_prompt_is_served_by_an_engine_whose_reports_are_no_evidence`: 3 s of silence, before the first event and in the middle; on it failed with 502 after 2.4 s. `an_engine_that_gives_no_evidence_has_the_silence_timeout` stated the old ending; its replacement checks that there is neither an ending nor evidence to renew with.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -194,7 +194,7 @@
             let replies = join_all(self.engines[..polled].iter().map(|engine| engine.poll(job)));
             for (index, reply) in replies.await.into_iter().enumerate() {
                 let engine = &mut self.engines[index];
-                let ending = engine.liveness.on_reply(reply, asked, job.process.now());
+                let ending = engine.liveness.on_reply(reply, asked);
                 job.process.metrics.count_liveness_reply(reply);
                 let is_first_extension = index == 0 && self.is_extended && !was_extended;
                 if reply != Reply::Report || is_first_extension {
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -47,7 +47,7 @@
     Restarted,
     /// The memory that the engine reserved has expired, so the engines have ended the request.
     Expired,
-    /// There was no evidence for the silence timeout, or no event for the longest silence of an engine that reports.
+    /// The engine reports, and there was no event for the longest silence of such an engine.
     Silent,
 }
 
@@ -65,8 +65,7 @@
 }
 
 impl Liveness {
-    /// Liveness of an engine that is sent an attempt now. Without evidence the attempt ends after the silence timeout.
-    /// `predicted`: the time to the first event.
+    /// Liveness of an engine that is sent an attempt now. `predicted`: the time to the first event.
     pub fn new(timeout: Duration, predicted: Duration, now: Instant) -> Liveness {
         let longest = predicted.mul_f64(MAX_PREDICTED_RATIO).max(timeout * MAX_SILENT_TIMEOUTS);
         let interval = timeout / POLLS_PER_TIMEOUT;
@@ -90,9 +89,7 @@
     }
 
     /// Records the result of a report request that was sent at `asked`. Returns why the attempt ends, if it does.
-    ///
-    /// The silence timeout is checked only here: after a stall of this VM the engine is asked first.
-    pub fn on_reply(&mut self, reply: Reply, asked: Instant, now: Instant) -> Option<Ending> {
+    pub fn on_reply(&mut self, reply: Reply, asked: Instant) -> Option<Ending> {
         self.asked = asked;
         match reply {
             Reply::Report => {
@@ -108,9 +105,7 @@
                 self.unanswered += 1;
                 None
             }
-            Reply::Inconclusive => {
-                (self.evidence_age(now) >= self.timeout).then_some(Ending::Silent)
-            }
+            Reply::Inconclusive => None,
         }
     }
 
@@ -170,7 +165,7 @@
             Ending::Expired => {
                 "did not confirm that it is alive, or a renewal, before reserved memory expired"
             }
-            Ending::Silent => "sent no event, or gave no evidence that it is alive, in time",
+            Ending::Silent => "reports, and sent no event in time",
         })
     }
 }
