Liveness: silence does not end an attempt without forecasts either

With `admission = "timeout"` a response for which other engines reserve memory was ended after 0.6 of `memory_release_ms` without an event, before the first one (502) and in the middle (cut), as the VM had no evidence whether its engine had crashed.

Reports are requested with both admissions now, by the same rules: reservations are renewed on evidence, and an attempt ends by a restart, by expired memory, or by the reports' limit. In the middle of a stream, the silence timeout leads to the search for another upstream in all cases (`events.rs`). Admission is as before: without forecasts a prompt is too long if its first event is predicted later than 0.85 of the silence timeout.

Found with it: renewals were unconditional here, so that after a crash behind an open connection memory was free only after `memory_release_ms` when release orders were lost.

--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -186,14 +186,7 @@
             Ok(Item::End) => return RelayEnd::Complete,
             Ok(Item::Broken(why)) => return RelayEnd::Broken(why),
             Err(_) if job.remaining().is_zero() => return RelayEnd::Deadline,
-            Err(_) if stream.reservations.is_empty() || stream.poller.is_some() => {
-                return RelayEnd::Silent;
-            }
-            Err(_) => {
-                outcome::record_silence(job, &stream.flight.upstream, last_received);
-                let ms = job.process.now().saturating_duration_since(last_received).as_millis();
-                return RelayEnd::Broken(format!("no event for {ms} ms"));
-            }
+            Err(_) => return RelayEnd::Silent,
         };
     }
 }
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -1,8 +1,7 @@
 //! Requests reports of the engines of an attempt while the main engine sends nothing and others reserve memory for it:
 //! before the first event, and during a silence in the middle of the stream.
 //!
-//! The decisions are in [`foldlock_request::liveness`]. Takes effect with `admission = "forecast"`; without it, the silence
-//! timeout ends the attempt.
+//! The decisions are in [`foldlock_request::liveness`].
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -125,10 +124,10 @@
 }
 
 impl Poller {
-    /// A poller for an attempt that begins now; none if the attempt has the silence timeout instead.
+    /// A poller for an attempt that begins now; none if no other engines reserve memory for it.
     pub fn new<D: Dialect>(job: &Job<D>, placement: &Placement) -> Option<Poller> {
         let flight = &placement.flight;
-        if !flight.has_reservations() || !job.process.is_forecast() {
+        if !flight.has_reservations() {
             return None;
         }
         let now = job.process.now();
@@ -171,8 +170,8 @@
 
     /// Polls until the attempt ends, and returns why it does. Goes on where it was if it is cancelled.
     ///
-    /// The helpers are polled only where the silence timeout would have ended the attempt: the main engine may be silent
-    /// since it waits for the part of a helper that crashed.
+    /// The helpers are polled only after the silence timeout: the main engine may be silent since it waits for the part of a
+    /// helper that crashed.
     pub async fn run<D: Dialect>(&mut self, job: &Job<D>) -> Crashed {
         let mut found = self.shared.ending.subscribe();
         loop {
--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -46,7 +46,8 @@
 }
 
 impl<D: Dialect> Reservations<D> {
-    /// Reserves the memory that a placement requires at its helpers. Without evidence, it is renewed unconditionally.
+    /// Reserves the memory that a placement requires at its helpers. It is renewed while there is
+    /// evidence that the main engine is alive.
     pub async fn reserve(
         job: &Arc<Job<D>>,
         grant: &Grant,
@@ -81,7 +82,8 @@
         let engines = reservations.iter().map(|r| r.upstream.clone()).collect();
         let waited_ms = millis(job.process.now().saturating_duration_since(started));
         job.record(Decision::Reserved { engines, waited_ms });
-        reserved.renewal = Some(tokio::spawn(renew(job.process.clone(), reservations, evidence)));
+        reserved.renewal = evidence
+            .map(|evidence| tokio::spawn(renew(job.process.clone(), reservations, evidence)));
         Ok(reserved)
     }
 
@@ -136,7 +138,7 @@
 async fn renew<D: Dialect>(
     process: Arc<Process<D>>,
     reservations: Arc<Vec<Reservation>>,
-    evidence: Option<Evidence>,
+    evidence: Evidence,
 ) {
     let fleet = &process.config.fleet;
     let (lifetime, interval) = (fleet.reservation_time(), fleet.renewal_interval());
@@ -146,9 +148,7 @@
         let Some(limit) = renewals.iter().map(Renewal::limit).min() else { return };
         let ready = async {
             tokio::time::sleep_until(due.into()).await;
-            if let Some(evidence) = &evidence {
-                evidence.wait_until_recent(&process).await;
-            }
+            evidence.wait_until_recent(&process).await;
         };
         if tokio::time::timeout_at(limit.into(), ready).await.is_err() {
             break;
@@ -158,7 +158,7 @@
         join_all(due.map(|(renewal, reservation)| renew_one(&process, renewal, reservation))).await;
     }
     let first = renewals.iter().zip(reservations.iter()).min_by_key(|(r, _)| r.expires());
-    if let (Some((renewal, reservation)), Some(evidence)) = (first, evidence) {
+    if let Some((renewal, reservation)) = first {
         tokio::time::sleep_until(renewal.expires().into()).await;
         evidence.record_expired(&process, &reservation.upstream);
     }
