Liveness: tell a long silence from memory that is not used by reports

Callers of divided prompts lost responses after 12 reports without an event (7.2 s), although the engine was reading their prompt.

This holds after a time of use as well, so a request that its engine ended without notice is found, and it does not grow with the predicted time any more: an unused reservation is one whatever the prompt; - listed before and no more: the engines have ended the request, the attempt ends at once; - engines that list no reservations: the limit of before, since nothing tells the two apart there.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -1,9 +1,9 @@
 //! Requests reports of the engines of an attempt while the main engine sends nothing and others reserve memory for it:
 //! before the first event, and during a silence in the middle of the stream.
 //!
-//! The decisions are in [`foldlock_request::liveness`].
+//! The decisions are in [`foldlock_request::liveness`] and [`foldlock_request::usage`].
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
@@ -12,9 +12,11 @@
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::liveness::{Ending, Liveness, Reply};
+use foldlock_request::memory::Reservation;
 use foldlock_request::placement::Placement;
-use foldlock_request::report;
+use foldlock_request::report::{self, Fetched};
 use foldlock_request::tag::Tag;
+use foldlock_request::usage::{State, Usage};
 use futures::future::join_all;
 use tokio::sync::watch;
 
@@ -38,6 +40,8 @@
     evidence: watch::Sender<Instant>,
     /// Why the attempt ends, as found by the renewals.
     ending: watch::Sender<Option<(id::Upstream, Ending)>>,
+    /// The reservations, once they are confirmed.
+    reservations: OnceLock<Arc<Vec<Reservation>>>,
     interval: Duration,
     max_renewal_age: Duration,
 }
@@ -62,6 +66,11 @@
 pub struct Evidence(Arc<Shared>);
 
 impl Evidence {
+    /// Records the reservations that the helpers have confirmed.
+    pub fn record_reserved(&self, reservations: Arc<Vec<Reservation>>) {
+        let _ = self.0.reservations.set(reservations);
+    }
+
     /// Waits until the evidence is recent enough to renew reservations, and requests reports meanwhile: a renewal later
     /// than this after a crash would expire too late.
     pub async fn wait_until_recent<D: Dialect>(&self, process: &Arc<Process<D>>) {
@@ -70,7 +79,7 @@
         while !shared.is_recent(process.now()) {
             let asked = process.now();
             evidence.mark_unchanged();
-            let reply = shared.main.poll(process, shared.interval).await;
+            let (reply, _) = shared.main.poll(process, shared.interval).await;
             process.metrics.count_liveness_reply(reply);
             match reply {
                 Reply::Report => shared.record(asked),
@@ -120,6 +129,7 @@
     timeout: Duration,
     /// Whether the attempt has gone on for longer than the silence timeout.
     is_extended: bool,
+    usage: Usage,
     shared: Arc<Shared>,
 }
 
@@ -133,7 +143,8 @@
         let now = job.process.now();
         let timeout = job.process.config.fleet.reserved_silence_timeout();
         let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1e3);
-        let liveness = Liveness::new(timeout, predicted, now);
+        let liveness = Liveness::new(timeout, now);
+        let usage = Usage::new(timeout, predicted, flight.helpers.len());
         let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
         let target = |upstream: &id::Upstream| Target {
             upstream: upstream.clone(),
@@ -145,10 +156,11 @@
             main: target(&flight.upstream),
             evidence: watch::Sender::new(now),
             ending: watch::Sender::new(None),
+            reservations: OnceLock::new(),
             interval: liveness.interval(),
             max_renewal_age: liveness.max_renewal_age(),
         });
-        Some(Poller { engines, timeout, is_extended: false, shared })
+        Some(Poller { engines, timeout, is_extended: false, usage, shared })
     }
 
     /// Records that the main engine has sent events, which shows that it is alive.
@@ -158,8 +170,9 @@
 
     /// Begins anew for a silence in the middle of the stream: the main engine has sent nothing since this time.
     pub fn restart(&mut self, since: Instant) {
-        let liveness = Liveness::new(self.timeout, Duration::ZERO, since);
+        let liveness = Liveness::new(self.timeout, since);
         self.engines.iter_mut().for_each(|engine| engine.liveness = liveness);
+        self.usage.restart();
         self.is_extended = false;
     }
 
@@ -191,7 +204,12 @@
             let was_extended = std::mem::replace(&mut self.is_extended, main.is_extended(asked));
             let polled = if self.is_extended { self.engines.len() } else { 1 };
             let replies = join_all(self.engines[..polled].iter().map(|engine| engine.poll(job)));
-            for (index, reply) in replies.await.into_iter().enumerate() {
+            let replies = replies.await;
+            let states = replies.iter().enumerate().skip(1);
+            let states: Vec<_> =
+                states.map(|(index, (_, fetched))| self.state(index, fetched.as_ref())).collect();
+            let main = replies[0].0;
+            for (index, (reply, _)) in replies.into_iter().enumerate() {
                 let engine = &mut self.engines[index];
                 let ending = engine.liveness.on_reply(reply, asked);
                 job.process.metrics.count_liveness_reply(reply);
@@ -206,8 +224,27 @@
                 }
             }
             self.shared.record(self.engines[0].liveness.evidence());
+            if let Some((helper, ending)) = self.usage.on_reports(main, &states) {
+                let engine = &self.engines[helper.map_or(0, |helper| helper + 1)];
+                engine.record(job, Some(ending));
+                job.process.metrics.count_liveness_ending(ending);
+                return Crashed { upstream: engine.target.upstream.clone(), ending };
+            }
         }
     }
+
+    /// What an engine reports about the reservation of this attempt; none if it is unknown.
+    fn state(&self, engine: usize, fetched: Option<&Fetched>) -> Option<State> {
+        let upstream = &self.engines[engine].target.upstream;
+        let reservations = self.shared.reservations.get()?;
+        let own = reservations.iter().find(|reservation| reservation.upstream == *upstream)?;
+        let listed = fetched?.reservations.iter().find(|r| r.reservation_id == own.reservation_id);
+        Some(match listed {
+            None => State::Unlisted,
+            Some(reserved) if reserved.is_used => State::Used,
+            Some(_) => State::Unused,
+        })
+    }
 }
 
 /// Waits until an engine of an attempt counts as crashed by its reports; forever if they are not polled.
@@ -219,23 +256,29 @@
 }
 
 impl Target {
-    /// Requests one report, which takes at most `timeout`.
-    async fn poll<D: Dialect>(&self, process: &Arc<Process<D>>, timeout: Duration) -> Reply {
-        let Some((listed, _)) = self.entry(process) else { return Reply::Inconclusive };
+    /// Requests one report, which takes at most `timeout`. Returns it if it is evidence.
+    async fn poll<D: Dialect>(
+        &self,
+        process: &Arc<Process<D>>,
+        timeout: Duration,
+    ) -> (Reply, Option<Fetched>) {
+        let Some((listed, _)) = self.entry(process) else { return (Reply::Inconclusive, None) };
         let fetch = reports::fetch(process.clone(), listed);
         let Ok(result) = tokio::time::timeout(timeout, fetch).await else {
-            return Reply::Unanswered;
+            return (Reply::Unanswered, None);
         };
         match self.entry(process) {
             // It was removed from the directory.
-            None => return Reply::Inconclusive,
-            Some((_, incarnation)) if incarnation != self.incarnation => return Reply::Restarted,
+            None => return (Reply::Inconclusive, None),
+            Some((_, incarnation)) if incarnation != self.incarnation => {
+                return (Reply::Restarted, None);
+            }
             Some(_) => {}
         }
         match result {
-            Some(Ok(_)) => Reply::Report,
-            Some(Err(report::Failure::Unresponsive(_))) => Reply::Unanswered,
-            Some(Err(report::Failure::Unreadable(_))) | None => Reply::Inconclusive,
+            Some(Ok(fetched)) => (Reply::Report, Some(fetched)),
+            Some(Err(report::Failure::Unresponsive(_))) => (Reply::Unanswered, None),
+            Some(Err(report::Failure::Unreadable(_))) | None => (Reply::Inconclusive, None),
         }
     }
 
@@ -247,7 +290,7 @@
 }
 
 impl Engine {
-    async fn poll<D: Dialect>(&self, job: &Job<D>) -> Reply {
+    async fn poll<D: Dialect>(&self, job: &Job<D>) -> (Reply, Option<Fetched>) {
         self.target.poll(&job.process, self.liveness.interval()).await
     }
 
--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -13,7 +13,7 @@
 use foldlock_request::evidence::{self, POLL_INTERVAL};
 use foldlock_request::message::Message;
 use foldlock_request::notice::Annotated;
-use foldlock_request::report::{self, Observed, Report, Reports};
+use foldlock_request::report::{self, Fetched, Observed, Report, Reports};
 use foldlock_request::tag::Tag;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -109,7 +109,7 @@
 pub async fn fetch<D: Dialect>(
     process: Arc<Process<D>>,
     listed: Listed,
-) -> Option<Result<Report, report::Failure>> {
+) -> Option<Result<Fetched, report::Failure>> {
     if let Some(Exclusion::Backoff { .. } | Exclusion::Drained) =
         notices::exclusion(&process, &listed.id)
     {
@@ -137,7 +137,8 @@
         // The path of this VM has failed, which says nothing about the engine.
         return None;
     }
-    let born = result.as_ref().ok().and_then(|report| report.born);
+    let report = result.as_ref().map(|fetched| fetched.report);
+    let born = report.ok().and_then(|report| report.born);
     if let Some(born) = born {
         on_restart(&process, &listed.id, born, &process.member.vm);
         let cluster = process.cluster.lock().unwrap();
@@ -146,9 +147,9 @@
             return None;
         }
     }
-    let observed = Observed { report: result.as_ref().ok().copied(), at };
+    let observed = Observed { report: report.ok(), at };
     let before = process.cluster.lock().unwrap().record_report(&listed.id, observed);
-    log_change(&process, &listed.id, before, &result);
+    log_change(&process, &listed.id, before, &report);
     process.announce.notify_one();
     Some(result)
 }
@@ -176,7 +177,7 @@
     process: &Process<D>,
     id: &id::Upstream,
     before: Option<Observed>,
-    result: &Result<Report, report::Failure>,
+    result: &Result<Report, &report::Failure>,
 ) {
     let previous = before.map(|observed| observed.report);
     match result {
--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -82,8 +82,10 @@
         let engines = reservations.iter().map(|r| r.upstream.clone()).collect();
         let waited_ms = millis(job.process.now().saturating_duration_since(started));
         job.record(Decision::Reserved { engines, waited_ms });
-        reserved.renewal = evidence
-            .map(|evidence| tokio::spawn(renew(job.process.clone(), reservations, evidence)));
+        reserved.renewal = evidence.map(|evidence| {
+            evidence.record_reserved(reservations.clone());
+            tokio::spawn(renew(job.process.clone(), reservations, evidence))
+        });
         Ok(reserved)
     }
 
--- a/request/src/lib.rs
+++ b/request/src/lib.rs
@@ -50,3 +50,4 @@
 pub mod tag;
 pub mod terms;
 pub mod transport;
+pub mod usage;
--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -12,15 +12,7 @@
 
 /// Number of report requests in a silence timeout. A quarter of it is the 0.15 of the release time that a reservation
 /// does not last for: a renewal within that time after the last evidence expires in time if the engine crashed.
-const POLLS_PER_TIMEOUT: u32 = 4;
-
-/// Longest silence of an engine that reports, in silence timeouts: 7.2 s where memory must be released within 4 s. An engine
-/// whose connection was cut without notice reports as well, and does not run the attempt: memory of its helpers stayed
-/// reserved for 14 s. Memory that no request uses must be released within 9 s.
-const MAX_SILENT_TIMEOUTS: u32 = 3;
-
-/// The same by the predicted time to the first event, for prompts that take longer: an engine may be half as fast.
-const MAX_PREDICTED_RATIO: f64 = 2.0;
+pub(crate) const POLLS_PER_TIMEOUT: u32 = 4;
 
 /// Share of the interval up to which evidence allows a renewal. The rest, 300 ms where memory must be released within 4 s,
 /// is left for the order: a reservation lasts from the arrival of the order, and an order takes at most 250 ms.
@@ -47,8 +39,8 @@
     Restarted,
     /// The memory that the engine reserved has expired, so the engines have ended the request.
     Expired,
-    /// The engine reports, and there was no event for the longest silence of such an engine.
-    Silent,
+    /// The engines report that no request has used the memory for long.
+    Unused,
 }
 
 /// The evidence that the engine of one attempt is alive.
@@ -59,18 +51,12 @@
     evidence: Instant,
     asked: Instant,
     unanswered: u32,
-    /// Reports that may still come before the first event. Reports are counted and not the time, since a stall of this VM
-    /// is not a silence of the engine.
-    reports_left: u32,
 }
 
 impl Liveness {
-    /// Liveness of an engine that is sent an attempt now. `predicted`: the time to the first event.
-    pub fn new(timeout: Duration, predicted: Duration, now: Instant) -> Liveness {
-        let longest = predicted.mul_f64(MAX_PREDICTED_RATIO).max(timeout * MAX_SILENT_TIMEOUTS);
-        let interval = timeout / POLLS_PER_TIMEOUT;
-        let reports_left = longest.div_duration_f64(interval).ceil() as u32;
-        Liveness { timeout, began: now, evidence: now, asked: now, unanswered: 0, reports_left }
+    /// Liveness of an engine that is sent an attempt now.
+    pub fn new(timeout: Duration, now: Instant) -> Liveness {
+        Liveness { timeout, began: now, evidence: now, asked: now, unanswered: 0 }
     }
 
     /// Interval between report requests. One that takes longer is unanswered.
@@ -96,8 +82,7 @@
                 // The engine may have crashed since it responded, but not before it was asked.
                 self.evidence = asked;
                 self.unanswered = 0;
-                self.reports_left = self.reports_left.saturating_sub(1);
-                (self.reports_left == 0).then_some(Ending::Silent)
+                None
             }
             Reply::Restarted => Some(Ending::Restarted),
             Reply::Unanswered => {
@@ -153,7 +138,7 @@
         match self {
             Ending::Restarted => "restarted",
             Ending::Expired => "expired",
-            Ending::Silent => "silent",
+            Ending::Unused => "unused",
         }
     }
 }
@@ -165,7 +150,7 @@
             Ending::Expired => {
                 "did not confirm that it is alive, or a renewal, before reserved memory expired"
             }
-            Ending::Silent => "reports, and sent no event in time",
+            Ending::Unused => "reports, and its request does not use the reserved memory",
         })
     }
 }
--- a/request/src/report.rs
+++ b/request/src/report.rs
@@ -26,6 +26,24 @@
     pub born: Option<u64>,
 }
 
+/// A reservation of memory that an engine lists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reserved {
+    /// The reservation id.
+    pub reservation_id: String,
+    /// Whether a request uses it.
+    pub is_used: bool,
+}
+
+/// A report with the reservations that the engine lists.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fetched {
+    /// The report.
+    pub report: Report,
+    /// The reservations; none if the engine does not list them.
+    pub reservations: Vec<Reserved>,
+}
+
 /// Why a report could not be fetched.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Failure {
@@ -43,7 +61,7 @@
         transport: &T,
         upstream: &id::Upstream,
         address: &str,
-    ) -> impl Future<Output = Annotated<Result<Report, Failure>>> + Send;
+    ) -> impl Future<Output = Annotated<Result<Fetched, Failure>>> + Send;
 }
 
 /// The result of fetching a report, with its time.
