Liveness: a restart that a renewal finds ends its report requests

A renewal that waited for evidence and found that the main engine had restarted requested further reports without a pause until the attempt ended, in the middle of a stream for as long as the silence timeout: 7,282 report requests in 1.4 s (`a_restart_in_the_middle_of_a_stream_is_reported_once`, on the parent commit).

It requests none after that, and the reservations expire if the attempt does not end before.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -83,7 +83,10 @@
             process.metrics.count_liveness_reply(reply);
             match reply {
                 Reply::Report => shared.record(asked),
-                Reply::Restarted => self.end(&shared.main.upstream, Ending::Restarted),
+                Reply::Restarted => {
+                    self.end(&shared.main.upstream, Ending::Restarted);
+                    std::future::pending::<()>().await;
+                }
                 Reply::Unanswered | Reply::Inconclusive => {
                     let next = asked + shared.max_renewal_age;
                     let _ = tokio::time::timeout_at(next.into(), evidence.changed()).await;
