Liveness: log a report request without evidence once, not each

Since unanswered report requests end no attempt any more, event 530 was logged for each of them: every 600 ms for each of up to 17 engines of a silent attempt, also into the decisions that are kept for its request. It is logged when the result changes now, and as before once when the silence timeout is over, and when the attempt ends.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -114,6 +114,8 @@
 struct Engine {
     target: Target,
     liveness: Liveness,
+    /// The result of the last report request.
+    last: Reply,
 }
 
 /// An engine that counts as crashed.
@@ -153,7 +155,7 @@
             upstream: upstream.clone(),
             incarnation: notices::incarnation(&job.process, upstream),
         };
-        let engine = |upstream| Engine { target: target(upstream), liveness };
+        let engine = |upstream| Engine { target: target(upstream), liveness, last: Reply::Report };
         let engines = std::iter::once(&flight.upstream).chain(helpers).map(engine).collect();
         let shared = Arc::new(Shared {
             main: target(&flight.upstream),
@@ -217,7 +219,8 @@
                 let ending = engine.liveness.on_reply(reply, asked);
                 job.process.metrics.count_liveness_reply(reply);
                 let is_first_extension = index == 0 && self.is_extended && !was_extended;
-                if reply != Reply::Report || is_first_extension {
+                let is_changed = reply != std::mem::replace(&mut engine.last, reply);
+                if is_changed && reply != Reply::Report || is_first_extension || ending.is_some() {
                     engine.record(job, ending);
                 }
                 if let Some(ending) = ending {
