Liveness: memory is kept for a slow caller only while it is used

While a VM waits for a caller that does not read, it does not read the events of the engine, which may have ended the request with them.

--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -161,10 +161,12 @@
             stream.attempt_guard.record_pace(sound_until);
         }
         if !bytes.is_empty() {
+            stream.poller.iter().for_each(|poller| poller.record_caller_awaited(true));
             let pushed = tokio::select! {
                 pushed = tokio::time::timeout_at(job.deadline.into(), writer.push(bytes)) => pushed,
                 () = job.body.aborted() => return RelayEnd::Aborted,
             };
+            stream.poller.iter().for_each(|poller| poller.record_caller_awaited(false));
             match pushed {
                 Ok(Ok(aborted)) => outcome::record_aborted(&job.process, aborted),
                 Ok(Err(closed)) => return RelayEnd::Closed(closed),
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -3,6 +3,7 @@
 //!
 //! The decisions are in [`foldlock_request::liveness`] and [`foldlock_request::usage`].
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
     evidence: watch::Sender<Instant>,
     /// Why the attempt ends, as found by the renewals.
     ending: watch::Sender<Option<(id::Upstream, Ending)>>,
+    /// Whether the VM waits for its caller, and not for the engine.
+    is_caller_awaited: AtomicBool,
     /// The reservations, once they are confirmed.
     reservations: OnceLock<Arc<Vec<Reservation>>>,
     interval: Duration,
@@ -56,6 +59,16 @@
         });
     }
 
+    /// Whether a helper reports that a request uses the memory. The reservations are filled in turn.
+    async fn is_used<D: Dialect>(&self, process: &Arc<Process<D>>) -> bool {
+        let Some(first) = self.reservations.get().and_then(|r| r.first()) else { return false };
+        let incarnation = notices::incarnation(process, &first.upstream);
+        let helper = Target { upstream: first.upstream.clone(), incarnation };
+        let (reply, fetched) = helper.poll(process, self.interval).await;
+        process.metrics.count_liveness_reply(reply);
+        fetched.is_some_and(|fetched| state(&fetched, first) == State::Used)
+    }
+
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(*self.evidence.borrow()) <= self.max_renewal_age
     }
@@ -73,6 +86,9 @@
 
     /// Waits until the evidence is recent enough to renew reservations, and requests reports meanwhile: a renewal later
     /// than this after a crash would expire too late.
+    ///
+    /// While the VM waits for its caller, the request may have ended with events that it has not read. So it has to be in
+    /// use by the helpers' reports as well.
     pub async fn wait_until_recent<D: Dialect>(&self, process: &Arc<Process<D>>) {
         let shared = &self.0;
         let mut evidence = shared.evidence.subscribe();
@@ -82,12 +98,17 @@
             let (reply, _) = shared.main.poll(process, shared.interval).await;
             process.metrics.count_liveness_reply(reply);
             match reply {
-                Reply::Report => shared.record(asked),
+                Reply::Report
+                    if !shared.is_caller_awaited.load(Ordering::Relaxed)
+                        || shared.is_used(process).await =>
+                {
+                    shared.record(asked);
+                }
                 Reply::Restarted => {
                     self.end(&shared.main.upstream, Ending::Restarted);
                     std::future::pending::<()>().await;
                 }
-                Reply::Unanswered | Reply::Inconclusive => {
+                Reply::Report | Reply::Unanswered | Reply::Inconclusive => {
                     let next = asked + shared.max_renewal_age;
                     let _ = tokio::time::timeout_at(next.into(), evidence.changed()).await;
                 }
@@ -161,6 +182,7 @@
             main: target(&flight.upstream),
             evidence: watch::Sender::new(now),
             ending: watch::Sender::new(None),
+            is_caller_awaited: AtomicBool::new(false),
             reservations: OnceLock::new(),
             interval: liveness.interval(),
             max_renewal_age: liveness.max_renewal_age(),
@@ -173,6 +195,11 @@
         self.shared.record(now);
     }
 
+    /// Records whether the VM waits for its caller, and not for the engine.
+    pub fn record_caller_awaited(&self, is_awaited: bool) {
+        self.shared.is_caller_awaited.store(is_awaited, Ordering::Relaxed);
+    }
+
     /// Begins anew for a silence in the middle of the stream: the main engine has sent nothing since this time.
     pub fn restart(&mut self, since: Instant) {
         let liveness = Liveness::new(self.timeout, since);
@@ -244,12 +271,7 @@
         let upstream = &self.engines[engine].target.upstream;
         let reservations = self.shared.reservations.get()?;
         let own = reservations.iter().find(|reservation| reservation.upstream == *upstream)?;
-        let listed = fetched?.reservations.iter().find(|r| r.reservation_id == own.reservation_id);
-        Some(match listed {
-            None => State::Unlisted,
-            Some(reserved) if reserved.is_used => State::Used,
-            Some(_) => State::Unused,
-        })
+        Some(state(fetched?, own))
     }
 }
 
@@ -261,6 +283,16 @@
     }
 }
 
+/// What a helper reports about a reservation.
+fn state(fetched: &Fetched, own: &Reservation) -> State {
+    let id = &own.reservation_id;
+    match fetched.reservations.iter().find(|listed| listed.reservation_id == *id) {
+        None => State::Unlisted,
+        Some(reserved) if reserved.is_used => State::Used,
+        Some(_) => State::Unused,
+    }
+}
+
 impl Target {
     /// Requests one report, which takes at most `timeout`. Returns it if it is evidence.
     async fn poll<D: Dialect>(
