Liveness: read endings of the previous release in records

`foldlock` shows the decisions of VMs of another release, too. A record with `"ending": "unanswered"` or `"silent"` could not be read any more, which fails the whole record. Both are read as the ending that took their place (`endings_of_the_previous_release_are_read`, failed without the aliases).

--- a/request/src/liveness.rs
+++ b/request/src/liveness.rs
@@ -38,8 +38,11 @@
     /// The engine restarted.
     Restarted,
     /// The memory that the engine reserved has expired, so the engines have ended the request.
+    // The aliases are the names in records of the previous release.
+    #[serde(alias = "unanswered")]
     Expired,
     /// The engines report that no request has used the memory for long.
+    #[serde(alias = "silent")]
     Unused,
 }
 
--- a/request/tests/liveness.rs
+++ b/request/tests/liveness.rs
@@ -87,3 +87,12 @@
     assert_eq!(liveness.next_poll(), late + liveness.interval());
     assert_eq!(liveness.evidence_age(late), Duration::ZERO);
 }
+
+/// Guards against records of VMs of the previous release that cannot be shown.
+#[test]
+fn endings_of_the_previous_release_are_read() {
+    for (previous, ending) in [("unanswered", Ending::Expired), ("silent", Ending::Unused)] {
+        let read: Ending = serde_json::from_value(previous.into()).expect("a known ending");
+        assert_eq!(read, ending);
+    }
+}
