Reservations: check the expiry before a renewal that is ready

After a stall of this VM both the end of a reservation and its renewal are due. The renewal was sent if evidence was recent, and would reserve memory anew for a request that its engines have ended. The end is checked first now. Found by reading; no test shows it, since it takes a stall between two polls of one task.

--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -152,8 +152,11 @@
             tokio::time::sleep_until(due.into()).await;
             evidence.wait_until_recent(&process).await;
         };
-        if tokio::time::timeout_at(limit.into(), ready).await.is_err() {
-            break;
+        tokio::select! {
+            // Checked first: after a stall of this VM the reservation has expired.
+            biased;
+            () = tokio::time::sleep_until(limit.into()) => break,
+            () = ready => {}
         }
         let now = process.now();
         let due = renewals.iter_mut().zip(reservations.iter()).filter(|(r, _)| r.due() <= now);
