Callers: a response that is being sent is not idle time

Callers saw their connections closed right after a response that took longer than the idle timeout, as a stream does whose upstream is silent for a while, although they had rested for less than that time: with an idle timeout of 0.8 s and a response of 1.8 s, the next request 0.4 s later found the connection closed.

Cause: a request counted as ended once the head of its response was there. From then on the time of the body counted as idle, and the graceful shutdown that followed closed the connection at the end of the body. The response itself was whole.

A request now counts until hyper drops the body of its response, which it does after the last byte was taken or the connection has ended. The idle timeout begins there.

--- a/daemon/src/fleet/callers.rs
+++ b/daemon/src/fleet/callers.rs
@@ -1,12 +1,16 @@
 //! Accepts callers' connections and serves each of them in a task of its own.
 
-use std::pin::pin;
+use std::convert::Infallible;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -14,8 +18,10 @@
 use tokio::sync::Notify;
 use tokio_io_timeout::TimeoutStream;
 
+use crate::fleet::answer::Body;
 use crate::fleet::process::Process;
 use crate::fleet::serve;
+use crate::fleet::unread::Truncated;
 use crate::log;
 
 /// Delay after a failed accept, for example when no file descriptors are left.
@@ -36,6 +42,58 @@
     last_change: Instant,
 }
 
+/// A request in progress on a connection: until its response has been sent, or the connection ends.
+struct InProgress<D: Dialect> {
+    process: Arc<Process<D>>,
+    activity: Arc<Mutex<Activity>>,
+}
+
+impl<D: Dialect> InProgress<D> {
+    fn begin(process: Arc<Process<D>>, activity: Arc<Mutex<Activity>>) -> InProgress<D> {
+        let now = process.now();
+        let mut state = activity.lock().unwrap();
+        state.requests += 1;
+        state.last_change = now;
+        drop(state);
+        InProgress { process, activity }
+    }
+}
+
+impl<D: Dialect> Drop for InProgress<D> {
+    fn drop(&mut self) {
+        let now = self.process.now();
+        let mut state = self.activity.lock().unwrap();
+        state.requests -= 1;
+        state.last_change = now;
+    }
+}
+
+/// The body of a response, with the request that is in progress while it is sent.
+struct Sending<D: Dialect> {
+    body: Body,
+    _request: InProgress<D>,
+}
+
+impl<D: Dialect> HttpBody for Sending<D> {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
 /// Accepts connections until the process ends.
 pub async fn run<D: Dialect>(process: Arc<Process<D>>, listener: TcpListener) {
     loop {
@@ -57,17 +115,16 @@
     let _ = stream.set_nodelay(true);
     let mut stream = TimeoutStream::new(stream);
     stream.set_write_timeout(Some(process.config.fleet.write_timeout()));
-    let activity = Mutex::new(Activity { requests: 0, last_change: process.now() });
+    let activity = Arc::new(Mutex::new(Activity { requests: 0, last_change: process.now() }));
     let request_begun = Notify::new();
     let service = service_fn(|request| {
         let process = process.clone();
-        let (activity, request_begun) = (&activity, &request_begun);
+        let (activity, request_begun) = (activity.clone(), &request_begun);
         async move {
-            begin_request(activity, process.now());
+            let in_progress = InProgress::begin(process.clone(), activity);
             request_begun.notify_one();
-            let response = serve::respond(process.clone(), request).await;
-            end_request(activity, process.now());
-            response
+            let response = serve::respond(process, request).await?;
+            Ok::<_, Infallible>(response.map(|body| Sending { body, _request: in_progress }))
         }
     });
     let bounds = process.settings().map(|s| *s.table.bounds());
@@ -100,18 +157,6 @@
     }
 }
 
-fn begin_request(activity: &Mutex<Activity>, now: Instant) {
-    let mut activity = activity.lock().unwrap();
-    activity.requests += 1;
-    activity.last_change = now;
-}
-
-fn end_request(activity: &Mutex<Activity>, now: Instant) {
-    let mut activity = activity.lock().unwrap();
-    activity.requests -= 1;
-    activity.last_change = now;
-}
-
 /// When the idle timeout expires, unless a request begins or ends before.
 fn idle_deadline(activity: &Mutex<Activity>, idle_timeout: Duration, now: Instant) -> Instant {
     let activity = activity.lock().unwrap();
