Placement: an engine that reports after a silence is used once the others are full

Callers were rejected with 'all upstreams are at capacity' while sound engines were idle. An engine that is silent for a second, and whose streams are resumed elsewhere in that time, is avoided for up to 4 s after: two silences weigh 6.0, which is at least 1.5 for two half-lives of 2 s. Candidates are the healthy engines if there are any, whether they have room or not, so a request queued for the full ones until its queue timeout.

If no healthy engine has room for a short prompt, the engines are considered that are avoided for silences alone (without them, other failures would not suffice) and that have responded to a report request later than the last silence. Such an engine was never preferred to one with room, and is not now. Engines that left their report requests unanswered, or broke off or refused attempts, stay avoided, as do upstreams without reports. Long prompts, for which engines reserve memory, are placed as before.

New counter: suspected_placements.

--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -48,6 +48,8 @@
     pub report_requests: Family<ByReason, Counter>,
     /// Engines that came into doubt by attempts, as decided by this VM as the scheduler.
     pub engine_doubts: Family<ByDoubt, Counter>,
+    /// Placements at upstreams that have failed recently, since no others have room.
+    pub suspected_placements: Counter,
     /// Streams resumed at another upstream.
     pub resumed_streams: Counter,
     /// Silences of upstreams in the middle of streams, by how they ended.
@@ -142,6 +144,7 @@
             liveness_endings: Family::default(),
             report_requests: Family::default(),
             engine_doubts: Family::default(),
+            suspected_placements: Counter::default(),
             resumed_streams: Counter::default(),
             silences: Family::default(),
             connections: Counter::default(),
--- a/daemon/src/fleet/metrics/registration.rs
+++ b/daemon/src/fleet/metrics/registration.rs
@@ -18,6 +18,11 @@
         r.register("retries", "Requests sent again", self.retries.clone());
         let what = "Repeats that the fleet's retry budget granted or refused";
         r.register("budgeted_repeats", what, self.budgeted_retries.clone());
+        r.register(
+            "suspected_placements",
+            "Placements at upstreams that have failed recently",
+            self.suspected_placements.clone(),
+        );
         r.register(
             "resumed_streams",
             "Streams that went on elsewhere",
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -201,6 +201,14 @@
         job.record(Decision::Waited { cause: Cause::Engines, waited_ms: millis(queued) });
     }
     let placement = &grant.placement;
+    let is_avoided = {
+        let cluster = job.process.cluster.lock().unwrap();
+        let upstream = cluster.get(&placement.flight.upstream);
+        upstream.is_some_and(|upstream| upstream.suspicion.is_avoided(job.process.now()))
+    };
+    if is_avoided {
+        job.process.metrics.suspected_placements.inc();
+    }
     // The scheduler may have lines about it: that its caller has returned, or that it was queued.
     let by_forecast = job.service.engine.is_some() && requirements.caller != Caller::default();
     if placement.limited > 0 {
--- a/request/src/cluster/upstream.rs
+++ b/request/src/cluster/upstream.rs
@@ -79,6 +79,14 @@
         self.rate_limit.as_ref().is_some_and(|state| state.limit.rate.is_some())
     }
 
+    /// Whether it is avoided for its silence alone, and has responded to a request for a report since.
+    pub fn has_returned(&self, now: Instant) -> bool {
+        let is_fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_FRESHNESS_WINDOW;
+        let responded = self.observed.filter(|o| o.report.is_some() && is_fresh(o)).map(|o| o.at);
+        let silent = self.suspicion.silent_since(now);
+        silent.zip(responded).is_some_and(|(silent, responded)| responded > silent)
+    }
+
     /// Whether it did not respond to the latest request for a report, if that is fresh.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
         let is_fresh = |o: &Observed| now.saturating_duration_since(o.at) < REPORT_FRESHNESS_WINDOW;
--- a/request/src/placement.rs
+++ b/request/src/placement.rs
@@ -31,7 +31,7 @@
 use crate::scheduler::order::Reason;
 use crate::tag::Tag;
 
-use candidate::{Candidate, candidates, rejection};
+use candidate::{Candidate, candidates, rejection, returned};
 pub use group::{DEMAND_WINDOW, Deadline, Kept, LongPrompt, LongQueue, is_too_long, place_long};
 
 /// Share of the objective within which a short prompt's first event must be predicted for an engine
@@ -265,7 +265,10 @@
     else {
         let placement = match engine {
             _ if isolated => place_on_least_busy(requirements, engine, candidates),
-            Some(engine) => place_short(requirements, engine, candidates),
+            Some(engine) => place_short(requirements, engine, candidates).or_else(|rejection| {
+                place_short(requirements, engine, returned(cluster, service, requirements, now))
+                    .map_err(|_| rejection)
+            }),
             None => place_without_model(requirements, candidates),
         };
         return placement.map(|placement| Placement { limited, ..placement });
--- a/request/src/placement/candidate.rs
+++ b/request/src/placement/candidate.rs
@@ -130,10 +130,40 @@
         let offset = requirements.offset % candidates.len();
         candidates.rotate_left(offset);
     }
-    let ordered = by_rank(candidates, &requirements.hall, now);
+    (ordered(cluster, service, requirements, candidates, now), limited)
+}
+
+/// The engines that are avoided for a silence and have responded to a request for a report since.
+///
+/// Load pattern: most engines of a service send nothing for a second, and their streams are resumed at the others. They
+/// are avoided for another four, while the others are full and reject what these could serve.
+pub(super) fn returned<'a>(
+    cluster: &'a Cluster,
+    service: &'a Service,
+    requirements: &Requirements,
+    now: Instant,
+) -> Vec<Candidate<'a>> {
+    let is_usable = |u: &&Upstream| {
+        u.has_returned(now)
+            && u.unlisted.is_none()
+            && !requirements.excluded.contains(&u.tag)
+            && !cluster.has_isolated_request(&u.listed.id)
+            && accepts_more(cluster, service, u, requirements.schedulers, now)
+    };
+    let returned = cluster.open(&service.name).filter(is_usable).collect();
+    ordered(cluster, service, requirements, returned, now)
+}
+
+fn ordered<'a>(
+    cluster: &'a Cluster,
+    service: &'a Service,
+    requirements: &Requirements,
+    upstreams: Vec<&'a Upstream>,
+    now: Instant,
+) -> Vec<Candidate<'a>> {
     let engine = service.engine.as_ref();
     let candidate = |upstream| Candidate::new(cluster, upstream, engine, now);
-    (ordered.into_iter().map(candidate).collect(), limited)
+    by_rank(upstreams, &requirements.hall, now).into_iter().map(candidate).collect()
 }
 
 /// The upstreams in the order in which they are filled: limited and cold ones last, and those in the caller's data hall
--- a/request/src/suspicion.rs
+++ b/request/src/suspicion.rs
@@ -55,26 +55,47 @@
 #[derive(Debug, Clone, Default)]
 pub struct Suspicion {
     weight: f64,
+    /// Weight of the failures in which it was not silent.
+    failed: f64,
     at: Option<Instant>,
+    /// When it was last unresponsive.
+    silent: Option<Instant>,
 }
 
 impl Suspicion {
     /// Returns the weight at this time.
     pub fn weight(&self, now: Instant) -> f64 {
-        let Some(at) = self.at else { return 0.0 };
+        self.weight * self.decay(now)
+    }
+
+    fn decay(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else { return 1.0 };
         let halves = now.saturating_duration_since(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.weight * 0.5_f64.powf(halves)
+        0.5_f64.powf(halves)
     }
 
     /// Adds a failure.
     pub fn record_failure(&mut self, failure: Failure, now: Instant) {
-        self.weight = (self.weight(now) + failure.weight()).min(MAX_WEIGHT);
-        self.at = Some(now);
+        self.decay_until(now);
+        self.weight = (self.weight + failure.weight()).min(MAX_WEIGHT);
+        if failure == Failure::Unresponsive {
+            self.silent = Some(now);
+        } else {
+            self.failed = (self.failed + failure.weight()).min(MAX_WEIGHT);
+        }
     }
 
     /// Halves the weight after a complete response.
     pub fn record_success(&mut self, now: Instant) {
-        self.weight = self.weight(now) * 0.5;
+        self.decay_until(now);
+        self.weight *= 0.5;
+        self.failed *= 0.5;
+    }
+
+    fn decay_until(&mut self, now: Instant) {
+        let decay = self.decay(now);
+        self.weight *= decay;
+        self.failed *= decay;
         self.at = Some(now);
     }
 
@@ -82,4 +103,10 @@
     pub fn is_avoided(&self, now: Instant) -> bool {
         self.weight(now) >= AVOID_WEIGHT
     }
+
+    /// Returns since when it is avoided for its silence alone, if it is: other failures would not suffice.
+    pub fn silent_since(&self, now: Instant) -> Option<Instant> {
+        let is_silence = self.is_avoided(now) && self.failed * self.decay(now) < AVOID_WEIGHT;
+        self.silent.filter(|_| is_silence)
+    }
 }
--- a/request/tests/placement.rs
+++ b/request/tests/placement.rs
@@ -13,6 +13,7 @@
 use foldlock_request::placement::{
     self, Deadline, Kept, LongPrompt, LongQueue, Placement, Rejection, Requirements,
 };
+use foldlock_request::report::{Observed, Report};
 use foldlock_request::suspicion::{Failure, Outcome};
 use foldlock_request::tag::Tag;
 use foldlock_version::routes::{Engine, Service};
@@ -136,6 +137,42 @@
     assert_ne!(placed.flight.upstream, upstream(5));
 }
 
+/// Guards against requests that are rejected while engines are idle that were silent for a moment: they are avoided for up to
+/// 4 s. Only an engine that has responded to a report request since is used, and only if no other has room.
+#[test]
+fn an_engine_that_reports_after_a_silence_is_used_once_the_others_are_full() {
+    let (start, ms) = (Instant::now(), Duration::from_millis);
+    let report = Report { slowdown: 1.0, running: 0, waiting: 0, memory: Tokens(0), born: None };
+    let (silence, other) = (Failure::Unresponsive, Failure::Malformed);
+    let cases = [
+        (vec![silence], None, false),
+        (vec![silence], Some((None, 300)), false),
+        (vec![silence], Some((Some(report), 100)), false),
+        (vec![silence], Some((Some(report), 300)), true),
+        (vec![silence, silence, other], Some((Some(report), 300)), true),
+        (vec![other, other], Some((Some(report), 300)), false),
+        (vec![silence, other, other], Some((Some(report), 300)), false),
+    ];
+    for (failures, observed, is_used) in cases {
+        let mut cluster = cluster(2);
+        for failure in &failures {
+            cluster.record_outcome(&upstream(0), Outcome::Failed(*failure), start + ms(200));
+        }
+        if let Some((report, at)) = observed {
+            cluster.record_report(&upstream(0), Observed { report, at: start + ms(at) });
+        }
+        let (requirements, now) = (requirements(SHORT, 1_000), start + ms(400));
+        for _ in 0..ENGINE.slots {
+            let flight = place(&cluster, &requirements, now).unwrap().flight;
+            assert_eq!(flight.upstream, upstream(1), "it has room, {failures:?}, {observed:?}");
+            begin(&mut cluster, flight, now);
+        }
+        let placed = place(&cluster, &requirements, now).map(|placed| placed.flight.upstream);
+        let expected = if is_used { Ok(upstream(0)) } else { Err(Rejection::Full) };
+        assert_eq!(placed, expected, "{failures:?}, {observed:?}");
+    }
+}
+
 #[test]
 fn short_prompts_fill_one_engine_after_the_other() {
     let (mut cluster, now) = (cluster(4), Instant::now());
