--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -95,6 +95,64 @@
     }
 }
 
+/// Servers that send and read nothing for about a second, as frozen processes: accepted connections and bytes wait. It excuses
+/// no lost request, since callers cannot tell silence from work.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Hush {
+    One(usize),
+    /// Every third server, from this one on.
+    Share(usize),
+    All,
+}
+
+/// Number of shares of the servers.
+const SHARES: usize = 3;
+
+/// Longest silence of a server.
+pub(crate) const MAX_SILENCE: Duration = Duration::from_millis(1_300);
+
+impl Hush {
+    fn random(rng: &mut StdRng, world: &World) -> Hush {
+        match rng.random_range(0..3) {
+            0 => Hush::One(rng.random_range(0..world.endpoints.len())),
+            1 => Hush::Share(rng.random_range(0..SHARES)),
+            _ => Hush::All,
+        }
+    }
+
+    fn contains(self, endpoint: usize) -> bool {
+        match self {
+            Hush::One(one) => endpoint == one,
+            Hush::Share(share) => endpoint % SHARES == share,
+            Hush::All => true,
+        }
+    }
+}
+
+/// Silences random servers, one [`Hush`] after the other, until cancelled.
+pub(crate) async fn hush_servers(world: Arc<World>, seed: u64, stop: CancellationToken) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x45);
+    while !stop.is_cancelled() {
+        let hush = Hush::random(&mut rng, &world);
+        let silence =
+            Duration::from_millis(rng.random_range(1_000..=MAX_SILENCE.as_millis() as u64));
+        println!("{hush:?} {silence:?}");
+        let set = |is_silent| {
+            let endpoints = world.endpoints.iter().enumerate();
+            endpoints
+                .filter(|(index, _)| hush.contains(*index))
+                .for_each(|(_, endpoint)| endpoint.links.set_silent(is_silent));
+        };
+        let disturbance = world.begin_disturbance(Part::Silence);
+        set(true);
+        tokio::time::sleep(silence).await;
+        set(false);
+        world.end_disturbance(disturbance);
+        let pause = Duration::from_millis(rng.random_range(700..3_000));
+        let _ = tokio::time::timeout(pause, stop.cancelled()).await;
+    }
+}
+
 fn random_mode(rng: &mut StdRng) -> Mode {
     let delay = Duration::from_millis(rng.random_range(5..150));
     [Mode::Delayed(delay), Mode::Blackhole, Mode::OneWay, Mode::Reset][rng.random_range(0..4)]
--- a/daemon/tests/soak/limits.rs
+++ b/daemon/tests/soak/limits.rs
@@ -5,7 +5,8 @@
 
 use foldlock_platform_standin::server::Arrival;
 
-use crate::world::World;
+use crate::fault::MAX_SILENCE;
+use crate::world::{Part, World};
 
 /// The window over which a server's arrivals are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -61,6 +62,7 @@
         let must_comply = |since: &Instant| *since + NOTICE_DELAY <= at;
         if notified_at.filter(must_comply).is_some()
             && vms.into_iter().all(|vm| world.vm_is_settled(vm, at, at))
+            && world.is_undisturbed(Part::Silence, at - MAX_SILENCE, at)
         {
             counted.push(at);
         }
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -50,6 +50,8 @@
     PlannedStop(usize),
     Store,
     Servers,
+    /// Servers that are silent for about a second. Excuses late arrivals, and no lost request.
+    Silence,
     /// The soak process itself; its stalls affect all parts.
     Harness,
 }
@@ -93,6 +95,8 @@
     pub(crate) journal: Arc<Journal>,
     pub(crate) vms: Vec<Vm>,
     pub(crate) endpoints: Vec<Endpoint>,
+    /// The version of the settings in the store.
+    pub(crate) settings_version: Mutex<u64>,
     /// Messages about violated guarantees.
     pub(crate) violations: Mutex<Vec<String>>,
     disturbances: Mutex<Vec<(Part, Instant, Option<Instant>)>>,
@@ -231,6 +235,7 @@
             journal,
             vms,
             endpoints,
+            settings_version: Mutex::new(crate::FIRST_VERSION),
             violations: Mutex::default(),
             disturbances: Mutex::default(),
             last_tick: Mutex::new(Instant::now()),
@@ -332,6 +337,17 @@
             && self.is_undisturbed(Part::PlannedStop(vm), from - SETTLE_TIME, to)
     }
 
+    /// Whether a response that a silence held up may be lost: it was in progress in the last sixth of the time of a planned stop.
+    pub(crate) fn is_stopping_late(&self, vm: usize, from: Instant, now: Instant) -> bool {
+        let is_late = |(part, begin, end): &(Part, Instant, Option<Instant>)| {
+            *part == Part::PlannedStop(vm)
+                && now >= *begin + STOP_TIMEOUT * 5 / 6
+                && end.is_none_or(|end| end >= now)
+        };
+        !self.is_undisturbed(Part::Silence, from, now)
+            && self.disturbances.lock().unwrap().iter().any(is_late)
+    }
+
     /// Whether all VMs and the store were undisturbed from [`SETTLE_TIME`] before `from` until `to`.
     pub(crate) fn all_settled(&self, from: Instant, to: Instant) -> bool {
         let vms = (0..self.vms.len()).all(|vm| self.vm_is_settled(vm, from, to));
