--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -1,9 +1,10 @@
 //! Requests reports of the engines of an attempt while the main engine sends nothing and others reserve memory for it:
 //! before the first event, and during a silence in the middle of the stream.
 //!
-//! The decisions are in [`foldlock_request::liveness`].
+//! The decisions are in [`foldlock_request::liveness`] and [`foldlock_request::usage`].
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
@@ -12,9 +13,11 @@
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::liveness::{Ending, Liveness, Reply};
+use foldlock_request::memory::Reservation;
 use foldlock_request::placement::Placement;
-use foldlock_request::report;
+use foldlock_request::report::{self, Fetched};
 use foldlock_request::tag::Tag;
+use foldlock_request::usage::{State, Usage};
 use futures::future::join_all;
 use tokio::sync::watch;
 
@@ -38,6 +41,10 @@
     evidence: watch::Sender<Instant>,
     /// Why the attempt ends, as found by the renewals.
     ending: watch::Sender<Option<(id::Upstream, Ending)>>,
+    /// Whether the VM waits for its caller, and not for the engine.
+    is_caller_awaited: AtomicBool,
+    /// The reservations, once they are confirmed.
+    reservations: OnceLock<Arc<Vec<Reservation>>>,
     interval: Duration,
     max_renewal_age: Duration,
 }
@@ -52,6 +59,16 @@
         });
     }
 
+    /// Whether a helper reports that a request uses the memory. The reservations are filled in turn.
+    async fn is_used<D: Dialect>(&self, process: &Arc<Process<D>>) -> bool {
+        let Some(first) = self.reservations.get().and_then(|r| r.first()) else { return false };
+        let incarnation = notices::incarnation(process, &first.upstream);
+        let helper = Target { upstream: first.upstream.clone(), incarnation };
+        let (reply, fetched) = helper.poll(process, self.interval).await;
+        process.metrics.count_liveness_reply(reply);
+        fetched.is_some_and(|fetched| state(&fetched, first) == State::Used)
+    }
+
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(*self.evidence.borrow()) <= self.max_renewal_age
     }
@@ -62,20 +79,36 @@
 pub struct Evidence(Arc<Shared>);
 
 impl Evidence {
+    /// Records the reservations that the helpers have confirmed.
+    pub fn record_reserved(&self, reservations: Arc<Vec<Reservation>>) {
+        let _ = self.0.reservations.set(reservations);
+    }
+
     /// Waits until the evidence is recent enough to renew reservations, and requests reports meanwhile: a renewal later
     /// than this after a crash would expire too late.
+    ///
+    /// While the VM waits for its caller, the request may have ended with events that it has not read. So it has to be in
+    /// use by the helpers' reports as well.
     pub async fn wait_until_recent<D: Dialect>(&self, process: &Arc<Process<D>>) {
         let shared = &self.0;
         let mut evidence = shared.evidence.subscribe();
         while !shared.is_recent(process.now()) {
             let asked = process.now();
             evidence.mark_unchanged();
-            let reply = shared.main.poll(process, shared.interval).await;
+            let (reply, _) = shared.main.poll(process, shared.interval).await;
             process.metrics.count_liveness_reply(reply);
             match reply {
-                Reply::Report => shared.record(asked),
-                Reply::Restarted => self.end(&shared.main.upstream, Ending::Restarted),
-                Reply::Unanswered | Reply::Inconclusive => {
+                Reply::Report
+                    if !shared.is_caller_awaited.load(Ordering::Relaxed)
+                        || shared.is_used(process).await =>
+                {
+                    shared.record(asked);
+                }
+                Reply::Restarted => {
+                    self.end(&shared.main.upstream, Ending::Restarted);
+                    std::future::pending::<()>().await;
+                }
+                Reply::Report | Reply::Unanswered | Reply::Inconclusive => {
                     let next = asked + shared.max_renewal_age;
                     let _ = tokio::time::timeout_at(next.into(), evidence.changed()).await;
                 }
@@ -102,6 +135,8 @@
 struct Engine {
     target: Target,
     liveness: Liveness,
+    /// The result of the last report request.
+    last: Reply,
 }
 
 /// An engine that counts as crashed.
@@ -120,6 +155,7 @@
     timeout: Duration,
     /// Whether the attempt has gone on for longer than the silence timeout.
     is_extended: bool,
+    usage: Usage,
     shared: Arc<Shared>,
 }
 
@@ -133,22 +169,25 @@
         let now = job.process.now();
         let timeout = job.process.config.fleet.reserved_silence_timeout();
         let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1e3);
-        let liveness = Liveness::new(timeout, predicted, now);
+        let liveness = Liveness::new(timeout, now);
+        let usage = Usage::new(timeout, predicted, flight.helpers.len());
         let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
         let target = |upstream: &id::Upstream| Target {
             upstream: upstream.clone(),
             incarnation: notices::incarnation(&job.process, upstream),
         };
-        let engine = |upstream| Engine { target: target(upstream), liveness };
+        let engine = |upstream| Engine { target: target(upstream), liveness, last: Reply::Report };
         let engines = std::iter::once(&flight.upstream).chain(helpers).map(engine).collect();
         let shared = Arc::new(Shared {
             main: target(&flight.upstream),
             evidence: watch::Sender::new(now),
             ending: watch::Sender::new(None),
+            is_caller_awaited: AtomicBool::new(false),
+            reservations: OnceLock::new(),
             interval: liveness.interval(),
             max_renewal_age: liveness.max_renewal_age(),
         });
-        Some(Poller { engines, timeout, is_extended: false, shared })
+        Some(Poller { engines, timeout, is_extended: false, usage, shared })
     }
 
     /// Records that the main engine has sent events, which shows that it is alive.
@@ -156,10 +195,16 @@
         self.shared.record(now);
     }
 
+    /// Records whether the VM waits for its caller, and not for the engine.
+    pub fn record_caller_awaited(&self, is_awaited: bool) {
+        self.shared.is_caller_awaited.store(is_awaited, Ordering::Relaxed);
+    }
+
     /// Begins anew for a silence in the middle of the stream: the main engine has sent nothing since this time.
     pub fn restart(&mut self, since: Instant) {
-        let liveness = Liveness::new(self.timeout, Duration::ZERO, since);
+        let liveness = Liveness::new(self.timeout, since);
         self.engines.iter_mut().for_each(|engine| engine.liveness = liveness);
+        self.usage.restart();
         self.is_extended = false;
     }
 
@@ -191,12 +236,18 @@
             let was_extended = std::mem::replace(&mut self.is_extended, main.is_extended(asked));
             let polled = if self.is_extended { self.engines.len() } else { 1 };
             let replies = join_all(self.engines[..polled].iter().map(|engine| engine.poll(job)));
-            for (index, reply) in replies.await.into_iter().enumerate() {
+            let replies = replies.await;
+            let states = replies.iter().enumerate().skip(1);
+            let states: Vec<_> =
+                states.map(|(index, (_, fetched))| self.state(index, fetched.as_ref())).collect();
+            let main = replies[0].0;
+            for (index, (reply, _)) in replies.into_iter().enumerate() {
                 let engine = &mut self.engines[index];
                 let ending = engine.liveness.on_reply(reply, asked);
                 job.process.metrics.count_liveness_reply(reply);
                 let is_first_extension = index == 0 && self.is_extended && !was_extended;
-                if reply != Reply::Report || is_first_extension {
+                let is_changed = reply != std::mem::replace(&mut engine.last, reply);
+                if is_changed && reply != Reply::Report || is_first_extension || ending.is_some() {
                     engine.record(job, ending);
                 }
                 if let Some(ending) = ending {
@@ -206,8 +257,22 @@
                 }
             }
             self.shared.record(self.engines[0].liveness.evidence());
+            if let Some((helper, ending)) = self.usage.on_reports(main, &states) {
+                let engine = &self.engines[helper.map_or(0, |helper| helper + 1)];
+                engine.record(job, Some(ending));
+                job.process.metrics.count_liveness_ending(ending);
+                return Crashed { upstream: engine.target.upstream.clone(), ending };
+            }
         }
     }
+
+    /// What an engine reports about the reservation of this attempt; none if it is unknown.
+    fn state(&self, engine: usize, fetched: Option<&Fetched>) -> Option<State> {
+        let upstream = &self.engines[engine].target.upstream;
+        let reservations = self.shared.reservations.get()?;
+        let own = reservations.iter().find(|reservation| reservation.upstream == *upstream)?;
+        Some(state(fetched?, own))
+    }
 }
 
 /// Waits until an engine of an attempt counts as crashed by its reports; forever if they are not polled.
@@ -218,24 +283,40 @@
     }
 }
 
+/// What a helper reports about a reservation.
+fn state(fetched: &Fetched, own: &Reservation) -> State {
+    let id = &own.reservation_id;
+    match fetched.reservations.iter().find(|listed| listed.reservation_id == *id) {
+        None => State::Unlisted,
+        Some(reserved) if reserved.is_used => State::Used,
+        Some(_) => State::Unused,
+    }
+}
+
 impl Target {
-    /// Requests one report, which takes at most `timeout`.
-    async fn poll<D: Dialect>(&self, process: &Arc<Process<D>>, timeout: Duration) -> Reply {
-        let Some((listed, _)) = self.entry(process) else { return Reply::Inconclusive };
+    /// Requests one report, which takes at most `timeout`. Returns it if it is evidence.
+    async fn poll<D: Dialect>(
+        &self,
+        process: &Arc<Process<D>>,
+        timeout: Duration,
+    ) -> (Reply, Option<Fetched>) {
+        let Some((listed, _)) = self.entry(process) else { return (Reply::Inconclusive, None) };
         let fetch = reports::fetch(process.clone(), listed);
         let Ok(result) = tokio::time::timeout(timeout, fetch).await else {
-            return Reply::Unanswered;
+            return (Reply::Unanswered, None);
         };
         match self.entry(process) {
             // It was removed from the directory.
-            None => return Reply::Inconclusive,
-            Some((_, incarnation)) if incarnation != self.incarnation => return Reply::Restarted,
+            None => return (Reply::Inconclusive, None),
+            Some((_, incarnation)) if incarnation != self.incarnation => {
+                return (Reply::Restarted, None);
+            }
             Some(_) => {}
         }
         match result {
-            Some(Ok(_)) => Reply::Report,
-            Some(Err(report::Failure::Unresponsive(_))) => Reply::Unanswered,
-            Some(Err(report::Failure::Unreadable(_))) | None => Reply::Inconclusive,
+            Some(Ok(fetched)) => (Reply::Report, Some(fetched)),
+            Some(Err(report::Failure::Unresponsive(_))) => (Reply::Unanswered, None),
+            Some(Err(report::Failure::Unreadable(_))) | None => (Reply::Inconclusive, None),
         }
     }
 
@@ -247,7 +328,7 @@
 }
 
 impl Engine {
-    async fn poll<D: Dialect>(&self, job: &Job<D>) -> Reply {
+    async fn poll<D: Dialect>(&self, job: &Job<D>) -> (Reply, Option<Fetched>) {
         self.target.poll(&job.process, self.liveness.interval()).await
     }
 
