Reports: drained engines that run attempts are still asked

Callers of prompts for which several engines reserve memory got 502 when an operator drained the hall of these engines while they read. With admission = "forecast" a silent engine is judged by its reports, and one in a drained hall was not asked for any: no answer counted as no evidence, and the attempt ended after the silence timeout (2.4 s where memory is released within 4 s), although requests that run in a drained hall are to finish. Such a prompt is silent because it is read, so this needs no fault at all.

An engine of a drained hall now gets report requests from a VM as long as an attempt of this VM runs there or has memory reserved there, just as it gets renewals. Without one it still receives nothing, and none in its backoff.

platform/tests/fleet/hushed.rs, a_prompt_of_several_engines_is_read_on_when_they_are_ leaving_or_drained: the drained case failed before, both pass now. draining and backoff pass unchanged.

--- a/daemon/src/fleet/reports.rs
+++ b/daemon/src/fleet/reports.rs
@@ -110,11 +110,12 @@
     process: Arc<Process<D>>,
     listed: Listed,
 ) -> Option<Result<Report, report::Failure>> {
-    if let Some(Exclusion::Backoff { .. } | Exclusion::Drained) =
-        notices::exclusion(&process, &listed.id)
-    {
+    match notices::exclusion(&process, &listed.id) {
         // It must receive nothing from this VM, polls included.
-        return None;
+        Some(Exclusion::Backoff { .. }) => return None,
+        // Attempts that run there finish, and those that are silent are judged by its reports.
+        Some(Exclusion::Drained) if !has_attempt(&process, &listed.id) => return None,
+        _ => {}
     }
     if rate_limits::is_limited(&process, &listed.id) {
         return None;
@@ -153,6 +154,15 @@
     Some(result)
 }
 
+/// Whether an attempt of this VM runs at an engine, or has reserved memory there.
+fn has_attempt<D: Dialect>(process: &Process<D>, engine: &id::Upstream) -> bool {
+    let cluster = process.cluster.lock().unwrap();
+    cluster.own_attempts().any(|attempt| {
+        let flight = &attempt.flight;
+        flight.upstream == *engine || flight.helpers.iter().any(|helper| helper.upstream == *engine)
+    })
+}
+
 /// Handles a start time that an upstream reported to this VM or to a peer. If it is a new incarnation, drops the
 /// connections to the old one and announces the restart.
 pub fn on_restart<D: Dialect>(
