--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -1,28 +1,25 @@
-//! One attempt: sends a request to its placement and reads the answer to the end.
+//! One attempt: sends a request to its placement and reads the answer to the end. While its engine is silent, another
+//! engine may be asked to take over.
 
-use std::time::{Duration, Instant};
+pub mod contest;
+pub mod silence;
+pub mod source;
+
+use std::time::Duration;
 
-use foldlock_base::clock::System;
 use foldlock_base::clock::millis;
 use foldlock_base::error::Refusal;
 use foldlock_base::prelude::*;
-use foldlock_connection::engine::{Engine as _, Failure, HttpStream, Stream as _};
-use foldlock_connection::events::{Checker, Event as Part};
+use foldlock_connection::events::Event as Part;
 use foldlock_request::decision::Decision;
 
-use crate::engines::{EngineQuery, Flight};
+use crate::engines::EngineQuery;
 use crate::gate::{self, Placement};
-use crate::group;
 use crate::serve::{Job, Progress, Sink};
-
-/// Time without data after the start of an answer after which the engine is considered broken.
-const STALL_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Minimum time to wait for the first token before moving the request is considered.
-const MIN_FIRST_TOKEN_TIMEOUT: Duration = Duration::from_millis(750);
-
-/// The time to wait for the first token, as a ratio of the predicted time.
-const FIRST_TOKEN_TIMEOUT_RATIO: f64 = 4.0;
+use contest::Next;
+use silence::Suspect;
+pub use silence::may_repeat;
+use source::Source;
 
 /// How an attempt ended.
 pub enum End {
@@ -47,188 +44,140 @@
     Gone,
 }
 
+/// An attempt that ended.
+pub struct Ended {
+    /// How it ended.
+    pub end: End,
+    /// The engine that it ended at.
+    pub engine: id::Upstream,
+}
+
 /// Runs one attempt of a request.
 pub async fn run<S: Sink>(
     job: &Job,
-    mut placement: Placement,
+    placement: Placement,
     sink: &mut S,
     progress: &mut Progress,
-) -> End {
+) -> Ended {
+    let mut engine = placement.engine().clone();
     if progress.tokens > 0 {
-        job.process.metrics.resumed_answers.inc();
-        let upstream = placement.engine().clone();
-        job.record(Decision::Resumed { index: progress.tokens, upstream });
+        record_resumed(job, &engine, progress);
     }
-    let started = tokio::select! {
-        started = start(job, &mut placement, progress) => started,
-        () = sink.caller_gone() => return End::Gone,
-        () = tokio::time::sleep_until(job.deadline.instant().into()) => Err(End::Deadline),
-    };
-    let mut stream = match started {
-        Ok(stream) => stream,
-        Err(end) => {
-            record_health(&placement, &end);
-            return end;
-        }
-    };
-    sink.on_source(job, placement.engine(), stream.id());
-    let end = read_answer(job, &mut placement, &mut stream, sink, progress).await;
-    record_health(&placement, &end);
-    let resumable = matches!(end, End::Gone) && job.policy.resume_window_ms > 0;
-    if !matches!(end, End::Finished) && !resumable {
-        cancel(&placement, stream.id());
-    }
-    end
-}
-
-/// Records a failed attempt in the engine's health.
-fn record_health(placement: &Placement, end: &End) {
-    match end {
-        End::Broken(_) | End::Slow(_) => placement.flight().on_failure(),
-        // A group records it for the engine of the segment, see `group::begin`.
-        End::NotConnected(_) if matches!(placement, Placement::Engine(_)) => {
-            placement.flight().on_failure()
-        }
-        _ => {}
+    let mut end = answer(job, placement, sink, progress, &mut engine).await;
+    progress.open.clear();
+    if progress.another_ran
+        && let End::NotConnected(why) | End::NotRun { why, .. } = end
+    {
+        end = End::Broken(why);
     }
+    Ended { end, engine }
 }
 
-/// Cancels a stream on its engine, which releases its memory at once.
-fn cancel(placement: &Placement, stream: &str) {
-    let client = placement.flight().client.clone();
-    let stream = stream.to_owned();
-    tokio::spawn(async move {
-        let _ = client.cancel(&stream).await;
-    });
+fn record_resumed(job: &Job, upstream: &id::Upstream, progress: &Progress) {
+    job.process.metrics.resumed_answers.inc();
+    job.record(Decision::Resumed { index: progress.tokens, upstream: upstream.clone() });
 }
 
-async fn start(
+async fn answer<S: Sink>(
     job: &Job,
-    placement: &mut Placement,
-    progress: &Progress,
-) -> Result<HttpStream, End> {
-    let result = match placement {
-        Placement::Engine(flight) => {
-            let order = job.order(progress);
-            let response = flight.client.generate(&order);
-            tokio::pin!(response);
-            loop {
-                let wait = first_token_timeout(job, flight.predicted);
-                match tokio::time::timeout(wait, response.as_mut()).await {
-                    Ok(result) => break result,
-                    Err(_) if can_move(job, flight, progress) => {
-                        return Err(End::Slow(
-                            "the engine did not accept the request in time".to_owned(),
-                        ));
-                    }
-                    Err(_) => {}
-                }
-            }
-        }
-        Placement::Group(group) => group::begin(job, group, progress).await,
+    placement: Placement,
+    sink: &mut S,
+    progress: &mut Progress,
+    engine: &mut id::Upstream,
+) -> End {
+    let mut source = match first_events(job, placement, sink, progress).await {
+        Ok(source) => source,
+        Err(end) => return end,
     };
-    result.map_err(|failure| match failure {
-        Failure::NotConnected(why) => End::NotConnected(why),
-        Failure::NotRun { proof, leaving, why } => {
-            if leaving {
-                job.process.upstream_leaving(placement.engine());
+    loop {
+        *engine = source.placement.engine().clone();
+        sink.on_source(job, engine, source.id());
+        // A caller that disconnects may resume the stream from now on.
+        source.set_cancel(job.policy.resume_window_ms == 0);
+        on_first_token(job, &mut source, progress);
+        let end = match relay(job, &mut source, sink, progress).await {
+            Relayed::End(end) => end,
+            Relayed::Superseded(other) => {
+                source.set_cancel(true);
+                source = *other;
+                record_resumed(job, source.placement.engine(), progress);
+                continue;
             }
-            End::NotRun { proof, why }
+        };
+        source.record_health(&end);
+        match end {
+            End::Finished => source.set_cancel(false),
+            End::Gone => {}
+            _ => source.set_cancel(true),
         }
-        other => End::Broken(other.to_string()),
-    })
+        return end;
+    }
 }
 
-/// Time to wait for the first token before moving the request is considered.
-fn first_token_timeout(job: &Job, predicted: f64) -> Duration {
-    Duration::from_secs_f64(predicted * FIRST_TOKEN_TIMEOUT_RATIO)
-        .max(MIN_FIRST_TOKEN_TIMEOUT)
-        .min(job.left())
+/// Waits for the first events of an answer.
+async fn first_events<S: Sink>(
+    job: &Job,
+    placement: Placement,
+    sink: &S,
+    progress: &mut Progress,
+) -> Result<Source, End> {
+    let suspect = Suspect::first(&placement);
+    let order = job.order(progress);
+    let begun = source::begin(job, placement, order);
+    tokio::pin!(begun);
+    loop {
+        let wait = suspect.timeout(job);
+        tokio::select! {
+            begun = begun.as_mut() => return begun.map_err(|failed| failed.end),
+            () = sink.caller_gone() => return Err(End::Gone),
+            () = tokio::time::sleep(wait) => {}
+        }
+        if job.left().is_zero() {
+            return Err(End::Deadline);
+        }
+        if may_repeat(&job.policy, progress, false) && suspect.is_overdue(job, progress) {
+            job.process.engines.on_silence(suspect.engine());
+            return Err(End::Slow("the first token is overdue".to_owned()));
+        }
+    }
 }
 
-/// Whether a request whose first token is overdue may be moved, and another engine is predicted to
-/// need less than half of the time waited so far.
-fn can_move(job: &Job, flight: &Flight<System>, progress: &Progress) -> bool {
-    let policy = &job.policy;
-    if !policy.repeatable || progress.attempts > policy.retries {
-        return false;
-    }
-    let waited = (job.process.clock.now() - flight.sent).as_secs_f64();
-    // Engines that failed earlier attempts count too: they may be faster now than this one.
-    let query = EngineQuery { avoid: &[], ..gate::engine_query(job, progress) };
-    job.process.engines.has_faster(&query, &flight.engine, waited / 2.0)
+/// How the relay of a response ended.
+enum Relayed {
+    End(End),
+    /// Another engine goes on with the answer.
+    Superseded(Box<Source>),
 }
 
-async fn read_answer<S: Sink>(
+/// Sends the events of a response to the caller until its end.
+async fn relay<S: Sink>(
     job: &Job,
-    placement: &mut Placement,
-    stream: &mut HttpStream,
+    source: &mut Source,
     sink: &mut S,
     progress: &mut Progress,
-) -> End {
-    let mut checker = Checker::new(job.request.as_str(), progress.tokens);
-    let mut parts = Vec::new();
-    let mut started = false;
+) -> Relayed {
+    let suspect = Suspect::begun(&source.placement);
     loop {
-        let wait = match (started, &*placement) {
-            (true, _) => STALL_TIMEOUT,
-            (false, Placement::Engine(flight)) => first_token_timeout(job, flight.predicted),
-            (false, Placement::Group(_)) => job.left(),
-        };
-        let until = (Instant::now() + wait).min(job.deadline.instant());
-        let bytes = tokio::select! {
-            bytes = stream.next() => bytes,
-            () = sink.caller_gone() => return End::Gone,
-            () = tokio::time::sleep_until(until.into()) => match on_timeout(job, placement, started, progress) {
-                Some(end) => return end,
-                None => continue,
-            },
-        };
-        let decoded = match bytes {
-            Ok(Some(bytes)) => decode(bytes, &mut checker, &mut parts),
-            Ok(None) => Err("the response ended early".to_owned()),
-            Err(failure) => Err(failure.to_string()),
-        };
-        if let Err(why) = decoded {
-            return End::Broken(why);
-        }
-        if !started && !parts.is_empty() {
-            started = true;
-            on_first_token(job, placement, stream.cached(), progress);
-        }
-        let ended = add_to_progress(&parts, job.policy.resume, progress);
+        let ended = add_to_progress(&source.parts, job.policy.resume, progress);
         let sent = tokio::select! {
-            sent = sink.send(&parts) => sent,
-            () = tokio::time::sleep_until(job.deadline.instant().into()) => return End::Deadline,
+            sent = sink.send(&source.parts) => sent,
+            () = tokio::time::sleep_until(job.deadline.instant().into()) => {
+                return Relayed::End(End::Deadline);
+            }
         };
         if ended {
-            return finish(job, placement, progress);
+            return Relayed::End(finish(job, &source.placement, progress));
         }
         if !sent {
-            return End::Gone;
+            return Relayed::End(End::Gone);
         }
-        parts.clear();
-    }
-}
-
-/// Decodes bytes and adds the events that they complete.
-fn decode(bytes: bytes::Bytes, checker: &mut Checker, parts: &mut Vec<Part>) -> Result<(), String> {
-    checker.push(bytes, |part| parts.push(part)).map_err(|fault| fault.to_string())
-}
-
-/// How the attempt ends if no data came in time; `None` to wait on.
-fn on_timeout(job: &Job, placement: &Placement, started: bool, progress: &Progress) -> Option<End> {
-    if job.left().is_zero() {
-        return Some(End::Deadline);
-    }
-    if started {
-        return Some(End::Broken(format!("no data for {} ms", STALL_TIMEOUT.as_millis())));
-    }
-    match placement {
-        Placement::Engine(flight) if can_move(job, flight, progress) => {
-            Some(End::Slow("the first token is overdue".to_owned()))
+        let events = source.next();
+        tokio::pin!(events);
+        match contest::next(job, events, &suspect, sink, progress).await {
+            Next::Events(()) => {}
+            Next::Superseded(other) => return Relayed::Superseded(other),
+            Next::End(end) => return Relayed::End(end),
         }
-        _ => None,
     }
 }
 
@@ -249,8 +198,10 @@
     ended
 }
 
-fn on_first_token(job: &Job, placement: &mut Placement, cached: Tokens, progress: &mut Progress) {
+fn on_first_token(job: &Job, source: &mut Source, progress: &mut Progress) {
     let now = job.process.clock.now();
+    let cached = source.cached();
+    let placement = &mut source.placement;
     if let Placement::Engine(flight) = placement {
         let real = (now - flight.sent).as_secs_f64();
         job.process.metrics.prediction_ratio.observe(flight.predicted / real.max(1e-6));
@@ -274,3 +225,19 @@
     });
     End::Finished
 }
+
+impl Suspect {
+    /// Time without an event after which another engine is considered.
+    fn timeout(&self, job: &Job) -> Duration {
+        silence::timeout(&self.phase).unwrap_or(Duration::MAX).min(job.left())
+    }
+
+    /// Whether another engine is worth asking.
+    fn is_overdue(&self, job: &Job, progress: &Progress) -> bool {
+        let waited = job.process.clock.now().saturating_duration_since(self.since);
+        let Some(within) = silence::worthwhile(&self.phase, waited) else { return true };
+        // Engines that failed earlier attempts count too: they may be faster now than this one.
+        let query = EngineQuery { avoid: &[], ..gate::engine_query(job, progress) };
+        job.process.engines.has_faster(&query, &self.engine, within)
+    }
+}
--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -52,6 +52,8 @@
     pub policy: &'a Policy,
     /// Engines on which earlier attempts failed.
     pub avoid: &'a [id::Upstream],
+    /// Engines that are not chosen, as the request has an open attempt there.
+    pub exclude: &'a [id::Upstream],
 }
 
 /// Result of choosing an engine.
@@ -221,6 +223,22 @@
         leaving.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Records that an engine sends nothing, which is evidence of a failure.
+    pub fn on_silence(&self, engine: &id::Upstream) {
+        let now = self.clock.now();
+        self.update(engine, |local| local.health.on_failure(now));
+    }
+
+    /// Records that an engine sends events again.
+    pub fn on_events(&self, engine: &id::Upstream) {
+        self.update(engine, |local| local.health.on_success());
+    }
+
+    /// Records that another engine went on with the answer of a silent one, whose prefix cache may be lost.
+    pub fn on_superseded(&self, engine: &id::Upstream) {
+        self.update(engine, |local| local.affinity.clear());
+    }
+
     /// Chooses an engine and counts the request as load on it.
     pub fn choose(self: &Arc<Self>, query: &EngineQuery<'_>) -> Chosen<C> {
         let now = self.clock.now();
@@ -373,6 +391,7 @@
             .filter(|(_, l)| l.entry.models.contains(query.model))
             .filter(|(_, l)| query.requirements.memory.0 <= l.entry.memory_tokens)
             .filter(|(_, l)| !l.is_leaving(now))
+            .filter(|(id, _)| !query.exclude.contains(id))
             .collect();
         let rank = |(id, l): &(&id::Upstream, &Local)| {
             (query.avoid.contains(id), !l.health.is_usable(now))
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -106,7 +106,7 @@
     let started = job.process.clock.now();
     if requirements.memory > largest {
         // Requests for groups wait at the home of a shard, in order, and do not block this queue.
-        let placement = group::place(job, &requirements).await?;
+        let placement = group::place(job, &requirements, progress).await?;
         record_routed(job, &placement);
         return Ok(placement);
     }
@@ -181,6 +181,7 @@
         blocks: &job.blocks,
         policy: &job.policy,
         avoid: &progress.avoid,
+        exclude: &progress.open,
     }
 }
 
@@ -239,7 +240,8 @@
     let chosen = flight.engine.clone();
     // The home may be this VM. It must not count this flight as load when it decides on the grant.
     drop(flight);
-    let engine = granted_engine(job, progress, &chosen).await.unwrap_or(chosen);
+    let granted = granted_engine(job, progress, &chosen).await;
+    let engine = granted.filter(|e| !progress.open.contains(e)).unwrap_or(chosen);
     job.process.engines.assign(&engine_query(job, progress), &engine).map(Box::new)
 }
 
@@ -257,7 +259,7 @@
         model: job.prompt.model.clone(),
         prompt: requirements.prompt,
         memory: requirements.memory,
-        avoid: progress.avoid.clone(),
+        avoid: progress.avoid.iter().chain(&progress.open).cloned().collect(),
     };
     match request_grant(job, shard, ask, GRANT_TIMEOUT).await {
         Some(Grant::Granted(segments)) => segments.first().map(|s| s.engine.clone()),
--- a/daemon/src/group.rs
+++ b/daemon/src/group.rs
@@ -82,8 +82,20 @@
 }
 
 /// Waits until a group of engines is reserved for the request.
-pub async fn place(job: &Job, requirements: &Requirements) -> Result<Placement, Rejection> {
+pub async fn place(
+    job: &Job,
+    requirements: &Requirements,
+    progress: &Progress,
+) -> Result<Placement, Rejection> {
     let started = job.process.clock.now();
+    let ask = wire::GrantRequest {
+        vm: job.process.config.vm.clone(),
+        request: reservation_prefix(job, progress),
+        model: job.prompt.model.clone(),
+        prompt: requirements.prompt,
+        memory: requirements.memory,
+        avoid: progress.open.clone(),
+    };
     loop {
         let shards = job.process.shards();
         let fitting = |s: &&Shard| shard_memory(job, s) >= requirements.memory;
@@ -98,7 +110,7 @@
             });
         }
         for shard in candidates {
-            if let Some(group) = try_shard(job, requirements, shard).await {
+            if let Some(group) = try_shard(job, &ask, shard).await {
                 let waited_ms = millis(job.process.clock.now() - started);
                 let engines = group.segments.iter().map(|s| s.engine.clone()).collect();
                 job.record(Decision::Reserved { engines, waited_ms });
@@ -114,16 +126,18 @@
     shard.engines.iter().filter_map(|e| fleet.engines.get(e)).map(|e| Tokens(e.memory_tokens)).sum()
 }
 
-async fn try_shard(job: &Job, requirements: &Requirements, shard: &Shard) -> Option<Group> {
-    let ask = wire::GrantRequest {
-        vm: job.process.config.vm.clone(),
-        request: job.request.clone(),
-        model: job.prompt.model.clone(),
-        prompt: requirements.prompt,
-        memory: requirements.memory,
-        avoid: Vec::new(),
-    };
-    let grant = request_grant(job, shard, ask, SEARCH_TIMEOUT * 2).await?;
+/// What the names of a group's reservations begin with. A second group of a request has names of its own: the first one
+/// may still have reservations, also at the same engines.
+fn reservation_prefix(job: &Job, progress: &Progress) -> id::Request {
+    if progress.attempts == 0 {
+        return job.request.clone();
+    }
+    let name = format!("{}.{:x}", job.request, rand::random::<u32>());
+    name.parse().unwrap_or_else(|_| job.request.clone())
+}
+
+async fn try_shard(job: &Job, ask: &wire::GrantRequest, shard: &Shard) -> Option<Group> {
+    let grant = request_grant(job, shard, ask.clone(), SEARCH_TIMEOUT * 2).await?;
     let Grant::Granted(segments) = grant else { return None };
     let flights: Vec<Flight<System>> = segments.iter().filter_map(|s| flight(job, s)).collect();
     if flights.len() != segments.len() || flights.is_empty() {
@@ -142,6 +156,7 @@
         blocks: &[],
         policy: &job.policy,
         avoid: &[],
+        exclude: &[],
     };
     job.process.engines.assign(&query, &segment.engine)
 }
@@ -157,12 +172,7 @@
 
 /// Runs the prefill of all segments but the last in turn, each with the context exported by the
 /// previous ones, and starts the generation on the last.
-pub async fn begin(
-    job: &Job,
-    group: &mut Group,
-    progress: &Progress,
-) -> Result<HttpStream, Failure> {
-    let order = job.order(progress);
+pub async fn begin(job: &Job, group: &mut Group, order: &Order) -> Result<HttpStream, Failure> {
     let mut context = Context::default();
     let mut at = 0;
     let last = group.segments.len() - 1;
@@ -234,6 +244,7 @@
         blocks: &[],
         policy: &policy,
         avoid: &ask.avoid,
+        exclude: &[],
     };
     process.engines.merge_states(&process.home.states(&shard.engines, &process.config.vm));
     let mut candidates = process.engines.candidates(&query);
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics; their names include the unit.
 
 use foldlock_base::error::Kind;
-use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -29,6 +29,24 @@
     pub prompt_tokens: &'static str,
 }
 
+/// How the silence of an engine ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Silence {
+    /// The engine sent events again.
+    Continued,
+    /// Another engine went on with the answer.
+    Resumed,
+    /// The answer failed.
+    Failed,
+}
+
+/// Label: how the silence of an engine ended.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct BySilence {
+    /// How it ended.
+    pub ended: Silence,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Registry,
@@ -48,6 +66,8 @@
     pub retries: Counter,
     /// Number of answers resumed on another upstream.
     pub resumed_answers: Counter,
+    /// Silences of engines for which another engine was considered, by how they ended.
+    pub silences: Family<BySilence, Counter>,
     /// Number of calls to peers.
     pub peer_calls: Counter,
     /// Number of the settings version in force.
@@ -74,6 +94,7 @@
             prediction_ratio: ratio_histogram(),
             retries: Counter::default(),
             resumed_answers: Counter::default(),
+            silences: Family::default(),
             peer_calls: Counter::default(),
             settings_version: Gauge::default(),
         };
@@ -105,6 +126,7 @@
             "Answers that went on elsewhere",
             self.resumed_answers.clone(),
         );
+        r.register("silences", "Silences of engines, by how they ended", self.silences.clone());
         r.register("peer_calls", "Calls between VMs", self.peer_calls.clone());
         r.register(
             "settings_version",
@@ -118,6 +140,11 @@
         self.errors.get_or_create(&ByKind { kind: kind.as_str() }).inc();
     }
 
+    /// Counts a silence of an engine.
+    pub fn count_silence(&self, ended: Silence) {
+        self.silences.get_or_create(&BySilence { ended }).inc();
+    }
+
     /// Observes a time to first token.
     pub fn observe_first_token(&self, prompt_tokens: u64, seconds: f64) {
         let band = ByLength { prompt_tokens: band(prompt_tokens) };
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -15,7 +15,7 @@
 use foldlock_request::route::Requirements;
 use foldlock_version::policy::{Class, Policy};
 
-use crate::attempt::{self, End};
+use crate::attempt::{self, End, Ended};
 use crate::claims::KeyClaim;
 use crate::current::Version;
 use crate::gate;
@@ -84,6 +84,34 @@
     pub first_token: Option<Duration>,
     /// Number of attempts so far.
     pub attempts: u32,
+    /// Upstreams of attempts that are open while another one is placed.
+    pub open: Vec<id::Upstream>,
+    /// Whether an attempt beside the present one may have run.
+    pub another_ran: bool,
+    /// Whether a retry was taken from the budget for an attempt that has not been sent.
+    has_retry: bool,
+}
+
+impl Progress {
+    /// Takes a retry from the budget for the next attempt.
+    pub fn take_retry(&mut self, job: &Job) -> bool {
+        self.has_retry =
+            self.has_retry || job.process.budget.retry(job.policy.retry_budget_percent);
+        self.has_retry
+    }
+
+    /// Counts an attempt.
+    pub fn on_sent(&mut self) {
+        self.attempts += 1;
+        self.has_retry = false;
+    }
+
+    /// Adds an upstream to those on which an attempt failed.
+    pub fn avoid(&mut self, upstream: &id::Upstream) {
+        if !self.avoid.contains(upstream) {
+            self.avoid.push(upstream.clone());
+        }
+    }
 }
 
 impl Job {
@@ -189,13 +217,12 @@
                 });
             }
         };
-        let engine = placement.engine().clone();
         let attempt = proof.send();
         if let Some(claim) = claim {
             claim.sent();
         }
-        progress.attempts += 1;
-        let end = attempt::run(job, placement, sink, progress).await;
+        progress.on_sent();
+        let Ended { end, engine } = attempt::run(job, placement, sink, progress).await;
         proof = match end {
             End::Finished => return Ok(Finished { tokens: progress.tokens }),
             End::Deadline => {
@@ -235,19 +262,14 @@
     {
         claim.not_run();
     }
-    let policy = &job.policy;
-    let may_retry = (not_run || policy.repeatable)
-        && (progress.tokens == 0 || policy.resume)
-        && progress.attempts <= policy.retries
+    let may_retry = attempt::may_repeat(&job.policy, progress, not_run)
         && !job.left().is_zero()
-        && job.process.budget.retry(policy.retry_budget_percent);
+        && progress.take_retry(job);
     if !may_retry {
         let kind = if not_run { Kind::NoUpstream } else { Kind::UpstreamFailed };
         return Err(proof.error(kind, format!("{engine}: {why}"), progress.tokens > 0));
     }
-    if !progress.avoid.contains(engine) {
-        progress.avoid.push(engine.clone());
-    }
+    progress.avoid(engine);
     job.process.metrics.retries.inc();
     job.record(if moved {
         Decision::Moved { from: engine.clone(), why }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -382,6 +382,11 @@
         self.state.lock().unwrap().faults.push_back(fault);
     }
 
+    /// Removes the faults that have not been injected yet.
+    pub fn clear_faults(&self) {
+        self.state.lock().unwrap().faults.clear();
+    }
+
     /// The newest report that is at least `report_lag_ms` old, or else the oldest one.
     pub fn report(&self) -> Report {
         let mut inner = self.state.lock().unwrap();
--- a/standin/src/engine_http.rs
+++ b/standin/src/engine_http.rs
@@ -150,7 +150,12 @@
 async fn generate(engine: Arc<Engine>, request: Request<Incoming>) -> Response<Body> {
     let request = parse(request).await;
     match engine.submit(request) {
-        Ok(stream) => events(stream, 0),
+        Ok(stream) => {
+            if let Some(Fault { kind: Kind::DelayResponse(ms), .. }) = stream.fault {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
+            events(stream, 0)
+        }
         Err((status, reason)) => refusal(status, reason),
     }
 }
@@ -207,12 +212,13 @@
     reader: Reader,
     next: usize,
     ended: bool,
+    stalled: bool,
 }
 
 fn events(stream: Arc<Stream>, from: usize) -> Response<Body> {
     let id = stream.id.clone();
     let cached = stream.cached;
-    let encoder = Encoder { reader: Reader::new(stream), next: from, ended: false };
+    let encoder = Encoder { reader: Reader::new(stream), next: from, ended: false, stalled: false };
     let frames = stream::unfold(encoder, |mut encoder| async move {
         let bytes = encoder.next_bytes().await?;
         Some((bytes.map(Frame::data), encoder))
@@ -236,6 +242,10 @@
             let changed = stream.changed();
             tokio::pin!(changed);
             changed.as_mut().enable();
+            if let Some(pause) = self.stall(&stream) {
+                tokio::time::sleep(pause).await;
+                self.stalled = true;
+            }
             let (bytes, aborted) =
                 stream.read(|o| (self.encode(&stream, &o.tokens, o.end), o.aborted));
             if !bytes.is_empty() {
@@ -256,7 +266,10 @@
         let mut out = String::new();
         while self.next < tokens.len() {
             self.encode_token(stream, tokens, &mut out);
-            if self.is_frozen(stream) || self.is_disconnected(stream) {
+            if self.is_frozen(stream)
+                || self.is_disconnected(stream)
+                || self.stall(stream).is_some()
+            {
                 return out;
             }
         }
@@ -296,6 +309,18 @@
         stream.fault.is_some_and(|f| f.kind == Kind::Freeze && self.next as u64 >= f.at)
     }
 
+    /// The pause that is due before the next event.
+    fn stall(&self, stream: &Stream) -> Option<Duration> {
+        match stream.fault {
+            Some(Fault { kind: Kind::Stall(ms), at, .. })
+                if !self.stalled && self.next as u64 >= at =>
+            {
+                Some(Duration::from_millis(ms))
+            }
+            _ => None,
+        }
+    }
+
     fn is_disconnected(&self, stream: &Stream) -> bool {
         let disconnects = |f: Fault| matches!(f.kind, Kind::Disconnect | Kind::LoseResponse);
         stream.fault.is_some_and(|f| disconnects(f) && self.next as u64 >= f.at)
--- a/standin/src/fault.rs
+++ b/standin/src/fault.rs
@@ -8,6 +8,10 @@
 pub enum Kind {
     /// No more events are sent, and the connection stays open.
     Freeze,
+    /// No more events are sent for this many milliseconds; then the stream goes on.
+    Stall(u64),
+    /// The request runs, and the response begins only after this many milliseconds.
+    DelayResponse(u64),
     /// The connection is closed.
     #[serde(rename = "cut")]
     Disconnect,
