--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -12,6 +12,7 @@
 use foldlock_base::prelude::*;
 use foldlock_connection::events::Event as Part;
 use foldlock_request::decision::Decision;
+use futures::TryFutureExt as _;
 
 use crate::engines::EngineQuery;
 use crate::gate::{self, Placement};
@@ -36,8 +37,6 @@
     },
     /// The answer broke off; the reason.
     Broken(String),
-    /// The first token is overdue and another engine is predicted to be faster; the reason.
-    Slow(String),
     /// The deadline passed.
     Deadline,
     /// The caller disconnected.
@@ -122,23 +121,19 @@
     progress: &mut Progress,
 ) -> Result<Source, End> {
     let suspect = Suspect::first(&placement);
-    let order = job.order(progress);
-    let begun = source::begin(job, placement, order);
+    let begun = source::begin(job, placement, job.order(progress));
+    let begun = begun.map_err(|failed| failed.end);
     tokio::pin!(begun);
-    loop {
-        let wait = suspect.timeout(job);
-        tokio::select! {
-            begun = begun.as_mut() => return begun.map_err(|failed| failed.end),
-            () = sink.caller_gone() => return Err(End::Gone),
-            () = tokio::time::sleep(wait) => {}
-        }
-        if job.left().is_zero() {
-            return Err(End::Deadline);
-        }
-        if may_repeat(&job.policy, progress, false) && suspect.is_overdue(job, progress) {
-            job.process.engines.on_silence(suspect.engine());
-            return Err(End::Slow("the first token is overdue".to_owned()));
+    match contest::next(job, begun, &suspect, sink, progress).await {
+        Next::Events(source) => Ok(source),
+        Next::Superseded(other) => {
+            job.record(Decision::Moved {
+                from: suspect.engine().clone(),
+                why: "another engine began to respond first".to_owned(),
+            });
+            Ok(*other)
         }
+        Next::End(end) => Err(end),
     }
 }
 
--- a/daemon/src/attempt/contest.rs
+++ b/daemon/src/attempt/contest.rs
@@ -263,6 +263,8 @@
 /// Records the failure of an attempt beside the first one.
 fn record_failed(failed: Failed, progress: &mut Progress) {
     progress.another_ran |= !matches!(failed.end, End::NotRun { .. } | End::NotConnected(_));
-    progress.open.retain(|engine| *engine != failed.engine);
+    if let Some(at) = progress.open.iter().rposition(|engine| *engine == failed.engine) {
+        progress.open.remove(at);
+    }
     progress.avoid(&failed.engine);
 }
--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -52,8 +52,9 @@
     pub policy: &'a Policy,
     /// Engines on which earlier attempts failed.
     pub avoid: &'a [id::Upstream],
-    /// Engines that are not chosen, as the request has an open attempt there.
-    pub exclude: &'a [id::Upstream],
+    /// Engines with an open attempt of the request: they are chosen if there are no others, as the connection of that
+    /// attempt may hang.
+    pub open: &'a [id::Upstream],
 }
 
 /// Result of choosing an engine.
@@ -272,13 +273,14 @@
     }
 
     /// Whether another engine may take the request and is predicted to produce its first token
-    /// within `seconds`.
+    /// within `seconds`. If the request has an open attempt at each of them, nothing is predicted: their overdue first
+    /// tokens are those of the request itself.
     pub fn has_faster(&self, query: &EngineQuery<'_>, than: &id::Upstream, seconds: f64) -> bool {
         let candidates = self.candidates(query);
         let others = candidates.iter().filter(|c| c.engine != *than);
         others
             .filter(|c| c.blocked_by(&query.requirements).is_none())
-            .any(|c| c.predict(&query.requirements) < seconds)
+            .any(|c| query.open.contains(&c.engine) || c.predict(&query.requirements) < seconds)
     }
 
     /// Assigns the request to an engine that another VM chose. `None` if it cannot be used here.
@@ -391,10 +393,9 @@
             .filter(|(_, l)| l.entry.models.contains(query.model))
             .filter(|(_, l)| query.requirements.memory.0 <= l.entry.memory_tokens)
             .filter(|(_, l)| !l.is_leaving(now))
-            .filter(|(id, _)| !query.exclude.contains(id))
             .collect();
         let rank = |(id, l): &(&id::Upstream, &Local)| {
-            (query.avoid.contains(id), !l.health.is_usable(now))
+            (query.open.contains(id), query.avoid.contains(id), !l.health.is_usable(now))
         };
         let Some(best) = serving.iter().map(rank).min() else { return Vec::new() };
         serving.iter().filter(|s| rank(s) == best).map(|(id, _)| *id).collect()
--- a/daemon/src/gate.rs
+++ b/daemon/src/gate.rs
@@ -181,7 +181,7 @@
         blocks: &job.blocks,
         policy: &job.policy,
         avoid: &progress.avoid,
-        exclude: &progress.open,
+        open: &progress.open,
     }
 }
 
--- a/daemon/src/group.rs
+++ b/daemon/src/group.rs
@@ -156,7 +156,7 @@
         blocks: &[],
         policy: &job.policy,
         avoid: &[],
-        exclude: &[],
+        open: &[],
     };
     job.process.engines.assign(&query, &segment.engine)
 }
@@ -244,7 +244,7 @@
         blocks: &[],
         policy: &policy,
         avoid: &ask.avoid,
-        exclude: &[],
+        open: &[],
     };
     process.engines.merge_states(&process.home.states(&shard.engines, &process.config.vm));
     let mut candidates = process.engines.candidates(&query);
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -249,11 +249,10 @@
     progress: &mut Progress,
     claim: &mut Option<KeyClaim>,
 ) -> Result<Proof, Error> {
-    let moved = matches!(end, End::Slow(_));
     let (proof, why) = match end {
         End::NotConnected(why) => (attempt.refused(Refusal::not_connected()), why),
         End::NotRun { proof, why } => (attempt.refused(proof), why),
-        End::Broken(why) | End::Slow(why) => (attempt.unknown(), why),
+        End::Broken(why) => (attempt.unknown(), why),
         End::Finished | End::Deadline | End::Gone => unreachable!("these end the request"),
     };
     let not_run = matches!(proof, Proof::NotRun(_));
@@ -271,10 +270,6 @@
     }
     progress.avoid(engine);
     job.process.metrics.retries.inc();
-    job.record(if moved {
-        Decision::Moved { from: engine.clone(), why }
-    } else {
-        Decision::Retried { upstream: engine.clone(), why }
-    });
+    job.record(Decision::Retried { upstream: engine.clone(), why });
     Ok(proof)
 }
--- a/daemon/tests/silence.rs
+++ b/daemon/tests/silence.rs
@@ -70,7 +70,9 @@
         idempotency_key: Some("k".to_owned()),
         ..streamed_request(prompt(100), 30)
     };
-    assert_waits(paid_plan(), &request, PAUSE, 6).await;
+    for at in [0, 6] {
+        assert_waits(paid_plan(), &request, PAUSE, at).await;
+    }
 }
 
 /// Guards against a cut of an answer that may not be resumed, streamed or not.
@@ -82,6 +84,16 @@
     }
 }
 
+/// Guards against an attempt that ends before the first token although no retry is granted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_first_token_is_late_goes_on_without_a_retry_budget() {
+    let request = streamed_request(prompt(100), 30);
+    for kind in [PAUSE, Kind::DelayResponse(2_500)] {
+        let plan = with_policy(json!({ "retry_budget_percent": 0 }));
+        assert_waits(plan, &request, kind, 0).await;
+    }
+}
+
 /// Sends a request to a fleet whose engines have a fault, and calls `then` once one of them has begun to run it; gets the
 /// other engines.
 async fn send_with(
@@ -102,17 +114,19 @@
 /// Guards against an attempt that ends before the engine that replaces it has accepted the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_attempt_goes_on_if_the_engines_asked_meanwhile_reject_the_request() {
-    let fleet = Fleet::start(plan()).await;
-    inject(&fleet, PAUSE, 6, 1);
-    let request = streamed_request(prompt(100), 30);
-    let answer = send_with(&fleet, &request, async |others| {
-        for other in others {
-            other.engine.add_fault(Fault { kind: Kind::Refuse, at: 0, count: 9 });
-        }
-    })
-    .await;
-    assert_complete(&answer, &request);
-    assert_memory_free(&fleet).await;
+    for (kind, at) in [(PAUSE, 0), (Kind::DelayResponse(2_500), 0), (PAUSE, 6)] {
+        let fleet = Fleet::start(plan()).await;
+        inject(&fleet, kind, at, 1);
+        let request = streamed_request(prompt(100), 30);
+        let answer = send_with(&fleet, &request, async |others| {
+            for other in others {
+                other.engine.add_fault(Fault { kind: Kind::Refuse, at: 0, count: 9 });
+            }
+        })
+        .await;
+        assert_complete(&answer, &request);
+        assert_memory_free(&fleet).await;
+    }
 }
 
 /// Guards against a second attempt that keeps its memory once the silent engine goes on.
@@ -150,6 +164,7 @@
         // 2 s or 0.75 s, and another 0.75 s for an engine that does not begin.
         let pause = answer.longest_gap.max(answer.first_token.unwrap_or_default());
         assert!(pause < Duration::from_millis(2_750) + SLACK, "{answer:?}");
+        assert!(runs(&fleet) <= 3, "more than the two retries of the settings");
         assert_memory_free(&fleet).await;
     }
 }
@@ -169,3 +184,14 @@
         assert_memory_free(&fleet).await;
     }
 }
+
+/// Guards against a wait to the deadline where only the connection to the only engine hangs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_hangs_at_the_only_engine_is_resumed_there() {
+    let fleet = Fleet::start(Plan { engines: 1, ..plan() }).await;
+    inject(&fleet, Kind::Freeze, 6, 1);
+    let request = streamed_request(prompt(100), 30);
+    assert_complete(&send(&fleet, 0, &request).await, &request);
+    assert_eq!(runs(&fleet), 2);
+    assert_memory_free(&fleet).await;
+}
