--- a/daemon/tests/silent_upstreams.rs
+++ b/daemon/tests/silent_upstreams.rs
@@ -181,7 +181,6 @@
             (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
         let mut fleet = json!({
             "ready": free(), "peers": free(), "directory": directory.to_string(), "stop_ms": 8_000,
-            "repeat_window_ms": 10_000,
         });
         fleet.as_object_mut().unwrap().extend(limits.as_object().unwrap().clone());
         let content = json!({
@@ -316,7 +315,7 @@
         let id = format!("{vm}-{number}-{}", outcomes.len());
         let is_short = !is_stream && rng.random_bool(0.2);
         let deadline = Duration::from_millis(if is_short { 600 } else { 9_000 });
-        let prompt = if bursts.is_none() && rng.random_bool(0.3) { LONG_PROMPT } else { 1_000 };
+        let prompt = if rng.random_bool(0.3) { LONG_PROMPT } else { 1_000 };
         let path = format!("/{route}/{id}");
         let (sent, time, parts, body) = (Instant::now(), deadline, &["a0"][..], &b"the body"[..]);
         let call = Call { id: &id, vm, path: &path, key: KEY, time, prompt, parts, body };
@@ -493,7 +492,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_request_is_cut_by_silences_with_admission_by_timeout() {
     let limits = json!({
-        "repeat_ratio": 0.1, "repeat_slack": 3.0, "scheduling": {"admission": "timeout"},
+        "repeat_ratio": 0.1, "repeat_slack": 3.0, "repeat_window_ms": 10_000,
+        "scheduling": {"admission": "timeout"},
     });
     check("timeout", limits).await;
 }
@@ -502,7 +502,18 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_request_is_cut_by_silences_with_admission_by_forecast() {
     let limits = json!({
-        "repeat_ratio": 0.2, "repeat_slack": 100.0, "scheduling": {"admission": "forecast"},
+        "repeat_ratio": 0.2, "repeat_slack": 100.0, "repeat_window_ms": 10_000,
+        "scheduling": {"admission": "forecast"},
     });
     check("forecast", limits).await;
 }
+
+/// Guards against streams of divided prompts that end while their engines leave report requests unanswered.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_cut_by_silences_where_memory_must_be_released_sooner() {
+    let limits = json!({
+        "repeat_ratio": 0.2, "repeat_slack": 100.0, "repeat_window_ms": 1_000,
+        "memory_release_ms": 2_000, "scheduling": {"admission": "forecast"},
+    });
+    check("release", limits).await;
+}
