--- a/connection/src/engine.rs
+++ b/connection/src/engine.rs
@@ -188,12 +188,14 @@
     /// Reads the load report.
     fn report(&self) -> impl Future<Output = Result<Report, Failure>> + Send;
 
-    /// Reserves memory for `ttl`. A further call with the same id renews the reservation.
+    /// Reserves memory for `ttl`, and waits for the response for `timeout`. A further call with the same id renews the
+    /// reservation.
     fn reserve(
         &self,
         hold: &id::Reservation,
         tokens: Tokens,
         ttl: Duration,
+        timeout: Duration,
     ) -> impl Future<Output = Result<(), Failure>> + Send;
 
     /// Releases a reservation.
@@ -221,8 +223,8 @@
     body: Incoming,
 }
 
-/// Timeout of calls other than generation and prefill.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of calls other than generation, prefill and renewals of reservations.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 impl HttpEngine {
     /// Creates a client of the engine at `address` (`IP:port`).
@@ -368,9 +370,11 @@
         hold: &id::Reservation,
         tokens: Tokens,
         ttl: Duration,
+        timeout: Duration,
     ) -> Result<(), Failure> {
         let path = format!("/v1/holds/{hold}?tokens={tokens}&ttl_ms={}", ttl.as_millis());
-        self.call(self.request(Method::PUT, &path), Bytes::new()).await.map(drop)
+        let request = build(self.request(Method::PUT, &path), Bytes::new())?;
+        check_status(self.client.call(request, timeout).await?).map(drop)
     }
 
     async fn release(&self, hold: &id::Reservation) -> Result<(), Failure> {
--- a/daemon/src/group.rs
+++ b/daemon/src/group.rs
@@ -17,6 +17,9 @@
 use foldlock_request::decision::Decision;
 use foldlock_request::route::{Candidate, Requirements, Routes};
 use foldlock_version::policy::{Policy, Route};
+use futures::StreamExt as _;
+use futures::stream::FuturesUnordered;
+use tokio::time::MissedTickBehavior;
 
 use crate::engines::{EngineQuery, Flight};
 use crate::gate::{Placement, Rejection, request_grant};
@@ -161,11 +164,20 @@
     job.process.engines.assign(&query, &segment.engine)
 }
 
+/// Renews all reservations at an interval. No renewal waits for another one, nor ends before its engine may have answered: a
+/// silent engine renews the reservation once it reads the call, and delays no other.
 async fn renew(reservations: Vec<(HttpEngine, id::Reservation)>) {
+    let mut interval = tokio::time::interval(RENEW_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    interval.reset();
+    // At most one for each interval within the TTL and reservation.
+    let mut calls = FuturesUnordered::new();
     loop {
-        tokio::time::sleep(RENEW_INTERVAL).await;
-        for (engine, reservation) in &reservations {
-            let _ = engine.reserve(reservation, Tokens(0), RESERVATION_TTL).await;
+        tokio::select! {
+            _ = interval.tick() => calls.extend(reservations.iter().map(|(engine, reservation)| {
+                engine.reserve(reservation, Tokens(0), RESERVATION_TTL, RESERVATION_TTL)
+            })),
+            Some(_) = calls.next(), if !calls.is_empty() => {}
         }
     }
 }
@@ -327,7 +339,9 @@
         else {
             break;
         };
-        if engine.reserve(reservation, segment.tokens, RESERVATION_TTL).await.is_err() {
+        let call =
+            engine.reserve(reservation, segment.tokens, RESERVATION_TTL, engine::CALL_TIMEOUT);
+        if call.await.is_err() {
             break;
         }
         reserved.push((engine, reservation.clone()));
--- a/daemon/tests/silence.rs
+++ b/daemon/tests/silence.rs
@@ -195,3 +195,27 @@
     assert_eq!(runs(&fleet), 2);
     assert_memory_free(&fleet).await;
 }
+
+/// Guards against reservations of a group that expire since renewals waited for silent engines, or were given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_reservations_of_a_group_outlast_a_silence_of_its_engines() {
+    let mut plan = plan();
+    plan.engine.memory = 8_000;
+    // A segment is read in 0.8 s, so that six of them take longer than the silence and the time to expiry of 3 s.
+    plan.engine.speed = 0.5;
+    let fleet = Fleet::start(Plan { engines: 18, policy: json!({ "retries": 0 }), ..plan }).await;
+    let reserved = || fleet.engines.iter().filter(|e| e.engine.stats().reserved > 0).count();
+    let request = streamed_request(prompt(40_000), 5);
+    let silence = async {
+        wait_for("a group to be reserved", async || reserved() >= 6).await;
+        fleet.engines.iter().for_each(|e| e.engine.pause(Duration::from_millis(2_500)));
+        let paused = Instant::now();
+        while paused.elapsed() < Duration::from_millis(3_500) {
+            assert!(reserved() >= 6, "{} left after {:?}", reserved(), paused.elapsed());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let (answer, ()) = tokio::join!(send(&fleet, 0, &request), silence);
+    assert_complete(&answer, &request);
+    assert_memory_free(&fleet).await;
+}
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -189,6 +189,7 @@
     memory: Mutex<Memory>,
     models: Mutex<Vec<String>>,
     speed: Mutex<f64>,
+    paused_until: Mutex<Instant>,
     work: Notify,
     boot_id: u64,
 }
@@ -201,6 +202,7 @@
             memory: Mutex::new(Memory::new(settings.memory)),
             models: Mutex::new(settings.models.clone()),
             speed: Mutex::new(settings.speed),
+            paused_until: Mutex::new(Instant::now()),
             settings,
             work: Notify::new(),
             boot_id: rand::random(),
@@ -382,6 +384,17 @@
         self.state.lock().unwrap().faults.push_back(fault);
     }
 
+    /// Answers no call for `pause`. What has begun to run goes on.
+    pub fn pause(&self, pause: Duration) {
+        *self.paused_until.lock().unwrap() = Instant::now() + pause;
+    }
+
+    /// Waits for the end of a pause.
+    pub async fn resumed(&self) {
+        let until = *self.paused_until.lock().unwrap();
+        tokio::time::sleep_until(until.into()).await;
+    }
+
     /// Removes the faults that have not been injected yet.
     pub fn clear_faults(&self) {
         self.state.lock().unwrap().faults.clear();
--- a/standin/src/engine_http.rs
+++ b/standin/src/engine_http.rs
@@ -55,6 +55,9 @@
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let segments: Vec<&str> = path.split('/').skip(1).collect();
+    if !path.starts_with("/admin") {
+        engine.resumed().await;
+    }
     match (&method, segments.as_slice()) {
         (&Method::POST, ["v1", "generate"]) => generate(engine, request).await,
         (&Method::POST, ["v1", "prefill"]) => prefill(engine, request).await,
