Engines: probe connections, as a silent stream now waits for its engine

If the engine's machine is gone without a reset, nothing would tell. Cause: the HTTP client for completions, chat and plain services set no TCP keep-alive, unlike the connections of the fleet's way of serving.

Fix: the same probes (1 s, three unanswered), for the client of a process that serves from the key-value service; a silent process answers them, as its kernel does, a dead machine does not. The fleet's clients are unchanged. That a connection without answers ends was not tested: it needs a link that drops packets.

--- a/connection/src/http.rs
+++ b/connection/src/http.rs
@@ -11,6 +11,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::keepalive;
+
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,7 +52,22 @@
 
 impl Default for Client {
     fn default() -> Self {
+        Client::new(HttpConnector::new())
+    }
+}
+
+impl Client {
+    /// A client for upstreams whose responses may be silent for longer than any timeout: a connection whose other end is gone
+    /// is closed by TCP keep-alive, while one to a silent process stays open.
+    pub fn with_keepalive() -> Client {
         let mut connector = HttpConnector::new();
+        connector.set_keepalive(Some(keepalive::INTERVAL));
+        connector.set_keepalive_interval(Some(keepalive::INTERVAL));
+        connector.set_keepalive_retries(Some(keepalive::PROBES));
+        Client::new(connector)
+    }
+
+    fn new(mut connector: HttpConnector) -> Client {
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let pool = Pool::builder(TokioExecutor::new())
@@ -61,9 +78,7 @@
             .build(connector);
         Client { pool }
     }
-}
 
-impl Client {
     /// Sends a request and returns the response once its headers have been received.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
         self.pool.request(request).await.map_err(|e| {
--- a/connection/src/keepalive.rs
+++ b/connection/src/keepalive.rs
@@ -9,10 +9,10 @@
 use tokio::net::TcpStream;
 
 /// Idle time after which the first probe is sent, and the interval between probes.
-const INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Unanswered probes after which the connection is closed: links may lose one packet in three.
-const PROBES: u32 = 3;
+pub(crate) const PROBES: u32 = 3;
 
 /// Enables keep-alive probes. `TCP_USER_TIMEOUT` is not set: it would also close connections to upstreams that are alive
 /// but read slowly.
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -128,7 +128,7 @@
 impl Process {
     fn new(config: Config, log: Logger, control: std::net::SocketAddr) -> Process {
         let clock = System;
-        let client = Client::default();
+        let client = Client::with_keepalive();
         let store = HttpStore::new(client.clone(), &config.kv.to_string());
         let own = Member {
             vm: config.vm.clone(),
