Forecast: requests that are overdue after a silence end next

Callers were rejected with a Retry-After of up to 82 s while the engines stood still for 1.2 s at half load, and for a moment after: "all upstreams are at capacity, the forecast wait is ... ms". The caller's time is 8 s, and capacity was back within a second.

Where the rate of a service is not measured yet, it is expected to be that of the requests granted one residence time before, as these end now (Departures, against forecasts that are too short after a sudden rise). In a silence nothing ends, so nothing is granted, and a residence time later nothing seems to end: an expected rate near zero.

While requests are queued all slots are taken. Those of them that were not granted in the last residence time are overdue and end next. Their number is the largest number of grants in a residence time, less the recent ones, less the variation of such a count. After a sudden rise nearly all were granted recently, so nothing is overdue and that forecast is as before.

--- a/request/src/scheduler/throughput.rs
+++ b/request/src/scheduler/throughput.rs
@@ -232,7 +232,29 @@
             *at + SEGMENT > begin && *at < begin + Departures::HORIZON.min(residence)
         });
         let count: u32 = ending.map(|(_, count)| count).sum();
-        Some(f64::from(count) / Departures::HORIZON.min(residence).as_secs_f64())
+        let count = f64::from(count) + self.overdue(residence, begin);
+        Some(count / Departures::HORIZON.min(residence).as_secs_f64())
+    }
+
+    /// Requests that should have ended before, as their engines stood still for a while. While requests are queued, all
+    /// slots are taken; those that were not granted since `begin` are overdue, and end next.
+    fn overdue(&self, residence: Duration, begin: Instant) -> f64 {
+        let (mut in_flight, mut most) = (0, 0);
+        let mut oldest = self.granted.iter();
+        let mut next = oldest.next();
+        for (at, count) in &self.granted {
+            in_flight += count;
+            while let Some((_, ended)) = next.filter(|(old, _)| *old + residence <= *at) {
+                in_flight -= ended;
+                next = oldest.next();
+            }
+            most = most.max(in_flight);
+        }
+        let recent = self.granted.iter().filter(|(at, _)| *at > begin);
+        let recent: u32 = recent.map(|(_, count)| count).sum();
+        // The number of grants in a time varies by about its root.
+        let variation = 2.0 * f64::from(most).sqrt();
+        (f64::from(most) - f64::from(recent) - variation).max(0.0)
     }
 }
 
--- a/request/tests/admission.rs
+++ b/request/tests/admission.rs
@@ -333,3 +333,24 @@
     assert!((190.0..230.0).contains(&rate(6_000)), "{}", rate(6_000));
     assert_eq!(departures.rate(Duration::MAX, at(6_000)), None);
 }
+
+/// Guards against forecasts of tens of seconds, and rejections by them, during a silence of the engines and after it: nothing
+/// was granted in that time, so nothing seemed to end a residence time later.
+#[test]
+fn departures_go_on_after_engines_stood_still() {
+    for residence in [600, 2_400] {
+        let start = Instant::now();
+        let mut departures = Departures::default();
+        // 50 grants a second, but none from 4.0 to 5.2 s.
+        let is_silent = |at: u64| (4_000..5_200).contains(&at);
+        for at in (0..10_000).step_by(20) {
+            if !is_silent(at) {
+                departures.record_grant(start + ms(at));
+            }
+            if at >= residence + 100 {
+                let rate = departures.rate(ms(residence), start + ms(at)).unwrap();
+                assert!((20.0..100.0).contains(&rate), "{rate} at {at} ms, {residence} ms");
+            }
+        }
+    }
+}
