--- a/daemon/src/engines.rs
+++ b/daemon/src/engines.rs
@@ -52,6 +52,9 @@
     pub policy: &'a Policy,
     /// Engines on which earlier attempts failed.
     pub avoid: &'a [id::Upstream],
+    /// Engines with an open attempt of the request: they are chosen if there are no others, as the connection of that
+    /// attempt may hang.
+    pub open: &'a [id::Upstream],
 }
 
 /// Result of choosing an engine.
@@ -221,6 +224,22 @@
         leaving.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Records that an engine sends nothing, which is evidence of a failure.
+    pub fn on_silence(&self, engine: &id::Upstream) {
+        let now = self.clock.now();
+        self.update(engine, |local| local.health.on_failure(now));
+    }
+
+    /// Records that an engine sends events again.
+    pub fn on_events(&self, engine: &id::Upstream) {
+        self.update(engine, |local| local.health.on_success());
+    }
+
+    /// Records that another engine went on with the answer of a silent one, whose prefix cache may be lost.
+    pub fn on_superseded(&self, engine: &id::Upstream) {
+        self.update(engine, |local| local.affinity.clear());
+    }
+
     /// Chooses an engine and counts the request as load on it.
     pub fn choose(self: &Arc<Self>, query: &EngineQuery<'_>) -> Chosen<C> {
         let now = self.clock.now();
@@ -254,13 +273,14 @@
     }
 
     /// Whether another engine may take the request and is predicted to produce its first token
-    /// within `seconds`.
+    /// within `seconds`. If the request has an open attempt at each of them, nothing is predicted: their overdue first
+    /// tokens are those of the request itself.
     pub fn has_faster(&self, query: &EngineQuery<'_>, than: &id::Upstream, seconds: f64) -> bool {
         let candidates = self.candidates(query);
         let others = candidates.iter().filter(|c| c.engine != *than);
         others
             .filter(|c| c.blocked_by(&query.requirements).is_none())
-            .any(|c| c.predict(&query.requirements) < seconds)
+            .any(|c| query.open.contains(&c.engine) || c.predict(&query.requirements) < seconds)
     }
 
     /// Assigns the request to an engine that another VM chose. `None` if it cannot be used here.
@@ -375,7 +395,7 @@
             .filter(|(_, l)| !l.is_leaving(now))
             .collect();
         let rank = |(id, l): &(&id::Upstream, &Local)| {
-            (query.avoid.contains(id), !l.health.is_usable(now))
+            (query.open.contains(id), query.avoid.contains(id), !l.health.is_usable(now))
         };
         let Some(best) = serving.iter().map(rank).min() else { return Vec::new() };
         serving.iter().filter(|s| rank(s) == best).map(|(id, _)| *id).collect()
