Liveness: ask engines for reports after their entries are removed

Callers of divided prompts lost their responses when the entries of the engines were removed while they read: an engine without an entry was not asked for reports, so its reservations were not renewed and expired. Engines serve on after their entries are gone.

They are asked by the entry that they had when the attempt began, unless they have requested a backoff.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -32,6 +32,8 @@
     upstream: id::Upstream,
     /// The incarnation that the attempt is sent to.
     incarnation: Tag,
+    /// Its entry, with which it is asked after the entry is removed: engines serve on after that.
+    listed: Option<Listed>,
 }
 
 /// What the poller of an attempt and its renewals tell each other.
@@ -62,8 +64,7 @@
     /// Whether a helper reports that a request uses the memory. The reservations are filled in turn.
     async fn is_used<D: Dialect>(&self, process: &Arc<Process<D>>) -> bool {
         let Some(first) = self.reservations.get().and_then(|r| r.first()) else { return false };
-        let incarnation = notices::incarnation(process, &first.upstream);
-        let helper = Target { upstream: first.upstream.clone(), incarnation };
+        let helper = Target::new(process, &first.upstream);
         let (reply, fetched) = helper.poll(process, self.interval).await;
         process.metrics.count_liveness_reply(reply);
         fetched.is_some_and(|fetched| state(&fetched, first) == State::Used)
@@ -172,10 +173,7 @@
         let liveness = Liveness::new(timeout, now);
         let usage = Usage::new(timeout, predicted, flight.helpers.len());
         let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
-        let target = |upstream: &id::Upstream| Target {
-            upstream: upstream.clone(),
-            incarnation: notices::incarnation(&job.process, upstream),
-        };
+        let target = |upstream| Target::new(&job.process, upstream);
         let engine = |upstream| Engine { target: target(upstream), liveness, last: Reply::Report };
         let engines = std::iter::once(&flight.upstream).chain(helpers).map(engine).collect();
         let shared = Arc::new(Shared {
@@ -294,24 +292,26 @@
 }
 
 impl Target {
+    fn new<D: Dialect>(process: &Process<D>, upstream: &id::Upstream) -> Target {
+        let incarnation = notices::incarnation(process, upstream);
+        let mut target = Target { upstream: upstream.clone(), incarnation, listed: None };
+        target.listed = target.entry(process).map(|(listed, _)| listed);
+        target
+    }
+
     /// Requests one report, which takes at most `timeout`. Returns it if it is evidence.
     async fn poll<D: Dialect>(
         &self,
         process: &Arc<Process<D>>,
         timeout: Duration,
     ) -> (Reply, Option<Fetched>) {
-        let Some((listed, _)) = self.entry(process) else { return (Reply::Inconclusive, None) };
+        let Some(listed) = self.listing(process) else { return (Reply::Inconclusive, None) };
         let fetch = reports::fetch(process.clone(), listed);
         let Ok(result) = tokio::time::timeout(timeout, fetch).await else {
             return (Reply::Unanswered, None);
         };
-        match self.entry(process) {
-            // It was removed from the directory.
-            None => return (Reply::Inconclusive, None),
-            Some((_, incarnation)) if incarnation != self.incarnation => {
-                return (Reply::Restarted, None);
-            }
-            Some(_) => {}
+        if self.entry(process).is_some_and(|(_, incarnation)| incarnation != self.incarnation) {
+            return (Reply::Restarted, None);
         }
         match result {
             Some(Ok(fetched)) => (Reply::Report, Some(fetched)),
@@ -320,6 +320,16 @@
         }
     }
 
+    /// The engine as it is listed now, or was; none if it must not be asked.
+    fn listing<D: Dialect>(&self, process: &Process<D>) -> Option<Listed> {
+        if let Some((listed, _)) = self.entry(process) {
+            return Some(listed);
+        }
+        let backoffs = process.backoffs.lock().unwrap();
+        let remaining = backoffs.remaining(self.incarnation, process.moment());
+        self.listed.clone().filter(|_| remaining.is_none())
+    }
+
     /// The engine as it is listed now, with its incarnation.
     fn entry<D: Dialect>(&self, process: &Process<D>) -> Option<(Listed, Tag)> {
         let cluster = process.cluster.lock().unwrap();
