--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -167,8 +167,8 @@
     KeptEnginesChanged = 524, Info;
     /// A request was sent to an upstream through a peer, as this VM cannot connect to it.
     Tunnelled = 525, Info;
-    /// An upstream sends nothing. Its reports decide whether the attempt at a divided prompt goes on; a stream stays open while
-    /// another upstream is asked to resume it.
+    /// An upstream sends nothing, before its response or in the middle of a stream. Its reports decide whether the attempt at a
+    /// divided prompt goes on; other attempts go on while another upstream is asked for.
     EngineSilent = 530, Info;
     /// Attempts put an engine in doubt: its report is requested until they are in time again.
     EngineDoubted = 531, Info;
--- a/daemon/src/attempt/contest.rs
+++ b/daemon/src/attempt/contest.rs
@@ -257,7 +257,11 @@
     progress.on_sent();
     progress.open.push(placement.engine().clone());
     job.process.metrics.retries.inc();
-    job.record(Decision::Retried { upstream: suspect.engine().clone(), why: why(job, since) });
+    job.record(Decision::Retried {
+        upstream: suspect.engine().clone(),
+        why: why(job, since),
+        silent_ms: Some(millis(elapsed(job, since))),
+    });
 }
 
 /// Records the failure of an attempt beside the first one.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -5,6 +5,7 @@
 //! entries. A request passes through [`callers`], [`serve`], [`admit`], [`queue`] (placement),
 //! [`attempt`] and, if its response is a stream, [`events`].
 
+pub mod activity;
 pub mod admit;
 pub mod affiliation;
 pub mod announce;
--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -18,6 +18,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 
+use crate::fleet::activity;
 use crate::fleet::job::Job;
 use crate::fleet::outcome;
 use crate::fleet::process::Process;
@@ -89,6 +90,7 @@
         arrived,
         deadline,
         due,
+        activity: activity::Log::default(),
         entry,
     };
     let timeout_ms = timeout.as_millis() as u64;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -23,6 +23,7 @@
 use hyper::header;
 use hyper::{Request, Response, StatusCode, Uri};
 
+use crate::fleet::activity::Activity;
 use crate::fleet::answer::{self, Body};
 use crate::fleet::crash::Interrupted;
 use crate::fleet::crash_sync;
@@ -31,7 +32,7 @@
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
 use crate::fleet::job::Job;
 use crate::fleet::liveness::{self, Evidence, Poller};
-use crate::fleet::metrics::Sent;
+use crate::fleet::metrics::{OpenSilence, Phase, Sent, Silence};
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, record_failure};
 use crate::fleet::process::Guard;
@@ -92,6 +93,21 @@
     },
 }
 
+impl<D: Dialect> End<D> {
+    /// Whether the upstream responded.
+    pub fn is_response(&self) -> bool {
+        matches!(self, End::Complete(_) | End::Streaming(_))
+    }
+}
+
+/// What the upstream is expected to send.
+fn phase<D: Dialect>(job: &Job<D>) -> Phase {
+    match job.route.delivery {
+        Delivery::Complete => Phase::Whole,
+        Delivery::Streaming { .. } => Phase::FirstEvent,
+    }
+}
+
 /// Sends the request to its placement and waits for the response or its first events.
 ///
 /// After the response timeout another placement is requested. The attempt goes on until there is one: its upstream may be
@@ -112,18 +128,30 @@
     let has_reservations = grant.placement.flight.has_reservations();
     let may_have_failed_path = history.ran > 0 || history.unsent > 0;
     let connection = if may_have_failed_path { Connection::New } else { Connection::Any };
-    let attempt = run_to_end(job, grant, last_event, poller, connection);
+    let activity = job.activity.begin(upstream.clone());
+    let attempt = run_to_end(job, grant, last_event, poller, connection, activity.clone());
     tokio::pin!(attempt);
     let began = job.process.now();
     let mut until = job.deadline.min(began + timeout);
     let mut pause = timeout;
+    let mut silence: Option<OpenSilence> = None;
     loop {
         tokio::select! {
             // A response that is complete by now is delivered, whatever else happened at the same moment.
             biased;
-            end = &mut attempt => return end,
+            end = &mut attempt => {
+                if end.is_response() {
+                    silence.iter_mut().for_each(|silence| silence.end(Silence::Continued));
+                }
+                return end;
+            }
             () = tokio::time::sleep_until(until.into()) => {}
         }
+        if silence.is_none() {
+            let elapsed = activity.silence(job.process.now()).unwrap_or_default();
+            outcome::record_silent(job, &upstream, elapsed);
+            silence = Some(OpenSilence::begin(&job.process.metrics, phase(job)));
+        }
         if job.remaining().is_zero() {
             record_failure(job, &upstream, Cause::ServerError);
             return End::Deadline;
@@ -138,7 +166,7 @@
         }
         history.count_run(upstream.clone());
         if retry::may_retry(job, history, false) {
-            history.failure = Some(FailedAttempt { upstream: upstream.clone(), why });
+            history.failure = Some(FailedAttempt::new(job, upstream.clone(), why));
             let is_resuming = history.is_resuming();
             let granted = tokio::select! {
                 biased;
@@ -147,8 +175,14 @@
                 () = tokio::time::sleep_until(job.deadline.into()) => Err(None),
             };
             match granted {
-                Ok(grant) => return End::Superseded(Box::new(grant)),
+                Ok(grant) => {
+                    silence.iter_mut().for_each(|silence| silence.end(Silence::Replaced));
+                    return End::Superseded(Box::new(grant));
+                }
                 Err(Some(end)) => {
+                    if end.is_response() {
+                        silence.iter_mut().for_each(|silence| silence.end(Silence::Continued));
+                    }
                     history.uncount_run();
                     return end;
                 }
@@ -168,12 +202,13 @@
     last_event: Option<u64>,
     mut poller: Option<Poller>,
     connection: Connection,
+    activity: Activity,
 ) -> End<D> {
     let flight = grant.placement.flight.clone();
     let attempt_guard = job.process.begin_attempt(grant.number, flight.clone());
     let incarnation = notices::incarnation(&job.process, &flight.upstream);
     let evidence = poller.as_ref().map(Poller::evidence);
-    let sending = send(job, grant, last_event, attempt_guard, evidence, connection);
+    let sending = send(job, grant, last_event, attempt_guard, evidence, connection, activity);
     tokio::pin!(sending);
     let began = job.process.now();
     let end = tokio::select! {
@@ -229,6 +264,7 @@
     attempt_guard: Guard<D>,
     evidence: Option<Evidence>,
     connection: Connection,
+    activity: Activity,
 ) -> End<D> {
     let placement = &grant.placement;
     let upstream = placement.flight.upstream.clone();
@@ -263,6 +299,7 @@
     let Some(body) = job.body.send() else { return End::Aborted { is_sent: false } };
     let request = build_request(job, body, placement, &reservations.helpers(&grant), last_event);
     let sent = job.process.now();
+    activity.record(sent);
     job.process.metrics.count_upstream_messages(Sent::Request, 1);
     job.process.metrics.count_upstream_messages(Sent::Part, placement.flight.helpers.len());
     let response = match channel.send(request).await {
@@ -275,6 +312,7 @@
             return End::Broken(why);
         }
     };
+    activity.record(job.process.now());
     if channel.via().is_none() {
         dial::record_response(&job.process, &upstream);
     }
@@ -309,6 +347,7 @@
         poller: None,
         pending: Vec::new(),
         predicted_ms: placement.predicted_ms,
+        activity,
         attempt_guard,
         reservations,
         channel,
@@ -432,6 +471,7 @@
         flight,
         incarnation,
         sent,
+        activity,
         attempt_guard: _attempt_guard,
         reservations: _reservations,
         channel,
@@ -440,7 +480,7 @@
         ..
     } = stream;
     let upstream = flight.upstream.clone();
-    let collected = match collect(job, body).await {
+    let collected = match collect(job, body, &activity).await {
         Ok(Some(collected)) => collected,
         Ok(None) => return End::Aborted { is_sent: true },
         Err(e) => {
@@ -474,6 +514,7 @@
 async fn collect<D: Dialect>(
     job: &Job<D>,
     body: Incoming,
+    activity: &Activity,
 ) -> Result<Option<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
     let length = body.size_hint().exact().map(|length| length as usize);
     let mut receiver = job.process.unsent.receive(&job.id, Part::Response, length);
@@ -485,6 +526,7 @@
             frame = body.frame() => frame,
         };
         let Some(frame) = frame.transpose()? else { return Ok(receiver.finish().bytes()) };
+        activity.record(job.process.now());
         if let Some(bytes) = frame.data_ref() {
             outcome::record_dropped(&job.process, receiver.push(bytes));
         }
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -5,7 +5,6 @@
 
 use foldlock_base::prelude::*;
 use foldlock_connection::sse;
-use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::evidence::Pace;
 use foldlock_version::routes::Retry;
@@ -135,7 +134,7 @@
 
 fn record_failed<D: Dialect>(job: &Job<D>, kind: Kind, why: &str) {
     job.process.metrics.count_error(kind);
-    job.record(Decision::Failed { kind, ran: Ran::Yes, why: why.to_owned() });
+    outcome::record_cut(job, kind, why);
 }
 
 /// Relays the events of one upstream.
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -15,6 +15,7 @@
 use foldlock_request::terms::Terms;
 use foldlock_version::routes::{Organisation, Retry, Route, Service};
 
+use crate::fleet::activity;
 use crate::fleet::process::Process;
 use crate::fleet::unsent::Body;
 
@@ -54,6 +55,8 @@
     /// The deadline by a clock that also counts the time for which the machine is suspended, as the
     /// caller's clock does.
     pub due: Moment,
+    /// When its upstreams last sent something.
+    pub activity: activity::Log,
     /// Its record in the decision ring.
     pub entry: Entry,
 }
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -2,6 +2,7 @@
 
 mod labels;
 mod registration;
+mod silences;
 
 use std::time::Duration;
 
@@ -19,9 +20,10 @@
 use crate::metrics::{ByKind, band};
 pub use labels::{
     ByCall, ByDecision, ByDoubt, ByEnding, ByLength, ByLimited, ByPromised, ByReason, ByReply,
-    BySent, BySilence, ByStart, ByStep, ByText, ByTunnel, ByVerdict, Call, Limited, Promised, Sent,
-    Silence, Step, Text, TunnelResult,
+    BySent, BySilence, ByStart, ByStep, ByText, ByTunnel, ByVerdict, Call, Limited, Phase,
+    Promised, Sent, Silence, Step, Text, TunnelResult,
 };
+pub use silences::OpenSilence;
 
 /// The metrics.
 pub struct Metrics {
@@ -52,7 +54,7 @@
     pub suspected_placements: Counter,
     /// Streams resumed at another upstream.
     pub resumed_streams: Counter,
-    /// Silences of upstreams in the middle of streams, by how they ended.
+    /// Silences of upstreams, by what was expected of them and how they ended.
     pub silences: Family<BySilence, Counter>,
     /// Connections opened to upstreams.
     pub connections: Counter,
@@ -245,11 +247,6 @@
         self.startup_seconds.get_or_create(&ByStep { step }).observe(since_start.as_secs_f64());
     }
 
-    /// Counts a silence of an upstream in the middle of a stream.
-    pub fn count_silence(&self, ended: Silence) {
-        self.silences.get_or_create(&BySilence { ended }).inc();
-    }
-
     /// Counts a retry that the retry budget granted or denied.
     pub fn count_retry_decision(&self, granted: bool) {
         let granted = if granted { "true" } else { "false" };
--- a/daemon/src/fleet/metrics/labels.rs
+++ b/daemon/src/fleet/metrics/labels.rs
@@ -196,20 +196,33 @@
     pub kind: &'static str,
 }
 
-/// How the silence of an upstream in the middle of a stream ended.
+/// What an upstream that is silent is expected to send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Phase {
+    /// The first event of a stream.
+    FirstEvent,
+    /// A response that is not a stream.
+    Whole,
+    /// Further events of a stream.
+    Midway,
+}
+
+/// How the silence of an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Silence {
-    /// It sent events again, or ended the stream.
+    /// It responded, sent events again, or ended the stream.
     Continued,
-    /// Another upstream resumed the stream.
-    Resumed,
-    /// The stream was not completed.
+    /// Another upstream responded, or resumed the stream.
+    Replaced,
+    /// The upstream failed, or the request ended without a complete response.
     Failed,
 }
 
 /// Label of a silence.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct BySilence {
+    /// What was expected of the upstream.
+    pub phase: Phase,
     /// How it ended.
     pub ended: Silence,
 }
--- a/daemon/src/fleet/metrics/registration.rs
+++ b/daemon/src/fleet/metrics/registration.rs
@@ -30,7 +30,7 @@
         );
         r.register(
             "silences",
-            "Silences of upstreams in the middle of streams",
+            "Silences of upstreams by phase of the response",
             self.silences.clone(),
         );
         r.register("connections", "Connections opened to upstreams", self.connections.clone());
--- a/daemon/src/fleet/outcome.rs
+++ b/daemon/src/fleet/outcome.rs
@@ -49,6 +49,17 @@
     });
 }
 
+/// Records a silence in the decisions on the request. The attempt goes on.
+pub fn record_silent<D: Dialect>(job: &Job<D>, upstream: &id::Upstream, silence: Duration) {
+    job.record(Decision::Silent {
+        upstream: upstream.clone(),
+        silent_ms: millis(silence),
+        evidence_age_ms: millis(silence),
+        unanswered: 0,
+        ending: None,
+    });
+}
+
 /// Records that an engine of an attempt counts as crashed by its reports. Returns it as the reason for which the attempt ends.
 pub async fn record_crashed<D: Dialect>(
     job: &Arc<Job<D>>,
@@ -79,11 +90,18 @@
         Decision::rejected(&error)
     } else {
         let why = error.message().to_owned();
-        Decision::Failed { kind: error.kind(), ran: error.ran(), why }
+        let silent_ms = job.activity.silence(job.process.now()).map(millis);
+        Decision::Failed { kind: error.kind(), ran: error.ran(), why, silent_ms }
     });
     error
 }
 
+/// Records that a response ended before it was complete.
+pub fn record_cut<D: Dialect>(job: &Job<D>, kind: Kind, why: &str) {
+    let silent_ms = job.activity.silence(job.process.now()).map(millis);
+    job.record(Decision::Failed { kind, ran: Ran::Yes, why: why.to_owned(), silent_ms });
+}
+
 /// Records that a request was rejected as no placement was granted, with the forecast that led to it and the scheduler
 /// that made it. Returns the error.
 pub fn record_rejection<D: Dialect>(
--- a/daemon/src/fleet/resume.rs
+++ b/daemon/src/fleet/resume.rs
@@ -50,7 +50,7 @@
     writer: &Writer,
 ) -> Option<Resumed<D>> {
     let last = last_event?;
-    history.failure = Some(Failure { upstream: from, why });
+    history.failure = Some(Failure::new(job, from, why));
     let mut granted = None;
     loop {
         let grant = match granted.take() {
@@ -113,6 +113,6 @@
             }
         };
         history.excluded.push(from.clone());
-        history.failure = Some(Failure { upstream: from, why });
+        history.failure = Some(Failure::new(job, from, why));
     }
 }
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -1,5 +1,8 @@
 //! The attempts of a request so far, and whether it may be retried.
 
+use std::time::Duration;
+
+use foldlock_base::clock::millis;
 use foldlock_base::prelude::*;
 use foldlock_request::budget::Charge;
 use foldlock_request::decision::Decision;
@@ -25,6 +28,16 @@
     pub upstream: id::Upstream,
     /// Cause of the failure.
     pub why: String,
+    /// Time since the upstream last sent something, or since the request was sent to it; none if it was not.
+    pub silence: Option<Duration>,
+}
+
+impl Failure {
+    /// A failure at this time.
+    pub fn new<D: Dialect>(job: &Job<D>, upstream: id::Upstream, why: String) -> Failure {
+        let silence = job.activity.silence_of(&upstream, job.process.now());
+        Failure { upstream, why, silence }
+    }
 }
 
 /// The attempts of a request so far.
@@ -104,9 +117,9 @@
             job.process.metrics.count_retry_decision(true);
         }
         self.was_granted = true;
-        if let Some(Failure { upstream, why }) = self.failure.take() {
+        if let Some(Failure { upstream, why, silence }) = self.failure.take() {
             job.process.metrics.retries.inc();
-            job.record(Decision::Retried { upstream, why });
+            job.record(Decision::Retried { upstream, why, silent_ms: silence.map(millis) });
         }
     }
 
@@ -119,7 +132,7 @@
             }
             _ => None,
         };
-        if let Some(Failure { upstream, why }) = self.failure.take() {
+        if let Some(Failure { upstream, why, .. }) = self.failure.take() {
             let reason = rejection.to_string();
             job.record(Decision::NotRetried { upstream, why, reason, budget });
         }
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -233,7 +233,7 @@
         ));
     }
     history.excluded.push(upstream.clone());
-    history.failure = Some(Failure { upstream, why });
+    history.failure = Some(Failure::new(job, upstream, why));
     Action::RetryAfter(proof, RESERVATION_RETRY_DELAY)
 }
 
@@ -248,11 +248,11 @@
     history.excluded.push(upstream.clone());
     let not_run = matches!(proof, Proof::NotRun(_));
     if may_retry(job, history, not_run) {
-        history.failure = Some(Failure { upstream, why });
+        history.failure = Some(Failure::new(job, upstream, why));
         return Action::Retry(proof);
     }
     if not_run && let Some(delay) = refusal_delay(job, history) {
-        history.failure = Some(Failure { upstream, why });
+        history.failure = Some(Failure::new(job, upstream, why));
         history.excluded.clear();
         return Action::RetryAfter(proof, delay);
     }
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -8,15 +8,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foldlock_base::clock::millis;
 use foldlock_connection::sse;
-use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::suspicion;
 
 use crate::fleet::job::Job;
 use crate::fleet::liveness::{self, Crashed, Poller};
-use crate::fleet::metrics::Silence;
+use crate::fleet::metrics::{OpenSilence, Phase, Silence};
 use crate::fleet::outcome;
 use crate::fleet::resume::{self, Resumed};
 use crate::fleet::retry::History;
@@ -59,7 +57,10 @@
     /// Waits until the upstream or another one goes on with the stream, at most until the deadline of the request.
     pub async fn wait(self, mut stream: Stream<D>, history: &mut History) -> End<D> {
         let job = self.job;
-        self.record(&stream);
+        let upstream = &stream.flight.upstream;
+        outcome::record_silence(job, upstream, self.since);
+        outcome::record_silent(job, upstream, self.elapsed());
+        let mut silence = OpenSilence::begin(&job.process.metrics, Phase::Midway);
         stream.count(history);
         let mut poller = stream.poller.take();
         poller.iter_mut().for_each(|poller| poller.restart(self.since));
@@ -84,27 +85,14 @@
             // It is alive, so the suspicion that its silence raised is lowered.
             outcome::record(job, &stream.flight.upstream, suspicion::Outcome::Answered);
         }
-        job.process.metrics.count_silence(match end {
-            End::Continued(..) | End::Complete(_) => Silence::Continued,
-            End::Resumed(_) => Silence::Resumed,
-            _ => Silence::Failed,
-        });
+        match end {
+            End::Continued(..) | End::Complete(_) => silence.end(Silence::Continued),
+            End::Resumed(_) => silence.end(Silence::Replaced),
+            _ => {}
+        }
         end
     }
 
-    /// Records the silence as evidence for the scheduler, and for the request.
-    fn record(&self, stream: &Stream<D>) {
-        let upstream = &stream.flight.upstream;
-        outcome::record_silence(self.job, upstream, self.since);
-        self.job.record(Decision::Silent {
-            upstream: upstream.clone(),
-            silent_ms: millis(self.elapsed()),
-            evidence_age_ms: millis(self.elapsed()),
-            unanswered: 0,
-            ending: None,
-        });
-    }
-
     fn elapsed(&self) -> Duration {
         self.job.process.now().saturating_duration_since(self.since)
     }
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::fleet::activity::Activity;
 use crate::fleet::crash::{self, Interrupted, MIN_DECODING};
 use crate::fleet::job::Job;
 use crate::fleet::liveness::Poller;
@@ -50,6 +51,7 @@
     pub(super) pending: Vec<Event>,
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
+    pub(super) activity: Activity,
     pub(super) attempt_guard: Guard<D>,
     pub(super) reservations: Reservations<D>,
     pub(super) channel: Channel,
@@ -100,7 +102,7 @@
     /// Waits for the next item. A stream that ends with its connection is complete only if its upstream has not crashed:
     /// the connection of a crashed process ends in the same way.
     pub async fn next_item(&mut self, job: &Job<D>) -> Item {
-        match self.next().await {
+        match self.next(job).await {
             Item::End
                 if self.is_close_delimited && crash::has_crashed(job, self.interrupted()).await =>
             {
@@ -111,7 +113,7 @@
     }
 
     /// Keeps what it has received if it is cancelled.
-    async fn next(&mut self) -> Item {
+    async fn next(&mut self, job: &Job<D>) -> Item {
         loop {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
@@ -123,6 +125,7 @@
                 None if self.pending.is_empty() || self.first_event.is_none() => return Item::End,
                 None => return Item::Events(std::mem::take(&mut self.pending)),
             };
+            self.activity.record(job.process.now());
             let Ok(bytes) = frame.into_data() else { continue };
             self.decoder.push(&bytes);
             loop {
--- a/daemon/src/plain.rs
+++ b/daemon/src/plain.rs
@@ -167,7 +167,8 @@
             Err(e) if e.ran() == Ran::No => self.caller.record_rejection(&self.entry, e),
             Err(e) => {
                 let why = e.message().to_owned();
-                let failed = Decision::Failed { kind: e.kind(), ran: e.ran(), why };
+                let failed =
+                    Decision::Failed { kind: e.kind(), ran: e.ran(), why, silent_ms: None };
                 self.caller.step(&self.entry, failed);
             }
         }
@@ -243,7 +244,10 @@
             && caller.process.budget.retry(caller.policy.retry_budget_percent);
         if may_retry {
             caller.process.metrics.retries.inc();
-            caller.step(&self.entry, Decision::Retried { upstream: server.clone(), why });
+            caller.step(
+                &self.entry,
+                Decision::Retried { upstream: server.clone(), why, silent_ms: None },
+            );
             return Ok(proof);
         }
         let kind = match (passed, not_run) {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -190,7 +190,9 @@
     job.process.metrics.count_error(e.kind());
     job.record(match e.ran() {
         Ran::No => Decision::rejected(e),
-        ran => Decision::Failed { kind: e.kind(), ran, why: e.message().to_owned() },
+        ran => {
+            Decision::Failed { kind: e.kind(), ran, why: e.message().to_owned(), silent_ms: None }
+        }
     });
 }
 
@@ -270,6 +272,6 @@
     }
     progress.avoid(engine);
     job.process.metrics.retries.inc();
-    job.record(Decision::Retried { upstream: engine.clone(), why });
+    job.record(Decision::Retried { upstream: engine.clone(), why, silent_ms: None });
     Ok(proof)
 }
--- a/request/src/decision.rs
+++ b/request/src/decision.rs
@@ -151,6 +151,9 @@
         upstream: id::Upstream,
         /// The failure.
         why: String,
+        /// Time since it last sent something, or since the request was sent to it, in milliseconds; none if it was not.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        silent_ms: Option<f64>,
     },
     /// The request is not retried after a failure.
     #[serde(rename = "not_repeated")]
@@ -221,7 +224,8 @@
         waited_ms: f64,
     },
     /// The main engine of a divided prompt has sent nothing, and a report was requested of it: the request gave no evidence
-    /// that it is alive, or the silence timeout is over. Or an upstream has sent nothing in the middle of a stream.
+    /// that it is alive, or the silence timeout is over. Or an upstream has sent nothing since the request was sent, or in the
+    /// middle of a stream.
     Silent {
         /// The upstream.
         upstream: id::Upstream,
@@ -256,6 +260,9 @@
         ran: Ran,
         /// The failure.
         why: String,
+        /// Time since any upstream last sent something, or since the request was sent, in milliseconds; none if it was not.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        silent_ms: Option<f64>,
     },
 }
 
@@ -354,8 +361,9 @@
                     _ => Ok(()),
                 }
             }
-            Decision::Retried { upstream, why } => {
-                write!(f, "retried, since {upstream} failed: {why}")
+            Decision::Retried { upstream, why, silent_ms } => {
+                write!(f, "retried, since {upstream} failed: {why}")?;
+                write_silence(f, *silent_ms)
             }
             Decision::NotRetried { upstream, why, reason, budget } => {
                 write!(f, "not retried after {upstream} failed ({why}): {reason}")?;
@@ -413,11 +421,21 @@
                     None => Ok(()),
                 }
             }
-            Decision::Failed { kind, ran, why } => write!(f, "failed ({kind}, ran: {ran}): {why}"),
+            Decision::Failed { kind, ran, why, silent_ms } => {
+                write!(f, "failed ({kind}, ran: {ran}): {why}")?;
+                write_silence(f, *silent_ms)
+            }
         }
     }
 }
 
+fn write_silence(f: &mut fmt::Formatter<'_>, silent_ms: Option<f64>) -> fmt::Result {
+    match silent_ms {
+        Some(ms) => write!(f, "; nothing received for {ms:.0} ms"),
+        None => Ok(()),
+    }
+}
+
 impl Cause {
     fn text(self) -> &'static str {
         match self {
