Bodies: tell all who wait for a body that it was dropped

Callers saw: nothing yet. An aborted request with two open attempts would have kept the second one, with its connection and its reference to the body, until the deadline.

Cause: the drop of a body notified one waiter (Notify::notify_one). So far at most one attempt of a request waited.

Change: all waiters are notified. Each registers before it reads the state, so a drop in between is not missed.

all_attempts_of_a_request_learn_that_it_is_aborted fails before (5 s without the second waiter) and passes now.

--- a/daemon/src/fleet/unsent.rs
+++ b/daemon/src/fleet/unsent.rs
@@ -161,7 +161,7 @@
             let effect = if is_read { Effect::Continued } else { Effect::Aborted };
             largest.state = if is_read { State::Released } else { State::Aborted };
             largest.content = Bytes::new();
-            largest.changed.notify_one();
+            largest.changed.notify_waiters();
             let (request, part) = (largest.request.clone(), largest.part);
             dropped.push(Dropped { request, part, bytes, others: self.bytes, effect });
         }
@@ -293,8 +293,15 @@
     }
 
     async fn wait(&self, is_met: impl Fn(State) -> bool) {
-        while !is_met(self.entry(|entry| entry.state)) {
-            self.changed.notified().await;
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Several attempts may wait. A notification only reaches those that wait by then.
+            changed.as_mut().enable();
+            if is_met(self.entry(|entry| entry.state)) {
+                return;
+            }
+            changed.await;
         }
     }
 }
--- a/daemon/tests/unsent.rs
+++ b/daemon/tests/unsent.rs
@@ -32,6 +32,21 @@
     future.as_mut().poll(&mut Context::from_waker(Waker::noop())) == Poll::Ready(())
 }
 
+/// Guards against attempts that keep a body: only the first of those that waited for its drop was told.
+#[tokio::test]
+async fn all_attempts_of_a_request_learn_that_it_is_aborted() {
+    let bodies = Bodies::new(MEMORY);
+    let large = received(&bodies, 1, MAX_BYTES);
+    let mut other = bodies.receive(&request(2), Part::Request, None);
+    let aborted = async { tokio::join!(large.aborted(), large.aborted(), large.dropped()) };
+    let dropping = async {
+        tokio::task::yield_now().await;
+        assert_eq!(other.push(&[7; READ_BYTES]).len(), 1);
+    };
+    let both = async { tokio::join!(aborted, dropping) };
+    tokio::time::timeout(std::time::Duration::from_secs(5), both).await.expect("all are told");
+}
+
 /// Guards against a VM that is killed since 500 requests of up to 1 MB wait for an upstream that reads nothing.
 #[test]
 fn bodies_for_an_upstream_that_reads_nothing_do_not_exceed_the_memory_bound() {
