--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -3,7 +3,7 @@
 //!
 //! Two traits adapt it to the platform: [`Dialect`] for HTTP headers and [`Directory`] for stored
 //! entries. A request passes through [`callers`], [`serve`], [`admit`], [`queue`] (placement),
-//! [`attempt`] and, if its response is a stream, [`events`].
+//! [`race`], with one [`attempt`] or several, and, if its response is a stream, [`events`].
 
 pub mod activity;
 pub mod admit;
@@ -41,6 +41,7 @@
 pub mod process;
 pub mod progress;
 pub mod queue;
+pub mod race;
 pub mod rate_limits;
 pub mod read_pace;
 pub mod record;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -32,35 +32,18 @@
 use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
 use crate::fleet::job::Job;
 use crate::fleet::liveness::{self, Evidence, Poller};
-use crate::fleet::metrics::{OpenSilence, Phase, Sent, Silence};
+use crate::fleet::metrics::Sent;
 use crate::fleet::notices::{self, Exclusion};
 use crate::fleet::outcome::{self, record_failure};
 use crate::fleet::process::Guard;
-use crate::fleet::queue;
 use crate::fleet::rate_limits;
 use crate::fleet::reservations::{self, Reservations};
-use crate::fleet::retry::{self, Failure as FailedAttempt, History};
 use crate::fleet::stream::{Item, Started, Stream};
 use crate::fleet::unsent::Part;
 
 /// Maximum size of a complete response, bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
-/// Share of the objective after which a retryable request for a complete response is sent to another
-/// upstream.
-const COMPLETE_TIMEOUT_SHARE: f64 = 0.6;
-
-/// Added to the timeout of the first event of a stream that may be sent to another upstream,
-/// milliseconds.
-const FIRST_EVENT_SLACK_MS: f64 = 400.0;
-
-/// Timeout of a first event as a ratio of its predicted time.
-const FIRST_EVENT_TIMEOUT_RATIO: f64 = 2.5;
-
-/// Minimum timeout of a first event, in objectives of its route. Beyond one objective the response is
-/// late anyway, and with a shorter timeout several engines would repeat the prefill of a long prompt.
-const MIN_FIRST_EVENT_OBJECTIVES: f64 = 2.0;
-
 /// How an attempt ended; for a stream, how it began.
 pub enum End<D: Dialect> {
     /// The complete response was received.
@@ -82,8 +65,6 @@
     ServerError(Box<Response<Body>>),
     /// The request may have run, and there is no valid or complete response.
     Broken(String),
-    /// It sent nothing within its timeout, and another placement was granted.
-    Superseded(Box<Grant>),
     /// The deadline of the request passed.
     Deadline,
     /// The body was dropped to free memory before the upstream had read it, or the response while it was collected.
@@ -94,116 +75,25 @@
 }
 
 impl<D: Dialect> End<D> {
-    /// Whether the upstream responded.
-    pub fn is_response(&self) -> bool {
-        matches!(self, End::Complete(_) | End::Streaming(_))
-    }
-}
-
-/// What the upstream is expected to send.
-fn phase<D: Dialect>(job: &Job<D>) -> Phase {
-    match job.route.delivery {
-        Delivery::Complete => Phase::Whole,
-        Delivery::Streaming { .. } => Phase::FirstEvent,
-    }
-}
-
-/// Sends the request to its placement and waits for the response or its first events.
-///
-/// After the response timeout another placement is requested. The attempt goes on until there is one: its upstream may be
-/// sound. If none is granted, it is requested again after pauses that double.
-pub async fn run<D: Dialect>(
-    job: &Arc<Job<D>>,
-    grant: Grant,
-    last_event: Option<u64>,
-    history: &mut History,
-) -> End<D> {
-    let upstream = grant.placement.flight.upstream.clone();
-    let poller = Poller::new(job, &grant.placement);
-    let timeout = match &poller {
-        // The engine's silence is judged by its reports.
-        Some(_) => job.remaining(),
-        None => response_timeout(job, &grant.placement, history),
-    };
-    let has_reservations = grant.placement.flight.has_reservations();
-    let may_have_failed_path = history.ran > 0 || history.unsent > 0;
-    let connection = if may_have_failed_path { Connection::New } else { Connection::Any };
-    let activity = job.activity.begin(upstream.clone());
-    let attempt = run_to_end(job, grant, last_event, poller, connection, activity.clone());
-    tokio::pin!(attempt);
-    let began = job.process.now();
-    let mut until = job.deadline.min(began + timeout);
-    let mut pause = timeout;
-    let mut silence: Option<OpenSilence> = None;
-    loop {
-        tokio::select! {
-            // A response that is complete by now is delivered, whatever else happened at the same moment.
-            biased;
-            end = &mut attempt => {
-                if end.is_response() {
-                    silence.iter_mut().for_each(|silence| silence.end(Silence::Continued));
-                }
-                return end;
-            }
-            () = tokio::time::sleep_until(until.into()) => {}
-        }
-        if silence.is_none() {
-            let elapsed = activity.silence(job.process.now()).unwrap_or_default();
-            outcome::record_silent(job, &upstream, elapsed);
-            silence = Some(OpenSilence::begin(&job.process.metrics, phase(job)));
-        }
-        if job.remaining().is_zero() {
-            record_failure(job, &upstream, Cause::ServerError);
-            return End::Deadline;
-        }
-        if pause == timeout {
-            outcome::record_silence(job, &upstream, began);
-        }
-        let ms = job.process.now().saturating_duration_since(began).as_millis();
-        let why = format!("no response within {ms} ms");
-        if has_reservations {
-            return End::Broken(why);
-        }
-        history.count_run(upstream.clone());
-        if retry::may_retry(job, history, false) {
-            history.failure = Some(FailedAttempt::new(job, upstream.clone(), why));
-            let is_resuming = history.is_resuming();
-            let granted = tokio::select! {
-                biased;
-                end = &mut attempt => Err(Some(end)),
-                granted = queue::wait_for_grant(job, history, is_resuming) => granted.map_err(|_| None),
-                () = tokio::time::sleep_until(job.deadline.into()) => Err(None),
-            };
-            match granted {
-                Ok(grant) => {
-                    silence.iter_mut().for_each(|silence| silence.end(Silence::Replaced));
-                    return End::Superseded(Box::new(grant));
-                }
-                Err(Some(end)) => {
-                    if end.is_response() {
-                        silence.iter_mut().for_each(|silence| silence.end(Silence::Continued));
-                    }
-                    history.uncount_run();
-                    return end;
-                }
-                Err(None) => {}
-            }
+    /// Whether the attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            End::Unsent(_) | End::ReservationFailed(_) | End::NotRun { .. } => false,
+            End::Aborted { is_sent } => *is_sent,
+            _ => true,
         }
-        history.uncount_run();
-        until = job.deadline.min(job.process.now() + pause);
-        pause *= 2;
     }
 }
 
-/// Sends the request and waits for its end, however long that takes.
-async fn run_to_end<D: Dialect>(
+/// Sends the request to its placement and waits for the response or its first events, however long that takes.
+pub async fn run<D: Dialect>(
     job: &Arc<Job<D>>,
     grant: Grant,
     last_event: Option<u64>,
-    mut poller: Option<Poller>,
     connection: Connection,
     activity: Activity,
 ) -> End<D> {
+    let mut poller = Poller::new(job, &grant.placement);
     let flight = grant.placement.flight.clone();
     let attempt_guard = job.process.begin_attempt(grant.number, flight.clone());
     let incarnation = notices::incarnation(&job.process, &flight.upstream);
@@ -234,29 +124,6 @@
     }
 }
 
-/// Time to wait for the response or its first event before another placement is requested.
-fn response_timeout<D: Dialect>(
-    job: &Job<D>,
-    placement: &Placement,
-    history: &History,
-) -> Duration {
-    if placement.flight.has_reservations() {
-        return job.process.config.fleet.reserved_silence_timeout();
-    }
-    let last = history.ran + 1 >= job.route.max_attempts || placement.candidates < 2;
-    if last || !job.is_retryable() {
-        return job.remaining();
-    }
-    match job.route.delivery {
-        Delivery::Complete => job.route.objective.mul_f64(COMPLETE_TIMEOUT_SHARE),
-        Delivery::Streaming { .. } => {
-            let ms = placement.predicted_ms * FIRST_EVENT_TIMEOUT_RATIO + FIRST_EVENT_SLACK_MS;
-            Duration::from_secs_f64(ms / 1e3)
-                .max(job.route.objective.mul_f64(MIN_FIRST_EVENT_OBJECTIVES))
-        }
-    }
-}
-
 async fn send<D: Dialect>(
     job: &Arc<Job<D>>,
     grant: Grant,
@@ -409,7 +276,7 @@
 
 /// The connection that an attempt may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Connection {
+pub enum Connection {
     /// An idle one, or a new one.
     Any,
     /// A new one: an idle one may have lost its path like that of the attempt before, without a reset.
--- a/daemon/src/fleet/resume.rs
+++ b/daemon/src/fleet/resume.rs
@@ -8,10 +8,10 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_version::routes::Retry;
 
-use crate::fleet::attempt::{self, End};
+use crate::fleet::attempt::End;
 use crate::fleet::job::Job;
 use crate::fleet::queue;
-use crate::fleet::reservations;
+use crate::fleet::race::{self, Ended, Race};
 use crate::fleet::retry::{self, Failure, History};
 use crate::fleet::stream::Stream;
 use crate::fleet::unread::Writer;
@@ -51,68 +51,28 @@
 ) -> Option<Resumed<D>> {
     let last = last_event?;
     history.failure = Some(Failure::new(job, from, why));
-    let mut granted = None;
+    let race = Race { job, last_event, is_resuming: true };
     loop {
-        let grant = match granted.take() {
-            Some(grant) => grant,
-            None => {
-                if job.route.retry != Retry::Resume || !retry::may_retry(job, history, false) {
-                    return None;
-                }
-                tokio::select! {
-                    grant = queue::wait_for_grant(job, history, true) => grant.ok()?,
-                    _ = writer.closed() => return None,
-                    () = job.body.dropped() => return None,
-                }
-            }
+        if job.route.retry != Retry::Resume || !retry::may_retry(job, history, false) {
+            return None;
+        }
+        let grant = tokio::select! {
+            grant = queue::wait_for_grant(job, history, true) => grant.ok()?,
+            _ = writer.closed() => return None,
+            () = job.body.dropped() => return None,
         };
-        job.process.metrics.resumed_streams.inc();
-        let mut from = grant.placement.flight.upstream.clone();
         job.body.begin_attempt();
-        history.begin_attempt(from.clone());
-        let end = tokio::select! {
-            end = attempt::run(job, grant, Some(last), history) => end,
+        let Ended { upstream, end, .. } = tokio::select! {
+            ended = race.run(grant, history) => ended,
             _ = writer.closed() => return None,
         };
-        history.attempt = None;
-        let why = match end {
+        match end {
             End::Streaming(started) => {
-                job.record(Decision::Resumed { index: last, upstream: from });
+                job.record(Decision::Resumed { index: last, upstream });
                 return Some(Resumed { stream: started.stream, first: started.first });
             }
-            End::Superseded(grant) => {
-                granted = Some(*grant);
-                continue;
-            }
             End::Deadline | End::Aborted { .. } => return None,
-            End::Unsent(why) => {
-                history.unsent += 1;
-                why
-            }
-            End::ReservationFailed(reservations::Failure { upstream, cause }) => {
-                history.unsent += 1;
-                from = upstream;
-                cause.to_string()
-            }
-            End::NotRun { why, at_fault } => {
-                history.refused += 1;
-                from = at_fault;
-                why
-            }
-            End::ServerError(answer) => {
-                history.ran += 1;
-                format!("responded with status {}", answer.status())
-            }
-            End::Complete(answer) => {
-                history.ran += 1;
-                format!("responded with status {}", answer.status())
-            }
-            End::Broken(why) => {
-                history.ran += 1;
-                why
-            }
-        };
-        history.excluded.push(from.clone());
-        history.failure = Some(Failure::new(job, from, why));
+            end => history.failure = Some(race::count_failure(job, history, upstream, end)),
+        }
     }
 }
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -1,6 +1,6 @@
 //! The attempts of a request so far, and whether it may be retried.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foldlock_base::clock::millis;
 use foldlock_base::prelude::*;
@@ -10,9 +10,11 @@
 use foldlock_request::placement::Rejection;
 use hyper::Response;
 
+use crate::fleet::activity::Activity;
 use crate::fleet::answer::Body;
 use crate::fleet::grant_requests::Origin;
 use crate::fleet::job::Job;
+use crate::fleet::metrics::{Metrics, OpenSilence, Phase, Silence};
 
 /// Attempts without a delay that are allowed beyond the route's number of attempts, for those that
 /// were refused.
@@ -40,6 +42,26 @@
     }
 }
 
+/// An attempt that has not ended.
+pub struct Open {
+    number: u64,
+    /// Its upstream.
+    pub upstream: id::Upstream,
+    /// When it began.
+    pub began: Instant,
+    activity: Activity,
+    /// The silence for which it was counted as one that may have run.
+    silence: Option<OpenSilence>,
+}
+
+impl Open {
+    /// Time since its upstream last sent something, or since the attempt began.
+    pub fn silence(&self, now: Instant) -> Duration {
+        let since_began = now.saturating_duration_since(self.began);
+        self.activity.silence(now).unwrap_or(since_began)
+    }
+}
+
 /// The attempts of a request so far.
 #[derive(Default)]
 pub struct History {
@@ -61,8 +83,8 @@
     was_granted: bool,
     /// Retries that were charged to the fleet's retry budget.
     charged_retries: u32,
-    /// The upstream of the current attempt to resume a stream, while an earlier attempt may still go on.
-    pub attempt: Option<id::Upstream>,
+    /// Attempts that have not ended, in the order in which they began.
+    pub open: Vec<Open>,
 }
 
 impl History {
@@ -72,29 +94,55 @@
         self.excluded.push(upstream);
     }
 
-    /// Takes back the count of the last attempt, which goes on.
-    pub fn uncount_run(&mut self) {
-        self.ran -= 1;
-        self.excluded.pop();
+    /// Begins an attempt.
+    pub fn begin_attempt(
+        &mut self,
+        number: u64,
+        upstream: id::Upstream,
+        activity: Activity,
+        began: Instant,
+    ) {
+        self.open.push(Open { number, upstream, began, activity, silence: None });
     }
 
-    /// Whether the current attempt resumes a stream.
-    pub fn is_resuming(&self) -> bool {
-        self.attempt.is_some()
+    /// Counts the attempt that began last as one that may have run, since its upstream is silent. Returns it the first time.
+    pub fn begin_silence(&mut self, metrics: &Metrics, phase: Phase) -> Option<&Open> {
+        let attempt = self.open.last_mut().filter(|attempt| attempt.silence.is_none())?;
+        attempt.silence = Some(OpenSilence::begin(metrics, phase));
+        let upstream = attempt.upstream.clone();
+        self.count_run(upstream);
+        self.open.last()
     }
 
-    /// Begins an attempt to resume a stream.
-    pub fn begin_attempt(&mut self, upstream: id::Upstream) {
-        self.attempt = Some(upstream);
+    /// Whether the upstreams of all open attempts are silent.
+    pub fn are_all_silent(&self) -> bool {
+        self.open.iter().all(|attempt| attempt.silence.is_some())
     }
 
-    /// Ends such an attempt if it was cancelled. One that was sent may have run; one that was not leaves its token of the retry
-    /// budget to the next.
-    pub fn end_attempt(&mut self, is_sent: bool) {
-        // It is counted already if another upstream was asked for in its place.
-        let is_uncounted = |upstream: &id::Upstream| is_sent && !self.excluded.contains(upstream);
-        if let Some(upstream) = self.attempt.take().filter(is_uncounted) {
-            self.count_run(upstream);
+    /// Ends an attempt, and takes back the count of its silence. Returns its upstream.
+    pub fn end_attempt(&mut self, number: u64, has_responded: bool) -> id::Upstream {
+        let index = self.open.iter().position(|attempt| attempt.number == number);
+        let attempt = self.open.remove(index.expect("it is open"));
+        if let Some(mut silence) = attempt.silence {
+            if has_responded {
+                silence.end(Silence::Continued);
+            }
+            self.ran -= 1;
+            let index = self.excluded.iter().rposition(|excluded| *excluded == attempt.upstream);
+            index.map(|index| self.excluded.remove(index));
+        }
+        attempt.upstream
+    }
+
+    /// Ends the open attempts, which were cancelled. Those that were sent may have run; one that was not leaves its token of
+    /// the retry budget to the next.
+    pub fn cancel_attempts(&mut self, is_replaced: bool) {
+        for attempt in std::mem::take(&mut self.open) {
+            match attempt.silence {
+                Some(mut silence) if is_replaced => silence.end(Silence::Replaced),
+                None if attempt.activity.is_sent() => self.count_run(attempt.upstream),
+                _ => {}
+            }
         }
     }
 
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -15,14 +15,14 @@
 
 use crate::fleet::admit;
 use crate::fleet::answer::{self, Body};
-use crate::fleet::attempt::{self, End};
+use crate::fleet::attempt::End;
 use crate::fleet::crash;
 use crate::fleet::events;
-use crate::fleet::grant_requests::Grant;
 use crate::fleet::job::Job;
 use crate::fleet::outcome::{record_completion, record_error, record_rejection};
 use crate::fleet::process::Process;
 use crate::fleet::queue;
+use crate::fleet::race::{Ended, Race};
 use crate::fleet::reservations;
 use crate::fleet::retry::{Failure, History, MAX_EXTRA_ATTEMPTS, may_retry};
 use crate::fleet::unsent::OUT_OF_MEMORY;
@@ -64,8 +64,6 @@
     Respond(Result<Response<Body>, Error>),
     /// Retry at once. The proof states whether any attempt may have run.
     Retry(Proof),
-    /// Retry at once with a placement that was granted meanwhile.
-    Supersede(Proof, Box<Grant>),
     /// Retry after a delay, in which peers announce their placements.
     RetryAfter(Proof, Duration),
 }
@@ -74,30 +72,25 @@
     let job = Arc::new(job);
     let mut proof = Proof::NotRun(Unsent::arrived());
     let mut history = History::default();
-    let mut granted = None;
+    let race = Race { job: &job, last_event: job.terms.last_event, is_resuming: false };
     loop {
         job.body.begin_attempt();
-        let grant = match granted.take() {
-            Some(grant) => grant,
-            None => tokio::select! {
-                biased;
-                () = job.body.dropped() => return aborted_response(&job, history, proof),
-                granted = queue::wait_for_grant(&job, &mut history, false) => match granted {
-                    Ok(grant) => grant,
-                    Err(rejection) => return unplaced_response(&job, history, proof, rejection),
-                },
+        let grant = tokio::select! {
+            biased;
+            () = job.body.dropped() => return aborted_response(&job, history, proof),
+            granted = queue::wait_for_grant(&job, &mut history, false) => match granted {
+                Ok(grant) => grant,
+                Err(rejection) => return unplaced_response(&job, history, proof, rejection),
             },
         };
-        let upstream = grant.placement.flight.upstream.clone();
-        let attempt = proof.send();
-        let end = attempt::run(&job, grant, job.terms.last_event, &mut history).await;
+        let mut attempt = proof.send();
+        let Ended { upstream, end, others_may_have_run } = race.run(grant, &mut history).await;
+        if others_may_have_run {
+            attempt = attempt.unknown().send();
+        }
         proof = match next_action(&job, &mut history, upstream, attempt, end) {
             Action::Respond(response) => return response,
             Action::Retry(proof) => proof,
-            Action::Supersede(proof, grant) => {
-                granted = Some(*grant);
-                proof
-            }
             Action::RetryAfter(proof, delay) => {
                 job.body.begin_attempt();
                 tokio::select! {
@@ -177,7 +170,6 @@
                 std::mem::take(history),
             )));
         }
-        End::Superseded(grant) => return Action::Supersede(attempt.unknown(), grant),
         End::Deadline => {
             let why = format!("no response of {upstream} before the deadline");
             let error = attempt.unknown().error(Kind::DeadlineExceeded, why, false);
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -142,8 +142,9 @@
                 }
             }
         };
-        // The attempt to resume was cancelled if it has not ended.
-        history.end_attempt(job.body.is_sent());
+        // Attempts to resume that have not ended were cancelled.
+        let is_continued = matches!(raced, Raced::End(End::Continued(..) | End::Complete(_)));
+        history.cancel_attempts(is_continued);
         raced
     }
 
