--- a/daemon/src/fleet/race.rs
+++ b/daemon/src/fleet/race.rs
@@ -274,7 +274,7 @@
     fn response_timeout(&self, placement: &Placement, history: &History) -> Duration {
         let job = self.job;
         let last = history.ran + 1 >= job.route.max_attempts || placement.candidates < 2;
-        if last || !job.is_retryable() || placement.flight.has_reservations() {
+        if last || !job.is_retryable() {
             return job.remaining();
         }
         match job.route.delivery {
