--- a/daemon/tests/soak/caller.rs
+++ b/daemon/tests/soak/caller.rs
@@ -205,6 +205,10 @@
     match response {
         Ok(Exchange::Complete(response)) => {
             check_response(world, spec, &call, &response, &mut outcome);
+            if response.status().is_server_error() && !outcome.rejected && elapsed < kind.timeout()
+            {
+                check_lost(world, connection.vm, &spec.id, started);
+            }
             let close = response.headers().get("connection").is_some_and(|v| v == "close");
             return Some((outcome, !close));
         }
@@ -310,7 +314,7 @@
     }
 }
 
-/// Checks that a planned stop alone closes no connection whose request was already forwarded to a server.
+/// Checks that planned stops and silences alone end no request that was already forwarded to a server.
 fn check_lost(world: &World, vm: usize, id: &str, started: Instant) {
     let was_sent = !world.journal.runs(id).is_empty();
     let now = Instant::now();
