--- a/daemon/tests/silent_upstreams.rs
+++ b/daemon/tests/silent_upstreams.rs
@@ -502,7 +502,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_request_is_cut_by_silences_with_admission_by_forecast() {
     let limits = json!({
-        "repeat_ratio": 0.2, "repeat_slack": 100.0, "repeat_window_ms": 10_000,
+        "repeat_ratio": 0.2, "repeat_slack": 100.0, "repeat_window_ms": 2_000,
         "scheduling": {"admission": "forecast"},
     });
     check("forecast", limits).await;
