Completions: a test of the settings that allow another attempt

The rule by which an attempt is opened beside a silent one (attempt::may_repeat): retries, resume, repeatable.

--- a/daemon/tests/silence.rs
+++ b/daemon/tests/silence.rs
@@ -9,6 +9,9 @@
 use std::time::{Duration, Instant};
 
 use common::{assert_complete, paid_plan, plan, prompt, send, streamed_request};
+use foldlock_version::policy::Policy;
+use foldlockd::attempt;
+use foldlockd::serve::Progress;
 use serde_json::json;
 use standin::client::{Answer, Request};
 use standin::fault::{Fault, Kind};
@@ -219,3 +222,19 @@
     assert_complete(&answer, &request);
     assert_memory_free(&fleet).await;
 }
+
+/// Guards against a second attempt that the settings do not allow.
+#[test]
+fn another_attempt_needs_settings_that_allow_it() {
+    let allowed = |policy: &Policy, attempts, tokens| {
+        let mut progress = Progress::default();
+        (progress.attempts, progress.tokens) = (attempts, tokens);
+        attempt::may_repeat(policy, &progress, false)
+    };
+    let policy = Policy { retries: 1, ..Policy::default() };
+    assert!(allowed(&policy, 1, 0) && allowed(&policy, 1, 5) && !allowed(&policy, 2, 0));
+    let no_resume = Policy { resume: false, ..policy.clone() };
+    assert!(allowed(&no_resume, 1, 0) && !allowed(&no_resume, 1, 5));
+    let once = Policy { repeatable: false, ..policy };
+    assert!(!allowed(&once, 1, 0) && !allowed(&once, 1, 5));
+}
