--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -53,7 +53,12 @@
     /// No byte was sent.
     Unsent(String),
     /// Engine memory for the placement could not be reserved; the request was not sent.
-    ReservationFailed(reservations::Failure),
+    ReservationFailed {
+        /// The engine, and why.
+        failure: reservations::Failure,
+        /// Whether the placement had candidates beside the engines that it used.
+        has_others: bool,
+    },
     /// The upstream reported that it did not run the request.
     NotRun {
         /// The reported reason.
@@ -78,7 +83,7 @@
     /// Whether the attempt may have run.
     pub fn may_have_run(&self) -> bool {
         match self {
-            End::Unsent(_) | End::ReservationFailed(_) | End::NotRun { .. } => false,
+            End::Unsent(_) | End::ReservationFailed { .. } | End::NotRun { .. } => false,
             End::Aborted { is_sent } => *is_sent,
             _ => true,
         }
@@ -140,7 +145,8 @@
         Ok(reservations) => reservations,
         Err(lost) => {
             record_failure(job, &lost.upstream, Cause::Overloaded);
-            return End::ReservationFailed(lost);
+            let has_others = placement.candidates > placement.flight.helpers.len() + 1;
+            return End::ReservationFailed { failure: lost, has_others };
         }
     };
     let mut channel = match connect(job, &grant, connection).await {
--- a/daemon/src/fleet/race.rs
+++ b/daemon/src/fleet/race.rs
@@ -296,7 +296,7 @@
     end: End<D>,
 ) -> Failure {
     let count = match end {
-        End::Unsent(_) | End::ReservationFailed(_) | End::Aborted { is_sent: false } => {
+        End::Unsent(_) | End::ReservationFailed { .. } | End::Aborted { is_sent: false } => {
             &mut history.unsent
         }
         End::NotRun { .. } => &mut history.refused,
@@ -305,7 +305,7 @@
     *count += 1;
     let why = match end {
         End::Unsent(why) | End::Broken(why) => why,
-        End::ReservationFailed(failure) => {
+        End::ReservationFailed { failure, .. } => {
             upstream = failure.upstream;
             failure.cause.to_string()
         }
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -71,6 +71,10 @@
     pub excluded: Vec<id::Upstream>,
     /// The failed attempt that is to be retried, until the retry is granted or rejected.
     pub failure: Option<Failure>,
+    /// The last engine that did not answer an order to reserve memory, excluded from the next placement.
+    unanswered: Option<id::Upstream>,
+    /// Attempts that ended with such an order.
+    pub unanswered_orders: u32,
     /// Attempts of which no byte was sent.
     pub unsent: u32,
     /// Attempts that an upstream refused, which did not run.
@@ -94,6 +98,17 @@
         self.excluded.push(upstream);
     }
 
+    /// Excludes an engine that did not answer an order to reserve memory, in place of the last such engine: all may be silent
+    /// for a moment, and the prompt may need them.
+    pub fn exclude_unanswered(&mut self, engine: Option<id::Upstream>) {
+        self.unanswered_orders += 1;
+        if let Some(last) = std::mem::replace(&mut self.unanswered, engine.clone()) {
+            let index = self.excluded.iter().rposition(|excluded| *excluded == last);
+            index.map(|index| self.excluded.remove(index));
+        }
+        self.excluded.extend(engine);
+    }
+
     /// Begins an attempt.
     pub fn begin_attempt(
         &mut self,
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -8,6 +8,7 @@
 use foldlock_base::error::{Attempt, Proof, Refusal, Unsent};
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
+use foldlock_request::memory;
 use foldlock_request::placement::Rejection;
 use foldlock_request::retry_after::Cause;
 use hyper::body::Incoming;
@@ -30,6 +31,9 @@
 /// Delay after a failed memory reservation: by then the peers have announced their placements.
 const RESERVATION_RETRY_DELAY: Duration = Duration::from_millis(30);
 
+/// Doublings of this delay after orders without a response, each of which takes 250 ms: up to 0.5 s.
+const MAX_DELAY_DOUBLINGS: u32 = 4;
+
 /// Delay before the next attempt once too many were refused to retry at once; it doubles with each
 /// further refusal. An engine's report is about 200 ms old, so the condition that caused two refusals has
 /// reached all VMs by the end of the second delay.
@@ -181,9 +185,9 @@
             let history = std::mem::take(history);
             return Action::Respond(aborted_response(job, history, proof));
         }
-        End::ReservationFailed(reservations::Failure { upstream, cause }) => {
+        End::ReservationFailed { failure, has_others } => {
             let proof = attempt.refused(Refusal::not_connected());
-            return on_reservation_failure(job, history, upstream, proof, cause.to_string());
+            return on_reservation_failure(job, history, failure, has_others, proof);
         }
         End::Unsent(why) => {
             history.unsent += 1;
@@ -212,10 +216,11 @@
 fn on_reservation_failure<D: Dialect>(
     job: &Job<D>,
     history: &mut History,
-    upstream: id::Upstream,
+    failure: reservations::Failure,
+    has_others: bool,
     proof: Proof,
-    why: String,
 ) -> Action {
+    let reservations::Failure { upstream, cause } = failure;
     if job.elapsed() >= queue::retry_timeout(job) {
         return Action::Respond(unplaced_response(
             job,
@@ -224,9 +229,16 @@
             Rejection::Full,
         ));
     }
-    history.excluded.push(upstream.clone());
-    history.failure = Some(Failure::new(job, upstream, why));
-    Action::RetryAfter(proof, RESERVATION_RETRY_DELAY)
+    let delay = if cause == memory::Failure::Insufficient {
+        history.excluded.push(upstream.clone());
+        RESERVATION_RETRY_DELAY
+    } else {
+        history.exclude_unanswered(has_others.then(|| upstream.clone()));
+        let doublings = history.unanswered_orders.min(MAX_DELAY_DOUBLINGS);
+        RESERVATION_RETRY_DELAY * 2_u32.pow(doublings)
+    };
+    history.failure = Some(Failure::new(job, upstream, cause.to_string()));
+    Action::RetryAfter(proof, delay)
 }
 
 /// Retries a failed request if that is allowed, else responds with the failure.
