Completions: cancel an attempt whose response has not begun (LEAK)

An attempt that another engine superseded before its response head kept its memory for the resume window (5 s by default), or to the end of its run: the id by which a stream is cancelled comes with the head.

Fix: the call goes on by itself for the time that the engine would keep the stream, and the stream is cancelled as soon as its head arrives. Groups are as before: releasing their reservations ends their requests.

--- a/daemon/src/attempt/source.rs
+++ b/daemon/src/attempt/source.rs
@@ -1,5 +1,8 @@
 //! The response of an engine to one attempt.
 
+use std::pin::Pin;
+use std::time::Duration;
+
 use foldlock_base::prelude::*;
 use foldlock_connection::engine::{
     Engine as _, Failure, HttpEngine, HttpStream, Job as Order, Stream as _,
@@ -40,6 +43,52 @@
     }
 }
 
+/// A request to an engine whose response has not begun. When dropped, its stream is cancelled once the response begins, as its
+/// id is not known before. The engine releases a stream without a reader after `linger`, so no response is awaited longer.
+struct Call<F>
+where
+    F: Future<Output = Result<HttpStream, Failure>> + Send + 'static,
+{
+    response: Option<Pin<Box<F>>>,
+    client: HttpEngine,
+    linger: Duration,
+}
+
+impl<F> Call<F>
+where
+    F: Future<Output = Result<HttpStream, Failure>> + Send + 'static,
+{
+    async fn response(mut self) -> Result<HttpStream, Failure> {
+        let Some(response) = &mut self.response else { return Err(Failure::Gone) };
+        let result = response.await;
+        self.response = None;
+        result
+    }
+}
+
+impl<F> Drop for Call<F>
+where
+    F: Future<Output = Result<HttpStream, Failure>> + Send + 'static,
+{
+    fn drop(&mut self) {
+        let Some(response) = self.response.take() else { return };
+        let (client, linger) = (self.client.clone(), self.linger);
+        tokio::spawn(async move {
+            if let Ok(Ok(stream)) = tokio::time::timeout(linger, response).await {
+                let _ = client.cancel(stream.id()).await;
+            }
+        });
+    }
+}
+
+/// Sends a request to an engine.
+async fn generate(client: HttpEngine, order: Order) -> Result<HttpStream, Failure> {
+    let linger = order.linger;
+    let sender = client.clone();
+    let response = Box::pin(async move { sender.generate(&order).await });
+    Call { response: Some(response), client, linger }.response().await
+}
+
 /// An attempt that ended without an event.
 pub struct Failed {
     /// The engine.
@@ -82,7 +131,7 @@
 
 async fn start(job: &Job, placement: &mut Placement, order: &Order) -> Result<HttpStream, End> {
     let result = match placement {
-        Placement::Engine(flight) => flight.client.generate(order).await,
+        Placement::Engine(flight) => generate(flight.client.clone(), order.clone()).await,
         Placement::Group(group) => group::begin(job, group, order).await,
     };
     result.map_err(|failure| match failure {
--- a/daemon/tests/silence.rs
+++ b/daemon/tests/silence.rs
@@ -152,6 +152,26 @@
     assert!(ended.elapsed() < SLACK, "{:?}", ended.elapsed());
 }
 
+/// Guards against a cancelled attempt that keeps its memory since its response had not begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_without_a_response_head_is_cancelled_once_it_has_one() {
+    // An abandoned stream would be kept for 20 s.
+    let mut plan = with_policy(json!({ "resume_window_ms": 20_000 }));
+    // Slow enough to be still at work after the other engine has ended.
+    plan.engine.speed = 0.1;
+    let fleet = Fleet::start(plan).await;
+    inject(&fleet, Kind::DelayResponse(2_500), 0, 1);
+    let request = streamed_request(prompt(100), 200);
+    let answer = send_with(&fleet, &request, async |others| {
+        others.iter().for_each(|e| e.engine.set_speed(10.0));
+    })
+    .await;
+    assert_complete(&answer, &request);
+    let ended = Instant::now();
+    assert_memory_free(&fleet).await;
+    assert!(ended.elapsed() < Duration::from_millis(2_500) + SLACK, "{:?}", ended.elapsed());
+}
+
 /// Guards against a later replacement of dead engines, also if the first engine that is asked is silent as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn engines_that_never_go_on_are_replaced() {
