Reservations: renew again when events show that the request runs

Orders to a stopped engine can be carried out when it goes on, after their timeout. A VM that had no confirmation for the lifetime of a reservation gave it up then: it sent no further renewal and ended the attempt at the next silence, although the stream had gone on in between.

An event after that shows that the request runs, hence that its memory is held: renewals begin again. Without an event until the memory has expired in any case, the attempt ends as before.

`request/tests/renewal.rs` has the schedule.

--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -41,6 +41,8 @@
     main: Target,
     /// When the main engine was last known to be alive.
     evidence: watch::Sender<Instant>,
+    /// When it last sent events.
+    events: watch::Sender<Instant>,
     /// Why the attempt ends, as found by the renewals.
     ending: watch::Sender<Option<(id::Upstream, Ending)>>,
     /// Whether the VM waits for its caller, and not for the engine.
@@ -117,6 +119,13 @@
         }
     }
 
+    /// Waits for events of the main engine after `at`. Returns whether there were any before `until`.
+    pub async fn has_events(&self, at: Instant, until: Instant) -> bool {
+        let mut events = self.0.events.subscribe();
+        let later = events.wait_for(|events| *events > at);
+        tokio::time::timeout_at(until.into(), later).await.is_ok()
+    }
+
     /// Records that the memory reserved at a helper has expired.
     pub fn record_expired<D: Dialect>(&self, process: &Process<D>, helper: &id::Upstream) {
         let is_alive = self.0.is_recent(process.now());
@@ -179,6 +188,7 @@
         let shared = Arc::new(Shared {
             main: target(&flight.upstream),
             evidence: watch::Sender::new(now),
+            events: watch::Sender::new(now),
             ending: watch::Sender::new(None),
             is_caller_awaited: AtomicBool::new(false),
             reservations: OnceLock::new(),
@@ -191,6 +201,7 @@
     /// Records that the main engine has sent events, which shows that it is alive.
     pub fn record_events(&self, now: Instant) {
         self.shared.record(now);
+        self.shared.events.send_replace(now);
     }
 
     /// Records whether the VM waits for its caller, and not for the engine.
--- a/daemon/src/fleet/reservations.rs
+++ b/daemon/src/fleet/reservations.rs
@@ -155,7 +155,15 @@
         tokio::select! {
             // Checked first: after a stall of this VM the reservation has expired.
             biased;
-            () = tokio::time::sleep_until(limit.into()) => break,
+            () = tokio::time::sleep_until(limit.into()) => {
+                let Some(expires) = renewals.iter().map(Renewal::expires).min() else { return };
+                if !evidence.has_events(limit, expires).await {
+                    break;
+                }
+                let now = process.now();
+                renewals.iter_mut().for_each(|renewal| renewal.resume(now));
+                continue;
+            }
             () = ready => {}
         }
         let now = process.now();
@@ -163,8 +171,7 @@
         join_all(due.map(|(renewal, reservation)| renew_one(&process, renewal, reservation))).await;
     }
     let first = renewals.iter().zip(reservations.iter()).min_by_key(|(r, _)| r.expires());
-    if let Some((renewal, reservation)) = first {
-        tokio::time::sleep_until(renewal.expires().into()).await;
+    if let Some((_, reservation)) = first {
         evidence.record_expired(&process, &reservation.upstream);
     }
 }
--- a/request/src/renewal.rs
+++ b/request/src/renewal.rs
@@ -52,6 +52,11 @@
         self.possible + self.lifetime
     }
 
+    /// Begins again after the limit: an event shows that the request runs, so the engine has carried out an order since.
+    pub fn resume(&mut self, now: Instant) {
+        (self.due, self.confirmed, self.possible) = (now, now, now);
+    }
+
     /// Records an order that was sent at a time and ended now.
     pub fn on_order(&mut self, outcome: Outcome, sent: Instant, now: Instant) {
         self.due = now.max(sent + RETRY_INTERVAL);
--- a/request/tests/renewal.rs
+++ b/request/tests/renewal.rs
@@ -59,3 +59,14 @@
     assert_eq!(renewal.expires(), start + LIFETIME);
     assert!(renewal.due() < renewal.limit(), "it may be renewed again");
 }
+
+/// Guards against sound requests whose memory is given up.
+#[test]
+fn a_reservation_whose_request_runs_is_renewed_again() {
+    let (mut renewal, _) = renewal();
+    let limit = renewal.limit();
+    lose_orders(&mut renewal, limit);
+    let now = limit + INTERVAL;
+    renewal.resume(now);
+    assert_eq!((renewal.due(), renewal.limit()), (now, now + LIFETIME));
+}
