Attempts beside a silent one leave half of the retry budget to failures

Cause: a retry because of a silence and one after a failure were charged alike. Streams that were only silent, and went on, spent the budget of the window; a stream that broke after that got no retry and was cut.

Change: an attempt beside one that is still open is a hedge, a charge of its own. The budget allows it only if half of its slack and tokens are left after it; the total is bounded as before. A silent stream whose connection breaks while no hedge is allowed asks again, as after any failure, also if the hedge was requested at that moment. Encoded, a hedge is the index of the retry, which VMs of the previous release read as a retry. Metric: budgeted_hedges.

A cancelled hedge that was not sent keeps its token for the next attempt of its request, as before. It is not returned to the scheduler: a lost or late message would allow one retry more than the budget.

--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use foldlock_base::error::Kind;
+use foldlock_request::budget::Charge;
 use foldlock_request::evidence::{Doubt, Reason};
 use foldlock_request::liveness::{Ending, Reply};
 use foldlock_request::scheduler::{Counts, Promises, Scheduler, forecast};
@@ -42,6 +43,8 @@
     pub retries: Counter,
     /// Retries that the fleet's retry budget granted or denied.
     pub budgeted_retries: Family<ByVerdict, Counter>,
+    /// Those among them that run beside a silent attempt.
+    pub budgeted_hedges: Family<ByVerdict, Counter>,
     /// Report requests about main engines that send nothing while memory is reserved.
     pub liveness_replies: Family<ByReply, Counter>,
     /// Attempts that ended since their main engine counted as crashed by its reports.
@@ -142,6 +145,7 @@
             forecast_error_seconds: Family::new_with_constructor(seconds),
             retries: Counter::default(),
             budgeted_retries: Family::default(),
+            budgeted_hedges: Family::default(),
             liveness_replies: Family::default(),
             liveness_endings: Family::default(),
             report_requests: Family::default(),
@@ -248,9 +252,12 @@
     }
 
     /// Counts a retry that the retry budget granted or denied.
-    pub fn count_retry_decision(&self, granted: bool) {
+    pub fn count_retry_decision(&self, charge: Charge, granted: bool) {
         let granted = if granted { "true" } else { "false" };
         self.budgeted_retries.get_or_create(&ByVerdict { granted }).inc();
+        if charge == Charge::Hedge {
+            self.budgeted_hedges.get_or_create(&ByVerdict { granted }).inc();
+        }
     }
 
     /// Updates the metrics of promises to the counts of the scheduler.
--- a/daemon/src/fleet/metrics/registration.rs
+++ b/daemon/src/fleet/metrics/registration.rs
@@ -18,6 +18,8 @@
         r.register("retries", "Requests sent again", self.retries.clone());
         let what = "Repeats that the fleet's retry budget granted or refused";
         r.register("budgeted_repeats", what, self.budgeted_retries.clone());
+        let what = "Those beside an attempt that is silent";
+        r.register("budgeted_hedges", what, self.budgeted_hedges.clone());
         r.register(
             "suspected_placements",
             "Placements at upstreams that have failed recently",
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -89,6 +89,8 @@
     charged_retries: u32,
     /// Attempts that have not ended, in the order in which they began.
     pub open: Vec<Open>,
+    /// Whether the stream that is to be resumed is still open at a silent upstream.
+    pub is_stream_open: bool,
 }
 
 impl History {
@@ -165,7 +167,8 @@
     /// token to the next one.
     pub fn charge(&self) -> Charge {
         if self.ran + self.refused > self.charged_retries {
-            Charge::Withdraw
+            let is_hedge = self.is_stream_open || !self.open.is_empty();
+            if is_hedge { Charge::Hedge } else { Charge::Withdraw }
         } else if self.was_granted {
             Charge::Free
         } else {
@@ -175,9 +178,10 @@
 
     /// Records that the next attempt was granted a placement.
     pub fn on_granted<D: Dialect>(&mut self, job: &Job<D>) {
-        if self.charge() == Charge::Withdraw {
+        let charge = self.charge();
+        if matches!(charge, Charge::Withdraw | Charge::Hedge) {
             self.charged_retries += 1;
-            job.process.metrics.count_retry_decision(true);
+            job.process.metrics.count_retry_decision(charge, true);
         }
         self.was_granted = true;
         if let Some(Failure { upstream, why, silence }) = self.failure.take() {
@@ -190,7 +194,7 @@
     pub fn on_rejected<D: Dialect>(&mut self, job: &Job<D>, rejection: &Rejection) {
         let budget = match rejection {
             Rejection::OverBudget(exhausted) => {
-                job.process.metrics.count_retry_decision(false);
+                job.process.metrics.count_retry_decision(self.charge(), false);
                 Some(*exhausted)
             }
             _ => None,
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foldlock_base::prelude::*;
 use foldlock_connection::sse;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::suspicion;
@@ -67,6 +68,7 @@
         let mut end = loop {
             match self.race(stream, &mut poller, history).await {
                 Raced::End(end) => break end,
+                Raced::Broken(from, why) => break self.resume(history, from, why).await,
                 Raced::NotResumed(open) => stream = open,
             }
             match self.next(&mut stream, &mut poller).await {
@@ -109,8 +111,10 @@
         let why = format!("no event for {} ms", self.elapsed().as_millis());
         let mut open = Some(stream);
         let mut broken = String::new();
+        history.is_stream_open = true;
         let raced = {
-            let resuming = resume::run(job, history, self.last_event, from, why, self.writer);
+            let resuming =
+                resume::run(job, history, self.last_event, from.clone(), why, self.writer);
             tokio::pin!(resuming);
             loop {
                 tokio::select! {
@@ -132,7 +136,7 @@
                     resumed = &mut resuming => break match (resumed, open.take()) {
                         (Some(resumed), _) => Raced::End(End::Resumed(resumed)),
                         (None, Some(stream)) => Raced::NotResumed(stream),
-                        (None, None) => Raced::End(End::Broken(broken)),
+                        (None, None) => Raced::Broken(from, broken),
                     },
                     closed = self.writer.closed() => break Raced::End(End::Closed(closed)),
                     () = job.body.aborted() => break Raced::End(End::Aborted),
@@ -142,6 +146,7 @@
                 }
             }
         };
+        history.is_stream_open = false;
         // Attempts to resume that have not ended were cancelled.
         let is_continued = matches!(raced, Raced::End(End::Continued(..) | End::Complete(_)));
         history.cancel_attempts(is_continued);
@@ -165,6 +170,11 @@
         let from = stream.flight.upstream.clone();
         let why = outcome::record_crashed(self.job, crashed, stream.interrupted()).await;
         drop(stream);
+        self.resume(history, from, why).await
+    }
+
+    /// Resumes the stream elsewhere after its upstream has failed.
+    async fn resume(&self, history: &mut History, from: id::Upstream, why: String) -> End<D> {
         resume::run(self.job, history, self.last_event, from, why.clone(), self.writer)
             .await
             .map_or(End::Broken(why), End::Resumed)
@@ -200,6 +210,9 @@
     End(End<D>),
     /// No upstream may resume the stream now. The silent one is still open.
     NotResumed(Stream<D>),
+    /// The connection of this upstream broke, for this reason, and there was no other upstream as long as it was silent. The
+    /// retry budget may allow one after a failure.
+    Broken(id::Upstream, String),
 }
 
 /// The next item of a stream, which is taken with it; waits forever if there is no stream.
--- a/request/src/budget.rs
+++ b/request/src/budget.rs
@@ -4,6 +4,10 @@
 //! scheduler. A first attempt adds `ratio` tokens to the bucket of its service, which is small. A retry takes
 //! a token; if there is none, it is counted against the slack, which limits such retries per window.
 //!
+//! Load pattern: many upstreams are silent for a second at once, and most go on. Attempts beside those that are silent
+//! (hedges) would take the retries that requests need whose attempts fail in the same window. So hedges leave a share of the
+//! budget to retries after failures.
+//!
 //! No state is handed over to the next scheduler. A new scheduler starts with empty buckets and without slack:
 //! each VM is a client of one scheduler at a time, and its share of the slack counts there once it has been a
 //! client for a whole window. So slack that was spent by a scheduler which was then killed, suspended or
@@ -48,8 +52,13 @@
 /// service.
 const BUCKET_SLACK_SHARE: f64 = (1.0 - CLIENT_SLACK_SHARE) / MAX_SCHEDULERS as f64;
 
+/// Share of the budget that hedges leave. Without its retry after a failure a request is lost, whereas without a hedge it
+/// waits for an upstream that may still respond. A larger share would leave requests at upstreams that are gone without notice.
+const HEDGE_RESERVE_SHARE: f64 = 0.5;
+
 /// How an attempt is charged to the budget.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Encoded", into = "Encoded")]
 pub enum Charge {
     /// The first attempt of a request, which adds tokens.
     Deposit,
@@ -58,6 +67,48 @@
     Free,
     /// A retry after an attempt that reached an upstream, which takes a token or slack.
     Withdraw,
+    /// The same beside an attempt that is silent and still open. It is allowed only while retries after failures have a share
+    /// of the budget left.
+    Hedge,
+}
+
+/// A charge as it is encoded.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Encoded {
+    Name(Name),
+    /// A hedge, as the index of [`Name::Withdraw`]: VMs of the previous release, which know the variants of `Name` only,
+    /// accept an index too, and charge a retry.
+    Index(u8),
+}
+
+#[derive(Serialize, Deserialize)]
+enum Name {
+    Deposit,
+    Free,
+    Withdraw,
+}
+
+impl From<Charge> for Encoded {
+    fn from(charge: Charge) -> Encoded {
+        match charge {
+            Charge::Deposit => Encoded::Name(Name::Deposit),
+            Charge::Free => Encoded::Name(Name::Free),
+            Charge::Withdraw => Encoded::Name(Name::Withdraw),
+            Charge::Hedge => Encoded::Index(Name::Withdraw as u8),
+        }
+    }
+}
+
+impl From<Encoded> for Charge {
+    fn from(encoded: Encoded) -> Charge {
+        match encoded {
+            Encoded::Name(Name::Deposit) => Charge::Deposit,
+            Encoded::Name(Name::Free) => Charge::Free,
+            Encoded::Name(Name::Withdraw) => Charge::Withdraw,
+            Encoded::Index(_) => Charge::Hedge,
+        }
+    }
 }
 
 /// The budget rejects a retry. The fields are the state at that time.
@@ -65,7 +116,7 @@
 pub struct Exhausted {
     /// Retries counted against the slack in the last window.
     pub spent: u32,
-    /// The slack available to this scheduler: 0 while it does not know the size of the fleet.
+    /// The slack available to this scheduler, for a hedge its share: 0 while it does not know the size of the fleet.
     pub slack: u32,
     /// The clients whose shares make up this slack.
     pub clients: u32,
@@ -154,7 +205,7 @@
         match charge {
             Charge::Deposit => self.deposit(service),
             Charge::Free => {}
-            Charge::Withdraw => {
+            Charge::Withdraw | Charge::Hedge => {
                 self.check(service, charge, now)?;
                 self.withdraw(service, now);
             }
@@ -174,19 +225,24 @@
 
     /// Checks whether the budget allows an attempt at a service, without charging it.
     pub fn check(&mut self, service: Tag, charge: Charge, now: Instant) -> Result<(), Exhausted> {
-        if charge != Charge::Withdraw {
-            return Ok(());
-        }
+        let reserve_share = match charge {
+            Charge::Deposit | Charge::Free => return Ok(()),
+            Charge::Withdraw => 0.0,
+            Charge::Hedge => HEDGE_RESERVE_SHARE,
+        };
         let (slack, window) = (self.slack(), self.parameters.window);
+        let reserve = reserve_share * (slack + self.capacity());
         let account = self.accounts.entry(service).or_default();
         account.expire(window, now);
         let spent = account.spent.len();
-        if account.tokens >= 1.0 || spent as f64 + 1.0 <= slack {
+        let unspent = slack - spent as f64;
+        let is_covered = account.tokens >= 1.0 || unspent >= 1.0;
+        if is_covered && account.tokens + unspent.max(0.0) >= 1.0 + reserve {
             return Ok(());
         }
         Err(Exhausted {
             spent: spent as u32,
-            slack: slack as u32,
+            slack: (slack * (1.0 - reserve_share)) as u32,
             clients: self.clients.settled() as u32,
             vms: self.size.max() as u32,
         })
--- a/request/tests/budget.rs
+++ b/request/tests/budget.rs
@@ -99,6 +99,31 @@
     assert_eq!(spend(&mut budget, model(), later), 75);
 }
 
+/// Guards against failures that get no retry after a silence of many upstreams.
+#[test]
+fn hedges_leave_half_of_the_budget_to_retries_after_failures() {
+    let hedges = |budget: &mut Budget, now| {
+        (0..1_000).filter(|_| budget.charge(model(), Charge::Hedge, now).is_ok()).count()
+    };
+    let (mut budget, now) = settled(PARAMETERS, 10, 10);
+    deposit(&mut budget, 10_000, now);
+    assert_eq!(hedges(&mut budget, now), 39, "half of 75 of the slack and 4 tokens");
+    let exhausted = Exhausted { spent: 35, slack: 37, clients: 10, vms: 10 };
+    assert_eq!(budget.charge(model(), Charge::Hedge, now), Err(exhausted));
+    assert_eq!(spend(&mut budget, model(), now), 40, "as many in all as without hedges");
+    let (mut budget, now) = settled(PARAMETERS, 10, 10);
+    (0..38).for_each(|_| budget.charge(model(), Charge::Withdraw, now).unwrap());
+    assert_eq!(hedges(&mut budget, now), 0, "half is spent on failures");
+    let (mut budget, now) = (Budget::new(PARAMETERS), Instant::now());
+    contact(&mut budget, 10, 10, now);
+    deposit(&mut budget, 10_000, now);
+    assert_eq!(
+        (hedges(&mut budget, now), spend(&mut budget, model(), now)),
+        (2, 2),
+        "no slack yet"
+    );
+}
+
 #[test]
 fn each_service_has_a_slack_of_its_own() {
     let (mut budget, now) = settled(PARAMETERS, 10, 10);
--- a/request/tests/message.rs
+++ b/request/tests/message.rs
@@ -126,6 +126,31 @@
     assert_eq!(fields(Caller { priority, ..Caller::default() }), 15);
 }
 
+/// Guards against grant requests that a scheduler of the previous release cannot decode, or grants without a charge: it knows
+/// three charges.
+#[test]
+fn a_hedge_is_a_retry_for_the_previous_release() {
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    enum Previous {
+        Deposit,
+        Free,
+        Withdraw,
+    }
+    for (charge, previous) in [
+        (Charge::Deposit, Previous::Deposit),
+        (Charge::Free, Previous::Free),
+        (Charge::Withdraw, Previous::Withdraw),
+        (Charge::Hedge, Previous::Withdraw),
+    ] {
+        let encoded = rmp_serde::to_vec(&charge).unwrap();
+        assert_eq!(rmp_serde::from_slice::<Previous>(&encoded).unwrap(), previous, "{charge:?}");
+        assert_eq!(rmp_serde::from_slice::<Charge>(&encoded).unwrap(), charge);
+        if charge != Charge::Hedge {
+            assert_eq!(encoded, rmp_serde::to_vec(&previous).unwrap(), "{charge:?}");
+        }
+    }
+}
+
 /// Guards against grants that a VM of the previous release cannot decode: it accepts 13 fields.
 #[test]
 fn a_grant_without_a_reason_is_that_of_the_previous_release() {
