--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -141,7 +141,8 @@
     loop {
         if wait_for_backoff(job, stream_begun).await? {
             // The backoff of the upstreams that refused the request is over.
-            requirements.excluded.clear();
+            let open = history.open_upstreams();
+            requirements.excluded = job.requirements(&open, history.charge()).excluded;
         }
         let granted = tokio::select! {
             biased;
--- a/daemon/src/fleet/retry.rs
+++ b/daemon/src/fleet/retry.rs
@@ -89,8 +89,8 @@
     charged_retries: u32,
     /// Attempts that have not ended, in the order in which they began.
     pub open: Vec<Open>,
-    /// Whether the stream that is to be resumed is still open at a silent upstream.
-    pub is_stream_open: bool,
+    /// The silent upstream of the stream that is to be resumed, while that is still open.
+    pub open_stream: Option<id::Upstream>,
 }
 
 impl History {
@@ -131,6 +131,12 @@
         self.open.last()
     }
 
+    /// Upstreams at which an attempt may still go on. No other attempt may be sent there.
+    pub fn open_upstreams(&self) -> Vec<id::Upstream> {
+        let open = self.open.iter().map(|attempt| attempt.upstream.clone());
+        open.chain(self.open_stream.clone()).collect()
+    }
+
     /// Whether the upstreams of all open attempts are silent.
     pub fn are_all_silent(&self) -> bool {
         self.open.iter().all(|attempt| attempt.silence.is_some())
@@ -167,7 +173,7 @@
     /// token to the next one.
     pub fn charge(&self) -> Charge {
         if self.ran + self.refused > self.charged_retries {
-            let is_hedge = self.is_stream_open || !self.open.is_empty();
+            let is_hedge = self.open_stream.is_some() || !self.open.is_empty();
             if is_hedge { Charge::Hedge } else { Charge::Withdraw }
         } else if self.was_granted {
             Charge::Free
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -111,7 +111,7 @@
         let why = format!("no event for {} ms", self.elapsed().as_millis());
         let mut open = Some(stream);
         let mut broken = String::new();
-        history.is_stream_open = true;
+        history.open_stream = Some(from.clone());
         let raced = {
             let resuming =
                 resume::run(job, history, self.last_event, from.clone(), why, self.writer);
@@ -146,7 +146,7 @@
                 }
             }
         };
-        history.is_stream_open = false;
+        history.open_stream = None;
         // Attempts to resume that have not ended were cancelled.
         let is_continued = matches!(raced, Raced::End(End::Continued(..) | End::Complete(_)));
         history.cancel_attempts(is_continued);
