Bodies: whether the body was read belongs to the attempt

Cause: the note that the body was sent, and the count of references that tells whether it was read, were those of the request. When the body was dropped for memory, a second open attempt that had not read it aborted the first one, which had; and resume::run reset the note, so that a silent stream was cut after an attempt to resume it that was never sent.

Change: each attempt holds a loan of the body, which notes whether the body was sent and whether its connection has dropped it. When the body is dropped for memory, the attempts that have read it go on and the others are aborted; the request goes on while one of its attempts does. A silent stream that is aborted no longer ends an attempt to resume it that has read the body.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -39,7 +39,7 @@
 use crate::fleet::rate_limits;
 use crate::fleet::reservations::{self, Reservations};
 use crate::fleet::stream::{Item, Started, Stream};
-use crate::fleet::unsent::Part;
+use crate::fleet::unsent::{Loan, Part};
 
 /// Maximum size of a complete response, bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -103,7 +103,9 @@
     let attempt_guard = job.process.begin_attempt(grant.number, flight.clone());
     let incarnation = notices::incarnation(&job.process, &flight.upstream);
     let evidence = poller.as_ref().map(Poller::evidence);
-    let sending = send(job, grant, last_event, attempt_guard, evidence, connection, activity);
+    let loan = Arc::new(job.body.begin_attempt());
+    let means = Means { connection, activity, loan: loan.clone() };
+    let sending = send(job, grant, last_event, attempt_guard, evidence, means);
     tokio::pin!(sending);
     let began = job.process.now();
     let end = tokio::select! {
@@ -118,7 +120,7 @@
         () = job.process.aborting.cancelled() => {
             return End::Broken("VM shut down before the response was received".to_owned());
         }
-        () = job.body.aborted() => return End::Aborted { is_sent: job.body.is_sent() },
+        () = loan.aborted() => return End::Aborted { is_sent: loan.is_sent() },
     };
     match end {
         End::Streaming(mut started) => {
@@ -129,15 +131,22 @@
     }
 }
 
+/// What an attempt sends the request with.
+struct Means {
+    connection: Connection,
+    activity: Activity,
+    loan: Arc<Loan>,
+}
+
 async fn send<D: Dialect>(
     job: &Arc<Job<D>>,
     grant: Grant,
     last_event: Option<u64>,
     attempt_guard: Guard<D>,
     evidence: Option<Evidence>,
-    connection: Connection,
-    activity: Activity,
+    means: Means,
 ) -> End<D> {
+    let Means { connection, activity, loan } = means;
     let placement = &grant.placement;
     let upstream = placement.flight.upstream.clone();
     let incarnation = notices::incarnation(&job.process, &upstream);
@@ -169,7 +178,7 @@
         // Its quarantine began after the grant.
         return End::Unsent(format!("part {part} of the prompt is quarantined"));
     }
-    let Some(body) = job.body.send() else { return End::Aborted { is_sent: false } };
+    let Some(body) = loan.send() else { return End::Aborted { is_sent: false } };
     let request = build_request(job, body, placement, &reservations.helpers(&grant), last_event);
     let sent = job.process.now();
     activity.record(sent);
@@ -221,6 +230,7 @@
         pending: Vec::new(),
         predicted_ms: placement.predicted_ms,
         activity,
+        loan,
         attempt_guard,
         reservations,
         channel,
@@ -345,6 +355,7 @@
         incarnation,
         sent,
         activity,
+        loan,
         attempt_guard: _attempt_guard,
         reservations: _reservations,
         channel,
@@ -364,7 +375,7 @@
     };
     let now = job.process.now();
     // A connection on which the body is still being sent cannot be reused, but would hold the body.
-    if !idle_timeout.is_zero() && !job.body.is_unread() {
+    if !idle_timeout.is_zero() && !loan.is_unread() {
         job.process.pool.put(&upstream, channel, idle_timeout, now);
     }
     if head.status.is_server_error() {
--- a/daemon/src/fleet/events.rs
+++ b/daemon/src/fleet/events.rs
@@ -146,6 +146,7 @@
     writer: &Writer,
 ) -> RelayEnd {
     let timeout = silence_timeout(job, stream);
+    let loan = stream.loan.clone();
     let mut pace = pace(job);
     let mut events = first;
     loop {
@@ -163,7 +164,7 @@
             stream.poller.iter().for_each(|poller| poller.record_caller_awaited(true));
             let pushed = tokio::select! {
                 pushed = tokio::time::timeout_at(job.deadline.into(), writer.push(bytes)) => pushed,
-                () = job.body.aborted() => return RelayEnd::Aborted,
+                () = loan.aborted() => return RelayEnd::Aborted,
             };
             stream.poller.iter().for_each(|poller| poller.record_caller_awaited(false));
             match pushed {
@@ -180,7 +181,7 @@
         let next = tokio::select! {
             next = tokio::time::timeout_at(until.into(), stream.next_item(job)) => next,
             closed = writer.closed() => return RelayEnd::Closed(closed),
-            () = job.body.aborted() => return RelayEnd::Aborted,
+            () = loan.aborted() => return RelayEnd::Aborted,
         };
         events = match next {
             Ok(Item::Events(events)) => events,
--- a/daemon/src/fleet/resume.rs
+++ b/daemon/src/fleet/resume.rs
@@ -61,7 +61,6 @@
             _ = writer.closed() => return None,
             () = job.body.dropped() => return None,
         };
-        job.body.begin_attempt();
         let Ended { upstream, end, .. } = tokio::select! {
             ended = race.run(grant, history) => ended,
             _ = writer.closed() => return None,
--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -78,7 +78,6 @@
     let mut history = History::default();
     let race = Race { job: &job, last_event: job.terms.last_event, is_resuming: false };
     loop {
-        job.body.begin_attempt();
         let grant = tokio::select! {
             biased;
             () = job.body.dropped() => return aborted_response(&job, history, proof),
@@ -96,7 +95,6 @@
             Action::Respond(response) => return response,
             Action::Retry(proof) => proof,
             Action::RetryAfter(proof, delay) => {
-                job.body.begin_attempt();
                 tokio::select! {
                     () = tokio::time::sleep(delay) => {}
                     () = job.body.dropped() => {}
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -20,6 +20,7 @@
 use crate::fleet::retry::History;
 use crate::fleet::stream::{Item, Stream};
 use crate::fleet::unread::{Closed, Writer};
+use crate::fleet::unsent::{Loan, OUT_OF_MEMORY};
 
 /// How the silence of an upstream ended.
 pub enum End<D: Dialect> {
@@ -113,6 +114,7 @@
             let resuming = resume::run(job, history, self.last_event, from, why, self.writer);
             tokio::pin!(resuming);
             loop {
+                let loan = open.as_ref().map(|stream| stream.loan.clone());
                 tokio::select! {
                     biased;
                     (item, stream) = next_of(&mut open, job) => match item {
@@ -123,6 +125,11 @@
                             broken = why;
                         }
                     },
+                    () = aborted(loan) => {
+                        // The attempt to resume it may have sent the body.
+                        open = None;
+                        broken = OUT_OF_MEMORY.to_owned();
+                    }
                     crashed = liveness::detect_crash(poller, job), if open.is_some() => {
                         if let Some(stream) = open.take() {
                             let attempt = stream.interrupted();
@@ -135,7 +142,6 @@
                         (None, None) => Raced::End(End::Broken(broken)),
                     },
                     closed = self.writer.closed() => break Raced::End(End::Closed(closed)),
-                    () = job.body.aborted() => break Raced::End(End::Aborted),
                     () = tokio::time::sleep_until(job.deadline.into()) => {
                         break Raced::End(End::Deadline);
                     }
@@ -173,12 +179,13 @@
     /// Waits for the next item of the stream, for as long as the timeout.
     async fn next(&self, stream: &mut Stream<D>, poller: &mut Option<Poller>) -> Next<D> {
         let job = self.job;
+        let loan = stream.loan.clone();
         let until = (job.process.now() + self.timeout).min(job.deadline);
         tokio::select! {
             item = stream.next_item(job) => Next::Item(item),
             crashed = liveness::detect_crash(poller, job) => Next::Crashed(crashed),
             closed = self.writer.closed() => Next::End(Box::new(End::Closed(closed))),
-            () = job.body.aborted() => Next::End(Box::new(End::Aborted)),
+            () = loan.aborted() => Next::End(Box::new(End::Aborted)),
             () = tokio::time::sleep_until(until.into()) => {
                 if job.remaining().is_zero() { Next::End(Box::new(End::Deadline)) } else { Next::Nothing }
             }
@@ -208,3 +215,9 @@
     let item = stream.next_item(job).await;
     (item, open.take().expect("it is open"))
 }
+
+/// Waits until an attempt is aborted since the body was dropped before its upstream had read it; forever without one.
+async fn aborted(loan: Option<Arc<Loan>>) {
+    let Some(loan) = loan else { return std::future::pending().await };
+    loan.aborted().await;
+}
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -1,5 +1,6 @@
 //! Reads a stream of an upstream event by event.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foldlock_connection::channel::Channel;
@@ -20,6 +21,7 @@
 use crate::fleet::process::Guard;
 use crate::fleet::reservations::Reservations;
 use crate::fleet::retry::History;
+use crate::fleet::unsent::Loan;
 
 /// A stream whose first events were received.
 pub struct Started<D: Dialect> {
@@ -52,6 +54,7 @@
     /// The predicted time to the first event, milliseconds.
     pub predicted_ms: f64,
     pub(super) activity: Activity,
+    pub(super) loan: Arc<Loan>,
     pub(super) attempt_guard: Guard<D>,
     pub(super) reservations: Reservations<D>,
     pub(super) channel: Channel,
@@ -146,7 +149,7 @@
         let now = job.process.now();
         let upstream = &self.flight.upstream;
         outcome::record(job, upstream, Outcome::Answered);
-        if !self.idle_timeout.is_zero() && !job.body.is_unread() {
+        if !self.idle_timeout.is_zero() && !self.loan.is_unread() {
             job.process.pool.put(upstream, self.channel, self.idle_timeout, now);
         }
     }
--- a/daemon/src/fleet/unsent.rs
+++ b/daemon/src/fleet/unsent.rs
@@ -3,9 +3,10 @@
 //! Answers load where upstreams read bodies or send responses slowly or not at all, or callers send bodies slowly: each
 //! body is limited, but their number is not, and a process that exceeds the VM's memory is killed with all its requests.
 //! If all bodies together exceed the bound of the VM, the largest is dropped. Its request is aborted, unless it is a
-//! request body that an upstream has read completely: then the request continues, but cannot be retried.
+//! request body that an upstream has read completely: then that attempt continues, but the request cannot be retried.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -47,21 +48,58 @@
     bytes: usize,
     /// The complete body; empty before it was received and after it was dropped.
     content: Bytes,
-    /// Whether the current attempt may have sent a part of it.
-    is_sent: bool,
-    state: State,
+    /// The open attempts that may send it.
+    loans: Vec<Arc<Reading>>,
+    /// Whether it is being received, or was received and not dropped.
+    is_held: bool,
     /// Notified when the body is dropped.
     changed: Arc<Notify>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
-    /// It is being received, or it was received.
-    Held,
-    /// It was dropped after an upstream had read it: the request cannot be retried.
-    Released,
-    /// It was dropped before: the request is aborted.
-    Aborted,
+/// How far the upstream of one attempt has read the body.
+#[derive(Debug, Default)]
+struct Reading {
+    /// Whether a part may have been sent.
+    is_sent: AtomicBool,
+    /// Whether the connection has dropped the body since.
+    is_read: AtomicBool,
+    /// Whether the body had been read when it was dropped to free memory.
+    was_read: AtomicBool,
+}
+
+impl Reading {
+    fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Acquire)
+    }
+
+    fn is_read(&self) -> bool {
+        self.is_sent() && self.is_read.load(Ordering::Acquire)
+    }
+
+    /// Records that the body is dropped to free memory. Returns whether the attempt needs it no longer.
+    fn release(&self) -> bool {
+        let is_read = self.is_read();
+        self.was_read.store(is_read, Ordering::Release);
+        is_read
+    }
+}
+
+/// The content as the connection of one attempt holds it.
+struct Sending {
+    content: Bytes,
+    reading: Arc<Reading>,
+}
+
+impl AsRef<[u8]> for Sending {
+    fn as_ref(&self) -> &[u8] {
+        &self.content
+    }
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        self.reading.is_read.store(true, Ordering::Release);
+    }
 }
 
 /// What a body is.
@@ -117,8 +155,8 @@
             part,
             bytes: 0,
             content: Bytes::new(),
-            is_sent: false,
-            state: State::Held,
+            loans: Vec::new(),
+            is_held: true,
             changed: changed.clone(),
         };
         let mut inner = self.inner.lock().unwrap();
@@ -157,9 +195,9 @@
             let bytes = std::mem::take(&mut largest.bytes);
             self.bytes -= bytes;
             // The connection drops its reference when the last byte is in the buffer of the socket.
-            let is_read = largest.is_sent && largest.content.is_unique();
-            let effect = if is_read { Effect::Continued } else { Effect::Aborted };
-            largest.state = if is_read { State::Released } else { State::Aborted };
+            let read = largest.loans.iter().filter(|reading| reading.release()).count();
+            let effect = if read > 0 { Effect::Continued } else { Effect::Aborted };
+            largest.is_held = false;
             largest.content = Bytes::new();
             largest.changed.notify_waiters();
             let (request, part) = (largest.request.clone(), largest.part);
@@ -186,7 +224,7 @@
         let bodies = &self.body.bodies;
         let mut inner = bodies.inner.lock().unwrap();
         let Some(entry) = inner.entries.get_mut(&self.body.number) else { return Vec::new() };
-        if entry.state != State::Held {
+        if !entry.is_held {
             return Vec::new();
         }
         entry.bytes += bytes.len();
@@ -221,7 +259,7 @@
         self.buffer.shrink_to_fit();
         let mut inner = self.body.bodies.inner.lock().unwrap();
         let entry = inner.entries.get_mut(&self.body.number);
-        if let Some(entry) = entry.filter(|entry| entry.state == State::Held) {
+        if let Some(entry) = entry.filter(|entry| entry.is_held) {
             entry.content = Bytes::from(self.buffer);
         }
         drop(inner);
@@ -245,63 +283,87 @@
 
     /// The bytes; none if they were dropped.
     pub fn bytes(&self) -> Option<Bytes> {
-        self.entry(|entry| (entry.state == State::Held).then(|| entry.content.clone()))
+        self.entry(|entry| entry.is_held.then(|| entry.content.clone()))
     }
 
     /// Begins an attempt, which has sent nothing yet.
-    pub fn begin_attempt(&self) {
-        self.entry(|entry| entry.is_sent = false);
+    pub fn begin_attempt(&self) -> Loan {
+        let reading = Arc::new(Reading::default());
+        self.entry(|entry| entry.loans.push(reading.clone()));
+        let (bodies, changed) = (self.bodies.clone(), self.changed.clone());
+        Loan { bodies, number: self.number, changed, reading }
     }
 
-    /// The bytes for the current attempt, which may send a part of them from now on; none if they were dropped.
-    pub fn send(&self) -> Option<Bytes> {
-        self.entry(|entry| {
-            let is_held = entry.state == State::Held;
-            entry.is_sent = is_held;
-            is_held.then(|| entry.content.clone())
-        })
+    /// Whether the body can still be sent.
+    pub fn is_held(&self) -> bool {
+        self.entry(|entry| entry.is_held)
     }
 
-    /// Whether the current attempt may have sent a part of the body.
-    pub fn is_sent(&self) -> bool {
-        self.entry(|entry| entry.is_sent)
+    /// Waits until the body is dropped.
+    pub async fn dropped(&self) {
+        wait(&self.changed, || !self.is_held()).await;
     }
+}
 
-    /// Whether the body can still be sent.
-    pub fn is_held(&self) -> bool {
-        self.entry(|entry| entry.state == State::Held)
+/// Waits for a condition that holds after the body was dropped at the latest.
+async fn wait(changed: &Notify, is_met: impl Fn() -> bool) {
+    loop {
+        let changed = changed.notified();
+        tokio::pin!(changed);
+        // Several attempts may wait. A notification only reaches those that wait by then.
+        changed.as_mut().enable();
+        if is_met() {
+            return;
+        }
+        changed.await;
     }
+}
 
-    /// Whether a connection may hold a part of the body that its upstream has not read.
-    pub fn is_unread(&self) -> bool {
-        self.entry(|entry| match entry.state {
-            State::Held => !entry.content.is_empty() && !entry.content.is_unique(),
-            State::Released => false,
-            // The connection keeps its reference until it is closed.
-            State::Aborted => true,
-        })
+/// The body as one attempt may send it, until this is dropped.
+#[derive(Debug)]
+pub struct Loan {
+    bodies: Arc<Bodies>,
+    number: u64,
+    changed: Arc<Notify>,
+    reading: Arc<Reading>,
+}
+
+impl Loan {
+    /// The bytes, of which the attempt may send a part from now on; none if they were dropped.
+    pub fn send(&self) -> Option<Bytes> {
+        let mut inner = self.bodies.inner.lock().unwrap();
+        let entry = inner.entries.get_mut(&self.number).filter(|entry| entry.is_held)?;
+        self.reading.is_sent.store(true, Ordering::Release);
+        let (content, reading) = (entry.content.clone(), self.reading.clone());
+        Some(Bytes::from_owner(Sending { content, reading }))
     }
 
-    /// Waits until the body is dropped.
-    pub async fn dropped(&self) {
-        self.wait(|state| state != State::Held).await;
+    /// Whether the attempt may have sent a part of the body.
+    pub fn is_sent(&self) -> bool {
+        self.reading.is_sent()
     }
 
-    /// Waits until the request is aborted since its body was dropped before an upstream had read it.
+    /// Whether the connection may hold a part of the body that the upstream has not read.
+    pub fn is_unread(&self) -> bool {
+        self.reading.is_sent() && !self.reading.is_read()
+    }
+
+    /// Waits until the attempt is aborted since the body was dropped before its upstream had read it.
     pub async fn aborted(&self) {
-        self.wait(|state| state == State::Aborted).await;
+        wait(&self.changed, || {
+            let inner = self.bodies.inner.lock().unwrap();
+            let is_held = inner.entries.get(&self.number).is_some_and(|entry| entry.is_held);
+            !is_held && !self.reading.was_read.load(Ordering::Acquire)
+        })
+        .await;
     }
+}
 
-    async fn wait(&self, is_met: impl Fn(State) -> bool) {
-        loop {
-            let changed = self.changed.notified();
-            tokio::pin!(changed);
-            // Several attempts may wait. A notification only reaches those that wait by then.
-            changed.as_mut().enable();
-            if is_met(self.entry(|entry| entry.state)) {
-                return;
-            }
-            changed.await;
+impl Drop for Loan {
+    fn drop(&mut self) {
+        let mut inner = self.bodies.inner.lock().unwrap();
+        if let Some(entry) = inner.entries.get_mut(&self.number) {
+            entry.loans.retain(|reading| !Arc::ptr_eq(reading, &self.reading));
         }
     }
 }
--- a/daemon/tests/unsent.rs
+++ b/daemon/tests/unsent.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use foldlock_base::id;
-use foldlockd::fleet::unsent::{Bodies, Body, Dropped, Effect, Part, Receiver};
+use foldlockd::fleet::unsent::{Bodies, Body, Dropped, Effect, Loan, Part, Receiver};
 use proptest::prelude::*;
 
 /// The memory of the smallest VMs, bytes.
@@ -38,7 +38,8 @@
     let bodies = Bodies::new(MEMORY);
     let large = received(&bodies, 1, MAX_BYTES);
     let mut other = bodies.receive(&request(2), Part::Request, None);
-    let aborted = async { tokio::join!(large.aborted(), large.aborted(), large.dropped()) };
+    let loans = (large.begin_attempt(), large.begin_attempt());
+    let aborted = async { tokio::join!(loans.0.aborted(), loans.1.aborted(), large.dropped()) };
     let dropping = async {
         tokio::task::yield_now().await;
         assert_eq!(other.push(&[7; READ_BYTES]).len(), 1);
@@ -76,6 +77,7 @@
 fn the_largest_body_is_dropped_and_the_others_are_kept() {
     let bodies = Bodies::new(400);
     let (small, large) = (received(&bodies, 1, 30), received(&bodies, 2, 50));
+    let loan = large.begin_attempt();
     let mut receiver = bodies.receive(&request(3), Part::Request, Some(40));
     let expected = Dropped {
         request: request(2),
@@ -85,8 +87,8 @@
         effect: Effect::Aborted,
     };
     assert_eq!(receiver.push(&[7; 40]), [expected]);
-    assert!(is_ready(large.aborted()) && is_ready(large.dropped()));
-    assert_eq!((large.bytes(), large.send()), (None, None));
+    assert!(is_ready(loan.aborted()) && is_ready(large.dropped()));
+    assert_eq!((large.bytes(), loan.send()), (None, None));
     assert!(!is_ready(small.dropped()) && !is_ready(receiver.dropped()));
     assert_eq!(small.bytes().unwrap(), [7; 30][..]);
     assert_eq!(receiver.finish().bytes().unwrap(), [7; 40][..]);
@@ -117,13 +119,14 @@
 fn a_body_that_is_being_sent_is_shared() {
     let bodies = Bodies::new(400);
     let body = received(&bodies, 1, 30);
-    assert!(!body.is_unread());
-    let sent = body.send().unwrap();
+    let loan = body.begin_attempt();
+    assert!(!loan.is_unread());
+    let sent = loan.send().unwrap();
     assert_eq!(sent.as_ptr(), body.bytes().unwrap().as_ptr());
-    assert!(body.is_unread() && body.is_sent());
+    assert!(loan.is_unread() && loan.is_sent());
     assert_eq!(bodies.bytes(), 30);
     drop(sent);
-    assert!(!body.is_unread());
+    assert!(!loan.is_unread());
     drop(body);
     assert_eq!(bodies.bytes(), 0);
 }
@@ -134,10 +137,11 @@
 fn a_body_that_is_dropped_while_it_is_sent_remains_unread() {
     let bodies = Bodies::new(400);
     let body = received(&bodies, 1, 90);
-    let _sent = body.send();
+    let loan = body.begin_attempt();
+    let _sent = loan.send();
     let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
     assert_eq!(dropped[0].effect, Effect::Aborted);
-    assert!(body.is_unread());
+    assert!(loan.is_unread());
 }
 
 /// Guards against the abort of a request whose upstream needs nothing more from this VM.
@@ -145,10 +149,25 @@
 fn a_request_whose_body_was_read_continues_without_retries() {
     let bodies = Bodies::new(400);
     let read = received(&bodies, 1, 90);
+    let loan = read.begin_attempt();
+    drop(loan.send());
+    let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
+    assert_eq!(dropped[0].effect, Effect::Continued);
+    assert!(!read.is_held() && is_ready(read.dropped()) && !is_ready(loan.aborted()));
+}
+
+/// Guards against an attempt that is aborted with its sound response since another one has not read the body, or was not sent.
+#[test]
+fn an_attempt_that_has_read_the_body_goes_on_beside_others() {
+    let bodies = Bodies::new(400);
+    let body = received(&bodies, 1, 90);
+    let (read, unread, unsent) = (body.begin_attempt(), body.begin_attempt(), body.begin_attempt());
     drop(read.send());
+    let _unread = unread.send();
     let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
     assert_eq!(dropped[0].effect, Effect::Continued);
-    assert!(!read.is_held() && is_ready(read.dropped()) && !is_ready(read.aborted()));
+    assert!(!is_ready(read.aborted()) && !read.is_unread());
+    assert!(is_ready(unread.aborted()) && is_ready(unsent.aborted()));
 }
 
 /// Guards against an abort that is reported as not run although a part may have been sent, and the reverse.
@@ -157,14 +176,15 @@
     for (is_sent, new_attempt) in [(true, false), (false, true)] {
         let bodies = Bodies::new(400);
         let body = received(&bodies, 1, 90);
-        let sent = body.send();
+        let mut loan = body.begin_attempt();
+        let sent = loan.send();
         if new_attempt {
             drop(sent.clone());
-            body.begin_attempt();
+            loan = body.begin_attempt();
         }
         let dropped = bodies.receive(&request(2), Part::Request, None).push(&[7; 20]);
         assert_eq!(dropped[0].effect, Effect::Aborted);
-        assert_eq!(body.is_sent(), is_sent);
+        assert_eq!(loan.is_sent(), is_sent);
     }
 }
 
@@ -206,6 +226,7 @@
 struct Model {
     receiver: Option<Receiver>,
     body: Option<Body>,
+    loan: Option<Loan>,
     sent: Option<Bytes>,
     was_sent: bool,
     bytes: usize,
@@ -249,7 +270,9 @@
                 Operation::Send(number) => {
                     let Some(model) = models.get_mut(&number) else { continue };
                     let Some(body) = &model.body else { continue };
-                    model.sent = body.send();
+                    let loan = body.begin_attempt();
+                    model.sent = loan.send();
+                    model.loan = Some(loan);
                     model.was_sent = model.sent.is_some();
                 }
                 Operation::Read(number) => {
