Race: a kept failure response is returned at the deadline

Cause: the failure response of an upstream is kept while another attempt is open. next_action returned an own 504 at the deadline without a look at it, while all other ends of a request return it.

Change: at the deadline the kept response is returned if there is one.

--- a/daemon/src/fleet/serve.rs
+++ b/daemon/src/fleet/serve.rs
@@ -173,6 +173,9 @@
             )));
         }
         End::Deadline => {
+            if let Some(response) = history.upstream_response.take() {
+                return Action::Respond(Ok(response));
+            }
             let why = format!("no response of {upstream} before the deadline");
             let error = attempt.unknown().error(Kind::DeadlineExceeded, why, false);
             return Action::Respond(Err(record_error(job, error)));
