Race: an upstream that sends a whole response is not silent

Change: the timer of a whole response runs since the last activity of any open attempt. The deadline stays; streams are still expected to send events.

--- a/daemon/src/fleet/race.rs
+++ b/daemon/src/fleet/race.rs
@@ -75,11 +75,19 @@
 /// When another placement is requested.
 struct Schedule {
     due: Instant,
+    /// Time without activity of the upstreams after which one that sends a whole response counts as silent.
+    timeout: Duration,
     /// Time after which it is requested again if none is granted; doubles each time.
     pause: Duration,
 }
 
 impl Schedule {
+    /// The schedule after an attempt began with this timeout.
+    fn begin(&mut self, now: Instant, timeout: Duration) {
+        self.due = now + timeout;
+        self.timeout = timeout;
+    }
+
     fn postpone(&mut self, now: Instant) {
         self.due = now + self.pause;
         self.pause *= 2;
@@ -93,7 +101,7 @@
         let job = self.job;
         let now = || job.process.now();
         let timeout = self.response_timeout(&grant.placement, history);
-        let mut schedule = Schedule { due: now() + timeout, pause: timeout };
+        let mut schedule = Schedule { due: now() + timeout, timeout, pause: timeout };
         let mut open = FuturesUnordered::new();
         open.push(self.begin(grant, history));
         let mut others_may_have_run = false;
@@ -118,7 +126,14 @@
                     history.failure = Some(failure);
                 }
                 None if job.remaining().is_zero() => return self.on_deadline(history),
-                None => self.record_silence(history),
+                None => {
+                    let rest = schedule.timeout.saturating_sub(self.shortest_silence(history));
+                    if !rest.is_zero() {
+                        schedule.due = now() + rest;
+                        continue;
+                    }
+                    self.record_silence(history);
+                }
             }
             if self.is_exclusive() || !retry::may_retry(job, history, false) {
                 schedule.postpone(now());
@@ -142,7 +157,7 @@
                     schedule.postpone(now());
                 }
                 (Asked::Granted(grant), None) => {
-                    schedule.due = now() + self.response_timeout(&grant.placement, history);
+                    schedule.begin(now(), self.response_timeout(&grant.placement, history));
                     open.push(self.begin(grant, history));
                 }
                 (Asked::Rejected, None) => schedule.postpone(now()),
@@ -251,6 +266,17 @@
         history.failure = Some(Failure::new(job, attempt.upstream.clone(), why));
     }
 
+    /// Time since an upstream last sent a piece of a whole response. Streams are expected to send events: other activity does
+    /// not count.
+    fn shortest_silence(&self, history: &History) -> Duration {
+        let now = self.job.process.now();
+        let silences = history.open.iter().map(|attempt| attempt.silence(now));
+        match self.job.route.delivery {
+            Delivery::Complete => silences.min().unwrap_or(Duration::MAX),
+            Delivery::Streaming { .. } => Duration::MAX,
+        }
+    }
+
     /// What a silent upstream is expected to send.
     fn phase(&self) -> Phase {
         match self.job.route.delivery {
