Silence: a suspected stream runs at one upstream at a time

Cause: Race::run alone asked whether a request is suspected of crashing engines. A stream that is silent in the middle is resumed by silence.rs beside its open attempt, without that question.

Change: is_exclusive is asked before another upstream is asked for, and again when a placement is granted while the silent stream is open. Once the stream has broken, it is resumed as before.

--- a/daemon/src/fleet/race.rs
+++ b/daemon/src/fleet/race.rs
@@ -135,7 +135,7 @@
                     self.record_silence(history);
                 }
             }
-            if self.is_exclusive() || !retry::may_retry(job, history, false) {
+            if is_exclusive(job) || !retry::may_retry(job, history, false) {
                 schedule.postpone(now());
                 continue;
             }
@@ -153,7 +153,7 @@
                 }
                 (Asked::Deadline, None) => return self.on_deadline(history),
                 // It was suspected after the request for the placement.
-                (Asked::Granted(_), None) if !open.is_empty() && self.is_exclusive() => {
+                (Asked::Granted(_), None) if !open.is_empty() && is_exclusive(job) => {
                     schedule.postpone(now());
                 }
                 (Asked::Granted(grant), None) => {
@@ -285,17 +285,6 @@
         }
     }
 
-    /// Whether the request may run at one upstream at a time only: it or a part of its prompt is suspected of crashing
-    /// upstreams. Another placement is requested once the open attempt has ended.
-    fn is_exclusive(&self) -> bool {
-        let job = self.job;
-        let now = job.process.now();
-        let cluster = job.process.cluster.lock().unwrap();
-        let service = Tag::of(&job.service.name);
-        cluster.quarantine.verdict(job.fingerprint, now) != Verdict::Shared
-            || cluster.part_verdict(service, &job.terms.parts, now).is_some()
-    }
-
     /// Time to wait for the response or its first event before another placement is requested.
     fn response_timeout(&self, placement: &Placement, history: &History) -> Duration {
         let job = self.job;
@@ -314,6 +303,16 @@
     }
 }
 
+/// Whether the request may run at one upstream at a time only: it or a part of its prompt is suspected of crashing upstreams.
+/// Another placement is requested once the open attempt has ended.
+pub fn is_exclusive<D: Dialect>(job: &Job<D>) -> bool {
+    let now = job.process.now();
+    let cluster = job.process.cluster.lock().unwrap();
+    let service = Tag::of(&job.service.name);
+    cluster.quarantine.verdict(job.fingerprint, now) != Verdict::Shared
+        || cluster.part_verdict(service, &job.terms.parts, now).is_some()
+}
+
 /// Counts an attempt that ended without a usable response. Returns the failure.
 pub fn count_failure<D: Dialect>(
     job: &Job<D>,
--- a/daemon/src/fleet/resume.rs
+++ b/daemon/src/fleet/resume.rs
@@ -1,6 +1,7 @@
 //! Resumes a stream at another upstream, after the last event that was relayed.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use foldlock_base::prelude::*;
 use foldlock_connection::sse;
@@ -36,18 +37,20 @@
     let from = stream.flight.upstream.clone();
     stream.count(history);
     stream.fail(job).await;
-    run(job, history, last_event, from, why, writer).await
+    let is_open = AtomicBool::new(false);
+    run(job, history, last_event, (from, why), writer, &is_open).await
 }
 
 /// Resumes a stream that one upstream has not sent completely, for the reason `why`. Returns none if no other upstream may
-/// or can resume it.
+/// or can resume it. While the stream `is_open` at that upstream, a request that may run at one upstream only is not sent to
+/// another.
 pub async fn run<D: Dialect>(
     job: &Arc<Job<D>>,
     history: &mut History,
     last_event: Option<u64>,
-    from: id::Upstream,
-    why: String,
+    (from, why): (id::Upstream, String),
     writer: &Writer,
+    is_open: &AtomicBool,
 ) -> Option<Resumed<D>> {
     let last = last_event?;
     history.failure = Some(Failure::new(job, from, why));
@@ -61,6 +64,9 @@
             _ = writer.closed() => return None,
             () = job.body.dropped() => return None,
         };
+        if is_open.load(Ordering::Acquire) && race::is_exclusive(job) {
+            return None;
+        }
         let Ended { upstream, end, .. } = tokio::select! {
             ended = race.run(grant, history) => ended,
             _ = writer.closed() => return None,
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -6,6 +6,7 @@
 //! stream, and the other attempt is cancelled.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use foldlock_connection::sse;
@@ -16,6 +17,7 @@
 use crate::fleet::liveness::{self, Crashed, Poller};
 use crate::fleet::metrics::{OpenSilence, Phase, Silence};
 use crate::fleet::outcome;
+use crate::fleet::race;
 use crate::fleet::resume::{self, Resumed};
 use crate::fleet::retry::History;
 use crate::fleet::stream::{Item, Stream};
@@ -66,9 +68,11 @@
         let mut poller = stream.poller.take();
         poller.iter_mut().for_each(|poller| poller.restart(self.since));
         let mut end = loop {
-            match self.race(stream, &mut poller, history).await {
-                Raced::End(end) => break end,
-                Raced::NotResumed(open) => stream = open,
+            if !race::is_exclusive(job) {
+                match self.race(stream, &mut poller, history).await {
+                    Raced::End(end) => break end,
+                    Raced::NotResumed(open) => stream = open,
+                }
             }
             match self.next(&mut stream, &mut poller).await {
                 Next::Item(Item::Events(events)) => break End::Continued(stream, events),
@@ -110,8 +114,10 @@
         let why = format!("no event for {} ms", self.elapsed().as_millis());
         let mut open = Some(stream);
         let mut broken = String::new();
+        let is_open = AtomicBool::new(true);
         let raced = {
-            let resuming = resume::run(job, history, self.last_event, from, why, self.writer);
+            let (last, failed) = (self.last_event, (from, why));
+            let resuming = resume::run(job, history, last, failed, self.writer, &is_open);
             tokio::pin!(resuming);
             loop {
                 let loan = open.as_ref().map(|stream| stream.loan.clone());
@@ -122,18 +128,21 @@
                         Item::End => break Raced::End(End::Complete(stream)),
                         Item::Broken(why) => {
                             stream.fail(job).await;
+                            is_open.store(false, Ordering::Release);
                             broken = why;
                         }
                     },
                     () = aborted(loan) => {
                         // The attempt to resume it may have sent the body.
                         open = None;
+                        is_open.store(false, Ordering::Release);
                         broken = OUT_OF_MEMORY.to_owned();
                     }
                     crashed = liveness::detect_crash(poller, job), if open.is_some() => {
                         if let Some(stream) = open.take() {
                             let attempt = stream.interrupted();
                             broken = outcome::record_crashed(job, crashed, attempt).await;
+                            is_open.store(false, Ordering::Release);
                         }
                     }
                     resumed = &mut resuming => break match (resumed, open.take()) {
@@ -171,7 +180,9 @@
         let from = stream.flight.upstream.clone();
         let why = outcome::record_crashed(self.job, crashed, stream.interrupted()).await;
         drop(stream);
-        resume::run(self.job, history, self.last_event, from, why.clone(), self.writer)
+        let failed = (from, why.clone());
+        let is_open = AtomicBool::new(false);
+        resume::run(self.job, history, self.last_event, failed, self.writer, &is_open)
             .await
             .map_or(End::Broken(why), End::Resumed)
     }
