--- a/daemon/src/fleet/race.rs
+++ b/daemon/src/fleet/race.rs
@@ -75,11 +75,19 @@
 /// When another placement is requested.
 struct Schedule {
     due: Instant,
+    /// Time without activity of the upstreams after which one that sends a whole response counts as silent.
+    timeout: Duration,
     /// Time after which it is requested again if none is granted; doubles each time.
     pause: Duration,
 }
 
 impl Schedule {
+    /// The schedule after an attempt began with this timeout.
+    fn begin(&mut self, now: Instant, timeout: Duration) {
+        self.due = now + timeout;
+        self.timeout = timeout;
+    }
+
     fn postpone(&mut self, now: Instant) {
         self.due = now + self.pause;
         self.pause *= 2;
@@ -93,7 +101,7 @@
         let job = self.job;
         let now = || job.process.now();
         let timeout = self.response_timeout(&grant.placement, history);
-        let mut schedule = Schedule { due: now() + timeout, pause: timeout };
+        let mut schedule = Schedule { due: now() + timeout, timeout, pause: timeout };
         let mut open = FuturesUnordered::new();
         open.push(self.begin(grant, history));
         let mut others_may_have_run = false;
@@ -118,9 +126,16 @@
                     history.failure = Some(failure);
                 }
                 None if job.remaining().is_zero() => return self.on_deadline(history),
-                None => self.record_silence(history),
+                None => {
+                    let rest = schedule.timeout.saturating_sub(self.shortest_silence(history));
+                    if !rest.is_zero() {
+                        schedule.due = now() + rest;
+                        continue;
+                    }
+                    self.record_silence(history);
+                }
             }
-            if self.is_exclusive() || !retry::may_retry(job, history, false) {
+            if is_exclusive(job) || !retry::may_retry(job, history, false) {
                 schedule.postpone(now());
                 continue;
             }
@@ -138,11 +153,11 @@
                 }
                 (Asked::Deadline, None) => return self.on_deadline(history),
                 // It was suspected after the request for the placement.
-                (Asked::Granted(_), None) if !open.is_empty() && self.is_exclusive() => {
+                (Asked::Granted(_), None) if !open.is_empty() && is_exclusive(job) => {
                     schedule.postpone(now());
                 }
                 (Asked::Granted(grant), None) => {
-                    schedule.due = now() + self.response_timeout(&grant.placement, history);
+                    schedule.begin(now(), self.response_timeout(&grant.placement, history));
                     open.push(self.begin(grant, history));
                 }
                 (Asked::Rejected, None) => schedule.postpone(now()),
@@ -251,6 +266,17 @@
         history.failure = Some(Failure::new(job, attempt.upstream.clone(), why));
     }
 
+    /// Time since an upstream last sent a piece of a whole response. Streams are expected to send events: other activity does
+    /// not count.
+    fn shortest_silence(&self, history: &History) -> Duration {
+        let now = self.job.process.now();
+        let silences = history.open.iter().map(|attempt| attempt.silence(now));
+        match self.job.route.delivery {
+            Delivery::Complete => silences.min().unwrap_or(Duration::MAX),
+            Delivery::Streaming { .. } => Duration::MAX,
+        }
+    }
+
     /// What a silent upstream is expected to send.
     fn phase(&self) -> Phase {
         match self.job.route.delivery {
@@ -259,17 +285,6 @@
         }
     }
 
-    /// Whether the request may run at one upstream at a time only: it or a part of its prompt is suspected of crashing
-    /// upstreams. Another placement is requested once the open attempt has ended.
-    fn is_exclusive(&self) -> bool {
-        let job = self.job;
-        let now = job.process.now();
-        let cluster = job.process.cluster.lock().unwrap();
-        let service = Tag::of(&job.service.name);
-        cluster.quarantine.verdict(job.fingerprint, now) != Verdict::Shared
-            || cluster.part_verdict(service, &job.terms.parts, now).is_some()
-    }
-
     /// Time to wait for the response or its first event before another placement is requested.
     fn response_timeout(&self, placement: &Placement, history: &History) -> Duration {
         let job = self.job;
@@ -288,6 +303,16 @@
     }
 }
 
+/// Whether the request may run at one upstream at a time only: it or a part of its prompt is suspected of crashing upstreams.
+/// Another placement is requested once the open attempt has ended.
+pub fn is_exclusive<D: Dialect>(job: &Job<D>) -> bool {
+    let now = job.process.now();
+    let cluster = job.process.cluster.lock().unwrap();
+    let service = Tag::of(&job.service.name);
+    cluster.quarantine.verdict(job.fingerprint, now) != Verdict::Shared
+        || cluster.part_verdict(service, &job.terms.parts, now).is_some()
+}
+
 /// Counts an attempt that ended without a usable response. Returns the failure.
 pub fn count_failure<D: Dialect>(
     job: &Job<D>,
--- a/daemon/src/fleet/silence.rs
+++ b/daemon/src/fleet/silence.rs
@@ -6,6 +6,7 @@
 //! stream, and the other attempt is cancelled.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
@@ -17,6 +18,7 @@
 use crate::fleet::liveness::{self, Crashed, Poller};
 use crate::fleet::metrics::{OpenSilence, Phase, Silence};
 use crate::fleet::outcome;
+use crate::fleet::race;
 use crate::fleet::resume::{self, Resumed};
 use crate::fleet::retry::History;
 use crate::fleet::stream::{Item, Stream};
@@ -67,10 +69,12 @@
         let mut poller = stream.poller.take();
         poller.iter_mut().for_each(|poller| poller.restart(self.since));
         let mut end = loop {
-            match self.race(stream, &mut poller, history).await {
-                Raced::End(end) => break end,
-                Raced::Broken(from, why) => break self.resume(history, from, why).await,
-                Raced::NotResumed(open) => stream = open,
+            if !race::is_exclusive(job) {
+                match self.race(stream, &mut poller, history).await {
+                    Raced::End(end) => break end,
+                    Raced::Broken(from, why) => break self.resume(history, from, why).await,
+                    Raced::NotResumed(open) => stream = open,
+                }
             }
             match self.next(&mut stream, &mut poller).await {
                 Next::Item(Item::Events(events)) => break End::Continued(stream, events),
@@ -113,9 +117,10 @@
         let mut open = Some(stream);
         let mut broken = String::new();
         history.open_stream = Some(from.clone());
+        let is_open = AtomicBool::new(true);
         let raced = {
-            let resuming =
-                resume::run(job, history, self.last_event, from.clone(), why, self.writer);
+            let (last, failed) = (self.last_event, (from.clone(), why));
+            let resuming = resume::run(job, history, last, failed, self.writer, &is_open);
             tokio::pin!(resuming);
             loop {
                 let loan = open.as_ref().map(|stream| stream.loan.clone());
@@ -126,18 +131,21 @@
                         Item::End => break Raced::End(End::Complete(stream)),
                         Item::Broken(why) => {
                             stream.fail(job).await;
+                            is_open.store(false, Ordering::Release);
                             broken = why;
                         }
                     },
                     () = aborted(loan) => {
                         // The attempt to resume it may have sent the body.
                         open = None;
+                        is_open.store(false, Ordering::Release);
                         broken = OUT_OF_MEMORY.to_owned();
                     }
                     crashed = liveness::detect_crash(poller, job), if open.is_some() => {
                         if let Some(stream) = open.take() {
                             let attempt = stream.interrupted();
                             broken = outcome::record_crashed(job, crashed, attempt).await;
+                            is_open.store(false, Ordering::Release);
                         }
                     }
                     resumed = &mut resuming => break match (resumed, open.take()) {
@@ -181,7 +189,9 @@
 
     /// Resumes the stream elsewhere after its upstream has failed.
     async fn resume(&self, history: &mut History, from: id::Upstream, why: String) -> End<D> {
-        resume::run(self.job, history, self.last_event, from, why.clone(), self.writer)
+        let failed = (from, why.clone());
+        let is_open = AtomicBool::new(false);
+        resume::run(self.job, history, self.last_event, failed, self.writer, &is_open)
             .await
             .map_or(End::Broken(why), End::Resumed)
     }
