--- a/daemon/src/fleet/activity.rs
+++ b/daemon/src/fleet/activity.rs
@@ -1,4 +1,4 @@
-//! When the upstreams of a request last sent something: tells in the log which responses were given up during a silence.
+//! When the upstreams of a request last sent something, for the log lines about responses that were given up during a silence.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -36,7 +36,7 @@
     listed: Option<Listed>,
 }
 
-/// What the poller of an attempt and its renewals tell each other.
+/// State shared by the poller of an attempt and its renewals.
 struct Shared {
     main: Target,
     /// When the main engine was last known to be alive.
