--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -21,6 +21,7 @@
         "part" => part(record)?,
         "herd" => herd(record)?,
         "spot" => spot(record)?,
+        "drill" => drill(record)?,
         _ => return Err(format!("there is no case {case}")),
     };
     world.note(if held { "the rule held" } else { "the rule was broken" });
@@ -246,12 +247,31 @@
     answer
 }
 
-/// A shared part of prompts crashes engines, at a time of day with few other requests.
+/// Asks for a long stream that may not be resumed, on a channel of its own, and notes how it ends. Returns whether it was cut.
+fn ask_long(world: &World, vm: usize, id: &str, more: &str) -> bool {
+    let head = head("POST", "/report/a", id, vm, Some(KEY), 15_000, more);
+    let answer = http::ask(
+        world.front(vm),
+        &head,
+        format!("prompt of {id}").as_bytes(),
+        Duration::from_secs(16),
+    );
+    let events = String::from_utf8_lossy(&answer.body).matches("id: ").count();
+    let ends = if answer.is_complete { "complete" } else { "cut" };
+    world.note(&format!(
+        "{id} at VM {}: status {}, {events} of 120 events, {ends}",
+        vm + 1,
+        answer.status
+    ));
+    answer.status == 200 && !answer.is_complete
+}
+
+/// A shared part of prompts crashes engines, in an hour with few other requests.
 fn part(record: &str) -> Setup<Played> {
     /// Requests with the part, and the time between two.
     const REQUESTS: usize = 14;
     const PAUSE: Duration = Duration::from_millis(3_500);
-    /// Time between two sound requests.
+    /// Time between two sound requests, each for a stream of 12 s.
     const SOUND: Duration = Duration::from_millis(7_000);
     let mut world = World::new(record, 3)?;
     for _ in 0..6 {
@@ -266,19 +286,31 @@
         }
     }
     let asking = world.clone();
-    thread::spawn(move || {
-        for number in 3.. {
-            thread::sleep(SOUND);
-            ask_stream(&asking, number % 3, &format!("sound-{number}"), &prompt("a1", number));
-        }
+    let sound = thread::spawn(move || {
+        let streams: Vec<_> = (3..10)
+            .map(|number| {
+                let world = asking.clone();
+                let stream = move || {
+                    ask_long(&world, number % 3, &format!("long-{number}"), &prompt("a1", number))
+                };
+                let stream = thread::spawn(stream);
+                thread::sleep(SOUND);
+                stream
+            })
+            .collect();
+        streams.into_iter().filter_map(|stream| stream.join().ok()).filter(|is_cut| *is_cut).count()
     });
     for number in 0..REQUESTS {
         let began = Instant::now();
         ask_stream(&world, number % 3, &format!("bad-{number}"), &prompt("bad0", 100 + number));
         thread::sleep(PAUSE.saturating_sub(began.elapsed()));
     }
+    let cut = sound.join().map_err(|_| "the consumers of sound streams ended")?;
     let crashes = world.seen_as("CRASHING");
-    let Some(fifth) = crashes.get(4) else { return Ok((world, true)) };
+    let Some(fifth) = crashes.get(4) else {
+        world.note(&format!("{} crashes; {cut} of 7 sound streams were cut", crashes.len()));
+        return Ok((world, true));
+    };
     let after = fifth.at + CONTACT;
     let arrived = world.seen_as("ARRIVED");
     let late: BTreeSet<&str> = arrived
@@ -287,7 +319,7 @@
         .map(|seen| seen.request.as_str())
         .collect();
     world.note(&format!(
-        "{} crashes, the fifth at {:.3} s; after ContactMs more, servers got {late:?}",
+        "{} crashes, the fifth at {:.3} s; after ContactMs more, servers got {late:?}; {cut} of 7 sound streams were cut",
         crashes.len(),
         fifth.at.as_secs_f64()
     ));
@@ -400,3 +432,62 @@
     world.note(&format!("{wrong} streams that end as complete before their last piece"));
     Ok((world, wrong == 0))
 }
+
+/// The store comes back from a copy that lacks a change, while a VM starts.
+fn drill(record: &str) -> Setup<Played> {
+    const LEFT: &str = "[{\"Name\":\"mifi981\",\"ApiKeys\":[\"k7wqhd02lxpa\"],\"Priority\":1}]";
+    let mut world = World::new(record, 3)?;
+    for _ in 0..3 {
+        world.add_server("registry-api", &["kind=plain", "work=30"], None);
+    }
+    let world = world.begin(&config(1, TENANTS))?;
+    let copy = world.store.copy();
+    world.store.put("op/config", &config(2, LEFT));
+    world.note("the store confirms version 2, which takes a key away");
+    thread::sleep(Duration::from_millis(6_000));
+    ask_plain(&world, 0, "POST", "/lookup/a", "before", Some(KEY));
+    if has_trouble() {
+        world.kill_vm(2);
+        let store = world.store.clone();
+        thread::spawn(move || {
+            store.restore(copy, Duration::from_millis(500), Duration::from_millis(2_000))
+        });
+        thread::sleep(Duration::from_millis(700));
+        world.note("the store is back from the copy");
+        world.start_vm(2)?;
+    }
+    let asking: Vec<_> = (0..12)
+        .map(|caller| {
+            let world = world.clone();
+            thread::spawn(move || {
+                let until = Instant::now() + Duration::from_secs(3);
+                let mut number = 0;
+                while Instant::now() < until {
+                    number += 1;
+                    let head = head(
+                        "POST",
+                        "/lookup/a",
+                        &format!("taken-{caller}-{number}"),
+                        2,
+                        Some(KEY),
+                        4_000,
+                        "",
+                    );
+                    let answer = http::ask(world.front(2), &head, b"a job", LIMIT);
+                    if answer.status != 0 {
+                        world.note_answer(&format!("taken-{caller}-{number}"), 2, &answer);
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+            })
+        })
+        .collect();
+    asking.into_iter().for_each(|asking| drop(asking.join()));
+    let ran = world
+        .seen_as("RUNS")
+        .iter()
+        .filter(|seen| seen.request.starts_with("taken-") || seen.request == "before")
+        .count();
+    world.note(&format!("{ran} requests ran whose key had been taken away"));
+    Ok((world, ran == 0))
+}
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -17,6 +17,9 @@
 const SLOTS: u32 = 16;
 const QUEUE: u32 = 32;
 
+/// Events of a long stream, and milliseconds between two.
+const LONG: (u64, u64) = (120, 100);
+
 /// What the server does, from its command line.
 #[derive(Debug, Clone, Default)]
 pub struct Options {
@@ -226,11 +229,17 @@
             self.signature(id)
         );
         stream.write_all(head.as_bytes())?;
-        for event in last + 1..=self.options.number("events", 10) {
+        let is_long = request.path().starts_with("/report/");
+        let (events, gap) = if is_long {
+            LONG
+        } else {
+            (self.options.number("events", 10), self.options.number("gap", 20))
+        };
+        for event in last + 1..=events {
             let text = format!("id: {event}\ndata: piece {event} of {}\n\n", request.path());
             let text = if is_chunked { format!("{:x}\r\n{text}\r\n", text.len()) } else { text };
             stream.write_all(text.as_bytes())?;
-            thread::sleep(Duration::from_millis(self.options.number("gap", 20)));
+            thread::sleep(Duration::from_millis(gap));
         }
         if is_chunked {
             stream.write_all(b"0\r\n\r\n")?;
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Request, respond};
@@ -27,11 +28,20 @@
 
 #[derive(Default)]
 struct State {
+    era: u64,
+    /// Whether it answers nothing.
+    is_away: bool,
     revision: u64,
     items: BTreeMap<String, Item>,
     history: Vec<Event>,
 }
 
+/// A copy of the store.
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
 /// The store.
 #[derive(Clone, Default)]
 pub struct Store {
@@ -57,6 +67,31 @@
         self.change(key, None);
     }
 
+    /// A copy of all items, with their revision.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy { revision: state.revision, items: state.items.clone() }
+    }
+
+    /// Goes away for this long, and comes back from a copy. The operator then writes its newest state again.
+    pub fn restore(&self, copy: Copy, away: Duration, again: Duration) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+        thread::sleep(away);
+        let newest = {
+            let mut state = self.state.0.lock().unwrap();
+            let newest = state.items.get("op/config").map(|item| item.value.clone());
+            state.era += 1;
+            state.revision = copy.revision;
+            state.items = copy.items;
+            state.history.clear();
+            state.is_away = false;
+            newest
+        };
+        thread::sleep(again);
+        self.change("op/config", newest);
+    }
+
     fn change(&self, key: &str, value: Option<String>) {
         let mut state = self.state.0.lock().unwrap();
         if value.is_none() && !state.items.contains_key(key) {
@@ -77,10 +112,13 @@
     }
 
     fn answer(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+        if self.state.0.lock().unwrap().is_away {
+            return Ok(false);
+        }
         let (status, body) = match (request.method.as_str(), request.path()) {
             ("GET", "/api/kv-key") => self.key(request),
             ("GET", "/api/kv-range") => (200, self.range(request)),
-            ("GET", "/api/kv-watch") => (200, self.watch(request)),
+            ("GET", "/api/kv-watch") => self.watch(request),
             ("POST", "/api/kv-txn") => self.transact(request),
             _ => (404, "{}".to_owned()),
         };
@@ -114,7 +152,7 @@
         format!("{{\"Items\":[{}],\"more\":{more},\"at\":{}}}", items.join(","), state.revision)
     }
 
-    fn watch(&self, request: &Request) -> String {
+    fn watch(&self, request: &Request) -> (u16, String) {
         let prefix = request.query("PathPrefix").unwrap_or_default();
         let since: u64 = request.query("SinceRev").and_then(|n| n.parse().ok()).unwrap_or(0);
         let wait = request.query("WaitMs").and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -135,7 +173,10 @@
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), state.revision);
+                return (
+                    200,
+                    format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), state.revision),
+                );
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -485,6 +485,15 @@
     let resumable = ",\"Sticky\":true,\"Resumable\":true,\"gap_aim_ms\":250";
     let routes = [
         route("explain", "streaming", "foldlock-llm", 10_000, 300, 2, resumable),
+        route(
+            "report",
+            "streaming",
+            "foldlock-llm",
+            15_000,
+            2_500,
+            1,
+            ",\"Sticky\":true,\"gap_aim_ms\":1000",
+        ),
         route("lookup", "unsafe", "registry-api", 2_000, 300, 1, ""),
         route("count", "safe", "registry-api", 2_000, 300, 2, ""),
     ];
