--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -50,7 +50,7 @@
 /// Servers crash in the middle of an answer that has neither a length nor chunks.
 fn unframed(record: &str) -> Setup<Played> {
     let mut world = World::new(record, 2)?;
-    for _ in 0..6 {
+    for _ in 0..8 {
         let options = ["kind=plain", "work=30", "frame=none", "pause=60"];
         world.add_server("registry-api", &options, Some(Duration::from_secs(3)));
     }
@@ -158,7 +158,7 @@
                         vm,
                         Some(KEY),
                         10_000,
-                        &prompt("a1", index),
+                        &prompt(&["a1"], index),
                     );
                     let answer = channel.ask(&first, b"a prompt", LIMIT);
                     world.note_answer(
@@ -231,10 +231,12 @@
     Ok((world, lost <= 3))
 }
 
-/// Headers of a prompt with a shared part, and one of its own.
-fn prompt(shared: &str, own: usize) -> String {
+/// Headers of a prompt with shared parts, of 40 tokens each, and one of its own.
+fn prompt(shared: &[&str], own: usize) -> String {
+    let rest = 5_000 - 40 * shared.len();
+    let shared: String = shared.iter().map(|part| format!("{part}:40,")).collect();
     format!(
-        "Model: m\r\nToken-Usage: 5000,100\r\nPrompt-Prefix: {shared}:40,{:x}:4960\r\n",
+        "Model: m\r\nToken-Usage: 5000,100\r\nPrompt-Prefix: {shared}{:x}:{rest}\r\n",
         0xc0ffee00_usize + own
     )
 }
@@ -281,7 +283,7 @@
     }
     let world = world.begin(&config(1, TENANTS))?;
     for vm in 0..3 {
-        if !ask_stream(&world, vm, &format!("sound-{vm}"), &prompt("a1", vm)).is_complete {
+        if !ask_stream(&world, vm, &format!("sound-{vm}"), &prompt(&["a1"], vm)).is_complete {
             return Err("a sound request was not served".to_owned());
         }
     }
@@ -291,7 +293,12 @@
             .map(|number| {
                 let world = asking.clone();
                 let stream = move || {
-                    ask_long(&world, number % 3, &format!("long-{number}"), &prompt("a1", number))
+                    ask_long(
+                        &world,
+                        number % 3,
+                        &format!("long-{number}"),
+                        &prompt(&["a1"], number),
+                    )
                 };
                 let stream = thread::spawn(stream);
                 thread::sleep(SOUND);
@@ -302,7 +309,12 @@
     });
     for number in 0..REQUESTS {
         let began = Instant::now();
-        ask_stream(&world, number % 3, &format!("bad-{number}"), &prompt("bad0", 100 + number));
+        ask_stream(
+            &world,
+            number % 3,
+            &format!("bad-{number}"),
+            &prompt(&["a1", "bad0"], 100 + number),
+        );
         thread::sleep(PAUSE.saturating_sub(began.elapsed()));
     }
     let cut = sound.join().map_err(|_| "the consumers of sound streams ended")?;
@@ -402,7 +414,7 @@
         let world = world.clone();
         thread::spawn(move || {
             let answer =
-                ask_stream(&world, number % 2, &format!("s{number}"), &prompt("a1", number));
+                ask_stream(&world, number % 2, &format!("s{number}"), &prompt(&["a1"], number));
             let text = String::from_utf8_lossy(&answer.body).into_owned();
             let events = text.matches("id: ").count();
             let ends = if answer.is_complete { "as complete" } else { "cut" };
