Compare idle timeouts of upstreams with the time elapsed

Cause: Pool::put added the stated timeout to the current time while it held the lock of the pool. The addition panicked, and the poisoned lock made each later request panic.

Change and why it works: the pool keeps the stated timeout and compares it with the time elapsed, which cannot overflow.

--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -60,7 +60,18 @@
 struct Idle {
     channel: Channel,
     since: Instant,
-    until: Instant,
+    /// As the upstream states it, of any length: it is compared with the time elapsed and never added to a point in time.
+    timeout: Duration,
+}
+
+impl Idle {
+    fn time(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        self.time(now) >= self.timeout
+    }
 }
 
 /// A pool of idle connections.
@@ -152,8 +163,8 @@
     ) -> Option<Channel> {
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.get_mut(upstream)?;
-        connections.retain(|i| i.until > now && i.channel.is_usable());
-        let last = connections.pop_if(|i| now.saturating_duration_since(i.since) < max_idle);
+        connections.retain(|i| !i.is_expired(now) && i.channel.is_usable());
+        let last = connections.pop_if(|i| i.time(now) < max_idle);
         if connections.is_empty() {
             idle.remove(upstream);
         }
@@ -163,11 +174,8 @@
     /// The upstreams with a connection that has been idle for less than `max_idle`.
     pub fn idle_upstreams(&self, max_idle: Duration, now: Instant) -> Vec<id::Upstream> {
         let idle = self.idle.lock().unwrap();
-        let is_candidate = |i: &Idle| {
-            i.until > now
-                && now.saturating_duration_since(i.since) < max_idle
-                && i.channel.is_usable()
-        };
+        let is_candidate =
+            |i: &Idle| !i.is_expired(now) && i.time(now) < max_idle && i.channel.is_usable();
         idle.iter()
             .filter(|(_, connections)| connections.iter().any(is_candidate))
             .map(|(id, _)| id.clone())
@@ -189,9 +197,9 @@
         }
         let mut idle = self.idle.lock().unwrap();
         let connections = idle.entry(upstream.clone()).or_default();
-        connections.retain(|i| i.until > now && !i.channel.sender.is_closed());
+        connections.retain(|i| !i.is_expired(now) && !i.channel.sender.is_closed());
         if connections.len() < MAX_IDLE_PER_UPSTREAM && !channel.sender.is_closed() {
-            connections.push(Idle { channel, since: now, until: now + idle_timeout });
+            connections.push(Idle { channel, since: now, timeout: idle_timeout });
         }
     }
 
@@ -208,7 +216,7 @@
     /// Closes the connections whose idle timeout has passed.
     pub fn remove_expired(&self, now: Instant) {
         self.idle.lock().unwrap().retain(|_, connections| {
-            connections.retain(|i| i.until > now && !i.channel.sender.is_closed());
+            connections.retain(|i| !i.is_expired(now) && !i.channel.sender.is_closed());
             !connections.is_empty()
         });
     }
