--- a/daemon/src/home.rs
+++ b/daemon/src/home.rs
@@ -214,7 +214,7 @@
             engine: engine.clone(),
             reported: fresh.map(|(r, _)| Reported {
                 prefill: r.prefill,
-                requests: r.running + r.waiting,
+                requests: r.running.saturating_add(r.waiting),
                 used: r.used,
             }),
             load,
