Keep the bounds of a rate limit of any size within their types

Cause: Server-Limit is any finite number. The window of a bound was the quotient of an infinite count, which panics while the cluster is locked, and sums of counts overflowed, so that a very high rate allowed almost nothing.

Change and why it works: a rate above u32::MAX requests a second counts as that rate, and the sums saturate.

--- a/request/src/sliding_window.rs
+++ b/request/src/sliding_window.rs
@@ -25,6 +25,9 @@
 /// Lowest rate, requests per second. Some requests have to be sent, because only responses show that a limit has ended.
 const MIN_RATE: f64 = 0.1;
 
+/// Higher rates are no limit: counts of requests at this rate stay within their type.
+const MAX_RATE: f64 = u32::MAX as f64;
+
 /// Upper bound on the window of any bound.
 const MAX_WINDOW: Duration = Duration::from_secs(10);
 
@@ -53,7 +56,7 @@
 
     /// Returns the bounds of a burst and of the average at a stated rate.
     pub fn rate_limit(rate: Rate) -> [Bound; 2] {
-        let per_s = rate.as_f64().max(MIN_RATE);
+        let per_s = rate.as_f64().clamp(MIN_RATE, MAX_RATE);
         let over = |requests: f64| {
             let count = requests.ceil();
             Bound { count: count as usize, window: Duration::from_secs_f64(count / per_s) }
@@ -136,7 +139,8 @@
         let until = now + time.saturating_sub(bound.window.saturating_mul(whole));
         let is_old = |entry: &Entry| until.saturating_duration_since(entry.at) > bound.window;
         let recent = self.entries.len() - self.entries.partition_point(is_old);
-        bound.count.saturating_mul(whole as usize) + bound.count.saturating_sub(recent)
+        let in_whole = bound.count.saturating_mul(whole as usize);
+        in_whole.saturating_add(bound.count.saturating_sub(recent))
     }
 
     /// Returns how many further requests are allowed within this time by the bounds of a burst and of the average. The
@@ -149,7 +153,8 @@
     ) -> usize {
         let before_bursts = (0..MAX_BURSTS).map_while(|bursts| {
             let earlier = time.checked_sub(burst.window * bursts)?;
-            Some(self.allowed_within(average, earlier, now) + burst.count * bursts as usize)
+            let in_bursts = burst.count.saturating_mul(bursts as usize);
+            Some(self.allowed_within(average, earlier, now).saturating_add(in_bursts))
         });
         before_bursts.fold(self.allowed_within(burst, time, now), usize::min)
     }
