--- a/version/src/routes.rs
+++ b/version/src/routes.rs
@@ -226,6 +226,12 @@
         self
     }
 
+    /// Requires keys, also while there is no organisation that has one.
+    pub fn require_keys(mut self) -> Builder {
+        self.0.requires_key = true;
+        self
+    }
+
     /// Adds an organisation with its keys. A table with an organisation requires keys.
     pub fn organisation(
         mut self,
@@ -235,8 +241,7 @@
         let index = self.0.organisations.len();
         self.0.keys.extend(keys.into_iter().map(|key| (key, index)));
         self.0.organisations.push(Arc::new(organisation));
-        self.0.requires_key = true;
-        self
+        self.require_keys()
     }
 
     /// Builds the table.
--- a/version/tests/routes.rs
+++ b/version/tests/routes.rs
@@ -83,6 +83,13 @@
     assert_eq!(name("k4"), None);
 }
 
+#[test]
+fn keys_can_be_required_without_any_organisation() {
+    let table = builder().require_keys().build();
+    assert!(table.requires_key());
+    assert!(table.organisations().next().is_none());
+}
+
 #[test]
 fn an_organisation_without_keys_still_requires_them() {
     let table = builder().organisation(organisation("one"), []).build();
