Find a crashing part by the times of the crashes where few requests come

Cause: all tests of the evidence compare counts of requests. With no others, eight rounds are needed; with one that began, share^rounds never falls below 0.13.

Change and why it works: crashes with another cause come at any time since the crash before, so the chance that one came while a request with the part was at its upstream is the share of that time. Short exposures in long gaps are unlikely for a sound part. In storms and for requests that wait from crash to crash the share is near one and shows nothing. The bound is that of the other tests.

Tests: a_part_is_found_after_three_rounds_while_few_requests_come and the simulation a_crashing_part_is_found_while_few_requests_come failed before.

--- a/request/src/crash_log.rs
+++ b/request/src/crash_log.rs
@@ -7,11 +7,12 @@
 //! so crashes count in rounds: a crash starts a new round for a part if it interrupted another request than those of the
 //! rounds before, which was sent after the last of them. Upstreams that crash together, whatever the reason, are one round.
 //!
-//! A part with three rounds or more is a culprit if that is unlikely for a sound one, by one of three tests. The
+//! A part with three rounds or more is a culprit if that is unlikely for a sound one, by one of four tests. The
 //! number of its rounds is compared with the share of all requests that crashes interrupt before they begin, which
 //! is high when few upstreams are left. And the crashes that interrupted requests with it are compared with those
 //! expected by its share in all interrupted requests. And a part with twice as many rounds is one if no request began
-//! with it lately, no other part is in all crashes, and most interrupted requests do not have it. Where several parts
+//! with it lately, no other part is in all crashes, and most interrupted requests do not have it. And where few requests
+//! come, each crash came soon after one with the part was sent, and none in the much longer time before. Where several parts
 //! qualify, those that tell requests apart best come first: not the first part of a prompt, which most requests have,
 //! then the one with most rounds, then the latest one in the prompt. The crashes that a culprit explains count for no
 //! other part.
--- a/request/src/crash_log/evidence.rs
+++ b/request/src/crash_log/evidence.rs
@@ -30,6 +30,10 @@
 /// The share of interrupted requests where no request without the part is known.
 const UNKNOWN_SHARE: f64 = 2.0 / 3.0;
 
+/// Least time for which a request counts as exposed to a crash that interrupted it: a crash is observed when a connection
+/// breaks, which takes a moment, and by the clocks of several VMs.
+const MIN_EXPOSURE: Duration = Duration::from_millis(200);
+
 /// Time for which it counts that requests began with a part.
 const BEGUN_MEMORY: Duration = Duration::from_secs(60);
 
@@ -45,12 +49,14 @@
     position: usize,
     /// Indices of the crashes.
     crashes: Vec<usize>,
+    /// Indices of the crashes that are the first of a round.
+    round_crashes: Vec<usize>,
 }
 
 impl<'a> Evidence<'a> {
     fn new(service: Tag, position: usize) -> Evidence<'a> {
-        let (counted, crashes) = (Vec::new(), Vec::new());
-        Evidence { service, rounds: 0, last_round: None, counted, position, crashes }
+        let (counted, crashes, round_crashes) = (Vec::new(), Vec::new(), Vec::new());
+        Evidence { service, rounds: 0, last_round: None, counted, position, crashes, round_crashes }
     }
 
     /// Whether an interrupted request starts a new round. The attempts of one request do not: it may be retried on the
@@ -96,12 +102,18 @@
                 && self.covers_all(part, found, explained, now)
                 && evidence.iter().filter(explains_all).count() == 1
         };
+        // The times of the crashes are the same for parts that were in all of them together.
+        let is_timed = |part: Fingerprint, found: &Evidence<'_>| {
+            equal(found) <= 1 && self.coincidence(part, found) <= self.max_probability(part, now)
+        };
         let is_decided = |(part, found): &&(Fingerprint, Evidence<'_>)| {
             // One more round probably tells two equal parts apart.
             let is_tied = found.rounds == ROUNDS && equal(found) > 1;
             (only_first || found.position > 0)
                 && !is_tied
-                && (self.is_significant(*part, found, explained, now) || is_sole(*part, found))
+                && (self.is_significant(*part, found, explained, now)
+                    || is_sole(*part, found)
+                    || is_timed(*part, found))
         };
         let (part, found) = evidence.iter().find(is_decided)?;
         Some((*part, found.crashes.clone()))
@@ -116,13 +128,44 @@
         explained: &HashSet<usize>,
         now: Instant,
     ) -> bool {
-        let max =
-            if self.has_begun(part, now) { MAX_PROBABILITY_IF_BEGUN } else { MAX_PROBABILITY };
+        let max = self.max_probability(part, now);
         let share = self.interrupted_share(part, evidence, now);
         share.powi(evidence.rounds as i32) <= max
             || self.coverage_odds(part, evidence, explained, now) >= max.recip()
     }
 
+    /// The probability of the evidence below which a part is not taken for sound.
+    fn max_probability(&self, part: Fingerprint, now: Instant) -> f64 {
+        if self.has_begun(part, now) { MAX_PROBABILITY_IF_BEGUN } else { MAX_PROBABILITY }
+    }
+
+    /// The probability that crashes with another cause came while requests with a part were exposed to them. Since the
+    /// crash before it, each came at any time, so the probability is the share of that time for which a request had been
+    /// sent. It is low where few requests come, of which the other tests know too little. The first round shows
+    /// nothing.
+    fn coincidence(&self, part: Fingerprint, evidence: &Evidence<'_>) -> f64 {
+        let rounds = evidence.round_crashes.iter().skip(1);
+        rounds.map(|index| self.exposed_share(part, evidence.service, *index)).product()
+    }
+
+    /// The share of the time since the previous crash of the service for which a request with a part had been sent to the
+    /// upstream that then crashed.
+    fn exposed_share(&self, part: Fingerprint, service: Tag, index: usize) -> f64 {
+        let crash = &self.crashes[index];
+        let sent = crash.requests.iter().filter(|record| record.has_part(part));
+        let exposed =
+            sent.filter_map(|record| crash.at.checked_duration_since(record.request.sent));
+        let before = self.crashes.range(..index).rev();
+        let previous = before.into_iter().find(|crash| crash.of_service(service).next().is_some());
+        let (Some(exposed), Some(previous)) = (exposed.max(), previous) else {
+            // It was sent after the crash, or there was none before.
+            return 1.0;
+        };
+        let since_previous = crash.at.saturating_duration_since(previous.at);
+        let exposed = exposed.max(MIN_EXPOSURE);
+        if exposed < since_previous { exposed.div_duration_f64(since_previous) } else { 1.0 }
+    }
+
     /// Whether a request with a part began recently.
     fn has_begun(&self, part: Fingerprint, now: Instant) -> bool {
         let since = |at: Instant| now.saturating_duration_since(at);
@@ -250,6 +293,7 @@
                         evidence.rounds += 1;
                         evidence.last_round = Some(crash.at);
                         evidence.counted.push(&request.request);
+                        evidence.round_crashes.push(index);
                     }
                     if evidence.crashes.last() != Some(&index) {
                         evidence.crashes.push(index);
--- a/request/tests/crash_log.rs
+++ b/request/tests/crash_log.rs
@@ -104,6 +104,67 @@
     assert_eq!(scene.culprits(3_100 + SETTLED), names(&[BAD]));
 }
 
+/// A request with these parts is sent every 3.5 s and crashes an upstream 100 ms later; its retry crashes another one. A sound
+/// request begins every 7 s.
+fn crash_with_little_traffic(scene: &mut Scene, rounds: u64, ids: &[&str]) {
+    for round in 1..=rounds {
+        let at = round * 3_500;
+        scene.crash(at, &[ids]);
+        let retried = Interrupted {
+            request: format!("r-{}-0", scene.crashes).parse().unwrap(),
+            service: service(),
+            parts: parts(ids),
+            sent: scene.start + ms(at + 20),
+        };
+        scene.crashes += 1;
+        let upstream = Tag::of(&format!("i-{}", scene.crashes));
+        scene.log.record_crash(upstream, retried, scene.start + ms(at + 120));
+        if round % 2 == 0 {
+            scene.begin(at + 1_000, &[FIRST]);
+        }
+    }
+}
+
+/// Guards against a part that needs eight rounds where nothing but the requests with it comes: few requests say little
+/// about how often a sound one is interrupted, but each crash came right after one with the part was sent.
+#[test]
+fn a_part_is_found_after_three_rounds_while_few_requests_come() {
+    let mut scene = Scene::new();
+    crash_with_little_traffic(&mut scene, 3, &[FIRST, BAD]);
+    assert_eq!(scene.culprits(3 * 3_500 + 120 + SETTLED), names(&[BAD]));
+}
+
+/// A sound request that waits from one crash to the next is interrupted by each, whatever causes them.
+#[test]
+fn a_part_of_requests_that_wait_from_crash_to_crash_is_not_found_by_their_times() {
+    for interval in [1_000, 3_500, 10_000] {
+        let mut scene = Scene::new();
+        for round in 1..=5 {
+            let at = round * interval;
+            scene.crash_sent(at, at - interval + 50, &[&[FIRST, RARE]]);
+        }
+        assert_eq!(scene.culprits(5 * interval + SETTLED), [""; 0], "every {interval} ms");
+    }
+}
+
+/// Upstreams that crash one after the other within a second may all be one failure.
+#[test]
+fn a_part_is_not_found_by_the_times_of_crashes_in_quick_succession() {
+    let mut scene = Scene::new();
+    (1..=3).for_each(|round| scene.crash(round * 250, &[&[FIRST, RARE]]));
+    for at in [750 + SETTLED, 10_000, 60_000] {
+        assert_eq!(scene.culprits(at), [""; 0], "at {at} ms");
+    }
+}
+
+/// A request that was sent after its upstream had crashed is not the cause.
+#[test]
+fn a_part_of_requests_that_were_sent_after_the_crashes_is_not_found_by_their_times() {
+    let mut scene = Scene::new();
+    (1..=4).for_each(|round| scene.crash_sent(round * 3_500, round * 3_500 + 5, &[&[FIRST, RARE]]));
+    assert_eq!(scene.culprits(4 * 3_500 + SETTLED), [""; 0]);
+}
+
 /// On a route with little traffic no other request may begin between the crashes.
 #[test]
 fn the_first_part_of_the_prompts_is_not_the_culprit_if_a_later_one_explains_the_crashes() {
@@ -127,7 +188,8 @@
 #[test]
 fn a_first_part_that_crashes_upstreams_alone_is_found() {
     let mut scene = Scene::new();
-    (1..=3).for_each(|round| scene.crash(round * 1_000, &[&[BAD]]));
+    // Requests with it were there nearly all the time, so the times of the crashes show nothing.
+    (1..=3).for_each(|round| scene.crash_sent(round * 1_000, round * 1_000 - 900, &[&[BAD]]));
     assert_eq!(
         scene.culprits(3_000 + SETTLED),
         [""; 0],
@@ -346,10 +408,14 @@
 
 #[test]
 fn crashes_that_go_on_while_nothing_begins_are_evidence_as_well() {
+    // Requests with it were there nearly all the time, so the times of the crashes show nothing.
     let mut scene = Scene::new();
-    (1..=7).for_each(|round| scene.crash(round * 1_000, &[&[FIRST, BAD]]));
+    let crash = |scene: &mut Scene, round: u64| {
+        scene.crash_sent(round * 1_000, round * 1_000 - 900, &[&[FIRST, BAD]]);
+    };
+    (1..=7).for_each(|round| crash(&mut scene, round));
     assert_eq!(scene.culprits(7_900), [""; 0]);
-    scene.crash(8_000, &[&[FIRST, BAD]]);
+    crash(&mut scene, 8);
     assert_eq!(scene.culprits(8_000 + SETTLED), names(&[BAD]));
 }
 
--- a/request/tests/patterns/crash.rs
+++ b/request/tests/patterns/crash.rs
@@ -69,8 +69,10 @@
     interrupted: usize,
     failed: usize,
     quarantined: usize,
-    /// Requests that crash engines and reached one later than the fleet has time for.
+    /// Requests that crash engines and reached one later than the fleet has time for, each attempt counted.
     late: usize,
+    /// The same, each request counted once; one that its caller repeats is another one.
+    late_requests: BTreeSet<(Fingerprint, bool)>,
     /// The parts that were quarantined.
     culprits: BTreeSet<Part>,
 }
@@ -175,7 +177,10 @@
         self.cluster.begin_attempt(number, placement.flight, self.now);
         request.state = State::Running { engine, number, since: self.now, isolated };
         let is_late = self.fifth_crash.is_some_and(|fifth| self.now > fifth + CONTACT);
-        self.score.late += usize::from(request.crashes_engine && is_late);
+        if request.crashes_engine && is_late {
+            self.score.late += 1;
+            self.score.late_requests.insert((request.fingerprint, request.repeated));
+        }
         Ok(())
     }
 
@@ -299,9 +304,9 @@
     Tag::of("model")
 }
 
-/// Requests that have one part in common and nothing else crash engines, `interval` apart. Sound requests share the first
-/// part, and one of twenty others, with them.
-fn simulate_part(seed: u64, seconds: u64, interval: Duration) -> Score {
+/// Requests that have one part in common and nothing else crash engines, `interval` apart. Sound requests, so many a second,
+/// share the first part, and one of twenty others, with them.
+fn simulate_part(seed: u64, seconds: u64, interval: Duration, sound_per_s: f64) -> Score {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut fleet = Fleet::new();
     let interval = (interval.as_millis() / TICK.as_millis()) as u64;
@@ -310,7 +315,7 @@
             Fingerprint::of("one", "POST", "/audit/", &[kind, &tick.to_be_bytes()].concat())
         };
         let subject = format!("c{:x}", rng.random_range(0..20));
-        if rng.random_bool(38.0 / 200.0) {
+        if rng.random_bool(sound_per_s / 200.0) {
             fleet.arrive(fingerprint(b"sound"), false, &["a0", &subject]);
         }
         if tick >= 400 && tick % interval == 0 {
@@ -354,7 +359,7 @@
 fn check_part(intervals_ms: &[u64]) {
     for interval in intervals_ms {
         for seed in 1..=6 {
-            let score = simulate_part(seed, 30, Duration::from_millis(*interval));
+            let score = simulate_part(seed, 30, Duration::from_millis(*interval), 38.0);
             println!("every {interval} ms, seed {seed}: {score:?}");
             let culprits: Vec<String> = score.culprits.iter().map(Part::to_string).collect();
             assert_eq!(culprits, ["0000bad0"], "every {interval} ms, seed {seed}: {score:?}");
@@ -377,3 +382,30 @@
 fn a_crashing_part_in_many_requests_is_found_while_nearly_all_engines_are_down() {
     check_part(&[50, 100]);
 }
+
+fn check_part_at_low_rate(sound_per_s: f64, intervals_s: &[u64]) {
+    for interval in intervals_s {
+        for seed in 1..=6 {
+            let score = simulate_part(seed, 60, Duration::from_secs(*interval), sound_per_s);
+            let scene = format!("{sound_per_s}/s, every {interval} s, seed {seed}: {score:?}");
+            let culprits: Vec<String> = score.culprits.iter().map(Part::to_string).collect();
+            assert_eq!(culprits, ["0000bad0"], "{scene}");
+            assert!(score.late_requests.len() <= 3, "{scene}");
+            assert!(score.served * 2 >= score.total, "{scene}");
+        }
+    }
+}
+
+/// The same in an hour with few requests: none or hardly any besides those with the part.
+#[test]
+fn a_crashing_part_is_found_while_few_requests_come() {
+    check_part_at_low_rate(0.0, &[1, 2, 4, 6, 10]);
+    check_part_at_low_rate(0.15, &[2, 4, 6, 10]);
+}
+
+/// The same with a sound request for each one to ten with the part, some of which are interrupted as well.
+#[test]
+fn a_crashing_part_is_found_while_hardly_more_sound_requests_come() {
+    check_part_at_low_rate(0.15, &[1]);
+    check_part_at_low_rate(1.0, &[1, 2, 4, 6, 10]);
+}
