Refuse responses whose head does not tell where the body ends

What callers saw (MIXED): a response whose head was damaged where it tells the length of the body, or held a line that is no header, arrived as a complete one with a body that was not the server's.

Cause: the HTTP client reads a body with an unknown transfer coding, or without any length, to the end of the connection. Of a damaged Transfer-Encoding that left the chunk sizes in the body, of an early end of the head the rest of it. Statuses above 599 were forwarded; 101, 204 and 304 with a length ended the caller's connection.

Lines without a colon, names with a blank or a control byte, invalid lengths and status 000 were refused before.

Change and why it works: both clients check each head before the body is read. A body that ends with its connection must not begin with a chunk or with headers that state a length, which no sound one does. A refused response counts as broken: the request may have run.

--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::framing;
 use crate::http::chain;
 use crate::keepalive;
 use crate::tunnel::Tunnel;
@@ -141,11 +142,13 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
-        self.sender.try_send_request(request).await.map_err(|mut e| {
+        let response = self.sender.try_send_request(request).await.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let reason = chain(e.error());
             if unsent { Failure::Unsent(reason) } else { Failure::Broken(reason) }
-        })
+        })?;
+        framing::check(&response).map_err(|fault| Failure::Broken(fault.to_string()))?;
+        Ok(response)
     }
 
     fn is_usable(&self) -> bool {
--- a/connection/src/http.rs
+++ b/connection/src/http.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::framing;
 use crate::keepalive;
 
 /// Timeout for opening a connection.
@@ -81,10 +82,12 @@
 
     /// Sends a request and returns the response once its headers have been received.
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failure> {
-        self.pool.request(request).await.map_err(|e| {
+        let response = self.pool.request(request).await.map_err(|e| {
             let why = chain(&e);
             if e.is_connect() { Failure::Connect(why) } else { Failure::Broken(why) }
-        })
+        })?;
+        framing::check(&response).map_err(|fault| Failure::Broken(fault.to_string()))?;
+        Ok(response)
     }
 
     /// Sends a request and returns the complete response, all within `timeout`.
--- a/connection/src/lib.rs
+++ b/connection/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod channel;
 pub mod engine;
 pub mod events;
+pub mod framing;
 pub mod http;
 pub mod keepalive;
 pub mod kv;
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -29,7 +29,7 @@
 use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Grant;
-use crate::fleet::headers::{has_body_length, idle_timeout, strip_hop_by_hop};
+use crate::fleet::headers::{BodyEnd, idle_timeout, strip_hop_by_hop};
 use crate::fleet::job::Job;
 use crate::fleet::liveness::{self, Evidence, Poller};
 use crate::fleet::metrics::Sent;
@@ -215,7 +215,8 @@
         record_failure(job, &upstream, Cause::Malformed);
         return End::Broken(format!("response signature does not match upstream {upstream}"));
     }
-    let is_close_delimited = !has_body_length(&head.headers);
+    let body_end = BodyEnd::of(&head);
+    let is_close_delimited = body_end != BodyEnd::Stated;
     // A connection that ends with its response cannot be used again.
     let idle_timeout = if is_close_delimited { Duration::ZERO } else { idle_timeout };
     strip_hop_by_hop(&mut head.headers);
@@ -235,7 +236,7 @@
         reservations,
         channel,
         idle_timeout,
-        is_close_delimited,
+        body_end,
         body,
         decoder: Decoder::default(),
     };
@@ -360,6 +361,7 @@
         reservations: _reservations,
         channel,
         idle_timeout,
+        body_end,
         body,
         ..
     } = stream;
@@ -373,6 +375,10 @@
             return End::Broken(format!("response truncated: {}", chain(&*e)));
         }
     };
+    if let Err(fault) = body_end.check(collected.as_ref()) {
+        record_failure(job, &upstream, Cause::Malformed);
+        return End::Broken(fault.to_string());
+    }
     let now = job.process.now();
     // A connection on which the body is still being sent cannot be reused, but would hold the body.
     if !idle_timeout.is_zero() && !loan.is_unread() {
@@ -429,7 +435,7 @@
             stream.attempt_guard.record_first_event();
             End::Streaming(Box::new(Started { head, first, stream }))
         }
-        Item::End if stream.is_close_delimited && last_event.is_none() => {
+        Item::End if stream.body_end != BodyEnd::Stated && last_event.is_none() => {
             outcome::record_broken(job, stream.interrupted()).await;
             End::Broken("the connection ended before the first event".to_owned())
         }
--- a/daemon/src/fleet/calls.rs
+++ b/daemon/src/fleet/calls.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 
 use crate::fleet::dial;
-use crate::fleet::headers::{has_body_length, idle_timeout};
+use crate::fleet::headers::{BodyEnd, idle_timeout};
 use crate::fleet::process::Process;
 
 /// Sends calls from this VM.
@@ -61,7 +61,7 @@
         dial::record_response(process, upstream);
     }
     let idle_timeout = idle_timeout(&head.headers);
-    if has_body_length(&head.headers) && !idle_timeout.is_zero() {
+    if BodyEnd::of(&head) == BodyEnd::Stated && !idle_timeout.is_zero() {
         process.call_pool.put(upstream, channel, idle_timeout, process.now());
     }
     Ok(Response::from_parts(head, body))
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet::activity::Activity;
 use crate::fleet::crash::{self, Interrupted, MIN_DECODING};
+use crate::fleet::headers::BodyEnd;
 use crate::fleet::job::Job;
 use crate::fleet::liveness::Poller;
 use crate::fleet::outcome;
@@ -60,8 +61,8 @@
     pub(super) channel: Channel,
     /// How long the connection may be idle afterwards; zero if it cannot be reused.
     pub(super) idle_timeout: Duration,
-    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
-    pub(super) is_close_delimited: bool,
+    /// How the end of the response is told.
+    pub(super) body_end: BodyEnd,
     pub(super) body: Incoming,
     pub(super) decoder: Decoder,
 }
@@ -107,10 +108,18 @@
     pub async fn next_item(&mut self, job: &Job<D>) -> Item {
         match self.next(job).await {
             Item::End
-                if self.is_close_delimited && crash::has_crashed(job, self.interrupted()).await =>
+                if self.body_end != BodyEnd::Stated
+                    && crash::has_crashed(job, self.interrupted()).await =>
             {
                 Item::Broken("the upstream crashed between two events".to_owned())
             }
+            Item::Events(events) if self.first_event.is_none() => {
+                let start: Vec<u8> = events.iter().flat_map(|e| e.bytes.iter().copied()).collect();
+                match self.body_end.check(&start) {
+                    Ok(()) => Item::Events(events),
+                    Err(fault) => Item::Broken(fault.to_string()),
+                }
+            }
             item => item,
         }
     }
