Give up responses that go on without an end

Interim responses without an end were received until the upstream ended (256 MB in the test), zeros in a chunk size until the deadline; empty lines in a stream grew in memory.

Cause: the sizes of heads, bodies and events are limited; what never becomes one was limited by time alone. Bodies of reports, orders and calls had no limit at all.

Change and why it works: a connection may receive 256 KB without a head or a part of a body, after which it is broken. Empty lines between events count against the size of an event. Bodies that are collected have a maximum size.

--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -8,9 +8,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use foldlock_base::prelude::*;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -22,6 +22,7 @@
 use crate::framing;
 use crate::http::chain;
 use crate::keepalive;
+use crate::progress_limit::{Budget, Limited};
 use crate::tunnel::Tunnel;
 
 /// Maximum number of idle connections to one upstream.
@@ -30,6 +31,10 @@
 /// Size limit of a connection's read buffer, and so of a response head, bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 
+/// Bytes that may be received until the head of a response is complete, or the next part of its body. The HTTP client reads
+/// ahead of what it returns, by a buffer or two.
+const MAX_RECEIVED_WITHOUT_PROGRESS: usize = 4 * MAX_READ_BUFFER_BYTES;
+
 /// Why an attempt got no response.
 #[derive(Debug)]
 pub enum Failure {
@@ -48,6 +53,8 @@
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
     connection: AbortHandle,
+    /// What may be received before the response makes progress.
+    budget: Budget,
     /// The peer that carries it, if it is a tunnel.
     via: Option<id::Vm>,
 }
@@ -122,14 +129,15 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
+        let budget = Budget::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Limited::new(stream, budget.clone())))
             .await
             .map_err(|e| Failure::Unsent(chain(&e)))?;
         // The task ends with the connection; errors are returned to the request that uses it.
         let connection = tokio::spawn(connection).abort_handle();
-        Ok(Channel { sender, connection, via })
+        Ok(Channel { sender, connection, budget, via })
     }
 
     /// The peer that carries the connection, if it is a tunnel.
@@ -142,15 +150,36 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Failure> {
+        self.record_progress();
         let response = self.sender.try_send_request(request).await.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let reason = chain(e.error());
             if unsent { Failure::Unsent(reason) } else { Failure::Broken(reason) }
         })?;
+        self.record_progress();
         framing::check(&response).map_err(|fault| Failure::Broken(fault.to_string()))?;
         Ok(response)
     }
 
+    /// Records that a part of the response was received. A response of which too much is received without one is broken.
+    pub fn record_progress(&self) {
+        self.budget.limit(MAX_RECEIVED_WITHOUT_PROGRESS);
+    }
+
+    /// Collects the body of a response that was received here, if it has at most `max_bytes`.
+    pub async fn collect(&self, body: Incoming, max_bytes: usize) -> Result<Bytes, Failure> {
+        let mut body = http_body_util::Limited::new(body, max_bytes);
+        let mut collected = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|e| Failure::Broken(chain(&*e)))?;
+            self.record_progress();
+            if let Some(bytes) = frame.data_ref() {
+                collected.extend_from_slice(bytes);
+            }
+        }
+        Ok(collected.freeze())
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
--- a/connection/src/engine.rs
+++ b/connection/src/engine.rs
@@ -8,7 +8,7 @@
 use foldlock_base::error::Refusal;
 use foldlock_base::id;
 use foldlock_base::size::Tokens;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use serde::{Deserialize, Serialize};
@@ -287,10 +287,14 @@
     response.headers().get(name)?.to_str().ok()
 }
 
+/// Maximum size of the body of an unsuccessful response, bytes. A longer one is ignored.
+const MAX_FAILURE_BYTES: usize = 64 << 10;
+
 /// Reads the body of an unsuccessful response and returns the failure.
 async fn read_failure(response: Response<Incoming>) -> Failure {
     let (head, body) = response.into_parts();
-    let body = body.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+    let body = Limited::new(body, MAX_FAILURE_BYTES).collect().await;
+    let body = body.map(|b| b.to_bytes()).unwrap_or_default();
     match check_status(Response::from_parts(head, body)) {
         Err(failure) => failure,
         Ok(_) => Failure::Broken("unexpected status".to_owned()),
--- a/connection/src/http.rs
+++ b/connection/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::client::legacy::Client as Pool;
@@ -23,6 +23,9 @@
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 256;
 
+/// Maximum size of a response that is collected whole, bytes. The body may have no end.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Why a call got no response.
 #[derive(Debug)]
 pub enum Failure {
@@ -98,7 +101,8 @@
     ) -> Result<Response<Bytes>, Failure> {
         let whole = async {
             let (head, body) = self.send(request).await?.into_parts();
-            let body = body.collect().await.map_err(|e| Failure::Broken(chain(&e)))?;
+            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let body = body.map_err(|e| Failure::Broken(chain(&*e)))?;
             Ok(Response::from_parts(head, body.to_bytes()))
         };
         match tokio::time::timeout(timeout, whole).await {
--- a/connection/src/lib.rs
+++ b/connection/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod keepalive;
 pub mod kv;
 pub mod peer;
+pub mod progress_limit;
 pub mod sse;
 pub mod tunnel;
 pub mod vms;
--- a/connection/src/sse.rs
+++ b/connection/src/sse.rs
@@ -21,7 +21,7 @@
     }
 }
 
-/// An event exceeds the maximum size.
+/// An event, or the empty lines between two events, exceed the maximum size.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TooLong;
 
@@ -30,6 +30,8 @@
 pub struct Decoder {
     buffer: BytesMut,
     searched: usize,
+    /// Length of the empty lines since the last event.
+    blank: usize,
 }
 
 impl Decoder {
@@ -44,13 +46,17 @@
         let blank = self.buffer.iter().take_while(|byte| is_line_end(**byte)).count();
         if blank > 0 {
             self.searched = 0;
+            self.blank += blank;
+            if self.blank > MAX_EVENT_BYTES {
+                return Err(TooLong);
+            }
             return Ok(Some(Event { id: None, bytes: self.buffer.split_to(blank).freeze() }));
         }
         let Some(end) = self.find_end() else {
             self.searched = self.buffer.len();
             return if self.buffer.len() > MAX_EVENT_BYTES { Err(TooLong) } else { Ok(None) };
         };
-        self.searched = 0;
+        (self.searched, self.blank) = (0, 0);
         let bytes = self.buffer.split_to(end).freeze();
         Ok(Some(Event { id: read_id(&bytes), bytes }))
     }
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -366,7 +366,7 @@
         ..
     } = stream;
     let upstream = flight.upstream.clone();
-    let collected = match collect(job, body, &activity).await {
+    let collected = match collect(job, &channel, body, &activity).await {
         Ok(Some(collected)) => collected,
         Ok(None) => return End::Aborted { is_sent: true },
         Err(e) => {
@@ -403,6 +403,7 @@
 /// Collects a response. Returns none if it was dropped to free memory.
 async fn collect<D: Dialect>(
     job: &Job<D>,
+    channel: &Channel,
     body: Incoming,
     activity: &Activity,
 ) -> Result<Option<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
@@ -416,6 +417,7 @@
             frame = body.frame() => frame,
         };
         let Some(frame) = frame.transpose()? else { return Ok(receiver.finish().bytes()) };
+        channel.record_progress();
         activity.record(job.process.now());
         if let Some(bytes) = frame.data_ref() {
             outcome::record_dropped(&job.process, receiver.push(bytes));
--- a/daemon/src/fleet/calls.rs
+++ b/daemon/src/fleet/calls.rs
@@ -6,10 +6,9 @@
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_connection::channel::{Channel, Failure as ChannelFailure};
-use foldlock_connection::http::chain;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::transport::{Failure, Transport};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 
@@ -17,6 +16,10 @@
 use crate::fleet::headers::{BodyEnd, idle_timeout};
 use crate::fleet::process::Process;
 
+/// Maximum size of a response, bytes. Reports and responses to orders are far shorter; one of an upstream in trouble may
+/// have no end.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
+
 /// Sends calls from this VM.
 pub struct Calls<'a, D: Dialect>(pub &'a Arc<Process<D>>);
 
@@ -56,7 +59,8 @@
         None => send_on_new(process, upstream, address, request).await?,
     };
     let (head, body) = response.into_parts();
-    let body = body.collect().await.map_err(|e| Failure(chain(&e)))?.to_bytes();
+    let body = channel.collect(body, MAX_RESPONSE_BYTES).await;
+    let body = body.map_err(|failure| Failure(dial::reason(failure)))?;
     if channel.via().is_none() {
         dial::record_response(process, upstream);
     }
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -137,6 +137,7 @@
                 None if self.pending.is_empty() || self.first_event.is_none() => return Item::End,
                 None => return Item::Events(std::mem::take(&mut self.pending)),
             };
+            self.channel.record_progress();
             self.activity.record(job.process.now());
             let Ok(bytes) = frame.into_data() else { continue };
             self.decoder.push(&bytes);
