Reject requests that are complete only late in a stop

Here a request whose body was complete after new requests are rejected was passed on, to be cut when the process ends.

Cause: whether the stop has progressed too far was asked when the head arrived and between grant requests, not after the body, the reservation of memory or the connection.

Evidence and test: a_request_that_is_complete_late_in_a_stop_is_rejected_and_not_passed_on failed before (200 in place of 503, the request at the upstream).

Change and why it works: it is asked again when the body is complete, before a placement is requested, and right before the request is first sent. The rejection says that it has not run, so that any caller may go to another VM. Retries and the rest of streams are not new work and go on.

--- a/daemon/src/fleet/admit.rs
+++ b/daemon/src/fleet/admit.rs
@@ -63,6 +63,8 @@
     let due = process.moment().after(timeout.saturating_sub(elapsed));
     let (head, body) = request.into_parts();
     let body = read_body(process, id, body, body_bytes, deadline).await?;
+    // The caller may have sent it slowly.
+    check_accepting(process, timeout)?;
     let fingerprint = match body.bytes() {
         Some(bytes) => fingerprint(organisation.as_deref(), &head, &bytes),
         None => return Err(out_of_memory(process, deadline)),
@@ -110,6 +112,15 @@
     Ok(job)
 }
 
+/// Rejects a request that would be cut when this VM stops.
+fn check_accepting<D: Dialect>(process: &Process<D>, timeout: Duration) -> Result<(), Error> {
+    if !process.rejects_new_requests() {
+        return Ok(());
+    }
+    let error = reject(Kind::Draining, "this VM is shutting down");
+    Err(error.retry_after(Cause::Stopping.retry_after(timeout)))
+}
+
 /// Result of the checks that need no body.
 struct Admission {
     route: Arc<Route>,
@@ -125,10 +136,7 @@
     request: &Request<Incoming>,
 ) -> Result<Admission, Error> {
     let timeout = terms.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    if process.rejects_new_requests() {
-        let error = reject(Kind::Draining, "this VM is shutting down");
-        return Err(error.retry_after(Cause::Stopping.retry_after(timeout)));
-    }
+    check_accepting(process, timeout)?;
     let Some(settings) = process.settings() else {
         let error = reject(Kind::StoreUnavailable, "there are no settings yet");
         // If settings have to be confirmed regularly, other VMs reject requests with keys as well
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -178,6 +178,10 @@
         // Its quarantine began after the grant.
         return End::Unsent(format!("part {part} of the prompt is quarantined"));
     }
+    if job.is_too_late_to_send() {
+        // The stop has progressed since the grant.
+        return End::Unsent("this VM is shutting down".to_owned());
+    }
     let Some(body) = loan.send() else { return End::Aborted { is_sent: false } };
     let request = build_request(job, body, placement, &reservations.helpers(&grant), last_event);
     let sent = job.process.now();
--- a/daemon/src/fleet/job.rs
+++ b/daemon/src/fleet/job.rs
@@ -62,6 +62,12 @@
 }
 
 impl<D: Dialect> Job<D> {
+    /// Whether the request has not been sent to any upstream and would probably be cut if it were sent now, as this VM stops.
+    /// Its caller can send it to another VM.
+    pub fn is_too_late_to_send(&self) -> bool {
+        self.process.rejects_new_requests() && self.activity.silence(self.process.now()).is_none()
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self) -> Duration {
         let remaining = self.deadline.saturating_duration_since(self.process.now());
--- a/daemon/src/fleet/queue.rs
+++ b/daemon/src/fleet/queue.rs
@@ -121,6 +121,9 @@
     if !stream_begun && dial::is_lost(&job.process, &job.service.name) {
         return Err(Rejection::NoUpstream);
     }
+    if !stream_begun && job.is_too_late_to_send() {
+        return Err(Rejection::Full);
+    }
     let no_upstream_until = started + MAX_WAIT_NO_UPSTREAM;
     crash_sync::check(job)?;
     let mut requirements = job.requirements(&history.excluded, history.charge());
