Test that odd entries of other writers end no VM

What callers saw: reported by other operators: VMs end again and again, or stop following the directory, at an entry that is nested very deeply, or has a number too large or a port out of range.

Change: the end of a quarantine that another writer has written is added without overflow. The soak has a nested entry in its list.

--- a/daemon/src/fleet/writer.rs
+++ b/daemon/src/fleet/writer.rs
@@ -9,6 +9,7 @@
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::{self, Directory};
+use foldlock_request::quarantine_entry;
 
 use crate::fleet::metrics::Call;
 use crate::fleet::peers::Scheduler;
@@ -105,6 +106,8 @@
     let now_ms = process.clock.wall_millis();
     let retention_ms = RETENTION.as_millis() as u64;
     let cluster = process.cluster.lock().unwrap();
-    let expired = cluster.quarantined().filter(|entry| entry.until_ms + retention_ms <= now_ms);
+    let is_expired =
+        |entry: &&quarantine_entry::Entry| entry.until_ms.saturating_add(retention_ms) <= now_ms;
+    let expired = cluster.quarantined().filter(is_expired);
     expired.for_each(|entry| process.directory_writes.push(Write::Release(entry.fingerprint)));
 }
--- a/daemon/tests/soak/world.rs
+++ b/daemon/tests/soak/world.rs
@@ -223,6 +223,7 @@
         let store = Store::default();
         store.put_settings(settings);
         ODD_NAMES.iter().for_each(|name| store.put_server_bytes(name, b"{}"));
+        store.put_server_bytes("m-nested", "[".repeat(100_000).as_bytes());
         let journal = Arc::new(Journal::default());
         let mut endpoints = Vec::new();
         for (service, count) in SERVICES {
