--- a/daemon/tests/soak/fault.rs
+++ b/daemon/tests/soak/fault.rs
@@ -296,7 +296,7 @@
 }
 
 /// Kills a process and restarts it, unless another fault restarts it first.
-async fn kill(world: &World, vm: usize, downtime: Duration) {
+pub(crate) async fn kill(world: &World, vm: usize, downtime: Duration) {
     let disturbance = world.begin_disturbance(Part::Vm(vm));
     let incarnation = world.vms[vm].incarnation();
     world.vms[vm].signal(Signal::SIGKILL);
--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod fault;
 mod limits;
 mod links;
+mod outage;
 mod parts;
 mod world;
 
@@ -539,3 +540,39 @@
     };
     run_seeds(seeds, LONG_DURATION, 6).await;
 }
+
+/// Guards against a fleet that does not serve in time after all VMs were killed at the same moment.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; run manually"]
+async fn a_fleet_serves_again_after_all_vms_were_killed() {
+    let mut violations = Vec::new();
+    for (seed, store) in outage::STORES.into_iter().enumerate() {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("outage-{seed}"));
+        let settings = settings_at(FIRST_VERSION);
+        let world = World::start(folder, &settings, scheduling(seed as u64)).await;
+        check_recovery(&world).await;
+        let stop = CancellationToken::new();
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let (name, seed) = (format!("outage-{seed}-{caller}"), caller as u64);
+                tokio::spawn(caller::run(world.clone(), name, KEY, seed, stop.clone()))
+            })
+            .collect();
+        for round in 0..3 {
+            tokio::time::sleep(world::SETTLE_TIME).await;
+            let returned = outage::bring_about(&world, store).await;
+            check_recovery(&world).await;
+            println!(
+                "{store:?}, round {round}: all serve {:?} after the return",
+                returned.elapsed()
+            );
+        }
+        stop.cancel();
+        for caller in callers {
+            caller.await.unwrap();
+        }
+        violations
+            .extend(world.violations.lock().unwrap().iter().map(|v| format!("{store:?}: {v}")));
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
