Compute durations from figures of engines without a panic

What callers saw: nothing yet; found when the change was read again. With an absurd figure of an engine in the settings a VM aborts at the next prompt.

Cause: the durations of passes and prefills are converted from floating point, which panics beyond the range while the cluster is locked. Only a report's pace was bounded.

Change and why it works: clock::from_millis returns the longest computed duration in place of a panic; sums of many of them stay within the clock. Successors of event ids, solo crashes and incarnations saturate.

--- a/base/src/clock.rs
+++ b/base/src/clock.rs
@@ -133,6 +133,18 @@
     }
 }
 
+/// The longest duration of [`from_millis`]: sums of many stay within the range of a duration, and of the clock.
+pub const MAX_COMPUTED: Duration = Duration::from_secs(u32::MAX as u64);
+
+/// A duration of so many milliseconds, computed from figures that others state. Without a value that a duration can have, it
+/// is zero if that is negative, and [`MAX_COMPUTED`] otherwise.
+pub fn from_millis(ms: f64) -> Duration {
+    if ms < 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::try_from_secs_f64(ms / 1e3).map_or(MAX_COMPUTED, |d| d.min(MAX_COMPUTED))
+}
+
 /// Converts a duration to milliseconds.
 pub fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e3
--- a/daemon/src/attempt/silence.rs
+++ b/daemon/src/attempt/silence.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::from_millis;
 use foldlock_base::id;
 use foldlock_version::policy::Policy;
 
@@ -66,8 +67,7 @@
 pub fn timeout(phase: &Phase) -> Option<Duration> {
     match phase {
         Phase::First(predicted) => Some(
-            Duration::from_secs_f64(predicted * FIRST_TOKEN_TIMEOUT_RATIO)
-                .max(MIN_FIRST_TOKEN_TIMEOUT),
+            from_millis(predicted * FIRST_TOKEN_TIMEOUT_RATIO * 1e3).max(MIN_FIRST_TOKEN_TIMEOUT),
         ),
         Phase::FirstOfGroup => None,
         Phase::Begun => Some(STALL_TIMEOUT),
--- a/daemon/src/fleet/liveness.rs
+++ b/daemon/src/fleet/liveness.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use foldlock_base::clock::millis;
+use foldlock_base::clock::{from_millis, millis};
 use foldlock_base::prelude::*;
 use foldlock_request::cluster::Listed;
 use foldlock_request::decision::Decision;
@@ -178,7 +178,7 @@
         }
         let now = job.process.now();
         let timeout = job.process.config.fleet.reserved_silence_timeout();
-        let predicted = Duration::from_secs_f64(placement.predicted_ms.max(0.0) / 1e3);
+        let predicted = from_millis(placement.predicted_ms);
         let liveness = Liveness::new(timeout, now);
         let usage = Usage::new(timeout, predicted, flight.helpers.len());
         let helpers = flight.helpers.iter().map(|helper| &helper.upstream);
--- a/daemon/src/fleet/progress.rs
+++ b/daemon/src/fleet/progress.rs
@@ -63,8 +63,9 @@
                 if id <= last {
                     continue;
                 }
-                if id > last + 1 {
-                    let gap = Gap { expected: last + 1, got: id };
+                let expected = last.saturating_add(1);
+                if id > expected {
+                    let gap = Gap { expected, got: id };
                     return New { bytes: bytes.freeze(), gap: Some(gap) };
                 }
             }
--- a/daemon/src/fleet/race.rs
+++ b/daemon/src/fleet/race.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::from_millis;
 use foldlock_base::prelude::*;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::placement::Placement;
@@ -296,8 +297,7 @@
             Delivery::Complete => job.route.objective.mul_f64(COMPLETE_TIMEOUT_SHARE),
             Delivery::Streaming { .. } => {
                 let ms = placement.predicted_ms * FIRST_EVENT_TIMEOUT_RATIO + FIRST_EVENT_SLACK_MS;
-                Duration::from_secs_f64(ms / 1e3)
-                    .max(job.route.objective.mul_f64(MIN_FIRST_EVENT_OBJECTIVES))
+                from_millis(ms).max(job.route.objective.mul_f64(MIN_FIRST_EVENT_OBJECTIVES))
             }
         }
     }
--- a/daemon/src/members.rs
+++ b/daemon/src/members.rs
@@ -160,7 +160,7 @@
         let mut inner = self.inner.lock().unwrap();
         if member.vm == inner.own.vm {
             if member.down && member.incarnation >= inner.own.incarnation {
-                inner.own.incarnation = member.incarnation + 1;
+                inner.own.incarnation = member.incarnation.saturating_add(1);
             }
             return None;
         }
--- a/request/src/cluster/load.rs
+++ b/request/src/cluster/load.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::from_millis;
 use foldlock_version::routes::Engine;
 use serde::{Deserialize, Serialize};
 
@@ -254,7 +255,7 @@
                 0.0
             };
             let duration =
-                Duration::from_secs_f64(((steps_ms + prefill_ms) * slowdown / 1e3).max(1e-3));
+                from_millis((steps_ms + prefill_ms) * slowdown).max(Duration::from_millis(1));
             if at + duration > now {
                 let next: Vec<&Entry> = queued.collect();
                 let waiting_since = next.iter().find(|entry| entry.is_main).map(|entry| entry.sent);
@@ -280,7 +281,7 @@
         let mut prefill_done_at = queued.first()?.sent;
         for entry in queued {
             let steps_ms = if entry.is_split { pass_ms } else { 0.0 };
-            let read = Duration::from_secs_f64((entry.part_ms + steps_ms) * slowdown / 1e3);
+            let read = from_millis((entry.part_ms + steps_ms) * slowdown);
             prefill_done_at = prefill_done_at.max(entry.sent) + read;
         }
         Some(prefill_done_at)
--- a/request/src/quarantine/case.rs
+++ b/request/src/quarantine/case.rs
@@ -39,7 +39,7 @@
         if self.until.is_some_and(|until| until > at) {
             return;
         }
-        self.count += 1;
+        self.count = self.count.saturating_add(1);
         self.until = Some(at + self.duration());
     }
 
