Read the list of VMs past entries that are not as described

What callers saw: nothing yet; found when the change was read again. In the older way of serving one entry of the platform's list whose hall is no identifier fails the whole list, so that a VM that starts knows no peer.

Cause: the entries are decoded together, as the items of the directory were.

Evidence and test: an_odd_entry_does_not_affect_the_others failed before ("the identifier contains ' '").

Change and why it works: both lists leave out elements that are not valid, by the same function (connection/src/lenient.rs).

--- a/connection/src/lib.rs
+++ b/connection/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod keepalive;
 pub mod kv;
+pub mod lenient;
 pub mod peer;
 pub mod progress_limit;
 pub mod sse;
--- a/connection/src/vms.rs
+++ b/connection/src/vms.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::http::{Client, Failure, body};
+use crate::lenient;
 
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -31,9 +32,10 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// The VMs of the serving layer.
+    #[serde(deserialize_with = "lenient::list")]
     pub vms: Vec<Listed>,
     /// The upstreams that the platform lists.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "lenient::list")]
     pub upstreams: Vec<Listed>,
 }
 
