Check the beginning of bodies without a length at all clients

A plain service of the older way of serving whose Transfer-Encoding is damaged in its name reached the caller with the chunk sizes.

Cause: the check was made where requests of the fleet read their responses, not by the client of whole responses, nor for reports and orders.

Change and why it works: BodyEnd moves to connection/src/framing.rs, and each place that collects a body checks it.

--- a/connection/src/framing.rs
+++ b/connection/src/framing.rs
@@ -1,6 +1,6 @@
-//! Checks the head of a response before its body is read: the status, and how the end of the body is told.
+//! Checks the head of a response before its body is read: the status, and what determines the end of the body.
 //!
-//! The HTTP client reads a body with a transfer coding that it does not know to the end of the connection, as it does
+//! The HTTP client reads a body with an unsupported transfer coding to the end of the connection, as it does
 //! without any length. In the response of a faulty upstream that is a damaged `Transfer-Encoding: chunked`, and the body
 //! would include the chunk sizes. If the name of the header is damaged, or an empty line ends the head too early, the
 //! response has no length at all, and its body begins with what was meant to delimit it.
@@ -8,9 +8,10 @@
 use std::fmt;
 
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Response, StatusCode, Version};
 
-/// Why the body of a response cannot be told from what is around it.
+/// Why the limits of a response body are not certain.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
     /// The status is not one of a final response.
@@ -57,6 +58,40 @@
     Ok(())
 }
 
+/// What determines the end of a response body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By a length or chunks.
+    Stated,
+    /// By the end of the connection, which the response announces.
+    AnnouncedClose,
+    /// By the end of the connection, without an announcement.
+    Close,
+}
+
+impl BodyEnd {
+    /// The end of the body of a response with this head.
+    pub fn of(head: &Parts) -> BodyEnd {
+        let headers = &head.headers;
+        if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+            BodyEnd::Stated
+        } else if announces_close(head.version, headers) {
+            BodyEnd::AnnouncedClose
+        } else {
+            BodyEnd::Close
+        }
+    }
+
+    /// Checks the beginning of the body, if nothing states where it ends.
+    pub fn check(self, body: &[u8]) -> Result<(), Fault> {
+        match self {
+            BodyEnd::Stated => Ok(()),
+            BodyEnd::AnnouncedClose => check_body(body, true),
+            BodyEnd::Close => check_body(body, false),
+        }
+    }
+}
+
 /// Whether the body is chunked. No other transfer coding is ever requested.
 fn is_chunked(headers: &HeaderMap) -> Result<bool, Fault> {
     let codings: Vec<_> = headers.get_all(TRANSFER_ENCODING).iter().collect();
@@ -72,7 +107,7 @@
 
 /// Checks the beginning of a body that ends with its connection. If the response does not announce that it closes the
 /// connection, a line with a chunk size is enough; otherwise a whole chunk is needed, as a body may begin with a number.
-pub fn check_body(body: &[u8], announces_close: bool) -> Result<(), Fault> {
+fn check_body(body: &[u8], announces_close: bool) -> Result<(), Fault> {
     let is_chunk = match Chunk::parse(body) {
         Some(chunk) => !announces_close || chunk.is_whole,
         None => false,
@@ -81,7 +116,7 @@
 }
 
 /// Whether the response announces that its connection ends.
-pub fn announces_close(version: Version, headers: &HeaderMap) -> bool {
+fn announces_close(version: Version, headers: &HeaderMap) -> bool {
     let options = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let mut options = options.flat_map(|value| value.split(','));
     version != Version::HTTP_11 || options.any(|option| option.trim().eq_ignore_ascii_case("close"))
--- a/connection/src/http.rs
+++ b/connection/src/http.rs
@@ -11,7 +11,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use crate::framing;
+use crate::framing::{self, BodyEnd};
 use crate::keepalive;
 
 /// Timeout for opening a connection.
@@ -102,8 +102,10 @@
         let whole = async {
             let (head, body) = self.send(request).await?.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-            let body = body.map_err(|e| Failure::Broken(chain(&*e)))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = body.map_err(|e| Failure::Broken(chain(&*e)))?.to_bytes();
+            let body_end = BodyEnd::of(&head);
+            body_end.check(&body).map_err(|fault| Failure::Broken(fault.to_string()))?;
+            Ok(Response::from_parts(head, body))
         };
         match tokio::time::timeout(timeout, whole).await {
             Ok(response) => response,
--- a/daemon/src/fleet/calls.rs
+++ b/daemon/src/fleet/calls.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use foldlock_base::prelude::*;
 use foldlock_connection::channel::{Channel, Failure as ChannelFailure};
+use foldlock_connection::framing::BodyEnd;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::transport::{Failure, Transport};
 use http_body_util::Full;
@@ -13,7 +14,7 @@
 use hyper::{Request, Response};
 
 use crate::fleet::dial;
-use crate::fleet::headers::{BodyEnd, idle_timeout};
+use crate::fleet::headers::idle_timeout;
 use crate::fleet::process::Process;
 
 /// Maximum size of a response, bytes. Reports and responses to orders are far shorter; one of an upstream in trouble may
@@ -61,11 +62,13 @@
     let (head, body) = response.into_parts();
     let body = channel.collect(body, MAX_RESPONSE_BYTES).await;
     let body = body.map_err(|failure| Failure(dial::reason(failure)))?;
+    let body_end = BodyEnd::of(&head);
+    body_end.check(&body).map_err(|fault| Failure(fault.to_string()))?;
     if channel.via().is_none() {
         dial::record_response(process, upstream);
     }
     let idle_timeout = idle_timeout(&head.headers);
-    if BodyEnd::of(&head) == BodyEnd::Stated && !idle_timeout.is_zero() {
+    if body_end == BodyEnd::Stated && !idle_timeout.is_zero() {
         process.call_pool.put(upstream, channel, idle_timeout, process.now());
     }
     Ok(Response::from_parts(head, body))
--- a/daemon/src/fleet/headers.rs
+++ b/daemon/src/fleet/headers.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use foldlock_connection::framing;
 use hyper::HeaderMap;
 use hyper::header::{self, HeaderName};
 
@@ -53,39 +52,3 @@
         .map(Duration::from_secs);
     timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.saturating_sub(IDLE_TIMEOUT_MARGIN))
 }
-
-/// How the end of a response body is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BodyEnd {
-    /// By a length or chunks.
-    Stated,
-    /// By the end of the connection, which the response announces.
-    AnnouncedClose,
-    /// By the end of the connection, without an announcement.
-    Close,
-}
-
-impl BodyEnd {
-    /// The end of the body of a response with this head.
-    pub fn of(head: &http::response::Parts) -> BodyEnd {
-        let headers = &head.headers;
-        if headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
-        {
-            BodyEnd::Stated
-        } else if framing::announces_close(head.version, headers) {
-            BodyEnd::AnnouncedClose
-        } else {
-            BodyEnd::Close
-        }
-    }
-
-    /// Checks the beginning of the body, if nothing states where it ends.
-    pub fn check(self, body: &[u8]) -> Result<(), framing::Fault> {
-        match self {
-            BodyEnd::Stated => Ok(()),
-            BodyEnd::AnnouncedClose => framing::check_body(body, true),
-            BodyEnd::Close => framing::check_body(body, false),
-        }
-    }
-}
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_connection::channel::Channel;
+use foldlock_connection::framing::BodyEnd;
 use foldlock_connection::http::chain;
 use foldlock_connection::sse::{Decoder, Event};
 use foldlock_request::dialect::Dialect;
@@ -15,7 +16,6 @@
 
 use crate::fleet::activity::Activity;
 use crate::fleet::crash::{self, Interrupted, MIN_DECODING};
-use crate::fleet::headers::BodyEnd;
 use crate::fleet::job::Job;
 use crate::fleet::liveness::Poller;
 use crate::fleet::outcome;
@@ -61,7 +61,7 @@
     pub(super) channel: Channel,
     /// How long the connection may be idle afterwards; zero if it cannot be reused.
     pub(super) idle_timeout: Duration,
-    /// How the end of the response is told.
+    /// What determines the end of the response.
     pub(super) body_end: BodyEnd,
     pub(super) body: Incoming,
     pub(super) decoder: Decoder,
