--- a/request/src/crash_log/evidence.rs
+++ b/request/src/crash_log/evidence.rs
@@ -141,8 +141,8 @@
 
     /// The probability that crashes with another cause came while requests with a part were exposed to them. Since the
     /// crash before it, each came at any time, so the probability is the share of that time for which a request had been
-    /// sent. It is low where few requests come, of which the other tests know too little. The first round shows
-    /// nothing.
+    /// sent. It is low where few requests come, for which counts are too small. The first round is no
+    /// evidence.
     fn coincidence(&self, part: Fingerprint, evidence: &Evidence<'_>) -> f64 {
         let rounds = evidence.round_crashes.iter().skip(1);
         rounds.map(|index| self.exposed_share(part, evidence.service, *index)).product()
