Tests: stand-ins restart on addresses that nothing else takes

Cause: the stand-in had a port of the ephemeral range, which is free while it is stopped, so that another listener of the test binary may get it (270 tests bind some thousands of such ports in 65 s). By elimination: the listener is dropped before, its connections have SO_REUSEADDR. Not reproduced: 85 runs of the test beside processes that bind and release ports of that range all the time passed.

Change: stand-ins and proxies listen on addresses of standin::port, whose ports are below that range and are not given twice.

--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -19,7 +19,7 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
-use crate::{engine, engine_http, kv, plain, vms};
+use crate::{engine, engine_http, kv, plain, port, vms};
 
 /// Time after which a test fails if an awaited condition still does not hold.
 pub const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -138,10 +138,6 @@
     next_index: usize,
 }
 
-fn loopback() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 impl Fleet {
     /// Starts stand-ins and VMs, publishes settings and waits until every VM is ready.
     pub async fn start(plan: Plan) -> Fleet {
@@ -157,16 +153,16 @@
 
     /// Starts the stand-ins without VMs.
     pub async fn stand_ins(plan: Plan) -> Fleet {
-        let kv = kv::serve(loopback(), plan.kv.clone()).await.expect("a free port");
-        let list = vms::serve(loopback(), plan.list_lag).await.expect("a free port");
+        let kv = kv::serve(port::free(), plan.kv.clone()).await.expect("a free port");
+        let list = vms::serve(port::free(), plan.list_lag).await.expect("a free port");
         let mut engines = Vec::new();
         for _ in 0..plan.engines {
-            let engine = engine_http::serve(loopback(), plan.engine.clone()).await;
+            let engine = engine_http::serve(port::free(), plan.engine.clone()).await;
             engines.push(engine.expect("a free port"));
         }
         let mut plains = Vec::new();
         for _ in 0..plan.plains {
-            let plain = plain::serve(loopback(), plain::Settings::default()).await;
+            let plain = plain::serve(port::free(), plain::Settings::default()).await;
             plains.push(plain.expect("a free port"));
         }
         let client = Client::default();
--- a/standin/src/port.rs
+++ b/standin/src/port.rs
@@ -1,6 +1,6 @@
-//! Ports for processes that listen on a given address and restart on the same one.
+//! Addresses for listeners that restart on the same address, or whose address must not get another owner.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicU16, Ordering};
 
 /// The first port to allocate.
@@ -10,18 +10,25 @@
 /// may use a port of that range for an outgoing connection while no process listens on it.
 const PORTS: u16 = 22_000;
 
-/// Distance between the first ports of test processes with consecutive process ids.
-const PROCESS_STRIDE: u32 = 499;
+/// Base of the loopback addresses of test processes: 127.64.0.0/10, which has one for each process id.
+const NETWORK: u32 = u32::from_be_bytes([127, 64, 0, 0]);
+
+/// Number of addresses in that network, the largest `pid_max` of Linux.
+const ADDRESSES: u32 = 1 << 22;
 
 static ALLOCATED: AtomicU16 = AtomicU16::new(0);
 
+/// The loopback address of this process. No other process that allocates here listens on it, so that
+/// requests for a stopped listener do not reach a listener of another test.
+fn ip() -> IpAddr {
+    Ipv4Addr::from(NETWORK + std::process::id() % ADDRESSES).into()
+}
+
 /// A loopback address that is free for TCP and UDP. A port is reused only after all others.
 pub fn free() -> SocketAddr {
-    let first = (std::process::id().wrapping_mul(PROCESS_STRIDE) % u32::from(PORTS)) as u16;
     loop {
-        let allocated = ALLOCATED.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (first + allocated % PORTS) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let port = FIRST_PORT + ALLOCATED.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from((ip(), port));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
--- a/standin/src/proxy.rs
+++ b/standin/src/proxy.rs
@@ -11,6 +11,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::port;
+
 /// Timeout of a connection that shows whether the queue of a listener is full.
 const QUEUE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -48,7 +50,7 @@
 impl Proxy {
     /// Starts a proxy in [`Mode::Open`].
     pub async fn start(target: SocketAddr) -> Proxy {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind(port::free()).await.unwrap();
         let address = listener.local_addr().unwrap();
         let target = Arc::new(Mutex::new(target));
         let (mode, modes) = watch::channel(Mode::Open);
