Check that an upstream still runs before a body that ends with its connection counts

The client got 200 with the half that had arrived and a Content-Length of that half.

Cause: the system closes the connections of a killed process as a server does that is done. Streams of this kind count as complete only if their upstream still runs; responses that are collected (read_complete) were not checked.

Change and why it works: the same check for both. A refused connection, or another incarnation, means that the process ended while the response was open, so that nothing shows that the body is whole. Responses with status 204 or 304 end with their head and are not checked.

--- a/connection/src/framing.rs
+++ b/connection/src/framing.rs
@@ -52,16 +52,21 @@
         return Err(Fault::Ambiguous);
     }
     let has_body = is_chunked || length.is_some_and(|length| length != "0");
-    if has_body && [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status) {
+    if has_body && has_no_body(status) {
         return Err(Fault::NoBody(status));
     }
     Ok(())
 }
 
+/// Whether responses with this status end with their head.
+fn has_no_body(status: StatusCode) -> bool {
+    [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status)
+}
+
 /// What determines the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
-    /// By a length or chunks.
+    /// By a length or chunks, or by the status of a response without a body.
     Stated,
     /// By the end of the connection, which the response announces.
     AnnouncedClose,
@@ -73,7 +78,9 @@
     /// The end of the body of a response with this head.
     pub fn of(head: &Parts) -> BodyEnd {
         let headers = &head.headers;
-        if headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        let has_length =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        if has_length || has_no_body(head.status) {
             BodyEnd::Stated
         } else if announces_close(head.version, headers) {
             BodyEnd::AnnouncedClose
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -26,7 +26,7 @@
 
 use crate::fleet::activity::Activity;
 use crate::fleet::answer::{self, Body};
-use crate::fleet::crash::Interrupted;
+use crate::fleet::crash::{self, Interrupted};
 use crate::fleet::crash_sync;
 use crate::fleet::dial;
 use crate::fleet::grant_requests::Grant;
@@ -384,6 +384,11 @@
         record_failure(job, &upstream, Cause::Malformed);
         return End::Broken(fault.to_string());
     }
+    let attempt = Interrupted { flight: &flight, incarnation, sent, first_event: None };
+    if body_end != BodyEnd::Stated && crash::has_crashed(job, attempt).await {
+        outcome::record_broken(job, attempt).await;
+        return End::Broken("the upstream crashed while it sent the response".to_owned());
+    }
     let now = job.process.now();
     // A connection on which the body is still being sent cannot be reused, but would hold the body.
     if !idle_timeout.is_zero() && !loan.is_unread() {
