Look whether a leaving upstream still runs before its stream counts as complete

Streams with neither a length nor chunks ended as complete after 27 of 40 events, and were not resumed.

Cause: crash::state answers "leaving" without a connection to an upstream that is leaving, drained or no longer listed, since such an end is no crash that a request caused. The same answer decided whether a stream was complete.

Change and why it works: whether a request may have crashed an upstream and whether the upstream still runs are separate questions. For the second its address is tried also if it is leaving or no longer listed.

--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -228,6 +228,7 @@
     let stream = Stream {
         flight: placement.flight.clone(),
         incarnation,
+        address: grant.address.clone(),
         sent,
         first_event: None,
         is_start_recorded: false,
@@ -359,6 +360,7 @@
     let Stream {
         flight,
         incarnation,
+        address,
         sent,
         activity,
         loan,
@@ -385,9 +387,9 @@
         return End::Broken(fault.to_string());
     }
     let attempt = Interrupted { flight: &flight, incarnation, sent, first_event: None };
-    if body_end != BodyEnd::Stated && crash::has_crashed(job, attempt).await {
+    if body_end != BodyEnd::Stated && crash::has_ended(job, attempt, &address).await {
         outcome::record_broken(job, attempt).await;
-        return End::Broken("the upstream crashed while it sent the response".to_owned());
+        return End::Broken("the upstream ended while it sent the response".to_owned());
     }
     let now = job.process.now();
     // A connection on which the body is still being sent cannot be reused, but would hold the body.
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -69,9 +69,14 @@
     Finding::Upstream
 }
 
-/// Whether the upstream of an attempt has crashed.
-pub async fn has_crashed<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>) -> bool {
-    state(job, attempt).await == State::Crashed
+/// Whether the upstream of an attempt at `address` no longer runs, so that what it sent until its connection ended may be a
+/// part. An upstream that leaves ends its responses before it ends itself, but may be gone sooner.
+pub async fn has_ended<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>, address: &str) -> bool {
+    match state(job, attempt).await {
+        State::Crashed => true,
+        State::Leaving => dial::is_closed(&job.process, &attempt.flight.upstream, address).await,
+        State::Running | State::Unreachable | State::Unknown => false,
+    }
 }
 
 /// The state of an upstream after a connection to it ended.
--- a/daemon/src/fleet/dial.rs
+++ b/daemon/src/fleet/dial.rs
@@ -75,6 +75,20 @@
     }
 }
 
+/// Whether nothing listens at the address of an upstream any more, which may have left the directory.
+pub async fn is_closed<D: Dialect>(
+    process: &Arc<Process<D>>,
+    upstream: &id::Upstream,
+    address: &str,
+) -> bool {
+    if target(process, upstream).is_some() {
+        let connected = connect(process, upstream, address).await;
+        return connected.is_err_and(|failure| failure.verdict == Verdict::Refused);
+    }
+    let connected = channel::connect(address, CONNECT_TIMEOUT).await;
+    matches!(connected, Err(channel::Failure::Refused(_)))
+}
+
 type Direct = JoinHandle<Result<TcpStream, channel::Failure>>;
 type Tunnelled = Result<(Tunnel, id::Vm), Vec<Testimony>>;
 
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -40,6 +40,8 @@
     pub flight: Flight,
     /// The incarnation of the upstream that the request was sent to.
     pub incarnation: Tag,
+    /// The address of the upstream, `IP:port`.
+    pub(super) address: String,
     /// When the request was sent.
     pub sent: Instant,
     /// When its first event was received.
@@ -103,15 +105,15 @@
         first
     }
 
-    /// Waits for the next item. A stream that ends with its connection is complete only if its upstream has not crashed:
-    /// the connection of a crashed process ends in the same way.
+    /// Waits for the next item. A stream that ends with its connection is complete only if its upstream still runs:
+    /// the connection of a process that has ended ends in the same way.
     pub async fn next_item(&mut self, job: &Job<D>) -> Item {
         match self.next(job).await {
             Item::End
                 if self.body_end != BodyEnd::Stated
-                    && crash::has_crashed(job, self.interrupted()).await =>
+                    && crash::has_ended(job, self.interrupted(), &self.address).await =>
             {
-                Item::Broken("the upstream crashed between two events".to_owned())
+                Item::Broken("the upstream ended between two events".to_owned())
             }
             Item::Events(events) if self.first_event.is_none() => {
                 let start: Vec<u8> = events.iter().flat_map(|e| e.bytes.iter().copied()).collect();
