Start tasks of a VM again after a panic, and end the process if its state is poisoned

A VM whose task had panicked ran on and was ready; with a poisoned lock it answered nothing.

Change and why it works: fleet/supervisor.rs starts a task again after a panic; all that a task needs is in the shared state, and the watch begins with a full read. If a lock of that state is poisoned, by any task or request, the process ends within a second and the platform starts it again. Panics are logged with their place (106 to 108).

Open: the other way of serving.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -43,6 +43,12 @@
     Reloaded = 104, Info;
     /// The machine was suspended: the state of peers and the directory is read again.
     Suspended = 105, Warning;
+    /// A thread or task panicked.
+    Panicked = 106, Error;
+    /// A task without which a VM cannot work panicked and is started again.
+    TaskRestarted = 107, Error;
+    /// The process ends because its state is no longer consistent.
+    Poisoned = 108, Error;
     /// A settings version is in force.
     VersionInForce = 200, Info;
     /// A settings version was refused; the previous one stays in force.
--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -253,6 +253,11 @@
         });
     }
 
+    /// Whether a thread has panicked while it held the lock.
+    pub fn is_poisoned(&self) -> bool {
+        self.idle.is_poisoned()
+    }
+
     /// Number of idle connections.
     pub fn len(&self) -> usize {
         self.idle.lock().unwrap().values().map(Vec::len).sum()
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -55,6 +55,7 @@
 pub mod silence;
 pub mod stop;
 pub mod stream;
+pub mod supervisor;
 pub mod suspended;
 pub mod tunnel_client;
 pub mod tunnel_server;
@@ -82,7 +83,7 @@
 use process::Process;
 
 /// Serves until the process receives the signal to stop, then until all requests have ended or the stop
-/// timeout expires.
+/// timeout expires. Fails if a panic has poisoned the state that all requests share.
 pub async fn run<D: Dialect, R: Directory>(
     config: Config,
     directory: R,
@@ -98,6 +99,9 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hangup.recv() => process.reload(),
+            () = process.failed.cancelled() => {
+                return Err(std::io::Error::other("a panic has poisoned the shared state"));
+            }
         }
     }
     stop::run(&process, &directory).await;
@@ -116,24 +120,63 @@
     let control = TcpListener::bind(fleet.peers).await?;
     let socket = UdpSocket::bind(fleet.peers).await?;
     let process = Arc::new(Process::<D>::new(config, socket, log));
-    if let Some(address) = fleet.metrics {
-        let metrics = TcpListener::bind(address).await?;
-        tokio::spawn(operators::run(process.clone(), metrics));
-    }
-    tokio::spawn(callers::run(process.clone(), callers));
-    tokio::spawn(operators::ready(process.clone(), ready));
-    tokio::spawn(operators::run(process.clone(), control));
-    tokio::spawn(heartbeat::run(process.clone(), directory.clone()));
-    tokio::spawn(scheduler::run(process.clone()));
-    tokio::spawn(watch::run(process.clone(), directory.clone()));
-    tokio::spawn(watch::register(process.clone(), directory.clone()));
-    tokio::spawn(withdraw::run(process.clone(), directory.clone()));
-    tokio::spawn(writer::run(process.clone(), directory));
-    tokio::spawn(process::sweep(process.clone()));
-    tokio::spawn(reports::run(process.clone()));
-    tokio::spawn(crash_sync::run(process.clone()));
-    tokio::spawn(suspended::run(process.clone()));
+    let metrics = match fleet.metrics {
+        Some(address) => Some(TcpListener::bind(address).await?),
+        None => None,
+    };
+    start_listeners(&process, Listeners { callers, ready, control, metrics });
+    start_tasks(&process, &directory);
     let what = format!("incarnation {}, listen {}", process.member.incarnation, fleet.peers);
     log::event(&process.log, Event::Started, what);
     Ok(process)
 }
+
+/// The listeners of a VM.
+struct Listeners {
+    /// For callers.
+    callers: TcpListener,
+    /// For readiness checks.
+    ready: TcpListener,
+    /// For operators and peers.
+    control: TcpListener,
+    /// For the metrics alone, if they have an address of their own.
+    metrics: Option<TcpListener>,
+}
+
+fn start_listeners<D: Dialect>(process: &Arc<Process<D>>, listeners: Listeners) {
+    let Listeners { callers, ready, control, metrics } = listeners;
+    let (p, listener) = (process.clone(), Arc::new(callers));
+    supervisor::spawn(process, "callers", move || callers::run(p.clone(), listener.clone()));
+    let (p, listener) = (process.clone(), Arc::new(ready));
+    supervisor::spawn(process, "readiness", move || operators::ready(p.clone(), listener.clone()));
+    for listener in std::iter::once(control).chain(metrics).map(Arc::new) {
+        let p = process.clone();
+        let serve = move || operators::run(p.clone(), listener.clone());
+        supervisor::spawn(process, "operators and peers", serve);
+    }
+}
+
+fn start_tasks<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
+    let (p, d) = (process.clone(), directory.clone());
+    supervisor::spawn(process, "heartbeats", move || heartbeat::run(p.clone(), d.clone()));
+    let (p, d) = (process.clone(), directory.clone());
+    supervisor::spawn(process, "watch", move || watch::run(p.clone(), d.clone()));
+    let (p, d) = (process.clone(), directory.clone());
+    supervisor::spawn(process, "registration", move || watch::register(p.clone(), d.clone()));
+    let (p, d) = (process.clone(), directory.clone());
+    supervisor::spawn(process, "withdrawals", move || withdraw::run(p.clone(), d.clone()));
+    let (p, d) = (process.clone(), directory.clone());
+    supervisor::spawn(process, "directory writes", move || writer::run(p.clone(), d.clone()));
+    let p = process.clone();
+    supervisor::spawn(process, "scheduler", move || scheduler::run(p.clone()));
+    let p = process.clone();
+    supervisor::spawn(process, "idle connections", move || process::sweep(p.clone()));
+    let p = process.clone();
+    supervisor::spawn(process, "reports", move || reports::run(p.clone()));
+    let p = process.clone();
+    supervisor::spawn(process, "crash log", move || crash_sync::run(p.clone()));
+    let p = process.clone();
+    supervisor::spawn(process, "suspensions", move || suspended::run(p.clone()));
+    let p = process.clone();
+    supervisor::spawn(process, "supervisor", move || supervisor::run(p.clone()));
+}
--- a/daemon/src/fleet/callers.rs
+++ b/daemon/src/fleet/callers.rs
@@ -95,7 +95,7 @@
 }
 
 /// Accepts connections until the process ends.
-pub async fn run<D: Dialect>(process: Arc<Process<D>>, listener: TcpListener) {
+pub async fn run<D: Dialect>(process: Arc<Process<D>>, listener: Arc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/daemon/src/fleet/metrics.rs
+++ b/daemon/src/fleet/metrics.rs
@@ -85,6 +85,8 @@
     pub engine_reports: Counter,
     /// Other messages to upstreams by kind.
     pub upstream_messages: Family<BySent, Counter>,
+    /// Tasks that were started again after a panic.
+    pub restarted_tasks: Counter,
     /// Times that the directory was restored from an older copy.
     pub directory_restores: Counter,
     /// Requests for which upstreams were at their rate limits, by outcome.
@@ -166,6 +168,7 @@
             startup_waits: Family::default(),
             engine_reports: Counter::default(),
             upstream_messages: Family::default(),
+            restarted_tasks: Counter::default(),
             directory_restores: Counter::default(),
             rate_limited: Family::default(),
             limited_upstreams: Gauge::default(),
--- a/daemon/src/fleet/metrics/registration.rs
+++ b/daemon/src/fleet/metrics/registration.rs
@@ -64,6 +64,8 @@
         r.register("engine_doubts", what, self.engine_doubts.clone());
         let what = "Requests, parts and orders sent to upstreams";
         r.register("upstream_messages", what, self.upstream_messages.clone());
+        let what = "Tasks that were started again after a panic";
+        r.register("restarted_tasks", what, self.restarted_tasks.clone());
         let what = "Times that the directory came back from an older copy";
         r.register("directory_restored", what, self.directory_restores.clone());
         let what = "Requests for which upstreams were at their rate limits";
--- a/daemon/src/fleet/operators.rs
+++ b/daemon/src/fleet/operators.rs
@@ -62,13 +62,13 @@
 const METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Serves readiness checks, on any path.
-pub async fn ready<D: Dialect>(process: Arc<Process<D>>, listener: TcpListener) {
+pub async fn ready<D: Dialect>(process: Arc<Process<D>>, listener: Arc<TcpListener>) {
     let answer = |process: Arc<Process<D>>, _: Request<Incoming>| async move { is_ready(&process) };
     accept(process, listener, answer).await;
 }
 
 /// Serves operators and peers.
-pub async fn run<D: Dialect>(process: Arc<Process<D>>, listener: TcpListener) {
+pub async fn run<D: Dialect>(process: Arc<Process<D>>, listener: Arc<TcpListener>) {
     let answer = |process: Arc<Process<D>>, request: Request<Incoming>| async move {
         match tunnel::requested(&request) {
             Some(upstream) => tunnel_server::accept(process, request, upstream).await,
@@ -80,7 +80,7 @@
 
 async fn accept<D: Dialect, R: Future<Output = Response<Body>> + Send + 'static>(
     process: Arc<Process<D>>,
-    listener: TcpListener,
+    listener: Arc<TcpListener>,
     answer: impl Fn(Arc<Process<D>>, Request<Incoming>) -> R + Copy + Send + Sync + 'static,
 ) {
     loop {
--- a/daemon/src/fleet/peers.rs
+++ b/daemon/src/fleet/peers.rs
@@ -161,6 +161,11 @@
         self.membership.lock().unwrap().peers.get(vm).map(|peer| peer.member.clone())
     }
 
+    /// Whether a thread has panicked while it held the lock.
+    pub fn is_poisoned(&self) -> bool {
+        self.membership.is_poisoned()
+    }
+
     /// The number of listed VMs, up or down, including this one.
     pub fn listed_count(&self) -> usize {
         self.membership.lock().unwrap().order.len()
--- a/daemon/src/fleet/pending_grants.rs
+++ b/daemon/src/fleet/pending_grants.rs
@@ -17,6 +17,11 @@
 }
 
 impl Table {
+    /// Whether a thread has panicked while it held a lock.
+    pub fn is_poisoned(&self) -> bool {
+        self.requests.is_poisoned() || self.scheduler.is_poisoned()
+    }
+
     /// Adds a grant request. Returns the channel that receives its replies.
     pub fn add(&self, number: u64) -> mpsc::UnboundedReceiver<Reply> {
         let (sender, replies) = mpsc::unbounded_channel();
--- a/daemon/src/fleet/process.rs
+++ b/daemon/src/fleet/process.rs
@@ -153,6 +153,8 @@
     pub stopping: CancellationToken,
     /// Cancelled shortly before the process exits: requests without a response get an error response.
     pub aborting: CancellationToken,
+    /// Cancelled when the process has to end because a panic has poisoned its state.
+    pub failed: CancellationToken,
     /// When the process received the signal to stop.
     pub stop_requested: OnceLock<Instant>,
     /// The tasks of callers' connections and of streams to callers.
@@ -222,6 +224,7 @@
             registered: AtomicBool::new(false),
             stopping: CancellationToken::new(),
             aborting: CancellationToken::new(),
+            failed: CancellationToken::new(),
             stop_requested: OnceLock::new(),
             tasks: TaskTracker::new(),
             settings: RwLock::new(None),
@@ -261,6 +264,26 @@
             && self.freshness.accepts_connections(moment)
     }
 
+    /// Whether a task has panicked while it held a lock of the state that all requests share. Each later use of that lock
+    /// panics as well.
+    pub fn is_poisoned(&self) -> bool {
+        self.cluster.is_poisoned()
+            || self.scheduler.is_poisoned()
+            || self.affiliation.is_poisoned()
+            || self.promises.is_poisoned()
+            || self.reachability.is_poisoned()
+            || self.backoffs.is_poisoned()
+            || self.steps.is_poisoned()
+            || self.last_compared.is_poisoned()
+            || self.revision.is_poisoned()
+            || self.restored.is_poisoned()
+            || self.settings.is_poisoned()
+            || self.pool.is_poisoned()
+            || self.call_pool.is_poisoned()
+            || self.peers.is_poisoned()
+            || self.pending_grants.is_poisoned()
+    }
+
     /// Whether a stop has progressed so far that a new request might not end before the process is killed.
     pub fn rejects_new_requests(&self) -> bool {
         let accept_time = self.config.fleet.stop_timeout().mul_f64(ACCEPT_SHARE);
--- a/daemon/src/fleet/write_queue.rs
+++ b/daemon/src/fleet/write_queue.rs
@@ -1,11 +1,9 @@
 //! Queue of writes to the directory that are done in the background, apart from the handling of
 //! requests.
 
-use std::sync::Mutex;
-
 use foldlock_request::fingerprint::Fingerprint;
 use foldlock_request::quarantine_entry;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, MutexGuard, mpsc};
 
 /// Maximum number of writes queued while the directory is unavailable. Apart from
 /// registrations, they are for requests during which three or more upstreams crashed.
@@ -29,21 +27,20 @@
 #[derive(Debug)]
 pub struct Queue {
     sender: mpsc::Sender<Write>,
-    receiver: Mutex<Option<mpsc::Receiver<Write>>>,
+    receiver: Mutex<mpsc::Receiver<Write>>,
 }
 
 impl Default for Queue {
     fn default() -> Queue {
         let (sender, receiver) = mpsc::channel(CAPACITY);
-        Queue { sender, receiver: Mutex::new(Some(receiver)) }
+        Queue { sender, receiver: Mutex::new(receiver) }
     }
 }
 
 impl Queue {
-    /// Takes the receiving end, for the one task that executes the writes. None if it was taken
-    /// before.
-    pub fn take_receiver(&self) -> Option<mpsc::Receiver<Write>> {
-        self.receiver.lock().unwrap().take()
+    /// The receiving end, for the one task that executes the writes.
+    pub async fn receiver(&self) -> MutexGuard<'_, mpsc::Receiver<Write>> {
+        self.receiver.lock().await
     }
 
     /// Queues a write. If the queue is full the write is dropped: VMs announce quarantined requests
--- a/daemon/src/fleet/writer.rs
+++ b/daemon/src/fleet/writer.rs
@@ -37,7 +37,7 @@
 /// Executes queued writes and, while this VM is the scheduler, removes expired entries, until the
 /// process stops.
 pub async fn run<D: Dialect, R: Directory>(process: Arc<Process<D>>, directory: R) {
-    let Some(mut writes) = process.directory_writes.take_receiver() else { return };
+    let mut writes = process.directory_writes.receiver().await;
     while !process.stopping.is_cancelled() {
         tokio::select! {
             write = writes.recv() => match write {
--- a/daemon/src/log.rs
+++ b/daemon/src/log.rs
@@ -20,6 +20,16 @@
     Logger::root(drain, o!("vm" => vm.to_owned()))
 }
 
+/// Logs each panic with its message and place, in addition to the text on standard error.
+pub fn log_panics(log: &Logger) {
+    let log = log.clone();
+    let default = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        event(&log, Event::Panicked, panic);
+        default(panic);
+    }));
+}
+
 /// Logs an event with its details as free text.
 pub fn event(log: &Logger, event: Event, details: impl std::fmt::Display) {
     let number = event.number();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -67,12 +67,14 @@
 fn serve_single_threaded(config: fleet::config::Config) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let log = log::root(config.vm.as_str(), &config.log_level);
+    log::log_panics(&log);
     let directory = Directory::new(&config.fleet.directory);
     runtime.block_on(fleet::run::<Headers, Directory>(config, directory, log))
 }
 
 async fn serve(config: Config) -> std::io::Result<()> {
     let root = log::root(config.vm.as_str(), &config.log_level);
+    log::log_panics(&root);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let running = process::start(config, root).await?;
