Refuse responses that are longer than their length states

The client got 200 with the first part of the body, a stream ended as complete between two of its events.

Cause: the HTTP client returns as many bytes as the length states and closes the connection when others follow, without an error for the response before.

Change and why it works: what the client has read and not used when it ends a connection is looked at. Bytes behind a response with a length that do not begin another response mean that the length may be damaged, so that the response is broken. A second response behind the first is dropped as before, and so is anything behind the last chunk (an_unusual_response_is_forwarded).

BodyEnd tells a length from chunks, and has is_close for the others.

--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -4,22 +4,24 @@
 //! Requests are never retried here. Each failure says whether the request may have been sent.
 
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io::ErrorKind;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use foldlock_base::prelude::*;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::framing;
+use crate::framing::{self, BodyEnd};
 use crate::http::chain;
 use crate::keepalive;
 use crate::progress_limit::{Budget, Limited};
@@ -35,6 +37,9 @@
 /// ahead of what it returns, by a buffer or two.
 const MAX_RECEIVED_WITHOUT_PROGRESS: usize = 4 * MAX_READ_BUFFER_BYTES;
 
+/// How a response begins, so that bytes behind another response may be one.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Why an attempt got no response.
 #[derive(Debug)]
 pub enum Failure {
@@ -55,6 +60,8 @@
     connection: AbortHandle,
     /// What may be received before the response makes progress.
     budget: Budget,
+    /// Whether bytes were received behind a response that begin no other one.
+    has_surplus: Arc<AtomicBool>,
     /// The peer that carries it, if it is a tunnel.
     via: Option<id::Vm>,
 }
@@ -135,9 +142,9 @@
             .handshake(TokioIo::new(Limited::new(stream, budget.clone())))
             .await
             .map_err(|e| Failure::Unsent(chain(&e)))?;
-        // The task ends with the connection; errors are returned to the request that uses it.
-        let connection = tokio::spawn(connection).abort_handle();
-        Ok(Channel { sender, connection, budget, via })
+        let has_surplus = Arc::new(AtomicBool::new(false));
+        let connection = tokio::spawn(drive(connection, has_surplus.clone())).abort_handle();
+        Ok(Channel { sender, connection, budget, has_surplus, via })
     }
 
     /// The peer that carries the connection, if it is a tunnel.
@@ -180,11 +187,36 @@
         Ok(collected.freeze())
     }
 
+    /// Checks, after the body of a response was received, whether more was sent than its length states: the length may be
+    /// damaged, and the body a part.
+    pub fn check_end(&self, body_end: BodyEnd) -> Result<(), framing::Fault> {
+        let has_surplus = self.has_surplus.load(Ordering::Relaxed);
+        if body_end == BodyEnd::Length && has_surplus {
+            Err(framing::Fault::Surplus)
+        } else {
+            Ok(())
+        }
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
 }
 
+/// Runs a connection until it ends; errors are returned to the request that uses it. The HTTP client ends a connection on
+/// which bytes follow a response.
+async fn drive<S>(
+    mut connection: Connection<TokioIo<Limited<S>>, Full<Bytes>>,
+    has_surplus: Arc<AtomicBool>,
+) where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let _ = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+    let surplus = connection.into_parts().read_buf;
+    let length = surplus.len().min(RESPONSE_START.len());
+    has_surplus.store(surplus[..length] != RESPONSE_START[..length], Ordering::Relaxed);
+}
+
 impl Pool {
     /// Takes the most recently used connection, if it has been idle for less than `max_idle`.
     pub fn take(
--- a/connection/src/framing.rs
+++ b/connection/src/framing.rs
@@ -24,6 +24,8 @@
     NoBody(StatusCode),
     /// A body without a length that begins with a chunk size or with headers.
     InBody,
+    /// More bytes than the length states, which begin no other response.
+    Surplus,
 }
 
 impl fmt::Display for Fault {
@@ -34,6 +36,7 @@
             Fault::Ambiguous => write!(f, "both a content length and a transfer coding"),
             Fault::NoBody(status) => write!(f, "a body length with status {}", status.as_u16()),
             Fault::InBody => write!(f, "the body begins with a chunk size or with headers"),
+            Fault::Surplus => write!(f, "the body is longer than the content length"),
         }
     }
 }
@@ -66,7 +69,9 @@
 /// What determines the end of a response body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
-    /// By a length or chunks, or by the status of a response without a body.
+    /// By a number of bytes.
+    Length,
+    /// By chunks, or by the status of a response without a body.
     Stated,
     /// By the end of the connection, which the response announces.
     AnnouncedClose,
@@ -78,10 +83,10 @@
     /// The end of the body of a response with this head.
     pub fn of(head: &Parts) -> BodyEnd {
         let headers = &head.headers;
-        let has_length =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        if has_length || has_no_body(head.status) {
+        if has_no_body(head.status) || headers.contains_key(TRANSFER_ENCODING) {
             BodyEnd::Stated
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            BodyEnd::Length
         } else if announces_close(head.version, headers) {
             BodyEnd::AnnouncedClose
         } else {
@@ -89,10 +94,15 @@
         }
     }
 
+    /// Whether the body ends with its connection.
+    pub fn is_close(self) -> bool {
+        matches!(self, BodyEnd::AnnouncedClose | BodyEnd::Close)
+    }
+
     /// Checks the beginning of the body, if nothing states where it ends.
     pub fn check(self, body: &[u8]) -> Result<(), Fault> {
         match self {
-            BodyEnd::Stated => Ok(()),
+            BodyEnd::Length | BodyEnd::Stated => Ok(()),
             BodyEnd::AnnouncedClose => check_body(body, true),
             BodyEnd::Close => check_body(body, false),
         }
--- a/daemon/src/fleet/attempt.rs
+++ b/daemon/src/fleet/attempt.rs
@@ -221,9 +221,8 @@
         return End::Broken(format!("response signature does not match upstream {upstream}"));
     }
     let body_end = BodyEnd::of(&head);
-    let is_close_delimited = body_end != BodyEnd::Stated;
     // A connection that ends with its response cannot be used again.
-    let idle_timeout = if is_close_delimited { Duration::ZERO } else { idle_timeout };
+    let idle_timeout = if body_end.is_close() { Duration::ZERO } else { idle_timeout };
     strip_hop_by_hop(&mut head.headers);
     let stream = Stream {
         flight: placement.flight.clone(),
@@ -382,12 +381,13 @@
             return End::Broken(format!("response truncated: {}", chain(&*e)));
         }
     };
-    if let Err(fault) = body_end.check(collected.as_ref()) {
+    let checked = body_end.check(collected.as_ref()).and_then(|()| channel.check_end(body_end));
+    if let Err(fault) = checked {
         record_failure(job, &upstream, Cause::Malformed);
         return End::Broken(fault.to_string());
     }
     let attempt = Interrupted { flight: &flight, incarnation, sent, first_event: None };
-    if body_end != BodyEnd::Stated && crash::has_ended(job, attempt, &address).await {
+    if body_end.is_close() && crash::has_ended(job, attempt, &address).await {
         outcome::record_broken(job, attempt).await;
         return End::Broken("the upstream ended while it sent the response".to_owned());
     }
@@ -449,7 +449,7 @@
             stream.attempt_guard.record_first_event();
             End::Streaming(Box::new(Started { head, first, stream }))
         }
-        Item::End if stream.body_end != BodyEnd::Stated && last_event.is_none() => {
+        Item::End if stream.body_end.is_close() && last_event.is_none() => {
             outcome::record_broken(job, stream.interrupted()).await;
             End::Broken("the connection ended before the first event".to_owned())
         }
--- a/daemon/src/fleet/calls.rs
+++ b/daemon/src/fleet/calls.rs
@@ -68,7 +68,7 @@
         dial::record_response(process, upstream);
     }
     let idle_timeout = idle_timeout(&head.headers);
-    if body_end == BodyEnd::Stated && !idle_timeout.is_zero() {
+    if !body_end.is_close() && !idle_timeout.is_zero() {
         process.call_pool.put(upstream, channel, idle_timeout, process.now());
     }
     Ok(Response::from_parts(head, body))
--- a/daemon/src/fleet/stream.rs
+++ b/daemon/src/fleet/stream.rs
@@ -110,11 +110,15 @@
     pub async fn next_item(&mut self, job: &Job<D>) -> Item {
         match self.next(job).await {
             Item::End
-                if self.body_end != BodyEnd::Stated
+                if self.body_end.is_close()
                     && crash::has_ended(job, self.interrupted(), &self.address).await =>
             {
                 Item::Broken("the upstream ended between two events".to_owned())
             }
+            Item::End => match self.channel.check_end(self.body_end) {
+                Ok(()) => Item::End,
+                Err(fault) => Item::Broken(fault.to_string()),
+            },
             Item::Events(events) if self.first_event.is_none() => {
                 let start: Vec<u8> = events.iter().flat_map(|e| e.bytes.iter().copied()).collect();
                 match self.body_end.check(&start) {
