--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -145,38 +145,24 @@
 
 fn start_listeners<D: Dialect>(process: &Arc<Process<D>>, listeners: Listeners) {
     let Listeners { callers, ready, control, metrics } = listeners;
-    let (p, listener) = (process.clone(), Arc::new(callers));
-    supervisor::spawn(process, "callers", move || callers::run(p.clone(), listener.clone()));
-    let (p, listener) = (process.clone(), Arc::new(ready));
-    supervisor::spawn(process, "readiness", move || operators::ready(p.clone(), listener.clone()));
-    for listener in std::iter::once(control).chain(metrics).map(Arc::new) {
-        let p = process.clone();
-        let serve = move || operators::run(p.clone(), listener.clone());
-        supervisor::spawn(process, "operators and peers", serve);
+    supervisor::spawn_with(process, Arc::new(callers), "callers", callers::run);
+    supervisor::spawn_with(process, Arc::new(ready), "readiness", operators::ready);
+    supervisor::spawn_with(process, Arc::new(control), "operators and peers", operators::run);
+    if let Some(metrics) = metrics {
+        supervisor::spawn_with(process, Arc::new(metrics), "metrics", operators::run);
     }
 }
 
 fn start_tasks<D: Dialect, R: Directory>(process: &Arc<Process<D>>, directory: &R) {
-    let (p, d) = (process.clone(), directory.clone());
-    supervisor::spawn(process, "heartbeats", move || heartbeat::run(p.clone(), d.clone()));
-    let (p, d) = (process.clone(), directory.clone());
-    supervisor::spawn(process, "watch", move || watch::run(p.clone(), d.clone()));
-    let (p, d) = (process.clone(), directory.clone());
-    supervisor::spawn(process, "registration", move || watch::register(p.clone(), d.clone()));
-    let (p, d) = (process.clone(), directory.clone());
-    supervisor::spawn(process, "withdrawals", move || withdraw::run(p.clone(), d.clone()));
-    let (p, d) = (process.clone(), directory.clone());
-    supervisor::spawn(process, "directory writes", move || writer::run(p.clone(), d.clone()));
-    let p = process.clone();
-    supervisor::spawn(process, "scheduler", move || scheduler::run(p.clone()));
-    let p = process.clone();
-    supervisor::spawn(process, "idle connections", move || process::sweep(p.clone()));
-    let p = process.clone();
-    supervisor::spawn(process, "reports", move || reports::run(p.clone()));
-    let p = process.clone();
-    supervisor::spawn(process, "crash log", move || crash_sync::run(p.clone()));
-    let p = process.clone();
-    supervisor::spawn(process, "suspensions", move || suspended::run(p.clone()));
-    let p = process.clone();
-    supervisor::spawn(process, "supervisor", move || supervisor::run(p.clone()));
+    supervisor::spawn_with(process, directory.clone(), "heartbeats", heartbeat::run);
+    supervisor::spawn_with(process, directory.clone(), "watch", watch::run);
+    supervisor::spawn_with(process, directory.clone(), "registration", watch::register);
+    supervisor::spawn_with(process, directory.clone(), "withdrawals", withdraw::run);
+    supervisor::spawn_with(process, directory.clone(), "directory writes", writer::run);
+    supervisor::spawn(process, "scheduler", scheduler::run);
+    supervisor::spawn(process, "idle connections", process::sweep);
+    supervisor::spawn(process, "reports", reports::run);
+    supervisor::spawn(process, "crash log", crash_sync::run);
+    supervisor::spawn(process, "suspensions", suspended::run);
+    supervisor::spawn(process, "poisoned state", supervisor::run);
 }
--- a/daemon/src/fleet/supervisor.rs
+++ b/daemon/src/fleet/supervisor.rs
@@ -24,14 +24,14 @@
 pub fn spawn<D: Dialect, T>(
     process: &Arc<Process<D>>,
     name: &'static str,
-    task: impl Fn() -> T + Send + 'static,
+    task: impl Fn(Arc<Process<D>>) -> T + Send + 'static,
 ) where
     T: Future<Output = ()> + Send + 'static,
 {
     let process = process.clone();
     tokio::spawn(async move {
-        while let Err(ended) = tokio::spawn(task()).await {
-            if !ended.is_panic() || check(&process) {
+        while let Err(ended) = tokio::spawn(task(process.clone())).await {
+            if !ended.is_panic() || fail_if_poisoned(&process) {
                 return;
             }
             process.metrics.restarted_tasks.inc();
@@ -41,15 +41,28 @@
     });
 }
 
+/// Starts a task with an argument besides the process, such as a listener.
+pub fn spawn_with<D: Dialect, A, T>(
+    process: &Arc<Process<D>>,
+    argument: A,
+    name: &'static str,
+    task: impl Fn(Arc<Process<D>>, A) -> T + Send + 'static,
+) where
+    A: Clone + Send + 'static,
+    T: Future<Output = ()> + Send + 'static,
+{
+    spawn(process, name, move |process| task(process, argument.clone()));
+}
+
 /// Checks the shared state until the process fails.
 pub async fn run<D: Dialect>(process: Arc<Process<D>>) {
-    while !check(&process) {
+    while !fail_if_poisoned(&process) {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
 
 /// Ends the process if a panic has poisoned the state that all requests share. Returns whether it has.
-fn check<D: Dialect>(process: &Process<D>) -> bool {
+fn fail_if_poisoned<D: Dialect>(process: &Process<D>) -> bool {
     let is_poisoned = process.is_poisoned();
     if is_poisoned && !process.failed.is_cancelled() {
         log::event(&process.log, Event::Poisoned, "a task panicked while it held a lock");
