Wait for the addresses of the process before at a start

Cause: each address was bound once, and any failure ended the process.

Change and why it works: an address that is in use is tried each 50 ms for 10 s, with a log line (109). Other failures end the process as before, with the address in the message.

--- a/base/src/event.rs
+++ b/base/src/event.rs
@@ -49,6 +49,8 @@
     TaskRestarted = 107, Error;
     /// The process ends because its state is no longer consistent.
     Poisoned = 108, Error;
+    /// An address of this VM is in use: it tries to bind it for some seconds.
+    AddressInUse = 109, Warning;
     /// A settings version is in force.
     VersionInForce = 200, Info;
     /// A settings version was refused; the previous one stays in force.
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -28,6 +28,7 @@
 pub mod heartbeat;
 pub mod job;
 pub mod join;
+pub mod listen;
 pub mod liveness;
 pub mod log_throttle;
 pub mod members;
@@ -75,7 +76,7 @@
 use foldlock_request::dialect::Dialect;
 use foldlock_request::directory::Directory;
 use slog::Logger;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{log, reload};
@@ -115,16 +116,18 @@
     log: Logger,
 ) -> std::io::Result<Arc<Process<D>>> {
     let fleet = config.fleet.clone();
-    let callers = TcpListener::bind(config.listen).await?;
-    let ready = TcpListener::bind(fleet.ready).await?;
-    let control = TcpListener::bind(fleet.peers).await?;
-    let socket = UdpSocket::bind(fleet.peers).await?;
-    let process = Arc::new(Process::<D>::new(config, socket, log));
-    let metrics = match fleet.metrics {
-        Some(address) => Some(TcpListener::bind(address).await?),
-        None => None,
+    let listeners = Listeners {
+        callers: listen::tcp(config.listen, &log).await?,
+        ready: listen::tcp(fleet.ready, &log).await?,
+        control: listen::tcp(fleet.peers, &log).await?,
+        metrics: match fleet.metrics {
+            Some(address) => Some(listen::tcp(address, &log).await?),
+            None => None,
+        },
     };
-    start_listeners(&process, Listeners { callers, ready, control, metrics });
+    let socket = listen::udp(fleet.peers, &log).await?;
+    let process = Arc::new(Process::<D>::new(config, socket, log));
+    start_listeners(&process, listeners);
     start_tasks(&process, &directory);
     let what = format!("incarnation {}, listen {}", process.member.incarnation, fleet.peers);
     log::event(&process.log, Event::Started, what);
