Tests: check that a port is free without listening on it

Cause, by reading: the check listened on the address for a moment. A process that another thread starts at that moment has a copy of the listener until its program begins, so that the address is in use although the check has closed it.

Change: the check binds a socket that does not listen, with SO_REUSEADDR, which is no obstacle to a listener.

--- a/standin/src/port.rs
+++ b/standin/src/port.rs
@@ -1,8 +1,10 @@
 //! Addresses for listeners that restart on the same address, or whose address must not get another owner.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 
+use socket2::{Domain, Socket, Type};
+
 /// The first port to allocate.
 const FIRST_PORT: u16 = 10_000;
 
@@ -29,8 +31,16 @@
     loop {
         let port = FIRST_PORT + ALLOCATED.fetch_add(1, Ordering::Relaxed) % PORTS;
         let address = SocketAddr::from((ip(), port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        if is_free(address, Type::STREAM) && is_free(address, Type::DGRAM) {
             return address;
         }
     }
 }
+
+/// Whether a socket can be bound to an address. The socket does not listen: a process that another thread starts meanwhile
+/// has a copy of it until its program begins, and a listener could not be bound as long as that one listens.
+fn is_free(address: SocketAddr, kind: Type) -> bool {
+    let socket = Socket::new(Domain::IPV4, kind, None).expect("a free descriptor");
+    socket.set_reuse_address(true).expect("a socket takes the option");
+    socket.bind(&address.into()).is_ok()
+}
