Soak: outages of all VMs, drawn from a seed

For the users' report that service did not come back in time after all machines had returned (RECOVER). The earlier test kills all VMs at the same moment and returns them together, in nine states of the store that begin with the kill. This one draws from a seed how each VM ends (killed, killed while it stops, frozen and killed) and when it returns, whether all end once or up to three times, the store's disturbance before, meanwhile and up to 5 s after the return, a store that comes back from a copy, servers that are all replaced, and settings that change meanwhile. The 12 s count from the last VM's return, and all VMs are asked at once. Run by hand: FOLDLOCK_OUTAGES=FROM..TO.

--- a/daemon/tests/soak/main.rs
+++ b/daemon/tests/soak/main.rs
@@ -30,10 +30,12 @@
 use foldlock_platform_standin::settings::{self, Route};
 use foldlock_request::scheduler::{Admission, Policy};
 use nix::sys::signal::Signal;
+use outage::Outage;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use standin::proxy::Mode;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use world::{MAX_SETTINGS_AGE, Part, VM_COUNT, World};
 
@@ -541,6 +543,80 @@
     run_seeds(seeds, LONG_DURATION, 6).await;
 }
 
+/// Waits until each VM serves, and returns how long after `returned` the last one did.
+async fn wait_for_service(world: &World, returned: Instant) -> Duration {
+    let served = (0..VM_COUNT).flat_map(|vm| [Kind::Safe, Kind::Stream].map(|kind| (vm, kind)));
+    let served = served.map(async |(vm, kind)| {
+        while !serves(world, vm, kind).await {
+            if returned.elapsed() > RECOVERY_TIMEOUT + world.stall_time_since(returned) {
+                let name = &world.vms[vm].name;
+                world.record_violation(format!("{name} did not recover: {kind:?}"));
+                return;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    });
+    futures::future::join_all(served).await;
+    returned.elapsed()
+}
+
+/// Starts the callers of a run.
+fn start_callers(
+    world: &Arc<World>,
+    seed: u64,
+    stop: &CancellationToken,
+) -> Vec<JoinHandle<Vec<Outcome>>> {
+    let start = |caller: usize| {
+        let name = format!("outage-{seed}-{caller}");
+        tokio::spawn(caller::run(world.clone(), name, KEY, caller as u64, stop.clone()))
+    };
+    (0..CALLERS).map(start).collect()
+}
+
+/// Runs two outages of a seed.
+async fn run_outages(seed: u64) -> Vec<String> {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("outages-{seed}"));
+    let world = World::start(folder, &settings_at(FIRST_VERSION), scheduling(seed)).await;
+    check_recovery(&world).await;
+    let stop = CancellationToken::new();
+    let callers = start_callers(&world, seed, &stop);
+    let mut rng = StdRng::seed_from_u64(seed);
+    for _ in 0..2 {
+        tokio::time::sleep(world::SETTLE_TIME).await;
+        let outage = Outage::random(&mut rng);
+        let (returned, calming) = outage.bring_about(&world).await;
+        let time = wait_for_service(&world, returned).await;
+        println!("seed {seed}: all serve {time:?} after the return; {outage:?}");
+        calming.await.unwrap();
+    }
+    stop.cancel();
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    std::mem::take(&mut world.violations.lock().unwrap())
+}
+
+/// Guards against a fleet that does not serve in time after all VMs ended and returned, in any order and state of the store
+/// and the servers. `FOLDLOCK_OUTAGES` names the seeds, as `FROM..TO`.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "takes minutes; run manually"]
+async fn a_fleet_serves_again_after_any_outage() {
+    let selection = std::env::var("FOLDLOCK_OUTAGES").unwrap_or_else(|_| "1..7".to_owned());
+    let (from, to) = selection.split_once("..").expect("FROM..TO");
+    let seeds: Vec<u64> = (from.parse().unwrap()..to.parse().unwrap()).collect();
+    let mut failed = BTreeMap::new();
+    for batch in seeds.chunks(4) {
+        let runs = batch.iter().map(|seed| tokio::spawn(run_outages(*seed)));
+        for (seed, run) in batch.iter().zip(futures::future::join_all(runs).await) {
+            let violations = run.unwrap();
+            if !violations.is_empty() {
+                failed.insert(*seed, violations);
+            }
+        }
+    }
+    assert!(failed.is_empty(), "logs are kept in {}: {failed:#?}", env!("CARGO_TARGET_TMPDIR"));
+}
+
 /// Guards against a fleet that does not serve in time after all VMs were killed at the same moment.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes minutes; run manually"]
@@ -552,12 +628,7 @@
         let world = World::start(folder, &settings, scheduling(seed as u64)).await;
         check_recovery(&world).await;
         let stop = CancellationToken::new();
-        let callers: Vec<_> = (0..CALLERS)
-            .map(|caller| {
-                let (name, seed) = (format!("outage-{seed}-{caller}"), caller as u64);
-                tokio::spawn(caller::run(world.clone(), name, KEY, seed, stop.clone()))
-            })
-            .collect();
+        let callers = start_callers(&world, seed as u64, &stop);
         for round in 0..3 {
             tokio::time::sleep(world::SETTLE_TIME).await;
             let returned = outage::bring_about(&world, store).await;
