Observe the connection that shows that an upstream still runs

Cause: the system closes the connections of a killed process before its listener. A VM that asks between the two is accepted.

Evidence: with stand-ins whose port is closed 1 ms after their connections five tests of close_delimited failed, the new an_upstream_whose_port_outlives_its_connections_has_ended among them.

Change and why it works: the connection has to stay open for 100 ms. What a listener has accepted and not handed over is reset when it closes. A response without a length takes 0.1 s longer; those with a length or chunks are not asked about.

Open (O-69): the evidence for crashes asks in the same way, and does not wait.

--- a/connection/src/channel.rs
+++ b/connection/src/channel.rs
@@ -198,8 +198,13 @@
         }
     }
 
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     fn is_usable(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        self.sender.is_ready() && !self.is_closed()
     }
 }
 
--- a/daemon/src/fleet/crash.rs
+++ b/daemon/src/fleet/crash.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foldlock_base::prelude::*;
+use foldlock_connection::channel::Channel;
 use foldlock_request::decision::Decision;
 use foldlock_request::dialect::Dialect;
 use foldlock_request::fingerprint::Fingerprint;
@@ -23,6 +24,11 @@
 /// How long the connection of a successful check is kept for another request.
 const PROBE_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which a connection to an upstream has to stay open to show that the upstream runs. The system closes the
+/// connections of a killed process before its listener, and resets what the listener has accepted meanwhile; a busy machine may
+/// take some milliseconds for that.
+const TEARDOWN_TIME: Duration = Duration::from_millis(100);
+
 /// What broke the connection of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
@@ -64,7 +70,8 @@
     match state(job, attempt).await {
         State::Crashed => record(job, attempt, at),
         State::Unknown => return Finding::Path,
-        State::Running | State::Leaving | State::Unreachable => {}
+        State::Running(channel) => keep(job, attempt, channel),
+        State::Leaving | State::Unreachable => {}
     }
     Finding::Upstream
 }
@@ -72,18 +79,33 @@
 /// Whether the upstream of an attempt at `address` no longer runs, so that what it sent until its connection ended may be a
 /// part. An upstream that leaves ends its responses before it ends itself, but may be gone sooner.
 pub async fn has_ended<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>, address: &str) -> bool {
-    match state(job, attempt).await {
-        State::Crashed => true,
-        State::Leaving => dial::is_closed(&job.process, &attempt.flight.upstream, address).await,
-        State::Running | State::Unreachable | State::Unknown => false,
-    }
+    let channel = match state(job, attempt).await {
+        State::Crashed => return true,
+        State::Unreachable | State::Unknown => return false,
+        State::Running(channel) => channel,
+        State::Leaving => {
+            match dial::connect(&job.process, &attempt.flight.upstream, address).await {
+                Ok(channel) => channel,
+                Err(failure) => return failure.verdict == Verdict::Refused,
+            }
+        }
+    };
+    tokio::time::sleep(TEARDOWN_TIME).await;
+    let has_ended = channel.is_closed();
+    keep(job, attempt, channel);
+    has_ended
+}
+
+/// Keeps the connection of a check for another request.
+fn keep<D: Dialect>(job: &Job<D>, attempt: Interrupted<'_>, channel: Channel) {
+    job.process.pool.put(&attempt.flight.upstream, channel, PROBE_IDLE_TIMEOUT, job.process.now());
 }
 
 /// The state of an upstream after a connection to it ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Crashed,
-    Running,
+    /// It accepts connections.
+    Running(Channel),
     /// It is leaving or no longer listed, and exits without a crash.
     Leaving,
     /// It does not respond: it may be partitioned, which no request causes.
@@ -109,10 +131,7 @@
         Err(dial::Failure { verdict: Verdict::Unreachable, .. }) => State::Unreachable,
         Err(dial::Failure { verdict: Verdict::Unknown, .. }) => State::Unknown,
         Ok(channel) if channel.via().is_some() => State::Unknown,
-        Ok(channel) => {
-            job.process.pool.put(upstream, channel, PROBE_IDLE_TIMEOUT, job.process.now());
-            State::Running
-        }
+        Ok(channel) => State::Running(channel),
     }
 }
 
--- a/daemon/src/fleet/dial.rs
+++ b/daemon/src/fleet/dial.rs
@@ -51,7 +51,8 @@
     address: &str,
 ) -> Result<Channel, Failure> {
     let Some(target) = target(process, upstream) else {
-        let direct = channel::connect(address, CONNECT_TIMEOUT).await.map_err(unconfirmed)?;
+        // It is no longer listed, so that no peer can be asked.
+        let direct = channel::connect(address, CONNECT_TIMEOUT).await.map_err(unlisted)?;
         return Channel::new(direct).await.map_err(unconfirmed);
     };
     let mut direct =
@@ -75,20 +76,6 @@
     }
 }
 
-/// Whether nothing listens at the address of an upstream any more, which may have left the directory.
-pub async fn is_closed<D: Dialect>(
-    process: &Arc<Process<D>>,
-    upstream: &id::Upstream,
-    address: &str,
-) -> bool {
-    if target(process, upstream).is_some() {
-        let connected = connect(process, upstream, address).await;
-        return connected.is_err_and(|failure| failure.verdict == Verdict::Refused);
-    }
-    let connected = channel::connect(address, CONNECT_TIMEOUT).await;
-    matches!(connected, Err(channel::Failure::Refused(_)))
-}
-
 type Direct = JoinHandle<Result<TcpStream, channel::Failure>>;
 type Tunnelled = Result<(Tunnel, id::Vm), Vec<Testimony>>;
 
@@ -364,6 +351,12 @@
     listed(process, upstream).map(|(target, _)| target)
 }
 
+fn unlisted(failure: channel::Failure) -> Failure {
+    let is_refused = matches!(failure, channel::Failure::Refused(_));
+    let verdict = if is_refused { Verdict::Refused } else { Verdict::Unreachable };
+    Failure { verdict, why: reason(failure) }
+}
+
 fn unconfirmed(failure: channel::Failure) -> Failure {
     Failure { verdict: Verdict::Unreachable, why: reason(failure) }
 }
