--- a/daemon/tests/keepalive.rs
+++ b/daemon/tests/keepalive.rs
@@ -2,16 +2,19 @@
 
 mod common;
 
+use std::net::SocketAddrV4;
+
 use common::{plan, prompt, streamed_request};
 use standin::client;
 use standin::fault::{Fault, Kind};
 use standin::fleet::{Fleet, Plan, wait_for};
 
-/// Whether a connection to this port has a keep-alive timer, by the kernel's table: columns 2 (remote address) and 5 (kind and
-/// end of the timer).
-fn is_probed(port: u16) -> bool {
+/// Whether a connection to this address has a keep-alive timer, by the kernel's table: columns 2 (remote address, in the byte
+/// order of the machine) and 5 (kind and end of the timer).
+fn is_probed(address: SocketAddrV4) -> bool {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    let remote = format!("0100007F:{port:04X}");
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    let remote = format!("{ip:08X}:{:04X}", address.port());
     table
         .lines()
         .map(|line| line.split_whitespace().collect::<Vec<_>>())
@@ -25,7 +28,7 @@
     let request = streamed_request(prompt(100), 30);
     let (client, listen) = (fleet.client.clone(), fleet.vms[0].listen);
     let sent = tokio::spawn(async move { client::send(&client, listen, &request).await });
-    let port = fleet.engines[0].server.address.port();
-    wait_for("the stream to be probed", async || is_probed(port)).await;
+    let address = fleet.engines[0].server.address.to_string().parse().unwrap();
+    wait_for("the stream to be probed", async || is_probed(address)).await;
     sent.abort();
 }
