Compute the pace of an engine from figures of any size without a panic

What callers saw: nothing yet; found by reading all conversions once more. With a step_ms near the limit of a duration in the settings (3.2e20 at a stride of 48) each stream at that engine would have ended by a panic of its task.

Cause: Pace::new checks that the pace is a duration and multiplies it by 1.5 without a check.

Evidence: the_pace_of_an_engine_with_figures_of_any_size_is_computed failed before ("value is either too big or NaN").

Change and why it works: clock::from_millis has a largest duration, which leaves room for such products.

--- a/request/src/evidence.rs
+++ b/request/src/evidence.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use foldlock_base::clock::from_millis;
 use foldlock_version::routes::Engine;
 
 use crate::forecast;
@@ -87,7 +88,7 @@
     /// still as fast as when it is full.
     pub fn new(engine: &Engine) -> Option<Pace> {
         let full_ms = forecast::pass_ms(engine, engine.slots, engine.memory.0);
-        let full = Duration::try_from_secs_f64(full_ms / 1e3).ok()?;
+        let full = from_millis(full_ms);
         let limit = full.mul_f64(MAX_RATIO) + SLACK;
         let slow_ms = forecast::pass_ms(engine, 1, 0) * SLOWDOWN;
         (slow_ms > limit.as_secs_f64() * 1e3).then_some(Pace { limit, last: None })
--- a/request/tests/evidence.rs
+++ b/request/tests/evidence.rs
@@ -4,7 +4,7 @@
 
 use foldlock_base::size::Tokens;
 use foldlock_request::cluster::{Cluster, Holder, Listed};
-use foldlock_request::evidence::{Doubt, POLL_INTERVAL, Pace, Reason, TICK};
+use foldlock_request::evidence::{Doubt, Expectation, POLL_INTERVAL, Pace, Reason, TICK};
 use foldlock_request::flight::{Announcement, Flight, Helper};
 use foldlock_request::forecast;
 use foldlock_request::report::{Observed, Report};
@@ -292,6 +292,17 @@
     assert!(asked < polled / 2, "{asked} of {polled}");
 }
 
+/// Guards against a VM that panics once the pace of an engine, computed from its figures in the settings, is beyond the range of
+/// a duration.
+#[test]
+fn the_pace_of_an_engine_with_figures_of_any_size_is_computed() {
+    for step_ms in [1e9, 1e18, 3.2e20, 1.5e22, 1e23, f64::MAX, f64::INFINITY, -1.0] {
+        let engine = Engine { step_ms, ..ENGINE };
+        let _ = Pace::new(&engine);
+        let _ = Expectation::new(step_ms, Instant::now()).map(|expected| expected.late_after());
+    }
+}
+
 /// Guards against a pace that looks sound although the engine is four times slower, whether it runs one request or is full.
 #[test]
 fn events_are_evidence_at_the_pace_of_a_full_engine_but_not_four_times_slower() {
