--- a/connection/tests/framing.rs
+++ b/connection/tests/framing.rs
@@ -1,4 +1,4 @@
-//! Responses whose heads do not tell where their bodies end, at the client of whole responses.
+//! Responses whose heads do not state where their bodies end, at the client of whole responses.
 
 use std::time::Duration;
 
